--- /dev/null
+++ b/src/api.c
@@ -0,0 +1,521 @@
+/* Users' requests. What a user is told as accepted, cancelled or done is committed; an answer
+ * that is not final is read through, so that no node answers older than another. */
+#include "log.h"
+#include "server.h"
+#include "thread.h"
+#include "wire.h"
+
+#include <math.h>
+#include <string.h>
+
+enum ask_kind { ASK_POLL, ASK_SUBMIT, ASK_CANCEL };
+
+struct ask {
+    enum ask_kind kind;
+    struct lmn_call *call;
+    char ref[LMN_REF];
+    int absent_status; /* the answer if there is no such job */
+    GByteArray *answer;
+    uint64_t rev;
+};
+
+static pthread_mutex_t asks_lock = PTHREAD_MUTEX_INITIALIZER;
+static pthread_cond_t asks_more;
+static GQueue asks = G_QUEUE_INIT;
+
+static const char *phase_word(enum lmn_phase phase, uint32_t running, uint32_t done)
+{
+    if (phase == LMN_FINISHED)
+        return W_DONE;
+    if (phase == LMN_WITHDRAWN)
+        return W_WITHDRAWN;
+    return running || done ? W_RUNNING : W_QUEUED;
+}
+
+/* Tasks done and running, as far as this node knows; for display. */
+static void tally(const struct lmn_job *j, uint32_t *done, uint32_t *running)
+{
+    uint32_t left = 0;
+
+    *running = 0;
+    for (guint i = 0; i < j->ranges->len; i++) {
+        const struct lmn_range *r = j->ranges->pdata[i];
+        left += r->hi - r->lo - (r->st ? r->nfinished : r->ndone);
+        *running += r->nstarted;
+    }
+    *done = j->phase == LMN_FINISHED ? j->spec.tasks : j->spec.tasks - MIN(left, j->spec.tasks);
+    if (j->phase != LMN_ACTIVE)
+        *running = 0;
+}
+
+static GByteArray *job_answer(const char *ref, enum lmn_phase phase, uint32_t done,
+                              uint32_t running)
+{
+    GByteArray *b = g_byte_array_new();
+    lmn_put_map(b, 4);
+    lmn_put_text(b, W_ID), lmn_put_text(b, ref);
+    lmn_put_text(b, W_STATE), lmn_put_text(b, phase_word(phase, running, done));
+    lmn_put_text(b, W_DONE), lmn_put_count(b, done);
+    lmn_put_text(b, W_RUNNING), lmn_put_count(b, running);
+    return b;
+}
+
+static GByteArray *error_answer(const char *what)
+{
+    GByteArray *b = g_byte_array_new();
+    lmn_put_map(b, 1);
+    lmn_put_text(b, "error"), lmn_put_text(b, what);
+    return b;
+}
+
+/* The answer from the mirror; NULL if the job isn't there. */
+static GByteArray *mirror_answer(const struct lmn_core *c, const char *ref, uint64_t *rev,
+                                 bool *final)
+{
+    const struct lmn_job *j = g_hash_table_lookup(c->jobs, ref);
+    uint32_t done, running;
+
+    *rev = 0;
+    *final = false;
+    if (!j)
+        return NULL;
+    tally(j, &done, &running);
+    *rev = j->rev;
+    *final = j->phase != LMN_ACTIVE;
+    return job_answer(ref, j->phase, done, running);
+}
+
+static void enqueue(enum ask_kind kind, struct lmn_call *call, const char *ref, int absent_status)
+{
+    struct ask *a = g_new0(struct ask, 1);
+
+    a->kind = kind;
+    a->call = call;
+    a->absent_status = absent_status;
+    g_strlcpy(a->ref, ref, sizeof a->ref);
+    lmn_call_hold(call);
+    pthread_mutex_lock(&asks_lock);
+    g_queue_push_tail(&asks, a);
+    pthread_cond_signal(&asks_more);
+    pthread_mutex_unlock(&asks_lock);
+}
+
+/* Final answers never change: the mirror's will do. 1 if the call was answered so. */
+static bool answer_final(struct lmn_core *c, struct lmn_call *call, const char *ref)
+{
+    uint64_t rev;
+    bool final;
+
+    pthread_mutex_lock(&c->lock);
+    GByteArray *a = mirror_answer(c, ref, &rev, &final);
+    pthread_mutex_unlock(&c->lock);
+    if (a && final) {
+        lmn_call_answer(call, 200, a, 0);
+        return true;
+    }
+    if (a)
+        g_byte_array_unref(a);
+    return false;
+}
+
+void lmn_api_poll(struct lmn_core *c, struct lmn_call *call, const char *ref)
+{
+    c->count.polls++;
+    if (!lmn_ref_ok(ref)) {
+        lmn_call_answer(call, 404, NULL, 0);
+        return;
+    }
+    if (!answer_final(c, call, ref))
+        enqueue(ASK_POLL, call, ref, 404);
+}
+
+void lmn_api_cancel(struct lmn_core *c, struct lmn_call *call, const char *ref)
+{
+    if (!lmn_ref_ok(ref)) {
+        lmn_call_answer(call, 404, NULL, 0);
+        return;
+    }
+    if (!answer_final(c, call, ref))
+        enqueue(ASK_CANCEL, call, ref, 404);
+}
+
+bool lmn_api_ready(struct lmn_core *c)
+{
+    pthread_mutex_lock(&c->lock);
+    bool ready = c->synced && c->types_known && lmn_staleness(c, lmn_now()) < 15.0;
+    pthread_mutex_unlock(&c->lock);
+    return ready;
+}
+
+/* --- submission --- */
+
+struct submission {
+    struct lmn_core *c;
+    struct lmn_call *call;
+    char ref[LMN_REF];
+};
+
+static void submitted(void *arg, struct lmn_txn *t, enum lmn_outcome outcome, uint64_t rev)
+{
+    struct submission *s = arg;
+    (void)t;
+    (void)rev;
+
+    if (outcome == LMN_OK) {
+        GByteArray *b = g_byte_array_new();
+        lmn_put_map(b, 2);
+        lmn_put_text(b, W_ID), lmn_put_text(b, s->ref);
+        lmn_put_text(b, W_STATE), lmn_put_text(b, W_QUEUED);
+        lmn_call_answer(s->call, 201, b, 0);
+    } else if (outcome == LMN_CONFLICT) {
+        /* Known already, though not yet to the mirror: the answer is read. */
+        struct ask *a = g_new0(struct ask, 1);
+        a->kind = ASK_POLL;
+        a->call = s->call;
+        a->absent_status = 503;
+        g_strlcpy(a->ref, s->ref, sizeof a->ref);
+        pthread_mutex_lock(&asks_lock);
+        g_queue_push_tail(&asks, a);
+        pthread_cond_signal(&asks_more);
+        pthread_mutex_unlock(&asks_lock);
+    } else {
+        /* Refused, or unknown: if it was executed after all, the retry finds the job. */
+        lmn_call_answer(s->call, 503, NULL, 1);
+    }
+    g_free(s);
+}
+
+/* Parts of the job for each partition, by the room that its machines could give to it. */
+static void shares(const struct lmn_core *c, const struct lmn_spec *s, uint32_t *n)
+{
+    double weight[LMN_MAX_MEMBERS], sum = 0;
+    uint32_t given = 0;
+    int parts = MIN(c->nparts, c->cfg->txn_ops - 1), best = 0;
+    GHashTableIter it;
+    gpointer v;
+
+    memset(n, 0, sizeof *n * (size_t)c->nparts);
+    for (int i = 0; i < parts; i++) {
+        weight[i] = 0;
+        g_hash_table_iter_init(&it, c->parts[i].machines);
+        while (g_hash_table_iter_next(&it, NULL, &v)) {
+            const struct lmn_machine *m = v;
+            const struct lmn_type *t = NULL;
+            for (size_t k = 0; k < c->types.n && !t; k++)
+                if (!strcmp(c->types.v[k].name, m->type_name))
+                    t = &c->types.v[k];
+            if (t && m->rev && lmn_spec_allows(s, t, m->zone, m->spot))
+                weight[i] += t->cpus + t->gpus;
+        }
+        sum += weight[i];
+    }
+    if (sum <= 0) {
+        for (int i = 0; i < parts; i++)
+            weight[i] = 1;
+        sum = parts;
+    }
+    int first = (int)(g_str_hash(s->ref) % (guint)parts);
+    for (int i = 0; i < parts; i++)
+        if (weight[i] > weight[best])
+            best = i;
+    /* One owner must see all of a job whose tasks depend on each other's places. */
+    if (s->one_zone || s->spread) {
+        n[best] = s->tasks;
+        return;
+    }
+    for (int k = 0; k < parts; k++) {
+        int i = (first + k) % parts;
+        uint32_t want = (uint32_t)floor((double)s->tasks * weight[i] / sum + 0.5);
+        n[i] = MIN(want, s->tasks - given);
+        given += n[i];
+    }
+    n[best] += s->tasks - given;
+}
+
+static struct lmn_txn *submission_txn(struct lmn_core *c, const struct lmn_spec *s,
+                                      struct submission *arg)
+{
+    struct lmn_txn *t = lmn_txn_new(LMN_RANK_USER, submitted, arg);
+    uint32_t n[LMN_MAX_MEMBERS], open = 0, at = 0;
+    struct lmn_range r = {0};
+    char key[96];
+    struct timespec wall = lmn_wall();
+    /* One bit a task as hexadecimal text: so many that no value passes the limit. */
+    uint32_t most = (uint32_t)(c->cfg->value_kb * 1024 * 3);
+
+    shares(c, s, n);
+    g_snprintf(key, sizeof key, "j/%s", s->ref);
+    lmn_txn_if(t, key, 0);
+    char *job_key = g_strdup(key);
+    for (int i = 0; i < c->nparts; i++)
+        while (n[i] > 0) {
+            uint32_t k = MIN(n[i], most);
+            r.lo = at;
+            r.hi = at + k;
+            uint8_t *none = g_malloc0((k + 7) / 8);
+            g_snprintf(key, sizeof key, "r/%d/%s/%u", i, s->ref, at);
+            lmn_txn_write(t, key, lmn_range_record(&r, none), 0);
+            g_free(none);
+            at += k;
+            n[i] -= k;
+            open++;
+        }
+    /* The watch shows changes in the order of the transaction: first ranges, then the job,
+     * would leave ranges without a job. */
+    lmn_txn_write_first(t, job_key, lmn_job_record(s, LMN_ACTIVE, open, lmn_seconds(wall)));
+    g_free(job_key);
+    return t;
+}
+
+void lmn_api_submit(struct lmn_core *c, struct lmn_call *call)
+{
+    const GByteArray *body = lmn_call_body(call);
+    struct lmn_doc d;
+    struct lmn_spec s;
+    const char *what = "not CBOR";
+    uint64_t rev;
+    bool final, known = false;
+
+    c->count.submissions++;
+    if (lmn_doc_parse(&d, body->data, body->len) != 0) {
+        lmn_call_answer(call, 400, error_answer("not CBOR"), 0);
+        return;
+    }
+    if (lmn_spec_parse(&s, &d, lmn_root(&d), &what) != 0) {
+        /* Even then, an id that was accepted before is answered with its state. */
+        if (*s.ref && lmn_ref_ok(s.ref)) {
+            if (!answer_final(c, call, s.ref))
+                enqueue(ASK_POLL, call, s.ref, 400);
+        } else {
+            lmn_call_answer(call, 400, error_answer(what), 0);
+        }
+        lmn_spec_clear(&s);
+        lmn_doc_free(&d);
+        return;
+    }
+    pthread_mutex_lock(&c->lock);
+    GByteArray *a = mirror_answer(c, s.ref, &rev, &final);
+    known = a != NULL;
+    bool synced = c->synced, types = c->types_known;
+    bool possible = lmn_spec_possible(&s, c->cfg, &c->types, &what);
+    pthread_mutex_unlock(&c->lock);
+    if (a && final) {
+        lmn_call_answer(call, 200, a, 0);
+    } else if (known) {
+        enqueue(ASK_POLL, call, s.ref, 503);
+    } else if (!synced || !types) {
+        lmn_call_answer(call, 503, NULL, 2);
+    } else if (!possible) {
+        lmn_debug("job-impossible job=%s why=\"%s\"", s.ref, what);
+        enqueue(ASK_POLL, call, s.ref, 422);
+    } else {
+        double wait = lmn_state_backlog(c->state, LMN_RANK_USER);
+        if (wait > 2.0) {
+            c->count.refused++;
+            lmn_call_answer(call, 429, NULL, (int)ceil(wait));
+        } else {
+            struct submission *arg = g_new0(struct submission, 1);
+            arg->c = c;
+            arg->call = call;
+            g_strlcpy(arg->ref, s.ref, sizeof arg->ref);
+            pthread_mutex_lock(&c->lock);
+            struct lmn_txn *t = submission_txn(c, &s, arg);
+            pthread_mutex_unlock(&c->lock);
+            lmn_call_hold(call);
+            lmn_state_submit(c->state, t);
+        }
+    }
+    if (a && !final)
+        g_byte_array_unref(a);
+    lmn_spec_clear(&s);
+    lmn_doc_free(&d);
+}
+
+/* --- the thread that reads through --- */
+
+/* Reads one job. Returns the status of the reading (200, 404 or another). */
+static int read_job(struct lmn_core *c, struct lmn_http *h, GByteArray *buf, const char *ref,
+                    struct lmn_spec *s, enum lmn_phase *phase, uint32_t *open, double *at,
+                    uint64_t *rev)
+{
+    char path[96];
+    struct lmn_doc d;
+
+    memset(s, 0, sizeof *s);
+    g_snprintf(path, sizeof path, P_STORE "/j/%s", ref);
+    lmn_state_pace(c->state);
+    int status = lmn_http_call(h, "GET", path, NULL, 1.5, buf);
+    if (status != 200)
+        return status;
+    if (lmn_doc_parse(&d, buf->data, buf->len) != 0)
+        return LMN_NO_ANSWER;
+    const struct lmn_node *root = lmn_root(&d);
+    if (!lmn_count(lmn_get(&d, root, W_VERSION), rev) ||
+        lmn_job_read(&d, lmn_get(&d, root, W_VALUE), s, phase, open, at) != 0)
+        status = LMN_NO_ANSWER;
+    lmn_doc_free(&d);
+    return status;
+}
+
+static void answer_absent(struct ask *a)
+{
+    if (a->absent_status == 503)
+        lmn_call_answer(a->call, 503, NULL, 1);
+    else
+        lmn_call_answer(a->call, a->absent_status,
+                        a->absent_status == 404 ? NULL : error_answer("refused"), 0);
+}
+
+/* The mirror is behind: the job itself is read. */
+static void answer_read(struct lmn_core *c, struct lmn_http *h, GByteArray *buf, struct ask *a)
+{
+    struct lmn_spec s;
+    enum lmn_phase phase = LMN_ACTIVE;
+    uint32_t open, done = 0, running = 0;
+    double at;
+    uint64_t rev;
+    int status = read_job(c, h, buf, a->ref, &s, &phase, &open, &at, &rev);
+
+    if (status == 200) {
+        pthread_mutex_lock(&c->lock);
+        const struct lmn_job *j = g_hash_table_lookup(c->jobs, a->ref);
+        if (j)
+            tally(j, &done, &running);
+        pthread_mutex_unlock(&c->lock);
+        if (phase == LMN_FINISHED)
+            done = s.tasks;
+        lmn_call_answer(a->call, 200,
+                        job_answer(a->ref, phase, done, phase == LMN_ACTIVE ? running : 0), 0);
+    } else if (status == 404) {
+        answer_absent(a);
+    } else {
+        lmn_call_answer(a->call, 503, NULL, 1);
+    }
+    lmn_spec_clear(&s);
+}
+
+static void cancel_one(struct lmn_core *c, struct lmn_http *h, GByteArray *buf, struct ask *a)
+{
+    for (int tries = 0; tries < 5; tries++) {
+        struct lmn_spec s;
+        enum lmn_phase phase = LMN_ACTIVE;
+        uint32_t open = 0;
+        double at = 0;
+        uint64_t rev = 0;
+        char key[64];
+
+        int status = read_job(c, h, buf, a->ref, &s, &phase, &open, &at, &rev);
+        if (status != 200 || phase != LMN_ACTIVE) {
+            if (status == 200)
+                lmn_call_answer(a->call, 200,
+                                job_answer(a->ref, phase, phase == LMN_FINISHED ? s.tasks : 0, 0),
+                                0);
+            else if (status == 404)
+                answer_absent(a);
+            else
+                lmn_call_answer(a->call, 503, NULL, 1);
+            lmn_spec_clear(&s);
+            return;
+        }
+        struct lmn_txn *t = lmn_txn_new(LMN_RANK_OWNER, NULL, NULL);
+        g_snprintf(key, sizeof key, "j/%s", a->ref);
+        lmn_txn_if(t, key, rev);
+        lmn_txn_write(t, key, lmn_job_record(&s, LMN_WITHDRAWN, open, at), 0);
+        lmn_spec_clear(&s);
+        enum lmn_outcome r = lmn_state_send(c->state, h, t, &rev, NULL);
+        lmn_txn_free(t);
+        if (r == LMN_OK) {
+            lmn_debug("job-cancelled job=%s", a->ref);
+            lmn_call_answer(a->call, 200, job_answer(a->ref, LMN_WITHDRAWN, 0, 0), 0);
+            return;
+        }
+        if (r != LMN_CONFLICT)
+            break; /* unknown: the user asks again, and then it is read */
+    }
+    lmn_call_answer(a->call, 503, NULL, 1);
+}
+
+/* Many polls, one request: a transaction of conditions alone says which of the mirror's
+ * versions are the latest. */
+static void check_batch(struct lmn_core *c, struct lmn_http *h, GByteArray *buf, struct ask **v,
+                        guint n)
+{
+    struct lmn_txn *t = lmn_txn_new(LMN_RANK_USER, NULL, NULL);
+    GPtrArray *stale = g_ptr_array_new_with_free_func(g_free);
+    char key[64];
+    uint64_t rev;
+    bool final;
+
+    pthread_mutex_lock(&c->lock);
+    for (guint i = 0; i < n; i++) {
+        v[i]->answer = mirror_answer(c, v[i]->ref, &v[i]->rev, &final);
+        g_snprintf(key, sizeof key, "j/%s", v[i]->ref);
+        lmn_txn_if(t, key, v[i]->rev);
+    }
+    pthread_mutex_unlock(&c->lock);
+    enum lmn_outcome r = lmn_state_send(c->state, h, t, &rev, stale);
+    lmn_txn_free(t);
+    for (guint i = 0; i < n; i++) {
+        struct ask *a = v[i];
+        bool old = false;
+        g_snprintf(key, sizeof key, "j/%s", a->ref);
+        for (guint k = 0; k < stale->len && !old; k++)
+            old = !strcmp(stale->pdata[k], key);
+        if (r != LMN_OK && r != LMN_CONFLICT) {
+            lmn_call_answer(a->call, 503, NULL, 1);
+        } else if (old) {
+            answer_read(c, h, buf, a);
+        } else if (a->answer) {
+            lmn_call_answer(a->call, 200, a->answer, 0);
+            a->answer = NULL;
+        } else {
+            answer_absent(a);
+        }
+        if (a->answer)
+            g_byte_array_unref(a->answer);
+        g_free(a);
+    }
+    g_ptr_array_free(stale, TRUE);
+}
+
+void *lmn_api_thread(void *arg)
+{
+    struct lmn_core *c = arg;
+    struct lmn_http *h = lmn_http_new(c->cfg->state);
+    GByteArray *buf = g_byte_array_new();
+    guint max = (guint)MIN(4 * c->cfg->txn_ops, 100);
+    struct ask **v = g_new0(struct ask *, max);
+
+    for (;;) {
+        guint n = 0;
+        struct ask *cancel = NULL;
+        pthread_mutex_lock(&asks_lock);
+        while (!asks.length)
+            pthread_cond_wait(&asks_more, &asks_lock);
+        for (GList *l = asks.head; l && n < max;) {
+            GList *next = l->next;
+            struct ask *a = l->data;
+            if (a->kind == ASK_CANCEL && !cancel) {
+                cancel = a;
+                g_queue_delete_link(&asks, l);
+            } else if (a->kind != ASK_CANCEL) {
+                v[n++] = a;
+                g_queue_delete_link(&asks, l);
+            }
+            l = next;
+        }
+        pthread_mutex_unlock(&asks_lock);
+        if (cancel) {
+            cancel_one(c, h, buf, cancel);
+            g_free(cancel);
+        }
+        if (n)
+            check_batch(c, h, buf, v, n);
+    }
+    return NULL;
+}
+
+__attribute__((constructor)) static void init(void)
+{
+    lmn_cond_init(&asks_more);
+}
--- /dev/null
+++ b/src/budget.h
@@ -0,0 +1,42 @@
+/* A token bucket: how much of a shared limit this node may still use. */
+#ifndef LMN_BUDGET_H
+#define LMN_BUDGET_H
+
+#include "clock.h"
+
+struct lmn_budget {
+    double rate, burst, level;
+    struct timespec at;
+};
+
+static inline void lmn_budget_init(struct lmn_budget *b, double rate, double burst,
+                                   struct timespec now)
+{
+    *b = (struct lmn_budget){.rate = rate, .burst = burst, .level = burst, .at = now};
+}
+
+static inline void lmn_budget_refill(struct lmn_budget *b, struct timespec now)
+{
+    double dt = lmn_since(now, b->at);
+    if (dt <= 0)
+        return;
+    b->level += dt * b->rate;
+    if (b->level > b->burst)
+        b->level = b->burst;
+    b->at = now;
+}
+
+/* Seconds until n may be taken; 0 takes it. More than a burst is taken from a full bucket. */
+static inline double lmn_budget_take(struct lmn_budget *b, double n, struct timespec now)
+{
+    double need = n < b->burst ? n : b->burst;
+
+    lmn_budget_refill(b, now);
+    if (b->level >= need) {
+        b->level -= n;
+        return 0;
+    }
+    return (need - b->level) / b->rate + 1e-3;
+}
+
+#endif
--- /dev/null
+++ b/src/cloud.c
@@ -0,0 +1,347 @@
+/* The cloud's client: machine types, rentals, returns, the list. */
+#include "fleet.h"
+#include "log.h"
+#include "thread.h"
+#include "wire.h"
+#include "budget.h"
+
+#include <string.h>
+
+struct cloud {
+    struct lmn_core *c;
+    struct lmn_http *http;
+    GByteArray *buf;
+    struct lmn_budget budget;
+    struct lmn_fleet fleet;
+    bool had_role;
+    struct timespec role_since, typed, listed;
+    struct lmn_rental pending; /* a rental whose outcome is not known */
+    char request[160];         /* its name; empty: none */
+    uint64_t requests;
+};
+
+static bool pace(struct cloud *k)
+{
+    return lmn_budget_take(&k->budget, 1, lmn_now()) <= 0;
+}
+
+static void read_type(struct lmn_type *t, const struct lmn_doc *d, const struct lmn_node *n)
+{
+    const struct lmn_node *zones = lmn_get(d, n, W_ZONES);
+
+    lmn_number(lmn_get(d, n, W_CPUS), &t->cpus);
+    lmn_number(lmn_get(d, n, W_GPUS), &t->gpus);
+    lmn_number(lmn_get(d, n, W_MEM), &t->mem);
+    lmn_number(lmn_get(d, n, W_CACHE_GB), &t->cache_gb);
+    lmn_number(lmn_get(d, n, W_PULL), &t->pull);
+    lmn_number(lmn_get(d, n, W_RATE), &t->rate);
+    lmn_number(lmn_get(d, n, W_SPOT_RATE), &t->spot_rate);
+    lmn_number(lmn_get(d, n, W_READY), &t->ready_s);
+    t->nzones = 0;
+    for (const struct lmn_node *z = lmn_child(d, zones); z && t->nzones < LMN_MAX_ZONES;
+         z = lmn_next(d, z))
+        if (lmn_text(z, t->zones[t->nzones], LMN_NAME))
+            t->nzones++;
+}
+
+static void get_types(struct cloud *k)
+{
+    struct lmn_core *c = k->c;
+    struct lmn_doc d;
+
+    if (lmn_http_call(k->http, "GET", P_TYPES, NULL, 3.0, k->buf) != 200 ||
+        lmn_doc_parse(&d, k->buf->data, k->buf->len) != 0)
+        return;
+    pthread_mutex_lock(&c->lock);
+    const struct lmn_node *list = lmn_get(&d, lmn_root(&d), W_TYPES);
+    for (const struct lmn_node *n = lmn_child(&d, list); n; n = lmn_next(&d, n)) {
+        char name[LMN_NAME];
+        size_t i = 0;
+        if (!lmn_text(lmn_get(&d, n, W_SKU), name, sizeof name))
+            continue;
+        while (i < c->types.n && strcmp(c->types.v[i].name, name))
+            i++;
+        if (i == 256)
+            break;
+        if (i == c->types.n) {
+            g_strlcpy(c->types.v[i].name, name, sizeof name);
+            c->types.n++;
+        }
+        read_type(&c->types.v[i], &d, n);
+    }
+    if (!c->types_known)
+        lmn_info("types-known count=%zu", c->types.n);
+    c->types_known = c->types.n > 0;
+    pthread_mutex_unlock(&c->lock);
+    k->typed = lmn_now();
+    lmn_doc_free(&d);
+}
+
+/* Returns machines by name; true if they are gone. */
+static bool give_back(struct cloud *k, GPtrArray *names)
+{
+    GByteArray *body = g_byte_array_new();
+
+    lmn_put_map(body, 1);
+    lmn_put_text(body, W_MACHINES);
+    lmn_put_list(body, names->len);
+    for (guint i = 0; i < names->len; i++)
+        lmn_put_text(body, names->pdata[i]);
+    int status = lmn_http_call(k->http, "POST", P_RETURN, body, 5.0, k->buf);
+    g_byte_array_unref(body);
+    lmn_info("machines-return count=%u first=%s status=%d", names->len,
+             (const char *)names->pdata[0], status);
+    return status == 200;
+}
+
+static void return_machines(struct cloud *k)
+{
+    struct lmn_core *c = k->c;
+    GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+    GHashTableIter it;
+    gpointer v;
+
+    pthread_mutex_lock(&c->lock);
+    for (int i = 0; i < c->nparts && names->len < 100; i++) {
+        if (!c->parts[i].mine)
+            continue;
+        g_hash_table_iter_init(&it, c->parts[i].machines);
+        while (g_hash_table_iter_next(&it, NULL, &v) && names->len < 100) {
+            struct lmn_machine *m = v;
+            if (m->retiring && !m->is_gone && (m->force || !m->attempts->len))
+                g_ptr_array_add(names, g_strdup(m->name));
+        }
+    }
+    pthread_mutex_unlock(&c->lock);
+    if (names->len && pace(k) && give_back(k, names)) {
+        pthread_mutex_lock(&c->lock);
+        struct timespec now = lmn_now();
+        for (guint i = 0; i < names->len; i++) {
+            struct lmn_partition *p =
+                &c->parts[lmn_partition_of(names->pdata[i], c->nparts)];
+            struct lmn_machine *m = g_hash_table_lookup(p->machines, names->pdata[i]);
+            if (m && p->mine)
+                lmn_machine_gone(c, m, now);
+            else
+                g_hash_table_add(c->gone, g_strdup(names->pdata[i]));
+        }
+        pthread_mutex_unlock(&c->lock);
+        for (guint i = 0; i < names->len; i++)
+            g_hash_table_remove(k->fleet.machines, names->pdata[i]);
+    }
+    g_ptr_array_free(names, TRUE);
+}
+
+/* --- the fleet role: with partition 0 --- */
+
+static struct lmn_listed *listed(struct cloud *k, const char *name)
+{
+    struct lmn_listed *m = g_hash_table_lookup(k->fleet.machines, name);
+    if (!m) {
+        m = g_new0(struct lmn_listed, 1);
+        g_strlcpy(m->name, name, sizeof m->name);
+        g_hash_table_insert(k->fleet.machines, m->name, m);
+    }
+    return m;
+}
+
+/* Reads the whole list. It lags, and may be older than the last: a machine leaves the books
+ * only after it has been missing for longer than any lag, or when its return was answered. */
+static bool read_list(struct cloud *k)
+{
+    char after[LMN_NAME] = "", path[256];
+    bool more = true;
+
+    while (more) {
+        struct lmn_doc d;
+        while (!pace(k))
+            lmn_sleep(0.2);
+        if (*after)
+            g_snprintf(path, sizeof path, P_MACHINES "?" Q_AFTER "=%s&" Q_LIMIT "=500", after);
+        else
+            g_snprintf(path, sizeof path, P_MACHINES "?" Q_LIMIT "=500");
+        if (lmn_http_call(k->http, "GET", path, NULL, 4.0, k->buf) != 200 ||
+            lmn_doc_parse(&d, k->buf->data, k->buf->len) != 0)
+            return false;
+        struct timespec now = lmn_now();
+        const struct lmn_node *list = lmn_get(&d, lmn_root(&d), W_MACHINES);
+        for (const struct lmn_node *n = lmn_child(&d, list); n; n = lmn_next(&d, n)) {
+            double age = 0;
+            if (!lmn_text(lmn_get(&d, n, W_ID), after, sizeof after))
+                continue;
+            pthread_mutex_lock(&k->c->lock);
+            bool gone = g_hash_table_contains(k->c->gone, after);
+            pthread_mutex_unlock(&k->c->lock);
+            if (gone)
+                continue;
+            struct lmn_listed *m = listed(k, after);
+            lmn_text(lmn_get(&d, n, W_TYPE), m->type, sizeof m->type);
+            lmn_text(lmn_get(&d, n, W_ZONE), m->zone, sizeof m->zone);
+            lmn_truth(lmn_get(&d, n, W_SPOT), &m->spot);
+            lmn_number(lmn_get(&d, n, W_AGE), &age);
+            const struct lmn_node *state = lmn_get(&d, n, W_STATE);
+            m->booting = lmn_is(state, W_BOOTING);
+            m->broken = lmn_is(state, W_BROKEN);
+            if (!m->listed)
+                m->since = lmn_after(now, -age);
+            m->listed = true;
+            m->seen = now;
+        }
+        more = false;
+        lmn_truth(lmn_get(&d, lmn_root(&d), W_MORE), &more);
+        if (!list || !list->len)
+            more = false;
+        lmn_doc_free(&d);
+    }
+    k->listed = lmn_now();
+    return true;
+}
+
+static void prune(struct cloud *k)
+{
+    struct lmn_core *c = k->c;
+    double lag = c->cfg->list_lag_s;
+    GPtrArray *bad = g_ptr_array_new_with_free_func(g_free);
+    struct timespec now = lmn_now();
+    GHashTableIter it;
+    gpointer v;
+
+    pthread_mutex_lock(&c->lock);
+    g_hash_table_iter_init(&it, k->fleet.machines);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        struct lmn_listed *m = v;
+        const struct lmn_type *t = NULL;
+        for (size_t i = 0; i < c->types.n && !t; i++)
+            if (!strcmp(c->types.v[i].name, m->type))
+                t = &c->types.v[i];
+        double missing = lmn_since(now, m->listed ? m->seen : m->since);
+        if (g_hash_table_contains(c->gone, m->name) ||
+            (lmn_since(k->listed, now) > -lag && missing > 2 * lag + 4)) {
+            g_hash_table_iter_remove(&it);
+            continue;
+        }
+        double patience = 3 * (t ? t->ready_s : 30) + 2 * lag + 10;
+        if (m->broken || (m->booting && lmn_since(now, m->since) > patience))
+            g_ptr_array_add(bad, g_strdup(m->name));
+    }
+    pthread_mutex_unlock(&c->lock);
+    if (bad->len > 100)
+        g_ptr_array_set_size(bad, 100);
+    if (bad->len && pace(k) && give_back(k, bad)) {
+        pthread_mutex_lock(&c->lock);
+        for (guint i = 0; i < bad->len; i++) {
+            struct lmn_partition *p = &c->parts[lmn_partition_of(bad->pdata[i], c->nparts)];
+            struct lmn_machine *m = g_hash_table_lookup(p->machines, bad->pdata[i]);
+            if (m && p->mine && !m->is_gone)
+                lmn_machine_gone(c, m, now);
+            else
+                g_hash_table_add(c->gone, g_strdup(bad->pdata[i]));
+        }
+        pthread_mutex_unlock(&c->lock);
+        for (guint i = 0; i < bad->len; i++)
+            g_hash_table_remove(k->fleet.machines, bad->pdata[i]);
+    }
+    g_ptr_array_free(bad, TRUE);
+}
+
+static void rent(struct cloud *k)
+{
+    struct lmn_core *c = k->c;
+    struct lmn_rental *r = &k->pending;
+    struct lmn_doc d;
+    unsigned got = 0;
+
+    if (!*k->request) {
+        pthread_mutex_lock(&c->lock);
+        bool go = c->lease && lmn_fleet_choose(c, &k->fleet, r, lmn_now());
+        uint64_t lease = c->lease;
+        pthread_mutex_unlock(&c->lock);
+        if (!go)
+            return;
+        /* The lease's number is the state service's and never comes again: neither this node
+         * nor another can use the name for something else. */
+        g_snprintf(k->request, sizeof k->request, "%s-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT,
+                   c->cfg->node, lease, ++k->requests);
+    }
+    if (!pace(k))
+        return;
+    GByteArray *body = g_byte_array_new();
+    lmn_put_map(body, 5);
+    lmn_put_text(body, W_REQUEST), lmn_put_text(body, k->request);
+    lmn_put_text(body, W_TYPE), lmn_put_text(body, r->type);
+    lmn_put_text(body, W_ZONE), lmn_put_text(body, r->zone);
+    lmn_put_text(body, W_SPOT), lmn_put_truth(body, r->spot);
+    lmn_put_text(body, W_COUNT), lmn_put_count(body, r->count);
+    int status = lmn_http_call(k->http, "POST", P_MACHINES, body, 4.0, k->buf);
+    g_byte_array_unref(body);
+    struct timespec now = lmn_now();
+    if (status == 200 && lmn_doc_parse(&d, k->buf->data, k->buf->len) == 0) {
+        const struct lmn_node *list = lmn_get(&d, lmn_root(&d), W_MACHINES);
+        char name[LMN_NAME];
+        for (const struct lmn_node *n = lmn_child(&d, list); n; n = lmn_next(&d, n)) {
+            if (!lmn_text(n, name, sizeof name))
+                continue;
+            struct lmn_listed *m = listed(k, name);
+            g_strlcpy(m->type, r->type, sizeof m->type);
+            g_strlcpy(m->zone, r->zone, sizeof m->zone);
+            m->spot = r->spot;
+            m->booting = true;
+            m->since = m->seen = now;
+            got++;
+        }
+        lmn_doc_free(&d);
+    } else if (status == 503 || status == 400) {
+        bool scarce = false;
+        if (lmn_doc_parse(&d, k->buf->data, k->buf->len) == 0) {
+            scarce = lmn_is(lmn_get(&d, lmn_root(&d), "error"), "no capacity");
+            lmn_doc_free(&d);
+        }
+        if (!scarce && status == 503)
+            return; /* an outage: the same request again */
+    } else {
+        return; /* unknown: the same name again rents nothing twice */
+    }
+    lmn_info("machines-rent request=%s type=%s zone=%s spot=%d asked=%u got=%u status=%d",
+             k->request, r->type, r->zone, r->spot, r->count, got, status);
+    lmn_fleet_outcome(&k->fleet, r, got, now);
+    k->request[0] = '\0';
+}
+
+void *lmn_cloud_thread(void *arg)
+{
+    struct cloud k = {.c = arg};
+    struct lmn_core *c = arg;
+    double share = 1.0 / (double)(c->cfg->nmembers + 1);
+
+    k.http = lmn_http_new(c->cfg->cloud);
+    k.buf = g_byte_array_new();
+    lmn_fleet_init(&k.fleet);
+    lmn_budget_init(&k.budget, c->cfg->cloud_rps * share * 0.95, MAX(c->cfg->cloud_rps * share, 1),
+                    lmn_now());
+    for (;;) {
+        struct timespec now = lmn_now();
+        pthread_mutex_lock(&c->lock);
+        bool known = c->types_known;
+        bool role = c->parts[0].mine;
+        pthread_mutex_unlock(&c->lock);
+        if ((!known || lmn_since(now, k.typed) > 120) && pace(&k))
+            get_types(&k);
+        return_machines(&k);
+        if (role && !k.had_role) {
+            k.role_since = now;
+            g_hash_table_remove_all(k.fleet.machines);
+            k.listed = (struct timespec){0, 0};
+        }
+        k.had_role = role;
+        if (role && known) {
+            if (lmn_since(now, k.listed) > MAX(c->cfg->list_lag_s, 3.0) && read_list(&k))
+                prune(&k);
+            /* A predecessor's last rentals show in the list only after its lag. */
+            if (k.listed.tv_sec && (c->parts[0].my_term <= 1 ||
+                                    lmn_since(now, k.role_since) > 2 * c->cfg->list_lag_s))
+                rent(&k);
+        }
+        lmn_sleep(0.25);
+    }
+    return NULL;
+}
--- /dev/null
+++ b/src/core.c
@@ -0,0 +1,41 @@
+#include "core.h"
+#include "thread.h"
+
+static void free_machine(gpointer m)
+{
+    lmn_machine_free(m);
+}
+
+static void free_range(gpointer r)
+{
+    lmn_range_free(r);
+}
+
+struct lmn_core *lmn_core_new(const struct lmn_settings *cfg, struct lmn_state *state,
+                              uint32_t seed)
+{
+    struct lmn_core *c = g_new0(struct lmn_core, 1);
+
+    pthread_mutex_init(&c->lock, NULL);
+    lmn_cond_init(&c->changed);
+    c->cfg = cfg;
+    c->state = state;
+    c->tuning = lmn_tuning_default;
+    c->rng = g_rand_new_with_seed(seed);
+    c->jobs = g_hash_table_new(g_str_hash, g_str_equal);
+    c->gone = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    c->nparts = cfg->partitions;
+    c->parts = g_new0(struct lmn_partition, c->nparts);
+    c->booted = lmn_now();
+    for (int i = 0; i < c->nparts; i++) {
+        struct lmn_partition *p = &c->parts[i];
+        p->id = i;
+        p->vacant = c->booted;
+        p->ranges = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_range);
+        p->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_machine);
+        lmn_queue_init(&p->limbo);
+    }
+    /* Fixed room: machines point at their types. */
+    c->types.v = g_new0(struct lmn_type, 256);
+    return c;
+}
--- /dev/null
+++ b/src/core.h
@@ -0,0 +1,238 @@
+/* The state shared by all threads, behind one short lock.
+ *
+ * The mirror (jobs, ranges, owners, machine records) is altered by one thing only: the state
+ * service's changes in their order. So what a node sees is always a true past state, whole.
+ * What an owner knows of its machines lives beside it, in the same structures. */
+#ifndef LMN_CORE_H
+#define LMN_CORE_H
+
+#include "clock.h"
+#include "job.h"
+#include "settings.h"
+#include "state.h"
+#include "tuning.h"
+
+#include <pthread.h>
+
+struct lmn_range;
+struct lmn_partition;
+
+struct lmn_job {
+    struct lmn_spec spec;
+    enum lmn_phase phase;
+    uint32_t open; /* ranges not yet closed */
+    double at;     /* time of day of its acceptance */
+    uint64_t rev;
+    uint32_t gen;
+    GPtrArray *ranges;
+    int team; /* index in the settings, -1 if it has left them */
+    uint64_t closing; /* revision on which a close of ours is under way */
+    /* a job whose tasks fail is held back by itself */
+    unsigned errors;
+    struct timespec hold;
+};
+
+enum lmn_task_state { LMN_T_QUEUED, LMN_T_STARTED, LMN_T_DONE };
+
+/* Tasks lo..hi-1 of a job, in one partition. */
+struct lmn_range {
+    struct lmn_job *job;
+    struct lmn_partition *part;
+    uint32_t lo, hi;
+    char *key;
+    uint8_t *done; /* as recorded */
+    uint32_t ndone;
+    uint64_t rev;
+    uint32_t gen;
+    /* the owner's: one lmn_task_state a task; NULL if not owned */
+    uint8_t *st;
+    uint32_t nstarted, nfinished;
+    bool writing;
+    uint64_t written; /* revision of our last write, until the mirror shows it */
+    struct timespec dirty, retry;
+};
+
+/* A stretch of queued tasks. */
+struct lmn_seg {
+    struct lmn_range *range;
+    uint32_t lo, hi;
+};
+
+struct lmn_queue {
+    GPtrArray *segs; /* most urgent first */
+    uint32_t tasks;
+};
+
+enum lmn_attempt_state { LMN_A_SENT, LMN_A_FETCHING, LMN_A_RUNNING, LMN_A_SAVING, LMN_A_ENDED };
+
+struct lmn_attempt {
+    char ref[LMN_REF];
+    struct lmn_job *job;     /* NULL: unknown here */
+    struct lmn_range *range; /* NULL: none of ours, or closed */
+    uint32_t index;
+    uint64_t number;
+    enum lmn_attempt_state state;
+    bool counted; /* holds room and quota */
+    bool done, seen, killed;
+    struct timespec since;
+};
+
+struct lmn_machine {
+    char name[LMN_NAME], addr[LMN_ADDR], type_name[LMN_NAME], zone[LMN_NAME];
+    const struct lmn_type *type; /* NULL: not known yet */
+    bool spot;
+    struct lmn_partition *part;
+    uint64_t rev; /* of its record; 0: not recorded */
+    uint32_t gen;
+    /* the owner's */
+    bool recording, heard, lapsed;
+    bool inherited; /* recorded by an owner before us */
+    bool accounted; /* has reported with our term: its tasks are as it says */
+    bool is_gone;   /* the cloud has said so; only its record is left */
+    bool retiring;  /* starts nothing more; returned once empty, or at once if forced */
+    bool force;     /* its tasks can't be waited for */
+    bool returning; /* the request is under way */
+    bool noticed;
+    double notice_s;
+    uint64_t session, seq;
+    struct timespec first, last, idle, noticed_at, retired_at, retry;
+    GArray *attempts; /* struct lmn_attempt */
+    struct lmn_queue queue;
+    double poll_s;
+    struct timespec next_steal;
+    GPtrArray *failed_jobs; /* distinct jobs that failed here since the last success */
+    GPtrArray *images;      /* names that it has fetched, as far as known */
+    double used_cpus, used_gpus, used_mem;
+};
+
+struct lmn_partition {
+    int id;
+    /* mirrored */
+    char owner[LMN_NAME];
+    uint64_t owner_lease, owner_rev, owner_term, term, term_rev;
+    uint32_t owner_gen;
+    struct timespec vacant; /* since when nobody owns it */
+    GHashTable *ranges, *machines;
+    /* the owner's */
+    bool mine, ready, releasing;
+    uint64_t my_term, my_rev, attempts;
+    struct timespec since;
+    struct lmn_queue limbo; /* tasks that no machine's queue holds yet */
+    double used_cpus[LMN_MAX_TEAMS], used_gpus[LMN_MAX_TEAMS];
+    guint rr;
+};
+
+struct lmn_peer_view {
+    bool alive;
+    uint64_t rev;
+    uint32_t gen;
+    struct timespec since;
+};
+
+struct lmn_counters {
+    uint64_t steal_tries, steals, stolen_tasks, starts, kills, reports, polls, submissions;
+    uint64_t refused, takeovers;
+};
+
+struct lmn_core {
+    pthread_mutex_t lock;
+    pthread_cond_t changed; /* ownership, or membership */
+    const struct lmn_settings *cfg;
+    struct lmn_state *state;
+    struct lmn_tuning tuning;
+    uint64_t tuning_rev;
+    GRand *rng;
+
+    GHashTable *jobs; /* ref -> lmn_job */
+    struct lmn_partition *parts;
+    int nparts;
+    struct lmn_peer_view peers[LMN_MAX_MEMBERS + 1]; /* by rank */
+    bool synced;
+    uint32_t gen;
+    struct timespec fresh; /* the mirror is no older than this */
+    struct timespec booted, synced_at;
+    uint64_t lease; /* ours, 0: none */
+
+    struct lmn_types types;
+    bool types_known;
+    GHashTable *gone; /* names of machines that were returned */
+    struct lmn_counters count;
+};
+
+struct lmn_core *lmn_core_new(const struct lmn_settings *cfg, struct lmn_state *state,
+                              uint32_t seed);
+
+/* --- mirror.c --- */
+/* One change of the state service; value NULL: removed. The lock is held. */
+void lmn_mirror_apply(struct lmn_core *c, const char *key, const struct lmn_doc *doc,
+                      const struct lmn_node *value, uint64_t rev, struct timespec now);
+/* After a full reading: what it did not name is gone. */
+void lmn_mirror_sweep(struct lmn_core *c, struct timespec now);
+GByteArray *lmn_job_record(const struct lmn_spec *s, enum lmn_phase phase, uint32_t open,
+                           double at);
+/* Reads a job's record; -1 if it is none. The spec is the caller's to clear. */
+int lmn_job_read(const struct lmn_doc *doc, const struct lmn_node *value, struct lmn_spec *s,
+                 enum lmn_phase *phase, uint32_t *open, double *at);
+GByteArray *lmn_range_record(const struct lmn_range *r, const uint8_t *done);
+GByteArray *lmn_machine_record(const struct lmn_machine *m);
+/* Follows the state service for ever (a thread). */
+void *lmn_mirror_thread(void *core);
+/* Seconds by which the mirror may be behind. */
+double lmn_staleness(const struct lmn_core *c, struct timespec now);
+
+/* --- partition.c --- */
+int lmn_partition_of(const char *machine, int nparts);
+void lmn_partition_own(struct lmn_core *c, struct lmn_partition *p, struct timespec now);
+void lmn_partition_lose(struct lmn_core *c, struct lmn_partition *p, const char *why);
+/* All inherited machines accounted for? Then the inherited tasks may start. */
+void lmn_partition_check(struct lmn_core *c, struct lmn_partition *p, struct timespec now);
+void *lmn_partition_thread(void *core);
+
+/* --- range.c: an owner's ranges and machines --- */
+struct lmn_machine *lmn_machine_new(struct lmn_partition *p, const char *name);
+void lmn_machine_free(struct lmn_machine *m);
+/* The machine holds no task any more: everything it carried is queued again. */
+void lmn_machine_empty(struct lmn_core *c, struct lmn_machine *m, const char *why,
+                       struct timespec now);
+void lmn_machine_retire(struct lmn_core *c, struct lmn_machine *m, bool force, const char *why,
+                        struct timespec now);
+/* The cloud has said that it is gone. */
+void lmn_machine_gone(struct lmn_core *c, struct lmn_machine *m, struct timespec now);
+void lmn_attempt_count(struct lmn_machine *m, struct lmn_attempt *a);
+void lmn_attempt_uncount(struct lmn_machine *m, struct lmn_attempt *a);
+void lmn_range_free(struct lmn_range *r);
+/* Takes a range into the owner's books. */
+void lmn_range_open(struct lmn_core *c, struct lmn_range *r);
+/* Nothing refers to the range any more. */
+void lmn_range_forget(struct lmn_core *c, struct lmn_range *r);
+void lmn_task_requeue(struct lmn_core *c, struct lmn_range *r, uint32_t index,
+                      struct timespec now);
+void lmn_task_finished(struct lmn_range *r, uint32_t index, struct timespec now);
+/* Writes done sets and closes ranges that are due; the lock is held. */
+void lmn_ranges_flush(struct lmn_core *c, struct timespec now);
+/* Lapses, retirements, returns of idle machines; the lock is held. */
+void lmn_upkeep(struct lmn_core *c, struct timespec now);
+
+/* --- queue.c --- */
+void lmn_queue_init(struct lmn_queue *q);
+void lmn_queue_clear(struct lmn_queue *q);
+void lmn_queue_add(struct lmn_queue *q, struct lmn_range *r, uint32_t lo, uint32_t hi);
+void lmn_queue_drop_range(struct lmn_queue *q, const struct lmn_range *r);
+int lmn_job_order(const struct lmn_job *a, const struct lmn_job *b);
+/* Cuts the range's queued tasks over the queues of the machines that could hold them. */
+void lmn_deal(struct lmn_core *c, struct lmn_range *r, uint32_t lo, uint32_t hi,
+              struct timespec now);
+/* Gives a machine's queue, or all of limbo, back to be dealt anew. */
+void lmn_redeal_machine(struct lmn_core *c, struct lmn_machine *m, struct timespec now);
+bool lmn_can_hold(const struct lmn_machine *m, const struct lmn_job *j);
+/* Starts what fits on a machine that has just reported: commands go to out. */
+guint lmn_schedule(struct lmn_core *c, struct lmn_machine *m, GByteArray *out,
+                   struct timespec now);
+bool lmn_steal(struct lmn_core *c, struct lmn_machine *m, struct timespec now);
+
+/* --- worker.c --- */
+/* Answers a report: status, and a body in out if there is one. */
+int lmn_worker_report(struct lmn_core *c, const void *body, size_t len, GByteArray *out,
+                      struct timespec now);
+
+#endif
--- /dev/null
+++ b/src/fleet.c
@@ -0,0 +1,158 @@
+#include "fleet.h"
+#include "log.h"
+
+#include <math.h>
+#include <string.h>
+
+void lmn_fleet_init(struct lmn_fleet *f)
+{
+    f->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    f->refusals = g_array_new(FALSE, FALSE, sizeof(struct lmn_refusal));
+}
+
+struct want {
+    const struct lmn_spec *spec;
+    double cpus, mem;
+};
+
+/* Processors that each open range could use: all of a service's, and of an array as many as
+ * work it off within the horizon. */
+static GArray *wants(const struct lmn_core *c)
+{
+    GArray *a = g_array_new(FALSE, FALSE, sizeof(struct want));
+    double horizon = c->tuning.horizon_s;
+    GHashTableIter it;
+    gpointer v;
+
+    for (int i = 0; i < c->nparts; i++) {
+        g_hash_table_iter_init(&it, c->parts[i].ranges);
+        while (g_hash_table_iter_next(&it, NULL, &v)) {
+            const struct lmn_range *r = v;
+            const struct lmn_spec *s = &r->job->spec;
+            double left = r->hi - r->lo - (r->st ? r->nfinished : r->ndone);
+            if (r->job->phase != LMN_ACTIVE || left <= 0)
+                continue;
+            if (s->kind == LMN_BATCH)
+                left = MIN(left, MAX(left * MAX(s->estimate_s, 1) / horizon, 1));
+            struct want w = {s, left * s->cpus, left * s->mem};
+            g_array_append_val(a, w);
+        }
+    }
+    return a;
+}
+
+static const struct lmn_type *type_named(const struct lmn_core *c, const char *name)
+{
+    for (size_t i = 0; i < c->types.n; i++)
+        if (!strcmp(c->types.v[i].name, name))
+            return &c->types.v[i];
+    return NULL;
+}
+
+static struct lmn_refusal *refusal(struct lmn_fleet *f, const char *type, const char *zone,
+                                   bool spot)
+{
+    for (guint i = 0; i < f->refusals->len; i++) {
+        struct lmn_refusal *r = &g_array_index(f->refusals, struct lmn_refusal, i);
+        if (r->spot == spot && !strcmp(r->type, type) && !strcmp(r->zone, zone))
+            return r;
+    }
+    return NULL;
+}
+
+void lmn_fleet_outcome(struct lmn_fleet *f, const struct lmn_rental *r, unsigned got,
+                       struct timespec now)
+{
+    struct lmn_refusal *old = refusal(f, r->type, r->zone, r->spot);
+
+    if (got >= r->count) {
+        if (old)
+            old->wait_s = 0;
+        return;
+    }
+    if (!old) {
+        struct lmn_refusal n = {.spot = r->spot};
+        g_strlcpy(n.type, r->type, sizeof n.type);
+        g_strlcpy(n.zone, r->zone, sizeof n.zone);
+        g_array_append_val(f->refusals, n);
+        old = &g_array_index(f->refusals, struct lmn_refusal, f->refusals->len - 1);
+    }
+    old->wait_s = got ? 8 : CLAMP(old->wait_s * 2, 8, 32);
+    old->until = lmn_after(now, old->wait_s);
+}
+
+/* The cheapest that serves the deficit; returns its cost, or infinity. */
+static double choose(const struct lmn_core *c, struct lmn_fleet *f, const GArray *w,
+                     double deficit, bool any, bool first, struct lmn_rental *out,
+                     struct timespec now)
+{
+    double best = INFINITY;
+
+    for (size_t i = 0; i < c->types.n; i++)
+        for (int z = 0; z < c->types.v[i].nzones; z++)
+            for (int spot = 0; spot <= (any && c->tuning.spot >= 0.5); spot++) {
+                const struct lmn_type *t = &c->types.v[i];
+                const struct lmn_refusal *no = refusal(f, t->name, t->zones[z], spot);
+                double cpus = 0, mem = 0;
+                if (no && no->wait_s > 0 && lmn_before(now, no->until))
+                    continue;
+                for (guint k = 0; k < w->len; k++) {
+                    const struct want *x = &g_array_index(w, struct want, k);
+                    if (lmn_spec_allows(x->spec, t, t->zones[z], spot)) {
+                        cpus += x->cpus;
+                        mem += x->mem;
+                    }
+                }
+                if (cpus <= 0)
+                    continue;
+                double usable = MIN(t->cpus, mem > 0 ? t->mem * cpus / mem : t->cpus);
+                double rate = spot ? t->spot_rate : t->rate;
+                /* Time lost to booting is paid for, and waited for. */
+                double cost = rate / usable * (1 + t->ready_s / 120);
+                if (cost >= best)
+                    continue;
+                best = cost;
+                g_strlcpy(out->type, t->name, sizeof out->type);
+                g_strlcpy(out->zone, t->zones[z], sizeof out->zone);
+                out->spot = spot;
+                double n = MIN(deficit, cpus) / usable;
+                out->count = (unsigned)CLAMP(first ? ceil(n) : floor(n + 0.5), 0, 50);
+            }
+    return best;
+}
+
+bool lmn_fleet_choose(struct lmn_core *c, struct lmn_fleet *f, struct lmn_rental *out,
+                      struct timespec now)
+{
+    GArray *w = wants(c);
+    double need = c->tuning.spare_cpus, need_ordinary = 0, have = 0, have_ordinary = 0;
+    double best = INFINITY;
+    GHashTableIter it;
+    gpointer v;
+
+    for (guint i = 0; i < w->len; i++) {
+        const struct want *x = &g_array_index(w, struct want, i);
+        need += x->cpus;
+        if (!x->spec->spot)
+            need_ordinary += x->cpus;
+    }
+    g_hash_table_iter_init(&it, f->machines);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const struct lmn_listed *m = v;
+        const struct lmn_type *t = type_named(c, m->type);
+        if (m->broken || !t)
+            continue;
+        have += t->cpus;
+        if (!m->spot)
+            have_ordinary += t->cpus;
+    }
+    /* Ordinary machines for the work that must have them, then whatever is cheapest: where the
+     * one can't be had, the other is still rented. */
+    for (int any = 0; any <= 1 && best == INFINITY; any++) {
+        double deficit = any ? need - have : need_ordinary - have_ordinary;
+        if (deficit >= 1)
+            best = choose(c, f, w, deficit, any, have <= 0, out, now);
+    }
+    g_array_free(w, TRUE);
+    return best < INFINITY && out->count > 0;
+}
--- /dev/null
+++ b/src/http_client.c
@@ -0,0 +1,82 @@
+#include "http_client.h"
+
+#include <curl/curl.h>
+#include <string.h>
+
+struct lmn_http {
+    CURL *curl;
+    struct curl_slist *headers;
+    char base[96];
+};
+
+enum { MAX_ANSWER = 8 << 20 };
+
+static size_t on_body(char *p, size_t size, size_t n, void *arg)
+{
+    GByteArray *out = arg;
+    if (out->len + size * n > MAX_ANSWER)
+        return 0;
+    g_byte_array_append(out, (const guint8 *)p, (guint)(size * n));
+    return size * n;
+}
+
+struct lmn_http *lmn_http_new(const char *addr)
+{
+    struct lmn_http *h = g_new0(struct lmn_http, 1);
+
+    g_snprintf(h->base, sizeof h->base, "http://%s", addr);
+    h->curl = curl_easy_init();
+    g_assert(h->curl);
+    h->headers = curl_slist_append(NULL, "Content-Type: application/cbor");
+    h->headers = curl_slist_append(h->headers, "Expect:");
+    h->headers = curl_slist_append(h->headers, "Accept:");
+    curl_easy_setopt(h->curl, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(h->curl, CURLOPT_HTTPHEADER, h->headers);
+    curl_easy_setopt(h->curl, CURLOPT_WRITEFUNCTION, on_body);
+    curl_easy_setopt(h->curl, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(h->curl, CURLOPT_PROXY, "");
+    curl_easy_setopt(h->curl, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(h->curl, CURLOPT_BUFFERSIZE, 16384L);
+    return h;
+}
+
+void lmn_http_free(struct lmn_http *h)
+{
+    curl_easy_cleanup(h->curl);
+    curl_slist_free_all(h->headers);
+    g_free(h);
+}
+
+int lmn_http_call(struct lmn_http *h, const char *method, const char *path, const GByteArray *body,
+                  double timeout_s, GByteArray *out)
+{
+    char url[512];
+    long status = 0;
+    CURLcode rc;
+
+    g_byte_array_set_size(out, 0);
+    g_snprintf(url, sizeof url, "%s%s", h->base, path);
+    curl_easy_setopt(h->curl, CURLOPT_URL, url);
+    curl_easy_setopt(h->curl, CURLOPT_WRITEDATA, out);
+    curl_easy_setopt(h->curl, CURLOPT_TIMEOUT_MS, (long)(timeout_s * 1000));
+    curl_easy_setopt(h->curl, CURLOPT_CONNECTTIMEOUT_MS,
+                     (long)(MIN(timeout_s, 1.5) * 1000));
+    if (!strcmp(method, "POST")) {
+        curl_easy_setopt(h->curl, CURLOPT_CUSTOMREQUEST, NULL);
+        curl_easy_setopt(h->curl, CURLOPT_POST, 1L);
+        curl_easy_setopt(h->curl, CURLOPT_POSTFIELDS, body ? (char *)body->data : "");
+        curl_easy_setopt(h->curl, CURLOPT_POSTFIELDSIZE, body ? (long)body->len : 0L);
+    } else {
+        curl_easy_setopt(h->curl, CURLOPT_HTTPGET, 1L);
+        curl_easy_setopt(h->curl, CURLOPT_CUSTOMREQUEST,
+                         !strcmp(method, "GET") ? NULL : method);
+    }
+    rc = curl_easy_perform(h->curl);
+    if (rc == CURLE_OK) {
+        curl_easy_getinfo(h->curl, CURLINFO_RESPONSE_CODE, &status);
+        return (int)status;
+    }
+    if (rc == CURLE_COULDNT_CONNECT)
+        return LMN_NOT_SENT;
+    return LMN_NO_ANSWER;
+}
--- /dev/null
+++ b/src/http_client.h
@@ -0,0 +1,19 @@
+/* Blocking HTTP/1.1 calls over one kept connection; one client belongs to one thread. */
+#ifndef LMN_HTTP_CLIENT_H
+#define LMN_HTTP_CLIENT_H
+
+#include <glib.h>
+
+struct lmn_http;
+
+/* What became of a call that brought no answer. */
+enum { LMN_NOT_SENT = -1, LMN_NO_ANSWER = -2 };
+
+struct lmn_http *lmn_http_new(const char *addr);
+void lmn_http_free(struct lmn_http *h);
+/* Returns the status, or one of the above: LMN_NOT_SENT only when the request can't have been
+ * executed. The answer's body replaces what is in out. */
+int lmn_http_call(struct lmn_http *h, const char *method, const char *path, const GByteArray *body,
+                  double timeout_s, GByteArray *out);
+
+#endif
--- /dev/null
+++ b/src/mirror.c
@@ -0,0 +1,483 @@
+/* The mirror of the state service: records to structures, and the thread that follows it.
+ *
+ * Keys:  j/REF          a job: its description, phase, number of open ranges
+ *        r/P/REF/LO     a range of its tasks in partition P: bounds and done set
+ *        o/P            who owns partition P (tied to the owner's lease)
+ *        t/P            its term (for ever)
+ *        m/P/MACHINE    a machine that partition P may have started tasks on
+ *        n/NODE         a controller that is up (tied to its lease)
+ *        s              operators' settings
+ */
+#include "core.h"
+#include "log.h"
+#include "thread.h"
+#include "wire.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+GByteArray *lmn_job_record(const struct lmn_spec *s, enum lmn_phase phase, uint32_t open,
+                           double at)
+{
+    GByteArray *b = g_byte_array_sized_new(512);
+    lmn_put_map(b, lmn_spec_pairs() + 3);
+    lmn_spec_put(b, s);
+    lmn_put_text(b, "phase"), lmn_put_count(b, phase);
+    lmn_put_text(b, "open"), lmn_put_count(b, open);
+    lmn_put_text(b, "at"), lmn_put_number(b, at);
+    return b;
+}
+
+int lmn_job_read(const struct lmn_doc *doc, const struct lmn_node *value, struct lmn_spec *s,
+                 enum lmn_phase *phase, uint32_t *open, double *at)
+{
+    const char *what;
+    uint64_t ph, op;
+
+    if (lmn_spec_parse(s, doc, value, &what) != 0)
+        return -1;
+    if (!lmn_count(lmn_get(doc, value, "phase"), &ph) || ph > LMN_WITHDRAWN ||
+        !lmn_count(lmn_get(doc, value, "open"), &op) ||
+        !lmn_number(lmn_get(doc, value, "at"), at))
+        return -1;
+    *phase = (enum lmn_phase)ph;
+    *open = (uint32_t)op;
+    return 0;
+}
+
+GByteArray *lmn_range_record(const struct lmn_range *r, const uint8_t *done)
+{
+    GByteArray *b = g_byte_array_new();
+    lmn_put_map(b, 2);
+    lmn_put_text(b, "hi"), lmn_put_count(b, r->hi);
+    lmn_put_text(b, "done"), lmn_bits_put(b, done, r->hi - r->lo);
+    return b;
+}
+
+GByteArray *lmn_machine_record(const struct lmn_machine *m)
+{
+    GByteArray *b = g_byte_array_new();
+    lmn_put_map(b, 4);
+    lmn_put_text(b, "addr"), lmn_put_text(b, m->addr);
+    lmn_put_text(b, "type"), lmn_put_text(b, m->type_name);
+    lmn_put_text(b, "zone"), lmn_put_text(b, m->zone);
+    lmn_put_text(b, "spot"), lmn_put_truth(b, m->spot);
+    return b;
+}
+
+double lmn_staleness(const struct lmn_core *c, struct timespec now)
+{
+    return c->synced ? lmn_since(now, c->fresh) : 1e9;
+}
+
+static int team_index(const struct lmn_settings *cfg, const char *team)
+{
+    const struct lmn_team *t = lmn_settings_team(cfg, team);
+    return t ? (int)(t - cfg->teams) : -1;
+}
+
+static void apply_job(struct lmn_core *c, const char *ref, const struct lmn_doc *d,
+                      const struct lmn_node *v, uint64_t rev)
+{
+    struct lmn_spec spec;
+    enum lmn_phase phase;
+    uint32_t open;
+    double at;
+
+    if (!v)
+        return; /* jobs are kept for ever */
+    struct lmn_job *j = g_hash_table_lookup(c->jobs, ref);
+    if (j && j->rev >= rev) {
+        j->gen = c->gen;
+        return;
+    }
+    if (lmn_job_read(d, v, &spec, &phase, &open, &at) != 0) {
+        lmn_error("unreadable-record key=j/%s", ref);
+        lmn_spec_clear(&spec);
+        return;
+    }
+    if (!j) {
+        j = g_new0(struct lmn_job, 1);
+        j->spec = spec;
+        j->at = at;
+        j->ranges = g_ptr_array_new();
+        j->team = team_index(c->cfg, j->spec.team);
+        g_hash_table_insert(c->jobs, j->spec.ref, j);
+    } else {
+        lmn_spec_clear(&spec); /* a job's description never changes */
+    }
+    j->phase = phase;
+    j->open = open;
+    j->rev = rev;
+    j->gen = c->gen;
+}
+
+static void remove_range(struct lmn_core *c, struct lmn_range *r)
+{
+    lmn_range_forget(c, r);
+    g_hash_table_remove(r->part->ranges, r->key);
+}
+
+static void apply_range(struct lmn_core *c, const char *key, struct lmn_partition *p,
+                        const char *rest, const struct lmn_doc *d, const struct lmn_node *v,
+                        uint64_t rev, struct timespec now)
+{
+    struct lmn_range *r = g_hash_table_lookup(p->ranges, key);
+    const char *slash = strchr(rest, '/');
+    char ref[LMN_REF];
+    uint64_t hi;
+
+    if (!v) {
+        if (r && r->rev < rev)
+            remove_range(c, r);
+        return;
+    }
+    if (r && r->rev >= rev) {
+        r->gen = c->gen;
+        return;
+    }
+    if (!slash || (size_t)(slash - rest) >= sizeof ref || !lmn_count(lmn_get(d, v, "hi"), &hi))
+        return;
+    g_strlcpy(ref, rest, (gsize)(slash - rest) + 1);
+    uint32_t lo = (uint32_t)strtoul(slash + 1, NULL, 10);
+    struct lmn_job *j = g_hash_table_lookup(c->jobs, ref);
+    if (!j || hi <= lo || hi > j->spec.tasks) {
+        lmn_error("unreadable-record key=%s", key);
+        return;
+    }
+    bool fresh = !r;
+    if (!r) {
+        r = g_new0(struct lmn_range, 1);
+        r->key = g_strdup(key);
+        r->job = j;
+        r->part = p;
+        r->lo = lo;
+        r->hi = (uint32_t)hi;
+        r->done = g_malloc0((r->hi - r->lo + 7) / 8);
+        g_hash_table_insert(p->ranges, r->key, r);
+        g_ptr_array_add(j->ranges, r);
+    }
+    if (lmn_bits_get(lmn_get(d, v, "done"), r->done, r->hi - r->lo) != 0)
+        lmn_error("unreadable-record key=%s", key);
+    r->ndone = lmn_bits_count(r->done, r->hi - r->lo);
+    r->rev = rev;
+    r->gen = c->gen;
+    if (r->writing && r->written && rev >= r->written)
+        r->writing = false;
+    if (fresh && p->mine) {
+        lmn_range_open(c, r);
+        if (p->ready)
+            lmn_deal(c, r, r->lo, r->hi, now);
+    }
+}
+
+static void apply_owner(struct lmn_core *c, struct lmn_partition *p, const struct lmn_doc *d,
+                        const struct lmn_node *v, uint64_t rev, struct timespec now)
+{
+    char owner[LMN_NAME] = "";
+    uint64_t lease = 0, term = 0;
+
+    p->owner_gen = c->gen;
+    if (p->owner_rev >= rev)
+        return;
+    if (v) {
+        lmn_text(lmn_get(d, v, "node"), owner, sizeof owner);
+        lmn_count(lmn_get(d, v, "lease"), &lease);
+        lmn_count(lmn_get(d, v, "term"), &term);
+    }
+    if (p->mine)
+        lmn_partition_lose(c, p, v ? "taken" : "owner key gone");
+    g_strlcpy(p->owner, owner, sizeof p->owner);
+    p->owner_lease = lease;
+    p->owner_term = term;
+    p->owner_rev = v ? rev : 0;
+    if (!v)
+        p->vacant = now;
+    pthread_cond_broadcast(&c->changed);
+}
+
+static void apply_machine(struct lmn_core *c, struct lmn_partition *p, const char *name,
+                          const struct lmn_doc *d, const struct lmn_node *v, uint64_t rev,
+                          struct timespec now)
+{
+    struct lmn_machine *m = g_hash_table_lookup(p->machines, name);
+
+    if (!v) {
+        if (m && m->rev < rev) {
+            lmn_machine_empty(c, m, "record removed", now);
+            g_hash_table_remove(p->machines, name);
+        }
+        return;
+    }
+    if (!m) {
+        m = lmn_machine_new(p, name);
+        m->first = now;
+    }
+    m->gen = c->gen;
+    if (m->rev >= rev)
+        return;
+    m->rev = rev;
+    m->recording = false;
+    lmn_text(lmn_get(d, v, "addr"), m->addr, sizeof m->addr);
+    lmn_text(lmn_get(d, v, "type"), m->type_name, sizeof m->type_name);
+    lmn_text(lmn_get(d, v, "zone"), m->zone, sizeof m->zone);
+    lmn_truth(lmn_get(d, v, "spot"), &m->spot);
+}
+
+static void apply_node(struct lmn_core *c, const char *name, const struct lmn_node *v,
+                       uint64_t rev, struct timespec now)
+{
+    int rank = lmn_settings_rank(c->cfg, name);
+    bool known = !strcmp(name, c->cfg->node);
+
+    for (size_t i = 0; i < c->cfg->nmembers; i++)
+        known = known || !strcmp(name, c->cfg->members[i].name);
+    if (!known)
+        return;
+    struct lmn_peer_view *n = &c->peers[rank];
+    n->gen = c->gen;
+    if (n->rev >= rev)
+        return;
+    if (n->alive != (v != NULL))
+        n->since = now;
+    n->alive = v != NULL;
+    n->rev = rev;
+    pthread_cond_broadcast(&c->changed);
+}
+
+void lmn_mirror_apply(struct lmn_core *c, const char *key, const struct lmn_doc *d,
+                      const struct lmn_node *v, uint64_t rev, struct timespec now)
+{
+    char *rest;
+
+    if (key[0] == 's' && key[1] == '\0') {
+        if (rev > c->tuning_rev) {
+            lmn_tuning_read(&c->tuning, d, v);
+            c->tuning_rev = rev;
+        }
+        return;
+    }
+    if (!key[0] || key[1] != '/')
+        return;
+    if (key[0] == 'j') {
+        apply_job(c, key + 2, d, v, rev);
+        return;
+    }
+    if (key[0] == 'n') {
+        apply_node(c, key + 2, v, rev, now);
+        return;
+    }
+    unsigned long id = strtoul(key + 2, &rest, 10);
+    if (rest == key + 2 || id >= (unsigned long)c->nparts)
+        return;
+    struct lmn_partition *p = &c->parts[id];
+    if (key[0] == 'o' && !*rest) {
+        apply_owner(c, p, d, v, rev, now);
+    } else if (key[0] == 't' && !*rest) {
+        if (v && rev > p->term_rev && lmn_count(v, &p->term))
+            p->term_rev = rev;
+    } else if (key[0] == 'r' && *rest == '/') {
+        apply_range(c, key, p, rest + 1, d, v, rev, now);
+    } else if (key[0] == 'm' && *rest == '/') {
+        apply_machine(c, p, rest + 1, d, v, rev, now);
+    }
+}
+
+void lmn_mirror_sweep(struct lmn_core *c, struct timespec now)
+{
+    for (int i = 0; i < c->nparts; i++) {
+        struct lmn_partition *p = &c->parts[i];
+        GHashTableIter it;
+        gpointer v;
+        GPtrArray *drop = g_ptr_array_new();
+
+        g_hash_table_iter_init(&it, p->ranges);
+        while (g_hash_table_iter_next(&it, NULL, &v))
+            if (((struct lmn_range *)v)->gen != c->gen)
+                g_ptr_array_add(drop, v);
+        for (guint k = 0; k < drop->len; k++)
+            remove_range(c, drop->pdata[k]);
+        g_ptr_array_set_size(drop, 0);
+        g_hash_table_iter_init(&it, p->machines);
+        while (g_hash_table_iter_next(&it, NULL, &v))
+            if (((struct lmn_machine *)v)->rev && ((struct lmn_machine *)v)->gen != c->gen)
+                g_ptr_array_add(drop, v);
+        for (guint k = 0; k < drop->len; k++) {
+            struct lmn_machine *m = drop->pdata[k];
+            lmn_machine_empty(c, m, "record gone", now);
+            g_hash_table_remove(p->machines, m->name);
+        }
+        g_ptr_array_free(drop, TRUE);
+        if (p->owner_gen != c->gen && p->owner_rev) {
+            if (p->mine)
+                lmn_partition_lose(c, p, "owner key gone");
+            p->owner[0] = '\0';
+            p->owner_lease = p->owner_rev = 0;
+            p->vacant = now;
+        }
+    }
+    for (size_t i = 0; i <= c->cfg->nmembers; i++)
+        if (c->peers[i].gen != c->gen && c->peers[i].alive) {
+            c->peers[i].alive = false;
+            c->peers[i].since = now;
+        }
+    pthread_cond_broadcast(&c->changed);
+}
+
+/* Ownership begins with the mirror, never with the answer to our own request: an answer that
+ * was lost, or a transaction that was applied late, then makes no difference. */
+static void find_own(struct lmn_core *c, struct timespec now)
+{
+    for (int i = 0; i < c->nparts; i++) {
+        struct lmn_partition *p = &c->parts[i];
+        if (!p->mine && p->owner_rev && c->lease && p->owner_lease == c->lease &&
+            !strcmp(p->owner, c->cfg->node))
+            lmn_partition_own(c, p, now);
+    }
+}
+
+/* Reads every key; 0 if the mirror then is whole as of *revision. */
+static int read_all(struct lmn_core *c, struct lmn_http *h, GByteArray *buf, uint64_t *revision)
+{
+    char after[256] = "", path[512];
+    bool first = true, more = true;
+
+    pthread_mutex_lock(&c->lock);
+    c->gen++;
+    pthread_mutex_unlock(&c->lock);
+    while (more) {
+        struct lmn_doc d;
+        uint64_t rev = 0;
+        lmn_state_pace(c->state);
+        if (*after)
+            g_snprintf(path, sizeof path, P_STORE "?" Q_PREFIX "=&" Q_AFTER "=%s&" Q_LIMIT "=500",
+                       after);
+        else
+            g_snprintf(path, sizeof path, P_STORE "?" Q_PREFIX "=&" Q_LIMIT "=500");
+        int status = lmn_http_call(h, "GET", path, NULL, 3.0, buf);
+        if (status != 200 || lmn_doc_parse(&d, buf->data, buf->len) != 0) {
+            lmn_debug("list-failed status=%d", status);
+            return -1;
+        }
+        const struct lmn_node *root = lmn_root(&d);
+        lmn_count(lmn_get(&d, root, W_REVISION), &rev);
+        if (first)
+            *revision = rev;
+        first = false;
+        pthread_mutex_lock(&c->lock);
+        struct timespec now = lmn_now();
+        const struct lmn_node *items = lmn_get(&d, root, W_ITEMS);
+        for (const struct lmn_node *n = lmn_child(&d, items); n; n = lmn_next(&d, n)) {
+            uint64_t version = 0;
+            if (!lmn_text(lmn_get(&d, n, W_KEY), after, sizeof after) ||
+                !lmn_count(lmn_get(&d, n, W_VERSION), &version))
+                continue;
+            lmn_mirror_apply(c, after, &d, lmn_get(&d, n, W_VALUE), version, now);
+        }
+        pthread_mutex_unlock(&c->lock);
+        more = false;
+        lmn_truth(lmn_get(&d, root, W_MORE), &more);
+        if (!items || !items->len)
+            more = false;
+        lmn_doc_free(&d);
+    }
+    pthread_mutex_lock(&c->lock);
+    lmn_mirror_sweep(c, lmn_now());
+    pthread_mutex_unlock(&c->lock);
+    return 0;
+}
+
+static void apply_events(struct lmn_core *c, const struct lmn_doc *d, const struct lmn_node *events,
+                         struct timespec now)
+{
+    char key[256];
+
+    for (const struct lmn_node *n = lmn_child(d, events); n; n = lmn_next(d, n)) {
+        uint64_t rev = 0;
+        lmn_count(lmn_get(d, n, W_VERSION), &rev);
+        if (lmn_text(lmn_get(d, n, W_PUT), key, sizeof key))
+            lmn_mirror_apply(c, key, d, lmn_get(d, n, W_VALUE), rev, now);
+        else if (lmn_text(lmn_get(d, n, W_DELETE), key, sizeof key))
+            lmn_mirror_apply(c, key, d, NULL, rev, now);
+    }
+}
+
+/* One wait for changes. Returns the status, or a negative one. */
+static int follow(struct lmn_core *c, struct lmn_http *h, GByteArray *buf, uint64_t *revision,
+                  bool first)
+{
+    char path[256];
+    struct lmn_doc d;
+    int wait_ms = first ? 0 : 1500;
+
+    lmn_state_pace(c->state);
+    struct timespec sent = lmn_now();
+    g_snprintf(path, sizeof path,
+               P_WATCH "?" Q_PREFIX "=&" Q_AFTER "=%" G_GUINT64_FORMAT "&" Q_WAIT_MS "=%d",
+               *revision, wait_ms);
+    int status = lmn_http_call(h, "GET", path, NULL, wait_ms / 1000.0 + 2.0, buf);
+    if (status != 200)
+        return status;
+    if (lmn_doc_parse(&d, buf->data, buf->len) != 0)
+        return LMN_NO_ANSWER;
+    const struct lmn_node *root = lmn_root(&d);
+    uint64_t upto = *revision;
+    lmn_count(lmn_get(&d, root, W_REVISION), &upto);
+    pthread_mutex_lock(&c->lock);
+    struct timespec now = lmn_now();
+    apply_events(c, &d, lmn_get(&d, root, W_EVENTS), now);
+    if (upto > *revision)
+        *revision = upto;
+    /* The answer may have been on its way for long: it proves only the time of asking. */
+    c->fresh = sent;
+    if (!c->synced) {
+        c->synced = true;
+        c->synced_at = now;
+        pthread_cond_broadcast(&c->changed);
+    }
+    find_own(c, now);
+    pthread_mutex_unlock(&c->lock);
+    lmn_doc_free(&d);
+    return 200;
+}
+
+void *lmn_mirror_thread(void *arg)
+{
+    struct lmn_core *c = arg;
+    struct lmn_http *h = lmn_http_new(c->cfg->state);
+    GByteArray *buf = g_byte_array_new();
+    uint64_t revision = 0;
+    bool whole = false, first = true, trouble = false;
+
+    for (;;) {
+        struct timespec begun = lmn_now();
+        int status = 200;
+        if (!whole) {
+            whole = read_all(c, h, buf, &revision) == 0;
+            first = true;
+            status = whole ? 200 : LMN_NO_ANSWER;
+        }
+        if (whole) {
+            status = follow(c, h, buf, &revision, first);
+            first = false;
+            if (status == 410) {
+                lmn_info("mirror-too-old revision=%" G_GUINT64_FORMAT, revision);
+                whole = false;
+                continue;
+            }
+        }
+        if ((status != 200) != trouble) {
+            trouble = status != 200;
+            lmn_info("state-%s status=%d", trouble ? "trouble" : "back", status);
+        }
+        if (status != 200) {
+            lmn_sleep(0.15 + g_random_double() * 0.15);
+            continue;
+        }
+        /* Changes come in flocks: a short pause bounds what watching costs. */
+        double spent = lmn_since(lmn_now(), begun);
+        if (spent < 0.06)
+            lmn_sleep(0.06 - spent);
+    }
+    return NULL;
+}
--- /dev/null
+++ b/src/peer_wire.x
@@ -0,0 +1,39 @@
+/* What controllers and the administration client say to a controller: XDR over TCP, record
+ * marked, as ONC RPC. */
+
+const LMN_XDR_NAME = 64;
+const LMN_XDR_TEXT = 65536;
+const LMN_XDR_TUNINGS = 64;
+
+struct lmn_tuning_item {
+    string name<LMN_XDR_NAME>;
+    double value;
+};
+
+struct lmn_tuning_list {
+    lmn_tuning_item items<LMN_XDR_TUNINGS>;
+};
+
+struct lmn_reply {
+    int code;                     /* 0: done */
+    string text<LMN_XDR_TEXT>;    /* what was shown, or what is wrong */
+};
+
+struct lmn_set_request {
+    string name<LMN_XDR_NAME>;
+    double value;
+};
+
+struct lmn_machine_request {
+    string machine<LMN_XDR_NAME>;
+};
+
+program LMN_PROGRAM {
+    version LMN_VERSION_1 {
+        void LMN_PING(void) = 0;
+        lmn_reply LMN_STATUS(void) = 1;
+        lmn_tuning_list LMN_TUNING_GET(void) = 2;
+        lmn_reply LMN_TUNING_SET(lmn_set_request) = 3;
+        lmn_reply LMN_DRAIN(lmn_machine_request) = 4;
+    } = 1;
+} = 0x2c0a5b41;
--- /dev/null
+++ b/src/queue.c
@@ -0,0 +1,379 @@
+/* Queues of machines: dealing, order, starting, stealing. */
+#include "core.h"
+#include "log.h"
+#include "wire.h"
+
+#include <math.h>
+#include <string.h>
+
+void lmn_queue_init(struct lmn_queue *q)
+{
+    q->segs = g_ptr_array_new();
+    q->tasks = 0;
+}
+
+void lmn_queue_clear(struct lmn_queue *q)
+{
+    for (guint i = 0; i < q->segs->len; i++)
+        g_free(q->segs->pdata[i]);
+    g_ptr_array_set_size(q->segs, 0);
+    q->tasks = 0;
+}
+
+static double due(const struct lmn_job *j)
+{
+    return j->spec.deadline_s >= 0 ? j->at + j->spec.deadline_s : INFINITY;
+}
+
+int lmn_job_order(const struct lmn_job *a, const struct lmn_job *b)
+{
+    if (a->spec.urgency != b->spec.urgency)
+        return a->spec.urgency > b->spec.urgency ? -1 : 1;
+    if (due(a) != due(b))
+        return due(a) < due(b) ? -1 : 1;
+    if (a->at != b->at)
+        return a->at < b->at ? -1 : 1;
+    return strcmp(a->spec.ref, b->spec.ref);
+}
+
+void lmn_queue_add(struct lmn_queue *q, struct lmn_range *r, uint32_t lo, uint32_t hi)
+{
+    guint at = q->segs->len;
+
+    while (at > 0) {
+        struct lmn_seg *s = q->segs->pdata[at - 1];
+        if (s->range == r && s->hi == lo) {
+            s->hi = hi;
+            q->tasks += hi - lo;
+            return;
+        }
+        if (lmn_job_order(s->range->job, r->job) <= 0)
+            break;
+        at--;
+    }
+    struct lmn_seg *s = g_new(struct lmn_seg, 1);
+    *s = (struct lmn_seg){r, lo, hi};
+    g_ptr_array_insert(q->segs, (gint)at, s);
+    q->tasks += hi - lo;
+}
+
+static void drop_seg(struct lmn_queue *q, guint at)
+{
+    struct lmn_seg *s = q->segs->pdata[at];
+    q->tasks -= s->hi - s->lo;
+    g_free(s);
+    g_ptr_array_remove_index(q->segs, at);
+}
+
+void lmn_queue_drop_range(struct lmn_queue *q, const struct lmn_range *r)
+{
+    for (guint i = q->segs->len; i-- > 0;)
+        if (((struct lmn_seg *)q->segs->pdata[i])->range == r)
+            drop_seg(q, i);
+}
+
+bool lmn_can_hold(const struct lmn_machine *m, const struct lmn_job *j)
+{
+    return m->type && m->accounted && m->rev && !m->retiring && !m->noticed && !m->lapsed &&
+           !m->is_gone && lmn_spec_allows(&j->spec, m->type, m->zone, m->spot);
+}
+
+/* How many tasks of the job have room on the machine now, its queue aside. */
+static uint32_t room(const struct lmn_machine *m, const struct lmn_spec *s)
+{
+    const double slack = 1e-6;
+    double n = 1e6;
+
+    if (s->cpus > 0)
+        n = MIN(n, floor((m->type->cpus - m->used_cpus) / s->cpus + slack));
+    if (s->gpus > 0)
+        n = MIN(n, floor((m->type->gpus - m->used_gpus) / s->gpus + slack));
+    if (s->mem > 0)
+        n = MIN(n, floor((m->type->mem - m->used_mem) / s->mem + slack));
+    return n > 0 ? (uint32_t)n : 0;
+}
+
+void lmn_deal(struct lmn_core *c, struct lmn_range *r, uint32_t lo, uint32_t hi,
+              struct timespec now)
+{
+    struct lmn_partition *p = r->part;
+    GHashTableIter it;
+    gpointer v;
+    GPtrArray *able = g_ptr_array_new();
+    (void)c;
+
+    g_hash_table_iter_init(&it, p->machines);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        struct lmn_machine *m = v;
+        if (lmn_can_hold(m, r->job))
+            g_ptr_array_add(able, m);
+    }
+    if (!able->len) {
+        lmn_queue_add(&p->limbo, r, lo, hi);
+        g_ptr_array_free(able, TRUE);
+        return;
+    }
+    /* Round robin: first what each has room for, then one each a turn. */
+    bool roomy = true;
+    while (lo < hi) {
+        uint32_t before = lo;
+        for (guint i = 0; i < able->len && lo < hi; i++) {
+            struct lmn_machine *m = able->pdata[(p->rr + i) % able->len];
+            uint32_t n = 1;
+            if (roomy) {
+                uint32_t has = room(m, &r->job->spec);
+                n = has > m->queue.tasks ? has - m->queue.tasks : 0;
+            }
+            n = MIN(n, hi - lo);
+            if (!n)
+                continue;
+            lmn_queue_add(&m->queue, r, lo, lo + n);
+            m->poll_s = 0; /* new work resets the interval */
+            m->next_steal = now;
+            lo += n;
+        }
+        if (lo == before)
+            roomy = false;
+        p->rr++;
+    }
+    g_ptr_array_free(able, TRUE);
+}
+
+void lmn_redeal_machine(struct lmn_core *c, struct lmn_machine *m, struct timespec now)
+{
+    struct lmn_queue old = m->queue;
+
+    lmn_queue_init(&m->queue);
+    for (guint i = 0; i < old.segs->len; i++) {
+        struct lmn_seg *s = old.segs->pdata[i];
+        if (m->part->ready)
+            lmn_deal(c, s->range, s->lo, s->hi, now);
+    }
+    lmn_queue_clear(&old);
+    g_ptr_array_free(old.segs, TRUE);
+}
+
+/* --- starting --- */
+
+static bool in_quota(const struct lmn_core *c, const struct lmn_partition *p,
+                     const struct lmn_job *j)
+{
+    if (j->team < 0)
+        return false;
+    const struct lmn_team *t = &c->cfg->teams[j->team];
+    double cpus = t->cpus_max / c->nparts, gpus = t->gpus_max / c->nparts;
+
+    if (t->cpus_max > 0 && p->used_cpus[j->team] + j->spec.cpus > cpus + 1e-6)
+        return false;
+    return !(t->gpus_max > 0 && p->used_gpus[j->team] + j->spec.gpus > gpus + 1e-6);
+}
+
+/* SamePlace and Apart look at the job's other tasks. Such a job lies whole in one partition,
+ * so its owner sees them all. */
+static bool zone_allows(const struct lmn_machine *m, const struct lmn_job *j)
+{
+    GHashTableIter it;
+    gpointer v;
+    uint32_t here = 0;
+
+    if (!j->spec.one_zone && !j->spec.spread)
+        return true;
+    g_hash_table_iter_init(&it, m->part->machines);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const struct lmn_machine *o = v;
+        for (guint i = 0; i < o->attempts->len; i++) {
+            const struct lmn_attempt *a = &g_array_index(o->attempts, struct lmn_attempt, i);
+            if (a->job != j || a->state == LMN_A_ENDED)
+                continue;
+            if (!strcmp(o->zone, m->zone))
+                here++;
+            else if (j->spec.one_zone)
+                return false;
+        }
+    }
+    return !j->spec.spread || here + 1 <= (j->spec.tasks + 1) / 2;
+}
+
+static void start(struct lmn_core *c, struct lmn_machine *m, struct lmn_seg *s, GByteArray *out,
+                  struct timespec now)
+{
+    struct lmn_partition *p = m->part;
+    struct lmn_attempt a = {.job = s->range->job,
+                            .range = s->range,
+                            .index = s->lo,
+                            .state = LMN_A_SENT,
+                            .seen = true,
+                            .since = now};
+
+    /* Unique for ever without a write: no two owners share a term. */
+    a.number = p->my_term << 24 | (++p->attempts & 0xffffff);
+    g_strlcpy(a.ref, a.job->spec.ref, sizeof a.ref);
+    s->range->st[a.index - s->range->lo] = LMN_T_STARTED;
+    s->range->nstarted++;
+    lmn_attempt_count(m, &a);
+    g_array_append_val(m->attempts, a);
+    c->count.starts++;
+    char task[LMN_REF + 16];
+    g_snprintf(task, sizeof task, "%s/%u", a.ref, a.index);
+    lmn_put_map(out, 3);
+    lmn_put_text(out, W_OP), lmn_put_text(out, W_START);
+    lmn_put_text(out, W_TASK), lmn_put_text(out, task);
+    lmn_put_text(out, W_ATTEMPT), lmn_put_count(out, a.number);
+    lmn_debug("task-start task=%s attempt=%" G_GUINT64_FORMAT " machine=%s term=%" G_GUINT64_FORMAT,
+              task, a.number, m->name, p->my_term);
+    s->lo++;
+}
+
+static bool startable(const struct lmn_core *c, const struct lmn_machine *m,
+                      const struct lmn_job *j, struct timespec now)
+{
+    return j->phase == LMN_ACTIVE && !lmn_before(now, j->hold) && lmn_can_hold(m, j) &&
+           room(m, &j->spec) > 0 && in_quota(c, m->part, j) && zone_allows(m, j);
+}
+
+static guint start_own(struct lmn_core *c, struct lmn_machine *m, GByteArray *out,
+                       struct timespec now)
+{
+    guint n = 0;
+
+    for (guint i = 0; i < m->queue.segs->len;) {
+        struct lmn_seg *s = m->queue.segs->pdata[i];
+        if (s->range->job->phase != LMN_ACTIVE) {
+            drop_seg(&m->queue, i);
+            continue;
+        }
+        while (s->lo < s->hi && startable(c, m, s->range->job, now)) {
+            m->queue.tasks--;
+            /* The books decide, not the queue: what is not queued there is not started. */
+            if (s->range->st[s->lo - s->range->lo] != LMN_T_QUEUED) {
+                s->lo++;
+                continue;
+            }
+            start(c, m, s, out, now);
+            n++;
+        }
+        if (s->lo == s->hi)
+            drop_seg(&m->queue, i);
+        else
+            i++;
+    }
+    return n;
+}
+
+/* --- stealing --- */
+
+/* Queued tasks that the thief could start now. */
+static uint32_t load_for(const struct lmn_core *c, const struct lmn_queue *q,
+                         const struct lmn_machine *thief, struct timespec now)
+{
+    uint32_t n = 0;
+    for (guint i = 0; i < q->segs->len; i++) {
+        const struct lmn_seg *s = q->segs->pdata[i];
+        if (startable(c, thief, s->range->job, now))
+            n += s->hi - s->lo;
+    }
+    return n;
+}
+
+static uint32_t take(struct lmn_core *c, struct lmn_queue *from, struct lmn_machine *m,
+                     uint32_t want, struct timespec now)
+{
+    uint32_t got = 0;
+
+    for (guint i = 0; i < from->segs->len && got < want;) {
+        struct lmn_seg *s = from->segs->pdata[i];
+        if (!startable(c, m, s->range->job, now)) {
+            i++;
+            continue;
+        }
+        uint32_t n = MIN(want - got, s->hi - s->lo);
+        lmn_queue_add(&m->queue, s->range, s->lo, s->lo + n);
+        s->lo += n;
+        from->tasks -= n;
+        got += n;
+        if (s->lo == s->hi)
+            drop_seg(from, i);
+        else
+            i++;
+    }
+    return got;
+}
+
+bool lmn_steal(struct lmn_core *c, struct lmn_machine *m, struct timespec now)
+{
+    struct lmn_partition *p = m->part;
+    GPtrArray *queues = g_ptr_array_new();
+    struct lmn_queue *best = NULL;
+    uint32_t most = 0;
+    GHashTableIter it;
+    gpointer v;
+
+    if (lmn_before(now, m->next_steal)) {
+        g_ptr_array_free(queues, TRUE);
+        return false;
+    }
+    g_hash_table_iter_init(&it, p->machines);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        struct lmn_machine *o = v;
+        if (o != m)
+            g_ptr_array_add(queues, &o->queue);
+    }
+    g_ptr_array_add(queues, &p->limbo);
+    guint sample = c->tuning.sample > 0 ? (guint)c->tuning.sample
+                                        : (guint)ceil(sqrt((double)queues->len));
+    sample = MIN(sample, queues->len);
+    c->count.steal_tries++;
+    /* A fresh random sample each time: the first places of a partial shuffle. Limbo, which is
+     * no machine's, is always asked. */
+    for (guint i = 0; i < sample; i++) {
+        guint k = i + (guint)g_rand_int_range(c->rng, 0, (gint32)(queues->len - i));
+        gpointer t = queues->pdata[i];
+        queues->pdata[i] = queues->pdata[k];
+        queues->pdata[k] = t;
+        uint32_t load = load_for(c, queues->pdata[i], m, now);
+        if (load > most) {
+            most = load;
+            best = queues->pdata[i];
+        }
+    }
+    uint32_t limbo = load_for(c, &p->limbo, m, now);
+    if (limbo > most) {
+        most = limbo;
+        best = &p->limbo;
+    }
+    g_ptr_array_free(queues, TRUE);
+    uint32_t got = 0;
+    if (best)
+        got = take(c, best, m, MAX((uint32_t)((double)most * c->tuning.share), 1), now);
+    if (!got) {
+        m->poll_s = m->poll_s > 0 ? MIN(m->poll_s * 2, c->tuning.poll_cap_s)
+                                  : c->tuning.poll_floor_s;
+        m->next_steal = lmn_after(now, m->poll_s);
+        return false;
+    }
+    c->count.steals++;
+    c->count.stolen_tasks += got;
+    m->poll_s = 0;
+    m->next_steal = now;
+    lmn_debug("steal machine=%s tasks=%u of=%u", m->name, got, most);
+    return true;
+}
+
+guint lmn_schedule(struct lmn_core *c, struct lmn_machine *m, GByteArray *out,
+                   struct timespec now)
+{
+    struct lmn_partition *p = m->part;
+    guint n;
+
+    if (!p->ready || p->releasing || !m->accounted || !m->rev || m->retiring || m->noticed ||
+        !m->type)
+        return 0;
+    n = start_own(c, m, out, now);
+    /* Left with room and nothing of its own that fits: it pulls, until that brings nothing. */
+    for (int turn = 0; turn < 8; turn++) {
+        if (load_for(c, &m->queue, m, now) || !lmn_steal(c, m, now))
+            break;
+        n += start_own(c, m, out, now);
+    }
+    return n;
+}
--- /dev/null
+++ b/src/range.c
@@ -0,0 +1,397 @@
+/* An owner's books: which task of a range is queued, started or done, and what its machines
+ * hold. */
+#include "core.h"
+#include "log.h"
+
+#include <math.h>
+#include <string.h>
+
+struct lmn_machine *lmn_machine_new(struct lmn_partition *p, const char *name)
+{
+    struct lmn_machine *m = g_new0(struct lmn_machine, 1);
+
+    g_strlcpy(m->name, name, sizeof m->name);
+    m->part = p;
+    m->attempts = g_array_new(FALSE, FALSE, sizeof(struct lmn_attempt));
+    m->failed_jobs = g_ptr_array_new();
+    m->images = g_ptr_array_new_with_free_func(g_free);
+    lmn_queue_init(&m->queue);
+    g_hash_table_insert(p->machines, m->name, m);
+    return m;
+}
+
+void lmn_machine_free(struct lmn_machine *m)
+{
+    lmn_queue_clear(&m->queue);
+    g_ptr_array_free(m->queue.segs, TRUE);
+    g_array_free(m->attempts, TRUE);
+    g_ptr_array_free(m->failed_jobs, TRUE);
+    g_ptr_array_free(m->images, TRUE);
+    g_free(m);
+}
+
+void lmn_attempt_count(struct lmn_machine *m, struct lmn_attempt *a)
+{
+    const struct lmn_job *j = a->job;
+
+    if (a->counted || !j)
+        return;
+    a->counted = true;
+    m->used_cpus += j->spec.cpus;
+    m->used_gpus += j->spec.gpus;
+    m->used_mem += j->spec.mem;
+    if (j->team >= 0) {
+        m->part->used_cpus[j->team] += j->spec.cpus;
+        m->part->used_gpus[j->team] += j->spec.gpus;
+    }
+}
+
+void lmn_attempt_uncount(struct lmn_machine *m, struct lmn_attempt *a)
+{
+    const struct lmn_job *j = a->job;
+
+    if (!a->counted)
+        return;
+    a->counted = false;
+    m->used_cpus -= j->spec.cpus;
+    m->used_gpus -= j->spec.gpus;
+    m->used_mem -= j->spec.mem;
+    if (j->team >= 0) {
+        m->part->used_cpus[j->team] -= j->spec.cpus;
+        m->part->used_gpus[j->team] -= j->spec.gpus;
+    }
+}
+
+void lmn_range_free(struct lmn_range *r)
+{
+    g_free(r->key);
+    g_free(r->done);
+    g_free(r->st);
+    g_free(r);
+}
+
+void lmn_range_open(struct lmn_core *c, struct lmn_range *r)
+{
+    uint32_t n = r->hi - r->lo;
+    (void)c;
+
+    g_free(r->st);
+    r->st = g_malloc0(n);
+    r->nstarted = 0;
+    r->nfinished = r->ndone;
+    r->writing = false;
+    r->written = 0;
+    for (uint32_t i = 0; i < n; i++)
+        if (lmn_bit(r->done, i))
+            r->st[i] = LMN_T_DONE;
+}
+
+void lmn_range_forget(struct lmn_core *c, struct lmn_range *r)
+{
+    struct lmn_partition *p = r->part;
+    GHashTableIter it;
+    gpointer v;
+    (void)c;
+
+    lmn_queue_drop_range(&p->limbo, r);
+    g_hash_table_iter_init(&it, p->machines);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        struct lmn_machine *m = v;
+        lmn_queue_drop_range(&m->queue, r);
+        for (guint i = 0; i < m->attempts->len; i++) {
+            struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
+            if (a->range == r)
+                a->range = NULL;
+        }
+    }
+    g_ptr_array_remove_fast(r->job->ranges, r);
+}
+
+void lmn_task_requeue(struct lmn_core *c, struct lmn_range *r, uint32_t index,
+                      struct timespec now)
+{
+    if (!r || !r->st || r->st[index - r->lo] != LMN_T_STARTED)
+        return;
+    r->st[index - r->lo] = LMN_T_QUEUED;
+    r->nstarted--;
+    if (r->part->ready && r->job->phase == LMN_ACTIVE)
+        lmn_deal(c, r, index, index + 1, now);
+}
+
+void lmn_task_finished(struct lmn_range *r, uint32_t index, struct timespec now)
+{
+    uint8_t *st = &r->st[index - r->lo];
+
+    if (*st == LMN_T_DONE)
+        return;
+    if (*st == LMN_T_STARTED)
+        r->nstarted--;
+    *st = LMN_T_DONE;
+    if (r->nfinished++ == r->ndone)
+        r->dirty = now;
+}
+
+void lmn_machine_empty(struct lmn_core *c, struct lmn_machine *m, const char *why,
+                       struct timespec now)
+{
+    GArray *old = m->attempts;
+
+    lmn_redeal_machine(c, m, now);
+    m->attempts = g_array_new(FALSE, FALSE, sizeof(struct lmn_attempt));
+    for (guint i = 0; i < old->len; i++) {
+        struct lmn_attempt *a = &g_array_index(old, struct lmn_attempt, i);
+        lmn_attempt_uncount(m, a);
+        if (a->state != LMN_A_ENDED) {
+            lmn_debug("task-lost task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s why=\"%s\"",
+                      a->ref, a->index, a->number, m->name, why);
+            lmn_task_requeue(c, a->range, a->index, now);
+        }
+    }
+    g_array_free(old, TRUE);
+}
+
+void lmn_machine_retire(struct lmn_core *c, struct lmn_machine *m, bool force, const char *why,
+                        struct timespec now)
+{
+    m->force = m->force || force;
+    if (m->retiring)
+        return;
+    lmn_info("machine-retire machine=%s partition=%d force=%d why=\"%s\"", m->name, m->part->id,
+             force, why);
+    m->retiring = true;
+    m->retired_at = now;
+    lmn_redeal_machine(c, m, now);
+}
+
+void lmn_machine_gone(struct lmn_core *c, struct lmn_machine *m, struct timespec now)
+{
+    m->is_gone = true;
+    m->inherited = false;
+    m->accounted = true;
+    lmn_machine_empty(c, m, "machine gone", now);
+    g_hash_table_add(c->gone, g_strdup(m->name));
+    lmn_partition_check(c, m->part, now);
+    if (!m->rev && !m->recording)
+        g_hash_table_remove(m->part->machines, m->name);
+}
+
+/* --- writing --- */
+
+struct write_ref {
+    struct lmn_core *c;
+    int part;
+    char *key;
+    char ref[LMN_REF];
+};
+
+static void range_written(void *arg, struct lmn_txn *t, enum lmn_outcome outcome, uint64_t rev)
+{
+    struct write_ref *w = arg;
+    struct lmn_core *c = w->c;
+    (void)t;
+
+    pthread_mutex_lock(&c->lock);
+    struct lmn_range *r = g_hash_table_lookup(c->parts[w->part].ranges, w->key);
+    struct lmn_job *j = g_hash_table_lookup(c->jobs, w->ref);
+    if (outcome != LMN_OK && j)
+        j->closing = 0;
+    if (r && r->writing) {
+        if (outcome == LMN_OK) {
+            r->written = rev;
+            if (r->rev >= rev)
+                r->writing = false;
+        } else {
+            /* Nothing is lost by another try: each is conditional on what the mirror shows. */
+            r->writing = false;
+            r->retry = lmn_after(lmn_now(), outcome == LMN_CONFLICT ? 0.1 : 0.4);
+        }
+    }
+    pthread_mutex_unlock(&c->lock);
+    g_free(w->key);
+    g_free(w);
+}
+
+static struct lmn_txn *owner_txn(struct lmn_core *c, struct lmn_range *r, enum lmn_rank rank)
+{
+    char key[64];
+    struct write_ref *w = g_new0(struct write_ref, 1);
+
+    w->c = c;
+    w->part = r->part->id;
+    w->key = g_strdup(r->key);
+    g_strlcpy(w->ref, r->job->spec.ref, sizeof w->ref);
+    struct lmn_txn *t = lmn_txn_new(rank, range_written, w);
+    g_snprintf(key, sizeof key, "o/%d", r->part->id);
+    lmn_txn_if(t, key, r->part->my_rev);
+    lmn_txn_if(t, r->key, r->rev);
+    r->writing = true;
+    r->written = 0;
+    return t;
+}
+
+static void flush_range(struct lmn_core *c, struct lmn_range *r, bool lazy, struct timespec now)
+{
+    struct lmn_job *j = r->job;
+    uint32_t n = r->hi - r->lo;
+    struct lmn_txn *t;
+    char key[64];
+
+    if (r->writing || lmn_before(now, r->retry))
+        return;
+    if (j->phase != LMN_ACTIVE) {
+        if (r->nstarted == 0 && lazy) {
+            t = owner_txn(c, r, LMN_RANK_LAZY);
+            lmn_txn_remove(t, r->key);
+            lmn_state_submit(c->state, t);
+        }
+        return;
+    }
+    if (r->nfinished == n) {
+        if (j->closing == j->rev)
+            return; /* one range of a job at a time, or the job's record conflicts */
+        j->closing = j->rev;
+        t = owner_txn(c, r, LMN_RANK_CLOSE);
+        g_snprintf(key, sizeof key, "j/%s", j->spec.ref);
+        lmn_txn_if(t, key, j->rev);
+        lmn_txn_remove(t, r->key);
+        lmn_txn_write(t, key,
+                      lmn_job_record(&j->spec, j->open <= 1 ? LMN_FINISHED : LMN_ACTIVE,
+                                     j->open - 1, j->at),
+                      0);
+        lmn_state_submit(c->state, t);
+        return;
+    }
+    if (lazy && r->nfinished > r->ndone && lmn_since(now, r->dirty) > 2.0) {
+        uint8_t *done = g_malloc0((n + 7) / 8);
+        for (uint32_t i = 0; i < n; i++)
+            if (r->st[i] == LMN_T_DONE)
+                lmn_set_bit(done, i);
+        t = owner_txn(c, r, LMN_RANK_LAZY);
+        lmn_txn_write(t, r->key, lmn_range_record(r, done), 0);
+        lmn_state_submit(c->state, t);
+        g_free(done);
+        r->dirty = now;
+    }
+}
+
+struct record_ref {
+    struct lmn_core *c;
+    int part;
+    char name[LMN_NAME];
+    bool remove;
+};
+
+static void machine_written(void *arg, struct lmn_txn *t, enum lmn_outcome outcome, uint64_t rev)
+{
+    struct record_ref *w = arg;
+    struct lmn_core *c = w->c;
+    (void)t;
+    (void)rev;
+
+    pthread_mutex_lock(&c->lock);
+    struct lmn_machine *m = g_hash_table_lookup(c->parts[w->part].machines, w->name);
+    if (m && outcome != LMN_OK) {
+        m->recording = false;
+        m->retry = lmn_after(lmn_now(), 0.3);
+    }
+    pthread_mutex_unlock(&c->lock);
+    g_free(w);
+}
+
+/* Before the first start on a machine its record must stand, so that a successor knows that it
+ * has to ask there. */
+static void write_machine(struct lmn_core *c, struct lmn_machine *m, struct timespec now)
+{
+    char key[160];
+
+    if (m->recording || lmn_before(now, m->retry))
+        return;
+    struct record_ref *w = g_new0(struct record_ref, 1);
+    w->c = c;
+    w->part = m->part->id;
+    g_strlcpy(w->name, m->name, sizeof w->name);
+    struct lmn_txn *t = lmn_txn_new(LMN_RANK_OWNER, machine_written, w);
+    g_snprintf(key, sizeof key, "o/%d", m->part->id);
+    lmn_txn_if(t, key, m->part->my_rev);
+    g_snprintf(key, sizeof key, "m/%d/%s", m->part->id, m->name);
+    lmn_txn_if(t, key, m->rev);
+    if (m->is_gone)
+        lmn_txn_remove(t, key);
+    else
+        lmn_txn_write(t, key, lmn_machine_record(m), 0);
+    m->recording = true;
+    lmn_state_submit(c->state, t);
+}
+
+void lmn_ranges_flush(struct lmn_core *c, struct timespec now)
+{
+    bool lazy = lmn_state_backlog(c->state, LMN_RANK_LAZY) < 0.5;
+
+    for (int i = 0; i < c->nparts; i++) {
+        struct lmn_partition *p = &c->parts[i];
+        GHashTableIter it;
+        gpointer v;
+        if (!p->mine || p->releasing)
+            continue;
+        g_hash_table_iter_init(&it, p->ranges);
+        while (g_hash_table_iter_next(&it, NULL, &v))
+            flush_range(c, v, lazy, now);
+        g_hash_table_iter_init(&it, p->machines);
+        while (g_hash_table_iter_next(&it, NULL, &v)) {
+            struct lmn_machine *m = v;
+            if ((m->is_gone && m->rev) || (!m->is_gone && !m->rev && m->heard && m->type))
+                write_machine(c, m, now);
+        }
+    }
+}
+
+/* --- upkeep --- */
+
+static guint busy(const struct lmn_machine *m)
+{
+    guint n = 0;
+    for (guint i = 0; i < m->attempts->len; i++)
+        n += g_array_index(m->attempts, struct lmn_attempt, i).state != LMN_A_ENDED;
+    return n;
+}
+
+static void upkeep_machine(struct lmn_core *c, struct lmn_machine *m, struct timespec now)
+{
+    const struct lmn_settings *cfg = c->cfg;
+    struct lmn_partition *p = m->part;
+    double silent = m->heard ? lmn_since(now, m->last) : lmn_since(now, p->since);
+
+    if (m->is_gone)
+        return;
+    /* Counted from the last report that we may have answered, with the clocks' drift and our
+     * own lateness allowed for: then the worker has ended everything by itself. Only so
+     * within our own term: before, a predecessor may have answered it later than we know. */
+    if (m->accounted && !m->lapsed && silent > cfg->lease_s * 1.002 + 1.5) {
+        m->lapsed = true;
+        lmn_info("machine-lapsed machine=%s partition=%d tasks=%u", m->name, p->id, busy(m));
+        lmn_machine_empty(c, m, "lease lapsed", now);
+    }
+    if (m->lapsed && silent > cfg->lease_s + 12)
+        lmn_machine_retire(c, m, true, "silent", now);
+    if (m->noticed && silent > 2.5 * cfg->report_s + 1)
+        lmn_machine_retire(c, m, true, "taken by the cloud", now);
+    if (m->inherited && !m->accounted && silent > cfg->lease_s + 8)
+        lmn_machine_retire(c, m, true, "not heard under the new term", now);
+    if (m->accounted && !m->retiring && m->idle.tv_sec &&
+        lmn_since(now, m->idle) > c->tuning.idle_return_s && !m->queue.tasks)
+        lmn_machine_retire(c, m, false, "idle", now);
+}
+
+void lmn_upkeep(struct lmn_core *c, struct timespec now)
+{
+    for (int i = 0; i < c->nparts; i++) {
+        struct lmn_partition *p = &c->parts[i];
+        if (!p->mine)
+            continue;
+        GList *all = g_hash_table_get_values(p->machines);
+        for (GList *l = all; l; l = l->next)
+            upkeep_machine(c, l->data, now);
+        g_list_free(all);
+        lmn_partition_check(c, p, now);
+    }
+}
--- /dev/null
+++ b/src/service.c
@@ -0,0 +1,48 @@
+#include "service.h"
+#include "core.h"
+#include "fleet.h"
+#include "log.h"
+#include "peer.h"
+#include "server.h"
+#include "thread.h"
+
+#include <curl/curl.h>
+#include <malloc.h>
+#include <signal.h>
+
+int lmn_service_run(const struct lmn_settings *cfg)
+{
+    signal(SIGPIPE, SIG_IGN);
+    /* Few arenas: memory is scarce, and so are the threads that allocate at once. */
+    mallopt(M_ARENA_MAX, 2);
+    lmn_log_init(cfg->node);
+    if (curl_global_init(CURL_GLOBAL_NOTHING) != 0)
+        return 1;
+    lmn_info("start version=" LMN_VERSION " listen=%s partitions=%d members=%zu", cfg->listen,
+             cfg->partitions, cfg->nmembers + 1);
+
+    struct lmn_state *state = lmn_state_new(cfg);
+    struct lmn_core *core = lmn_core_new(cfg, state, g_random_int());
+    if (lmn_server_start(core) != 0) {
+        lmn_error("listen-failed address=%s", cfg->listen);
+        return 1;
+    }
+    if (lmn_peer_start(core) != 0) {
+        lmn_error("listen-failed address=%s", cfg->peer_listen);
+        return 1;
+    }
+    lmn_state_start(state);
+    lmn_thread(lmn_mirror_thread, core);
+    lmn_thread(lmn_partition_thread, core);
+    lmn_thread(lmn_api_thread, core);
+    lmn_thread(lmn_cloud_thread, core);
+    for (;;) {
+        lmn_sleep(0.15);
+        lmn_server_sweep();
+        pthread_mutex_lock(&core->lock);
+        struct timespec now = lmn_now();
+        lmn_upkeep(core, now);
+        lmn_ranges_flush(core, now);
+        pthread_mutex_unlock(&core->lock);
+    }
+}
--- /dev/null
+++ b/src/settings.h
@@ -0,0 +1,53 @@
+/* The settings that the platform hands over, read once at the start and never changed. */
+#ifndef LMN_SETTINGS_H
+#define LMN_SETTINGS_H
+
+#include <stddef.h>
+
+enum { LMN_NAME = 64, LMN_ADDR = 64, LMN_MAX_MEMBERS = 32, LMN_MAX_TEAMS = 64 };
+
+struct lmn_member {
+    char name[LMN_NAME], zone[LMN_NAME], addr[LMN_ADDR];
+};
+
+/* An amount of 0 means that there is no such guarantee or no such limit. */
+struct lmn_team {
+    char name[LMN_NAME];
+    double cpus, cpus_max, gpus, gpus_max;
+};
+
+struct lmn_settings {
+    char node[LMN_NAME], zone[LMN_NAME], listen[LMN_ADDR], peer_listen[LMN_ADDR];
+    char cloud[LMN_ADDR], state[LMN_ADDR];
+    struct lmn_member members[LMN_MAX_MEMBERS];
+    size_t nmembers;
+    struct lmn_team teams[LMN_MAX_TEAMS];
+    size_t nteams;
+    int partitions; /* initial_size */
+    double report_s, lease_s, cancel_s;
+    double state_rps, state_write_rps, value_kb;
+    int txn_ops;
+    double cloud_rps, list_lag_s;
+    double cores, memory_mb;
+    int max_connections;
+};
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+/* Fills *s from the file. On failure returns -1 and puts "file: field: what" in err. */
+int lmn_settings_load(const char *path, struct lmn_settings *s, char *err, size_t errlen);
+int lmn_settings_parse(const char *text, const char *name, struct lmn_settings *s, char *err,
+                       size_t errlen);
+
+const struct lmn_team *lmn_settings_team(const struct lmn_settings *s, const char *name);
+/* The node's place among all members by name: who prefers which partition. */
+int lmn_settings_rank(const struct lmn_settings *s, const char *node);
+/* Splits "10.0.0.1:8080"; 0 if it is an IPv4 address with a port. */
+int lmn_addr_split(const char *addr, char *host, size_t len, int *port);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/state.c
@@ -0,0 +1,384 @@
+#include "state.h"
+#include "budget.h"
+#include "clock.h"
+#include "thread.h"
+#include "wire.h"
+
+#include <pthread.h>
+#include <string.h>
+
+enum { TXN_BYTES = 60000 };
+static const double TXN_TIMEOUT_S = 2.0;
+
+struct cond {
+    char *key;
+    uint64_t version;
+};
+
+struct change {
+    char *key;
+    GByteArray *value; /* NULL: remove */
+    uint64_t lease;
+};
+
+struct lmn_txn {
+    enum lmn_rank rank;
+    lmn_txn_done *done;
+    void *arg;
+    GArray *conds, *changes;
+    size_t bytes;
+    struct timespec since;
+};
+
+struct lmn_state {
+    const struct lmn_settings *cfg;
+    pthread_mutex_t lock;
+    pthread_cond_t more;
+    GQueue queue[LMN_RANKS];
+    double queued_changes[LMN_RANKS];
+    struct lmn_budget requests, writes;
+    struct timespec hold; /* after a 429: nothing goes out before */
+};
+
+struct lmn_txn *lmn_txn_new(enum lmn_rank rank, lmn_txn_done *done, void *arg)
+{
+    struct lmn_txn *t = g_new0(struct lmn_txn, 1);
+    t->rank = rank;
+    t->done = done;
+    t->arg = arg;
+    t->conds = g_array_new(FALSE, FALSE, sizeof(struct cond));
+    t->changes = g_array_new(FALSE, FALSE, sizeof(struct change));
+    t->bytes = 32;
+    return t;
+}
+
+void lmn_txn_if(struct lmn_txn *t, const char *key, uint64_t version)
+{
+    struct cond c = {g_strdup(key), version};
+    g_array_append_val(t->conds, c);
+    t->bytes += strlen(key) + 40;
+}
+
+void lmn_txn_write(struct lmn_txn *t, const char *key, GByteArray *value, uint64_t lease)
+{
+    struct change c = {g_strdup(key), value, lease};
+    g_array_append_val(t->changes, c);
+    /* The service counts bytes as JSON: numbers and quotes take more there than in CBOR. */
+    t->bytes += strlen(key) + 60 + value->len + value->len / 2;
+}
+
+void lmn_txn_write_first(struct lmn_txn *t, const char *key, GByteArray *value)
+{
+    lmn_txn_write(t, key, value, 0);
+    struct change c = g_array_index(t->changes, struct change, t->changes->len - 1);
+    g_array_remove_index(t->changes, t->changes->len - 1);
+    g_array_prepend_val(t->changes, c);
+}
+
+void lmn_txn_remove(struct lmn_txn *t, const char *key)
+{
+    struct change c = {g_strdup(key), NULL, 0};
+    g_array_append_val(t->changes, c);
+    t->bytes += strlen(key) + 40;
+}
+
+void lmn_txn_free(struct lmn_txn *t)
+{
+    for (guint i = 0; i < t->conds->len; i++)
+        g_free(g_array_index(t->conds, struct cond, i).key);
+    for (guint i = 0; i < t->changes->len; i++) {
+        struct change *c = &g_array_index(t->changes, struct change, i);
+        g_free(c->key);
+        if (c->value)
+            g_byte_array_unref(c->value);
+    }
+    g_array_free(t->conds, TRUE);
+    g_array_free(t->changes, TRUE);
+    g_free(t);
+}
+
+guint lmn_txn_changes(const struct lmn_txn *t)
+{
+    return t->changes->len;
+}
+
+void lmn_txn_each(const struct lmn_txn *t,
+                  void (*f)(void *arg, const char *key, const GByteArray *value), void *arg)
+{
+    for (guint i = 0; i < t->changes->len; i++) {
+        const struct change *c = &g_array_index(t->changes, struct change, i);
+        f(arg, c->key, c->value);
+    }
+}
+
+struct lmn_state *lmn_state_new(const struct lmn_settings *cfg)
+{
+    struct lmn_state *s = g_new0(struct lmn_state, 1);
+    double share = 1.0 / (double)(cfg->nmembers + 1);
+    struct timespec now = lmn_now();
+
+    s->cfg = cfg;
+    pthread_mutex_init(&s->lock, NULL);
+    lmn_cond_init(&s->more);
+    for (int i = 0; i < LMN_RANKS; i++)
+        g_queue_init(&s->queue[i]);
+    /* Each member keeps to its part, a little less for the service's own clock. */
+    lmn_budget_init(&s->requests, cfg->state_rps * share * 0.95,
+                    MAX(cfg->state_rps * share * 0.5, 2), now);
+    lmn_budget_init(&s->writes, cfg->state_write_rps * share * 0.95,
+                    MAX(cfg->state_write_rps * share * 0.9, cfg->txn_ops), now);
+    s->hold = now;
+    return s;
+}
+
+void lmn_state_pace(struct lmn_state *s)
+{
+    for (;;) {
+        pthread_mutex_lock(&s->lock);
+        double wait = lmn_budget_take(&s->requests, 1, lmn_now());
+        pthread_mutex_unlock(&s->lock);
+        if (wait <= 0)
+            return;
+        lmn_sleep(wait);
+    }
+}
+
+void lmn_state_submit(struct lmn_state *s, struct lmn_txn *t)
+{
+    pthread_mutex_lock(&s->lock);
+    t->since = lmn_now();
+    g_queue_push_tail(&s->queue[t->rank], t);
+    s->queued_changes[t->rank] += t->changes->len;
+    pthread_cond_signal(&s->more);
+    pthread_mutex_unlock(&s->lock);
+}
+
+double lmn_state_backlog(struct lmn_state *s, enum lmn_rank rank)
+{
+    double ahead = 0, wait;
+
+    pthread_mutex_lock(&s->lock);
+    for (int i = 0; i <= (int)rank; i++)
+        ahead += s->queued_changes[i];
+    lmn_budget_refill(&s->writes, lmn_now());
+    wait = (ahead - s->writes.level) / s->writes.rate;
+    pthread_mutex_unlock(&s->lock);
+    return MAX(wait, 0);
+}
+
+static GByteArray *encode(struct lmn_txn **v, guint n)
+{
+    GByteArray *b = g_byte_array_new();
+    size_t conds = 0, changes = 0;
+
+    for (guint i = 0; i < n; i++) {
+        conds += v[i]->conds->len;
+        changes += v[i]->changes->len;
+    }
+    lmn_put_map(b, changes ? 2 : 1);
+    lmn_put_text(b, W_IF);
+    lmn_put_list(b, conds);
+    for (guint i = 0; i < n; i++)
+        for (guint k = 0; k < v[i]->conds->len; k++) {
+            const struct cond *c = &g_array_index(v[i]->conds, struct cond, k);
+            lmn_put_map(b, 2);
+            lmn_put_text(b, W_KEY), lmn_put_text(b, c->key);
+            lmn_put_text(b, W_VERSION), lmn_put_count(b, c->version);
+        }
+    if (!changes)
+        return b;
+    lmn_put_text(b, W_THEN);
+    lmn_put_list(b, changes);
+    for (guint i = 0; i < n; i++)
+        for (guint k = 0; k < v[i]->changes->len; k++) {
+            const struct change *c = &g_array_index(v[i]->changes, struct change, k);
+            if (!c->value) {
+                lmn_put_map(b, 1);
+                lmn_put_text(b, W_DELETE), lmn_put_text(b, c->key);
+                continue;
+            }
+            lmn_put_map(b, c->lease ? 3 : 2);
+            lmn_put_text(b, W_PUT), lmn_put_text(b, c->key);
+            lmn_put_text(b, W_VALUE);
+            g_byte_array_append(b, c->value->data, c->value->len);
+            if (c->lease)
+                lmn_put_text(b, W_LEASE), lmn_put_count(b, c->lease);
+        }
+    return b;
+}
+
+/* Reads the answer to a transaction. Keys whose condition failed are added to conflicts. */
+static enum lmn_outcome judge(int status, const GByteArray *answer, uint64_t *revision,
+                              GPtrArray *conflicts)
+{
+    struct lmn_doc d;
+
+    if (status == LMN_NOT_SENT || status == 429 || status == 503 || status == 400)
+        return LMN_REFUSED;
+    if (status != 200 && status != 409)
+        return LMN_UNKNOWN;
+    if (lmn_doc_parse(&d, answer->data, answer->len) != 0)
+        return LMN_UNKNOWN;
+    enum lmn_outcome r = LMN_UNKNOWN;
+    const struct lmn_node *root = lmn_root(&d);
+    if (lmn_count(lmn_get(&d, root, W_REVISION), revision))
+        r = status == 200 ? LMN_OK : LMN_CONFLICT;
+    const struct lmn_node *failed = lmn_get(&d, root, W_CONFLICTS);
+    for (const struct lmn_node *n = lmn_child(&d, failed); n && conflicts; n = lmn_next(&d, n))
+        if (n->type == LMN_TEXT)
+            g_ptr_array_add(conflicts, g_strndup(n->s, n->len));
+    lmn_doc_free(&d);
+    return r;
+}
+
+static enum lmn_outcome send_batch(struct lmn_http *h, struct lmn_txn **v, guint n,
+                                   uint64_t *revision, GPtrArray *conflicts, int *status)
+{
+    GByteArray *body = encode(v, n), *answer = g_byte_array_new();
+
+    *status = lmn_http_call(h, "POST", P_TXN, body, TXN_TIMEOUT_S, answer);
+    enum lmn_outcome r = judge(*status, answer, revision, conflicts);
+    g_byte_array_unref(body);
+    g_byte_array_unref(answer);
+    return r;
+}
+
+enum lmn_outcome lmn_state_send(struct lmn_state *s, struct lmn_http *h, struct lmn_txn *t,
+                                uint64_t *revision, GPtrArray *conflicts)
+{
+    int status;
+    lmn_state_pace(s);
+    return send_batch(h, &t, 1, revision, conflicts, &status);
+}
+
+static bool touches(const struct lmn_txn *t, const GPtrArray *keys)
+{
+    for (guint i = 0; i < t->conds->len; i++)
+        for (guint k = 0; k < keys->len; k++)
+            if (!strcmp(g_array_index(t->conds, struct cond, i).key, keys->pdata[k]))
+                return true;
+    return false;
+}
+
+/* Two transactions can share a batch unless one changes a key that the other names: the
+ * conditions of a batch are all taken from before it. */
+static bool collides(const struct lmn_txn *a, const struct lmn_txn *b)
+{
+    for (guint i = 0; i < a->changes->len; i++) {
+        const char *key = g_array_index(a->changes, struct change, i).key;
+        for (guint k = 0; k < b->changes->len; k++)
+            if (!strcmp(key, g_array_index(b->changes, struct change, k).key))
+                return true;
+        for (guint k = 0; k < b->conds->len; k++)
+            if (!strcmp(key, g_array_index(b->conds, struct cond, k).key))
+                return true;
+    }
+    return false;
+}
+
+/* Takes the next batch off the queues; the lock is held. */
+static guint gather(struct lmn_state *s, struct lmn_txn **v, guint max)
+{
+    size_t bytes = 0;
+    guint n = 0, changes = 0, conds = 0;
+
+    for (int r = 0; r < LMN_RANKS; r++) {
+        for (GList *l = s->queue[r].head; l && n < max;) {
+            struct lmn_txn *t = l->data;
+            GList *next = l->next;
+            bool fits = changes + t->changes->len <= (guint)s->cfg->txn_ops &&
+                        conds + t->conds->len <= 4 * (guint)s->cfg->txn_ops &&
+                        bytes + t->bytes <= TXN_BYTES;
+            for (guint i = 0; i < n && fits; i++)
+                fits = !collides(v[i], t) && !collides(t, v[i]);
+            if (fits || n == 0) {
+                v[n++] = t;
+                changes += t->changes->len;
+                conds += t->conds->len;
+                bytes += t->bytes;
+                s->queued_changes[r] -= t->changes->len;
+                g_queue_delete_link(&s->queue[r], l);
+            }
+            l = next;
+        }
+    }
+    return n;
+}
+
+static void finish(struct lmn_txn *t, enum lmn_outcome r, uint64_t revision)
+{
+    t->done(t->arg, t, r, revision);
+    lmn_txn_free(t);
+}
+
+static void *writer(void *arg)
+{
+    struct lmn_state *s = arg;
+    struct lmn_http *h = lmn_http_new(s->cfg->state);
+    struct lmn_txn *v[64];
+
+    for (;;) {
+        guint changes = 0;
+        pthread_mutex_lock(&s->lock);
+        for (;;) {
+            bool any = false;
+            for (int r = 0; r < LMN_RANKS; r++)
+                any = any || s->queue[r].length;
+            if (any)
+                break;
+            pthread_cond_wait(&s->more, &s->lock);
+        }
+        /* Wait for the budget before choosing, so that the urgent still go first. */
+        struct timespec now = lmn_now();
+        double wait = lmn_since(s->hold, now);
+        lmn_budget_refill(&s->writes, now);
+        if (wait <= 0 && s->writes.level < 4)
+            wait = (4 - s->writes.level) / s->writes.rate;
+        if (wait > 0) {
+            pthread_mutex_unlock(&s->lock);
+            lmn_sleep(wait);
+            continue;
+        }
+        guint n = gather(s, v, G_N_ELEMENTS(v));
+        for (guint i = 0; i < n; i++)
+            changes += v[i]->changes->len;
+        s->writes.level -= changes;
+        pthread_mutex_unlock(&s->lock);
+
+        lmn_state_pace(s);
+        GPtrArray *conflicts = g_ptr_array_new_with_free_func(g_free);
+        uint64_t revision = 0;
+        int status;
+        enum lmn_outcome r = send_batch(h, v, n, &revision, conflicts, &status);
+        if (status == 429) {
+            pthread_mutex_lock(&s->lock);
+            s->hold = lmn_after(lmn_now(), 0.1 + g_random_double() * 0.2);
+            pthread_mutex_unlock(&s->lock);
+        }
+        for (guint i = 0; i < n; i++) {
+            if (r == LMN_CONFLICT && n > 1 && !touches(v[i], conflicts)) {
+                /* It was only in bad company: it goes out again. */
+                lmn_state_submit(s, v[i]);
+            } else if (r == LMN_REFUSED && status == 400 && n > 1) {
+                /* One of them is unfit (an ended lease, say): each goes out alone. */
+                uint64_t rev = 0;
+                int st;
+                g_ptr_array_set_size(conflicts, 0);
+                lmn_state_pace(s);
+                enum lmn_outcome one = send_batch(h, &v[i], 1, &rev, conflicts, &st);
+                finish(v[i], one, rev);
+            } else if (status == 429 && lmn_since(lmn_now(), v[i]->since) < 1.5) {
+                lmn_state_submit(s, v[i]);
+            } else {
+                finish(v[i], r, revision);
+            }
+        }
+        g_ptr_array_free(conflicts, TRUE);
+    }
+    return NULL;
+}
+
+void lmn_state_start(struct lmn_state *s)
+{
+    lmn_thread(writer, s);
+}
--- /dev/null
+++ b/src/state.h
@@ -0,0 +1,52 @@
+/* The state service's client: a batching writer, and blocking calls for the other threads. */
+#ifndef LMN_STATE_H
+#define LMN_STATE_H
+
+#include "codec.h"
+#include "http_client.h"
+#include "settings.h"
+
+enum lmn_outcome {
+    LMN_OK,
+    LMN_CONFLICT, /* a condition did not hold: nothing was applied */
+    LMN_REFUSED,  /* not executed */
+    LMN_UNKNOWN,  /* no answer: it may have been, or may yet be, executed */
+};
+
+/* In the order in which they go out when the budget is short. */
+enum lmn_rank { LMN_RANK_OWNER, LMN_RANK_USER, LMN_RANK_CLOSE, LMN_RANK_LAZY, LMN_RANKS };
+
+struct lmn_txn;
+struct lmn_state;
+typedef void lmn_txn_done(void *arg, struct lmn_txn *t, enum lmn_outcome outcome,
+                          uint64_t revision);
+
+struct lmn_state *lmn_state_new(const struct lmn_settings *cfg);
+/* Starts the writer's thread. */
+void lmn_state_start(struct lmn_state *s);
+
+/* A transaction: conditions, changes, and who hears of its outcome (once, on the writer's
+ * thread, no lock held). */
+struct lmn_txn *lmn_txn_new(enum lmn_rank rank, lmn_txn_done *done, void *arg);
+void lmn_txn_if(struct lmn_txn *t, const char *key, uint64_t version);
+/* Takes the value over. A lease of 0: none. */
+void lmn_txn_write(struct lmn_txn *t, const char *key, GByteArray *value, uint64_t lease);
+/* As lmn_txn_write without a lease, ahead of the changes so far. */
+void lmn_txn_write_first(struct lmn_txn *t, const char *key, GByteArray *value);
+void lmn_txn_remove(struct lmn_txn *t, const char *key);
+void lmn_txn_free(struct lmn_txn *t);
+guint lmn_txn_changes(const struct lmn_txn *t);
+/* Calls f for each change: value NULL is a removal. */
+void lmn_txn_each(const struct lmn_txn *t,
+                  void (*f)(void *arg, const char *key, const GByteArray *value), void *arg);
+
+void lmn_state_submit(struct lmn_state *s, struct lmn_txn *t);
+/* Seconds that a new transaction of this rank would wait for its turn. */
+double lmn_state_backlog(struct lmn_state *s, enum lmn_rank rank);
+/* Waits for leave to send one more request. */
+void lmn_state_pace(struct lmn_state *s);
+/* Sends a transaction now, on the calling thread, outside the batches. */
+enum lmn_outcome lmn_state_send(struct lmn_state *s, struct lmn_http *h, struct lmn_txn *t,
+                                uint64_t *revision, GPtrArray *conflicts);
+
+#endif
--- /dev/null
+++ b/src/toml.cpp
@@ -0,0 +1,191 @@
+// The one C++ file: libtomlplusplus, since Debian packages no C library for TOML.
+#include "settings.h"
+
+#include <cmath>
+#include <cstdio>
+#include <cstring>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+#include <string>
+#include <toml++/toml.h>
+
+namespace
+{
+
+struct wrong : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+void text(const toml::table &t, const std::string &at, const char *key, char *out, size_t len,
+          bool required = true)
+{
+    auto v = t[key];
+    if (!v) {
+        if (required)
+            throw wrong(at + key + ": missing");
+        return;
+    }
+    auto s = v.value<std::string>();
+    if (!s || s->empty() || s->size() >= len || s->find_first_of(" \t\n/") != std::string::npos)
+        throw wrong(at + key + ": expected a text of 1 to " + std::to_string(len - 1) +
+                    " characters without spaces or slashes");
+    std::memcpy(out, s->c_str(), s->size() + 1);
+}
+
+void addr(const toml::table &t, const std::string &at, const char *key, char *out)
+{
+    char host[LMN_ADDR];
+    int port;
+    text(t, at, key, out, LMN_ADDR);
+    if (lmn_addr_split(out, host, sizeof host, &port) != 0)
+        throw wrong(at + key + ": expected an IPv4 address and a port, as in 10.0.0.1:8080");
+}
+
+double number(const toml::table &t, const std::string &at, const char *key, double def, double lo,
+              double hi)
+{
+    auto v = t[key];
+    if (!v)
+        return def;
+    auto d = v.value<double>();
+    if (!d || !std::isfinite(*d) || *d < lo || *d > hi) {
+        char range[96];
+        std::snprintf(range, sizeof range, "expected a number from %g to %g", lo, hi);
+        throw wrong(at + key + ": " + range);
+    }
+    return *d;
+}
+
+int whole(const toml::table &t, const std::string &at, const char *key, int def, int lo, int hi)
+{
+    double d = number(t, at, key, def, lo, hi);
+    if (d != std::floor(d))
+        throw wrong(at + key + ": expected a whole number");
+    return static_cast<int>(d);
+}
+
+toml::table sub(const toml::table &t, const char *key)
+{
+    if (auto *s = t[key].as_table())
+        return *s;
+    if (t[key])
+        throw wrong(std::string(key) + ": expected a table");
+    return {};
+}
+
+template <class F> void each(const toml::table &t, const std::string &at, const char *key, F f)
+{
+    if (!t[key])
+        return;
+    auto *a = t[key].as_array();
+    if (!a)
+        throw wrong(at + key + ": expected an array of tables");
+    size_t i = 0;
+    for (auto &e : *a) {
+        std::string here = at + key + "[" + std::to_string(i++) + "]";
+        if (!e.as_table())
+            throw wrong(here + ": expected a table");
+        f(*e.as_table(), here + ".");
+    }
+}
+
+void fill(const toml::table &t, lmn_settings &s)
+{
+    text(t, "", "host_name", s.node, sizeof s.node);
+    text(t, "", "area", s.zone, sizeof s.zone);
+    addr(t, "", "client_listen", s.listen);
+    addr(t, "", "internal_addr", s.peer_listen);
+    each(t, "", "members", [&](const toml::table &m, const std::string &at) {
+        if (s.nmembers == LMN_MAX_MEMBERS)
+            throw wrong("members: too many");
+        lmn_member &d = s.members[s.nmembers++];
+        text(m, at, "host_name", d.name, sizeof d.name);
+        text(m, at, "area", d.zone, sizeof d.zone, false);
+        addr(m, at, "address", d.addr);
+        for (size_t i = 0; i + 1 < s.nmembers; i++)
+            if (!std::strcmp(s.members[i].name, d.name))
+                throw wrong(at + "host_name: named twice");
+        if (!std::strcmp(s.node, d.name))
+            throw wrong(at + "host_name: names this node itself");
+    });
+    auto out = sub(t, "outside");
+    addr(out, "outside.", "cloud", s.cloud);
+    addr(out, "outside.", "state", s.state);
+    auto p = sub(t, "params");
+    s.partitions =
+        whole(p, "params.", "initial_size", static_cast<int>(s.nmembers) + 1, 1, LMN_MAX_MEMBERS);
+    each(p, "params.", "teams", [&](const toml::table &m, const std::string &at) {
+        if (s.nteams == LMN_MAX_TEAMS)
+            throw wrong("params.teams: too many");
+        lmn_team &d = s.teams[s.nteams++];
+        text(m, at, "name", d.name, sizeof d.name);
+        d.cpus = number(m, at, "cpus", 0, 0, 1e9);
+        d.cpus_max = number(m, at, "cpus_max", 0, 0, 1e9);
+        d.gpus = number(m, at, "gpus", 0, 0, 1e9);
+        d.gpus_max = number(m, at, "gpus_max", 0, 0, 1e9);
+        if (d.cpus_max > 0 && d.cpus > d.cpus_max)
+            throw wrong(at + "cpus: more than cpus_max");
+        if (d.gpus_max > 0 && d.gpus > d.gpus_max)
+            throw wrong(at + "gpus: more than gpus_max");
+        for (size_t i = 0; i + 1 < s.nteams; i++)
+            if (!std::strcmp(s.teams[i].name, d.name))
+                throw wrong(at + "name: named twice");
+    });
+    auto w = sub(p, "workers");
+    s.report_s = number(w, "params.workers.", "report_s", 2, 0.05, 600);
+    s.lease_s = number(w, "params.workers.", "lease_s", 20, 0.1, 3600);
+    s.cancel_s = number(w, "params.workers.", "cancel_s", 60, 0.1, 3600);
+    if (s.lease_s <= s.report_s)
+        throw wrong("params.workers.lease_s: must be longer than report_s");
+    if (s.cancel_s <= s.lease_s)
+        throw wrong("params.workers.cancel_s: must be longer than lease_s");
+    auto st = sub(p, "state");
+    s.state_rps = number(st, "params.state.", "rps", 100, 1, 1e9);
+    s.state_write_rps = number(st, "params.state.", "write_rps", 50, 1, 1e9);
+    s.value_kb = number(st, "params.state.", "value_kb", 16, 1, 1e6);
+    s.txn_ops = whole(st, "params.state.", "txn_ops", 12, 4, 1000000);
+    auto c = sub(p, "cloud");
+    s.cloud_rps = number(c, "params.cloud.", "rps", 2, 0.01, 1e9);
+    s.list_lag_s = number(c, "params.cloud.", "list_lag_s", 5, 0, 3600);
+    auto r = sub(p, "resources");
+    s.cores = number(r, "params.resources.", "cores", 1, 0.001, 1e6);
+    s.memory_mb = number(r, "params.resources.", "memory_mb", 128, 16, 1e9);
+    s.max_connections = whole(r, "params.resources.", "max_connections", 1024, 32, 10000000);
+}
+
+int parse(const std::string &doc, const char *name, lmn_settings *s, char *err, size_t errlen)
+{
+    std::memset(s, 0, sizeof *s);
+    try {
+        fill(toml::parse(doc), *s);
+        return 0;
+    } catch (const toml::parse_error &e) {
+        std::snprintf(err, errlen, "%s: line %u: %s", name,
+                      static_cast<unsigned>(e.source().begin.line),
+                      std::string(e.description()).c_str());
+    } catch (const std::exception &e) {
+        std::snprintf(err, errlen, "%s: %s", name, e.what());
+    }
+    return -1;
+}
+
+} // namespace
+
+extern "C" int lmn_settings_parse(const char *t, const char *name, lmn_settings *s, char *err,
+                                  size_t errlen)
+{
+    return parse(t, name, s, err, errlen);
+}
+
+extern "C" int lmn_settings_load(const char *path, lmn_settings *s, char *err, size_t errlen)
+{
+    std::ifstream in(path);
+    std::stringstream doc;
+    if (!in) {
+        std::snprintf(err, errlen, "%s: cannot be read", path);
+        return -1;
+    }
+    doc << in.rdbuf();
+    return parse(doc.str(), path, s, err, errlen);
+}
--- /dev/null
+++ b/src/tuning.c
@@ -0,0 +1,80 @@
+#include "tuning.h"
+
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+const struct lmn_tuning lmn_tuning_default = {
+    .sample = 0,
+    .share = 0.5,
+    .poll_floor_s = 0.001,
+    .poll_cap_s = 1.0,
+    .idle_return_s = 30,
+    .spare_cpus = 0,
+    .horizon_s = 30,
+    .spot = 1,
+};
+
+static const struct {
+    const char *name;
+    size_t at;
+    double lo, hi;
+} fields[] = {
+    {"sample", offsetof(struct lmn_tuning, sample), 0, 10000},
+    {"share", offsetof(struct lmn_tuning, share), 0.01, 1},
+    {"poll_floor_s", offsetof(struct lmn_tuning, poll_floor_s), 0.0001, 60},
+    {"poll_cap_s", offsetof(struct lmn_tuning, poll_cap_s), 0.001, 600},
+    {"idle_return_s", offsetof(struct lmn_tuning, idle_return_s), 1, 86400},
+    {"spare_cpus", offsetof(struct lmn_tuning, spare_cpus), 0, 1e6},
+    {"horizon_s", offsetof(struct lmn_tuning, horizon_s), 1, 86400},
+    {"spot", offsetof(struct lmn_tuning, spot), 0, 1},
+};
+
+const char *lmn_tuning_name(size_t i)
+{
+    return i < G_N_ELEMENTS(fields) ? fields[i].name : NULL;
+}
+
+double lmn_tuning_value(const struct lmn_tuning *t, size_t i)
+{
+    return *(const double *)((const char *)t + fields[i].at);
+}
+
+int lmn_tuning_set(struct lmn_tuning *t, const char *name, double value, char *err, size_t len)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
+        if (strcmp(fields[i].name, name))
+            continue;
+        if (!(value >= fields[i].lo && value <= fields[i].hi)) {
+            snprintf(err, len, "%s: expected a number from %g to %g", name, fields[i].lo,
+                     fields[i].hi);
+            return -1;
+        }
+        *(double *)((char *)t + fields[i].at) = value;
+        return 0;
+    }
+    snprintf(err, len, "%s: no such setting", name);
+    return -1;
+}
+
+GByteArray *lmn_tuning_record(const struct lmn_tuning *t)
+{
+    GByteArray *b = g_byte_array_new();
+    lmn_put_map(b, G_N_ELEMENTS(fields));
+    for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
+        lmn_put_text(b, fields[i].name);
+        lmn_put_number(b, lmn_tuning_value(t, i));
+    }
+    return b;
+}
+
+void lmn_tuning_read(struct lmn_tuning *t, const struct lmn_doc *doc, const struct lmn_node *value)
+{
+    char err[128];
+    double v;
+
+    *t = lmn_tuning_default;
+    for (size_t i = 0; value && i < G_N_ELEMENTS(fields); i++)
+        if (lmn_number(lmn_get(doc, value, fields[i].name), &v))
+            lmn_tuning_set(t, fields[i].name, v, err, sizeof err);
+}
--- /dev/null
+++ b/src/worker.c
@@ -0,0 +1,329 @@
+/* Reports of workers: what they prove, and the commands that answer them. */
+#include "core.h"
+#include "log.h"
+#include "wire.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct report {
+    char name[LMN_NAME], addr[LMN_ADDR], type[LMN_NAME], zone[LMN_NAME];
+    bool spot, noticed;
+    uint64_t session, seq, token;
+    double notice_s;
+    const struct lmn_node *tasks;
+};
+
+static bool read_report(struct report *r, const struct lmn_doc *d)
+{
+    const struct lmn_node *m = lmn_root(d);
+
+    memset(r, 0, sizeof *r);
+    if (!lmn_text(lmn_get(d, m, W_MACHINE), r->name, sizeof r->name) || !*r->name ||
+        strpbrk(r->name, " /") || !lmn_text(lmn_get(d, m, W_ADDR), r->addr, sizeof r->addr) ||
+        !lmn_text(lmn_get(d, m, W_TYPE), r->type, sizeof r->type) ||
+        !lmn_text(lmn_get(d, m, W_ZONE), r->zone, sizeof r->zone) ||
+        !lmn_count(lmn_get(d, m, W_SESSION), &r->session) ||
+        !lmn_count(lmn_get(d, m, W_SEQ), &r->seq))
+        return false;
+    lmn_truth(lmn_get(d, m, W_SPOT), &r->spot);
+    lmn_count(lmn_get(d, m, W_TOKEN), &r->token);
+    r->noticed = lmn_number(lmn_get(d, m, W_NOTICE), &r->notice_s);
+    r->tasks = lmn_get(d, m, W_TASKS);
+    return !r->tasks || r->tasks->type == LMN_LIST;
+}
+
+static enum lmn_attempt_state attempt_state(const struct lmn_node *n)
+{
+    if (lmn_is(n, W_ENDED))
+        return LMN_A_ENDED;
+    if (lmn_is(n, W_FETCHING))
+        return LMN_A_FETCHING;
+    if (lmn_is(n, W_SAVING))
+        return LMN_A_SAVING;
+    return LMN_A_RUNNING;
+}
+
+static void command(GByteArray *out, const char *op, const struct lmn_attempt *a, double grace)
+{
+    char task[LMN_REF + 16];
+
+    g_snprintf(task, sizeof task, "%s/%u", a->ref, a->index);
+    lmn_put_map(out, grace >= 0 ? 4 : 3);
+    lmn_put_text(out, W_OP), lmn_put_text(out, op);
+    lmn_put_text(out, W_TASK), lmn_put_text(out, task);
+    lmn_put_text(out, W_ATTEMPT), lmn_put_count(out, a->number);
+    if (grace >= 0)
+        lmn_put_text(out, W_GRACE), lmn_put_number(out, grace);
+}
+
+static struct lmn_attempt *find(struct lmn_machine *m, const char *ref, uint32_t index,
+                                uint64_t number)
+{
+    for (guint i = 0; i < m->attempts->len; i++) {
+        struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
+        if (a->number == number && a->index == index && !strcmp(a->ref, ref))
+            return a;
+    }
+    return NULL;
+}
+
+static struct lmn_range *range_of(struct lmn_partition *p, struct lmn_job *j, uint32_t index)
+{
+    for (guint i = 0; j && i < j->ranges->len; i++) {
+        struct lmn_range *r = j->ranges->pdata[i];
+        if (r->part == p && index >= r->lo && index < r->hi)
+            return r;
+    }
+    return NULL;
+}
+
+/* A task that we did not start in this term: a predecessor's. */
+static struct lmn_attempt *adopt(struct lmn_core *c, struct lmn_machine *m, const char *ref,
+                                 uint32_t index, uint64_t number, enum lmn_attempt_state state,
+                                 struct timespec now)
+{
+    struct lmn_attempt a = {.index = index, .number = number, .state = state, .since = now};
+
+    g_strlcpy(a.ref, ref, sizeof a.ref);
+    a.job = g_hash_table_lookup(c->jobs, ref);
+    a.range = range_of(m->part, a.job, index);
+    if (state != LMN_A_ENDED) {
+        lmn_attempt_count(m, &a);
+        if (a.range && a.range->st[index - a.range->lo] == LMN_T_QUEUED) {
+            a.range->st[index - a.range->lo] = LMN_T_STARTED;
+            a.range->nstarted++;
+        } else {
+            a.range = NULL; /* done, closed or started elsewhere: it has to go */
+        }
+        lmn_debug("task-adopt task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s known=%d", ref,
+                  index, number, m->name, a.range != NULL);
+    }
+    g_array_append_val(m->attempts, a);
+    return &g_array_index(m->attempts, struct lmn_attempt, m->attempts->len - 1);
+}
+
+static void blame(struct lmn_core *c, struct lmn_machine *m, struct lmn_job *j,
+                  struct timespec now)
+{
+    if (!j)
+        return;
+    /* A job that fails everywhere is held back by itself; a machine on which different jobs
+     * fail one after the other empties queues into failures, and goes. */
+    j->errors++;
+    j->hold = lmn_after(now, MIN(60.0, 0.5 * (double)(1u << MIN(j->errors, 7u))));
+    if (!g_ptr_array_find(m->failed_jobs, j, NULL))
+        g_ptr_array_add(m->failed_jobs, j);
+    if (m->failed_jobs->len >= 2)
+        lmn_machine_retire(c, m, false, "tasks of several jobs fail on it", now);
+}
+
+static void ended(struct lmn_core *c, struct lmn_machine *m, struct lmn_attempt *a,
+                  const struct lmn_doc *d, const struct lmn_node *n, struct timespec now)
+{
+    const struct lmn_node *why = lmn_get(d, n, W_WHY);
+    struct lmn_range *r = a->range;
+
+    lmn_attempt_uncount(m, a);
+    a->state = LMN_A_ENDED;
+    a->done = lmn_is(why, W_DONE);
+    if (a->done) {
+        g_ptr_array_set_size(m->failed_jobs, 0);
+        if (a->job)
+            a->job->errors = 0;
+        if (!r)
+            r = a->range = range_of(m->part, a->job, a->index);
+        if (r)
+            lmn_task_finished(r, a->index, now);
+        return;
+    }
+    lmn_debug("task-ended task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s why=%.*s", a->ref,
+              a->index, a->number, m->name, why ? (int)why->len : 0, why ? why->s : "");
+    if (lmn_is(why, W_FAILED) || lmn_is(why, W_NO_SUCH))
+        blame(c, m, a->job, now);
+    a->range = NULL;
+    if (r)
+        lmn_task_requeue(c, r, a->index, now);
+}
+
+static guint settle_tasks(struct lmn_core *c, struct lmn_machine *m, const struct lmn_doc *d,
+                          const struct lmn_node *tasks, GByteArray *out, struct timespec now)
+{
+    guint commands = 0;
+
+    for (guint i = 0; i < m->attempts->len; i++)
+        g_array_index(m->attempts, struct lmn_attempt, i).seen = false;
+    for (const struct lmn_node *n = lmn_child(d, tasks); n; n = lmn_next(d, n)) {
+        char task[LMN_REF + 16];
+        uint64_t number = 0;
+        if (!lmn_text(lmn_get(d, n, W_TASK), task, sizeof task) ||
+            !lmn_count(lmn_get(d, n, W_ATTEMPT), &number))
+            continue;
+        char *slash = strrchr(task, '/');
+        if (!slash || slash - task >= LMN_REF)
+            continue;
+        *slash = '\0';
+        uint32_t index = (uint32_t)strtoul(slash + 1, NULL, 10);
+        enum lmn_attempt_state state = attempt_state(lmn_get(d, n, W_STATE));
+        struct lmn_attempt *a = find(m, task, index, number);
+        if (!a)
+            a = adopt(c, m, task, index, number, state, now);
+        a->seen = true;
+        if (state == LMN_A_ENDED) {
+            if (a->state != LMN_A_ENDED || (!a->done && lmn_is(lmn_get(d, n, W_WHY), W_DONE)))
+                ended(c, m, a, d, n, now);
+        } else {
+            a->state = state;
+        }
+    }
+    /* What a newer report does not name is not there: the worker had dealt with our last
+     * answer, or had given it up, before it wrote this one. */
+    for (guint i = m->attempts->len; i-- > 0;) {
+        struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
+        if (a->seen)
+            continue;
+        struct lmn_attempt gone = *a;
+        lmn_attempt_uncount(m, a);
+        g_array_remove_index_fast(m->attempts, i);
+        if (gone.state != LMN_A_ENDED) {
+            lmn_debug("task-vanished task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s",
+                      gone.ref, gone.index, gone.number, m->name);
+            lmn_task_requeue(c, gone.range, gone.index, now);
+        }
+    }
+    for (guint i = 0; i < m->attempts->len; i++) {
+        struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
+        bool live = a->job && a->job->phase == LMN_ACTIVE;
+        if (a->state == LMN_A_ENDED) {
+            /* A result may be forgotten only once it is recorded. */
+            bool recorded = !a->done || !live || !a->range ||
+                            lmn_bit(a->range->done, a->index - a->range->lo);
+            if (recorded) {
+                command(out, W_CLEAR, a, -1);
+                commands++;
+            }
+        } else if (!live || !a->range) {
+            command(out, W_KILL, a, 0);
+            commands++;
+            if (!a->killed) {
+                a->killed = true;
+                c->count.kills++;
+            }
+        } else if (m->noticed && a->state == LMN_A_RUNNING && a->job->spec.checkpoint_s > 0 &&
+                   !a->killed) {
+            double left = m->notice_s - lmn_since(now, m->noticed_at);
+            if (left < a->job->spec.save_s + 2 * c->cfg->report_s + 1) {
+                command(out, W_KILL, a, a->job->spec.save_s + 1);
+                commands++;
+                a->killed = true;
+            }
+        }
+    }
+    return commands;
+}
+
+static int redirect(const struct lmn_core *c, const struct lmn_partition *p, GByteArray *out)
+{
+    if (!*p->owner || !strcmp(p->owner, c->cfg->node))
+        return 503;
+    lmn_put_map(out, 1);
+    lmn_put_text(out, W_REPORT_TO), lmn_put_text(out, p->owner);
+    return 421;
+}
+
+static int handle(struct lmn_core *c, const struct report *r, const struct lmn_doc *d,
+                  GByteArray *out, struct timespec now)
+{
+    struct lmn_partition *p = &c->parts[lmn_partition_of(r->name, c->nparts)];
+    double margin = MAX(1.0, 0.05 * c->cfg->cancel_s);
+
+    c->count.reports++;
+    /* A node that may have missed a cancellation must let its workers' leases run out in time:
+     * the last answer, a lease, and all of it within cancel_s. */
+    if (!c->synced || lmn_staleness(c, now) > c->cfg->cancel_s - c->cfg->lease_s - margin)
+        return 503;
+    if (!p->mine)
+        return redirect(c, p, out);
+    if (r->token > p->my_term || g_hash_table_contains(c->gone, r->name))
+        return 503; /* a successor is at work that the mirror doesn't show yet */
+    struct lmn_machine *m = g_hash_table_lookup(p->machines, r->name);
+    if (!m) {
+        m = lmn_machine_new(p, r->name);
+        m->first = now;
+        m->gen = c->gen;
+        lmn_info("machine-new machine=%s partition=%d type=%s zone=%s spot=%d", r->name, p->id,
+                 r->type, r->zone, r->spot);
+    }
+    if (m->is_gone)
+        return 503;
+    if (m->heard && (r->session < m->session || (r->session == m->session && r->seq <= m->seq)))
+        return 503; /* it was overtaken on its way */
+    if (m->lapsed && r->session == m->session)
+        return 503; /* its tasks are given up: the session has to end */
+    if (!m->rev) {
+        g_strlcpy(m->addr, r->addr, sizeof m->addr);
+        g_strlcpy(m->type_name, r->type, sizeof m->type_name);
+        g_strlcpy(m->zone, r->zone, sizeof m->zone);
+        m->spot = r->spot;
+    }
+    for (size_t i = 0; !m->type && i < c->types.n; i++)
+        if (!strcmp(c->types.v[i].name, m->type_name))
+            m->type = &c->types.v[i];
+    m->heard = true;
+    m->session = r->session;
+    m->seq = r->seq;
+    m->last = now;
+    m->lapsed = false;
+    if (r->noticed && !m->noticed) {
+        m->noticed = true;
+        m->noticed_at = now;
+        m->notice_s = r->notice_s;
+        lmn_info("machine-notice machine=%s seconds=%.1f", m->name, r->notice_s);
+        lmn_redeal_machine(c, m, now);
+    }
+
+    GByteArray *commands = g_byte_array_new();
+    guint n = 0;
+    /* Only a report that was written after the worker had seen our term tells what is there
+     * for good: an older one may have been overtaken by a predecessor's commands. */
+    if (r->token == p->my_term) {
+        if (!m->accounted) {
+            m->accounted = true;
+            lmn_debug("machine-accounted machine=%s term=%" G_GUINT64_FORMAT, m->name, p->my_term);
+        }
+        n += settle_tasks(c, m, d, r->tasks, commands, now);
+        lmn_partition_check(c, p, now);
+        n += lmn_schedule(c, m, commands, now);
+        guint live = 0;
+        for (guint i = 0; i < m->attempts->len; i++)
+            live += g_array_index(m->attempts, struct lmn_attempt, i).state != LMN_A_ENDED;
+        if (live || m->attempts->len)
+            m->idle = (struct timespec){0, 0};
+        else if (!m->idle.tv_sec)
+            m->idle = now;
+    }
+    lmn_put_map(out, 2);
+    lmn_put_text(out, W_TOKEN), lmn_put_count(out, p->my_term);
+    lmn_put_text(out, W_COMMANDS), lmn_put_list(out, n);
+    g_byte_array_append(out, commands->data, commands->len);
+    g_byte_array_unref(commands);
+    return 200;
+}
+
+int lmn_worker_report(struct lmn_core *c, const void *body, size_t len, GByteArray *out,
+                      struct timespec now)
+{
+    struct lmn_doc d;
+    struct report r;
+    int status = 400;
+
+    if (lmn_doc_parse(&d, body, len) != 0)
+        return 400;
+    if (read_report(&r, &d)) {
+        pthread_mutex_lock(&c->lock);
+        status = handle(c, &r, &d, out, now);
+        pthread_mutex_unlock(&c->lock);
+    }
+    lmn_doc_free(&d);
+    return status;
+}
