--- a/src/core.h
+++ b/src/core.h
@@ -32,7 +32,7 @@
     struct timespec hold;
 };
 
-enum lmn_task_state { LMN_T_QUEUED, LMN_T_STARTED, LMN_T_DONE };
+enum lmn_task_state { LMN_T_QUEUED, LMN_T_STARTED, LMN_T_DONE, LMN_T_MOVING };
 
 /* Tasks lo..hi-1 of a job, in one partition. */
 struct lmn_range {
@@ -50,6 +50,11 @@
     bool writing;
     uint64_t written; /* revision of our last write, until the mirror shows it */
     struct timespec dirty, retry;
+    /* a move of the tasks from move_at on to another partition, while it is under way */
+    uint32_t move_at;
+    int move_to;      /* -1: none */
+    bool move_unsure; /* an attempt's outcome is not known: only the mirror can tell */
+    uint64_t move_rev;
 };
 
 /* A stretch of queued tasks. */
@@ -99,6 +104,7 @@
     GArray *attempts; /* struct lmn_attempt */
     struct lmn_queue queue;
     double poll_s;
+    bool hungry; /* has room for which nothing in its partition fits */
     struct timespec next_steal;
     GPtrArray *failed_jobs; /* distinct jobs that failed here since the last success */
     GPtrArray *images;      /* names that it has fetched, as far as known */
@@ -117,6 +123,8 @@
     bool mine, ready, releasing;
     uint64_t my_term, my_rev, attempts;
     struct timespec since;
+    double poll_s; /* interval of steals from other partitions */
+    struct timespec next_steal;
     struct lmn_queue limbo; /* tasks that no machine's queue holds yet */
     double used_cpus[LMN_MAX_TEAMS], used_gpus[LMN_MAX_TEAMS];
     guint rr;
@@ -131,7 +139,7 @@
 
 struct lmn_counters {
     uint64_t steal_tries, steals, stolen_tasks, starts, kills, reports, polls, submissions;
-    uint64_t refused, takeovers;
+    uint64_t refused, takeovers, moves, moved_tasks;
 };
 
 struct lmn_core {
@@ -218,6 +226,8 @@
 void lmn_queue_clear(struct lmn_queue *q);
 void lmn_queue_add(struct lmn_queue *q, struct lmn_range *r, uint32_t lo, uint32_t hi);
 void lmn_queue_drop_range(struct lmn_queue *q, const struct lmn_range *r);
+/* Takes the range's tasks from lo on out of the queue. */
+void lmn_queue_cut(struct lmn_queue *q, const struct lmn_range *r, uint32_t lo);
 int lmn_job_order(const struct lmn_job *a, const struct lmn_job *b);
 /* Cuts the range's queued tasks over the queues of the machines that could hold them. */
 void lmn_deal(struct lmn_core *c, struct lmn_range *r, uint32_t lo, uint32_t hi,
@@ -230,6 +240,34 @@
                    struct timespec now);
 bool lmn_steal(struct lmn_core *c, struct lmn_machine *m, struct timespec now);
 
+/* --- steal.c: steals between partitions --- */
+struct lmn_room {
+    char type[LMN_NAME], zone[LMN_NAME];
+    bool spot;
+    double cpus, gpus, mem;
+};
+struct lmn_thief {
+    int part;
+    struct lmn_room rooms[64];
+    guint nrooms;
+    double team_cpus[LMN_MAX_TEAMS], team_gpus[LMN_MAX_TEAMS]; /* what its quota leaves */
+};
+/* Idle room of a partition of ours; false if there is none, or it is not yet time. */
+bool lmn_thief_fill(struct lmn_core *c, struct lmn_partition *p, struct lmn_thief *t,
+                    struct timespec now);
+/* Queued tasks of the partition that the thief could start. */
+uint32_t lmn_victim_load(const struct lmn_core *c, const struct lmn_partition *p,
+                         const struct lmn_thief *t);
+/* Sets a move going; returns how many tasks go. */
+uint32_t lmn_victim_give(struct lmn_core *c, struct lmn_partition *p, const struct lmn_thief *t,
+                         struct timespec now);
+void lmn_thief_result(struct lmn_core *c, struct lmn_partition *p, uint32_t got,
+                      struct timespec now);
+/* The mirror shows the range cut at hi. */
+void lmn_range_cut(struct lmn_core *c, struct lmn_range *r, uint32_t hi);
+/* The move did not take place. */
+void lmn_move_undo(struct lmn_core *c, struct lmn_range *r, struct timespec now);
+
 /* --- worker.c --- */
 /* Answers a report: status, and a body in out if there is one. */
 int lmn_worker_report(struct lmn_core *c, const void *body, size_t len, GByteArray *out,
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -154,9 +154,12 @@
         r->lo = lo;
         r->hi = (uint32_t)hi;
         r->done = g_malloc0((r->hi - r->lo + 7) / 8);
+        r->move_to = -1;
         g_hash_table_insert(p->ranges, r->key, r);
         g_ptr_array_add(j->ranges, r);
     }
+    if (hi < r->hi)
+        lmn_range_cut(c, r, (uint32_t)hi);
     if (lmn_bits_get(lmn_get(d, v, "done"), r->done, r->hi - r->lo) != 0)
         lmn_error("unreadable-record key=%s", key);
     r->ndone = lmn_bits_count(r->done, r->hi - r->lo);
@@ -164,6 +167,9 @@
     r->gen = c->gen;
     if (r->writing && r->written && rev >= r->written)
         r->writing = false;
+    /* The range has changed by another write than the move: that one can't be applied any more. */
+    if (r->move_to >= 0 && r->st && rev > r->move_rev && r->move_rev)
+        lmn_move_undo(c, r, now);
     if (fresh && p->mine) {
         lmn_range_open(c, r);
         if (p->ready)
--- a/src/peer.c
+++ b/src/peer.c
@@ -5,9 +5,13 @@
 #include "peer_wire.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <math.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <rpc/rpc.h>
+#include <rpc/rpc_com.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -65,9 +69,11 @@
                            " reports=%" G_GUINT64_FORMAT " starts=%" G_GUINT64_FORMAT
                            " kills=%" G_GUINT64_FORMAT " steal_tries=%" G_GUINT64_FORMAT
                            " steals=%" G_GUINT64_FORMAT " stolen=%" G_GUINT64_FORMAT
-                           " takeovers=%" G_GUINT64_FORMAT " refused=%" G_GUINT64_FORMAT "\n",
+                           " takeovers=%" G_GUINT64_FORMAT " refused=%" G_GUINT64_FORMAT
+                           " moves=%" G_GUINT64_FORMAT " moved=%" G_GUINT64_FORMAT "\n",
                            n->submissions, n->polls, n->reports, n->starts, n->kills,
-                           n->steal_tries, n->steals, n->stolen_tasks, n->takeovers, n->refused);
+                           n->steal_tries, n->steals, n->stolen_tasks, n->takeovers, n->refused, n->moves,
+                           n->moved_tasks);
     pthread_mutex_unlock(&core->lock);
     return g_string_free(s, FALSE);
 }
@@ -123,6 +129,44 @@
     return rc;
 }
 
+/* Another controller asks how much would fit there, or for it. */
+static u_int asked(const struct lmn_xthief *q, bool give)
+{
+    struct lmn_thief t = {.part = q->thief};
+    u_int n = 0;
+
+    if (q->victim < 0 || q->victim >= core->nparts || q->thief < 0 || q->thief >= core->nparts)
+        return 0;
+    for (u_int i = 0; i < q->rooms.rooms_len && i < G_N_ELEMENTS(t.rooms); i++) {
+        const struct lmn_xroom *x = &q->rooms.rooms_val[i];
+        struct lmn_room *r = &t.rooms[t.nrooms++];
+        g_strlcpy(r->type, x->type, sizeof r->type);
+        g_strlcpy(r->zone, x->zone, sizeof r->zone);
+        r->spot = x->spot;
+        r->cpus = x->cpus;
+        r->gpus = x->gpus;
+        r->mem = x->mem;
+    }
+    for (u_int i = 0; i < q->teams.teams_len; i++) {
+        const struct lmn_team *team = lmn_settings_team(core->cfg, q->teams.teams_val[i].name);
+        if (!team)
+            continue;
+        t.team_cpus[team - core->cfg->teams] = q->teams.teams_val[i].cpus;
+        t.team_gpus[team - core->cfg->teams] = q->teams.teams_val[i].gpus;
+    }
+    pthread_mutex_lock(&core->lock);
+    struct timespec now = lmn_now();
+    struct lmn_partition *p = &core->parts[q->victim];
+    if (give) {
+        n = lmn_victim_give(core, p, &t, now);
+        lmn_ranges_flush(core, now);
+    } else {
+        n = lmn_victim_load(core, p, &t);
+    }
+    pthread_mutex_unlock(&core->lock);
+    return n;
+}
+
 static void dispatch(struct svc_req *rq, SVCXPRT *x)
 {
     char err[256] = "done";
@@ -174,6 +218,18 @@
         svc_freeargs(x, (xdrproc_t)xdr_lmn_machine_request, (char *)&q);
         return;
     }
+    case LMN_LOAD:
+    case LMN_STEAL: {
+        struct lmn_xthief q = {0};
+        if (!svc_getargs(x, (xdrproc_t)xdr_lmn_xthief, (char *)&q)) {
+            svcerr_decode(x);
+            return;
+        }
+        u_int n = asked(&q, rq->rq_proc == LMN_STEAL);
+        svc_sendreply(x, (xdrproc_t)xdr_u_int, (char *)&n);
+        svc_freeargs(x, (xdrproc_t)xdr_lmn_xthief, (char *)&q);
+        return;
+    }
     default:
         svcerr_noproc(x);
     }
@@ -203,6 +259,9 @@
         close(fd);
         return -1;
     }
+    /* Records are read as they come: half a request must not hold up the others. */
+    int most = 256 * 1024;
+    rpc_control(RPC_SVC_CONNMAXREC_SET, &most);
     SVCXPRT *x = svc_vc_create(fd, 0, 0);
     /* No port mapper: the members' addresses are in the settings. */
     if (!x || !svc_reg(x, LMN_PROGRAM, LMN_VERSION_1, dispatch, NULL))
@@ -211,7 +270,7 @@
     return 0;
 }
 
-/* --- the administration client --- */
+/* --- clients --- */
 
 static const struct timeval patience = {5, 0};
 
@@ -220,21 +279,157 @@
     struct sockaddr_in a = {.sin_family = AF_INET};
     struct netbuf nb = {sizeof a, sizeof a, &a};
     char host[LMN_ADDR];
-    int port, fd;
+    int port, fd, error = 0;
+    socklen_t len = sizeof error;
 
     if (lmn_addr_split(addr, host, sizeof host, &port) != 0)
         return NULL;
     a.sin_port = htons((uint16_t)port);
     inet_pton(AF_INET, host, &a.sin_addr);
-    fd = socket(AF_INET, SOCK_STREAM, 0);
-    if (fd < 0 || connect(fd, (struct sockaddr *)&a, sizeof a) != 0)
+    fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    if (fd < 0)
         return NULL;
+    /* A member behind a cut says nothing: a connection is not waited for longer than this. */
+    if (connect(fd, (struct sockaddr *)&a, sizeof a) != 0) {
+        struct pollfd w = {fd, POLLOUT, 0};
+        if (errno != EINPROGRESS || poll(&w, 1, 600) != 1 ||
+            getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len) != 0 || error) {
+            close(fd);
+            return NULL;
+        }
+    }
+    fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) & ~O_NONBLOCK);
     CLIENT *cl = clnt_vc_create(fd, &nb, LMN_PROGRAM, LMN_VERSION_1, 0, 0);
-    if (cl)
-        clnt_control(cl, CLSET_FD_CLOSE, NULL);
+    if (!cl) {
+        close(fd);
+        return NULL;
+    }
+    clnt_control(cl, CLSET_FD_CLOSE, NULL);
     return cl;
 }
 
+/* --- stealing from other controllers --- */
+
+struct member {
+    const struct lmn_member *cfg;
+    CLIENT *client;
+    struct timespec retry;
+};
+
+static bool call_member(struct member *m, rpcproc_t proc, const struct lmn_xthief *q, u_int *n)
+{
+    static const struct timeval brief = {1, 0};
+    struct timespec now = lmn_now();
+
+    if (!m->client) {
+        if (lmn_before(now, m->retry))
+            return false;
+        m->client = dial(m->cfg->addr);
+        m->retry = lmn_after(now, 3.0);
+    }
+    if (!m->client)
+        return false;
+    if (clnt_call(m->client, proc, (xdrproc_t)xdr_lmn_xthief, (char *)q, (xdrproc_t)xdr_u_int,
+                  (char *)n, brief) == RPC_SUCCESS)
+        return true;
+    clnt_destroy(m->client);
+    m->client = NULL;
+    m->retry = lmn_after(now, 3.0);
+    return false;
+}
+
+/* Asks the owner of a partition, which may be this node itself. */
+static u_int ask(struct member *members, rpcproc_t proc, struct lmn_xthief *q)
+{
+    char owner[LMN_NAME];
+    u_int n = 0;
+
+    pthread_mutex_lock(&core->lock);
+    g_strlcpy(owner, core->parts[q->victim].owner, sizeof owner);
+    pthread_mutex_unlock(&core->lock);
+    if (!strcmp(owner, core->cfg->node))
+        return asked(q, proc == LMN_STEAL);
+    for (size_t i = 0; i < core->cfg->nmembers; i++)
+        if (!strcmp(owner, members[i].cfg->name))
+            return call_member(&members[i], proc, q, &n) ? n : 0;
+    return 0;
+}
+
+static void pull(struct member *members, const struct lmn_thief *t)
+{
+    struct lmn_xroom rooms[G_N_ELEMENTS(t->rooms)];
+    struct lmn_xteam teams[LMN_MAX_TEAMS];
+    struct lmn_xthief q = {.thief = t->part};
+    int others[LMN_MAX_MEMBERS], n = 0, best = -1;
+    u_int most = 0, got = 0;
+
+    for (guint i = 0; i < t->nrooms; i++)
+        rooms[i] = (struct lmn_xroom){(char *)t->rooms[i].type, (char *)t->rooms[i].zone,
+                                      t->rooms[i].spot, t->rooms[i].cpus, t->rooms[i].gpus,
+                                      t->rooms[i].mem};
+    for (size_t i = 0; i < core->cfg->nteams; i++)
+        teams[i] = (struct lmn_xteam){(char *)core->cfg->teams[i].name, t->team_cpus[i],
+                                      t->team_gpus[i]};
+    q.rooms.rooms_len = t->nrooms;
+    q.rooms.rooms_val = rooms;
+    q.teams.teams_len = (u_int)core->cfg->nteams;
+    q.teams.teams_val = teams;
+    for (int i = 0; i < core->nparts; i++)
+        if (i != t->part)
+            others[n++] = i;
+    pthread_mutex_lock(&core->lock);
+    int sample = core->tuning.sample > 0 ? (int)core->tuning.sample : (int)ceil(sqrt(n));
+    for (int i = 0; i < n; i++) {
+        int k = g_rand_int_range(core->rng, i, n), x = others[i];
+        others[i] = others[k];
+        others[k] = x;
+    }
+    core->count.steal_tries++;
+    pthread_mutex_unlock(&core->lock);
+    for (int i = 0; i < MIN(sample, n); i++) {
+        q.victim = others[i];
+        u_int load = ask(members, LMN_LOAD, &q);
+        if (load > most) {
+            most = load;
+            best = others[i];
+        }
+    }
+    if (best >= 0) {
+        q.victim = best;
+        got = ask(members, LMN_STEAL, &q);
+    }
+    pthread_mutex_lock(&core->lock);
+    lmn_thief_result(core, &core->parts[t->part], got, lmn_now());
+    if (got) {
+        core->count.steals++;
+        core->count.stolen_tasks += got;
+    }
+    pthread_mutex_unlock(&core->lock);
+}
+
+void *lmn_peer_thread(void *arg)
+{
+    struct member members[LMN_MAX_MEMBERS] = {0};
+    (void)arg;
+
+    for (size_t i = 0; i < core->cfg->nmembers; i++)
+        members[i].cfg = &core->cfg->members[i];
+    for (;;) {
+        for (int i = 0; core->nparts > 1 && i < core->nparts; i++) {
+            struct lmn_thief t;
+            pthread_mutex_lock(&core->lock);
+            bool go = lmn_thief_fill(core, &core->parts[i], &t, lmn_now());
+            pthread_mutex_unlock(&core->lock);
+            if (go)
+                pull(members, &t);
+        }
+        lmn_sleep(0.1);
+    }
+    return NULL;
+}
+
+/* --- the administration client --- */
+
 static int show_reply(CLIENT *cl, rpcproc_t proc, xdrproc_t xargs, void *args)
 {
     struct lmn_reply r = {0};
--- a/src/peer_wire.x
+++ b/src/peer_wire.x
@@ -28,6 +28,29 @@
     string machine<LMN_XDR_NAME>;
 };
 
+/* Room for which a partition finds no work of its own. */
+struct lmn_xroom {
+    string type<LMN_XDR_NAME>;
+    string zone<LMN_XDR_NAME>;
+    bool spot;
+    double cpus;
+    double gpus;
+    double mem;
+};
+
+struct lmn_xteam {
+    string name<LMN_XDR_NAME>;
+    double cpus;
+    double gpus;
+};
+
+struct lmn_xthief {
+    int thief;             /* the partition that asks */
+    int victim;            /* the partition that is asked */
+    lmn_xroom rooms<LMN_XDR_TUNINGS>;
+    lmn_xteam teams<LMN_XDR_TUNINGS>;
+};
+
 program LMN_PROGRAM {
     version LMN_VERSION_1 {
         void LMN_PING(void) = 0;
@@ -35,5 +58,7 @@
         lmn_tuning_list LMN_TUNING_GET(void) = 2;
         lmn_reply LMN_TUNING_SET(lmn_set_request) = 3;
         lmn_reply LMN_DRAIN(lmn_machine_request) = 4;
+        unsigned LMN_LOAD(lmn_xthief) = 5;
+        unsigned LMN_STEAL(lmn_xthief) = 6;
     } = 1;
 } = 0x2c0a5b41;
--- a/src/queue.c
+++ b/src/queue.c
@@ -72,6 +72,21 @@
             drop_seg(q, i);
 }
 
+void lmn_queue_cut(struct lmn_queue *q, const struct lmn_range *r, uint32_t lo)
+{
+    for (guint i = q->segs->len; i-- > 0;) {
+        struct lmn_seg *s = q->segs->pdata[i];
+        if (s->range != r || s->hi <= lo)
+            continue;
+        if (s->lo >= lo) {
+            drop_seg(q, i);
+        } else {
+            q->tasks -= s->hi - lo;
+            s->hi = lo;
+        }
+    }
+}
+
 bool lmn_can_hold(const struct lmn_machine *m, const struct lmn_job *j)
 {
     return m->type && m->accounted && m->rev && !m->retiring && !m->noticed && !m->lapsed &&
@@ -365,6 +380,7 @@
     struct lmn_partition *p = m->part;
     guint n;
 
+    m->hungry = false;
     if (!p->ready || p->releasing || !m->accounted || !m->rev || m->retiring || m->noticed ||
         !m->type)
         return 0;
@@ -375,5 +391,6 @@
             break;
         n += start_own(c, m, out, now);
     }
+    m->hungry = !load_for(c, &m->queue, m, now);
     return n;
 }
--- a/src/range.c
+++ b/src/range.c
@@ -81,6 +81,8 @@
     r->nfinished = r->ndone;
     r->writing = false;
     r->written = 0;
+    r->move_to = -1;
+    r->move_unsure = false;
     for (uint32_t i = 0; i < n; i++)
         if (lmn_bit(r->done, i))
             r->st[i] = LMN_T_DONE;
@@ -204,6 +206,11 @@
             /* Nothing is lost by another try: each is conditional on what the mirror shows. */
             r->writing = false;
             r->retry = lmn_after(lmn_now(), outcome == LMN_CONFLICT ? 0.1 : 0.4);
+            /* A move is off only if it surely was not, and never will be, applied. */
+            if (outcome == LMN_UNKNOWN)
+                r->move_unsure = true;
+            else if (r->move_to >= 0 && !r->move_unsure)
+                lmn_move_undo(c, r, lmn_now());
         }
     }
     pthread_mutex_unlock(&c->lock);
@@ -229,6 +236,36 @@
     return t;
 }
 
+/* Moves the tasks from move_at on: one write, conditional on this owner, the range and, since a
+ * split opens one range more, the job. */
+static void move_range(struct lmn_core *c, struct lmn_range *r)
+{
+    const struct lmn_job *j = r->job;
+    struct lmn_range there = {.lo = r->move_at, .hi = r->hi};
+    uint8_t *bits = g_malloc0((r->hi - r->lo + 7) / 8);
+    struct lmn_txn *t = owner_txn(c, r, LMN_RANK_CLOSE);
+    char key[96];
+
+    g_snprintf(key, sizeof key, "r/%d/%s/%u", r->move_to, j->spec.ref, r->move_at);
+    lmn_txn_if(t, key, 0);
+    lmn_txn_write(t, key, lmn_range_record(&there, bits), 0);
+    if (r->move_at == r->lo) {
+        lmn_txn_remove(t, r->key);
+    } else {
+        struct lmn_range here = {.lo = r->lo, .hi = r->move_at};
+        for (uint32_t i = 0; i < here.hi - here.lo; i++)
+            if (r->st[i] == LMN_T_DONE)
+                lmn_set_bit(bits, i);
+        lmn_txn_write(t, r->key, lmn_range_record(&here, bits), 0);
+        g_snprintf(key, sizeof key, "j/%s", j->spec.ref);
+        lmn_txn_if(t, key, j->rev);
+        lmn_txn_write(t, key, lmn_job_record(&j->spec, j->phase, j->open + 1, j->at), 0);
+    }
+    g_free(bits);
+    r->move_rev = r->rev;
+    lmn_state_submit(c->state, t);
+}
+
 static void flush_range(struct lmn_core *c, struct lmn_range *r, bool lazy, struct timespec now)
 {
     struct lmn_job *j = r->job;
@@ -238,6 +275,10 @@
 
     if (r->writing || lmn_before(now, r->retry))
         return;
+    if (r->move_to >= 0) {
+        move_range(c, r);
+        return;
+    }
     if (j->phase != LMN_ACTIVE) {
         if (r->nstarted == 0 && lazy) {
             t = owner_txn(c, r, LMN_RANK_LAZY);
--- a/src/service.c
+++ b/src/service.c
@@ -36,6 +36,7 @@
     lmn_thread(lmn_partition_thread, core);
     lmn_thread(lmn_api_thread, core);
     lmn_thread(lmn_cloud_thread, core);
+    lmn_thread(lmn_peer_thread, core);
     for (;;) {
         lmn_sleep(0.15);
         lmn_server_sweep();
--- /dev/null
+++ b/src/steal.c
@@ -0,0 +1,201 @@
+/* Steals between partitions. A partition with idle room asks a fresh random sample of the others
+ * how many queued tasks would fit there, and pulls from the busiest. The victim moves the end of
+ * a range by one conditional write: never a task that was started, under whatever term. */
+#include "core.h"
+#include "log.h"
+
+#include <math.h>
+#include <string.h>
+
+bool lmn_thief_fill(struct lmn_core *c, struct lmn_partition *p, struct lmn_thief *t,
+                    struct timespec now)
+{
+    GHashTableIter it;
+    gpointer v;
+
+    t->part = p->id;
+    t->nrooms = 0;
+    if (!p->mine || !p->ready || p->releasing || lmn_before(now, p->next_steal))
+        return false;
+    g_hash_table_iter_init(&it, p->machines);
+    while (g_hash_table_iter_next(&it, NULL, &v) && t->nrooms < G_N_ELEMENTS(t->rooms)) {
+        const struct lmn_machine *m = v;
+        if (!m->hungry || m->queue.tasks || !m->type || !m->rev || m->retiring || m->noticed ||
+            m->lapsed || m->is_gone || m->type->cpus - m->used_cpus < 0.01)
+            continue;
+        struct lmn_room *r = &t->rooms[t->nrooms++];
+        g_strlcpy(r->type, m->type_name, sizeof r->type);
+        g_strlcpy(r->zone, m->zone, sizeof r->zone);
+        r->spot = m->spot;
+        r->cpus = m->type->cpus - m->used_cpus;
+        r->gpus = m->type->gpus - m->used_gpus;
+        r->mem = m->type->mem - m->used_mem;
+    }
+    for (size_t i = 0; i < c->cfg->nteams; i++) {
+        const struct lmn_team *team = &c->cfg->teams[i];
+        t->team_cpus[i] =
+            team->cpus_max > 0 ? team->cpus_max / c->nparts - p->used_cpus[i] : 1e12;
+        t->team_gpus[i] =
+            team->gpus_max > 0 ? team->gpus_max / c->nparts - p->used_gpus[i] : 1e12;
+    }
+    return t->nrooms > 0;
+}
+
+static const struct lmn_type *type_named(const struct lmn_core *c, const char *name)
+{
+    for (size_t i = 0; i < c->types.n; i++)
+        if (!strcmp(c->types.v[i].name, name))
+            return &c->types.v[i];
+    return NULL;
+}
+
+/* How many tasks of the job the thief has room and quota for. */
+static uint32_t thief_room(const struct lmn_core *c, const struct lmn_thief *t,
+                           const struct lmn_job *j)
+{
+    const struct lmn_spec *s = &j->spec;
+    double n = 0, quota = 1e6;
+
+    if (j->team < 0)
+        return 0;
+    for (guint i = 0; i < t->nrooms; i++) {
+        const struct lmn_room *r = &t->rooms[i];
+        const struct lmn_type *type = type_named(c, r->type);
+        double k = 1e6;
+        if (!type || !lmn_spec_allows(s, type, r->zone, r->spot))
+            continue;
+        if (s->cpus > 0)
+            k = MIN(k, floor(r->cpus / s->cpus + 1e-6));
+        if (s->gpus > 0)
+            k = MIN(k, floor(r->gpus / s->gpus + 1e-6));
+        if (s->mem > 0)
+            k = MIN(k, floor(r->mem / s->mem + 1e-6));
+        n += MAX(k, 0);
+    }
+    if (s->cpus > 0)
+        quota = MIN(quota, floor(t->team_cpus[j->team] / s->cpus + 1e-6));
+    if (s->gpus > 0)
+        quota = MIN(quota, floor(t->team_gpus[j->team] / s->gpus + 1e-6));
+    return (uint32_t)MAX(MIN(n, quota), 0);
+}
+
+/* Queued tasks at the end of a range: what a move can take. */
+static uint32_t tail(const struct lmn_range *r)
+{
+    uint32_t n = r->hi - r->lo, k = n;
+
+    if (!r->st || r->job->phase != LMN_ACTIVE || r->writing || r->move_to >= 0)
+        return 0;
+    /* Tasks that look at each other's places stay with one owner. */
+    if (r->job->spec.one_zone || r->job->spec.spread)
+        return 0;
+    while (k > 0 && r->st[k - 1] == LMN_T_QUEUED)
+        k--;
+    return n - k;
+}
+
+uint32_t lmn_victim_load(const struct lmn_core *c, const struct lmn_partition *p,
+                         const struct lmn_thief *t)
+{
+    GHashTableIter it;
+    gpointer v;
+    uint32_t n = 0;
+
+    if (!p->mine || !p->ready || p->releasing || p->id == t->part)
+        return 0;
+    g_hash_table_iter_init(&it, p->ranges);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const struct lmn_range *r = v;
+        n += MIN(tail(r), thief_room(c, t, r->job));
+    }
+    return n;
+}
+
+uint32_t lmn_victim_give(struct lmn_core *c, struct lmn_partition *p, const struct lmn_thief *t,
+                         struct timespec now)
+{
+    GHashTableIter it;
+    gpointer v;
+    struct lmn_range *best = NULL;
+    uint32_t most = 0;
+    (void)now;
+
+    if (!p->mine || !p->ready || p->releasing || p->id == t->part)
+        return 0;
+    g_hash_table_iter_init(&it, p->ranges);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        struct lmn_range *r = v;
+        uint32_t n = MIN(tail(r), thief_room(c, t, r->job));
+        if (!n)
+            continue;
+        int order = best ? lmn_job_order(r->job, best->job) : -1;
+        if (order < 0 || (order == 0 && n > most)) {
+            best = r;
+            most = n;
+        }
+    }
+    if (!best)
+        return 0;
+    /* The share of what is queued, but no more than can start there now. */
+    uint32_t queued = tail(best);
+    uint32_t n = MIN(most, MAX((uint32_t)ceil(queued * c->tuning.share), 1));
+    best->move_at = best->hi - n;
+    best->move_to = t->part;
+    best->move_unsure = false;
+    best->move_rev = best->rev;
+    for (uint32_t i = best->move_at; i < best->hi; i++)
+        best->st[i - best->lo] = LMN_T_MOVING;
+    lmn_queue_cut(&p->limbo, best, best->move_at);
+    g_hash_table_iter_init(&it, p->machines);
+    while (g_hash_table_iter_next(&it, NULL, &v))
+        lmn_queue_cut(&((struct lmn_machine *)v)->queue, best, best->move_at);
+    c->count.moves++;
+    c->count.moved_tasks += n;
+    lmn_debug("move job=%s from=%u tasks=%u partition=%d to=%d", best->job->spec.ref,
+              best->move_at, n, p->id, t->part);
+    return n;
+}
+
+void lmn_thief_result(struct lmn_core *c, struct lmn_partition *p, uint32_t got,
+                      struct timespec now)
+{
+    if (got) {
+        p->poll_s = 0;
+        /* What was won has to arrive before the next look makes sense. */
+        p->next_steal = lmn_after(now, 0.25);
+        return;
+    }
+    p->poll_s = p->poll_s > 0 ? MIN(p->poll_s * 2, c->tuning.poll_cap_s)
+                              : MAX(c->tuning.poll_floor_s, 0.1);
+    p->next_steal = lmn_after(now, p->poll_s);
+}
+
+void lmn_range_cut(struct lmn_core *c, struct lmn_range *r, uint32_t hi)
+{
+    GHashTableIter it;
+    gpointer v;
+    (void)c;
+
+    lmn_queue_cut(&r->part->limbo, r, hi);
+    g_hash_table_iter_init(&it, r->part->machines);
+    while (g_hash_table_iter_next(&it, NULL, &v))
+        lmn_queue_cut(&((struct lmn_machine *)v)->queue, r, hi);
+    r->hi = hi;
+    r->move_to = -1;
+    r->move_unsure = false;
+}
+
+void lmn_move_undo(struct lmn_core *c, struct lmn_range *r, struct timespec now)
+{
+    uint32_t at = r->move_at;
+
+    r->move_to = -1;
+    r->move_unsure = false;
+    if (!r->st)
+        return;
+    for (uint32_t i = at; i < r->hi; i++)
+        if (r->st[i - r->lo] == LMN_T_MOVING)
+            r->st[i - r->lo] = LMN_T_QUEUED;
+    if (r->part->ready && r->job->phase == LMN_ACTIVE)
+        lmn_deal(c, r, at, r->hi, now);
+}
