--- a/src/cloud.c
+++ b/src/cloud.c
@@ -311,13 +311,12 @@
 {
     struct cloud k = {.c = arg};
     struct lmn_core *c = arg;
-    double share = 1.0 / (double)(c->cfg->nmembers + 1);
+    double share = 0.35 / (double)MAX(c->cfg->nmembers, 1);
 
     k.http = lmn_http_new(c->cfg->cloud);
     k.buf = g_byte_array_new();
     lmn_fleet_init(&k.fleet);
-    lmn_budget_init(&k.budget, c->cfg->cloud_rps * share * 0.95, MAX(c->cfg->cloud_rps * share, 1),
-                    lmn_now());
+    lmn_budget_init(&k.budget, c->cfg->cloud_rps * share, MAX(c->cfg->cloud_rps, 1), lmn_now());
     for (;;) {
         struct timespec now = lmn_now();
         pthread_mutex_lock(&c->lock);
@@ -332,6 +331,12 @@
             g_hash_table_remove_all(k.fleet.machines);
             k.listed = (struct timespec){0, 0};
         }
+        if (role != k.had_role) {
+            /* The holder of the role lists and rents; the others only return. */
+            double rps = c->cfg->cloud_rps * (role ? 0.6 : 0.35 / MAX(c->cfg->nmembers, 1));
+            k.budget.rate = rps;
+            k.budget.burst = role ? MAX(c->cfg->cloud_rps, 1) : 1;
+        }
         k.had_role = role;
         if (role && known) {
             if (lmn_since(now, k.listed) > MAX(c->cfg->list_lag_s, 3.0) && read_list(&k))
