--- a/src/core.h
+++ b/src/core.h
@@ -27,6 +27,10 @@
     GPtrArray *ranges;
     int team; /* index in the settings, -1 if it has left them */
     uint64_t closing; /* revision on which a close of ours is under way */
+    /* when its next task has to start, by the time of day, for the next expectation that can
+     * still be met; lost: none can */
+    double latest;
+    bool lost;
     /* a job whose tasks fail is held back by itself */
     unsigned errors;
     struct timespec hold;
@@ -64,7 +68,7 @@
 };
 
 struct lmn_queue {
-    GPtrArray *segs; /* most urgent first */
+    GPtrArray *segs;
     uint32_t tasks;
 };
 
@@ -229,6 +233,9 @@
 /* Takes the range's tasks from lo on out of the queue. */
 void lmn_queue_cut(struct lmn_queue *q, const struct lmn_range *r, uint32_t lo);
 int lmn_job_order(const struct lmn_job *a, const struct lmn_job *b);
+/* Works out latest and lost for the time of day now. */
+void lmn_job_rank(const struct lmn_settings *cfg, struct lmn_job *j, double wall);
+void lmn_rank_all(struct lmn_core *c, double wall);
 /* Cuts the range's queued tasks over the queues of the machines that could hold them. */
 void lmn_deal(struct lmn_core *c, struct lmn_range *r, uint32_t lo, uint32_t hi,
               struct timespec now);
--- a/src/queue.c
+++ b/src/queue.c
@@ -20,17 +20,71 @@
     q->tasks = 0;
 }
 
-static double due(const struct lmn_job *j)
+static void expect(struct lmn_job *j, double latest, double wall)
 {
-    return j->spec.deadline_s >= 0 ? j->at + j->spec.deadline_s : INFINITY;
+    if (latest >= wall && (j->lost || latest < j->latest)) {
+        j->latest = latest;
+        j->lost = false;
+    }
+}
+
+void lmn_job_rank(const struct lmn_settings *cfg, struct lmn_job *j, double wall)
+{
+    const struct lmn_spec *s = &j->spec;
+    bool any = false;
+
+    /* Estimates are often wrong by half: a job is given up as late only when even a run of half
+     * the estimate would come too late. */
+    double run = s->estimate_s * 0.5;
+    j->lost = true;
+    j->latest = 0;
+    for (size_t i = 0; i < cfg->nobjectives; i++) {
+        const struct lmn_objective *o = &cfg->objectives[i];
+        if (*o->class_name && strcmp(o->class_name, s->class_name))
+            continue;
+        if (o->kind == LMN_WAIT)
+            expect(j, j->at + o->within_s, wall);
+        else if (o->kind == LMN_FINISH)
+            expect(j, j->at + o->within_s - run, wall);
+        else if (o->kind == LMN_DEADLINE && s->deadline_s >= 0)
+            expect(j, j->at + s->deadline_s * o->times - run, wall);
+        else
+            continue;
+        any = true;
+    }
+    if (s->deadline_s >= 0) {
+        expect(j, j->at + s->deadline_s - run, wall);
+        any = true;
+    }
+    if (!any) {
+        j->lost = false;
+        j->latest = INFINITY;
+    }
+}
+
+void lmn_rank_all(struct lmn_core *c, double wall)
+{
+    GHashTableIter it;
+    gpointer v;
+
+    for (int i = 0; i < c->nparts; i++) {
+        if (!c->parts[i].mine)
+            continue;
+        g_hash_table_iter_init(&it, c->parts[i].ranges);
+        while (g_hash_table_iter_next(&it, NULL, &v))
+            lmn_job_rank(c->cfg, ((struct lmn_range *)v)->job, wall);
+    }
 }
 
 int lmn_job_order(const struct lmn_job *a, const struct lmn_job *b)
 {
+    /* What can't be in time any more yields to what still can. */
+    if (a->lost != b->lost)
+        return a->lost ? 1 : -1;
     if (a->spec.urgency != b->spec.urgency)
         return a->spec.urgency > b->spec.urgency ? -1 : 1;
-    if (due(a) != due(b))
-        return due(a) < due(b) ? -1 : 1;
+    if (!a->lost && a->latest != b->latest)
+        return a->latest < b->latest ? -1 : 1;
     if (a->at != b->at)
         return a->at < b->at ? -1 : 1;
     return strcmp(a->spec.ref, b->spec.ref);
@@ -38,23 +92,17 @@
 
 void lmn_queue_add(struct lmn_queue *q, struct lmn_range *r, uint32_t lo, uint32_t hi)
 {
-    guint at = q->segs->len;
-
-    while (at > 0) {
-        struct lmn_seg *s = q->segs->pdata[at - 1];
+    q->tasks += hi - lo;
+    for (guint i = 0; i < q->segs->len; i++) {
+        struct lmn_seg *s = q->segs->pdata[i];
         if (s->range == r && s->hi == lo) {
             s->hi = hi;
-            q->tasks += hi - lo;
             return;
         }
-        if (lmn_job_order(s->range->job, r->job) <= 0)
-            break;
-        at--;
     }
     struct lmn_seg *s = g_new(struct lmn_seg, 1);
     *s = (struct lmn_seg){r, lo, hi};
-    g_ptr_array_insert(q->segs, (gint)at, s);
-    q->tasks += hi - lo;
+    g_ptr_array_add(q->segs, s);
 }
 
 static void drop_seg(struct lmn_queue *q, guint at)
@@ -246,31 +294,44 @@
            room(m, &j->spec) > 0 && in_quota(c, m->part, j) && zone_allows(m, j);
 }
 
+/* The most urgent stretch of a queue that the machine could start now; -1: none. The order
+ * shifts with time, so it is looked for, not kept. */
+static int best_seg(const struct lmn_core *c, struct lmn_queue *q, const struct lmn_machine *m,
+                    struct timespec now)
+{
+    int best = -1;
+
+    for (guint i = 0; i < q->segs->len; i++) {
+        const struct lmn_seg *s = q->segs->pdata[i];
+        if (best >= 0) {
+            const struct lmn_seg *t = q->segs->pdata[best];
+            if (s->range->job == t->range->job || lmn_job_order(s->range->job, t->range->job) > 0)
+                continue;
+        }
+        if (startable(c, m, s->range->job, now))
+            best = (int)i;
+    }
+    return best;
+}
+
 static guint start_own(struct lmn_core *c, struct lmn_machine *m, GByteArray *out,
                        struct timespec now)
 {
     guint n = 0;
-
-    for (guint i = 0; i < m->queue.segs->len;) {
-        struct lmn_seg *s = m->queue.segs->pdata[i];
-        if (s->range->job->phase != LMN_ACTIVE) {
-            drop_seg(&m->queue, i);
-            continue;
-        }
-        while (s->lo < s->hi && startable(c, m, s->range->job, now)) {
-            m->queue.tasks--;
-            /* The books decide, not the queue: what is not queued there is not started. */
-            if (s->range->st[s->lo - s->range->lo] != LMN_T_QUEUED) {
-                s->lo++;
-                continue;
-            }
+    int at;
+
+    while ((at = best_seg(c, &m->queue, m, now)) >= 0) {
+        struct lmn_seg *s = m->queue.segs->pdata[at];
+        m->queue.tasks--;
+        /* The books decide, not the queue: what is not queued there is not started. */
+        if (s->range->st[s->lo - s->range->lo] != LMN_T_QUEUED) {
+            s->lo++;
+        } else {
             start(c, m, s, out, now);
             n++;
         }
         if (s->lo == s->hi)
-            drop_seg(&m->queue, i);
-        else
-            i++;
+            drop_seg(&m->queue, (guint)at);
     }
     return n;
 }
@@ -294,22 +355,17 @@
                      uint32_t want, struct timespec now)
 {
     uint32_t got = 0;
+    int at;
 
-    for (guint i = 0; i < from->segs->len && got < want;) {
-        struct lmn_seg *s = from->segs->pdata[i];
-        if (!startable(c, m, s->range->job, now)) {
-            i++;
-            continue;
-        }
+    while (got < want && (at = best_seg(c, from, m, now)) >= 0) {
+        struct lmn_seg *s = from->segs->pdata[at];
         uint32_t n = MIN(want - got, s->hi - s->lo);
         lmn_queue_add(&m->queue, s->range, s->lo, s->lo + n);
         s->lo += n;
         from->tasks -= n;
         got += n;
         if (s->lo == s->hi)
-            drop_seg(from, i);
-        else
-            i++;
+            drop_seg(from, (guint)at);
     }
     return got;
 }
--- a/src/service.c
+++ b/src/service.c
@@ -42,6 +42,7 @@
         lmn_server_sweep();
         pthread_mutex_lock(&core->lock);
         struct timespec now = lmn_now();
+        lmn_rank_all(core, lmn_seconds(lmn_wall()));
         lmn_upkeep(core, now);
         lmn_ranges_flush(core, now);
         pthread_mutex_unlock(&core->lock);
--- a/src/settings.h
+++ b/src/settings.h
@@ -4,7 +4,7 @@
 
 #include <stddef.h>
 
-enum { LMN_NAME = 64, LMN_ADDR = 64, LMN_MAX_MEMBERS = 32, LMN_MAX_TEAMS = 64 };
+enum { LMN_NAME = 64, LMN_ADDR = 64, LMN_MAX_MEMBERS = 32, LMN_MAX_TEAMS = 64, LMN_MAX_OBJECTIVES = 64 };
 
 struct lmn_member {
     char name[LMN_NAME], zone[LMN_NAME], addr[LMN_ADDR];
@@ -16,6 +16,15 @@
     double cpus, cpus_max, gpus, gpus_max;
 };
 
+/* What is expected of a class of jobs: tasks started (wait) or the job done (finished) within a
+ * time, or the job done within so many times its deadline. */
+enum lmn_objective_kind { LMN_WAIT, LMN_FINISH, LMN_DEADLINE, LMN_GUARANTEE };
+struct lmn_objective {
+    enum lmn_objective_kind kind;
+    char class_name[LMN_NAME];
+    double within_s, times, share;
+};
+
 struct lmn_settings {
     char node[LMN_NAME], zone[LMN_NAME], listen[LMN_ADDR], peer_listen[LMN_ADDR];
     char cloud[LMN_ADDR], state[LMN_ADDR];
@@ -23,6 +32,8 @@
     size_t nmembers;
     struct lmn_team teams[LMN_MAX_TEAMS];
     size_t nteams;
+    struct lmn_objective objectives[LMN_MAX_OBJECTIVES];
+    size_t nobjectives;
     int partitions; /* initial_size */
     double report_s, lease_s, cancel_s;
     double state_rps, state_write_rps, value_kb;
--- a/src/toml.cpp
+++ b/src/toml.cpp
@@ -132,6 +132,21 @@
             if (!std::strcmp(s.teams[i].name, d.name))
                 throw wrong(at + "name: named twice");
     });
+    each(p, "params.", "objectives", [&](const toml::table &m, const std::string &at) {
+        static const char *const kinds[] = {"wait", "finished", "deadline", "guarantee"};
+        char kind[LMN_NAME] = "";
+        lmn_objective d = {};
+        text(m, at, "kind", kind, sizeof kind);
+        text(m, at, "class", d.class_name, sizeof d.class_name, false);
+        d.within_s = number(m, at, "within_s", 0, 0, 1e9);
+        d.times = number(m, at, "times", 1, 0, 1e6);
+        d.share = number(m, at, "share", 1, 0, 1);
+        for (int k = 0; k < 4; k++)
+            if (!std::strcmp(kind, kinds[k]) && s.nobjectives < LMN_MAX_OBJECTIVES) {
+                d.kind = static_cast<lmn_objective_kind>(k);
+                s.objectives[s.nobjectives++] = d;
+            }
+    });
     auto w = sub(p, "workers");
     s.report_s = number(w, "params.workers.", "report_s", 2, 0.05, 600);
     s.lease_s = number(w, "params.workers.", "lease_s", 20, 0.1, 3600);
