Starts are sent straight to the worker when new work is dealt

An unanswered command may arrive minutes late: its attempt is neither requeued nor cleared in that session, and the same start goes out again with a report's answer.

--- a/src/cloud.c
+++ b/src/cloud.c
@@ -108,7 +108,7 @@
         g_hash_table_iter_init(&it, c->parts[i].machines);
         while (g_hash_table_iter_next(&it, NULL, &v) && names->len < 100) {
             struct lmn_machine *m = v;
-            if (m->retiring && !m->is_gone && (m->force || !m->attempts->len))
+            if (m->retiring && !m->is_gone && (m->force || (lmn_machine_bare(m) && !m->in_call)))
                 g_ptr_array_add(names, g_strdup(m->name));
         }
     }
--- a/src/core.c
+++ b/src/core.c
@@ -18,6 +18,7 @@
 
     pthread_mutex_init(&c->lock, NULL);
     lmn_cond_init(&c->changed);
+    lmn_cond_init(&c->poked);
     c->cfg = cfg;
     c->state = state;
     c->tuning = lmn_tuning_default;
--- a/src/core.h
+++ b/src/core.h
@@ -83,6 +83,9 @@
     enum lmn_attempt_state state;
     bool counted; /* holds room and quota */
     bool done, seen, killed;
+    bool direct; /* sent straight to the worker, in a call that is under way */
+    bool unsure; /* sent in a call without an answer: it may yet arrive, in this session */
+    bool listed; /* the worker has named it */
     struct timespec since;
 };
 
@@ -103,7 +106,8 @@
     bool returning; /* the request is under way */
     bool noticed;
     double notice_s;
-    uint64_t session, seq;
+    bool poke, in_call;
+    uint64_t session, seq, report_seq;
     struct timespec first, last, idle, noticed_at, retired_at, retry;
     GArray *attempts; /* struct lmn_attempt */
     struct lmn_queue queue;
@@ -149,6 +153,7 @@
 struct lmn_core {
     pthread_mutex_t lock;
     pthread_cond_t changed; /* ownership, or membership */
+    pthread_cond_t poked;   /* machines to be given work at once */
     const struct lmn_settings *cfg;
     struct lmn_state *state;
     struct lmn_tuning tuning;
@@ -277,6 +282,21 @@
 
 /* --- worker.c --- */
 /* Answers a report: status, and a body in out if there is one. */
+/* Nothing on it that would be lost with it. */
+bool lmn_machine_bare(const struct lmn_machine *m);
+/* Fills a body for /do with starts for a machine of ours that waits for none; returns false if
+ * there is nothing to send. name, addr: buffers of LMN_NAME and LMN_ADDR. */
+bool lmn_direct_next(struct lmn_core *c, unsigned lane, unsigned lanes, char *name, char *addr,
+                     GByteArray *body, struct timespec now);
+/* What became of it. */
+void lmn_direct_outcome(struct lmn_core *c, const char *name, int status, const GByteArray *answer,
+                        struct timespec now);
+/* A lane of direct commands (a thread). */
+void *lmn_direct_thread(void *lane);
+struct lmn_lane {
+    struct lmn_core *core;
+    unsigned lane, lanes;
+};
 int lmn_worker_report(struct lmn_core *c, const void *body, size_t len, GByteArray *out,
                       struct timespec now);
 
--- a/src/partition.c
+++ b/src/partition.c
@@ -29,10 +29,11 @@
         lmn_attempt_uncount(m, &g_array_index(m->attempts, struct lmn_attempt, i));
     g_array_set_size(m->attempts, 0);
     g_ptr_array_set_size(m->failed_jobs, 0);
+    m->poke = m->in_call = false;
     m->recording = m->heard = m->accounted = m->lapsed = false;
     m->retiring = m->force = m->noticed = m->is_gone = false;
     m->inherited = m->rev != 0;
-    m->session = m->seq = 0;
+    m->session = m->seq = m->report_seq = 0;
     m->poll_s = 0;
     m->idle = m->next_steal = m->retry = (struct timespec){0, 0};
 }
--- a/src/queue.c
+++ b/src/queue.c
@@ -163,7 +163,6 @@
     GHashTableIter it;
     gpointer v;
     GPtrArray *able = g_ptr_array_new();
-    (void)c;
 
     g_hash_table_iter_init(&it, p->machines);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
@@ -191,6 +190,10 @@
             if (!n)
                 continue;
             lmn_queue_add(&m->queue, r, lo, lo + n);
+            if (roomy) {
+                m->poke = true;
+                pthread_cond_broadcast(&c->poked);
+            }
             m->poll_s = 0; /* new work resets the interval */
             m->next_steal = now;
             lo += n;
--- a/src/worker.c
+++ b/src/worker.c
@@ -1,5 +1,6 @@
 /* Reports of workers: what they prove, and the commands that answer them. */
 #include "core.h"
+#include "http_client.h"
 #include "log.h"
 #include "wire.h"
 
@@ -146,11 +147,22 @@
         lmn_task_requeue(c, r, a->index, now);
 }
 
-static guint settle_tasks(struct lmn_core *c, struct lmn_machine *m, const struct lmn_doc *d,
-                          const struct lmn_node *tasks, GByteArray *out, struct timespec now)
+bool lmn_machine_bare(const struct lmn_machine *m)
 {
-    guint commands = 0;
+    for (guint i = 0; i < m->attempts->len; i++) {
+        const struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
+        bool live = a->job && a->job->phase == LMN_ACTIVE && a->range;
+        if (a->state != LMN_A_ENDED ||
+            (a->done && live && !lmn_bit(a->range->done, a->index - a->range->lo)))
+            return false;
+    }
+    return true;
+}
 
+/* What the message says of each task. */
+static void read_tasks(struct lmn_core *c, struct lmn_machine *m, const struct lmn_doc *d,
+                       const struct lmn_node *tasks, struct timespec now)
+{
     for (guint i = 0; i < m->attempts->len; i++)
         g_array_index(m->attempts, struct lmn_attempt, i).seen = false;
     for (const struct lmn_node *n = lmn_child(d, tasks); n; n = lmn_next(d, n)) {
@@ -168,7 +180,7 @@
         struct lmn_attempt *a = find(m, task, index, number);
         if (!a)
             a = adopt(c, m, task, index, number, state, now);
-        a->seen = true;
+        a->seen = a->listed = true;
         if (state == LMN_A_ENDED) {
             if (a->state != LMN_A_ENDED || (!a->done && lmn_is(lmn_get(d, n, W_WHY), W_DONE)))
                 ended(c, m, a, d, n, now);
@@ -176,29 +188,53 @@
             a->state = state;
         }
     }
+}
+
+static void vanish(struct lmn_core *c, struct lmn_machine *m, guint i, struct timespec now)
+{
+    struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
+    struct lmn_attempt gone = *a;
+
+    lmn_attempt_uncount(m, a);
+    g_array_remove_index_fast(m->attempts, i);
+    if (gone.state != LMN_A_ENDED) {
+        lmn_debug("task-vanished task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s", gone.ref,
+                  gone.index, gone.number, m->name);
+        lmn_task_requeue(c, gone.range, gone.index, now);
+    }
+}
+
+static guint settle_tasks(struct lmn_core *c, struct lmn_machine *m, const struct lmn_doc *d,
+                          const struct lmn_node *tasks, GByteArray *out, struct timespec now)
+{
+    guint commands = 0;
+
+    read_tasks(c, m, d, tasks, now);
     /* What a newer report does not name is not there: the worker had dealt with our last
-     * answer, or had given it up, before it wrote this one. */
+     * answer, or had given it up, before it wrote this one. Commands sent straight to it are
+     * another matter: they travel by themselves, and may arrive minutes late. */
     for (guint i = m->attempts->len; i-- > 0;) {
-        struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
-        if (a->seen)
-            continue;
-        struct lmn_attempt gone = *a;
-        lmn_attempt_uncount(m, a);
-        g_array_remove_index_fast(m->attempts, i);
-        if (gone.state != LMN_A_ENDED) {
-            lmn_debug("task-vanished task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s",
-                      gone.ref, gone.index, gone.number, m->name);
-            lmn_task_requeue(c, gone.range, gone.index, now);
-        }
+        const struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
+        if (!a->seen && !a->direct && !(a->unsure && !a->listed))
+            vanish(c, m, i, now);
     }
     for (guint i = 0; i < m->attempts->len; i++) {
         struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
         bool live = a->job && a->job->phase == LMN_ACTIVE;
+        if (a->direct)
+            continue;
+        if (a->unsure && !a->listed) {
+            /* The same start by the way that can't be late: then it is surely there, and its
+             * late twin changes nothing. */
+            command(out, W_START, a, -1);
+            commands++;
+        }
         if (a->state == LMN_A_ENDED) {
-            /* A result may be forgotten only once it is recorded. */
+            /* A result may be forgotten only once it is recorded; and an attempt whose start
+             * may still arrive must stay known, or that would start it anew. */
             bool recorded = !a->done || !live || !a->range ||
                             lmn_bit(a->range->done, a->index - a->range->lo);
-            if (recorded) {
+            if (recorded && !a->unsure) {
                 command(out, W_CLEAR, a, -1);
                 commands++;
             }
@@ -256,7 +292,8 @@
     }
     if (m->is_gone)
         return 503;
-    if (m->heard && (r->session < m->session || (r->session == m->session && r->seq <= m->seq)))
+    if (m->heard &&
+        (r->session < m->session || (r->session == m->session && r->seq <= m->report_seq)))
         return 503; /* it was overtaken on its way */
     if (m->lapsed && r->session == m->session)
         return 503; /* its tasks are given up: the session has to end */
@@ -269,9 +306,18 @@
     for (size_t i = 0; !m->type && i < c->types.n; i++)
         if (!strcmp(c->types.v[i].name, m->type_name))
             m->type = &c->types.v[i];
+    /* Overtaken by the answer to a direct command: it renews the lease, and says nothing new. */
+    bool overtaken = m->heard && r->session == m->session && r->seq <= m->seq;
+    if (m->heard && r->session != m->session)
+        /* Commands to the old session are refused from now on. */
+        for (guint i = 0; i < m->attempts->len; i++) {
+            struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
+            a->direct = a->unsure = false;
+        }
     m->heard = true;
     m->session = r->session;
-    m->seq = r->seq;
+    m->report_seq = r->seq;
+    m->seq = overtaken ? m->seq : r->seq;
     m->last = now;
     m->lapsed = false;
     if (r->noticed && !m->noticed) {
@@ -286,7 +332,7 @@
     guint n = 0;
     /* Only a report that was written after the worker had seen our term tells what is there
      * for good: an older one may have been overtaken by a predecessor's commands. */
-    if (r->token == p->my_term) {
+    if (r->token == p->my_term && !overtaken) {
         if (!m->accounted) {
             m->accounted = true;
             lmn_debug("machine-accounted machine=%s term=%" G_GUINT64_FORMAT, m->name, p->my_term);
@@ -294,10 +340,8 @@
         n += settle_tasks(c, m, d, r->tasks, commands, now);
         lmn_partition_check(c, p, now);
         n += lmn_schedule(c, m, commands, now);
-        guint live = 0;
-        for (guint i = 0; i < m->attempts->len; i++)
-            live += g_array_index(m->attempts, struct lmn_attempt, i).state != LMN_A_ENDED;
-        if (live || m->attempts->len)
+        m->poke = false;
+        if (!lmn_machine_bare(m))
             m->idle = (struct timespec){0, 0};
         else if (!m->idle.tv_sec)
             m->idle = now;
@@ -327,3 +371,113 @@
     lmn_doc_free(&d);
     return status;
 }
+
+/* --- commands sent straight to the worker --- */
+
+bool lmn_direct_next(struct lmn_core *c, unsigned lane, unsigned lanes, char *name, char *addr,
+                     GByteArray *body, struct timespec now)
+{
+    GHashTableIter it;
+    gpointer v;
+
+    for (int i = 0; i < c->nparts; i++) {
+        if (!c->parts[i].mine || !c->parts[i].ready)
+            continue;
+        g_hash_table_iter_init(&it, c->parts[i].machines);
+        while (g_hash_table_iter_next(&it, NULL, &v)) {
+            struct lmn_machine *m = v;
+            if (!m->poke || m->in_call || g_str_hash(m->name) % lanes != lane)
+                continue;
+            m->poke = false;
+            if (!m->accounted || m->lapsed || lmn_since(now, m->last) > 0.6 * c->cfg->lease_s)
+                continue;
+            GByteArray *commands = g_byte_array_new();
+            guint before = m->attempts->len;
+            guint n = lmn_schedule(c, m, commands, now);
+            if (n) {
+                for (guint k = before; k < m->attempts->len; k++)
+                    g_array_index(m->attempts, struct lmn_attempt, k).direct = true;
+                m->in_call = true;
+                m->idle = (struct timespec){0, 0};
+                g_strlcpy(name, m->name, LMN_NAME);
+                g_strlcpy(addr, m->addr, LMN_ADDR);
+                g_byte_array_set_size(body, 0);
+                lmn_put_map(body, 3);
+                lmn_put_text(body, W_TOKEN), lmn_put_count(body, c->parts[i].my_term);
+                lmn_put_text(body, W_SESSION), lmn_put_count(body, m->session);
+                lmn_put_text(body, W_COMMANDS), lmn_put_list(body, n);
+                g_byte_array_append(body, commands->data, commands->len);
+            }
+            g_byte_array_unref(commands);
+            if (n)
+                return true;
+        }
+    }
+    return false;
+}
+
+void lmn_direct_outcome(struct lmn_core *c, const char *name, int status, const GByteArray *answer,
+                        struct timespec now)
+{
+    struct lmn_partition *p = &c->parts[lmn_partition_of(name, c->nparts)];
+    struct lmn_machine *m = g_hash_table_lookup(p->machines, name);
+    struct lmn_doc d;
+    struct report r;
+    bool read = false, newer = false;
+
+    if (!m || !m->in_call)
+        return; /* the partition was lost meanwhile */
+    m->in_call = false;
+    if ((status == 200 || status == 409) && lmn_doc_parse(&d, answer->data, answer->len) == 0) {
+        read = read_report(&r, &d) && r.session == m->session;
+        newer = read && r.seq > m->seq;
+        if (newer) {
+            m->seq = r.seq;
+            read_tasks(c, m, &d, r.tasks, now);
+        }
+        lmn_doc_free(&d);
+    }
+    for (guint i = m->attempts->len; i-- > 0;) {
+        struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
+        if (!a->direct)
+            continue;
+        a->direct = false;
+        /* Only the call's own commands are judged by its answer: what a report's answer started
+         * may be on its way still. */
+        if (status == LMN_NOT_SENT || (status == 409 && newer && !a->seen))
+            vanish(c, m, i, now);
+        else if (!read || (status == 200 && newer && !a->seen))
+            a->unsure = true;
+    }
+}
+
+void *lmn_direct_thread(void *arg)
+{
+    struct lmn_lane *lane = arg;
+    struct lmn_core *c = lane->core;
+    GByteArray *body = g_byte_array_new(), *answer = g_byte_array_new();
+    GHashTable *clients = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    char name[LMN_NAME], addr[LMN_ADDR];
+
+    for (;;) {
+        pthread_mutex_lock(&c->lock);
+        while (!lmn_direct_next(c, lane->lane, lane->lanes, name, addr, body, lmn_now()))
+            pthread_cond_wait(&c->poked, &c->lock);
+        pthread_mutex_unlock(&c->lock);
+        struct lmn_http *h = g_hash_table_lookup(clients, addr);
+        if (!h) {
+            h = lmn_http_new(addr);
+            g_hash_table_insert(clients, g_strdup(addr), h);
+        }
+        int status = lmn_http_call(h, "POST", P_DIRECT, body, 1.5, answer);
+        lmn_debug("direct machine=%s status=%d", name, status);
+        pthread_mutex_lock(&c->lock);
+        lmn_direct_outcome(c, name, status, answer, lmn_now());
+        pthread_mutex_unlock(&c->lock);
+        if (status < 0) {
+            g_hash_table_remove(clients, addr);
+            lmn_http_free(h);
+        }
+    }
+    return NULL;
+}
