--- a/src/cloud.c
+++ b/src/cloud.c
@@ -25,8 +25,7 @@
     return lmn_budget_take(&k->budget, 1, lmn_now()) <= 0;
 }
 
-static void read_type(struct lmn_type *t, const struct lmn_doc *d,
-                      const struct lmn_node *n)
+static void read_type(struct lmn_type *t, const struct lmn_doc *d, const struct lmn_node *n)
 {
     const struct lmn_node *zones = lmn_get(d, n, W_ZONES);
 
@@ -109,11 +108,8 @@
         g_hash_table_iter_init(&it, c->parts[i].machines);
         while (g_hash_table_iter_next(&it, NULL, &v) && names->len < 100) {
             struct lmn_machine *m = v;
-            if (m->retiring && !m->is_gone &&
-                (m->force || (lmn_machine_bare(m) && !m->in_call))) {
-                m->returning = true;
+            if (m->retiring && !m->is_gone && (m->force || (lmn_machine_bare(m) && !m->in_call)))
                 g_ptr_array_add(names, g_strdup(m->name));
-            }
         }
     }
     pthread_mutex_unlock(&c->lock);
@@ -149,9 +145,8 @@
     return m;
 }
 
-/* Reads the whole list. It lags, and may be older than the last: a machine leaves the
- * books only after it has been missing for longer than any lag, or when its return was
- * answered. */
+/* Reads the whole list. It lags, and may be older than the last: a machine leaves the books
+ * only after it has been missing for longer than any lag, or when its return was answered. */
 static bool read_list(struct cloud *k)
 {
     char after[LMN_NAME] = "", path[256];
@@ -162,8 +157,7 @@
         while (!pace(k))
             lmn_sleep(0.2);
         if (*after)
-            g_snprintf(path, sizeof path, P_MACHINES "?" Q_AFTER "=%s&" Q_LIMIT "=500",
-                       after);
+            g_snprintf(path, sizeof path, P_MACHINES "?" Q_AFTER "=%s&" Q_LIMIT "=500", after);
         else
             g_snprintf(path, sizeof path, P_MACHINES "?" Q_LIMIT "=500");
         if (lmn_http_call(k->http, "GET", path, NULL, 4.0, k->buf) != 200 ||
@@ -236,8 +230,7 @@
     if (bad->len && pace(k) && give_back(k, bad)) {
         pthread_mutex_lock(&c->lock);
         for (guint i = 0; i < bad->len; i++) {
-            struct lmn_partition *p =
-                &c->parts[lmn_partition_of(bad->pdata[i], c->nparts)];
+            struct lmn_partition *p = &c->parts[lmn_partition_of(bad->pdata[i], c->nparts)];
             struct lmn_machine *m = g_hash_table_lookup(p->machines, bad->pdata[i]);
             if (m && p->mine && !m->is_gone)
                 lmn_machine_gone(c, m, now);
@@ -265,11 +258,10 @@
         pthread_mutex_unlock(&c->lock);
         if (!go)
             return;
-        /* The lease's number is the state service's and never comes again: neither this
-         * node nor another can use the name for something else. */
-        g_snprintf(k->request, sizeof k->request,
-                   "%s-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT, c->cfg->node, lease,
-                   ++k->requests);
+        /* The lease's number is the state service's and never comes again: neither this node
+         * nor another can use the name for something else. */
+        g_snprintf(k->request, sizeof k->request, "%s-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT,
+                   c->cfg->node, lease, ++k->requests);
     }
     if (!pace(k))
         return;
@@ -324,8 +316,7 @@
     k.http = lmn_http_new(c->cfg->cloud);
     k.buf = g_byte_array_new();
     lmn_fleet_init(&k.fleet);
-    lmn_budget_init(&k.budget, c->cfg->cloud_rps * share, MAX(c->cfg->cloud_rps, 1),
-                    lmn_now());
+    lmn_budget_init(&k.budget, c->cfg->cloud_rps * share, MAX(c->cfg->cloud_rps, 1), lmn_now());
     for (;;) {
         struct timespec now = lmn_now();
         pthread_mutex_lock(&c->lock);
@@ -342,8 +333,7 @@
         }
         if (role != k.had_role) {
             /* The holder of the role lists and rents; the others only return. */
-            double rps =
-                c->cfg->cloud_rps * (role ? 0.6 : 0.35 / MAX(c->cfg->nmembers, 1));
+            double rps = c->cfg->cloud_rps * (role ? 0.6 : 0.35 / MAX(c->cfg->nmembers, 1));
             k.budget.rate = rps;
             k.budget.burst = role ? MAX(c->cfg->cloud_rps, 1) : 1;
         }
@@ -352,9 +342,8 @@
             if (lmn_since(now, k.listed) > MAX(c->cfg->list_lag_s, 3.0) && read_list(&k))
                 prune(&k);
             /* A predecessor's last rentals show in the list only after its lag. */
-            if (k.listed.tv_sec &&
-                (c->parts[0].my_term <= 1 ||
-                 lmn_since(now, k.role_since) > 2 * c->cfg->list_lag_s))
+            if (k.listed.tv_sec && (c->parts[0].my_term <= 1 ||
+                                    lmn_since(now, k.role_since) > 2 * c->cfg->list_lag_s))
                 rent(&k);
         }
         lmn_sleep(0.25);
--- a/src/core.h
+++ b/src/core.h
@@ -101,7 +101,6 @@
     bool inherited; /* recorded by an owner before us */
     bool accounted; /* has reported with our term: its tasks are as it says */
     bool is_gone;   /* the cloud has said so; only its record is left */
-    bool surplus;   /* retiring only because the demand has gone */
     bool retiring;  /* starts nothing more; returned once empty, or at once if forced */
     bool force;     /* its tasks can't be waited for */
     bool returning; /* the request is under way */
@@ -175,8 +174,6 @@
     bool types_known;
     GHashTable *gone; /* names of machines that were returned */
     struct lmn_counters count;
-    double need_any, need_ordinary; /* averages of the demand */
-    struct timespec trimmed;
 };
 
 struct lmn_core *lmn_core_new(const struct lmn_settings *cfg, struct lmn_state *state,
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -49,87 +49,6 @@
     return NULL;
 }
 
-static void need_of(const GArray *w, double *any, double *ordinary)
-{
-    *any = *ordinary = 0;
-    for (guint i = 0; i < w->len; i++) {
-        const struct want *x = &g_array_index(w, struct want, i);
-        *any += x->cpus;
-        if (!x->spec->spot)
-            *ordinary += x->cpus;
-    }
-}
-
-void lmn_fleet_need(const struct lmn_core *c, double *any, double *ordinary)
-{
-    GArray *w = wants(c);
-    need_of(w, any, ordinary);
-    g_array_free(w, TRUE);
-}
-
-static double price(const struct lmn_machine *m, const struct lmn_type *t)
-{
-    return (m->spot ? t->spot_rate : t->rate) / MAX(t->cpus, 0.1);
-}
-
-void lmn_fleet_trim(struct lmn_core *c, struct timespec now)
-{
-    double any, ordinary, have = 0, have_ordinary = 0;
-    struct lmn_machine *best = NULL, *back = NULL;
-    const struct lmn_type *best_type = NULL;
-    double dt = c->trimmed.tv_sec ? lmn_since(now, c->trimmed) : 1;
-    GHashTableIter it;
-    gpointer v;
-
-    if (dt < 1.0)
-        return;
-    c->trimmed = now;
-    lmn_fleet_need(c, &any, &ordinary);
-    /* Demand comes in bursts: what it was on average lately counts as well as what it is. */
-    double k = MIN(dt / c->tuning.idle_return_s, 1);
-    c->need_any += (any - c->need_any) * k;
-    c->need_ordinary += (ordinary - c->need_ordinary) * k;
-    any = MAX(any, c->need_any) * 1.1 + c->tuning.spare_cpus;
-    ordinary = MAX(ordinary, c->need_ordinary) * 1.1;
-    for (int i = 0; i < c->nparts; i++) {
-        g_hash_table_iter_init(&it, c->parts[i].machines);
-        while (g_hash_table_iter_next(&it, NULL, &v)) {
-            struct lmn_machine *m = v;
-            const struct lmn_type *t = type_named(c, m->type_name);
-            if (!t || !m->rev || m->is_gone)
-                continue;
-            if (m->retiring) {
-                if (m->surplus && !back && !m->force)
-                    back = m;
-                continue;
-            }
-            have += t->cpus;
-            if (!m->spot)
-                have_ordinary += t->cpus;
-            if (!c->parts[i].mine || !c->parts[i].ready || !m->accounted || m->noticed)
-                continue;
-            if (!best || price(m, t) > price(best, best_type) ||
-                (price(m, t) == price(best, best_type) && m->used_cpus < best->used_cpus)) {
-                best = m;
-                best_type = t;
-            }
-        }
-    }
-    if (back && have + 1 < any && !back->returning) {
-        lmn_info("machine-keep machine=%s partition=%d", back->name, back->part->id);
-        back->retiring = back->surplus = false;
-        return;
-    }
-    /* Every owner sees the same demand: each trims at a part of the pace. */
-    if (!best || g_rand_double(c->rng) * (double)(c->cfg->nmembers + 1) > 1.5)
-        return;
-    if (have - best_type->cpus < any ||
-        (!best->spot && have_ordinary - best_type->cpus < ordinary))
-        return;
-    lmn_machine_retire(c, best, false, "surplus", now);
-    best->surplus = true;
-}
-
 static struct lmn_refusal *refusal(struct lmn_fleet *f, const char *type, const char *zone,
                                    bool spot)
 {
@@ -206,13 +125,17 @@
                       struct timespec now)
 {
     GArray *w = wants(c);
-    double need, need_ordinary, have = 0, have_ordinary = 0;
+    double need = c->tuning.spare_cpus, need_ordinary = 0, have = 0, have_ordinary = 0;
     double best = INFINITY;
     GHashTableIter it;
     gpointer v;
 
-    need_of(w, &need, &need_ordinary);
-    need += c->tuning.spare_cpus;
+    for (guint i = 0; i < w->len; i++) {
+        const struct want *x = &g_array_index(w, struct want, i);
+        need += x->cpus;
+        if (!x->spec->spot)
+            need_ordinary += x->cpus;
+    }
     g_hash_table_iter_init(&it, f->machines);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const struct lmn_listed *m = v;
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -30,11 +30,6 @@
     unsigned count;
 };
 
-/* Processors that the open work could use now, and those of them that must be ordinary. The
- * core's lock is held. */
-void lmn_fleet_need(const struct lmn_core *c, double *any, double *ordinary);
-/* Lets go of what the demand has not needed for a while: the dearest first, after its tasks. */
-void lmn_fleet_trim(struct lmn_core *c, struct timespec now);
 void lmn_fleet_init(struct lmn_fleet *f);
 /* Whether to rent, and what. The core's lock is held. */
 bool lmn_fleet_choose(struct lmn_core *c, struct lmn_fleet *f, struct lmn_rental *r,
--- a/src/partition.c
+++ b/src/partition.c
@@ -31,7 +31,7 @@
     g_ptr_array_set_size(m->failed_jobs, 0);
     m->poke = m->in_call = false;
     m->recording = m->heard = m->accounted = m->lapsed = false;
-    m->retiring = m->force = m->noticed = m->is_gone = m->surplus = m->returning = false;
+    m->retiring = m->force = m->noticed = m->is_gone = false;
     m->inherited = m->rev != 0;
     m->session = m->seq = m->report_seq = 0;
     m->poll_s = 0;
--- a/src/service.c
+++ b/src/service.c
@@ -49,7 +49,6 @@
         struct timespec now = lmn_now();
         lmn_rank_all(core, lmn_seconds(lmn_wall()));
         lmn_upkeep(core, now);
-        lmn_fleet_trim(core, now);
         lmn_ranges_flush(core, now);
         pthread_mutex_unlock(&core->lock);
     }
