--- a/src/core.h
+++ b/src/core.h
@@ -246,6 +246,9 @@
               struct timespec now);
 /* Gives a machine's queue, or all of limbo, back to be dealt anew. */
 void lmn_redeal_machine(struct lmn_core *c, struct lmn_machine *m, struct timespec now);
+/* Whether the machine has the image, or is fetching it, as far as known. */
+bool lmn_has_image(const struct lmn_machine *m, const char *image);
+void lmn_note_image(struct lmn_machine *m, const char *image);
 bool lmn_can_hold(const struct lmn_machine *m, const struct lmn_job *j);
 /* Starts what fits on a machine that has just reported: commands go to out. */
 guint lmn_schedule(struct lmn_core *c, struct lmn_machine *m, GByteArray *out,
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -103,9 +103,15 @@
         j->ranges = g_ptr_array_new();
         j->team = team_index(c->cfg, j->spec.team);
         g_hash_table_insert(c->jobs, j->spec.ref, j);
+        lmn_debug("job-known job=%s class=%s tasks=%u cpus=%.1f estimate=%.1f deadline=%.1f image=%s",
+                  ref, j->spec.class_name, j->spec.tasks, j->spec.cpus, j->spec.estimate_s,
+                  j->spec.deadline_s, j->spec.image);
     } else {
         lmn_spec_clear(&spec); /* a job's description never changes */
     }
+    if (phase != j->phase)
+        lmn_debug("job-final job=%s phase=%d after=%.1f", ref, phase,
+                  lmn_seconds(lmn_wall()) - j->at);
     j->phase = phase;
     j->open = open;
     j->rev = rev;
--- a/src/queue.c
+++ b/src/queue.c
@@ -135,6 +135,27 @@
     }
 }
 
+bool lmn_has_image(const struct lmn_machine *m, const char *image)
+{
+    for (guint i = 0; i < m->images->len; i++)
+        if (!strcmp(m->images->pdata[i], image))
+            return true;
+    return false;
+}
+
+void lmn_note_image(struct lmn_machine *m, const char *image)
+{
+    for (guint i = 0; i < m->images->len; i++)
+        if (!strcmp(m->images->pdata[i], image)) {
+            /* The most recently used stay: those are kept at the end. */
+            g_ptr_array_insert(m->images, -1, g_ptr_array_steal_index(m->images, i));
+            return;
+        }
+    if (m->images->len == 16)
+        g_ptr_array_remove_index(m->images, 0);
+    g_ptr_array_add(m->images, g_strdup(image));
+}
+
 bool lmn_can_hold(const struct lmn_machine *m, const struct lmn_job *j)
 {
     return m->type && m->accounted && m->rev && !m->retiring && !m->noticed && !m->lapsed &&
@@ -156,6 +177,21 @@
     return n > 0 ? (uint32_t)n : 0;
 }
 
+/* How badly a machine suits a job that it could hold: ordinary machines are dear, and some work
+ * can run nowhere else; an image that is missing has to be fetched first. */
+static int unfit(const struct lmn_machine *m, const struct lmn_job *j)
+{
+    return (j->spec.spot && !m->spot ? 2 : 0) + !lmn_has_image(m, j->spec.image);
+}
+
+static void deal_to(struct lmn_machine *m, struct lmn_range *r, uint32_t lo, uint32_t hi,
+                    struct timespec now)
+{
+    lmn_queue_add(&m->queue, r, lo, hi);
+    m->poll_s = 0; /* new work resets the interval */
+    m->next_steal = now;
+}
+
 void lmn_deal(struct lmn_core *c, struct lmn_range *r, uint32_t lo, uint32_t hi,
               struct timespec now)
 {
@@ -175,33 +211,28 @@
         g_ptr_array_free(able, TRUE);
         return;
     }
-    /* Round robin: first what each has room for, then one each a turn. */
-    bool roomy = true;
-    while (lo < hi) {
-        uint32_t before = lo;
+    /* Round robin: first over what has room, the fittest kinds of machine before the others; then
+     * one each a turn. */
+    for (int kind = 0; kind <= 3 && lo < hi; kind++)
         for (guint i = 0; i < able->len && lo < hi; i++) {
             struct lmn_machine *m = able->pdata[(p->rr + i) % able->len];
-            uint32_t n = 1;
-            if (roomy) {
-                uint32_t has = room(m, &r->job->spec);
-                n = has > m->queue.tasks ? has - m->queue.tasks : 0;
-            }
-            n = MIN(n, hi - lo);
+            if (unfit(m, r->job) != kind)
+                continue;
+            uint32_t has = room(m, &r->job->spec);
+            uint32_t n = MIN(has > m->queue.tasks ? has - m->queue.tasks : 0, hi - lo);
             if (!n)
                 continue;
-            lmn_queue_add(&m->queue, r, lo, lo + n);
-            if (roomy) {
-                m->poke = true;
-                pthread_cond_broadcast(&c->poked);
-            }
-            m->poll_s = 0; /* new work resets the interval */
-            m->next_steal = now;
+            deal_to(m, r, lo, lo + n, now);
+            m->poke = true;
+            pthread_cond_broadcast(&c->poked);
             lo += n;
         }
-        if (lo == before)
-            roomy = false;
-        p->rr++;
-    }
+    p->rr++;
+    while (lo < hi)
+        for (guint i = 0; i < able->len && lo < hi; i++) {
+            deal_to(able->pdata[(p->rr + i) % able->len], r, lo, lo + 1, now);
+            lo++;
+        }
     g_ptr_array_free(able, TRUE);
 }
 
@@ -277,6 +308,7 @@
     s->range->st[a.index - s->range->lo] = LMN_T_STARTED;
     s->range->nstarted++;
     lmn_attempt_count(m, &a);
+    lmn_note_image(m, a.job->spec.image);
     g_array_append_val(m->attempts, a);
     c->count.starts++;
     char task[LMN_REF + 16];
