--- a/src/queue.c
+++ b/src/queue.c
@@ -192,6 +192,23 @@
     m->next_steal = now;
 }
 
+/* The job being dealt, for the comparison below; the core's lock is held. */
+static const struct lmn_job *deal_job;
+
+static gint by_fitness(gconstpointer a, gconstpointer b)
+{
+    const struct lmn_machine *x = *(struct lmn_machine *const *)a;
+    const struct lmn_machine *y = *(struct lmn_machine *const *)b;
+    int ux = unfit(x, deal_job), uy = unfit(y, deal_job);
+    double fx = x->type->cpus - x->used_cpus, fy = y->type->cpus - y->used_cpus;
+
+    if (ux != uy)
+        return ux - uy;
+    if (fx != fy)
+        return fx < fy ? -1 : 1;
+    return strcmp(x->name, y->name);
+}
+
 void lmn_deal(struct lmn_core *c, struct lmn_range *r, uint32_t lo, uint32_t hi,
               struct timespec now)
 {
@@ -211,22 +228,21 @@
         g_ptr_array_free(able, TRUE);
         return;
     }
-    /* Round robin: first over what has room, the fittest kinds of machine before the others; then
-     * one each a turn. */
-    for (int kind = 0; kind <= 3 && lo < hi; kind++)
-        for (guint i = 0; i < able->len && lo < hi; i++) {
-            struct lmn_machine *m = able->pdata[(p->rr + i) % able->len];
-            if (unfit(m, r->job) != kind)
-                continue;
-            uint32_t has = room(m, &r->job->spec);
-            uint32_t n = MIN(has > m->queue.tasks ? has - m->queue.tasks : 0, hi - lo);
-            if (!n)
-                continue;
-            deal_to(m, r, lo, lo + n, now);
-            m->poke = true;
-            pthread_cond_broadcast(&c->poked);
-            lo += n;
-        }
+    /* First what has room: the fittest kind of machine, and of these the fullest, so that large
+     * tasks find whole machines and idle ones can go. Then round robin, one each a turn. */
+    deal_job = r->job;
+    g_ptr_array_sort(able, by_fitness);
+    for (guint i = 0; i < able->len && lo < hi; i++) {
+        struct lmn_machine *m = able->pdata[i];
+        uint32_t has = room(m, &r->job->spec);
+        uint32_t n = MIN(has > m->queue.tasks ? has - m->queue.tasks : 0, hi - lo);
+        if (!n)
+            continue;
+        deal_to(m, r, lo, lo + n, now);
+        m->poke = true;
+        pthread_cond_broadcast(&c->poked);
+        lo += n;
+    }
     p->rr++;
     while (lo < hi)
         for (guint i = 0; i < able->len && lo < hi; i++) {
