--- a/src/core.h
+++ b/src/core.h
@@ -46,7 +46,7 @@
     char *key;
     uint8_t *done; /* as recorded */
     uint32_t ndone;
-    uint64_t rev;
+    uint64_t rev, born; /* of its last write, and of its first */
     uint32_t gen;
     /* the owner's: one lmn_task_state a task; NULL if not owned */
     uint8_t *st;
@@ -107,6 +107,8 @@
     bool noticed;
     double notice_s;
     bool poke, in_call;
+    unsigned probes; /* without an answer, since the takeover */
+    struct timespec next_probe;
     uint64_t session, seq, report_seq;
     struct timespec first, last, idle, noticed_at, retired_at, retry;
     GArray *attempts; /* struct lmn_attempt */
@@ -220,6 +222,9 @@
 void lmn_range_free(struct lmn_range *r);
 /* Takes a range into the owner's books. */
 void lmn_range_open(struct lmn_core *c, struct lmn_range *r);
+/* Whether its queued tasks may start: an inherited range's only once every machine that may hold
+ * them is accounted for; one that is younger than our ownership was never a predecessor's. */
+bool lmn_range_free_to_start(const struct lmn_range *r);
 /* Nothing refers to the range any more. */
 void lmn_range_forget(struct lmn_core *c, struct lmn_range *r);
 void lmn_task_requeue(struct lmn_core *c, struct lmn_range *r, uint32_t index,
@@ -294,6 +299,11 @@
 /* What became of it. */
 void lmn_direct_outcome(struct lmn_core *c, const char *name, int status, const GByteArray *answer,
                         struct timespec now);
+/* The same for machines of a partition just taken over, which are asked what they hold. */
+bool lmn_probe_next(struct lmn_core *c, unsigned lane, unsigned lanes, char *name, char *addr,
+                    uint64_t *term, struct timespec now);
+void lmn_probe_outcome(struct lmn_core *c, const char *name, uint64_t term, int status,
+                       const GByteArray *answer, struct timespec now);
 /* A lane of direct commands (a thread). */
 void *lmn_direct_thread(void *lane);
 struct lmn_lane {
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -161,6 +161,7 @@
         r->hi = (uint32_t)hi;
         r->done = g_malloc0((r->hi - r->lo + 7) / 8);
         r->move_to = -1;
+        r->born = rev;
         g_hash_table_insert(p->ranges, r->key, r);
         g_ptr_array_add(j->ranges, r);
     }
@@ -178,7 +179,7 @@
         lmn_move_undo(c, r, now);
     if (fresh && p->mine) {
         lmn_range_open(c, r);
-        if (p->ready)
+        if (lmn_range_free_to_start(r))
             lmn_deal(c, r, r->lo, r->hi, now);
     }
 }
--- a/src/partition.c
+++ b/src/partition.c
@@ -30,6 +30,8 @@
     g_array_set_size(m->attempts, 0);
     g_ptr_array_set_size(m->failed_jobs, 0);
     m->poke = m->in_call = false;
+    m->probes = 0;
+    m->next_probe = (struct timespec){0, 0};
     m->recording = m->heard = m->accounted = m->lapsed = false;
     m->retiring = m->force = m->noticed = m->is_gone = false;
     m->inherited = m->rev != 0;
@@ -58,9 +60,11 @@
     g_hash_table_iter_init(&it, p->ranges);
     while (g_hash_table_iter_next(&it, NULL, &v))
         lmn_range_open(c, v);
-    lmn_info("partition-own partition=%d term=%" G_GUINT64_FORMAT " machines=%u ranges=%u", p->id,
-             p->my_term, g_hash_table_size(p->machines), g_hash_table_size(p->ranges));
+    lmn_info(
+        "partition-own partition=%d term=%" G_GUINT64_FORMAT " machines=%u ranges=%u",
+        p->id, p->my_term, g_hash_table_size(p->machines), g_hash_table_size(p->ranges));
     lmn_partition_check(c, p, now);
+    pthread_cond_broadcast(&c->poked);
 }
 
 void lmn_partition_lose(struct lmn_core *c, struct lmn_partition *p, const char *why)
@@ -110,7 +114,9 @@
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         struct lmn_range *r = v;
         uint32_t n = r->hi - r->lo;
-        if (r->job->phase != LMN_ACTIVE)
+        /* What could start early is dealt already. */
+        if (r->job->phase != LMN_ACTIVE ||
+            (r->born > p->my_rev && !r->job->spec.one_zone && !r->job->spec.spread))
             continue;
         for (uint32_t i = 0; i < n;) {
             uint32_t k = i;
@@ -208,12 +214,14 @@
 }
 
 /* Whether this node should try to own the partition now. Pure but for the mirror. */
-static bool wanted(const struct lmn_core *c, const struct lmn_partition *p, struct timespec now)
+static bool wanted(const struct lmn_core *c, const struct lmn_partition *p,
+                   struct timespec now)
 {
     int n = (int)c->cfg->nmembers + 1, me = lmn_settings_rank(c->cfg, c->cfg->node);
     int ahead = 0;
 
-    if (p->owner_rev) /* only one process runs for a member: what our last one held is ours */
+    if (p->owner_rev) /* only one process runs for a member: what our last one held is
+                         ours */
         return !strcmp(p->owner, c->cfg->node) && p->owner_lease != c->lease;
     if (p->id % n == me)
         return true;
@@ -254,11 +262,12 @@
     lmn_txn_write(t, key, v, 0);
     enum lmn_outcome r = lmn_state_send(c->state, h->http, t, &rev, NULL);
     lmn_txn_free(t);
-    lmn_info("partition-claim partition=%d term=%" G_GUINT64_FORMAT " outcome=%d", id, term, r);
+    lmn_info("partition-claim partition=%d term=%" G_GUINT64_FORMAT " outcome=%d", id,
+             term, r);
 }
 
-/* A partition that another member should hold goes back to it once that one has been up for a
- * while. */
+/* A partition that another member should hold goes back to it once that one has been up
+ * for a while. */
 static void hand_over(struct holder *h, int id)
 {
     struct lmn_core *c = h->c;
@@ -269,9 +278,16 @@
     uint64_t rev = 0;
 
     pthread_mutex_lock(&c->lock);
-    bool go = p->mine && p->ready && owner != lmn_settings_rank(c->cfg, c->cfg->node) &&
-              c->peers[owner].alive && lmn_since(now, c->peers[owner].since) > 6.0 &&
-              lmn_since(now, p->since) > 6.0;
+    int held = 0, theirs = 0;
+    for (int i = 0; i < c->nparts; i++) {
+        held += c->parts[i].mine;
+        theirs += lmn_settings_rank(c->cfg, c->parts[i].owner) == owner &&
+                  c->parts[i].owner_rev;
+    }
+    bool go = p->mine && p->ready && held > 1 && !theirs && c->peers[owner].alive &&
+              owner != lmn_settings_rank(c->cfg, c->cfg->node) &&
+              lmn_since(now, c->peers[owner].since) > 15.0 &&
+              lmn_since(now, p->since) > 15.0;
     if (go)
         p->releasing = true;
     uint64_t my_rev = p->my_rev;
@@ -296,8 +312,8 @@
     struct lmn_core *c = arg;
     struct holder h = {.c = c};
 
-    /* Short enough that a successor answers a crashed owner's workers within their lease, long
-     * enough for the stalls of a small share of a core. */
+    /* Short enough that a successor answers a crashed owner's workers within their lease,
+     * long enough for the stalls of a small share of a core. */
     h.ttl = CLAMP(0.4 * c->cfg->lease_s, 2.0, 8.0);
     h.http = lmn_http_new(c->cfg->state);
     h.buf = g_byte_array_new();
--- a/src/queue.c
+++ b/src/queue.c
@@ -259,7 +259,7 @@
     lmn_queue_init(&m->queue);
     for (guint i = 0; i < old.segs->len; i++) {
         struct lmn_seg *s = old.segs->pdata[i];
-        if (m->part->ready)
+        if (lmn_range_free_to_start(s->range))
             lmn_deal(c, s->range, s->lo, s->hi, now);
     }
     lmn_queue_clear(&old);
@@ -275,6 +275,22 @@
         return false;
     const struct lmn_team *t = &c->cfg->teams[j->team];
     double cpus = t->cpus_max / c->nparts, gpus = t->gpus_max / c->nparts;
+    GHashTableIter it;
+    gpointer v;
+
+    /* A machine that is not accounted for may be full of this team's tasks. */
+    if (!p->ready && (t->cpus_max > 0 || t->gpus_max > 0)) {
+        g_hash_table_iter_init(&it, p->machines);
+        while (g_hash_table_iter_next(&it, NULL, &v)) {
+            const struct lmn_machine *m = v;
+            if (!m->inherited || m->accounted)
+                continue;
+            if (!m->type)
+                return false;
+            cpus -= m->type->cpus;
+            gpus -= m->type->gpus;
+        }
+    }
 
     if (t->cpus_max > 0 && p->used_cpus[j->team] + j->spec.cpus > cpus + 1e-6)
         return false;
@@ -488,7 +504,7 @@
     guint n;
 
     m->hungry = false;
-    if (!p->ready || p->releasing || !m->accounted || !m->rev || m->retiring || m->noticed ||
+    if (p->releasing || !m->accounted || !m->rev || m->retiring || m->noticed ||
         !m->type)
         return 0;
     n = start_own(c, m, out, now);
--- a/src/range.c
+++ b/src/range.c
@@ -1,5 +1,5 @@
-/* An owner's books: which task of a range is queued, started or done, and what its machines
- * hold. */
+/* An owner's books: which task of a range is queued, started or done, and what its
+ * machines hold. */
 #include "core.h"
 #include "log.h"
 
@@ -88,6 +88,18 @@
             r->st[i] = LMN_T_DONE;
 }
 
+bool lmn_range_free_to_start(const struct lmn_range *r)
+{
+    const struct lmn_partition *p = r->part;
+
+    if (p->ready)
+        return true;
+    /* A predecessor sees the changes in their order: before such a range it saw that it
+     * had lost the partition. Tasks that look at each other's places wait all the same.
+     */
+    return r->born > p->my_rev && !r->job->spec.one_zone && !r->job->spec.spread;
+}
+
 void lmn_range_forget(struct lmn_core *c, struct lmn_range *r)
 {
     struct lmn_partition *p = r->part;
@@ -116,7 +128,7 @@
         return;
     r->st[index - r->lo] = LMN_T_QUEUED;
     r->nstarted--;
-    if (r->part->ready && r->job->phase == LMN_ACTIVE)
+    if (lmn_range_free_to_start(r) && r->job->phase == LMN_ACTIVE)
         lmn_deal(c, r, index, index + 1, now);
 }
 
@@ -144,7 +156,8 @@
         struct lmn_attempt *a = &g_array_index(old, struct lmn_attempt, i);
         lmn_attempt_uncount(m, a);
         if (a->state != LMN_A_ENDED) {
-            lmn_debug("task-lost task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s why=\"%s\"",
+            lmn_debug("task-lost task=%s/%u attempt=%" G_GUINT64_FORMAT
+                      " machine=%s why=\"%s\"",
                       a->ref, a->index, a->number, m->name, why);
             lmn_task_requeue(c, a->range, a->index, now);
         }
@@ -152,14 +165,14 @@
     g_array_free(old, TRUE);
 }
 
-void lmn_machine_retire(struct lmn_core *c, struct lmn_machine *m, bool force, const char *why,
-                        struct timespec now)
+void lmn_machine_retire(struct lmn_core *c, struct lmn_machine *m, bool force,
+                        const char *why, struct timespec now)
 {
     m->force = m->force || force;
     if (m->retiring)
         return;
-    lmn_info("machine-retire machine=%s partition=%d force=%d why=\"%s\"", m->name, m->part->id,
-             force, why);
+    lmn_info("machine-retire machine=%s partition=%d force=%d why=\"%s\"", m->name,
+             m->part->id, force, why);
     m->retiring = true;
     m->retired_at = now;
     lmn_redeal_machine(c, m, now);
@@ -186,7 +199,8 @@
     char ref[LMN_REF];
 };
 
-static void range_written(void *arg, struct lmn_txn *t, enum lmn_outcome outcome, uint64_t rev)
+static void range_written(void *arg, struct lmn_txn *t, enum lmn_outcome outcome,
+                          uint64_t rev)
 {
     struct write_ref *w = arg;
     struct lmn_core *c = w->c;
@@ -203,7 +217,8 @@
             if (r->rev >= rev)
                 r->writing = false;
         } else {
-            /* Nothing is lost by another try: each is conditional on what the mirror shows. */
+            /* Nothing is lost by another try: each is conditional on what the mirror
+             * shows. */
             r->writing = false;
             r->retry = lmn_after(lmn_now(), outcome == LMN_CONFLICT ? 0.1 : 0.4);
             /* A move is off only if it surely was not, and never will be, applied. */
@@ -218,7 +233,8 @@
     g_free(w);
 }
 
-static struct lmn_txn *owner_txn(struct lmn_core *c, struct lmn_range *r, enum lmn_rank rank)
+static struct lmn_txn *owner_txn(struct lmn_core *c, struct lmn_range *r,
+                                 enum lmn_rank rank)
 {
     char key[64];
     struct write_ref *w = g_new0(struct write_ref, 1);
@@ -236,8 +252,8 @@
     return t;
 }
 
-/* Moves the tasks from move_at on: one write, conditional on this owner, the range and, since a
- * split opens one range more, the job. */
+/* Moves the tasks from move_at on: one write, conditional on this owner, the range and,
+ * since a split opens one range more, the job. */
 static void move_range(struct lmn_core *c, struct lmn_range *r)
 {
     const struct lmn_job *j = r->job;
@@ -266,7 +282,8 @@
     lmn_state_submit(c->state, t);
 }
 
-static void flush_range(struct lmn_core *c, struct lmn_range *r, bool lazy, struct timespec now)
+static void flush_range(struct lmn_core *c, struct lmn_range *r, bool lazy,
+                        struct timespec now)
 {
     struct lmn_job *j = r->job;
     uint32_t n = r->hi - r->lo;
@@ -322,7 +339,8 @@
     bool remove;
 };
 
-static void machine_written(void *arg, struct lmn_txn *t, enum lmn_outcome outcome, uint64_t rev)
+static void machine_written(void *arg, struct lmn_txn *t, enum lmn_outcome outcome,
+                            uint64_t rev)
 {
     struct record_ref *w = arg;
     struct lmn_core *c = w->c;
@@ -339,8 +357,8 @@
     g_free(w);
 }
 
-/* Before the first start on a machine its record must stand, so that a successor knows that it
- * has to ask there. */
+/* Before the first start on a machine its record must stand, so that a successor knows
+ * that it has to ask there. */
 static void write_machine(struct lmn_core *c, struct lmn_machine *m, struct timespec now)
 {
     char key[160];
@@ -396,6 +414,21 @@
     return n;
 }
 
+static bool silent_majority(const struct lmn_partition *p)
+{
+    guint silent = 0, all = 0;
+    GHashTableIter it;
+    gpointer v;
+
+    g_hash_table_iter_init(&it, p->machines);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const struct lmn_machine *m = v;
+        all += m->inherited;
+        silent += m->inherited && !m->accounted;
+    }
+    return silent > 2 && 2 * silent > all;
+}
+
 static void upkeep_machine(struct lmn_core *c, struct lmn_machine *m, struct timespec now)
 {
     const struct lmn_settings *cfg = c->cfg;
@@ -404,19 +437,26 @@
 
     if (m->is_gone)
         return;
-    /* Counted from the last report that we may have answered, with the clocks' drift and our
-     * own lateness allowed for: then the worker has ended everything by itself. Only so
-     * within our own term: before, a predecessor may have answered it later than we know. */
+    /* Counted from the last report that we may have answered, with the clocks' drift and
+     * our own lateness allowed for: then the worker has ended everything by itself. Only
+     * so within our own term: before, a predecessor may have answered it later than we
+     * know. */
     if (m->accounted && !m->lapsed && silent > cfg->lease_s * 1.002 + 1.5) {
         m->lapsed = true;
-        lmn_info("machine-lapsed machine=%s partition=%d tasks=%u", m->name, p->id, busy(m));
+        lmn_info("machine-lapsed machine=%s partition=%d tasks=%u", m->name, p->id,
+                 busy(m));
         lmn_machine_empty(c, m, "lease lapsed", now);
     }
     if (m->lapsed && silent > cfg->lease_s + 12)
         lmn_machine_retire(c, m, true, "silent", now);
     if (m->noticed && silent > 2.5 * cfg->report_s + 1)
         lmn_machine_retire(c, m, true, "taken by the cloud", now);
-    if (m->inherited && !m->accounted && silent > cfg->lease_s + 8)
+    /* Neither its worker's reports nor our own questions got through. If that goes for
+     * most of them, the fault is more likely on this side: then the leases have to run
+     * out first. */
+    double patience = silent_majority(p) ? cfg->lease_s + 8 : 2 * cfg->report_s + 3;
+    if (m->inherited && !m->accounted && silent > patience &&
+        (m->probes >= 2 || silent > cfg->lease_s))
         lmn_machine_retire(c, m, true, "not heard under the new term", now);
     if (m->accounted && !m->retiring && m->idle.tv_sec &&
         lmn_since(now, m->idle) > c->tuning.idle_return_s && !m->queue.tasks)
--- a/src/worker.c
+++ b/src/worker.c
@@ -2,6 +2,7 @@
 #include "core.h"
 #include "http_client.h"
 #include "log.h"
+#include "thread.h"
 #include "wire.h"
 
 #include <stdlib.h>
@@ -21,7 +22,8 @@
 
     memset(r, 0, sizeof *r);
     if (!lmn_text(lmn_get(d, m, W_MACHINE), r->name, sizeof r->name) || !*r->name ||
-        strpbrk(r->name, " /") || !lmn_text(lmn_get(d, m, W_ADDR), r->addr, sizeof r->addr) ||
+        strpbrk(r->name, " /") ||
+        !lmn_text(lmn_get(d, m, W_ADDR), r->addr, sizeof r->addr) ||
         !lmn_text(lmn_get(d, m, W_TYPE), r->type, sizeof r->type) ||
         !lmn_text(lmn_get(d, m, W_ZONE), r->zone, sizeof r->zone) ||
         !lmn_count(lmn_get(d, m, W_SESSION), &r->session) ||
@@ -45,7 +47,8 @@
     return LMN_A_RUNNING;
 }
 
-static void command(GByteArray *out, const char *op, const struct lmn_attempt *a, double grace)
+static void command(GByteArray *out, const char *op, const struct lmn_attempt *a,
+                    double grace)
 {
     char task[LMN_REF + 16];
 
@@ -69,7 +72,8 @@
     return NULL;
 }
 
-static struct lmn_range *range_of(struct lmn_partition *p, struct lmn_job *j, uint32_t index)
+static struct lmn_range *range_of(struct lmn_partition *p, struct lmn_job *j,
+                                  uint32_t index)
 {
     for (guint i = 0; j && i < j->ranges->len; i++) {
         struct lmn_range *r = j->ranges->pdata[i];
@@ -80,11 +84,12 @@
 }
 
 /* A task that we did not start in this term: a predecessor's. */
-static struct lmn_attempt *adopt(struct lmn_core *c, struct lmn_machine *m, const char *ref,
-                                 uint32_t index, uint64_t number, enum lmn_attempt_state state,
-                                 struct timespec now)
+static struct lmn_attempt *adopt(struct lmn_core *c, struct lmn_machine *m,
+                                 const char *ref, uint32_t index, uint64_t number,
+                                 enum lmn_attempt_state state, struct timespec now)
 {
-    struct lmn_attempt a = {.index = index, .number = number, .state = state, .since = now};
+    struct lmn_attempt a = {
+        .index = index, .number = number, .state = state, .since = now};
 
     g_strlcpy(a.ref, ref, sizeof a.ref);
     a.job = g_hash_table_lookup(c->jobs, ref);
@@ -97,8 +102,9 @@
         } else {
             a.range = NULL; /* done, closed or started elsewhere: it has to go */
         }
-        lmn_debug("task-adopt task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s known=%d", ref,
-                  index, number, m->name, a.range != NULL);
+        lmn_debug("task-adopt task=%s/%u attempt=%" G_GUINT64_FORMAT
+                  " machine=%s known=%d",
+                  ref, index, number, m->name, a.range != NULL);
     }
     g_array_append_val(m->attempts, a);
     return &g_array_index(m->attempts, struct lmn_attempt, m->attempts->len - 1);
@@ -109,8 +115,8 @@
 {
     if (!j)
         return;
-    /* A job that fails everywhere is held back by itself; a machine on which different jobs
-     * fail one after the other empties queues into failures, and goes. */
+    /* A job that fails everywhere is held back by itself; a machine on which different
+     * jobs fail one after the other empties queues into failures, and goes. */
     j->errors++;
     j->hold = lmn_after(now, MIN(60.0, 0.5 * (double)(1u << MIN(j->errors, 7u))));
     if (!g_ptr_array_find(m->failed_jobs, j, NULL))
@@ -138,8 +144,9 @@
             lmn_task_finished(r, a->index, now);
         return;
     }
-    lmn_debug("task-ended task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s why=%.*s", a->ref,
-              a->index, a->number, m->name, why ? (int)why->len : 0, why ? why->s : "");
+    lmn_debug("task-ended task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s why=%.*s",
+              a->ref, a->index, a->number, m->name, why ? (int)why->len : 0,
+              why ? why->s : "");
     if (lmn_is(why, W_FAILED) || lmn_is(why, W_NO_SUCH))
         blame(c, m, a->job, now);
     a->range = NULL;
@@ -184,7 +191,8 @@
         if (a->job && state != LMN_A_ENDED)
             lmn_note_image(m, a->job->spec.image);
         if (state == LMN_A_ENDED) {
-            if (a->state != LMN_A_ENDED || (!a->done && lmn_is(lmn_get(d, n, W_WHY), W_DONE)))
+            if (a->state != LMN_A_ENDED ||
+                (!a->done && lmn_is(lmn_get(d, n, W_WHY), W_DONE)))
                 ended(c, m, a, d, n, now);
         } else {
             a->state = state;
@@ -192,7 +200,8 @@
     }
 }
 
-static void vanish(struct lmn_core *c, struct lmn_machine *m, guint i, struct timespec now)
+static void vanish(struct lmn_core *c, struct lmn_machine *m, guint i,
+                   struct timespec now)
 {
     struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
     struct lmn_attempt gone = *a;
@@ -200,21 +209,22 @@
     lmn_attempt_uncount(m, a);
     g_array_remove_index_fast(m->attempts, i);
     if (gone.state != LMN_A_ENDED) {
-        lmn_debug("task-vanished task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s", gone.ref,
-                  gone.index, gone.number, m->name);
+        lmn_debug("task-vanished task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s",
+                  gone.ref, gone.index, gone.number, m->name);
         lmn_task_requeue(c, gone.range, gone.index, now);
     }
 }
 
-static guint settle_tasks(struct lmn_core *c, struct lmn_machine *m, const struct lmn_doc *d,
-                          const struct lmn_node *tasks, GByteArray *out, struct timespec now)
+static guint settle_tasks(struct lmn_core *c, struct lmn_machine *m,
+                          const struct lmn_doc *d, const struct lmn_node *tasks,
+                          GByteArray *out, struct timespec now)
 {
     guint commands = 0;
 
     read_tasks(c, m, d, tasks, now);
     /* What a newer report does not name is not there: the worker had dealt with our last
-     * answer, or had given it up, before it wrote this one. Commands sent straight to it are
-     * another matter: they travel by themselves, and may arrive minutes late. */
+     * answer, or had given it up, before it wrote this one. Commands sent straight to it
+     * are another matter: they travel by themselves, and may arrive minutes late. */
     for (guint i = m->attempts->len; i-- > 0;) {
         const struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
         if (!a->seen && !a->direct && !(a->unsure && !a->listed))
@@ -226,14 +236,14 @@
         if (a->direct)
             continue;
         if (a->unsure && !a->listed) {
-            /* The same start by the way that can't be late: then it is surely there, and its
-             * late twin changes nothing. */
+            /* The same start by the way that can't be late: then it is surely there, and
+             * its late twin changes nothing. */
             command(out, W_START, a, -1);
             commands++;
         }
         if (a->state == LMN_A_ENDED) {
-            /* A result may be forgotten only once it is recorded; and an attempt whose start
-             * may still arrive must stay known, or that would start it anew. */
+            /* A result may be forgotten only once it is recorded; and an attempt whose
+             * start may still arrive must stay known, or that would start it anew. */
             bool recorded = !a->done || !live || !a->range ||
                             lmn_bit(a->range->done, a->index - a->range->lo);
             if (recorded && !a->unsure) {
@@ -247,8 +257,8 @@
                 a->killed = true;
                 c->count.kills++;
             }
-        } else if (m->noticed && a->state == LMN_A_RUNNING && a->job->spec.checkpoint_s > 0 &&
-                   !a->killed) {
+        } else if (m->noticed && a->state == LMN_A_RUNNING &&
+                   a->job->spec.checkpoint_s > 0 && !a->killed) {
             double left = m->notice_s - lmn_since(now, m->noticed_at);
             if (left < a->job->spec.save_s + 2 * c->cfg->report_s + 1) {
                 command(out, W_KILL, a, a->job->spec.save_s + 1);
@@ -260,7 +270,8 @@
     return commands;
 }
 
-static int redirect(const struct lmn_core *c, const struct lmn_partition *p, GByteArray *out)
+static int redirect(const struct lmn_core *c, const struct lmn_partition *p,
+                    GByteArray *out)
 {
     if (!*p->owner || !strcmp(p->owner, c->cfg->node))
         return 503;
@@ -276,8 +287,8 @@
     double margin = MAX(1.0, 0.05 * c->cfg->cancel_s);
 
     c->count.reports++;
-    /* A node that may have missed a cancellation must let its workers' leases run out in time:
-     * the last answer, a lease, and all of it within cancel_s. */
+    /* A node that may have missed a cancellation must let its workers' leases run out in
+     * time: the last answer, a lease, and all of it within cancel_s. */
     if (!c->synced || lmn_staleness(c, now) > c->cfg->cancel_s - c->cfg->lease_s - margin)
         return 503;
     if (!p->mine)
@@ -289,13 +300,13 @@
         m = lmn_machine_new(p, r->name);
         m->first = now;
         m->gen = c->gen;
-        lmn_info("machine-new machine=%s partition=%d type=%s zone=%s spot=%d", r->name, p->id,
-                 r->type, r->zone, r->spot);
+        lmn_info("machine-new machine=%s partition=%d type=%s zone=%s spot=%d", r->name,
+                 p->id, r->type, r->zone, r->spot);
     }
     if (m->is_gone)
         return 503;
-    if (m->heard &&
-        (r->session < m->session || (r->session == m->session && r->seq <= m->report_seq)))
+    if (m->heard && (r->session < m->session ||
+                     (r->session == m->session && r->seq <= m->report_seq)))
         return 503; /* it was overtaken on its way */
     if (m->lapsed && r->session == m->session)
         return 503; /* its tasks are given up: the session has to end */
@@ -308,7 +319,8 @@
     for (size_t i = 0; !m->type && i < c->types.n; i++)
         if (!strcmp(c->types.v[i].name, m->type_name))
             m->type = &c->types.v[i];
-    /* Overtaken by the answer to a direct command: it renews the lease, and says nothing new. */
+    /* Overtaken by the answer to a direct command: it renews the lease, and says nothing
+     * new. */
     bool overtaken = m->heard && r->session == m->session && r->seq <= m->seq;
     if (m->heard && r->session != m->session)
         /* Commands to the old session are refused from now on. */
@@ -332,12 +344,14 @@
 
     GByteArray *commands = g_byte_array_new();
     guint n = 0;
-    /* Only a report that was written after the worker had seen our term tells what is there
-     * for good: an older one may have been overtaken by a predecessor's commands. */
+    /* Only a report that was written after the worker had seen our term tells what is
+     * there for good: an older one may have been overtaken by a predecessor's commands.
+     */
     if (r->token == p->my_term && !overtaken) {
         if (!m->accounted) {
             m->accounted = true;
-            lmn_debug("machine-accounted machine=%s term=%" G_GUINT64_FORMAT, m->name, p->my_term);
+            lmn_debug("machine-accounted machine=%s term=%" G_GUINT64_FORMAT, m->name,
+                      p->my_term);
         }
         n += settle_tasks(c, m, d, r->tasks, commands, now);
         lmn_partition_check(c, p, now);
@@ -376,14 +390,94 @@
 
 /* --- commands sent straight to the worker --- */
 
-bool lmn_direct_next(struct lmn_core *c, unsigned lane, unsigned lanes, char *name, char *addr,
-                     GByteArray *body, struct timespec now)
+bool lmn_probe_next(struct lmn_core *c, unsigned lane, unsigned lanes, char *name,
+                    char *addr, uint64_t *term, struct timespec now)
 {
     GHashTableIter it;
     gpointer v;
 
     for (int i = 0; i < c->nparts; i++) {
-        if (!c->parts[i].mine || !c->parts[i].ready)
+        if (!c->parts[i].mine || c->parts[i].ready)
+            continue;
+        g_hash_table_iter_init(&it, c->parts[i].machines);
+        while (g_hash_table_iter_next(&it, NULL, &v)) {
+            struct lmn_machine *m = v;
+            if (!m->inherited || m->accounted || m->is_gone ||
+                lmn_before(now, m->next_probe) || g_str_hash(m->name) % lanes != lane)
+                continue;
+            m->next_probe = lmn_after(now, 1.0 + 0.5 * MIN(m->probes, 6u));
+            g_strlcpy(name, m->name, LMN_NAME);
+            g_strlcpy(addr, m->addr, LMN_ADDR);
+            *term = c->parts[i].my_term;
+            return true;
+        }
+    }
+    return false;
+}
+
+void lmn_probe_outcome(struct lmn_core *c, const char *name, uint64_t term, int status,
+                       const GByteArray *answer, struct timespec now)
+{
+    struct lmn_partition *p = &c->parts[lmn_partition_of(name, c->nparts)];
+    struct lmn_machine *m = g_hash_table_lookup(p->machines, name);
+    struct lmn_doc d;
+    struct report r;
+
+    if (!m || !p->mine || p->my_term != term || m->accounted || m->is_gone)
+        return;
+    m->probes++;
+    if (status != 200 || lmn_doc_parse(&d, answer->data, answer->len) != 0)
+        return;
+    /* Written after the worker had taken our term: whatever a predecessor sends comes too
+     * late. Its lease was renewed before now, if by anyone else. */
+    if (read_report(&r, &d) && r.token == term && !strcmp(r.name, m->name) &&
+        !(m->heard &&
+          (r.session < m->session || (r.session == m->session && r.seq <= m->seq)))) {
+        if (!m->heard || r.session > m->session)
+            m->report_seq = 0;
+        m->heard = m->accounted = true;
+        m->session = r.session;
+        m->seq = r.seq;
+        m->last = now;
+        for (size_t i = 0; !m->type && i < c->types.n; i++)
+            if (!strcmp(c->types.v[i].name, m->type_name))
+                m->type = &c->types.v[i];
+        lmn_debug("machine-accounted machine=%s term=%" G_GUINT64_FORMAT " by=probe",
+                  m->name, term);
+        read_tasks(c, m, &d, r.tasks, now);
+        lmn_partition_check(c, p, now);
+    }
+    lmn_doc_free(&d);
+}
+
+/* Asks a machine of a partition just taken over what it holds: first for its session,
+ * then, by a direct message without commands, for a report under the new term. */
+static int probe(struct lmn_http *h, uint64_t term, GByteArray *body, GByteArray *answer)
+{
+    struct lmn_doc d;
+    uint64_t session = 0;
+    int status = lmn_http_call(h, "GET", P_SHOW, NULL, 1.0, answer);
+
+    if (status != 200 || lmn_doc_parse(&d, answer->data, answer->len) != 0)
+        return status == 200 ? LMN_NO_ANSWER : status;
+    lmn_count(lmn_get(&d, lmn_root(&d), W_SESSION), &session);
+    lmn_doc_free(&d);
+    g_byte_array_set_size(body, 0);
+    lmn_put_map(body, 3);
+    lmn_put_text(body, W_TOKEN), lmn_put_count(body, term);
+    lmn_put_text(body, W_SESSION), lmn_put_count(body, session);
+    lmn_put_text(body, W_COMMANDS), lmn_put_list(body, 0);
+    return lmn_http_call(h, "POST", P_DIRECT, body, 1.0, answer);
+}
+
+bool lmn_direct_next(struct lmn_core *c, unsigned lane, unsigned lanes, char *name,
+                     char *addr, GByteArray *body, struct timespec now)
+{
+    GHashTableIter it;
+    gpointer v;
+
+    for (int i = 0; i < c->nparts; i++) {
+        if (!c->parts[i].mine)
             continue;
         g_hash_table_iter_init(&it, c->parts[i].machines);
         while (g_hash_table_iter_next(&it, NULL, &v)) {
@@ -391,7 +485,8 @@
             if (!m->poke || m->in_call || g_str_hash(m->name) % lanes != lane)
                 continue;
             m->poke = false;
-            if (!m->accounted || m->lapsed || lmn_since(now, m->last) > 0.6 * c->cfg->lease_s)
+            if (!m->accounted || m->lapsed ||
+                lmn_since(now, m->last) > 0.6 * c->cfg->lease_s)
                 continue;
             GByteArray *commands = g_byte_array_new();
             guint before = m->attempts->len;
@@ -418,8 +513,8 @@
     return false;
 }
 
-void lmn_direct_outcome(struct lmn_core *c, const char *name, int status, const GByteArray *answer,
-                        struct timespec now)
+void lmn_direct_outcome(struct lmn_core *c, const char *name, int status,
+                        const GByteArray *answer, struct timespec now)
 {
     struct lmn_partition *p = &c->parts[lmn_partition_of(name, c->nparts)];
     struct lmn_machine *m = g_hash_table_lookup(p->machines, name);
@@ -430,7 +525,8 @@
     if (!m || !m->in_call)
         return; /* the partition was lost meanwhile */
     m->in_call = false;
-    if ((status == 200 || status == 409) && lmn_doc_parse(&d, answer->data, answer->len) == 0) {
+    if ((status == 200 || status == 409) &&
+        lmn_doc_parse(&d, answer->data, answer->len) == 0) {
         read = read_report(&r, &d) && r.session == m->session;
         newer = read && r.seq > m->seq;
         if (newer) {
@@ -444,8 +540,8 @@
         if (!a->direct)
             continue;
         a->direct = false;
-        /* Only the call's own commands are judged by its answer: what a report's answer started
-         * may be on its way still. */
+        /* Only the call's own commands are judged by its answer: what a report's answer
+         * started may be on its way still. */
         if (status == LMN_NOT_SENT || (status == 409 && newer && !a->seen))
             vanish(c, m, i, now);
         else if (!read || (status == 200 && newer && !a->seen))
@@ -462,19 +558,31 @@
     char name[LMN_NAME], addr[LMN_ADDR];
 
     for (;;) {
+        uint64_t term = 0;
+        bool probing;
         pthread_mutex_lock(&c->lock);
-        while (!lmn_direct_next(c, lane->lane, lane->lanes, name, addr, body, lmn_now()))
-            pthread_cond_wait(&c->poked, &c->lock);
+        for (;;) {
+            struct timespec now = lmn_now();
+            probing = lmn_probe_next(c, lane->lane, lane->lanes, name, addr, &term, now);
+            if (probing ||
+                lmn_direct_next(c, lane->lane, lane->lanes, name, addr, body, now))
+                break;
+            lmn_cond_wait_for(&c->poked, &c->lock, 0.5);
+        }
         pthread_mutex_unlock(&c->lock);
         struct lmn_http *h = g_hash_table_lookup(clients, addr);
         if (!h) {
             h = lmn_http_new(addr);
             g_hash_table_insert(clients, g_strdup(addr), h);
         }
-        int status = lmn_http_call(h, "POST", P_DIRECT, body, 1.5, answer);
-        lmn_debug("direct machine=%s status=%d", name, status);
+        int status = probing ? probe(h, term, body, answer)
+                             : lmn_http_call(h, "POST", P_DIRECT, body, 1.5, answer);
+        lmn_debug("direct machine=%s probe=%d status=%d", name, probing, status);
         pthread_mutex_lock(&c->lock);
-        lmn_direct_outcome(c, name, status, answer, lmn_now());
+        if (probing)
+            lmn_probe_outcome(c, name, term, status, answer, lmn_now());
+        else
+            lmn_direct_outcome(c, name, status, answer, lmn_now());
         pthread_mutex_unlock(&c->lock);
         if (status < 0) {
             g_hash_table_remove(clients, addr);
