--- a/src/core.h
+++ b/src/core.h
@@ -258,9 +258,7 @@
 /* Starts what fits on a machine that has just reported: commands go to out. */
 guint lmn_schedule(struct lmn_core *c, struct lmn_machine *m, GByteArray *out,
                    struct timespec now);
-/* Pulls from the busiest of a sample; than: only what is of a better kind. */
-bool lmn_steal(struct lmn_core *c, struct lmn_machine *m, const struct lmn_job *than,
-               struct timespec now);
+bool lmn_steal(struct lmn_core *c, struct lmn_machine *m, struct timespec now);
 
 /* --- steal.c: steals between partitions --- */
 struct lmn_room {
--- a/src/queue.c
+++ b/src/queue.c
@@ -361,25 +361,15 @@
            room(m, &j->spec) > 0 && in_quota(c, m->part, j) && zone_allows(m, j);
 }
 
-/* Whether a job goes before another whatever their times: the one is in time, or more urgent. */
-static bool of_better_kind(const struct lmn_job *a, const struct lmn_job *b)
-{
-    if (a->lost != b->lost)
-        return b->lost;
-    return a->spec.urgency > b->spec.urgency;
-}
-
 /* The most urgent stretch of a queue that the machine could start now; -1: none. The order
  * shifts with time, so it is looked for, not kept. */
-static int best_seg(const struct lmn_core *c, const struct lmn_queue *q,
-                    const struct lmn_machine *m, const struct lmn_job *than, struct timespec now)
+static int best_seg(const struct lmn_core *c, struct lmn_queue *q, const struct lmn_machine *m,
+                    struct timespec now)
 {
     int best = -1;
 
     for (guint i = 0; i < q->segs->len; i++) {
         const struct lmn_seg *s = q->segs->pdata[i];
-        if (than && !of_better_kind(s->range->job, than))
-            continue;
         if (best >= 0) {
             const struct lmn_seg *t = q->segs->pdata[best];
             if (s->range->job == t->range->job || lmn_job_order(s->range->job, t->range->job) > 0)
@@ -397,7 +387,7 @@
     guint n = 0;
     int at;
 
-    while ((at = best_seg(c, &m->queue, m, NULL, now)) >= 0) {
+    while ((at = best_seg(c, &m->queue, m, now)) >= 0) {
         struct lmn_seg *s = m->queue.segs->pdata[at];
         m->queue.tasks--;
         /* The books decide, not the queue: what is not queued there is not started. */
@@ -417,14 +407,11 @@
 
 /* Queued tasks that the thief could start now. */
 static uint32_t load_for(const struct lmn_core *c, const struct lmn_queue *q,
-                         const struct lmn_machine *thief, const struct lmn_job *than,
-                         struct timespec now)
+                         const struct lmn_machine *thief, struct timespec now)
 {
     uint32_t n = 0;
     for (guint i = 0; i < q->segs->len; i++) {
         const struct lmn_seg *s = q->segs->pdata[i];
-        if (than && !of_better_kind(s->range->job, than))
-            continue;
         if (startable(c, thief, s->range->job, now))
             n += s->hi - s->lo;
     }
@@ -432,12 +419,12 @@
 }
 
 static uint32_t take(struct lmn_core *c, struct lmn_queue *from, struct lmn_machine *m,
-                     uint32_t want, const struct lmn_job *than, struct timespec now)
+                     uint32_t want, struct timespec now)
 {
     uint32_t got = 0;
     int at;
 
-    while (got < want && (at = best_seg(c, from, m, than, now)) >= 0) {
+    while (got < want && (at = best_seg(c, from, m, now)) >= 0) {
         struct lmn_seg *s = from->segs->pdata[at];
         uint32_t n = MIN(want - got, s->hi - s->lo);
         lmn_queue_add(&m->queue, s->range, s->lo, s->lo + n);
@@ -450,8 +437,7 @@
     return got;
 }
 
-bool lmn_steal(struct lmn_core *c, struct lmn_machine *m, const struct lmn_job *than,
-               struct timespec now)
+bool lmn_steal(struct lmn_core *c, struct lmn_machine *m, struct timespec now)
 {
     struct lmn_partition *p = m->part;
     GPtrArray *queues = g_ptr_array_new();
@@ -482,13 +468,13 @@
         gpointer t = queues->pdata[i];
         queues->pdata[i] = queues->pdata[k];
         queues->pdata[k] = t;
-        uint32_t load = load_for(c, queues->pdata[i], m, than, now);
+        uint32_t load = load_for(c, queues->pdata[i], m, now);
         if (load > most) {
             most = load;
             best = queues->pdata[i];
         }
     }
-    uint32_t limbo = load_for(c, &p->limbo, m, than, now);
+    uint32_t limbo = load_for(c, &p->limbo, m, now);
     if (limbo > most) {
         most = limbo;
         best = &p->limbo;
@@ -496,7 +482,7 @@
     g_ptr_array_free(queues, TRUE);
     uint32_t got = 0;
     if (best)
-        got = take(c, best, m, MAX((uint32_t)((double)most * c->tuning.share), 1), than, now);
+        got = take(c, best, m, MAX((uint32_t)((double)most * c->tuning.share), 1), now);
     if (!got) {
         m->poll_s = m->poll_s > 0 ? MIN(m->poll_s * 2, c->tuning.poll_cap_s)
                                   : c->tuning.poll_floor_s;
@@ -521,21 +507,13 @@
     if (p->releasing || !m->accounted || !m->rev || m->retiring || m->noticed ||
         !m->type)
         return 0;
-    /* A machine pulls when nothing of its own fits; and also, which the thesis does not know,
-     * when all it has is of a lesser kind: late already, or less urgent than what may wait in
-     * another queue. */
-    int at = best_seg(c, &m->queue, m, NULL, now);
-    if (at >= 0) {
-        const struct lmn_seg *s = m->queue.segs->pdata[at];
-        if (s->range->job->lost || s->range->job->spec.urgency < LMN_HIGH)
-            lmn_steal(c, m, s->range->job, now);
-    }
     n = start_own(c, m, out, now);
+    /* Left with room and nothing of its own that fits: it pulls, until that brings nothing. */
     for (int turn = 0; turn < 8; turn++) {
-        if (load_for(c, &m->queue, m, NULL, now) || !lmn_steal(c, m, NULL, now))
+        if (load_for(c, &m->queue, m, now) || !lmn_steal(c, m, now))
             break;
         n += start_own(c, m, out, now);
     }
-    m->hungry = !load_for(c, &m->queue, m, NULL, now);
+    m->hungry = !load_for(c, &m->queue, m, now);
     return n;
 }
