--- a/src/clock.h
+++ b/src/clock.h
@@ -4,9 +4,14 @@
 
 #include <time.h>
 
+/* A clock of a test's own: what lmn_now tells, if set. */
+extern const struct timespec *lmn_test_clock;
+
 static inline struct timespec lmn_now(void)
 {
     struct timespec t;
+    if (lmn_test_clock)
+        return *lmn_test_clock;
     clock_gettime(CLOCK_MONOTONIC, &t);
     return t;
 }
--- a/src/core.h
+++ b/src/core.h
@@ -194,6 +194,8 @@
                  enum lmn_phase *phase, uint32_t *open, double *at);
 GByteArray *lmn_range_record(const struct lmn_range *r, const uint8_t *done);
 GByteArray *lmn_machine_record(const struct lmn_machine *m);
+/* After changes were applied: takes over what the mirror shows as this node's. */
+void lmn_mirror_settle(struct lmn_core *c, struct timespec now);
 /* Follows the state service for ever (a thread). */
 void *lmn_mirror_thread(void *core);
 /* Seconds by which the mirror may be behind. */
@@ -205,6 +207,12 @@
 void lmn_partition_lose(struct lmn_core *c, struct lmn_partition *p, const char *why);
 /* All inherited machines accounted for? Then the inherited tasks may start. */
 void lmn_partition_check(struct lmn_core *c, struct lmn_partition *p, struct timespec now);
+/* Whether this node should try to own the partition now. */
+bool lmn_partition_wanted(const struct lmn_core *c, const struct lmn_partition *p,
+                          struct timespec now);
+/* The transaction that claims it: the owner's key and a higher term, both conditional. */
+struct lmn_txn *lmn_partition_claim(const struct lmn_core *c, const struct lmn_partition *p,
+                                    uint64_t lease);
 void *lmn_partition_thread(void *core);
 
 /* --- range.c: an owner's ranges and machines --- */
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -339,7 +339,7 @@
 
 /* Ownership begins with the mirror, never with the answer to our own request: an answer that
  * was lost, or a transaction that was applied late, then makes no difference. */
-static void find_own(struct lmn_core *c, struct timespec now)
+void lmn_mirror_settle(struct lmn_core *c, struct timespec now)
 {
     for (int i = 0; i < c->nparts; i++) {
         struct lmn_partition *p = &c->parts[i];
@@ -448,7 +448,7 @@
         c->synced_at = now;
         pthread_cond_broadcast(&c->changed);
     }
-    find_own(c, now);
+    lmn_mirror_settle(c, now);
     pthread_mutex_unlock(&c->lock);
     lmn_doc_free(&d);
     return 200;
--- a/src/partition.c
+++ b/src/partition.c
@@ -189,16 +189,6 @@
     }
 }
 
-static GByteArray *owner_record(const struct holder *h, uint64_t term)
-{
-    GByteArray *b = g_byte_array_new();
-    lmn_put_map(b, 3);
-    lmn_put_text(b, "node"), lmn_put_text(b, h->c->cfg->node);
-    lmn_put_text(b, "lease"), lmn_put_count(b, h->lease);
-    lmn_put_text(b, "term"), lmn_put_count(b, term);
-    return b;
-}
-
 static void announce(struct holder *h)
 {
     char key[LMN_NAME + 4];
@@ -213,9 +203,8 @@
     lmn_txn_free(t);
 }
 
-/* Whether this node should try to own the partition now. Pure but for the mirror. */
-static bool wanted(const struct lmn_core *c, const struct lmn_partition *p,
-                   struct timespec now)
+bool lmn_partition_wanted(const struct lmn_core *c, const struct lmn_partition *p,
+                          struct timespec now)
 {
     int n = (int)c->cfg->nmembers + 1, me = lmn_settings_rank(c->cfg, c->cfg->node);
     int ahead = 0;
@@ -238,32 +227,45 @@
     return lmn_since(now, p->vacant) >= 1.5 * ahead;
 }
 
+struct lmn_txn *lmn_partition_claim(const struct lmn_core *c, const struct lmn_partition *p,
+                                    uint64_t lease)
+{
+    struct lmn_txn *t = lmn_txn_new(LMN_RANK_OWNER, NULL, NULL);
+    uint64_t term = p->term + 1;
+    GByteArray *b = g_byte_array_new();
+    char key[32];
+
+    lmn_put_map(b, 3);
+    lmn_put_text(b, "node"), lmn_put_text(b, c->cfg->node);
+    lmn_put_text(b, "lease"), lmn_put_count(b, lease);
+    lmn_put_text(b, "term"), lmn_put_count(b, term);
+    g_snprintf(key, sizeof key, "o/%d", p->id);
+    lmn_txn_if(t, key, p->owner_rev);
+    lmn_txn_write(t, key, b, lease);
+    g_snprintf(key, sizeof key, "t/%d", p->id);
+    lmn_txn_if(t, key, p->term_rev);
+    GByteArray *v = g_byte_array_new();
+    lmn_put_count(v, term);
+    lmn_txn_write(t, key, v, 0);
+    return t;
+}
+
 static void claim(struct holder *h, int id)
 {
     struct lmn_core *c = h->c;
     struct lmn_partition *p = &c->parts[id];
-    char key[32];
+    struct lmn_txn *t = NULL;
     uint64_t rev = 0;
 
     pthread_mutex_lock(&c->lock);
-    bool want = c->synced && !p->mine && wanted(c, p, lmn_now());
-    uint64_t owner_rev = p->owner_rev, term_rev = p->term_rev, term = p->term + 1;
+    if (c->synced && !p->mine && lmn_partition_wanted(c, p, lmn_now()))
+        t = lmn_partition_claim(c, p, h->lease);
     pthread_mutex_unlock(&c->lock);
-    if (!want)
+    if (!t)
         return;
-    struct lmn_txn *t = lmn_txn_new(LMN_RANK_OWNER, NULL, NULL);
-    g_snprintf(key, sizeof key, "o/%d", id);
-    lmn_txn_if(t, key, owner_rev);
-    lmn_txn_write(t, key, owner_record(h, term), h->lease);
-    g_snprintf(key, sizeof key, "t/%d", id);
-    lmn_txn_if(t, key, term_rev);
-    GByteArray *v = g_byte_array_new();
-    lmn_put_count(v, term);
-    lmn_txn_write(t, key, v, 0);
     enum lmn_outcome r = lmn_state_send(c->state, h->http, t, &rev, NULL);
     lmn_txn_free(t);
-    lmn_info("partition-claim partition=%d term=%" G_GUINT64_FORMAT " outcome=%d", id,
-             term, r);
+    lmn_info("partition-claim partition=%d outcome=%d", id, r);
 }
 
 /* A partition that another member should hold goes back to it once that one has been up
--- a/src/state.c
+++ b/src/state.c
@@ -111,6 +111,15 @@
     }
 }
 
+void lmn_txn_each_condition(const struct lmn_txn *t,
+                            void (*f)(void *arg, const char *key, uint64_t version), void *arg)
+{
+    for (guint i = 0; i < t->conds->len; i++) {
+        const struct cond *c = &g_array_index(t->conds, struct cond, i);
+        f(arg, c->key, c->version);
+    }
+}
+
 struct lmn_state *lmn_state_new(const struct lmn_settings *cfg)
 {
     struct lmn_state *s = g_new0(struct lmn_state, 1);
@@ -305,12 +314,23 @@
     return n;
 }
 
-static void finish(struct lmn_txn *t, enum lmn_outcome r, uint64_t revision)
+void lmn_txn_finish(struct lmn_txn *t, enum lmn_outcome r, uint64_t revision)
 {
-    t->done(t->arg, t, r, revision);
+    if (t->done)
+        t->done(t->arg, t, r, revision);
     lmn_txn_free(t);
 }
 
+struct lmn_txn *lmn_state_take(struct lmn_state *s)
+{
+    struct lmn_txn *t = NULL;
+
+    pthread_mutex_lock(&s->lock);
+    gather(s, &t, 1);
+    pthread_mutex_unlock(&s->lock);
+    return t;
+}
+
 static void *writer(void *arg)
 {
     struct lmn_state *s = arg;
@@ -366,11 +386,11 @@
                 g_ptr_array_set_size(conflicts, 0);
                 lmn_state_pace(s);
                 enum lmn_outcome one = send_batch(h, &v[i], 1, &rev, conflicts, &st);
-                finish(v[i], one, rev);
+                lmn_txn_finish(v[i], one, rev);
             } else if (status == 429 && lmn_since(lmn_now(), v[i]->since) < 1.5) {
                 lmn_state_submit(s, v[i]);
             } else {
-                finish(v[i], r, revision);
+                lmn_txn_finish(v[i], r, revision);
             }
         }
         g_ptr_array_free(conflicts, TRUE);
--- a/src/state.h
+++ b/src/state.h
@@ -40,6 +40,13 @@
 void lmn_txn_each(const struct lmn_txn *t,
                   void (*f)(void *arg, const char *key, const GByteArray *value), void *arg);
 
+void lmn_txn_each_condition(const struct lmn_txn *t,
+                            void (*f)(void *arg, const char *key, uint64_t version), void *arg);
+/* Without the writer's thread (in tests): takes the next transaction off the queues, NULL if there
+ * is none, and tells its outcome. */
+struct lmn_txn *lmn_state_take(struct lmn_state *s);
+void lmn_txn_finish(struct lmn_txn *t, enum lmn_outcome outcome, uint64_t revision);
+
 void lmn_state_submit(struct lmn_state *s, struct lmn_txn *t);
 /* Seconds that a new transaction of this rank would wait for its turn. */
 double lmn_state_backlog(struct lmn_state *s, enum lmn_rank rank);
--- a/src/thread.c
+++ b/src/thread.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+const struct timespec *lmn_test_clock;
+
 void lmn_thread(void *(*f)(void *), void *arg)
 {
     pthread_attr_t a;
--- /dev/null
+++ b/tests/test_job.c
@@ -0,0 +1,216 @@
+/* Jobs' descriptions, done sets, and what can never run. */
+#include "job.h"
+#include "wire.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+#include <math.h>
+#include <string.h>
+
+static void random_spec(GRand *r, struct lmn_spec *s)
+{
+    memset(s, 0, sizeof *s);
+    g_snprintf(s->ref, sizeof s->ref, "run-%06d", g_rand_int_range(r, 0, 1000000));
+    s->class_name = g_strdup("c");
+    s->team = g_strdup("t");
+    s->image = g_strdup_printf("img-%d", g_rand_int_range(r, 0, 9));
+    s->zone = g_rand_boolean(r) ? g_strdup("a") : NULL;
+    s->types = g_rand_boolean(r) ? g_strsplit("x,y", ",", -1) : NULL;
+    s->kind = g_rand_boolean(r) ? LMN_BATCH : LMN_DAEMON;
+    s->urgency = (enum lmn_urgency)g_rand_int_range(r, 0, 4);
+    s->tasks = (uint32_t)g_rand_int_range(r, 1, LMN_MAX_TASKS + 1);
+    s->cpus = g_rand_int_range(r, 0, 64) / 2.0;
+    s->mem = g_rand_double_range(r, 0, 100);
+    s->deadline_s = g_rand_boolean(r) ? g_rand_double_range(r, 0, 1000) : -1;
+    s->spot = g_rand_boolean(r);
+}
+
+static GByteArray *encode(const struct lmn_spec *s)
+{
+    GByteArray *b = g_byte_array_new();
+    lmn_put_map(b, lmn_spec_pairs());
+    lmn_spec_put(b, s);
+    return b;
+}
+
+static void round_trip(void **state)
+{
+    GRand *r = g_rand_new_with_seed(3);
+    (void)state;
+
+    for (int i = 0; i < 500; i++) {
+        struct lmn_spec a, b;
+        struct lmn_doc d;
+        const char *what;
+        random_spec(r, &a);
+        GByteArray *x = encode(&a);
+        assert_int_equal(lmn_doc_parse(&d, x->data, x->len), 0);
+        assert_int_equal(lmn_spec_parse(&b, &d, lmn_root(&d), &what), 0);
+        GByteArray *y = encode(&b);
+        assert_int_equal(x->len, y->len);
+        assert_memory_equal(x->data, y->data, x->len);
+        g_byte_array_unref(x);
+        g_byte_array_unref(y);
+        lmn_spec_clear(&a);
+        lmn_spec_clear(&b);
+        lmn_doc_free(&d);
+    }
+    g_rand_free(r);
+}
+
+/* Writes the description once more with one field left out, or replaced. */
+static int parse_with(const struct lmn_spec *s, const char *field, const GByteArray *instead)
+{
+    GByteArray *x = encode(s), *y = g_byte_array_new();
+    struct lmn_doc d, e;
+    struct lmn_spec t;
+    const char *what;
+
+    assert_int_equal(lmn_doc_parse(&d, x->data, x->len), 0);
+    lmn_put_map(y, lmn_spec_pairs() - (instead ? 0 : 1));
+    for (const struct lmn_node *k = lmn_child(&d, lmn_root(&d)); k;) {
+        const struct lmn_node *v = lmn_next(&d, k);
+        if (!lmn_is(k, field)) {
+            lmn_put_node(y, &d, k);
+            lmn_put_node(y, &d, v);
+        } else if (instead) {
+            lmn_put_node(y, &d, k);
+            g_byte_array_append(y, instead->data, instead->len);
+        }
+        k = lmn_next(&d, v);
+    }
+    assert_int_equal(lmn_doc_parse(&e, y->data, y->len), 0);
+    int rc = lmn_spec_parse(&t, &e, lmn_root(&e), &what);
+    if (rc)
+        assert_string_equal(what, field);
+    lmn_spec_clear(&t);
+    lmn_doc_free(&d);
+    lmn_doc_free(&e);
+    g_byte_array_unref(x);
+    g_byte_array_unref(y);
+    return rc;
+}
+
+static void each_field_is_checked(void **state)
+{
+    static const char *const required[] = {W_ID,       W_CLASS,      W_TEAM,     W_KIND,
+                                           W_URGENCY,  W_TASKS,      W_CPUS,     W_GPUS,
+                                           W_MEM,      W_IMAGE,      W_IMAGE_GB, W_ONE_ZONE,
+                                           W_SPREAD,   W_SPOT,       W_ESTIMATE, W_CHECKPOINT,
+                                           W_SAVE};
+    static const char *const optional[] = {W_TYPES, W_ZONE, W_DEADLINE};
+    GRand *r = g_rand_new_with_seed(4);
+    struct lmn_spec s;
+    GByteArray *list = g_byte_array_new(), *nan = g_byte_array_new(), *minus = g_byte_array_new(),
+               *null = g_byte_array_new();
+    (void)state;
+
+    random_spec(r, &s);
+    lmn_put_list(list, 0);
+    lmn_put_number(nan, NAN);
+    lmn_put_number(minus, -1);
+    lmn_put_null(null);
+    for (size_t i = 0; i < G_N_ELEMENTS(required); i++) {
+        assert_int_equal(parse_with(&s, required[i], NULL), -1);
+        assert_int_equal(parse_with(&s, required[i], list), -1);
+        assert_int_equal(parse_with(&s, required[i], nan), -1);
+        assert_int_equal(parse_with(&s, required[i], minus), -1);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(optional); i++) {
+        assert_int_equal(parse_with(&s, optional[i], NULL), 0);
+        assert_int_equal(parse_with(&s, optional[i], null), 0);
+        assert_int_equal(parse_with(&s, optional[i], minus), -1);
+    }
+    GByteArray *unknown[] = {list, nan, minus, null};
+    for (size_t i = 0; i < G_N_ELEMENTS(unknown); i++)
+        g_byte_array_unref(unknown[i]);
+    lmn_spec_clear(&s);
+    g_rand_free(r);
+}
+
+static void forms_of_ids(void **state)
+{
+    (void)state;
+    assert_true(lmn_ref_ok("run-000412"));
+    static const char *const bad[] = {"",          "run-",        "run",      "run-00041x",
+                                      "Run-000412", "run-000412/0", "job-000412", "run--00412",
+                                      " run-000412", "run-000000000000000000000000000000412"};
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
+        assert_false(lmn_ref_ok(bad[i]));
+}
+
+/* Done sets against a naive model: any set comes back as it was, and a text that names a task
+ * that there is not is refused. */
+static void done_sets(void **state)
+{
+    GRand *r = g_rand_new_with_seed(5);
+    (void)state;
+
+    for (int i = 0; i < 800; i++) {
+        uint32_t n = (uint32_t)g_rand_int_range(r, 1, 300), count = 0;
+        uint8_t bits[40] = {0}, again[40];
+        bool model[300];
+        double p = g_rand_double(r);
+        struct lmn_doc d;
+        for (uint32_t k = 0; k < n; k++)
+            if ((model[k] = g_rand_double(r) < p)) {
+                lmn_set_bit(bits, k);
+                count++;
+            }
+        GByteArray *b = g_byte_array_new();
+        lmn_bits_put(b, bits, n);
+        assert_int_equal(lmn_doc_parse(&d, b->data, b->len), 0);
+        assert_int_equal(lmn_bits_get(lmn_root(&d), again, n), 0);
+        assert_int_equal(lmn_bits_count(again, n), count);
+        for (uint32_t k = 0; k < n; k++)
+            assert_int_equal(lmn_bit(again, k), model[k]);
+        if (model[n - 1] && n > 1) {
+            assert_int_equal(lmn_bits_get(lmn_root(&d), again, n - 1), -1);
+        }
+        lmn_doc_free(&d);
+        g_byte_array_unref(b);
+    }
+    g_rand_free(r);
+}
+
+/* 0 in a team's limit means that there is none. */
+static void what_can_never_run(void **state)
+{
+    struct lmn_settings cfg = {.nteams = 2};
+    struct lmn_type t = {.name = "x", .cpus = 8, .mem = 16, .zones = {"a"}, .nzones = 1};
+    struct lmn_types types = {&t, 1};
+    const char *why;
+    struct lmn_spec s = {.team = (char *)"free", .tasks = 10, .cpus = 4, .mem = 4};
+    (void)state;
+
+    g_strlcpy(cfg.teams[0].name, "free", LMN_NAME);
+    g_strlcpy(cfg.teams[1].name, "held", LMN_NAME);
+    cfg.teams[1].cpus_max = 20;
+    assert_true(lmn_spec_possible(&s, &cfg, &types, &why));
+    s.team = (char *)"held";
+    assert_true(lmn_spec_possible(&s, &cfg, &types, &why));
+    s.kind = LMN_DAEMON; /* all replicas count */
+    assert_false(lmn_spec_possible(&s, &cfg, &types, &why));
+    s.tasks = 5;
+    assert_true(lmn_spec_possible(&s, &cfg, &types, &why));
+    s.mem = 17;
+    assert_false(lmn_spec_possible(&s, &cfg, &types, &why));
+    s.mem = 4;
+    s.zone = (char *)"b";
+    assert_false(lmn_spec_possible(&s, &cfg, &types, &why));
+    s.zone = NULL;
+    s.team = (char *)"nobody";
+    assert_false(lmn_spec_possible(&s, &cfg, &types, &why));
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(round_trip),   cmocka_unit_test(each_field_is_checked),
+        cmocka_unit_test(forms_of_ids), cmocka_unit_test(done_sets),
+        cmocka_unit_test(what_can_never_run),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_model.c
@@ -0,0 +1,1000 @@
+/* A model of the whole service in simulated time: several controllers, each with the product's
+ * own mirror, books, queues and answers to workers, over a stand-in state service and stand-in
+ * workers. Messages are delayed, lost, doubled and applied late; controllers crash, are cut off
+ * and come back; machines hang and die. After every step the protocol's rules are checked.
+ *
+ * Each rule's check is itself checked: with the guard that keeps the rule taken away, the same
+ * days must break it. */
+#include "core.h"
+#include "log.h"
+#include "wire.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Crashed controllers and past days are left behind as they are, as a crash does. */
+const char *__asan_default_options(void);
+const char *__asan_default_options(void)
+{
+    return "detect_leaks=0";
+}
+
+enum { NODES = 3, MACHINES = 7, JOBS = 40, TASKS = 24, LIMIT = 24, STEPS = 9000 };
+static const double STEP_S = 0.1;
+
+enum guard {
+    G_NONE,
+    G_ACCOUNT, /* inherited tasks wait until all machines are accounted for */
+    G_UNSURE,  /* unanswered direct starts are not given up */
+    G_QUOTA,   /* limits are shared out among the partitions */
+    G_PLACE,   /* only machines that the job allows */
+    G_FENCE,   /* a node with an old view stops answering workers */
+    G_DONE,    /* done only what a worker has reported done */
+    G_FINAL,   /* final states are written conditionally */
+};
+
+enum rule { R_TWICE, R_QUOTA, R_PLACE, R_CANCELLED, R_NOT_DONE, R_WENT_BACK, RULES };
+
+/* --- the state service --- */
+
+struct item {
+    GByteArray *value; /* NULL: removed */
+    uint64_t rev, lease;
+};
+
+struct event {
+    char *key;
+    GByteArray *value;
+    uint64_t rev;
+};
+
+struct holder {
+    uint64_t id;
+    double until;
+};
+
+/* --- a machine --- */
+
+struct task {
+    int job, index;
+    uint64_t attempt;
+    enum { FETCHING, RUNNING, ENDED } state;
+    bool done;
+    double until;
+};
+
+struct message {
+    double at;
+    int machine, node;
+    bool direct;
+    GByteArray *body; /* of a report's answer, or of a direct command */
+    uint64_t session, seq;
+};
+
+struct machine {
+    char name[16], zone[8];
+    bool spot, dead;
+    int island; /* only this node reaches it, until: */
+    double island_until;
+    double hang_until, lease_from, next_report, answer_by;
+    uint64_t session, seq, token, told_token;
+    int node;         /* reports to */
+    bool in_flight;
+    uint64_t flight_seq;
+    struct task tasks[64];
+    int ntasks;
+};
+
+struct job {
+    struct lmn_spec spec;
+    char ref[LMN_REF];
+    bool submitted, told_done;
+    double cancelled_at; /* negative: not */
+    bool done[64];
+};
+
+struct node {
+    struct lmn_settings cfg;
+    struct lmn_state *state;
+    struct lmn_core *core;
+    uint64_t revision, lease;
+    size_t seen; /* events applied */
+    double down_until, cut_until, renewed;
+};
+
+static struct {
+    GRand *r;
+    double now;
+    struct timespec clock;
+    GHashTable *store;
+    GPtrArray *log;
+    GArray *leases;
+    uint64_t rev, next_lease;
+    double cloud_down_until;
+    struct node nodes[NODES];
+    struct machine machines[MACHINES];
+    struct job jobs[JOBS];
+    GPtrArray *mail;
+    enum guard broken;
+    unsigned broke[RULES];
+    unsigned starts, finished, takeovers, steals;
+} w;
+
+static bool chance(double p)
+{
+    return g_rand_double(w.r) < p;
+}
+
+static void put(const char *key, const GByteArray *value, uint64_t lease)
+{
+    struct item *it = g_hash_table_lookup(w.store, key);
+    struct event *e = g_new0(struct event, 1);
+
+    if (!it) {
+        it = g_new0(struct item, 1);
+        g_hash_table_insert(w.store, g_strdup(key), it);
+    }
+    if (it->value)
+        g_byte_array_unref(it->value);
+    it->value = NULL;
+    if (value) {
+        it->value = g_byte_array_new();
+        g_byte_array_append(it->value, value->data, value->len);
+    }
+    it->rev = w.rev;
+    it->lease = lease;
+    e->key = g_strdup(key);
+    if (it->value)
+        e->value = g_byte_array_ref(it->value);
+    e->rev = w.rev;
+    g_ptr_array_add(w.log, e);
+}
+
+static bool lease_alive(uint64_t id)
+{
+    for (guint i = 0; i < w.leases->len; i++)
+        if (g_array_index(w.leases, struct holder, i).id == id)
+            return true;
+    return false;
+}
+
+static void expire(void)
+{
+    for (guint i = w.leases->len; i-- > 0;) {
+        struct holder h = g_array_index(w.leases, struct holder, i);
+        if (h.until > w.now)
+            continue;
+        g_array_remove_index(w.leases, i);
+        GList *keys = g_hash_table_get_keys(w.store);
+        w.rev++;
+        for (GList *l = keys; l; l = l->next) {
+            struct item *it = g_hash_table_lookup(w.store, l->data);
+            if (it->value && it->lease == h.id)
+                put(l->data, NULL, 0);
+        }
+        g_list_free(keys);
+    }
+}
+
+static void check_condition(void *arg, const char *key, uint64_t version)
+{
+    struct item *it = g_hash_table_lookup(w.store, key);
+    uint64_t have = it && it->value ? it->rev : 0;
+    if (have != version)
+        *(bool *)arg = false;
+}
+
+static uint64_t applying_lease;
+
+static void apply_change(void *arg, const char *key, const GByteArray *value)
+{
+    (void)arg;
+    put(key, value, value ? applying_lease : 0);
+}
+
+/* lease: what the written keys hang on, 0 for none (only claims use one; their term key must
+ * not). */
+static enum lmn_outcome apply_txn(const struct lmn_txn *t, uint64_t lease, uint64_t *rev)
+{
+    bool ok = true;
+
+    lmn_txn_each_condition(t, check_condition, &ok);
+    if (!ok)
+        return LMN_CONFLICT;
+    if (lease && !lease_alive(lease))
+        return LMN_REFUSED;
+    *rev = ++w.rev;
+    applying_lease = 0;
+    lmn_txn_each(t, apply_change, NULL);
+    return LMN_OK;
+}
+
+/* --- rules --- */
+
+static int find_job(const char *ref)
+{
+    for (int i = 0; i < JOBS; i++)
+        if (!strcmp(w.jobs[i].ref, ref))
+            return i;
+    return -1;
+}
+
+/* Whether what the machine holds still counts. One that hangs past its lease has lost its tasks,
+ * though it will notice only when it goes on. */
+static bool holds(const struct machine *m)
+{
+    return !m->dead && !(w.now < m->hang_until && w.now - m->lease_from > 8);
+}
+
+static bool reaches(int node, const struct machine *m)
+{
+    return !m->dead && w.now >= m->hang_until && (w.now >= m->island_until || m->island == node);
+}
+
+static void on_start(struct machine *m, const struct task *t)
+{
+    const struct job *j = &w.jobs[t->job];
+    double cpus = 0;
+
+    for (int i = 0; i < MACHINES; i++)
+        for (int k = 0; k < w.machines[i].ntasks; k++) {
+            const struct task *o = &w.machines[i].tasks[k];
+            if (o->state != RUNNING || !holds(&w.machines[i]))
+                continue;
+            if (&w.machines[i] != m && o->job == t->job && o->index == t->index)
+                w.broke[R_TWICE]++;
+            if (!strcmp(w.jobs[o->job].spec.team, j->spec.team))
+                cpus += w.jobs[o->job].spec.cpus;
+        }
+    if (cpus > LIMIT + 1e-6)
+        w.broke[R_QUOTA]++;
+    if ((m->spot && !j->spec.spot) || (j->spec.zone && strcmp(j->spec.zone, m->zone)))
+        w.broke[R_PLACE]++;
+    w.starts++;
+}
+
+static void check_rules(void)
+{
+    for (int i = 0; i < MACHINES; i++)
+        for (int k = 0; k < w.machines[i].ntasks; k++) {
+            const struct task *t = &w.machines[i].tasks[k];
+            const struct job *j = &w.jobs[t->job];
+            if (t->state == RUNNING && holds(&w.machines[i]) && j->cancelled_at >= 0 &&
+                w.now - j->cancelled_at > 16)
+                w.broke[R_CANCELLED]++;
+        }
+    for (int i = 0; i < JOBS; i++) {
+        struct job *j = &w.jobs[i];
+        char key[64];
+        struct lmn_doc d;
+        struct lmn_spec s;
+        enum lmn_phase phase;
+        uint32_t open;
+        double at;
+        if (!j->submitted)
+            continue;
+        g_snprintf(key, sizeof key, "j/%s", j->ref);
+        struct item *it = g_hash_table_lookup(w.store, key);
+        assert_int_equal(lmn_doc_parse(&d, it->value->data, it->value->len), 0);
+        assert_int_equal(lmn_job_read(&d, lmn_root(&d), &s, &phase, &open, &at), 0);
+        lmn_spec_clear(&s);
+        lmn_doc_free(&d);
+        if (phase == LMN_FINISHED && !j->told_done) {
+            j->told_done = true;
+            w.finished++;
+            for (uint32_t k = 0; k < j->spec.tasks; k++)
+                if (!j->done[k]) {
+                    w.broke[R_NOT_DONE]++;
+                    break;
+                }
+        }
+        if ((j->told_done && phase != LMN_FINISHED) ||
+            (j->cancelled_at >= 0 && phase != LMN_WITHDRAWN))
+            w.broke[R_WENT_BACK]++;
+    }
+}
+
+/* --- machines --- */
+
+static void put_report(struct machine *m, GByteArray *b)
+{
+    static const char *const states[] = {W_FETCHING, W_RUNNING, W_ENDED};
+
+    lmn_put_map(b, 10);
+    lmn_put_text(b, W_MACHINE), lmn_put_text(b, m->name);
+    lmn_put_text(b, W_ADDR), lmn_put_text(b, "10.0.0.1:9000");
+    lmn_put_text(b, W_TYPE), lmn_put_text(b, "t");
+    lmn_put_text(b, W_ZONE), lmn_put_text(b, m->zone);
+    lmn_put_text(b, W_SPOT), lmn_put_truth(b, m->spot);
+    lmn_put_text(b, W_SESSION), lmn_put_count(b, m->session);
+    lmn_put_text(b, W_SEQ), lmn_put_count(b, ++m->seq);
+    lmn_put_text(b, W_TOKEN), lmn_put_count(b, m->token);
+    lmn_put_text(b, W_NOTICE), lmn_put_null(b);
+    lmn_put_text(b, W_TASKS), lmn_put_list(b, (size_t)m->ntasks);
+    for (int i = 0; i < m->ntasks; i++) {
+        const struct task *t = &m->tasks[i];
+        char name[64];
+        g_snprintf(name, sizeof name, "%s/%d", w.jobs[t->job].ref, t->index);
+        lmn_put_map(b, t->state == ENDED ? 4 : 3);
+        lmn_put_text(b, W_TASK), lmn_put_text(b, name);
+        lmn_put_text(b, W_ATTEMPT), lmn_put_count(b, t->attempt);
+        lmn_put_text(b, W_STATE), lmn_put_text(b, states[t->state]);
+        if (t->state == ENDED)
+            lmn_put_text(b, W_WHY), lmn_put_text(b, t->done ? W_DONE : W_STOPPED);
+    }
+}
+
+static void obey(struct machine *m, const struct lmn_doc *d, const struct lmn_node *orders)
+{
+    for (const struct lmn_node *n = lmn_child(d, orders); n; n = lmn_next(d, n)) {
+        char name[64];
+        uint64_t attempt = 0;
+        assert_true(lmn_text(lmn_get(d, n, W_TASK), name, sizeof name));
+        assert_true(lmn_count(lmn_get(d, n, W_ATTEMPT), &attempt));
+        char *slash = strrchr(name, '/');
+        *slash = '\0';
+        int job = find_job(name), index = atoi(slash + 1), at = -1;
+        bool same_task = false;
+        assert_true(job >= 0);
+        for (int i = 0; i < m->ntasks; i++) {
+            const struct task *t = &m->tasks[i];
+            if (t->job == job && t->index == index) {
+                if (t->attempt == attempt)
+                    at = i;
+                else if (t->state != ENDED)
+                    same_task = true;
+            }
+        }
+        if (lmn_is(lmn_get(d, n, W_OP), W_START)) {
+            if (at >= 0 || m->ntasks == 64)
+                continue;
+            struct task *t = &m->tasks[m->ntasks++];
+            *t = (struct task){job, index, attempt, FETCHING, false,
+                               w.now + g_rand_double_range(w.r, 0, 0.5)};
+            if (same_task)
+                t->state = ENDED; /* busy */
+        } else if (lmn_is(lmn_get(d, n, W_OP), W_KILL)) {
+            if (at >= 0 && m->tasks[at].state != ENDED)
+                m->tasks[at].state = ENDED;
+        } else if (at >= 0 && m->tasks[at].state == ENDED) {
+            m->tasks[at] = m->tasks[--m->ntasks];
+        }
+    }
+}
+
+static void machine_answer(struct machine *m, const struct message *x)
+{
+    struct lmn_doc d;
+    uint64_t token = 0;
+
+    /* An answer counts only while its report waits for it. */
+    if (!m->in_flight || m->flight_seq != x->seq || x->session != m->session)
+        return;
+    m->in_flight = false;
+    m->next_report = w.now + g_rand_double_range(w.r, 0.75, 1.25);
+    if (lmn_doc_parse(&d, x->body->data, x->body->len) != 0)
+        return;
+    lmn_count(lmn_get(&d, lmn_root(&d), W_TOKEN), &token);
+    if (token >= m->token && token) {
+        if (token > m->token)
+            m->next_report = w.now + 0.5;
+        m->token = token;
+        m->lease_from = m->answer_by - 4; /* when the report was sent */
+        obey(m, &d, lmn_get(&d, lmn_root(&d), W_COMMANDS));
+    }
+    lmn_doc_free(&d);
+}
+
+static int machine_direct(struct machine *m, const GByteArray *body, GByteArray *report)
+{
+    struct lmn_doc d;
+    uint64_t token = 0, session = 0;
+    int status = 409;
+
+    assert_int_equal(lmn_doc_parse(&d, body->data, body->len), 0);
+    lmn_count(lmn_get(&d, lmn_root(&d), W_TOKEN), &token);
+    lmn_count(lmn_get(&d, lmn_root(&d), W_SESSION), &session);
+    if (token >= m->token && session == m->session) {
+        m->token = token;
+        obey(m, &d, lmn_get(&d, lmn_root(&d), W_COMMANDS));
+        status = 200;
+    }
+    lmn_doc_free(&d);
+    if (report)
+        put_report(m, report);
+    return status;
+}
+
+static void machine_step(struct machine *m)
+{
+    if (m->dead || w.now < m->hang_until)
+        return;
+    if (w.now - m->lease_from > 8) {
+        m->session++;
+        m->ntasks = 0;
+        m->lease_from = w.now;
+        m->in_flight = false;
+    }
+    for (int i = 0; i < m->ntasks; i++) {
+        struct task *t = &m->tasks[i];
+        if (t->state == ENDED || w.now < t->until)
+            continue;
+        if (t->state == FETCHING) {
+            t->state = RUNNING;
+            t->until = w.now + g_rand_double_range(w.r, 1, 12);
+            on_start(m, t);
+        } else {
+            t->state = ENDED;
+            t->done = true;
+            w.jobs[t->job].done[t->index] = true;
+            m->next_report = MIN(m->next_report, w.now + 0.3);
+        }
+    }
+    if (m->in_flight && w.now > m->answer_by) {
+        m->in_flight = false;
+        m->node = (m->node + 1) % NODES;
+        m->next_report = w.now + 1;
+    }
+    if (!m->in_flight && w.now >= m->next_report) {
+        struct message *x = g_new0(struct message, 1);
+        x->body = g_byte_array_new();
+        put_report(m, x->body);
+        x->machine = (int)(m - w.machines);
+        x->node = m->node;
+        x->seq = m->seq;
+        x->session = m->session;
+        x->at = w.now + (chance(0.03) ? g_rand_double_range(w.r, 1, 30) : 0.02);
+        m->in_flight = true;
+        m->flight_seq = m->seq;
+        m->answer_by = w.now + 4;
+        g_ptr_array_add(w.mail, x);
+    }
+}
+
+/* --- controllers --- */
+
+static bool up(const struct node *n)
+{
+    return w.now >= n->down_until;
+}
+
+static void node_boot(struct node *n, int i)
+{
+    memset(&n->cfg, 0, sizeof n->cfg);
+    g_snprintf(n->cfg.node, sizeof n->cfg.node, "n%d", i);
+    for (int k = 0; k < NODES; k++)
+        if (k != i)
+            g_snprintf(n->cfg.members[n->cfg.nmembers++].name, LMN_NAME, "n%d", k);
+    n->cfg.partitions = NODES;
+    n->cfg.report_s = 1;
+    n->cfg.lease_s = 8;
+    n->cfg.cancel_s = 16;
+    n->cfg.state_rps = n->cfg.state_write_rps = 1e6;
+    n->cfg.value_kb = 16;
+    n->cfg.txn_ops = 12;
+    g_strlcpy(n->cfg.teams[0].name, "x", LMN_NAME);
+    n->cfg.teams[0].cpus_max = w.broken == G_QUOTA ? 4 * LIMIT : LIMIT;
+    n->cfg.nteams = 1;
+    n->state = lmn_state_new(&n->cfg);
+    n->core = lmn_core_new(&n->cfg, n->state, g_rand_int(w.r));
+    n->core->types.n = 1;
+    n->core->types.v[0] = (struct lmn_type){.name = "t", .cpus = 6, .mem = 100, .nzones = 2};
+    n->core->types_known = true;
+    n->seen = 0;
+    n->lease = 0;
+}
+
+static void node_follow(struct node *n)
+{
+    struct lmn_core *c = n->core;
+
+    for (; n->seen < w.log->len; n->seen++) {
+        const struct event *e = w.log->pdata[n->seen];
+        struct lmn_doc d = {0};
+        if (e->value)
+            assert_int_equal(lmn_doc_parse(&d, e->value->data, e->value->len), 0);
+        lmn_mirror_apply(c, e->key, &d, e->value ? lmn_root(&d) : NULL, e->rev, w.clock);
+        if (e->value)
+            lmn_doc_free(&d);
+    }
+    c->fresh = w.clock;
+    if (!c->synced)
+        c->synced_at = w.clock;
+    c->synced = true;
+    lmn_mirror_settle(c, w.clock);
+}
+
+static void node_lease(struct node *n)
+{
+    char key[32];
+
+    if (n->lease && !lease_alive(n->lease)) {
+        n->lease = n->core->lease = 0;
+        for (int i = 0; i < NODES; i++)
+            if (n->core->parts[i].mine)
+                lmn_partition_lose(n->core, &n->core->parts[i], "lease ended");
+    }
+    if (!n->lease) {
+        struct holder h = {++w.next_lease, w.now + 3};
+        g_array_append_val(w.leases, h);
+        n->lease = n->core->lease = h.id;
+        GByteArray *v = g_byte_array_new();
+        lmn_put_count(v, h.id);
+        w.rev++;
+        g_snprintf(key, sizeof key, "n/%s", n->cfg.node);
+        put(key, v, h.id);
+        g_byte_array_unref(v);
+    }
+    for (guint i = 0; i < w.leases->len; i++)
+        if (g_array_index(w.leases, struct holder, i).id == n->lease)
+            g_array_index(w.leases, struct holder, i).until = w.now + 3;
+}
+
+static void node_claim(struct node *n)
+{
+    for (int i = 0; i < NODES; i++) {
+        struct lmn_partition *p = &n->core->parts[i];
+        uint64_t rev;
+        char key[16];
+        if (p->mine || !lmn_partition_wanted(n->core, p, w.clock))
+            continue;
+        struct lmn_txn *t = lmn_partition_claim(n->core, p, n->lease);
+        if (apply_txn(t, n->lease, &rev) == LMN_OK) {
+            g_snprintf(key, sizeof key, "o/%d", i);
+            ((struct item *)g_hash_table_lookup(w.store, key))->lease = n->lease;
+            w.takeovers++;
+        }
+        lmn_txn_free(t);
+    }
+}
+
+static void node_write(struct node *n)
+{
+    struct lmn_txn *t;
+
+    while ((t = lmn_state_take(n->state))) {
+        uint64_t rev = 0;
+        double luck = g_rand_double(w.r);
+        if (luck < 0.04) {
+            lmn_txn_finish(t, LMN_REFUSED, 0);
+        } else if (luck < 0.08) { /* applied, but the answer is lost */
+            apply_txn(t, 0, &rev);
+            lmn_txn_finish(t, LMN_UNKNOWN, 0);
+        } else if (luck < 0.10) { /* not applied, and the answer is lost */
+            lmn_txn_finish(t, LMN_UNKNOWN, 0);
+        } else {
+            enum lmn_outcome r = apply_txn(t, 0, &rev);
+            lmn_txn_finish(t, r, rev);
+        }
+    }
+}
+
+static void break_guards(struct node *n)
+{
+    GHashTableIter it;
+    gpointer v;
+
+    for (int i = 0; i < NODES; i++) {
+        struct lmn_partition *p = &n->core->parts[i];
+        if (!p->mine)
+            continue;
+        g_hash_table_iter_init(&it, p->machines);
+        while (g_hash_table_iter_next(&it, NULL, &v)) {
+            struct lmn_machine *m = v;
+            if (w.broken == G_ACCOUNT)
+                m->inherited = false;
+            if (w.broken == G_PLACE)
+                m->spot = false;
+            for (guint k = 0; k < m->attempts->len; k++) {
+                struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, k);
+                if (w.broken == G_UNSURE)
+                    a->unsure = a->direct = false;
+                if (w.broken == G_DONE && a->state == LMN_A_RUNNING && a->range && a->range->st)
+                    lmn_task_finished(a->range, a->index, w.clock);
+            }
+        }
+        lmn_partition_check(n->core, p, w.clock);
+    }
+    if (w.broken == G_FENCE)
+        n->core->fresh = w.clock;
+}
+
+static void node_direct(struct node *n)
+{
+    GByteArray *body = g_byte_array_new(), *answer = g_byte_array_new();
+    char name[LMN_NAME], addr[LMN_ADDR];
+    uint64_t term;
+    int me = (int)(n - w.nodes);
+
+    while (lmn_probe_next(n->core, 0, 1, name, addr, &term, w.clock)) {
+        struct machine *m = &w.machines[atoi(name + 5)];
+        if (!reaches(me, m) || chance(0.3)) {
+            lmn_probe_outcome(n->core, name, term, LMN_NO_ANSWER, answer, w.clock);
+            continue;
+        }
+        g_byte_array_set_size(body, 0);
+        g_byte_array_set_size(answer, 0);
+        lmn_put_map(body, 3);
+        lmn_put_text(body, W_TOKEN), lmn_put_count(body, term);
+        lmn_put_text(body, W_SESSION), lmn_put_count(body, m->session);
+        lmn_put_text(body, W_COMMANDS), lmn_put_list(body, 0);
+        int status = machine_direct(m, body, answer);
+        lmn_probe_outcome(n->core, name, term, status, answer, w.clock);
+    }
+    while (lmn_direct_next(n->core, 0, 1, name, addr, body, w.clock)) {
+        struct machine *m = &w.machines[atoi(name + 5)];
+        double luck = g_rand_double(w.r);
+        g_byte_array_set_size(answer, 0);
+        if (!reaches(me, m) || luck < 0.25) {
+            /* No answer: lost for good, or delivered up to half a minute later. */
+            if (!m->dead && chance(0.8)) {
+                struct message *x = g_new0(struct message, 1);
+                x->direct = true;
+                x->machine = (int)(m - w.machines);
+                x->body = g_byte_array_new();
+                g_byte_array_append(x->body, body->data, body->len);
+                x->at = w.now + g_rand_double_range(w.r, 0.1, chance(0.5) ? 3 : 30);
+                g_ptr_array_add(w.mail, x);
+            }
+            lmn_direct_outcome(n->core, name, LMN_NO_ANSWER, answer, w.clock);
+        } else {
+            int status = machine_direct(m, body, answer);
+            lmn_direct_outcome(n->core, name, status, answer, w.clock);
+        }
+    }
+    g_byte_array_unref(body);
+    g_byte_array_unref(answer);
+}
+
+/* Steals between partitions, wherever their owners are. */
+static void node_steal(struct node *n)
+{
+    for (int i = 0; i < NODES; i++) {
+        struct lmn_thief t;
+        uint32_t got = 0;
+        if (!lmn_thief_fill(n->core, &n->core->parts[i], &t, w.clock))
+            continue;
+        int victim = g_rand_int_range(w.r, 0, NODES);
+        for (int k = 0; k < NODES && !got; k++) {
+            struct node *o = &w.nodes[k];
+            if (up(o) && o->core && o->core->parts[victim].mine &&
+                lmn_victim_load(o->core, &o->core->parts[victim], &t))
+                got = lmn_victim_give(o->core, &o->core->parts[victim], &t, w.clock);
+        }
+        lmn_thief_result(n->core, &n->core->parts[i], got, w.clock);
+        w.steals += got;
+    }
+}
+
+/* The cloud: machines that owners want to be rid of are gone, and come back as new ones. */
+static void node_cloud(struct node *n)
+{
+    if (w.now < w.cloud_down_until)
+        return;
+    for (int i = 0; i < NODES; i++) {
+        struct lmn_partition *p = &n->core->parts[i];
+        if (!p->mine)
+            continue;
+        GList *all = g_hash_table_get_values(p->machines);
+        for (GList *l = all; l; l = l->next) {
+            struct lmn_machine *m = l->data;
+            if (!m->retiring || m->is_gone || !(m->force || lmn_machine_bare(m)))
+                continue;
+            struct machine *x = &w.machines[atoi(m->name + 5)];
+            x->dead = true;
+            x->ntasks = 0;
+            lmn_machine_gone(n->core, m, w.clock);
+        }
+        g_list_free(all);
+    }
+}
+
+static void node_step(struct node *n, int i)
+{
+    if (!up(n))
+        return;
+    if (!n->core)
+        node_boot(n, i);
+    if (chance(0.0012)) { /* a crash: memory is gone, its lease runs on */
+        n->core = NULL;   /* left behind: nothing of it is ever used again */
+        n->down_until = w.now + g_rand_double_range(w.r, 1, 6);
+        return;
+    }
+    if (chance(0.001)) {
+        n->cut_until = w.now + g_rand_double_range(w.r, 1, 40);
+        /* Often with its workers: a zone by itself. */
+        for (int k = 0; k < MACHINES; k++)
+            if (w.machines[k].node == i && chance(0.7)) {
+                w.machines[k].island = i;
+                w.machines[k].island_until = n->cut_until;
+            }
+    }
+    bool cut = w.now < n->cut_until;
+    if (!cut) {
+        node_lease(n);
+        if (chance(0.7))
+            node_follow(n);
+        if (n->core->synced)
+            node_claim(n);
+    }
+    if (w.broken)
+        break_guards(n);
+    double wall = w.now;
+    lmn_rank_all(n->core, wall);
+    lmn_upkeep(n->core, w.clock);
+    lmn_ranges_flush(n->core, w.clock);
+    if (!cut)
+        node_write(n);
+    else
+        for (struct lmn_txn *t; (t = lmn_state_take(n->state));) {
+            lmn_txn_finish(t, LMN_REFUSED, 0);
+        }
+    node_direct(n);
+    node_steal(n);
+    node_cloud(n);
+}
+
+static void deliver(void)
+{
+    for (guint i = 0; i < w.mail->len;) {
+        struct message *x = w.mail->pdata[i];
+        struct machine *m = &w.machines[x->machine];
+        if (x->at > w.now || (x->direct && w.now < m->hang_until)) {
+            i++;
+            continue;
+        }
+        g_ptr_array_remove_index(w.mail, i);
+        if (x->direct) {
+            if (!m->dead)
+                machine_direct(m, x->body, NULL);
+        } else if (x->node >= 0) { /* a report reaches its node */
+            struct node *n = &w.nodes[x->node];
+            GByteArray *out = g_byte_array_new();
+            if (up(n) && n->core && reaches(x->node, m)) {
+                int status = lmn_worker_report(n->core, x->body->data, x->body->len, out, w.clock);
+                if (status == 200 && !m->dead && w.now >= m->hang_until && !chance(0.05)) {
+                    struct message answer = {.body = out, .session = x->session, .seq = x->seq};
+                    machine_answer(m, &answer);
+                } else if (status != 200 && m->in_flight && m->flight_seq == x->seq) {
+                    m->in_flight = false;
+                    m->node = (m->node + 1) % NODES;
+                    m->next_report = w.now + 0.3;
+                }
+            }
+            g_byte_array_unref(out);
+        }
+        g_byte_array_unref(x->body);
+        g_free(x);
+    }
+}
+
+/* --- users --- */
+
+static void submit(struct job *j)
+{
+    GByteArray *b;
+    char key[64];
+    uint32_t at = 0, open = 0;
+
+    w.rev++;
+    for (int i = 0; i < NODES; i++)
+        open += j->spec.tasks * (uint32_t)(i + 1) / NODES > j->spec.tasks * (uint32_t)i / NODES;
+    b = lmn_job_record(&j->spec, LMN_ACTIVE, open, w.now);
+    g_snprintf(key, sizeof key, "j/%s", j->ref);
+    put(key, b, 0);
+    g_byte_array_unref(b);
+    for (int i = 0; i < NODES; i++) {
+        struct lmn_range r = {.lo = at, .hi = j->spec.tasks * (uint32_t)(i + 1) / NODES};
+        uint8_t none[8] = {0};
+        if (r.hi == r.lo)
+            continue;
+        b = lmn_range_record(&r, none);
+        g_snprintf(key, sizeof key, "r/%d/%s/%u", i, j->ref, at);
+        put(key, b, 0);
+        g_byte_array_unref(b);
+        at = r.hi;
+    }
+    j->submitted = true;
+}
+
+static void cancel(struct job *j)
+{
+    char key[64];
+    struct lmn_doc d;
+    struct lmn_spec s;
+    enum lmn_phase phase;
+    uint32_t open;
+    double at;
+
+    g_snprintf(key, sizeof key, "j/%s", j->ref);
+    struct item *it = g_hash_table_lookup(w.store, key);
+    assert_int_equal(lmn_doc_parse(&d, it->value->data, it->value->len), 0);
+    assert_int_equal(lmn_job_read(&d, lmn_root(&d), &s, &phase, &open, &at), 0);
+    lmn_doc_free(&d);
+    if (phase == LMN_ACTIVE || w.broken == G_FINAL) {
+        GByteArray *b = lmn_job_record(&s, LMN_WITHDRAWN, open, at);
+        w.rev++;
+        put(key, b, 0);
+        g_byte_array_unref(b);
+        j->cancelled_at = w.now;
+    }
+    lmn_spec_clear(&s);
+}
+
+static void forget_world(void)
+{
+    if (w.r)
+        g_rand_free(w.r);
+    memset(&w, 0, sizeof w);
+}
+
+static void play(uint32_t seed, enum guard broken)
+{
+    forget_world();
+    w.r = g_rand_new_with_seed(seed);
+    w.broken = broken;
+    w.store = g_hash_table_new(g_str_hash, g_str_equal);
+    w.log = g_ptr_array_new();
+    w.leases = g_array_new(FALSE, FALSE, sizeof(struct holder));
+    w.mail = g_ptr_array_new();
+    w.now = 1000;
+    w.clock = lmn_after((struct timespec){0, 0}, w.now);
+    lmn_test_clock = &w.clock;
+    for (int i = 0; i < MACHINES; i++) {
+        struct machine *m = &w.machines[i];
+        g_snprintf(m->name, sizeof m->name, "host-%06d", i);
+        g_strlcpy(m->zone, i % 2 ? "b" : "a", sizeof m->zone);
+        m->spot = i >= 4;
+        m->session = 1;
+        m->lease_from = m->next_report = w.now;
+        m->node = i % NODES;
+    }
+    for (int i = 0; i < JOBS; i++) {
+        struct job *j = &w.jobs[i];
+        g_snprintf(j->ref, sizeof j->ref, "run-%06d", i);
+        g_strlcpy(j->spec.ref, j->ref, sizeof j->spec.ref);
+        j->spec.class_name = (char *)"c";
+        j->spec.team = (char *)"x";
+        j->spec.image = (char *)"img";
+        j->spec.zone = i % 5 == 4 ? (char *)"a" : NULL;
+        j->spec.urgency = i % 2 ? LMN_HIGH : LMN_NORMAL;
+        j->spec.tasks = 1 + (uint32_t)g_rand_int_range(w.r, 0, TASKS);
+        j->spec.cpus = 1 + i % 3;
+        j->spec.mem = 1;
+        j->spec.spot = i % 2;
+        j->spec.estimate_s = 3;
+        j->spec.deadline_s = -1;
+        j->cancelled_at = -1;
+    }
+    for (int step = 0; step < STEPS; step++) {
+        w.now += STEP_S;
+        w.clock = lmn_after((struct timespec){0, 0}, w.now);
+        expire();
+        if (chance(0.0006))
+            w.cloud_down_until = w.now + g_rand_double_range(w.r, 5, 60);
+        for (int i = 0; i < JOBS; i++) {
+            struct job *j = &w.jobs[i];
+            if (!j->submitted && w.now > 1000 + i * 20)
+                submit(j);
+            else if (j->submitted && j->cancelled_at < 0 &&
+                     (w.broken == G_FINAL || !j->told_done) && i % 2 && chance(0.004))
+                cancel(j);
+        }
+        for (int i = 0; i < MACHINES; i++) {
+            struct machine *m = &w.machines[i];
+            if (chance(0.0004))
+                m->hang_until = w.now + g_rand_double_range(w.r, 1, 25);
+            if (m->dead && chance(0.004)) {
+                /* The place of a dead machine is taken by another under the same name: only its
+                 * later session tells them apart, as with one that came back. */
+                m->dead = false;
+                m->session++;
+                m->ntasks = 0;
+                m->in_flight = false;
+                m->lease_from = m->next_report = w.now;
+                for (int k = 0; k < NODES; k++)
+                    if (w.nodes[k].core)
+                        g_hash_table_remove(w.nodes[k].core->gone, m->name);
+            }
+            machine_step(m);
+        }
+        deliver();
+        for (int i = 0; i < NODES; i++)
+            node_step(&w.nodes[i], i);
+        check_rules();
+    }
+}
+
+static void keeps_every_rule(void **state)
+{
+    static const char *const names[] = {"ran_twice",     "quota",    "wrong_place",
+                                        "ran_cancelled", "not_done", "went_back"};
+    unsigned finished = 0, takeovers = 0, steals = 0;
+    (void)state;
+
+    for (uint32_t seed = 1; seed <= 12; seed++) {
+        play(seed, G_NONE);
+        for (int i = 0; i < RULES; i++)
+            if (w.broke[i])
+                fail_msg("seed %u: %s broken %u times", seed, names[i], w.broke[i]);
+        finished += w.finished;
+        takeovers += w.takeovers;
+        steals += w.steals;
+    }
+    /* The days were worth playing. */
+    assert_true(finished > 12 * JOBS / 4);
+    assert_true(takeovers > 12 * 5);
+    assert_true(steals > 12);
+}
+
+static void breaks(enum guard g, enum rule r)
+{
+    unsigned n = 0;
+    for (uint32_t seed = 101; seed <= 140 && !n; seed++) {
+        play(seed, g);
+        n = w.broke[r];
+    }
+    assert_true(n > 0);
+}
+
+static void accounting_is_needed(void **state)
+{
+    (void)state;
+    breaks(G_ACCOUNT, R_TWICE);
+}
+
+static void unsure_starts_are_needed(void **state)
+{
+    (void)state;
+    breaks(G_UNSURE, R_TWICE);
+}
+
+static void shares_of_limits_are_needed(void **state)
+{
+    (void)state;
+    breaks(G_QUOTA, R_QUOTA);
+}
+
+static void places_are_needed(void **state)
+{
+    (void)state;
+    breaks(G_PLACE, R_PLACE);
+}
+
+static void the_fence_is_needed(void **state)
+{
+    (void)state;
+    breaks(G_FENCE, R_CANCELLED);
+}
+
+static void reported_results_are_needed(void **state)
+{
+    (void)state;
+    breaks(G_DONE, R_NOT_DONE);
+}
+
+static void conditions_on_final_states_are_needed(void **state)
+{
+    (void)state;
+    breaks(G_FINAL, R_WENT_BACK);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(keeps_every_rule),
+        cmocka_unit_test(accounting_is_needed),
+        cmocka_unit_test(unsure_starts_are_needed),
+        cmocka_unit_test(shares_of_limits_are_needed),
+        cmocka_unit_test(places_are_needed),
+        cmocka_unit_test(the_fence_is_needed),
+        cmocka_unit_test(reported_results_are_needed),
+        cmocka_unit_test(conditions_on_final_states_are_needed),
+    };
+    lmn_log_level = LMN_LOG_ERROR;
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_queue.c
@@ -0,0 +1,278 @@
+/* Queues: order, dealing, stealing. */
+#include "core.h"
+#include "peer_wire.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+#include <math.h>
+#include <string.h>
+
+enum { MACHINES = 9, JOBS = 12 };
+
+static struct lmn_settings cfg;
+static struct lmn_core *core;
+static struct lmn_job jobs[JOBS];
+static struct timespec now = {1000, 0};
+
+static void make(uint32_t seed)
+{
+    GRand *r = g_rand_new_with_seed(seed);
+
+    memset(&cfg, 0, sizeof cfg);
+    cfg.partitions = 1;
+    cfg.state_rps = cfg.state_write_rps = 1000;
+    cfg.txn_ops = 12;
+    cfg.lease_s = 10;
+    cfg.nteams = 1;
+    g_strlcpy(cfg.teams[0].name, "t", LMN_NAME);
+    core = lmn_core_new(&cfg, lmn_state_new(&cfg), seed);
+    core->types.n = 1;
+    core->types.v[0] = (struct lmn_type){.name = "x", .cpus = 8, .mem = 64};
+    struct lmn_partition *p = &core->parts[0];
+    p->mine = p->ready = true;
+    p->my_term = 1;
+    for (int i = 0; i < MACHINES; i++) {
+        char name[16];
+        g_snprintf(name, sizeof name, "m-%d", i);
+        struct lmn_machine *m = lmn_machine_new(p, name);
+        m->type = &core->types.v[0];
+        g_strlcpy(m->zone, i % 2 ? "a" : "b", sizeof m->zone);
+        m->spot = i % 3 == 0;
+        m->rev = 1;
+        m->heard = m->accounted = true;
+    }
+    for (int i = 0; i < JOBS; i++) {
+        struct lmn_job *j = &jobs[i];
+        struct lmn_range *range = g_new0(struct lmn_range, 1);
+        memset(j, 0, sizeof *j);
+        g_snprintf(j->spec.ref, sizeof j->spec.ref, "run-%06d", i);
+        j->spec.team = (char *)"t";
+        j->spec.image = (char *)"i";
+        j->spec.class_name = (char *)"c";
+        j->spec.zone = i % 4 == 1 ? (char *)"a" : NULL;
+        j->spec.spot = i % 2;
+        j->spec.urgency = (enum lmn_urgency)(i % 4);
+        j->spec.tasks = 1 + (uint32_t)g_rand_int_range(r, 0, 40);
+        j->spec.cpus = 1 + i % 4;
+        j->spec.deadline_s = -1;
+        j->at = i;
+        j->latest = g_rand_int_range(r, 0, 5);
+        j->lost = i % 5 == 0;
+        j->ranges = g_ptr_array_new();
+        range->job = j;
+        range->part = p;
+        range->hi = j->spec.tasks;
+        range->key = g_strdup(j->spec.ref);
+        range->done = g_malloc0(16);
+        g_hash_table_insert(p->ranges, range->key, range);
+        g_ptr_array_add(j->ranges, range);
+        lmn_range_open(core, range);
+    }
+    g_rand_free(r);
+}
+
+static void count_queue(const struct lmn_queue *q, unsigned seen[JOBS][64])
+{
+    uint32_t n = 0;
+    for (guint i = 0; i < q->segs->len; i++) {
+        const struct lmn_seg *s = q->segs->pdata[i];
+        for (uint32_t k = s->lo; k < s->hi; k++)
+            seen[s->range->job - jobs][k]++;
+        n += s->hi - s->lo;
+    }
+    assert_int_equal(n, q->tasks);
+}
+
+/* Every task is in one queue, or on one machine, and never in two. */
+static void check_all(void)
+{
+    unsigned seen[JOBS][64] = {{0}};
+    GHashTableIter it;
+    gpointer v;
+
+    count_queue(&core->parts[0].limbo, seen);
+    g_hash_table_iter_init(&it, core->parts[0].machines);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const struct lmn_machine *m = v;
+        double cpus = 0;
+        count_queue(&m->queue, seen);
+        for (guint i = 0; i < m->attempts->len; i++) {
+            const struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
+            seen[a->job - jobs][a->index]++;
+            cpus += a->job->spec.cpus;
+            assert_true(lmn_spec_allows(&a->job->spec, m->type, m->zone, m->spot));
+        }
+        assert_true(fabs(cpus - m->used_cpus) < 1e-6);
+        assert_true(cpus <= m->type->cpus + 1e-6);
+    }
+    for (int i = 0; i < JOBS; i++)
+        for (uint32_t k = 0; k < jobs[i].spec.tasks; k++)
+            assert_int_equal(seen[i][k], 1);
+}
+
+static struct lmn_machine *some_machine(GRand *r)
+{
+    char name[16];
+    g_snprintf(name, sizeof name, "m-%d", g_rand_int_range(r, 0, MACHINES));
+    return g_hash_table_lookup(core->parts[0].machines, name);
+}
+
+static void never_loses_or_doubles_a_task(void **state)
+{
+    (void)state;
+
+    for (uint32_t seed = 1; seed <= 25; seed++) {
+        GRand *r = g_rand_new_with_seed(seed);
+        make(seed);
+        for (int i = 0; i < JOBS; i++)
+            lmn_deal(core, jobs[i].ranges->pdata[0], 0, jobs[i].spec.tasks, now);
+        check_all();
+        for (int step = 0; step < 120; step++) {
+            struct lmn_machine *m = some_machine(r);
+            GByteArray *out = g_byte_array_new();
+            now = lmn_after(now, 0.3);
+            switch (g_rand_int_range(r, 0, 6)) {
+            case 0:
+                lmn_steal(core, m, now);
+                break;
+            case 1:
+                lmn_machine_empty(core, m, "test", now);
+                break;
+            case 2:
+                m->noticed = !m->noticed;
+                lmn_redeal_machine(core, m, now);
+                break;
+            default:
+                lmn_schedule(core, m, out, now);
+            }
+            g_byte_array_unref(out);
+            check_all();
+        }
+        assert_true(core->count.starts > 0 && core->count.steals > 0);
+        g_rand_free(r);
+    }
+}
+
+/* The order is total: what goes before, goes before whatever comes between. */
+static void order_is_total(void **state)
+{
+    (void)state;
+    make(77);
+    for (int a = 0; a < JOBS; a++)
+        for (int b = 0; b < JOBS; b++) {
+            int ab = lmn_job_order(&jobs[a], &jobs[b]), ba = lmn_job_order(&jobs[b], &jobs[a]);
+            assert_int_equal(ab < 0, ba > 0);
+            assert_int_equal(ab == 0, a == b);
+            for (int c = 0; c < JOBS; c++)
+                if (ab < 0 && lmn_job_order(&jobs[b], &jobs[c]) < 0)
+                    assert_true(lmn_job_order(&jobs[a], &jobs[c]) < 0);
+        }
+}
+
+/* What can be in time goes before what can't, whatever the urgency; and a job's next expectation
+ * takes the place of one that is past. */
+static void expectations(void **state)
+{
+    struct lmn_settings s = {.nobjectives = 3};
+    struct lmn_job j = {.spec = {.class_name = (char *)"c", .estimate_s = 10, .deadline_s = -1},
+                        .at = 100};
+    (void)state;
+
+    s.objectives[0] = (struct lmn_objective){LMN_WAIT, "c", 20, 1, 1};
+    s.objectives[1] = (struct lmn_objective){LMN_FINISH, "c", 60, 1, 1};
+    s.objectives[2] = (struct lmn_objective){LMN_WAIT, "other", 1, 1, 1};
+    lmn_job_rank(&s, &j, 110);
+    assert_true(!j.lost && j.latest == 120);
+    lmn_job_rank(&s, &j, 121);
+    assert_true(!j.lost && j.latest == 155);
+    lmn_job_rank(&s, &j, 156);
+    assert_true(j.lost);
+    j.spec.class_name = (char *)"unheard-of";
+    lmn_job_rank(&s, &j, 156);
+    assert_true(!j.lost && isinf(j.latest));
+}
+
+/* The interval doubles with each failure up to its cap, and new work resets it. */
+static void interval_doubles(void **state)
+{
+    (void)state;
+    make(5);
+    struct lmn_machine *m = g_hash_table_lookup(core->parts[0].machines, "m-1");
+    double last = 0;
+
+    for (int i = 0; i < 20; i++) {
+        now = m->next_steal.tv_sec ? lmn_after(m->next_steal, 0.01) : now;
+        assert_false(lmn_steal(core, m, now));
+        assert_true(last == 0 || m->poll_s == fmin(last * 2, core->tuning.poll_cap_s));
+        last = m->poll_s;
+    }
+    assert_true(last == core->tuning.poll_cap_s);
+    lmn_deal(core, jobs[2].ranges->pdata[0], 0, jobs[2].spec.tasks, now);
+    struct lmn_machine *dealt = NULL;
+    for (int i = 0; i < MACHINES && !dealt; i++) {
+        char name[16];
+        g_snprintf(name, sizeof name, "m-%d", i);
+        struct lmn_machine *o = g_hash_table_lookup(core->parts[0].machines, name);
+        if (o->queue.tasks)
+            dealt = o;
+    }
+    assert_non_null(dealt);
+    assert_true(dealt->poll_s == 0);
+}
+
+/* Messages between processes: as they went in, and hostile bytes without a crash. */
+static void xdr(void **state)
+{
+    GRand *r = g_rand_new_with_seed(9);
+    (void)state;
+
+    for (int i = 0; i < 500; i++) {
+        char bytes[4096];
+        struct lmn_xroom rooms[5];
+        struct lmn_xteam teams[3];
+        struct lmn_xthief q = {1, 2, {(u_int)g_rand_int_range(r, 0, 6), rooms}, {3, teams}}, back;
+        XDR x;
+        for (int k = 0; k < 5; k++)
+            rooms[k] = (struct lmn_xroom){(char *)"type", (char *)"zone", k % 2,
+                                          g_rand_double(r), 0, 1};
+        for (int k = 0; k < 3; k++)
+            teams[k] = (struct lmn_xteam){(char *)"team", k, g_rand_double(r)};
+        xdrmem_create(&x, bytes, sizeof bytes, XDR_ENCODE);
+        assert_true(xdr_lmn_xthief(&x, &q));
+        u_int len = xdr_getpos(&x);
+        memset(&back, 0, sizeof back);
+        xdrmem_create(&x, bytes, len, XDR_DECODE);
+        assert_true(xdr_lmn_xthief(&x, &back));
+        assert_int_equal(back.rooms.rooms_len, q.rooms.rooms_len);
+        for (u_int k = 0; k < q.rooms.rooms_len; k++)
+            assert_true(back.rooms.rooms_val[k].cpus == rooms[k].cpus);
+        xdr_free((xdrproc_t)xdr_lmn_xthief, (char *)&back);
+        bytes[g_rand_int_range(r, 0, (gint32)len)] ^= (char)(1 + g_rand_int_range(r, 0, 255));
+        memset(&back, 0, sizeof back);
+        xdrmem_create(&x, bytes, (u_int)g_rand_int_range(r, 0, (gint32)len + 1), XDR_DECODE);
+        xdr_lmn_xthief(&x, &back);
+        xdr_free((xdrproc_t)xdr_lmn_xthief, (char *)&back);
+    }
+    g_rand_free(r);
+}
+
+/* The worlds of these tests are not taken down. */
+const char *__asan_default_options(void);
+const char *__asan_default_options(void)
+{
+    return "detect_leaks=0";
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(never_loses_or_doubles_a_task),
+        cmocka_unit_test(order_is_total),
+        cmocka_unit_test(expectations),
+        cmocka_unit_test(interval_doubles),
+        cmocka_unit_test(xdr),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
