--- a/src/cloud.c
+++ b/src/cloud.c
@@ -325,7 +325,11 @@
         pthread_mutex_unlock(&c->lock);
         if ((!known || lmn_since(now, k.typed) > 120) && pace(&k))
             get_types(&k);
-        return_machines(&k);
+        pthread_mutex_lock(&c->lock);
+        bool blind = lmn_staleness(c, now) > LMN_BLIND_S;
+        pthread_mutex_unlock(&c->lock);
+        if (!blind)
+            return_machines(&k);
         if (role && !k.had_role) {
             k.role_since = now;
             g_hash_table_remove_all(k.fleet.machines);
@@ -338,7 +342,7 @@
             k.budget.burst = role ? MAX(c->cfg->cloud_rps, 1) : 1;
         }
         k.had_role = role;
-        if (role && known) {
+        if (role && known && !blind) {
             if (lmn_since(now, k.listed) > MAX(c->cfg->list_lag_s, 3.0) && read_list(&k))
                 prune(&k);
             /* A predecessor's last rentals show in the list only after its lag. */
--- a/src/core.h
+++ b/src/core.h
@@ -198,7 +198,9 @@
 void lmn_mirror_settle(struct lmn_core *c, struct timespec now);
 /* Follows the state service for ever (a thread). */
 void *lmn_mirror_thread(void *core);
-/* Seconds by which the mirror may be behind. */
+/* Seconds by which the mirror may be behind; beyond LMN_BLIND_S a node touches no machine of the
+ * cloud's: it may long have lost them to a successor. */
+#define LMN_BLIND_S 5.0
 double lmn_staleness(const struct lmn_core *c, struct timespec now);
 
 /* --- partition.c --- */
@@ -223,6 +225,9 @@
                        struct timespec now);
 void lmn_machine_retire(struct lmn_core *c, struct lmn_machine *m, bool force, const char *why,
                         struct timespec now);
+/* It should have reported by now, and is worth asking. */
+bool lmn_machine_silent(const struct lmn_core *c, const struct lmn_machine *m,
+                        struct timespec now);
 /* The cloud has said that it is gone. */
 void lmn_machine_gone(struct lmn_core *c, struct lmn_machine *m, struct timespec now);
 void lmn_attempt_count(struct lmn_machine *m, struct lmn_attempt *a);
--- a/src/range.c
+++ b/src/range.c
@@ -414,7 +414,15 @@
     return n;
 }
 
-static bool silent_majority(const struct lmn_partition *p)
+bool lmn_machine_silent(const struct lmn_core *c, const struct lmn_machine *m, struct timespec now)
+{
+    return m->accounted && !m->lapsed && !m->retiring && !m->is_gone &&
+           lmn_since(now, m->last) > MIN(0.6 * c->cfg->lease_s, 3 * c->cfg->report_s + 2);
+}
+
+/* If most machines are silent, the fault is more likely on this side. */
+static bool silent_majority(const struct lmn_core *c, const struct lmn_partition *p,
+                            struct timespec now)
 {
     guint silent = 0, all = 0;
     GHashTableIter it;
@@ -423,8 +431,10 @@
     g_hash_table_iter_init(&it, p->machines);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const struct lmn_machine *m = v;
-        all += m->inherited;
-        silent += m->inherited && !m->accounted;
+        if (!m->heard && !m->inherited)
+            continue;
+        all++;
+        silent += !m->accounted || m->lapsed || lmn_machine_silent(c, m, now);
     }
     return silent > 2 && 2 * silent > all;
 }
@@ -447,6 +457,12 @@
                  busy(m));
         lmn_machine_empty(c, m, "lease lapsed", now);
     }
+    if (lmn_staleness(c, now) > LMN_BLIND_S)
+        return;
+    /* Most machines that fall silent are gone, and a return is a quicker proof of that than a
+     * lease; a worker that answers when asked is left alone. */
+    if (lmn_machine_silent(c, m, now) && m->probes >= 2 && !silent_majority(c, p, now))
+        lmn_machine_retire(c, m, true, "silent and unreachable", now);
     if (m->lapsed && silent > cfg->lease_s + 12)
         lmn_machine_retire(c, m, true, "silent", now);
     if (m->noticed && silent > 2.5 * cfg->report_s + 1)
@@ -454,7 +470,7 @@
     /* Neither its worker's reports nor our own questions got through. If that goes for
      * most of them, the fault is more likely on this side: then the leases have to run
      * out first. */
-    double patience = silent_majority(p) ? cfg->lease_s + 8 : 2 * cfg->report_s + 3;
+    double patience = silent_majority(c, p, now) ? cfg->lease_s + 8 : 2 * cfg->report_s + 3;
     if (m->inherited && !m->accounted && silent > patience &&
         (m->probes >= 2 || silent > cfg->lease_s))
         lmn_machine_retire(c, m, true, "not heard under the new term", now);
--- a/src/worker.c
+++ b/src/worker.c
@@ -333,6 +333,7 @@
     m->report_seq = r->seq;
     m->seq = overtaken ? m->seq : r->seq;
     m->last = now;
+    m->probes = 0;
     m->lapsed = false;
     if (r->noticed && !m->noticed) {
         m->noticed = true;
@@ -423,9 +424,14 @@
     struct lmn_doc d;
     struct report r;
 
-    if (!m || !p->mine || p->my_term != term || m->accounted || m->is_gone)
+    if (!m || !p->mine || p->my_term != term || m->is_gone)
         return;
     m->probes++;
+    if (m->accounted) { /* only whether it is there */
+        if (status == 200 || status == 409)
+            m->probes = 0;
+        return;
+    }
     if (status != 200 || lmn_doc_parse(&d, answer->data, answer->len) != 0)
         return;
     /* Written after the worker had taken our term: whatever a predecessor sends comes too
