Tests: real processes over loopback against stand-ins, with kills and restarts

Found on the way: counters changed without the lock (polls, submissions, refusals) and one term read without it; both are under the lock now.

--- a/src/api.c
+++ b/src/api.c
@@ -107,6 +107,7 @@
     bool final;
 
     pthread_mutex_lock(&c->lock);
+    c->count.polls++;
     GByteArray *a = mirror_answer(c, ref, &rev, &final);
     pthread_mutex_unlock(&c->lock);
     if (a && final) {
@@ -120,7 +121,6 @@
 
 void lmn_api_poll(struct lmn_core *c, struct lmn_call *call, const char *ref)
 {
-    c->count.polls++;
     if (!lmn_ref_ok(ref)) {
         lmn_call_answer(call, 404, NULL, 0);
         return;
@@ -276,7 +276,6 @@
     uint64_t rev;
     bool final, known = false;
 
-    c->count.submissions++;
     if (lmn_doc_parse(&d, body->data, body->len) != 0) {
         lmn_call_answer(call, 400, error_answer("not CBOR"), 0);
         return;
@@ -294,6 +293,7 @@
         return;
     }
     pthread_mutex_lock(&c->lock);
+    c->count.submissions++;
     GByteArray *a = mirror_answer(c, s.ref, &rev, &final);
     known = a != NULL;
     bool synced = c->synced, types = c->types_known;
@@ -311,7 +311,9 @@
     } else {
         double wait = lmn_state_backlog(c->state, LMN_RANK_USER);
         if (wait > 2.0) {
+            pthread_mutex_lock(&c->lock);
             c->count.refused++;
+            pthread_mutex_unlock(&c->lock);
             lmn_call_answer(call, 429, NULL, (int)ceil(wait));
         } else {
             struct submission *arg = g_new0(struct submission, 1);
--- a/src/cloud.c
+++ b/src/cloud.c
@@ -321,7 +321,7 @@
         struct timespec now = lmn_now();
         pthread_mutex_lock(&c->lock);
         bool known = c->types_known;
-        bool role = c->parts[0].mine;
+        bool role = c->parts[0].mine, first_term = c->parts[0].my_term <= 1;
         pthread_mutex_unlock(&c->lock);
         if ((!known || lmn_since(now, k.typed) > 120) && pace(&k))
             get_types(&k);
@@ -346,7 +346,7 @@
             if (lmn_since(now, k.listed) > MAX(c->cfg->list_lag_s, 3.0) && read_list(&k))
                 prune(&k);
             /* A predecessor's last rentals show in the list only after its lag. */
-            if (k.listed.tv_sec && (c->parts[0].my_term <= 1 ||
+            if (k.listed.tv_sec && (first_term ||
                                     lmn_since(now, k.role_since) > 2 * c->cfg->list_lag_s))
                 rent(&k);
         }
--- /dev/null
+++ b/tests/test_service.c
@@ -0,0 +1,803 @@
+/* Real processes over loopback, against stand-ins for the state service, the cloud and the
+ * workers: jobs are accepted and done, one is cancelled, controllers are killed on the way and
+ * started again; no task is ever on two machines at once, and an accepted job stays known. */
+#include "core.h"
+#include "http_client.h"
+#include "thread.h"
+#include "wire.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+#include <arpa/inet.h>
+#include <curl/curl.h>
+#include <microhttpd.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+enum { NODES = 3, MAX_MACHINES = 64, MAX_HELD = 128 };
+static const double PATIENCE_S = 120;
+
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static pthread_cond_t changed;
+
+/* --- the state service --- */
+
+struct item {
+    GByteArray *value; /* NULL: removed */
+    uint64_t rev, lease;
+};
+struct event {
+    char *key;
+    GByteArray *value;
+    uint64_t rev;
+};
+struct lease {
+    uint64_t id;
+    double ttl;
+    struct timespec until;
+};
+static GTree *store;
+static GPtrArray *events;
+static GArray *leases;
+static uint64_t revision, last_lease;
+
+static void put(const char *key, GByteArray *value, uint64_t lease)
+{
+    struct item *it = g_tree_lookup(store, key);
+    struct event *e = g_new0(struct event, 1);
+
+    if (!it) {
+        it = g_new0(struct item, 1);
+        g_tree_insert(store, g_strdup(key), it);
+    }
+    *it = (struct item){value, revision, lease};
+    *e = (struct event){g_strdup(key), value, revision};
+    g_ptr_array_add(events, e);
+    pthread_cond_broadcast(&changed);
+}
+
+static gboolean drop_leased(gpointer key, gpointer v, gpointer id)
+{
+    struct item *it = v;
+    if (it->value && it->lease == *(uint64_t *)id)
+        put(key, NULL, 0);
+    return FALSE;
+}
+
+static void expire(void)
+{
+    struct timespec now = lmn_now();
+    for (guint i = leases->len; i-- > 0;) {
+        struct lease l = g_array_index(leases, struct lease, i);
+        if (!lmn_before(l.until, now))
+            continue;
+        g_array_remove_index(leases, i);
+        revision++;
+        g_tree_foreach(store, drop_leased, &l.id);
+    }
+}
+
+static struct lease *find_lease(uint64_t id)
+{
+    for (guint i = 0; i < leases->len; i++)
+        if (g_array_index(leases, struct lease, i).id == id)
+            return &g_array_index(leases, struct lease, i);
+    return NULL;
+}
+
+static GByteArray *copy(const struct lmn_doc *d, const struct lmn_node *n)
+{
+    GByteArray *b = g_byte_array_new();
+    if (n)
+        lmn_put_node(b, d, n);
+    else
+        lmn_put_null(b);
+    return b;
+}
+
+static int state_txn(const struct lmn_doc *d, GByteArray *out)
+{
+    const struct lmn_node *root = lmn_root(d), *n;
+    GPtrArray *failed = g_ptr_array_new();
+    char key[256];
+
+    for (n = lmn_child(d, lmn_get(d, root, W_IF)); n; n = lmn_next(d, n)) {
+        uint64_t version = 0;
+        lmn_text(lmn_get(d, n, W_KEY), key, sizeof key);
+        lmn_count(lmn_get(d, n, W_VERSION), &version);
+        struct item *it = g_tree_lookup(store, key);
+        if ((it && it->value ? it->rev : 0) != version)
+            g_ptr_array_add(failed, g_strdup(key));
+    }
+    const struct lmn_node *then = lmn_child(d, lmn_get(d, root, W_THEN));
+    for (n = then; n; n = lmn_next(d, n)) {
+        uint64_t lease = 0;
+        lmn_count(lmn_get(d, n, W_LEASE), &lease);
+        if (lease && !find_lease(lease))
+            return 400;
+    }
+    if (!failed->len && then) {
+        revision++;
+        for (n = then; n; n = lmn_next(d, n)) {
+            uint64_t lease = 0;
+            lmn_count(lmn_get(d, n, W_LEASE), &lease);
+            if (lmn_text(lmn_get(d, n, W_PUT), key, sizeof key))
+                put(key, copy(d, lmn_get(d, n, W_VALUE)), lease);
+            else if (lmn_text(lmn_get(d, n, W_DELETE), key, sizeof key))
+                put(key, NULL, 0);
+        }
+    }
+    lmn_put_map(out, failed->len ? 2 : 1);
+    lmn_put_text(out, W_REVISION), lmn_put_count(out, revision);
+    if (failed->len) {
+        lmn_put_text(out, W_CONFLICTS), lmn_put_list(out, failed->len);
+        for (guint i = 0; i < failed->len; i++)
+            lmn_put_text(out, failed->pdata[i]);
+    }
+    return failed->len ? 409 : 200;
+}
+
+static void put_item(GByteArray *out, const char *key, const struct item *it)
+{
+    lmn_put_map(out, 3);
+    lmn_put_text(out, W_KEY), lmn_put_text(out, key);
+    lmn_put_text(out, W_VALUE), g_byte_array_append(out, it->value->data, it->value->len);
+    lmn_put_text(out, W_VERSION), lmn_put_count(out, it->rev);
+}
+
+struct listing {
+    GByteArray *items;
+    size_t n;
+};
+
+static gboolean list_item(gpointer key, gpointer v, gpointer arg)
+{
+    struct listing *l = arg;
+    if (((struct item *)v)->value) {
+        put_item(l->items, key, v);
+        l->n++;
+    }
+    return FALSE;
+}
+
+static const char *query(struct MHD_Connection *c, const char *name)
+{
+    const char *v = MHD_lookup_connection_value(c, MHD_GET_ARGUMENT_KIND, name);
+    return v ? v : "";
+}
+
+static int state_watch(struct MHD_Connection *c, GByteArray *out)
+{
+    uint64_t after = g_ascii_strtoull(query(c, Q_AFTER), NULL, 10);
+    struct timespec end = lmn_after(lmn_now(), atof(query(c, Q_WAIT_MS)) / 1000);
+    size_t n = 0;
+
+    while (revision <= after && lmn_before(lmn_now(), end)) {
+        lmn_cond_wait_for(&changed, &lock, 0.05);
+        expire();
+    }
+    for (guint i = 0; i < events->len; i++)
+        n += ((struct event *)events->pdata[i])->rev > after;
+    lmn_put_map(out, 2);
+    lmn_put_text(out, W_REVISION), lmn_put_count(out, revision);
+    lmn_put_text(out, W_EVENTS), lmn_put_list(out, n);
+    for (guint i = 0; i < events->len; i++) {
+        const struct event *e = events->pdata[i];
+        if (e->rev <= after)
+            continue;
+        lmn_put_map(out, e->value ? 3 : 2);
+        lmn_put_text(out, e->value ? W_PUT : W_DELETE), lmn_put_text(out, e->key);
+        lmn_put_text(out, W_VERSION), lmn_put_count(out, e->rev);
+        if (e->value)
+            lmn_put_text(out, W_VALUE), g_byte_array_append(out, e->value->data, e->value->len);
+    }
+    return 200;
+}
+
+static int state_answer(struct MHD_Connection *c, const char *path, const char *method,
+                        const struct lmn_doc *d, GByteArray *out)
+{
+    bool post = !strcmp(method, "POST");
+    expire();
+    if (post && !strcmp(path, P_TXN))
+        return state_txn(d, out);
+    if (!strcmp(path, P_WATCH))
+        return state_watch(c, out);
+    if (post && !strcmp(path, P_LEASES)) {
+        uint64_t ttl = 1000;
+        lmn_count(lmn_get(d, lmn_root(d), W_TTL_MS), &ttl);
+        struct lease l = {++last_lease, (double)ttl / 1000, {0, 0}};
+        l.until = lmn_after(lmn_now(), l.ttl);
+        g_array_append_val(leases, l);
+        lmn_put_map(out, 1);
+        lmn_put_text(out, W_LEASE), lmn_put_count(out, l.id);
+        return 200;
+    }
+    if (post && g_str_has_prefix(path, P_LEASES "/")) {
+        struct lease *l =
+            find_lease(g_ascii_strtoull(path + strlen(P_LEASES "/"), NULL, 10));
+        if (l)
+            l->until = lmn_after(lmn_now(), l->ttl);
+        return l ? 200 : 404;
+    }
+    if (!strcmp(path, P_STORE)) {
+        struct listing l = {g_byte_array_new(), 0};
+        g_tree_foreach(store, list_item, &l);
+        lmn_put_map(out, 3);
+        lmn_put_text(out, W_REVISION), lmn_put_count(out, revision);
+        lmn_put_text(out, W_MORE), lmn_put_truth(out, false);
+        lmn_put_text(out, W_ITEMS), lmn_put_list(out, l.n);
+        g_byte_array_append(out, l.items->data, l.items->len);
+        return 200;
+    }
+    if (g_str_has_prefix(path, P_STORE "/")) {
+        struct item *it = g_tree_lookup(store, path + strlen(P_STORE "/"));
+        if (!it || !it->value)
+            return 404;
+        put_item(out, path + strlen(P_STORE "/"), it);
+        return 200;
+    }
+    return 400;
+}
+
+/* --- machines --- */
+
+struct held {
+    char task[64];
+    uint64_t attempt;
+    enum { RUNNING, ENDED, FREE } state;
+    bool done;
+    struct timespec until;
+};
+
+struct machine {
+    char name[16], addr[32];
+    bool gone;
+    uint64_t session, seq, token;
+    struct timespec answered;
+    struct held held[MAX_HELD];
+};
+
+static struct machine machines[MAX_MACHINES];
+static int nmachines;
+static unsigned twice, started, rented;
+static int ports[NODES][2], state_port, cloud_port;
+
+static void report(struct machine *m, GByteArray *b)
+{
+    size_t n = 0;
+    for (int i = 0; i < MAX_HELD; i++)
+        n += m->held[i].state != FREE;
+    lmn_put_map(b, 9);
+    lmn_put_text(b, W_MACHINE), lmn_put_text(b, m->name);
+    lmn_put_text(b, W_ADDR), lmn_put_text(b, m->addr);
+    lmn_put_text(b, W_TYPE), lmn_put_text(b, "small");
+    lmn_put_text(b, W_ZONE), lmn_put_text(b, "a");
+    lmn_put_text(b, W_SPOT), lmn_put_truth(b, false);
+    lmn_put_text(b, W_SESSION), lmn_put_count(b, m->session);
+    lmn_put_text(b, W_SEQ), lmn_put_count(b, ++m->seq);
+    lmn_put_text(b, W_TOKEN), lmn_put_count(b, m->token);
+    lmn_put_text(b, W_TASKS), lmn_put_list(b, n);
+    for (int i = 0; i < MAX_HELD; i++) {
+        const struct held *h = &m->held[i];
+        if (h->state == FREE)
+            continue;
+        lmn_put_map(b, 4);
+        lmn_put_text(b, W_TASK), lmn_put_text(b, h->task);
+        lmn_put_text(b, W_ATTEMPT), lmn_put_count(b, h->attempt);
+        lmn_put_text(b, W_STATE), lmn_put_text(b, h->state == RUNNING ? W_RUNNING : W_ENDED);
+        lmn_put_text(b, W_WHY), lmn_put_text(b, h->done ? W_DONE : W_STOPPED);
+    }
+}
+
+static void obey(struct machine *m, const struct lmn_doc *d, const struct lmn_node *orders)
+{
+    for (const struct lmn_node *n = lmn_child(d, orders); n; n = lmn_next(d, n)) {
+        const struct lmn_node *op = lmn_get(d, n, W_OP);
+        struct held *same = NULL, *room = NULL;
+        char task[64] = "";
+        uint64_t attempt = 0;
+        lmn_text(lmn_get(d, n, W_TASK), task, sizeof task);
+        lmn_count(lmn_get(d, n, W_ATTEMPT), &attempt);
+        for (int i = 0; i < MAX_HELD; i++) {
+            struct held *h = &m->held[i];
+            if (h->state == FREE)
+                room = h;
+            else if (!strcmp(h->task, task) && h->attempt == attempt)
+                same = h;
+        }
+        if (lmn_is(op, W_START) && !same && room) {
+            for (int k = 0; k < nmachines; k++)
+                for (int i = 0; i < MAX_HELD; i++)
+                    twice += !machines[k].gone && machines[k].held[i].state == RUNNING &&
+                             !strcmp(machines[k].held[i].task, task);
+            memset(room, 0, sizeof *room);
+            g_strlcpy(room->task, task, sizeof room->task);
+            room->attempt = attempt;
+            /* The service's replicas run until they are killed. */
+            room->until = lmn_after(lmn_now(), g_str_has_prefix(task, "run-000100/") ? 1e6 : 0.4);
+            started++;
+        } else if (lmn_is(op, W_KILL) && same && same->state == RUNNING) {
+            same->state = ENDED;
+        } else if (lmn_is(op, W_CLEAR) && same && same->state == ENDED) {
+            same->state = FREE;
+        }
+    }
+}
+
+static void pass(struct machine *m)
+{
+    struct timespec now = lmn_now();
+    for (int i = 0; i < MAX_HELD; i++) {
+        struct held *h = &m->held[i];
+        if (h->state == RUNNING && lmn_before(h->until, now)) {
+            h->state = ENDED;
+            h->done = true;
+        }
+        if (lmn_since(now, m->answered) > 6)
+            h->state = FREE;
+    }
+    if (lmn_since(now, m->answered) > 6) {
+        m->session++;
+        m->answered = now;
+    }
+}
+
+static int worker_answer(struct machine *m, const char *path, const struct lmn_doc *d,
+                         GByteArray *out)
+{
+    uint64_t token = 0, session = 0;
+    int status = 200;
+
+    pass(m);
+    if (!strcmp(path, P_DIRECT)) {
+        lmn_count(lmn_get(d, lmn_root(d), W_TOKEN), &token);
+        lmn_count(lmn_get(d, lmn_root(d), W_SESSION), &session);
+        if (token < m->token || session != m->session) {
+            status = 409;
+        } else {
+            m->token = token;
+            obey(m, d, lmn_get(d, lmn_root(d), W_COMMANDS));
+        }
+    }
+    report(m, out);
+    return status;
+}
+
+static void *worker(void *arg)
+{
+    struct machine *m = arg;
+    struct lmn_http *h[NODES];
+    GByteArray *in = g_byte_array_new();
+    int node = (int)(m - machines) % NODES;
+
+    for (int i = 0; i < NODES; i++) {
+        char addr[32];
+        g_snprintf(addr, sizeof addr, "127.0.0.1:%d", ports[i][0]);
+        h[i] = lmn_http_new(addr);
+    }
+    for (;;) {
+        GByteArray *b = g_byte_array_new();
+        struct lmn_doc d;
+        pthread_mutex_lock(&lock);
+        pass(m);
+        uint64_t session = m->session;
+        report(m, b);
+        bool gone = m->gone;
+        pthread_mutex_unlock(&lock);
+        if (gone)
+            return NULL;
+        struct timespec sent = lmn_now();
+        int status = lmn_http_call(h[node], "POST", P_REPORT, b, 4, in);
+        g_byte_array_unref(b);
+        if (status == 200 && lmn_doc_parse(&d, in->data, in->len) == 0) {
+            uint64_t token = 0;
+            lmn_count(lmn_get(&d, lmn_root(&d), W_TOKEN), &token);
+            pthread_mutex_lock(&lock);
+            if (!m->gone && token >= m->token && session == m->session) {
+                m->token = token;
+                m->answered = sent;
+                obey(m, &d, lmn_get(&d, lmn_root(&d), W_COMMANDS));
+            }
+            pthread_mutex_unlock(&lock);
+            lmn_doc_free(&d);
+            lmn_sleep(0.3);
+        } else {
+            char to[32] = "";
+            if (status == 421 && lmn_doc_parse(&d, in->data, in->len) == 0) {
+                lmn_text(lmn_get(&d, lmn_root(&d), W_REPORT_TO), to, sizeof to);
+                lmn_doc_free(&d);
+            }
+            node = *to ? atoi(to + 1) : (node + 1) % NODES;
+            lmn_sleep(*to ? 0.1 : 0.5);
+        }
+    }
+}
+
+/* --- serving the stand-ins --- */
+
+static int serve(int (*answer)(void *, struct MHD_Connection *, const char *, const char *,
+                               const struct lmn_doc *, GByteArray *),
+                 void *arg);
+
+static int answer_worker(void *arg, struct MHD_Connection *c, const char *path, const char *method,
+                         const struct lmn_doc *d, GByteArray *out)
+{
+    (void)c;
+    (void)method;
+    return worker_answer(arg, path, d, out);
+}
+
+static int answer_state(void *arg, struct MHD_Connection *c, const char *path, const char *method,
+                        const struct lmn_doc *d, GByteArray *out)
+{
+    (void)arg;
+    return state_answer(c, path, method, d, out);
+}
+
+static int answer_cloud(void *arg, struct MHD_Connection *c, const char *path, const char *method,
+                        const struct lmn_doc *d, GByteArray *out)
+{
+    const struct lmn_node *root = lmn_root(d);
+    (void)arg;
+    (void)c;
+    if (!strcmp(path, P_TYPES)) {
+        lmn_put_map(out, 1);
+        lmn_put_text(out, W_TYPES), lmn_put_list(out, 1);
+        lmn_put_map(out, 10);
+        lmn_put_text(out, W_SKU), lmn_put_text(out, "small");
+        lmn_put_text(out, W_CPUS), lmn_put_number(out, 4);
+        lmn_put_text(out, W_GPUS), lmn_put_number(out, 0);
+        lmn_put_text(out, W_MEM), lmn_put_number(out, 16);
+        lmn_put_text(out, W_CACHE_GB), lmn_put_number(out, 10);
+        lmn_put_text(out, W_PULL), lmn_put_number(out, 1);
+        lmn_put_text(out, W_RATE), lmn_put_number(out, 1);
+        lmn_put_text(out, W_SPOT_RATE), lmn_put_number(out, 0.5);
+        lmn_put_text(out, W_READY), lmn_put_number(out, 1);
+        lmn_put_text(out, W_ZONES), lmn_put_list(out, 1), lmn_put_text(out, "a");
+        return 200;
+    }
+    if (!strcmp(path, P_RETURN)) {
+        const struct lmn_node *list = lmn_get(d, root, W_MACHINES);
+        for (const struct lmn_node *n = lmn_child(d, list); n; n = lmn_next(d, n))
+            for (int i = 0; i < nmachines; i++)
+                if (lmn_is(n, machines[i].name))
+                    machines[i].gone = true;
+        lmn_put_map(out, 0);
+        return 200;
+    }
+    if (!strcmp(method, "POST")) {
+        uint64_t count = 0;
+        lmn_count(lmn_get(d, root, W_COUNT), &count);
+        count = MIN(count, (uint64_t)MIN(6 - (int)rented, MAX_MACHINES - nmachines));
+        if (!count || rented >= 6) {
+            lmn_put_map(out, 1);
+            lmn_put_text(out, "error"), lmn_put_text(out, "no capacity");
+            return 503;
+        }
+        lmn_put_map(out, 1);
+        lmn_put_text(out, W_MACHINES), lmn_put_list(out, count);
+        for (uint64_t i = 0; i < count; i++) {
+            struct machine *m = &machines[nmachines];
+            g_snprintf(m->name, sizeof m->name, "host-%06d", nmachines++);
+            for (int k = 0; k < MAX_HELD; k++)
+                m->held[k].state = FREE;
+            m->session = 1;
+            m->answered = lmn_now();
+            g_snprintf(m->addr, sizeof m->addr, "127.0.0.1:%d", serve(answer_worker, m));
+            lmn_put_text(out, m->name);
+            lmn_thread(worker, m);
+            rented++;
+        }
+        return 200;
+    }
+    size_t n = 0;
+    for (int i = 0; i < nmachines; i++)
+        n += !machines[i].gone;
+    lmn_put_map(out, 2);
+    lmn_put_text(out, W_MORE), lmn_put_truth(out, false);
+    lmn_put_text(out, W_MACHINES), lmn_put_list(out, n);
+    for (int i = 0; i < nmachines; i++) {
+        if (machines[i].gone)
+            continue;
+        lmn_put_map(out, 6);
+        lmn_put_text(out, W_ID), lmn_put_text(out, machines[i].name);
+        lmn_put_text(out, W_TYPE), lmn_put_text(out, "small");
+        lmn_put_text(out, W_ZONE), lmn_put_text(out, "a");
+        lmn_put_text(out, W_SPOT), lmn_put_truth(out, false);
+        lmn_put_text(out, W_STATE), lmn_put_text(out, W_RUNNING);
+        lmn_put_text(out, W_AGE), lmn_put_number(out, 10);
+    }
+    return 200;
+}
+
+struct stand_in {
+    int (*answer)(void *, struct MHD_Connection *, const char *, const char *,
+                  const struct lmn_doc *, GByteArray *);
+    void *arg;
+};
+
+static enum MHD_Result on_request(void *arg, struct MHD_Connection *c, const char *url,
+                                  const char *method, const char *version, const char *data,
+                                  size_t *size, void **state)
+{
+    struct stand_in *s = arg;
+    GByteArray *in = *state, *out;
+    struct lmn_doc d = {0};
+    (void)version;
+
+    if (!in) {
+        *state = g_byte_array_new();
+        return MHD_YES;
+    }
+    if (*size) {
+        g_byte_array_append(in, (const guint8 *)data, (guint)*size);
+        *size = 0;
+        return MHD_YES;
+    }
+    out = g_byte_array_new();
+    int status = 400;
+    if (!in->len || lmn_doc_parse(&d, in->data, in->len) == 0) {
+        pthread_mutex_lock(&lock);
+        status = s->answer(s->arg, c, url, method, &d, out);
+        pthread_mutex_unlock(&lock);
+        lmn_doc_free(&d);
+    }
+    struct MHD_Response *r = MHD_create_response_from_buffer(
+        out->len, out->len ? out->data : (void *)"", MHD_RESPMEM_MUST_COPY);
+    enum MHD_Result ok = MHD_queue_response(c, (unsigned)status, r);
+    MHD_destroy_response(r);
+    g_byte_array_unref(out);
+    g_byte_array_unref(in);
+    *state = NULL;
+    return ok;
+}
+
+static int serve(int (*answer)(void *, struct MHD_Connection *, const char *, const char *,
+                               const struct lmn_doc *, GByteArray *),
+                 void *arg)
+{
+    struct stand_in *s = g_new0(struct stand_in, 1);
+    struct sockaddr_in a = {.sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    s->answer = answer;
+    s->arg = arg;
+    struct MHD_Daemon *d =
+        MHD_start_daemon(MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, 0, NULL,
+                         NULL, on_request, s, MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&a,
+                         MHD_OPTION_END);
+    assert_non_null(d);
+    return MHD_get_daemon_info(d, MHD_DAEMON_INFO_BIND_PORT)->port;
+}
+
+/* --- controllers --- */
+
+static pid_t pids[NODES];
+static char paths[NODES][64];
+
+static int free_port(void)
+{
+    struct sockaddr_in a = {.sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t len = sizeof a;
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    assert_int_equal(bind(fd, (struct sockaddr *)&a, sizeof a), 0);
+    getsockname(fd, (struct sockaddr *)&a, &len);
+    close(fd);
+    return ntohs(a.sin_port);
+}
+
+static void start_node(int i)
+{
+    pids[i] = fork();
+    if (pids[i] == 0) {
+        execl(LMN_PROGRAM_PATH, "lemonspar", "--config", paths[i], (char *)NULL);
+        _exit(127);
+    }
+}
+
+static void configure(int i)
+{
+    g_snprintf(paths[i], sizeof paths[i], "/tmp/lemonspar-test-%d-%d.toml", (int)getpid(), i);
+    FILE *f = fopen(paths[i], "w");
+    assert_non_null(f);
+    fprintf(f, "host_name = 'n%d'\narea = 'a'\nclient_listen = '127.0.0.1:%d'\n", i, ports[i][0]);
+    fprintf(f, "internal_addr = '127.0.0.1:%d'\n", ports[i][1]);
+    for (int k = 0; k < NODES; k++)
+        if (k != i)
+            fprintf(f, "[[members]]\nhost_name = 'n%d'\narea = 'a'\naddress = '127.0.0.1:%d'\n", k,
+                    ports[k][1]);
+    fprintf(f, "[outside]\ncloud = '127.0.0.1:%d'\nstate = '127.0.0.1:%d'\n", cloud_port,
+            state_port);
+    fprintf(f, "[params]\ninitial_size = 3\n[[params.teams]]\nname = 't'\ncpus_max = 60.0\n"
+               "[params.workers]\nreport_s = 0.4\nlease_s = 6.0\ncancel_s = 20.0\n"
+               "[params.state]\nrps = 600.0\nwrite_rps = 300.0\ntxn_ops = 12\n"
+               "[params.cloud]\nrps = 20.0\nlist_lag_s = 1.0\n");
+    fclose(f);
+}
+
+/* --- a user --- */
+
+static int call(const char *method, const char *path, const GByteArray *body, char *word)
+{
+    static struct lmn_http *h[NODES];
+    static int turn;
+    GByteArray *out = g_byte_array_new();
+    struct lmn_doc d;
+    int i = turn++ % NODES;
+
+    if (!h[i]) {
+        char addr[32];
+        g_snprintf(addr, sizeof addr, "127.0.0.1:%d", ports[i][0]);
+        h[i] = lmn_http_new(addr);
+    }
+    int status = lmn_http_call(h[i], method, path, body, 5, out);
+    *word = '\0';
+    if (out->len && lmn_doc_parse(&d, out->data, out->len) == 0) {
+        lmn_text(lmn_get(&d, lmn_root(&d), W_STATE), word, 32);
+        lmn_doc_free(&d);
+    }
+    g_byte_array_unref(out);
+    return status;
+}
+
+/* Asks until one of two statuses, as users do. */
+static int insist(const char *method, const char *path, const GByteArray *body, int a, int b,
+                  char *word)
+{
+    struct timespec end = lmn_after(lmn_now(), PATIENCE_S);
+    int status = 0;
+    while (lmn_before(lmn_now(), end)) {
+        status = call(method, path, body, word);
+        if (status == a || status == b)
+            return status;
+        lmn_sleep(0.3);
+    }
+    fail_msg("%s %s: still %d", method, path, status);
+    return status;
+}
+
+static GByteArray *job(const char *ref, uint32_t tasks, enum lmn_kind kind)
+{
+    struct lmn_spec s = {.class_name = (char *)"c",
+                         .team = (char *)"t",
+                         .image = (char *)"i",
+                         .kind = kind,
+                         .urgency = LMN_NORMAL,
+                         .tasks = tasks,
+                         .cpus = 1,
+                         .mem = 1,
+                         .estimate_s = kind == LMN_BATCH ? 2 : 0,
+                         .deadline_s = -1};
+    GByteArray *b = g_byte_array_new();
+    g_strlcpy(s.ref, ref, sizeof s.ref);
+    lmn_put_map(b, lmn_spec_pairs());
+    lmn_spec_put(b, &s);
+    return b;
+}
+
+static void jobs_survive_their_controllers(void **state)
+{
+    char word[32], path[64];
+    GByteArray *b;
+    (void)state;
+
+    for (int k = 0; k < 6; k++) {
+        g_snprintf(path, sizeof path, "run-%06d", k);
+        b = job(path, 20, LMN_BATCH);
+        insist("POST", P_JOBS, b, 201, 200, word);
+        g_byte_array_unref(b);
+    }
+    b = job("run-000100", 3, LMN_DAEMON);
+    insist("POST", P_JOBS, b, 201, 200, word);
+    g_byte_array_unref(b);
+
+    /* One controller after the other is killed in the midst of it, and starts again. */
+    for (int i = 0; i < NODES; i++) {
+        lmn_sleep(1.5);
+        int status;
+        assert_int_equal(waitpid(pids[i], &status, WNOHANG), 0); /* none ended by itself */
+        kill(pids[i], SIGKILL);
+        waitpid(pids[i], &status, 0);
+        lmn_sleep(1.0);
+        start_node(i);
+    }
+    insist("POST", P_JOBS "/run-000100" P_CANCEL, NULL, 200, 200, word);
+    assert_string_equal(word, W_WITHDRAWN);
+    for (int k = 0; k < 6; k++) {
+        struct timespec end = lmn_after(lmn_now(), PATIENCE_S);
+        g_snprintf(path, sizeof path, P_JOBS "/run-%06d", k);
+        do {
+            int status = call("GET", path, NULL, word);
+            assert_int_not_equal(status, 404);
+            lmn_sleep(0.2);
+        } while (strcmp(word, W_DONE) && lmn_before(lmn_now(), end));
+        assert_string_equal(word, W_DONE);
+    }
+    /* Every controller gives the final answers, again and again. */
+    for (int i = 0; i < 2 * NODES; i++) {
+        insist("GET", P_JOBS "/run-000100", NULL, 200, 404, word);
+        assert_string_equal(word, W_WITHDRAWN);
+        b = job("run-000000", 20, LMN_BATCH);
+        assert_int_equal(insist("POST", P_JOBS, b, 200, 422, word), 200);
+        assert_string_equal(word, W_DONE);
+        g_byte_array_unref(b);
+    }
+    pthread_mutex_lock(&lock);
+    assert_true(started >= 6 * 20);
+    assert_int_equal(twice, 0);
+    pthread_mutex_unlock(&lock);
+}
+
+static void what_cannot_be_taken(void **state)
+{
+    char word[32];
+    GByteArray *b = g_byte_array_new();
+    (void)state;
+
+    g_byte_array_append(b, (const guint8 *)"\xa0", 1);
+    assert_int_equal(insist("POST", P_JOBS, b, 400, 422, word), 400);
+    g_byte_array_set_size(b, 70000);
+    memset(b->data, 0, b->len);
+    assert_int_equal(insist("POST", P_JOBS, b, 400, 201, word), 400);
+    g_byte_array_unref(b);
+    b = job("run-000200", 61, LMN_DAEMON); /* all replicas: more than the team's limit */
+    assert_int_equal(insist("POST", P_JOBS, b, 422, 201, word), 422);
+    g_byte_array_unref(b);
+    insist("GET", P_JOBS "/run-000200", NULL, 404, 404, word);
+    insist("GET", P_JOBS "/nonsense", NULL, 404, 404, word);
+}
+
+static int setup(void **state)
+{
+    (void)state;
+    signal(SIGPIPE, SIG_IGN);
+    curl_global_init(CURL_GLOBAL_NOTHING);
+    lmn_cond_init(&changed);
+    store = g_tree_new((GCompareFunc)strcmp);
+    events = g_ptr_array_new();
+    leases = g_array_new(FALSE, FALSE, sizeof(struct lease));
+    state_port = serve(answer_state, NULL);
+    cloud_port = serve(answer_cloud, NULL);
+    for (int i = 0; i < NODES; i++) {
+        ports[i][0] = free_port();
+        ports[i][1] = free_port();
+    }
+    for (int i = 0; i < NODES; i++) {
+        configure(i);
+        start_node(i);
+    }
+    return 0;
+}
+
+static int teardown(void **state)
+{
+    (void)state;
+    for (int i = 0; i < NODES; i++) {
+        kill(pids[i], SIGKILL);
+        waitpid(pids[i], NULL, 0);
+        unlink(paths[i]);
+    }
+    return 0;
+}
+
+/* The stand-ins end with the process. */
+const char *__asan_default_options(void);
+const char *__asan_default_options(void)
+{
+    return "detect_leaks=0";
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(what_cannot_be_taken),
+        cmocka_unit_test(jobs_survive_their_controllers),
+    };
+    return cmocka_run_group_tests(tests, setup, teardown);
+}
