--- a/src/api.c
+++ b/src/api.c
@@ -142,7 +142,9 @@
 bool lmn_api_ready(struct lmn_core *c)
 {
     pthread_mutex_lock(&c->lock);
-    bool ready = c->synced && c->types_known && lmn_staleness(c, lmn_now()) < 15.0;
+    double stale = lmn_staleness(c, lmn_now());
+    bool ready = c->synced && c->types_known &&
+                 (stale < LMN_STALE_S || (!c->odd_one && stale < 30));
     pthread_mutex_unlock(&c->lock);
     return ready;
 }
@@ -153,6 +155,7 @@
     struct lmn_core *c;
     struct lmn_call *call;
     char ref[LMN_REF];
+    struct timespec since;
 };
 
 static void submitted(void *arg, struct lmn_txn *t, enum lmn_outcome outcome, uint64_t rev)
@@ -163,6 +166,9 @@
 
     if (outcome == LMN_OK) {
         GByteArray *b = g_byte_array_new();
+        pthread_mutex_lock(&s->c->lock);
+        lmn_latency_add(&s->c->accepting, lmn_since(lmn_now(), s->since));
+        pthread_mutex_unlock(&s->c->lock);
         lmn_put_map(b, 2);
         lmn_put_text(b, W_ID), lmn_put_text(b, s->ref);
         lmn_put_text(b, W_STATE), lmn_put_text(b, W_QUEUED);
@@ -319,6 +325,7 @@
             struct submission *arg = g_new0(struct submission, 1);
             arg->c = c;
             arg->call = call;
+            arg->since = lmn_now();
             g_strlcpy(arg->ref, s.ref, sizeof arg->ref);
             pthread_mutex_lock(&c->lock);
             struct lmn_txn *t = submission_txn(c, &s, arg);
--- a/src/core.c
+++ b/src/core.c
@@ -28,6 +28,8 @@
     c->nparts = cfg->partitions;
     c->parts = g_new0(struct lmn_partition, c->nparts);
     c->booted = lmn_now();
+    lmn_latency_init(&c->accepting);
+    lmn_latency_init(&c->starting);
     for (int i = 0; i < c->nparts; i++) {
         struct lmn_partition *p = &c->parts[i];
         p->id = i;
--- a/src/core.h
+++ b/src/core.h
@@ -8,6 +8,7 @@
 
 #include "clock.h"
 #include "job.h"
+#include "latency.h"
 #include "settings.h"
 #include "state.h"
 #include "tuning.h"
@@ -166,7 +167,9 @@
     struct lmn_partition *parts;
     int nparts;
     struct lmn_peer_view peers[LMN_MAX_MEMBERS + 1]; /* by rank */
+    double wall; /* the time of day at the last tick */
     bool synced;
+    bool odd_one; /* the mirror stands still, and only here, as far as known */
     uint32_t gen;
     struct timespec fresh; /* the mirror is no older than this */
     struct timespec booted, synced_at;
@@ -176,6 +179,8 @@
     bool types_known;
     GHashTable *gone; /* names of machines that were returned */
     struct lmn_counters count;
+    struct lmn_latency accepting; /* from a submission to its commit */
+    struct lmn_latency starting;  /* from a job's acceptance to a task's start command */
 };
 
 struct lmn_core *lmn_core_new(const struct lmn_settings *cfg, struct lmn_state *state,
@@ -201,6 +206,8 @@
 /* Seconds by which the mirror may be behind; beyond LMN_BLIND_S a node touches no machine of the
  * cloud's: it may long have lost them to a successor. */
 #define LMN_BLIND_S 5.0
+/* The mirror stands still: it is asked for at least every 1.5 s. */
+#define LMN_STALE_S 3.0
 double lmn_staleness(const struct lmn_core *c, struct timespec now);
 
 /* --- partition.c --- */
--- /dev/null
+++ b/src/latency.h
@@ -0,0 +1,17 @@
+/* Histograms of how long things took, for the status. */
+#ifndef LMN_LATENCY_H
+#define LMN_LATENCY_H
+
+#include <gsl/gsl_histogram.h>
+
+struct lmn_latency {
+    gsl_histogram *h;
+    double max;
+};
+
+void lmn_latency_init(struct lmn_latency *l);
+void lmn_latency_add(struct lmn_latency *l, double seconds);
+/* The upper end of the bin that holds the given share of all; 0 if there are none. */
+double lmn_latency_quantile(const struct lmn_latency *l, double share);
+
+#endif
--- a/src/peer.c
+++ b/src/peer.c
@@ -53,6 +53,13 @@
     }
 }
 
+static void show_latency(GString *s, const char *what, const struct lmn_latency *l)
+{
+    g_string_append_printf(s, "latency %s p50=%.4f p95=%.4f p99=%.4f max=%.4f\n", what,
+                           lmn_latency_quantile(l, 0.5), lmn_latency_quantile(l, 0.95),
+                           lmn_latency_quantile(l, 0.99), l->max);
+}
+
 static char *status_text(void)
 {
     GString *s = g_string_new(NULL);
@@ -74,6 +81,8 @@
                            n->submissions, n->polls, n->reports, n->starts, n->kills,
                            n->steal_tries, n->steals, n->stolen_tasks, n->takeovers, n->refused, n->moves,
                            n->moved_tasks);
+    show_latency(s, "accepting", &core->accepting);
+    show_latency(s, "starting", &core->starting);
     pthread_mutex_unlock(&core->lock);
     return g_string_free(s, FALSE);
 }
@@ -218,6 +227,13 @@
         svc_freeargs(x, (xdrproc_t)xdr_lmn_machine_request, (char *)&q);
         return;
     }
+    case LMN_STALENESS: {
+        pthread_mutex_lock(&core->lock);
+        u_int ms = (u_int)(MIN(lmn_staleness(core, lmn_now()), 1e6) * 1000);
+        pthread_mutex_unlock(&core->lock);
+        svc_sendreply(x, (xdrproc_t)xdr_u_int, (char *)&ms);
+        return;
+    }
     case LMN_LOAD:
     case LMN_STEAL: {
         struct lmn_xthief q = {0};
@@ -316,7 +332,7 @@
     struct timespec retry;
 };
 
-static bool call_member(struct member *m, rpcproc_t proc, const struct lmn_xthief *q, u_int *n)
+static bool call_member(struct member *m, rpcproc_t proc, xdrproc_t xargs, const void *q, u_int *n)
 {
     static const struct timeval brief = {1, 0};
     struct timespec now = lmn_now();
@@ -329,7 +345,7 @@
     }
     if (!m->client)
         return false;
-    if (clnt_call(m->client, proc, (xdrproc_t)xdr_lmn_xthief, (char *)q, (xdrproc_t)xdr_u_int,
+    if (clnt_call(m->client, proc, xargs, (char *)q, (xdrproc_t)xdr_u_int,
                   (char *)n, brief) == RPC_SUCCESS)
         return true;
     clnt_destroy(m->client);
@@ -351,7 +367,7 @@
         return asked(q, proc == LMN_STEAL);
     for (size_t i = 0; i < core->cfg->nmembers; i++)
         if (!strcmp(owner, members[i].cfg->name))
-            return call_member(&members[i], proc, q, &n) ? n : 0;
+            return call_member(&members[i], proc, (xdrproc_t)xdr_lmn_xthief, q, &n) ? n : 0;
     return 0;
 }
 
@@ -407,14 +423,47 @@
     pthread_mutex_unlock(&core->lock);
 }
 
+/* A node whose mirror stands still asks the others whether theirs do. If they move on, or can't be
+ * reached at all, the fault is its own, and users are better served elsewhere; in an outage of
+ * the state service everybody stays. */
+static void look_around(struct member *members, struct timespec *next)
+{
+    struct timespec now = lmn_now();
+    bool odd = true;
+
+    pthread_mutex_lock(&core->lock);
+    double stale = core->synced ? lmn_staleness(core, now) : 0;
+    if (stale < LMN_STALE_S)
+        core->odd_one = false;
+    pthread_mutex_unlock(&core->lock);
+    if (stale < LMN_STALE_S || lmn_before(now, *next) || !core->cfg->nmembers)
+        return;
+    *next = lmn_after(now, 1.0);
+    for (size_t i = 0; i < core->cfg->nmembers; i++) {
+        u_int ms;
+        if (!call_member(&members[i], LMN_STALENESS, nothing, NULL, &ms))
+            continue;
+        odd = ms < LMN_STALE_S * 1000;
+        if (odd)
+            break;
+    }
+    pthread_mutex_lock(&core->lock);
+    if (odd != core->odd_one)
+        lmn_info("odd-one-out odd=%d stale=%.1f", odd, stale);
+    core->odd_one = odd;
+    pthread_mutex_unlock(&core->lock);
+}
+
 void *lmn_peer_thread(void *arg)
 {
     struct member members[LMN_MAX_MEMBERS] = {0};
+    struct timespec next = {0, 0};
     (void)arg;
 
     for (size_t i = 0; i < core->cfg->nmembers; i++)
         members[i].cfg = &core->cfg->members[i];
     for (;;) {
+        look_around(members, &next);
         for (int i = 0; core->nparts > 1 && i < core->nparts; i++) {
             struct lmn_thief t;
             pthread_mutex_lock(&core->lock);
--- a/src/peer_wire.x
+++ b/src/peer_wire.x
@@ -60,5 +60,6 @@
         lmn_reply LMN_DRAIN(lmn_machine_request) = 4;
         unsigned LMN_LOAD(lmn_xthief) = 5;
         unsigned LMN_STEAL(lmn_xthief) = 6;
+        unsigned LMN_STALENESS(void) = 7;      /* of the mirror, in milliseconds */
     } = 1;
 } = 0x2c0a5b41;
--- a/src/queue.c
+++ b/src/queue.c
@@ -67,6 +67,7 @@
     GHashTableIter it;
     gpointer v;
 
+    c->wall = wall;
     for (int i = 0; i < c->nparts; i++) {
         if (!c->parts[i].mine)
             continue;
@@ -343,6 +344,7 @@
     lmn_note_image(m, a.job->spec.image);
     g_array_append_val(m->attempts, a);
     c->count.starts++;
+    lmn_latency_add(&c->starting, c->wall - a.job->at);
     char task[LMN_REF + 16];
     g_snprintf(task, sizeof task, "%s/%u", a.ref, a.index);
     lmn_put_map(out, 3);
