--- a/src/steal.c
+++ b/src/steal.c
@@ -111,6 +111,18 @@
     return n;
 }
 
+static bool held_here(const struct lmn_partition *p, const struct lmn_job *j)
+{
+    GHashTableIter it;
+    gpointer v;
+
+    g_hash_table_iter_init(&it, p->machines);
+    while (g_hash_table_iter_next(&it, NULL, &v))
+        if (lmn_can_hold(v, j))
+            return true;
+    return false;
+}
+
 uint32_t lmn_victim_give(struct lmn_core *c, struct lmn_partition *p, const struct lmn_thief *t,
                          struct timespec now)
 {
@@ -136,9 +148,10 @@
     }
     if (!best)
         return 0;
-    /* The share of what is queued, but no more than can start there now. */
-    uint32_t queued = tail(best);
-    uint32_t n = MIN(most, MAX((uint32_t)ceil(queued * c->tuning.share), 1));
+    /* The share of what is queued, but no more than can start there now; and all that can, where
+     * no machine of the victim's own could ever take it. */
+    double share = held_here(p, best->job) ? c->tuning.share : 1;
+    uint32_t n = MIN(most, MAX((uint32_t)ceil(tail(best) * share), 1));
     best->move_at = best->hi - n;
     best->move_to = t->part;
     best->move_unsure = false;
