--- a/src/core.h
+++ b/src/core.h
@@ -172,7 +172,7 @@
     bool odd_one; /* the mirror stands still, and only here, as far as known */
     uint32_t gen;
     struct timespec fresh; /* the mirror is no older than this */
-    struct timespec booted, synced_at;
+    struct timespec booted, synced_at, audited;
     uint64_t lease; /* ours, 0: none */
 
     struct lmn_types types;
--- a/src/range.c
+++ b/src/range.c
@@ -479,8 +479,55 @@
         lmn_machine_retire(c, m, false, "idle", now);
 }
 
+static uint32_t in_queue(const struct lmn_queue *q, const struct lmn_range *r)
+{
+    uint32_t n = 0;
+    for (guint i = 0; i < q->segs->len; i++) {
+        const struct lmn_seg *s = q->segs->pdata[i];
+        if (s->range == r)
+            n += s->hi - s->lo;
+    }
+    return n;
+}
+
+/* A task that the books call queued but that stands in no queue would wait for ever. There
+ * should be none; if there is one, it is said, and dealt anew. */
+static void audit(struct lmn_core *c, struct lmn_partition *p, struct timespec now)
+{
+    GList *ranges = g_hash_table_get_values(p->ranges);
+
+    for (GList *l = ranges; l && p->ready; l = l->next) {
+        struct lmn_range *r = l->data;
+        uint32_t n = r->hi - r->lo, queued = 0, found = in_queue(&p->limbo, r);
+        GHashTableIter it;
+        gpointer v;
+        if (!r->st || r->job->phase != LMN_ACTIVE)
+            continue;
+        for (uint32_t i = 0; i < n; i++)
+            queued += r->st[i] == LMN_T_QUEUED;
+        g_hash_table_iter_init(&it, p->machines);
+        while (g_hash_table_iter_next(&it, NULL, &v))
+            found += in_queue(&((struct lmn_machine *)v)->queue, r);
+        if (found >= queued)
+            continue;
+        lmn_error("tasks-unqueued range=%s queued=%u found=%u", r->key, queued, found);
+        lmn_queue_drop_range(&p->limbo, r);
+        g_hash_table_iter_init(&it, p->machines);
+        while (g_hash_table_iter_next(&it, NULL, &v))
+            lmn_queue_drop_range(&((struct lmn_machine *)v)->queue, r);
+        for (uint32_t i = 0; i < n; i++)
+            if (r->st[i] == LMN_T_QUEUED)
+                lmn_deal(c, r, r->lo + i, r->lo + i + 1, now);
+    }
+    g_list_free(ranges);
+}
+
 void lmn_upkeep(struct lmn_core *c, struct timespec now)
 {
+    bool due = lmn_since(now, c->audited) > 5.0;
+
+    if (due)
+        c->audited = now;
     for (int i = 0; i < c->nparts; i++) {
         struct lmn_partition *p = &c->parts[i];
         if (!p->mine)
@@ -490,5 +537,7 @@
             upkeep_machine(c, l->data, now);
         g_list_free(all);
         lmn_partition_check(c, p, now);
+        if (due)
+            audit(c, p, now);
     }
 }
