--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -69,6 +69,7 @@
         g_hash_table_insert(p->ranges, range->key, range);
         g_ptr_array_add(j->ranges, range);
         lmn_range_open(core, range);
+        range->dealt = true;
     }
     g_rand_free(r);
 }
