--- a/src/core.h
+++ b/src/core.h
@@ -96,10 +96,11 @@
     const struct lmn_type *type; /* NULL: not known yet */
     bool spot;
     struct lmn_partition *part;
-    uint64_t rev; /* of its record; 0: not recorded */
-    uint32_t gen;
+    uint64_t rev; /* of the record that first named it; 0: not recorded */
+    struct lmn_block *block; /* where it is recorded, or will be */
+    uint64_t block_rev;      /* of the last record that named it */
     /* the owner's */
-    bool recording, heard, lapsed;
+    bool heard, lapsed;
     bool inherited; /* recorded by an owner before us */
     bool accounted; /* has reported with our term: its tasks are as it says */
     bool is_gone;   /* the cloud has said so; only its record is left */
@@ -112,7 +113,7 @@
     unsigned probes; /* without an answer, since the takeover */
     struct timespec next_probe;
     uint64_t session, seq, report_seq;
-    struct timespec first, last, idle, noticed_at, retired_at, retry;
+    struct timespec first, last, idle, noticed_at, retired_at;
     GArray *attempts; /* struct lmn_attempt */
     struct lmn_queue queue;
     double poll_s;
@@ -123,6 +124,19 @@
     double used_cpus, used_gpus, used_mem;
 };
 
+/* Machines that one record names. */
+struct lmn_block {
+    guint id;
+    uint64_t rev; /* 0: there is no such record */
+    uint32_t gen;
+    GPtrArray *machines;
+    size_t bytes;
+    bool writing;
+    struct timespec written, retry;
+};
+
+enum { LMN_MAX_BLOCKS = 4096 };
+
 struct lmn_partition {
     int id;
     /* mirrored */
@@ -131,6 +145,7 @@
     uint32_t owner_gen;
     struct timespec vacant; /* since when nobody owns it */
     GHashTable *ranges, *machines;
+    GPtrArray *blocks; /* struct lmn_block by number */
     /* the owner's */
     bool mine, ready, releasing;
     uint64_t my_term, my_rev, attempts;
@@ -199,7 +214,6 @@
 int lmn_job_read(const struct lmn_doc *doc, const struct lmn_node *value, struct lmn_spec *s,
                  enum lmn_phase *phase, uint32_t *open, double *at);
 GByteArray *lmn_range_record(const struct lmn_range *r, const uint8_t *done);
-GByteArray *lmn_machine_record(const struct lmn_machine *m);
 /* After changes were applied: takes over what the mirror shows as this node's. */
 void lmn_mirror_settle(struct lmn_core *c, struct timespec now);
 /* Follows the state service for ever (a thread). */
@@ -256,6 +270,18 @@
 /* Lapses, retirements, returns of idle machines; the lock is held. */
 void lmn_upkeep(struct lmn_core *c, struct timespec now);
 
+/* --- block.c: the records of machines --- */
+/* A block's record as the mirror shows it; v NULL: removed. */
+void lmn_block_apply(struct lmn_core *c, struct lmn_partition *p, unsigned long id,
+                     const struct lmn_doc *d, const struct lmn_node *v, uint64_t rev,
+                     struct timespec now);
+void lmn_block_sweep(struct lmn_core *c, struct lmn_partition *p, struct timespec now);
+/* No write of ours is under way any more. */
+void lmn_block_reset(struct lmn_partition *p);
+void lmn_block_leave(struct lmn_machine *m);
+/* Writes the blocks that machines have come to or gone from; lazy: there is budget to spare. */
+void lmn_blocks_flush(struct lmn_core *c, struct lmn_partition *p, bool lazy, struct timespec now);
+
 /* --- queue.c --- */
 void lmn_queue_init(struct lmn_queue *q);
 void lmn_queue_clear(struct lmn_queue *q);
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -4,7 +4,7 @@
  *        r/P/REF/LO     a range of its tasks in partition P: bounds and done set
  *        o/P            who owns partition P (tied to the owner's lease)
  *        t/P            its term (for ever)
- *        m/P/MACHINE    a machine that partition P may have started tasks on
+ *        m/P/N          machines that partition P may have started tasks on (block.c)
  *        n/NODE         a controller that is up (tied to its lease)
  *        s              operators' settings
  */
@@ -54,17 +54,6 @@
     return b;
 }
 
-GByteArray *lmn_machine_record(const struct lmn_machine *m)
-{
-    GByteArray *b = g_byte_array_new();
-    lmn_put_map(b, 4);
-    lmn_put_text(b, "addr"), lmn_put_text(b, m->addr);
-    lmn_put_text(b, "type"), lmn_put_text(b, m->type_name);
-    lmn_put_text(b, "zone"), lmn_put_text(b, m->zone);
-    lmn_put_text(b, "spot"), lmn_put_truth(b, m->spot);
-    return b;
-}
-
 double lmn_staleness(const struct lmn_core *c, struct timespec now)
 {
     return c->synced ? lmn_since(now, c->fresh) : 1e9;
@@ -211,34 +200,6 @@
     pthread_cond_broadcast(&c->changed);
 }
 
-static void apply_machine(struct lmn_core *c, struct lmn_partition *p, const char *name,
-                          const struct lmn_doc *d, const struct lmn_node *v, uint64_t rev,
-                          struct timespec now)
-{
-    struct lmn_machine *m = g_hash_table_lookup(p->machines, name);
-
-    if (!v) {
-        if (m && m->rev < rev) {
-            lmn_machine_empty(c, m, "record removed", now);
-            g_hash_table_remove(p->machines, name);
-        }
-        return;
-    }
-    if (!m) {
-        m = lmn_machine_new(p, name);
-        m->first = now;
-    }
-    m->gen = c->gen;
-    if (m->rev >= rev)
-        return;
-    m->rev = rev;
-    m->recording = false;
-    lmn_text(lmn_get(d, v, "addr"), m->addr, sizeof m->addr);
-    lmn_text(lmn_get(d, v, "type"), m->type_name, sizeof m->type_name);
-    lmn_text(lmn_get(d, v, "zone"), m->zone, sizeof m->zone);
-    lmn_truth(lmn_get(d, v, "spot"), &m->spot);
-}
-
 static void apply_node(struct lmn_core *c, const char *name, const struct lmn_node *v,
                        uint64_t rev, struct timespec now)
 {
@@ -294,7 +255,7 @@
     } else if (key[0] == 'r' && *rest == '/') {
         apply_range(c, key, p, rest + 1, d, v, rev, now);
     } else if (key[0] == 'm' && *rest == '/') {
-        apply_machine(c, p, rest + 1, d, v, rev, now);
+        lmn_block_apply(c, p, strtoul(rest + 1, NULL, 10), d, v, rev, now);
     }
 }
 
@@ -312,17 +273,8 @@
                 g_ptr_array_add(drop, v);
         for (guint k = 0; k < drop->len; k++)
             remove_range(c, drop->pdata[k]);
-        g_ptr_array_set_size(drop, 0);
-        g_hash_table_iter_init(&it, p->machines);
-        while (g_hash_table_iter_next(&it, NULL, &v))
-            if (((struct lmn_machine *)v)->rev && ((struct lmn_machine *)v)->gen != c->gen)
-                g_ptr_array_add(drop, v);
-        for (guint k = 0; k < drop->len; k++) {
-            struct lmn_machine *m = drop->pdata[k];
-            lmn_machine_empty(c, m, "record gone", now);
-            g_hash_table_remove(p->machines, m->name);
-        }
         g_ptr_array_free(drop, TRUE);
+        lmn_block_sweep(c, p, now);
         if (p->owner_gen != c->gen && p->owner_rev) {
             if (p->mine)
                 lmn_partition_lose(c, p, "owner key gone");
--- a/src/partition.c
+++ b/src/partition.c
@@ -32,12 +32,12 @@
     m->poke = m->in_call = false;
     m->probes = 0;
     m->next_probe = (struct timespec){0, 0};
-    m->recording = m->heard = m->accounted = m->lapsed = false;
+    m->heard = m->accounted = m->lapsed = false;
     m->retiring = m->force = m->noticed = m->is_gone = false;
     m->inherited = m->rev != 0;
     m->session = m->seq = m->report_seq = 0;
     m->poll_s = 0;
-    m->idle = m->next_steal = m->retry = (struct timespec){0, 0};
+    m->idle = m->next_steal = (struct timespec){0, 0};
 }
 
 void lmn_partition_own(struct lmn_core *c, struct lmn_partition *p, struct timespec now)
@@ -54,6 +54,7 @@
     memset(p->used_cpus, 0, sizeof p->used_cpus);
     memset(p->used_gpus, 0, sizeof p->used_gpus);
     c->count.takeovers++;
+    lmn_block_reset(p);
     g_hash_table_iter_init(&it, p->machines);
     while (g_hash_table_iter_next(&it, NULL, &v))
         reset_machine(v);
--- a/src/range.c
+++ b/src/range.c
@@ -22,6 +22,7 @@
 
 void lmn_machine_free(struct lmn_machine *m)
 {
+    lmn_block_leave(m);
     lmn_queue_clear(&m->queue);
     g_ptr_array_free(m->queue.segs, TRUE);
     g_array_free(m->attempts, TRUE);
@@ -187,7 +188,7 @@
     lmn_machine_empty(c, m, "machine gone", now);
     g_hash_table_add(c->gone, g_strdup(m->name));
     lmn_partition_check(c, m->part, now);
-    if (!m->rev && !m->recording)
+    if (!m->block)
         g_hash_table_remove(m->part->machines, m->name);
 }
 
@@ -333,56 +334,6 @@
     }
 }
 
-struct record_ref {
-    struct lmn_core *c;
-    int part;
-    char name[LMN_NAME];
-    bool remove;
-};
-
-static void machine_written(void *arg, struct lmn_txn *t, enum lmn_outcome outcome,
-                            uint64_t rev)
-{
-    struct record_ref *w = arg;
-    struct lmn_core *c = w->c;
-    (void)t;
-    (void)rev;
-
-    pthread_mutex_lock(&c->lock);
-    struct lmn_machine *m = g_hash_table_lookup(c->parts[w->part].machines, w->name);
-    if (m && outcome != LMN_OK) {
-        m->recording = false;
-        m->retry = lmn_after(lmn_now(), 0.3);
-    }
-    pthread_mutex_unlock(&c->lock);
-    g_free(w);
-}
-
-/* Before the first start on a machine its record must stand, so that a successor knows
- * that it has to ask there. */
-static void write_machine(struct lmn_core *c, struct lmn_machine *m, struct timespec now)
-{
-    char key[160];
-
-    if (m->recording || lmn_before(now, m->retry))
-        return;
-    struct record_ref *w = g_new0(struct record_ref, 1);
-    w->c = c;
-    w->part = m->part->id;
-    g_strlcpy(w->name, m->name, sizeof w->name);
-    struct lmn_txn *t = lmn_txn_new(LMN_RANK_OWNER, machine_written, w);
-    g_snprintf(key, sizeof key, "o/%d", m->part->id);
-    lmn_txn_if(t, key, m->part->my_rev);
-    g_snprintf(key, sizeof key, "m/%d/%s", m->part->id, m->name);
-    lmn_txn_if(t, key, m->rev);
-    if (m->is_gone)
-        lmn_txn_remove(t, key);
-    else
-        lmn_txn_write(t, key, lmn_machine_record(m), 0);
-    m->recording = true;
-    lmn_state_submit(c->state, t);
-}
-
 void lmn_ranges_flush(struct lmn_core *c, struct timespec now)
 {
     bool lazy = lmn_state_backlog(c->state, LMN_RANK_LAZY) < 0.5;
@@ -396,12 +347,7 @@
         g_hash_table_iter_init(&it, p->ranges);
         while (g_hash_table_iter_next(&it, NULL, &v))
             flush_range(c, v, lazy, now);
-        g_hash_table_iter_init(&it, p->machines);
-        while (g_hash_table_iter_next(&it, NULL, &v)) {
-            struct lmn_machine *m = v;
-            if ((m->is_gone && m->rev) || (!m->is_gone && !m->rev && m->heard && m->type))
-                write_machine(c, m, now);
-        }
+        lmn_blocks_flush(c, p, lazy, now);
     }
 }
 
--- a/src/worker.c
+++ b/src/worker.c
@@ -299,7 +299,6 @@
     if (!m) {
         m = lmn_machine_new(p, r->name);
         m->first = now;
-        m->gen = c->gen;
         lmn_info("machine-new machine=%s partition=%d type=%s zone=%s spot=%d", r->name,
                  p->id, r->type, r->zone, r->spot);
     }
@@ -310,7 +309,7 @@
         return 503; /* it was overtaken on its way */
     if (m->lapsed && r->session == m->session)
         return 503; /* its tasks are given up: the session has to end */
-    if (!m->rev) {
+    if (!m->block) {
         g_strlcpy(m->addr, r->addr, sizeof m->addr);
         g_strlcpy(m->type_name, r->type, sizeof m->type_name);
         g_strlcpy(m->zone, r->zone, sizeof m->zone);
--- /dev/null
+++ b/tests/test_block.c
@@ -0,0 +1,238 @@
+/* Records of machines: few writes for many machines, and what stands recorded is what is there,
+ * whatever becomes of single writes. */
+#include "core.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Past cores are left behind as they are. */
+const char *__asan_default_options(void);
+const char *__asan_default_options(void)
+{
+    return "detect_leaks=0";
+}
+
+static struct lmn_settings cfg;
+static struct lmn_core *owner, *other;
+static GHashTable *store; /* key -> revision */
+static uint64_t rev;
+static struct timespec now = {1000000, 0};
+static unsigned writes;
+
+static void make(uint32_t seed)
+{
+    memset(&cfg, 0, sizeof cfg);
+    cfg.partitions = 1;
+    cfg.state_rps = cfg.state_write_rps = 1000;
+    cfg.txn_ops = 12;
+    cfg.value_kb = 16;
+    cfg.lease_s = 10;
+    owner = lmn_core_new(&cfg, lmn_state_new(&cfg), seed);
+    other = lmn_core_new(&cfg, lmn_state_new(&cfg), seed);
+    owner->types.n = 1;
+    owner->types.v[0] = (struct lmn_type){.name = "x", .cpus = 8, .mem = 64};
+    owner->parts[0].mine = owner->parts[0].ready = true;
+    store = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    rev = 10;
+    writes = 0;
+}
+
+static struct lmn_machine *machine(int i)
+{
+    char name[32];
+
+    g_snprintf(name, sizeof name, "host-%06d", i);
+    struct lmn_machine *m = g_hash_table_lookup(owner->parts[0].machines, name);
+    if (!m)
+        m = lmn_machine_new(&owner->parts[0], name);
+    m->type = &owner->types.v[0];
+    g_strlcpy(m->type_name, "x", LMN_NAME);
+    g_snprintf(m->addr, sizeof m->addr, "10.0.0.%d:9000", i % 250);
+    g_strlcpy(m->zone, i % 2 ? "a" : "b", LMN_NAME);
+    m->heard = m->accounted = true;
+    return m;
+}
+
+static void check(void *arg, const char *key, uint64_t version)
+{
+    if (!strncmp(key, "m/", 2) &&
+        GPOINTER_TO_SIZE(g_hash_table_lookup(store, key)) != (size_t)version)
+        *(bool *)arg = false;
+}
+
+static void apply(void *arg, const char *key, const GByteArray *value)
+{
+    struct lmn_doc d;
+    (void)arg;
+
+    writes++;
+    assert_true(value->len < cfg.value_kb * 1024);
+    g_hash_table_insert(store, g_strdup(key), GSIZE_TO_POINTER((size_t)rev));
+    assert_int_equal(lmn_doc_parse(&d, value->data, value->len), 0);
+    lmn_mirror_apply(owner, key, &d, lmn_root(&d), rev, now);
+    lmn_mirror_apply(other, key, &d, lmn_root(&d), rev, now);
+    lmn_doc_free(&d);
+}
+
+static enum lmn_outcome commit(const struct lmn_txn *t)
+{
+    bool ok = true;
+
+    lmn_txn_each_condition(t, check, &ok);
+    if (!ok)
+        return LMN_CONFLICT;
+    rev++;
+    lmn_txn_each(t, apply, NULL);
+    return LMN_OK;
+}
+
+/* A write that is still on its way when its sender has given it up. */
+static struct {
+    char key[64];
+    uint64_t version;
+    GByteArray *value;
+} late;
+
+static void keep_condition(void *arg, const char *key, uint64_t version)
+{
+    (void)arg;
+    if (!strncmp(key, "m/", 2))
+        late.version = version;
+}
+
+static void keep_change(void *arg, const char *key, const GByteArray *value)
+{
+    (void)arg;
+    g_strlcpy(late.key, key, sizeof late.key);
+    late.value = g_byte_array_append(g_byte_array_new(), value->data, value->len);
+}
+
+static void arrive(void)
+{
+    if (!late.value)
+        return;
+    if (GPOINTER_TO_SIZE(g_hash_table_lookup(store, late.key)) == (size_t)late.version) {
+        rev++;
+        apply(NULL, late.key, late.value);
+    }
+    g_clear_pointer(&late.value, g_byte_array_unref);
+}
+
+/* One turn of the owner; r NULL: nothing fails. */
+static void turn(GRand *r)
+{
+    struct lmn_txn *t;
+
+    now = lmn_after(now, 4);
+    if (!r || g_rand_double(r) < 0.3)
+        arrive();
+    lmn_ranges_flush(owner, now);
+    while ((t = lmn_state_take(owner->state))) {
+        double luck = r ? g_rand_double(r) : 1;
+        enum lmn_outcome o;
+        if (luck < 0.15) {
+            o = LMN_REFUSED;
+        } else if (luck < 0.3 && !late.value) {
+            lmn_txn_each_condition(t, keep_condition, NULL);
+            lmn_txn_each(t, keep_change, NULL);
+            o = LMN_UNKNOWN;
+        } else {
+            o = commit(t);
+            if (luck < 0.45 && o == LMN_OK)
+                o = LMN_UNKNOWN; /* its answer was lost */
+        }
+        lmn_txn_finish(t, o, rev);
+    }
+}
+
+static void same(void)
+{
+    GHashTable *here = owner->parts[0].machines, *there = other->parts[0].machines;
+    GHashTableIter it;
+    gpointer v;
+    guint recorded = 0;
+
+    g_hash_table_iter_init(&it, here);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const struct lmn_machine *m = v;
+        if (!m->rev)
+            continue;
+        recorded++;
+        const struct lmn_machine *o = g_hash_table_lookup(there, m->name);
+        assert_non_null(o);
+        assert_string_equal(o->addr, m->addr);
+        assert_string_equal(o->zone, m->zone);
+    }
+    assert_int_equal(g_hash_table_size(there), recorded);
+}
+
+/* One write a machine took all the changes of a deployment with 1,746 of them. */
+static void few_writes(void **state)
+{
+    (void)state;
+    make(1);
+    for (int i = 0; i < 600; i++)
+        machine(i);
+    for (int k = 0; k < 3; k++)
+        turn(NULL);
+    same();
+    assert_int_equal(g_hash_table_size(other->parts[0].machines), 600);
+    assert_true(writes <= 10);
+    writes = 0;
+    for (int i = 0; i < 300; i++)
+        lmn_machine_gone(owner, machine(i), now);
+    for (int k = 0; k < 3; k++)
+        turn(NULL);
+    same();
+    assert_int_equal(g_hash_table_size(other->parts[0].machines), 300);
+    assert_true(writes <= 10);
+}
+
+/* Machines come and go while writes are refused, lost, unanswered or late. */
+static void as_it_is(void **state)
+{
+    (void)state;
+    for (uint32_t seed = 0; seed < 30; seed++) {
+        GRand *r = g_rand_new_with_seed(seed);
+        int next = 0;
+        make(seed);
+        for (int step = 0; step < 60; step++) {
+            for (int n = g_rand_int_range(r, 0, 12); n > 0; n--)
+                machine(next++);
+            GList *all = g_hash_table_get_values(owner->parts[0].machines);
+            for (GList *l = all; l; l = l->next) {
+                struct lmn_machine *m = l->data;
+                if (!m->is_gone && g_rand_double(r) < 0.08)
+                    lmn_machine_gone(owner, m, now);
+            }
+            g_list_free(all);
+            turn(r);
+            same();
+        }
+        for (int k = 0; k < 8; k++)
+            turn(NULL);
+        same();
+        GHashTableIter it;
+        gpointer v;
+        g_hash_table_iter_init(&it, owner->parts[0].machines);
+        while (g_hash_table_iter_next(&it, NULL, &v)) {
+            const struct lmn_machine *m = v;
+            /* What was never recorded may linger until its block is next written. */
+            assert_true(m->is_gone ? !m->rev : m->rev > 0);
+        }
+        g_rand_free(r);
+    }
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(few_writes),
+        cmocka_unit_test(as_it_is),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
