--- a/src/range.c
+++ b/src/range.c
@@ -284,7 +284,8 @@
     lmn_state_submit(c->state, t);
 }
 
-static void flush_range(struct lmn_core *c, struct lmn_range *r, bool lazy,
+/* Gathers in lazily what can wait. */
+static void flush_range(struct lmn_core *c, struct lmn_range *r, GPtrArray *lazy,
                         struct timespec now)
 {
     struct lmn_job *j = r->job;
@@ -299,11 +300,8 @@
         return;
     }
     if (j->phase != LMN_ACTIVE) {
-        if (r->nstarted == 0 && lazy) {
-            t = owner_txn(c, r, LMN_RANK_LAZY);
-            lmn_txn_remove(t, r->key);
-            lmn_state_submit(c->state, t);
-        }
+        if (r->nstarted == 0)
+            g_ptr_array_add(lazy, r);
         return;
     }
     if (r->nfinished == n) {
@@ -321,22 +319,40 @@
         lmn_state_submit(c->state, t);
         return;
     }
-    if (lazy && r->nfinished > r->ndone && lmn_since(now, r->dirty) > 2.0) {
+    if (r->nfinished > r->ndone && lmn_since(now, r->dirty) > 2.0)
+        g_ptr_array_add(lazy, r);
+}
+
+static void flush_lazily(struct lmn_core *c, struct lmn_range *r, struct timespec now)
+{
+    uint32_t n = r->hi - r->lo;
+    struct lmn_txn *t = owner_txn(c, r, LMN_RANK_LAZY);
+
+    if (r->job->phase != LMN_ACTIVE) {
+        lmn_txn_remove(t, r->key);
+    } else {
         uint8_t *done = g_malloc0((n + 7) / 8);
         for (uint32_t i = 0; i < n; i++)
             if (r->st[i] == LMN_T_DONE)
                 lmn_set_bit(done, i);
-        t = owner_txn(c, r, LMN_RANK_LAZY);
         lmn_txn_write(t, r->key, lmn_range_record(r, done), 0);
-        lmn_state_submit(c->state, t);
         g_free(done);
-        r->dirty = now;
     }
+    r->dirty = now;
+    lmn_state_submit(c->state, t);
+}
+
+static gint by_dirty(gconstpointer a, gconstpointer b)
+{
+    const struct lmn_range *x = *(struct lmn_range *const *)a;
+    const struct lmn_range *y = *(struct lmn_range *const *)b;
+    return lmn_before(x->dirty, y->dirty) ? -1 : lmn_before(y->dirty, x->dirty);
 }
 
 void lmn_ranges_flush(struct lmn_core *c, struct timespec now)
 {
-    bool lazy = lmn_state_backlog(c->state, LMN_RANK_LAZY) < 0.5;
+    double spare = lmn_state_spare(c->state);
+    GPtrArray *lazy = g_ptr_array_new();
 
     for (int i = 0; i < c->nparts; i++) {
         struct lmn_partition *p = &c->parts[i];
@@ -347,8 +363,13 @@
         g_hash_table_iter_init(&it, p->ranges);
         while (g_hash_table_iter_next(&it, NULL, &v))
             flush_range(c, v, lazy, now);
-        lmn_blocks_flush(c, p, lazy, now);
+        lmn_blocks_flush(c, p, spare >= 1, now);
     }
+    /* No more than can go out now: one that is queued holds up the close of its range. */
+    g_ptr_array_sort(lazy, by_dirty);
+    for (guint i = 0; i < lazy->len && i < spare; i++)
+        flush_lazily(c, lazy->pdata[i], now);
+    g_ptr_array_free(lazy, TRUE);
 }
 
 /* --- upkeep --- */
--- a/src/state.c
+++ b/src/state.c
@@ -4,6 +4,7 @@
 #include "thread.h"
 #include "wire.h"
 
+#include <math.h>
 #include <pthread.h>
 #include <string.h>
 
@@ -135,7 +136,7 @@
     lmn_budget_init(&s->requests, cfg->state_rps * share * 0.95,
                     MAX(cfg->state_rps * share * 0.5, 2), now);
     lmn_budget_init(&s->writes, cfg->state_write_rps * share * 0.95,
-                    MAX(cfg->state_write_rps * share * 0.9, cfg->txn_ops), now);
+                    MAX(cfg->state_write_rps * share * 0.9, 4), now);
     s->hold = now;
     return s;
 }
@@ -175,6 +176,52 @@
     return MAX(wait, 0);
 }
 
+/* What a rank leaves in the bucket for those before it: a submission that finds the bucket emptied
+ * by done sets would wait longer than its user likes. */
+static double reserve(const struct lmn_state *s, enum lmn_rank rank)
+{
+    return rank == LMN_RANK_LAZY ? 0.5 * s->writes.burst
+                                 : rank == LMN_RANK_CLOSE ? 0.2 * s->writes.burst : 0;
+}
+
+double lmn_state_spare(struct lmn_state *s)
+{
+    double spare;
+
+    pthread_mutex_lock(&s->lock);
+    lmn_budget_refill(&s->writes, lmn_now());
+    spare = s->writes.level - reserve(s, LMN_RANK_LAZY);
+    for (int i = 0; i < LMN_RANKS; i++)
+        spare -= s->queued_changes[i];
+    pthread_mutex_unlock(&s->lock);
+    return MAX(spare, 0);
+}
+
+/* Whether so many changes of the rank may go out now. More than the bucket holds take it full. */
+static bool affords(const struct lmn_state *s, enum lmn_rank rank, guint changes)
+{
+    return s->writes.level - reserve(s, rank) >= MIN(changes, 0.45 * s->writes.burst);
+}
+
+/* Seconds until the first transaction of some rank may go out; 0: now. */
+static double until_next(struct lmn_state *s, struct timespec now)
+{
+    double wait = INFINITY;
+
+    lmn_budget_refill(&s->writes, now);
+    for (int r = 0; r < LMN_RANKS; r++) {
+        const struct lmn_txn *t = g_queue_peek_head(&s->queue[r]);
+        if (!t)
+            continue;
+        if (affords(s, r, t->changes->len))
+            wait = 0;
+        else
+            wait = MIN(wait, (reserve(s, r) + MIN(t->changes->len, 0.45 * s->writes.burst) -
+                              s->writes.level) / s->writes.rate);
+    }
+    return MAX(wait, lmn_since(s->hold, now));
+}
+
 static GByteArray *encode(struct lmn_txn **v, guint n)
 {
     GByteArray *b = g_byte_array_new();
@@ -295,12 +342,13 @@
         for (GList *l = s->queue[r].head; l && n < max;) {
             struct lmn_txn *t = l->data;
             GList *next = l->next;
-            bool fits = changes + t->changes->len <= (guint)s->cfg->txn_ops &&
+            bool fits = affords(s, r, changes + t->changes->len) &&
+                        changes + t->changes->len <= (guint)s->cfg->txn_ops &&
                         conds + t->conds->len <= 4 * (guint)s->cfg->txn_ops &&
                         bytes + t->bytes <= TXN_BYTES;
             for (guint i = 0; i < n && fits; i++)
                 fits = !collides(v[i], t) && !collides(t, v[i]);
-            if (fits || n == 0) {
+            if (fits || (n == 0 && affords(s, r, t->changes->len))) {
                 v[n++] = t;
                 changes += t->changes->len;
                 conds += t->conds->len;
@@ -340,24 +388,15 @@
     for (;;) {
         guint changes = 0;
         pthread_mutex_lock(&s->lock);
+        /* Wait for the budget before choosing, so that the urgent still go first. */
         for (;;) {
-            bool any = false;
-            for (int r = 0; r < LMN_RANKS; r++)
-                any = any || s->queue[r].length;
-            if (any)
+            double wait = until_next(s, lmn_now());
+            if (wait <= 0)
                 break;
-            pthread_cond_wait(&s->more, &s->lock);
-        }
-        /* Wait for the budget before choosing, so that the urgent still go first. */
-        struct timespec now = lmn_now();
-        double wait = lmn_since(s->hold, now);
-        lmn_budget_refill(&s->writes, now);
-        if (wait <= 0 && s->writes.level < 4)
-            wait = (4 - s->writes.level) / s->writes.rate;
-        if (wait > 0) {
-            pthread_mutex_unlock(&s->lock);
-            lmn_sleep(wait);
-            continue;
+            if (isinf(wait))
+                pthread_cond_wait(&s->more, &s->lock);
+            else
+                lmn_cond_wait_for(&s->more, &s->lock, wait + 1e-3);
         }
         guint n = gather(s, v, G_N_ELEMENTS(v));
         for (guint i = 0; i < n; i++)
--- a/src/state.h
+++ b/src/state.h
@@ -50,6 +50,8 @@
 void lmn_state_submit(struct lmn_state *s, struct lmn_txn *t);
 /* Seconds that a new transaction of this rank would wait for its turn. */
 double lmn_state_backlog(struct lmn_state *s, enum lmn_rank rank);
+/* How many changes that can wait may be submitted now, so that they go out at once. */
+double lmn_state_spare(struct lmn_state *s);
 /* Waits for leave to send one more request. */
 void lmn_state_pace(struct lmn_state *s);
 /* Sends a transaction now, on the calling thread, outside the batches. */
