--- a/src/core.h
+++ b/src/core.h
@@ -26,6 +26,7 @@
     uint64_t rev;
     uint32_t gen;
     GPtrArray *ranges;
+    const char *image; /* interned: looked for on every machine, at every deal */
     int team; /* index in the settings, -1 if it has left them */
     uint64_t closing; /* revision on which a close of ours is under way */
     /* when its next task has to start, by the time of day, for the next expectation that can
@@ -120,7 +121,7 @@
     bool hungry; /* has room for which nothing in its partition fits */
     struct timespec next_steal;
     GPtrArray *failed_jobs; /* distinct jobs that failed here since the last success */
-    GPtrArray *images;      /* names that it has fetched, as far as known */
+    GPtrArray *images;      /* interned names of what it has fetched, as far as known */
     double used_cpus, used_gpus, used_mem;
 };
 
--- a/src/queue.c
+++ b/src/queue.c
@@ -138,23 +138,15 @@
 
 bool lmn_has_image(const struct lmn_machine *m, const char *image)
 {
-    for (guint i = 0; i < m->images->len; i++)
-        if (!strcmp(m->images->pdata[i], image))
-            return true;
-    return false;
+    return g_ptr_array_find(m->images, image, NULL);
 }
 
 void lmn_note_image(struct lmn_machine *m, const char *image)
 {
-    for (guint i = 0; i < m->images->len; i++)
-        if (!strcmp(m->images->pdata[i], image)) {
-            /* The most recently used stay: those are kept at the end. */
-            g_ptr_array_insert(m->images, -1, g_ptr_array_steal_index(m->images, i));
-            return;
-        }
-    if (m->images->len == 16)
+    /* The most recently used stay: those are kept at the end. */
+    if (!g_ptr_array_remove(m->images, (gpointer)image) && m->images->len == 16)
         g_ptr_array_remove_index(m->images, 0);
-    g_ptr_array_add(m->images, g_strdup(image));
+    g_ptr_array_add(m->images, (gpointer)image);
 }
 
 bool lmn_can_hold(const struct lmn_machine *m, const struct lmn_job *j)
@@ -182,7 +174,7 @@
  * can run nowhere else; an image that is missing has to be fetched first. */
 static int unfit(const struct lmn_machine *m, const struct lmn_job *j)
 {
-    return (j->spec.spot && !m->spot ? 2 : 0) + !lmn_has_image(m, j->spec.image);
+    return (j->spec.spot && !m->spot ? 2 : 0) + !lmn_has_image(m, j->image);
 }
 
 static void deal_to(struct lmn_machine *m, struct lmn_range *r, uint32_t lo, uint32_t hi,
@@ -193,21 +185,24 @@
     m->next_steal = now;
 }
 
-/* The job being dealt, for the comparison below; the core's lock is held. */
-static const struct lmn_job *deal_job;
+/* A machine with room, as it compares with others. */
+struct candidate {
+    struct lmn_machine *m;
+    int unfit;
+    double cpus; /* free */
+    uint32_t room;
+    guint at;
+};
 
 static gint by_fitness(gconstpointer a, gconstpointer b)
 {
-    const struct lmn_machine *x = *(struct lmn_machine *const *)a;
-    const struct lmn_machine *y = *(struct lmn_machine *const *)b;
-    int ux = unfit(x, deal_job), uy = unfit(y, deal_job);
-    double fx = x->type->cpus - x->used_cpus, fy = y->type->cpus - y->used_cpus;
-
-    if (ux != uy)
-        return ux - uy;
-    if (fx != fy)
-        return fx < fy ? -1 : 1;
-    return strcmp(x->name, y->name);
+    const struct candidate *x = a, *y = b;
+
+    if (x->unfit != y->unfit)
+        return x->unfit - y->unfit;
+    if (x->cpus != y->cpus)
+        return x->cpus < y->cpus ? -1 : 1;
+    return x->at < y->at ? -1 : x->at > y->at;
 }
 
 void lmn_deal(struct lmn_core *c, struct lmn_range *r, uint32_t lo, uint32_t hi,
@@ -217,35 +212,38 @@
     GHashTableIter it;
     gpointer v;
     GPtrArray *able = g_ptr_array_new();
+    GArray *roomy = g_array_new(FALSE, FALSE, sizeof(struct candidate));
 
     g_hash_table_iter_init(&it, p->machines);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         struct lmn_machine *m = v;
-        if (lmn_can_hold(m, r->job))
-            g_ptr_array_add(able, m);
+        if (!lmn_can_hold(m, r->job))
+            continue;
+        uint32_t has = room(m, &r->job->spec);
+        if (has > m->queue.tasks) {
+            struct candidate x = {m, unfit(m, r->job), m->type->cpus - m->used_cpus,
+                                  has - m->queue.tasks, able->len};
+            g_array_append_val(roomy, x);
+        }
+        g_ptr_array_add(able, m);
     }
-    if (!able->len) {
+    if (!able->len)
         lmn_queue_add(&p->limbo, r, lo, hi);
-        g_ptr_array_free(able, TRUE);
-        return;
-    }
     /* First what has room: the fittest kind of machine, and of these the fullest, so that large
      * tasks find whole machines and idle ones can go. Then round robin, one each a turn. */
-    deal_job = r->job;
-    g_ptr_array_sort(able, by_fitness);
-    for (guint i = 0; i < able->len && lo < hi; i++) {
-        struct lmn_machine *m = able->pdata[i];
-        uint32_t has = room(m, &r->job->spec);
-        uint32_t n = MIN(has > m->queue.tasks ? has - m->queue.tasks : 0, hi - lo);
-        if (!n)
-            continue;
-        deal_to(m, r, lo, lo + n, now);
-        m->poke = true;
-        pthread_cond_broadcast(&c->poked);
+    g_array_sort(roomy, by_fitness);
+    for (guint i = 0; i < roomy->len && lo < hi; i++) {
+        struct candidate *x = &g_array_index(roomy, struct candidate, i);
+        uint32_t n = MIN(x->room, hi - lo);
+        deal_to(x->m, r, lo, lo + n, now);
+        x->m->poke = true;
         lo += n;
     }
+    if (roomy->len)
+        pthread_cond_broadcast(&c->poked);
+    g_array_free(roomy, TRUE);
     p->rr++;
-    while (lo < hi)
+    while (able->len && lo < hi)
         for (guint i = 0; i < able->len && lo < hi; i++) {
             deal_to(able->pdata[(p->rr + i) % able->len], r, lo, lo + 1, now);
             lo++;
@@ -341,7 +339,7 @@
     s->range->st[a.index - s->range->lo] = LMN_T_STARTED;
     s->range->nstarted++;
     lmn_attempt_count(m, &a);
-    lmn_note_image(m, a.job->spec.image);
+    lmn_note_image(m, a.job->image);
     g_array_append_val(m->attempts, a);
     c->count.starts++;
     lmn_latency_add(&c->starting, c->wall - a.job->at);
@@ -359,8 +357,8 @@
 static bool startable(const struct lmn_core *c, const struct lmn_machine *m,
                       const struct lmn_job *j, struct timespec now)
 {
-    return j->phase == LMN_ACTIVE && !lmn_before(now, j->hold) && lmn_can_hold(m, j) &&
-           room(m, &j->spec) > 0 && in_quota(c, m->part, j) && zone_allows(m, j);
+    return room(m, &j->spec) > 0 && j->phase == LMN_ACTIVE && !lmn_before(now, j->hold) &&
+           lmn_can_hold(m, j) && in_quota(c, m->part, j) && zone_allows(m, j);
 }
 
 /* The most urgent stretch of a queue that the machine could start now; -1: none. The order
--- a/src/range.c
+++ b/src/range.c
@@ -14,7 +14,7 @@
     m->part = p;
     m->attempts = g_array_new(FALSE, FALSE, sizeof(struct lmn_attempt));
     m->failed_jobs = g_ptr_array_new();
-    m->images = g_ptr_array_new_with_free_func(g_free);
+    m->images = g_ptr_array_new();
     lmn_queue_init(&m->queue);
     g_hash_table_insert(p->machines, m->name, m);
     return m;
@@ -407,7 +407,8 @@
     return silent > 2 && 2 * silent > all;
 }
 
-static void upkeep_machine(struct lmn_core *c, struct lmn_machine *m, struct timespec now)
+static void upkeep_machine(struct lmn_core *c, struct lmn_machine *m, bool most_silent,
+                           struct timespec now)
 {
     const struct lmn_settings *cfg = c->cfg;
     struct lmn_partition *p = m->part;
@@ -429,7 +430,7 @@
         return;
     /* Most machines that fall silent are gone, and a return is a quicker proof of that than a
      * lease; a worker that answers when asked is left alone. */
-    if (lmn_machine_silent(c, m, now) && m->probes >= 2 && !silent_majority(c, p, now))
+    if (lmn_machine_silent(c, m, now) && m->probes >= 2 && !most_silent)
         lmn_machine_retire(c, m, true, "silent and unreachable", now);
     if (m->lapsed && silent > cfg->lease_s + 12)
         lmn_machine_retire(c, m, true, "silent", now);
@@ -438,7 +439,7 @@
     /* Neither its worker's reports nor our own questions got through. If that goes for
      * most of them, the fault is more likely on this side: then the leases have to run
      * out first. */
-    double patience = silent_majority(c, p, now) ? cfg->lease_s + 8 : 2 * cfg->report_s + 3;
+    double patience = most_silent ? cfg->lease_s + 8 : 2 * cfg->report_s + 3;
     if (m->inherited && !m->accounted && silent > patience &&
         (m->probes >= 2 || silent > cfg->lease_s))
         lmn_machine_retire(c, m, true, "not heard under the new term", now);
@@ -502,8 +503,10 @@
         if (!p->mine)
             continue;
         GList *all = g_hash_table_get_values(p->machines);
+        /* Once for all machines: a look at each from each takes their square. */
+        bool most_silent = silent_majority(c, p, now);
         for (GList *l = all; l; l = l->next)
-            upkeep_machine(c, l->data, now);
+            upkeep_machine(c, l->data, most_silent, now);
         g_list_free(all);
         lmn_partition_check(c, p, now);
         if (due)
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -50,6 +50,7 @@
         g_snprintf(j->spec.ref, sizeof j->spec.ref, "run-%06d", i);
         j->spec.team = (char *)"t";
         j->spec.image = (char *)"i";
+        j->image = g_intern_string("i");
         j->spec.class_name = (char *)"c";
         j->spec.zone = i % 4 == 1 ? (char *)"a" : NULL;
         j->spec.spot = i % 2;
--- /dev/null
+++ b/tests/test_state.c
@@ -0,0 +1,134 @@
+/* The writer's order and budget. */
+#include "clock.h"
+#include "state.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+/* Past writers are left behind as they are. */
+const char *__asan_default_options(void);
+const char *__asan_default_options(void)
+{
+    return "detect_leaks=0";
+}
+
+static struct lmn_settings cfg;
+static struct timespec now = {1000, 0};
+static unsigned told[LMN_RANKS];
+
+static void heard(void *arg, struct lmn_txn *t, enum lmn_outcome o, uint64_t rev)
+{
+    (void)t;
+    (void)o;
+    (void)rev;
+    told[GPOINTER_TO_INT(arg)]++;
+}
+
+static struct lmn_state *make(void)
+{
+    cfg.state_rps = 200;
+    cfg.state_write_rps = 25;
+    cfg.txn_ops = 48;
+    lmn_test_clock = &now;
+    for (int i = 0; i < LMN_RANKS; i++)
+        told[i] = 0;
+    return lmn_state_new(&cfg);
+}
+
+static void submit(struct lmn_state *s, enum lmn_rank rank, guint changes)
+{
+    static unsigned n;
+    struct lmn_txn *t = lmn_txn_new(rank, heard, GINT_TO_POINTER(rank));
+
+    for (guint i = 0; i < changes; i++) {
+        char key[32];
+        GByteArray *v = g_byte_array_new();
+        lmn_put_null(v);
+        g_snprintf(key, sizeof key, "k/%u", n++);
+        lmn_txn_write(t, key, v, 0);
+    }
+    lmn_state_submit(s, t);
+}
+
+/* Takes what may go out now; returns its changes. */
+static guint drain(struct lmn_state *s)
+{
+    struct lmn_txn *t;
+    guint n = 0;
+
+    while ((t = lmn_state_take(s))) {
+        n += lmn_txn_changes(t);
+        lmn_txn_finish(t, LMN_OK, 1);
+    }
+    return n;
+}
+
+/* Done sets once emptied the bucket, and submissions waited seconds for it to fill. */
+static void users_find_budget(void **state)
+{
+    (void)state;
+    struct lmn_state *s = make();
+    for (int i = 0; i < 100; i++)
+        submit(s, LMN_RANK_LAZY, 1);
+    assert_in_range(drain(s), 1, 12);
+    assert_true(lmn_state_spare(s) == 0);
+    submit(s, LMN_RANK_USER, 4);
+    assert_int_equal(drain(s), 4);
+    assert_int_equal(told[LMN_RANK_USER], 1);
+}
+
+static void urgent_first(void **state)
+{
+    (void)state;
+    struct lmn_state *s = make();
+    static const enum lmn_rank order[] = {LMN_RANK_CLOSE, LMN_RANK_USER, LMN_RANK_LAZY,
+                                          LMN_RANK_OWNER};
+    for (size_t i = 0; i < G_N_ELEMENTS(order); i++)
+        submit(s, order[i], 1);
+    for (int r = 0; r < LMN_RANKS; r++) {
+        struct lmn_txn *t = lmn_state_take(s);
+        assert_non_null(t);
+        lmn_txn_finish(t, LMN_OK, 1);
+        assert_int_equal(told[r], 1);
+    }
+}
+
+/* Whatever is asked for, the limit holds, and everything goes out in the end. */
+static void within_limit(void **state)
+{
+    (void)state;
+    for (uint32_t seed = 0; seed < 40; seed++) {
+        GRand *r = g_rand_new_with_seed(seed);
+        struct lmn_state *s = make();
+        struct timespec begun = now;
+        unsigned submitted[LMN_RANKS] = {0};
+        double sent = 0, most = 0;
+        for (int step = 0; step < 3000; step++) {
+            if (step < 1500 && g_rand_double(r) < 0.2) {
+                enum lmn_rank rank = (enum lmn_rank)g_rand_int_range(r, 0, LMN_RANKS);
+                submit(s, rank, (guint)g_rand_int_range(r, 1, rank == LMN_RANK_USER ? 48 : 4));
+                submitted[rank]++;
+            }
+            now = lmn_after(now, 0.2);
+            sent += drain(s);
+            /* A transaction larger than the bucket is taken from a full one, and paid off. */
+            most = lmn_since(now, begun) * 25 + 25 + 48;
+            assert_true(sent <= most);
+        }
+        for (int i = 0; i < LMN_RANKS; i++)
+            assert_int_equal(told[i], submitted[i]);
+        g_rand_free(r);
+    }
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(users_find_budget),
+        cmocka_unit_test(urgent_first),
+        cmocka_unit_test(within_limit),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
