A job is cut into as few parts as its size needs

Symptom: four changes at a job's birth and up to six at its end, of 50 or 80 a second. Change: parts of at least a twentieth of a partition's room, to those with the least to do. Small deployments cut as before, since their jobs are large against a partition.

--- a/src/api.c
+++ b/src/api.c
@@ -191,51 +191,77 @@
     g_free(s);
 }
 
-/* Parts of the job for each partition, by the room that its machines could give to it. */
-static void shares(const struct lmn_core *c, const struct lmn_spec *s, uint32_t *n)
+/* What a partition could give to the job, and what it still has to do, in processors. */
+static void weigh(struct lmn_core *c, int id, const struct lmn_spec *s, double *weight,
+                  double *load)
 {
-    double weight[LMN_MAX_MEMBERS], sum = 0;
-    uint32_t given = 0;
-    int parts = MIN(c->nparts, c->cfg->txn_ops - 1), best = 0;
     GHashTableIter it;
     gpointer v;
 
+    *weight = *load = 0;
+    g_hash_table_iter_init(&it, c->parts[id].machines);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        struct lmn_machine *m = v;
+        if (!m->type)
+            m->type = lmn_type_named(c, m->type_name);
+        if (m->type && m->rev && !m->is_gone && lmn_spec_allows(s, m->type, m->zone, m->spot))
+            *weight += m->type->cpus + m->type->gpus;
+    }
+    /* As recorded, for one's own partitions too: else they would look emptier than the others. */
+    g_hash_table_iter_init(&it, c->parts[id].ranges);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const struct lmn_range *r = v;
+        if (r->job->phase == LMN_ACTIVE)
+            *load += (r->hi - r->lo - r->ndone) * (r->job->spec.cpus + r->job->spec.gpus);
+    }
+}
+
+/* A part of a job is no smaller than this share of what a partition could give. Each part costs
+ * the state service changes at its birth and at its end; a small job gains nothing by being cut. */
+static const double LEAST_PART = 0.05;
+
+/* The job's tasks for each partition: as few parts as its size needs, to those with the least to
+ * do for their size. */
+static void shares(struct lmn_core *c, const struct lmn_spec *s, uint32_t *n)
+{
+    double weight[LMN_MAX_MEMBERS], load[LMN_MAX_MEMBERS], sum = 0;
+    int parts = MIN(c->nparts, c->cfg->txn_ops - 1), order[LMN_MAX_MEMBERS], able = 0;
+    int first = (int)(g_str_hash(s->ref) % (guint)parts);
+    uint32_t given = 0;
+
     memset(n, 0, sizeof *n * (size_t)c->nparts);
     for (int i = 0; i < parts; i++) {
-        weight[i] = 0;
-        g_hash_table_iter_init(&it, c->parts[i].machines);
-        while (g_hash_table_iter_next(&it, NULL, &v)) {
-            const struct lmn_machine *m = v;
-            const struct lmn_type *t = NULL;
-            for (size_t k = 0; k < c->types.n && !t; k++)
-                if (!strcmp(c->types.v[k].name, m->type_name))
-                    t = &c->types.v[k];
-            if (t && m->rev && lmn_spec_allows(s, t, m->zone, m->spot))
-                weight[i] += t->cpus + t->gpus;
-        }
+        weigh(c, i, s, &weight[i], &load[i]);
         sum += weight[i];
     }
-    if (sum <= 0) {
-        for (int i = 0; i < parts; i++)
-            weight[i] = 1;
-        sum = parts;
-    }
-    int first = (int)(g_str_hash(s->ref) % (guint)parts);
-    for (int i = 0; i < parts; i++)
-        if (weight[i] > weight[best])
-            best = i;
+    double size = s->tasks * (s->cpus + s->gpus) * parts;
+    int want = sum > 0 ? (int)MIN(ceil(size / (LEAST_PART * sum)), parts) : 1;
+    for (int i = 0; sum <= 0 && i < parts; i++)
+        weight[i] = 1;
     /* One owner must see all of a job whose tasks depend on each other's places. */
-    if (s->one_zone || s->spread) {
-        n[best] = s->tasks;
-        return;
-    }
+    if (s->one_zone || s->spread)
+        want = 1;
     for (int k = 0; k < parts; k++) {
-        int i = (first + k) % parts;
-        uint32_t want = (uint32_t)floor((double)s->tasks * weight[i] / sum + 0.5);
-        n[i] = MIN(want, s->tasks - given);
-        given += n[i];
+        int i = (first + k) % parts, at = able;
+        if (weight[i] <= 0)
+            continue;
+        while (at > 0 && load[i] / weight[i] < load[order[at - 1]] / weight[order[at - 1]]) {
+            order[at] = order[at - 1];
+            at--;
+        }
+        order[at] = i;
+        able++;
+    }
+    want = CLAMP(want, 1, able);
+    sum = 0;
+    for (int k = 0; k < want; k++)
+        sum += weight[order[k]];
+    for (int k = 0; k < want; k++) {
+        uint32_t part = (uint32_t)floor((double)s->tasks * weight[order[k]] / sum + 0.5);
+        n[order[k]] = MIN(part, s->tasks - given);
+        given += n[order[k]];
     }
-    n[best] += s->tasks - given;
+    n[order[0]] += s->tasks - given;
 }
 
 static struct lmn_txn *submission_txn(struct lmn_core *c, const struct lmn_spec *s,
--- a/src/cloud.c
+++ b/src/cloud.c
@@ -210,10 +210,7 @@
     g_hash_table_iter_init(&it, k->fleet.machines);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         struct lmn_listed *m = v;
-        const struct lmn_type *t = NULL;
-        for (size_t i = 0; i < c->types.n && !t; i++)
-            if (!strcmp(c->types.v[i].name, m->type))
-                t = &c->types.v[i];
+        const struct lmn_type *t = lmn_type_named(c, m->type);
         double missing = lmn_since(now, m->listed ? m->seen : m->since);
         if (g_hash_table_contains(c->gone, m->name) ||
             (lmn_since(k->listed, now) > -lag && missing > 2 * lag + 4)) {
--- a/src/core.c
+++ b/src/core.c
@@ -1,6 +1,8 @@
 #include "core.h"
 #include "thread.h"
 
+#include <string.h>
+
 static void free_machine(gpointer m)
 {
     lmn_machine_free(m);
@@ -43,3 +45,11 @@
     c->types.v = g_new0(struct lmn_type, 256);
     return c;
 }
+
+const struct lmn_type *lmn_type_named(const struct lmn_core *c, const char *name)
+{
+    for (size_t i = 0; i < c->types.n; i++)
+        if (!strcmp(c->types.v[i].name, name))
+            return &c->types.v[i];
+    return NULL;
+}
--- a/src/core.h
+++ b/src/core.h
@@ -203,6 +203,9 @@
 struct lmn_core *lmn_core_new(const struct lmn_settings *cfg, struct lmn_state *state,
                               uint32_t seed);
 
+/* NULL: the cloud has not named it yet. */
+const struct lmn_type *lmn_type_named(const struct lmn_core *c, const char *name);
+
 /* --- mirror.c --- */
 /* One change of the state service; value NULL: removed. The lock is held. */
 void lmn_mirror_apply(struct lmn_core *c, const char *key, const struct lmn_doc *doc,
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -41,14 +41,6 @@
     return a;
 }
 
-static const struct lmn_type *type_named(const struct lmn_core *c, const char *name)
-{
-    for (size_t i = 0; i < c->types.n; i++)
-        if (!strcmp(c->types.v[i].name, name))
-            return &c->types.v[i];
-    return NULL;
-}
-
 static struct lmn_refusal *refusal(struct lmn_fleet *f, const char *type, const char *zone,
                                    bool spot)
 {
@@ -139,7 +131,7 @@
     g_hash_table_iter_init(&it, f->machines);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const struct lmn_listed *m = v;
-        const struct lmn_type *t = type_named(c, m->type);
+        const struct lmn_type *t = lmn_type_named(c, m->type);
         if (m->broken || !t)
             continue;
         have += t->cpus;
--- a/src/state.c
+++ b/src/state.c
@@ -332,7 +332,7 @@
     return false;
 }
 
-/* Takes the next batch off the queues; the lock is held. */
+/* Takes the next batch off the queues, and its changes off the budget; the lock is held. */
 static guint gather(struct lmn_state *s, struct lmn_txn **v, guint max)
 {
     size_t bytes = 0;
@@ -359,6 +359,7 @@
             l = next;
         }
     }
+    s->writes.level -= changes;
     return n;
 }
 
@@ -374,6 +375,7 @@
     struct lmn_txn *t = NULL;
 
     pthread_mutex_lock(&s->lock);
+    lmn_budget_refill(&s->writes, lmn_now());
     gather(s, &t, 1);
     pthread_mutex_unlock(&s->lock);
     return t;
@@ -386,7 +388,6 @@
     struct lmn_txn *v[64];
 
     for (;;) {
-        guint changes = 0;
         pthread_mutex_lock(&s->lock);
         /* Wait for the budget before choosing, so that the urgent still go first. */
         for (;;) {
@@ -399,9 +400,6 @@
                 lmn_cond_wait_for(&s->more, &s->lock, wait + 1e-3);
         }
         guint n = gather(s, v, G_N_ELEMENTS(v));
-        for (guint i = 0; i < n; i++)
-            changes += v[i]->changes->len;
-        s->writes.level -= changes;
         pthread_mutex_unlock(&s->lock);
 
         lmn_state_pace(s);
--- a/src/steal.c
+++ b/src/steal.c
@@ -41,14 +41,6 @@
     return t->nrooms > 0;
 }
 
-static const struct lmn_type *type_named(const struct lmn_core *c, const char *name)
-{
-    for (size_t i = 0; i < c->types.n; i++)
-        if (!strcmp(c->types.v[i].name, name))
-            return &c->types.v[i];
-    return NULL;
-}
-
 /* How many tasks of the job the thief has room and quota for. */
 static uint32_t thief_room(const struct lmn_core *c, const struct lmn_thief *t,
                            const struct lmn_job *j)
@@ -60,7 +52,7 @@
         return 0;
     for (guint i = 0; i < t->nrooms; i++) {
         const struct lmn_room *r = &t->rooms[i];
-        const struct lmn_type *type = type_named(c, r->type);
+        const struct lmn_type *type = lmn_type_named(c, r->type);
         double k = 1e6;
         if (!type || !lmn_spec_allows(s, type, r->zone, r->spot))
             continue;
--- a/src/worker.c
+++ b/src/worker.c
@@ -315,9 +315,8 @@
         g_strlcpy(m->zone, r->zone, sizeof m->zone);
         m->spot = r->spot;
     }
-    for (size_t i = 0; !m->type && i < c->types.n; i++)
-        if (!strcmp(c->types.v[i].name, m->type_name))
-            m->type = &c->types.v[i];
+    if (!m->type)
+        m->type = lmn_type_named(c, m->type_name);
     /* Overtaken by the answer to a direct command: it renews the lease, and says nothing
      * new. */
     bool overtaken = m->heard && r->session == m->session && r->seq <= m->seq;
@@ -444,9 +443,8 @@
         m->session = r.session;
         m->seq = r.seq;
         m->last = now;
-        for (size_t i = 0; !m->type && i < c->types.n; i++)
-            if (!strcmp(c->types.v[i].name, m->type_name))
-                m->type = &c->types.v[i];
+        if (!m->type)
+            m->type = lmn_type_named(c, m->type_name);
         lmn_debug("machine-accounted machine=%s term=%" G_GUINT64_FORMAT " by=probe",
                   m->name, term);
         read_tasks(c, m, &d, r.tasks, now);
