--- a/src/range.c
+++ b/src/range.c
@@ -385,7 +385,7 @@
 bool lmn_machine_silent(const struct lmn_core *c, const struct lmn_machine *m, struct timespec now)
 {
     return m->accounted && !m->lapsed && !m->retiring && !m->is_gone &&
-           lmn_since(now, m->last) > MIN(0.6 * c->cfg->lease_s, 3 * c->cfg->report_s + 2);
+           lmn_since(now, m->last) > MIN(0.6 * c->cfg->lease_s, 1.25 * c->cfg->report_s + 2);
 }
 
 /* If most machines are silent, the fault is more likely on this side. */
@@ -434,12 +434,12 @@
         lmn_machine_retire(c, m, true, "silent and unreachable", now);
     if (m->lapsed && silent > cfg->lease_s + 12)
         lmn_machine_retire(c, m, true, "silent", now);
-    if (m->noticed && silent > 2.5 * cfg->report_s + 1)
+    if (m->noticed && lmn_since(now, m->noticed_at) > m->notice_s + 0.5)
         lmn_machine_retire(c, m, true, "taken by the cloud", now);
     /* Neither its worker's reports nor our own questions got through. If that goes for
      * most of them, the fault is more likely on this side: then the leases have to run
      * out first. */
-    double patience = most_silent ? cfg->lease_s + 8 : 2 * cfg->report_s + 3;
+    double patience = most_silent ? cfg->lease_s + 8 : 4;
     if (m->inherited && !m->accounted && silent > patience &&
         (m->probes >= 2 || silent > cfg->lease_s))
         lmn_machine_retire(c, m, true, "not heard under the new term", now);
--- a/src/server.c
+++ b/src/server.c
@@ -233,7 +233,8 @@
     a.sin_port = htons((uint16_t)port);
     inet_pton(AF_INET, host, &a.sin_addr);
     /* Some sockets stay for the node's own calls. */
-    unsigned limit = (unsigned)MAX(c->cfg->max_connections - 64, 16);
+    unsigned limit = (unsigned)MAX(c->cfg->max_connections - 32 -
+                                       (int)lmn_direct_connections(c->cfg), 16);
     struct MHD_Daemon *d = MHD_start_daemon(
         MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, (uint16_t)port, NULL, NULL,
         handler, NULL, MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&a, MHD_OPTION_NOTIFY_COMPLETED,
--- a/src/settings.h
+++ b/src/settings.h
@@ -51,6 +51,12 @@
 int lmn_settings_parse(const char *text, const char *name, struct lmn_settings *s, char *err,
                        size_t errlen);
 
+/* How many connections to workers a node keeps open for its own calls. */
+static inline unsigned lmn_direct_connections(const struct lmn_settings *s)
+{
+    return (unsigned)s->max_connections / 5;
+}
+
 const struct lmn_team *lmn_settings_team(const struct lmn_settings *s, const char *name);
 /* The node's place among all members by name: who prefers which partition. */
 int lmn_settings_rank(const struct lmn_settings *s, const char *node);
--- a/src/worker.c
+++ b/src/worker.c
@@ -389,29 +389,39 @@
 
 /* --- commands sent straight to the worker --- */
 
+/* Inherited machines that are not accounted for, and those that have fallen silent since. */
+static bool worth_asking(const struct lmn_core *c, const struct lmn_machine *m, struct timespec now)
+{
+    return !m->is_gone && !lmn_before(now, m->next_probe) &&
+           ((m->inherited && !m->accounted) || lmn_machine_silent(c, m, now));
+}
+
 bool lmn_probe_next(struct lmn_core *c, unsigned lane, unsigned lanes, char *name,
                     char *addr, uint64_t *term, struct timespec now)
 {
+    struct lmn_machine *best = NULL;
     GHashTableIter it;
     gpointer v;
 
     for (int i = 0; i < c->nparts; i++) {
-        if (!c->parts[i].mine || c->parts[i].ready)
+        if (!c->parts[i].mine)
             continue;
         g_hash_table_iter_init(&it, c->parts[i].machines);
         while (g_hash_table_iter_next(&it, NULL, &v)) {
             struct lmn_machine *m = v;
-            if (!m->inherited || m->accounted || m->is_gone ||
-                lmn_before(now, m->next_probe) || g_str_hash(m->name) % lanes != lane)
-                continue;
-            m->next_probe = lmn_after(now, 1.0 + 0.5 * MIN(m->probes, 6u));
-            g_strlcpy(name, m->name, LMN_NAME);
-            g_strlcpy(addr, m->addr, LMN_ADDR);
-            *term = c->parts[i].my_term;
-            return true;
+            /* Those that have not answered come last: each holds its lane up for a second. */
+            if (worth_asking(c, m, now) && g_str_hash(m->name) % lanes == lane &&
+                (!best || m->probes < best->probes))
+                best = m;
         }
     }
-    return false;
+    if (!best)
+        return false;
+    best->next_probe = lmn_after(now, 1.0 + 0.5 * MIN(best->probes, 6u));
+    g_strlcpy(name, best->name, LMN_NAME);
+    g_strlcpy(addr, best->addr, LMN_ADDR);
+    *term = best->part->my_term;
+    return true;
 }
 
 void lmn_probe_outcome(struct lmn_core *c, const char *name, uint64_t term, int status,
@@ -552,6 +562,18 @@
     }
 }
 
+static void drop_any(GHashTable *clients)
+{
+    GHashTableIter it;
+    gpointer h;
+
+    g_hash_table_iter_init(&it, clients);
+    if (g_hash_table_iter_next(&it, NULL, &h)) {
+        g_hash_table_iter_remove(&it);
+        lmn_http_free(h);
+    }
+}
+
 void *lmn_direct_thread(void *arg)
 {
     struct lmn_lane *lane = arg;
@@ -575,6 +597,9 @@
         pthread_mutex_unlock(&c->lock);
         struct lmn_http *h = g_hash_table_lookup(clients, addr);
         if (!h) {
+            /* Connections are kept, but the sockets are the workers' and users' first. */
+            if (g_hash_table_size(clients) >= lmn_direct_connections(c->cfg) / lane->lanes)
+                drop_any(clients);
             h = lmn_http_new(addr);
             g_hash_table_insert(clients, g_strdup(addr), h);
         }
--- /dev/null
+++ b/tests/test_worker.c
@@ -0,0 +1,135 @@
+/* Which machines are asked, and when they are given up. */
+#include "core.h"
+#include "http_client.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+#include <string.h>
+
+/* Past cores are left behind as they are. */
+const char *__asan_default_options(void);
+const char *__asan_default_options(void)
+{
+    return "detect_leaks=0";
+}
+
+static struct lmn_settings cfg;
+static struct lmn_core *core;
+static struct timespec now;
+
+static struct lmn_machine *add(int i)
+{
+    char name[32];
+
+    g_snprintf(name, sizeof name, "host-%06d", i);
+    struct lmn_machine *m = lmn_machine_new(&core->parts[0], name);
+    m->rev = 1;
+    m->heard = m->accounted = true;
+    m->last = now;
+    return m;
+}
+
+static void make(int machines)
+{
+    memset(&cfg, 0, sizeof cfg);
+    cfg.partitions = 1;
+    cfg.state_rps = cfg.state_write_rps = 1000;
+    cfg.txn_ops = 12;
+    cfg.report_s = 8;
+    cfg.lease_s = 44;
+    now = (struct timespec){1000, 0};
+    core = lmn_core_new(&cfg, lmn_state_new(&cfg), 1);
+    core->parts[0].mine = core->parts[0].ready = true;
+    core->parts[0].my_term = 1;
+    core->parts[0].since = now;
+    core->synced = true;
+    for (int i = 0; i < machines; i++)
+        add(i);
+}
+
+/* Lets seconds pass in which all but the silent report, and asks whoever is worth asking: none
+ * of those answers. */
+static void pass(double seconds, const struct lmn_machine *silent)
+{
+    GHashTableIter it;
+    gpointer v;
+    char name[LMN_NAME], addr[LMN_ADDR];
+    uint64_t term;
+
+    for (double t = 0; t < seconds; t += 0.25) {
+        now = lmn_after(now, 0.25);
+        core->fresh = now;
+        g_hash_table_iter_init(&it, core->parts[0].machines);
+        while (g_hash_table_iter_next(&it, NULL, &v))
+            if (v != silent)
+                ((struct lmn_machine *)v)->last = now;
+        while (lmn_probe_next(core, 0, 1, name, addr, &term, now)) {
+            assert_string_equal(name, silent->name);
+            lmn_probe_outcome(core, name, term, LMN_NO_ANSWER, NULL, now);
+        }
+        lmn_upkeep(core, now);
+    }
+}
+
+/* A machine that vanished without notice was once only asked during takeovers; its tasks waited
+ * for the lease. */
+static void silent_is_asked(void **state)
+{
+    (void)state;
+    make(9);
+    struct lmn_machine *m = add(100);
+    pass(11, m);
+    assert_int_equal(m->probes, 0); /* its next report may still be on its way */
+    pass(5, m);
+    assert_true(m->probes >= 2);
+    assert_true(m->retiring && m->force);
+}
+
+/* Tasks on a machine that the cloud has announced to take are not waited for beyond that. */
+static void taken_is_given_up(void **state)
+{
+    (void)state;
+    make(9);
+    struct lmn_machine *m = add(100);
+    m->noticed = true;
+    m->noticed_at = now;
+    m->notice_s = 6;
+    pass(5, m);
+    assert_false(m->retiring);
+    pass(2, m);
+    assert_true(m->retiring && m->force);
+}
+
+/* One that does not answer holds a lane up: the others are asked before it is asked again. */
+static void unanswered_come_last(void **state)
+{
+    char name[LMN_NAME], addr[LMN_ADDR];
+    uint64_t term;
+    (void)state;
+    make(0);
+    core->parts[0].ready = false;
+    for (int i = 0; i < 20; i++) {
+        struct lmn_machine *m = add(i);
+        m->inherited = true;
+        m->accounted = false;
+        m->probes = i % 2;
+    }
+    for (int i = 0; i < 20; i++) {
+        assert_true(lmn_probe_next(core, 0, 1, name, addr, &term, now));
+        struct lmn_machine *m = g_hash_table_lookup(core->parts[0].machines, name);
+        assert_int_equal(m->probes, i < 10 ? 0 : 1);
+    }
+    assert_false(lmn_probe_next(core, 0, 1, name, addr, &term, now));
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(silent_is_asked),
+        cmocka_unit_test(taken_is_given_up),
+        cmocka_unit_test(unanswered_come_last),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
