Tasks go where their image is; runs and ends of tasks in the debug log

Cause: what did not find room was dealt one task a machine over all queues, and queues were ordered without a look at images. Change: a lacking image counts twice its fetch against the job's latest start; what finds no room is dealt to machines with the image, a machineful a turn; images are remembered by size, as far as the cache goes, not by number.

--- a/src/core.h
+++ b/src/core.h
@@ -92,6 +92,12 @@
     struct timespec since;
 };
 
+/* An image that a machine has, or fetches, as far as known. */
+struct lmn_image {
+    const char *name; /* interned */
+    double gb;
+};
+
 struct lmn_machine {
     char name[LMN_NAME], addr[LMN_ADDR], type_name[LMN_NAME], zone[LMN_NAME];
     const struct lmn_type *type; /* NULL: not known yet */
@@ -121,7 +127,7 @@
     bool hungry; /* has room for which nothing in its partition fits */
     struct timespec next_steal;
     GPtrArray *failed_jobs; /* distinct jobs that failed here since the last success */
-    GPtrArray *images;      /* interned names of what it has fetched, as far as known */
+    GArray *images;         /* struct lmn_image, the most recently used last */
     double used_cpus, used_gpus, used_mem;
 };
 
@@ -302,9 +308,10 @@
               struct timespec now);
 /* Gives a machine's queue, or all of limbo, back to be dealt anew. */
 void lmn_redeal_machine(struct lmn_core *c, struct lmn_machine *m, struct timespec now);
-/* Whether the machine has the image, or is fetching it, as far as known. */
-bool lmn_has_image(const struct lmn_machine *m, const char *image);
-void lmn_note_image(struct lmn_machine *m, const char *image);
+/* Seconds for which a task of the job would wait for its image there. */
+double lmn_fetch_s(const struct lmn_machine *m, const struct lmn_job *j);
+/* The machine has the job's image, or is fetching it. */
+void lmn_note_image(struct lmn_machine *m, const struct lmn_job *j);
 bool lmn_can_hold(const struct lmn_machine *m, const struct lmn_job *j);
 /* Starts what fits on a machine that has just reported: commands go to out. */
 guint lmn_schedule(struct lmn_core *c, struct lmn_machine *m, GByteArray *out,
--- a/src/queue.c
+++ b/src/queue.c
@@ -6,6 +6,9 @@
 #include <math.h>
 #include <string.h>
 
+/* What a second of fetching an image counts against a second of being late. */
+static const double FETCH_WEIGHT = 2;
+
 void lmn_queue_init(struct lmn_queue *q)
 {
     q->segs = g_ptr_array_new();
@@ -136,17 +139,37 @@
     }
 }
 
-bool lmn_has_image(const struct lmn_machine *m, const char *image)
+static int image_at(const struct lmn_machine *m, const char *name)
 {
-    return g_ptr_array_find(m->images, image, NULL);
+    for (guint i = 0; i < m->images->len; i++)
+        if (g_array_index(m->images, struct lmn_image, i).name == name)
+            return (int)i;
+    return -1;
+}
+
+double lmn_fetch_s(const struct lmn_machine *m, const struct lmn_job *j)
+{
+    if (image_at(m, j->image) >= 0)
+        return 0;
+    return m->type->pull > 0 ? j->spec.image_gb / m->type->pull : 0;
 }
 
-void lmn_note_image(struct lmn_machine *m, const char *image)
+void lmn_note_image(struct lmn_machine *m, const struct lmn_job *j)
 {
-    /* The most recently used stay: those are kept at the end. */
-    if (!g_ptr_array_remove(m->images, (gpointer)image) && m->images->len == 16)
-        g_ptr_array_remove_index(m->images, 0);
-    g_ptr_array_add(m->images, (gpointer)image);
+    struct lmn_image new = {j->image, j->spec.image_gb};
+    int at = image_at(m, j->image);
+    double gb = 0;
+
+    if (at >= 0)
+        g_array_remove_index(m->images, (guint)at);
+    g_array_append_val(m->images, new);
+    /* A worker drops the least recently used when its cache is full. */
+    for (guint i = 0; i < m->images->len; i++)
+        gb += g_array_index(m->images, struct lmn_image, i).gb;
+    while (m->images->len > 1 && ((m->type && gb > m->type->cache_gb) || m->images->len > 64)) {
+        gb -= g_array_index(m->images, struct lmn_image, 0).gb;
+        g_array_remove_index(m->images, 0);
+    }
 }
 
 bool lmn_can_hold(const struct lmn_machine *m, const struct lmn_job *j)
@@ -174,7 +197,7 @@
  * can run nowhere else; an image that is missing has to be fetched first. */
 static int unfit(const struct lmn_machine *m, const struct lmn_job *j)
 {
-    return (j->spec.spot && !m->spot ? 2 : 0) + !lmn_has_image(m, j->image);
+    return (j->spec.spot && !m->spot ? 2 : 0) + (lmn_fetch_s(m, j) > 0);
 }
 
 static void deal_to(struct lmn_machine *m, struct lmn_range *r, uint32_t lo, uint32_t hi,
@@ -205,6 +228,30 @@
     return x->at < y->at ? -1 : x->at > y->at;
 }
 
+/* Over the queues of machines that have the image, or of all if none has it; as many a turn as the
+ * machine could run at once: each machine that joins in fetches the image once more. */
+static void deal_round(struct lmn_partition *p, GPtrArray *able, struct lmn_range *r, uint32_t lo,
+                       uint32_t hi, struct timespec now)
+{
+    const struct lmn_spec *s = &r->job->spec;
+    GPtrArray *near = g_ptr_array_new();
+
+    for (guint i = 0; i < able->len; i++)
+        if (lmn_fetch_s(able->pdata[i], r->job) <= 0)
+            g_ptr_array_add(near, able->pdata[i]);
+    const GPtrArray *to = near->len ? near : able;
+    p->rr++;
+    while (to->len && lo < hi)
+        for (guint i = 0; i < to->len && lo < hi; i++) {
+            struct lmn_machine *m = to->pdata[(p->rr + i) % to->len];
+            double slots = s->cpus > 0 ? floor(m->type->cpus / s->cpus + 1e-6) : 1;
+            uint32_t n = MIN((uint32_t)CLAMP(slots, 1, 1e6), hi - lo);
+            deal_to(m, r, lo, lo + n, now);
+            lo += n;
+        }
+    g_ptr_array_free(near, TRUE);
+}
+
 void lmn_deal(struct lmn_core *c, struct lmn_range *r, uint32_t lo, uint32_t hi,
               struct timespec now)
 {
@@ -242,12 +289,7 @@
     if (roomy->len)
         pthread_cond_broadcast(&c->poked);
     g_array_free(roomy, TRUE);
-    p->rr++;
-    while (able->len && lo < hi)
-        for (guint i = 0; i < able->len && lo < hi; i++) {
-            deal_to(able->pdata[(p->rr + i) % able->len], r, lo, lo + 1, now);
-            lo++;
-        }
+    deal_round(p, able, r, lo, hi, now);
     g_ptr_array_free(able, TRUE);
 }
 
@@ -339,7 +381,7 @@
     s->range->st[a.index - s->range->lo] = LMN_T_STARTED;
     s->range->nstarted++;
     lmn_attempt_count(m, &a);
-    lmn_note_image(m, a.job->image);
+    lmn_note_image(m, a.job);
     g_array_append_val(m->attempts, a);
     c->count.starts++;
     lmn_latency_add(&c->starting, c->wall - a.job->at);
@@ -361,6 +403,19 @@
            lmn_can_hold(m, j) && in_quota(c, m->part, j) && zone_allows(m, j);
 }
 
+/* How the machine should choose between the jobs: as lmn_job_order, but a task whose image it
+ * lacks would start, and end, later by the fetch, and hold its room idle meanwhile. */
+static int order_on(const struct lmn_machine *m, const struct lmn_job *a, const struct lmn_job *b)
+{
+    if (a->lost == b->lost && a->spec.urgency == b->spec.urgency) {
+        double x = (a->lost ? 0 : a->latest) + FETCH_WEIGHT * lmn_fetch_s(m, a);
+        double y = (b->lost ? 0 : b->latest) + FETCH_WEIGHT * lmn_fetch_s(m, b);
+        if (x != y)
+            return x < y ? -1 : 1;
+    }
+    return lmn_job_order(a, b);
+}
+
 /* The most urgent stretch of a queue that the machine could start now; -1: none. The order
  * shifts with time, so it is looked for, not kept. */
 static int best_seg(const struct lmn_core *c, struct lmn_queue *q, const struct lmn_machine *m,
@@ -370,13 +425,15 @@
 
     for (guint i = 0; i < q->segs->len; i++) {
         const struct lmn_seg *s = q->segs->pdata[i];
+        if (!startable(c, m, s->range->job, now))
+            continue;
         if (best >= 0) {
             const struct lmn_seg *t = q->segs->pdata[best];
-            if (s->range->job == t->range->job || lmn_job_order(s->range->job, t->range->job) > 0)
+            if (s->range->job == t->range->job ||
+                order_on(m, s->range->job, t->range->job) > 0)
                 continue;
         }
-        if (startable(c, m, s->range->job, now))
-            best = (int)i;
+        best = (int)i;
     }
     return best;
 }
--- a/src/range.c
+++ b/src/range.c
@@ -14,7 +14,7 @@
     m->part = p;
     m->attempts = g_array_new(FALSE, FALSE, sizeof(struct lmn_attempt));
     m->failed_jobs = g_ptr_array_new();
-    m->images = g_ptr_array_new();
+    m->images = g_array_new(FALSE, FALSE, sizeof(struct lmn_image));
     lmn_queue_init(&m->queue);
     g_hash_table_insert(p->machines, m->name, m);
     return m;
@@ -27,7 +27,7 @@
     g_ptr_array_free(m->queue.segs, TRUE);
     g_array_free(m->attempts, TRUE);
     g_ptr_array_free(m->failed_jobs, TRUE);
-    g_ptr_array_free(m->images, TRUE);
+    g_array_free(m->images, TRUE);
     g_free(m);
 }
 
--- a/src/worker.c
+++ b/src/worker.c
@@ -135,6 +135,8 @@
     a->state = LMN_A_ENDED;
     a->done = lmn_is(why, W_DONE);
     if (a->done) {
+        lmn_debug("task-done task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s after=%.1f", a->ref,
+                  a->index, a->number, m->name, lmn_since(now, a->since));
         g_ptr_array_set_size(m->failed_jobs, 0);
         if (a->job)
             a->job->errors = 0;
@@ -189,12 +191,15 @@
             a = adopt(c, m, task, index, number, state, now);
         a->seen = a->listed = true;
         if (a->job && state != LMN_A_ENDED)
-            lmn_note_image(m, a->job->image);
+            lmn_note_image(m, a->job);
         if (state == LMN_A_ENDED) {
             if (a->state != LMN_A_ENDED ||
                 (!a->done && lmn_is(lmn_get(d, n, W_WHY), W_DONE)))
                 ended(c, m, a, d, n, now);
         } else {
+            if (state == LMN_A_RUNNING && a->state != state)
+                lmn_debug("task-run task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s after=%.1f",
+                          a->ref, a->index, a->number, m->name, lmn_since(now, a->since));
             a->state = state;
         }
     }
