When not all jobs can be in time, the largest yield

Cause: the earliest start first makes all late, one after the other, once there is more work than can be in time. Change: jobs are run through in that order, and whenever one would be late the largest so far yields (Moore's rule), decided for each partition from its own machines.

--- a/src/core.h
+++ b/src/core.h
@@ -33,6 +33,9 @@
      * still be met; lost: none can */
     double latest;
     bool lost;
+    bool yields; /* it could still be met, but only at the cost of more others (lmn_triage) */
+    double left; /* processor seconds that have not been started */
+    const struct lmn_partition *ranked; /* mark of the triage under way */
     /* a job whose tasks fail is held back by itself */
     unsigned errors;
     struct timespec hold;
@@ -190,7 +193,8 @@
     struct lmn_partition *parts;
     int nparts;
     struct lmn_peer_view peers[LMN_MAX_MEMBERS + 1]; /* by rank */
-    double wall; /* the time of day at the last tick */
+    double wall;    /* the time of day at the last tick */
+    double triaged; /* the time of day at the last triage */
     bool synced;
     bool odd_one; /* the mirror stands still, and only here, as far as known */
     uint32_t gen;
@@ -303,6 +307,9 @@
 /* Works out latest and lost for the time of day now. */
 void lmn_job_rank(const struct lmn_settings *cfg, struct lmn_job *j, double wall);
 void lmn_rank_all(struct lmn_core *c, double wall);
+/* Which of the jobs should yield, so that as many as possible are in time: v holds jobs that are
+ * not lost, the capacities are in processors. */
+void lmn_triage(GPtrArray *v, double wall, double cpus, double ordinary_cpus);
 /* Cuts the range's queued tasks over the queues of the machines that could hold them. */
 void lmn_deal(struct lmn_core *c, struct lmn_range *r, uint32_t lo, uint32_t hi,
               struct timespec now);
