What finds no room is spread one task a machine, near its image if that suffices

Cause, from the deal: eight tasks behind one machine wait for that machine's tasks to end while slots come free elsewhere, and a machine with a queue of its own does not pull. Tests: triage against all subsets, images in the order.

--- a/src/queue.c
+++ b/src/queue.c
@@ -329,27 +329,21 @@
     return x->at < y->at ? -1 : x->at > y->at;
 }
 
-/* Over the queues of machines that have the image, or of all if none has it; as many a turn as the
- * machine could run at once: each machine that joins in fetches the image once more. */
+/* One a turn, over the queues of the machines that have the image if there are enough of them, or
+ * else of all: a machineful each would fetch the image less often, but wait for one machine's
+ * tasks to end while others' do. */
 static void deal_round(struct lmn_partition *p, GPtrArray *able, struct lmn_range *r, uint32_t lo,
                        uint32_t hi, struct timespec now)
 {
-    const struct lmn_spec *s = &r->job->spec;
     GPtrArray *near = g_ptr_array_new();
 
     for (guint i = 0; i < able->len; i++)
         if (lmn_fetch_s(able->pdata[i], r->job) <= 0)
             g_ptr_array_add(near, able->pdata[i]);
-    const GPtrArray *to = near->len ? near : able;
+    const GPtrArray *to = 2 * near->len >= hi - lo ? near : able;
     p->rr++;
-    while (to->len && lo < hi)
-        for (guint i = 0; i < to->len && lo < hi; i++) {
-            struct lmn_machine *m = to->pdata[(p->rr + i) % to->len];
-            double slots = s->cpus > 0 ? floor(m->type->cpus / s->cpus + 1e-6) : 1;
-            uint32_t n = MIN((uint32_t)CLAMP(slots, 1, 1e6), hi - lo);
-            deal_to(m, r, lo, lo + n, now);
-            lo += n;
-        }
+    for (guint i = 0; to->len && lo < hi; i++, lo++)
+        deal_to(to->pdata[(p->rr + i) % to->len], r, lo, lo + 1, now);
     g_ptr_array_free(near, TRUE);
 }
 
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -267,9 +267,102 @@
     return "detect_leaks=0";
 }
 
+/* Whether the jobs of the mask are all in time, the earliest first. */
+static unsigned in_time(const struct lmn_job *v, int n, unsigned mask, double cpus)
+{
+    double work = 0;
+    unsigned count = 0;
+
+    for (int i = 0; i < n; i++) { /* v is in the order of the latest start */
+        if (!(mask >> i & 1))
+            continue;
+        work += v[i].left;
+        if (1000 + work / cpus > v[i].latest)
+            return 0;
+        count++;
+    }
+    return count;
+}
+
+/* As many jobs as at all possible keep their place, and those are all in time. */
+static void triage_is_best(void **state)
+{
+    (void)state;
+    for (uint32_t seed = 0; seed < 300; seed++) {
+        enum { N = 9 };
+        GRand *r = g_rand_new_with_seed(seed);
+        struct lmn_job v[N];
+        GPtrArray *list = g_ptr_array_new();
+        unsigned best = 0, kept = 0;
+        memset(v, 0, sizeof v);
+        for (int i = 0; i < N; i++) {
+            g_snprintf(v[i].spec.ref, sizeof v[i].spec.ref, "run-%06d", i);
+            v[i].spec.spot = true;
+            v[i].left = g_rand_int_range(r, 1, 400);
+            v[i].latest = (i ? v[i - 1].latest : 1000) + g_rand_int_range(r, 0, 20);
+            g_ptr_array_add(list, &v[i]);
+        }
+        lmn_triage(list, 1000, 10, 10);
+        for (int i = 0; i < N; i++)
+            kept |= (unsigned)!v[i].yields << i;
+        for (unsigned mask = 1; mask < 1u << N; mask++)
+            best = MAX(best, in_time(v, N, mask, 10));
+        assert_int_equal(kept ? in_time(v, N, kept, 10) : 0, best);
+        g_ptr_array_free(list, TRUE);
+        g_rand_free(r);
+    }
+}
+
+/* Where two jobs are alike, a machine takes the one whose image it has; a fetch is not worth
+ * being late for by more than it costs. */
+static void images_count(void **state)
+{
+    (void)state;
+    make(3);
+    struct lmn_machine *m = g_hash_table_lookup(core->parts[0].machines, "m-0");
+    core->types.v[0].pull = 0.1;
+    core->types.v[0].cache_gb = 10;
+    for (int i = 0; i < 2; i++) {
+        jobs[i].spec.urgency = LMN_NORMAL;
+        jobs[i].spec.zone = NULL;
+        jobs[i].spec.spot = true;
+        jobs[i].spec.image_gb = 2;
+        jobs[i].spec.cpus = 8;
+        jobs[i].lost = false;
+        jobs[i].image = g_intern_string(i ? "near" : "far");
+        lmn_queue_add(&m->queue, jobs[i].ranges->pdata[0], 0, 1);
+    }
+    lmn_note_image(m, &jobs[1]);
+    assert_true(lmn_fetch_s(m, &jobs[1]) == 0);
+    assert_true(fabs(lmn_fetch_s(m, &jobs[0]) - 20) < 1e-9);
+    for (int urgent = 0; urgent < 2; urgent++) {
+        GByteArray *out = g_byte_array_new();
+        jobs[0].latest = 1000;
+        jobs[1].latest = urgent ? 1100 : 1010;
+        assert_int_equal(lmn_schedule(core, m, out, now), 1);
+        struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, 0);
+        assert_ptr_equal(a->job, &jobs[urgent ? 0 : 1]);
+        lmn_machine_empty(core, m, "again", now);
+        lmn_queue_clear(&m->queue);
+        for (int i = 0; i < 2; i++)
+            lmn_queue_add(&m->queue, jobs[i].ranges->pdata[0], 0, 1);
+        g_byte_array_free(out, TRUE);
+    }
+    /* The cache holds ten: the least recently used go. */
+    for (int i = 2; i < 7; i++) {
+        jobs[i].spec.image_gb = 2;
+        jobs[i].image = g_intern_string(jobs[i].spec.ref);
+        lmn_note_image(m, &jobs[i]);
+    }
+    assert_true(lmn_fetch_s(m, &jobs[6]) == 0);
+    assert_true(lmn_fetch_s(m, &jobs[1]) > 0);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
+        cmocka_unit_test(triage_is_best),
+        cmocka_unit_test(images_count),
         cmocka_unit_test(never_loses_or_doubles_a_task),
         cmocka_unit_test(order_is_total),
         cmocka_unit_test(expectations),
