Work within a team's guarantee goes first

Cause: the queues' order did not know of guarantees; a small team's job waited behind the others' backlog of 45 s. Change: a job that fits into its team's guarantee with the team's earlier unfinished jobs when it comes keeps that, and goes before all others.

--- a/src/core.h
+++ b/src/core.h
@@ -33,6 +33,7 @@
      * still be met; lost: none can */
     double latest;
     bool lost;
+    bool guaranteed; /* it fitted into its team's guarantee when it came */
     bool yields; /* it could still be met, but only at the cost of more others (lmn_triage) */
     double left; /* processor seconds that have not been started */
     const struct lmn_partition *ranked; /* mark of the triage under way */
@@ -202,6 +203,9 @@
     struct timespec booted, synced_at, audited;
     uint64_t lease; /* ours, 0: none */
 
+    /* what the teams' active jobs ask for, all their tasks together */
+    double asked_cpus[LMN_MAX_TEAMS], asked_gpus[LMN_MAX_TEAMS];
+
     struct lmn_types types;
     bool types_known;
     GHashTable *gone; /* names of machines that were returned */
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -65,6 +65,26 @@
     return t ? (int)(t - cfg->teams) : -1;
 }
 
+/* Keeps what the team's active jobs ask for; by: 1 as a job comes, -1 as it ends. */
+static void ask_for(struct lmn_core *c, const struct lmn_job *j, int by)
+{
+    if (j->team < 0)
+        return;
+    c->asked_cpus[j->team] += by * j->spec.cpus * j->spec.tasks;
+    c->asked_gpus[j->team] += by * j->spec.gpus * j->spec.tasks;
+}
+
+/* Whether the job, which has just come, fits into its team's guarantee with all before it. */
+static bool in_guarantee(const struct lmn_core *c, const struct lmn_job *j)
+{
+    if (j->team < 0)
+        return false;
+    const struct lmn_team *t = &c->cfg->teams[j->team];
+    return t->cpus + t->gpus > 0 &&
+           (j->spec.cpus <= 0 || c->asked_cpus[j->team] <= t->cpus + 1e-6) &&
+           (j->spec.gpus <= 0 || c->asked_gpus[j->team] <= t->gpus + 1e-6);
+}
+
 static void apply_job(struct lmn_core *c, const char *ref, const struct lmn_doc *d,
                       const struct lmn_node *v, uint64_t rev)
 {
@@ -99,6 +119,12 @@
     } else {
         lmn_spec_clear(&spec); /* a job's description never changes */
     }
+    if (!j->rev && phase == LMN_ACTIVE) {
+        ask_for(c, j, 1);
+        j->guaranteed = in_guarantee(c, j);
+    } else if (j->phase == LMN_ACTIVE && phase != LMN_ACTIVE && j->rev) {
+        ask_for(c, j, -1);
+    }
     if (phase != j->phase)
         lmn_debug("job-final job=%s phase=%d after=%.1f", ref, phase,
                   lmn_seconds(lmn_wall()) - j->at);
--- a/src/queue.c
+++ b/src/queue.c
@@ -84,6 +84,8 @@
 {
     const struct lmn_job *x = *(struct lmn_job *const *)a, *y = *(struct lmn_job *const *)b;
 
+    if (x->guaranteed != y->guaranteed)
+        return x->guaranteed ? -1 : 1;
     if (x->spec.urgency != y->spec.urgency)
         return x->spec.urgency > y->spec.urgency ? -1 : 1;
     if (x->latest != y->latest)
@@ -113,7 +115,8 @@
                 break;
             for (guint k = 0; k <= i; k++) {
                 struct lmn_job *o = v->pdata[k];
-                if (!o->yields && o->spec.urgency == j->spec.urgency &&
+                if (!o->yields && o->guaranteed == j->guaranteed &&
+                    o->spec.urgency == j->spec.urgency &&
                     (j->spec.spot || !o->spec.spot) && (!most || o->left > most->left))
                     most = o;
             }
@@ -181,6 +184,9 @@
 
 int lmn_job_order(const struct lmn_job *a, const struct lmn_job *b)
 {
+    /* A team need not wait for others as long as its work fits into its guarantee. */
+    if (a->guaranteed != b->guaranteed)
+        return a->guaranteed ? -1 : 1;
     /* What can't be in time any more yields to what still can. */
     if (a->lost != b->lost)
         return a->lost ? 1 : -1;
@@ -502,7 +508,7 @@
  * lacks would start, and end, later by the fetch, and hold its room idle meanwhile. */
 static int order_on(const struct lmn_machine *m, const struct lmn_job *a, const struct lmn_job *b)
 {
-    if (a->lost == b->lost && a->yields == b->yields && a->spec.urgency == b->spec.urgency) {
+    if (a->guaranteed == b->guaranteed && a->lost == b->lost && a->yields == b->yields && a->spec.urgency == b->spec.urgency) {
         double x = (a->lost ? 0 : a->latest) + FETCH_WEIGHT * lmn_fetch_s(m, a);
         double y = (b->lost ? 0 : b->latest) + FETCH_WEIGHT * lmn_fetch_s(m, b);
         if (x != y)
