The larger deficit is rented first; a new holder of the fleet rents after one lag

Cause, from the log: cheap machines, half of the fleet, were rented only once no ordinary one was missing, and the demand for those came in drops, a call for 2 to 20 at a time. Change: a call goes to the larger deficit.

--- a/src/api.c
+++ b/src/api.c
@@ -164,6 +164,9 @@
     (void)t;
     (void)rev;
 
+    lmn_debug("job-submitted job=%s outcome=%d took=%.3f", s->ref, outcome,
+              lmn_since(lmn_now(), s->since));
+
     if (outcome == LMN_OK) {
         GByteArray *b = g_byte_array_new();
         pthread_mutex_lock(&s->c->lock);
--- a/src/cloud.c
+++ b/src/cloud.c
@@ -342,9 +342,10 @@
         if (role && known && !blind) {
             if (lmn_since(now, k.listed) > MAX(c->cfg->list_lag_s, 3.0) && read_list(&k))
                 prune(&k);
-            /* A predecessor's last rentals show in the list only after its lag. */
+            /* A predecessor's last rentals show in the list only after its lag; that some show
+             * later costs less than machines that are missed meanwhile. */
             if (k.listed.tv_sec && (first_term ||
-                                    lmn_since(now, k.role_since) > 2 * c->cfg->list_lag_s))
+                                    lmn_since(now, k.role_since) > c->cfg->list_lag_s))
                 rent(&k);
         }
         lmn_sleep(0.25);
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -138,10 +138,12 @@
         if (!m->spot)
             have_ordinary += t->cpus;
     }
-    /* Ordinary machines for the work that must have them, then whatever is cheapest: where the
-     * one can't be had, the other is still rented. */
-    for (int any = 0; any <= 1 && best == INFINITY; any++) {
-        double deficit = any ? need - have : need_ordinary - have_ordinary;
+    /* Ordinary machines for the work that must have them, and whatever is cheapest for the rest:
+     * the larger deficit first, since calls are few; where the one can't be had, the other. */
+    double ordinary = need_ordinary - have_ordinary, all = need - have;
+    bool any = all - MAX(ordinary, 0) > ordinary;
+    for (int turn = 0; turn < 2 && best == INFINITY; turn++, any = !any) {
+        double deficit = any ? all : ordinary;
         if (deficit >= 1)
             best = choose(c, f, w, deficit, any, have <= 0, out, now);
     }
--- a/src/state.c
+++ b/src/state.c
@@ -1,6 +1,7 @@
 #include "state.h"
 #include "budget.h"
 #include "clock.h"
+#include "log.h"
 #include "thread.h"
 #include "wire.h"
 
@@ -292,7 +293,10 @@
 {
     GByteArray *body = encode(v, n), *answer = g_byte_array_new();
 
+    struct timespec sent = lmn_now();
     *status = lmn_http_call(h, "POST", P_TXN, body, TXN_TIMEOUT_S, answer);
+    lmn_debug("state-write transactions=%u status=%d took=%.3f", n, *status,
+              lmn_since(lmn_now(), sent));
     enum lmn_outcome r = judge(*status, answer, revision, conflicts);
     g_byte_array_unref(body);
     g_byte_array_unref(answer);
