--- a/src/cloud.c
+++ b/src/cloud.c
@@ -14,7 +14,7 @@
     struct lmn_budget budget;
     struct lmn_fleet fleet;
     bool had_role;
-    struct timespec role_since, typed, listed;
+    struct timespec role_since, typed, listed, returned;
     struct lmn_rental pending; /* a rental whose outcome is not known */
     char request[160];         /* its name; empty: none */
     uint64_t requests;
@@ -94,9 +94,13 @@
     return status == 200;
 }
 
+/* Of the calls of the one who rents, at most half go into returns, many machines each: one for each
+ * machine as it is lost would leave none for renting others in its place. */
 static void return_machines(struct cloud *k)
 {
     struct lmn_core *c = k->c;
+    if (k->had_role && lmn_since(lmn_now(), k->returned) < 2 / k->budget.rate)
+        return;
     GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
     GHashTableIter it;
     gpointer v;
@@ -113,7 +117,10 @@
         }
     }
     pthread_mutex_unlock(&c->lock);
-    if (names->len && pace(k) && give_back(k, names)) {
+    bool go = names->len && pace(k);
+    if (go)
+        k->returned = lmn_now();
+    if (go && give_back(k, names)) {
         pthread_mutex_lock(&c->lock);
         struct timespec now = lmn_now();
         for (guint i = 0; i < names->len; i++) {
