--- a/src/queue.c
+++ b/src/queue.c
@@ -517,24 +517,16 @@
     return lmn_job_order(a, b);
 }
 
-/* Which work is looked for: any, or only what can be in time. */
-enum kind { ANY, TIMELY };
-
-static bool timely(const struct lmn_job *j)
-{
-    return j->guaranteed || !(j->lost || j->yields);
-}
-
 /* The most urgent stretch of a queue that the machine could start now; -1: none. The order
  * shifts with time, so it is looked for, not kept. */
 static int best_seg(const struct lmn_core *c, struct lmn_queue *q, const struct lmn_machine *m,
-                    enum kind kind, struct timespec now)
+                    struct timespec now)
 {
     int best = -1;
 
     for (guint i = 0; i < q->segs->len; i++) {
         const struct lmn_seg *s = q->segs->pdata[i];
-        if ((kind == TIMELY && !timely(s->range->job)) || !startable(c, m, s->range->job, now))
+        if (!startable(c, m, s->range->job, now))
             continue;
         if (best >= 0) {
             const struct lmn_seg *t = q->segs->pdata[best];
@@ -547,13 +539,13 @@
     return best;
 }
 
-static guint start_own(struct lmn_core *c, struct lmn_machine *m, enum kind kind, GByteArray *out,
+static guint start_own(struct lmn_core *c, struct lmn_machine *m, GByteArray *out,
                        struct timespec now)
 {
     guint n = 0;
     int at;
 
-    while ((at = best_seg(c, &m->queue, m, kind, now)) >= 0) {
+    while ((at = best_seg(c, &m->queue, m, now)) >= 0) {
         struct lmn_seg *s = m->queue.segs->pdata[at];
         m->queue.tasks--;
         /* The books decide, not the queue: what is not queued there is not started. */
@@ -573,24 +565,24 @@
 
 /* Queued tasks that the thief could start now. */
 static uint32_t load_for(const struct lmn_core *c, const struct lmn_queue *q,
-                         const struct lmn_machine *thief, enum kind kind, struct timespec now)
+                         const struct lmn_machine *thief, struct timespec now)
 {
     uint32_t n = 0;
     for (guint i = 0; i < q->segs->len; i++) {
         const struct lmn_seg *s = q->segs->pdata[i];
-        if ((kind == ANY || timely(s->range->job)) && startable(c, thief, s->range->job, now))
+        if (startable(c, thief, s->range->job, now))
             n += s->hi - s->lo;
     }
     return n;
 }
 
 static uint32_t take(struct lmn_core *c, struct lmn_queue *from, struct lmn_machine *m,
-                     uint32_t want, enum kind kind, struct timespec now)
+                     uint32_t want, struct timespec now)
 {
     uint32_t got = 0;
     int at;
 
-    while (got < want && (at = best_seg(c, from, m, kind, now)) >= 0) {
+    while (got < want && (at = best_seg(c, from, m, now)) >= 0) {
         struct lmn_seg *s = from->segs->pdata[at];
         uint32_t n = MIN(want - got, s->hi - s->lo);
         lmn_queue_add(&m->queue, s->range, s->lo, s->lo + n);
@@ -603,7 +595,7 @@
     return got;
 }
 
-static bool steal(struct lmn_core *c, struct lmn_machine *m, enum kind kind, struct timespec now)
+bool lmn_steal(struct lmn_core *c, struct lmn_machine *m, struct timespec now)
 {
     struct lmn_partition *p = m->part;
     GPtrArray *queues = g_ptr_array_new();
@@ -634,13 +626,13 @@
         gpointer t = queues->pdata[i];
         queues->pdata[i] = queues->pdata[k];
         queues->pdata[k] = t;
-        uint32_t load = load_for(c, queues->pdata[i], m, kind, now);
+        uint32_t load = load_for(c, queues->pdata[i], m, now);
         if (load > most) {
             most = load;
             best = queues->pdata[i];
         }
     }
-    uint32_t limbo = load_for(c, &p->limbo, m, kind, now);
+    uint32_t limbo = load_for(c, &p->limbo, m, now);
     if (limbo > most) {
         most = limbo;
         best = &p->limbo;
@@ -648,8 +640,7 @@
     g_ptr_array_free(queues, TRUE);
     uint32_t got = 0;
     if (best)
-        got = take(c, best, m, MAX((uint32_t)((double)most * c->tuning.share), 1), kind,
-                   now);
+        got = take(c, best, m, MAX((uint32_t)((double)most * c->tuning.share), 1), now);
     if (!got) {
         m->poll_s = m->poll_s > 0 ? MIN(m->poll_s * 2, c->tuning.poll_cap_s)
                                   : c->tuning.poll_floor_s;
@@ -664,32 +655,23 @@
     return true;
 }
 
-bool lmn_steal(struct lmn_core *c, struct lmn_machine *m, struct timespec now)
-{
-    return steal(c, m, ANY, now);
-}
-
 guint lmn_schedule(struct lmn_core *c, struct lmn_machine *m, GByteArray *out,
                    struct timespec now)
 {
     struct lmn_partition *p = m->part;
-    guint n = 0;
+    guint n;
 
     m->hungry = false;
     if (p->releasing || !m->accounted || !m->rev || m->retiring || m->noticed ||
         !m->type)
         return 0;
-    /* Left with room and nothing of its own that fits: it pulls, until that brings nothing. What
-     * can't be in time any more counts as nothing while others may have what still can. */
-    for (int kind = TIMELY; kind >= ANY; kind--) {
-        n += start_own(c, m, kind, out, now);
-        for (int turn = 0; turn < 8; turn++) {
-            bool full = m->type->cpus - m->used_cpus < 0.01;
-            if (full || load_for(c, &m->queue, m, kind, now) || !steal(c, m, kind, now))
-                break;
-            n += start_own(c, m, kind, out, now);
-        }
+    n = start_own(c, m, out, now);
+    /* Left with room and nothing of its own that fits: it pulls, until that brings nothing. */
+    for (int turn = 0; turn < 8; turn++) {
+        if (load_for(c, &m->queue, m, now) || !lmn_steal(c, m, now))
+            break;
+        n += start_own(c, m, out, now);
     }
-    m->hungry = !load_for(c, &m->queue, m, ANY, now);
+    m->hungry = !load_for(c, &m->queue, m, now);
     return n;
 }
