Parts of teams' limits move between partitions by compare-and-set, only what is free

Until now a limit was divided evenly, and a task larger than an even part waited for ever. A part is given away by its owner alone, by one write conditional on its ownership and on the team's record; it counts as given from before the write until the mirror shows what became of it, and as received only once the mirror shows it. A partition that is short asks the others by XDR; they give what their own queue does not need, and to a task larger than the asker's whole part what is free.

--- a/src/core.c
+++ b/src/core.c
@@ -36,6 +36,7 @@
         struct lmn_partition *p = &c->parts[i];
         p->id = i;
         p->vacant = c->booted;
+        p->gift.team = -1;
         p->ranges = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_range);
         p->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_machine);
         p->blocks = g_ptr_array_new();
--- a/src/core.h
+++ b/src/core.h
@@ -148,11 +148,28 @@
 
 enum { LMN_MAX_BLOCKS = 4096 };
 
+/* A part of a team's limit on its way from a partition to another. */
+struct lmn_gift {
+    int team, to; /* team -1: none */
+    double cpus, gpus;
+    uint64_t rev; /* of the team's record, on which the write is conditional */
+    uint64_t serial;
+    bool unsure; /* an attempt's outcome is not known */
+    struct timespec retry;
+};
+
+/* What a partition is short of for a team: at best, and at least for one task. */
+struct lmn_quota_want {
+    int team;
+    double cpus, gpus, least_cpus, least_gpus;
+};
+
 struct lmn_partition {
     int id;
     /* mirrored */
     char owner[LMN_NAME];
     uint64_t owner_lease, owner_rev, owner_term, term, term_rev;
+    double quota_cpus[LMN_MAX_TEAMS], quota_gpus[LMN_MAX_TEAMS]; /* if there is a record */
     uint32_t owner_gen;
     struct timespec vacant; /* since when nobody owns it */
     GHashTable *ranges, *machines;
@@ -165,6 +182,9 @@
     struct timespec next_steal;
     struct lmn_queue limbo; /* tasks that no machine's queue holds yet */
     double used_cpus[LMN_MAX_TEAMS], used_gpus[LMN_MAX_TEAMS];
+    struct lmn_gift gift;
+    struct timespec next_quota; /* when it may ask others again */
+    double quota_poll_s;
     guint rr;
 };
 
@@ -203,6 +223,9 @@
     struct timespec booted, synced_at, audited;
     uint64_t lease; /* ours, 0: none */
 
+    uint64_t quota_rev[LMN_MAX_TEAMS]; /* of the teams' records of parts; 0: none */
+    bool quota_known[LMN_MAX_TEAMS]; /* there is a record, and of this limit */
+    uint64_t gifts;
     /* what the teams' active jobs ask for, all their tasks together */
     double asked_cpus[LMN_MAX_TEAMS], asked_gpus[LMN_MAX_TEAMS];
 
@@ -329,6 +352,24 @@
                    struct timespec now);
 bool lmn_steal(struct lmn_core *c, struct lmn_machine *m, struct timespec now);
 
+/* --- quota.c: parts of the teams' limits --- */
+/* What the team's tasks in the partition may use. */
+void lmn_quota_part(const struct lmn_core *c, const struct lmn_partition *p, int team,
+                    double *cpus, double *gpus);
+void lmn_quota_apply(struct lmn_core *c, const char *key, const struct lmn_doc *d,
+                     const struct lmn_node *v, uint64_t rev);
+/* Sets a gift to another partition going, of no more than is free; false if there is none. */
+bool lmn_quota_give(struct lmn_core *c, struct lmn_partition *p, int team, int to, double cpus,
+                    double gpus);
+void lmn_quota_flush(struct lmn_core *c, struct lmn_partition *p, struct timespec now);
+void lmn_quota_reset(struct lmn_partition *p);
+/* Whether the partition is short of the team's quota, and by how much. */
+bool lmn_quota_wanted(const struct lmn_core *c, const struct lmn_partition *p, int team,
+                      struct lmn_quota_want *w);
+/* Another partition is short of it: gives what can be spared. */
+bool lmn_quota_asked(struct lmn_core *c, struct lmn_partition *p, int to,
+                     const struct lmn_quota_want *w);
+
 /* --- steal.c: steals between partitions --- */
 struct lmn_room {
     char type[LMN_NAME], zone[LMN_NAME];
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -5,6 +5,7 @@
  *        o/P            who owns partition P (tied to the owner's lease)
  *        t/P            its term (for ever)
  *        m/P/N          machines that partition P may have started tasks on (block.c)
+ *        q/TEAM         the partitions' parts of the team's limit, once they are not even
  *        n/NODE         a controller that is up (tied to its lease)
  *        s              operators' settings
  */
@@ -266,6 +267,10 @@
         apply_job(c, key + 2, d, v, rev);
         return;
     }
+    if (key[0] == 'q') {
+        lmn_quota_apply(c, key, d, v, rev);
+        return;
+    }
     if (key[0] == 'n') {
         apply_node(c, key + 2, v, rev, now);
         return;
--- a/src/partition.c
+++ b/src/partition.c
@@ -55,6 +55,7 @@
     memset(p->used_gpus, 0, sizeof p->used_gpus);
     c->count.takeovers++;
     lmn_block_reset(p);
+    lmn_quota_reset(p);
     g_hash_table_iter_init(&it, p->machines);
     while (g_hash_table_iter_next(&it, NULL, &v))
         reset_machine(v);
@@ -77,6 +78,7 @@
     lmn_info("partition-lose partition=%d term=%" G_GUINT64_FORMAT " why=\"%s\"", p->id,
              p->my_term, why);
     p->mine = p->ready = p->releasing = false;
+    lmn_quota_reset(p);
     lmn_queue_clear(&p->limbo);
     g_hash_table_iter_init(&it, p->machines);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
--- a/src/peer.c
+++ b/src/peer.c
@@ -176,6 +176,21 @@
     return n;
 }
 
+static u_int asked_quota(const struct lmn_xquota *q)
+{
+    const struct lmn_team *team = lmn_settings_team(core->cfg, q->team);
+    bool given = false;
+
+    if (!team || q->victim < 0 || q->victim >= core->nparts)
+        return 0;
+    struct lmn_quota_want w = {(int)(team - core->cfg->teams), q->cpus, q->gpus, q->least_cpus,
+                               q->least_gpus};
+    pthread_mutex_lock(&core->lock);
+    given = lmn_quota_asked(core, &core->parts[q->victim], q->thief, &w);
+    pthread_mutex_unlock(&core->lock);
+    return given;
+}
+
 static void dispatch(struct svc_req *rq, SVCXPRT *x)
 {
     char err[256] = "done";
@@ -246,6 +261,17 @@
         svc_freeargs(x, (xdrproc_t)xdr_lmn_xthief, (char *)&q);
         return;
     }
+    case LMN_QUOTA: {
+        struct lmn_xquota q = {0};
+        if (!svc_getargs(x, (xdrproc_t)xdr_lmn_xquota, (char *)&q)) {
+            svcerr_decode(x);
+            return;
+        }
+        u_int n = asked_quota(&q);
+        svc_sendreply(x, (xdrproc_t)xdr_u_int, (char *)&n);
+        svc_freeargs(x, (xdrproc_t)xdr_lmn_xquota, (char *)&q);
+        return;
+    }
     default:
         svcerr_noproc(x);
     }
@@ -354,21 +380,76 @@
     return false;
 }
 
-/* Asks the owner of a partition, which may be this node itself. */
-static u_int ask(struct member *members, rpcproc_t proc, struct lmn_xthief *q)
+/* Asks the owner of a partition other than this node; false if there is none to ask. */
+static bool ask_owner(struct member *members, int part, rpcproc_t proc, xdrproc_t xargs,
+                      const void *q, u_int *n)
 {
     char owner[LMN_NAME];
-    u_int n = 0;
 
     pthread_mutex_lock(&core->lock);
-    g_strlcpy(owner, core->parts[q->victim].owner, sizeof owner);
+    g_strlcpy(owner, core->parts[part].owner, sizeof owner);
     pthread_mutex_unlock(&core->lock);
-    if (!strcmp(owner, core->cfg->node))
-        return asked(q, proc == LMN_STEAL);
     for (size_t i = 0; i < core->cfg->nmembers; i++)
         if (!strcmp(owner, members[i].cfg->name))
-            return call_member(&members[i], proc, (xdrproc_t)xdr_lmn_xthief, q, &n) ? n : 0;
-    return 0;
+            return call_member(&members[i], proc, xargs, q, n);
+    return false;
+}
+
+static bool own(int part)
+{
+    pthread_mutex_lock(&core->lock);
+    bool mine = core->parts[part].mine;
+    pthread_mutex_unlock(&core->lock);
+    return mine;
+}
+
+/* Asks the owner of a partition, which may be this node itself. */
+static u_int ask(struct member *members, rpcproc_t proc, struct lmn_xthief *q)
+{
+    u_int n = 0;
+
+    if (own(q->victim))
+        return asked(q, proc == LMN_STEAL);
+    return ask_owner(members, q->victim, proc, (xdrproc_t)xdr_lmn_xthief, q, &n) ? n : 0;
+}
+
+/* A partition that is short of a team's quota asks the others, at the interval of failed steals
+ * but no more than twice a second. */
+static void seek_quota(struct member *members, int part)
+{
+    struct lmn_quota_want want[LMN_MAX_TEAMS];
+    struct lmn_partition *p = &core->parts[part];
+    struct timespec now = lmn_now();
+    size_t n = 0;
+    u_int got = 0;
+
+    pthread_mutex_lock(&core->lock);
+    for (size_t i = 0; i < core->cfg->nteams && !lmn_before(now, p->next_quota); i++)
+        n += lmn_quota_wanted(core, p, (int)i, &want[n]);
+    int first = g_rand_int_range(core->rng, 0, core->nparts);
+    pthread_mutex_unlock(&core->lock);
+    for (size_t i = 0; i < n; i++) {
+        struct lmn_xquota q = {part, 0, (char *)core->cfg->teams[want[i].team].name,
+                               want[i].cpus, want[i].gpus, want[i].least_cpus,
+                               want[i].least_gpus};
+        for (int k = 0; k < core->nparts; k++) {
+            u_int one = 0;
+            q.victim = (first + k) % core->nparts;
+            if (q.victim == part)
+                continue;
+            if (own(q.victim))
+                one = asked_quota(&q);
+            else if (!ask_owner(members, q.victim, LMN_QUOTA, (xdrproc_t)xdr_lmn_xquota, &q, &one))
+                one = 0;
+            got += one;
+        }
+    }
+    if (!n)
+        return;
+    pthread_mutex_lock(&core->lock);
+    p->quota_poll_s = got ? 0.5 : CLAMP(p->quota_poll_s * 2, 0.5, 8);
+    p->next_quota = lmn_after(now, p->quota_poll_s);
+    pthread_mutex_unlock(&core->lock);
 }
 
 static void pull(struct member *members, const struct lmn_thief *t)
@@ -471,6 +552,7 @@
             pthread_mutex_unlock(&core->lock);
             if (go)
                 pull(members, &t);
+            seek_quota(members, i);
         }
         lmn_sleep(0.1);
     }
--- a/src/peer_wire.x
+++ b/src/peer_wire.x
@@ -51,6 +51,17 @@
     lmn_xteam teams<LMN_XDR_TUNINGS>;
 };
 
+/* A partition is short of a team's quota: by how much at best, and at least for one task. */
+struct lmn_xquota {
+    int thief;
+    int victim;
+    string team<LMN_XDR_NAME>;
+    double cpus;
+    double gpus;
+    double least_cpus;
+    double least_gpus;
+};
+
 program LMN_PROGRAM {
     version LMN_VERSION_1 {
         void LMN_PING(void) = 0;
@@ -61,5 +72,6 @@
         unsigned LMN_LOAD(lmn_xthief) = 5;
         unsigned LMN_STEAL(lmn_xthief) = 6;
         unsigned LMN_STALENESS(void) = 7;      /* of the mirror, in milliseconds */
+        unsigned LMN_QUOTA(lmn_xquota) = 8;    /* 1: something is on its way */
     } = 1;
 } = 0x2c0a5b41;
--- a/src/queue.c
+++ b/src/queue.c
@@ -416,10 +416,12 @@
     if (j->team < 0)
         return false;
     const struct lmn_team *t = &c->cfg->teams[j->team];
-    double cpus = t->cpus_max / c->nparts, gpus = t->gpus_max / c->nparts;
+    double cpus, gpus;
     GHashTableIter it;
     gpointer v;
 
+    lmn_quota_part(c, p, j->team, &cpus, &gpus);
+
     /* A machine that is not accounted for may be full of this team's tasks. */
     if (!p->ready && (t->cpus_max > 0 || t->gpus_max > 0)) {
         g_hash_table_iter_init(&it, p->machines);
--- a/src/range.c
+++ b/src/range.c
@@ -364,6 +364,7 @@
         while (g_hash_table_iter_next(&it, NULL, &v))
             flush_range(c, v, lazy, now);
         lmn_blocks_flush(c, p, spare >= 1, now);
+        lmn_quota_flush(c, p, now);
     }
     /* No more than can go out now: one that is queued holds up the close of its range. */
     g_ptr_array_sort(lazy, by_dirty);
--- a/src/steal.c
+++ b/src/steal.c
@@ -33,10 +33,10 @@
     }
     for (size_t i = 0; i < c->cfg->nteams; i++) {
         const struct lmn_team *team = &c->cfg->teams[i];
-        t->team_cpus[i] =
-            team->cpus_max > 0 ? team->cpus_max / c->nparts - p->used_cpus[i] : 1e12;
-        t->team_gpus[i] =
-            team->gpus_max > 0 ? team->gpus_max / c->nparts - p->used_gpus[i] : 1e12;
+        double cpus, gpus;
+        lmn_quota_part(c, p, (int)i, &cpus, &gpus);
+        t->team_cpus[i] = team->cpus_max > 0 ? cpus - p->used_cpus[i] : 1e12;
+        t->team_gpus[i] = team->gpus_max > 0 ? gpus - p->used_gpus[i] : 1e12;
     }
     return t->nrooms > 0;
 }
--- a/tests/test_model.c
+++ b/tests/test_model.c
@@ -670,6 +670,15 @@
     }
 }
 
+/* Parts of the team's limit go to and fro, whatever is under way. */
+static void node_quota(struct node *n)
+{
+    for (int i = 0; i < NODES; i++)
+        if (chance(0.02))
+            lmn_quota_give(n->core, &n->core->parts[i], 0, g_rand_int_range(w.r, 0, NODES),
+                           g_rand_double_range(w.r, 0, LIMIT), 0);
+}
+
 /* The cloud: machines that owners want to be rid of are gone, and come back as new ones. */
 static void node_cloud(struct node *n)
 {
@@ -740,6 +749,7 @@
         }
     node_direct(n);
     node_steal(n);
+    node_quota(n);
     node_cloud(n);
 }
 
