A machine with room starts the most urgent of its own and a fresh sample's queues

Cause, from the debug log, job by job: of jobs that came at 60 s the median task started after 7 s, the last after 344 s. The last tasks of nearly every job waited in some queue that ran dry late, were lost by then, and went behind all that came after; a machine with work of its own never looked elsewhere, so the order held within a queue only. Change, an exception to pulling when idle alone: with each report that leaves room, a machine compares its own best task with those of a fresh random sample and starts the most urgent; idle machines pull from the busiest as before. Ruled out: capacity (audits started after 0.4 s by then), takeovers (all under 1.5 s).

--- a/src/queue.c
+++ b/src/queue.c
@@ -541,25 +541,85 @@
     return best;
 }
 
+/* A fresh random sample of the other machines' queues, and limbo, which is no machine's. */
+static GPtrArray *sample_queues(struct lmn_core *c, struct lmn_machine *m)
+{
+    struct lmn_partition *p = m->part;
+    GPtrArray *queues = g_ptr_array_new();
+    GHashTableIter it;
+    gpointer v;
+
+    g_hash_table_iter_init(&it, p->machines);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        struct lmn_machine *o = v;
+        if (o != m)
+            g_ptr_array_add(queues, &o->queue);
+    }
+    guint n = queues->len;
+    guint sample = c->tuning.sample > 0 ? (guint)c->tuning.sample : (guint)ceil(sqrt((double)n + 1));
+    sample = MIN(sample, n);
+    /* The first places of a partial shuffle. */
+    for (guint i = 0; i < sample; i++) {
+        guint k = i + (guint)g_rand_int_range(c->rng, 0, (gint32)(n - i));
+        gpointer t = queues->pdata[i];
+        queues->pdata[i] = queues->pdata[k];
+        queues->pdata[k] = t;
+    }
+    g_ptr_array_set_size(queues, (gint)sample);
+    g_ptr_array_add(queues, &p->limbo);
+    return queues;
+}
+
+/* Starts the first task of a queue's stretch on the machine; 0 if it need not start any more. */
+static guint start_from(struct lmn_core *c, struct lmn_queue *q, int at, struct lmn_machine *m,
+                        GByteArray *out, struct timespec now)
+{
+    struct lmn_seg *s = q->segs->pdata[at];
+    guint n = 0;
+
+    q->tasks--;
+    /* The books decide, not the queue: what is not queued there is not started. */
+    if (s->range->st[s->lo - s->range->lo] != LMN_T_QUEUED) {
+        s->lo++;
+    } else {
+        start(c, m, s, out, now);
+        n = 1;
+    }
+    if (s->lo == s->hi)
+        drop_seg(q, (guint)at);
+    return n;
+}
+
+/* Starts the machine's own work; but where a queue of a fresh sample holds something more urgent,
+ * that first. Queues of busy machines run dry at different times, and the last tasks of a job
+ * would wait in the slowest of them while others start what came much later. */
 static guint start_own(struct lmn_core *c, struct lmn_machine *m, GByteArray *out,
                        struct timespec now)
 {
+    GPtrArray *queues = NULL;
     guint n = 0;
     int at;
 
     while ((at = best_seg(c, &m->queue, m, now)) >= 0) {
-        struct lmn_seg *s = m->queue.segs->pdata[at];
-        m->queue.tasks--;
-        /* The books decide, not the queue: what is not queued there is not started. */
-        if (s->range->st[s->lo - s->range->lo] != LMN_T_QUEUED) {
-            s->lo++;
-        } else {
-            start(c, m, s, out, now);
-            n++;
+        struct lmn_queue *from = &m->queue;
+        const struct lmn_job *best = ((struct lmn_seg *)from->segs->pdata[at])->range->job;
+        if (!queues)
+            queues = sample_queues(c, m);
+        for (guint i = 0; i < queues->len; i++) {
+            struct lmn_queue *q = queues->pdata[i];
+            int k = best_seg(c, q, m, now);
+            const struct lmn_job *j = k < 0 ? NULL : ((struct lmn_seg *)q->segs->pdata[k])->range->job;
+            if (j && j != best && order_on(m, j, best) < 0) {
+                from = q;
+                at = k;
+                best = j;
+            }
         }
-        if (s->lo == s->hi)
-            drop_seg(&m->queue, (guint)at);
+        c->count.steals += from != &m->queue;
+        n += start_from(c, from, at, m, out, now);
     }
+    if (queues)
+        g_ptr_array_free(queues, TRUE);
     return n;
 }
 
@@ -599,46 +659,20 @@
 
 bool lmn_steal(struct lmn_core *c, struct lmn_machine *m, struct timespec now)
 {
-    struct lmn_partition *p = m->part;
-    GPtrArray *queues = g_ptr_array_new();
     struct lmn_queue *best = NULL;
     uint32_t most = 0;
-    GHashTableIter it;
-    gpointer v;
 
-    if (lmn_before(now, m->next_steal)) {
-        g_ptr_array_free(queues, TRUE);
+    if (lmn_before(now, m->next_steal))
         return false;
-    }
-    g_hash_table_iter_init(&it, p->machines);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        struct lmn_machine *o = v;
-        if (o != m)
-            g_ptr_array_add(queues, &o->queue);
-    }
-    g_ptr_array_add(queues, &p->limbo);
-    guint sample = c->tuning.sample > 0 ? (guint)c->tuning.sample
-                                        : (guint)ceil(sqrt((double)queues->len));
-    sample = MIN(sample, queues->len);
+    GPtrArray *queues = sample_queues(c, m);
     c->count.steal_tries++;
-    /* A fresh random sample each time: the first places of a partial shuffle. Limbo, which is
-     * no machine's, is always asked. */
-    for (guint i = 0; i < sample; i++) {
-        guint k = i + (guint)g_rand_int_range(c->rng, 0, (gint32)(queues->len - i));
-        gpointer t = queues->pdata[i];
-        queues->pdata[i] = queues->pdata[k];
-        queues->pdata[k] = t;
+    for (guint i = 0; i < queues->len; i++) {
         uint32_t load = load_for(c, queues->pdata[i], m, now);
         if (load > most) {
             most = load;
             best = queues->pdata[i];
         }
     }
-    uint32_t limbo = load_for(c, &p->limbo, m, now);
-    if (limbo > most) {
-        most = limbo;
-        best = &p->limbo;
-    }
     g_ptr_array_free(queues, TRUE);
     uint32_t got = 0;
     if (best)
