--- a/src/core.h
+++ b/src/core.h
@@ -34,7 +34,6 @@
     double latest;
     bool lost;
     bool guaranteed; /* it fitted into its team's guarantee when it came */
-    bool doubtful; /* a run of its estimate would hardly be in time any more */
     bool yields; /* it could still be met, but only at the cost of more others (lmn_triage) */
     double left; /* processor seconds that have not been started */
     const struct lmn_partition *ranked; /* mark of the triage under way */
