--- a/src/tuning.c
+++ b/src/tuning.c
@@ -11,7 +11,7 @@
     .poll_cap_s = 1.0,
     .idle_return_s = 15,
     .spare_cpus = 0,
-    .horizon_s = 60,
+    .horizon_s = 30,
     .spot = 1,
 };
 
