Samples of twice the square root of the queues

With the order now compared across a sample, its size bounds how late the last tasks of a job start.

--- a/src/queue.c
+++ b/src/queue.c
@@ -556,7 +556,7 @@
             g_ptr_array_add(queues, &o->queue);
     }
     guint n = queues->len;
-    guint sample = c->tuning.sample > 0 ? (guint)c->tuning.sample : (guint)ceil(sqrt((double)n + 1));
+    guint sample = c->tuning.sample > 0 ? (guint)c->tuning.sample : (guint)ceil(2 * sqrt((double)n + 1));
     sample = MIN(sample, n);
     /* The first places of a partial shuffle. */
     for (guint i = 0; i < sample; i++) {
