--- a/src/queue.c
+++ b/src/queue.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 /* What a second of fetching an image counts against a second of being late. */
-static const double FETCH_WEIGHT = 2;
+static const double FETCH_WEIGHT = 4;
 /* How often it is decided anew which jobs yield: it takes up to the square of their number. */
 static const double TRIAGE_S = 0.4;
 
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -358,11 +358,93 @@
     assert_true(lmn_fetch_s(m, &jobs[1]) > 0);
 }
 
+/* Found so: the last tasks of nearly every job waited for minutes in the queue of a machine that
+ * was busy for long, while machines with work of their own started what came much later. */
+static void urgent_first_across_queues(void **state)
+{
+    (void)state;
+    make(4);
+    struct lmn_partition *p = &core->parts[0];
+    struct lmn_machine *busy = g_hash_table_lookup(p->machines, "m-0");
+    struct lmn_machine *m = g_hash_table_lookup(p->machines, "m-3");
+    struct lmn_job *early = &jobs[0], *late = &jobs[1];
+    GByteArray *out = g_byte_array_new();
+
+    core->tuning.sample = MACHINES;
+    for (int i = 0; i < 2; i++) {
+        jobs[i].spec.urgency = LMN_NORMAL;
+        jobs[i].spec.zone = NULL;
+        jobs[i].spec.spot = true;
+        jobs[i].spec.cpus = 8;
+        jobs[i].spec.tasks = 1;
+        jobs[i].lost = jobs[i].yields = jobs[i].guaranteed = false;
+        jobs[i].latest = 1000 + i;
+    }
+    lmn_queue_add(&busy->queue, early->ranges->pdata[0], 0, 1);
+    lmn_queue_add(&m->queue, late->ranges->pdata[0], 0, 1);
+    assert_int_equal(lmn_schedule(core, m, out, now), 1);
+    assert_ptr_equal(g_array_index(m->attempts, struct lmn_attempt, 0).job, early);
+    assert_int_equal(busy->queue.tasks, 0);
+    assert_int_equal(m->queue.tasks, 1);
+    /* What is no more urgent stays where it was dealt. */
+    lmn_machine_empty(core, m, "again", now);
+    lmn_queue_clear(&busy->queue);
+    lmn_queue_clear(&m->queue);
+    late->latest = early->latest - 1;
+    lmn_queue_add(&busy->queue, early->ranges->pdata[0], 0, 1);
+    lmn_queue_add(&m->queue, late->ranges->pdata[0], 0, 1);
+    assert_int_equal(lmn_schedule(core, m, out, now), 1);
+    assert_ptr_equal(g_array_index(m->attempts, struct lmn_attempt, 0).job, late);
+    assert_int_equal(busy->queue.tasks, 1);
+    g_byte_array_free(out, TRUE);
+}
+
+/* A job is guaranteed if it fits into its team's guarantee with what was unfinished before it. */
+static void guarantee_is_kept(void **state)
+{
+    static struct lmn_settings s;
+    (void)state;
+    s = (struct lmn_settings){.partitions = 1, .state_rps = 10, .state_write_rps = 10, .txn_ops = 12,
+                              .nteams = 1};
+    g_strlcpy(s.teams[0].name, "t", LMN_NAME);
+    s.teams[0].cpus = 10;
+    struct lmn_core *c = lmn_core_new(&s, lmn_state_new(&s), 1);
+    struct lmn_spec spec = {.class_name = (char *)"c", .team = (char *)"t", .image = (char *)"i",
+                            .tasks = 3, .cpus = 2, .deadline_s = -1};
+    uint64_t rev = 1;
+    bool expected[] = {true, false, true};
+
+    for (int i = 0; i < 3; i++) {
+        char key[64];
+        struct lmn_doc d;
+        for (int final = 0; final < (i == 1 ? 2 : 1); final++) {
+            g_snprintf(spec.ref, sizeof spec.ref, "run-%06d", i);
+            g_snprintf(key, sizeof key, "j/%s", spec.ref);
+            GByteArray *b = lmn_job_record(&spec, final ? LMN_FINISHED : LMN_ACTIVE, 1, i);
+            assert_int_equal(lmn_doc_parse(&d, b->data, b->len), 0);
+            lmn_mirror_apply(c, key, &d, lmn_root(&d), ++rev, now);
+            lmn_doc_free(&d);
+            g_byte_array_free(b, TRUE);
+        }
+        struct lmn_job *j = g_hash_table_lookup(c->jobs, spec.ref);
+        assert_int_equal(j->guaranteed, expected[i]);
+        spec.tasks = i ? 2 : 3;
+    }
+    /* A guaranteed job goes before one that is more urgent. */
+    struct lmn_job *a = g_hash_table_lookup(c->jobs, "run-000002");
+    struct lmn_job b = *a;
+    b.guaranteed = false;
+    b.spec.urgency = LMN_PROD;
+    assert_true(lmn_job_order(a, &b) < 0);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(triage_is_best),
         cmocka_unit_test(images_count),
+        cmocka_unit_test(urgent_first_across_queues),
+        cmocka_unit_test(guarantee_is_kept),
         cmocka_unit_test(never_loses_or_doubles_a_task),
         cmocka_unit_test(order_is_total),
         cmocka_unit_test(expectations),
