--- a/src/queue.c
+++ b/src/queue.c
@@ -8,8 +8,6 @@
 
 /* What a second of fetching an image counts against a second of being late. */
 static const double FETCH_WEIGHT = 4;
-/* For how many seconds of fetching work that may run on spot machines keeps off ordinary ones. */
-static const double ORDINARY_S = 8;
 /* How often it is decided anew which jobs yield: it takes up to the square of their number. */
 static const double TRIAGE_S = 0.4;
 
@@ -302,11 +300,11 @@
     return n > 0 ? (uint32_t)n : 0;
 }
 
-/* How badly a machine suits a job that it could hold, in seconds: an image that is missing has to be
- * fetched first; ordinary machines are dear, and some work can run nowhere else. */
-static double unfit(const struct lmn_machine *m, const struct lmn_job *j)
+/* How badly a machine suits a job that it could hold: ordinary machines are dear, and some work
+ * can run nowhere else; an image that is missing has to be fetched first. */
+static int unfit(const struct lmn_machine *m, const struct lmn_job *j)
 {
-    return lmn_fetch_s(m, j) + (j->spec.spot && !m->spot ? ORDINARY_S : 0);
+    return (j->spec.spot && !m->spot ? 2 : 0) + (lmn_fetch_s(m, j) > 0);
 }
 
 static void deal_to(struct lmn_machine *m, struct lmn_range *r, uint32_t lo, uint32_t hi,
@@ -320,7 +318,7 @@
 /* A machine with room, as it compares with others. */
 struct candidate {
     struct lmn_machine *m;
-    double unfit;
+    int unfit;
     double cpus; /* free */
     uint32_t room;
     guint at;
@@ -331,7 +329,7 @@
     const struct candidate *x = a, *y = b;
 
     if (x->unfit != y->unfit)
-        return x->unfit < y->unfit ? -1 : 1;
+        return x->unfit - y->unfit;
     if (x->cpus != y->cpus)
         return x->cpus < y->cpus ? -1 : 1;
     return x->at < y->at ? -1 : x->at > y->at;
