A lease is given up only by who was still the owner when it was over

Ruled out: late returns; adoption under the new term (the successor's books were right). Change: a lapse counts only if the mirror shows the partition as ours past the lease's end.

--- a/src/range.c
+++ b/src/range.c
@@ -420,8 +420,12 @@
     /* Counted from the last report that we may have answered, with the clocks' drift and
      * our own lateness allowed for: then the worker has ended everything by itself. Only
      * so within our own term: before, a predecessor may have answered it later than we
-     * know. */
-    if (m->accounted && !m->lapsed && silent > cfg->lease_s * 1.002 + 1.5) {
+     * know; and after, a successor. So the mirror must show that the partition was still ours
+     * when the lease was over. Found when a zone was cut off with its controller: it gave up the
+     * machines of the other zones, which its successor had kept alive, and started their tasks
+     * once more on those of its own zone. */
+    double lapse = cfg->lease_s * 1.002 + 1.5;
+    if (m->accounted && !m->lapsed && silent > lapse && lmn_since(c->fresh, m->last) > lapse) {
         m->lapsed = true;
         lmn_info("machine-lapsed machine=%s partition=%d tasks=%u", m->name, p->id,
                  busy(m));
--- a/tests/test_model.c
+++ b/tests/test_model.c
@@ -35,6 +35,7 @@
     G_FENCE,   /* a node with an old view stops answering workers */
     G_DONE,    /* done only what a worker has reported done */
     G_FINAL,   /* final states are written conditionally */
+    G_SPREAD,  /* tasks of a job that is spread look at each other's zones */
 };
 
 enum rule { R_TWICE, R_QUOTA, R_PLACE, R_CANCELLED, R_NOT_DONE, R_WENT_BACK, RULES };
@@ -69,7 +70,7 @@
 
 struct message {
     double at;
-    int machine, node;
+    int machine, node, life;
     bool direct;
     GByteArray *body; /* of a report's answer, or of a direct command */
     uint64_t session, seq;
@@ -77,6 +78,7 @@
 
 struct machine {
     char name[16], zone[8];
+    int life; /* how many machines have had its place before */
     bool spot, dead;
     int island; /* only this node reaches it, until: */
     double island_until;
@@ -104,11 +106,12 @@
     uint64_t revision, lease;
     size_t seen; /* events applied */
     double down_until, cut_until, renewed;
+    double zone_until; /* its zone is cut off: it reaches only its island until then */
 };
 
 static struct {
     GRand *r;
-    double now;
+    double now, cancel_s;
     struct timespec clock;
     GHashTable *store;
     GPtrArray *log;
@@ -223,6 +226,20 @@
     return -1;
 }
 
+/* A place's machines have different names, of the same partition: none comes back. */
+static void name_machine(struct machine *m)
+{
+    g_snprintf(m->name, sizeof m->name, "host-%06d",
+               (int)(m - w.machines) + m->life * MACHINES * NODES);
+}
+
+/* NULL: it is gone, and another has its place. */
+static struct machine *machine_named(const char *name)
+{
+    struct machine *m = &w.machines[atoi(name + 5) % MACHINES];
+    return strcmp(m->name, name) ? NULL : m;
+}
+
 /* Whether what the machine holds still counts. One that hangs past its lease has lost its tasks,
  * though it will notice only when it goes on. */
 static bool holds(const struct machine *m)
@@ -232,6 +249,9 @@
 
 static bool reaches(int node, const struct machine *m)
 {
+    bool island = w.now < m->island_until && m->island == node;
+    if (w.now < w.nodes[node].zone_until && !island)
+        return false;
     return !m->dead && w.now >= m->hang_until && (w.now >= m->island_until || m->island == node);
 }
 
@@ -239,10 +259,13 @@
 {
     const struct job *j = &w.jobs[t->job];
     double cpus = 0;
+    uint32_t here = 0;
 
     for (int i = 0; i < MACHINES; i++)
         for (int k = 0; k < w.machines[i].ntasks; k++) {
             const struct task *o = &w.machines[i].tasks[k];
+            here += o->job == t->job && o->state == RUNNING && holds(&w.machines[i]) &&
+                    !strcmp(w.machines[i].zone, m->zone);
             if (o->state != RUNNING || !holds(&w.machines[i]))
                 continue;
             if (&w.machines[i] != m && o->job == t->job && o->index == t->index)
@@ -254,6 +277,8 @@
         w.broke[R_QUOTA]++;
     if ((m->spot && !j->spec.spot) || (j->spec.zone && strcmp(j->spec.zone, m->zone)))
         w.broke[R_PLACE]++;
+    if (j->spec.spread && here > (j->spec.tasks + 1) / 2)
+        w.broke[R_PLACE]++;
     w.starts++;
 }
 
@@ -264,7 +289,7 @@
             const struct task *t = &w.machines[i].tasks[k];
             const struct job *j = &w.jobs[t->job];
             if (t->state == RUNNING && holds(&w.machines[i]) && j->cancelled_at >= 0 &&
-                w.now - j->cancelled_at > 16)
+                w.now - j->cancelled_at > w.cancel_s)
                 w.broke[R_CANCELLED]++;
         }
     for (int i = 0; i < JOBS; i++) {
@@ -425,7 +450,10 @@
             continue;
         if (t->state == FETCHING) {
             t->state = RUNNING;
-            t->until = w.now + g_rand_double_range(w.r, 1, 12);
+            /* A replica runs until its job is withdrawn. */
+            t->until = w.now + (w.jobs[t->job].spec.kind == LMN_DAEMON
+                                    ? 1e9
+                                    : g_rand_double_range(w.r, 1, 12));
             on_start(m, t);
         } else {
             t->state = ENDED;
@@ -444,6 +472,7 @@
         x->body = g_byte_array_new();
         put_report(m, x->body);
         x->machine = (int)(m - w.machines);
+        x->life = m->life;
         x->node = m->node;
         x->seq = m->seq;
         x->session = m->session;
@@ -472,7 +501,7 @@
     n->cfg.partitions = NODES;
     n->cfg.report_s = 1;
     n->cfg.lease_s = 8;
-    n->cfg.cancel_s = 16;
+    n->cfg.cancel_s = w.cancel_s;
     n->cfg.state_rps = n->cfg.state_write_rps = 1e6;
     n->cfg.value_kb = 16;
     n->cfg.txn_ops = 12;
@@ -589,6 +618,9 @@
                 m->inherited = false;
             if (w.broken == G_PLACE)
                 m->spot = false;
+            if (w.broken == G_SPREAD)
+                for (GList *l = g_hash_table_get_values(n->core->jobs); l; l = l->next)
+                    ((struct lmn_job *)l->data)->spec.spread = false;
             for (guint k = 0; k < m->attempts->len; k++) {
                 struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, k);
                 if (w.broken == G_UNSURE)
@@ -611,8 +643,8 @@
     int me = (int)(n - w.nodes);
 
     while (lmn_probe_next(n->core, 0, 1, name, addr, &term, w.clock)) {
-        struct machine *m = &w.machines[atoi(name + 5)];
-        if (!reaches(me, m) || chance(0.3)) {
+        struct machine *m = machine_named(name);
+        if (!m || !reaches(me, m) || chance(0.3)) {
             lmn_probe_outcome(n->core, name, term, LMN_NO_ANSWER, answer, w.clock);
             continue;
         }
@@ -626,15 +658,16 @@
         lmn_probe_outcome(n->core, name, term, status, answer, w.clock);
     }
     while (lmn_direct_next(n->core, 0, 1, name, addr, body, w.clock)) {
-        struct machine *m = &w.machines[atoi(name + 5)];
+        struct machine *m = machine_named(name);
         double luck = g_rand_double(w.r);
         g_byte_array_set_size(answer, 0);
-        if (!reaches(me, m) || luck < 0.25) {
+        if (!m || !reaches(me, m) || luck < 0.25) {
             /* No answer: lost for good, or delivered up to half a minute later. */
-            if (!m->dead && chance(0.8)) {
+            if (m && !m->dead && chance(0.8)) {
                 struct message *x = g_new0(struct message, 1);
                 x->direct = true;
                 x->machine = (int)(m - w.machines);
+                x->life = m->life;
                 x->body = g_byte_array_new();
                 g_byte_array_append(x->body, body->data, body->len);
                 x->at = w.now + g_rand_double_range(w.r, 0.1, chance(0.5) ? 3 : 30);
@@ -693,9 +726,11 @@
             struct lmn_machine *m = l->data;
             if (!m->retiring || m->is_gone || !(m->force || lmn_machine_bare(m)))
                 continue;
-            struct machine *x = &w.machines[atoi(m->name + 5)];
-            x->dead = true;
-            x->ntasks = 0;
+            struct machine *x = machine_named(m->name);
+            if (x) {
+                x->dead = true;
+                x->ntasks = 0;
+            }
             lmn_machine_gone(n->core, m, w.clock);
         }
         g_list_free(all);
@@ -726,6 +761,9 @@
                 w.machines[k].island = i;
                 w.machines[k].island_until = n->cut_until;
             }
+        /* Then the machines of other zones may be silent to it, and alive elsewhere. */
+        if (chance(0.5))
+            n->zone_until = n->cut_until;
     }
     bool cut = w.now < n->cut_until;
     if (!cut) {
@@ -764,9 +802,9 @@
         }
         g_ptr_array_remove_index(w.mail, i);
         if (x->direct) {
-            if (!m->dead)
+            if (!m->dead && x->life == m->life)
                 machine_direct(m, x->body, NULL);
-        } else if (x->node >= 0) { /* a report reaches its node */
+        } else if (x->life == m->life) { /* a report reaches its node */
             struct node *n = &w.nodes[x->node];
             GByteArray *out = g_byte_array_new();
             if (up(n) && n->core && reaches(x->node, m)) {
@@ -789,6 +827,13 @@
 
 /* --- users --- */
 
+static uint32_t part_end(const struct job *j, int whole, int part)
+{
+    if (whole >= 0)
+        return part >= whole ? j->spec.tasks : 0;
+    return j->spec.tasks * (uint32_t)(part + 1) / NODES;
+}
+
 static void submit(struct job *j)
 {
     GByteArray *b;
@@ -796,14 +841,16 @@
     uint32_t at = 0, open = 0;
 
     w.rev++;
+    /* One owner sees all of a job whose tasks look at each other's zones. */
+    int whole = j->spec.spread ? (int)(j->spec.tasks % NODES) : -1;
     for (int i = 0; i < NODES; i++)
-        open += j->spec.tasks * (uint32_t)(i + 1) / NODES > j->spec.tasks * (uint32_t)i / NODES;
+        open += part_end(j, whole, i) > part_end(j, whole, i - 1);
     b = lmn_job_record(&j->spec, LMN_ACTIVE, open, w.now);
     g_snprintf(key, sizeof key, "j/%s", j->ref);
     put(key, b, 0);
     g_byte_array_unref(b);
     for (int i = 0; i < NODES; i++) {
-        struct lmn_range r = {.lo = at, .hi = j->spec.tasks * (uint32_t)(i + 1) / NODES};
+        struct lmn_range r = {.lo = at, .hi = part_end(j, whole, i)};
         uint8_t none[8] = {0};
         if (r.hi == r.lo)
             continue;
@@ -852,6 +899,7 @@
     forget_world();
     w.r = g_rand_new_with_seed(seed);
     w.broken = broken;
+    w.cancel_s = seed % 2 ? 16 : 40;
     w.store = g_hash_table_new(g_str_hash, g_str_equal);
     w.log = g_ptr_array_new();
     w.leases = g_array_new(FALSE, FALSE, sizeof(struct holder));
@@ -861,7 +909,7 @@
     lmn_test_clock = &w.clock;
     for (int i = 0; i < MACHINES; i++) {
         struct machine *m = &w.machines[i];
-        g_snprintf(m->name, sizeof m->name, "host-%06d", i);
+        name_machine(m);
         g_strlcpy(m->zone, i % 2 ? "b" : "a", sizeof m->zone);
         m->spot = i >= 4;
         m->session = 1;
@@ -883,6 +931,13 @@
         j->spec.spot = i % 2;
         j->spec.estimate_s = 3;
         j->spec.deadline_s = -1;
+        if (i % 4 == 3) { /* a service of few replicas, some spread over the zones */
+            j->spec.kind = LMN_DAEMON;
+            j->spec.tasks = 1 + (uint32_t)g_rand_int_range(w.r, 0, 4);
+            j->spec.spread = i % 8 == 3;
+            j->spec.estimate_s = 0;
+            j->spec.urgency = LMN_PROD;
+        }
         j->cancelled_at = -1;
     }
     for (int step = 0; step < STEPS; step++) {
@@ -904,16 +959,14 @@
             if (chance(0.0004))
                 m->hang_until = w.now + g_rand_double_range(w.r, 1, 25);
             if (m->dead && chance(0.004)) {
-                /* The place of a dead machine is taken by another under the same name: only its
-                 * later session tells them apart, as with one that came back. */
                 m->dead = false;
-                m->session++;
+                m->life++;
+                name_machine(m);
+                m->session = 1;
+                m->seq = m->token = 0;
                 m->ntasks = 0;
                 m->in_flight = false;
                 m->lease_from = m->next_report = w.now;
-                for (int k = 0; k < NODES; k++)
-                    if (w.nodes[k].core)
-                        g_hash_table_remove(w.nodes[k].core->gone, m->name);
             }
             machine_step(m);
         }
@@ -1001,6 +1054,12 @@
     breaks(G_FINAL, R_WENT_BACK);
 }
 
+static void looking_at_zones_is_needed(void **state)
+{
+    (void)state;
+    breaks(G_SPREAD, R_PLACE);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -1012,6 +1071,7 @@
         cmocka_unit_test(the_fence_is_needed),
         cmocka_unit_test(reported_results_are_needed),
         cmocka_unit_test(conditions_on_final_states_are_needed),
+        cmocka_unit_test(looking_at_zones_is_needed),
     };
     lmn_log_level = LMN_LOG_ERROR;
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -102,6 +102,23 @@
     assert_true(m->retiring && m->force);
 }
 
+/* A zone was cut off with its controller: that gave up the machines of the other zones when their
+ * lease was over by its own reckoning, though a successor had kept them alive, and started their
+ * tasks a second time. It may so only if it was the owner still when the lease was over. */
+static void lapses_need_ownership(void **state)
+{
+    (void)state;
+    make(0);
+    struct lmn_machine *m = add(1);
+    core->fresh = lmn_after(now, cfg.lease_s - 1); /* the last that it heard of the state service */
+    now = lmn_after(now, 2 * cfg.lease_s);
+    lmn_upkeep(core, now);
+    assert_false(m->lapsed);
+    core->fresh = now; /* heard again, and still the owner */
+    lmn_upkeep(core, now);
+    assert_true(m->lapsed);
+}
+
 /* One that does not answer holds a lane up: the others are asked before it is asked again. */
 static void unanswered_come_last(void **state)
 {
@@ -130,6 +147,7 @@
         cmocka_unit_test(silent_is_asked),
         cmocka_unit_test(taken_is_given_up),
         cmocka_unit_test(unanswered_come_last),
+        cmocka_unit_test(lapses_need_ownership),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
