--- a/src/queue.c
+++ b/src/queue.c
@@ -41,6 +41,13 @@
     /* Estimates are often wrong by half: a job is given up as late only when even a run of half
      * the estimate would come too late. */
     double run = s->estimate_s * 0.5;
+    /* A replica that does not run is missed every second anew, however late it is: once counted as
+     * lost like work with an end, services waited behind every batch that could still be in time. */
+    if (s->kind == LMN_DAEMON) {
+        j->lost = false;
+        j->latest = j->at;
+        return;
+    }
     j->lost = true;
     j->latest = 0;
     for (size_t i = 0; i < cfg->nobjectives; i++) {
@@ -148,7 +155,7 @@
     g_hash_table_iter_init(&it, p->ranges);
     while (g_hash_table_iter_next(&it, NULL, &x)) {
         struct lmn_job *j = ((struct lmn_range *)x)->job;
-        if (j->phase != LMN_ACTIVE || j->lost || j->ranked == p)
+        if (j->phase != LMN_ACTIVE || j->lost || j->ranked == p || j->spec.kind == LMN_DAEMON)
             continue;
         j->ranked = p;
         j->left = work_left(j, p);
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -438,9 +438,32 @@
     assert_true(lmn_job_order(a, &b) < 0);
 }
 
+/* A service is never too late: counted as lost once its start was late, it waited behind all
+ * batches that could still be in time. */
+static void services_are_never_lost(void **state)
+{
+    struct lmn_settings s = {.nobjectives = 2};
+    struct lmn_job service = {.at = 100}, batch = {.at = 500};
+    (void)state;
+
+    s.objectives[0] = (struct lmn_objective){.kind = LMN_WAIT, .class_name = "s", .within_s = 5};
+    s.objectives[1] = (struct lmn_objective){.kind = LMN_FINISH, .class_name = "b", .within_s = 180};
+    service.spec = (struct lmn_spec){.kind = LMN_DAEMON, .class_name = (char *)"s",
+                                     .urgency = LMN_PROD, .deadline_s = -1};
+    batch.spec = (struct lmn_spec){.kind = LMN_BATCH, .class_name = (char *)"b",
+                                   .urgency = LMN_NORMAL, .deadline_s = -1};
+    for (double wall = 500; wall < 5000; wall += 50) {
+        lmn_job_rank(&s, &service, wall);
+        lmn_job_rank(&s, &batch, wall);
+        assert_false(service.lost);
+        assert_true(lmn_job_order(&service, &batch) < 0);
+    }
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
+        cmocka_unit_test(services_are_never_lost),
         cmocka_unit_test(triage_is_best),
         cmocka_unit_test(images_count),
         cmocka_unit_test(urgent_first_across_queues),
