--- a/src/range.c
+++ b/src/range.c
@@ -97,9 +97,9 @@
     if (p->ready)
         return true;
     /* A predecessor sees the changes in their order: before such a range it saw that it
-     * had lost the partition. Tasks that look at each other's places wait all the same.
-     */
-    return r->born > p->my_rev && !r->job->spec.one_zone && !r->job->spec.spread;
+     * had lost the partition. That goes for tasks that look at each other's places too, since
+     * such a job lies whole in one partition, and is born as a whole. */
+    return r->born > p->my_rev;
 }
 
 void lmn_range_forget(struct lmn_core *c, struct lmn_range *r)
@@ -389,26 +389,64 @@
            lmn_since(now, m->last) > MIN(0.6 * c->cfg->lease_s, 1.25 * c->cfg->report_s + 2);
 }
 
-/* If most machines are silent, the fault is more likely on this side. */
-static bool silent_majority(const struct lmn_core *c, const struct lmn_partition *p,
-                            struct timespec now)
+/* How many of a partition's machines are silent, of those that should not be. */
+struct silence {
+    const char *zone; /* NULL: of all zones together */
+    guint silent, all;
+};
+
+/* Those of the whole partition, then of each zone. */
+static GArray *listen_to(const struct lmn_core *c, const struct lmn_partition *p,
+                         struct timespec now)
 {
-    guint silent = 0, all = 0;
+    GArray *a = g_array_new(FALSE, TRUE, sizeof(struct silence));
     GHashTableIter it;
     gpointer v;
 
+    g_array_set_size(a, 1);
     g_hash_table_iter_init(&it, p->machines);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const struct lmn_machine *m = v;
-        if (!m->heard && !m->inherited)
+        guint i = 1;
+        if ((!m->heard && !m->inherited) || m->is_gone)
             continue;
-        all++;
-        silent += !m->accounted || m->lapsed || lmn_machine_silent(c, m, now);
+        while (i < a->len && strcmp(g_array_index(a, struct silence, i).zone, m->zone))
+            i++;
+        if (i == a->len) {
+            struct silence z = {.zone = m->zone};
+            g_array_append_val(a, z);
+        }
+        bool silent = !m->accounted || m->lapsed || lmn_machine_silent(c, m, now);
+        g_array_index(a, struct silence, 0).all++;
+        g_array_index(a, struct silence, 0).silent += silent;
+        g_array_index(a, struct silence, i).all++;
+        g_array_index(a, struct silence, i).silent += silent;
     }
-    return silent > 2 && 2 * silent > all;
+    return a;
+}
+
+static bool most_of(const struct silence *s)
+{
+    return s->silent > 2 && 2 * s->silent > s->all;
+}
+
+/* If most machines are silent, the fault is more likely on this side. */
+static bool most_silent(const GArray *a)
+{
+    return most_of(&g_array_index(a, struct silence, 0));
+}
+
+/* If most machines of a zone are silent, it is cut off: they are alive, and so may their tasks
+ * be, under an owner that is cut off with them. */
+static bool zone_silent(const GArray *a, const char *zone)
+{
+    for (guint i = 1; i < a->len; i++)
+        if (!strcmp(g_array_index(a, struct silence, i).zone, zone))
+            return most_of(&g_array_index(a, struct silence, i));
+    return false;
 }
 
-static void upkeep_machine(struct lmn_core *c, struct lmn_machine *m, bool most_silent,
+static void upkeep_machine(struct lmn_core *c, struct lmn_machine *m, const GArray *silence,
                            struct timespec now)
 {
     const struct lmn_settings *cfg = c->cfg;
@@ -434,17 +472,21 @@
     if (lmn_staleness(c, now) > LMN_BLIND_S)
         return;
     /* Most machines that fall silent are gone, and a return is a quicker proof of that than a
-     * lease; a worker that answers when asked is left alone. */
-    if (lmn_machine_silent(c, m, now) && m->probes >= 2 && !most_silent)
+     * lease; a worker that answers when asked is left alone. Not so in a zone that is cut off:
+     * returning its machines ended a third of all replicas at once, where most would have run on,
+     * and left nothing to come back to. */
+    bool few = !most_silent(silence), cut = zone_silent(silence, m->zone);
+    if (lmn_machine_silent(c, m, now) && m->probes >= 2 && few && !cut)
         lmn_machine_retire(c, m, true, "silent and unreachable", now);
-    if (m->lapsed && silent > cfg->lease_s + 12)
+    if (m->lapsed && silent > cfg->lease_s + 12 + (few && cut ? cfg->cancel_s : 0))
         lmn_machine_retire(c, m, true, "silent", now);
     if (m->noticed && lmn_since(now, m->noticed_at) > m->notice_s + 0.5)
         lmn_machine_retire(c, m, true, "taken by the cloud", now);
     /* Neither its worker's reports nor our own questions got through. If that goes for
      * most of them, the fault is more likely on this side: then the leases have to run
-     * out first. */
-    double patience = most_silent ? cfg->lease_s + 8 : 4;
+     * out first. In a zone by itself a predecessor may answer them for as long as its view is not
+     * too old, and their leases run out after that. */
+    double patience = !few ? cfg->lease_s + 8 : cut ? cfg->cancel_s + 4 : 4;
     if (m->inherited && !m->accounted && silent > patience &&
         (m->probes >= 2 || silent > cfg->lease_s))
         lmn_machine_retire(c, m, true, "not heard under the new term", now);
@@ -509,9 +551,10 @@
             continue;
         GList *all = g_hash_table_get_values(p->machines);
         /* Once for all machines: a look at each from each takes their square. */
-        bool most_silent = silent_majority(c, p, now);
+        GArray *silence = listen_to(c, p, now);
         for (GList *l = all; l; l = l->next)
-            upkeep_machine(c, l->data, most_silent, now);
+            upkeep_machine(c, l->data, silence, now);
+        g_array_free(silence, TRUE);
         g_list_free(all);
         lmn_partition_check(c, p, now);
         if (due)
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -39,6 +39,7 @@
     cfg.txn_ops = 12;
     cfg.report_s = 8;
     cfg.lease_s = 44;
+    cfg.cancel_s = 64;
     now = (struct timespec){1000, 0};
     core = lmn_core_new(&cfg, lmn_state_new(&cfg), 1);
     core->parts[0].mine = core->parts[0].ready = true;
@@ -119,6 +120,39 @@
     assert_true(m->lapsed);
 }
 
+/* With a zone that is cut off, its machines were once returned after some seconds, and all
+ * replicas on them ended. They are waited for, while a single silent machine is not. */
+static void cut_zones_are_waited_for(void **state)
+{
+    struct lmn_machine *far[8];
+    (void)state;
+    make(20);
+    struct lmn_machine *one = add(100);
+    g_strlcpy(one->zone, "a", sizeof one->zone);
+    for (int i = 0; i < 8; i++) {
+        far[i] = add(200 + i);
+        g_strlcpy(far[i]->zone, "b", sizeof far[i]->zone);
+        far[i]->probes = 2;
+    }
+    for (int i = 0; i < 20; i++)
+        g_strlcpy(((struct lmn_machine *)g_hash_table_lookup(
+                       core->parts[0].machines, g_strdup_printf("host-%06d", i)))->zone,
+                  "a", LMN_NAME);
+    one->probes = 2;
+    now = lmn_after(now, cfg.lease_s - 5);
+    core->fresh = now;
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, core->parts[0].machines);
+    while (g_hash_table_iter_next(&it, NULL, &v))
+        if (v != one && strcmp(((struct lmn_machine *)v)->zone, "b"))
+            ((struct lmn_machine *)v)->last = now;
+    lmn_upkeep(core, now);
+    assert_true(one->retiring);
+    for (int i = 0; i < 8; i++)
+        assert_false(far[i]->retiring);
+}
+
 /* One that does not answer holds a lane up: the others are asked before it is asked again. */
 static void unanswered_come_last(void **state)
 {
@@ -148,6 +182,7 @@
         cmocka_unit_test(taken_is_given_up),
         cmocka_unit_test(unanswered_come_last),
         cmocka_unit_test(lapses_need_ownership),
+        cmocka_unit_test(cut_zones_are_waited_for),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
