--- a/src/core.h
+++ b/src/core.h
@@ -36,12 +36,19 @@
     bool guaranteed; /* it fitted into its team's guarantee when it came */
     bool yields; /* it could still be met, but only at the cost of more others (lmn_triage) */
     double left; /* processor seconds that have not been started */
+    GArray *zones; /* struct lmn_zone_tasks, of a job whose tasks look at each other's places */
     const struct lmn_partition *ranked; /* mark of the triage under way */
     /* a job whose tasks fail is held back by itself */
     unsigned errors;
     struct timespec hold;
 };
 
+/* How many of a job's tasks are, or may be, on machines of a zone. */
+struct lmn_zone_tasks {
+    const char *zone; /* interned */
+    int tasks;
+};
+
 enum lmn_task_state { LMN_T_QUEUED, LMN_T_STARTED, LMN_T_DONE, LMN_T_MOVING };
 
 /* Tasks lo..hi-1 of a job, in one partition. */
@@ -352,6 +359,11 @@
                    struct timespec now);
 bool lmn_steal(struct lmn_core *c, struct lmn_machine *m, struct timespec now);
 
+/* --- place.c: tasks of a job that look at each other's places --- */
+void lmn_zone_count(struct lmn_job *j, const char *zone, int n);
+/* How many more of its tasks may be started in the zone. */
+uint32_t lmn_zone_room(const struct lmn_job *j, const char *zone);
+
 /* --- quota.c: parts of the teams' limits --- */
 /* What the team's tasks in the partition may use. */
 void lmn_quota_part(const struct lmn_core *c, const struct lmn_partition *p, int team,
--- a/src/queue.c
+++ b/src/queue.c
@@ -387,13 +387,22 @@
     /* First what has room: the fittest kind of machine, and of these the fullest, so that large
      * tasks find whole machines and idle ones can go. Then round robin, one each a turn. */
     g_array_sort(roomy, by_fitness);
+    GHashTable *dealt = g_hash_table_new(g_str_hash, g_str_equal); /* to each zone */
     for (guint i = 0; i < roomy->len && lo < hi; i++) {
         struct candidate *x = &g_array_index(roomy, struct candidate, i);
-        uint32_t n = MIN(x->room, hi - lo);
+        guint there = GPOINTER_TO_UINT(g_hash_table_lookup(dealt, x->m->zone));
+        uint32_t n = MIN(x->room, hi - lo), may = lmn_zone_room(r->job, x->m->zone);
+        /* Not where it could not start for the job's other tasks: a service whose replicas were
+         * all dealt to the fullest machine waited there until others pulled them. */
+        n = MIN(n, may > there ? may - there : 0);
+        if (!n || (r->job->spec.one_zone && g_hash_table_size(dealt) && !there))
+            continue;
+        g_hash_table_insert(dealt, x->m->zone, GUINT_TO_POINTER(there + n));
         deal_to(x->m, r, lo, lo + n, now);
         x->m->poke = true;
         lo += n;
     }
+    g_hash_table_destroy(dealt);
     if (roomy->len)
         pthread_cond_broadcast(&c->poked);
     g_array_free(roomy, TRUE);
@@ -448,32 +457,6 @@
     return !(t->gpus_max > 0 && p->used_gpus[j->team] + j->spec.gpus > gpus + 1e-6);
 }
 
-/* SamePlace and Apart look at the job's other tasks. Such a job lies whole in one partition,
- * so its owner sees them all. */
-static bool zone_allows(const struct lmn_machine *m, const struct lmn_job *j)
-{
-    GHashTableIter it;
-    gpointer v;
-    uint32_t here = 0;
-
-    if (!j->spec.one_zone && !j->spec.spread)
-        return true;
-    g_hash_table_iter_init(&it, m->part->machines);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        const struct lmn_machine *o = v;
-        for (guint i = 0; i < o->attempts->len; i++) {
-            const struct lmn_attempt *a = &g_array_index(o->attempts, struct lmn_attempt, i);
-            if (a->job != j || a->state == LMN_A_ENDED)
-                continue;
-            if (!strcmp(o->zone, m->zone))
-                here++;
-            else if (j->spec.one_zone)
-                return false;
-        }
-    }
-    return !j->spec.spread || here + 1 <= (j->spec.tasks + 1) / 2;
-}
-
 static void start(struct lmn_core *c, struct lmn_machine *m, struct lmn_seg *s, GByteArray *out,
                   struct timespec now)
 {
@@ -510,7 +493,7 @@
                       const struct lmn_job *j, struct timespec now)
 {
     return room(m, &j->spec) > 0 && j->phase == LMN_ACTIVE && !lmn_before(now, j->hold) &&
-           lmn_can_hold(m, j) && in_quota(c, m->part, j) && zone_allows(m, j);
+           lmn_can_hold(m, j) && in_quota(c, m->part, j) && lmn_zone_room(j, m->zone) > 0;
 }
 
 /* How the machine should choose between the jobs: as lmn_job_order, but a task whose image it
--- a/src/range.c
+++ b/src/range.c
@@ -41,6 +41,7 @@
     m->used_cpus += j->spec.cpus;
     m->used_gpus += j->spec.gpus;
     m->used_mem += j->spec.mem;
+    lmn_zone_count(a->job, m->zone, 1);
     if (j->team >= 0) {
         m->part->used_cpus[j->team] += j->spec.cpus;
         m->part->used_gpus[j->team] += j->spec.gpus;
@@ -57,6 +58,7 @@
     m->used_cpus -= j->spec.cpus;
     m->used_gpus -= j->spec.gpus;
     m->used_mem -= j->spec.mem;
+    lmn_zone_count(a->job, m->zone, -1);
     if (j->team >= 0) {
         m->part->used_cpus[j->team] -= j->spec.cpus;
         m->part->used_gpus[j->team] -= j->spec.gpus;
