--- a/src/core.h
+++ b/src/core.h
@@ -97,6 +97,7 @@
     enum lmn_attempt_state state;
     bool counted; /* holds room and quota */
     bool done, seen, killed;
+    bool stop; /* it has to make room */
     bool direct; /* sent straight to the worker, in a call that is under way */
     bool unsure; /* sent in a call without an answer: it may yet arrive, in this session */
     bool listed; /* the worker has named it */
@@ -140,6 +141,8 @@
     GPtrArray *failed_jobs; /* distinct jobs that failed here since the last success */
     GArray *images;         /* struct lmn_image, the most recently used last */
     double used_cpus, used_gpus, used_mem;
+    uint32_t promised; /* tasks that room is being made for: nothing less urgent starts, until: */
+    struct timespec promise_until;
 };
 
 /* Machines that one record names. */
@@ -204,7 +207,7 @@
 
 struct lmn_counters {
     uint64_t steal_tries, steals, stolen_tasks, starts, kills, reports, polls, submissions;
-    uint64_t refused, takeovers, moves, moved_tasks, unqueued;
+    uint64_t refused, takeovers, moves, moved_tasks, unqueued, preempted;
 };
 
 struct lmn_core {
@@ -335,7 +338,8 @@
 void lmn_queue_clear(struct lmn_queue *q);
 void lmn_queue_add(struct lmn_queue *q, struct lmn_range *r, uint32_t lo, uint32_t hi);
 void lmn_queue_drop_range(struct lmn_queue *q, const struct lmn_range *r);
-/* Takes the range's tasks from lo on out of the queue. */
+void lmn_queue_take(struct lmn_queue *q, const struct lmn_range *r, uint32_t index);
+/* Takes one task, or the range's tasks from lo on, out of the queue. */
 void lmn_queue_cut(struct lmn_queue *q, const struct lmn_range *r, uint32_t lo);
 int lmn_job_order(const struct lmn_job *a, const struct lmn_job *b);
 /* Works out latest and lost for the time of day now. */
@@ -353,6 +357,8 @@
 double lmn_fetch_s(const struct lmn_machine *m, const struct lmn_job *j);
 /* The machine has the job's image, or is fetching it. */
 void lmn_note_image(struct lmn_machine *m, const struct lmn_job *j);
+/* Whether the job's team may use one task's processors more. */
+bool lmn_in_quota(const struct lmn_core *c, const struct lmn_partition *p, const struct lmn_job *j);
 bool lmn_can_hold(const struct lmn_machine *m, const struct lmn_job *j);
 /* Starts what fits on a machine that has just reported: commands go to out. */
 guint lmn_schedule(struct lmn_core *c, struct lmn_machine *m, GByteArray *out,
@@ -364,6 +370,10 @@
 /* How many more of its tasks may be started in the zone. */
 uint32_t lmn_zone_room(const struct lmn_job *j, const char *zone);
 
+/* --- preempt.c --- */
+/* Finds room for tasks of production that wait, and makes it where there is none. */
+void lmn_make_room(struct lmn_core *c, struct lmn_partition *p, struct timespec now);
+
 /* --- quota.c: parts of the teams' limits --- */
 /* What the team's tasks in the partition may use. */
 void lmn_quota_part(const struct lmn_core *c, const struct lmn_partition *p, int team,
--- a/src/partition.c
+++ b/src/partition.c
@@ -31,6 +31,7 @@
     g_ptr_array_set_size(m->failed_jobs, 0);
     m->poke = m->in_call = false;
     m->probes = 0;
+    m->promised = 0;
     m->next_probe = (struct timespec){0, 0};
     m->heard = m->accounted = m->lapsed = false;
     m->retiring = m->force = m->noticed = m->is_gone = false;
--- /dev/null
+++ b/src/preempt.c
@@ -0,0 +1,185 @@
+/* Room is made for tasks of production that wait: lesser tasks are stopped for them, as the
+ * protocol's "Preemption" allows, and no further. A machine on which room is being made starts
+ * nothing less urgent until then; otherwise small tasks would take each piece as it becomes free. */
+#include "core.h"
+#include "log.h"
+
+#include <math.h>
+#include <string.h>
+
+/* How many tasks are helped at a time, and how long a machine's room is kept for them. */
+enum { HELPED_AT_ONCE = 16 };
+static const double KEEP_S = 8;
+/* What is lost by stopping a task, beyond its work: it has to be started again, as if so much of
+ * its work were lost. */
+static const double RESTART_S = 5;
+/* What a second of fetching an image counts against a second of work lost. */
+static const double FETCH_WEIGHT = 4;
+
+struct waiting {
+    struct lmn_queue *queue;
+    struct lmn_machine *on; /* NULL: limbo */
+    struct lmn_range *range;
+    uint32_t index;
+};
+
+static void collect(struct lmn_queue *q, struct lmn_machine *on, GArray *out, struct timespec now)
+{
+    uint32_t skip = on ? on->promised : 0;
+
+    for (guint i = 0; i < q->segs->len && out->len < HELPED_AT_ONCE; i++) {
+        const struct lmn_seg *s = q->segs->pdata[i];
+        const struct lmn_job *j = s->range->job;
+        if (j->spec.urgency != LMN_PROD || j->phase != LMN_ACTIVE || lmn_before(now, j->hold))
+            continue;
+        for (uint32_t k = s->lo; k < s->hi && out->len < HELPED_AT_ONCE; k++) {
+            struct waiting w = {q, on, s->range, k};
+            if (skip > 0)
+                skip--;
+            else
+                g_array_append_val(out, w);
+        }
+    }
+}
+
+/* Whether the attempt may be stopped for a job of that urgency. */
+static bool lesser(const struct lmn_attempt *a, const struct lmn_spec *s)
+{
+    return a->job && a->range && a->job->phase == LMN_ACTIVE && a->counted && !a->stop &&
+           !a->direct && a->listed && a->job->spec.urgency < s->urgency &&
+           (a->state == LMN_A_FETCHING || a->state == LMN_A_RUNNING);
+}
+
+/* Processor seconds that would be lost with it. */
+static double loss(const struct lmn_attempt *a, struct timespec now)
+{
+    const struct lmn_spec *s = &a->job->spec;
+    double work = a->state == LMN_A_FETCHING ? 0
+                  : s->checkpoint_s > 0      ? s->save_s
+                                             : lmn_since(now, a->since);
+    return s->cpus * (work + RESTART_S);
+}
+
+/* The cheapest way to make room for one more task on the machine: marks the victims if mark is
+ * set. Returns the loss; infinity if there is none. */
+static double make_on(struct lmn_machine *m, const struct lmn_spec *s, bool mark,
+                      struct timespec now)
+{
+    double cpus = m->type->cpus - m->used_cpus, gpus = m->type->gpus - m->used_gpus;
+    double mem = m->type->mem - m->used_mem, sum = 0;
+    guint taken[64], n = 0;
+
+    while (cpus < s->cpus - 1e-6 || gpus < s->gpus - 1e-6 || mem < s->mem - 1e-6) {
+        int best = -1;
+        for (guint i = 0; i < m->attempts->len; i++) {
+            const struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
+            bool again = false;
+            for (guint k = 0; k < n; k++)
+                again = again || taken[k] == i;
+            if (again || !lesser(a, s))
+                continue;
+            if (best < 0 || loss(a, now) < loss(&g_array_index(m->attempts, struct lmn_attempt,
+                                                               (guint)best), now))
+                best = (int)i;
+        }
+        if (best < 0 || n == G_N_ELEMENTS(taken))
+            return INFINITY;
+        const struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, (guint)best);
+        sum += loss(a, now);
+        cpus += a->job->spec.cpus;
+        gpus += a->job->spec.gpus;
+        mem += a->job->spec.mem;
+        taken[n++] = (guint)best;
+    }
+    for (guint k = 0; mark && k < n; k++) {
+        struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, taken[k]);
+        a->stop = true;
+        lmn_debug("task-preempt task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s", a->ref,
+                  a->index, a->number, m->name);
+    }
+    return sum;
+}
+
+/* Tasks of the job that room is being made for in the zone. */
+static uint32_t promised_in(const struct lmn_partition *p, const struct lmn_job *j,
+                            const char *zone)
+{
+    uint32_t n = 0;
+    GHashTableIter it;
+    gpointer v;
+
+    if (!j->spec.spread && !j->spec.one_zone)
+        return 0;
+    g_hash_table_iter_init(&it, p->machines);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const struct lmn_machine *m = v;
+        for (guint i = 0; m->promised && i < m->queue.segs->len; i++) {
+            const struct lmn_seg *s = m->queue.segs->pdata[i];
+            if (s->range->job == j && !strcmp(m->zone, zone))
+                n += s->hi - s->lo;
+        }
+    }
+    return n;
+}
+
+/* Where the task would best go, and whether others have to be stopped for it. */
+static struct lmn_machine *place_for(struct lmn_core *c, struct lmn_partition *p,
+                                     const struct lmn_job *j, struct timespec now)
+{
+    struct lmn_machine *best = NULL;
+    double least = INFINITY;
+    GHashTableIter it;
+    gpointer v;
+
+    g_hash_table_iter_init(&it, p->machines);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        struct lmn_machine *m = v;
+        /* One that does not report would keep the task waiting. */
+        if (m->promised || !lmn_can_hold(m, j) || !lmn_zone_room(j, m->zone) ||
+            lmn_machine_silent(c, m, now))
+            continue;
+        double cost = FETCH_WEIGHT * j->spec.cpus * lmn_fetch_s(m, j);
+        if (cost < least)
+            cost += make_on(m, &j->spec, false, now);
+        if (cost >= least || lmn_zone_room(j, m->zone) <= promised_in(p, j, m->zone))
+            continue;
+        least = cost;
+        best = m;
+    }
+    return best;
+}
+
+void lmn_make_room(struct lmn_core *c, struct lmn_partition *p, struct timespec now)
+{
+    GArray *wait = g_array_new(FALSE, FALSE, sizeof(struct waiting));
+    GHashTableIter it;
+    gpointer v;
+
+    if (!p->mine || p->releasing)
+        return;
+    g_hash_table_iter_init(&it, p->machines);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        struct lmn_machine *m = v;
+        if (m->promised && lmn_before(m->promise_until, now))
+            m->promised = 0;
+        collect(&m->queue, m, wait, now);
+    }
+    collect(&p->limbo, NULL, wait, now);
+    for (guint i = 0; i < wait->len; i++) {
+        struct waiting *w = &g_array_index(wait, struct waiting, i);
+        const struct lmn_job *j = w->range->job;
+        struct lmn_machine *m = lmn_in_quota(c, p, j) ? place_for(c, p, j, now) : NULL;
+        if (!m)
+            continue;
+        c->count.preempted += make_on(m, &j->spec, true, now) > 0;
+        m->promised++;
+        m->promise_until = lmn_after(now, KEEP_S);
+        if (m != w->on) {
+            lmn_queue_take(w->queue, w->range, w->index);
+            lmn_queue_add(&m->queue, w->range, w->index, w->index + 1);
+        }
+        m->poke = true;
+        pthread_cond_broadcast(&c->poked);
+    }
+    g_array_free(wait, TRUE);
+}
--- a/src/queue.c
+++ b/src/queue.c
@@ -238,6 +238,24 @@
             drop_seg(q, i);
 }
 
+void lmn_queue_take(struct lmn_queue *q, const struct lmn_range *r, uint32_t index)
+{
+    for (guint i = 0; i < q->segs->len; i++) {
+        struct lmn_seg *s = q->segs->pdata[i];
+        if (s->range != r || index < s->lo || index >= s->hi)
+            continue;
+        uint32_t hi = s->hi;
+        struct lmn_range *range = s->range;
+        q->tasks -= hi - index;
+        s->hi = index;
+        if (s->lo == s->hi)
+            drop_seg(q, i);
+        if (index + 1 < hi)
+            lmn_queue_add(q, range, index + 1, hi);
+        return;
+    }
+}
+
 void lmn_queue_cut(struct lmn_queue *q, const struct lmn_range *r, uint32_t lo)
 {
     for (guint i = q->segs->len; i-- > 0;) {
@@ -414,6 +432,7 @@
 {
     struct lmn_queue old = m->queue;
 
+    m->promised = 0;
     lmn_queue_init(&m->queue);
     for (guint i = 0; i < old.segs->len; i++) {
         struct lmn_seg *s = old.segs->pdata[i];
@@ -426,8 +445,7 @@
 
 /* --- starting --- */
 
-static bool in_quota(const struct lmn_core *c, const struct lmn_partition *p,
-                     const struct lmn_job *j)
+bool lmn_in_quota(const struct lmn_core *c, const struct lmn_partition *p, const struct lmn_job *j)
 {
     if (j->team < 0)
         return false;
@@ -474,6 +492,8 @@
     s->range->st[a.index - s->range->lo] = LMN_T_STARTED;
     s->range->nstarted++;
     lmn_attempt_count(m, &a);
+    if (m->promised && a.job->spec.urgency == LMN_PROD)
+        m->promised--;
     lmn_note_image(m, a.job);
     g_array_append_val(m->attempts, a);
     c->count.starts++;
@@ -492,8 +512,8 @@
 static bool startable(const struct lmn_core *c, const struct lmn_machine *m,
                       const struct lmn_job *j, struct timespec now)
 {
-    return room(m, &j->spec) > 0 && j->phase == LMN_ACTIVE && !lmn_before(now, j->hold) &&
-           lmn_can_hold(m, j) && in_quota(c, m->part, j) && lmn_zone_room(j, m->zone) > 0;
+    return room(m, &j->spec) > 0 && (!m->promised || j->spec.urgency == LMN_PROD) && j->phase == LMN_ACTIVE && !lmn_before(now, j->hold) &&
+           lmn_can_hold(m, j) && lmn_in_quota(c, m->part, j) && lmn_zone_room(j, m->zone) > 0;
 }
 
 /* How the machine should choose between the jobs: as lmn_job_order, but a task whose image it
--- a/src/service.c
+++ b/src/service.c
@@ -49,6 +49,8 @@
         struct timespec now = lmn_now();
         lmn_rank_all(core, lmn_seconds(lmn_wall()));
         lmn_upkeep(core, now);
+        for (int i = 0; i < core->nparts; i++)
+            lmn_make_room(core, &core->parts[i], now);
         lmn_ranges_flush(core, now);
         pthread_mutex_unlock(&core->lock);
     }
--- a/src/worker.c
+++ b/src/worker.c
@@ -262,6 +262,9 @@
                 a->killed = true;
                 c->count.kills++;
             }
+        } else if (a->stop && a->state != LMN_A_SAVING) {
+            command(out, W_KILL, a, a->job->spec.save_s + 1);
+            commands++;
         } else if (m->noticed && a->state == LMN_A_RUNNING &&
                    a->job->spec.checkpoint_s > 0 && !a->killed) {
             double left = m->notice_s - lmn_since(now, m->noticed_at);
@@ -488,6 +491,24 @@
     return lmn_http_call(h, "POST", P_DIRECT, body, 1.0, answer);
 }
 
+/* Tells tasks that have to make room to stop; if that gets lost, the next report's answer says it
+ * again. */
+static guint stop_some(struct lmn_core *c, struct lmn_machine *m, GByteArray *out)
+{
+    guint n = 0;
+
+    for (guint i = 0; i < m->attempts->len; i++) {
+        struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
+        if (!a->stop || a->killed || a->state == LMN_A_ENDED || !a->range)
+            continue;
+        command(out, W_KILL, a, a->job->spec.save_s + 1);
+        a->killed = true;
+        c->count.kills++;
+        n++;
+    }
+    return n;
+}
+
 bool lmn_direct_next(struct lmn_core *c, unsigned lane, unsigned lanes, char *name,
                      char *addr, GByteArray *body, struct timespec now)
 {
@@ -507,8 +528,9 @@
                 lmn_since(now, m->last) > 0.6 * c->cfg->lease_s)
                 continue;
             GByteArray *commands = g_byte_array_new();
+            guint n = stop_some(c, m, commands);
             guint before = m->attempts->len;
-            guint n = lmn_schedule(c, m, commands, now);
+            n += lmn_schedule(c, m, commands, now);
             if (n) {
                 for (guint k = before; k < m->attempts->len; k++)
                     g_array_index(m->attempts, struct lmn_attempt, k).direct = true;
@@ -565,6 +587,11 @@
         else if (!read || (status == 200 && newer && !a->seen))
             a->unsure = true;
     }
+    /* What made room has ended: the task it was made for goes there at once. */
+    if (m->promised && read) {
+        m->poke = true;
+        pthread_cond_broadcast(&c->poked);
+    }
 }
 
 static void drop_any(GHashTable *clients)
--- a/tests/test_model.c
+++ b/tests/test_model.c
@@ -124,7 +124,7 @@
     GPtrArray *mail;
     enum guard broken;
     unsigned broke[RULES];
-    unsigned starts, finished, takeovers, steals;
+    unsigned starts, finished, takeovers, steals, preempted;
 } w;
 
 static bool chance(double p)
@@ -744,6 +744,7 @@
     if (!n->core)
         node_boot(n, i);
     if (chance(0.0012)) { /* a crash: memory is gone, its lease runs on */
+        w.preempted += (unsigned)n->core->count.preempted;
         n->core = NULL;   /* left behind: nothing of it is ever used again */
         n->down_until = w.now + g_rand_double_range(w.r, 1, 6);
         return;
@@ -778,6 +779,8 @@
     double wall = w.now;
     lmn_rank_all(n->core, wall);
     lmn_upkeep(n->core, w.clock);
+    for (int k = 0; k < NODES; k++)
+        lmn_make_room(n->core, &n->core->parts[k], w.clock);
     lmn_ranges_flush(n->core, w.clock);
     if (!cut)
         node_write(n);
@@ -984,7 +987,7 @@
 {
     static const char *const names[] = {"ran_twice",     "quota",    "wrong_place",
                                         "ran_cancelled", "not_done", "went_back"};
-    unsigned finished = 0, takeovers = 0, steals = 0;
+    unsigned finished = 0, takeovers = 0, steals = 0, preempted = 0;
     (void)state;
 
     for (uint32_t seed = 1; seed <= 12; seed++) {
@@ -995,11 +998,13 @@
         finished += w.finished;
         takeovers += w.takeovers;
         steals += w.steals;
+        preempted += w.preempted;
     }
     /* The days were worth playing. */
     assert_true(finished > 12 * JOBS / 4);
     assert_true(takeovers > 12 * 5);
     assert_true(steals > 12);
+    assert_true(preempted > 12);
 }
 
 static void breaks(enum guard g, enum rule r)
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -460,10 +460,126 @@
     }
 }
 
+/* Puts a running attempt of the range's next task on the machine. */
+static struct lmn_attempt *run(struct lmn_machine *m, struct lmn_range *r, uint32_t index)
+{
+    struct lmn_attempt a = {.job = r->job, .range = r, .index = index, .number = index + 1,
+                            .state = LMN_A_RUNNING, .listed = true, .seen = true, .since = now};
+
+    r->st[index - r->lo] = LMN_T_STARTED;
+    r->nstarted++;
+    lmn_attempt_count(m, &a);
+    g_array_append_val(m->attempts, a);
+    return &g_array_index(m->attempts, struct lmn_attempt, m->attempts->len - 1);
+}
+
+/* A task of production that finds all machines full has room made for it: by lesser tasks only, no
+ * more of them than it needs, and what lesser work waits does not take the pieces. */
+static void room_is_made(void **state)
+{
+    (void)state;
+    for (uint32_t seed = 1; seed <= 20; seed++) {
+        make(seed);
+        struct lmn_partition *p = &core->parts[0];
+        GHashTableIter it;
+        gpointer v;
+        struct lmn_range *prod = jobs[3].ranges->pdata[0], *low = jobs[4].ranges->pdata[0];
+        struct lmn_range *peer = jobs[7].ranges->pdata[0];
+        uint32_t at = 0, k = 0;
+        core->fresh = now;
+        jobs[4].spec.urgency = LMN_NORMAL;
+        jobs[4].spec.cpus = jobs[7].spec.cpus = 2;
+        jobs[3].spec.cpus = 4;
+        jobs[3].spec.spot = true;
+        jobs[4].spec.tasks = jobs[7].spec.tasks = 200;
+        low->hi = peer->hi = 200;
+        low->done = g_malloc0(32);
+        peer->done = g_malloc0(32);
+        lmn_range_open(core, low);
+        lmn_range_open(core, peer);
+        low->dealt = peer->dealt = prod->dealt = true;
+        g_hash_table_iter_init(&it, p->machines);
+        while (g_hash_table_iter_next(&it, NULL, &v)) {
+            struct lmn_machine *m = v;
+            m->last = now;
+            /* Of each machine's eight processors two to six belong to an equal. */
+            uint32_t equals = 1 + (seed + k++) % 3;
+            for (uint32_t i = 0; i < 4; i++)
+                run(m, i < equals ? peer : low, at++);
+        }
+        lmn_queue_add(&p->limbo, prod, 0, 1);
+        lmn_make_room(core, p, now);
+        guint stopped = 0;
+        struct lmn_machine *where = NULL;
+        g_hash_table_iter_init(&it, p->machines);
+        while (g_hash_table_iter_next(&it, NULL, &v)) {
+            struct lmn_machine *m = v;
+            for (guint i = 0; i < m->attempts->len; i++) {
+                const struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
+                assert_true(!a->stop || a->job == &jobs[4]);
+                stopped += a->stop;
+                where = a->stop ? m : where;
+            }
+        }
+        assert_int_equal(stopped, 2);
+        assert_int_equal(where->promised, 1);
+        assert_int_equal(p->limbo.tasks, 0);
+        /* Again: it is helped already. */
+        lmn_make_room(core, p, lmn_after(now, 1));
+        assert_int_equal(core->count.preempted, 1);
+        /* One victim has ended: its piece stays free until the other has too. */
+        lmn_queue_add(&where->queue, low, 199, 200);
+        for (int gone = 0; gone < 2; gone++) {
+            GByteArray *out = g_byte_array_new();
+            for (guint i = 0; i < where->attempts->len; i++) {
+                struct lmn_attempt *a = &g_array_index(where->attempts, struct lmn_attempt, i);
+                if (!a->stop || a->state == LMN_A_ENDED)
+                    continue;
+                lmn_attempt_uncount(where, a);
+                a->state = LMN_A_ENDED;
+                break;
+            }
+            assert_int_equal(lmn_schedule(core, where, out, now), gone);
+            g_byte_array_unref(out);
+        }
+        assert_int_equal(prod->nstarted, 1);
+        assert_int_equal(where->promised, 0);
+    }
+}
+
+/* A zone takes no more of a spread job's tasks than half, rounded up, and the deal says so. */
+static void spread_is_dealt(void **state)
+{
+    (void)state;
+    for (uint32_t n = 1; n <= 9; n++) {
+        make(n);
+        struct lmn_job *j = &jobs[3];
+        struct lmn_range *r = j->ranges->pdata[0];
+        uint32_t zone[2] = {0, 0};
+        GHashTableIter it;
+        gpointer v;
+        j->spec.spread = j->spec.spot = true;
+        j->spec.cpus = 1;
+        j->spec.tasks = r->hi = n;
+        lmn_range_open(core, r);
+        r->dealt = true;
+        lmn_deal(core, r, 0, n, now);
+        g_hash_table_iter_init(&it, core->parts[0].machines);
+        while (g_hash_table_iter_next(&it, NULL, &v)) {
+            const struct lmn_machine *m = v;
+            zone[m->zone[0] - 'a'] += m->queue.tasks;
+        }
+        assert_int_equal(zone[0] + zone[1], n);
+        assert_true(MAX(zone[0], zone[1]) <= (n + 1) / 2);
+    }
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(services_are_never_lost),
+        cmocka_unit_test(room_is_made),
+        cmocka_unit_test(spread_is_dealt),
         cmocka_unit_test(triage_is_best),
         cmocka_unit_test(images_count),
         cmocka_unit_test(urgent_first_across_queues),
