--- a/src/core.h
+++ b/src/core.h
@@ -282,6 +282,9 @@
 void lmn_partition_lose(struct lmn_core *c, struct lmn_partition *p, const char *why);
 /* All inherited machines accounted for? Then the inherited tasks may start. */
 void lmn_partition_check(struct lmn_core *c, struct lmn_partition *p, struct timespec now);
+/* Whether the member that holds the partition by default stands in the zone. */
+bool lmn_holder_stands_in(const struct lmn_core *c, const struct lmn_partition *p,
+                          const char *zone);
 /* Whether this node should try to own the partition now. */
 bool lmn_partition_wanted(const struct lmn_core *c, const struct lmn_partition *p,
                           struct timespec now);
--- a/src/partition.c
+++ b/src/partition.c
@@ -217,6 +217,18 @@
     lmn_txn_free(t);
 }
 
+bool lmn_holder_stands_in(const struct lmn_core *c, const struct lmn_partition *p, const char *zone)
+{
+    int n = (int)c->cfg->nmembers + 1, holder = p->id % n;
+
+    if (lmn_settings_rank(c->cfg, c->cfg->node) == holder)
+        return !strcmp(c->cfg->zone, zone);
+    for (size_t i = 0; i < c->cfg->nmembers; i++)
+        if (lmn_settings_rank(c->cfg, c->cfg->members[i].name) == holder)
+            return !strcmp(c->cfg->members[i].zone, zone);
+    return false;
+}
+
 bool lmn_partition_wanted(const struct lmn_core *c, const struct lmn_partition *p,
                           struct timespec now)
 {
--- a/src/range.c
+++ b/src/range.c
@@ -486,9 +486,12 @@
         lmn_machine_retire(c, m, true, "taken by the cloud", now);
     /* Neither its worker's reports nor our own questions got through. If that goes for
      * most of them, the fault is more likely on this side: then the leases have to run
-     * out first. In a zone by itself a predecessor may answer them for as long as its view is not
-     * too old, and their leases run out after that. */
-    double patience = !few ? cfg->lease_s + 8 : cut ? cfg->cancel_s + 4 : 4;
+     * out first. In a zone by itself the partition's usual holder may answer them for as long as
+     * its view is not too old, and their leases run out after that. If it stands elsewhere, nobody
+     * answers them, and the partition's queued work need not wait. */
+    double patience = !few                                         ? cfg->lease_s + 8
+                      : cut && lmn_holder_stands_in(c, p, m->zone) ? cfg->cancel_s + 4
+                                                                   : 4;
     if (m->inherited && !m->accounted && silent > patience &&
         (m->probes >= 2 || silent > cfg->lease_s))
         lmn_machine_retire(c, m, true, "not heard under the new term", now);
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -153,6 +153,37 @@
         assert_false(far[i]->retiring);
 }
 
+/* After a takeover with a zone cut off: where the partition's usual holder stands in that zone, it
+ * may still answer its workers; elsewhere nobody does, and all queued work would wait for them. */
+static void inherited_ones_are_waited_for_where_the_holder_is(void **state)
+{
+    static const char *const holder_in[] = {"a", "b"};
+    (void)state;
+    for (int k = 0; k < 2; k++) {
+        make(20);
+        g_strlcpy(cfg.zone, holder_in[k], sizeof cfg.zone);
+        GHashTableIter it;
+        gpointer v;
+        g_hash_table_iter_init(&it, core->parts[0].machines);
+        while (g_hash_table_iter_next(&it, NULL, &v))
+            g_strlcpy(((struct lmn_machine *)v)->zone, "a", LMN_NAME);
+        core->parts[0].ready = false;
+        struct lmn_machine *far[8];
+        for (int i = 0; i < 8; i++) {
+            far[i] = add(200 + i);
+            g_strlcpy(far[i]->zone, "b", sizeof far[i]->zone);
+            far[i]->inherited = true;
+            far[i]->heard = far[i]->accounted = false;
+            far[i]->probes = 2;
+        }
+        now = lmn_after(now, 6);
+        core->fresh = now;
+        lmn_upkeep(core, now);
+        for (int i = 0; i < 8; i++)
+            assert_int_equal(far[i]->retiring, k == 0);
+    }
+}
+
 /* One that does not answer holds a lane up: the others are asked before it is asked again. */
 static void unanswered_come_last(void **state)
 {
@@ -183,6 +214,7 @@
         cmocka_unit_test(unanswered_come_last),
         cmocka_unit_test(lapses_need_ownership),
         cmocka_unit_test(cut_zones_are_waited_for),
+        cmocka_unit_test(inherited_ones_are_waited_for_where_the_holder_is),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
