--- a/src/range.c
+++ b/src/range.c
@@ -493,7 +493,8 @@
                       : cut && lmn_holder_stands_in(c, p, m->zone) ? cfg->cancel_s + 4
                                                                    : 4;
     if (m->inherited && !m->accounted && silent > patience &&
-        (m->probes >= 2 || silent > cfg->lease_s))
+        (m->probes >= 2 || (m->probes && silent > 1.25 * cfg->report_s + patience) ||
+         silent > cfg->lease_s))
         lmn_machine_retire(c, m, true, "not heard under the new term", now);
     if (m->accounted && !m->retiring && m->idle.tv_sec &&
         lmn_since(now, m->idle) > c->tuning.idle_return_s && !m->queue.tasks)
--- a/src/worker.c
+++ b/src/worker.c
@@ -417,15 +417,19 @@
         g_hash_table_iter_init(&it, c->parts[i].machines);
         while (g_hash_table_iter_next(&it, NULL, &v)) {
             struct lmn_machine *m = v;
-            /* Those that have not answered come last: each holds its lane up for a second. */
-            if (worth_asking(c, m, now) && g_str_hash(m->name) % lanes == lane &&
+            /* Those that have not answered come last: each holds its lane up for a second. Whoever
+             * has answered before has a connection in its own lane; the rest go to any, since after
+             * a wave of losses a few lanes were left with most of the silent ones. */
+            if (worth_asking(c, m, now) &&
+                (g_str_hash(m->name) % lanes == lane || m->probes > 0 ||
+                 lmn_since(now, c->parts[i].since) > 2) &&
                 (!best || m->probes < best->probes))
                 best = m;
         }
     }
     if (!best)
         return false;
-    best->next_probe = lmn_after(now, 1.0 + 0.5 * MIN(best->probes, 6u));
+    best->next_probe = lmn_after(now, 2.5 + 0.5 * MIN(best->probes, 6u)); /* two calls of 1 s */
     g_strlcpy(name, best->name, LMN_NAME);
     g_strlcpy(addr, best->addr, LMN_ADDR);
     *term = best->part->my_term;
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -206,6 +206,43 @@
     assert_false(lmn_probe_next(core, 0, 1, name, addr, &term, now));
 }
 
+/* After a wave of losses a few lanes were left with most of the silent machines, a second for each
+ * question: any lane asks them, and once is enough for one whose report is overdue. */
+static void any_lane_asks(void **state)
+{
+    char name[LMN_NAME], addr[LMN_ADDR];
+    uint64_t term;
+    struct lmn_machine *lost[12];
+    (void)state;
+    make(40);
+    core->parts[0].ready = false;
+    for (int i = 0; i < 12; i++) {
+        lost[i] = add(100 + i);
+        lost[i]->inherited = true;
+        lost[i]->heard = lost[i]->accounted = false;
+    }
+    now = lmn_after(now, 3);
+    for (unsigned lane = 0; lane < 12; lane++)
+        assert_true(lmn_probe_next(core, lane, 12, name, addr, &term, now));
+    assert_false(lmn_probe_next(core, 0, 12, name, addr, &term, now));
+    for (int i = 0; i < 12; i++)
+        lmn_probe_outcome(core, lost[i]->name, 1, LMN_NO_ANSWER, NULL, now);
+    core->fresh = now = lmn_after(now, 2);
+    lmn_upkeep(core, now);
+    for (int i = 0; i < 12; i++)
+        assert_false(lost[i]->retiring);
+    core->fresh = now = lmn_after(now, 1.25 * cfg.report_s);
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, core->parts[0].machines);
+    while (g_hash_table_iter_next(&it, NULL, &v))
+        if (!((struct lmn_machine *)v)->inherited)
+            ((struct lmn_machine *)v)->last = now;
+    lmn_upkeep(core, now);
+    for (int i = 0; i < 12; i++)
+        assert_true(lost[i]->retiring);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -213,6 +250,7 @@
         cmocka_unit_test(taken_is_given_up),
         cmocka_unit_test(unanswered_come_last),
         cmocka_unit_test(lapses_need_ownership),
+        cmocka_unit_test(any_lane_asks),
         cmocka_unit_test(cut_zones_are_waited_for),
         cmocka_unit_test(inherited_ones_are_waited_for_where_the_holder_is),
     };
