--- a/src/core.h
+++ b/src/core.h
@@ -193,6 +193,7 @@
     struct lmn_queue limbo; /* tasks that no machine's queue holds yet */
     double used_cpus[LMN_MAX_TEAMS], used_gpus[LMN_MAX_TEAMS];
     struct lmn_gift gift;
+    struct timespec next_pack;
     struct timespec next_quota; /* when it may ask others again */
     double quota_poll_s;
     guint rr;
@@ -377,6 +378,10 @@
 /* Finds room for tasks of production that wait, and makes it where there is none. */
 void lmn_make_room(struct lmn_core *c, struct lmn_partition *p, struct timespec now);
 
+/* --- pack.c --- */
+/* Empties a machine whose replicas have room elsewhere. */
+void lmn_pack(struct lmn_core *c, struct lmn_partition *p, struct timespec now);
+
 /* --- quota.c: parts of the teams' limits --- */
 /* What the team's tasks in the partition may use. */
 void lmn_quota_part(const struct lmn_core *c, const struct lmn_partition *p, int team,
--- /dev/null
+++ b/src/pack.c
@@ -0,0 +1,149 @@
+/* Services end one by one, and leave the others scattered over machines that are half empty and
+ * paid for whole. While nothing waits, the replicas of the emptiest machine are moved onto room
+ * that others have, and the machine goes. Work with an end is left to run out. */
+#include "core.h"
+#include "log.h"
+
+#include <string.h>
+
+/* How often a machine is emptied, and how many are looked at for it. */
+static const double EVERY_S = 1.0;
+enum { LOOKED_AT = 4, MOST_REPLICAS = 64 };
+/* A replica that has only just started is left alone. */
+static const double SETTLED_S = 35;
+/* Room left for what comes next, as a share of the machines' processors. */
+static const double RESERVE = 0.08;
+
+struct target {
+    struct lmn_machine *m;
+    double cpus, gpus, mem; /* free */
+};
+
+static bool steady(const struct lmn_core *c, const struct lmn_machine *m, struct timespec now)
+{
+    return m->type && m->rev && m->accounted && !m->retiring && !m->noticed && !m->lapsed &&
+           !m->is_gone && !m->promised && !lmn_machine_silent(c, m, now);
+}
+
+static bool holds_replica(const struct lmn_attempt *a)
+{
+    return a->counted && a->range && a->job && a->job->phase == LMN_ACTIVE &&
+           a->job->spec.kind == LMN_DAEMON;
+}
+
+/* Whether the machine's replicas may be moved now; how many there are. */
+static guint movable(const struct lmn_machine *m, struct timespec now)
+{
+    guint n = 0;
+
+    for (guint i = 0; i < m->attempts->len; i++) {
+        const struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
+        if (!holds_replica(a))
+            continue;
+        if (a->state != LMN_A_RUNNING || !a->listed || a->stop || a->direct ||
+            lmn_since(now, a->since) < SETTLED_S)
+            return 0;
+        n++;
+    }
+    return n <= MOST_REPLICAS ? n : 0;
+}
+
+/* The fullest of the targets that has room for the replica, and its image. */
+static struct target *target_for(GArray *targets, const struct lmn_machine *from,
+                                 const struct lmn_job *j)
+{
+    const struct lmn_spec *s = &j->spec;
+    struct target *best = NULL;
+
+    for (guint i = 0; i < targets->len; i++) {
+        struct target *t = &g_array_index(targets, struct target, i);
+        if (t->m == from || t->cpus < s->cpus - 1e-6 || t->gpus < s->gpus - 1e-6 ||
+            t->mem < s->mem - 1e-6 || (best && t->cpus >= best->cpus))
+            continue;
+        if (!lmn_can_hold(t->m, j) || lmn_fetch_s(t->m, j) > 0 ||
+            (strcmp(t->m->zone, from->zone) && !lmn_zone_room(j, t->m->zone)))
+            continue;
+        best = t;
+    }
+    return best;
+}
+
+/* Whether all replicas of the machine find room elsewhere. */
+static bool can_empty(const GArray *targets, const struct lmn_machine *m)
+{
+    GArray *left = g_array_sized_new(FALSE, FALSE, sizeof(struct target), targets->len);
+    bool ok = true;
+
+    g_array_append_vals(left, targets->data, targets->len);
+    for (guint i = 0; ok && i < m->attempts->len; i++) {
+        const struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
+        if (!holds_replica(a))
+            continue;
+        struct target *t = target_for(left, m, a->job);
+        ok = t != NULL;
+        if (t) {
+            t->cpus -= a->job->spec.cpus;
+            t->gpus -= a->job->spec.gpus;
+            t->mem -= a->job->spec.mem;
+        }
+    }
+    g_array_free(left, TRUE);
+    return ok;
+}
+
+static gint emptiest_first(gconstpointer a, gconstpointer b)
+{
+    const struct target *x = a, *y = b;
+
+    if (x->cpus != y->cpus)
+        return x->cpus > y->cpus ? -1 : 1;
+    return strcmp(x->m->name, y->m->name);
+}
+
+void lmn_pack(struct lmn_core *c, struct lmn_partition *p, struct timespec now)
+{
+    GHashTableIter it;
+    gpointer v;
+    double free_cpus = 0, all = 0;
+    bool waits = p->limbo.tasks > 0;
+
+    if (!p->mine || !p->ready || p->releasing || lmn_before(now, p->next_pack) ||
+        lmn_staleness(c, now) > LMN_BLIND_S)
+        return;
+    p->next_pack = lmn_after(now, EVERY_S);
+    GArray *targets = g_array_new(FALSE, FALSE, sizeof(struct target));
+    g_hash_table_iter_init(&it, p->machines);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        struct lmn_machine *m = v;
+        waits = waits || m->queue.tasks > 0;
+        if (!steady(c, m, now))
+            continue;
+        struct target t = {m, m->type->cpus - m->used_cpus, m->type->gpus - m->used_gpus,
+                           m->type->mem - m->used_mem};
+        /* Spot machines hold other work, and go by themselves. */
+        if (m->spot || m->used_cpus <= 0)
+            continue;
+        all += m->type->cpus;
+        free_cpus += t.cpus;
+        g_array_append_val(targets, t);
+    }
+    g_array_sort(targets, emptiest_first);
+    for (guint i = 0; !waits && i < targets->len && i < LOOKED_AT; i++) {
+        struct target *t = &g_array_index(targets, struct target, i);
+        struct lmn_machine *m = t->m;
+        /* What it would free elsewhere it takes away here. */
+        if (free_cpus - m->type->cpus < RESERVE * all)
+            break;
+        if (!movable(m, now) || !can_empty(targets, m))
+            continue;
+        for (guint k = 0; k < m->attempts->len; k++) {
+            struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, k);
+            a->stop = a->stop || holds_replica(a);
+        }
+        lmn_machine_retire(c, m, false, "its replicas have room elsewhere", now);
+        m->poke = true;
+        pthread_cond_broadcast(&c->poked);
+        break;
+    }
+    g_array_free(targets, TRUE);
+}
--- a/src/service.c
+++ b/src/service.c
@@ -49,8 +49,10 @@
         struct timespec now = lmn_now();
         lmn_rank_all(core, lmn_seconds(lmn_wall()));
         lmn_upkeep(core, now);
-        for (int i = 0; i < core->nparts; i++)
+        for (int i = 0; i < core->nparts; i++) {
             lmn_make_room(core, &core->parts[i], now);
+            lmn_pack(core, &core->parts[i], now);
+        }
         lmn_ranges_flush(core, now);
         pthread_mutex_unlock(&core->lock);
     }
--- a/tests/test_model.c
+++ b/tests/test_model.c
@@ -779,8 +779,10 @@
     double wall = w.now;
     lmn_rank_all(n->core, wall);
     lmn_upkeep(n->core, w.clock);
-    for (int k = 0; k < NODES; k++)
+    for (int k = 0; k < NODES; k++) {
         lmn_make_room(n->core, &n->core->parts[k], w.clock);
+        lmn_pack(n->core, &n->core->parts[k], w.clock);
+    }
     lmn_ranges_flush(n->core, w.clock);
     if (!cut)
         node_write(n);
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -574,11 +574,100 @@
     }
 }
 
+/* Replicas left over on many machines are moved together, one machine at a time and only if all of
+ * its own have room elsewhere; nothing moves while work waits, or right after a start. */
+static void replicas_are_packed(void **state)
+{
+    (void)state;
+    for (uint32_t seed = 1; seed <= 20; seed++) {
+        make(seed);
+        struct lmn_partition *p = &core->parts[0];
+        struct lmn_range *r = jobs[3].ranges->pdata[0];
+        struct timespec then = now;
+        GHashTableIter it;
+        gpointer v;
+        uint32_t at = 0;
+        jobs[3].spec.kind = LMN_DAEMON;
+        jobs[3].spec.cpus = 2;
+        jobs[3].spec.tasks = r->hi = 40;
+        r->done = g_malloc0(8);
+        lmn_range_open(core, r);
+        r->dealt = true;
+        cfg.report_s = 1;
+        g_hash_table_iter_init(&it, p->machines);
+        while (g_hash_table_iter_next(&it, NULL, &v)) {
+            struct lmn_machine *m = v;
+            m->spot = false;
+            lmn_note_image(m, &jobs[3]);
+            for (uint32_t i = 0, n = 1 + (seed + at) % 2; i < n; i++)
+                run(m, r, at++);
+        }
+        uint32_t all = at;
+        for (int step = 0; step < 40; step++) {
+            then = lmn_after(then, 5);
+            core->fresh = then;
+            bool young = step < 6;
+            guint before = 0, after = 0, stopped = 0;
+            g_hash_table_iter_init(&it, p->machines);
+            while (g_hash_table_iter_next(&it, NULL, &v)) {
+                before += ((struct lmn_machine *)v)->retiring;
+                ((struct lmn_machine *)v)->last = then;
+            }
+            if (step == 10)
+                lmn_queue_add(&p->limbo, jobs[5].ranges->pdata[0], 0, 1);
+            if (step == 11)
+                lmn_queue_clear(&p->limbo);
+            lmn_pack(core, p, then);
+            g_hash_table_iter_init(&it, p->machines);
+            while (g_hash_table_iter_next(&it, NULL, &v)) {
+                struct lmn_machine *m = v;
+                after += m->retiring;
+                for (guint i = m->attempts->len; i-- > 0;) {
+                    struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
+                    if (!a->stop)
+                        continue;
+                    assert_true(m->retiring);
+                    uint32_t index = a->index;
+                    stopped++;
+                    lmn_attempt_uncount(m, a);
+                    g_array_remove_index_fast(m->attempts, i);
+                    lmn_task_requeue(core, r, index, then);
+                }
+            }
+            assert_true(after <= before + 1);
+            assert_true(after > before || !stopped);
+            if (young || step == 10)
+                assert_int_equal(after, before);
+            /* What was stopped starts at once where it was seen to fit. */
+            g_hash_table_iter_init(&it, p->machines);
+            while (g_hash_table_iter_next(&it, NULL, &v)) {
+                struct lmn_machine *m = v;
+                GByteArray *out = g_byte_array_new();
+                lmn_schedule(core, m, out, then);
+                g_byte_array_unref(out);
+                for (guint i = 0; i < m->attempts->len; i++) {
+                    struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
+                    a->state = LMN_A_RUNNING;
+                    a->listed = true;
+                }
+            }
+            assert_int_equal(r->nstarted, all);
+        }
+        guint kept = 0;
+        g_hash_table_iter_init(&it, p->machines);
+        while (g_hash_table_iter_next(&it, NULL, &v))
+            kept += !((struct lmn_machine *)v)->retiring;
+        assert_true(kept < MACHINES);
+        assert_true(8 * kept >= 2 * all);
+    }
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(services_are_never_lost),
         cmocka_unit_test(room_is_made),
+        cmocka_unit_test(replicas_are_packed),
         cmocka_unit_test(spread_is_dealt),
         cmocka_unit_test(triage_is_best),
         cmocka_unit_test(images_count),
