--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -587,6 +587,7 @@
         GHashTableIter it;
         gpointer v;
         uint32_t at = 0;
+        core->synced = true;
         jobs[3].spec.kind = LMN_DAEMON;
         jobs[3].spec.cpus = 2;
         jobs[3].spec.tasks = r->hi = 40;
