--- a/src/pack.c
+++ b/src/pack.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 /* How often a machine is emptied, and how many are looked at for it. */
-static const double EVERY_S = 1.0;
+static const double EVERY_S = 0.5;
 enum { LOOKED_AT = 4, MOST_REPLICAS = 64 };
 /* A replica that has only just started is left alone. */
 static const double SETTLED_S = 35;
@@ -128,13 +128,17 @@
         g_array_append_val(targets, t);
     }
     g_array_sort(targets, emptiest_first);
-    for (guint i = 0; !waits && i < targets->len && i < LOOKED_AT; i++) {
+    guint looked = 0;
+    for (guint i = 0; !waits && i < targets->len && looked < LOOKED_AT; i++) {
         struct target *t = &g_array_index(targets, struct target, i);
         struct lmn_machine *m = t->m;
         /* What it would free elsewhere it takes away here. */
         if (free_cpus - m->type->cpus < RESERVE * all)
             break;
-        if (!movable(m, now) || !can_empty(targets, m))
+        if (!movable(m, now))
+            continue;
+        looked++;
+        if (!can_empty(targets, m))
             continue;
         for (guint k = 0; k < m->attempts->len; k++) {
             struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, k);
