--- a/src/core.h
+++ b/src/core.h
@@ -174,6 +174,12 @@
     double cpus, gpus, least_cpus, least_gpus;
 };
 
+/* A zone most of whose machines have been silent. */
+struct lmn_cut {
+    const char *zone; /* interned */
+    struct timespec until;
+};
+
 struct lmn_partition {
     int id;
     /* mirrored */
@@ -193,6 +199,7 @@
     struct lmn_queue limbo; /* tasks that no machine's queue holds yet */
     double used_cpus[LMN_MAX_TEAMS], used_gpus[LMN_MAX_TEAMS];
     struct lmn_gift gift;
+    GArray *cuts; /* struct lmn_cut */
     struct timespec next_pack;
     struct timespec next_quota; /* when it may ask others again */
     double quota_poll_s;
--- a/src/range.c
+++ b/src/range.c
@@ -439,12 +439,39 @@
 }
 
 /* If most machines of a zone are silent, it is cut off: they are alive, and so may their tasks
- * be, under an owner that is cut off with them. */
-static bool zone_silent(const GArray *a, const char *zone)
+ * be, under an owner that is cut off with them. When it is over, each is heard again only when it
+ * has given up its last try and comes to report here: once the first half had, the others were
+ * returned. */
+static void note_cuts(const struct lmn_core *c, struct lmn_partition *p, const GArray *a,
+                      struct timespec now)
+{
+    for (guint i = 1; i < a->len; i++) {
+        const struct silence *s = &g_array_index(a, struct silence, i);
+        struct lmn_cut *cut = NULL;
+        if (!most_of(s))
+            continue;
+        for (guint k = 0; k < p->cuts->len && !cut; k++)
+            if (!strcmp(g_array_index(p->cuts, struct lmn_cut, k).zone, s->zone))
+                cut = &g_array_index(p->cuts, struct lmn_cut, k);
+        if (!cut) {
+            struct lmn_cut new = {.zone = g_intern_string(s->zone)};
+            g_array_append_val(p->cuts, new);
+            cut = &g_array_index(p->cuts, struct lmn_cut, p->cuts->len - 1);
+        }
+        if (lmn_before(cut->until, now))
+            lmn_info("zone-silent partition=%d zone=%s silent=%u of=%u", p->id, s->zone, s->silent,
+                     s->all);
+        cut->until = lmn_after(now, c->cfg->report_s + 10);
+    }
+}
+
+static bool is_cut(const struct lmn_partition *p, const char *zone, struct timespec now)
 {
-    for (guint i = 1; i < a->len; i++)
-        if (!strcmp(g_array_index(a, struct silence, i).zone, zone))
-            return most_of(&g_array_index(a, struct silence, i));
+    for (guint i = 0; i < p->cuts->len; i++) {
+        const struct lmn_cut *cut = &g_array_index(p->cuts, struct lmn_cut, i);
+        if (!strcmp(cut->zone, zone))
+            return lmn_before(now, cut->until);
+    }
     return false;
 }
 
@@ -477,7 +504,7 @@
      * lease; a worker that answers when asked is left alone. Not so in a zone that is cut off:
      * returning its machines ended a third of all replicas at once, where most would have run on,
      * and left nothing to come back to. */
-    bool few = !most_silent(silence), cut = zone_silent(silence, m->zone);
+    bool few = !most_silent(silence), cut = is_cut(p, m->zone, now);
     if (lmn_machine_silent(c, m, now) && m->probes >= 2 && few && !cut)
         lmn_machine_retire(c, m, true, "silent and unreachable", now);
     if (m->lapsed && silent > cfg->lease_s + 12 + (few && cut ? cfg->cancel_s : 0))
@@ -558,6 +585,7 @@
         GList *all = g_hash_table_get_values(p->machines);
         /* Once for all machines: a look at each from each takes their square. */
         GArray *silence = listen_to(c, p, now);
+        note_cuts(c, p, silence, now);
         for (GList *l = all; l; l = l->next)
             upkeep_machine(c, l->data, silence, now);
         g_array_free(silence, TRUE);
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -151,6 +151,17 @@
     assert_true(one->retiring);
     for (int i = 0; i < 8; i++)
         assert_false(far[i]->retiring);
+    /* The cut is over and most are heard again: the others once were returned at that moment. */
+    for (int k = 0; k < 2; k++) {
+        core->fresh = now = lmn_after(now, k ? cfg.report_s + 11 : 1);
+        g_hash_table_iter_init(&it, core->parts[0].machines);
+        while (g_hash_table_iter_next(&it, NULL, &v))
+            if (v != far[0] && v != far[1])
+                ((struct lmn_machine *)v)->last = now;
+        lmn_upkeep(core, now);
+        for (int i = 0; i < 2; i++)
+            assert_int_equal(far[i]->retiring, k);
+    }
 }
 
 /* After a takeover with a zone cut off: where the partition's usual holder stands in that zone, it
