--- a/src/core.h
+++ b/src/core.h
@@ -193,7 +193,7 @@
     /* the owner's */
     bool mine, ready, releasing;
     uint64_t my_term, my_rev, attempts;
-    struct timespec since;
+    struct timespec since, ready_at;
     double poll_s; /* interval of steals from other partitions */
     struct timespec next_steal;
     struct lmn_queue limbo; /* tasks that no machine's queue holds yet */
--- a/src/partition.c
+++ b/src/partition.c
@@ -137,9 +137,11 @@
         all = all && !(m->inherited && !m->accounted);
     }
     p->ready = all;
-    if (all)
+    if (all) {
+        p->ready_at = now;
         lmn_info("partition-ready partition=%d term=%" G_GUINT64_FORMAT " after=%.2f", p->id,
                  p->my_term, lmn_since(now, p->since));
+    }
     deal_ranges(c, p, now);
 }
 
--- a/src/range.c
+++ b/src/range.c
@@ -523,8 +523,10 @@
         (m->probes >= 2 || (m->probes && silent > 1.25 * cfg->report_s + patience) ||
          silent > cfg->lease_s))
         lmn_machine_retire(c, m, true, "not heard under the new term", now);
-    if (m->accounted && !m->retiring && m->idle.tv_sec &&
-        lmn_since(now, m->idle) > c->tuning.idle_return_s && !m->queue.tasks)
+    /* While a partition's inherited work has to wait, its machines are idle for that alone. */
+    if (m->accounted && !m->retiring && m->idle.tv_sec && p->ready &&
+        lmn_since(now, m->idle) > c->tuning.idle_return_s &&
+        lmn_since(now, p->ready_at) > c->tuning.idle_return_s && !m->queue.tasks)
         lmn_machine_retire(c, m, false, "idle", now);
 }
 
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -254,6 +254,33 @@
         assert_true(lost[i]->retiring);
 }
 
+/* Machines of a partition whose inherited work still waits were returned as idle, and rented anew
+ * as soon as it was ready. */
+static void idle_counts_from_readiness(void **state)
+{
+    (void)state;
+    make(6);
+    struct lmn_machine *m = add(50);
+    core->parts[0].ready = false;
+    m->idle = now;
+    struct lmn_machine *lost = add(51);
+    lost->inherited = true;
+    lost->heard = lost->accounted = false;
+    for (int i = 0; i < 30; i++) {
+        core->fresh = m->last = now = lmn_after(now, 1);
+        lmn_upkeep(core, now);
+        assert_false(m->retiring);
+        if (i == 20)
+            lmn_machine_gone(core, lost, now);
+    }
+    assert_true(core->parts[0].ready);
+    for (int i = 0; i < 10; i++) {
+        core->fresh = m->last = now = lmn_after(now, 1);
+        lmn_upkeep(core, now);
+    }
+    assert_true(m->retiring);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -262,6 +289,7 @@
         cmocka_unit_test(unanswered_come_last),
         cmocka_unit_test(lapses_need_ownership),
         cmocka_unit_test(any_lane_asks),
+        cmocka_unit_test(idle_counts_from_readiness),
         cmocka_unit_test(cut_zones_are_waited_for),
         cmocka_unit_test(inherited_ones_are_waited_for_where_the_holder_is),
     };
