Victims save only if who waits can wait for it; no zone is cut right after a takeover

Cause: room was made by tasks that save for 3 s. Half of the expected time to a start is now the most that is waited; else the victim loses what it did since its last own checkpoint.

--- a/src/core.h
+++ b/src/core.h
@@ -97,7 +97,8 @@
     enum lmn_attempt_state state;
     bool counted; /* holds room and quota */
     bool done, seen, killed;
-    bool stop; /* it has to make room */
+    bool stop; /* it has to make room, with so many seconds to save: */
+    double grace;
     bool direct; /* sent straight to the worker, in a call that is under way */
     bool unsure; /* sent in a call without an answer: it may yet arrive, in this session */
     bool listed; /* the worker has named it */
--- a/src/pack.c
+++ b/src/pack.c
@@ -142,7 +142,10 @@
             continue;
         for (guint k = 0; k < m->attempts->len; k++) {
             struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, k);
-            a->stop = a->stop || holds_replica(a);
+            if (!holds_replica(a))
+                continue;
+            a->stop = true;
+            a->grace = a->job->spec.save_s + 1;
         }
         lmn_machine_retire(c, m, false, "its replicas have room elsewhere", now);
         m->poke = true;
--- a/src/preempt.c
+++ b/src/preempt.c
@@ -50,19 +50,34 @@
            (a->state == LMN_A_FETCHING || a->state == LMN_A_RUNNING);
 }
 
-/* Processor seconds that would be lost with it. */
-static double loss(const struct lmn_attempt *a, struct timespec now)
+/* Seconds for which those who wait can wait for others to save: beyond that, and what it takes to
+ * tell and to start, their own expectation of a start would be missed. */
+static double patience(const struct lmn_settings *cfg, const struct lmn_spec *s)
+{
+    double least = INFINITY;
+
+    for (size_t i = 0; i < cfg->nobjectives; i++) {
+        const struct lmn_objective *o = &cfg->objectives[i];
+        if (o->kind == LMN_WAIT && (!*o->class_name || !strcmp(o->class_name, s->class_name)))
+            least = MIN(least, o->within_s);
+    }
+    return least / 2;
+}
+
+/* Processor seconds that would be lost with it; saves: it is given the time. */
+static double loss(const struct lmn_attempt *a, bool saves, struct timespec now)
 {
     const struct lmn_spec *s = &a->job->spec;
-    double work = a->state == LMN_A_FETCHING ? 0
-                  : s->checkpoint_s > 0      ? s->save_s
-                                             : lmn_since(now, a->since);
+    double ran = a->state == LMN_A_FETCHING ? 0 : lmn_since(now, a->since);
+    double work = s->checkpoint_s <= 0 ? ran
+                  : saves              ? MIN(ran, s->save_s)
+                                       : MIN(ran, s->checkpoint_s / 2);
     return s->cpus * (work + RESTART_S);
 }
 
 /* The cheapest way to make room for one more task on the machine: marks the victims if mark is
  * set. Returns the loss; infinity if there is none. */
-static double make_on(struct lmn_machine *m, const struct lmn_spec *s, bool mark,
+static double make_on(struct lmn_machine *m, const struct lmn_spec *s, double patient, bool mark,
                       struct timespec now)
 {
     double cpus = m->type->cpus - m->used_cpus, gpus = m->type->gpus - m->used_gpus;
@@ -71,6 +86,7 @@
 
     while (cpus < s->cpus - 1e-6 || gpus < s->gpus - 1e-6 || mem < s->mem - 1e-6) {
         int best = -1;
+        double least = INFINITY;
         for (guint i = 0; i < m->attempts->len; i++) {
             const struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
             bool again = false;
@@ -78,14 +94,16 @@
                 again = again || taken[k] == i;
             if (again || !lesser(a, s))
                 continue;
-            if (best < 0 || loss(a, now) < loss(&g_array_index(m->attempts, struct lmn_attempt,
-                                                               (guint)best), now))
+            double l = loss(a, a->job->spec.save_s <= patient, now);
+            if (best < 0 || l < least) {
                 best = (int)i;
+                least = l;
+            }
         }
         if (best < 0 || n == G_N_ELEMENTS(taken))
             return INFINITY;
         const struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, (guint)best);
-        sum += loss(a, now);
+        sum += least;
         cpus += a->job->spec.cpus;
         gpus += a->job->spec.gpus;
         mem += a->job->spec.mem;
@@ -94,6 +112,7 @@
     for (guint k = 0; mark && k < n; k++) {
         struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, taken[k]);
         a->stop = true;
+        a->grace = a->job->spec.save_s <= patient ? a->job->spec.save_s + 1 : 0;
         lmn_debug("task-preempt task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s", a->ref,
                   a->index, a->number, m->name);
     }
@@ -140,7 +159,7 @@
             continue;
         double cost = FETCH_WEIGHT * j->spec.cpus * lmn_fetch_s(m, j);
         if (cost < least)
-            cost += make_on(m, &j->spec, false, now);
+            cost += make_on(m, &j->spec, patience(c->cfg, &j->spec), false, now);
         if (cost >= least || lmn_zone_room(j, m->zone) <= promised_in(p, j, m->zone))
             continue;
         least = cost;
@@ -171,7 +190,7 @@
         struct lmn_machine *m = lmn_in_quota(c, p, j) ? place_for(c, p, j, now) : NULL;
         if (!m)
             continue;
-        c->count.preempted += make_on(m, &j->spec, true, now) > 0;
+        c->count.preempted += make_on(m, &j->spec, patience(c->cfg, &j->spec), true, now) > 0;
         m->promised++;
         m->promise_until = lmn_after(now, KEEP_S);
         if (m != w->on) {
--- a/src/range.c
+++ b/src/range.c
@@ -391,6 +391,9 @@
            lmn_since(now, m->last) > MIN(0.6 * c->cfg->lease_s, 1.25 * c->cfg->report_s + 2);
 }
 
+/* By then most of an inherited partition's machines that are alive have answered a question. */
+static const double HEARD_S = 3;
+
 /* How many of a partition's machines are silent, of those that should not be. */
 struct silence {
     const char *zone; /* NULL: of all zones together */
@@ -445,6 +448,9 @@
 static void note_cuts(const struct lmn_core *c, struct lmn_partition *p, const GArray *a,
                       struct timespec now)
 {
+    /* Right after a takeover nobody has been heard yet. */
+    if (lmn_since(now, p->since) < HEARD_S)
+        return;
     for (guint i = 1; i < a->len; i++) {
         const struct silence *s = &g_array_index(a, struct silence, i);
         struct lmn_cut *cut = NULL;
--- a/src/worker.c
+++ b/src/worker.c
@@ -263,7 +263,7 @@
                 c->count.kills++;
             }
         } else if (a->stop && a->state != LMN_A_SAVING) {
-            command(out, W_KILL, a, a->job->spec.save_s + 1);
+            command(out, W_KILL, a, a->grace);
             commands++;
         } else if (m->noticed && a->state == LMN_A_RUNNING &&
                    a->job->spec.checkpoint_s > 0 && !a->killed) {
@@ -505,7 +505,7 @@
         struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
         if (!a->stop || a->killed || a->state == LMN_A_ENDED || !a->range)
             continue;
-        command(out, W_KILL, a, a->job->spec.save_s + 1);
+        command(out, W_KILL, a, a->grace);
         a->killed = true;
         c->count.kills++;
         n++;
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -574,6 +574,52 @@
     }
 }
 
+/* Those who make room save if the one who waits can wait for it: with a start expected within 5 s,
+ * 3 s of saving came before a fetch and made most starts late. */
+static void saving_takes_no_more_time_than_there_is(void **state)
+{
+    (void)state;
+    for (int hurry = 0; hurry < 2; hurry++) {
+        make(1);
+        struct lmn_partition *p = &core->parts[0];
+        struct lmn_range *prod = jobs[3].ranges->pdata[0], *low = jobs[4].ranges->pdata[0];
+        GHashTableIter it;
+        gpointer v;
+        uint32_t at = 0;
+        guint stopped = 0;
+        core->fresh = now;
+        core->synced = true;
+        if (hurry) {
+            cfg.objectives[0] = (struct lmn_objective){.kind = LMN_WAIT, .class_name = "c", .within_s = 5};
+            cfg.nobjectives = 1;
+        }
+        jobs[3].spec.cpus = jobs[4].spec.cpus = 8;
+        jobs[3].spec.spot = true;
+        jobs[4].spec.urgency = LMN_NORMAL;
+        jobs[4].spec.checkpoint_s = 15;
+        jobs[4].spec.save_s = 3;
+        jobs[4].spec.tasks = low->hi = MACHINES;
+        low->done = g_malloc0(8);
+        lmn_range_open(core, low);
+        g_hash_table_iter_init(&it, p->machines);
+        while (g_hash_table_iter_next(&it, NULL, &v)) {
+            ((struct lmn_machine *)v)->last = now;
+            run(v, low, at++);
+        }
+        lmn_queue_add(&p->limbo, prod, 0, 1);
+        lmn_make_room(core, p, now);
+        g_hash_table_iter_init(&it, p->machines);
+        while (g_hash_table_iter_next(&it, NULL, &v)) {
+            const struct lmn_attempt *a =
+                &g_array_index(((struct lmn_machine *)v)->attempts, struct lmn_attempt, 0);
+            stopped += a->stop;
+            if (a->stop)
+                assert_true(a->grace == (hurry ? 0 : 4));
+        }
+        assert_int_equal(stopped, 1);
+    }
+}
+
 /* Replicas left over on many machines are moved together, one machine at a time and only if all of
  * its own have room elsewhere; nothing moves while work waits, or right after a start. */
 static void replicas_are_packed(void **state)
@@ -669,6 +715,7 @@
         cmocka_unit_test(services_are_never_lost),
         cmocka_unit_test(room_is_made),
         cmocka_unit_test(replicas_are_packed),
+        cmocka_unit_test(saving_takes_no_more_time_than_there_is),
         cmocka_unit_test(spread_is_dealt),
         cmocka_unit_test(triage_is_best),
         cmocka_unit_test(images_count),
