--- a/src/pack.c
+++ b/src/pack.c
@@ -1,6 +1,7 @@
-/* Services end one by one, and leave the others scattered over machines that are half empty and
- * paid for whole. While nothing waits, the replicas of the emptiest machine are moved onto room
- * that others have, and the machine goes. Work with an end is left to run out. */
+/* Services end one by one, and leave the others scattered over machines that are half
+ * empty and paid for whole. While nothing waits, the replicas of the emptiest machine are
+ * moved onto room that others have, and the machine goes. Work with an end is left to run
+ * out. */
 #include "core.h"
 #include "log.h"
 
@@ -19,10 +20,11 @@
     double cpus, gpus, mem; /* free */
 };
 
-static bool steady(const struct lmn_core *c, const struct lmn_machine *m, struct timespec now)
+static bool steady(const struct lmn_core *c, const struct lmn_machine *m,
+                   struct timespec now)
 {
-    return m->type && m->rev && m->accounted && !m->retiring && !m->noticed && !m->lapsed &&
-           !m->is_gone && !m->promised && !lmn_machine_silent(c, m, now);
+    return m->type && m->rev && m->accounted && !m->retiring && !m->noticed &&
+           !m->lapsed && !m->is_gone && !m->promised && !lmn_machine_silent(c, m, now);
 }
 
 static bool holds_replica(const struct lmn_attempt *a)
--- a/src/place.c
+++ b/src/place.c
@@ -3,8 +3,9 @@
 
 #include <string.h>
 
-/* Kept, not counted anew for each candidate: looking at every machine each time would grow with
- * the square of their number. Such a job lies whole in one partition, so its owner sees all. */
+/* Kept, not counted anew for each candidate: looking at every machine each time would
+ * grow with the square of their number. Such a job lies whole in one partition, so its
+ * owner sees all. */
 void lmn_zone_count(struct lmn_job *j, const char *zone, int n)
 {
     struct lmn_zone_tasks *z;
@@ -29,7 +30,8 @@
     int here = 0, elsewhere = 0, most = (int)((j->spec.tasks + 1) / 2);
 
     for (guint i = 0; j->zones && i < j->zones->len; i++) {
-        const struct lmn_zone_tasks *z = &g_array_index(j->zones, struct lmn_zone_tasks, i);
+        const struct lmn_zone_tasks *z =
+            &g_array_index(j->zones, struct lmn_zone_tasks, i);
         if (!strcmp(z->zone, zone))
             here += z->tasks;
         else
--- a/src/preempt.c
+++ b/src/preempt.c
@@ -1,6 +1,7 @@
-/* Room is made for tasks of production that wait: lesser tasks are stopped for them, as the
- * protocol's "Preemption" allows, and no further. A machine on which room is being made starts
- * nothing less urgent until then; otherwise small tasks would take each piece as it becomes free. */
+/* Room is made for tasks of production that wait: lesser tasks are stopped for them, as
+ * the protocol's "Preemption" allows, and no further. A machine on which room is being
+ * made starts nothing less urgent until then; otherwise small tasks would take each piece
+ * as it becomes free. */
 #include "core.h"
 #include "log.h"
 
@@ -10,8 +11,8 @@
 /* How many tasks are helped at a time, and how long a machine's room is kept for them. */
 enum { HELPED_AT_ONCE = 16 };
 static const double KEEP_S = 8;
-/* What is lost by stopping a task, beyond its work: it has to be started again, as if so much of
- * its work were lost. */
+/* What is lost by stopping a task, beyond its work: it has to be started again, as if so
+ * much of its work were lost. */
 static const double RESTART_S = 5;
 /* What a second of fetching an image counts against a second of work lost. */
 static const double FETCH_WEIGHT = 4;
@@ -23,14 +24,16 @@
     uint32_t index;
 };
 
-static void collect(struct lmn_queue *q, struct lmn_machine *on, GArray *out, struct timespec now)
+static void collect(struct lmn_queue *q, struct lmn_machine *on, GArray *out,
+                    struct timespec now)
 {
     uint32_t skip = on ? on->promised : 0;
 
     for (guint i = 0; i < q->segs->len && out->len < HELPED_AT_ONCE; i++) {
         const struct lmn_seg *s = q->segs->pdata[i];
         const struct lmn_job *j = s->range->job;
-        if (j->spec.urgency != LMN_PROD || j->phase != LMN_ACTIVE || lmn_before(now, j->hold))
+        if (j->spec.urgency != LMN_PROD || j->phase != LMN_ACTIVE ||
+            lmn_before(now, j->hold))
             continue;
         for (uint32_t k = s->lo; k < s->hi && out->len < HELPED_AT_ONCE; k++) {
             struct waiting w = {q, on, s->range, k};
@@ -50,15 +53,16 @@
            (a->state == LMN_A_FETCHING || a->state == LMN_A_RUNNING);
 }
 
-/* Seconds for which those who wait can wait for others to save: beyond that, and what it takes to
- * tell and to start, their own expectation of a start would be missed. */
+/* Seconds for which those who wait can wait for others to save: beyond that, and what it
+ * takes to tell and to start, their own expectation of a start would be missed. */
 static double patience(const struct lmn_settings *cfg, const struct lmn_spec *s)
 {
     double least = INFINITY;
 
     for (size_t i = 0; i < cfg->nobjectives; i++) {
         const struct lmn_objective *o = &cfg->objectives[i];
-        if (o->kind == LMN_WAIT && (!*o->class_name || !strcmp(o->class_name, s->class_name)))
+        if (o->kind == LMN_WAIT &&
+            (!*o->class_name || !strcmp(o->class_name, s->class_name)))
             least = MIN(least, o->within_s);
     }
     return least / 2;
@@ -75,10 +79,10 @@
     return s->cpus * (work + RESTART_S);
 }
 
-/* The cheapest way to make room for one more task on the machine: marks the victims if mark is
- * set. Returns the loss; infinity if there is none. */
-static double make_on(struct lmn_machine *m, const struct lmn_spec *s, double patient, bool mark,
-                      struct timespec now)
+/* The cheapest way to make room for one more task on the machine: marks the victims if
+ * mark is set. Returns the loss; infinity if there is none. */
+static double make_on(struct lmn_machine *m, const struct lmn_spec *s, double patient,
+                      bool mark, struct timespec now)
 {
     double cpus = m->type->cpus - m->used_cpus, gpus = m->type->gpus - m->used_gpus;
     double mem = m->type->mem - m->used_mem, sum = 0;
@@ -88,7 +92,8 @@
         int best = -1;
         double least = INFINITY;
         for (guint i = 0; i < m->attempts->len; i++) {
-            const struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
+            const struct lmn_attempt *a =
+                &g_array_index(m->attempts, struct lmn_attempt, i);
             bool again = false;
             for (guint k = 0; k < n; k++)
                 again = again || taken[k] == i;
@@ -102,7 +107,8 @@
         }
         if (best < 0 || n == G_N_ELEMENTS(taken))
             return INFINITY;
-        const struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, (guint)best);
+        const struct lmn_attempt *a =
+            &g_array_index(m->attempts, struct lmn_attempt, (guint)best);
         sum += least;
         cpus += a->job->spec.cpus;
         gpus += a->job->spec.gpus;
@@ -113,8 +119,8 @@
         struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, taken[k]);
         a->stop = true;
         a->grace = a->job->spec.save_s <= patient ? a->job->spec.save_s + 1 : 0;
-        lmn_debug("task-preempt task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s", a->ref,
-                  a->index, a->number, m->name);
+        lmn_debug("task-preempt task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s",
+                  a->ref, a->index, a->number, m->name);
     }
     return sum;
 }
@@ -190,7 +196,8 @@
         struct lmn_machine *m = lmn_in_quota(c, p, j) ? place_for(c, p, j, now) : NULL;
         if (!m)
             continue;
-        c->count.preempted += make_on(m, &j->spec, patience(c->cfg, &j->spec), true, now) > 0;
+        c->count.preempted +=
+            make_on(m, &j->spec, patience(c->cfg, &j->spec), true, now) > 0;
         m->promised++;
         m->promise_until = lmn_after(now, KEEP_S);
         if (m != w->on) {
