--- a/src/preempt.c
+++ b/src/preempt.c
@@ -176,12 +176,12 @@
 
 void lmn_make_room(struct lmn_core *c, struct lmn_partition *p, struct timespec now)
 {
-    GArray *wait = g_array_new(FALSE, FALSE, sizeof(struct waiting));
     GHashTableIter it;
     gpointer v;
 
     if (!p->mine || p->releasing)
         return;
+    GArray *wait = g_array_new(FALSE, FALSE, sizeof(struct waiting));
     g_hash_table_iter_init(&it, p->machines);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         struct lmn_machine *m = v;
