--- a/src/budget.h
+++ b/src/base/budget.h
@@ -2,7 +2,7 @@
 #ifndef LMN_BUDGET_H
 #define LMN_BUDGET_H
 
-#include "clock.h"
+#include "base/clock.h"
 
 struct lmn_budget {
     double rate, burst, level;
@@ -26,7 +26,8 @@
     b->at = now;
 }
 
-/* Seconds until n may be taken; 0 takes it. More than a burst is taken from a full bucket. */
+/* Seconds until n may be taken; 0 takes it. More than a burst is taken from a full
+ * bucket. */
 static inline double lmn_budget_take(struct lmn_budget *b, double n, struct timespec now)
 {
     double need = n < b->burst ? n : b->burst;
--- a/src/clock.h
+++ b/src/base/clock.h
@@ -16,7 +16,8 @@
     return t;
 }
 
-/* The time of day: good for comparing with other nodes within the settings' bound only. */
+/* The time of day: good for comparing with other nodes within the settings' bound only.
+ */
 static inline struct timespec lmn_wall(void)
 {
     struct timespec t;
--- a/src/codec.c
+++ b/src/base/codec.c
@@ -1,4 +1,4 @@
-#include "codec.h"
+#include "base/codec.h"
 
 #include <cbor.h>
 #include <math.h>
@@ -258,7 +258,8 @@
 
 bool lmn_is(const struct lmn_node *n, const char *text)
 {
-    return n && n->type == LMN_TEXT && n->len == strlen(text) && !memcmp(n->s, text, n->len);
+    return n && n->type == LMN_TEXT && n->len == strlen(text) &&
+           !memcmp(n->s, text, n->len);
 }
 
 bool lmn_text(const struct lmn_node *n, char *out, size_t len)
--- a/src/codec.h
+++ b/src/base/codec.h
@@ -10,7 +10,16 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-enum lmn_node_type { LMN_NULL, LMN_BOOL, LMN_UINT, LMN_NEGINT, LMN_FLOAT, LMN_TEXT, LMN_LIST, LMN_MAP };
+enum lmn_node_type {
+    LMN_NULL,
+    LMN_BOOL,
+    LMN_UINT,
+    LMN_NEGINT,
+    LMN_FLOAT,
+    LMN_TEXT,
+    LMN_LIST,
+    LMN_MAP
+};
 
 struct lmn_node {
     uint8_t type;
--- a/src/http_client.c
+++ b/src/base/http_client.c
@@ -1,4 +1,4 @@
-#include "http_client.h"
+#include "base/http_client.h"
 
 #include <curl/curl.h>
 #include <string.h>
@@ -47,8 +47,8 @@
     g_free(h);
 }
 
-int lmn_http_call(struct lmn_http *h, const char *method, const char *path, const GByteArray *body,
-                  double timeout_s, GByteArray *out)
+int lmn_http_call(struct lmn_http *h, const char *method, const char *path,
+                  const GByteArray *body, double timeout_s, GByteArray *out)
 {
     char url[512];
     long status = 0;
--- a/src/http_client.h
+++ b/src/base/http_client.h
@@ -11,9 +11,9 @@
 
 struct lmn_http *lmn_http_new(const char *addr);
 void lmn_http_free(struct lmn_http *h);
-/* Returns the status, or one of the above: LMN_NOT_SENT only when the request can't have been
- * executed. The answer's body replaces what is in out. */
-int lmn_http_call(struct lmn_http *h, const char *method, const char *path, const GByteArray *body,
-                  double timeout_s, GByteArray *out);
+/* Returns the status, or one of the above: LMN_NOT_SENT only when the request can't have
+ * been executed. The answer's body replaces what is in out. */
+int lmn_http_call(struct lmn_http *h, const char *method, const char *path,
+                  const GByteArray *body, double timeout_s, GByteArray *out);
 
 #endif
--- /dev/null
+++ b/src/base/httpd.c
@@ -0,0 +1,301 @@
+#include "base/httpd.h"
+#include "base/clock.h"
+#include "base/settings.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <microhttpd.h>
+#include <pthread.h>
+#include <string.h>
+
+struct lmn_httpd {
+    struct MHD_Daemon *daemon;
+    lmn_route *route;
+    void *arg;
+    size_t max_body;
+    double patience_s;
+    pthread_mutex_t lock; /* of the calls' phases and of waiting */
+    GQueue waiting;
+};
+
+struct lmn_call {
+    struct lmn_httpd *server;
+    struct MHD_Connection *conn;
+    char *path;
+    GByteArray *body, *answer;
+    const char *type;
+    enum { CALL_READING, CALL_WAITING, CALL_ANSWERED } phase;
+    enum lmn_method method;
+    int status, retry_after, holds;
+    bool too_big;
+    struct timespec since;
+    GList *link;
+};
+
+static const char CBOR[] = "application/cbor";
+
+const char *lmn_call_path(const struct lmn_call *call)
+{
+    return call->path;
+}
+
+const GByteArray *lmn_call_body(const struct lmn_call *call)
+{
+    return call->body;
+}
+
+enum lmn_method lmn_call_method(const struct lmn_call *call)
+{
+    return call->method;
+}
+
+const char *lmn_call_query(const struct lmn_call *call, const char *name)
+{
+    return MHD_lookup_connection_value(call->conn, MHD_GET_ARGUMENT_KIND, name);
+}
+
+int lmn_call_port(const struct lmn_call *call)
+{
+    const union MHD_ConnectionInfo *i =
+        MHD_get_connection_info(call->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+    struct sockaddr_in a;
+    socklen_t len = sizeof a;
+
+    if (!i || getsockname(i->connect_fd, (struct sockaddr *)&a, &len) != 0)
+        return -1;
+    return ntohs(a.sin_port);
+}
+
+static void drop(struct lmn_call *call)
+{
+    if (--call->holds > 0)
+        return;
+    g_free(call->path);
+    g_byte_array_unref(call->body);
+    if (call->answer)
+        g_byte_array_unref(call->answer);
+    g_free(call);
+}
+
+/* The server's lock is held. */
+static void set_answer(struct lmn_call *call, int status, const char *type,
+                       GByteArray *body, int retry_after)
+{
+    bool resume = call->phase == CALL_WAITING;
+
+    call->phase = CALL_ANSWERED;
+    call->status = status;
+    call->type = type;
+    call->answer = body;
+    call->retry_after = retry_after;
+    if (resume) {
+        g_queue_delete_link(&call->server->waiting, call->link);
+        call->link = NULL;
+        MHD_resume_connection(call->conn);
+    }
+}
+
+static void answer(struct lmn_call *call, int status, const char *type, GByteArray *body,
+                   int retry_after)
+{
+    struct lmn_httpd *h = call->server;
+
+    pthread_mutex_lock(&h->lock);
+    bool was_held = call->phase != CALL_READING;
+    if (call->phase == CALL_ANSWERED) {
+        if (body)
+            g_byte_array_unref(body);
+    } else {
+        set_answer(call, status, type, body, retry_after);
+    }
+    if (was_held)
+        drop(call);
+    pthread_mutex_unlock(&h->lock);
+}
+
+void lmn_call_answer(struct lmn_call *call, int status, GByteArray *body, int retry_after)
+{
+    answer(call, status, CBOR, body, retry_after);
+}
+
+void lmn_call_answer_as(struct lmn_call *call, int status, const char *type,
+                        GByteArray *body)
+{
+    answer(call, status, type, body, 0);
+}
+
+void lmn_call_fail(struct lmn_call *call, int status, const char *what)
+{
+    GByteArray *b = g_byte_array_new();
+
+    lmn_put_map(b, 1);
+    lmn_put_text(b, "error"), lmn_put_text(b, what);
+    answer(call, status, CBOR, b, 0);
+}
+
+void lmn_call_hold(struct lmn_call *call)
+{
+    struct lmn_httpd *h = call->server;
+
+    pthread_mutex_lock(&h->lock);
+    call->holds++;
+    call->phase = CALL_WAITING;
+    g_queue_push_tail(&h->waiting, call);
+    call->link = h->waiting.tail;
+    MHD_suspend_connection(call->conn);
+    pthread_mutex_unlock(&h->lock);
+}
+
+void lmn_httpd_sweep(struct lmn_httpd *h)
+{
+    struct timespec now = lmn_now();
+
+    if (h->patience_s <= 0)
+        return;
+    pthread_mutex_lock(&h->lock);
+    while (h->waiting.head) {
+        struct lmn_call *call = h->waiting.head->data;
+        if (lmn_since(now, call->since) < h->patience_s)
+            break;
+        set_answer(call, 503, CBOR, NULL, 1);
+    }
+    pthread_mutex_unlock(&h->lock);
+}
+
+static enum MHD_Result reply(struct lmn_call *call)
+{
+    GByteArray *a = call->answer;
+    struct MHD_Response *r = MHD_create_response_from_buffer(
+        a ? a->len : 0, a && a->len ? a->data : (void *)"", MHD_RESPMEM_MUST_COPY);
+    enum MHD_Result ok;
+
+    if (a && a->len)
+        MHD_add_response_header(r, "Content-Type", call->type);
+    if (call->retry_after) {
+        char t[16];
+        g_snprintf(t, sizeof t, "%d", call->retry_after);
+        MHD_add_response_header(r, "Retry-After", t);
+    }
+    ok = MHD_queue_response(call->conn, (unsigned)call->status, r);
+    MHD_destroy_response(r);
+    return ok;
+}
+
+static enum lmn_method method_of(const char *word)
+{
+    static const char *const words[] = {"GET", "POST", "PUT", "DELETE"};
+
+    for (guint i = 0; i < G_N_ELEMENTS(words); i++)
+        if (!strcmp(word, words[i]))
+            return (enum lmn_method)i;
+    return LMN_OTHER_METHOD;
+}
+
+static enum MHD_Result handler(void *arg, struct MHD_Connection *conn, const char *url,
+                               const char *method, const char *version, const char *data,
+                               size_t *size, void **state)
+{
+    struct lmn_call *call = *state;
+    struct lmn_httpd *h = arg;
+    (void)version;
+
+    if (!call) {
+        call = g_new0(struct lmn_call, 1);
+        call->server = h;
+        call->conn = conn;
+        call->path = g_strdup(url);
+        call->body = g_byte_array_new();
+        call->holds = 1;
+        call->since = lmn_now();
+        call->method = method_of(method);
+        *state = call;
+        return MHD_YES;
+    }
+    if (*size) {
+        if (call->body->len + *size > h->max_body)
+            call->too_big = true; /* read to its end, kept nowhere */
+        else
+            g_byte_array_append(call->body, (const guint8 *)data, (guint)*size);
+        *size = 0;
+        return MHD_YES;
+    }
+    if (call->phase == CALL_READING) {
+        if (call->method == LMN_OTHER_METHOD)
+            lmn_call_answer(call, 405, NULL, 0);
+        else if (call->too_big)
+            lmn_call_answer(call, 400, NULL, 0);
+        else
+            h->route(h->arg, call);
+    }
+    pthread_mutex_lock(&h->lock);
+    bool ready = call->phase == CALL_ANSWERED;
+    pthread_mutex_unlock(&h->lock);
+    return ready ? reply(call) : MHD_YES;
+}
+
+static void completed(void *arg, struct MHD_Connection *conn, void **state,
+                      enum MHD_RequestTerminationCode why)
+{
+    struct lmn_call *call = *state;
+    struct lmn_httpd *h = arg;
+    (void)conn;
+    (void)why;
+
+    if (!call)
+        return;
+    pthread_mutex_lock(&h->lock);
+    if (call->phase == CALL_WAITING) {
+        g_queue_delete_link(&h->waiting, call->link);
+        call->link = NULL;
+    }
+    call->phase = CALL_ANSWERED;
+    drop(call);
+    pthread_mutex_unlock(&h->lock);
+    *state = NULL;
+}
+
+struct lmn_httpd *lmn_httpd_start(const struct lmn_httpd_options *o)
+{
+    struct lmn_httpd *h = g_new0(struct lmn_httpd, 1);
+    struct sockaddr_in a = {.sin_family = AF_INET};
+    char host[LMN_ADDR];
+    int port = 0;
+    unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME;
+
+    pthread_mutex_init(&h->lock, NULL);
+    h->route = o->route;
+    h->arg = o->arg;
+    h->max_body = o->max_body;
+    h->patience_s = o->patience_s;
+    if (!o->listen) {
+        flags |= MHD_USE_NO_LISTEN_SOCKET | MHD_USE_ITC;
+    } else {
+        if (lmn_addr_split(o->listen, host, sizeof host, &port) != 0) {
+            errno = EINVAL;
+            g_free(h);
+            return NULL;
+        }
+        a.sin_port = htons((uint16_t)port);
+        inet_pton(AF_INET, host, &a.sin_addr);
+    }
+    h->daemon = MHD_start_daemon(
+        flags, (uint16_t)port, NULL, NULL, handler, h, MHD_OPTION_SOCK_ADDR,
+        (struct sockaddr *)&a, MHD_OPTION_NOTIFY_COMPLETED, completed, h,
+        MHD_OPTION_CONNECTION_LIMIT, o->connections, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+        o->call_memory ? o->call_memory : (size_t)32768, MHD_OPTION_CONNECTION_TIMEOUT,
+        90u, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_THREAD_STACK_SIZE,
+        (size_t)(256 * 1024), MHD_OPTION_END);
+    if (!h->daemon)
+        g_clear_pointer(&h, g_free);
+    return h;
+}
+
+int lmn_httpd_adopt(struct lmn_httpd *h, int fd)
+{
+    struct sockaddr_in a = {.sin_family = AF_INET};
+    socklen_t len = sizeof a;
+
+    getpeername(fd, (struct sockaddr *)&a, &len);
+    return MHD_add_connection(h->daemon, fd, (struct sockaddr *)&a, len) == MHD_YES ? 0
+                                                                                    : -1;
+}
--- /dev/null
+++ b/src/base/httpd.h
@@ -0,0 +1,58 @@
+/* HTTP servers by libmicrohttpd: one polling thread a server; a request that waits for
+ * something is held, and answered later from any thread, so that thousands that wait cost
+ * no thread each. */
+#ifndef LMN_HTTPD_H
+#define LMN_HTTPD_H
+
+#include "base/codec.h"
+
+struct lmn_httpd;
+/* One request whose answer may come later, from another thread. */
+struct lmn_call;
+
+enum lmn_method { LMN_GET, LMN_POST, LMN_PUT, LMN_DELETE, LMN_OTHER_METHOD };
+
+/* Answers the call, or holds it. On the server's thread: it must not wait for anything.
+ */
+typedef void lmn_route(void *arg, struct lmn_call *call);
+
+struct lmn_httpd_options {
+    const char *listen; /* "IPv4:port"; NULL: connections come by lmn_httpd_adopt alone */
+    unsigned connections; /* at most so many; further ones are refused */
+    size_t max_body;    /* bytes; a longer one is read, kept nowhere, and answered 400 */
+    size_t call_memory; /* bytes that libmicrohttpd sets aside for a connection; 0: its
+                           default */
+    double patience_s;  /* what is held for longer is answered 503 by lmn_httpd_sweep; 0:
+                           never */
+    lmn_route *route;
+    void *arg;
+};
+
+/* NULL if it can't listen (errno tells). Serves until the process ends. */
+struct lmn_httpd *lmn_httpd_start(const struct lmn_httpd_options *o);
+/* Serves a connection that the caller has accepted; takes fd over. -1 if it can't. */
+int lmn_httpd_adopt(struct lmn_httpd *h, int fd);
+/* Calls that have waited too long are answered 503 now. */
+void lmn_httpd_sweep(struct lmn_httpd *h);
+
+enum lmn_method lmn_call_method(const struct lmn_call *call);
+const char *lmn_call_path(const struct lmn_call *call);
+const GByteArray *lmn_call_body(const struct lmn_call *call);
+/* A query's value; NULL if there is none. Valid until the call is answered; only on the
+ * server's thread. */
+const char *lmn_call_query(const struct lmn_call *call, const char *name);
+/* The connection's local port, for servers of many addresses. */
+int lmn_call_port(const struct lmn_call *call);
+/* Answers it with CBOR; whoever comes first counts. retry_after in seconds, 0: none.
+ * Takes over the body (NULL: none). Gives up the caller's hold. */
+void lmn_call_answer(struct lmn_call *call, int status, GByteArray *body,
+                     int retry_after);
+/* The same with a body of another type, as in "text/plain". */
+void lmn_call_answer_as(struct lmn_call *call, int status, const char *type,
+                        GByteArray *body);
+/* {"error": what} */
+void lmn_call_fail(struct lmn_call *call, int status, const char *what);
+/* The answer will come from another thread, which now holds the call. */
+void lmn_call_hold(struct lmn_call *call);
+
+#endif
--- a/src/job.c
+++ b/src/base/job.c
@@ -1,5 +1,5 @@
-#include "job.h"
-#include "wire.h"
+#include "base/job.h"
+#include "base/wire.h"
 
 #include <math.h>
 #include <string.h>
@@ -15,7 +15,8 @@
     return strspn(ref + head, "0123456789") == len - head;
 }
 
-static bool get_word(const struct lmn_doc *d, const struct lmn_node *m, const char *key, char **out)
+static bool get_word(const struct lmn_doc *d, const struct lmn_node *m, const char *key,
+                     char **out)
 {
     char t[LONG_TEXT];
 
@@ -72,15 +73,16 @@
     int kind, urgency;
 
     memset(s, 0, sizeof *s);
-#define NEED(field, ok)                                                                            \
-    do {                                                                                           \
-        if (!(ok)) {                                                                               \
-            *what = field;                                                                         \
-            return -1;                                                                             \
-        }                                                                                          \
+#define NEED(field, ok)                                                                  \
+    do {                                                                                 \
+        if (!(ok)) {                                                                     \
+            *what = field;                                                               \
+            return -1;                                                                   \
+        }                                                                                \
     } while (0)
     NEED("body", m && m->type == LMN_MAP);
-    NEED(W_ID, lmn_text(lmn_get(d, m, W_ID), s->ref, sizeof s->ref) && lmn_ref_ok(s->ref));
+    NEED(W_ID,
+         lmn_text(lmn_get(d, m, W_ID), s->ref, sizeof s->ref) && lmn_ref_ok(s->ref));
     NEED(W_CLASS, get_word(d, m, W_CLASS, &s->class_name));
     NEED(W_TEAM, get_word(d, m, W_TEAM, &s->team));
     kind = get_one_of(lmn_get(d, m, W_KIND), kinds);
--- a/src/job.h
+++ b/src/base/job.h
@@ -2,8 +2,8 @@
 #ifndef LMN_JOB_H
 #define LMN_JOB_H
 
-#include "codec.h"
-#include "settings.h"
+#include "base/codec.h"
+#include "base/settings.h"
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -41,8 +41,8 @@
 bool lmn_ref_ok(const char *ref);
 /* 0, or -1 if a field is missing or invalid; *what then says which. Frees nothing it took
  * on failure but what lmn_spec_clear frees. */
-int lmn_spec_parse(struct lmn_spec *s, const struct lmn_doc *doc, const struct lmn_node *map,
-                   const char **what);
+int lmn_spec_parse(struct lmn_spec *s, const struct lmn_doc *doc,
+                   const struct lmn_node *map, const char **what);
 void lmn_spec_clear(struct lmn_spec *s);
 /* Appends the fields as pairs of an open map: as many as lmn_spec_pairs says. */
 void lmn_spec_put(GByteArray *b, const struct lmn_spec *s);
@@ -54,7 +54,8 @@
 bool lmn_spec_possible(const struct lmn_spec *s, const struct lmn_settings *cfg,
                        const struct lmn_types *types, const char **why);
 
-/* Sets of done tasks: one bit a task, as text of hexadecimal digits without closing zeros. */
+/* Sets of done tasks: one bit a task, as text of hexadecimal digits without closing
+ * zeros. */
 static inline bool lmn_bit(const uint8_t *bits, uint32_t i)
 {
     return bits[i / 8] >> (i % 8) & 1;
--- a/src/latency.c
+++ b/src/base/latency.c
@@ -1,4 +1,4 @@
-#include "latency.h"
+#include "base/latency.h"
 
 #include <math.h>
 
@@ -8,7 +8,8 @@
 {
     double edges[BINS + 1];
 
-    /* Ten bins a power of ten, from 0.1 ms to 100 s; what is beyond counts with the ends. */
+    /* Ten bins a power of ten, from 0.1 ms to 100 s; what is beyond counts with the ends.
+     */
     for (int i = 0; i <= BINS; i++)
         edges[i] = pow(10, -4 + i / 10.0);
     l->h = gsl_histogram_alloc(BINS);
--- a/src/log.c
+++ b/src/base/log.c
@@ -1,4 +1,4 @@
-#include "log.h"
+#include "base/log.h"
 
 #include <glib.h>
 #include <stdarg.h>
--- a/src/settings.c
+++ b/src/base/settings.c
@@ -1,4 +1,4 @@
-#include "settings.h"
+#include "base/settings.h"
 
 #include <arpa/inet.h>
 #include <stdlib.h>
@@ -33,7 +33,8 @@
     memcpy(host, addr, (size_t)(colon - addr));
     host[colon - addr] = '\0';
     long p = strtol(colon + 1, &end, 10);
-    if (end == colon + 1 || *end || p < 1 || p > 65535 || inet_pton(AF_INET, host, &ip) != 1)
+    if (end == colon + 1 || *end || p < 1 || p > 65535 ||
+        inet_pton(AF_INET, host, &ip) != 1)
         return -1;
     *port = (int)p;
     return 0;
--- a/src/settings.h
+++ b/src/base/settings.h
@@ -4,7 +4,13 @@
 
 #include <stddef.h>
 
-enum { LMN_NAME = 64, LMN_ADDR = 64, LMN_MAX_MEMBERS = 32, LMN_MAX_TEAMS = 64, LMN_MAX_OBJECTIVES = 64 };
+enum {
+    LMN_NAME = 64,
+    LMN_ADDR = 64,
+    LMN_MAX_MEMBERS = 32,
+    LMN_MAX_TEAMS = 64,
+    LMN_MAX_OBJECTIVES = 64
+};
 
 struct lmn_member {
     char name[LMN_NAME], zone[LMN_NAME], addr[LMN_ADDR];
@@ -16,8 +22,8 @@
     double cpus, cpus_max, gpus, gpus_max;
 };
 
-/* What is expected of a class of jobs: tasks started (wait) or the job done (finished) within a
- * time, or the job done within so many times its deadline. */
+/* What is expected of a class of jobs: tasks started (wait) or the job done (finished)
+ * within a time, or the job done within so many times its deadline. */
 enum lmn_objective_kind { LMN_WAIT, LMN_FINISH, LMN_DEADLINE, LMN_GUARANTEE };
 struct lmn_objective {
     enum lmn_objective_kind kind;
@@ -48,8 +54,8 @@
 #endif
 /* Fills *s from the file. On failure returns -1 and puts "file: field: what" in err. */
 int lmn_settings_load(const char *path, struct lmn_settings *s, char *err, size_t errlen);
-int lmn_settings_parse(const char *text, const char *name, struct lmn_settings *s, char *err,
-                       size_t errlen);
+int lmn_settings_parse(const char *text, const char *name, struct lmn_settings *s,
+                       char *err, size_t errlen);
 
 /* How many connections to workers a node keeps open for its own calls. */
 static inline unsigned lmn_direct_connections(const struct lmn_settings *s)
--- a/src/thread.c
+++ b/src/base/thread.c
@@ -1,6 +1,6 @@
-#include "thread.h"
-#include "clock.h"
-#include "log.h"
+#include "base/thread.h"
+#include "base/clock.h"
+#include "base/log.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/toml.cpp
+++ b/src/base/toml.cpp
@@ -1,5 +1,5 @@
 // The one C++ file: libtomlplusplus, since Debian packages no C library for TOML.
-#include "settings.h"
+#include "base/settings.h"
 
 #include <cmath>
 #include <cstdio>
--- a/src/tuning.c
+++ b/src/base/tuning.c
@@ -1,4 +1,4 @@
-#include "tuning.h"
+#include "base/tuning.h"
 
 #include <stddef.h>
 #include <stdio.h>
@@ -40,7 +40,8 @@
     return *(const double *)((const char *)t + fields[i].at);
 }
 
-int lmn_tuning_set(struct lmn_tuning *t, const char *name, double value, char *err, size_t len)
+int lmn_tuning_set(struct lmn_tuning *t, const char *name, double value, char *err,
+                   size_t len)
 {
     for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
         if (strcmp(fields[i].name, name))
@@ -68,7 +69,8 @@
     return b;
 }
 
-void lmn_tuning_read(struct lmn_tuning *t, const struct lmn_doc *doc, const struct lmn_node *value)
+void lmn_tuning_read(struct lmn_tuning *t, const struct lmn_doc *doc,
+                     const struct lmn_node *value)
 {
     char err[128];
     double v;
--- a/src/tuning.h
+++ b/src/base/tuning.h
@@ -1,14 +1,15 @@
-/* Operators' own settings: set through the administration API, kept in the state service. */
+/* Operators' own settings: set through the administration API, kept in the state service.
+ */
 #ifndef LMN_TUNING_H
 #define LMN_TUNING_H
 
-#include "codec.h"
+#include "base/codec.h"
 
 struct lmn_tuning {
-    double sample;        /* queues asked in a steal; 0: the square root of their number */
-    double share;         /* part of the busiest queue that a steal takes */
-    double poll_floor_s;  /* first interval after a failed steal */
-    double poll_cap_s;    /* longest interval */
+    double sample;       /* queues asked in a steal; 0: the square root of their number */
+    double share;        /* part of the busiest queue that a steal takes */
+    double poll_floor_s; /* first interval after a failed steal */
+    double poll_cap_s;   /* longest interval */
     double idle_return_s; /* a machine idle for this long is returned */
     double spare_cpus;    /* processors kept beyond the demand */
     double horizon_s;     /* backlog that may be worked off in this time rents nothing */
@@ -19,9 +20,11 @@
 /* Names one setting; NULL past the last. */
 const char *lmn_tuning_name(size_t i);
 /* 0, or -1 with what is wrong in err. */
-int lmn_tuning_set(struct lmn_tuning *t, const char *name, double value, char *err, size_t len);
+int lmn_tuning_set(struct lmn_tuning *t, const char *name, double value, char *err,
+                   size_t len);
 double lmn_tuning_value(const struct lmn_tuning *t, size_t i);
 GByteArray *lmn_tuning_record(const struct lmn_tuning *t);
-void lmn_tuning_read(struct lmn_tuning *t, const struct lmn_doc *doc, const struct lmn_node *value);
+void lmn_tuning_read(struct lmn_tuning *t, const struct lmn_doc *doc,
+                     const struct lmn_node *value);
 
 #endif
--- a/src/fleet.c
+++ b/src/decide/fleet.c
@@ -1,5 +1,5 @@
-#include "fleet.h"
-#include "log.h"
+#include "decide/fleet.h"
+#include "state/core.h"
 
 #include <math.h>
 #include <string.h>
@@ -15,8 +15,8 @@
     double cpus, mem;
 };
 
-/* Processors that each open range could use: all of a service's, and of an array as many as
- * work it off within the horizon. */
+/* Processors that each open range could use: all of a service's, and of an array as many
+ * as work it off within the horizon. */
 static GArray *wants(const struct lmn_core *c)
 {
     GArray *a = g_array_new(FALSE, FALSE, sizeof(struct want));
@@ -41,8 +41,8 @@
     return a;
 }
 
-static struct lmn_refusal *refusal(struct lmn_fleet *f, const char *type, const char *zone,
-                                   bool spot)
+static struct lmn_refusal *refusal(struct lmn_fleet *f, const char *type,
+                                   const char *zone, bool spot)
 {
     for (guint i = 0; i < f->refusals->len; i++) {
         struct lmn_refusal *r = &g_array_index(f->refusals, struct lmn_refusal, i);
@@ -138,8 +138,9 @@
         if (!m->spot)
             have_ordinary += t->cpus;
     }
-    /* Ordinary machines for the work that must have them, and whatever is cheapest for the rest:
-     * the larger deficit first, since calls are few; where the one can't be had, the other. */
+    /* Ordinary machines for the work that must have them, and whatever is cheapest for
+     * the rest: the larger deficit first, since calls are few; where the one can't be
+     * had, the other. */
     double ordinary = need_ordinary - have_ordinary, all = need - have;
     bool any = all - MAX(ordinary, 0) > ordinary;
     for (int turn = 0; turn < 2 && best == INFINITY; turn++, any = !any) {
--- a/src/fleet.h
+++ b/src/decide/fleet.h
@@ -2,7 +2,7 @@
 #ifndef LMN_FLEET_H
 #define LMN_FLEET_H
 
-#include "core.h"
+#include "state/model.h"
 
 /* A machine as the cloud lists it, or as a rental of ours that it doesn't list yet. */
 struct lmn_listed {
@@ -37,6 +37,4 @@
 /* The cloud gave got of the machines asked for. */
 void lmn_fleet_outcome(struct lmn_fleet *f, const struct lmn_rental *r, unsigned got,
                        struct timespec now);
-void *lmn_cloud_thread(void *core);
-
 #endif
--- /dev/null
+++ b/src/decide/order.h
@@ -0,0 +1,16 @@
+/* The order of jobs. Pure functions of the books and the time of day (wall, in seconds).
+ * The core's lock is held by the caller throughout. */
+#ifndef LMN_ORDER_H
+#define LMN_ORDER_H
+
+#include "state/model.h"
+
+int lmn_job_order(const struct lmn_job *a, const struct lmn_job *b);
+/* Works out latest and lost for the time of day now. */
+void lmn_job_rank(const struct lmn_settings *cfg, struct lmn_job *j, double wall);
+void lmn_rank_all(struct lmn_core *c, double wall);
+/* Which of the jobs should yield, so that as many as possible are in time: v holds jobs
+ * that are not lost, the capacities are in processors. */
+void lmn_triage(GPtrArray *v, double wall, double cpus, double ordinary_cpus);
+
+#endif
--- a/src/pack.c
+++ b/src/decide/pack.c
@@ -2,8 +2,11 @@
  * empty and paid for whole. While nothing waits, the replicas of the emptiest machine are
  * moved onto room that others have, and the machine goes. Work with an end is left to run
  * out. */
-#include "core.h"
-#include "log.h"
+#include "decide/pack.h"
+#include "decide/place.h"
+#include "decide/queue.h"
+#include "state/books.h"
+#include "state/core.h"
 
 #include <string.h>
 
--- /dev/null
+++ b/src/decide/pack.h
@@ -0,0 +1,10 @@
+/* Replicas moved together. The core's lock is held by the caller throughout. */
+#ifndef LMN_PACK_H
+#define LMN_PACK_H
+
+#include "state/model.h"
+
+/* Empties a machine whose replicas have room elsewhere. */
+void lmn_pack(struct lmn_core *c, struct lmn_partition *p, struct timespec now);
+
+#endif
--- /dev/null
+++ b/src/decide/place.h
@@ -0,0 +1,11 @@
+/* Tasks of a job that look at each other's places. The core's lock is held by the caller
+ * throughout. */
+#ifndef LMN_PLACE_H
+#define LMN_PLACE_H
+
+#include "state/model.h"
+
+/* How many more of its tasks may be started in the zone. */
+uint32_t lmn_zone_room(const struct lmn_job *j, const char *zone);
+
+#endif
--- a/src/preempt.c
+++ b/src/decide/preempt.c
@@ -2,8 +2,11 @@
  * the protocol's "Preemption" allows, and no further. A machine on which room is being
  * made starts nothing less urgent until then; otherwise small tasks would take each piece
  * as it becomes free. */
-#include "core.h"
-#include "log.h"
+#include "decide/preempt.h"
+#include "base/log.h"
+#include "decide/place.h"
+#include "decide/queue.h"
+#include "state/books.h"
 
 #include <math.h>
 #include <string.h>
--- /dev/null
+++ b/src/decide/preempt.h
@@ -0,0 +1,10 @@
+/* Room for production. The core's lock is held by the caller throughout. */
+#ifndef LMN_PREEMPT_H
+#define LMN_PREEMPT_H
+
+#include "state/model.h"
+
+/* Finds room for tasks of production that wait, and makes it where there is none. */
+void lmn_make_room(struct lmn_core *c, struct lmn_partition *p, struct timespec now);
+
+#endif
--- a/src/queue.c
+++ b/src/decide/queue.c
@@ -1,275 +1,17 @@
 /* Queues of machines: dealing, order, starting, stealing. */
-#include "core.h"
-#include "log.h"
-#include "wire.h"
+#include "decide/queue.h"
+#include "base/log.h"
+#include "base/wire.h"
+#include "decide/order.h"
+#include "decide/place.h"
+#include "decide/quota.h"
+#include "state/books.h"
 
 #include <math.h>
 #include <string.h>
 
 /* What a second of fetching an image counts against a second of being late. */
 static const double FETCH_WEIGHT = 4;
-/* How often it is decided anew which jobs yield: it takes up to the square of their number. */
-static const double TRIAGE_S = 0.4;
-
-void lmn_queue_init(struct lmn_queue *q)
-{
-    q->segs = g_ptr_array_new();
-    q->tasks = 0;
-}
-
-void lmn_queue_clear(struct lmn_queue *q)
-{
-    for (guint i = 0; i < q->segs->len; i++)
-        g_free(q->segs->pdata[i]);
-    g_ptr_array_set_size(q->segs, 0);
-    q->tasks = 0;
-}
-
-static void expect(struct lmn_job *j, double latest, double wall)
-{
-    if (latest >= wall && (j->lost || latest < j->latest)) {
-        j->latest = latest;
-        j->lost = false;
-    }
-}
-
-void lmn_job_rank(const struct lmn_settings *cfg, struct lmn_job *j, double wall)
-{
-    const struct lmn_spec *s = &j->spec;
-    bool any = false;
-
-    /* Estimates are often wrong by half: a job is given up as late only when even a run of half
-     * the estimate would come too late. */
-    double run = s->estimate_s * 0.5;
-    /* A replica that does not run is missed every second anew, however late it is: once counted as
-     * lost like work with an end, services waited behind every batch that could still be in time. */
-    if (s->kind == LMN_DAEMON) {
-        j->lost = false;
-        j->latest = j->at;
-        return;
-    }
-    j->lost = true;
-    j->latest = 0;
-    for (size_t i = 0; i < cfg->nobjectives; i++) {
-        const struct lmn_objective *o = &cfg->objectives[i];
-        if (*o->class_name && strcmp(o->class_name, s->class_name))
-            continue;
-        if (o->kind == LMN_WAIT)
-            expect(j, j->at + o->within_s, wall);
-        else if (o->kind == LMN_FINISH)
-            expect(j, j->at + o->within_s - run, wall);
-        else if (o->kind == LMN_DEADLINE && s->deadline_s >= 0)
-            expect(j, j->at + s->deadline_s * o->times - run, wall);
-        else
-            continue;
-        any = true;
-    }
-    if (s->deadline_s >= 0) {
-        expect(j, j->at + s->deadline_s - run, wall);
-        any = true;
-    }
-    if (!any) {
-        j->lost = false;
-        j->latest = INFINITY;
-    }
-}
-
-/* Processor seconds of the job's tasks in the partition that have not been started. */
-static double work_left(const struct lmn_job *j, const struct lmn_partition *p)
-{
-    double tasks = 0;
-
-    for (guint i = 0; i < j->ranges->len; i++) {
-        const struct lmn_range *r = j->ranges->pdata[i];
-        if (r->part == p && r->st)
-            tasks += r->hi - r->lo - r->nfinished - r->nstarted;
-    }
-    return MAX(tasks, 0) * MAX(j->spec.cpus, 0.01) * MAX(j->spec.estimate_s, 1);
-}
-
-static gint by_latest(gconstpointer a, gconstpointer b)
-{
-    const struct lmn_job *x = *(struct lmn_job *const *)a, *y = *(struct lmn_job *const *)b;
-
-    if (x->guaranteed != y->guaranteed)
-        return x->guaranteed ? -1 : 1;
-    if (x->spec.urgency != y->spec.urgency)
-        return x->spec.urgency > y->spec.urgency ? -1 : 1;
-    if (x->latest != y->latest)
-        return x->latest < y->latest ? -1 : 1;
-    return strcmp(x->spec.ref, y->spec.ref);
-}
-
-/* With more work than can be in time, the earliest first makes all late, one after the other. So
- * the jobs are run through in that order, and whenever one would be late, the largest so far of
- * its urgency yields (after J. M. Moore, "An n job, one machine sequencing algorithm for
- * minimizing the number of late jobs", 1968). */
-void lmn_triage(GPtrArray *v, double wall, double cpus, double ordinary_cpus)
-{
-    double all = 0, ordinary = 0;
-
-    g_ptr_array_sort(v, by_latest);
-    for (guint i = 0; i < v->len; i++) {
-        struct lmn_job *j = v->pdata[i];
-        j->yields = false;
-        all += j->left;
-        if (!j->spec.spot)
-            ordinary += j->left;
-        for (;;) {
-            double ends = wall + (j->spec.spot ? all / MAX(cpus, 1) : ordinary / MAX(ordinary_cpus, 1));
-            struct lmn_job *most = NULL;
-            if (ends <= j->latest)
-                break;
-            for (guint k = 0; k <= i; k++) {
-                struct lmn_job *o = v->pdata[k];
-                if (!o->yields && o->guaranteed == j->guaranteed &&
-                    o->spec.urgency == j->spec.urgency &&
-                    (j->spec.spot || !o->spec.spot) && (!most || o->left > most->left))
-                    most = o;
-            }
-            if (!most || most->left <= 0)
-                break;
-            most->yields = true;
-            all -= most->left;
-            if (!most->spec.spot)
-                ordinary -= most->left;
-        }
-    }
-}
-
-static void triage_partition(struct lmn_partition *p, double wall)
-{
-    GPtrArray *v = g_ptr_array_new();
-    double cpus = 0, ordinary = 0;
-    GHashTableIter it;
-    gpointer x;
-
-    g_hash_table_iter_init(&it, p->machines);
-    while (g_hash_table_iter_next(&it, NULL, &x)) {
-        const struct lmn_machine *m = x;
-        if (!m->type || !m->accounted || m->retiring || m->lapsed || m->is_gone)
-            continue;
-        cpus += m->type->cpus;
-        ordinary += m->spot ? 0 : m->type->cpus;
-    }
-    g_hash_table_iter_init(&it, p->ranges);
-    while (g_hash_table_iter_next(&it, NULL, &x)) {
-        struct lmn_job *j = ((struct lmn_range *)x)->job;
-        if (j->phase != LMN_ACTIVE || j->lost || j->ranked == p || j->spec.kind == LMN_DAEMON)
-            continue;
-        j->ranked = p;
-        j->left = work_left(j, p);
-        g_ptr_array_add(v, j);
-    }
-    lmn_triage(v, wall, cpus, ordinary);
-    for (guint i = 0; i < v->len; i++)
-        ((struct lmn_job *)v->pdata[i])->ranked = NULL;
-    g_ptr_array_free(v, TRUE);
-}
-
-void lmn_rank_all(struct lmn_core *c, double wall)
-{
-    GHashTableIter it;
-    gpointer v;
-
-    bool due = wall < c->triaged || wall - c->triaged > TRIAGE_S;
-
-    c->wall = wall;
-    if (due)
-        c->triaged = wall;
-    for (int i = 0; i < c->nparts; i++) {
-        struct lmn_partition *p = &c->parts[i];
-        if (!p->mine)
-            continue;
-        g_hash_table_iter_init(&it, p->ranges);
-        while (g_hash_table_iter_next(&it, NULL, &v))
-            lmn_job_rank(c->cfg, ((struct lmn_range *)v)->job, wall);
-        if (due)
-            triage_partition(p, wall);
-    }
-}
-
-int lmn_job_order(const struct lmn_job *a, const struct lmn_job *b)
-{
-    /* A team need not wait for others as long as its work fits into its guarantee. */
-    if (a->guaranteed != b->guaranteed)
-        return a->guaranteed ? -1 : 1;
-    /* What can't be in time any more yields to what still can. */
-    if (a->lost != b->lost)
-        return a->lost ? 1 : -1;
-    if (a->spec.urgency != b->spec.urgency)
-        return a->spec.urgency > b->spec.urgency ? -1 : 1;
-    if (!a->lost && a->yields != b->yields)
-        return a->yields ? 1 : -1;
-    if (!a->lost && a->latest != b->latest)
-        return a->latest < b->latest ? -1 : 1;
-    if (a->at != b->at)
-        return a->at < b->at ? -1 : 1;
-    return strcmp(a->spec.ref, b->spec.ref);
-}
-
-void lmn_queue_add(struct lmn_queue *q, struct lmn_range *r, uint32_t lo, uint32_t hi)
-{
-    q->tasks += hi - lo;
-    for (guint i = 0; i < q->segs->len; i++) {
-        struct lmn_seg *s = q->segs->pdata[i];
-        if (s->range == r && s->hi == lo) {
-            s->hi = hi;
-            return;
-        }
-    }
-    struct lmn_seg *s = g_new(struct lmn_seg, 1);
-    *s = (struct lmn_seg){r, lo, hi};
-    g_ptr_array_add(q->segs, s);
-}
-
-static void drop_seg(struct lmn_queue *q, guint at)
-{
-    struct lmn_seg *s = q->segs->pdata[at];
-    q->tasks -= s->hi - s->lo;
-    g_free(s);
-    g_ptr_array_remove_index(q->segs, at);
-}
-
-void lmn_queue_drop_range(struct lmn_queue *q, const struct lmn_range *r)
-{
-    for (guint i = q->segs->len; i-- > 0;)
-        if (((struct lmn_seg *)q->segs->pdata[i])->range == r)
-            drop_seg(q, i);
-}
-
-void lmn_queue_take(struct lmn_queue *q, const struct lmn_range *r, uint32_t index)
-{
-    for (guint i = 0; i < q->segs->len; i++) {
-        struct lmn_seg *s = q->segs->pdata[i];
-        if (s->range != r || index < s->lo || index >= s->hi)
-            continue;
-        uint32_t hi = s->hi;
-        struct lmn_range *range = s->range;
-        q->tasks -= hi - index;
-        s->hi = index;
-        if (s->lo == s->hi)
-            drop_seg(q, i);
-        if (index + 1 < hi)
-            lmn_queue_add(q, range, index + 1, hi);
-        return;
-    }
-}
-
-void lmn_queue_cut(struct lmn_queue *q, const struct lmn_range *r, uint32_t lo)
-{
-    for (guint i = q->segs->len; i-- > 0;) {
-        struct lmn_seg *s = q->segs->pdata[i];
-        if (s->range != r || s->hi <= lo)
-            continue;
-        if (s->lo >= lo) {
-            drop_seg(q, i);
-        } else {
-            q->tasks -= s->hi - lo;
-            s->hi = lo;
-        }
-    }
-}
 
 static int image_at(const struct lmn_machine *m, const char *name)
 {
@@ -298,7 +40,8 @@
     /* A worker drops the least recently used when its cache is full. */
     for (guint i = 0; i < m->images->len; i++)
         gb += g_array_index(m->images, struct lmn_image, i).gb;
-    while (m->images->len > 1 && ((m->type && gb > m->type->cache_gb) || m->images->len > 64)) {
+    while (m->images->len > 1 &&
+           ((m->type && gb > m->type->cache_gb) || m->images->len > 64)) {
         gb -= g_array_index(m->images, struct lmn_image, 0).gb;
         g_array_remove_index(m->images, 0);
     }
@@ -306,8 +49,9 @@
 
 bool lmn_can_hold(const struct lmn_machine *m, const struct lmn_job *j)
 {
-    return m->type && m->accounted && m->rev && !m->retiring && !m->noticed && !m->lapsed &&
-           !m->is_gone && lmn_spec_allows(&j->spec, m->type, m->zone, m->spot);
+    return m->type && m->accounted && m->rev && !m->retiring && !m->noticed &&
+           !m->lapsed && !m->is_gone &&
+           lmn_spec_allows(&j->spec, m->type, m->zone, m->spot);
 }
 
 /* How many tasks of the job have room on the machine now, its queue aside. */
@@ -325,8 +69,8 @@
     return n > 0 ? (uint32_t)n : 0;
 }
 
-/* How badly a machine suits a job that it could hold: ordinary machines are dear, and some work
- * can run nowhere else; an image that is missing has to be fetched first. */
+/* How badly a machine suits a job that it could hold: ordinary machines are dear, and
+ * some work can run nowhere else; an image that is missing has to be fetched first. */
 static int unfit(const struct lmn_machine *m, const struct lmn_job *j)
 {
     return (j->spec.spot && !m->spot ? 2 : 0) + (lmn_fetch_s(m, j) > 0);
@@ -360,11 +104,11 @@
     return x->at < y->at ? -1 : x->at > y->at;
 }
 
-/* One a turn, over the queues of the machines that have the image if there are enough of them, or
- * else of all: a machineful each would fetch the image less often, but wait for one machine's
- * tasks to end while others' do. */
-static void deal_round(struct lmn_partition *p, GPtrArray *able, struct lmn_range *r, uint32_t lo,
-                       uint32_t hi, struct timespec now)
+/* One a turn, over the queues of the machines that have the image if there are enough of
+ * them, or else of all: a machineful each would fetch the image less often, but wait for
+ * one machine's tasks to end while others' do. */
+static void deal_round(struct lmn_partition *p, GPtrArray *able, struct lmn_range *r,
+                       uint32_t lo, uint32_t hi, struct timespec now)
 {
     GPtrArray *near = g_ptr_array_new();
 
@@ -402,16 +146,18 @@
     }
     if (!able->len)
         lmn_queue_add(&p->limbo, r, lo, hi);
-    /* First what has room: the fittest kind of machine, and of these the fullest, so that large
-     * tasks find whole machines and idle ones can go. Then round robin, one each a turn. */
+    /* First what has room: the fittest kind of machine, and of these the fullest, so that
+     * large tasks find whole machines and idle ones can go. Then round robin, one each a
+     * turn. */
     g_array_sort(roomy, by_fitness);
     GHashTable *dealt = g_hash_table_new(g_str_hash, g_str_equal); /* to each zone */
     for (guint i = 0; i < roomy->len && lo < hi; i++) {
         struct candidate *x = &g_array_index(roomy, struct candidate, i);
         guint there = GPOINTER_TO_UINT(g_hash_table_lookup(dealt, x->m->zone));
         uint32_t n = MIN(x->room, hi - lo), may = lmn_zone_room(r->job, x->m->zone);
-        /* Not where it could not start for the job's other tasks: a service whose replicas were
-         * all dealt to the fullest machine waited there until others pulled them. */
+        /* Not where it could not start for the job's other tasks: a service whose
+         * replicas were all dealt to the fullest machine waited there until others pulled
+         * them. */
         n = MIN(n, may > there ? may - there : 0);
         if (!n || (r->job->spec.one_zone && g_hash_table_size(dealt) && !there))
             continue;
@@ -443,9 +189,21 @@
     g_ptr_array_free(old.segs, TRUE);
 }
 
-/* --- starting --- */
+void lmn_machine_retire(struct lmn_core *c, struct lmn_machine *m, bool force,
+                        const char *why, struct timespec now)
+{
+    m->force = m->force || force;
+    if (m->retiring)
+        return;
+    lmn_info("machine-retire machine=%s partition=%d force=%d why=\"%s\"", m->name,
+             m->part->id, force, why);
+    m->retiring = true;
+    m->retired_at = now;
+    lmn_redeal_machine(c, m, now);
+}
 
-bool lmn_in_quota(const struct lmn_core *c, const struct lmn_partition *p, const struct lmn_job *j)
+bool lmn_in_quota(const struct lmn_core *c, const struct lmn_partition *p,
+                  const struct lmn_job *j)
 {
     if (j->team < 0)
         return false;
@@ -475,8 +233,8 @@
     return !(t->gpus_max > 0 && p->used_gpus[j->team] + j->spec.gpus > gpus + 1e-6);
 }
 
-static void start(struct lmn_core *c, struct lmn_machine *m, struct lmn_seg *s, GByteArray *out,
-                  struct timespec now)
+static void start(struct lmn_core *c, struct lmn_machine *m, struct lmn_seg *s,
+                  GByteArray *out, struct timespec now)
 {
     struct lmn_partition *p = m->part;
     struct lmn_attempt a = {.job = s->range->job,
@@ -504,7 +262,8 @@
     lmn_put_text(out, W_OP), lmn_put_text(out, W_START);
     lmn_put_text(out, W_TASK), lmn_put_text(out, task);
     lmn_put_text(out, W_ATTEMPT), lmn_put_count(out, a.number);
-    lmn_debug("task-start task=%s attempt=%" G_GUINT64_FORMAT " machine=%s term=%" G_GUINT64_FORMAT,
+    lmn_debug("task-start task=%s attempt=%" G_GUINT64_FORMAT
+              " machine=%s term=%" G_GUINT64_FORMAT,
               task, a.number, m->name, p->my_term);
     s->lo++;
 }
@@ -512,15 +271,19 @@
 static bool startable(const struct lmn_core *c, const struct lmn_machine *m,
                       const struct lmn_job *j, struct timespec now)
 {
-    return room(m, &j->spec) > 0 && (!m->promised || j->spec.urgency == LMN_PROD) && j->phase == LMN_ACTIVE && !lmn_before(now, j->hold) &&
-           lmn_can_hold(m, j) && lmn_in_quota(c, m->part, j) && lmn_zone_room(j, m->zone) > 0;
+    return room(m, &j->spec) > 0 && (!m->promised || j->spec.urgency == LMN_PROD) &&
+           j->phase == LMN_ACTIVE && !lmn_before(now, j->hold) && lmn_can_hold(m, j) &&
+           lmn_in_quota(c, m->part, j) && lmn_zone_room(j, m->zone) > 0;
 }
 
-/* How the machine should choose between the jobs: as lmn_job_order, but a task whose image it
- * lacks would start, and end, later by the fetch, and hold its room idle meanwhile. */
-static int order_on(const struct lmn_machine *m, const struct lmn_job *a, const struct lmn_job *b)
+/* How the machine should choose between the jobs: as lmn_job_order, but a task whose
+ * image it lacks would start, and end, later by the fetch, and hold its room idle
+ * meanwhile. */
+static int order_on(const struct lmn_machine *m, const struct lmn_job *a,
+                    const struct lmn_job *b)
 {
-    if (a->guaranteed == b->guaranteed && a->lost == b->lost && a->yields == b->yields && a->spec.urgency == b->spec.urgency) {
+    if (a->guaranteed == b->guaranteed && a->lost == b->lost && a->yields == b->yields &&
+        a->spec.urgency == b->spec.urgency) {
         double x = (a->lost ? 0 : a->latest) + FETCH_WEIGHT * lmn_fetch_s(m, a);
         double y = (b->lost ? 0 : b->latest) + FETCH_WEIGHT * lmn_fetch_s(m, b);
         if (x != y)
@@ -529,10 +292,10 @@
     return lmn_job_order(a, b);
 }
 
-/* The most urgent stretch of a queue that the machine could start now; -1: none. The order
- * shifts with time, so it is looked for, not kept. */
-static int best_seg(const struct lmn_core *c, struct lmn_queue *q, const struct lmn_machine *m,
-                    struct timespec now)
+/* The most urgent stretch of a queue that the machine could start now; -1: none. The
+ * order shifts with time, so it is looked for, not kept. */
+static int best_seg(const struct lmn_core *c, struct lmn_queue *q,
+                    const struct lmn_machine *m, struct timespec now)
 {
     int best = -1;
 
@@ -551,7 +314,8 @@
     return best;
 }
 
-/* A fresh random sample of the other machines' queues, and limbo, which is no machine's. */
+/* A fresh random sample of the other machines' queues, and limbo, which is no machine's.
+ */
 static GPtrArray *sample_queues(struct lmn_core *c, struct lmn_machine *m)
 {
     struct lmn_partition *p = m->part;
@@ -566,7 +330,8 @@
             g_ptr_array_add(queues, &o->queue);
     }
     guint n = queues->len;
-    guint sample = c->tuning.sample > 0 ? (guint)c->tuning.sample : (guint)ceil(2 * sqrt((double)n + 1));
+    guint sample = c->tuning.sample > 0 ? (guint)c->tuning.sample
+                                        : (guint)ceil(2 * sqrt((double)n + 1));
     sample = MIN(sample, n);
     /* The first places of a partial shuffle. */
     for (guint i = 0; i < sample; i++) {
@@ -580,9 +345,10 @@
     return queues;
 }
 
-/* Starts the first task of a queue's stretch on the machine; 0 if it need not start any more. */
-static guint start_from(struct lmn_core *c, struct lmn_queue *q, int at, struct lmn_machine *m,
-                        GByteArray *out, struct timespec now)
+/* Starts the first task of a queue's stretch on the machine; 0 if it need not start any
+ * more. */
+static guint start_from(struct lmn_core *c, struct lmn_queue *q, int at,
+                        struct lmn_machine *m, GByteArray *out, struct timespec now)
 {
     struct lmn_seg *s = q->segs->pdata[at];
     guint n = 0;
@@ -596,13 +362,14 @@
         n = 1;
     }
     if (s->lo == s->hi)
-        drop_seg(q, (guint)at);
+        lmn_queue_drop(q, (guint)at);
     return n;
 }
 
-/* Starts the machine's own work; but where a queue of a fresh sample holds something more urgent,
- * that first. Queues of busy machines run dry at different times, and the last tasks of a job
- * would wait in the slowest of them while others start what came much later. */
+/* Starts the machine's own work; but where a queue of a fresh sample holds something more
+ * urgent, that first. Queues of busy machines run dry at different times, and the last
+ * tasks of a job would wait in the slowest of them while others start what came much
+ * later. */
 static guint start_own(struct lmn_core *c, struct lmn_machine *m, GByteArray *out,
                        struct timespec now)
 {
@@ -612,13 +379,15 @@
 
     while ((at = best_seg(c, &m->queue, m, now)) >= 0) {
         struct lmn_queue *from = &m->queue;
-        const struct lmn_job *best = ((struct lmn_seg *)from->segs->pdata[at])->range->job;
+        const struct lmn_job *best =
+            ((struct lmn_seg *)from->segs->pdata[at])->range->job;
         if (!queues)
             queues = sample_queues(c, m);
         for (guint i = 0; i < queues->len; i++) {
             struct lmn_queue *q = queues->pdata[i];
             int k = best_seg(c, q, m, now);
-            const struct lmn_job *j = k < 0 ? NULL : ((struct lmn_seg *)q->segs->pdata[k])->range->job;
+            const struct lmn_job *j =
+                k < 0 ? NULL : ((struct lmn_seg *)q->segs->pdata[k])->range->job;
             if (j && j != best && order_on(m, j, best) < 0) {
                 from = q;
                 at = k;
@@ -633,8 +402,6 @@
     return n;
 }
 
-/* --- stealing --- */
-
 /* Queued tasks that the thief could start now. */
 static uint32_t load_for(const struct lmn_core *c, const struct lmn_queue *q,
                          const struct lmn_machine *thief, struct timespec now)
@@ -662,7 +429,7 @@
         from->tasks -= n;
         got += n;
         if (s->lo == s->hi)
-            drop_seg(from, (guint)at);
+            lmn_queue_drop(from, (guint)at);
     }
     return got;
 }
@@ -708,11 +475,11 @@
     guint n;
 
     m->hungry = false;
-    if (p->releasing || !m->accounted || !m->rev || m->retiring || m->noticed ||
-        !m->type)
+    if (p->releasing || !m->accounted || !m->rev || m->retiring || m->noticed || !m->type)
         return 0;
     n = start_own(c, m, out, now);
-    /* Left with room and nothing of its own that fits: it pulls, until that brings nothing. */
+    /* Left with room and nothing of its own that fits: it pulls, until that brings
+     * nothing. */
     for (int turn = 0; turn < 8; turn++) {
         if (load_for(c, &m->queue, m, now) || !lmn_steal(c, m, now))
             break;
--- /dev/null
+++ b/src/decide/queue.h
@@ -0,0 +1,28 @@
+/* Dealing, starting and stealing inside a partition. The core's lock is held by the
+ * caller throughout. */
+#ifndef LMN_QUEUE_H
+#define LMN_QUEUE_H
+
+#include "state/model.h"
+
+/* Cuts the range's queued tasks over the queues of the machines that could hold them. */
+void lmn_deal(struct lmn_core *c, struct lmn_range *r, uint32_t lo, uint32_t hi,
+              struct timespec now);
+/* Gives a machine's queue, or all of limbo, back to be dealt anew. */
+void lmn_redeal_machine(struct lmn_core *c, struct lmn_machine *m, struct timespec now);
+void lmn_machine_retire(struct lmn_core *c, struct lmn_machine *m, bool force,
+                        const char *why, struct timespec now);
+/* Seconds for which a task of the job would wait for its image there. */
+double lmn_fetch_s(const struct lmn_machine *m, const struct lmn_job *j);
+/* The machine has the job's image, or is fetching it. */
+void lmn_note_image(struct lmn_machine *m, const struct lmn_job *j);
+/* Whether the job's team may use one task's processors more. */
+bool lmn_in_quota(const struct lmn_core *c, const struct lmn_partition *p,
+                  const struct lmn_job *j);
+bool lmn_can_hold(const struct lmn_machine *m, const struct lmn_job *j);
+/* Starts what fits on a machine that has just reported: commands go to out. */
+guint lmn_schedule(struct lmn_core *c, struct lmn_machine *m, GByteArray *out,
+                   struct timespec now);
+bool lmn_steal(struct lmn_core *c, struct lmn_machine *m, struct timespec now);
+
+#endif
--- /dev/null
+++ b/src/decide/quota.c
@@ -0,0 +1,89 @@
+/* A team's limit, parted among the partitions. Without a record each has an even part;
+ * parts are moved by own/gift.c. */
+#include "decide/quota.h"
+
+#include <string.h>
+
+bool lmn_quota_limited(const struct lmn_team *t)
+{
+    return t->cpus_max > 0 || t->gpus_max > 0;
+}
+
+void lmn_quota_even(const struct lmn_core *c, int team, double *cpus, double *gpus)
+{
+    *cpus = c->cfg->teams[team].cpus_max / c->nparts;
+    *gpus = c->cfg->teams[team].gpus_max / c->nparts;
+}
+
+void lmn_quota_part(const struct lmn_core *c, const struct lmn_partition *p, int team,
+                    double *cpus, double *gpus)
+{
+    lmn_quota_even(c, team, cpus, gpus);
+    if (c->quota_known[team]) {
+        *cpus = p->quota_cpus[team];
+        *gpus = p->quota_gpus[team];
+    }
+    if (p->gift.team == team) {
+        *cpus -= p->gift.cpus;
+        *gpus -= p->gift.gpus;
+    }
+}
+
+/* What the team's queued tasks in the partition ask for, and the largest of them. */
+static void queued(const struct lmn_partition *p, int team, struct lmn_quota_want *w)
+{
+    GHashTableIter it;
+    gpointer v;
+
+    *w = (struct lmn_quota_want){.team = team};
+    g_hash_table_iter_init(&it, p->ranges);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const struct lmn_range *r = v;
+        double n = r->st ? r->hi - r->lo - r->nfinished - r->nstarted : 0;
+        if (r->job->team != team || r->job->phase != LMN_ACTIVE || n <= 0)
+            continue;
+        w->cpus += n * r->job->spec.cpus;
+        w->gpus += n * r->job->spec.gpus;
+        w->least_cpus = MAX(w->least_cpus, r->job->spec.cpus);
+        w->least_gpus = MAX(w->least_gpus, r->job->spec.gpus);
+    }
+}
+
+bool lmn_quota_wanted(const struct lmn_core *c, const struct lmn_partition *p, int team,
+                      struct lmn_quota_want *w)
+{
+    double cpus, gpus;
+
+    if (!p->mine || !p->ready || !lmn_quota_limited(&c->cfg->teams[team]))
+        return false;
+    queued(p, team, w);
+    lmn_quota_part(c, p, team, &cpus, &gpus);
+    /* Only what its queue is short of; the least it needs is what a task needs beyond all
+     * of the part, which waiting for others to end would never give it. */
+    bool short_cpus = p->used_cpus[team] + w->least_cpus > cpus + 1e-6;
+    bool short_gpus = p->used_gpus[team] + w->least_gpus > gpus + 1e-6;
+    w->cpus = short_cpus ? MAX(w->cpus - (cpus - p->used_cpus[team]), 0) : 0;
+    w->gpus = short_gpus ? MAX(w->gpus - (gpus - p->used_gpus[team]), 0) : 0;
+    w->least_cpus = MAX(w->least_cpus - cpus, 0);
+    w->least_gpus = MAX(w->least_gpus - gpus, 0);
+    if (c->cfg->teams[team].cpus_max <= 0)
+        w->cpus = w->least_cpus = 0;
+    if (c->cfg->teams[team].gpus_max <= 0)
+        w->gpus = w->least_gpus = 0;
+    return w->cpus > 1e-6 || w->gpus > 1e-6;
+}
+
+void lmn_quota_spare(const struct lmn_core *c, const struct lmn_partition *p,
+                     const struct lmn_quota_want *w, double *cpus, double *gpus)
+{
+    struct lmn_quota_want own;
+
+    queued(p, w->team, &own);
+    lmn_quota_part(c, p, w->team, cpus, gpus);
+    /* What its own queue does not need; and of that, what another could else never start
+     * with. */
+    *cpus -= p->used_cpus[w->team] + own.cpus;
+    *gpus -= p->used_gpus[w->team] + own.gpus;
+    *cpus = MAX(MIN(w->cpus, *cpus), w->least_cpus);
+    *gpus = MAX(MIN(w->gpus, *gpus), w->least_gpus);
+}
--- /dev/null
+++ b/src/decide/quota.h
@@ -0,0 +1,28 @@
+/* Parts of teams' limits, in processors and GPUs: what a partition has, wants and can
+ * spare. The core's lock is held by the caller throughout. */
+#ifndef LMN_QUOTA_H
+#define LMN_QUOTA_H
+
+#include "state/model.h"
+
+/* What a partition is short of for a team: at best, and at least for one task. */
+struct lmn_quota_want {
+    int team;
+    double cpus, gpus, least_cpus, least_gpus;
+};
+
+bool lmn_quota_limited(const struct lmn_team *t);
+/* The part that each partition has without a record. */
+void lmn_quota_even(const struct lmn_core *c, int team, double *cpus, double *gpus);
+/* What the partition could give to one that is short by w. */
+void lmn_quota_spare(const struct lmn_core *c, const struct lmn_partition *p,
+                     const struct lmn_quota_want *w, double *cpus, double *gpus);
+
+/* What the team's tasks in the partition may use. */
+void lmn_quota_part(const struct lmn_core *c, const struct lmn_partition *p, int team,
+                    double *cpus, double *gpus);
+/* Whether the partition is short of the team's quota, and by how much. */
+bool lmn_quota_wanted(const struct lmn_core *c, const struct lmn_partition *p, int team,
+                      struct lmn_quota_want *w);
+
+#endif
--- a/src/steal.c
+++ b/src/decide/steal.c
@@ -1,8 +1,14 @@
-/* Steals between partitions. A partition with idle room asks a fresh random sample of the others
- * how many queued tasks would fit there, and pulls from the busiest. The victim moves the end of
- * a range by one conditional write: never a task that was started, under whatever term. */
-#include "core.h"
-#include "log.h"
+/* Steals between partitions. A partition with idle room asks a fresh random sample of the
+ * others how many queued tasks would fit there, and pulls from the busiest. The victim
+ * moves the end of a range by one conditional write: never a task that was started, under
+ * whatever term. */
+#include "decide/steal.h"
+#include "base/log.h"
+#include "decide/order.h"
+#include "decide/queue.h"
+#include "decide/quota.h"
+#include "state/books.h"
+#include "state/core.h"
 
 #include <math.h>
 #include <string.h>
@@ -20,8 +26,8 @@
     g_hash_table_iter_init(&it, p->machines);
     while (g_hash_table_iter_next(&it, NULL, &v) && t->nrooms < G_N_ELEMENTS(t->rooms)) {
         const struct lmn_machine *m = v;
-        if (!m->hungry || m->queue.tasks || !m->type || !m->rev || m->retiring || m->noticed ||
-            m->lapsed || m->is_gone || m->type->cpus - m->used_cpus < 0.01)
+        if (!m->hungry || m->queue.tasks || !m->type || !m->rev || m->retiring ||
+            m->noticed || m->lapsed || m->is_gone || m->type->cpus - m->used_cpus < 0.01)
             continue;
         struct lmn_room *r = &t->rooms[t->nrooms++];
         g_strlcpy(r->type, m->type_name, sizeof r->type);
@@ -115,8 +121,8 @@
     return false;
 }
 
-uint32_t lmn_victim_give(struct lmn_core *c, struct lmn_partition *p, const struct lmn_thief *t,
-                         struct timespec now)
+uint32_t lmn_victim_give(struct lmn_core *c, struct lmn_partition *p,
+                         const struct lmn_thief *t, struct timespec now)
 {
     GHashTableIter it;
     gpointer v;
@@ -140,8 +146,8 @@
     }
     if (!best)
         return 0;
-    /* The share of what is queued, but no more than can start there now; and all that can, where
-     * no machine of the victim's own could ever take it. */
+    /* The share of what is queued, but no more than can start there now; and all that
+     * can, where no machine of the victim's own could ever take it. */
     double share = held_here(p, best->job) ? c->tuning.share : 1;
     uint32_t n = MIN(most, MAX((uint32_t)ceil(tail(best) * share), 1));
     best->move_at = best->hi - n;
--- /dev/null
+++ b/src/decide/steal.h
@@ -0,0 +1,34 @@
+/* Steals between partitions. The core's lock is held by the caller throughout. */
+#ifndef LMN_STEAL_H
+#define LMN_STEAL_H
+
+#include "state/model.h"
+
+struct lmn_room {
+    char type[LMN_NAME], zone[LMN_NAME];
+    bool spot;
+    double cpus, gpus, mem;
+};
+struct lmn_thief {
+    int part;
+    struct lmn_room rooms[64];
+    guint nrooms;
+    double team_cpus[LMN_MAX_TEAMS], team_gpus[LMN_MAX_TEAMS]; /* what its quota leaves */
+};
+/* Idle room of a partition of ours; false if there is none, or it is not yet time. */
+bool lmn_thief_fill(struct lmn_core *c, struct lmn_partition *p, struct lmn_thief *t,
+                    struct timespec now);
+/* Queued tasks of the partition that the thief could start. */
+uint32_t lmn_victim_load(const struct lmn_core *c, const struct lmn_partition *p,
+                         const struct lmn_thief *t);
+/* Sets a move going; returns how many tasks go. */
+uint32_t lmn_victim_give(struct lmn_core *c, struct lmn_partition *p,
+                         const struct lmn_thief *t, struct timespec now);
+void lmn_thief_result(struct lmn_core *c, struct lmn_partition *p, uint32_t got,
+                      struct timespec now);
+/* The mirror shows the range cut at hi. */
+void lmn_range_cut(struct lmn_core *c, struct lmn_range *r, uint32_t hi);
+/* The move did not take place. */
+void lmn_move_undo(struct lmn_core *c, struct lmn_range *r, struct timespec now);
+
+#endif
--- a/src/main.c
+++ b/src/main.c
@@ -1,5 +1,6 @@
-#include "peer.h"
-#include "service.h"
+#include "base/settings.h"
+#include "serve/admin.h"
+#include "serve/service.h"
 
 #include <glib.h>
 #include <stdio.h>
@@ -9,10 +10,12 @@
 {
     if (what)
         fprintf(stderr, "lemonspar: %s\n", what);
-    fprintf(stderr, "usage: lemonspar --config FILE\n"
-                    "       lemonspar --check FILE\n"
-                    "       lemonspar admin ADDRESS status | get | set NAME VALUE | drain MACHINE\n"
-                    "       lemonspar --help | --version\n");
+    fprintf(
+        stderr,
+        "usage: lemonspar --config FILE\n"
+        "       lemonspar --check FILE\n"
+        "       lemonspar admin ADDRESS status | get | set NAME VALUE | drain MACHINE\n"
+        "       lemonspar --help | --version\n");
     return 2;
 }
 
@@ -39,16 +42,20 @@
         return lmn_admin_main(argv[2], argc - 3, argv + 3);
     }
     const GOptionEntry entries[] = {
-        {"config", 'c', 0, G_OPTION_ARG_FILENAME, &config, "Run with the settings in FILE", "FILE"},
-        {"check", 0, 0, G_OPTION_ARG_FILENAME, &check, "Check the settings in FILE", "FILE"},
+        {"config", 'c', 0, G_OPTION_ARG_FILENAME, &config,
+         "Run with the settings in FILE", "FILE"},
+        {"check", 0, 0, G_OPTION_ARG_FILENAME, &check, "Check the settings in FILE",
+         "FILE"},
         {"version", 0, 0, G_OPTION_ARG_NONE, &version, "Show the version", NULL},
         G_OPTION_ENTRY_NULL,
     };
-    GOptionContext *ctx = g_option_context_new("- a scheduler for clusters of rented machines");
+    GOptionContext *ctx =
+        g_option_context_new("- a scheduler for clusters of rented machines");
     g_option_context_add_main_entries(ctx, entries, NULL);
-    g_option_context_set_description(
-        ctx, "Administration: lemonspar admin ADDRESS status | get | set NAME VALUE | drain MACHINE\n"
-             "ADDRESS is the internal_addr of a controller.\n");
+    g_option_context_set_description(ctx,
+                                     "Administration: lemonspar admin ADDRESS status | "
+                                     "get | set NAME VALUE | drain MACHINE\n"
+                                     "ADDRESS is the internal_addr of a controller.\n");
     if (!g_option_context_parse(ctx, &argc, &argv, &error))
         return usage(error->message);
     g_option_context_free(ctx);
--- a/src/block.c
+++ b/src/own/block.c
@@ -1,16 +1,17 @@
 /* The records of machines, many to a block.
  *
- * Before the first start on a machine its record must stand, so that a successor knows that it
- * has to ask there. One write for each machine takes all the changes that the state service
- * grants when hundreds come up together; so an owner keeps them in blocks, and what comes or
- * goes between two writes of a block shares the next. */
-#include "core.h"
-#include "log.h"
+ * Before the first start on a machine its record must stand, so that a successor knows
+ * that it has to ask there. One write for each machine takes all the changes that the
+ * state service grants when hundreds come up together; so an owner keeps them in blocks,
+ * and what comes or goes between two writes of a block shares the next. */
+#include "own/block.h"
+#include "own/range.h"
+#include "state/books.h"
 
 #include <string.h>
 
-/* A block with machines to add is written at most this often, one with only machines to drop
- * less often: those harm nobody. */
+/* A block with machines to add is written at most this often, one with only machines to
+ * drop less often: those harm nobody. */
 static const double ADD_S = 0.3, DROP_S = 3.0;
 
 static struct lmn_block *block_at(struct lmn_partition *p, guint id)
@@ -26,43 +27,30 @@
     return p->blocks->pdata[id];
 }
 
-/* What a machine takes of a block: the service counts bytes as JSON. */
-static size_t entry_bytes(const struct lmn_machine *m)
-{
-    return strlen(m->name) + strlen(m->addr) + strlen(m->type_name) + strlen(m->zone) + 24;
-}
-
 static void put_in(struct lmn_block *b, struct lmn_machine *m)
 {
     m->block = b;
     g_ptr_array_add(b->machines, m);
-    b->bytes += entry_bytes(m);
-}
-
-void lmn_block_leave(struct lmn_machine *m)
-{
-    if (!m->block)
-        return;
-    g_ptr_array_remove_fast(m->block->machines, m);
-    m->block->bytes -= entry_bytes(m);
-    m->block = NULL;
+    b->bytes += lmn_machine_bytes(m);
 }
 
-/* The machine's first block with room. It stays there: a write whose outcome is not known may yet
- * be applied, and must not find the machine recorded elsewhere meanwhile. */
-static void assign(const struct lmn_core *c, struct lmn_partition *p, struct lmn_machine *m)
+/* The machine's first block with room. It stays there: a write whose outcome is not known
+ * may yet be applied, and must not find the machine recorded elsewhere meanwhile. */
+static void assign(const struct lmn_core *c, struct lmn_partition *p,
+                   struct lmn_machine *m)
 {
     size_t most = MIN((size_t)(c->cfg->value_kb * 512), 16384);
     guint id = 0;
 
     while (id < p->blocks->len && p->blocks->pdata[id] &&
-           block_at(p, id)->bytes + entry_bytes(m) > most)
+           block_at(p, id)->bytes + lmn_machine_bytes(m) > most)
         id++;
     put_in(block_at(p, id), m);
 }
 
-static void read_machine(struct lmn_partition *p, struct lmn_block *b, const struct lmn_doc *d,
-                         const struct lmn_node *n, uint64_t rev, struct timespec now)
+static void read_machine(struct lmn_partition *p, struct lmn_block *b,
+                         const struct lmn_doc *d, const struct lmn_node *n, uint64_t rev,
+                         struct timespec now)
 {
     char name[LMN_NAME];
 
@@ -86,9 +74,10 @@
     m->block_rev = rev;
 }
 
-/* Machines that the record does not name any more, and those that were gone before they were
- * recorded. */
-static void drop_others(struct lmn_core *c, struct lmn_block *b, uint64_t rev, struct timespec now)
+/* Machines that the record does not name any more, and those that were gone before they
+ * were recorded. */
+static void drop_others(struct lmn_core *c, struct lmn_block *b, uint64_t rev,
+                        struct timespec now)
 {
     for (guint i = b->machines->len; i-- > 0;) {
         struct lmn_machine *m = b->machines->pdata[i];
@@ -145,7 +134,8 @@
     guint id;
 };
 
-static void block_written(void *arg, struct lmn_txn *t, enum lmn_outcome outcome, uint64_t rev)
+static void block_written(void *arg, struct lmn_txn *t, enum lmn_outcome outcome,
+                          uint64_t rev)
 {
     struct block_ref *w = arg;
     (void)t;
@@ -195,7 +185,8 @@
     lmn_state_submit(c->state, t);
 }
 
-void lmn_blocks_flush(struct lmn_core *c, struct lmn_partition *p, bool lazy, struct timespec now)
+void lmn_blocks_flush(struct lmn_core *c, struct lmn_partition *p, bool lazy,
+                      struct timespec now)
 {
     GHashTableIter it;
     gpointer v;
--- /dev/null
+++ b/src/own/block.h
@@ -0,0 +1,19 @@
+/* The records of machines. The core's lock is held by the caller throughout. */
+#ifndef LMN_BLOCK_H
+#define LMN_BLOCK_H
+
+#include "state/model.h"
+
+/* A block's record as the mirror shows it; v NULL: removed. */
+void lmn_block_apply(struct lmn_core *c, struct lmn_partition *p, unsigned long id,
+                     const struct lmn_doc *d, const struct lmn_node *v, uint64_t rev,
+                     struct timespec now);
+void lmn_block_sweep(struct lmn_core *c, struct lmn_partition *p, struct timespec now);
+/* No write of ours is under way any more. */
+void lmn_block_reset(struct lmn_partition *p);
+/* Writes the blocks that machines have come to or gone from; lazy: there is budget to
+ * spare. */
+void lmn_blocks_flush(struct lmn_core *c, struct lmn_partition *p, bool lazy,
+                      struct timespec now);
+
+#endif
--- a/src/cloud.c
+++ b/src/own/cloud.c
@@ -1,9 +1,19 @@
 /* The cloud's client: machine types, rentals, returns, the list. */
-#include "fleet.h"
-#include "log.h"
-#include "thread.h"
-#include "wire.h"
-#include "budget.h"
+#include "own/cloud.h"
+#include "base/budget.h"
+#include "base/clock.h"
+#include "base/codec.h"
+#include "base/http_client.h"
+#include "base/job.h"
+#include "base/log.h"
+#include "base/thread.h"
+#include "base/wire.h"
+#include "decide/fleet.h"
+#include "own/partition.h"
+#include "own/upkeep.h"
+#include "own/worker.h"
+#include "state/core.h"
+#include "state/model.h"
 
 #include <string.h>
 
@@ -25,7 +35,8 @@
     return lmn_budget_take(&k->budget, 1, lmn_now()) <= 0;
 }
 
-static void read_type(struct lmn_type *t, const struct lmn_doc *d, const struct lmn_node *n)
+static void read_type(struct lmn_type *t, const struct lmn_doc *d,
+                      const struct lmn_node *n)
 {
     const struct lmn_node *zones = lmn_get(d, n, W_ZONES);
 
@@ -94,8 +105,8 @@
     return status == 200;
 }
 
-/* Of the calls of the one who rents, at most half go into returns, many machines each: one for each
- * machine as it is lost would leave none for renting others in its place. */
+/* Of the calls of the one who rents, at most half go into returns, many machines each:
+ * one for each machine as it is lost would leave none for renting others in its place. */
 static void return_machines(struct cloud *k)
 {
     struct lmn_core *c = k->c;
@@ -112,7 +123,8 @@
         g_hash_table_iter_init(&it, c->parts[i].machines);
         while (g_hash_table_iter_next(&it, NULL, &v) && names->len < 100) {
             struct lmn_machine *m = v;
-            if (m->retiring && !m->is_gone && (m->force || (lmn_machine_bare(m) && !m->in_call)))
+            if (m->retiring && !m->is_gone &&
+                (m->force || (lmn_machine_bare(m) && !m->in_call)))
                 g_ptr_array_add(names, g_strdup(m->name));
         }
     }
@@ -152,8 +164,9 @@
     return m;
 }
 
-/* Reads the whole list. It lags, and may be older than the last: a machine leaves the books
- * only after it has been missing for longer than any lag, or when its return was answered. */
+/* Reads the whole list. It lags, and may be older than the last: a machine leaves the
+ * books only after it has been missing for longer than any lag, or when its return was
+ * answered. */
 static bool read_list(struct cloud *k)
 {
     char after[LMN_NAME] = "", path[256];
@@ -164,7 +177,8 @@
         while (!pace(k))
             lmn_sleep(0.2);
         if (*after)
-            g_snprintf(path, sizeof path, P_MACHINES "?" Q_AFTER "=%s&" Q_LIMIT "=500", after);
+            g_snprintf(path, sizeof path, P_MACHINES "?" Q_AFTER "=%s&" Q_LIMIT "=500",
+                       after);
         else
             g_snprintf(path, sizeof path, P_MACHINES "?" Q_LIMIT "=500");
         if (lmn_http_call(k->http, "GET", path, NULL, 4.0, k->buf) != 200 ||
@@ -234,7 +248,8 @@
     if (bad->len && pace(k) && give_back(k, bad)) {
         pthread_mutex_lock(&c->lock);
         for (guint i = 0; i < bad->len; i++) {
-            struct lmn_partition *p = &c->parts[lmn_partition_of(bad->pdata[i], c->nparts)];
+            struct lmn_partition *p =
+                &c->parts[lmn_partition_of(bad->pdata[i], c->nparts)];
             struct lmn_machine *m = g_hash_table_lookup(p->machines, bad->pdata[i]);
             if (m && p->mine && !m->is_gone)
                 lmn_machine_gone(c, m, now);
@@ -262,10 +277,11 @@
         pthread_mutex_unlock(&c->lock);
         if (!go)
             return;
-        /* The lease's number is the state service's and never comes again: neither this node
-         * nor another can use the name for something else. */
-        g_snprintf(k->request, sizeof k->request, "%s-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT,
-                   c->cfg->node, lease, ++k->requests);
+        /* The lease's number is the state service's and never comes again: neither this
+         * node nor another can use the name for something else. */
+        g_snprintf(k->request, sizeof k->request,
+                   "%s-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT, c->cfg->node, lease,
+                   ++k->requests);
     }
     if (!pace(k))
         return;
@@ -320,7 +336,8 @@
     k.http = lmn_http_new(c->cfg->cloud);
     k.buf = g_byte_array_new();
     lmn_fleet_init(&k.fleet);
-    lmn_budget_init(&k.budget, c->cfg->cloud_rps * share, MAX(c->cfg->cloud_rps, 1), lmn_now());
+    lmn_budget_init(&k.budget, c->cfg->cloud_rps * share, MAX(c->cfg->cloud_rps, 1),
+                    lmn_now());
     for (;;) {
         struct timespec now = lmn_now();
         pthread_mutex_lock(&c->lock);
@@ -341,7 +358,8 @@
         }
         if (role != k.had_role) {
             /* The holder of the role lists and rents; the others only return. */
-            double rps = c->cfg->cloud_rps * (role ? 0.6 : 0.35 / MAX(c->cfg->nmembers, 1));
+            double rps =
+                c->cfg->cloud_rps * (role ? 0.6 : 0.35 / MAX(c->cfg->nmembers, 1));
             k.budget.rate = rps;
             k.budget.burst = role ? MAX(c->cfg->cloud_rps, 1) : 1;
         }
@@ -349,10 +367,10 @@
         if (role && known && !blind) {
             if (lmn_since(now, k.listed) > MAX(c->cfg->list_lag_s, 3.0) && read_list(&k))
                 prune(&k);
-            /* A predecessor's last rentals show in the list only after its lag; that some show
-             * later costs less than machines that are missed meanwhile. */
-            if (k.listed.tv_sec && (first_term ||
-                                    lmn_since(now, k.role_since) > c->cfg->list_lag_s))
+            /* A predecessor's last rentals show in the list only after its lag; that some
+             * show later costs less than machines that are missed meanwhile. */
+            if (k.listed.tv_sec &&
+                (first_term || lmn_since(now, k.role_since) > c->cfg->list_lag_s))
                 rent(&k);
         }
         lmn_sleep(0.25);
--- /dev/null
+++ b/src/own/flush.h
@@ -0,0 +1,11 @@
+/* What an owner writes of its ranges. The core's lock is held by the caller throughout.
+ */
+#ifndef LMN_FLUSH_H
+#define LMN_FLUSH_H
+
+#include "state/model.h"
+
+/* Writes done sets and closes ranges that are due; the lock is held. */
+void lmn_ranges_flush(struct lmn_core *c, struct timespec now);
+
+#endif
--- a/src/quota.c
+++ b/src/own/gift.c
@@ -1,40 +1,15 @@
-/* A team's limit, parted among the partitions.
+/* Parts of teams' limits on their way between partitions.
  *
- * Without a record each partition has an even part. A part is given to another partition by its
- * owner alone, by one write that is conditional on its ownership and on the team's record, and
- * only what its tasks do not use. What is being given counts as given from before the write goes
- * out until the mirror shows what became of it; what is received counts only once the mirror
- * shows it. So the parts in use never add up to more than the limit, whatever fails. */
-#include "core.h"
-#include "log.h"
+ * A part is given to another partition by its owner alone, by one write that is
+ * conditional on its ownership and on the team's record, and only what its tasks do not
+ * use. What is being given counts as given from before the write goes out until the
+ * mirror shows what became of it; what is received counts only once the mirror shows it.
+ * So the parts in use never add up to more than the limit, whatever fails. */
+#include "own/gift.h"
+#include "base/log.h"
 
 #include <string.h>
 
-static bool limited(const struct lmn_team *t)
-{
-    return t->cpus_max > 0 || t->gpus_max > 0;
-}
-
-static void even(const struct lmn_core *c, int team, double *cpus, double *gpus)
-{
-    *cpus = c->cfg->teams[team].cpus_max / c->nparts;
-    *gpus = c->cfg->teams[team].gpus_max / c->nparts;
-}
-
-void lmn_quota_part(const struct lmn_core *c, const struct lmn_partition *p, int team,
-                    double *cpus, double *gpus)
-{
-    even(c, team, cpus, gpus);
-    if (c->quota_known[team]) {
-        *cpus = p->quota_cpus[team];
-        *gpus = p->quota_gpus[team];
-    }
-    if (p->gift.team == team) {
-        *cpus -= p->gift.cpus;
-        *gpus -= p->gift.gpus;
-    }
-}
-
 static char *record_key(const struct lmn_core *c, int team)
 {
     /* Keys hold no spaces; names may. */
@@ -75,8 +50,8 @@
     double cpus_max = -1, gpus_max = -1;
     lmn_number(lmn_get(d, v, "cpus_max"), &cpus_max);
     lmn_number(lmn_get(d, v, "gpus_max"), &gpus_max);
-    c->quota_known[team] =
-        cpus_max == c->cfg->teams[team].cpus_max && gpus_max == c->cfg->teams[team].gpus_max;
+    c->quota_known[team] = cpus_max == c->cfg->teams[team].cpus_max &&
+                           gpus_max == c->cfg->teams[team].gpus_max;
 }
 
 struct gift_ref {
@@ -129,11 +104,13 @@
         lmn_put_list(b, (size_t)c->nparts);
         for (int i = 0; i < c->nparts; i++) {
             double x, y;
-            even(c, team, &x, &y);
+            lmn_quota_even(c, team, &x, &y);
             if (c->quota_known[team])
                 x = c->parts[i].quota_cpus[team], y = c->parts[i].quota_gpus[team];
             double by = gpus ? p->gift.gpus : p->gift.cpus;
-            lmn_put_number(b, (gpus ? y : x) + (i == p->gift.to ? by : i == p->id ? -by : 0));
+            lmn_put_number(b, (gpus ? y : x) + (i == p->gift.to ? by
+                                                : i == p->id    ? -by
+                                                                : 0));
         }
     }
     lmn_txn_write(t, key, b, 0);
@@ -142,13 +119,14 @@
     lmn_state_submit(c->state, t);
 }
 
-bool lmn_quota_give(struct lmn_core *c, struct lmn_partition *p, int team, int to, double cpus,
-                    double gpus)
+bool lmn_quota_give(struct lmn_core *c, struct lmn_partition *p, int team, int to,
+                    double cpus, double gpus)
 {
     double have_cpus, have_gpus;
 
-    if (!p->mine || !p->ready || p->releasing || p->gift.team >= 0 || to == p->id || to < 0 ||
-        to >= c->nparts || team < 0 || team >= (int)c->cfg->nteams || !limited(&c->cfg->teams[team]))
+    if (!p->mine || !p->ready || p->releasing || p->gift.team >= 0 || to == p->id ||
+        to < 0 || to >= c->nparts || team < 0 || team >= (int)c->cfg->nteams ||
+        !lmn_quota_limited(&c->cfg->teams[team]))
         return false;
     lmn_quota_part(c, p, team, &have_cpus, &have_gpus);
     cpus = CLAMP(cpus, 0, MAX(have_cpus - p->used_cpus[team], 0));
@@ -179,63 +157,13 @@
     p->gift.team = -1;
 }
 
-/* What the team's queued tasks in the partition ask for, and the largest of them. */
-static void queued(const struct lmn_partition *p, int team, struct lmn_quota_want *w)
-{
-    GHashTableIter it;
-    gpointer v;
-
-    *w = (struct lmn_quota_want){.team = team};
-    g_hash_table_iter_init(&it, p->ranges);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        const struct lmn_range *r = v;
-        double n = r->st ? r->hi - r->lo - r->nfinished - r->nstarted : 0;
-        if (r->job->team != team || r->job->phase != LMN_ACTIVE || n <= 0)
-            continue;
-        w->cpus += n * r->job->spec.cpus;
-        w->gpus += n * r->job->spec.gpus;
-        w->least_cpus = MAX(w->least_cpus, r->job->spec.cpus);
-        w->least_gpus = MAX(w->least_gpus, r->job->spec.gpus);
-    }
-}
-
-bool lmn_quota_wanted(const struct lmn_core *c, const struct lmn_partition *p, int team,
-                      struct lmn_quota_want *w)
-{
-    double cpus, gpus;
-
-    if (!p->mine || !p->ready || !limited(&c->cfg->teams[team]))
-        return false;
-    queued(p, team, w);
-    lmn_quota_part(c, p, team, &cpus, &gpus);
-    /* Only what its queue is short of; the least it needs is what a task needs beyond all of the
-     * part, which waiting for others to end would never give it. */
-    bool short_cpus = p->used_cpus[team] + w->least_cpus > cpus + 1e-6;
-    bool short_gpus = p->used_gpus[team] + w->least_gpus > gpus + 1e-6;
-    w->cpus = short_cpus ? MAX(w->cpus - (cpus - p->used_cpus[team]), 0) : 0;
-    w->gpus = short_gpus ? MAX(w->gpus - (gpus - p->used_gpus[team]), 0) : 0;
-    w->least_cpus = MAX(w->least_cpus - cpus, 0);
-    w->least_gpus = MAX(w->least_gpus - gpus, 0);
-    if (c->cfg->teams[team].cpus_max <= 0)
-        w->cpus = w->least_cpus = 0;
-    if (c->cfg->teams[team].gpus_max <= 0)
-        w->gpus = w->least_gpus = 0;
-    return w->cpus > 1e-6 || w->gpus > 1e-6;
-}
-
 bool lmn_quota_asked(struct lmn_core *c, struct lmn_partition *p, int to,
                      const struct lmn_quota_want *w)
 {
-    struct lmn_quota_want own;
     double cpus, gpus;
 
     if (!p->mine || w->team < 0 || w->team >= (int)c->cfg->nteams)
         return false;
-    queued(p, w->team, &own);
-    lmn_quota_part(c, p, w->team, &cpus, &gpus);
-    /* What its own queue does not need; and of that, what another could else never start with. */
-    cpus -= p->used_cpus[w->team] + own.cpus;
-    gpus -= p->used_gpus[w->team] + own.gpus;
-    return lmn_quota_give(c, p, w->team, to, MAX(MIN(w->cpus, cpus), w->least_cpus),
-                          MAX(MIN(w->gpus, gpus), w->least_gpus));
+    lmn_quota_spare(c, p, w, &cpus, &gpus);
+    return lmn_quota_give(c, p, w->team, to, cpus, gpus);
 }
--- /dev/null
+++ b/src/own/gift.h
@@ -0,0 +1,20 @@
+/* Parts of limits that move, by conditional writes. The core's lock is held by the caller
+ * throughout. */
+#ifndef LMN_GIFT_H
+#define LMN_GIFT_H
+
+#include "decide/quota.h"
+
+void lmn_quota_apply(struct lmn_core *c, const char *key, const struct lmn_doc *d,
+                     const struct lmn_node *v, uint64_t rev);
+/* Sets a gift to another partition going, of no more than is free; false if there is
+ * none. */
+bool lmn_quota_give(struct lmn_core *c, struct lmn_partition *p, int team, int to,
+                    double cpus, double gpus);
+void lmn_quota_flush(struct lmn_core *c, struct lmn_partition *p, struct timespec now);
+void lmn_quota_reset(struct lmn_partition *p);
+/* Another partition is short of it: gives what can be spared. */
+bool lmn_quota_asked(struct lmn_core *c, struct lmn_partition *p, int to,
+                     const struct lmn_quota_want *w);
+
+#endif
--- /dev/null
+++ b/src/own/owner.c
@@ -0,0 +1,41 @@
+/* What the mirror's changes mean to an owner's books. */
+
+#include "own/owner.h"
+#include "decide/queue.h"
+#include "decide/steal.h"
+#include "own/block.h"
+#include "own/gift.h"
+#include "own/partition.h"
+#include "own/range.h"
+#include "state/books.h"
+#include "state/core.h"
+
+static void range_born(struct lmn_core *c, struct lmn_range *r, struct timespec now)
+{
+    lmn_range_open(c, r);
+    if (!lmn_range_free_to_start(r))
+        return;
+    r->dealt = true;
+    lmn_deal(c, r, r->lo, r->hi, now);
+}
+
+static const struct lmn_owner_ops ops = {
+    .range_born = range_born,
+    .range_cut = lmn_range_cut,
+    .move_undo = lmn_move_undo,
+    .range_forget = lmn_range_forget,
+    .partition_own = lmn_partition_own,
+    .partition_lose = lmn_partition_lose,
+    .block_apply = lmn_block_apply,
+    .block_sweep = lmn_block_sweep,
+    .quota_apply = lmn_quota_apply,
+};
+
+struct lmn_core *lmn_core_new(const struct lmn_settings *cfg, struct lmn_state *state,
+                              uint32_t seed)
+{
+    struct lmn_core *c = lmn_core_bare(cfg, state, seed);
+
+    c->owner = &ops;
+    return c;
+}
--- /dev/null
+++ b/src/own/owner.h
@@ -0,0 +1,12 @@
+/* A controller's books over its mirror: what a process, or a test, starts with. */
+#ifndef LMN_OWNER_H
+#define LMN_OWNER_H
+
+#include "state/model.h"
+
+/* The shared state with an owner's books behind the mirror. cfg and state must outlive
+ * it; it is never freed. seed: of its random source. */
+struct lmn_core *lmn_core_new(const struct lmn_settings *cfg, struct lmn_state *state,
+                              uint32_t seed);
+
+#endif
--- a/src/partition.c
+++ b/src/own/partition.c
@@ -1,8 +1,13 @@
 /* Partitions of the machines: who owns which, under what term. */
-#include "core.h"
-#include "log.h"
-#include "thread.h"
-#include "wire.h"
+#include "own/partition.h"
+#include "base/log.h"
+#include "base/thread.h"
+#include "base/wire.h"
+#include "decide/queue.h"
+#include "own/block.h"
+#include "own/gift.h"
+#include "own/range.h"
+#include "state/books.h"
 
 #include <string.h>
 
@@ -97,8 +102,9 @@
     }
 }
 
-/* Deals what may start and was not dealt yet. A range can become known between the change that
- * made the partition ours and our noticing it, so whether it was dealt is kept, not inferred. */
+/* Deals what may start and was not dealt yet. A range can become known between the change
+ * that made the partition ours and our noticing it, so whether it was dealt is kept, not
+ * inferred. */
 static void deal_ranges(struct lmn_core *c, struct lmn_partition *p, struct timespec now)
 {
     GHashTableIter it;
@@ -139,8 +145,8 @@
     p->ready = all;
     if (all) {
         p->ready_at = now;
-        lmn_info("partition-ready partition=%d term=%" G_GUINT64_FORMAT " after=%.2f", p->id,
-                 p->my_term, lmn_since(now, p->since));
+        lmn_info("partition-ready partition=%d term=%" G_GUINT64_FORMAT " after=%.2f",
+                 p->id, p->my_term, lmn_since(now, p->since));
     }
     deal_ranges(c, p, now);
 }
@@ -219,7 +225,8 @@
     lmn_txn_free(t);
 }
 
-bool lmn_holder_stands_in(const struct lmn_core *c, const struct lmn_partition *p, const char *zone)
+bool lmn_holder_stands_in(const struct lmn_core *c, const struct lmn_partition *p,
+                          const char *zone)
 {
     int n = (int)c->cfg->nmembers + 1, holder = p->id % n;
 
@@ -255,8 +262,8 @@
     return lmn_since(now, p->vacant) >= 1.5 * ahead;
 }
 
-struct lmn_txn *lmn_partition_claim(const struct lmn_core *c, const struct lmn_partition *p,
-                                    uint64_t lease)
+struct lmn_txn *lmn_partition_claim(const struct lmn_core *c,
+                                    const struct lmn_partition *p, uint64_t lease)
 {
     struct lmn_txn *t = lmn_txn_new(LMN_RANK_OWNER, NULL, NULL);
     uint64_t term = p->term + 1;
--- /dev/null
+++ b/src/own/partition.h
@@ -0,0 +1,25 @@
+/* Who owns which partition, under what term. The lock is held, but by
+ * lmn_partition_thread's caller. */
+#ifndef LMN_PARTITION_H
+#define LMN_PARTITION_H
+
+#include "state/model.h"
+
+int lmn_partition_of(const char *machine, int nparts);
+void lmn_partition_own(struct lmn_core *c, struct lmn_partition *p, struct timespec now);
+void lmn_partition_lose(struct lmn_core *c, struct lmn_partition *p, const char *why);
+/* All inherited machines accounted for? Then the inherited tasks may start. */
+void lmn_partition_check(struct lmn_core *c, struct lmn_partition *p,
+                         struct timespec now);
+/* Whether the member that holds the partition by default stands in the zone. */
+bool lmn_holder_stands_in(const struct lmn_core *c, const struct lmn_partition *p,
+                          const char *zone);
+/* Whether this node should try to own the partition now. */
+bool lmn_partition_wanted(const struct lmn_core *c, const struct lmn_partition *p,
+                          struct timespec now);
+/* The transaction that claims it: the owner's key and a higher term, both conditional. */
+struct lmn_txn *lmn_partition_claim(const struct lmn_core *c,
+                                    const struct lmn_partition *p, uint64_t lease);
+void *lmn_partition_thread(void *core);
+
+#endif
--- /dev/null
+++ b/src/own/range.h
@@ -0,0 +1,19 @@
+/* An owner's ranges: what becomes of their tasks. The core's lock is held by the caller
+ * throughout. */
+#ifndef LMN_RANGE_H
+#define LMN_RANGE_H
+
+#include "state/model.h"
+
+/* Takes a range into the owner's books. */
+void lmn_range_open(struct lmn_core *c, struct lmn_range *r);
+/* Nothing refers to the range any more. */
+void lmn_range_forget(struct lmn_core *c, struct lmn_range *r);
+void lmn_task_requeue(struct lmn_core *c, struct lmn_range *r, uint32_t index,
+                      struct timespec now);
+void lmn_task_finished(struct lmn_range *r, uint32_t index, struct timespec now);
+/* The machine holds no task any more: everything it carried is queued again. */
+void lmn_machine_empty(struct lmn_core *c, struct lmn_machine *m, const char *why,
+                       struct timespec now);
+
+#endif
--- /dev/null
+++ b/src/own/upkeep.c
@@ -0,0 +1,248 @@
+/* What an owner does from time to time: lapses, returns, cut zones, an audit of its
+ * books. */
+#include "own/upkeep.h"
+#include "base/log.h"
+#include "decide/queue.h"
+#include "own/partition.h"
+#include "own/range.h"
+#include "state/books.h"
+#include "state/core.h"
+
+#include <math.h>
+#include <string.h>
+
+void lmn_machine_gone(struct lmn_core *c, struct lmn_machine *m, struct timespec now)
+{
+    m->is_gone = true;
+    m->inherited = false;
+    m->accounted = true;
+    lmn_machine_empty(c, m, "machine gone", now);
+    g_hash_table_add(c->gone, g_strdup(m->name));
+    lmn_partition_check(c, m->part, now);
+    if (!m->block)
+        g_hash_table_remove(m->part->machines, m->name);
+}
+
+static guint busy(const struct lmn_machine *m)
+{
+    guint n = 0;
+    for (guint i = 0; i < m->attempts->len; i++)
+        n += g_array_index(m->attempts, struct lmn_attempt, i).state != LMN_A_ENDED;
+    return n;
+}
+
+/* By then most of an inherited partition's machines that are alive have answered a
+ * question. */
+static const double HEARD_S = 3;
+
+/* How many of a partition's machines are silent, of those that should not be. */
+struct silence {
+    const char *zone; /* NULL: of all zones together */
+    guint silent, all;
+};
+
+/* Those of the whole partition, then of each zone. */
+static GArray *listen_to(const struct lmn_core *c, const struct lmn_partition *p,
+                         struct timespec now)
+{
+    GArray *a = g_array_new(FALSE, TRUE, sizeof(struct silence));
+    GHashTableIter it;
+    gpointer v;
+
+    g_array_set_size(a, 1);
+    g_hash_table_iter_init(&it, p->machines);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const struct lmn_machine *m = v;
+        guint i = 1;
+        if ((!m->heard && !m->inherited) || m->is_gone)
+            continue;
+        while (i < a->len && strcmp(g_array_index(a, struct silence, i).zone, m->zone))
+            i++;
+        if (i == a->len) {
+            struct silence z = {.zone = m->zone};
+            g_array_append_val(a, z);
+        }
+        bool silent = !m->accounted || m->lapsed || lmn_machine_silent(c, m, now);
+        g_array_index(a, struct silence, 0).all++;
+        g_array_index(a, struct silence, 0).silent += silent;
+        g_array_index(a, struct silence, i).all++;
+        g_array_index(a, struct silence, i).silent += silent;
+    }
+    return a;
+}
+
+static bool most_of(const struct silence *s)
+{
+    return s->silent > 2 && 2 * s->silent > s->all;
+}
+
+/* If most machines are silent, the fault is more likely on this side. */
+static bool most_silent(const GArray *a)
+{
+    return most_of(&g_array_index(a, struct silence, 0));
+}
+
+/* If most machines of a zone are silent, it is cut off: they are alive, and so may their
+ * tasks be, under an owner that is cut off with them. When it is over, each is heard
+ * again only when it has given up its last try and comes to report here: once the first
+ * half had, the others were returned. */
+static void note_cuts(const struct lmn_core *c, struct lmn_partition *p, const GArray *a,
+                      struct timespec now)
+{
+    /* Right after a takeover nobody has been heard yet. */
+    if (lmn_since(now, p->since) < HEARD_S)
+        return;
+    for (guint i = 1; i < a->len; i++) {
+        const struct silence *s = &g_array_index(a, struct silence, i);
+        struct lmn_cut *cut = NULL;
+        if (!most_of(s))
+            continue;
+        for (guint k = 0; k < p->cuts->len && !cut; k++)
+            if (!strcmp(g_array_index(p->cuts, struct lmn_cut, k).zone, s->zone))
+                cut = &g_array_index(p->cuts, struct lmn_cut, k);
+        if (!cut) {
+            struct lmn_cut new = {.zone = g_intern_string(s->zone)};
+            g_array_append_val(p->cuts, new);
+            cut = &g_array_index(p->cuts, struct lmn_cut, p->cuts->len - 1);
+        }
+        if (lmn_before(cut->until, now))
+            lmn_info("zone-silent partition=%d zone=%s silent=%u of=%u", p->id, s->zone,
+                     s->silent, s->all);
+        cut->until = lmn_after(now, c->cfg->report_s + 10);
+    }
+}
+
+static bool is_cut(const struct lmn_partition *p, const char *zone, struct timespec now)
+{
+    for (guint i = 0; i < p->cuts->len; i++) {
+        const struct lmn_cut *cut = &g_array_index(p->cuts, struct lmn_cut, i);
+        if (!strcmp(cut->zone, zone))
+            return lmn_before(now, cut->until);
+    }
+    return false;
+}
+
+static void upkeep_machine(struct lmn_core *c, struct lmn_machine *m,
+                           const GArray *silence, struct timespec now)
+{
+    const struct lmn_settings *cfg = c->cfg;
+    struct lmn_partition *p = m->part;
+    double silent = m->heard ? lmn_since(now, m->last) : lmn_since(now, p->since);
+
+    if (m->is_gone)
+        return;
+    /* Counted from the last report that we may have answered, with the clocks' drift and
+     * our own lateness allowed for: then the worker has ended everything by itself. Only
+     * so within our own term: before, a predecessor may have answered it later than we
+     * know; and after, a successor. So the mirror must show that the partition was still
+     * ours when the lease was over. Found when a zone was cut off with its controller: it
+     * gave up the machines of the other zones, which its successor had kept alive, and
+     * started their tasks once more on those of its own zone. */
+    double lapse = cfg->lease_s * 1.002 + 1.5;
+    if (m->accounted && !m->lapsed && silent > lapse &&
+        lmn_since(c->fresh, m->last) > lapse) {
+        m->lapsed = true;
+        lmn_info("machine-lapsed machine=%s partition=%d tasks=%u", m->name, p->id,
+                 busy(m));
+        lmn_machine_empty(c, m, "lease lapsed", now);
+    }
+    if (lmn_staleness(c, now) > LMN_BLIND_S)
+        return;
+    /* Most machines that fall silent are gone, and a return is a quicker proof of that
+     * than a lease; a worker that answers when asked is left alone. Not so in a zone that
+     * is cut off: returning its machines ended a third of all replicas at once, where
+     * most would have run on, and left nothing to come back to. */
+    bool few = !most_silent(silence), cut = is_cut(p, m->zone, now);
+    if (lmn_machine_silent(c, m, now) && m->probes >= 2 && few && !cut)
+        lmn_machine_retire(c, m, true, "silent and unreachable", now);
+    if (m->lapsed && silent > cfg->lease_s + 12 + (few && cut ? cfg->cancel_s : 0))
+        lmn_machine_retire(c, m, true, "silent", now);
+    if (m->noticed && lmn_since(now, m->noticed_at) > m->notice_s + 0.5)
+        lmn_machine_retire(c, m, true, "taken by the cloud", now);
+    /* Neither its worker's reports nor our own questions got through. If that goes for
+     * most of them, the fault is more likely on this side: then the leases have to run
+     * out first. In a zone by itself the partition's usual holder may answer them for as
+     * long as its view is not too old, and their leases run out after that. If it stands
+     * elsewhere, nobody answers them, and the partition's queued work need not wait. */
+    double patience = !few                                         ? cfg->lease_s + 8
+                      : cut && lmn_holder_stands_in(c, p, m->zone) ? cfg->cancel_s + 4
+                                                                   : 4;
+    if (m->inherited && !m->accounted && silent > patience &&
+        (m->probes >= 2 || (m->probes && silent > 1.25 * cfg->report_s + patience) ||
+         silent > cfg->lease_s))
+        lmn_machine_retire(c, m, true, "not heard under the new term", now);
+    /* While a partition's inherited work has to wait, its machines are idle for that
+     * alone. */
+    if (m->accounted && !m->retiring && m->idle.tv_sec && p->ready &&
+        lmn_since(now, m->idle) > c->tuning.idle_return_s &&
+        lmn_since(now, p->ready_at) > c->tuning.idle_return_s && !m->queue.tasks)
+        lmn_machine_retire(c, m, false, "idle", now);
+}
+
+static uint32_t in_queue(const struct lmn_queue *q, const struct lmn_range *r)
+{
+    uint32_t n = 0;
+    for (guint i = 0; i < q->segs->len; i++) {
+        const struct lmn_seg *s = q->segs->pdata[i];
+        if (s->range == r)
+            n += s->hi - s->lo;
+    }
+    return n;
+}
+
+/* A task that the books call queued but that stands in no queue would wait for ever.
+ * There should be none; if there is one, it is said, and dealt anew. */
+static void audit(struct lmn_core *c, struct lmn_partition *p, struct timespec now)
+{
+    GList *ranges = g_hash_table_get_values(p->ranges);
+
+    for (GList *l = ranges; l && p->ready; l = l->next) {
+        struct lmn_range *r = l->data;
+        uint32_t n = r->hi - r->lo, queued = 0, found = in_queue(&p->limbo, r);
+        GHashTableIter it;
+        gpointer v;
+        if (!r->st || r->job->phase != LMN_ACTIVE)
+            continue;
+        for (uint32_t i = 0; i < n; i++)
+            queued += r->st[i] == LMN_T_QUEUED;
+        g_hash_table_iter_init(&it, p->machines);
+        while (g_hash_table_iter_next(&it, NULL, &v))
+            found += in_queue(&((struct lmn_machine *)v)->queue, r);
+        if (found >= queued)
+            continue;
+        c->count.unqueued++;
+        lmn_error("tasks-unqueued range=%s queued=%u found=%u", r->key, queued, found);
+        lmn_queue_drop_range(&p->limbo, r);
+        g_hash_table_iter_init(&it, p->machines);
+        while (g_hash_table_iter_next(&it, NULL, &v))
+            lmn_queue_drop_range(&((struct lmn_machine *)v)->queue, r);
+        for (uint32_t i = 0; i < n; i++)
+            if (r->st[i] == LMN_T_QUEUED)
+                lmn_deal(c, r, r->lo + i, r->lo + i + 1, now);
+    }
+    g_list_free(ranges);
+}
+
+void lmn_upkeep(struct lmn_core *c, struct timespec now)
+{
+    bool due = lmn_since(now, c->audited) > 5.0;
+
+    if (due)
+        c->audited = now;
+    for (int i = 0; i < c->nparts; i++) {
+        struct lmn_partition *p = &c->parts[i];
+        if (!p->mine)
+            continue;
+        GList *all = g_hash_table_get_values(p->machines);
+        /* Once for all machines: a look at each from each takes their square. */
+        GArray *silence = listen_to(c, p, now);
+        note_cuts(c, p, silence, now);
+        for (GList *l = all; l; l = l->next)
+            upkeep_machine(c, l->data, silence, now);
+        g_array_free(silence, TRUE);
+        g_list_free(all);
+        lmn_partition_check(c, p, now);
+        if (due)
+            audit(c, p, now);
+    }
+}
--- /dev/null
+++ b/src/own/upkeep.h
@@ -0,0 +1,13 @@
+/* What an owner does from time to time. The core's lock is held by the caller throughout.
+ */
+#ifndef LMN_UPKEEP_H
+#define LMN_UPKEEP_H
+
+#include "state/model.h"
+
+/* Lapses, retirements, returns of idle machines; the lock is held. */
+void lmn_upkeep(struct lmn_core *c, struct timespec now);
+/* The cloud has said that it is gone. */
+void lmn_machine_gone(struct lmn_core *c, struct lmn_machine *m, struct timespec now);
+
+#endif
--- a/src/worker.c
+++ b/src/own/worker.c
@@ -1,9 +1,13 @@
 /* Reports of workers: what they prove, and the commands that answer them. */
-#include "core.h"
-#include "http_client.h"
-#include "log.h"
-#include "thread.h"
-#include "wire.h"
+#include "own/worker.h"
+#include "base/log.h"
+#include "base/thread.h"
+#include "base/wire.h"
+#include "decide/queue.h"
+#include "own/partition.h"
+#include "own/range.h"
+#include "state/books.h"
+#include "state/core.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -135,8 +139,9 @@
     a->state = LMN_A_ENDED;
     a->done = lmn_is(why, W_DONE);
     if (a->done) {
-        lmn_debug("task-done task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s after=%.1f", a->ref,
-                  a->index, a->number, m->name, lmn_since(now, a->since));
+        lmn_debug("task-done task=%s/%u attempt=%" G_GUINT64_FORMAT
+                  " machine=%s after=%.1f",
+                  a->ref, a->index, a->number, m->name, lmn_since(now, a->since));
         g_ptr_array_set_size(m->failed_jobs, 0);
         if (a->job)
             a->job->errors = 0;
@@ -198,7 +203,8 @@
                 ended(c, m, a, d, n, now);
         } else {
             if (state == LMN_A_RUNNING && a->state != state)
-                lmn_debug("task-run task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s after=%.1f",
+                lmn_debug("task-run task=%s/%u attempt=%" G_GUINT64_FORMAT
+                          " machine=%s after=%.1f",
                           a->ref, a->index, a->number, m->name, lmn_since(now, a->since));
             a->state = state;
         }
@@ -397,8 +403,10 @@
 
 /* --- commands sent straight to the worker --- */
 
-/* Inherited machines that are not accounted for, and those that have fallen silent since. */
-static bool worth_asking(const struct lmn_core *c, const struct lmn_machine *m, struct timespec now)
+/* Inherited machines that are not accounted for, and those that have fallen silent since.
+ */
+static bool worth_asking(const struct lmn_core *c, const struct lmn_machine *m,
+                         struct timespec now)
 {
     return !m->is_gone && !lmn_before(now, m->next_probe) &&
            ((m->inherited && !m->accounted) || lmn_machine_silent(c, m, now));
@@ -417,9 +425,10 @@
         g_hash_table_iter_init(&it, c->parts[i].machines);
         while (g_hash_table_iter_next(&it, NULL, &v)) {
             struct lmn_machine *m = v;
-            /* Those that have not answered come last: each holds its lane up for a second. Whoever
-             * has answered before has a connection in its own lane; the rest go to any, since after
-             * a wave of losses a few lanes were left with most of the silent ones. */
+            /* Those that have not answered come last: each holds its lane up for a
+             * second. Whoever has answered before has a connection in its own lane; the
+             * rest go to any, since after a wave of losses a few lanes were left with
+             * most of the silent ones. */
             if (worth_asking(c, m, now) &&
                 (g_str_hash(m->name) % lanes == lane || m->probes > 0 ||
                  lmn_since(now, c->parts[i].since) > 2) &&
@@ -429,7 +438,8 @@
     }
     if (!best)
         return false;
-    best->next_probe = lmn_after(now, 2.5 + 0.5 * MIN(best->probes, 6u)); /* two calls of 1 s */
+    best->next_probe =
+        lmn_after(now, 2.5 + 0.5 * MIN(best->probes, 6u)); /* two calls of 1 s */
     g_strlcpy(name, best->name, LMN_NAME);
     g_strlcpy(addr, best->addr, LMN_ADDR);
     *term = best->part->my_term;
@@ -495,8 +505,8 @@
     return lmn_http_call(h, "POST", P_DIRECT, body, 1.0, answer);
 }
 
-/* Tells tasks that have to make room to stop; if that gets lost, the next report's answer says it
- * again. */
+/* Tells tasks that have to make room to stop; if that gets lost, the next report's answer
+ * says it again. */
 static guint stop_some(struct lmn_core *c, struct lmn_machine *m, GByteArray *out)
 {
     guint n = 0;
@@ -634,7 +644,8 @@
         struct lmn_http *h = g_hash_table_lookup(clients, addr);
         if (!h) {
             /* Connections are kept, but the sockets are the workers' and users' first. */
-            if (g_hash_table_size(clients) >= lmn_direct_connections(c->cfg) / lane->lanes)
+            if (g_hash_table_size(clients) >=
+                lmn_direct_connections(c->cfg) / lane->lanes)
                 drop_any(clients);
             h = lmn_http_new(addr);
             g_hash_table_insert(clients, g_strdup(addr), h);
--- /dev/null
+++ b/src/serve/admin.c
@@ -0,0 +1,80 @@
+/* The administration client. */
+#include "serve/admin.h"
+#include "serve/peer.h"
+#include "peer_wire.h"
+
+#include <rpc/rpc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static const struct timeval patience = {5, 0};
+
+/* xdr_void's type differs from all others'; the detour says that this is meant. */
+#define nothing ((xdrproc_t)(void (*)(void))xdr_void)
+
+static int show_reply(CLIENT *cl, rpcproc_t proc, xdrproc_t xargs, void *args)
+{
+    struct lmn_reply r = {0};
+
+    if (clnt_call(cl, proc, xargs, args, (xdrproc_t)xdr_lmn_reply, (char *)&r,
+                  patience) != RPC_SUCCESS) {
+        fprintf(stderr, "lemonspar: %s\n", clnt_sperror(cl, "no answer"));
+        return 1;
+    }
+    fprintf(r.code ? stderr : stdout, "%s%s", r.text,
+            *r.text && r.text[strlen(r.text) - 1] == '\n' ? "" : "\n");
+    return r.code ? 1 : 0;
+}
+
+static int show_tuning(CLIENT *cl)
+{
+    struct lmn_tuning_list l = {{0, NULL}};
+
+    if (clnt_call(cl, LMN_TUNING_GET, nothing, NULL, (xdrproc_t)xdr_lmn_tuning_list,
+                  (char *)&l, patience) != RPC_SUCCESS) {
+        fprintf(stderr, "lemonspar: %s\n", clnt_sperror(cl, "no answer"));
+        return 1;
+    }
+    for (u_int i = 0; i < l.items.items_len; i++)
+        printf("%s %g\n", l.items.items_val[i].name, l.items.items_val[i].value);
+    return 0;
+}
+
+int lmn_admin_main(const char *addr, int argc, char **argv)
+{
+    CLIENT *cl;
+    char *end = NULL;
+    double value = 0;
+    int rc = 2;
+
+    bool ok = (argc == 1 && (!strcmp(argv[0], "status") || !strcmp(argv[0], "get"))) ||
+              (argc == 2 && !strcmp(argv[0], "drain"));
+    if (argc == 3 && !strcmp(argv[0], "set")) {
+        value = strtod(argv[2], &end);
+        ok = end != argv[2] && !*end;
+    }
+    if (!ok) {
+        fprintf(stderr, "usage: lemonspar admin ADDRESS status | get | set NAME VALUE | "
+                        "drain MACHINE\n");
+        return 2;
+    }
+    cl = lmn_peer_dial(addr);
+    if (!cl) {
+        fprintf(stderr, "lemonspar: %s: no controller answers there\n", addr);
+        return 1;
+    }
+    if (!strcmp(argv[0], "status"))
+        rc = show_reply(cl, LMN_STATUS, nothing, NULL);
+    else if (!strcmp(argv[0], "get"))
+        rc = show_tuning(cl);
+    else if (!strcmp(argv[0], "set")) {
+        struct lmn_set_request q = {argv[1], value};
+        rc = show_reply(cl, LMN_TUNING_SET, (xdrproc_t)xdr_lmn_set_request, &q);
+    } else {
+        struct lmn_machine_request q = {argv[1]};
+        rc = show_reply(cl, LMN_DRAIN, (xdrproc_t)xdr_lmn_machine_request, &q);
+    }
+    clnt_destroy(cl);
+    return rc;
+}
--- a/src/api.c
+++ b/src/serve/api.c
@@ -1,9 +1,12 @@
-/* Users' requests. What a user is told as accepted, cancelled or done is committed; an answer
- * that is not final is read through, so that no node answers older than another. */
-#include "log.h"
-#include "server.h"
-#include "thread.h"
-#include "wire.h"
+/* Users' requests. What a user is told as accepted, cancelled or done is committed; an
+ * answer that is not final is read through, so that no node answers older than another.
+ */
+#include "serve/api.h"
+#include "base/log.h"
+#include "base/thread.h"
+#include "base/wire.h"
+#include "state/core.h"
+#include "state/records.h"
 
 #include <math.h>
 #include <string.h>
@@ -43,7 +46,8 @@
         left += r->hi - r->lo - (r->st ? r->nfinished : r->ndone);
         *running += r->nstarted;
     }
-    *done = j->phase == LMN_FINISHED ? j->spec.tasks : j->spec.tasks - MIN(left, j->spec.tasks);
+    *done = j->phase == LMN_FINISHED ? j->spec.tasks
+                                     : j->spec.tasks - MIN(left, j->spec.tasks);
     if (j->phase != LMN_ACTIVE)
         *running = 0;
 }
@@ -85,7 +89,8 @@
     return job_answer(ref, j->phase, done, running);
 }
 
-static void enqueue(enum ask_kind kind, struct lmn_call *call, const char *ref, int absent_status)
+static void enqueue(enum ask_kind kind, struct lmn_call *call, const char *ref,
+                    int absent_status)
 {
     struct ask *a = g_new0(struct ask, 1);
 
@@ -158,7 +163,8 @@
     struct timespec since;
 };
 
-static void submitted(void *arg, struct lmn_txn *t, enum lmn_outcome outcome, uint64_t rev)
+static void submitted(void *arg, struct lmn_txn *t, enum lmn_outcome outcome,
+                      uint64_t rev)
 {
     struct submission *s = arg;
     (void)t;
@@ -207,10 +213,12 @@
         struct lmn_machine *m = v;
         if (!m->type)
             m->type = lmn_type_named(c, m->type_name);
-        if (m->type && m->rev && !m->is_gone && lmn_spec_allows(s, m->type, m->zone, m->spot))
+        if (m->type && m->rev && !m->is_gone &&
+            lmn_spec_allows(s, m->type, m->zone, m->spot))
             *weight += m->type->cpus + m->type->gpus;
     }
-    /* As recorded, for one's own partitions too: else they would look emptier than the others. */
+    /* As recorded, for one's own partitions too: else they would look emptier than the
+     * others. */
     g_hash_table_iter_init(&it, c->parts[id].ranges);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const struct lmn_range *r = v;
@@ -219,12 +227,13 @@
     }
 }
 
-/* A part of a job is no smaller than this share of what a partition could give. Each part costs
- * the state service changes at its birth and at its end; a small job gains nothing by being cut. */
+/* A part of a job is no smaller than this share of what a partition could give. Each part
+ * costs the state service changes at its birth and at its end; a small job gains nothing
+ * by being cut. */
 static const double LEAST_PART = 0.05;
 
-/* The job's tasks for each partition: as few parts as its size needs, to those with the least to
- * do for their size. */
+/* The job's tasks for each partition: as few parts as its size needs, to those with the
+ * least to do for their size. */
 static void shares(struct lmn_core *c, const struct lmn_spec *s, uint32_t *n)
 {
     double weight[LMN_MAX_MEMBERS], load[LMN_MAX_MEMBERS], sum = 0;
@@ -241,15 +250,17 @@
     int want = sum > 0 ? (int)MIN(ceil(size / (LEAST_PART * sum)), parts) : 1;
     for (int i = 0; sum <= 0 && i < parts; i++)
         weight[i] = 1;
-    /* While writes have to wait, a job is not cut: steals will spread what one partition can't
-     * start. And one owner must see all of a job whose tasks depend on each other's places. */
+    /* While writes have to wait, a job is not cut: steals will spread what one partition
+     * can't start. And one owner must see all of a job whose tasks depend on each other's
+     * places. */
     if (s->one_zone || s->spread || lmn_state_backlog(c->state, LMN_RANK_CLOSE) > 0)
         want = 1;
     for (int k = 0; k < parts; k++) {
         int i = (first + k) % parts, at = able;
         if (weight[i] <= 0)
             continue;
-        while (at > 0 && load[i] / weight[i] < load[order[at - 1]] / weight[order[at - 1]]) {
+        while (at > 0 &&
+               load[i] / weight[i] < load[order[at - 1]] / weight[order[at - 1]]) {
             order[at] = order[at - 1];
             at--;
         }
@@ -296,9 +307,10 @@
             n[i] -= k;
             open++;
         }
-    /* The watch shows changes in the order of the transaction: first ranges, then the job,
-     * would leave ranges without a job. */
-    lmn_txn_write_first(t, job_key, lmn_job_record(s, LMN_ACTIVE, open, lmn_seconds(wall)));
+    /* The watch shows changes in the order of the transaction: first ranges, then the
+     * job, would leave ranges without a job. */
+    lmn_txn_write_first(t, job_key,
+                        lmn_job_record(s, LMN_ACTIVE, open, lmn_seconds(wall)));
     g_free(job_key);
     return t;
 }
@@ -373,9 +385,9 @@
 /* --- the thread that reads through --- */
 
 /* Reads one job. Returns the status of the reading (200, 404 or another). */
-static int read_job(struct lmn_core *c, struct lmn_http *h, GByteArray *buf, const char *ref,
-                    struct lmn_spec *s, enum lmn_phase *phase, uint32_t *open, double *at,
-                    uint64_t *rev)
+static int read_job(struct lmn_core *c, struct lmn_http *h, GByteArray *buf,
+                    const char *ref, struct lmn_spec *s, enum lmn_phase *phase,
+                    uint32_t *open, double *at, uint64_t *rev)
 {
     char path[96];
     struct lmn_doc d;
@@ -406,7 +418,8 @@
 }
 
 /* The mirror is behind: the job itself is read. */
-static void answer_read(struct lmn_core *c, struct lmn_http *h, GByteArray *buf, struct ask *a)
+static void answer_read(struct lmn_core *c, struct lmn_http *h, GByteArray *buf,
+                        struct ask *a)
 {
     struct lmn_spec s;
     enum lmn_phase phase = LMN_ACTIVE;
@@ -423,8 +436,9 @@
         pthread_mutex_unlock(&c->lock);
         if (phase == LMN_FINISHED)
             done = s.tasks;
-        lmn_call_answer(a->call, 200,
-                        job_answer(a->ref, phase, done, phase == LMN_ACTIVE ? running : 0), 0);
+        lmn_call_answer(
+            a->call, 200,
+            job_answer(a->ref, phase, done, phase == LMN_ACTIVE ? running : 0), 0);
     } else if (status == 404) {
         answer_absent(a);
     } else {
@@ -433,7 +447,8 @@
     lmn_spec_clear(&s);
 }
 
-static void cancel_one(struct lmn_core *c, struct lmn_http *h, GByteArray *buf, struct ask *a)
+static void cancel_one(struct lmn_core *c, struct lmn_http *h, GByteArray *buf,
+                       struct ask *a)
 {
     for (int tries = 0; tries < 5; tries++) {
         struct lmn_spec s;
@@ -446,9 +461,9 @@
         int status = read_job(c, h, buf, a->ref, &s, &phase, &open, &at, &rev);
         if (status != 200 || phase != LMN_ACTIVE) {
             if (status == 200)
-                lmn_call_answer(a->call, 200,
-                                job_answer(a->ref, phase, phase == LMN_FINISHED ? s.tasks : 0, 0),
-                                0);
+                lmn_call_answer(
+                    a->call, 200,
+                    job_answer(a->ref, phase, phase == LMN_FINISHED ? s.tasks : 0, 0), 0);
             else if (status == 404)
                 answer_absent(a);
             else
@@ -476,8 +491,8 @@
 
 /* Many polls, one request: a transaction of conditions alone says which of the mirror's
  * versions are the latest. */
-static void check_batch(struct lmn_core *c, struct lmn_http *h, GByteArray *buf, struct ask **v,
-                        guint n)
+static void check_batch(struct lmn_core *c, struct lmn_http *h, GByteArray *buf,
+                        struct ask **v, guint n)
 {
     struct lmn_txn *t = lmn_txn_new(LMN_RANK_USER, NULL, NULL);
     GPtrArray *stale = g_ptr_array_new_with_free_func(g_free);
--- a/src/peer.c
+++ b/src/serve/peer.c
@@ -1,7 +1,13 @@
-#include "peer.h"
-#include "log.h"
-#include "thread.h"
-
+#include "serve/peer.h"
+#include "base/log.h"
+#include "base/thread.h"
+#include "decide/queue.h"
+#include "decide/quota.h"
+#include "decide/steal.h"
+#include "own/flush.h"
+#include "own/gift.h"
+#include "own/partition.h"
+#include "state/core.h"
 #include "peer_wire.h"
 
 #include <arpa/inet.h>
@@ -22,7 +28,8 @@
 /* xdr_void's type differs from all others'; the detour says that this is meant. */
 #define nothing ((xdrproc_t)(void (*)(void))xdr_void)
 
-static void show_partition(GString *s, const struct lmn_partition *p, const struct lmn_settings *cfg)
+static void show_partition(GString *s, const struct lmn_partition *p,
+                           const struct lmn_settings *cfg)
 {
     GHashTableIter it;
     gpointer v;
@@ -34,22 +41,24 @@
         queued += m->queue.tasks;
         running += m->attempts->len;
     }
-    g_string_append_printf(s,
-                           "partition %d owner=%s term=%" G_GUINT64_FORMAT
-                           " mine=%d ready=%d machines=%u ranges=%u queued=%u limbo=%u held=%u\n",
-                           p->id, *p->owner ? p->owner : "-", p->owner_term, p->mine, p->ready,
-                           g_hash_table_size(p->machines), g_hash_table_size(p->ranges), queued,
-                           p->limbo.tasks, running);
+    g_string_append_printf(
+        s,
+        "partition %d owner=%s term=%" G_GUINT64_FORMAT
+        " mine=%d ready=%d machines=%u ranges=%u queued=%u limbo=%u held=%u\n",
+        p->id, *p->owner ? p->owner : "-", p->owner_term, p->mine, p->ready,
+        g_hash_table_size(p->machines), g_hash_table_size(p->ranges), queued,
+        p->limbo.tasks, running);
     for (size_t i = 0; p->mine && i < cfg->nteams; i++)
         g_string_append_printf(s, "  team %s cpus=%.1f gpus=%.1f\n", cfg->teams[i].name,
                                p->used_cpus[i], p->used_gpus[i]);
     g_hash_table_iter_init(&it, p->machines);
     while (p->mine && g_hash_table_iter_next(&it, NULL, &v)) {
         const struct lmn_machine *m = v;
-        g_string_append_printf(s, "  machine %s type=%s zone=%s spot=%d cpus=%.1f queued=%u%s%s%s\n",
-                               m->name, m->type_name, m->zone, m->spot, m->used_cpus,
-                               m->queue.tasks, m->accounted ? "" : " unaccounted",
-                               m->retiring ? " retiring" : "", m->lapsed ? " lapsed" : "");
+        g_string_append_printf(
+            s, "  machine %s type=%s zone=%s spot=%d cpus=%.1f queued=%u%s%s%s\n",
+            m->name, m->type_name, m->zone, m->spot, m->used_cpus, m->queue.tasks,
+            m->accounted ? "" : " unaccounted", m->retiring ? " retiring" : "",
+            m->lapsed ? " lapsed" : "");
     }
 }
 
@@ -71,16 +80,16 @@
     for (int i = 0; i < core->nparts; i++)
         show_partition(s, &core->parts[i], core->cfg);
     const struct lmn_counters *n = &core->count;
-    g_string_append_printf(s,
-                           "counts submissions=%" G_GUINT64_FORMAT " polls=%" G_GUINT64_FORMAT
-                           " reports=%" G_GUINT64_FORMAT " starts=%" G_GUINT64_FORMAT
-                           " kills=%" G_GUINT64_FORMAT " steal_tries=%" G_GUINT64_FORMAT
-                           " steals=%" G_GUINT64_FORMAT " stolen=%" G_GUINT64_FORMAT
-                           " takeovers=%" G_GUINT64_FORMAT " refused=%" G_GUINT64_FORMAT
-                           " moves=%" G_GUINT64_FORMAT " moved=%" G_GUINT64_FORMAT "\n",
-                           n->submissions, n->polls, n->reports, n->starts, n->kills,
-                           n->steal_tries, n->steals, n->stolen_tasks, n->takeovers, n->refused, n->moves,
-                           n->moved_tasks);
+    g_string_append_printf(
+        s,
+        "counts submissions=%" G_GUINT64_FORMAT " polls=%" G_GUINT64_FORMAT
+        " reports=%" G_GUINT64_FORMAT " starts=%" G_GUINT64_FORMAT
+        " kills=%" G_GUINT64_FORMAT " steal_tries=%" G_GUINT64_FORMAT
+        " steals=%" G_GUINT64_FORMAT " stolen=%" G_GUINT64_FORMAT
+        " takeovers=%" G_GUINT64_FORMAT " refused=%" G_GUINT64_FORMAT
+        " moves=%" G_GUINT64_FORMAT " moved=%" G_GUINT64_FORMAT "\n",
+        n->submissions, n->polls, n->reports, n->starts, n->kills, n->steal_tries,
+        n->steals, n->stolen_tasks, n->takeovers, n->refused, n->moves, n->moved_tasks);
     show_latency(s, "accepting", &core->accepting);
     show_latency(s, "starting", &core->starting);
     pthread_mutex_unlock(&core->lock);
@@ -115,7 +124,9 @@
     if (r == LMN_OK)
         return 0;
     snprintf(err, len, "the state service did not take it (%s); look, and try again",
-             r == LMN_UNKNOWN ? "outcome unknown" : r == LMN_REFUSED ? "refused" : "conflict");
+             r == LMN_UNKNOWN   ? "outcome unknown"
+             : r == LMN_REFUSED ? "refused"
+                                : "conflict");
     return -1;
 }
 
@@ -132,7 +143,8 @@
     } else if (p->mine) {
         snprintf(err, len, "%s: no such machine", name);
     } else {
-        snprintf(err, len, "%s: ask its owner, %s", name, *p->owner ? p->owner : "nobody now");
+        snprintf(err, len, "%s: ask its owner, %s", name,
+                 *p->owner ? p->owner : "nobody now");
     }
     pthread_mutex_unlock(&core->lock);
     return rc;
@@ -144,7 +156,8 @@
     struct lmn_thief t = {.part = q->thief};
     u_int n = 0;
 
-    if (q->victim < 0 || q->victim >= core->nparts || q->thief < 0 || q->thief >= core->nparts)
+    if (q->victim < 0 || q->victim >= core->nparts || q->thief < 0 ||
+        q->thief >= core->nparts)
         return 0;
     for (u_int i = 0; i < q->rooms.rooms_len && i < G_N_ELEMENTS(t.rooms); i++) {
         const struct lmn_xroom *x = &q->rooms.rooms_val[i];
@@ -157,7 +170,8 @@
         r->mem = x->mem;
     }
     for (u_int i = 0; i < q->teams.teams_len; i++) {
-        const struct lmn_team *team = lmn_settings_team(core->cfg, q->teams.teams_val[i].name);
+        const struct lmn_team *team =
+            lmn_settings_team(core->cfg, q->teams.teams_val[i].name);
         if (!team)
             continue;
         t.team_cpus[team - core->cfg->teams] = q->teams.teams_val[i].cpus;
@@ -183,8 +197,8 @@
 
     if (!team || q->victim < 0 || q->victim >= core->nparts)
         return 0;
-    struct lmn_quota_want w = {(int)(team - core->cfg->teams), q->cpus, q->gpus, q->least_cpus,
-                               q->least_gpus};
+    struct lmn_quota_want w = {(int)(team - core->cfg->teams), q->cpus, q->gpus,
+                               q->least_cpus, q->least_gpus};
     pthread_mutex_lock(&core->lock);
     given = lmn_quota_asked(core, &core->parts[q->victim], q->thief, &w);
     pthread_mutex_unlock(&core->lock);
@@ -314,9 +328,7 @@
 
 /* --- clients --- */
 
-static const struct timeval patience = {5, 0};
-
-static CLIENT *dial(const char *addr)
+CLIENT *lmn_peer_dial(const char *addr)
 {
     struct sockaddr_in a = {.sin_family = AF_INET};
     struct netbuf nb = {sizeof a, sizeof a, &a};
@@ -331,7 +343,8 @@
     fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
     if (fd < 0)
         return NULL;
-    /* A member behind a cut says nothing: a connection is not waited for longer than this. */
+    /* A member behind a cut says nothing: a connection is not waited for longer than
+     * this. */
     if (connect(fd, (struct sockaddr *)&a, sizeof a) != 0) {
         struct pollfd w = {fd, POLLOUT, 0};
         if (errno != EINPROGRESS || poll(&w, 1, 600) != 1 ||
@@ -358,7 +371,8 @@
     struct timespec retry;
 };
 
-static bool call_member(struct member *m, rpcproc_t proc, xdrproc_t xargs, const void *q, u_int *n)
+static bool call_member(struct member *m, rpcproc_t proc, xdrproc_t xargs, const void *q,
+                        u_int *n)
 {
     static const struct timeval brief = {1, 0};
     struct timespec now = lmn_now();
@@ -366,13 +380,13 @@
     if (!m->client) {
         if (lmn_before(now, m->retry))
             return false;
-        m->client = dial(m->cfg->addr);
+        m->client = lmn_peer_dial(m->cfg->addr);
         m->retry = lmn_after(now, 3.0);
     }
     if (!m->client)
         return false;
-    if (clnt_call(m->client, proc, xargs, (char *)q, (xdrproc_t)xdr_u_int,
-                  (char *)n, brief) == RPC_SUCCESS)
+    if (clnt_call(m->client, proc, xargs, (char *)q, (xdrproc_t)xdr_u_int, (char *)n,
+                  brief) == RPC_SUCCESS)
         return true;
     clnt_destroy(m->client);
     m->client = NULL;
@@ -413,8 +427,8 @@
     return ask_owner(members, q->victim, proc, (xdrproc_t)xdr_lmn_xthief, q, &n) ? n : 0;
 }
 
-/* A partition that is short of a team's quota asks the others, at the interval of failed steals
- * but no more than twice a second. */
+/* A partition that is short of a team's quota asks the others, at the interval of failed
+ * steals but no more than twice a second. */
 static void seek_quota(struct member *members, int part)
 {
     struct lmn_quota_want want[LMN_MAX_TEAMS];
@@ -429,8 +443,12 @@
     int first = g_rand_int_range(core->rng, 0, core->nparts);
     pthread_mutex_unlock(&core->lock);
     for (size_t i = 0; i < n; i++) {
-        struct lmn_xquota q = {part, 0, (char *)core->cfg->teams[want[i].team].name,
-                               want[i].cpus, want[i].gpus, want[i].least_cpus,
+        struct lmn_xquota q = {part,
+                               0,
+                               (char *)core->cfg->teams[want[i].team].name,
+                               want[i].cpus,
+                               want[i].gpus,
+                               want[i].least_cpus,
                                want[i].least_gpus};
         for (int k = 0; k < core->nparts; k++) {
             u_int one = 0;
@@ -439,7 +457,8 @@
                 continue;
             if (own(q.victim))
                 one = asked_quota(&q);
-            else if (!ask_owner(members, q.victim, LMN_QUOTA, (xdrproc_t)xdr_lmn_xquota, &q, &one))
+            else if (!ask_owner(members, q.victim, LMN_QUOTA, (xdrproc_t)xdr_lmn_xquota,
+                                &q, &one))
                 one = 0;
             got += one;
         }
@@ -462,8 +481,8 @@
 
     for (guint i = 0; i < t->nrooms; i++)
         rooms[i] = (struct lmn_xroom){(char *)t->rooms[i].type, (char *)t->rooms[i].zone,
-                                      t->rooms[i].spot, t->rooms[i].cpus, t->rooms[i].gpus,
-                                      t->rooms[i].mem};
+                                      t->rooms[i].spot,         t->rooms[i].cpus,
+                                      t->rooms[i].gpus,         t->rooms[i].mem};
     for (size_t i = 0; i < core->cfg->nteams; i++)
         teams[i] = (struct lmn_xteam){(char *)core->cfg->teams[i].name, t->team_cpus[i],
                                       t->team_gpus[i]};
@@ -504,9 +523,9 @@
     pthread_mutex_unlock(&core->lock);
 }
 
-/* A node whose mirror stands still asks the others whether theirs do. If they move on, or can't be
- * reached at all, the fault is its own, and users are better served elsewhere; in an outage of
- * the state service everybody stays. */
+/* A node whose mirror stands still asks the others whether theirs do. If they move on, or
+ * can't be reached at all, the fault is its own, and users are better served elsewhere;
+ * in an outage of the state service everybody stays. */
 static void look_around(struct member *members, struct timespec *next)
 {
     struct timespec now = lmn_now();
@@ -558,71 +577,3 @@
     }
     return NULL;
 }
-
-/* --- the administration client --- */
-
-static int show_reply(CLIENT *cl, rpcproc_t proc, xdrproc_t xargs, void *args)
-{
-    struct lmn_reply r = {0};
-
-    if (clnt_call(cl, proc, xargs, args, (xdrproc_t)xdr_lmn_reply, (char *)&r, patience) !=
-        RPC_SUCCESS) {
-        fprintf(stderr, "lemonspar: %s\n", clnt_sperror(cl, "no answer"));
-        return 1;
-    }
-    fprintf(r.code ? stderr : stdout, "%s%s", r.text,
-            *r.text && r.text[strlen(r.text) - 1] == '\n' ? "" : "\n");
-    return r.code ? 1 : 0;
-}
-
-static int show_tuning(CLIENT *cl)
-{
-    struct lmn_tuning_list l = {{0, NULL}};
-
-    if (clnt_call(cl, LMN_TUNING_GET, nothing, NULL,
-                  (xdrproc_t)xdr_lmn_tuning_list, (char *)&l, patience) != RPC_SUCCESS) {
-        fprintf(stderr, "lemonspar: %s\n", clnt_sperror(cl, "no answer"));
-        return 1;
-    }
-    for (u_int i = 0; i < l.items.items_len; i++)
-        printf("%s %g\n", l.items.items_val[i].name, l.items.items_val[i].value);
-    return 0;
-}
-
-int lmn_admin_main(const char *addr, int argc, char **argv)
-{
-    CLIENT *cl;
-    char *end = NULL;
-    double value = 0;
-    int rc = 2;
-
-    bool ok = (argc == 1 && (!strcmp(argv[0], "status") || !strcmp(argv[0], "get"))) ||
-              (argc == 2 && !strcmp(argv[0], "drain"));
-    if (argc == 3 && !strcmp(argv[0], "set")) {
-        value = strtod(argv[2], &end);
-        ok = end != argv[2] && !*end;
-    }
-    if (!ok) {
-        fprintf(stderr, "usage: lemonspar admin ADDRESS status | get | set NAME VALUE | "
-                        "drain MACHINE\n");
-        return 2;
-    }
-    cl = dial(addr);
-    if (!cl) {
-        fprintf(stderr, "lemonspar: %s: no controller answers there\n", addr);
-        return 1;
-    }
-    if (!strcmp(argv[0], "status"))
-        rc = show_reply(cl, LMN_STATUS, nothing, NULL);
-    else if (!strcmp(argv[0], "get"))
-        rc = show_tuning(cl);
-    else if (!strcmp(argv[0], "set")) {
-        struct lmn_set_request q = {argv[1], value};
-        rc = show_reply(cl, LMN_TUNING_SET, (xdrproc_t)xdr_lmn_set_request, &q);
-    } else {
-        struct lmn_machine_request q = {argv[1]};
-        rc = show_reply(cl, LMN_DRAIN, (xdrproc_t)xdr_lmn_machine_request, &q);
-    }
-    clnt_destroy(cl);
-    return rc;
-}
--- a/src/peer.h
+++ b/src/serve/peer.h
@@ -2,13 +2,15 @@
 #ifndef LMN_PEER_H
 #define LMN_PEER_H
 
-#include "core.h"
+#include "state/model.h"
+
+#include <rpc/rpc.h>
 
 /* Serves internal_addr (a thread). -1 if it can't listen. */
 int lmn_peer_start(struct lmn_core *c);
 /* Pulls work from other partitions for machines that have run dry (a thread). */
 void *lmn_peer_thread(void *core);
-/* The administration client: returns the process's exit code. */
-int lmn_admin_main(const char *addr, int argc, char **argv);
+/* A connection to a controller's internal_addr; NULL if there is none within 0.6 s. */
+CLIENT *lmn_peer_dial(const char *addr);
 
 #endif
--- /dev/null
+++ b/src/serve/server.c
@@ -0,0 +1,69 @@
+/* The paths of a controller. */
+#include "serve/server.h"
+#include "base/wire.h"
+#include "own/worker.h"
+#include "serve/api.h"
+
+#include <string.h>
+
+enum { MAX_BODY = 64 * 1024 };
+/* A commit or reading under way that takes longer is answered 503: the user asks again.
+ */
+static const double PATIENCE_S = 2.5;
+
+static void route_job(struct lmn_core *c, struct lmn_call *call, const char *rest)
+{
+    char *ref = g_strdup(rest);
+    size_t len = strlen(ref), end = strlen(P_CANCEL);
+
+    if (lmn_call_method(call) == LMN_GET) {
+        lmn_api_poll(c, call, ref);
+    } else if (len > end && !strcmp(ref + len - end, P_CANCEL)) {
+        ref[len - end] = '\0';
+        lmn_api_cancel(c, call, ref);
+    } else {
+        lmn_call_answer(call, 404, NULL, 0);
+    }
+    g_free(ref);
+}
+
+static void route(void *arg, struct lmn_call *call)
+{
+    struct lmn_core *c = arg;
+    const char *path = lmn_call_path(call);
+    bool post = lmn_call_method(call) == LMN_POST;
+
+    if (!post && lmn_call_method(call) != LMN_GET) {
+        lmn_call_answer(call, 405, NULL, 0);
+    } else if (post && !strcmp(path, P_REPORT)) {
+        GByteArray *out = g_byte_array_new();
+        const GByteArray *body = lmn_call_body(call);
+        int status = lmn_worker_report(c, body->data, body->len, out, lmn_now());
+        lmn_call_answer(call, status, out, 0);
+    } else if (!post && !strcmp(path, P_READY)) {
+        lmn_call_answer(call, lmn_api_ready(c) ? 200 : 503, NULL, 0);
+    } else if (post && !strcmp(path, P_JOBS)) {
+        lmn_api_submit(c, call);
+    } else if (g_str_has_prefix(path, P_JOBS "/")) {
+        route_job(c, call, path + strlen(P_JOBS "/"));
+    } else {
+        lmn_call_answer(call, 404, NULL, 0);
+    }
+}
+
+struct lmn_httpd *lmn_server_start(struct lmn_core *c)
+{
+    /* Some sockets stay for the node's own calls. */
+    int kept = 32 + (int)lmn_direct_connections(c->cfg);
+    const struct lmn_httpd_options o = {
+        .listen = c->cfg->listen,
+        .connections = (unsigned)MAX(c->cfg->max_connections - kept, 16),
+        .max_body = MAX_BODY,
+        .call_memory = 6144,
+        .patience_s = PATIENCE_S,
+        .route = route,
+        .arg = c,
+    };
+
+    return lmn_httpd_start(&o);
+}
--- /dev/null
+++ b/src/serve/server.h
@@ -0,0 +1,11 @@
+/* The users' and workers' HTTP interface of a controller. */
+#ifndef LMN_SERVER_H
+#define LMN_SERVER_H
+
+#include "base/httpd.h"
+#include "state/model.h"
+
+/* Listens on the settings' client_listen; NULL if it can't. The core is never freed. */
+struct lmn_httpd *lmn_server_start(struct lmn_core *c);
+
+#endif
--- a/src/service.c
+++ b/src/serve/service.c
@@ -1,10 +1,23 @@
-#include "service.h"
-#include "core.h"
-#include "fleet.h"
-#include "log.h"
-#include "peer.h"
-#include "server.h"
-#include "thread.h"
+#include "serve/service.h"
+#include "base/clock.h"
+#include "base/httpd.h"
+#include "base/log.h"
+#include "base/thread.h"
+#include "decide/order.h"
+#include "decide/pack.h"
+#include "decide/preempt.h"
+#include "own/cloud.h"
+#include "own/flush.h"
+#include "own/owner.h"
+#include "own/partition.h"
+#include "own/upkeep.h"
+#include "own/worker.h"
+#include "serve/api.h"
+#include "serve/peer.h"
+#include "serve/server.h"
+#include "state/mirror.h"
+#include "state/model.h"
+#include "state/state.h"
 
 #include <curl/curl.h>
 #include <malloc.h>
@@ -18,12 +31,13 @@
     lmn_log_init(cfg->node);
     if (curl_global_init(CURL_GLOBAL_NOTHING) != 0)
         return 1;
-    lmn_info("start version=" LMN_VERSION " listen=%s partitions=%d members=%zu", cfg->listen,
-             cfg->partitions, cfg->nmembers + 1);
+    lmn_info("start version=" LMN_VERSION " listen=%s partitions=%d members=%zu",
+             cfg->listen, cfg->partitions, cfg->nmembers + 1);
 
     struct lmn_state *state = lmn_state_new(cfg);
     struct lmn_core *core = lmn_core_new(cfg, state, g_random_int());
-    if (lmn_server_start(core) != 0) {
+    struct lmn_httpd *server = lmn_server_start(core);
+    if (!server) {
         lmn_error("listen-failed address=%s", cfg->listen);
         return 1;
     }
@@ -44,7 +58,7 @@
     }
     for (;;) {
         lmn_sleep(0.15);
-        lmn_server_sweep();
+        lmn_httpd_sweep(server);
         pthread_mutex_lock(&core->lock);
         struct timespec now = lmn_now();
         lmn_rank_all(core, lmn_seconds(lmn_wall()));
--- /dev/null
+++ b/src/state/books.c
@@ -0,0 +1,205 @@
+/* The books' parts: what they are made of, counted and freed. */
+#include "state/books.h"
+
+#include <string.h>
+
+void lmn_queue_init(struct lmn_queue *q)
+{
+    q->segs = g_ptr_array_new();
+    q->tasks = 0;
+}
+
+void lmn_queue_clear(struct lmn_queue *q)
+{
+    for (guint i = 0; i < q->segs->len; i++)
+        g_free(q->segs->pdata[i]);
+    g_ptr_array_set_size(q->segs, 0);
+    q->tasks = 0;
+}
+
+void lmn_queue_add(struct lmn_queue *q, struct lmn_range *r, uint32_t lo, uint32_t hi)
+{
+    q->tasks += hi - lo;
+    for (guint i = 0; i < q->segs->len; i++) {
+        struct lmn_seg *s = q->segs->pdata[i];
+        if (s->range == r && s->hi == lo) {
+            s->hi = hi;
+            return;
+        }
+    }
+    struct lmn_seg *s = g_new(struct lmn_seg, 1);
+    *s = (struct lmn_seg){r, lo, hi};
+    g_ptr_array_add(q->segs, s);
+}
+
+void lmn_queue_drop(struct lmn_queue *q, guint at)
+{
+    struct lmn_seg *s = q->segs->pdata[at];
+    q->tasks -= s->hi - s->lo;
+    g_free(s);
+    g_ptr_array_remove_index(q->segs, at);
+}
+
+void lmn_queue_drop_range(struct lmn_queue *q, const struct lmn_range *r)
+{
+    for (guint i = q->segs->len; i-- > 0;)
+        if (((struct lmn_seg *)q->segs->pdata[i])->range == r)
+            lmn_queue_drop(q, i);
+}
+
+void lmn_queue_take(struct lmn_queue *q, const struct lmn_range *r, uint32_t index)
+{
+    for (guint i = 0; i < q->segs->len; i++) {
+        struct lmn_seg *s = q->segs->pdata[i];
+        if (s->range != r || index < s->lo || index >= s->hi)
+            continue;
+        uint32_t hi = s->hi;
+        struct lmn_range *range = s->range;
+        q->tasks -= hi - index;
+        s->hi = index;
+        if (s->lo == s->hi)
+            lmn_queue_drop(q, i);
+        if (index + 1 < hi)
+            lmn_queue_add(q, range, index + 1, hi);
+        return;
+    }
+}
+
+void lmn_queue_cut(struct lmn_queue *q, const struct lmn_range *r, uint32_t lo)
+{
+    for (guint i = q->segs->len; i-- > 0;) {
+        struct lmn_seg *s = q->segs->pdata[i];
+        if (s->range != r || s->hi <= lo)
+            continue;
+        if (s->lo >= lo) {
+            lmn_queue_drop(q, i);
+        } else {
+            q->tasks -= s->hi - lo;
+            s->hi = lo;
+        }
+    }
+}
+
+size_t lmn_machine_bytes(const struct lmn_machine *m)
+{
+    return strlen(m->name) + strlen(m->addr) + strlen(m->type_name) + strlen(m->zone) +
+           24;
+}
+
+void lmn_block_leave(struct lmn_machine *m)
+{
+    if (!m->block)
+        return;
+    g_ptr_array_remove_fast(m->block->machines, m);
+    m->block->bytes -= lmn_machine_bytes(m);
+    m->block = NULL;
+}
+
+/* Kept, not counted anew for each candidate: looking at every machine each time would
+ * grow with the square of their number. Such a job lies whole in one partition, so its
+ * owner sees all. */
+void lmn_zone_count(struct lmn_job *j, const char *zone, int n)
+{
+    struct lmn_zone_tasks *z;
+
+    if (!j->spec.one_zone && !j->spec.spread)
+        return;
+    if (!j->zones)
+        j->zones = g_array_new(FALSE, FALSE, sizeof(struct lmn_zone_tasks));
+    for (guint i = 0; i < j->zones->len; i++) {
+        z = &g_array_index(j->zones, struct lmn_zone_tasks, i);
+        if (!strcmp(z->zone, zone)) {
+            z->tasks += n;
+            return;
+        }
+    }
+    struct lmn_zone_tasks new = {g_intern_string(zone), n};
+    g_array_append_val(j->zones, new);
+}
+
+struct lmn_machine *lmn_machine_new(struct lmn_partition *p, const char *name)
+{
+    struct lmn_machine *m = g_new0(struct lmn_machine, 1);
+
+    g_strlcpy(m->name, name, sizeof m->name);
+    m->part = p;
+    m->attempts = g_array_new(FALSE, FALSE, sizeof(struct lmn_attempt));
+    m->failed_jobs = g_ptr_array_new();
+    m->images = g_array_new(FALSE, FALSE, sizeof(struct lmn_image));
+    lmn_queue_init(&m->queue);
+    g_hash_table_insert(p->machines, m->name, m);
+    return m;
+}
+
+void lmn_machine_free(struct lmn_machine *m)
+{
+    lmn_block_leave(m);
+    lmn_queue_clear(&m->queue);
+    g_ptr_array_free(m->queue.segs, TRUE);
+    g_array_free(m->attempts, TRUE);
+    g_ptr_array_free(m->failed_jobs, TRUE);
+    g_array_free(m->images, TRUE);
+    g_free(m);
+}
+
+void lmn_attempt_count(struct lmn_machine *m, struct lmn_attempt *a)
+{
+    const struct lmn_job *j = a->job;
+
+    if (a->counted || !j)
+        return;
+    a->counted = true;
+    m->used_cpus += j->spec.cpus;
+    m->used_gpus += j->spec.gpus;
+    m->used_mem += j->spec.mem;
+    lmn_zone_count(a->job, m->zone, 1);
+    if (j->team >= 0) {
+        m->part->used_cpus[j->team] += j->spec.cpus;
+        m->part->used_gpus[j->team] += j->spec.gpus;
+    }
+}
+
+void lmn_attempt_uncount(struct lmn_machine *m, struct lmn_attempt *a)
+{
+    const struct lmn_job *j = a->job;
+
+    if (!a->counted)
+        return;
+    a->counted = false;
+    m->used_cpus -= j->spec.cpus;
+    m->used_gpus -= j->spec.gpus;
+    m->used_mem -= j->spec.mem;
+    lmn_zone_count(a->job, m->zone, -1);
+    if (j->team >= 0) {
+        m->part->used_cpus[j->team] -= j->spec.cpus;
+        m->part->used_gpus[j->team] -= j->spec.gpus;
+    }
+}
+
+void lmn_range_free(struct lmn_range *r)
+{
+    g_free(r->key);
+    g_free(r->done);
+    g_free(r->st);
+    g_free(r);
+}
+
+bool lmn_range_free_to_start(const struct lmn_range *r)
+{
+    const struct lmn_partition *p = r->part;
+
+    if (p->ready)
+        return true;
+    /* A predecessor sees the changes in their order: before such a range it saw that it
+     * had lost the partition. That goes for tasks that look at each other's places too,
+     * since such a job lies whole in one partition, and is born as a whole. */
+    return r->born > p->my_rev;
+}
+
+bool lmn_machine_silent(const struct lmn_core *c, const struct lmn_machine *m,
+                        struct timespec now)
+{
+    return m->accounted && !m->lapsed && !m->retiring && !m->is_gone &&
+           lmn_since(now, m->last) >
+               MIN(0.6 * c->cfg->lease_s, 1.25 * c->cfg->report_s + 2);
+}
--- /dev/null
+++ b/src/state/books.h
@@ -0,0 +1,36 @@
+/* What an owner's books are made of: queues, machines, attempts and their counts. The
+ * core's lock is held by the caller throughout. */
+#ifndef LMN_BOOKS_H
+#define LMN_BOOKS_H
+
+#include "state/model.h"
+
+/* What a machine takes of its block's record, in bytes: the service counts them as JSON.
+ */
+size_t lmn_machine_bytes(const struct lmn_machine *m);
+
+void lmn_queue_init(struct lmn_queue *q);
+void lmn_queue_clear(struct lmn_queue *q);
+void lmn_queue_add(struct lmn_queue *q, struct lmn_range *r, uint32_t lo, uint32_t hi);
+/* Drops the stretch at the index. */
+void lmn_queue_drop(struct lmn_queue *q, guint at);
+void lmn_queue_drop_range(struct lmn_queue *q, const struct lmn_range *r);
+void lmn_queue_take(struct lmn_queue *q, const struct lmn_range *r, uint32_t index);
+/* Takes one task, or the range's tasks from lo on, out of the queue. */
+void lmn_queue_cut(struct lmn_queue *q, const struct lmn_range *r, uint32_t lo);
+void lmn_block_leave(struct lmn_machine *m);
+void lmn_zone_count(struct lmn_job *j, const char *zone, int n);
+struct lmn_machine *lmn_machine_new(struct lmn_partition *p, const char *name);
+void lmn_machine_free(struct lmn_machine *m);
+void lmn_attempt_count(struct lmn_machine *m, struct lmn_attempt *a);
+void lmn_attempt_uncount(struct lmn_machine *m, struct lmn_attempt *a);
+void lmn_range_free(struct lmn_range *r);
+/* Whether its queued tasks may start: an inherited range's only once every machine that
+ * may hold them is accounted for; one that is younger than our ownership was never a
+ * predecessor's. */
+bool lmn_range_free_to_start(const struct lmn_range *r);
+/* It should have reported by now, and is worth asking. */
+bool lmn_machine_silent(const struct lmn_core *c, const struct lmn_machine *m,
+                        struct timespec now);
+
+#endif
--- a/src/core.c
+++ b/src/state/core.c
@@ -1,5 +1,6 @@
-#include "core.h"
-#include "thread.h"
+#include "state/core.h"
+#include "base/thread.h"
+#include "state/books.h"
 
 #include <string.h>
 
@@ -13,8 +14,8 @@
     lmn_range_free(r);
 }
 
-struct lmn_core *lmn_core_new(const struct lmn_settings *cfg, struct lmn_state *state,
-                              uint32_t seed)
+struct lmn_core *lmn_core_bare(const struct lmn_settings *cfg, struct lmn_state *state,
+                               uint32_t seed)
 {
     struct lmn_core *c = g_new0(struct lmn_core, 1);
 
@@ -55,3 +56,8 @@
             return &c->types.v[i];
     return NULL;
 }
+
+double lmn_staleness(const struct lmn_core *c, struct timespec now)
+{
+    return c->synced ? lmn_since(now, c->fresh) : 1e9;
+}
--- /dev/null
+++ b/src/state/core.h
@@ -0,0 +1,21 @@
+/* The shared state: made, and asked. */
+#ifndef LMN_CORE_H
+#define LMN_CORE_H
+
+#include "state/model.h"
+
+/* Without an owner's books: lmn_core_new (own/owner.h) is what is wanted. Never freed. */
+struct lmn_core *lmn_core_bare(const struct lmn_settings *cfg, struct lmn_state *state,
+                               uint32_t seed);
+
+/* NULL: the cloud has not named it yet. */
+const struct lmn_type *lmn_type_named(const struct lmn_core *c, const char *name);
+
+/* Seconds by which the mirror may be behind; beyond LMN_BLIND_S a node touches no machine
+ * of the cloud's: it may long have lost them to a successor. */
+#define LMN_BLIND_S 5.0
+/* The mirror stands still: it is asked for at least every 1.5 s. */
+#define LMN_STALE_S 3.0
+double lmn_staleness(const struct lmn_core *c, struct timespec now);
+
+#endif
--- a/src/mirror.c
+++ b/src/state/mirror.c
@@ -9,57 +9,15 @@
  *        n/NODE         a controller that is up (tied to its lease)
  *        s              operators' settings
  */
-#include "core.h"
-#include "log.h"
-#include "thread.h"
-#include "wire.h"
+#include "state/mirror.h"
+#include "base/log.h"
+#include "base/thread.h"
+#include "base/wire.h"
+#include "state/records.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-GByteArray *lmn_job_record(const struct lmn_spec *s, enum lmn_phase phase, uint32_t open,
-                           double at)
-{
-    GByteArray *b = g_byte_array_sized_new(512);
-    lmn_put_map(b, lmn_spec_pairs() + 3);
-    lmn_spec_put(b, s);
-    lmn_put_text(b, "phase"), lmn_put_count(b, phase);
-    lmn_put_text(b, "open"), lmn_put_count(b, open);
-    lmn_put_text(b, "at"), lmn_put_number(b, at);
-    return b;
-}
-
-int lmn_job_read(const struct lmn_doc *doc, const struct lmn_node *value, struct lmn_spec *s,
-                 enum lmn_phase *phase, uint32_t *open, double *at)
-{
-    const char *what;
-    uint64_t ph, op;
-
-    if (lmn_spec_parse(s, doc, value, &what) != 0)
-        return -1;
-    if (!lmn_count(lmn_get(doc, value, "phase"), &ph) || ph > LMN_WITHDRAWN ||
-        !lmn_count(lmn_get(doc, value, "open"), &op) ||
-        !lmn_number(lmn_get(doc, value, "at"), at))
-        return -1;
-    *phase = (enum lmn_phase)ph;
-    *open = (uint32_t)op;
-    return 0;
-}
-
-GByteArray *lmn_range_record(const struct lmn_range *r, const uint8_t *done)
-{
-    GByteArray *b = g_byte_array_new();
-    lmn_put_map(b, 2);
-    lmn_put_text(b, "hi"), lmn_put_count(b, r->hi);
-    lmn_put_text(b, "done"), lmn_bits_put(b, done, r->hi - r->lo);
-    return b;
-}
-
-double lmn_staleness(const struct lmn_core *c, struct timespec now)
-{
-    return c->synced ? lmn_since(now, c->fresh) : 1e9;
-}
-
 static int team_index(const struct lmn_settings *cfg, const char *team)
 {
     const struct lmn_team *t = lmn_settings_team(cfg, team);
@@ -75,7 +33,8 @@
     c->asked_gpus[j->team] += by * j->spec.gpus * j->spec.tasks;
 }
 
-/* Whether the job, which has just come, fits into its team's guarantee with all before it. */
+/* Whether the job, which has just come, fits into its team's guarantee with all before
+ * it. */
 static bool in_guarantee(const struct lmn_core *c, const struct lmn_job *j)
 {
     if (j->team < 0)
@@ -114,9 +73,10 @@
         j->image = g_intern_string(j->spec.image);
         j->team = team_index(c->cfg, j->spec.team);
         g_hash_table_insert(c->jobs, j->spec.ref, j);
-        lmn_debug("job-known job=%s class=%s tasks=%u cpus=%.1f estimate=%.1f deadline=%.1f image=%s",
-                  ref, j->spec.class_name, j->spec.tasks, j->spec.cpus, j->spec.estimate_s,
-                  j->spec.deadline_s, j->spec.image);
+        lmn_debug("job-known job=%s class=%s tasks=%u cpus=%.1f estimate=%.1f "
+                  "deadline=%.1f image=%s",
+                  ref, j->spec.class_name, j->spec.tasks, j->spec.cpus,
+                  j->spec.estimate_s, j->spec.deadline_s, j->spec.image);
     } else {
         lmn_spec_clear(&spec); /* a job's description never changes */
     }
@@ -137,13 +97,13 @@
 
 static void remove_range(struct lmn_core *c, struct lmn_range *r)
 {
-    lmn_range_forget(c, r);
+    c->owner->range_forget(c, r);
     g_hash_table_remove(r->part->ranges, r->key);
 }
 
 static void apply_range(struct lmn_core *c, const char *key, struct lmn_partition *p,
-                        const char *rest, const struct lmn_doc *d, const struct lmn_node *v,
-                        uint64_t rev, struct timespec now)
+                        const char *rest, const struct lmn_doc *d,
+                        const struct lmn_node *v, uint64_t rev, struct timespec now)
 {
     struct lmn_range *r = g_hash_table_lookup(p->ranges, key);
     const char *slash = strchr(rest, '/');
@@ -159,7 +119,8 @@
         r->gen = c->gen;
         return;
     }
-    if (!slash || (size_t)(slash - rest) >= sizeof ref || !lmn_count(lmn_get(d, v, "hi"), &hi))
+    if (!slash || (size_t)(slash - rest) >= sizeof ref ||
+        !lmn_count(lmn_get(d, v, "hi"), &hi))
         return;
     g_strlcpy(ref, rest, (gsize)(slash - rest) + 1);
     uint32_t lo = (uint32_t)strtoul(slash + 1, NULL, 10);
@@ -183,7 +144,7 @@
         g_ptr_array_add(j->ranges, r);
     }
     if (hi < r->hi)
-        lmn_range_cut(c, r, (uint32_t)hi);
+        c->owner->range_cut(c, r, (uint32_t)hi);
     if (lmn_bits_get(lmn_get(d, v, "done"), r->done, r->hi - r->lo) != 0)
         lmn_error("unreadable-record key=%s", key);
     r->ndone = lmn_bits_count(r->done, r->hi - r->lo);
@@ -191,20 +152,17 @@
     r->gen = c->gen;
     if (r->writing && r->written && rev >= r->written)
         r->writing = false;
-    /* The range has changed by another write than the move: that one can't be applied any more. */
+    /* The range has changed by another write than the move: that one can't be applied any
+     * more. */
     if (r->move_to >= 0 && r->st && rev > r->move_rev && r->move_rev)
-        lmn_move_undo(c, r, now);
-    if (fresh && p->mine) {
-        lmn_range_open(c, r);
-        if (lmn_range_free_to_start(r)) {
-            r->dealt = true;
-            lmn_deal(c, r, r->lo, r->hi, now);
-        }
-    }
+        c->owner->move_undo(c, r, now);
+    if (fresh && p->mine)
+        c->owner->range_born(c, r, now);
 }
 
-static void apply_owner(struct lmn_core *c, struct lmn_partition *p, const struct lmn_doc *d,
-                        const struct lmn_node *v, uint64_t rev, struct timespec now)
+static void apply_owner(struct lmn_core *c, struct lmn_partition *p,
+                        const struct lmn_doc *d, const struct lmn_node *v, uint64_t rev,
+                        struct timespec now)
 {
     char owner[LMN_NAME] = "";
     uint64_t lease = 0, term = 0;
@@ -218,7 +176,7 @@
         lmn_count(lmn_get(d, v, "term"), &term);
     }
     if (p->mine)
-        lmn_partition_lose(c, p, v ? "taken" : "owner key gone");
+        c->owner->partition_lose(c, p, v ? "taken" : "owner key gone");
     g_strlcpy(p->owner, owner, sizeof p->owner);
     p->owner_lease = lease;
     p->owner_term = term;
@@ -268,7 +226,7 @@
         return;
     }
     if (key[0] == 'q') {
-        lmn_quota_apply(c, key, d, v, rev);
+        c->owner->quota_apply(c, key, d, v, rev);
         return;
     }
     if (key[0] == 'n') {
@@ -287,7 +245,7 @@
     } else if (key[0] == 'r' && *rest == '/') {
         apply_range(c, key, p, rest + 1, d, v, rev, now);
     } else if (key[0] == 'm' && *rest == '/') {
-        lmn_block_apply(c, p, strtoul(rest + 1, NULL, 10), d, v, rev, now);
+        c->owner->block_apply(c, p, strtoul(rest + 1, NULL, 10), d, v, rev, now);
     }
 }
 
@@ -306,10 +264,10 @@
         for (guint k = 0; k < drop->len; k++)
             remove_range(c, drop->pdata[k]);
         g_ptr_array_free(drop, TRUE);
-        lmn_block_sweep(c, p, now);
+        c->owner->block_sweep(c, p, now);
         if (p->owner_gen != c->gen && p->owner_rev) {
             if (p->mine)
-                lmn_partition_lose(c, p, "owner key gone");
+                c->owner->partition_lose(c, p, "owner key gone");
             p->owner[0] = '\0';
             p->owner_lease = p->owner_rev = 0;
             p->vacant = now;
@@ -323,20 +281,21 @@
     pthread_cond_broadcast(&c->changed);
 }
 
-/* Ownership begins with the mirror, never with the answer to our own request: an answer that
- * was lost, or a transaction that was applied late, then makes no difference. */
+/* Ownership begins with the mirror, never with the answer to our own request: an answer
+ * that was lost, or a transaction that was applied late, then makes no difference. */
 void lmn_mirror_settle(struct lmn_core *c, struct timespec now)
 {
     for (int i = 0; i < c->nparts; i++) {
         struct lmn_partition *p = &c->parts[i];
         if (!p->mine && p->owner_rev && c->lease && p->owner_lease == c->lease &&
             !strcmp(p->owner, c->cfg->node))
-            lmn_partition_own(c, p, now);
+            c->owner->partition_own(c, p, now);
     }
 }
 
 /* Reads every key; 0 if the mirror then is whole as of *revision. */
-static int read_all(struct lmn_core *c, struct lmn_http *h, GByteArray *buf, uint64_t *revision)
+static int read_all(struct lmn_core *c, struct lmn_http *h, GByteArray *buf,
+                    uint64_t *revision)
 {
     char after[256] = "", path[512];
     bool first = true, more = true;
@@ -349,8 +308,8 @@
         uint64_t rev = 0;
         lmn_state_pace(c->state);
         if (*after)
-            g_snprintf(path, sizeof path, P_STORE "?" Q_PREFIX "=&" Q_AFTER "=%s&" Q_LIMIT "=500",
-                       after);
+            g_snprintf(path, sizeof path,
+                       P_STORE "?" Q_PREFIX "=&" Q_AFTER "=%s&" Q_LIMIT "=500", after);
         else
             g_snprintf(path, sizeof path, P_STORE "?" Q_PREFIX "=&" Q_LIMIT "=500");
         int status = lmn_http_call(h, "GET", path, NULL, 3.0, buf);
@@ -386,8 +345,8 @@
     return 0;
 }
 
-static void apply_events(struct lmn_core *c, const struct lmn_doc *d, const struct lmn_node *events,
-                         struct timespec now)
+static void apply_events(struct lmn_core *c, const struct lmn_doc *d,
+                         const struct lmn_node *events, struct timespec now)
 {
     char key[256];
 
@@ -402,8 +361,8 @@
 }
 
 /* One wait for changes. Returns the status, or a negative one. */
-static int follow(struct lmn_core *c, struct lmn_http *h, GByteArray *buf, uint64_t *revision,
-                  bool first)
+static int follow(struct lmn_core *c, struct lmn_http *h, GByteArray *buf,
+                  uint64_t *revision, bool first)
 {
     char path[256];
     struct lmn_doc d;
@@ -412,7 +371,8 @@
     lmn_state_pace(c->state);
     struct timespec sent = lmn_now();
     g_snprintf(path, sizeof path,
-               P_WATCH "?" Q_PREFIX "=&" Q_AFTER "=%" G_GUINT64_FORMAT "&" Q_WAIT_MS "=%d",
+               P_WATCH "?" Q_PREFIX "=&" Q_AFTER "=%" G_GUINT64_FORMAT "&" Q_WAIT_MS
+                       "=%d",
                *revision, wait_ms);
     int status = lmn_http_call(h, "GET", path, NULL, wait_ms / 1000.0 + 2.0, buf);
     if (status != 200)
--- /dev/null
+++ b/src/state/mirror.h
@@ -0,0 +1,20 @@
+/* The mirror of the state service's records: the only thing that alters jobs, ranges,
+ * owners and machine records. It stands below the decisions and tells an owner's books
+ * through struct lmn_owner_ops what has changed. The lock is held unless it says
+ * otherwise. */
+#ifndef LMN_MIRROR_H
+#define LMN_MIRROR_H
+
+#include "state/model.h"
+
+/* One change of the state service; value NULL: removed. The lock is held. */
+void lmn_mirror_apply(struct lmn_core *c, const char *key, const struct lmn_doc *doc,
+                      const struct lmn_node *value, uint64_t rev, struct timespec now);
+/* After a full reading: what it did not name is gone. */
+void lmn_mirror_sweep(struct lmn_core *c, struct timespec now);
+/* After changes were applied: takes over what the mirror shows as this node's. */
+void lmn_mirror_settle(struct lmn_core *c, struct timespec now);
+/* Follows the state service for ever (a thread). */
+void *lmn_mirror_thread(void *core);
+
+#endif
--- /dev/null
+++ b/src/state/model.h
@@ -0,0 +1,291 @@
+/* The state shared by all threads, behind one short lock.
+ *
+ * The mirror (jobs, ranges, owners, machine records) is altered by one thing only: the
+ * state service's changes in their order. So what a node sees is always a true past
+ * state, whole. What an owner knows of its machines lives beside it, in the same
+ * structures. */
+#ifndef LMN_MODEL_H
+#define LMN_MODEL_H
+
+#include "base/clock.h"
+#include "base/job.h"
+#include "base/latency.h"
+#include "base/settings.h"
+#include "state/state.h"
+#include "base/tuning.h"
+
+#include <pthread.h>
+
+struct lmn_range;
+struct lmn_partition;
+
+struct lmn_job {
+    struct lmn_spec spec;
+    enum lmn_phase phase;
+    uint32_t open; /* ranges not yet closed */
+    double at;     /* time of day of its acceptance */
+    uint64_t rev;
+    uint32_t gen;
+    GPtrArray *ranges;
+    const char *image; /* interned: looked for on every machine, at every deal */
+    int team;          /* index in the settings, -1 if it has left them */
+    uint64_t closing;  /* revision on which a close of ours is under way */
+    /* when its next task has to start, by the time of day, for the next expectation that
+     * can still be met; lost: none can */
+    double latest;
+    bool lost;
+    bool guaranteed; /* it fitted into its team's guarantee when it came */
+    bool yields;     /* it could still be met, but only at the cost of more others
+                        (lmn_triage) */
+    double left;     /* processor seconds that have not been started */
+    GArray *zones;   /* struct lmn_zone_tasks, of a job whose tasks look at each other's
+                        places */
+    const struct lmn_partition *ranked; /* mark of the triage under way */
+    /* a job whose tasks fail is held back by itself */
+    unsigned errors;
+    struct timespec hold;
+};
+
+/* How many of a job's tasks are, or may be, on machines of a zone. */
+struct lmn_zone_tasks {
+    const char *zone; /* interned */
+    int tasks;
+};
+
+enum lmn_task_state { LMN_T_QUEUED, LMN_T_STARTED, LMN_T_DONE, LMN_T_MOVING };
+
+/* Tasks lo..hi-1 of a job, in one partition. */
+struct lmn_range {
+    struct lmn_job *job;
+    struct lmn_partition *part;
+    uint32_t lo, hi;
+    char *key;
+    uint8_t *done; /* as recorded */
+    uint32_t ndone;
+    uint64_t rev, born; /* of its last write, and of its first */
+    uint32_t gen;
+    /* the owner's: one lmn_task_state a task; NULL if not owned */
+    uint8_t *st;
+    bool dealt; /* its queued tasks stand in queues */
+    uint32_t nstarted, nfinished;
+    bool writing;
+    uint64_t written; /* revision of our last write, until the mirror shows it */
+    struct timespec dirty, retry;
+    /* a move of the tasks from move_at on to another partition, while it is under way */
+    uint32_t move_at;
+    int move_to;      /* -1: none */
+    bool move_unsure; /* an attempt's outcome is not known: only the mirror can tell */
+    uint64_t move_rev;
+};
+
+/* A stretch of queued tasks. */
+struct lmn_seg {
+    struct lmn_range *range;
+    uint32_t lo, hi;
+};
+
+struct lmn_queue {
+    GPtrArray *segs;
+    uint32_t tasks;
+};
+
+enum lmn_attempt_state {
+    LMN_A_SENT,
+    LMN_A_FETCHING,
+    LMN_A_RUNNING,
+    LMN_A_SAVING,
+    LMN_A_ENDED
+};
+
+struct lmn_attempt {
+    char ref[LMN_REF];
+    struct lmn_job *job;     /* NULL: unknown here */
+    struct lmn_range *range; /* NULL: none of ours, or closed */
+    uint32_t index;
+    uint64_t number;
+    enum lmn_attempt_state state;
+    bool counted; /* holds room and quota */
+    bool done, seen, killed;
+    bool stop; /* it has to make room, with so many seconds to save: */
+    double grace;
+    bool direct; /* sent straight to the worker, in a call that is under way */
+    bool
+        unsure; /* sent in a call without an answer: it may yet arrive, in this session */
+    bool listed; /* the worker has named it */
+    struct timespec since;
+};
+
+/* An image that a machine has, or fetches, as far as known. */
+struct lmn_image {
+    const char *name; /* interned */
+    double gb;
+};
+
+struct lmn_machine {
+    char name[LMN_NAME], addr[LMN_ADDR], type_name[LMN_NAME], zone[LMN_NAME];
+    const struct lmn_type *type; /* NULL: not known yet */
+    bool spot;
+    struct lmn_partition *part;
+    uint64_t rev;            /* of the record that first named it; 0: not recorded */
+    struct lmn_block *block; /* where it is recorded, or will be */
+    uint64_t block_rev;      /* of the last record that named it */
+    /* the owner's */
+    bool heard, lapsed;
+    bool inherited; /* recorded by an owner before us */
+    bool accounted; /* has reported with our term: its tasks are as it says */
+    bool is_gone;   /* the cloud has said so; only its record is left */
+    bool retiring;  /* starts nothing more; returned once empty, or at once if forced */
+    bool force;     /* its tasks can't be waited for */
+    bool returning; /* the request is under way */
+    bool noticed;
+    double notice_s;
+    bool poke, in_call;
+    unsigned probes; /* without an answer, since the takeover */
+    struct timespec next_probe;
+    uint64_t session, seq, report_seq;
+    struct timespec first, last, idle, noticed_at, retired_at;
+    GArray *attempts; /* struct lmn_attempt */
+    struct lmn_queue queue;
+    double poll_s;
+    bool hungry; /* has room for which nothing in its partition fits */
+    struct timespec next_steal;
+    GPtrArray *failed_jobs; /* distinct jobs that failed here since the last success */
+    GArray *images;         /* struct lmn_image, the most recently used last */
+    double used_cpus, used_gpus, used_mem;
+    uint32_t promised; /* tasks that room is being made for: nothing less urgent starts,
+                          until: */
+    struct timespec promise_until;
+};
+
+/* Machines that one record names. */
+struct lmn_block {
+    guint id;
+    uint64_t rev; /* 0: there is no such record */
+    uint32_t gen;
+    GPtrArray *machines;
+    size_t bytes;
+    bool writing;
+    struct timespec written, retry;
+};
+
+enum { LMN_MAX_BLOCKS = 4096 };
+
+/* A part of a team's limit on its way from a partition to another. */
+struct lmn_gift {
+    int team, to; /* team -1: none */
+    double cpus, gpus;
+    uint64_t rev; /* of the team's record, on which the write is conditional */
+    uint64_t serial;
+    bool unsure; /* an attempt's outcome is not known */
+    struct timespec retry;
+};
+
+/* A zone most of whose machines have been silent. */
+struct lmn_cut {
+    const char *zone; /* interned */
+    struct timespec until;
+};
+
+struct lmn_partition {
+    int id;
+    /* mirrored */
+    char owner[LMN_NAME];
+    uint64_t owner_lease, owner_rev, owner_term, term, term_rev;
+    double quota_cpus[LMN_MAX_TEAMS],
+        quota_gpus[LMN_MAX_TEAMS]; /* if there is a record */
+    uint32_t owner_gen;
+    struct timespec vacant; /* since when nobody owns it */
+    GHashTable *ranges, *machines;
+    GPtrArray *blocks; /* struct lmn_block by number */
+    /* the owner's */
+    bool mine, ready, releasing;
+    uint64_t my_term, my_rev, attempts;
+    struct timespec since, ready_at;
+    double poll_s; /* interval of steals from other partitions */
+    struct timespec next_steal;
+    struct lmn_queue limbo; /* tasks that no machine's queue holds yet */
+    double used_cpus[LMN_MAX_TEAMS], used_gpus[LMN_MAX_TEAMS];
+    struct lmn_gift gift;
+    GArray *cuts; /* struct lmn_cut */
+    struct timespec next_pack;
+    struct timespec next_quota; /* when it may ask others again */
+    double quota_poll_s;
+    guint rr;
+};
+
+struct lmn_peer_view {
+    bool alive;
+    uint64_t rev;
+    uint32_t gen;
+    struct timespec since;
+};
+
+struct lmn_counters {
+    uint64_t steal_tries, steals, stolen_tasks, starts, kills, reports, polls,
+        submissions;
+    uint64_t refused, takeovers, moves, moved_tasks, unqueued, preempted;
+};
+
+struct lmn_core;
+
+/* What the mirror tells an owner's books: they stand above it. Set once, before any
+ * change is applied; the lock is held in every call. */
+struct lmn_owner_ops {
+    /* A range of ours has appeared; it may have to be dealt. */
+    void (*range_born)(struct lmn_core *c, struct lmn_range *r, struct timespec now);
+    /* The range ends at hi now: a move of its tail was applied. */
+    void (*range_cut)(struct lmn_core *c, struct lmn_range *r, uint32_t hi);
+    /* The move under way can't be applied any more. */
+    void (*move_undo)(struct lmn_core *c, struct lmn_range *r, struct timespec now);
+    /* The range is about to be freed. */
+    void (*range_forget)(struct lmn_core *c, struct lmn_range *r);
+    void (*partition_own)(struct lmn_core *c, struct lmn_partition *p,
+                          struct timespec now);
+    void (*partition_lose)(struct lmn_core *c, struct lmn_partition *p, const char *why);
+    void (*block_apply)(struct lmn_core *c, struct lmn_partition *p, unsigned long id,
+                        const struct lmn_doc *d, const struct lmn_node *v, uint64_t rev,
+                        struct timespec now);
+    void (*block_sweep)(struct lmn_core *c, struct lmn_partition *p, struct timespec now);
+    void (*quota_apply)(struct lmn_core *c, const char *key, const struct lmn_doc *d,
+                        const struct lmn_node *v, uint64_t rev);
+};
+
+struct lmn_core {
+    pthread_mutex_t lock;
+    pthread_cond_t changed; /* ownership, or membership */
+    pthread_cond_t poked;   /* machines to be given work at once */
+    const struct lmn_settings *cfg;
+    struct lmn_state *state;
+    const struct lmn_owner_ops *owner;
+    struct lmn_tuning tuning;
+    uint64_t tuning_rev;
+    GRand *rng;
+
+    GHashTable *jobs; /* ref -> lmn_job */
+    struct lmn_partition *parts;
+    int nparts;
+    struct lmn_peer_view peers[LMN_MAX_MEMBERS + 1]; /* by rank */
+    double wall;    /* the time of day at the last tick */
+    double triaged; /* the time of day at the last triage */
+    bool synced;
+    bool odd_one; /* the mirror stands still, and only here, as far as known */
+    uint32_t gen;
+    struct timespec fresh; /* the mirror is no older than this */
+    struct timespec booted, synced_at, audited;
+    uint64_t lease; /* ours, 0: none */
+
+    uint64_t quota_rev[LMN_MAX_TEAMS]; /* of the teams' records of parts; 0: none */
+    bool quota_known[LMN_MAX_TEAMS];   /* there is a record, and of this limit */
+    uint64_t gifts;
+    /* what the teams' active jobs ask for, all their tasks together */
+    double asked_cpus[LMN_MAX_TEAMS], asked_gpus[LMN_MAX_TEAMS];
+
+    struct lmn_types types;
+    bool types_known;
+    GHashTable *gone; /* names of machines that were returned */
+    struct lmn_counters count;
+    struct lmn_latency accepting; /* from a submission to its commit */
+    struct lmn_latency starting;  /* from a job's acceptance to a task's start command */
+};
+
+#endif
--- /dev/null
+++ b/src/state/records.h
@@ -0,0 +1,15 @@
+/* How jobs and ranges are written in the state service. Pure; what they return is the
+ * caller's. */
+#ifndef LMN_RECORDS_H
+#define LMN_RECORDS_H
+
+#include "state/model.h"
+
+GByteArray *lmn_job_record(const struct lmn_spec *s, enum lmn_phase phase, uint32_t open,
+                           double at);
+/* Reads a job's record; -1 if it is none. The spec is the caller's to clear. */
+int lmn_job_read(const struct lmn_doc *doc, const struct lmn_node *value,
+                 struct lmn_spec *s, enum lmn_phase *phase, uint32_t *open, double *at);
+GByteArray *lmn_range_record(const struct lmn_range *r, const uint8_t *done);
+
+#endif
--- a/src/state.c
+++ b/src/state/state.c
@@ -1,9 +1,9 @@
-#include "state.h"
-#include "budget.h"
-#include "clock.h"
-#include "log.h"
-#include "thread.h"
-#include "wire.h"
+#include "state/state.h"
+#include "base/budget.h"
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/thread.h"
+#include "base/wire.h"
 
 #include <math.h>
 #include <pthread.h>
@@ -40,7 +40,7 @@
     double queued_changes[LMN_RANKS];
     struct lmn_budget requests, writes;
     struct lmn_budget lazy; /* the part of writes that what can wait may use */
-    struct timespec hold; /* after a 429: nothing goes out before */
+    struct timespec hold;   /* after a 429: nothing goes out before */
 };
 
 struct lmn_txn *lmn_txn_new(enum lmn_rank rank, lmn_txn_done *done, void *arg)
@@ -66,7 +66,8 @@
 {
     struct change c = {g_strdup(key), value, lease};
     g_array_append_val(t->changes, c);
-    /* The service counts bytes as JSON: numbers and quotes take more there than in CBOR. */
+    /* The service counts bytes as JSON: numbers and quotes take more there than in CBOR.
+     */
     t->bytes += strlen(key) + 60 + value->len + value->len / 2;
 }
 
@@ -106,7 +107,8 @@
 }
 
 void lmn_txn_each(const struct lmn_txn *t,
-                  void (*f)(void *arg, const char *key, const GByteArray *value), void *arg)
+                  void (*f)(void *arg, const char *key, const GByteArray *value),
+                  void *arg)
 {
     for (guint i = 0; i < t->changes->len; i++) {
         const struct change *c = &g_array_index(t->changes, struct change, i);
@@ -115,7 +117,8 @@
 }
 
 void lmn_txn_each_condition(const struct lmn_txn *t,
-                            void (*f)(void *arg, const char *key, uint64_t version), void *arg)
+                            void (*f)(void *arg, const char *key, uint64_t version),
+                            void *arg)
 {
     for (guint i = 0; i < t->conds->len; i++) {
         const struct cond *c = &g_array_index(t->conds, struct cond, i);
@@ -168,10 +171,11 @@
     pthread_mutex_unlock(&s->lock);
 }
 
-/* What a rank leaves in the bucket for those before it: a submission that finds the bucket emptied
- * by done sets would wait longer than its user likes. Users often come to one node alone, as after
- * a restart of all: their writes and the owners' may overdraw its share by a bucket, which the
- * other members' thrift covers; if it does not, the service says 429. */
+/* What a rank leaves in the bucket for those before it: a submission that finds the
+ * bucket emptied by done sets would wait longer than its user likes. Users often come to
+ * one node alone, as after a restart of all: their writes and the owners' may overdraw
+ * its share by a bucket, which the other members' thrift covers; if it does not, the
+ * service says 429. */
 static double reserve(const struct lmn_state *s, enum lmn_rank rank)
 {
     switch (rank) {
@@ -212,7 +216,8 @@
     return MAX(spare, 0);
 }
 
-/* Whether so many changes of the rank may go out now. More than the bucket holds take it full. */
+/* Whether so many changes of the rank may go out now. More than the bucket holds take it
+ * full. */
 static bool affords(const struct lmn_state *s, enum lmn_rank rank, guint changes)
 {
     return s->writes.level - reserve(s, rank) >= MIN(changes, 0.45 * s->writes.burst);
@@ -231,8 +236,10 @@
         if (affords(s, r, t->changes->len))
             wait = 0;
         else
-            wait = MIN(wait, (reserve(s, r) + MIN(t->changes->len, 0.45 * s->writes.burst) -
-                              s->writes.level) / s->writes.rate);
+            wait =
+                MIN(wait, (reserve(s, r) + MIN(t->changes->len, 0.45 * s->writes.burst) -
+                           s->writes.level) /
+                              s->writes.rate);
     }
     return MAX(wait, lmn_since(s->hold, now));
 }
@@ -278,7 +285,8 @@
     return b;
 }
 
-/* Reads the answer to a transaction. Keys whose condition failed are added to conflicts. */
+/* Reads the answer to a transaction. Keys whose condition failed are added to conflicts.
+ */
 static enum lmn_outcome judge(int status, const GByteArray *answer, uint64_t *revision,
                               GPtrArray *conflicts)
 {
@@ -295,7 +303,8 @@
     if (lmn_count(lmn_get(&d, root, W_REVISION), revision))
         r = status == 200 ? LMN_OK : LMN_CONFLICT;
     const struct lmn_node *failed = lmn_get(&d, root, W_CONFLICTS);
-    for (const struct lmn_node *n = lmn_child(&d, failed); n && conflicts; n = lmn_next(&d, n))
+    for (const struct lmn_node *n = lmn_child(&d, failed); n && conflicts;
+         n = lmn_next(&d, n))
         if (n->type == LMN_TEXT)
             g_ptr_array_add(conflicts, g_strndup(n->s, n->len));
     lmn_doc_free(&d);
@@ -317,8 +326,9 @@
     return r;
 }
 
-enum lmn_outcome lmn_state_send(struct lmn_state *s, struct lmn_http *h, struct lmn_txn *t,
-                                uint64_t *revision, GPtrArray *conflicts)
+enum lmn_outcome lmn_state_send(struct lmn_state *s, struct lmn_http *h,
+                                struct lmn_txn *t, uint64_t *revision,
+                                GPtrArray *conflicts)
 {
     int status;
     lmn_state_pace(s);
@@ -350,7 +360,8 @@
     return false;
 }
 
-/* Takes the next batch off the queues, and its changes off the budget; the lock is held. */
+/* Takes the next batch off the queues, and its changes off the budget; the lock is held.
+ */
 static guint gather(struct lmn_state *s, struct lmn_txn **v, guint max)
 {
     size_t bytes = 0;
--- a/src/state.h
+++ b/src/state/state.h
@@ -1,10 +1,11 @@
-/* The state service's client: a batching writer, and blocking calls for the other threads. */
+/* The state service's client: a batching writer, and blocking calls for the other
+ * threads. */
 #ifndef LMN_STATE_H
 #define LMN_STATE_H
 
-#include "codec.h"
-#include "http_client.h"
-#include "settings.h"
+#include "base/codec.h"
+#include "base/http_client.h"
+#include "base/settings.h"
 
 enum lmn_outcome {
     LMN_OK,
@@ -38,12 +39,14 @@
 guint lmn_txn_changes(const struct lmn_txn *t);
 /* Calls f for each change: value NULL is a removal. */
 void lmn_txn_each(const struct lmn_txn *t,
-                  void (*f)(void *arg, const char *key, const GByteArray *value), void *arg);
+                  void (*f)(void *arg, const char *key, const GByteArray *value),
+                  void *arg);
 
 void lmn_txn_each_condition(const struct lmn_txn *t,
-                            void (*f)(void *arg, const char *key, uint64_t version), void *arg);
-/* Without the writer's thread (in tests): takes the next transaction off the queues, NULL if there
- * is none, and tells its outcome. */
+                            void (*f)(void *arg, const char *key, uint64_t version),
+                            void *arg);
+/* Without the writer's thread (in tests): takes the next transaction off the queues, NULL
+ * if there is none, and tells its outcome. */
 struct lmn_txn *lmn_state_take(struct lmn_state *s);
 void lmn_txn_finish(struct lmn_txn *t, enum lmn_outcome outcome, uint64_t revision);
 
@@ -55,7 +58,8 @@
 /* Waits for leave to send one more request. */
 void lmn_state_pace(struct lmn_state *s);
 /* Sends a transaction now, on the calling thread, outside the batches. */
-enum lmn_outcome lmn_state_send(struct lmn_state *s, struct lmn_http *h, struct lmn_txn *t,
-                                uint64_t *revision, GPtrArray *conflicts);
+enum lmn_outcome lmn_state_send(struct lmn_state *s, struct lmn_http *h,
+                                struct lmn_txn *t, uint64_t *revision,
+                                GPtrArray *conflicts);
 
 #endif
--- a/tests/test_block.c
+++ b/tests/test_block.c
@@ -1,6 +1,17 @@
 /* Records of machines: few writes for many machines, and what stands recorded is what is there,
  * whatever becomes of single writes. */
-#include "core.h"
+#include "base/clock.h"
+#include "base/codec.h"
+#include "base/job.h"
+#include "base/settings.h"
+#include "own/flush.h"
+#include "own/owner.h"
+#include "own/upkeep.h"
+#include "state/books.h"
+#include "state/mirror.h"
+#include "state/model.h"
+#include "state/records.h"
+#include "state/state.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -1,5 +1,5 @@
 /* CBOR: round trips of generated documents, and hostile bytes. */
-#include "codec.h"
+#include "base/codec.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -1,6 +1,8 @@
 /* Jobs' descriptions, done sets, and what can never run. */
-#include "job.h"
-#include "wire.h"
+#include "base/codec.h"
+#include "base/job.h"
+#include "base/settings.h"
+#include "base/wire.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
--- a/tests/test_model.c
+++ b/tests/test_model.c
@@ -5,9 +5,27 @@
  *
  * Each rule's check is itself checked: with the guard that keeps the rule taken away, the same
  * days must break it. */
-#include "core.h"
-#include "log.h"
-#include "wire.h"
+#include "base/clock.h"
+#include "base/codec.h"
+#include "base/job.h"
+#include "base/log.h"
+#include "base/settings.h"
+#include "base/wire.h"
+#include "decide/order.h"
+#include "decide/pack.h"
+#include "decide/preempt.h"
+#include "decide/steal.h"
+#include "own/flush.h"
+#include "own/gift.h"
+#include "own/owner.h"
+#include "own/partition.h"
+#include "own/range.h"
+#include "own/upkeep.h"
+#include "own/worker.h"
+#include "state/mirror.h"
+#include "state/model.h"
+#include "state/records.h"
+#include "state/state.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -1,5 +1,19 @@
 /* Queues: order, dealing, stealing. */
-#include "core.h"
+#include "base/clock.h"
+#include "base/codec.h"
+#include "base/job.h"
+#include "base/settings.h"
+#include "decide/order.h"
+#include "decide/pack.h"
+#include "decide/preempt.h"
+#include "decide/queue.h"
+#include "own/owner.h"
+#include "own/range.h"
+#include "state/books.h"
+#include "state/mirror.h"
+#include "state/model.h"
+#include "state/records.h"
+#include "state/state.h"
 #include "peer_wire.h"
 
 #include <setjmp.h>
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -1,5 +1,16 @@
 /* Parts of a team's limit: whatever fails, the parts in use never add up to more than the limit. */
-#include "core.h"
+#include "base/clock.h"
+#include "base/codec.h"
+#include "base/settings.h"
+#include "decide/quota.h"
+#include "own/flush.h"
+#include "own/gift.h"
+#include "own/owner.h"
+#include "own/partition.h"
+#include "own/range.h"
+#include "state/mirror.h"
+#include "state/model.h"
+#include "state/state.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -1,10 +1,12 @@
 /* Real processes over loopback, against stand-ins for the state service, the cloud and the
  * workers: jobs are accepted and done, one is cancelled, controllers are killed on the way and
  * started again; no task is ever on two machines at once, and an accepted job stays known. */
-#include "core.h"
-#include "http_client.h"
-#include "thread.h"
-#include "wire.h"
+#include "base/clock.h"
+#include "base/codec.h"
+#include "base/http_client.h"
+#include "base/job.h"
+#include "base/thread.h"
+#include "base/wire.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -1,6 +1,7 @@
 /* The platform's settings and the operators' own. */
-#include "settings.h"
-#include "tuning.h"
+#include "base/codec.h"
+#include "base/settings.h"
+#include "base/tuning.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
--- a/tests/test_state.c
+++ b/tests/test_state.c
@@ -1,6 +1,8 @@
 /* The writer's order and budget. */
-#include "clock.h"
-#include "state.h"
+#include "base/clock.h"
+#include "base/codec.h"
+#include "base/settings.h"
+#include "state/state.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -1,6 +1,12 @@
 /* Which machines are asked, and when they are given up. */
-#include "core.h"
-#include "http_client.h"
+#include "base/clock.h"
+#include "base/settings.h"
+#include "own/owner.h"
+#include "own/upkeep.h"
+#include "own/worker.h"
+#include "state/books.h"
+#include "state/model.h"
+#include "state/state.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
