State service: a durable database on LMDB, served by the published protocol

Need: a site without a state service of its own could not run lemonspar at all.

Operators' files are read with file, line, field (base/conf).

--- a/src/base/codec.c
+++ b/src/base/codec.c
@@ -395,3 +395,33 @@
     for (const struct lmn_node *c = lmn_child(doc, n); c; c = lmn_next(doc, c))
         lmn_put_node(b, doc, c);
 }
+
+size_t lmn_json_size(const struct lmn_doc *doc, const struct lmn_node *n)
+{
+    char number[64];
+    size_t size = 2;
+
+    switch (n->type) {
+    case LMN_NULL:
+        return 4;
+    case LMN_BOOL:
+        return n->truth ? 4 : 5;
+    case LMN_UINT:
+        return (size_t)g_snprintf(number, sizeof number, "%" G_GUINT64_FORMAT, n->u);
+    case LMN_NEGINT:
+        return 1 + (size_t)g_snprintf(number, sizeof number, "%" G_GUINT64_FORMAT, n->u + 1);
+    case LMN_FLOAT:
+        return strlen(g_ascii_dtostr(number, sizeof number, n->f)) + (n->f == (double)(int64_t)n->f ? 2 : 0);
+    case LMN_TEXT:
+        for (uint32_t i = 0; i < n->len; i++) {
+            unsigned char c = (unsigned char)n->s[i];
+            size += c == '"' || c == '\\' ? 2 : c < 0x20 ? 6 : 1;
+        }
+        return size;
+    default:
+        /* Brackets, a comma after all but the last, a colon after each key. */
+        for (const struct lmn_node *k = lmn_child(doc, n); k; k = lmn_next(doc, k))
+            size += lmn_json_size(doc, k) + 1;
+        return n->len ? size - 1 : size;
+    }
+}
--- /dev/null
+++ b/src/base/metrics.c
@@ -0,0 +1,61 @@
+#include "base/metrics.h"
+
+#include <string.h>
+
+void lmn_metric_head(GString *out, const char *name, const char *kind, const char *help)
+{
+    g_string_append_printf(out, "# TYPE %s %s\n# HELP %s %s\n", name, kind, name, help);
+}
+
+void lmn_metric_sample(GString *out, const char *name, const char *label, const char *value,
+                       double sample)
+{
+    g_string_append(out, name);
+    if (label) {
+        g_string_append_printf(out, "{%s=\"", label);
+        for (const char *p = value; *p; p++) {
+            if (*p == '\\' || *p == '"')
+                g_string_append_c(out, '\\');
+            if (*p == '\n')
+                g_string_append(out, "\\n");
+            else
+                g_string_append_c(out, *p);
+        }
+        g_string_append(out, "\"}");
+    }
+    g_string_append_printf(out, " %.17g\n", sample);
+}
+
+void lmn_gauge(GString *out, const char *name, const char *help, double value)
+{
+    lmn_metric_head(out, name, "gauge", help);
+    lmn_metric_sample(out, name, NULL, NULL, value);
+}
+
+void lmn_counter(GString *out, const char *name, const char *help, uint64_t value)
+{
+    lmn_metric_head(out, name, "counter", help);
+    g_string_append_printf(out, "%s_total %" G_GUINT64_FORMAT "\n", name, value);
+}
+
+void lmn_quantiles(GString *out, const char *name, const char *help, const struct lmn_latency *l)
+{
+    static const char *const shares[] = {"0.5", "0.95", "0.99"};
+
+    lmn_metric_head(out, name, "summary", help);
+    for (guint i = 0; i < G_N_ELEMENTS(shares); i++)
+        lmn_metric_sample(out, name, "quantile", shares[i],
+                          lmn_latency_quantile(l, g_ascii_strtod(shares[i], NULL)));
+    g_string_append_printf(out, "%s_count %.0f\n", name, gsl_histogram_sum(l->h));
+}
+
+void lmn_metrics_answer(struct lmn_call *call, void (*fill)(void *arg, GString *out), void *arg)
+{
+    GString *s = g_string_new(NULL);
+
+    fill(arg, s);
+    g_string_append(s, "# EOF\n");
+    gsize len = s->len;
+    GByteArray *b = g_byte_array_new_take((guint8 *)g_string_free(s, FALSE), len);
+    lmn_call_answer_as(call, 200, "application/openmetrics-text; version=1.0.0; charset=utf-8", b);
+}
--- a/src/base/toml.cpp
+++ b/src/base/toml.cpp
@@ -1,6 +1,8 @@
 // The one C++ file: libtomlplusplus, since Debian packages no C library for TOML.
+#include "base/conf.h"
 #include "base/settings.h"
 
+#include <cerrno>
 #include <cmath>
 #include <cstdio>
 #include <cstring>
@@ -204,3 +206,63 @@
     doc << in.rdbuf();
     return parse(doc.str(), path, s, err, errlen);
 }
+
+// --- operators' files: everything, flat, with its line ---
+
+namespace
+{
+
+void flatten(lmn_conf *c, const std::string &path, const toml::node &n)
+{
+    unsigned line = static_cast<unsigned>(n.source().begin.line);
+    if (auto *t = n.as_table()) {
+        if (!path.empty())
+            lmn_conf_add(c, path.c_str(), LMN_CONF_TABLE, "", 0, line);
+        for (auto &&[key, value] : *t)
+            flatten(c, (path.empty() ? "" : path + ".") + std::string(key.str()), value);
+    } else if (auto *a = n.as_array()) {
+        size_t i = 0;
+        lmn_conf_add(c, path.c_str(), LMN_CONF_ARRAY, "", static_cast<double>(a->size()), line);
+        for (auto &e : *a)
+            flatten(c, path + "[" + std::to_string(i++) + "]", e);
+    } else if (auto *b = n.as_boolean()) {
+        lmn_conf_add(c, path.c_str(), LMN_CONF_TRUTH, "", **b, line);
+    } else if (auto v = n.value<double>(); v && n.is_number()) {
+        lmn_conf_add(c, path.c_str(), LMN_CONF_NUMBER, "", *v, line);
+    } else if (auto s = n.value<std::string>()) {
+        lmn_conf_add(c, path.c_str(), LMN_CONF_TEXT, s->c_str(), 0, line);
+    } else {
+        lmn_conf_add(c, path.c_str(), LMN_CONF_TABLE, "", 0, line); // dates: of no field here
+    }
+}
+
+} // namespace
+
+extern "C" lmn_conf *lmn_conf_parse(const char *text, const char *name, char *err, size_t len)
+{
+    try {
+        auto doc = toml::parse(std::string(text));
+        lmn_conf *c = lmn_conf_new(name);
+        flatten(c, "", doc);
+        return c;
+    } catch (const toml::parse_error &e) {
+        std::snprintf(err, len, "%s: line %u: %s", name,
+                      static_cast<unsigned>(e.source().begin.line),
+                      std::string(e.description()).c_str());
+    } catch (const std::exception &e) {
+        std::snprintf(err, len, "%s: %s", name, e.what());
+    }
+    return nullptr;
+}
+
+extern "C" lmn_conf *lmn_conf_load(const char *path, char *err, size_t len)
+{
+    std::ifstream in(path);
+    std::stringstream doc;
+    if (!in) {
+        std::snprintf(err, len, "%s: cannot be read: %s", path, std::strerror(errno));
+        return nullptr;
+    }
+    doc << in.rdbuf();
+    return lmn_conf_parse(doc.str().c_str(), path, err, len);
+}
--- /dev/null
+++ b/src/store/service.c
@@ -0,0 +1,408 @@
+#include "store/store.h"
+#include "base/clock.h"
+#include "base/codec.h"
+#include "base/log.h"
+#include "base/metrics.h"
+#include "base/thread.h"
+#include "base/wire.h"
+#include "store/store_part.h"
+
+#include <errno.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+enum { MAX_BODY = 64 * 1024, MAX_ITEMS = 1000, MAX_LIST = 512 * 1024 };
+
+const struct lmn_store_options lmn_store_defaults = {
+    .listen = "127.0.0.1:2379",
+    .map_gb = 64,
+    .value_kb = 16,
+    .txn_ops = 48,
+};
+
+static bool key_ok(const char *key)
+{
+    size_t n = strlen(key);
+    return n >= 1 && n <= LMN_DB_KEY && !strchr(key, ' ');
+}
+
+static bool take(struct lmn_budget *b, double n)
+{
+    return b->rate <= 0 || lmn_budget_take(b, n, lmn_now()) <= 0;
+}
+
+static bool limited(struct lmn_store *s, struct lmn_call *call, struct lmn_budget *b, double n)
+{
+    if (take(b, n))
+        return false;
+    pthread_mutex_lock(&s->lock);
+    s->limited++;
+    pthread_mutex_unlock(&s->lock);
+    lmn_call_answer(call, 429, NULL, 1);
+    return true;
+}
+
+void lmn_store_put_item(GByteArray *b, const struct lmn_db_item *item)
+{
+    lmn_put_map(b, item->lease ? 4 : 3);
+    lmn_put_text(b, W_KEY), lmn_put_text(b, item->key);
+    lmn_put_text(b, W_VALUE), g_byte_array_append(b, item->value, (guint)item->len);
+    lmn_put_text(b, W_VERSION), lmn_put_count(b, item->rev);
+    if (item->lease)
+        lmn_put_text(b, W_LEASE), lmn_put_count(b, item->lease);
+}
+
+static void get(struct lmn_store *s, struct lmn_call *call, const char *key)
+{
+    struct lmn_db_meta meta;
+    struct lmn_db_item item;
+    GByteArray *b = g_byte_array_new();
+    int status = 200;
+
+    if (!key_ok(key) || lmn_db_view(s->reader, &meta) != 0) {
+        lmn_call_answer(call, key_ok(key) ? 503 : 400, b, 0);
+        return;
+    }
+    if (lmn_db_get(s->reader, key, &item)) {
+        lmn_store_put_item(b, &item);
+    } else {
+        status = 404;
+        lmn_put_map(b, 1);
+        lmn_put_text(b, W_REVISION), lmn_put_count(b, meta.revision);
+    }
+    lmn_db_view_end(s->reader);
+    lmn_call_answer(call, status, b, 0);
+}
+
+struct listing {
+    GByteArray *items;
+    size_t n, most;
+    bool more;
+};
+
+static bool list_one(void *arg, const struct lmn_db_item *item)
+{
+    struct listing *l = arg;
+
+    if (l->n == l->most || (l->n && l->items->len + item->len + LMN_DB_KEY > MAX_LIST)) {
+        l->more = true;
+        return false;
+    }
+    lmn_store_put_item(l->items, item);
+    l->n++;
+    return true;
+}
+
+static void list(struct lmn_store *s, struct lmn_call *call)
+{
+    const char *prefix = lmn_call_query(call, Q_PREFIX), *after = lmn_call_query(call, Q_AFTER);
+    const char *limit = lmn_call_query(call, Q_LIMIT);
+    struct listing l = {.most = limit ? (size_t)g_ascii_strtoull(limit, NULL, 10) : MAX_ITEMS};
+    struct lmn_db_meta meta;
+
+    if (l.most < 1 || l.most > MAX_ITEMS) {
+        lmn_call_fail(call, 400, Q_LIMIT ": from 1 to 1000");
+        return;
+    }
+    if (lmn_db_view(s->reader, &meta) != 0) {
+        lmn_call_answer(call, 503, NULL, 1);
+        return;
+    }
+    l.items = g_byte_array_new();
+    lmn_db_list(s->reader, prefix ? prefix : "", after && *after ? after : NULL, list_one, &l);
+    lmn_db_view_end(s->reader);
+    GByteArray *b = g_byte_array_new();
+    lmn_put_map(b, 3);
+    lmn_put_text(b, W_MORE), lmn_put_truth(b, l.more);
+    lmn_put_text(b, W_REVISION), lmn_put_count(b, meta.revision);
+    lmn_put_text(b, W_ITEMS), lmn_put_list(b, l.n);
+    g_byte_array_append(b, l.items->data, l.items->len);
+    g_byte_array_unref(l.items);
+    lmn_call_answer(call, 200, b, 0);
+}
+
+/* --- transactions --- */
+
+static const char *keep(struct lmn_op *op, const struct lmn_node *n)
+{
+    char key[LMN_DB_KEY + 2];
+
+    if (!lmn_text(n, key, sizeof key) || !key_ok(key))
+        return NULL;
+    char *copy = g_strdup(key);
+    g_ptr_array_add(op->bytes, copy);
+    return copy;
+}
+
+static const char *read_cond(struct lmn_op *op, const struct lmn_doc *d, const struct lmn_node *n)
+{
+    struct lmn_db_cond *c = &op->txn.conds[op->txn.nconds++];
+
+    c->key = keep(op, lmn_get(d, n, W_KEY));
+    if (!c->key)
+        return W_IF ": a key of 1 to 200 bytes without spaces is missing";
+    return lmn_count(lmn_get(d, n, W_VERSION), &c->rev) ? NULL : W_IF ": a version is missing";
+}
+
+static const char *read_change(const struct lmn_store *s, struct lmn_op *op, const struct lmn_doc *d,
+                               const struct lmn_node *n)
+{
+    struct lmn_db_change *c = &op->txn.changes[op->txn.nchanges++];
+    const struct lmn_node *put = lmn_get(d, n, W_PUT), *v;
+
+    c->key = keep(op, put ? put : lmn_get(d, n, W_DELETE));
+    if (!c->key)
+        return W_THEN ": a key of 1 to 200 bytes without spaces is missing";
+    if (!put)
+        return NULL;
+    v = lmn_get(d, n, W_VALUE);
+    lmn_count(lmn_get(d, n, W_LEASE), &c->lease);
+    if (s->o.value_kb > 0 && v && (double)lmn_json_size(d, v) > s->o.value_kb * 1024)
+        return W_THEN ": a value is too large";
+    GByteArray *b = g_byte_array_new();
+    if (v)
+        lmn_put_node(b, d, v);
+    else
+        lmn_put_null(b);
+    c->len = b->len;
+    c->value = g_byte_array_free(b, FALSE);
+    g_ptr_array_add(op->bytes, (gpointer)c->value);
+    return NULL;
+}
+
+/* What is wrong with it; NULL: nothing. */
+static const char *read_txn(const struct lmn_store *s, struct lmn_op *op, const struct lmn_doc *d)
+{
+    const struct lmn_node *root = lmn_root(d), *conds = lmn_get(d, root, W_IF);
+    const struct lmn_node *changes = lmn_get(d, root, W_THEN);
+    const char *bad = NULL;
+
+    if (root->type != LMN_MAP || (conds && conds->type != LMN_LIST) ||
+        (changes && changes->type != LMN_LIST))
+        return "a map with lists " W_IF " and " W_THEN " is expected";
+    if (lmn_json_size(d, root) > MAX_BODY)
+        return "more than 64 KiB";
+    if (s->o.txn_ops > 0 && ((changes && changes->len > (uint32_t)s->o.txn_ops) ||
+                             (conds && conds->len > 4 * (uint32_t)s->o.txn_ops)))
+        return "too many changes or conditions";
+    op->txn.conds = g_new0(struct lmn_db_cond, conds ? conds->len : 0);
+    op->txn.changes = g_new0(struct lmn_db_change, changes ? changes->len : 0);
+    for (const struct lmn_node *n = lmn_child(d, conds); n && !bad; n = lmn_next(d, n))
+        bad = read_cond(op, d, n);
+    for (const struct lmn_node *n = lmn_child(d, changes); n && !bad; n = lmn_next(d, n))
+        bad = read_change(s, op, d, n);
+    return bad;
+}
+
+static void transact(struct lmn_store *s, struct lmn_call *call, const struct lmn_doc *d)
+{
+    struct lmn_op *op = g_new0(struct lmn_op, 1);
+
+    op->kind = LMN_OP_TXN;
+    op->call = call;
+    op->bytes = g_ptr_array_new_with_free_func(g_free);
+    const char *bad = read_txn(s, op, d);
+    if (bad)
+        lmn_call_fail(call, 400, bad);
+    if (bad || limited(s, call, &s->writes, (double)op->txn.nchanges))
+        lmn_op_free(op);
+    else
+        lmn_store_submit(s, op);
+}
+
+/* --- leases --- */
+
+static void grant(struct lmn_store *s, struct lmn_call *call, const struct lmn_doc *d)
+{
+    uint64_t ttl = 0;
+
+    if (!lmn_count(lmn_get(d, lmn_root(d), W_TTL_MS), &ttl) || ttl < 100 || ttl > 600000) {
+        lmn_call_fail(call, 400, W_TTL_MS ": from 100 to 600000");
+        return;
+    }
+    struct lmn_op *op = g_new0(struct lmn_op, 1);
+    op->kind = LMN_OP_GRANT;
+    op->call = call;
+    op->ttl_ms = (uint32_t)ttl;
+    lmn_store_submit(s, op);
+}
+
+static void lease_call(struct lmn_store *s, struct lmn_call *call, const char *rest)
+{
+    char *end;
+    uint64_t id = g_ascii_strtoull(rest, &end, 10);
+    bool renew = lmn_call_method(call) == LMN_POST && !strcmp(end, P_RENEW);
+    bool there = false;
+
+    if (!renew && !(lmn_call_method(call) == LMN_DELETE && !*end)) {
+        lmn_call_answer(call, 404, NULL, 0);
+        return;
+    }
+    pthread_mutex_lock(&s->lock);
+    struct lmn_store_lease *l = g_hash_table_lookup(s->leases, &id);
+    if (l && !l->ending) {
+        there = true;
+        if (renew)
+            l->until = lmn_after(lmn_now(), l->ttl_ms / 1000.0);
+        else
+            l->ending = true;
+    }
+    pthread_mutex_unlock(&s->lock);
+    if (!there || renew) {
+        GByteArray *b = g_byte_array_new();
+        lmn_put_map(b, 0);
+        lmn_call_answer(call, there ? 200 : 404, b, 0);
+        return;
+    }
+    struct lmn_op *op = g_new0(struct lmn_op, 1);
+    op->kind = LMN_OP_REVOKE;
+    op->call = call;
+    op->lease = id;
+    if (!lmn_store_submit(s, op)) {
+        pthread_mutex_lock(&s->lock);
+        l = g_hash_table_lookup(s->leases, &id);
+        if (l)
+            l->ending = false;
+        pthread_mutex_unlock(&s->lock);
+    }
+}
+
+static void post(struct lmn_store *s, struct lmn_call *call, const char *path)
+{
+    const GByteArray *body = lmn_call_body(call);
+    struct lmn_doc d;
+
+    if (lmn_doc_parse(&d, body->data, body->len) != 0) {
+        lmn_call_fail(call, 400, "not CBOR");
+        return;
+    }
+    if (!strcmp(path, P_TXN))
+        transact(s, call, &d);
+    else
+        grant(s, call, &d);
+    lmn_doc_free(&d);
+}
+
+static void route(void *arg, struct lmn_call *call)
+{
+    struct lmn_store *s = arg;
+    const char *path = lmn_call_path(call);
+    enum lmn_method method = lmn_call_method(call);
+
+    if (method == LMN_GET && !strcmp(path, "/metrics")) {
+        lmn_metrics_answer(call, (void (*)(void *, GString *))lmn_store_metrics, s);
+        return;
+    }
+    if (method == LMN_GET && !strcmp(path, P_READY)) {
+        lmn_call_answer(call, 200, NULL, 0);
+        return;
+    }
+    if (limited(s, call, &s->requests, 1))
+        return;
+    if (method == LMN_POST && (!strcmp(path, P_TXN) || !strcmp(path, P_LEASES)))
+        post(s, call, path);
+    else if (g_str_has_prefix(path, P_LEASES "/"))
+        lease_call(s, call, path + strlen(P_LEASES "/"));
+    else if (method == LMN_GET && !strcmp(path, P_WATCH))
+        lmn_store_watch(s, call);
+    else if (method == LMN_GET && !strcmp(path, P_STORE))
+        list(s, call);
+    else if (method == LMN_GET && g_str_has_prefix(path, P_STORE "/"))
+        get(s, call, path + strlen(P_STORE "/"));
+    else
+        lmn_call_answer(call, 404, NULL, 0);
+}
+
+void lmn_store_metrics(struct lmn_store *s, GString *out)
+{
+    struct lmn_db_meta meta = {0};
+    struct lmn_db_reader *r = lmn_db_reader_new(s->db);
+
+    if (lmn_db_view(r, &meta) == 0)
+        lmn_db_view_end(r);
+    lmn_db_reader_free(r);
+    lmn_gauge(out, "lemonspar_state_revision", "Revision of the last commit", (double)meta.revision);
+    lmn_gauge(out, "lemonspar_state_keys", "Keys in the database", (double)meta.count);
+    pthread_mutex_lock(&s->watch_lock);
+    guint waiting = s->waiters.length;
+    pthread_mutex_unlock(&s->watch_lock);
+    lmn_gauge(out, "lemonspar_state_watches", "Open watches", waiting);
+    pthread_mutex_lock(&s->lock);
+    lmn_gauge(out, "lemonspar_state_leases", "Leases", g_hash_table_size(s->leases));
+    lmn_gauge(out, "lemonspar_state_waiting", "Operations that wait for the writer",
+              s->ops.length);
+    lmn_counter(out, "lemonspar_state_applied", "Transactions applied", s->applied);
+    lmn_counter(out, "lemonspar_state_conflicts", "Transactions whose conditions failed",
+                s->conflicts);
+    lmn_counter(out, "lemonspar_state_syncs", "Commits, each with one sync", s->syncs);
+    lmn_counter(out, "lemonspar_state_limited", "Requests answered 429", s->limited);
+    lmn_counter(out, "lemonspar_state_refused", "Requests answered 503 since too many wait",
+                s->refused);
+    lmn_counter(out, "lemonspar_state_failures", "Commits that failed", s->failures);
+    lmn_gauge(out, "lemonspar_state_largest_batch", "Most operations that shared a sync",
+              s->largest);
+    lmn_quantiles(out, "lemonspar_state_commit_seconds", "Time of a commit", &s->committing);
+    pthread_mutex_unlock(&s->lock);
+}
+
+static void take_lease(void *arg, uint64_t id, uint32_t ttl_ms)
+{
+    struct lmn_store *s = arg;
+    struct lmn_store_lease *l = g_new0(struct lmn_store_lease, 1);
+
+    l->id = id;
+    l->ttl_ms = ttl_ms;
+    l->until = lmn_after(lmn_now(), ttl_ms / 1000.0);
+    g_hash_table_insert(s->leases, &l->id, l);
+}
+
+struct lmn_store *lmn_store_start(const struct lmn_store_options *o, char *err, size_t len)
+{
+    const struct lmn_db_options d = {.dir = o->dir, .map_gb = o->map_gb, .create = true};
+    struct lmn_db *db = lmn_db_open(&d, err, len);
+    struct timespec now = lmn_now();
+    struct lmn_db_meta meta;
+
+    if (!db)
+        return NULL;
+    struct lmn_store *s = g_new0(struct lmn_store, 1);
+    signal(SIGPIPE, SIG_IGN);
+    signal(SIGXFSZ, SIG_IGN); /* a file at its limit is an error like a full disk */
+    s->o = *o;
+    s->db = db;
+    s->reader = lmn_db_reader_new(db);
+    pthread_mutex_init(&s->lock, NULL);
+    pthread_mutex_init(&s->watch_lock, NULL);
+    lmn_cond_init(&s->more);
+    lmn_cond_init(&s->watch_more);
+    s->leases = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    lmn_latency_init(&s->committing);
+    lmn_budget_init(&s->requests, o->rps, MAX(o->rps, 1), now);
+    lmn_budget_init(&s->writes, o->write_rps, MAX(o->write_rps, 1), now);
+    if (lmn_db_view(s->reader, &meta) != 0) {
+        snprintf(err, len, "%s: can't be read", o->dir);
+        return NULL;
+    }
+    lmn_db_leases(s->reader, take_lease, s);
+    lmn_db_view_end(s->reader);
+    s->revision = meta.revision;
+    const struct lmn_httpd_options h = {.listen = s->o.listen,
+                                        .connections = 16384,
+                                        .max_body = MAX_BODY,
+                                        .route = route,
+                                        .arg = s};
+    lmn_thread(lmn_store_writer, s);
+    lmn_thread(lmn_store_watcher, s);
+    lmn_thread(lmn_store_keeper, s);
+    s->server = lmn_httpd_start(&h);
+    if (!s->server) {
+        snprintf(err, len, "%s: can't listen: %s", o->listen, strerror(errno));
+        return NULL;
+    }
+    lmn_info("state-start listen=%s data=%s revision=%" G_GUINT64_FORMAT " keys=%" G_GUINT64_FORMAT
+             " leases=%u incarnation=%016" G_GINT64_MODIFIER "x",
+             o->listen, o->dir, meta.revision, meta.count, g_hash_table_size(s->leases),
+             meta.incarnation);
+    return s;
+}
--- /dev/null
+++ b/src/store/store_part.h
@@ -0,0 +1,79 @@
+/* What the state service's files share. */
+#ifndef LMN_STORE_PART_H
+#define LMN_STORE_PART_H
+
+#include "base/budget.h"
+#include "base/httpd.h"
+#include "base/latency.h"
+#include "store/db.h"
+#include "store/store.h"
+
+#include <pthread.h>
+
+enum lmn_op_kind { LMN_OP_TXN, LMN_OP_GRANT, LMN_OP_REVOKE, LMN_OP_EXPIRE };
+
+/* What waits for the writer. */
+struct lmn_op {
+    enum lmn_op_kind kind;
+    struct lmn_call *call; /* NULL: the service's own */
+    struct lmn_db_txn txn;
+    GPtrArray *bytes; /* keys and values that txn points at */
+    uint64_t lease;
+    uint32_t ttl_ms;
+    /* the outcome */
+    int status;
+    uint64_t rev;
+    GPtrArray *failed;
+};
+
+struct lmn_store_lease {
+    uint64_t id;
+    uint32_t ttl_ms;
+    struct timespec until;
+    bool ending; /* handed to the writer: it can't be renewed any more */
+};
+
+/* Somebody who waits for changes. */
+struct lmn_waiter {
+    struct lmn_call *call;
+    char *prefix;
+    uint64_t scanned; /* no change up to here concerns it */
+    struct timespec until;
+};
+
+struct lmn_store {
+    struct lmn_store_options o;
+    struct lmn_db *db;
+    struct lmn_db_reader *reader; /* the server thread's */
+    struct lmn_httpd *server;
+    struct lmn_budget requests, writes; /* the server thread's */
+
+    pthread_mutex_t lock; /* of what follows */
+    pthread_cond_t more;
+    GQueue ops;
+    GHashTable *leases; /* id -> lmn_store_lease */
+    uint64_t applied, conflicts, refused, limited, syncs, failures;
+    struct lmn_latency committing; /* from a request to its answer */
+    double largest;                /* transactions that shared a sync */
+
+    pthread_mutex_t watch_lock; /* of what follows */
+    pthread_cond_t watch_more;
+    GQueue waiters;
+    uint64_t revision; /* committed */
+    bool behind;       /* a waiter has not seen it */
+};
+
+void lmn_op_free(struct lmn_op *op);
+/* Hands it to the writer; false: too many wait, and the call was answered so. */
+bool lmn_store_submit(struct lmn_store *s, struct lmn_op *op);
+/* Commits for ever (a thread). store: struct lmn_store. */
+void *lmn_store_writer(void *store);
+/* Ends leases that were not renewed, for ever (a thread). */
+void *lmn_store_keeper(void *store);
+/* Answers those who wait for changes, for ever (a thread). */
+void *lmn_store_watcher(void *store);
+/* GET /changes, on the server's thread. */
+void lmn_store_watch(struct lmn_store *s, struct lmn_call *call);
+void lmn_store_put_item(GByteArray *b, const struct lmn_db_item *item);
+
+#endif
--- /dev/null
+++ b/src/store/watch.c
@@ -0,0 +1,209 @@
+/* Watches: those who wait cost a record each, and no thread. */
+#include "store/store_part.h"
+#include "base/clock.h"
+#include "base/thread.h"
+#include "base/wire.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum { MAX_WAIT_MS = 60000 };
+
+/* A change, copied out of a view. */
+struct event {
+    char *key;
+    GByteArray *bytes; /* as it goes into an answer */
+    uint64_t rev;
+};
+
+static void free_event(gpointer p)
+{
+    struct event *e = p;
+    g_free(e->key);
+    g_byte_array_unref(e->bytes);
+    g_free(e);
+}
+
+static bool collect(void *arg, const struct lmn_db_item *item)
+{
+    struct event *e = g_new0(struct event, 1);
+
+    e->key = g_strdup(item->key);
+    e->rev = item->rev;
+    e->bytes = g_byte_array_new();
+    lmn_put_map(e->bytes, item->value ? 3 : 2);
+    lmn_put_text(e->bytes, item->value ? W_PUT : W_DELETE), lmn_put_text(e->bytes, item->key);
+    if (item->value) {
+        lmn_put_text(e->bytes, W_VALUE);
+        g_byte_array_append(e->bytes, item->value, (guint)item->len);
+    }
+    lmn_put_text(e->bytes, W_VERSION), lmn_put_count(e->bytes, item->rev);
+    g_ptr_array_add(arg, e);
+    return true;
+}
+
+/* The answer for a prefix: changes after the revision. NULL if there are none and some are wanted. */
+static GByteArray *answer(const GPtrArray *events, const char *prefix, uint64_t after, uint64_t rev,
+                          bool even_if_none)
+{
+    GByteArray *b, *list = g_byte_array_new();
+    size_t n = 0;
+
+    for (guint i = 0; i < events->len; i++) {
+        const struct event *e = events->pdata[i];
+        if (e->rev <= after || !g_str_has_prefix(e->key, prefix))
+            continue;
+        g_byte_array_append(list, e->bytes->data, e->bytes->len);
+        n++;
+    }
+    if (!n && !even_if_none) {
+        g_byte_array_unref(list);
+        return NULL;
+    }
+    b = g_byte_array_new();
+    lmn_put_map(b, 2);
+    lmn_put_text(b, W_REVISION), lmn_put_count(b, rev);
+    lmn_put_text(b, W_EVENTS), lmn_put_list(b, n);
+    g_byte_array_append(b, list->data, list->len);
+    g_byte_array_unref(list);
+    return b;
+}
+
+/* Waits from another database, or so old that changes are missing, can only be told to read anew. */
+static bool too_old(const struct lmn_db_meta *meta, uint64_t after)
+{
+    return after < meta->floor || after > meta->revision;
+}
+
+void lmn_store_watch(struct lmn_store *s, struct lmn_call *call)
+{
+    const char *prefix = lmn_call_query(call, Q_PREFIX), *a = lmn_call_query(call, Q_AFTER);
+    const char *w = lmn_call_query(call, Q_WAIT_MS);
+    uint64_t after = a ? g_ascii_strtoull(a, NULL, 10) : 0;
+    uint64_t wait_ms = w ? g_ascii_strtoull(w, NULL, 10) : 0;
+    struct lmn_db_meta meta;
+
+    if (wait_ms > MAX_WAIT_MS) {
+        lmn_call_fail(call, 400, Q_WAIT_MS ": at most 60000");
+        return;
+    }
+    if (lmn_db_view(s->reader, &meta) != 0) {
+        lmn_call_answer(call, 503, NULL, 1);
+        return;
+    }
+    if (too_old(&meta, after)) {
+        lmn_db_view_end(s->reader);
+        lmn_call_answer(call, 410, NULL, 0);
+        return;
+    }
+    GPtrArray *events = g_ptr_array_new_with_free_func(free_event);
+    lmn_db_changes(s->reader, after, collect, events);
+    lmn_db_view_end(s->reader);
+    GByteArray *b = answer(events, prefix ? prefix : "", after, meta.revision, wait_ms == 0);
+    g_ptr_array_free(events, TRUE);
+    if (b) {
+        lmn_call_answer(call, 200, b, 0);
+        return;
+    }
+    struct lmn_waiter *x = g_new0(struct lmn_waiter, 1);
+    x->call = call;
+    x->prefix = g_strdup(prefix ? prefix : "");
+    x->scanned = meta.revision;
+    x->until = lmn_after(lmn_now(), (double)wait_ms / 1000);
+    lmn_call_hold(call);
+    pthread_mutex_lock(&s->watch_lock);
+    g_queue_push_tail(&s->waiters, x);
+    s->behind = s->behind || x->scanned < s->revision;
+    pthread_cond_signal(&s->watch_more);
+    pthread_mutex_unlock(&s->watch_lock);
+}
+
+static void finish(struct lmn_waiter *x, int status, GByteArray *b)
+{
+    lmn_call_answer(x->call, status, b, 0);
+    g_free(x->prefix);
+    g_free(x);
+}
+
+/* Answers whom it can; the others stay in the queue. Many wait for the same: what goes to them is
+ * made once. */
+static void serve(struct lmn_store *s, struct lmn_db_reader *r, GQueue *waiters)
+{
+    struct timespec now = lmn_now();
+    struct lmn_db_meta meta;
+    uint64_t least = UINT64_MAX;
+
+    if (lmn_db_view(r, &meta) != 0)
+        return;
+    for (GList *l = waiters->head; l; l = l->next)
+        least = MIN(least, ((struct lmn_waiter *)l->data)->scanned);
+    GPtrArray *events = g_ptr_array_new_with_free_func(free_event);
+    if (least < meta.revision && least >= meta.floor)
+        lmn_db_changes(r, least, collect, events);
+    lmn_db_view_end(r);
+    GHashTable *made = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                             (GDestroyNotify)g_byte_array_unref);
+    for (GList *l = waiters->head, *next; l; l = next) {
+        struct lmn_waiter *x = l->data;
+        bool over = !lmn_before(now, x->until);
+        next = l->next;
+        if (too_old(&meta, x->scanned)) {
+            finish(x, 410, NULL);
+            g_queue_delete_link(waiters, l);
+            continue;
+        }
+        char *key = g_strdup_printf("%" G_GUINT64_FORMAT " %s", x->scanned, x->prefix);
+        GByteArray *b = over ? NULL : g_hash_table_lookup(made, key);
+        if (b)
+            g_byte_array_ref(b);
+        else
+            b = answer(events, x->prefix, x->scanned, meta.revision, over);
+        if (b && !over)
+            g_hash_table_insert(made, key, g_byte_array_ref(b));
+        else
+            g_free(key);
+        if (b) {
+            finish(x, 200, b);
+            g_queue_delete_link(waiters, l);
+        } else {
+            x->scanned = meta.revision;
+        }
+    }
+    g_hash_table_destroy(made);
+    g_ptr_array_free(events, TRUE);
+    (void)s;
+}
+
+void *lmn_store_watcher(void *arg)
+{
+    struct lmn_store *s = arg;
+    struct lmn_db_reader *r = lmn_db_reader_new(s->db);
+    uint64_t served = 0;
+
+    for (;;) {
+        double wait = 5;
+        pthread_mutex_lock(&s->watch_lock);
+        for (;;) {
+            struct timespec now = lmn_now();
+            wait = 5;
+            for (GList *l = s->waiters.head; l; l = l->next)
+                wait = MIN(wait, lmn_since(((struct lmn_waiter *)l->data)->until, now));
+            if (wait <= 0 || (s->waiters.head && (s->behind || s->revision > served)))
+                break;
+            lmn_cond_wait_for(&s->watch_more, &s->watch_lock, wait);
+        }
+        GQueue mine = s->waiters;
+        g_queue_init(&s->waiters);
+        served = s->revision;
+        s->behind = false;
+        pthread_mutex_unlock(&s->watch_lock);
+        serve(s, r, &mine);
+        pthread_mutex_lock(&s->watch_lock);
+        while (mine.head) {
+            struct lmn_waiter *x = g_queue_pop_head(&mine);
+            g_queue_push_tail(&s->waiters, x);
+        }
+        pthread_mutex_unlock(&s->watch_lock);
+    }
+    return NULL;
+}
--- /dev/null
+++ b/src/store/writer.c
@@ -0,0 +1,265 @@
+/* The writer: all that waits shares one sync. And the leases' keeper. */
+#include "store/store_part.h"
+#include "base/log.h"
+#include "base/thread.h"
+#include "base/wire.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+enum { MAX_WAITING = 8192, MAX_BATCH = 1024 };
+
+void lmn_op_free(struct lmn_op *op)
+{
+    if (op->bytes)
+        g_ptr_array_free(op->bytes, TRUE);
+    if (op->failed)
+        g_ptr_array_free(op->failed, TRUE);
+    g_free(op->txn.conds);
+    g_free(op->txn.changes);
+    g_free(op);
+}
+
+bool lmn_store_submit(struct lmn_store *s, struct lmn_op *op)
+{
+    pthread_mutex_lock(&s->lock);
+    bool full = s->ops.length >= MAX_WAITING;
+    s->refused += full;
+    if (!full) {
+        if (op->call)
+            lmn_call_hold(op->call);
+        g_queue_push_tail(&s->ops, op);
+        pthread_cond_signal(&s->more);
+    }
+    pthread_mutex_unlock(&s->lock);
+    if (full) {
+        if (op->call)
+            lmn_call_answer(op->call, 503, NULL, 1);
+        lmn_op_free(op);
+    }
+    return !full;
+}
+
+/* Applies one; false if the batch is broken. */
+static bool apply(struct lmn_db_batch *b, struct lmn_op *op)
+{
+    switch (op->kind) {
+    case LMN_OP_TXN:
+        op->failed = g_ptr_array_new_with_free_func(g_free);
+        switch (lmn_db_apply(b, &op->txn, &op->rev, op->failed)) {
+        case LMN_DB_APPLIED:
+            op->status = 200;
+            return true;
+        case LMN_DB_CONFLICT:
+            op->status = 409;
+            return true;
+        case LMN_DB_NO_LEASE:
+            op->status = 400;
+            return true;
+        default:
+            return false;
+        }
+    case LMN_OP_GRANT:
+        op->lease = lmn_db_grant(b, op->ttl_ms);
+        op->status = 200;
+        return op->lease != 0;
+    default:
+        op->status = lmn_db_revoke(b, op->lease) ? 200 : 404;
+        return true;
+    }
+}
+
+static GByteArray *txn_answer(const struct lmn_op *op)
+{
+    GByteArray *b = g_byte_array_new();
+
+    if (op->status == 400) {
+        lmn_put_map(b, 1);
+        lmn_put_text(b, "error"), lmn_put_text(b, "no such lease");
+        return b;
+    }
+    lmn_put_map(b, op->status == 409 ? 2 : 1);
+    if (op->status == 409) {
+        lmn_put_text(b, W_CONFLICTS), lmn_put_list(b, op->failed->len);
+        for (guint i = 0; i < op->failed->len; i++)
+            lmn_put_text(b, op->failed->pdata[i]);
+    }
+    lmn_put_text(b, W_REVISION), lmn_put_count(b, op->rev);
+    return b;
+}
+
+/* After the commit: what it means to the leases in memory. The lock is held. */
+static void settle_lease(struct lmn_store *s, const struct lmn_op *op, struct timespec now)
+{
+    if (op->kind == LMN_OP_GRANT) {
+        struct lmn_store_lease *l = g_new0(struct lmn_store_lease, 1);
+        l->id = op->lease;
+        l->ttl_ms = op->ttl_ms;
+        l->until = lmn_after(now, op->ttl_ms / 1000.0);
+        g_hash_table_insert(s->leases, &l->id, l);
+    } else if (op->kind != LMN_OP_TXN) {
+        g_hash_table_remove(s->leases, &op->lease);
+    }
+}
+
+static void tell(struct lmn_op *op)
+{
+    GByteArray *b = NULL;
+
+    if (!op->call)
+        return;
+    if (op->kind == LMN_OP_TXN) {
+        b = txn_answer(op);
+    } else {
+        b = g_byte_array_new();
+        lmn_put_map(b, op->kind == LMN_OP_GRANT);
+        if (op->kind == LMN_OP_GRANT)
+            lmn_put_text(b, W_LEASE), lmn_put_count(b, op->lease);
+    }
+    lmn_call_answer(op->call, op->status, b, 0);
+}
+
+/* The batch was not applied: its calls are told so, and its leases live on. */
+static void give_up(struct lmn_store *s, GQueue *ops, const char *why)
+{
+    struct lmn_op *op;
+
+    lmn_error("commit-failed operations=%u why=\"%s\"", ops->length, why);
+    pthread_mutex_lock(&s->lock);
+    s->failures++;
+    for (GList *l = ops->head; l; l = l->next) {
+        op = l->data;
+        struct lmn_store_lease *x = op->kind == LMN_OP_EXPIRE || op->kind == LMN_OP_REVOKE
+                                        ? g_hash_table_lookup(s->leases, &op->lease)
+                                        : NULL;
+        if (x)
+            x->ending = false; /* the keeper, or its holder, tries again */
+    }
+    pthread_mutex_unlock(&s->lock);
+    while ((op = g_queue_pop_head(ops))) {
+        if (op->call)
+            lmn_call_answer(op->call, 503, NULL, 1);
+        lmn_op_free(op);
+    }
+}
+
+static void commit(struct lmn_store *s, GQueue *ops)
+{
+    char err[256] = "";
+    struct lmn_db_batch *b = lmn_db_begin(s->db, err, sizeof err);
+    struct timespec begun = lmn_now();
+    struct lmn_op *op;
+    uint64_t applied = 0, conflicts = 0;
+
+    if (!b) {
+        give_up(s, ops, err);
+        lmn_sleep(0.1);
+        return;
+    }
+    for (GList *l = ops->head; l; l = l->next) {
+        op = l->data;
+        if (!apply(b, op))
+            break; /* the commit will say what is wrong */
+        applied += op->kind == LMN_OP_TXN && op->status == 200;
+        conflicts += op->kind == LMN_OP_TXN && op->status == 409;
+    }
+    uint64_t rev = lmn_db_batch_revision(b);
+    int rc = lmn_db_commit(b, err, sizeof err);
+    if (rc == -2) {
+        /* Callers must not be told anything: no answer means that it may have been executed. */
+        lmn_error("database-lost why=\"%s\"", err);
+        _exit(1);
+    }
+    if (rc != 0) {
+        give_up(s, ops, err);
+        return;
+    }
+    struct timespec now = lmn_now();
+    pthread_mutex_lock(&s->lock);
+    for (GList *l = ops->head; l; l = l->next)
+        settle_lease(s, l->data, now);
+    s->applied += applied;
+    s->conflicts += conflicts;
+    s->syncs++;
+    s->largest = MAX(s->largest, ops->length);
+    lmn_latency_add(&s->committing, lmn_since(now, begun));
+    pthread_mutex_unlock(&s->lock);
+    lmn_debug("commit operations=%u revision=%" G_GUINT64_FORMAT " took=%.4f", ops->length, rev,
+              lmn_since(now, begun));
+    while ((op = g_queue_pop_head(ops))) {
+        tell(op);
+        lmn_op_free(op);
+    }
+    pthread_mutex_lock(&s->watch_lock);
+    s->revision = MAX(s->revision, rev);
+    pthread_cond_signal(&s->watch_more);
+    pthread_mutex_unlock(&s->watch_lock);
+}
+
+void *lmn_store_writer(void *arg)
+{
+    struct lmn_store *s = arg;
+    guint most = s->o.one_by_one ? 1 : MAX_BATCH;
+
+    for (;;) {
+        GQueue mine = G_QUEUE_INIT;
+        pthread_mutex_lock(&s->lock);
+        while (!s->ops.head)
+            pthread_cond_wait(&s->more, &s->lock);
+        while (s->ops.head && mine.length < most)
+            g_queue_push_tail(&mine, g_queue_pop_head(&s->ops));
+        pthread_mutex_unlock(&s->lock);
+        commit(s, &mine);
+    }
+    return NULL;
+}
+
+/* A lease may end up to 100 ms late, never early. */
+static const double KEEPER_S = 0.05;
+/* If the keeper itself stood still for so long, the process did: nobody could renew, and every lease
+ * has its full time again, as after an outage. */
+static const double STALL_S = 1.0;
+
+static void expire(struct lmn_store *s, struct timespec now, bool stalled)
+{
+    GQueue over = G_QUEUE_INIT;
+    GHashTableIter it;
+    gpointer v;
+
+    pthread_mutex_lock(&s->lock);
+    g_hash_table_iter_init(&it, s->leases);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        struct lmn_store_lease *l = v;
+        if (stalled && !l->ending)
+            l->until = lmn_after(now, l->ttl_ms / 1000.0);
+        if (l->ending || lmn_before(now, l->until))
+            continue;
+        struct lmn_op *op = g_new0(struct lmn_op, 1);
+        op->kind = LMN_OP_EXPIRE;
+        op->lease = l->id;
+        l->ending = true;
+        g_queue_push_tail(&over, op);
+    }
+    while (over.head) {
+        g_queue_push_tail(&s->ops, g_queue_pop_head(&over));
+        pthread_cond_signal(&s->more);
+    }
+    pthread_mutex_unlock(&s->lock);
+}
+
+void *lmn_store_keeper(void *arg)
+{
+    struct timespec last = lmn_now();
+
+    for (;;) {
+        lmn_sleep(KEEPER_S);
+        struct timespec now = lmn_now();
+        bool stalled = lmn_since(now, last) > STALL_S;
+        if (stalled)
+            lmn_info("stalled seconds=%.1f leases=renewed", lmn_since(now, last));
+        last = now;
+        expire(arg, now, stalled);
+    }
+    return NULL;
+}
