--- /dev/null
+++ b/src/agent/agent.c
@@ -0,0 +1,413 @@
+#include "agent/agent.h"
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/wire.h"
+
+#include <stdio.h>
+#include <string.h>
+
+static const char *const whys[] = {W_DONE,    W_STOPPED, W_FAILED,
+                                   W_NO_ROOM, W_BUSY,    W_NO_SUCH};
+
+void lmn_agent_init(struct lmn_agent *a, const struct lmn_agent_ops *ops, void *arg,
+                    uint64_t session, struct timespec now)
+{
+    a->ops = ops;
+    a->arg = arg;
+    a->session = session;
+    a->seq = a->token = a->ids = 0;
+    a->ending = a->noticed = false;
+    a->changed = true;
+    a->lease_from = now;
+    a->token_told = (struct timespec){0, 0};
+    a->runs = g_ptr_array_new_with_free_func(g_free);
+    ops->leased(arg, lmn_after(now, a->lease_s));
+}
+
+void lmn_agent_clear(struct lmn_agent *a)
+{
+    g_ptr_array_free(a->runs, TRUE);
+}
+
+struct lmn_run *lmn_agent_run(struct lmn_agent *a, uint64_t id)
+{
+    for (guint i = 0; i < a->runs->len; i++) {
+        struct lmn_run *r = a->runs->pdata[i];
+        if (r->id == id)
+            return r;
+    }
+    return NULL;
+}
+
+/* --- reports --- */
+
+static const char *state_word(const struct lmn_run *r)
+{
+    switch (r->state == LMN_R_ENDING ? r->shown : r->state) {
+    case LMN_R_RUNNING:
+        return W_RUNNING;
+    case LMN_R_SAVING:
+        return W_SAVING;
+    case LMN_R_ENDED:
+        return W_ENDED;
+    default:
+        return W_FETCHING;
+    }
+}
+
+static void put_run(GByteArray *b, const struct lmn_run *r)
+{
+    char task[LMN_REF + 16];
+    bool ended = r->state == LMN_R_ENDED, stopped = ended && r->why == LMN_STOPPED;
+
+    g_snprintf(task, sizeof task, "%s/%u", r->ref, r->index);
+    lmn_put_map(b, 3 + ended + stopped);
+    lmn_put_text(b, W_TASK), lmn_put_text(b, task);
+    lmn_put_text(b, W_ATTEMPT), lmn_put_count(b, r->attempt);
+    lmn_put_text(b, W_STATE), lmn_put_text(b, state_word(r));
+    if (ended)
+        lmn_put_text(b, W_WHY), lmn_put_text(b, whys[r->why]);
+    if (stopped)
+        lmn_put_text(b, W_SAVED), lmn_put_truth(b, r->saved);
+}
+
+void lmn_agent_report(struct lmn_agent *a, GByteArray *b, struct timespec now)
+{
+    lmn_put_map(b, a->noticed ? 10 : 9);
+    lmn_put_text(b, W_MACHINE), lmn_put_text(b, a->name);
+    lmn_put_text(b, W_ADDR), lmn_put_text(b, a->addr);
+    lmn_put_text(b, W_TYPE), lmn_put_text(b, a->type.name);
+    lmn_put_text(b, W_ZONE), lmn_put_text(b, a->zone);
+    lmn_put_text(b, W_SPOT), lmn_put_truth(b, a->spot);
+    lmn_put_text(b, W_SESSION), lmn_put_count(b, a->session);
+    lmn_put_text(b, W_SEQ), lmn_put_count(b, ++a->seq);
+    lmn_put_text(b, W_TOKEN), lmn_put_count(b, a->token);
+    if (a->noticed)
+        lmn_put_text(b, W_NOTICE), lmn_put_number(b, MAX(lmn_since(a->gone_at, now), 0));
+    lmn_put_text(b, W_TASKS), lmn_put_list(b, a->runs->len);
+    for (guint i = 0; i < a->runs->len; i++)
+        put_run(b, a->runs->pdata[i]);
+    a->changed = false;
+}
+
+/* --- commands --- */
+
+/* A higher token is worth a report, but not each: a claim that is disputed would flood
+ * the claimants. */
+static void take_token(struct lmn_agent *a, uint64_t token, struct timespec now)
+{
+    if (token > a->token && lmn_since(now, a->token_told) > a->lease_s / 2) {
+        a->changed = true;
+        a->token_told = now;
+    }
+    a->token = token;
+}
+
+static void end(struct lmn_agent *a, struct lmn_run *r, enum lmn_why why)
+{
+    r->state = LMN_R_ENDED;
+    r->why = why;
+    a->finished += why == LMN_DONE;
+    a->refused += why > LMN_FAILED;
+    a->changed = true;
+}
+
+static bool holds_room(const struct lmn_run *r)
+{
+    return r->known && r->state != LMN_R_ENDED;
+}
+
+static bool has_room(const struct lmn_agent *a, const struct lmn_run *r)
+{
+    double cpus = r->cpus, gpus = r->gpus, mem = r->mem;
+
+    for (guint i = 0; i < a->runs->len; i++) {
+        const struct lmn_run *o = a->runs->pdata[i];
+        if (o == r || !holds_room(o))
+            continue;
+        cpus += o->cpus;
+        gpus += o->gpus;
+        mem += o->mem;
+    }
+    return cpus <= a->type.cpus + 1e-6 && gpus <= a->type.gpus + 1e-6 &&
+           mem <= a->type.mem + 1e-6;
+}
+
+static void begin(struct lmn_agent *a, struct lmn_run *r, struct timespec now)
+{
+    r->since = now;
+    a->changed = true;
+    if (a->ops->has_result(a->arg, r->ref, r->index)) {
+        end(a, r, LMN_DONE);
+        return;
+    }
+    r->state = LMN_R_RUNNING;
+    a->ops->start(a->arg, r);
+}
+
+void lmn_agent_described(struct lmn_agent *a, uint64_t id, const struct lmn_spec *s,
+                         struct timespec now)
+{
+    struct lmn_run *r = lmn_agent_run(a, id);
+
+    if (!r || r->state != LMN_R_ASKING)
+        return;
+    if (!s || r->index >= s->tasks) {
+        end(a, r, LMN_NO_SUCH);
+        return;
+    }
+    r->cpus = s->cpus;
+    r->gpus = s->gpus;
+    r->mem = s->mem;
+    r->save_s = s->save_s;
+    r->saves = s->checkpoint_s > 0;
+    r->image = (char *)g_intern_string(s->image);
+    if (!has_room(a, r)) {
+        end(a, r, LMN_NO_ROOM);
+        return;
+    }
+    r->known = true;
+    r->state = LMN_R_FETCHING;
+    r->since = now;
+    a->ops->fetch(a->arg, r);
+}
+
+void lmn_agent_fetched(struct lmn_agent *a, const char *image, bool ok,
+                       struct timespec now)
+{
+    for (guint i = 0; i < a->runs->len; i++) {
+        struct lmn_run *r = a->runs->pdata[i];
+        if (r->state != LMN_R_FETCHING || strcmp(r->image, image))
+            continue;
+        if (ok)
+            begin(a, r, now);
+        else
+            end(a, r, LMN_FAILED);
+    }
+}
+
+static void give_up_image(struct lmn_agent *a, const char *image)
+{
+    for (guint i = 0; i < a->runs->len; i++) {
+        const struct lmn_run *r = a->runs->pdata[i];
+        if (r->state == LMN_R_FETCHING && !strcmp(r->image, image))
+            return;
+    }
+    a->ops->give_up(a->arg, image);
+}
+
+static void start(struct lmn_agent *a, const char *ref, uint32_t index, uint64_t attempt,
+                  struct timespec now)
+{
+    struct lmn_run *r = g_new0(struct lmn_run, 1);
+    bool busy = false;
+
+    for (guint i = 0; i < a->runs->len; i++) {
+        const struct lmn_run *o = a->runs->pdata[i];
+        if (o->index == index && !strcmp(o->ref, ref) && o->state != LMN_R_ENDED)
+            busy = true;
+    }
+    r->id = ++a->ids;
+    g_strlcpy(r->ref, ref, sizeof r->ref);
+    r->index = index;
+    r->attempt = attempt;
+    r->since = now;
+    g_ptr_array_add(a->runs, r);
+    a->starts++;
+    a->changed = true;
+    if (busy)
+        end(a, r, LMN_BUSY);
+    else if (!lmn_ref_ok(ref)) /* names become paths */
+        end(a, r, LMN_NO_SUCH);
+    else
+        a->ops->describe(a->arg, r);
+}
+
+static void stop(struct lmn_agent *a, struct lmn_run *r, double grace)
+{
+    switch (r->state) {
+    case LMN_R_ASKING:
+        end(a, r, LMN_STOPPED);
+        return;
+    case LMN_R_FETCHING:
+        end(a, r, LMN_STOPPED);
+        give_up_image(a, r->image);
+        return;
+    case LMN_R_RUNNING:
+        if (r->saves && grace >= r->save_s) {
+            r->state = LMN_R_SAVING;
+            a->changed = true;
+            a->ops->save(a->arg, r, grace);
+            return;
+        }
+        break;
+    case LMN_R_SAVING:
+        if (grace > 0)
+            return;
+        break;
+    default:
+        return;
+    }
+    r->shown = r->state;
+    r->state = LMN_R_ENDING;
+    a->ops->kill(a->arg, r);
+}
+
+static void obey(struct lmn_agent *a, const struct lmn_doc *d, const struct lmn_node *n,
+                 struct timespec now)
+{
+    const struct lmn_node *op = lmn_get(d, n, W_OP);
+    char task[LMN_REF + 16], *slash;
+    struct lmn_run *r = NULL;
+    uint64_t attempt = 0;
+    double grace = 0;
+
+    if (!lmn_text(lmn_get(d, n, W_TASK), task, sizeof task) ||
+        !lmn_count(lmn_get(d, n, W_ATTEMPT), &attempt) || !(slash = strrchr(task, '/')) ||
+        slash - task >= LMN_REF)
+        return;
+    *slash = '\0';
+    uint32_t index = (uint32_t)g_ascii_strtoull(slash + 1, NULL, 10);
+    for (guint i = 0; i < a->runs->len && !r; i++) {
+        struct lmn_run *o = a->runs->pdata[i];
+        if (o->attempt == attempt && o->index == index && !strcmp(o->ref, task))
+            r = o;
+    }
+    if (lmn_is(op, W_START)) {
+        if (!r)
+            start(a, task, index, attempt, now);
+    } else if (lmn_is(op, W_KILL) && r) {
+        lmn_number(lmn_get(d, n, W_GRACE), &grace);
+        stop(a, r, grace);
+    } else if (lmn_is(op, W_CLEAR) && r && r->state == LMN_R_ENDED) {
+        g_ptr_array_remove(a->runs, r);
+        a->changed = true;
+    }
+}
+
+static void obey_all(struct lmn_agent *a, const struct lmn_doc *d, struct timespec now)
+{
+    const struct lmn_node *list = lmn_get(d, lmn_root(d), W_COMMANDS);
+
+    if (!list || list->type != LMN_LIST)
+        return;
+    for (const struct lmn_node *n = lmn_child(d, list); n; n = lmn_next(d, n))
+        obey(a, d, n, now);
+}
+
+bool lmn_agent_answered(struct lmn_agent *a, uint64_t session, struct timespec sent,
+                        const void *body, size_t len, struct timespec now)
+{
+    struct lmn_doc d;
+    uint64_t token = 0;
+
+    /* What stood still, the clock aside, may find its lease over only here. */
+    lmn_agent_tick(a, now);
+    if (a->ending || session != a->session || lmn_doc_parse(&d, body, len) != 0)
+        return false;
+    bool good =
+        lmn_count(lmn_get(&d, lmn_root(&d), W_TOKEN), &token) && token >= a->token;
+    if (good) {
+        take_token(a, token, now);
+        if (lmn_before(a->lease_from, sent))
+            a->lease_from = sent;
+        a->ops->leased(a->arg, lmn_after(a->lease_from, a->lease_s));
+        obey_all(a, &d, now);
+    }
+    lmn_doc_free(&d);
+    return good;
+}
+
+int lmn_agent_do(struct lmn_agent *a, const void *body, size_t len, GByteArray *out,
+                 struct timespec now)
+{
+    struct lmn_doc d;
+    uint64_t token, session;
+    int status = 200;
+
+    lmn_agent_tick(a, now);
+    if (a->ending)
+        return 503;
+    if (lmn_doc_parse(&d, body, len) != 0)
+        return 400;
+    if (!lmn_count(lmn_get(&d, lmn_root(&d), W_TOKEN), &token) ||
+        !lmn_count(lmn_get(&d, lmn_root(&d), W_SESSION), &session)) {
+        lmn_doc_free(&d);
+        return 400;
+    }
+    if (token < a->token || session != a->session) {
+        status = 409;
+    } else {
+        take_token(a, token, now);
+        obey_all(a, &d, now);
+    }
+    lmn_doc_free(&d);
+    /* The answer tells all; but the lease is renewed by reports alone, so one is due all
+     * the same. */
+    bool changed = a->changed;
+    lmn_agent_report(a, out, now);
+    a->changed = changed;
+    return status;
+}
+
+int lmn_agent_show(struct lmn_agent *a, GByteArray *out, struct timespec now)
+{
+    lmn_agent_tick(a, now);
+    if (a->ending)
+        return 503;
+    bool changed = a->changed;
+    lmn_agent_report(a, out, now);
+    a->changed = changed;
+    return 200;
+}
+
+/* --- ends --- */
+
+void lmn_agent_exited(struct lmn_agent *a, uint64_t id, bool done, bool saved,
+                      struct timespec now)
+{
+    struct lmn_run *r = lmn_agent_run(a, id);
+    (void)now;
+
+    if (!r || r->state == LMN_R_ENDED || a->ending)
+        return;
+    bool told = r->state == LMN_R_SAVING || r->state == LMN_R_ENDING;
+    r->saved = told && saved && !done;
+    end(a, r, done ? LMN_DONE : told ? LMN_STOPPED : LMN_FAILED);
+}
+
+void lmn_agent_lapse(struct lmn_agent *a, const char *why)
+{
+    if (a->ending)
+        return;
+    lmn_info("session-ends session=%" G_GUINT64_FORMAT " tasks=%u why=\"%s\"", a->session,
+             a->runs->len, why);
+    a->ending = true;
+    a->lapses++;
+    g_ptr_array_set_size(a->runs, 0);
+    a->ops->kill_all(a->arg);
+}
+
+void lmn_agent_tick(struct lmn_agent *a, struct timespec now)
+{
+    if (!a->ending && lmn_since(now, a->lease_from) > a->lease_s)
+        lmn_agent_lapse(a, "the lease is over");
+}
+
+void lmn_agent_emptied(struct lmn_agent *a, uint64_t session, struct timespec now)
+{
+    if (!a->ending)
+        return;
+    a->ending = false;
+    a->session = session;
+    a->lease_from = now;
+    a->changed = true;
+    a->ops->leased(a->arg, lmn_after(now, a->lease_s));
+}
+
+void lmn_agent_notice(struct lmn_agent *a, struct timespec gone_at)
+{
+    a->noticed = true;
+    a->gone_at = gone_at;
+    a->changed = true;
+}
--- /dev/null
+++ b/src/agent/agent.h
@@ -0,0 +1,126 @@
+/* One machine's side of the workers' protocol, as a state machine: reports, sessions,
+ * tokens, leases, commands. No threads, no I/O: what has to happen to processes and
+ * images it asks of its ops, and hears what came of it. The agent of a real machine
+ * (agent/run.c) stands on it, and so does each emulated one.
+ *
+ * Times are of the caller's clock, which must go on while the machine sleeps. The caller
+ * serializes all calls; ops are called within them and must only take notes. */
+#ifndef LMN_AGENT_H
+#define LMN_AGENT_H
+
+#include "base/codec.h"
+#include "base/job.h"
+#include "base/settings.h"
+
+#include <time.h>
+
+struct lmn_agent;
+
+enum lmn_run_state {
+    LMN_R_ASKING,   /* its job's description is being asked for; told as fetching */
+    LMN_R_FETCHING, /* its image is */
+    LMN_R_RUNNING,
+    LMN_R_SAVING,
+    LMN_R_ENDING, /* killed; told as what it was, until its processes are gone */
+    LMN_R_ENDED,
+};
+
+enum lmn_why { LMN_DONE, LMN_STOPPED, LMN_FAILED, LMN_NO_ROOM, LMN_BUSY, LMN_NO_SUCH };
+
+/* An attempt at a task on the machine. */
+struct lmn_run {
+    uint64_t id; /* of the agent's own, never used twice in its life */
+    char ref[LMN_REF];
+    uint32_t index;
+    uint64_t attempt;
+    enum lmn_run_state state;
+    enum lmn_run_state shown; /* while LMN_R_ENDING */
+    enum lmn_why why;
+    bool saved;
+    bool known; /* the description has come: */
+    double cpus, gpus, mem, save_s;
+    bool saves;
+    char *image; /* interned */
+    struct timespec since;
+};
+
+struct lmn_agent_ops {
+    /* Asks for the job's description: lmn_agent_described answers, now or later. */
+    void (*describe)(void *arg, struct lmn_run *r);
+    /* Asks for the run's image: lmn_agent_fetched answers, for all runs that need it. */
+    void (*fetch)(void *arg, struct lmn_run *r);
+    /* No run waits for the image any more. */
+    void (*give_up)(void *arg, const char *image);
+    /* Whether the task's result is kept here. */
+    bool (*has_result)(void *arg, const char *ref, uint32_t index);
+    /* Starts it: lmn_agent_exited answers. */
+    void (*start)(void *arg, struct lmn_run *r);
+    /* Asks it to save and exit within grace_s; then it is killed. */
+    void (*save)(void *arg, struct lmn_run *r, double grace_s);
+    /* Ends it at once: lmn_agent_exited answers. */
+    void (*kill)(void *arg, struct lmn_run *r);
+    /* The lease is over: ends everything; lmn_agent_emptied answers when nothing is left.
+     */
+    void (*kill_all)(void *arg);
+    /* The lease holds until then, by the caller's clock. */
+    void (*leased)(void *arg, struct timespec until);
+};
+
+struct lmn_agent {
+    char name[LMN_NAME], addr[LMN_ADDR], zone[LMN_NAME];
+    struct lmn_type type;
+    bool spot;
+    double lease_s;
+    const struct lmn_agent_ops *ops;
+    void *arg;
+    uint64_t session, seq, token, ids;
+    bool ending; /* between sessions: it says nothing */
+    bool noticed;
+    struct timespec gone_at; /* if noticed */
+    struct timespec lease_from;
+    struct timespec token_told; /* a higher token was last worth a report */
+    bool changed;               /* something that is worth a report at once */
+    GPtrArray *runs;
+    uint64_t starts, finished, refused, lapses;
+};
+
+/* session: the first that it may report, above all that were. The ops outlive it. */
+void lmn_agent_init(struct lmn_agent *a, const struct lmn_agent_ops *ops, void *arg,
+                    uint64_t session, struct timespec now);
+void lmn_agent_clear(struct lmn_agent *a);
+
+/* Appends a report, with the next number. Not while it is ending. */
+void lmn_agent_report(struct lmn_agent *a, GByteArray *out, struct timespec now);
+/* A 200 to a report that was sent at the time, in the session. False: it had to be
+ * dropped. */
+bool lmn_agent_answered(struct lmn_agent *a, uint64_t session, struct timespec sent,
+                        const void *body, size_t len, struct timespec now);
+/* POST /do: returns the status, and the body. 503 while it is ending. */
+int lmn_agent_do(struct lmn_agent *a, const void *body, size_t len, GByteArray *out,
+                 struct timespec now);
+/* GET /show. */
+int lmn_agent_show(struct lmn_agent *a, GByteArray *out, struct timespec now);
+/* Ends the session if its lease is over. To be called often. */
+void lmn_agent_tick(struct lmn_agent *a, struct timespec now);
+/* The cloud takes the machine away at the time. */
+void lmn_agent_notice(struct lmn_agent *a, struct timespec gone_at);
+
+/* --- what came of it --- */
+/* spec NULL: no such job. */
+void lmn_agent_described(struct lmn_agent *a, uint64_t id, const struct lmn_spec *spec,
+                         struct timespec now);
+void lmn_agent_fetched(struct lmn_agent *a, const char *image, bool ok,
+                       struct timespec now);
+/* All its processes are gone. done: it has completed, and its result is kept; saved: it
+ * was told to save, and says that it has. */
+void lmn_agent_exited(struct lmn_agent *a, uint64_t id, bool done, bool saved,
+                      struct timespec now);
+/* Nothing is left of the session: session is the next one's number. */
+void lmn_agent_emptied(struct lmn_agent *a, uint64_t session, struct timespec now);
+/* Its processes were ended from without, as by the lease's own keeper: as if the lease
+ * were over. */
+void lmn_agent_lapse(struct lmn_agent *a, const char *why);
+/* The run of that number; NULL: forgotten. */
+struct lmn_run *lmn_agent_run(struct lmn_agent *a, uint64_t id);
+
+#endif
--- /dev/null
+++ b/src/agent/keeper.c
@@ -0,0 +1,511 @@
+#include "agent/keeper.h"
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/proc.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/signalfd.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+enum { MAX_MESSAGE = 192 * 1024 };
+
+static const char DROPPED[] = "\n[lemonspar: further output was dropped]\n";
+
+/* A task: the process that was started, its session, and its output. */
+struct task {
+    uint64_t id;
+    pid_t pid; /* also of its session and group */
+    bool reaped;
+    int status;
+    struct timespec kill_at; /* after it was told to save; 0: not */
+    int pipes[2], logs[2];
+    uint64_t room[2];
+};
+
+struct keeper {
+    int sock, signals;
+    GPtrArray *tasks;
+    char *mark;
+    bool leased, ending, lapsed;
+    struct timespec until;
+};
+
+static struct timespec clock_now(void)
+{
+    struct timespec t;
+    clock_gettime(CLOCK_BOOTTIME, &t);
+    return t;
+}
+
+/* --- what it says --- */
+
+static void tell(const struct keeper *k, enum lmn_keeper_event event, uint64_t id,
+                 int status, const char *what)
+{
+    GByteArray *b = g_byte_array_new();
+
+    lmn_put_map(b, 4);
+    lmn_put_text(b, "event"), lmn_put_count(b, event);
+    lmn_put_text(b, "id"), lmn_put_count(b, id);
+    lmn_put_text(b, "status"), lmn_put_count(b, (uint64_t)status);
+    lmn_put_text(b, "what"), lmn_put_text(b, what);
+    if (send(k->sock, b->data, b->len, MSG_NOSIGNAL) < 0)
+        lmn_debug("keeper-unheard event=%d", event);
+    g_byte_array_unref(b);
+}
+
+/* --- output --- */
+
+static void close_output(struct task *t, int i)
+{
+    if (t->pipes[i] >= 0)
+        close(t->pipes[i]);
+    if (t->logs[i] >= 0)
+        close(t->logs[i]);
+    t->pipes[i] = t->logs[i] = -1;
+}
+
+static void keep_output(struct task *t, int i, const char *bytes, size_t n)
+{
+    if (!t->room[i])
+        return; /* read, so that the task isn't held up, and dropped */
+    size_t take = MIN(n, t->room[i]);
+    t->room[i] -= take;
+    if (write(t->logs[i], bytes, take) < 0)
+        t->room[i] = 0;
+    if (!t->room[i] && write(t->logs[i], DROPPED, sizeof DROPPED - 1) < 0)
+        return;
+}
+
+/* Reads what is there; closes it at its end. */
+static void read_output(struct task *t, int i)
+{
+    char buf[16384];
+    ssize_t n;
+
+    while (t->pipes[i] >= 0 && (n = read(t->pipes[i], buf, sizeof buf)) != 0) {
+        if (n < 0 && errno == EINTR)
+            continue;
+        if (n < 0 && errno == EAGAIN)
+            return;
+        if (n < 0)
+            break;
+        keep_output(t, i, buf, (size_t)n);
+    }
+    if (t->pipes[i] >= 0)
+        close_output(t, i);
+}
+
+/* --- starting --- */
+
+static char **texts(const struct lmn_doc *d, const struct lmn_node *list,
+                    const char *also)
+{
+    GPtrArray *a = g_ptr_array_new();
+
+    for (const struct lmn_node *n = lmn_child(d, list); n; n = lmn_next(d, n))
+        if (n->type == LMN_TEXT)
+            g_ptr_array_add(a, g_strndup(n->s, n->len));
+    if (also)
+        g_ptr_array_add(a, g_strdup(also));
+    g_ptr_array_add(a, NULL);
+    return (char **)g_ptr_array_free(a, FALSE);
+}
+
+static void run_task(char **argv, char **env, const char *cwd, const int out[2], int fail,
+                     pid_t keeper)
+{
+    int in = open("/dev/null", O_RDONLY), error;
+    sigset_t none;
+
+    setsid();
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (getppid() != keeper)
+        _exit(127); /* it was gone before the line above */
+    sigemptyset(&none);
+    sigprocmask(SIG_SETMASK, &none, NULL);
+    signal(SIGPIPE, SIG_DFL);
+    dup2(in, 0);
+    dup2(out[0], 1);
+    dup2(out[1], 2);
+    for (char **e = env; *e; e++)
+        putenv(*e);
+    if (chdir(cwd) == 0)
+        execvp(argv[0], argv);
+    error = errno;
+    if (write(fail, &error, sizeof error) < 0)
+        _exit(126);
+    _exit(127);
+}
+
+static int open_log(const char *cwd, const char *name)
+{
+    char *path = g_build_filename(cwd, name, NULL);
+    int fd = open(path, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
+    g_free(path);
+    return fd;
+}
+
+static void start(struct keeper *k, const struct lmn_doc *d, uint64_t id)
+{
+    static const char *const logs[] = {"stdout", "stderr"};
+    const struct lmn_node *root = lmn_root(d);
+    struct task *t = g_new0(struct task, 1);
+    int out[2] = {-1, -1}, fail[2] = {-1, -1}, error = 0;
+    char cwd[4096] = "", *mark = k->mark;
+    uint64_t room = 0;
+
+    lmn_text(lmn_get(d, root, "cwd"), cwd, sizeof cwd);
+    lmn_count(lmn_get(d, root, "log"), &room);
+    char **argv = texts(d, lmn_get(d, root, "argv"), NULL);
+    char **env = texts(d, lmn_get(d, root, "env"), mark);
+    t->id = id;
+    for (int i = 0; i < 2; i++) {
+        int p[2] = {-1, -1};
+        if (pipe2(p, O_CLOEXEC | O_NONBLOCK) != 0)
+            error = errno;
+        t->pipes[i] = p[0];
+        out[i] = p[1];
+        t->logs[i] = open_log(cwd, logs[i]);
+        t->room[i] = room;
+        if (t->logs[i] < 0)
+            error = errno;
+        /* Only this end must not block. */
+        if (out[i] >= 0)
+            fcntl(out[i], F_SETFL, 0);
+    }
+    if (!argv[0])
+        error = EINVAL;
+    if (!error && pipe2(fail, O_CLOEXEC) != 0)
+        error = errno;
+    if (!error) {
+        pid_t self = getpid();
+        t->pid = fork();
+        if (t->pid == 0)
+            run_task(argv, env, cwd, out, fail[1], self);
+        error = t->pid < 0 ? errno : 0;
+    }
+    if (fail[1] >= 0)
+        close(fail[1]);
+    if (!error && read(fail[0], &error, sizeof error) != sizeof error)
+        error = 0;
+    if (fail[0] >= 0)
+        close(fail[0]);
+    for (int i = 0; i < 2; i++)
+        if (out[i] >= 0)
+            close(out[i]);
+    if (error) {
+        tell(k, LMN_K_FAILED, id, 0, g_strerror(error));
+        if (t->pid > 0)
+            waitpid(t->pid, NULL, 0);
+        close_output(t, 0);
+        close_output(t, 1);
+        g_free(t);
+    } else {
+        g_ptr_array_add(k->tasks, t);
+    }
+    g_strfreev(argv);
+    g_strfreev(env);
+}
+
+/* --- ends --- */
+
+static struct task *find(const struct keeper *k, uint64_t id)
+{
+    for (guint i = 0; i < k->tasks->len; i++)
+        if (((struct task *)k->tasks->pdata[i])->id == id)
+            return k->tasks->pdata[i];
+    return NULL;
+}
+
+static void reap(struct keeper *k)
+{
+    pid_t pid;
+    int status;
+
+    while ((pid = waitpid(-1, &status, WNOHANG)) > 0)
+        for (guint i = 0; i < k->tasks->len; i++) {
+            struct task *t = k->tasks->pdata[i];
+            if (t->pid != pid || t->reaped)
+                continue;
+            t->reaped = true;
+            t->status = status;
+        }
+}
+
+static bool in_living_session(const struct keeper *k, pid_t sid)
+{
+    for (guint i = 0; i < k->tasks->len; i++) {
+        const struct task *t = k->tasks->pdata[i];
+        if (!t->reaped && t->pid == sid)
+            return true;
+    }
+    return false;
+}
+
+/* Kills the children whose task has ended, or that have left their task's session and
+ * lost their parent; all, if everything ends. How many are still there. Whoever dies
+ * leaves its own children here, so calls go on until there are none. */
+static unsigned end_strays(struct keeper *k)
+{
+    char path[64], *text = NULL;
+    unsigned n = 0;
+
+    g_snprintf(path, sizeof path, "/proc/self/task/%ld/children", (long)getpid());
+    if (!g_file_get_contents(path, &text, NULL, NULL))
+        return 0;
+    char *at = text, *end;
+    for (pid_t pid; (pid = (pid_t)strtol(at, &end, 10)) > 0; at = end) {
+        if (!k->ending && in_living_session(k, getsid(pid)))
+            continue;
+        kill(pid, SIGKILL);
+        n++;
+    }
+    g_free(text);
+    return n;
+}
+
+/* Says of the tasks that have ended, once nothing is left of them. */
+static void settle(struct keeper *k)
+{
+    bool any = false;
+
+    reap(k);
+    for (guint i = 0; i < k->tasks->len; i++) {
+        struct task *t = k->tasks->pdata[i];
+        if (t->reaped)
+            kill(-t->pid, SIGKILL);
+        any = any || t->reaped;
+    }
+    unsigned strays = end_strays(k);
+    if (k->ending) {
+        if (strays || (waitpid(-1, NULL, WNOHANG) == 0))
+            return;
+        for (guint i = 0; i < k->tasks->len; i++) {
+            close_output(k->tasks->pdata[i], 0);
+            close_output(k->tasks->pdata[i], 1);
+        }
+        g_ptr_array_set_size(k->tasks, 0);
+        k->ending = false;
+        tell(k, k->lapsed ? LMN_K_LAPSED : LMN_K_EMPTY, 0, 0, "");
+        return;
+    }
+    if (!any || strays)
+        return;
+    for (guint i = k->tasks->len; i-- > 0;) {
+        struct task *t = k->tasks->pdata[i];
+        if (!t->reaped)
+            continue;
+        read_output(t, 0);
+        read_output(t, 1);
+        close_output(t, 0);
+        close_output(t, 1);
+        tell(k, LMN_K_EXITED, t->id, t->status, "");
+        g_ptr_array_remove_index_fast(k->tasks, i);
+    }
+}
+
+static void end_all(struct keeper *k, bool lapsed)
+{
+    k->lapsed = lapsed;
+    k->ending = true;
+    k->leased = false;
+    for (guint i = 0; i < k->tasks->len; i++)
+        kill(-((struct task *)k->tasks->pdata[i])->pid, SIGKILL);
+    settle(k);
+}
+
+static void obey(struct keeper *k, const void *bytes, size_t len)
+{
+    struct lmn_doc d;
+    uint64_t id = 0, s = 0, ns = 0;
+    double grace = 0;
+
+    if (lmn_doc_parse(&d, bytes, len) != 0)
+        return;
+    const struct lmn_node *root = lmn_root(&d), *op = lmn_get(&d, root, "op");
+    lmn_count(lmn_get(&d, root, "id"), &id);
+    struct task *t = find(k, id);
+    if (lmn_is(op, "start") && !t) {
+        start(k, &d, id);
+    } else if (lmn_is(op, "save") && t) {
+        lmn_number(lmn_get(&d, root, "grace"), &grace);
+        t->kill_at = lmn_after(clock_now(), grace);
+        kill(-t->pid, SIGTERM);
+    } else if (lmn_is(op, "kill") && t) {
+        kill(-t->pid, SIGKILL);
+    } else if (lmn_is(op, "kill_all")) {
+        end_all(k, false);
+    } else if (lmn_is(op, "until") && lmn_count(lmn_get(&d, root, "s"), &s) &&
+               lmn_count(lmn_get(&d, root, "ns"), &ns)) {
+        k->until = (struct timespec){(time_t)s, (long)ns};
+        k->leased = true;
+    }
+    lmn_doc_free(&d);
+}
+
+/* Seconds until something is due; -1: nothing. */
+static double due(struct keeper *k)
+{
+    struct timespec now = clock_now();
+    double wait = -1;
+
+    if (k->ending)
+        wait = 0.005;
+    if (k->leased && !k->ending) {
+        if (lmn_before(k->until, now)) {
+            lmn_info("keeper-lapse tasks=%u", k->tasks->len);
+            end_all(k, true);
+            return 0.005;
+        }
+        wait = lmn_since(k->until, now);
+    }
+    for (guint i = 0; i < k->tasks->len; i++) {
+        struct task *t = k->tasks->pdata[i];
+        if (t->reaped) {
+            wait = 0.005;
+        } else if (t->kill_at.tv_sec) {
+            if (lmn_before(t->kill_at, now))
+                kill(-t->pid, SIGKILL);
+            double left = MAX(lmn_since(t->kill_at, now), 0.02);
+            wait = wait < 0 ? left : MIN(wait, left);
+        }
+    }
+    return wait;
+}
+
+static void run(struct keeper *k)
+{
+    GArray *w = g_array_new(FALSE, TRUE, sizeof(struct pollfd));
+    char *buf = g_malloc(MAX_MESSAGE);
+
+    for (;;) {
+        double wait = due(k);
+        struct pollfd p = {k->sock, POLLIN, 0};
+        g_array_set_size(w, 0);
+        g_array_append_val(w, p);
+        p.fd = k->signals;
+        g_array_append_val(w, p);
+        for (guint i = 0; i < k->tasks->len; i++)
+            for (int o = 0; o < 2; o++) {
+                p.fd = ((struct task *)k->tasks->pdata[i])->pipes[o];
+                g_array_append_val(w, p);
+            }
+        poll((struct pollfd *)(void *)w->data, w->len,
+             wait < 0 ? -1 : (int)(wait * 1000) + 1);
+        for (guint i = 0; i < k->tasks->len && 2 + 2 * i + 1 < w->len; i++)
+            for (guint o = 0; o < 2; o++)
+                if (g_array_index(w, struct pollfd, 2 + 2 * i + o).revents)
+                    read_output(k->tasks->pdata[i], (int)o);
+        if (g_array_index(w, struct pollfd, 1).revents) {
+            struct signalfd_siginfo info[16];
+            if (read(k->signals, info, sizeof info) < 0 && errno != EAGAIN)
+                lmn_error("keeper-signals error=\"%s\"", strerror(errno));
+        }
+        if (g_array_index(w, struct pollfd, 0).revents) {
+            ssize_t n = recv(k->sock, buf, MAX_MESSAGE, 0);
+            if (n == 0 || (n < 0 && errno != EINTR && errno != EAGAIN))
+                break; /* the agent is gone */
+            if (n > 0)
+                obey(k, buf, (size_t)n);
+        }
+        settle(k);
+    }
+    for (end_all(k, false); k->ending; settle(k))
+        usleep(2000);
+}
+
+static void become(const char *dir, const char *mark, int sock)
+{
+    struct keeper k = {.sock = sock, .mark = g_strdup(mark)};
+    char *path = g_build_filename(dir, "keeper.lock", NULL);
+    pid_t other;
+    sigset_t set;
+
+    setsid();
+    prctl(PR_SET_CHILD_SUBREAPER, 1);
+    prctl(PR_SET_NAME, "lmn-keeper");
+    signal(SIGPIPE, SIG_IGN);
+    signal(SIGTERM, SIG_IGN);
+    signal(SIGINT, SIG_IGN);
+    signal(SIGHUP, SIG_IGN);
+    sigemptyset(&set);
+    sigaddset(&set, SIGCHLD);
+    sigprocmask(SIG_BLOCK, &set, NULL);
+    if (lmn_lock_file(path, &other) < 0)
+        _exit(1);
+    k.signals = signalfd(-1, &set, SFD_CLOEXEC | SFD_NONBLOCK);
+    k.tasks = g_ptr_array_new_with_free_func(g_free);
+    run(&k);
+    _exit(0);
+}
+
+char *lmn_keeper_mark(const char *dir)
+{
+    char *whole = g_canonicalize_filename(dir, NULL);
+    char *mark = g_strdup_printf("LEMONSPAR_MACHINE_DIR=%s", whole);
+    g_free(whole);
+    return mark;
+}
+
+bool lmn_keeper_clear(const char *dir, const char *mark, double seconds)
+{
+    char *agent = g_build_filename(dir, "agent.lock", NULL);
+    char *keeper = g_build_filename(dir, "keeper.lock", NULL);
+    bool ok = true;
+
+    if (lmn_lock_signal(agent, SIGKILL))
+        ok = lmn_lock_wait(agent, seconds);
+    /* The keeper sees the agent's end, and ends the tasks. */
+    ok = lmn_lock_wait(keeper, seconds) && ok;
+    ok = lmn_kill_marked_all(mark, seconds) && ok;
+    g_free(agent);
+    g_free(keeper);
+    return ok;
+}
+
+int lmn_keeper_start(const char *dir, const char *mark, char *err, size_t len)
+{
+    char *lock = g_build_filename(dir, "keeper.lock", NULL);
+    int pair[2] = {-1, -1}, size = 512 * 1024;
+    bool clear = lmn_lock_wait(lock, 30) && lmn_kill_marked_all(mark, 30);
+
+    g_free(lock);
+    if (!clear) {
+        snprintf(err, len, "%s: processes of an earlier session can't be ended", dir);
+        return -1;
+    }
+    if (socketpair(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC, 0, pair) != 0) {
+        snprintf(err, len, "%s: no socket pair: %s", dir, strerror(errno));
+        return -1;
+    }
+    for (int i = 0; i < 2; i++)
+        setsockopt(pair[i], SOL_SOCKET, SO_SNDBUF, &size, sizeof size);
+    fflush(NULL);
+    pid_t pid = fork();
+    if (pid == 0) {
+        /* A child of nobody: the agent's end must not take it along. */
+        if (fork() != 0)
+            _exit(0);
+        close(pair[0]);
+        become(dir, mark, pair[1]);
+    }
+    close(pair[1]);
+    if (pid < 0) {
+        snprintf(err, len, "%s: no keeper: %s", dir, strerror(errno));
+        close(pair[0]);
+        return -1;
+    }
+    while (waitpid(pid, NULL, 0) < 0 && errno == EINTR)
+        ;
+    return pair[0];
+}
--- /dev/null
+++ b/src/agent/keeper_msg.c
@@ -0,0 +1,86 @@
+/* The keeper's messages, as the agent writes and reads them. */
+#include "agent/keeper.h"
+
+#include <string.h>
+
+static GByteArray *message(const char *op, size_t pairs)
+{
+    GByteArray *b = g_byte_array_new();
+    lmn_put_map(b, 1 + pairs);
+    lmn_put_text(b, "op"), lmn_put_text(b, op);
+    return b;
+}
+
+static void put_texts(GByteArray *b, const char *key, char *const v[])
+{
+    size_t n = 0;
+
+    while (v[n])
+        n++;
+    lmn_put_text(b, key), lmn_put_list(b, n);
+    for (size_t i = 0; i < n; i++)
+        lmn_put_text(b, v[i]);
+}
+
+GByteArray *lmn_keeper_msg_start(uint64_t id, char *const argv[], char *const env[],
+                                 const char *cwd, uint64_t log_bytes)
+{
+    GByteArray *b = message("start", 5);
+
+    lmn_put_text(b, "id"), lmn_put_count(b, id);
+    put_texts(b, "argv", argv);
+    put_texts(b, "env", env);
+    lmn_put_text(b, "cwd"), lmn_put_text(b, cwd);
+    lmn_put_text(b, "log"), lmn_put_count(b, log_bytes);
+    return b;
+}
+
+GByteArray *lmn_keeper_msg_save(uint64_t id, double grace_s)
+{
+    GByteArray *b = message("save", 2);
+
+    lmn_put_text(b, "id"), lmn_put_count(b, id);
+    lmn_put_text(b, "grace"), lmn_put_number(b, grace_s);
+    return b;
+}
+
+GByteArray *lmn_keeper_msg_kill(uint64_t id)
+{
+    GByteArray *b = message("kill", 1);
+
+    lmn_put_text(b, "id"), lmn_put_count(b, id);
+    return b;
+}
+
+GByteArray *lmn_keeper_msg_kill_all(void)
+{
+    return message("kill_all", 0);
+}
+
+GByteArray *lmn_keeper_msg_until(struct timespec at)
+{
+    GByteArray *b = message("until", 2);
+
+    lmn_put_text(b, "s"), lmn_put_count(b, (uint64_t)at.tv_sec);
+    lmn_put_text(b, "ns"), lmn_put_count(b, (uint64_t)at.tv_nsec);
+    return b;
+}
+
+int lmn_keeper_read(const void *bytes, size_t len, struct lmn_keeper_msg *m)
+{
+    struct lmn_doc d;
+    uint64_t event = 0, status = 0;
+
+    memset(m, 0, sizeof *m);
+    if (lmn_doc_parse(&d, bytes, len) != 0)
+        return -1;
+    const struct lmn_node *root = lmn_root(&d);
+    bool ok = lmn_count(lmn_get(&d, root, "event"), &event) && event <= LMN_K_LAPSED;
+    lmn_count(lmn_get(&d, root, "id"), &m->id);
+    lmn_count(lmn_get(&d, root, "status"), &status);
+    lmn_text(lmn_get(&d, root, "what"), m->what, sizeof m->what);
+    m->event = (enum lmn_keeper_event)event;
+    m->status = (int)status;
+    lmn_doc_free(&d);
+    return ok ? 0 : -1;
+}
--- /dev/null
+++ b/src/agent/run.h
@@ -0,0 +1,36 @@
+/* The agent of a real machine: the state machine of agent/agent.h over processes, images
+ * and the network. */
+#ifndef LMN_RUN_H
+#define LMN_RUN_H
+
+#include "base/job.h"
+#include "base/settings.h"
+
+#include <stdbool.h>
+
+enum { LMN_MAX_CONTROLLERS = LMN_MAX_MEMBERS + 1 };
+
+struct lmn_worker_options {
+    char name[LMN_NAME], zone[LMN_NAME];
+    char listen[LMN_ADDR]; /* "IPv4:port", port 0: one that is free */
+    char depot[LMN_ADDR];
+    struct lmn_type type;
+    bool spot;
+    char dir[512]; /* the machine's own files */
+    char
+        checkpoints[512]; /* shared by all machines: a directory for each task below it */
+    double report_s, lease_s;
+    double log_kb; /* kept of each of an attempt's two streams */
+    struct {
+        char name[LMN_NAME], addr[LMN_ADDR];
+    } controllers[LMN_MAX_CONTROLLERS];
+    unsigned ncontrollers;
+};
+
+/* Reads a worker's settings file; -1 with err. */
+int lmn_worker_load(const char *path, struct lmn_worker_options *o, char *err,
+                    size_t len);
+/* Runs until the process ends; returns only if it can't start, with err. */
+int lmn_worker_run(const struct lmn_worker_options *o, char *err, size_t len);
+
+#endif
--- /dev/null
+++ b/src/agent/run_part.h
@@ -0,0 +1,78 @@
+/* What the files of a real machine's agent share. Locking: w->lock guards the state
+ * machine and all queues; ops run under it and only queue. lmn_run_unlock ends a use of
+ * it: what can be told at once is, then the lock is released, and what goes to the keeper
+ * is sent in order. */
+#ifndef LMN_RUN_PART_H
+#define LMN_RUN_PART_H
+
+#include "agent/agent.h"
+#include "agent/run.h"
+#include "base/http_client.h"
+#include "depot/work.h"
+
+#include <pthread.h>
+
+/* A message to the keeper; dir: to be made before. */
+struct lmn_outgoing {
+    GByteArray *msg;
+    char *dir;
+};
+
+/* Something to be asked of the depot, or told to the state machine. */
+struct lmn_wish {
+    bool image;
+    uint64_t id; /* of the run whose job is to be described */
+    char ref[LMN_REF];
+    const char *name; /* of the image, interned */
+    double gb;
+};
+
+/* An attempt that has ended. */
+struct lmn_ended {
+    uint64_t id, attempt;
+    char ref[LMN_REF];
+    uint32_t index;
+    bool done, saved;
+    char *dir;
+    int tries;
+};
+
+struct lmn_worker {
+    const struct lmn_worker_options *o;
+    char addr[LMN_ADDR], *mark;
+    int keeper;
+    pthread_mutex_t lock, sending;
+    pthread_cond_t report_due, wishes_more, images_more, ended_more, logs_more;
+    struct lmn_agent agent;
+    uint64_t session;
+    GQueue outbox;        /* struct lmn_outgoing */
+    GQueue pending;       /* struct lmn_wish, not yet looked at */
+    GQueue wishes;        /* descriptions to fetch */
+    GQueue images;        /* images to fetch */
+    const char *given_up; /* the image being fetched that nobody waits for any more */
+    GHashTable *works;    /* ref -> struct lmn_work */
+    GHashTable *here;     /* images that are there: interned name -> bytes (guint64 *) */
+    GQueue image_order;   /* interned names, the least recently used first */
+    GHashTable *results;  /* "ref/index": done */
+    int results_fd;
+    GQueue ended; /* to be recorded */
+    GQueue logs;  /* to be uploaded */
+    uint64_t reports, redirects, uploads, fetched_bytes, lost_logs;
+};
+
+void lmn_run_lock(struct lmn_worker *w);
+void lmn_run_unlock(struct lmn_worker *w);
+struct timespec lmn_run_now(void);
+
+extern const struct lmn_agent_ops lmn_run_ops;
+/* Reads the results of earlier lives; -1 with errno. */
+int lmn_results_open(struct lmn_worker *w);
+/* What is in the image directory from earlier lives. */
+void lmn_images_open(struct lmn_worker *w);
+/* Threads, each for ever; worker: struct lmn_worker. */
+void *lmn_describe_thread(void *worker);
+void *lmn_image_thread(void *worker);
+void *lmn_ended_thread(void *worker);
+void *lmn_logs_thread(void *worker);
+
+#endif
--- /dev/null
+++ b/src/agent/tasks.c
@@ -0,0 +1,526 @@
+/* A real machine's tasks: their descriptions, images, results and output. */
+#include "agent/keeper.h"
+#include "agent/run_part.h"
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/proc.h"
+#include "base/thread.h"
+#include "depot/depot.h"
+#include "depot/image.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+enum { MAX_WORKS = 1000, MAX_LOGS = 10000, LOG_TRIES = 20 };
+
+/* --- what the state machine asks for: noted only --- */
+
+static void send(struct lmn_worker *w, GByteArray *msg, char *dir)
+{
+    struct lmn_outgoing *o = g_new(struct lmn_outgoing, 1);
+    *o = (struct lmn_outgoing){msg, dir};
+    g_queue_push_tail(&w->outbox, o);
+}
+
+static void describe(void *arg, struct lmn_run *r)
+{
+    struct lmn_worker *w = arg;
+    struct lmn_wish *q = g_new0(struct lmn_wish, 1);
+
+    q->id = r->id;
+    g_strlcpy(q->ref, r->ref, sizeof q->ref);
+    g_queue_push_tail(&w->pending, q);
+}
+
+static void fetch(void *arg, struct lmn_run *r)
+{
+    struct lmn_worker *w = arg;
+    struct lmn_wish *q = g_new0(struct lmn_wish, 1);
+    const struct lmn_work *work = g_hash_table_lookup(w->works, r->ref);
+
+    q->image = true;
+    q->name = r->image;
+    q->gb = work ? work->spec.image_gb : 0;
+    if (w->given_up == q->name)
+        w->given_up = NULL;
+    g_queue_push_tail(&w->pending, q);
+}
+
+static void give_up(void *arg, const char *image)
+{
+    struct lmn_worker *w = arg;
+
+    w->given_up = g_intern_string(image);
+}
+
+static bool has_result(void *arg, const char *ref, uint32_t index)
+{
+    struct lmn_worker *w = arg;
+    char key[LMN_REF + 16];
+
+    g_snprintf(key, sizeof key, "%s/%u", ref, index);
+    return g_hash_table_contains(w->results, key);
+}
+
+static char *run_dir(const struct lmn_worker *w, const struct lmn_run *r)
+{
+    return g_strdup_printf("%s/tasks/%s.%u.%" G_GUINT64_FORMAT, w->o->dir, r->ref,
+                           r->index, r->attempt);
+}
+
+static char *image_dir(const struct lmn_worker *w, const char *image)
+{
+    return g_strdup_printf("%s/images/%s", w->o->dir, image);
+}
+
+static char **environment(const struct lmn_worker *w, const struct lmn_work *work,
+                          const struct lmn_run *r)
+{
+    GPtrArray *a = g_ptr_array_new();
+
+    for (char **e = work->env; *e; e++)
+        g_ptr_array_add(a, g_strdup(*e));
+    g_ptr_array_add(a, g_strdup_printf("LEMONSPAR_JOB=%s", r->ref));
+    g_ptr_array_add(a, g_strdup_printf("LEMONSPAR_TASK=%u", r->index));
+    g_ptr_array_add(a, g_strdup_printf("LEMONSPAR_TASKS=%u", work->spec.tasks));
+    g_ptr_array_add(a,
+                    g_strdup_printf("LEMONSPAR_ATTEMPT=%" G_GUINT64_FORMAT, r->attempt));
+    g_ptr_array_add(a, g_strdup_printf("LEMONSPAR_MACHINE=%s", w->o->name));
+    g_ptr_array_add(a, g_strdup_printf("LEMONSPAR_ZONE=%s", w->o->zone));
+    if (strcmp(r->image, LMN_NO_IMAGE)) {
+        char *dir = image_dir(w, r->image);
+        g_ptr_array_add(a, g_strdup_printf("LEMONSPAR_IMAGE=%s", dir));
+        g_free(dir);
+    }
+    if (r->saves && *w->o->checkpoints)
+        g_ptr_array_add(a, g_strdup_printf("LEMONSPAR_CHECKPOINT=%s/%s/%u",
+                                           w->o->checkpoints, r->ref, r->index));
+    g_ptr_array_add(a, NULL);
+    return (char **)g_ptr_array_free(a, FALSE);
+}
+
+static void start(void *arg, struct lmn_run *r)
+{
+    struct lmn_worker *w = arg;
+    const struct lmn_work *work = g_hash_table_lookup(w->works, r->ref);
+    char *dir = run_dir(w, r);
+
+    /* The description was there to know the image by; if it was dropped since, it comes
+     * again. */
+    if (!work) {
+        r->state = LMN_R_ASKING;
+        describe(arg, r);
+        g_free(dir);
+        return;
+    }
+    char **env = environment(w, work, r);
+    if (r->saves && *w->o->checkpoints)
+        send(w, NULL, g_strdup_printf("%s/%s/%u", w->o->checkpoints, r->ref, r->index));
+    send(w,
+         lmn_keeper_msg_start(r->id, work->argv, env, dir,
+                              (uint64_t)(w->o->log_kb * 1024)),
+         dir);
+    g_strfreev(env);
+    lmn_debug("task-start task=%s/%u attempt=%" G_GUINT64_FORMAT, r->ref, r->index,
+              r->attempt);
+}
+
+static void save(void *arg, struct lmn_run *r, double grace_s)
+{
+    send(arg, lmn_keeper_msg_save(r->id, grace_s), NULL);
+}
+
+static void kill_run(void *arg, struct lmn_run *r)
+{
+    send(arg, lmn_keeper_msg_kill(r->id), NULL);
+}
+
+static void kill_all(void *arg)
+{
+    send(arg, lmn_keeper_msg_kill_all(), NULL);
+}
+
+static void leased(void *arg, struct timespec until)
+{
+    send(arg, lmn_keeper_msg_until(until), NULL);
+}
+
+const struct lmn_agent_ops lmn_run_ops = {
+    .describe = describe,
+    .fetch = fetch,
+    .give_up = give_up,
+    .has_result = has_result,
+    .start = start,
+    .save = save,
+    .kill = kill_run,
+    .kill_all = kill_all,
+    .leased = leased,
+};
+
+/* --- descriptions --- */
+
+static void free_unused(struct lmn_worker *w)
+{
+    GHashTableIter it;
+    gpointer ref;
+
+    if (g_hash_table_size(w->works) < MAX_WORKS)
+        return;
+    g_hash_table_iter_init(&it, w->works);
+    while (g_hash_table_iter_next(&it, &ref, NULL)) {
+        bool used = false;
+        for (guint i = 0; i < w->agent.runs->len && !used; i++)
+            used = !strcmp(((struct lmn_run *)w->agent.runs->pdata[i])->ref, ref);
+        if (!used)
+            g_hash_table_iter_remove(&it);
+    }
+}
+
+/* 1: there, 0: there is no such job, -1: the depot has to be asked again. */
+static int get_work(struct lmn_http *h, const char *ref, struct lmn_work *work)
+{
+    GByteArray *b = g_byte_array_new();
+    char digest[LMN_DIGEST];
+    struct lmn_depot_error e = {0};
+    const char *what = "";
+    int rc = lmn_depot_look(h, LMN_DEPOT_JOB, ref, digest, &e);
+
+    if (rc == 0)
+        rc = lmn_depot_get(h, digest, b, &e);
+    if (rc != 0) {
+        rc = e.status == 404 ? 0 : -1;
+        lmn_info("description-missing job=%s why=\"%s\"", ref, e.what);
+    } else if (lmn_work_read(work, b->data, b->len, &what) != 0 ||
+               strcmp(work->spec.ref, ref) || !lmn_image_name_ok(work->spec.image)) {
+        lmn_error("description-unreadable job=%s field=%s", ref, what);
+        rc = 0;
+    } else {
+        rc = 1;
+    }
+    g_byte_array_unref(b);
+    return rc;
+}
+
+void *lmn_describe_thread(void *arg)
+{
+    struct lmn_worker *w = arg;
+    struct lmn_http *h = lmn_http_new(w->o->depot);
+
+    for (;;) {
+        lmn_run_lock(w);
+        while (!w->wishes.head)
+            pthread_cond_wait(&w->wishes_more, &w->lock);
+        struct lmn_wish *q = g_queue_pop_head(&w->wishes);
+        bool wanted = lmn_agent_run(&w->agent, q->id) != NULL;
+        bool known = g_hash_table_contains(w->works, q->ref);
+        if (known && wanted)
+            g_queue_push_tail(&w->pending, q);
+        lmn_run_unlock(w);
+        if (!wanted)
+            g_free(q);
+        if (!wanted || known)
+            continue;
+        struct lmn_work *work = g_new0(struct lmn_work, 1);
+        int rc = get_work(h, q->ref, work);
+        if (rc < 0)
+            lmn_sleep(0.3);
+        lmn_run_lock(w);
+        if (rc > 0) {
+            free_unused(w);
+            g_hash_table_replace(w->works, work->spec.ref, work);
+            g_queue_push_tail(&w->pending, q);
+        } else if (rc == 0) {
+            lmn_agent_described(&w->agent, q->id, NULL, lmn_run_now());
+        } else {
+            g_queue_push_tail(&w->wishes, q);
+        }
+        lmn_run_unlock(w);
+        if (rc <= 0)
+            g_free(work);
+        if (rc == 0)
+            g_free(q);
+    }
+    return NULL;
+}
+
+/* --- images --- */
+
+void lmn_images_open(struct lmn_worker *w)
+{
+    char *root = g_strdup_printf("%s/images", w->o->dir);
+    GDir *d;
+    const char *name;
+
+    g_mkdir_with_parents(root, 0755);
+    d = g_dir_open(root, 0, NULL);
+    while (d && (name = g_dir_read_name(d))) {
+        char *path = g_build_filename(root, name, NULL);
+        char *note = g_strdup_printf("%s/sizes/%s", w->o->dir, name), *text = NULL;
+        /* Only what was fetched to its end has its size beside it. */
+        if (g_file_get_contents(note, &text, NULL, NULL)) {
+            guint64 *bytes = g_new(guint64, 1);
+            *bytes = g_ascii_strtoull(text, NULL, 10);
+            g_hash_table_replace(w->here, (gpointer)g_intern_string(name), bytes);
+            g_queue_push_tail(&w->image_order, (gpointer)g_intern_string(name));
+        } else {
+            lmn_tree_remove(path);
+        }
+        g_free(text);
+        g_free(note);
+        g_free(path);
+    }
+    if (d)
+        g_dir_close(d);
+    g_free(root);
+}
+
+static bool in_use(const struct lmn_worker *w, const char *image)
+{
+    for (guint i = 0; i < w->agent.runs->len; i++) {
+        const struct lmn_run *r = w->agent.runs->pdata[i];
+        if (r->state != LMN_R_ENDED && r->image && !strcmp(r->image, image))
+            return true;
+    }
+    return false;
+}
+
+/* Takes the least recently used images that no task needs out of the books until so much
+ * more fits; their directories go to drop. The lock is held. */
+static void make_room(struct lmn_worker *w, double bytes, GPtrArray *drop)
+{
+    double all = bytes, most = w->o->type.cache_gb * 1e9;
+    GHashTableIter it;
+    gpointer v;
+
+    g_hash_table_iter_init(&it, w->here);
+    while (g_hash_table_iter_next(&it, NULL, &v))
+        all += (double)*(guint64 *)v;
+    for (GList *l = w->image_order.head, *next; l && all > most; l = next) {
+        const char *name = l->data;
+        next = l->next;
+        if (in_use(w, name))
+            continue;
+        all -= (double)*(guint64 *)g_hash_table_lookup(w->here, name);
+        g_hash_table_remove(w->here, name);
+        g_queue_delete_link(&w->image_order, l);
+        g_ptr_array_add(drop, (gpointer)name);
+    }
+}
+
+static void drop_images(struct lmn_worker *w, GPtrArray *drop)
+{
+    for (guint i = 0; i < drop->len; i++) {
+        char *dir = image_dir(w, drop->pdata[i]);
+        char *note = g_strdup_printf("%s/sizes/%s", w->o->dir, (char *)drop->pdata[i]);
+        unlink(note); /* first: what has no size is fetched anew */
+        lmn_tree_remove(dir);
+        lmn_info("image-dropped image=%s", (char *)drop->pdata[i]);
+        g_free(dir);
+        g_free(note);
+    }
+    g_ptr_array_set_size(drop, 0);
+}
+
+struct going {
+    struct lmn_worker *w;
+    const char *image;
+};
+
+static bool go_on(void *arg)
+{
+    struct going *g = arg;
+
+    pthread_mutex_lock(&g->w->lock);
+    bool on = g->w->given_up != g->image;
+    pthread_mutex_unlock(&g->w->lock);
+    return on;
+}
+
+static bool get_image(struct lmn_worker *w, struct lmn_http *h, const char *name,
+                      uint64_t *bytes)
+{
+    char *dir = image_dir(w, name), *sizes = g_strdup_printf("%s/sizes", w->o->dir);
+    char *note = g_build_filename(sizes, name, NULL), text[32];
+    struct going going = {w, name};
+    struct lmn_depot_error e = {0};
+    struct timespec begun = lmn_now();
+
+    g_mkdir_with_parents(sizes, 0755);
+    lmn_tree_remove(dir);
+    int rc = lmn_image_get(h, name, dir, w->o->type.pull * 1e9, go_on, &going, bytes, &e);
+    if (rc == 0) {
+        int n = g_snprintf(text, sizeof text, "%" G_GUINT64_FORMAT "\n", *bytes);
+        rc = lmn_file_put(note, text, (size_t)n);
+    }
+    if (rc == 0)
+        lmn_info("image-fetched image=%s bytes=%" G_GUINT64_FORMAT " took=%.2f", name,
+                 *bytes, lmn_since(lmn_now(), begun));
+    else
+        lmn_error("image-failed image=%s why=\"%s\"", name, e.what);
+    g_free(dir);
+    g_free(sizes);
+    g_free(note);
+    return rc == 0;
+}
+
+void *lmn_image_thread(void *arg)
+{
+    struct lmn_worker *w = arg;
+    struct lmn_http *h = lmn_http_new(w->o->depot);
+    GPtrArray *drop = g_ptr_array_new();
+
+    for (;;) {
+        uint64_t bytes = 0;
+        lmn_run_lock(w);
+        while (!w->images.head)
+            pthread_cond_wait(&w->images_more, &w->lock);
+        struct lmn_wish *q = g_queue_pop_head(&w->images);
+        bool there = g_hash_table_contains(w->here, q->name);
+        bool wanted = in_use(w, q->name);
+        if (!there && wanted)
+            make_room(w, q->gb * 1e9, drop);
+        lmn_run_unlock(w);
+        drop_images(w, drop);
+        bool ok = there || (wanted && get_image(w, h, q->name, &bytes));
+        lmn_run_lock(w);
+        if (ok && !there) {
+            guint64 *n = g_new(guint64, 1);
+            *n = bytes;
+            g_hash_table_replace(w->here, (gpointer)q->name, n);
+            g_queue_push_tail(&w->image_order, (gpointer)q->name);
+            w->fetched_bytes += bytes;
+        }
+        if (w->given_up == q->name)
+            w->given_up = NULL;
+        lmn_agent_fetched(&w->agent, q->name, ok, lmn_run_now());
+        lmn_run_unlock(w);
+        g_free(q);
+    }
+    return NULL;
+}
+
+/* --- results --- */
+
+int lmn_results_open(struct lmn_worker *w)
+{
+    char *path = g_build_filename(w->o->dir, "results", NULL), *text = NULL;
+    gsize n = 0, at = 0;
+
+    w->results = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    w->results_fd = open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    if (w->results_fd >= 0 && g_file_get_contents(path, &text, &n, NULL)) {
+        /* A line without its end was being written when the machine died: it says
+         * nothing. */
+        for (char *end; at < n && (end = memchr(text + at, '\n', n - at));
+             at = (gsize)(end - text) + 1)
+            g_hash_table_add(w->results, g_strndup(text + at, (gsize)(end - text) - at));
+        if (at < n && ftruncate(w->results_fd, (off_t)at) != 0)
+            at = n;
+        g_free(text);
+    }
+    g_free(path);
+    return w->results_fd < 0 ? -1 : 0;
+}
+
+/* Records all that have ended and waits, by one sync; only then are they told as done. */
+void *lmn_ended_thread(void *arg)
+{
+    struct lmn_worker *w = arg;
+
+    for (;;) {
+        GString *lines = g_string_new(NULL);
+        lmn_run_lock(w);
+        while (!w->ended.head)
+            pthread_cond_wait(&w->ended_more, &w->lock);
+        GQueue mine = w->ended;
+        g_queue_init(&w->ended);
+        lmn_run_unlock(w);
+        for (GList *l = mine.head; l; l = l->next) {
+            const struct lmn_ended *e = l->data;
+            if (e->done)
+                g_string_append_printf(lines, "%s/%u\n", e->ref, e->index);
+        }
+        bool kept = !lines->len || (write(w->results_fd, lines->str, lines->len) ==
+                                        (ssize_t)lines->len &&
+                                    fdatasync(w->results_fd) == 0);
+        if (!kept)
+            lmn_error("result-lost error=\"%s\"", strerror(errno));
+        lmn_run_lock(w);
+        for (struct lmn_ended *e; (e = g_queue_pop_head(&mine));) {
+            if (e->done && kept)
+                g_hash_table_add(w->results, g_strdup_printf("%s/%u", e->ref, e->index));
+            lmn_agent_exited(&w->agent, e->id, e->done && kept, e->saved, lmn_run_now());
+            if (w->logs.length < MAX_LOGS) {
+                g_queue_push_tail(&w->logs, e);
+                pthread_cond_signal(&w->logs_more);
+            } else {
+                w->lost_logs++;
+                g_free(e->dir);
+                g_free(e);
+            }
+        }
+        lmn_run_unlock(w);
+        g_string_free(lines, TRUE);
+    }
+    return NULL;
+}
+
+/* --- output --- */
+
+static bool upload(struct lmn_http *h, const struct lmn_ended *e, const char *stream)
+{
+    char *path = g_build_filename(e->dir, stream, NULL), *text = NULL, to[160];
+    GByteArray *out = g_byte_array_new();
+    gsize n = 0;
+    bool ok = true;
+
+    if (g_file_get_contents(path, &text, &n, NULL) && n) {
+        GByteArray *b = g_byte_array_new_take((guint8 *)text, n);
+        g_snprintf(to, sizeof to, "/logs/%s/%u.%" G_GUINT64_FORMAT ".%s", e->ref,
+                   e->index, e->attempt, stream);
+        ok = lmn_http_call(h, "PUT", to, b, 30, out) == 200;
+        g_byte_array_unref(b);
+    } else {
+        g_free(text);
+    }
+    g_byte_array_unref(out);
+    g_free(path);
+    return ok;
+}
+
+void *lmn_logs_thread(void *arg)
+{
+    struct lmn_worker *w = arg;
+    struct lmn_http *h = lmn_http_new(w->o->depot);
+
+    for (;;) {
+        pthread_mutex_lock(&w->lock);
+        while (!w->logs.head)
+            pthread_cond_wait(&w->logs_more, &w->lock);
+        struct lmn_ended *e = g_queue_pop_head(&w->logs);
+        pthread_mutex_unlock(&w->lock);
+        bool ok = upload(h, e, "stdout") && upload(h, e, "stderr");
+        if (!ok && ++e->tries < LOG_TRIES) {
+            lmn_sleep(MIN(0.1 * (1 << MIN(e->tries, 6)), 5));
+            pthread_mutex_lock(&w->lock);
+            g_queue_push_tail(&w->logs, e);
+            pthread_mutex_unlock(&w->lock);
+            continue;
+        }
+        if (!ok)
+            lmn_error("logs-lost task=%s/%u attempt=%" G_GUINT64_FORMAT, e->ref, e->index,
+                      e->attempt);
+        pthread_mutex_lock(&w->lock);
+        w->uploads += ok;
+        w->lost_logs += !ok;
+        pthread_mutex_unlock(&w->lock);
+        lmn_tree_remove(e->dir);
+        g_free(e->dir);
+        g_free(e);
+    }
+    return NULL;
+}
--- a/src/base/codec.c
+++ b/src/base/codec.c
@@ -409,9 +409,11 @@
     case LMN_UINT:
         return (size_t)g_snprintf(number, sizeof number, "%" G_GUINT64_FORMAT, n->u);
     case LMN_NEGINT:
-        return 1 + (size_t)g_snprintf(number, sizeof number, "%" G_GUINT64_FORMAT, n->u + 1);
+        return 1 +
+               (size_t)g_snprintf(number, sizeof number, "%" G_GUINT64_FORMAT, n->u + 1);
     case LMN_FLOAT:
-        return strlen(g_ascii_dtostr(number, sizeof number, n->f)) + (n->f == (double)(int64_t)n->f ? 2 : 0);
+        return strlen(g_ascii_dtostr(number, sizeof number, n->f)) +
+               (n->f == (double)(int64_t)n->f ? 2 : 0);
     case LMN_TEXT:
         for (uint32_t i = 0; i < n->len; i++) {
             unsigned char c = (unsigned char)n->s[i];
--- a/src/base/codec.h
+++ b/src/base/codec.h
@@ -67,7 +67,8 @@
 /* Copies a node as it was read. */
 void lmn_put_node(GByteArray *b, const struct lmn_doc *doc, const struct lmn_node *n);
 
-/* Bytes that a node takes when written as compact JSON: the form in which limits are counted. */
+/* Bytes that a node takes when written as compact JSON: the form in which limits are
+ * counted. */
 size_t lmn_json_size(const struct lmn_doc *doc, const struct lmn_node *n);
 
 #endif
--- a/src/base/conf.c
+++ b/src/base/conf.c
@@ -45,8 +45,8 @@
     g_free(c);
 }
 
-void lmn_conf_add(struct lmn_conf *c, const char *path, enum lmn_conf_kind kind, const char *text,
-                  double number, unsigned line)
+void lmn_conf_add(struct lmn_conf *c, const char *path, enum lmn_conf_kind kind,
+                  const char *text, double number, unsigned line)
 {
     struct item *i = g_new0(struct item, 1);
     char *key = g_strdup(path);
@@ -75,8 +75,8 @@
 static struct item *find(struct lmn_conf *c, const char *path, enum lmn_conf_kind kind,
                          bool required)
 {
-    static const char *const words[] = {"a text in quotes", "a number", "true or false", "an array",
-                                        "a table"};
+    static const char *const words[] = {"a text in quotes", "a number", "true or false",
+                                        "an array", "a table"};
     struct item *i = g_hash_table_lookup(c->items, path);
 
     if (!i) {
@@ -109,7 +109,8 @@
         if (!g_ascii_isalnum(t[i]) && !strchr("-_.", t[i]))
             n = LMN_NAME;
     if (!n || n >= LMN_NAME)
-        lmn_conf_fail(c, path, "expected a name of 1 to %d letters, digits, '-', '_' and '.'",
+        lmn_conf_fail(c, path,
+                      "expected a name of 1 to %d letters, digits, '-', '_' and '.'",
                       LMN_NAME - 1);
     return t;
 }
@@ -121,11 +122,13 @@
     int port;
 
     if (*t && (strlen(t) >= LMN_ADDR || lmn_addr_split(t, host, sizeof host, &port) != 0))
-        lmn_conf_fail(c, path, "expected an IPv4 address and a port, as in 127.0.0.1:8080");
+        lmn_conf_fail(c, path,
+                      "expected an IPv4 address and a port, as in 127.0.0.1:8080");
     return t;
 }
 
-double lmn_conf_number(struct lmn_conf *c, const char *path, double def, double lo, double hi)
+double lmn_conf_number(struct lmn_conf *c, const char *path, double def, double lo,
+                       double hi)
 {
     const struct item *i = find(c, path, LMN_CONF_NUMBER, false);
 
@@ -160,7 +163,8 @@
     for (guint k = 0; k < c->order->len && !c->wrong; k++) {
         const struct item *i = g_hash_table_lookup(c->items, c->order->pdata[k]);
         if (!i->used && i->kind != LMN_CONF_TABLE)
-            lmn_conf_fail(c, c->order->pdata[k], "no such field; take it out, or mend its name");
+            lmn_conf_fail(c, c->order->pdata[k],
+                          "no such field; take it out, or mend its name");
     }
     if (!c->wrong)
         return 0;
--- a/src/base/conf.h
+++ b/src/base/conf.h
@@ -1,8 +1,10 @@
-/* Operators' TOML files: every field is read through here, so that what is wrong, or isn't known, is
- * named with file, line, field and mend. The platform's own file is read by base/settings.h.
+/* Operators' TOML files: every field is read through here, so that what is wrong, or
+ * isn't known, is named with file, line, field and mend. The platform's own file is read
+ * by base/settings.h.
  *
- * The first thing that is wrong is kept; the getters then go on with defaults, and lmn_conf_end says
- * it. Paths are dotted, with numbers for arrays: "machines[2].zone". One thread. */
+ * The first thing that is wrong is kept; the getters then go on with defaults, and
+ * lmn_conf_end says it. Paths are dotted, with numbers for arrays: "machines[2].zone".
+ * One thread. */
 #ifndef LMN_CONF_H
 #define LMN_CONF_H
 
@@ -16,7 +18,8 @@
 #endif
 /* NULL with "file: line N: what" in err. */
 struct lmn_conf *lmn_conf_load(const char *path, char *err, size_t len);
-struct lmn_conf *lmn_conf_parse(const char *text, const char *name, char *err, size_t len);
+struct lmn_conf *lmn_conf_parse(const char *text, const char *name, char *err,
+                                size_t len);
 #ifdef __cplusplus
 }
 #endif
@@ -25,7 +28,8 @@
 const char *lmn_conf_text(struct lmn_conf *c, const char *path, const char *def);
 /* A text that must be a name: 1 to 63 letters, digits, '-', '_', '.'. */
 const char *lmn_conf_name(struct lmn_conf *c, const char *path, const char *def);
-double lmn_conf_number(struct lmn_conf *c, const char *path, double def, double lo, double hi);
+double lmn_conf_number(struct lmn_conf *c, const char *path, double def, double lo,
+                       double hi);
 bool lmn_conf_truth(struct lmn_conf *c, const char *path, bool def);
 /* "IPv4:port". */
 const char *lmn_conf_addr(struct lmn_conf *c, const char *path, const char *def);
@@ -35,18 +39,25 @@
 /* Something is wrong with the field: printf-like, as "expected ...". */
 void lmn_conf_fail(struct lmn_conf *c, const char *path, const char *fmt, ...)
     __attribute__((format(printf, 3, 4)));
-/* 0, or -1 with what was wrong first, or with a field that nobody asked for. Frees nothing. */
+/* 0, or -1 with what was wrong first, or with a field that nobody asked for. Frees
+ * nothing. */
 int lmn_conf_end(struct lmn_conf *c, char *err, size_t len);
 void lmn_conf_free(struct lmn_conf *c);
 
 /* --- for the reader of TOML (toml.cpp) --- */
-enum lmn_conf_kind { LMN_CONF_TEXT, LMN_CONF_NUMBER, LMN_CONF_TRUTH, LMN_CONF_ARRAY, LMN_CONF_TABLE };
+enum lmn_conf_kind {
+    LMN_CONF_TEXT,
+    LMN_CONF_NUMBER,
+    LMN_CONF_TRUTH,
+    LMN_CONF_ARRAY,
+    LMN_CONF_TABLE
+};
 #ifdef __cplusplus
 extern "C" {
 #endif
 struct lmn_conf *lmn_conf_new(const char *name);
-void lmn_conf_add(struct lmn_conf *c, const char *path, enum lmn_conf_kind kind, const char *text,
-                  double number, unsigned line);
+void lmn_conf_add(struct lmn_conf *c, const char *path, enum lmn_conf_kind kind,
+                  const char *text, double number, unsigned line);
 #ifdef __cplusplus
 }
 #endif
--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -61,8 +61,9 @@
     curl_easy_setopt(h->curl, CURLOPT_TIMEOUT_MS, (long)(timeout_s * 1000));
     curl_easy_setopt(h->curl, CURLOPT_CONNECTTIMEOUT_MS,
                      (long)(MIN(timeout_s, 1.5) * 1000));
-    if (!strcmp(method, "POST")) {
-        curl_easy_setopt(h->curl, CURLOPT_CUSTOMREQUEST, NULL);
+    if (!strcmp(method, "POST") || !strcmp(method, "PUT")) {
+        curl_easy_setopt(h->curl, CURLOPT_CUSTOMREQUEST,
+                         !strcmp(method, "PUT") ? method : NULL);
         curl_easy_setopt(h->curl, CURLOPT_POST, 1L);
         curl_easy_setopt(h->curl, CURLOPT_POSTFIELDS, body ? (char *)body->data : "");
         curl_easy_setopt(h->curl, CURLOPT_POSTFIELDSIZE, body ? (long)body->len : 0L);
@@ -80,3 +81,11 @@
         return LMN_NOT_SENT;
     return LMN_NO_ANSWER;
 }
+
+double lmn_http_retry_after(struct lmn_http *h)
+{
+    curl_off_t s = 0;
+
+    curl_easy_getinfo(h->curl, CURLINFO_RETRY_AFTER, &s);
+    return (double)s;
+}
--- a/src/base/httpd.c
+++ b/src/base/httpd.c
@@ -270,7 +270,11 @@
     if (!o->listen) {
         flags |= MHD_USE_NO_LISTEN_SOCKET | MHD_USE_ITC;
     } else {
-        if (lmn_addr_split(o->listen, host, sizeof host, &port) != 0) {
+        /* Port 0: one that is free. */
+        if (g_str_has_suffix(o->listen, ":0") && strlen(o->listen) < sizeof host) {
+            g_strlcpy(host, o->listen, sizeof host);
+            *strrchr(host, ':') = '\0';
+        } else if (lmn_addr_split(o->listen, host, sizeof host, &port) != 0) {
             errno = EINVAL;
             g_free(h);
             return NULL;
@@ -299,3 +303,8 @@
     return MHD_add_connection(h->daemon, fd, (struct sockaddr *)&a, len) == MHD_YES ? 0
                                                                                     : -1;
 }
+
+int lmn_httpd_port(const struct lmn_httpd *h)
+{
+    return MHD_get_daemon_info(h->daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+}
--- a/src/base/httpd.h
+++ b/src/base/httpd.h
@@ -30,6 +30,8 @@
 
 /* NULL if it can't listen (errno tells). Serves until the process ends. */
 struct lmn_httpd *lmn_httpd_start(const struct lmn_httpd_options *o);
+/* The port that it listens on: for an address with port 0. */
+int lmn_httpd_port(const struct lmn_httpd *h);
 /* Serves a connection that the caller has accepted; takes fd over. -1 if it can't. */
 int lmn_httpd_adopt(struct lmn_httpd *h, int fd);
 /* Calls that have waited too long are answered 503 now. */
--- a/src/base/json.c
+++ b/src/base/json.c
@@ -10,7 +10,8 @@
     case LMN_BOOL:
         return json_boolean(n->truth);
     case LMN_UINT:
-        return n->u <= INT64_MAX ? json_integer((json_int_t)n->u) : json_real((double)n->u);
+        return n->u <= INT64_MAX ? json_integer((json_int_t)n->u)
+                                 : json_real((double)n->u);
     case LMN_NEGINT:
         return json_integer(-1 - (json_int_t)n->u);
     case LMN_FLOAT:
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -1,7 +1,9 @@
 #include "base/log.h"
 
 #include <glib.h>
+#include <jansson.h>
 #include <stdarg.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
@@ -9,6 +11,55 @@
 enum lmn_log_level lmn_log_level = LMN_LOG_INFO;
 
 static char node_name[64] = "-";
+static bool as_json;
+
+/* One value of "name=value name=\"a value\"": its end, NULL past the last. */
+static const char *take_field(const char *at, json_t *to)
+{
+    const char *eq = strchr(at, '='), *end;
+    char *name, *value;
+
+    if (!eq)
+        return NULL;
+    name = g_strndup(at, (gsize)(eq - at));
+    bool quoted = eq[1] == '"';
+    const char *from = eq + 1 + quoted;
+    end = strchr(from, quoted ? '"' : ' ');
+    if (!end)
+        end = from + strlen(from);
+    value = g_strndup(from, (gsize)(end - from));
+    json_object_set_new(to, name, json_string(value));
+    g_free(name);
+    g_free(value);
+    end += quoted && *end;
+    while (*end == ' ')
+        end++;
+    return *end ? end : NULL;
+}
+
+/* The same line as JSON: level, node, time of day, event, and its fields. */
+static int json_line(char *line, size_t len, const char *word, const char *message)
+{
+    json_t *j = json_object();
+    const char *rest = strchr(message, ' ');
+    gint64 now = g_get_real_time();
+
+    json_object_set_new(j, "time", json_real((double)now / 1e6));
+    json_object_set_new(j, "level", json_string(word));
+    json_object_set_new(j, "node", json_string(node_name));
+    json_object_set_new(
+        j, "event",
+        json_stringn(message, rest ? (size_t)(rest - message) : strlen(message)));
+    for (const char *at = rest ? rest + 1 : NULL; at;)
+        at = take_field(at, j);
+    size_t n = json_dumpb(j, line, len - 1, JSON_COMPACT);
+    json_decref(j);
+    if (n >= len - 1)
+        n = (size_t)g_snprintf(line, len, "{\"level\":\"%s\",\"event\":\"too-long\"}",
+                               word);
+    line[n] = '\n';
+    return (int)n + 1;
+}
 
 static GLogWriterOutput writer(GLogLevelFlags level, const GLogField *fields, gsize n,
                                gpointer data)
@@ -24,7 +75,9 @@
         word = "error";
     else if (level & G_LOG_LEVEL_DEBUG)
         word = "debug";
-    int len = snprintf(line, sizeof line, "%s node=%s %s\n", word, node_name, message);
+    int len = as_json ? json_line(line, sizeof line, word, message)
+                      : snprintf(line, sizeof line, "%s node=%s %s\n", word, node_name,
+                                 message);
     if (len >= (int)sizeof line) {
         len = sizeof line - 1;
         line[len - 1] = '\n';
@@ -43,6 +96,7 @@
         lmn_log_level = LMN_LOG_ERROR;
     else if (level && !strcmp(level, "debug"))
         lmn_log_level = LMN_LOG_DEBUG;
+    as_json = !g_strcmp0(g_getenv("LOG_FORMAT"), "json");
     g_strlcpy(node_name, node, sizeof node_name);
     g_log_set_writer_func(writer, NULL, NULL);
 }
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -7,8 +7,8 @@
 
 extern enum lmn_log_level lmn_log_level;
 
-/* Reads LOG_LEVEL (error, info, debug; info if unset) and takes over GLib's log writer.
- */
+/* Reads LOG_LEVEL (error, info, debug; info if unset) and LOG_FORMAT (text, json: an
+ * object a line), and takes over GLib's log writer. */
 void lmn_log_init(const char *node);
 void lmn_log_write(enum lmn_log_level level, const char *fmt, ...)
     __attribute__((format(printf, 2, 3)));
--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -7,8 +7,8 @@
     g_string_append_printf(out, "# TYPE %s %s\n# HELP %s %s\n", name, kind, name, help);
 }
 
-void lmn_metric_sample(GString *out, const char *name, const char *label, const char *value,
-                       double sample)
+void lmn_metric_sample(GString *out, const char *name, const char *label,
+                       const char *value, double sample)
 {
     g_string_append(out, name);
     if (label) {
@@ -38,7 +38,8 @@
     g_string_append_printf(out, "%s_total %" G_GUINT64_FORMAT "\n", name, value);
 }
 
-void lmn_quantiles(GString *out, const char *name, const char *help, const struct lmn_latency *l)
+void lmn_quantiles(GString *out, const char *name, const char *help,
+                   const struct lmn_latency *l)
 {
     static const char *const shares[] = {"0.5", "0.95", "0.99"};
 
@@ -49,7 +50,8 @@
     g_string_append_printf(out, "%s_count %.0f\n", name, gsl_histogram_sum(l->h));
 }
 
-void lmn_metrics_answer(struct lmn_call *call, void (*fill)(void *arg, GString *out), void *arg)
+void lmn_metrics_answer(struct lmn_call *call, void (*fill)(void *arg, GString *out),
+                        void *arg)
 {
     GString *s = g_string_new(NULL);
 
@@ -57,5 +59,6 @@
     g_string_append(s, "# EOF\n");
     gsize len = s->len;
     GByteArray *b = g_byte_array_new_take((guint8 *)g_string_free(s, FALSE), len);
-    lmn_call_answer_as(call, 200, "application/openmetrics-text; version=1.0.0; charset=utf-8", b);
+    lmn_call_answer_as(call, 200,
+                       "application/openmetrics-text; version=1.0.0; charset=utf-8", b);
 }
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -1,5 +1,5 @@
-/* Metrics as OpenMetrics text. Debian packages a client library for C++ only; the text form is small
- * enough to write with GLib's strings. */
+/* Metrics as OpenMetrics text. Debian packages a client library for C++ only; the text
+ * form is small enough to write with GLib's strings. */
 #ifndef LMN_METRICS_H
 #define LMN_METRICS_H
 
@@ -10,13 +10,15 @@
 void lmn_gauge(GString *out, const char *name, const char *help, double value);
 void lmn_counter(GString *out, const char *name, const char *help, uint64_t value);
 /* A summary: quantiles 0.5, 0.95, 0.99 and the number of observations. */
-void lmn_quantiles(GString *out, const char *name, const char *help, const struct lmn_latency *l);
-/* A metric with labels: its head once, then a sample for each. kind: "gauge" or "counter". label's
- * value is escaped; suffix is "_total" for counters. */
+void lmn_quantiles(GString *out, const char *name, const char *help,
+                   const struct lmn_latency *l);
+/* A metric with labels: its head once, then a sample for each. kind: "gauge" or
+ * "counter". label's value is escaped; suffix is "_total" for counters. */
 void lmn_metric_head(GString *out, const char *name, const char *kind, const char *help);
-void lmn_metric_sample(GString *out, const char *name, const char *label, const char *value,
-                       double sample);
+void lmn_metric_sample(GString *out, const char *name, const char *label,
+                       const char *value, double sample);
 /* Answers GET /metrics with what fill appends. */
-void lmn_metrics_answer(struct lmn_call *call, void (*fill)(void *arg, GString *out), void *arg);
+void lmn_metrics_answer(struct lmn_call *call, void (*fill)(void *arg, GString *out),
+                        void *arg);
 
 #endif
--- a/src/base/wire.h
+++ b/src/base/wire.h
@@ -54,6 +54,7 @@
 #define W_SAVING "saving"
 #define W_ENDED "ended"
 #define W_STOPPED "stopped"
+#define W_SAVED "Saved"
 #define W_FAILED "error"
 #define W_NO_ROOM "no_room"
 #define W_BUSY "busy"
--- a/src/cli/cli.c
+++ b/src/cli/cli.c
@@ -1,4 +1,5 @@
 #include "cli/cli.h"
+#include "base/proc.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -9,10 +10,12 @@
     {"job", "submit|show|list|watch|cancel|logs", "work", lmn_cmd_job},
     {"image", "put|list", "directories that tasks are given", lmn_cmd_image},
     {"controller", "--config FILE", "a controller", lmn_cmd_controller},
-    {"state", "--data DIR | backup|restore|check|dump", "the state service", lmn_cmd_state},
+    {"state", "--data DIR | backup|restore|check|dump", "the state service",
+     lmn_cmd_state},
     {"fleet", "--config FILE", "machines, and the depot", lmn_cmd_fleet},
     {"worker", "--config FILE", "the agent of one machine", lmn_cmd_worker},
-    {"admin", "ADDRESS status|get|set|drain", "a controller's administration", lmn_cmd_admin},
+    {"admin", "ADDRESS status|get|set|drain", "a controller's administration",
+     lmn_cmd_admin},
     {"completion", "bash", "a completion script for a shell", lmn_cmd_completion},
     {0},
 };
@@ -44,7 +47,8 @@
     g_option_context_set_strict_posix(ctx, strict);
     bool ok = g_option_context_parse(ctx, argc, argv, &error);
     if (!ok)
-        fprintf(stderr, "lemonspar: %s; '%s --help' tells more\n", error->message, (*argv)[0]);
+        fprintf(stderr, "lemonspar: %s; '%s --help' tells more\n", error->message,
+                (*argv)[0]);
     g_clear_error(&error);
     g_option_context_free(ctx);
     if (ok && *argc > 1 && !strcmp((*argv)[1], "--")) {
@@ -59,8 +63,11 @@
     fprintf(to, "Usage: %s COMMAND ...\n\nCommands:\n", of);
     for (const struct lmn_subcommand *s = subs; s->name; s++)
         fprintf(to, "  %-11s %-42s %s\n", s->name, s->args, s->what);
-    fprintf(to, "\n'%s COMMAND --help' tells more. Exit status: 0 done, 1 failed or refused,\n"
-                "2 wrong arguments.\n", of);
+    fprintf(
+        to,
+        "\n'%s COMMAND --help' tells more. Exit status: 0 done, 1 failed or refused,\n"
+        "2 wrong arguments.\n",
+        of);
 }
 
 int lmn_cli_sub(const struct lmn_subcommand *subs, int argc, char **argv)
@@ -84,8 +91,10 @@
 
 int lmn_cmd_completion(int argc, char **argv)
 {
-    int rc = lmn_cli_parse(NULL, "bash", "Prints a completion script: "
-                           "source <(lemonspar completion bash)", NULL, false, &argc, &argv);
+    int rc = lmn_cli_parse(NULL, "bash",
+                           "Prints a completion script: "
+                           "source <(lemonspar completion bash)",
+                           NULL, false, &argc, &argv);
     if (rc)
         return rc;
     if (argc != 2 || strcmp(argv[1], "bash"))
@@ -93,21 +102,26 @@
     printf("_lemonspar() {\n    local words=\"");
     for (const struct lmn_subcommand *s = commands; s->name; s++)
         printf("%s ", s->name);
-    printf("\"\n    if [ \"$COMP_CWORD\" -ge 2 ]; then\n        case \"${COMP_WORDS[1]}\" in\n"
-           "        site) words=\"up down status check --config\" ;;\n"
-           "        job) words=\"submit show list watch cancel logs --team --tasks --cpus --json\" ;;\n"
-           "        state) words=\"backup restore check dump --data --listen --config\" ;;\n"
-           "        image) words=\"put list\" ;;\n"
-           "        admin) words=\"status get set drain\" ;;\n"
-           "        *) words=\"--config --help\" ;;\n        esac\n    fi\n"
-           "    mapfile -t COMPREPLY < <(compgen -W \"$words\" -- \"${COMP_WORDS[COMP_CWORD]}\")\n"
-           "    [ ${#COMPREPLY[@]} -gt 0 ] || mapfile -t COMPREPLY < <(compgen -f -- "
-           "\"${COMP_WORDS[COMP_CWORD]}\")\n}\ncomplete -F _lemonspar lemonspar\n");
+    printf(
+        "\"\n    if [ \"$COMP_CWORD\" -ge 2 ]; then\n        case \"${COMP_WORDS[1]}\" "
+        "in\n"
+        "        site) words=\"up down status check --config\" ;;\n"
+        "        job) words=\"submit show list watch cancel logs --team --tasks --cpus "
+        "--json\" ;;\n"
+        "        state) words=\"backup restore check dump --data --listen --config\" ;;\n"
+        "        image) words=\"put list\" ;;\n"
+        "        admin) words=\"status get set drain\" ;;\n"
+        "        *) words=\"--config --help\" ;;\n        esac\n    fi\n"
+        "    mapfile -t COMPREPLY < <(compgen -W \"$words\" -- "
+        "\"${COMP_WORDS[COMP_CWORD]}\")\n"
+        "    [ ${#COMPREPLY[@]} -gt 0 ] || mapfile -t COMPREPLY < <(compgen -f -- "
+        "\"${COMP_WORDS[COMP_CWORD]}\")\n}\ncomplete -F _lemonspar lemonspar\n");
     return LMN_EXIT_OK;
 }
 
 int lmn_cli_main(int argc, char **argv)
 {
+    lmn_lock_keep();
     /* The platform's way to start a controller: options and no command. */
     if (argc >= 2 && argv[1][0] == '-') {
         if (!strcmp(argv[1], "--version")) {
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -1,5 +1,6 @@
-/* The program's commands. Each parses its own arguments by GLib's options and returns the process's
- * exit status: 0 done, 1 failed or refused, 2 wrong arguments; job watch says more (cli/job.c). */
+/* The program's commands. Each parses its own arguments by GLib's options and returns the
+ * process's exit status: 0 done, 1 failed or refused, 2 wrong arguments; job watch says
+ * more (cli/job.c). */
 #ifndef LMN_CLI_H
 #define LMN_CLI_H
 
@@ -23,9 +24,11 @@
 
 /* --- for the commands --- */
 
-/* Parses options; what is left stands in argv[1..*argc-1]. On failure says why and returns 2, after
- * --help 0 is never returned to: it prints and exits. summary: one line; more: may be NULL. strict:
- * options end at the first argument that is none (for commands that carry others). */
+/* Parses options; what is left stands in argv[1..*argc-1]. On failure says why and
+ * returns 2, after
+ * --help 0 is never returned to: it prints and exits. summary: one line; more: may be
+ * NULL. strict: options end at the first argument that is none (for commands that carry
+ * others). */
 int lmn_cli_parse(const GOptionEntry *entries, const char *args, const char *summary,
                   const char *more, bool strict, int *argc, char ***argv);
 /* Says "lemonspar: ..." on standard error and returns the status. */
--- a/src/cli/controller.c
+++ b/src/cli/controller.c
@@ -11,12 +11,15 @@
     static struct lmn_settings settings;
     char *config = NULL, *check = NULL, err[512];
     const GOptionEntry entries[] = {
-        {"config", 'c', 0, G_OPTION_ARG_FILENAME, &config, "Run with the settings in FILE", "FILE"},
-        {"check", 0, 0, G_OPTION_ARG_FILENAME, &check, "Only check the settings in FILE", "FILE"},
+        {"config", 'c', 0, G_OPTION_ARG_FILENAME, &config,
+         "Run with the settings in FILE", "FILE"},
+        {"check", 0, 0, G_OPTION_ARG_FILENAME, &check, "Only check the settings in FILE",
+         "FILE"},
         G_OPTION_ENTRY_NULL,
     };
-    int rc = lmn_cli_parse(entries, NULL, "Runs one controller. LOG_LEVEL: error, info, debug.",
-                           NULL, false, &argc, &argv);
+    int rc = lmn_cli_parse(entries, NULL,
+                           "Runs one controller. LOG_LEVEL: error, info, debug.", NULL,
+                           false, &argc, &argv);
 
     if (rc)
         return rc;
@@ -35,8 +38,8 @@
 int lmn_cmd_admin(int argc, char **argv)
 {
     int rc = lmn_cli_parse(NULL, "ADDRESS status | get | set NAME VALUE | drain MACHINE",
-                           "Administers a controller. ADDRESS: its internal_addr.", NULL, true,
-                           &argc, &argv);
+                           "Administers a controller. ADDRESS: its internal_addr.", NULL,
+                           true, &argc, &argv);
 
     if (rc)
         return rc;
--- /dev/null
+++ b/src/cli/fleet.c
@@ -0,0 +1,120 @@
+/* lemonspar fleet and lemonspar worker. */
+#include "cli/cli.h"
+#include "base/conf.h"
+#include "base/log.h"
+#include "base/thread.h"
+#include "depot/depot.h"
+#include "fleet/slot.h"
+#include "fleet/static.h"
+
+#include <curl/curl.h>
+#include <errno.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+struct fleet_options {
+    char listen[LMN_ADDR], data[512], inventory[512];
+    double rps;
+    struct lmn_local_options local;
+};
+
+static int load(const char *path, struct fleet_options *o, char *err, size_t len)
+{
+    struct lmn_conf *c = lmn_conf_load(path, err, len);
+
+    if (!c)
+        return -1;
+    g_strlcpy(o->listen, lmn_conf_addr(c, "listen", "127.0.0.1:8443"), sizeof o->listen);
+    g_strlcpy(o->data, lmn_conf_text(c, "data", NULL), sizeof o->data);
+    g_strlcpy(o->inventory, lmn_conf_text(c, "inventory", NULL), sizeof o->inventory);
+    o->rps = lmn_conf_number(c, "rps", 0, 0, 1e6);
+    lmn_local_read(c, &o->local);
+    g_snprintf(o->local.dir, sizeof o->local.dir, "%s/machines", o->data);
+    int rc = lmn_conf_end(c, err, len);
+    lmn_conf_free(c);
+    return rc;
+}
+
+int lmn_cmd_fleet(int argc, char **argv)
+{
+    static struct fleet_options o;
+    static struct lmn_inventory v;
+    char *config = NULL, *check = NULL, err[512];
+    const GOptionEntry entries[] = {
+        {"config", 'c', 0, G_OPTION_ARG_FILENAME, &config, "Settings", "FILE"},
+        {"check", 0, 0, G_OPTION_ARG_FILENAME, &check, "Only check an inventory", "FILE"},
+        G_OPTION_ENTRY_NULL,
+    };
+    int rc = lmn_cli_parse(
+        entries, NULL,
+        "Rents out the machines of an inventory, and keeps the site's depot.",
+        "See docs/fleet.md for the files.", false, &argc, &argv);
+
+    if (rc)
+        return rc;
+    if (argc > 1 || (!config && !check))
+        return lmn_cli_fail(LMN_EXIT_USAGE,
+                            "fleet: expected --config FILE or --check FILE");
+    if (check) {
+        if (lmn_inventory_load(check, &v, err, sizeof err) != 0)
+            return lmn_cli_fail(LMN_EXIT_FAILED, "%s", err);
+        printf("%s: good: %u types, %u pools, %u machines\n", check, v.ntypes, v.npools,
+               v.nslots);
+        return LMN_EXIT_OK;
+    }
+    if (load(config, &o, err, sizeof err) != 0 ||
+        lmn_inventory_load(o.inventory, &v, err, sizeof err) != 0)
+        return lmn_cli_fail(LMN_EXIT_FAILED, "%s", err);
+    lmn_log_init("fleet");
+    signal(SIGPIPE, SIG_IGN);
+    char *db = g_build_filename(o.data, "fleet", NULL),
+         *depot = g_build_filename(o.data, "depot", NULL);
+    struct lmn_static *s = lmn_static_new(&v, &o.local, db, err, sizeof err);
+    if (!s || !lmn_depot_start(depot, o.local.worker.depot, err, sizeof err))
+        return lmn_cli_fail(LMN_EXIT_FAILED, "%s", err);
+    if (!lmn_cloud_serve(o.listen, o.rps, &lmn_static_ops, s))
+        return lmn_cli_fail(LMN_EXIT_FAILED, "%s: can't listen: %s", o.listen,
+                            strerror(errno));
+    lmn_static_thread(s);
+    return LMN_EXIT_FAILED;
+}
+
+int lmn_cmd_worker(int argc, char **argv)
+{
+    static struct lmn_worker_options o;
+    static struct lmn_slot_options slot;
+    char *config = NULL, *as_slot = NULL, err[512] = "";
+    const GOptionEntry entries[] = {
+        {"config", 'c', 0, G_OPTION_ARG_FILENAME, &config,
+         "Settings of one rented machine", "FILE"},
+        {"slot", 0, 0, G_OPTION_ARG_FILENAME, &as_slot,
+         "Settings of a machine of the inventory: registers with the fleet", "FILE"},
+        G_OPTION_ENTRY_NULL,
+    };
+    int rc = lmn_cli_parse(
+        entries, NULL, "Runs the agent of one machine.",
+        "The fleet starts the agents of its own host. On other hosts operators "
+        "start\n'lemonspar worker --slot FILE'. See docs/worker.md.",
+        false, &argc, &argv);
+
+    if (rc)
+        return rc;
+    if (argc > 1 || !config == !as_slot)
+        return lmn_cli_fail(LMN_EXIT_USAGE,
+                            "worker: expected --config FILE or --slot FILE");
+    if (as_slot) {
+        if (lmn_slot_load(as_slot, &slot, err, sizeof err) != 0)
+            return lmn_cli_fail(LMN_EXIT_FAILED, "%s", err);
+        lmn_log_init(slot.name);
+        signal(SIGPIPE, SIG_IGN);
+        lmn_slot_run(&slot);
+        return LMN_EXIT_OK;
+    }
+    if (lmn_worker_load(config, &o, err, sizeof err) != 0)
+        return lmn_cli_fail(LMN_EXIT_FAILED, "%s", err);
+    lmn_log_init(o.name);
+    lmn_worker_run(&o, err, sizeof err);
+    return lmn_cli_fail(LMN_EXIT_FAILED, "%s", err);
+}
--- a/src/cli/state.c
+++ b/src/cli/state.c
@@ -11,7 +11,8 @@
 #include <string.h>
 #include <unistd.h>
 
-static int read_config(const char *path, struct lmn_store_options *o, char *err, size_t len)
+static int read_config(const char *path, struct lmn_store_options *o, char *err,
+                       size_t len)
 {
     struct lmn_conf *c = lmn_conf_load(path, err, len);
 
@@ -36,15 +37,21 @@
     char *config = NULL, *listen = NULL, *data = NULL, err[512];
     gboolean one_by_one = FALSE;
     const GOptionEntry entries[] = {
-        {"config", 'c', 0, G_OPTION_ARG_FILENAME, &config, "Settings; options go before", "FILE"},
-        {"listen", 0, 0, G_OPTION_ARG_STRING, &listen, "Where to serve (127.0.0.1:2379)", "ADDR"},
+        {"config", 'c', 0, G_OPTION_ARG_FILENAME, &config, "Settings; options go before",
+         "FILE"},
+        {"listen", 0, 0, G_OPTION_ARG_STRING, &listen, "Where to serve (127.0.0.1:2379)",
+         "ADDR"},
         {"data", 0, 0, G_OPTION_ARG_FILENAME, &data, "The database's directory", "DIR"},
-        {"map-gb", 0, 0, G_OPTION_ARG_DOUBLE, &o.map_gb, "Most that it may grow to (64)", "GB"},
-        {"rps", 0, 0, G_OPTION_ARG_DOUBLE, &o.rps, "Requests a second (0: any number)", "N"},
+        {"map-gb", 0, 0, G_OPTION_ARG_DOUBLE, &o.map_gb, "Most that it may grow to (64)",
+         "GB"},
+        {"rps", 0, 0, G_OPTION_ARG_DOUBLE, &o.rps, "Requests a second (0: any number)",
+         "N"},
         {"write-rps", 0, 0, G_OPTION_ARG_DOUBLE, &o.write_rps,
          "Puts and deletes a second (0: any number)", "N"},
-        {"value-kb", 0, 0, G_OPTION_ARG_DOUBLE, &o.value_kb, "KiB of a value, as JSON (16)", "N"},
-        {"txn-ops", 0, 0, G_OPTION_ARG_INT, &o.txn_ops, "Changes a transaction (48)", "N"},
+        {"value-kb", 0, 0, G_OPTION_ARG_DOUBLE, &o.value_kb,
+         "KiB of a value, as JSON (16)", "N"},
+        {"txn-ops", 0, 0, G_OPTION_ARG_INT, &o.txn_ops, "Changes a transaction (48)",
+         "N"},
         {"one-by-one", 0, 0, G_OPTION_ARG_NONE, &one_by_one,
          "A sync for each transaction (to measure by)", NULL},
         G_OPTION_ENTRY_NULL,
@@ -53,7 +60,8 @@
         "Commands: state backup FILE, restore FILE, check, dump, each with --data DIR.\n"
         "The database is one file in DIR; see docs/state.md.";
     int rc = lmn_cli_parse(entries, "| backup|restore|check|dump ...",
-                           "Serves the state service from a directory.", more, false, &argc, &argv);
+                           "Serves the state service from a directory.", more, false,
+                           &argc, &argv);
 
     if (rc)
         return rc;
@@ -77,8 +85,8 @@
         pause();
 }
 
-static int with_data(const char *args, const char *summary, int want, int *argc, char ***argv,
-                     char **data, gboolean *json)
+static int with_data(const char *args, const char *summary, int want, int *argc,
+                     char ***argv, char **data, gboolean *json)
 {
     const GOptionEntry entries[] = {
         {"data", 0, 0, G_OPTION_ARG_FILENAME, data, "The database's directory", "DIR"},
@@ -92,7 +100,8 @@
     if (!*data)
         return lmn_cli_fail(LMN_EXIT_USAGE, "--data is missing");
     if (*argc != want)
-        return lmn_cli_fail(LMN_EXIT_USAGE, "expected: %s %s", (*argv)[0], args ? args : "");
+        return lmn_cli_fail(LMN_EXIT_USAGE, "expected: %s %s", (*argv)[0],
+                            args ? args : "");
     return 0;
 }
 
@@ -100,8 +109,9 @@
 {
     char *data = NULL, err[512];
     gboolean json = FALSE;
-    int rc = with_data("FILE", "Copies the database into a new file, while it is served or not.", 2,
-                       &argc, &argv, &data, &json);
+    int rc = with_data("FILE",
+                       "Copies the database into a new file, while it is served or not.",
+                       2, &argc, &argv, &data, &json);
 
     if (rc)
         return rc;
@@ -115,8 +125,8 @@
 {
     char *data = NULL, err[512];
     gboolean json = FALSE;
-    int rc = with_data("FILE", "Makes a new directory's database from a backup.", 2, &argc, &argv,
-                       &data, &json);
+    int rc = with_data("FILE", "Makes a new directory's database from a backup.", 2,
+                       &argc, &argv, &data, &json);
 
     if (rc)
         return rc;
@@ -140,23 +150,25 @@
     struct lmn_db_meta meta;
     char *data = NULL;
     gboolean json = FALSE;
-    int rc = with_data(NULL, "Reads the whole database; says what is wrong and exits 1.", 1, &argc,
-                       &argv, &data, &json);
+    int rc = with_data(NULL, "Reads the whole database; says what is wrong and exits 1.",
+                       1, &argc, &argv, &data, &json);
 
     if (rc)
         return rc;
     json_t *list = json ? json_array() : NULL;
     unsigned n = lmn_db_check(data, say, list, &meta);
     if (json)
-        lmn_json_print(json_pack("{s:b, s:o, s:I, s:I}", "whole", n == 0, "wrong", list, "revision",
-                                 (json_int_t)meta.revision, "keys", (json_int_t)meta.count),
+        lmn_json_print(json_pack("{s:b, s:o, s:I, s:I}", "whole", n == 0, "wrong", list,
+                                 "revision", (json_int_t)meta.revision, "keys",
+                                 (json_int_t)meta.count),
                        true);
     else if (!n)
-        printf("%s: whole: %" G_GUINT64_FORMAT " keys, revision %" G_GUINT64_FORMAT "\n", data,
-               meta.count, meta.revision);
+        printf("%s: whole: %" G_GUINT64_FORMAT " keys, revision %" G_GUINT64_FORMAT "\n",
+               data, meta.count, meta.revision);
     else
-        fprintf(stderr, "%s: %u things are wrong; 'lemonspar state restore' takes a backup\n", data,
-                n);
+        fprintf(stderr,
+                "%s: %u things are wrong; 'lemonspar state restore' takes a backup\n",
+                data, n);
     return n ? LMN_EXIT_FAILED : LMN_EXIT_OK;
 }
 
@@ -165,7 +177,8 @@
     json_t *v = lmn_json_of_bytes(i->value, i->len);
     (void)arg;
     lmn_json_print(json_pack("{s:s, s:I, s:I, s:o*}", "key", i->key, "revision",
-                             (json_int_t)i->rev, "lease", (json_int_t)i->lease, "value", v),
+                             (json_int_t)i->rev, "lease", (json_int_t)i->lease, "value",
+                             v),
                    false);
     return true;
 }
@@ -190,8 +203,8 @@
     struct lmn_db_meta meta;
     char *data = NULL, err[512];
     gboolean json = FALSE;
-    int rc = with_data(NULL, "Prints every key: a sequence of CBOR maps, or JSON lines.", 1, &argc,
-                       &argv, &data, &json);
+    int rc = with_data(NULL, "Prints every key: a sequence of CBOR maps, or JSON lines.",
+                       1, &argc, &argv, &data, &json);
 
     if (rc)
         return rc;
@@ -206,7 +219,8 @@
     }
     lmn_db_reader_free(r);
     lmn_db_close(db);
-    return fflush(stdout) == 0 ? LMN_EXIT_OK : lmn_cli_fail(LMN_EXIT_FAILED, "dump: cannot write");
+    return fflush(stdout) == 0 ? LMN_EXIT_OK
+                               : lmn_cli_fail(LMN_EXIT_FAILED, "dump: cannot write");
 }
 
 int lmn_cmd_state(int argc, char **argv)
--- /dev/null
+++ b/src/cli/users.c
@@ -0,0 +1,115 @@
+#include "cli/users.h"
+#include "base/clock.h"
+#include "base/thread.h"
+#include "base/wire.h"
+
+#include <curl/curl.h>
+#include <stdio.h>
+#include <string.h>
+
+int lmn_users_open(struct lmn_users *u, const char *site, const char *controllers,
+                   const char *depot, char *err, size_t len)
+{
+    static struct lmn_site s;
+    char host[LMN_ADDR];
+    int port;
+
+    memset(u, 0, sizeof *u);
+    curl_global_init(CURL_GLOBAL_NOTHING);
+    if (!controllers) {
+        const char *file = site ? site : g_getenv("LEMONSPAR_SITE");
+        if (lmn_site_load(file ? file : "deploy/site.toml", &s, err, len) != 0)
+            return -1;
+        for (unsigned i = 0; i < s.controllers; i++)
+            u->controllers[u->n++] = lmn_http_new(s.users[i]);
+        u->depot = lmn_http_new(depot ? depot : s.depot);
+        return 0;
+    }
+    char **a = g_strsplit(controllers, ",", -1);
+    for (char **p = a; *p && u->n <= LMN_MAX_MEMBERS; p++) {
+        if (lmn_addr_split(*p, host, sizeof host, &port) != 0) {
+            g_snprintf(err, len, "--controllers: %s: expected IPv4:port", *p);
+            g_strfreev(a);
+            return -1;
+        }
+        u->controllers[u->n++] = lmn_http_new(*p);
+    }
+    g_strfreev(a);
+    if (depot)
+        u->depot = lmn_http_new(depot);
+    return 0;
+}
+
+void lmn_users_close(struct lmn_users *u)
+{
+    for (unsigned i = 0; i < u->n; i++)
+        lmn_http_free(u->controllers[i]);
+    if (u->depot)
+        lmn_http_free(u->depot);
+}
+
+static void read_state(const GByteArray *in, struct lmn_job_state *s)
+{
+    struct lmn_doc d;
+
+    memset(s, 0, sizeof *s);
+    if (!in->len || lmn_doc_parse(&d, in->data, in->len) != 0)
+        return;
+    const struct lmn_node *root = lmn_root(&d);
+    lmn_text(lmn_get(&d, root, W_ID), s->ref, sizeof s->ref);
+    if (!lmn_text(lmn_get(&d, root, W_STATE), s->state, sizeof s->state))
+        lmn_text(lmn_get(&d, root, "error"), s->state, sizeof s->state);
+    lmn_count(lmn_get(&d, root, W_DONE), &s->done);
+    lmn_count(lmn_get(&d, root, W_RUNNING), &s->running);
+    lmn_doc_free(&d);
+}
+
+static bool retried(int status)
+{
+    return status < 0 || status == 429 || status >= 500;
+}
+
+int lmn_users_call(struct lmn_users *u, const char *method, const char *path,
+                   const GByteArray *body, double seconds, struct lmn_job_state *s)
+{
+    struct timespec end = lmn_after(lmn_now(), seconds);
+    GByteArray *in = g_byte_array_new();
+    unsigned failed = 0;
+    int status;
+
+    for (;;) {
+        struct lmn_http *h = u->controllers[u->turn++ % u->n];
+        status = lmn_http_call(h, method, path, body, 5, in);
+        if (!retried(status))
+            break;
+        /* Nobody is there: the next one may be. All were asked: a pause. */
+        double wait = status == LMN_NOT_SENT ? 0.05 : MAX(1, lmn_http_retry_after(h));
+        if (++failed % u->n == 0)
+            wait = MAX(wait, 0.5 + 0.5 * g_random_double());
+        if (lmn_before(end, lmn_after(lmn_now(), wait)))
+            break;
+        lmn_sleep(MIN(wait, 30));
+    }
+    read_state(in, s);
+    g_byte_array_unref(in);
+    return status;
+}
+
+int lmn_users_work(struct lmn_users *u, const char *ref, struct lmn_work *w,
+                   struct lmn_depot_error *e)
+{
+    GByteArray *b = g_byte_array_new();
+    char digest[LMN_DIGEST];
+    const char *what;
+    int rc = lmn_depot_look(u->depot, LMN_DEPOT_JOB, ref, digest, e);
+
+    if (rc == 0)
+        rc = lmn_depot_get(u->depot, digest, b, e);
+    if (rc == 0 && lmn_work_read(w, b->data, b->len, &what) != 0) {
+        g_snprintf(e->what, sizeof e->what, "%s: its description can't be read: %s", ref,
+                   what);
+        rc = -1;
+    }
+    g_byte_array_unref(b);
+    return rc;
+}
--- /dev/null
+++ b/src/cli/users.h
@@ -0,0 +1,36 @@
+/* A user's calls to a site: to any of its controllers, repeated as the protocol says. */
+#ifndef LMN_USERS_H
+#define LMN_USERS_H
+
+#include "base/http_client.h"
+#include "depot/depot.h"
+#include "depot/work.h"
+#include "site/site.h"
+
+struct lmn_users {
+    unsigned n, turn;
+    struct lmn_http *controllers[LMN_MAX_MEMBERS + 1];
+    struct lmn_http *depot;
+};
+
+/* What a job's answer says. */
+struct lmn_job_state {
+    char ref[LMN_REF], state[16];
+    uint64_t done, running;
+};
+
+/* From a site's file, or, if controllers is given, from "A,B,C" and a depot's address. -1
+ * with err. */
+int lmn_users_open(struct lmn_users *u, const char *site, const char *controllers,
+                   const char *depot, char *err, size_t len);
+void lmn_users_close(struct lmn_users *u);
+/* A call, tried at one controller after the other for up to seconds, as long as the
+ * answers are such as are retried (429, 503, 504, none), no sooner than Retry-After says.
+ * The last status; the answer in *s, if it is a job's. */
+int lmn_users_call(struct lmn_users *u, const char *method, const char *path,
+                   const GByteArray *body, double seconds, struct lmn_job_state *s);
+/* A job's description from the depot. -1 with e. */
+int lmn_users_work(struct lmn_users *u, const char *ref, struct lmn_work *w,
+                   struct lmn_depot_error *e);
+
+#endif
--- /dev/null
+++ b/src/depot/depot.h
@@ -0,0 +1,48 @@
+/* The site's depot: what users upload and workers fetch. Blobs are named by their
+ * SHA-256, so that a blob never changes and a repeated upload does nothing; names point
+ * at blobs. Everything is on the disk before it is answered.
+ *
+ *   PUT /blobs/HEX            bytes whose SHA-256 is HEX: 201, 200 known, 400 if it is
+ * another GET /blobs/HEX            (?Stat=1: only whether it is there) PUT
+ * /names/KIND/NAME      the digest, as text; "job" is written once: 409 if it is another
+ *   GET /names/KIND/NAME      the digest
+ *   GET /names/KIND           {"Names": [...]}, sorted
+ *   PUT /logs/JOB/NAME        output of an attempt, replaced as it grows
+ *   GET /logs/JOB/NAME, GET /logs/JOB
+ */
+#ifndef LMN_DEPOT_H
+#define LMN_DEPOT_H
+
+#include "base/http_client.h"
+#include "base/httpd.h"
+
+enum { LMN_BLOB_MAX = 8 << 20, LMN_DIGEST = 65 };
+
+#define LMN_DEPOT_JOB "job"
+#define LMN_DEPOT_IMAGE "image"
+/* The image that is nothing at all. */
+#define LMN_NO_IMAGE "none"
+
+/* Serves dir at the address; NULL with err. Serves until the process ends. */
+struct lmn_httpd *lmn_depot_start(const char *dir, const char *listen, char *err,
+                                  size_t len);
+
+/* --- its client: each returns 0, or -1 with err ("what: why") and, where the other side
+ * answered, its status in *status (else 0) --- */
+struct lmn_depot_error {
+    int status;
+    char what[256];
+};
+/* The hex SHA-256 of the bytes; digest: LMN_DIGEST bytes. */
+void lmn_digest(const void *bytes, size_t len, char *digest);
+int lmn_depot_put(struct lmn_http *h, const GByteArray *blob, char *digest,
+                  struct lmn_depot_error *e);
+/* Checks what it got against the digest. */
+int lmn_depot_get(struct lmn_http *h, const char *digest, GByteArray *blob,
+                  struct lmn_depot_error *e);
+int lmn_depot_name(struct lmn_http *h, const char *kind, const char *name,
+                   const char *digest, struct lmn_depot_error *e);
+int lmn_depot_look(struct lmn_http *h, const char *kind, const char *name, char *digest,
+                   struct lmn_depot_error *e);
+
+#endif
--- /dev/null
+++ b/src/depot/serve.c
@@ -0,0 +1,207 @@
+#include "base/log.h"
+#include "base/proc.h"
+#include "depot/depot.h"
+#include "depot/image.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/stat.h>
+
+struct depot {
+    char *dir;
+    uint64_t puts, gets, missing;
+};
+
+static bool digest_ok(const char *s)
+{
+    return strlen(s) == LMN_DIGEST - 1 && strspn(s, "0123456789abcdef") == LMN_DIGEST - 1;
+}
+
+static char *blob_path(const struct depot *d, const char *digest)
+{
+    return g_strdup_printf("%s/blobs/%.2s/%s", d->dir, digest, digest);
+}
+
+static int store(const char *path, const void *bytes, size_t len)
+{
+    char *dir = g_path_get_dirname(path);
+    int rc = g_mkdir_with_parents(dir, 0755);
+
+    g_free(dir);
+    return rc == 0 ? lmn_file_put(path, bytes, len) : -1;
+}
+
+static void answer_stored(struct lmn_call *call, int rc, int status)
+{
+    if (rc == 0) {
+        lmn_call_answer(call, status, NULL, 0);
+        return;
+    }
+    lmn_error("depot-write-failed error=\"%s\"", strerror(errno));
+    lmn_call_answer(call, 503, NULL, 2);
+}
+
+static void answer_file(struct depot *d, struct lmn_call *call, const char *path)
+{
+    char *bytes = NULL;
+    gsize n = 0;
+
+    d->gets++;
+    if (!g_file_get_contents(path, &bytes, &n, NULL)) {
+        d->missing++;
+        lmn_call_answer(call, 404, NULL, 0);
+        return;
+    }
+    lmn_call_answer_as(call, 200, "application/octet-stream",
+                       g_byte_array_new_take((guint8 *)bytes, n));
+}
+
+static void blob(struct depot *d, struct lmn_call *call, const char *digest)
+{
+    const GByteArray *body = lmn_call_body(call);
+    char is[LMN_DIGEST];
+
+    if (!digest_ok(digest)) {
+        lmn_call_fail(call, 400, "a digest is 64 digits of hexadecimal");
+        return;
+    }
+    char *path = blob_path(d, digest);
+    bool there = g_file_test(path, G_FILE_TEST_IS_REGULAR);
+    if (lmn_call_method(call) == LMN_GET && lmn_call_query(call, "Stat")) {
+        lmn_call_answer(call, there ? 200 : 404, NULL, 0);
+    } else if (lmn_call_method(call) == LMN_GET) {
+        answer_file(d, call, path);
+    } else if (lmn_call_method(call) == LMN_PUT) {
+        lmn_digest(body->data, body->len, is);
+        d->puts++;
+        if (strcmp(is, digest))
+            lmn_call_fail(call, 400, "the bytes have another digest");
+        else if (there)
+            lmn_call_answer(call, 200, NULL, 0);
+        else
+            answer_stored(call, store(path, body->data, body->len), 201);
+    } else {
+        lmn_call_answer(call, 405, NULL, 0);
+    }
+    g_free(path);
+}
+
+static gint by_name(gconstpointer a, gconstpointer b)
+{
+    return strcmp(*(char *const *)a, *(char *const *)b);
+}
+
+static void listing(struct lmn_call *call, const char *path)
+{
+    GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+    GDir *dir = g_dir_open(path, 0, NULL);
+    GByteArray *b = g_byte_array_new();
+    const char *name;
+
+    while (dir && (name = g_dir_read_name(dir)))
+        if (!strstr(name, ".tmp-"))
+            g_ptr_array_add(names, g_strdup(name));
+    if (dir)
+        g_dir_close(dir);
+    g_ptr_array_sort(names, by_name);
+    lmn_put_map(b, 1);
+    lmn_put_text(b, "Names"), lmn_put_list(b, names->len);
+    for (guint i = 0; i < names->len; i++)
+        lmn_put_text(b, names->pdata[i]);
+    g_ptr_array_free(names, TRUE);
+    lmn_call_answer(call, 200, b, 0);
+}
+
+/* A file's whole text is the bytes. */
+static bool holds(const char *path, const GByteArray *bytes)
+{
+    char *text = NULL;
+    gsize n = 0;
+    bool same = g_file_get_contents(path, &text, &n, NULL) && n == bytes->len &&
+                !memcmp(text, bytes->data, n);
+    g_free(text);
+    return same;
+}
+
+static void put_name(struct depot *d, struct lmn_call *call, const char *kind,
+                     const char *path)
+{
+    const GByteArray *body = lmn_call_body(call);
+    char digest[LMN_DIGEST] = "";
+    bool there = g_file_test(path, G_FILE_TEST_IS_REGULAR);
+
+    if (body->len == LMN_DIGEST - 1)
+        memcpy(digest, body->data, LMN_DIGEST - 1);
+    if (!digest_ok(digest)) {
+        lmn_call_fail(call, 400, "a name points at a digest");
+        return;
+    }
+    char *to = blob_path(d, digest);
+    bool known = g_file_test(to, G_FILE_TEST_IS_REGULAR);
+    g_free(to);
+    if (!known)
+        lmn_call_fail(call, 400, "there is no such blob yet");
+    else if (there && holds(path, body))
+        lmn_call_answer(call, 200, NULL, 0);
+    else if (there && !strcmp(kind, LMN_DEPOT_JOB))
+        lmn_call_fail(call, 409, "the job has another description");
+    else
+        answer_stored(call, store(path, body->data, body->len), 201);
+}
+
+static void route(void *arg, struct lmn_call *call)
+{
+    struct depot *d = arg;
+    char **p = g_strsplit(lmn_call_path(call) + 1, "/", 4);
+    guint n = g_strv_length(p);
+    bool names = n >= 2 && !strcmp(p[0], "names"), logs = n >= 2 && !strcmp(p[0], "logs");
+    bool get = lmn_call_method(call) == LMN_GET, put = lmn_call_method(call) == LMN_PUT;
+
+    if (n == 2 && !strcmp(p[0], "blobs")) {
+        blob(d, call, p[1]);
+    } else if (n == 1 && !strcmp(p[0], "ready")) {
+        lmn_call_answer(call, 200, NULL, 0);
+    } else if ((names || logs) && lmn_image_name_ok(p[1]) &&
+               (n == 2 || (n == 3 && lmn_image_name_ok(p[2])))) {
+        char *path = g_strjoin("/", d->dir, p[0], p[1], p[2], NULL);
+        if (n == 2 && get)
+            listing(call, path);
+        else if (n == 3 && get)
+            answer_file(d, call, path);
+        else if (n == 3 && put && names)
+            put_name(d, call, p[1], path);
+        else if (n == 3 && put)
+            answer_stored(
+                call, store(path, lmn_call_body(call)->data, lmn_call_body(call)->len),
+                200);
+        else
+            lmn_call_answer(call, 405, NULL, 0);
+        g_free(path);
+    } else {
+        lmn_call_fail(call, names || logs ? 400 : 404,
+                      "no such path, or a name that can't be one");
+    }
+    g_strfreev(p);
+}
+
+struct lmn_httpd *lmn_depot_start(const char *dir, const char *listen, char *err,
+                                  size_t len)
+{
+    struct depot *d = g_new0(struct depot, 1);
+    const struct lmn_httpd_options o = {.listen = listen,
+                                        .connections = 4096,
+                                        .max_body = LMN_BLOB_MAX,
+                                        .route = route,
+                                        .arg = d};
+
+    d->dir = g_strdup(dir);
+    if (g_mkdir_with_parents(dir, 0755) != 0) {
+        g_snprintf(err, len, "%s: %s", dir, strerror(errno));
+        return NULL;
+    }
+    struct lmn_httpd *h = lmn_httpd_start(&o);
+    if (!h)
+        g_snprintf(err, len, "%s: can't listen: %s", listen, strerror(errno));
+    return h;
+}
--- /dev/null
+++ b/src/depot/work.c
@@ -0,0 +1,74 @@
+#include "depot/work.h"
+
+#include <string.h>
+
+enum { MAX_TEXTS = 4096 };
+
+static void put_texts(GByteArray *b, const char *key, char **v)
+{
+    guint n = v ? g_strv_length(v) : 0;
+
+    lmn_put_text(b, key), lmn_put_list(b, n);
+    for (guint i = 0; i < n; i++)
+        lmn_put_text(b, v[i]);
+}
+
+GByteArray *lmn_work_put(const struct lmn_work *w)
+{
+    GByteArray *b = g_byte_array_new();
+
+    lmn_put_map(b, 3);
+    put_texts(b, "Command", w->argv);
+    put_texts(b, "Environment", w->env);
+    lmn_put_text(b, "Job"), lmn_put_map(b, lmn_spec_pairs());
+    lmn_spec_put(b, &w->spec);
+    return b;
+}
+
+static char **read_texts(const struct lmn_doc *d, const struct lmn_node *list)
+{
+    if (!list || list->type != LMN_LIST || list->len > MAX_TEXTS)
+        return NULL;
+    char **v = g_new0(char *, list->len + 1);
+    guint k = 0;
+    for (const struct lmn_node *n = lmn_child(d, list); n; n = lmn_next(d, n)) {
+        if (n->type != LMN_TEXT || memchr(n->s, '\0', n->len)) {
+            g_strfreev(v);
+            return NULL;
+        }
+        v[k++] = g_strndup(n->s, n->len);
+    }
+    return v;
+}
+
+int lmn_work_read(struct lmn_work *w, const void *bytes, size_t len, const char **what)
+{
+    struct lmn_doc d;
+
+    memset(w, 0, sizeof *w);
+    *what = "not CBOR";
+    if (lmn_doc_parse(&d, bytes, len) != 0)
+        return -1;
+    const struct lmn_node *root = lmn_root(&d);
+    int rc = -1;
+    *what = "Command";
+    w->argv = read_texts(&d, lmn_get(&d, root, "Command"));
+    if (w->argv && w->argv[0]) {
+        *what = "Environment";
+        w->env = read_texts(&d, lmn_get(&d, root, "Environment"));
+        if (w->env)
+            rc = lmn_spec_parse(&w->spec, &d, lmn_get(&d, root, "Job"), what);
+    }
+    if (rc != 0)
+        lmn_work_clear(w);
+    lmn_doc_free(&d);
+    return rc;
+}
+
+void lmn_work_clear(struct lmn_work *w)
+{
+    lmn_spec_clear(&w->spec);
+    g_strfreev(w->argv);
+    g_strfreev(w->env);
+    memset(w, 0, sizeof *w);
+}
--- /dev/null
+++ b/src/depot/work.h
@@ -0,0 +1,19 @@
+/* What a job's tasks run: uploaded by the submitter, fetched by each worker itself. */
+#ifndef LMN_WORK_H
+#define LMN_WORK_H
+
+#include "base/job.h"
+
+struct lmn_work {
+    struct lmn_spec spec;
+    char **argv; /* the command and its arguments */
+    char **env;  /* "NAME=value" */
+};
+
+/* A description's bytes, the same for the same work. */
+GByteArray *lmn_work_put(const struct lmn_work *w);
+/* 0, or -1 with the field that is wrong in *what; clears what it took on failure. */
+int lmn_work_read(struct lmn_work *w, const void *bytes, size_t len, const char **what);
+void lmn_work_clear(struct lmn_work *w);
+
+#endif
--- /dev/null
+++ b/src/fleet/cloud.h
@@ -0,0 +1,47 @@
+/* The cloud's side of the published protocol, over whatever rents out machines: a static
+ * fleet (fleet/static.h) or an emulated one (emulate/cloud.h). */
+#ifndef LMN_FLEET_CLOUD_H
+#define LMN_FLEET_CLOUD_H
+
+#include "base/httpd.h"
+#include "base/job.h"
+
+#include <time.h>
+
+enum { LMN_RENT_MOST = 50, LMN_RETURN_MOST = 100, LMN_LIST_MOST = 500 };
+
+struct lmn_rent {
+    char request[200], type[LMN_NAME], zone[LMN_NAME];
+    bool spot;
+    unsigned count;
+};
+
+struct lmn_rented {
+    char name[LMN_NAME], addr[LMN_ADDR], type[LMN_NAME], zone[LMN_NAME];
+    bool spot;
+    const char *state; /* one of the protocol's words */
+    double age_s;
+};
+
+/* Ops may be called from several threads, and may wait. */
+struct lmn_cloud_ops {
+    /* The current types, with current prices. */
+    void (*types)(void *arg, void (*each)(void *to, const struct lmn_type *t), void *to);
+    /* HTTP status: 200 with names (strings of the caller's to free), 400, 503. */
+    int (*rent)(void *arg, const struct lmn_rent *q, GPtrArray *names);
+    /* 200: they and everything on them are gone; 503. */
+    int (*give_back)(void *arg, char *const *names, unsigned n);
+    /* In the order of names, after the name, until each returns false. */
+    void (*list)(void *arg, const char *after,
+                 bool (*each)(void *to, const struct lmn_rented *m), void *to);
+    void (*metrics)(void *arg, GString *out);
+    /* Any other path; false: not known. May be NULL. */
+    bool (*other)(void *arg, struct lmn_call *call);
+};
+
+/* Serves it: more than rps requests a second (bursts of two seconds' worth) are answered
+ * 429; 0: no limit. NULL if it can't listen. Serves until the process ends. */
+struct lmn_httpd *lmn_cloud_serve(const char *listen, double rps,
+                                  const struct lmn_cloud_ops *ops, void *arg);
+
+#endif
--- /dev/null
+++ b/src/fleet/local.h
@@ -0,0 +1,43 @@
+/* Machines that are agents on this host: each a process of its own, with a directory of
+ * its own. */
+#ifndef LMN_LOCAL_H
+#define LMN_LOCAL_H
+
+#include "agent/run.h"
+
+/* The settings that all agents of a host share. */
+struct lmn_local_options {
+    struct lmn_worker_options
+        worker;    /* name, zone, type, spot and dir are filled in for each */
+    char dir[512]; /* machines' directories lie in it */
+};
+
+/* Reads what a fleet's or a slot's settings file says of its agents: depot, checkpoints,
+ * report_s, lease_s, log_kb, address, controllers. */
+struct lmn_conf;
+void lmn_local_read(struct lmn_conf *c, struct lmn_local_options *o);
+
+/* Starts the machine's agent if none runs: writes its settings, spawns it. 0, or -1 with
+ * err. */
+int lmn_local_start(const struct lmn_local_options *o, const char *name,
+                    const struct lmn_type *type, const char *zone, bool spot, char *err,
+                    size_t len);
+/* Whether its agent runs, and its address ("" if it has not said). */
+bool lmn_local_up(const struct lmn_local_options *o, const char *name, char *addr);
+/* Ends it, and everything on it; its directory goes. False if something lives on after
+ * seconds. */
+bool lmn_local_end(const struct lmn_local_options *o, const char *name, double seconds);
+
+/* How long to wait before an agent that ended is started again: doubles, reset by a good
+ * while up. */
+struct lmn_backoff {
+    double wait_s;
+    unsigned deaths; /* in a row */
+    struct timespec started, next;
+};
+/* It has just been started. */
+void lmn_backoff_started(struct lmn_backoff *b, struct timespec now);
+/* It was found ended; true once it is time to start it. */
+bool lmn_backoff_due(struct lmn_backoff *b, struct timespec now);
+
+#endif
--- /dev/null
+++ b/src/fleet/serve.c
@@ -0,0 +1,258 @@
+#include "base/budget.h"
+#include "base/log.h"
+#include "base/metrics.h"
+#include "base/thread.h"
+#include "base/wire.h"
+#include "fleet/cloud.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum { MAX_BODY = 64 * 1024, HANDS = 4 };
+
+struct front {
+    const struct lmn_cloud_ops *ops;
+    void *arg;
+    struct lmn_budget budget; /* the server thread's */
+    uint64_t requests, limited;
+    pthread_mutex_t lock; /* of calls */
+    pthread_cond_t more;
+    GQueue calls; /* rentals and returns, which may wait for processes */
+};
+
+static void put_type(void *to, const struct lmn_type *t)
+{
+    GByteArray *b = to;
+
+    lmn_put_map(b, 10);
+    lmn_put_text(b, W_SKU), lmn_put_text(b, t->name);
+    lmn_put_text(b, W_CPUS), lmn_put_number(b, t->cpus);
+    lmn_put_text(b, W_GPUS), lmn_put_number(b, t->gpus);
+    lmn_put_text(b, W_MEM), lmn_put_number(b, t->mem);
+    lmn_put_text(b, W_CACHE_GB), lmn_put_number(b, t->cache_gb);
+    lmn_put_text(b, W_PULL), lmn_put_number(b, t->pull);
+    lmn_put_text(b, W_RATE), lmn_put_number(b, t->rate);
+    lmn_put_text(b, W_SPOT_RATE), lmn_put_number(b, t->spot_rate);
+    lmn_put_text(b, W_READY), lmn_put_number(b, t->ready_s);
+    lmn_put_text(b, W_ZONES), lmn_put_list(b, (size_t)t->nzones);
+    for (int i = 0; i < t->nzones; i++)
+        lmn_put_text(b, t->zones[i]);
+}
+
+struct counted {
+    GByteArray *bytes;
+    size_t n, most;
+    bool more;
+};
+
+static void count_type(void *to, const struct lmn_type *t)
+{
+    struct counted *c = to;
+    put_type(c->bytes, t);
+    c->n++;
+}
+
+static void types(struct front *f, struct lmn_call *call)
+{
+    struct counted c = {.bytes = g_byte_array_new()};
+    GByteArray *b = g_byte_array_new();
+
+    f->ops->types(f->arg, count_type, &c);
+    lmn_put_map(b, 1);
+    lmn_put_text(b, W_TYPES), lmn_put_list(b, c.n);
+    g_byte_array_append(b, c.bytes->data, c.bytes->len);
+    g_byte_array_unref(c.bytes);
+    lmn_call_answer(call, 200, b, 0);
+}
+
+static bool put_machine(void *to, const struct lmn_rented *m)
+{
+    struct counted *c = to;
+    GByteArray *b = c->bytes;
+
+    if (c->n == c->most) {
+        c->more = true;
+        return false;
+    }
+    c->n++;
+    lmn_put_map(b, 7);
+    lmn_put_text(b, W_ID), lmn_put_text(b, m->name);
+    lmn_put_text(b, W_ADDR), lmn_put_text(b, m->addr);
+    lmn_put_text(b, W_TYPE), lmn_put_text(b, m->type);
+    lmn_put_text(b, W_ZONE), lmn_put_text(b, m->zone);
+    lmn_put_text(b, W_SPOT), lmn_put_truth(b, m->spot);
+    lmn_put_text(b, W_STATE), lmn_put_text(b, m->state);
+    lmn_put_text(b, W_AGE), lmn_put_number(b, m->age_s);
+    return true;
+}
+
+static void list(struct front *f, struct lmn_call *call)
+{
+    const char *after = lmn_call_query(call, Q_AFTER),
+               *limit = lmn_call_query(call, Q_LIMIT);
+    struct counted c = {.most = limit ? (size_t)strtoul(limit, NULL, 10) : LMN_LIST_MOST};
+
+    if (c.most < 1 || c.most > LMN_LIST_MOST) {
+        lmn_call_fail(call, 400, Q_LIMIT ": from 1 to 500");
+        return;
+    }
+    c.bytes = g_byte_array_new();
+    f->ops->list(f->arg, after ? after : "", put_machine, &c);
+    GByteArray *b = g_byte_array_new();
+    lmn_put_map(b, 2);
+    lmn_put_text(b, W_MORE), lmn_put_truth(b, c.more);
+    lmn_put_text(b, W_MACHINES), lmn_put_list(b, c.n);
+    g_byte_array_append(b, c.bytes->data, c.bytes->len);
+    g_byte_array_unref(c.bytes);
+    lmn_call_answer(call, 200, b, 0);
+}
+
+/* --- what may wait --- */
+
+static void rent(struct front *f, struct lmn_call *call, const struct lmn_doc *d)
+{
+    const struct lmn_node *root = lmn_root(d);
+    struct lmn_rent q = {0};
+    uint64_t n = 0;
+
+    if (!lmn_text(lmn_get(d, root, W_REQUEST), q.request, sizeof q.request) ||
+        !*q.request || !lmn_text(lmn_get(d, root, W_TYPE), q.type, sizeof q.type) ||
+        !lmn_text(lmn_get(d, root, W_ZONE), q.zone, sizeof q.zone) ||
+        !lmn_truth(lmn_get(d, root, W_SPOT), &q.spot) ||
+        !lmn_count(lmn_get(d, root, W_COUNT), &n) || n < 1 || n > LMN_RENT_MOST) {
+        lmn_call_fail(call, 400, "malformed");
+        return;
+    }
+    q.count = (unsigned)n;
+    GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+    int status = f->ops->rent(f->arg, &q, names);
+    if (status == 200) {
+        GByteArray *b = g_byte_array_new();
+        lmn_put_map(b, 1);
+        lmn_put_text(b, W_MACHINES), lmn_put_list(b, names->len);
+        for (guint i = 0; i < names->len; i++)
+            lmn_put_text(b, names->pdata[i]);
+        lmn_call_answer(call, 200, b, 0);
+    } else {
+        lmn_call_fail(call, status, status == 503 ? "no capacity" : "malformed");
+    }
+    g_ptr_array_free(names, TRUE);
+}
+
+static void give_back(struct front *f, struct lmn_call *call, const struct lmn_doc *d)
+{
+    const struct lmn_node *l = lmn_get(d, lmn_root(d), W_MACHINES);
+    GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+    char name[LMN_NAME];
+    int status = l && l->type == LMN_LIST && l->len <= LMN_RETURN_MOST ? 200 : 400;
+
+    for (const struct lmn_node *n = lmn_child(d, l); n && status == 200;
+         n = lmn_next(d, n)) {
+        if (lmn_text(n, name, sizeof name))
+            g_ptr_array_add(names, g_strdup(name));
+        else
+            status = 400;
+    }
+    if (status == 200)
+        status = f->ops->give_back(f->arg, (char *const *)names->pdata, names->len);
+    g_ptr_array_free(names, TRUE);
+    if (status != 200) {
+        lmn_call_fail(call, status, status == 503 ? "trouble" : "malformed");
+        return;
+    }
+    GByteArray *b = g_byte_array_new();
+    lmn_put_map(b, 0);
+    lmn_call_answer(call, 200, b, 0);
+}
+
+static void *hand(void *arg)
+{
+    struct front *f = arg;
+
+    for (;;) {
+        struct lmn_doc d;
+        pthread_mutex_lock(&f->lock);
+        while (!f->calls.head)
+            pthread_cond_wait(&f->more, &f->lock);
+        struct lmn_call *call = g_queue_pop_head(&f->calls);
+        pthread_mutex_unlock(&f->lock);
+        const GByteArray *body = lmn_call_body(call);
+        if (lmn_doc_parse(&d, body->data, body->len) != 0) {
+            lmn_call_fail(call, 400, "malformed");
+            continue;
+        }
+        if (!strcmp(lmn_call_path(call), P_RETURN))
+            give_back(f, call, &d);
+        else
+            rent(f, call, &d);
+        lmn_doc_free(&d);
+    }
+    return NULL;
+}
+
+static void metrics(void *arg, GString *out)
+{
+    struct front *f = arg;
+
+    lmn_counter(out, "lemonspar_fleet_requests", "Requests", f->requests);
+    lmn_counter(out, "lemonspar_fleet_limited", "Requests answered 429", f->limited);
+    f->ops->metrics(f->arg, out);
+}
+
+static void route(void *arg, struct lmn_call *call)
+{
+    struct front *f = arg;
+    const char *path = lmn_call_path(call);
+    bool get = lmn_call_method(call) == LMN_GET, post = lmn_call_method(call) == LMN_POST;
+    bool waits = post && (!strcmp(path, P_MACHINES) || !strcmp(path, P_RETURN));
+    bool reads = get && (!strcmp(path, P_TYPES) || !strcmp(path, P_MACHINES));
+
+    if (get && !strcmp(path, "/metrics")) {
+        lmn_metrics_answer(call, metrics, f);
+        return;
+    }
+    if (get && !strcmp(path, P_READY)) {
+        lmn_call_answer(call, 200, NULL, 0);
+        return;
+    }
+    if (!waits && !reads) {
+        if (!f->ops->other || !f->ops->other(f->arg, call))
+            lmn_call_answer(call, 404, NULL, 0);
+        return;
+    }
+    f->requests++;
+    if (f->budget.rate > 0 && lmn_budget_take(&f->budget, 1, lmn_now()) > 0) {
+        f->limited++;
+        lmn_call_answer(call, 429, NULL, 1);
+    } else if (waits) {
+        lmn_call_hold(call);
+        pthread_mutex_lock(&f->lock);
+        g_queue_push_tail(&f->calls, call);
+        pthread_cond_signal(&f->more);
+        pthread_mutex_unlock(&f->lock);
+    } else if (!strcmp(path, P_TYPES)) {
+        types(f, call);
+    } else {
+        list(f, call);
+    }
+}
+
+struct lmn_httpd *lmn_cloud_serve(const char *listen, double rps,
+                                  const struct lmn_cloud_ops *ops, void *arg)
+{
+    struct front *f = g_new0(struct front, 1);
+    const struct lmn_httpd_options o = {.listen = listen,
+                                        .connections = 1024,
+                                        .max_body = MAX_BODY,
+                                        .route = route,
+                                        .arg = f};
+
+    f->ops = ops;
+    f->arg = arg;
+    lmn_budget_init(&f->budget, rps, MAX(2 * rps, 1), lmn_now());
+    pthread_mutex_init(&f->lock, NULL);
+    lmn_cond_init(&f->more);
+    for (int i = 0; i < HANDS; i++)
+        lmn_thread(hand, f);
+    return lmn_httpd_start(&o);
+}
--- /dev/null
+++ b/src/fleet/slot.c
@@ -0,0 +1,116 @@
+#include "fleet/slot.h"
+#include "base/clock.h"
+#include "base/conf.h"
+#include "base/http_client.h"
+#include "base/log.h"
+#include "base/thread.h"
+#include "base/wire.h"
+
+#include <curl/curl.h>
+#include <string.h>
+
+static const double ASK_S = 1, END_S = 10;
+
+int lmn_slot_load(const char *path, struct lmn_slot_options *o, char *err, size_t len)
+{
+    struct lmn_conf *c = lmn_conf_load(path, err, len);
+
+    memset(o, 0, sizeof *o);
+    if (!c)
+        return -1;
+    g_strlcpy(o->name, lmn_conf_name(c, "slot", NULL), sizeof o->name);
+    g_strlcpy(o->fleet, lmn_conf_addr(c, "fleet", NULL), sizeof o->fleet);
+    g_strlcpy(o->local.dir, lmn_conf_text(c, "data", NULL), sizeof o->local.dir);
+    lmn_local_read(c, &o->local);
+    int rc = lmn_conf_end(c, err, len);
+    lmn_conf_free(c);
+    return rc;
+}
+
+/* The machine whose directory is there: at most one is. */
+static void held(const struct lmn_slot_options *o, char *name)
+{
+    GDir *d = g_dir_open(o->local.dir, 0, NULL);
+    const char *entry;
+
+    *name = '\0';
+    while (d && !*name && (entry = g_dir_read_name(d)))
+        if (g_str_has_prefix(entry, "host-"))
+            g_strlcpy(name, entry, LMN_NAME);
+    if (d)
+        g_dir_close(d);
+}
+
+struct rented_as {
+    char machine[LMN_NAME], zone[LMN_NAME];
+    bool spot;
+    struct lmn_type type;
+};
+
+/* What it should be; false: the fleet did not say. */
+static bool ask(struct lmn_http *h, const struct lmn_slot_options *o, const char *holds,
+                const char *addr, struct rented_as *as)
+{
+    GByteArray *b = g_byte_array_new(), *in = g_byte_array_new();
+    struct lmn_doc d;
+
+    memset(as, 0, sizeof *as);
+    lmn_put_map(b, *holds ? 3 : 1);
+    lmn_put_text(b, "Slot"), lmn_put_text(b, o->name);
+    if (*holds) {
+        lmn_put_text(b, W_MACHINE), lmn_put_text(b, holds);
+        lmn_put_text(b, W_ADDR), lmn_put_text(b, addr);
+    }
+    int status = lmn_http_call(h, "POST", "/slots", b, 5, in);
+    bool ok = status == 200 && lmn_doc_parse(&d, in->data, in->len) == 0;
+    if (ok) {
+        const struct lmn_node *root = lmn_root(&d);
+        lmn_text(lmn_get(&d, root, W_MACHINE), as->machine, sizeof as->machine);
+        lmn_text(lmn_get(&d, root, W_ZONE), as->zone, sizeof as->zone);
+        lmn_truth(lmn_get(&d, root, W_SPOT), &as->spot);
+        lmn_text(lmn_get(&d, root, W_TYPE), as->type.name, sizeof as->type.name);
+        lmn_number(lmn_get(&d, root, W_CPUS), &as->type.cpus);
+        lmn_number(lmn_get(&d, root, W_GPUS), &as->type.gpus);
+        lmn_number(lmn_get(&d, root, W_MEM), &as->type.mem);
+        lmn_number(lmn_get(&d, root, W_CACHE_GB), &as->type.cache_gb);
+        lmn_number(lmn_get(&d, root, W_PULL), &as->type.pull);
+        lmn_doc_free(&d);
+    } else if (status == 404) {
+        lmn_error("slot-unknown slot=%s mend=\"name it in the fleet's inventory\"",
+                  o->name);
+    }
+    g_byte_array_unref(b);
+    g_byte_array_unref(in);
+    return ok;
+}
+
+void lmn_slot_run(const struct lmn_slot_options *o)
+{
+    struct lmn_backoff backoff = {0};
+    char holds[LMN_NAME], addr[LMN_ADDR], err[256];
+
+    curl_global_init(CURL_GLOBAL_NOTHING);
+    struct lmn_http *h = lmn_http_new(o->fleet);
+    lmn_info("slot-start slot=%s fleet=%s", o->name, o->fleet);
+    for (;; lmn_sleep(ASK_S)) {
+        struct rented_as as;
+        held(o, holds);
+        bool up = *holds && lmn_local_up(&o->local, holds, addr);
+        if (!ask(h, o, holds, up ? addr : "", &as))
+            continue; /* what it is, it stays: its lease watches over it */
+        if (*holds && strcmp(holds, as.machine)) {
+            bool gone = lmn_local_end(&o->local, holds, END_S);
+            lmn_info("slot-left machine=%s gone=%d", holds, gone);
+            memset(&backoff, 0, sizeof backoff);
+            continue; /* says so with the next question */
+        }
+        bool young = backoff.started.tv_sec && lmn_since(lmn_now(), backoff.started) < 2;
+        if (*as.machine && !up && !young &&
+            (!*holds || lmn_backoff_due(&backoff, lmn_now()))) {
+            lmn_backoff_started(&backoff, lmn_now());
+            if (lmn_local_start(&o->local, as.machine, &as.type, as.zone, as.spot, err,
+                                sizeof err) != 0)
+                lmn_error("start-failed machine=%s why=\"%s\"", as.machine, err);
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/static.c
@@ -0,0 +1,658 @@
+#include "fleet/static.h"
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/metrics.h"
+#include "base/thread.h"
+#include "base/wire.h"
+#include "store/db.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+/* A machine that dies so often in a row is called failed; it is still tried now and then.
+ */
+enum { FAILED_DEATHS = 8 };
+static const double END_S = 10, SLOT_SEEN_S = 10;
+/* A request is asked again within minutes, or never. */
+static const double REQUEST_KEPT_S = 86400;
+
+struct machine {
+    char name[LMN_NAME], zone[LMN_NAME], slot[LMN_NAME], addr[LMN_ADDR];
+    int type;
+    bool spot, up, ending;
+    double at; /* the time of day of its rental */
+    struct lmn_backoff backoff;
+};
+
+/* What a slot last said. */
+struct seen {
+    struct timespec when;
+    char holds[LMN_NAME], addr[LMN_ADDR];
+};
+
+struct lmn_static {
+    const struct lmn_inventory *v;
+    const struct lmn_local_options *o;
+    struct lmn_db *db;
+    pthread_mutex_t order; /* of rentals and returns, which write; taken first */
+    pthread_mutex_t lock;  /* of what follows; short */
+    pthread_cond_t slot_said;
+    GTree *machines;   /* name -> struct machine */
+    GHashTable *slots; /* name -> struct seen */
+    uint64_t number;   /* of the next machine */
+    uint64_t starts, refused, rentals, returns;
+};
+
+static gint by_name(gconstpointer a, gconstpointer b, gpointer data)
+{
+    (void)data;
+    return strcmp(a, b);
+}
+
+/* --- the database: machine/NAME, request/NAME, number --- */
+
+static GByteArray *machine_record(const struct lmn_static *s, const struct machine *m)
+{
+    GByteArray *b = g_byte_array_new();
+
+    lmn_put_map(b, 5);
+    lmn_put_text(b, "type"), lmn_put_text(b, s->v->types[m->type].name);
+    lmn_put_text(b, "zone"), lmn_put_text(b, m->zone);
+    lmn_put_text(b, "spot"), lmn_put_truth(b, m->spot);
+    lmn_put_text(b, "slot"), lmn_put_text(b, m->slot);
+    lmn_put_text(b, "at"), lmn_put_number(b, m->at);
+    return b;
+}
+
+struct write {
+    GArray *changes; /* struct lmn_db_change */
+    GPtrArray *bytes;
+};
+
+static void write_begin(struct write *w)
+{
+    w->changes = g_array_new(FALSE, TRUE, sizeof(struct lmn_db_change));
+    w->bytes = g_ptr_array_new_with_free_func(g_free);
+}
+
+/* value NULL: removed; taken over. */
+static void write_add(struct write *w, const char *prefix, const char *name,
+                      GByteArray *value)
+{
+    struct lmn_db_change c = {0};
+    char *key = g_strconcat(prefix, name, NULL);
+
+    g_ptr_array_add(w->bytes, key);
+    c.key = key;
+    if (value) {
+        c.len = value->len;
+        c.value = g_byte_array_free(value, FALSE);
+        g_ptr_array_add(w->bytes, (gpointer)c.value);
+    }
+    g_array_append_val(w->changes, c);
+}
+
+static bool write_end(struct lmn_static *s, struct write *w)
+{
+    const struct lmn_db_txn t = {NULL, (struct lmn_db_change *)(void *)w->changes->data,
+                                 0, w->changes->len};
+    char err[256];
+    uint64_t rev;
+    bool ok = false;
+    struct lmn_db_batch *b = lmn_db_begin(s->db, err, sizeof err);
+
+    if (b) {
+        lmn_db_apply(b, &t, &rev, NULL);
+        int rc = lmn_db_commit(b, err, sizeof err);
+        if (rc == -2) {
+            lmn_error("database-lost why=\"%s\"", err);
+            _exit(1);
+        }
+        ok = rc == 0;
+    }
+    if (!ok)
+        lmn_error("not-recorded why=\"%s\"", err);
+    g_array_free(w->changes, TRUE);
+    g_ptr_array_free(w->bytes, TRUE);
+    return ok;
+}
+
+static bool read_machine(void *arg, const struct lmn_db_item *i)
+{
+    struct lmn_static *s = arg;
+    struct machine *m = g_new0(struct machine, 1);
+    char type[LMN_NAME] = "";
+    struct lmn_doc d;
+
+    g_strlcpy(m->name, i->key + strlen("machine/"), sizeof m->name);
+    if (lmn_doc_parse(&d, i->value, i->len) == 0) {
+        const struct lmn_node *root = lmn_root(&d);
+        lmn_text(lmn_get(&d, root, "type"), type, sizeof type);
+        lmn_text(lmn_get(&d, root, "zone"), m->zone, sizeof m->zone);
+        lmn_truth(lmn_get(&d, root, "spot"), &m->spot);
+        lmn_text(lmn_get(&d, root, "slot"), m->slot, sizeof m->slot);
+        lmn_number(lmn_get(&d, root, "at"), &m->at);
+        lmn_doc_free(&d);
+    }
+    m->type = lmn_inventory_type(s->v, type);
+    if (m->type < 0) {
+        lmn_error("machine-without-type machine=%s type=%s", m->name, type);
+        g_free(m);
+        return true;
+    }
+    g_tree_insert(s->machines, m->name, m);
+    return true;
+}
+
+/* The answer that a request got; false: it is new. */
+static bool old_request(struct lmn_static *s, const char *request, GPtrArray *names)
+{
+    struct lmn_db_reader *r = lmn_db_reader_new(s->db);
+    char *escaped = g_uri_escape_string(request, NULL, FALSE);
+    char *key = g_strconcat("request/", escaped, NULL), name[LMN_NAME];
+    struct lmn_db_meta meta;
+    struct lmn_db_item i;
+    struct lmn_doc d;
+    bool found = false;
+
+    if (lmn_db_view(r, &meta) == 0) {
+        found = lmn_db_get(r, key, &i) && lmn_doc_parse(&d, i.value, i.len) == 0;
+        if (found) {
+            for (const struct lmn_node *n = lmn_child(&d, lmn_root(&d)); n;
+                 n = lmn_next(&d, n))
+                if (lmn_text(n, name, sizeof name))
+                    g_ptr_array_add(names, g_strdup(name));
+            lmn_doc_free(&d);
+        }
+        lmn_db_view_end(r);
+    }
+    lmn_db_reader_free(r);
+    g_free(escaped);
+    g_free(key);
+    return found;
+}
+
+/* --- renting --- */
+
+struct counting {
+    int type;
+    const char *zone;
+    bool spot;
+    unsigned n;
+};
+
+static gboolean count_one(gpointer key, gpointer v, gpointer arg)
+{
+    const struct machine *m = v;
+    struct counting *c = arg;
+    (void)key;
+    c->n += !*m->slot && m->type == c->type && m->spot == c->spot &&
+            !strcmp(m->zone, c->zone);
+    return FALSE;
+}
+
+static gboolean holds_slot(gpointer key, gpointer v, gpointer arg)
+{
+    const char **slot = arg;
+    (void)key;
+    if (strcmp(((struct machine *)v)->slot, slot[0]))
+        return FALSE;
+    slot[1] = slot[0];
+    return TRUE;
+}
+
+static bool slot_free(struct lmn_static *s, const struct lmn_slot *slot,
+                      struct timespec now)
+{
+    const struct seen *seen = g_hash_table_lookup(s->slots, slot->name);
+    const char *search[2] = {slot->name, NULL};
+
+    if (!seen || *seen->holds || lmn_since(now, seen->when) > SLOT_SEEN_S)
+        return false;
+    g_tree_foreach(s->machines, holds_slot, search);
+    return !search[1];
+}
+
+static struct machine *new_machine(struct lmn_static *s, const struct lmn_rent *q,
+                                   int type, const char *slot)
+{
+    struct machine *m = g_new0(struct machine, 1);
+
+    g_snprintf(m->name, sizeof m->name, "host-%06" G_GUINT64_FORMAT, s->number++);
+    g_strlcpy(m->zone, q->zone, sizeof m->zone);
+    g_strlcpy(m->slot, slot, sizeof m->slot);
+    m->type = type;
+    m->spot = q->spot;
+    m->at = lmn_seconds(lmn_wall());
+    return m;
+}
+
+/* What can be had of it, up to the count. */
+static GPtrArray *choose(struct lmn_static *s, const struct lmn_rent *q, int type)
+{
+    struct counting c = {type, q->zone, q->spot, 0};
+    GPtrArray *got = g_ptr_array_new();
+    struct timespec now = lmn_now();
+    unsigned all = 0;
+
+    pthread_mutex_lock(&s->lock);
+    for (unsigned i = 0; i < s->v->npools; i++) {
+        const struct lmn_pool *p = &s->v->pools[i];
+        if (p->type == type && p->spot == q->spot && !strcmp(p->zone, q->zone))
+            all += p->count;
+    }
+    g_tree_foreach(s->machines, count_one, &c);
+    while (got->len < q->count && c.n + got->len < all)
+        g_ptr_array_add(got, new_machine(s, q, type, ""));
+    for (unsigned i = 0; i < s->v->nslots && got->len < q->count; i++) {
+        const struct lmn_slot *slot = &s->v->slots[i];
+        if (slot->type == type && slot->spot == q->spot && !strcmp(slot->zone, q->zone) &&
+            slot_free(s, slot, now))
+            g_ptr_array_add(got, new_machine(s, q, type, slot->name));
+    }
+    s->refused += !got->len;
+    pthread_mutex_unlock(&s->lock);
+    return got;
+}
+
+static bool record_rental(struct lmn_static *s, const struct lmn_rent *q, GPtrArray *got)
+{
+    struct write w;
+    GByteArray *names = g_byte_array_new(), *number = g_byte_array_new();
+    char *escaped = g_uri_escape_string(q->request, NULL, FALSE);
+
+    write_begin(&w);
+    lmn_put_list(names, 1 + got->len);
+    lmn_put_number(names, lmn_seconds(lmn_wall()));
+    for (guint i = 0; i < got->len; i++) {
+        const struct machine *m = got->pdata[i];
+        lmn_put_text(names, m->name);
+        write_add(&w, "machine/", m->name, machine_record(s, m));
+    }
+    write_add(&w, "request/", escaped, names);
+    lmn_put_count(number, s->number);
+    write_add(&w, "number", "", number);
+    g_free(escaped);
+    return write_end(s, &w);
+}
+
+static void start(struct lmn_static *s, struct machine *m)
+{
+    char err[256];
+
+    lmn_backoff_started(&m->backoff, lmn_now());
+    if (lmn_local_start(s->o, m->name, &s->v->types[m->type], m->zone, m->spot, err,
+                        sizeof err) != 0)
+        lmn_error("start-failed machine=%s why=\"%s\"", m->name, err);
+    s->starts++;
+}
+
+static int rent(void *arg, const struct lmn_rent *q, GPtrArray *names)
+{
+    struct lmn_static *s = arg;
+    int type = lmn_inventory_type(s->v, q->type), status = 200;
+
+    if (type < 0 || strlen(q->request) > 60)
+        return 400;
+    pthread_mutex_lock(&s->order);
+    if (!old_request(s, q->request, names)) {
+        GPtrArray *got = choose(s, q, type);
+        status = got->len && record_rental(s, q, got) ? 200 : 503;
+        for (guint i = 0; i < got->len; i++) {
+            struct machine *m = got->pdata[i];
+            if (status != 200) {
+                g_free(m);
+                continue;
+            }
+            g_ptr_array_add(names, g_strdup(m->name));
+            if (!*m->slot)
+                start(s, m);
+            lmn_info("machine-rented machine=%s type=%s zone=%s spot=%d slot=%s", m->name,
+                     q->type, q->zone, q->spot, *m->slot ? m->slot : "-");
+            pthread_mutex_lock(&s->lock);
+            g_tree_insert(s->machines, m->name, m);
+            s->rentals++;
+            pthread_mutex_unlock(&s->lock);
+        }
+        g_ptr_array_free(got, TRUE);
+    }
+    pthread_mutex_unlock(&s->order);
+    return status;
+}
+
+/* --- returning --- */
+
+static bool slot_gone(struct lmn_static *s, const char *slot, const char *machine)
+{
+    struct timespec end = lmn_after(lmn_now(), END_S);
+    bool gone = false;
+
+    pthread_mutex_lock(&s->lock);
+    for (;;) {
+        const struct seen *seen = g_hash_table_lookup(s->slots, slot);
+        gone = seen && strcmp(seen->holds, machine);
+        if (gone || lmn_before(end, lmn_now()))
+            break;
+        lmn_cond_wait_for(&s->slot_said, &s->lock, 0.5);
+    }
+    pthread_mutex_unlock(&s->lock);
+    return gone;
+}
+
+/* The machine of the name, from now on ending; NULL: unknown. */
+static struct machine *mark_ending(struct lmn_static *s, const char *name)
+{
+    pthread_mutex_lock(&s->lock);
+    struct machine *m = g_tree_lookup(s->machines, name);
+    if (m)
+        m->ending = true;
+    pthread_mutex_unlock(&s->lock);
+    return m;
+}
+
+static int give_back(void *arg, char *const *names, unsigned n)
+{
+    struct lmn_static *s = arg;
+    GPtrArray *gone = g_ptr_array_new();
+    struct write w;
+    int status = 200;
+
+    pthread_mutex_lock(&s->order);
+    write_begin(&w);
+    for (unsigned i = 0; i < n; i++) {
+        struct machine *m = mark_ending(s, names[i]);
+        if (!m)
+            continue;
+        /* Only this thread frees it, which holds the order. */
+        bool ok = *m->slot ? slot_gone(s, m->slot, m->name)
+                           : lmn_local_end(s->o, m->name, END_S);
+        lmn_info("machine-returned machine=%s gone=%d", m->name, ok);
+        if (!ok) {
+            status = 503; /* it can't be told that it is gone */
+            continue;
+        }
+        write_add(&w, "machine/", m->name, NULL);
+        g_ptr_array_add(gone, m);
+    }
+    if (!write_end(s, &w))
+        status = 503; /* its slot is taken until the next try; nothing runs there */
+    for (guint i = 0; i < gone->len && status == 200; i++) {
+        struct machine *m = gone->pdata[i];
+        pthread_mutex_lock(&s->lock);
+        g_tree_remove(s->machines, m->name);
+        s->returns++;
+        pthread_mutex_unlock(&s->lock);
+        g_free(m);
+    }
+    g_ptr_array_free(gone, TRUE);
+    pthread_mutex_unlock(&s->order);
+    return status;
+}
+
+/* --- looking --- */
+
+static void types(void *arg, void (*each)(void *to, const struct lmn_type *t), void *to)
+{
+    const struct lmn_static *s = arg;
+    for (unsigned i = 0; i < s->v->ntypes; i++)
+        each(to, &s->v->types[i]);
+}
+
+struct look {
+    struct lmn_static *s;
+    const char *after;
+    bool (*each)(void *to, const struct lmn_rented *m);
+    void *to;
+    double now;
+};
+
+static gboolean look_at(gpointer key, gpointer v, gpointer arg)
+{
+    const struct machine *m = v;
+    struct look *l = arg;
+    struct lmn_rented x = {.spot = m->spot, .age_s = MAX(l->now - m->at, 0)};
+
+    if (strcmp(key, l->after) <= 0)
+        return FALSE;
+    g_strlcpy(x.name, m->name, sizeof x.name);
+    g_strlcpy(x.addr, m->addr, sizeof x.addr);
+    g_strlcpy(x.type, l->s->v->types[m->type].name, sizeof x.type);
+    g_strlcpy(x.zone, m->zone, sizeof x.zone);
+    x.state = m->up                                ? W_RUNNING
+              : m->backoff.deaths >= FAILED_DEATHS ? W_BROKEN
+                                                   : W_BOOTING;
+    return !l->each(l->to, &x);
+}
+
+static void list(void *arg, const char *after,
+                 bool (*each)(void *to, const struct lmn_rented *m), void *to)
+{
+    struct lmn_static *s = arg;
+    struct look l = {s, after, each, to, lmn_seconds(lmn_wall())};
+
+    pthread_mutex_lock(&s->lock);
+    g_tree_foreach(s->machines, look_at, &l);
+    pthread_mutex_unlock(&s->lock);
+}
+
+static void metrics(void *arg, GString *out)
+{
+    struct lmn_static *s = arg;
+
+    pthread_mutex_lock(&s->lock);
+    lmn_gauge(out, "lemonspar_fleet_machines", "Machines rented",
+              g_tree_nnodes(s->machines));
+    lmn_counter(out, "lemonspar_fleet_rented", "Machines rented out", s->rentals);
+    lmn_counter(out, "lemonspar_fleet_returned", "Machines returned", s->returns);
+    lmn_counter(out, "lemonspar_fleet_starts", "Starts of agents", s->starts);
+    lmn_counter(out, "lemonspar_fleet_refused", "Rentals refused for want of machines",
+                s->refused);
+    pthread_mutex_unlock(&s->lock);
+}
+
+/* --- slots: POST /slots {"Slot", "Machine" (what it holds, or null), "Endpoint"} answers
+ * {"Machine"}: what it should hold, and as what --- */
+
+static gboolean find_slot(gpointer key, gpointer v, gpointer arg)
+{
+    struct machine *m = v, **found = ((gpointer *)arg)[0];
+    (void)key;
+    if (m->ending || strcmp(m->slot, ((gpointer *)arg)[1]))
+        return FALSE;
+    *found = m;
+    return TRUE;
+}
+
+static bool slots(void *arg, struct lmn_call *call)
+{
+    struct lmn_static *s = arg;
+    const GByteArray *body = lmn_call_body(call);
+    char name[LMN_NAME] = "";
+    struct machine *m = NULL;
+    struct lmn_doc d;
+
+    if (lmn_call_method(call) != LMN_POST || strcmp(lmn_call_path(call), "/slots"))
+        return false;
+    if (lmn_doc_parse(&d, body->data, body->len) != 0) {
+        lmn_call_fail(call, 400, "not CBOR");
+        return true;
+    }
+    const struct lmn_node *root = lmn_root(&d);
+    lmn_text(lmn_get(&d, root, "Slot"), name, sizeof name);
+    const struct lmn_slot *slot = lmn_inventory_slot(s->v, name);
+    if (!slot) {
+        lmn_call_fail(call, 404, "the inventory names no such machine");
+        lmn_doc_free(&d);
+        return true;
+    }
+    pthread_mutex_lock(&s->lock);
+    struct seen *seen = g_hash_table_lookup(s->slots, name);
+    if (!seen) {
+        seen = g_new0(struct seen, 1);
+        g_hash_table_insert(s->slots, g_strdup(name), seen);
+    }
+    seen->when = lmn_now();
+    *seen->holds = *seen->addr = '\0';
+    lmn_text(lmn_get(&d, root, W_MACHINE), seen->holds, sizeof seen->holds);
+    lmn_text(lmn_get(&d, root, W_ADDR), seen->addr, sizeof seen->addr);
+    g_tree_foreach(s->machines, find_slot, (gpointer[]){&m, name});
+    if (m) {
+        m->up = !strcmp(seen->holds, m->name) && *seen->addr;
+        g_strlcpy(m->addr, seen->addr, sizeof m->addr);
+    }
+    char wanted[LMN_NAME] = "";
+    if (m)
+        g_strlcpy(wanted, m->name, sizeof wanted);
+    pthread_cond_broadcast(&s->slot_said);
+    pthread_mutex_unlock(&s->lock);
+    lmn_doc_free(&d);
+    const struct lmn_type *t = &s->v->types[slot->type];
+    GByteArray *b = g_byte_array_new();
+    lmn_put_map(b, 9);
+    lmn_put_text(b, W_MACHINE);
+    if (*wanted)
+        lmn_put_text(b, wanted);
+    else
+        lmn_put_null(b);
+    lmn_put_text(b, W_ZONE), lmn_put_text(b, slot->zone);
+    lmn_put_text(b, W_SPOT), lmn_put_truth(b, slot->spot);
+    lmn_put_text(b, W_TYPE), lmn_put_text(b, t->name);
+    lmn_put_text(b, W_CPUS), lmn_put_number(b, t->cpus);
+    lmn_put_text(b, W_GPUS), lmn_put_number(b, t->gpus);
+    lmn_put_text(b, W_MEM), lmn_put_number(b, t->mem);
+    lmn_put_text(b, W_CACHE_GB), lmn_put_number(b, t->cache_gb);
+    lmn_put_text(b, W_PULL), lmn_put_number(b, t->pull);
+    lmn_call_answer(call, 200, b, 0);
+    return true;
+}
+
+const struct lmn_cloud_ops lmn_static_ops = {
+    .types = types,
+    .rent = rent,
+    .give_back = give_back,
+    .list = list,
+    .metrics = metrics,
+    .other = slots,
+};
+
+/* --- watching --- */
+
+static gboolean take_local(gpointer key, gpointer v, gpointer arg)
+{
+    const struct machine *m = v;
+    (void)key;
+    if (!*m->slot && !m->ending)
+        g_ptr_array_add(arg, g_strdup(m->name));
+    return FALSE;
+}
+
+static void watch_one(struct lmn_static *s, const char *name)
+{
+    char addr[LMN_ADDR];
+    bool up = lmn_local_up(s->o, name, addr), due = false;
+
+    /* A machine that is being returned must not be started again: who returns holds the
+     * order. */
+    pthread_mutex_lock(&s->order);
+    pthread_mutex_lock(&s->lock);
+    struct machine *m = g_tree_lookup(s->machines, name);
+    if (m && !m->ending) {
+        if (m->up && !up)
+            lmn_info("agent-ended machine=%s deaths=%u", name, m->backoff.deaths + 1);
+        m->up = up;
+        g_strlcpy(m->addr, addr, sizeof m->addr);
+        /* Just started, it needs a moment to take its lock. */
+        bool young =
+            m->backoff.started.tv_sec && lmn_since(lmn_now(), m->backoff.started) < 2;
+        due = !up && !young && lmn_backoff_due(&m->backoff, lmn_now());
+    }
+    pthread_mutex_unlock(&s->lock);
+    if (due)
+        start(s, m);
+    pthread_mutex_unlock(&s->order);
+}
+
+void *lmn_static_thread(void *arg)
+{
+    struct lmn_static *s = arg;
+
+    for (;;) {
+        GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+        pthread_mutex_lock(&s->lock);
+        g_tree_foreach(s->machines, take_local, names);
+        pthread_mutex_unlock(&s->lock);
+        for (guint i = 0; i < names->len; i++)
+            watch_one(s, names->pdata[i]);
+        g_ptr_array_free(names, TRUE);
+        lmn_sleep(0.25);
+    }
+    return NULL;
+}
+
+static bool old_enough(void *arg, const struct lmn_db_item *i)
+{
+    GPtrArray *keys = arg;
+    struct lmn_doc d;
+    double at = 0;
+
+    if (lmn_doc_parse(&d, i->value, i->len) != 0)
+        return true;
+    lmn_number(lmn_child(&d, lmn_root(&d)), &at);
+    lmn_doc_free(&d);
+    if (lmn_seconds(lmn_wall()) - at > REQUEST_KEPT_S)
+        g_ptr_array_add(keys, g_strdup(i->key));
+    return true;
+}
+
+/* Requests that nobody will ask again. */
+static void forget_requests(struct lmn_static *s, struct lmn_db_reader *r)
+{
+    GPtrArray *keys = g_ptr_array_new_with_free_func(g_free);
+    struct write w;
+
+    lmn_db_list(r, "request/", NULL, old_enough, keys);
+    write_begin(&w);
+    for (guint i = 0; i < keys->len; i++)
+        write_add(&w, keys->pdata[i], "", NULL);
+    write_end(s, &w);
+    g_ptr_array_free(keys, TRUE);
+}
+
+struct lmn_static *lmn_static_new(const struct lmn_inventory *v,
+                                  const struct lmn_local_options *o, const char *dir,
+                                  char *err, size_t len)
+{
+    const struct lmn_db_options d = {.dir = dir, .map_gb = 4, .create = true};
+    struct lmn_db *db = lmn_db_open(&d, err, len);
+    struct lmn_db_meta meta;
+    struct lmn_db_item i;
+    struct lmn_doc doc;
+
+    if (!db)
+        return NULL;
+    struct lmn_static *s = g_new0(struct lmn_static, 1);
+    s->v = v;
+    s->o = o;
+    s->db = db;
+    pthread_mutex_init(&s->order, NULL);
+    pthread_mutex_init(&s->lock, NULL);
+    lmn_cond_init(&s->slot_said);
+    s->machines = g_tree_new_full(by_name, NULL, NULL, NULL);
+    s->slots = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    struct lmn_db_reader *r = lmn_db_reader_new(db);
+    if (lmn_db_view(r, &meta) == 0) {
+        lmn_db_list(r, "machine/", NULL, read_machine, s);
+        if (lmn_db_get(r, "number", &i) && lmn_doc_parse(&doc, i.value, i.len) == 0) {
+            lmn_count(lmn_root(&doc), &s->number);
+            lmn_doc_free(&doc);
+        }
+        forget_requests(s, r);
+        lmn_db_view_end(r);
+    }
+    lmn_db_reader_free(r);
+    lmn_info("fleet-start types=%u pools=%u slots=%u rented=%d", v->ntypes, v->npools,
+             v->nslots, g_tree_nnodes(s->machines));
+    return s;
+}
--- /dev/null
+++ b/src/fleet/static.h
@@ -0,0 +1,22 @@
+/* A static fleet: the inventory's machines, as agents on this host (pools) and as slots
+ * that operators start elsewhere. What is rented is kept in a database, so that a
+ * reservation means the same after a restart. */
+#ifndef LMN_STATIC_H
+#define LMN_STATIC_H
+
+#include "fleet/cloud.h"
+#include "fleet/local.h"
+#include "inventory/inventory.h"
+
+struct lmn_static;
+
+/* Opens the database in dir and takes up what it says: agents that run are left running.
+ * NULL with err. The inventory and options must outlive it. */
+struct lmn_static *lmn_static_new(const struct lmn_inventory *v,
+                                  const struct lmn_local_options *o, const char *dir,
+                                  char *err, size_t len);
+extern const struct lmn_cloud_ops lmn_static_ops; /* arg: struct lmn_static */
+/* Starts again what has ended, for ever (a thread). */
+void *lmn_static_thread(void *fleet);
+
+#endif
--- a/src/store/db_care.c
+++ b/src/store/db_care.c
@@ -11,8 +11,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-/* Revisions of a restored database begin so far above the backup's: more than a service could have
- * given out since, so that none is ever given out twice. */
+/* Revisions of a restored database begin so far above the backup's: more than a service
+ * could have given out since, so that none is ever given out twice. */
 static const uint64_t RESTORE_GAP = 1ull << 32;
 
 struct check {
@@ -23,7 +23,8 @@
     struct lmn_db_meta meta;
 };
 
-static void wrong(struct check *c, const char *fmt, ...) __attribute__((format(printf, 2, 3)));
+static void wrong(struct check *c, const char *fmt, ...)
+    __attribute__((format(printf, 2, 3)));
 static void wrong(struct check *c, const char *fmt, ...)
 {
     char line[512];
@@ -83,22 +84,26 @@
         int klen = (int)MIN(k.mv_size, LMN_DB_KEY);
         count++;
         if (k.mv_size > LMN_DB_KEY || !lmn_db_intact(&k, &v)) {
-            wrong(c, "record %.*s: the checksum does not hold", klen, (const char *)k.mv_data);
+            wrong(c, "record %.*s: the checksum does not hold", klen,
+                  (const char *)k.mv_data);
             continue;
         }
         memcpy(&h, v.mv_data, sizeof h);
         digest ^= h.sum;
         if (h.rev > c->meta.revision)
-            wrong(c, "record %.*s: of a revision yet to come", klen, (const char *)k.mv_data);
+            wrong(c, "record %.*s: of a revision yet to come", klen,
+                  (const char *)k.mv_data);
         if (h.lease && !indexed(c, h.lease, &k))
-            wrong(c, "record %.*s: missing among its lease's", klen, (const char *)k.mv_data);
+            wrong(c, "record %.*s: missing among its lease's", klen,
+                  (const char *)k.mv_data);
         leased += h.lease != 0;
     }
     ended(c, "data", rc);
     mdb_cursor_close(cur);
     if (count != c->meta.count)
-        wrong(c, "data: %" G_GUINT64_FORMAT " records, there should be %" G_GUINT64_FORMAT, count,
-              c->meta.count);
+        wrong(c,
+              "data: %" G_GUINT64_FORMAT " records, there should be %" G_GUINT64_FORMAT,
+              count, c->meta.count);
     if (digest != c->meta.digest)
         wrong(c, "data: the digest over all records does not hold");
     return leased;
@@ -118,11 +123,13 @@
         struct lmn_db_item item;
         struct lmn_db_log_key lk = {0, 0};
         if (!lmn_db_intact(&k, &v) || !lmn_db_log_read(&k, &v, &item)) {
-            wrong(c, "log: a change after revision %" G_GUINT64_FORMAT " does not hold", last);
+            wrong(c, "log: a change after revision %" G_GUINT64_FORMAT " does not hold",
+                  last);
             continue;
         }
         memcpy(&lk, k.mv_data, sizeof lk);
-        if (item.rev != GUINT64_FROM_BE(lk.rev) || item.rev < last || item.rev > c->meta.revision)
+        if (item.rev != GUINT64_FROM_BE(lk.rev) || item.rev < last ||
+            item.rev > c->meta.revision)
             wrong(c, "log: revision %" G_GUINT64_FORMAT " out of order", item.rev);
         last = MAX(last, item.rev);
     }
@@ -146,7 +153,8 @@
     ended(c, "leases", rc);
     mdb_cursor_close(cur);
     if (mdb_stat(c->txn, c->db->dbi[LMN_LEASED], &st) != 0 || st.ms_entries != leased)
-        wrong(c, "leases: %zu keys are listed, %" G_GUINT64_FORMAT " records have a lease",
+        wrong(c,
+              "leases: %zu keys are listed, %" G_GUINT64_FORMAT " records have a lease",
               st.ms_entries, leased);
 }
 
@@ -180,8 +188,8 @@
     return c.wrong ? 1 : 0;
 }
 
-unsigned lmn_db_check(const char *dir, void (*say)(void *arg, const char *what), void *arg,
-                      struct lmn_db_meta *meta)
+unsigned lmn_db_check(const char *dir, void (*say)(void *arg, const char *what),
+                      void *arg, struct lmn_db_meta *meta)
 {
     int lines[2], metas[2], status = 0;
     unsigned n = 0;
@@ -225,7 +233,8 @@
         n++;
     } else if (WIFSIGNALED(status)) {
         char what[96];
-        snprintf(what, sizeof what, "the tree of pages is damaged: its reader ended by signal %d",
+        snprintf(what, sizeof what,
+                 "the tree of pages is damaged: its reader ended by signal %d",
                  WTERMSIG(status));
         say(arg, what);
         n++;
@@ -322,10 +331,12 @@
     int rc = -1;
 
     if (g_file_test(to, G_FILE_TEST_EXISTS)) {
-        snprintf(err, len, "%s: there is a database already; restore into a new directory", dir);
+        snprintf(err, len,
+                 "%s: there is a database already; restore into a new directory", dir);
     } else if (!g_file_get_contents(file, &bytes, &n, &error)) {
         snprintf(err, len, "%s", error->message);
-    } else if (g_mkdir_with_parents(new, 0755) != 0 || g_mkdir_with_parents(dir, 0755) != 0 ||
+    } else if (g_mkdir_with_parents(new, 0755) != 0 ||
+               g_mkdir_with_parents(dir, 0755) != 0 ||
                !g_file_set_contents_full(part, bytes, (gssize)n,
                                          G_FILE_SET_CONTENTS_CONSISTENT |
                                              G_FILE_SET_CONTENTS_DURABLE,
--- a/src/store/db_format.h
+++ b/src/store/db_format.h
@@ -6,8 +6,8 @@
  *   leased  id, key            -> (nothing)
  *   meta    "meta"             -> struct head, struct lmn_db_meta
  *
- * Numbers in keys are big-endian, so that LMDB's order is theirs; others are the machine's: a backup
- * moves between machines of one byte order, a dump between all. */
+ * Numbers in keys are big-endian, so that LMDB's order is theirs; others are the
+ * machine's: a backup moves between machines of one byte order, a dump between all. */
 #ifndef LMN_DB_FORMAT_H
 #define LMN_DB_FORMAT_H
 
@@ -41,6 +41,7 @@
 /* Parts of a change in the log; false if it is none. */
 bool lmn_db_log_read(const MDB_val *key, const MDB_val *value, struct lmn_db_item *item);
 int lmn_db_meta_read(MDB_txn *txn, const struct lmn_db *db, struct lmn_db_meta *meta);
-int lmn_db_meta_write(MDB_txn *txn, const struct lmn_db *db, const struct lmn_db_meta *meta);
+int lmn_db_meta_write(MDB_txn *txn, const struct lmn_db *db,
+                      const struct lmn_db_meta *meta);
 
 #endif
--- a/src/store/db_read.c
+++ b/src/store/db_read.c
@@ -26,7 +26,8 @@
 
 int lmn_db_view(struct lmn_db_reader *r, struct lmn_db_meta *meta)
 {
-    int rc = r->txn ? mdb_txn_renew(r->txn) : mdb_txn_begin(r->db->env, NULL, MDB_RDONLY, &r->txn);
+    int rc = r->txn ? mdb_txn_renew(r->txn)
+                    : mdb_txn_begin(r->db->env, NULL, MDB_RDONLY, &r->txn);
 
     if (rc)
         return rc;
@@ -127,8 +128,8 @@
     mdb_cursor_close(cur);
 }
 
-void lmn_db_leases(struct lmn_db_reader *r, void (*f)(void *arg, uint64_t id, uint32_t ttl_ms),
-                   void *arg)
+void lmn_db_leases(struct lmn_db_reader *r,
+                   void (*f)(void *arg, uint64_t id, uint32_t ttl_ms), void *arg)
 {
     MDB_cursor *cur;
     MDB_val k, v;
@@ -139,7 +140,8 @@
          rc = mdb_cursor_get(cur, &k, &v, MDB_NEXT)) {
         uint64_t id;
         uint32_t ttl;
-        if (k.mv_size != sizeof id || v.mv_size != sizeof(struct lmn_db_head) + sizeof ttl)
+        if (k.mv_size != sizeof id ||
+            v.mv_size != sizeof(struct lmn_db_head) + sizeof ttl)
             continue;
         memcpy(&id, k.mv_data, sizeof id);
         memcpy(&ttl, (const char *)v.mv_data + sizeof(struct lmn_db_head), sizeof ttl);
--- a/src/store/db_write.c
+++ b/src/store/db_write.c
@@ -59,13 +59,15 @@
 
     if (rc)
         return rc;
-    if (v.mv_size != sizeof(struct lmn_db_head) + sizeof *meta || !lmn_db_intact(&key, &v))
+    if (v.mv_size != sizeof(struct lmn_db_head) + sizeof *meta ||
+        !lmn_db_intact(&key, &v))
         return MDB_CORRUPTED;
     memcpy(meta, (const char *)v.mv_data + sizeof(struct lmn_db_head), sizeof *meta);
     return 0;
 }
 
-int lmn_db_meta_write(MDB_txn *txn, const struct lmn_db *db, const struct lmn_db_meta *meta)
+int lmn_db_meta_write(MDB_txn *txn, const struct lmn_db *db,
+                      const struct lmn_db_meta *meta)
 {
     MDB_val key = {4, (void *)"meta"};
     GByteArray *b = with_head();
@@ -92,7 +94,8 @@
     if (flock(db->lock_fd, LOCK_EX | LOCK_NB) != 0) {
         ssize_t n = read(db->lock_fd, pid, sizeof pid - 1);
         pid[MAX(n, 0)] = '\0';
-        snprintf(err, len, "%s: process %s serves this directory; stop it, or take another one",
+        snprintf(err, len,
+                 "%s: process %s serves this directory; stop it, or take another one",
                  db->dir, g_strstrip(pid));
         return false;
     }
@@ -110,10 +113,12 @@
     case MDB_INVALID:
     case MDB_CORRUPTED:
     case MDB_PAGE_NOTFOUND:
-        return "the file is damaged or no database of lemonspar's; 'lemonspar state check' looks, "
+        return "the file is damaged or no database of lemonspar's; 'lemonspar state "
+               "check' looks, "
                "'lemonspar state restore' takes a backup";
     case MDB_VERSION_MISMATCH:
-        return "it was written in another format of LMDB's; use the version that wrote it";
+        return "it was written in another format of LMDB's; use the version that wrote "
+               "it";
     case ENOENT:
         return "there is no database; start 'lemonspar state' to make one";
     case ENOSPC:
@@ -154,8 +159,8 @@
         rc = MDB_INVALID;
     }
     if (!rc && meta.format != LMN_DB_FORMAT) {
-        snprintf(err, len, "%s: format %u, this program reads %d; use a newer lemonspar", db->dir,
-                 meta.format, LMN_DB_FORMAT);
+        snprintf(err, len, "%s: format %u, this program reads %d; use a newer lemonspar",
+                 db->dir, meta.format, LMN_DB_FORMAT);
         rc = MDB_VERSION_MISMATCH;
     }
     if (rc) {
@@ -189,7 +194,8 @@
     if (!rc) {
         mdb_env_set_maxdbs(db->env, LMN_DBIS);
         mdb_env_set_maxreaders(db->env, 64);
-        mdb_env_set_mapsize(db->env, (size_t)((o->map_gb > 0 ? o->map_gb : 64) * (1u << 30)));
+        mdb_env_set_mapsize(db->env,
+                            (size_t)((o->map_gb > 0 ? o->map_gb : 64) * (1u << 30)));
         rc = mdb_env_open(db->env, o->dir, flags | MDB_NOTLS, 0644);
         /* A reader beside nobody, in a directory that takes no lock file. */
         if (o->read_only && (rc == EROFS || rc == EACCES))
@@ -299,7 +305,8 @@
     g_byte_array_append(v, (const guint8 *)c->key, len);
     if (c->value)
         g_byte_array_append(v, c->value, (guint)c->len);
-    went(b, put(b->txn, b->db->dbi[LMN_LOG], &k, v, b->meta.revision, c->lease, MDB_APPEND, NULL));
+    went(b, put(b->txn, b->db->dbi[LMN_LOG], &k, v, b->meta.revision, c->lease,
+                MDB_APPEND, NULL));
     g_byte_array_unref(v);
 }
 
@@ -319,7 +326,8 @@
         GByteArray *v = with_head();
         uint64_t sum = 0;
         g_byte_array_append(v, c->value, (guint)c->len);
-        went(b, put(b->txn, b->db->dbi[LMN_DATA], &k, v, b->meta.revision, c->lease, 0, &sum));
+        went(b, put(b->txn, b->db->dbi[LMN_DATA], &k, v, b->meta.revision, c->lease, 0,
+                    &sum));
         g_byte_array_unref(v);
         b->meta.digest ^= sum;
         b->meta.count++;
@@ -344,8 +352,8 @@
     return rc == 0;
 }
 
-enum lmn_db_outcome lmn_db_apply(struct lmn_db_batch *b, const struct lmn_db_txn *t, uint64_t *rev,
-                                 GPtrArray *failed)
+enum lmn_db_outcome lmn_db_apply(struct lmn_db_batch *b, const struct lmn_db_txn *t,
+                                 uint64_t *rev, GPtrArray *failed)
 {
     bool conflict = false;
 
@@ -394,7 +402,8 @@
     MDB_cursor *cur;
     GPtrArray *keys = g_ptr_array_new_with_free_func(g_free);
 
-    if (!lease_there(b, lease) || !went(b, mdb_cursor_open(b->txn, b->db->dbi[LMN_LEASED], &cur))) {
+    if (!lease_there(b, lease) ||
+        !went(b, mdb_cursor_open(b->txn, b->db->dbi[LMN_LEASED], &cur))) {
         g_ptr_array_free(keys, TRUE);
         return false;
     }
@@ -402,7 +411,8 @@
          rc = mdb_cursor_get(cur, &k, &v, MDB_NEXT)) {
         if (k.mv_size < sizeof be || memcmp(k.mv_data, &be, sizeof be))
             break;
-        g_ptr_array_add(keys, g_strndup((const char *)k.mv_data + sizeof be, k.mv_size - sizeof be));
+        g_ptr_array_add(
+            keys, g_strndup((const char *)k.mv_data + sizeof be, k.mv_size - sizeof be));
     }
     mdb_cursor_close(cur);
     if (keys->len) {
@@ -461,8 +471,8 @@
     if (!rc)
         return 0;
     snprintf(err, len, "%s; %s", mdb_strerror(rc), mend(rc));
-    /* If not even the root could be taken back, LMDB says so at the next try: then nobody knows
-     * which of the two stands on the disk. */
+    /* If not even the root could be taken back, LMDB says so at the next try: then nobody
+     * knows which of the two stands on the disk. */
     MDB_txn *probe;
     rc = mdb_txn_begin(db->env, NULL, 0, &probe);
     if (rc == MDB_PANIC)
--- a/src/store/service.c
+++ b/src/store/service.c
@@ -32,7 +32,8 @@
     return b->rate <= 0 || lmn_budget_take(b, n, lmn_now()) <= 0;
 }
 
-static bool limited(struct lmn_store *s, struct lmn_call *call, struct lmn_budget *b, double n)
+static bool limited(struct lmn_store *s, struct lmn_call *call, struct lmn_budget *b,
+                    double n)
 {
     if (take(b, n))
         return false;
@@ -96,9 +97,11 @@
 
 static void list(struct lmn_store *s, struct lmn_call *call)
 {
-    const char *prefix = lmn_call_query(call, Q_PREFIX), *after = lmn_call_query(call, Q_AFTER);
+    const char *prefix = lmn_call_query(call, Q_PREFIX),
+               *after = lmn_call_query(call, Q_AFTER);
     const char *limit = lmn_call_query(call, Q_LIMIT);
-    struct listing l = {.most = limit ? (size_t)g_ascii_strtoull(limit, NULL, 10) : MAX_ITEMS};
+    struct listing l = {.most = limit ? (size_t)g_ascii_strtoull(limit, NULL, 10)
+                                      : MAX_ITEMS};
     struct lmn_db_meta meta;
 
     if (l.most < 1 || l.most > MAX_ITEMS) {
@@ -110,7 +113,8 @@
         return;
     }
     l.items = g_byte_array_new();
-    lmn_db_list(s->reader, prefix ? prefix : "", after && *after ? after : NULL, list_one, &l);
+    lmn_db_list(s->reader, prefix ? prefix : "", after && *after ? after : NULL, list_one,
+                &l);
     lmn_db_view_end(s->reader);
     GByteArray *b = g_byte_array_new();
     lmn_put_map(b, 3);
@@ -135,18 +139,20 @@
     return copy;
 }
 
-static const char *read_cond(struct lmn_op *op, const struct lmn_doc *d, const struct lmn_node *n)
+static const char *read_cond(struct lmn_op *op, const struct lmn_doc *d,
+                             const struct lmn_node *n)
 {
     struct lmn_db_cond *c = &op->txn.conds[op->txn.nconds++];
 
     c->key = keep(op, lmn_get(d, n, W_KEY));
     if (!c->key)
         return W_IF ": a key of 1 to 200 bytes without spaces is missing";
-    return lmn_count(lmn_get(d, n, W_VERSION), &c->rev) ? NULL : W_IF ": a version is missing";
+    return lmn_count(lmn_get(d, n, W_VERSION), &c->rev) ? NULL
+                                                        : W_IF ": a version is missing";
 }
 
-static const char *read_change(const struct lmn_store *s, struct lmn_op *op, const struct lmn_doc *d,
-                               const struct lmn_node *n)
+static const char *read_change(const struct lmn_store *s, struct lmn_op *op,
+                               const struct lmn_doc *d, const struct lmn_node *n)
 {
     struct lmn_db_change *c = &op->txn.changes[op->txn.nchanges++];
     const struct lmn_node *put = lmn_get(d, n, W_PUT), *v;
@@ -172,7 +178,8 @@
 }
 
 /* What is wrong with it; NULL: nothing. */
-static const char *read_txn(const struct lmn_store *s, struct lmn_op *op, const struct lmn_doc *d)
+static const char *read_txn(const struct lmn_store *s, struct lmn_op *op,
+                            const struct lmn_doc *d)
 {
     const struct lmn_node *root = lmn_root(d), *conds = lmn_get(d, root, W_IF);
     const struct lmn_node *changes = lmn_get(d, root, W_THEN);
@@ -217,7 +224,8 @@
 {
     uint64_t ttl = 0;
 
-    if (!lmn_count(lmn_get(d, lmn_root(d), W_TTL_MS), &ttl) || ttl < 100 || ttl > 600000) {
+    if (!lmn_count(lmn_get(d, lmn_root(d), W_TTL_MS), &ttl) || ttl < 100 ||
+        ttl > 600000) {
         lmn_call_fail(call, 400, W_TTL_MS ": from 100 to 600000");
         return;
     }
@@ -322,7 +330,8 @@
     if (lmn_db_view(r, &meta) == 0)
         lmn_db_view_end(r);
     lmn_db_reader_free(r);
-    lmn_gauge(out, "lemonspar_state_revision", "Revision of the last commit", (double)meta.revision);
+    lmn_gauge(out, "lemonspar_state_revision", "Revision of the last commit",
+              (double)meta.revision);
     lmn_gauge(out, "lemonspar_state_keys", "Keys in the database", (double)meta.count);
     pthread_mutex_lock(&s->watch_lock);
     guint waiting = s->waiters.length;
@@ -337,12 +346,13 @@
                 s->conflicts);
     lmn_counter(out, "lemonspar_state_syncs", "Commits, each with one sync", s->syncs);
     lmn_counter(out, "lemonspar_state_limited", "Requests answered 429", s->limited);
-    lmn_counter(out, "lemonspar_state_refused", "Requests answered 503 since too many wait",
-                s->refused);
+    lmn_counter(out, "lemonspar_state_refused",
+                "Requests answered 503 since too many wait", s->refused);
     lmn_counter(out, "lemonspar_state_failures", "Commits that failed", s->failures);
     lmn_gauge(out, "lemonspar_state_largest_batch", "Most operations that shared a sync",
               s->largest);
-    lmn_quantiles(out, "lemonspar_state_commit_seconds", "Time of a commit", &s->committing);
+    lmn_quantiles(out, "lemonspar_state_commit_seconds", "Time of a commit",
+                  &s->committing);
     pthread_mutex_unlock(&s->lock);
 }
 
@@ -357,7 +367,8 @@
     g_hash_table_insert(s->leases, &l->id, l);
 }
 
-struct lmn_store *lmn_store_start(const struct lmn_store_options *o, char *err, size_t len)
+struct lmn_store *lmn_store_start(const struct lmn_store_options *o, char *err,
+                                  size_t len)
 {
     const struct lmn_db_options d = {.dir = o->dir, .map_gb = o->map_gb, .create = true};
     struct lmn_db *db = lmn_db_open(&d, err, len);
@@ -400,8 +411,9 @@
         snprintf(err, len, "%s: can't listen: %s", o->listen, strerror(errno));
         return NULL;
     }
-    lmn_info("state-start listen=%s data=%s revision=%" G_GUINT64_FORMAT " keys=%" G_GUINT64_FORMAT
-             " leases=%u incarnation=%016" G_GINT64_MODIFIER "x",
+    lmn_info("state-start listen=%s data=%s revision=%" G_GUINT64_FORMAT
+             " keys=%" G_GUINT64_FORMAT " leases=%u incarnation=%016" G_GINT64_MODIFIER
+             "x",
              o->listen, o->dir, meta.revision, meta.count, g_hash_table_size(s->leases),
              meta.incarnation);
     return s;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -1,8 +1,9 @@
 /* The state service: the published protocol over the database.
  *
- * Three threads: the server's answers reads from a view and queues what writes; the writer takes all
- * that waits, applies it, and shares one sync among it (group commit); the watcher answers those who
- * wait for changes. Nothing is answered before its commit. */
+ * Three threads: the server's answers reads from a view and queues what writes; the
+ * writer takes all that waits, applies it, and shares one sync among it (group commit);
+ * the watcher answers those who wait for changes. Nothing is answered before its commit.
+ */
 #ifndef LMN_STORE_H
 #define LMN_STORE_H
 
@@ -16,17 +17,20 @@
     const char *dir;
     double map_gb;
     /* 0: no limit */
-    double rps, write_rps; /* requests, and puts and deletes, a second; bursts of a second's worth */
+    double rps, write_rps; /* requests, and puts and deletes, a second; bursts of a
+                              second's worth */
     double value_kb;       /* of a value, counted as JSON */
-    int txn_ops;           /* puts and deletes a transaction; four times as many conditions */
-    bool one_by_one;       /* for measuring only: a sync for each transaction */
+    int txn_ops;     /* puts and deletes a transaction; four times as many conditions */
+    bool one_by_one; /* for measuring only: a sync for each transaction */
 };
 
 extern const struct lmn_store_options lmn_store_defaults;
 
 struct lmn_store;
-/* Opens the database and serves it; NULL with what is wrong in err. Serves until the process ends. */
-struct lmn_store *lmn_store_start(const struct lmn_store_options *o, char *err, size_t len);
+/* Opens the database and serves it; NULL with what is wrong in err. Serves until the
+ * process ends. */
+struct lmn_store *lmn_store_start(const struct lmn_store_options *o, char *err,
+                                  size_t len);
 /* Appends its metrics as OpenMetrics text. */
 void lmn_store_metrics(struct lmn_store *s, GString *out);
 
--- a/src/store/watch.c
+++ b/src/store/watch.c
@@ -32,7 +32,8 @@
     e->rev = item->rev;
     e->bytes = g_byte_array_new();
     lmn_put_map(e->bytes, item->value ? 3 : 2);
-    lmn_put_text(e->bytes, item->value ? W_PUT : W_DELETE), lmn_put_text(e->bytes, item->key);
+    lmn_put_text(e->bytes, item->value ? W_PUT : W_DELETE),
+        lmn_put_text(e->bytes, item->key);
     if (item->value) {
         lmn_put_text(e->bytes, W_VALUE);
         g_byte_array_append(e->bytes, item->value, (guint)item->len);
@@ -42,9 +43,10 @@
     return true;
 }
 
-/* The answer for a prefix: changes after the revision. NULL if there are none and some are wanted. */
-static GByteArray *answer(const GPtrArray *events, const char *prefix, uint64_t after, uint64_t rev,
-                          bool even_if_none)
+/* The answer for a prefix: changes after the revision. NULL if there are none and some
+ * are wanted. */
+static GByteArray *answer(const GPtrArray *events, const char *prefix, uint64_t after,
+                          uint64_t rev, bool even_if_none)
 {
     GByteArray *b, *list = g_byte_array_new();
     size_t n = 0;
@@ -69,7 +71,8 @@
     return b;
 }
 
-/* Waits from another database, or so old that changes are missing, can only be told to read anew. */
+/* Waits from another database, or so old that changes are missing, can only be told to
+ * read anew. */
 static bool too_old(const struct lmn_db_meta *meta, uint64_t after)
 {
     return after < meta->floor || after > meta->revision;
@@ -77,7 +80,8 @@
 
 void lmn_store_watch(struct lmn_store *s, struct lmn_call *call)
 {
-    const char *prefix = lmn_call_query(call, Q_PREFIX), *a = lmn_call_query(call, Q_AFTER);
+    const char *prefix = lmn_call_query(call, Q_PREFIX),
+               *a = lmn_call_query(call, Q_AFTER);
     const char *w = lmn_call_query(call, Q_WAIT_MS);
     uint64_t after = a ? g_ascii_strtoull(a, NULL, 10) : 0;
     uint64_t wait_ms = w ? g_ascii_strtoull(w, NULL, 10) : 0;
@@ -99,7 +103,8 @@
     GPtrArray *events = g_ptr_array_new_with_free_func(free_event);
     lmn_db_changes(s->reader, after, collect, events);
     lmn_db_view_end(s->reader);
-    GByteArray *b = answer(events, prefix ? prefix : "", after, meta.revision, wait_ms == 0);
+    GByteArray *b =
+        answer(events, prefix ? prefix : "", after, meta.revision, wait_ms == 0);
     g_ptr_array_free(events, TRUE);
     if (b) {
         lmn_call_answer(call, 200, b, 0);
@@ -125,8 +130,8 @@
     g_free(x);
 }
 
-/* Answers whom it can; the others stay in the queue. Many wait for the same: what goes to them is
- * made once. */
+/* Answers whom it can; the others stay in the queue. Many wait for the same: what goes to
+ * them is made once. */
 static void serve(struct lmn_store *s, struct lmn_db_reader *r, GQueue *waiters)
 {
     struct timespec now = lmn_now();
--- a/src/store/writer.c
+++ b/src/store/writer.c
@@ -90,7 +90,8 @@
 }
 
 /* After the commit: what it means to the leases in memory. The lock is held. */
-static void settle_lease(struct lmn_store *s, const struct lmn_op *op, struct timespec now)
+static void settle_lease(struct lmn_store *s, const struct lmn_op *op,
+                         struct timespec now)
 {
     if (op->kind == LMN_OP_GRANT) {
         struct lmn_store_lease *l = g_new0(struct lmn_store_lease, 1);
@@ -167,7 +168,8 @@
     uint64_t rev = lmn_db_batch_revision(b);
     int rc = lmn_db_commit(b, err, sizeof err);
     if (rc == -2) {
-        /* Callers must not be told anything: no answer means that it may have been executed. */
+        /* Callers must not be told anything: no answer means that it may have been
+         * executed. */
         lmn_error("database-lost why=\"%s\"", err);
         _exit(1);
     }
@@ -185,8 +187,8 @@
     s->largest = MAX(s->largest, ops->length);
     lmn_latency_add(&s->committing, lmn_since(now, begun));
     pthread_mutex_unlock(&s->lock);
-    lmn_debug("commit operations=%u revision=%" G_GUINT64_FORMAT " took=%.4f", ops->length, rev,
-              lmn_since(now, begun));
+    lmn_debug("commit operations=%u revision=%" G_GUINT64_FORMAT " took=%.4f",
+              ops->length, rev, lmn_since(now, begun));
     while ((op = g_queue_pop_head(ops))) {
         tell(op);
         lmn_op_free(op);
@@ -217,8 +219,8 @@
 
 /* A lease may end up to 100 ms late, never early. */
 static const double KEEPER_S = 0.05;
-/* If the keeper itself stood still for so long, the process did: nobody could renew, and every lease
- * has its full time again, as after an outage. */
+/* If the keeper itself stood still for so long, the process did: nobody could renew, and
+ * every lease has its full time again, as after an outage. */
 static const double STALL_S = 1.0;
 
 static void expire(struct lmn_store *s, struct timespec now, bool stalled)
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -1,5 +1,5 @@
-/* The state service's database: what is committed stays, whatever happens to the process, the disk
- * or the file; what is damaged is found. */
+/* The state service's database: what is committed stays, whatever happens to the process,
+ * the disk or the file; what is damaged is found. */
 #include "store/db.h"
 #include "store/db_format.h"
 
@@ -62,7 +62,8 @@
 }
 
 static enum lmn_db_outcome apply1(struct lmn_db_batch *b, const char *key, uint64_t cond,
-                                  bool conditional, const char *value, uint64_t lease, uint64_t *rev)
+                                  bool conditional, const char *value, uint64_t lease,
+                                  uint64_t *rev)
 {
     GPtrArray *failed = g_ptr_array_new_with_free_func(g_free);
     struct lmn_db_cond c = {key, cond};
@@ -134,10 +135,12 @@
             g_hash_table_iter_remove(&it);
 }
 
-/* Random transactions, leases, given-up batches and restarts leave what a table of the same would. */
+/* Random transactions, leases, given-up batches and restarts leave what a table of the
+ * same would. */
 static void transactions_follow_a_naive_model(void **state)
 {
-    GHashTable *model = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_naive);
+    GHashTable *model =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_naive);
     GRand *r = g_rand_new_with_seed(7);
     struct lmn_db *db = must_open();
     uint64_t lease = 0, last = 0;
@@ -183,7 +186,8 @@
             uint64_t rev;
             assert_true(lmn_db_revoke(b, lease));
             forget_leased(model, lease);
-            assert_int_equal(apply1(b, "k/x", 0, false, "x", lease, &rev), LMN_DB_NO_LEASE);
+            assert_int_equal(apply1(b, "k/x", 0, false, "x", lease, &rev),
+                             LMN_DB_NO_LEASE);
             last = lmn_db_batch_revision(b);
             lease = 0;
         }
@@ -276,8 +280,9 @@
     return meta.revision;
 }
 
-/* Of the pages of the last write any may have reached the disk, each whole or up to any sector: as
- * long as the root, which is written last, has not, the state is the one before. */
+/* Of the pages of the last write any may have reached the disk, each whole or up to any
+ * sector: as long as the root, which is written last, has not, the state is the one
+ * before. */
 static void a_torn_last_write_is_as_if_it_had_not_begun(void **state)
 {
     GByteArray *before = g_byte_array_new(), *after = g_byte_array_new();
@@ -309,8 +314,8 @@
             memcpy(torn->data, before->data, 2 * PAGE);
             for (guint page = 2; page * PAGE < before->len; page++) {
                 guint whole = (guint)g_rand_int_range(r, 0, 9) * 512;
-                memcpy(torn->data + page * PAGE + whole, before->data + page * PAGE + whole,
-                       PAGE - whole);
+                memcpy(torn->data + page * PAGE + whole,
+                       before->data + page * PAGE + whole, PAGE - whole);
             }
             if (g_rand_boolean(r))
                 g_byte_array_set_size(torn, before->len);
@@ -349,8 +354,8 @@
     for (int k = 0; k < 25; k++) {
         GByteArray *bad = g_byte_array_new();
         g_byte_array_append(bad, good->data, good->len);
-        /* Somewhere in what is in use: old pages hold marks too, so one in the last tree is looked
-         * for, by flipping all copies of one. */
+        /* Somewhere in what is in use: old pages hold marks too, so one in the last tree
+         * is looked for, by flipping all copies of one. */
         char mark[32];
         g_snprintf(mark, sizeof mark, "MARK%d-", g_rand_int_range(r, 0, 60));
         guint at = (guint)g_rand_int_range(r, 0, 140);
@@ -364,7 +369,8 @@
     assert_int_equal(found, 25);
     for (int k = 0; k < 8; k++) {
         GByteArray *bad = g_byte_array_new();
-        g_byte_array_append(bad, good->data, (guint)g_rand_int_range(r, 1, (gint)good->len / 2));
+        g_byte_array_append(bad, good->data,
+                            (guint)g_rand_int_range(r, 1, (gint)good->len / 2));
         write_file("data.mdb", bad);
         assert_true(check(&meta) > 0);
         g_byte_array_unref(bad);
@@ -474,7 +480,8 @@
     lmn_db_close(db);
     clear_dir(to);
     assert_int_equal(lmn_db_restore(bak, to, err, sizeof err), 0);
-    assert_int_equal(lmn_db_restore(bak, to, err, sizeof err), -1); /* never over another */
+    assert_int_equal(lmn_db_restore(bak, to, err, sizeof err),
+                     -1); /* never over another */
     g_strlcpy(dir, to, sizeof dir);
     assert_int_equal(check(&new), 0);
     assert_true(new.revision > old.revision + 1000000);
@@ -497,8 +504,10 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test_setup_teardown(transactions_follow_a_naive_model, fresh, wipe),
-        cmocka_unit_test_setup_teardown(the_last_changes_are_kept_across_a_restart, fresh, wipe),
-        cmocka_unit_test_setup_teardown(a_torn_last_write_is_as_if_it_had_not_begun, fresh, wipe),
+        cmocka_unit_test_setup_teardown(the_last_changes_are_kept_across_a_restart, fresh,
+                                        wipe),
+        cmocka_unit_test_setup_teardown(a_torn_last_write_is_as_if_it_had_not_begun,
+                                        fresh, wipe),
         cmocka_unit_test_setup_teardown(flips_and_truncations_are_found, fresh, wipe),
         cmocka_unit_test_setup_teardown(a_full_disk_loses_nothing, fresh, wipe),
         cmocka_unit_test_setup_teardown(what_cannot_be_opened_is_said, fresh, wipe),
