--- a/src/serve/api.c
+++ b/src/serve/api.c
@@ -315,6 +315,24 @@
     return t;
 }
 
+/* Whether the job's record is larger than a value may be, counted as JSON. */
+static bool too_large(const struct lmn_core *c, const struct lmn_spec *s)
+{
+    size_t most = (size_t)(c->cfg->value_kb * 1024), types = 0;
+    struct lmn_doc d;
+
+    for (char **t = s->types; t && *t; t++)
+        types += strlen(*t) + 3;
+    /* All else is bounded; few descriptions need a closer look. */
+    if (types + 2048 < most)
+        return false;
+    GByteArray *b = lmn_job_record(s, LMN_ACTIVE, UINT32_MAX, 1e10);
+    bool large = lmn_doc_parse(&d, b->data, b->len) == 0 && lmn_json_size(&d, lmn_root(&d)) > most;
+    lmn_doc_free(&d);
+    g_byte_array_unref(b);
+    return large;
+}
+
 void lmn_api_submit(struct lmn_core *c, struct lmn_call *call)
 {
     const GByteArray *body = lmn_call_body(call);
@@ -351,6 +369,10 @@
         lmn_call_answer(call, 200, a, 0);
     } else if (known) {
         enqueue(ASK_POLL, call, s.ref, 503);
+    } else if (too_large(c, &s)) {
+        /* No value can hold it: that would be 503 at each try, for ever. */
+        lmn_debug("job-too-large job=%s", s.ref);
+        enqueue(ASK_POLL, call, s.ref, 400);
     } else if (!synced || !types) {
         lmn_call_answer(call, 503, NULL, 2);
     } else if (!possible) {
--- a/src/state/core.c
+++ b/src/state/core.c
@@ -28,6 +28,8 @@
     c->rng = g_rand_new_with_seed(seed);
     c->jobs = g_hash_table_new(g_str_hash, g_str_equal);
     c->gone = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    g_queue_init(&c->finals);
+    c->finals_most = LMN_FINALS_KEPT;
     c->nparts = cfg->partitions;
     c->parts = g_new0(struct lmn_partition, c->nparts);
     c->booted = lmn_now();
--- a/src/state/mirror.c
+++ b/src/state/mirror.c
@@ -13,6 +13,7 @@
 #include "base/log.h"
 #include "base/thread.h"
 #include "base/wire.h"
+#include "state/finals.h"
 #include "state/records.h"
 
 #include <stdlib.h>
@@ -45,8 +46,20 @@
            (j->spec.gpus <= 0 || c->asked_gpus[j->team] <= t->gpus + 1e-6);
 }
 
+/* While everything is read: final jobs beyond those that are kept are passed over, unless there are
+ * ranges of theirs. */
+static bool passed_over(struct lmn_core *c, const char *ref, enum lmn_phase phase)
+{
+    if (!c->reading || phase == LMN_ACTIVE || c->finals.length < c->finals_most)
+        return false;
+    if (c->needed)
+        return !g_hash_table_contains(c->needed, ref);
+    c->crowded = true; /* read_all begins again, and finds out first which are needed */
+    return true;
+}
+
 static void apply_job(struct lmn_core *c, const char *ref, const struct lmn_doc *d,
-                      const struct lmn_node *v, uint64_t rev)
+                      const struct lmn_node *v, uint64_t rev, struct timespec now)
 {
     struct lmn_spec spec;
     enum lmn_phase phase;
@@ -65,6 +78,10 @@
         lmn_spec_clear(&spec);
         return;
     }
+    if (!j && passed_over(c, ref, phase)) {
+        lmn_spec_clear(&spec);
+        return;
+    }
     if (!j) {
         j = g_new0(struct lmn_job, 1);
         j->spec = spec;
@@ -89,6 +106,8 @@
     if (phase != j->phase)
         lmn_debug("job-final job=%s phase=%d after=%.1f", ref, phase,
                   lmn_seconds(lmn_wall()) - j->at);
+    if (phase != LMN_ACTIVE && (j->phase == LMN_ACTIVE || !j->rev))
+        lmn_finals_note(c, j, now);
     j->phase = phase;
     j->open = open;
     j->rev = rev;
@@ -125,6 +144,8 @@
     g_strlcpy(ref, rest, (gsize)(slash - rest) + 1);
     uint32_t lo = (uint32_t)strtoul(slash + 1, NULL, 10);
     struct lmn_job *j = g_hash_table_lookup(c->jobs, ref);
+    if (!j && c->needed)
+        c->reread = true; /* it became final between the two readings */
     if (!j || hi <= lo || hi > j->spec.tasks) {
         lmn_error("unreadable-record key=%s", key);
         return;
@@ -222,7 +243,7 @@
     if (!key[0] || key[1] != '/')
         return;
     if (key[0] == 'j') {
-        apply_job(c, key + 2, d, v, rev);
+        apply_job(c, key + 2, d, v, rev, now);
         return;
     }
     if (key[0] == 'q') {
@@ -293,30 +314,68 @@
     }
 }
 
-/* Reads every key; 0 if the mirror then is whole as of *revision. */
-static int read_all(struct lmn_core *c, struct lmn_http *h, GByteArray *buf,
-                    uint64_t *revision)
+/* A page of a listing, parsed; -1 if it could not be had. after: the last key, moved on. */
+static int read_page(struct lmn_core *c, struct lmn_http *h, GByteArray *buf, const char *prefix,
+                     const char *after, struct lmn_doc *d)
 {
-    char after[256] = "", path[512];
-    bool first = true, more = true;
+    char path[512];
 
-    pthread_mutex_lock(&c->lock);
-    c->gen++;
-    pthread_mutex_unlock(&c->lock);
-    while (more) {
+    lmn_state_pace(c->state);
+    g_snprintf(path, sizeof path, P_STORE "?" Q_PREFIX "=%s%s%s&" Q_LIMIT "=500", prefix,
+               *after ? "&" Q_AFTER "=" : "", after);
+    int status = lmn_http_call(h, "GET", path, NULL, 3.0, buf);
+    if (status == 200 && lmn_doc_parse(d, buf->data, buf->len) == 0)
+        return 0;
+    lmn_debug("list-failed status=%d", status);
+    return -1;
+}
+
+static bool more_pages(const struct lmn_doc *d)
+{
+    const struct lmn_node *root = lmn_root(d), *items = lmn_get(d, root, W_ITEMS);
+    bool more = false;
+
+    lmn_truth(lmn_get(d, root, W_MORE), &more);
+    return more && items && items->len;
+}
+
+/* Which jobs have ranges: of those that are final, only they are needed. */
+static GHashTable *read_needed(struct lmn_core *c, struct lmn_http *h, GByteArray *buf)
+{
+    GHashTable *set = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    char after[256] = "";
+
+    for (bool more = true; more;) {
+        struct lmn_doc d;
+        if (read_page(c, h, buf, "r/", after, &d) != 0) {
+            g_hash_table_destroy(set);
+            return NULL;
+        }
+        const struct lmn_node *items = lmn_get(&d, lmn_root(&d), W_ITEMS);
+        for (const struct lmn_node *n = lmn_child(&d, items); n; n = lmn_next(&d, n)) {
+            if (!lmn_text(lmn_get(&d, n, W_KEY), after, sizeof after))
+                continue;
+            char **part = g_strsplit(after, "/", 4); /* r/P/REF/LO */
+            if (g_strv_length(part) == 4)
+                g_hash_table_add(set, g_strdup(part[2]));
+            g_strfreev(part);
+        }
+        more = more_pages(&d);
+        lmn_doc_free(&d);
+    }
+    return set;
+}
+
+static int read_keys(struct lmn_core *c, struct lmn_http *h, GByteArray *buf, uint64_t *revision)
+{
+    char after[256] = "";
+    bool first = true;
+
+    for (bool more = true; more;) {
         struct lmn_doc d;
         uint64_t rev = 0;
-        lmn_state_pace(c->state);
-        if (*after)
-            g_snprintf(path, sizeof path,
-                       P_STORE "?" Q_PREFIX "=&" Q_AFTER "=%s&" Q_LIMIT "=500", after);
-        else
-            g_snprintf(path, sizeof path, P_STORE "?" Q_PREFIX "=&" Q_LIMIT "=500");
-        int status = lmn_http_call(h, "GET", path, NULL, 3.0, buf);
-        if (status != 200 || lmn_doc_parse(&d, buf->data, buf->len) != 0) {
-            lmn_debug("list-failed status=%d", status);
+        if (read_page(c, h, buf, "", after, &d) != 0)
             return -1;
-        }
         const struct lmn_node *root = lmn_root(&d);
         lmn_count(lmn_get(&d, root, W_REVISION), &rev);
         if (first)
@@ -332,17 +391,43 @@
                 continue;
             lmn_mirror_apply(c, after, &d, lmn_get(&d, n, W_VALUE), version, now);
         }
+        bool crowded = c->crowded;
         pthread_mutex_unlock(&c->lock);
-        more = false;
-        lmn_truth(lmn_get(&d, root, W_MORE), &more);
-        if (!items || !items->len)
-            more = false;
+        more = more_pages(&d);
         lmn_doc_free(&d);
+        if (crowded)
+            return 1;
+    }
+    return 0;
+}
+
+/* Reads every key; 0 if the mirror then is whole as of *revision. */
+static int read_all(struct lmn_core *c, struct lmn_http *h, GByteArray *buf, uint64_t *revision)
+{
+    pthread_mutex_lock(&c->lock);
+    c->gen++;
+    c->reading = true;
+    c->crowded = c->reread = false;
+    pthread_mutex_unlock(&c->lock);
+    int rc = read_keys(c, h, buf, revision);
+    if (rc == 1) {
+        /* More final jobs than are kept in memory: which of them are needed is found out first. */
+        GHashTable *needed = read_needed(c, h, buf);
+        pthread_mutex_lock(&c->lock);
+        c->needed = needed;
+        c->crowded = false;
+        pthread_mutex_unlock(&c->lock);
+        rc = needed ? read_keys(c, h, buf, revision) : -1;
     }
     pthread_mutex_lock(&c->lock);
-    lmn_mirror_sweep(c, lmn_now());
+    if (rc == 0 && !c->reread)
+        lmn_mirror_sweep(c, lmn_now());
+    else
+        rc = -1;
+    g_clear_pointer(&c->needed, g_hash_table_destroy);
+    c->reading = false;
     pthread_mutex_unlock(&c->lock);
-    return 0;
+    return rc;
 }
 
 static void apply_events(struct lmn_core *c, const struct lmn_doc *d,
@@ -395,6 +480,7 @@
         pthread_cond_broadcast(&c->changed);
     }
     lmn_mirror_settle(c, now);
+    lmn_finals_evict(c, now);
     pthread_mutex_unlock(&c->lock);
     lmn_doc_free(&d);
     return 200;
--- a/src/state/model.h
+++ b/src/state/model.h
@@ -40,6 +40,7 @@
     double left;     /* processor seconds that have not been started */
     GArray *zones;   /* struct lmn_zone_tasks, of a job whose tasks look at each other's
                         places */
+    struct timespec final_at; /* when the mirror showed it final, or it was last looked at */
     const struct lmn_partition *ranked; /* mark of the triage under way */
     /* a job whose tasks fail is held back by itself */
     unsigned errors;
@@ -168,6 +169,7 @@
     struct timespec written, retry;
 };
 
+enum { LMN_FINALS_KEPT = 20000 };
 enum { LMN_MAX_BLOCKS = 4096 };
 
 /* A part of a team's limit on its way from a partition to another. */
@@ -262,6 +264,10 @@
     GRand *rng;
 
     GHashTable *jobs; /* ref -> lmn_job */
+    GQueue finals;      /* those that are final, the oldest first */
+    guint finals_most;  /* so many are kept in memory at least (state/finals.h) */
+    GHashTable *needed; /* while everything is read: refs of jobs that have ranges; or NULL */
+    bool reading, crowded, reread;
     struct lmn_partition *parts;
     int nparts;
     struct lmn_peer_view peers[LMN_MAX_MEMBERS + 1]; /* by rank */
