--- a/src/base/latency.c
+++ b/src/base/latency.c
@@ -39,3 +39,15 @@
     }
     return upper;
 }
+
+void lmn_latency_copy(struct lmn_latency *to, const struct lmn_latency *from)
+{
+    gsl_histogram_memcpy(to->h, from->h);
+    to->max = from->max;
+}
+
+void lmn_latency_clear(struct lmn_latency *l)
+{
+    gsl_histogram_free(l->h);
+    l->h = NULL;
+}
--- a/src/base/latency.h
+++ b/src/base/latency.h
@@ -10,6 +10,9 @@
 };
 
 void lmn_latency_init(struct lmn_latency *l);
+/* Of one that was set up; the histogram is copied. */
+void lmn_latency_copy(struct lmn_latency *to, const struct lmn_latency *from);
+void lmn_latency_clear(struct lmn_latency *l);
 void lmn_latency_add(struct lmn_latency *l, double seconds);
 /* The upper end of the bin that holds the given share of all; 0 if there are none. */
 double lmn_latency_quantile(const struct lmn_latency *l, double share);
--- a/src/serve/server.c
+++ b/src/serve/server.c
@@ -1,8 +1,10 @@
 /* The paths of a controller. */
 #include "serve/server.h"
+#include "base/metrics.h"
 #include "base/wire.h"
 #include "own/worker.h"
 #include "serve/api.h"
+#include "serve/metrics.h"
 
 #include <string.h>
 
@@ -40,6 +42,8 @@
         const GByteArray *body = lmn_call_body(call);
         int status = lmn_worker_report(c, body->data, body->len, out, lmn_now());
         lmn_call_answer(call, status, out, 0);
+    } else if (!post && !strcmp(path, "/metrics")) {
+        lmn_metrics_answer(call, lmn_controller_metrics, c);
     } else if (!post && !strcmp(path, P_READY)) {
         lmn_call_answer(call, lmn_api_ready(c) ? 200 : 503, NULL, 0);
     } else if (post && !strcmp(path, P_JOBS)) {
--- a/src/state/state.c
+++ b/src/state/state.c
@@ -40,6 +40,7 @@
     double queued_changes[LMN_RANKS];
     struct lmn_budget requests, writes;
     struct lmn_budget lazy; /* the part of writes that what can wait may use */
+    struct lmn_latency writing; /* from a transaction's sending to its answer */
     struct timespec hold;   /* after a 429: nothing goes out before */
 };
 
@@ -143,6 +144,7 @@
     lmn_budget_init(&s->writes, cfg->state_write_rps * share * 0.95,
                     MAX(cfg->state_write_rps * share * 0.9, 4), now);
     lmn_budget_init(&s->lazy, 0.5 * s->writes.rate, s->writes.burst, now);
+    lmn_latency_init(&s->writing);
     s->hold = now;
     return s;
 }
@@ -159,6 +161,18 @@
     }
 }
 
+double lmn_state_figures(struct lmn_state *s, struct lmn_latency *writing)
+{
+    double waiting = 0;
+
+    pthread_mutex_lock(&s->lock);
+    lmn_latency_copy(writing, &s->writing);
+    for (int i = 0; i < LMN_RANKS; i++)
+        waiting += s->queued_changes[i];
+    pthread_mutex_unlock(&s->lock);
+    return waiting;
+}
+
 void lmn_state_submit(struct lmn_state *s, struct lmn_txn *t)
 {
     pthread_mutex_lock(&s->lock);
@@ -435,7 +449,11 @@
         GPtrArray *conflicts = g_ptr_array_new_with_free_func(g_free);
         uint64_t revision = 0;
         int status;
+        struct timespec sent = lmn_now();
         enum lmn_outcome r = send_batch(h, v, n, &revision, conflicts, &status);
+        pthread_mutex_lock(&s->lock);
+        lmn_latency_add(&s->writing, lmn_since(lmn_now(), sent));
+        pthread_mutex_unlock(&s->lock);
         if (status == 429) {
             pthread_mutex_lock(&s->lock);
             s->hold = lmn_after(lmn_now(), 0.1 + g_random_double() * 0.2);
