--- a/src/agent/keeper.c
+++ b/src/agent/keeper.c
@@ -133,7 +133,8 @@
         _exit(127); /* it was gone before the line above */
     sigemptyset(&none);
     sigprocmask(SIG_SETMASK, &none, NULL);
-    /* What the keeper ignores the task must not: an ignored signal stays so, and sh can't even trap it. */
+    /* What the keeper ignores the task must not: an ignored signal stays so, and sh can't
+     * even trap it. */
     static const int ignored[] = {SIGPIPE, SIGTERM, SIGINT, SIGHUP};
     for (guint i = 0; i < G_N_ELEMENTS(ignored); i++)
         signal(ignored[i], SIG_DFL);
--- a/src/cli/fleet.c
+++ b/src/cli/fleet.c
@@ -1,10 +1,15 @@
 /* lemonspar fleet and lemonspar worker. */
 #include "cli/cli.h"
 #include "base/conf.h"
+#include "base/http_client.h"
+#include "base/json.h"
+
 #include "base/log.h"
 #include "base/thread.h"
 #include "depot/depot.h"
+#include "emulate/run.h"
 #include "fleet/slot.h"
+
 #include "fleet/static.h"
 
 #include <curl/curl.h>
@@ -17,7 +22,9 @@
 struct fleet_options {
     char listen[LMN_ADDR], data[512], inventory[512];
     double rps;
+    bool emulated;
     struct lmn_local_options local;
+    struct lmn_emulation_options emulation;
 };
 
 static int load(const char *path, struct fleet_options *o, char *err, size_t len)
@@ -30,6 +37,12 @@
     g_strlcpy(o->data, lmn_conf_text(c, "data", NULL), sizeof o->data);
     g_strlcpy(o->inventory, lmn_conf_text(c, "inventory", NULL), sizeof o->inventory);
     o->rps = lmn_conf_number(c, "rps", 0, 0, 1e6);
+    const char *backend = lmn_conf_text(c, "backend", "static");
+    o->emulated = !strcmp(backend, "emulated");
+    if (!o->emulated && strcmp(backend, "static"))
+        lmn_conf_fail(c, "backend", "expected 'static' or 'emulated'");
+    if (o->emulated)
+        lmn_emulation_read(c, &o->emulation);
     lmn_local_read(c, &o->local);
     g_snprintf(o->local.dir, sizeof o->local.dir, "%s/machines", o->data);
     int rc = lmn_conf_end(c, err, len);
@@ -37,6 +50,65 @@
     return rc;
 }
 
+static int serve_emulated(struct fleet_options *o, const struct lmn_inventory *v)
+{
+    char err[256];
+
+    o->emulation.inventory = v;
+    o->emulation.worker = o->local.worker;
+    struct lmn_emulation *e = lmn_emulation_start(&o->emulation, err, sizeof err);
+    if (!e)
+        return lmn_cli_fail(LMN_EXIT_FAILED, "%s", err);
+    if (!lmn_cloud_serve(o->listen, o->rps, &lmn_emulation_ops, e))
+        return lmn_cli_fail(LMN_EXIT_FAILED, "%s: can't listen: %s", o->listen,
+                            strerror(errno));
+    for (;;)
+        pause();
+}
+
+/* lemonspar fleet trouble: shows or sets what is wrong in an emulated fleet. */
+static int trouble(int argc, char **argv)
+{
+    char *addr = NULL;
+    double lasts = 0;
+    const GOptionEntry entries[] = {
+        {"fleet", 0, 0, G_OPTION_ARG_STRING, &addr, "The fleet's address", "ADDR"},
+        {"for", 0, 0, G_OPTION_ARG_DOUBLE, &lasts, "Set back after so long", "SECONDS"},
+        G_OPTION_ENTRY_NULL,
+    };
+    int rc = lmn_cli_parse(entries, "[NAME VALUE]",
+                           "Shows or sets the troubles of an emulated fleet.", NULL,
+                           false, &argc, &argv);
+
+    if (rc)
+        return rc;
+    if (!addr || (argc != 1 && argc != 3))
+        return lmn_cli_fail(LMN_EXIT_USAGE,
+                            "expected: fleet trouble --fleet ADDR [NAME VALUE]");
+    curl_global_init(CURL_GLOBAL_NOTHING);
+    struct lmn_http *h = lmn_http_new(addr);
+    GByteArray *in = g_byte_array_new(), *b = g_byte_array_new();
+    if (argc == 3) {
+        char *end;
+        double value = g_ascii_strtod(argv[2], &end);
+        if (end == argv[2] || *end)
+            return lmn_cli_fail(LMN_EXIT_USAGE, "%s: expected a number", argv[2]);
+        lmn_put_map(b, 3);
+        lmn_put_text(b, "Set"), lmn_put_text(b, argv[1]);
+        lmn_put_text(b, "Value"), lmn_put_number(b, value);
+        lmn_put_text(b, "For"), lmn_put_number(b, lasts);
+    }
+    int status = lmn_http_call(h, argc == 3 ? "POST" : "GET", "/troubles", b, 5, in);
+    json_t *j = in->len ? lmn_json_of_bytes(in->data, in->len) : NULL;
+    if (status != 200)
+        return lmn_cli_fail(LMN_EXIT_FAILED, "%s: %s", addr,
+                            j ? json_string_value(json_object_get(j, "error"))
+                              : "no answer");
+    if (j)
+        lmn_json_print(j, true);
+    return LMN_EXIT_OK;
+}
+
 int lmn_cmd_fleet(int argc, char **argv)
 {
     static struct fleet_options o;
@@ -47,8 +119,14 @@
         {"check", 0, 0, G_OPTION_ARG_FILENAME, &check, "Only check an inventory", "FILE"},
         G_OPTION_ENTRY_NULL,
     };
+    static const struct lmn_subcommand subs[] = {
+        {"trouble", "--fleet ADDR [NAME VALUE]", "an emulated fleet's troubles", trouble},
+        {0}};
+
+    if (argc > 1 && !strcmp(argv[1], "trouble"))
+        return lmn_cli_sub(subs, argc, argv);
     int rc = lmn_cli_parse(
-        entries, NULL,
+        entries, "| trouble ...",
         "Rents out the machines of an inventory, and keeps the site's depot.",
         "See docs/fleet.md for the files.", false, &argc, &argv);
 
@@ -71,8 +149,12 @@
     signal(SIGPIPE, SIG_IGN);
     char *db = g_build_filename(o.data, "fleet", NULL),
          *depot = g_build_filename(o.data, "depot", NULL);
+    if (!lmn_depot_start(depot, o.local.worker.depot, err, sizeof err))
+        return lmn_cli_fail(LMN_EXIT_FAILED, "%s", err);
+    if (o.emulated)
+        return serve_emulated(&o, &v);
     struct lmn_static *s = lmn_static_new(&v, &o.local, db, err, sizeof err);
-    if (!s || !lmn_depot_start(depot, o.local.worker.depot, err, sizeof err))
+    if (!s)
         return lmn_cli_fail(LMN_EXIT_FAILED, "%s", err);
     if (!lmn_cloud_serve(o.listen, o.rps, &lmn_static_ops, s))
         return lmn_cli_fail(LMN_EXIT_FAILED, "%s: can't listen: %s", o.listen,
--- /dev/null
+++ b/src/emulate/run.h
@@ -0,0 +1,36 @@
+/* An emulated fleet in one process: the cloud and thousands of workers that really speak
+ * to a site's controllers, over sockets of their own. */
+#ifndef LMN_EMU_RUN_H
+#define LMN_EMU_RUN_H
+
+#include "agent/run.h"
+#include "emulate/cloud.h"
+
+struct lmn_conf;
+struct lmn_emulation;
+
+struct lmn_emulation_options {
+    const struct lmn_inventory *inventory;
+    struct lmn_worker_options
+        worker; /* listen (its address), depot, report_s, lease_s, controllers */
+    uint32_t seed;
+    /* troubles at set times after the start */
+    GArray *script; /* struct lmn_emu_trouble */
+    struct lmn_knobs knobs;
+};
+
+struct lmn_emu_trouble {
+    double at, value, lasts; /* seconds; lasts 0: until it is set otherwise */
+    char name[32];
+};
+
+/* Reads [emulate] (knobs by name, seed) and [[troubles]] (at, set, value, for). */
+void lmn_emulation_read(struct lmn_conf *c, struct lmn_emulation_options *o);
+/* Starts it (threads); never freed. NULL with err. */
+struct lmn_emulation *lmn_emulation_start(const struct lmn_emulation_options *o,
+                                          char *err, size_t len);
+/* Also answers GET /troubles, the knobs, and POST /troubles {"Set", "Value", "For"}. arg:
+ * struct lmn_emulation. */
+extern const struct lmn_cloud_ops lmn_emulation_ops;
+
+#endif
--- a/src/serve/api.c
+++ b/src/serve/api.c
@@ -327,7 +327,8 @@
     if (types + 2048 < most)
         return false;
     GByteArray *b = lmn_job_record(s, LMN_ACTIVE, UINT32_MAX, 1e10);
-    bool large = lmn_doc_parse(&d, b->data, b->len) == 0 && lmn_json_size(&d, lmn_root(&d)) > most;
+    bool large =
+        lmn_doc_parse(&d, b->data, b->len) == 0 && lmn_json_size(&d, lmn_root(&d)) > most;
     lmn_doc_free(&d);
     g_byte_array_unref(b);
     return large;
--- a/src/serve/metrics.c
+++ b/src/serve/metrics.c
@@ -20,10 +20,12 @@
 
 struct sums {
     struct tasks tasks;
-    double machines, unaccounted, retiring, queued, limbo, owned, ready, used[LMN_MAX_TEAMS];
+    double machines, unaccounted, retiring, queued, limbo, owned, ready,
+        used[LMN_MAX_TEAMS];
 };
 
-static void count_partition(const struct lmn_core *c, struct sums *s, const struct lmn_partition *p)
+static void count_partition(const struct lmn_core *c, struct sums *s,
+                            const struct lmn_partition *p)
 {
     GHashTableIter it;
     gpointer v;
@@ -65,8 +67,8 @@
         {"lemonspar_moves", "Steals between partitions", n->moves},
         {"lemonspar_moved_tasks", "Tasks that they took", n->moved_tasks},
         {"lemonspar_takeovers", "Partitions taken over", n->takeovers},
-        {"lemonspar_unqueued", "Queued tasks that stood in no queue (there should be none)",
-         n->unqueued},
+        {"lemonspar_unqueued",
+         "Queued tasks that stood in no queue (there should be none)", n->unqueued},
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(all); i++)
@@ -87,35 +89,42 @@
     guint jobs = g_hash_table_size(c->jobs), finals = c->finals.length;
     lmn_quantiles(out, "lemonspar_accepting_seconds", "From a submission to its commit",
                   &c->accepting);
-    lmn_quantiles(out, "lemonspar_starting_seconds", "From a job's acceptance to a task's start",
-                  &c->starting);
+    lmn_quantiles(out, "lemonspar_starting_seconds",
+                  "From a job's acceptance to a task's start", &c->starting);
     pthread_mutex_unlock(&c->lock);
-    lmn_gauge(out, "lemonspar_mirror_behind_seconds", "How far the mirror may be behind", stale);
+    lmn_gauge(out, "lemonspar_mirror_behind_seconds", "How far the mirror may be behind",
+              stale);
     lmn_gauge(out, "lemonspar_partitions", "Partitions owned", s.owned);
-    lmn_gauge(out, "lemonspar_partitions_ready", "Owned partitions whose inherited tasks may start",
-              s.ready);
+    lmn_gauge(out, "lemonspar_partitions_ready",
+              "Owned partitions whose inherited tasks may start", s.ready);
     lmn_gauge(out, "lemonspar_machines", "Machines of owned partitions", s.machines);
-    lmn_gauge(out, "lemonspar_machines_unaccounted", "Of these, not heard since the takeover",
-              s.unaccounted);
-    lmn_gauge(out, "lemonspar_machines_retiring", "Of these, on their way back", s.retiring);
+    lmn_gauge(out, "lemonspar_machines_unaccounted",
+              "Of these, not heard since the takeover", s.unaccounted);
+    lmn_gauge(out, "lemonspar_machines_retiring", "Of these, on their way back",
+              s.retiring);
     lmn_gauge(out, "lemonspar_queued_tasks", "Tasks in machines' queues", s.queued);
-    lmn_gauge(out, "lemonspar_limbo_tasks", "Tasks that no machine's queue could take", s.limbo);
+    lmn_gauge(out, "lemonspar_limbo_tasks", "Tasks that no machine's queue could take",
+              s.limbo);
     lmn_gauge(out, "lemonspar_jobs", "Jobs in memory", jobs);
     lmn_gauge(out, "lemonspar_final_jobs", "Of these, final", finals);
-    lmn_metric_head(out, "lemonspar_tasks", "gauge", "Tasks of active jobs in owned partitions");
+    lmn_metric_head(out, "lemonspar_tasks", "gauge",
+                    "Tasks of active jobs in owned partitions");
     lmn_metric_sample(out, "lemonspar_tasks", "state", "queued", s.tasks.queued);
     lmn_metric_sample(out, "lemonspar_tasks", "state", "started", s.tasks.started);
     lmn_metric_sample(out, "lemonspar_tasks", "state", "moving", s.tasks.moving);
     lmn_metric_sample(out, "lemonspar_tasks", "state", "done", s.tasks.done);
-    lmn_metric_head(out, "lemonspar_team_cpus", "gauge", "Processors that a team's tasks use here");
+    lmn_metric_head(out, "lemonspar_team_cpus", "gauge",
+                    "Processors that a team's tasks use here");
     for (size_t i = 0; i < c->cfg->nteams; i++)
-        lmn_metric_sample(out, "lemonspar_team_cpus", "team", c->cfg->teams[i].name, s.used[i]);
+        lmn_metric_sample(out, "lemonspar_team_cpus", "team", c->cfg->teams[i].name,
+                          s.used[i]);
     counters(out, &n);
     struct lmn_latency writing;
     lmn_latency_init(&writing);
     double waiting = lmn_state_figures(c->state, &writing);
-    lmn_gauge(out, "lemonspar_state_waiting_changes", "Changes that wait for their budget", waiting);
-    lmn_quantiles(out, "lemonspar_state_write_seconds", "From a transaction's sending to its answer",
-                  &writing);
+    lmn_gauge(out, "lemonspar_state_waiting_changes",
+              "Changes that wait for their budget", waiting);
+    lmn_quantiles(out, "lemonspar_state_write_seconds",
+                  "From a transaction's sending to its answer", &writing);
     lmn_latency_clear(&writing);
 }
--- a/src/site/config.c
+++ b/src/site/config.c
@@ -1,6 +1,8 @@
 #include "base/conf.h"
 #include "base/proc.h"
+#include "emulate/run.h"
 #include "inventory/inventory.h"
+
 #include "site/site.h"
 
 #include <errno.h>
@@ -76,6 +78,34 @@
     }
 }
 
+/* Its troubles are checked here, where the operator reads what is wrong, and handed on as
+ * read. */
+static void read_backend(struct lmn_conf *c, struct lmn_site *s)
+{
+    static const char *const backends[] = {"static", "emulated", NULL};
+    struct lmn_emulation_options o = {0};
+
+    word(c, "backend", backends, s->backend, sizeof s->backend);
+    s->emulate = g_string_new(NULL);
+    if (strcmp(s->backend, "emulated"))
+        return;
+    lmn_emulation_read(c, &o);
+    g_string_append_printf(s->emulate, "[emulate]\nseed = %u\n", o.seed);
+    for (size_t i = 0; lmn_knob_name(i); i++)
+        if (!lmn_knob_is_event(lmn_knob_name(i)))
+            g_string_append_printf(s->emulate, "%s = %.17g\n", lmn_knob_name(i),
+                                   lmn_knob_value(&o.knobs, i));
+    for (guint i = 0; i < o.script->len; i++) {
+        const struct lmn_emu_trouble *t =
+            &g_array_index(o.script, struct lmn_emu_trouble, i);
+        g_string_append_printf(s->emulate,
+                               "[[troubles]]\nat = %.17g\nset = \"%s\"\nvalue = %.17g\n"
+                               "for = %.17g\n",
+                               t->at, t->name, t->value, t->lasts);
+    }
+    g_array_free(o.script, TRUE);
+}
+
 static void add_process(struct lmn_site *s, const char *name, const char *command,
                         const char *ready)
 {
@@ -138,6 +168,7 @@
     word(c, "log_level", levels, s->log_level, sizeof s->log_level);
     word(c, "log_format", formats, s->log_format, sizeof s->log_format);
     s->base_port = (int)lmn_conf_number(c, "base_port", 7600, 1024, 65000);
+    read_backend(c, s);
     s->controllers = (unsigned)lmn_conf_number(c, "controllers", 3, 1, LMN_MAX_MEMBERS);
     read_teams(c, s);
     read_objectives(c, s);
@@ -211,13 +242,14 @@
         t,
         "listen = \"%s\"\ndepot = \"%s\"\ndata = \"%s/fleet\"\n"
         "inventory = \"%s\"\naddress = \"%s\"\ncheckpoints = \"%s/checkpoints\"\n"
-        "rps = %g\nreport_s = %g\nlease_s = %g\nlog_kb = %g\n",
-        s->cloud, s->depot, s->data, s->inventory, s->address, s->data, s->cloud_rps,
-        s->report_s, s->lease_s, s->log_kb);
+        "backend = \"%s\"\nrps = %g\nreport_s = %g\nlease_s = %g\nlog_kb = %g\n",
+        s->cloud, s->depot, s->data, s->inventory, s->address, s->data, s->backend,
+        s->cloud_rps, s->report_s, s->lease_s, s->log_kb);
     for (unsigned i = 0; i < s->controllers; i++)
         g_string_append_printf(
             t, "[[controllers]]\nname = \"controller-%u\"\naddress = \"%s\"\n", i,
             s->users[i]);
+    g_string_append(t, s->emulate->str);
     return t;
 }
 
--- a/src/site/site.h
+++ b/src/site/site.h
@@ -20,7 +20,8 @@
 struct lmn_site {
     char file[512], name[LMN_NAME], data[512], address[LMN_ADDR], inventory[512],
         zone[LMN_NAME];
-    char log_level[16], log_format[16];
+    char log_level[16], log_format[16], backend[16];
+    GString *emulate; /* of an emulated fleet, as TOML, passed on */
     int base_port;
     unsigned controllers;
     struct lmn_team teams[LMN_MAX_TEAMS];
--- a/src/state/finals.c
+++ b/src/state/finals.c
@@ -1,8 +1,9 @@
 #include "state/finals.h"
 #include "base/log.h"
 
-/* Whatever a withdrawn job's tasks do on machines that were not heard for so long, its team's limit has
- * to count them: a job that was final only just now stays, however many there are. */
+/* Whatever a withdrawn job's tasks do on machines that were not heard for so long, its
+ * team's limit has to count them: a job that was final only just now stays, however many
+ * there are. */
 static const double OLD_S = 600;
 /* So many go together: to see what machines refer to takes a look at all of them. */
 enum { TOGETHER = 1000 };
@@ -25,7 +26,8 @@
         while (g_hash_table_iter_next(&it, NULL, &v)) {
             const struct lmn_machine *m = v;
             for (guint k = 0; k < m->attempts->len; k++)
-                g_hash_table_add(set, g_array_index(m->attempts, struct lmn_attempt, k).job);
+                g_hash_table_add(set,
+                                 g_array_index(m->attempts, struct lmn_attempt, k).job);
             for (guint k = 0; k < m->failed_jobs->len; k++)
                 g_hash_table_add(set, m->failed_jobs->pdata[k]);
         }
--- a/src/state/finals.h
+++ b/src/state/finals.h
@@ -1,6 +1,6 @@
-/* Final jobs: kept for ever in the state service, but not in memory. Beyond so many, those that have
- * been final for long and that nothing here refers to are let go; whoever asks for one is answered
- * from the state service. The lock is held. */
+/* Final jobs: kept for ever in the state service, but not in memory. Beyond so many,
+ * those that have been final for long and that nothing here refers to are let go; whoever
+ * asks for one is answered from the state service. The lock is held. */
 #ifndef LMN_FINALS_H
 #define LMN_FINALS_H
 
--- a/src/state/mirror.c
+++ b/src/state/mirror.c
@@ -46,8 +46,8 @@
            (j->spec.gpus <= 0 || c->asked_gpus[j->team] <= t->gpus + 1e-6);
 }
 
-/* While everything is read: final jobs beyond those that are kept are passed over, unless there are
- * ranges of theirs. */
+/* While everything is read: final jobs beyond those that are kept are passed over, unless
+ * there are ranges of theirs. */
 static bool passed_over(struct lmn_core *c, const char *ref, enum lmn_phase phase)
 {
     if (!c->reading || phase == LMN_ACTIVE || c->finals.length < c->finals_most)
@@ -314,9 +314,10 @@
     }
 }
 
-/* A page of a listing, parsed; -1 if it could not be had. after: the last key, moved on. */
-static int read_page(struct lmn_core *c, struct lmn_http *h, GByteArray *buf, const char *prefix,
-                     const char *after, struct lmn_doc *d)
+/* A page of a listing, parsed; -1 if it could not be had. after: the last key, moved on.
+ */
+static int read_page(struct lmn_core *c, struct lmn_http *h, GByteArray *buf,
+                     const char *prefix, const char *after, struct lmn_doc *d)
 {
     char path[512];
 
@@ -366,7 +367,8 @@
     return set;
 }
 
-static int read_keys(struct lmn_core *c, struct lmn_http *h, GByteArray *buf, uint64_t *revision)
+static int read_keys(struct lmn_core *c, struct lmn_http *h, GByteArray *buf,
+                     uint64_t *revision)
 {
     char after[256] = "";
     bool first = true;
@@ -402,7 +404,8 @@
 }
 
 /* Reads every key; 0 if the mirror then is whole as of *revision. */
-static int read_all(struct lmn_core *c, struct lmn_http *h, GByteArray *buf, uint64_t *revision)
+static int read_all(struct lmn_core *c, struct lmn_http *h, GByteArray *buf,
+                    uint64_t *revision)
 {
     pthread_mutex_lock(&c->lock);
     c->gen++;
@@ -411,7 +414,8 @@
     pthread_mutex_unlock(&c->lock);
     int rc = read_keys(c, h, buf, revision);
     if (rc == 1) {
-        /* More final jobs than are kept in memory: which of them are needed is found out first. */
+        /* More final jobs than are kept in memory: which of them are needed is found out
+         * first. */
         GHashTable *needed = read_needed(c, h, buf);
         pthread_mutex_lock(&c->lock);
         c->needed = needed;
--- a/src/state/model.h
+++ b/src/state/model.h
@@ -40,7 +40,8 @@
     double left;     /* processor seconds that have not been started */
     GArray *zones;   /* struct lmn_zone_tasks, of a job whose tasks look at each other's
                         places */
-    struct timespec final_at; /* when the mirror showed it final, or it was last looked at */
+    struct timespec
+        final_at; /* when the mirror showed it final, or it was last looked at */
     const struct lmn_partition *ranked; /* mark of the triage under way */
     /* a job whose tasks fail is held back by itself */
     unsigned errors;
@@ -263,10 +264,11 @@
     uint64_t tuning_rev;
     GRand *rng;
 
-    GHashTable *jobs; /* ref -> lmn_job */
-    GQueue finals;      /* those that are final, the oldest first */
-    guint finals_most;  /* so many are kept in memory at least (state/finals.h) */
-    GHashTable *needed; /* while everything is read: refs of jobs that have ranges; or NULL */
+    GHashTable *jobs;  /* ref -> lmn_job */
+    GQueue finals;     /* those that are final, the oldest first */
+    guint finals_most; /* so many are kept in memory at least (state/finals.h) */
+    GHashTable
+        *needed; /* while everything is read: refs of jobs that have ranges; or NULL */
     bool reading, crowded, reread;
     struct lmn_partition *parts;
     int nparts;
--- a/src/state/state.c
+++ b/src/state/state.c
@@ -39,9 +39,9 @@
     GQueue queue[LMN_RANKS];
     double queued_changes[LMN_RANKS];
     struct lmn_budget requests, writes;
-    struct lmn_budget lazy; /* the part of writes that what can wait may use */
+    struct lmn_budget lazy;     /* the part of writes that what can wait may use */
     struct lmn_latency writing; /* from a transaction's sending to its answer */
-    struct timespec hold;   /* after a 429: nothing goes out before */
+    struct timespec hold;       /* after a 429: nothing goes out before */
 };
 
 struct lmn_txn *lmn_txn_new(enum lmn_rank rank, lmn_txn_done *done, void *arg)
--- a/src/state/state.h
+++ b/src/state/state.h
@@ -56,8 +56,8 @@
 double lmn_state_backlog(struct lmn_state *s, enum lmn_rank rank);
 /* How many changes that can wait may be submitted now, so that they go out at once. */
 double lmn_state_spare(struct lmn_state *s);
-/* Copies the times that transactions took into *writing, which was set up; returns how many changes
- * wait. */
+/* Copies the times that transactions took into *writing, which was set up; returns how
+ * many changes wait. */
 double lmn_state_figures(struct lmn_state *s, struct lmn_latency *writing);
 /* Waits for leave to send one more request. */
 void lmn_state_pace(struct lmn_state *s);
--- a/tests/test_agent.c
+++ b/tests/test_agent.c
@@ -1,5 +1,6 @@
-/* The worker's side of the protocol, under generated histories: commands come doubled, late, with old
- * tokens, for old sessions; processes and images end whenever they like; answers are lost. */
+/* The worker's side of the protocol, under generated histories: commands come doubled,
+ * late, with old tokens, for old sessions; processes and images end whenever they like;
+ * answers are lost. */
 #include "agent/agent.h"
 #include "base/clock.h"
 #include "base/wire.h"
@@ -19,9 +20,9 @@
     struct lmn_agent a;
     struct lmn_spec specs[JOBS];
     /* what was asked of the ops and not answered */
-    GArray *asked;  /* uint64_t: runs to be described */
+    GArray *asked; /* uint64_t: runs to be described */
     GPtrArray *images;
-    GArray *live; /* uint64_t: runs whose processes run */
+    GArray *live;                /* uint64_t: runs whose processes run */
     GHashTable *results, *begun; /* "ref/index"; ids of runs */
     bool emptying;
     uint64_t token, session, starts, lapses, saves, done;
@@ -75,7 +76,8 @@
     uint64_t *id = g_new(uint64_t, 1);
     (void)arg;
     *id = r->id;
-    /* A repeated start, or a late one, never starts an attempt that is still known anew. */
+    /* A repeated start, or a late one, never starts an attempt that is still known anew.
+     */
     assert_true(g_hash_table_add(w.begun, id));
     for (guint i = 0; i < w.live->len; i++) {
         const struct lmn_run *o = lmn_agent_run(&w.a, g_array_index(w.live, uint64_t, i));
@@ -112,7 +114,7 @@
     w.leased = until;
 }
 
-static const struct lmn_agent_ops ops = {describe, fetch, give_up, has_result, start,
+static const struct lmn_agent_ops ops = {describe, fetch,    give_up,  has_result, start,
                                          save,     kill_run, kill_all, leased};
 
 /* Commands, mostly sensible. */
@@ -226,7 +228,8 @@
         return;
     case 1:
         if (w.images->len) {
-            const char *image = g_ptr_array_remove_index_fast(w.images, (guint)some((int)w.images->len));
+            const char *image =
+                g_ptr_array_remove_index_fast(w.images, (guint)some((int)w.images->len));
             lmn_agent_fetched(&w.a, image, some(10) > 0, w.now);
         }
         return;
@@ -267,10 +270,9 @@
     if (some(5)) {
         /* It is answered, by whoever holds the highest token. */
         GByteArray *o = orders(w.a.token + (some(30) == 0), w.a.session);
-        bool took =
-            lmn_agent_answered(&w.a, w.a.session, w.now, o->data, o->len, w.now);
+        bool took = lmn_agent_answered(&w.a, w.a.session, w.now, o->data, o->len, w.now);
         assert_true(!took || lmn_since(w.leased, w.now) > w.a.lease_s - 0.01);
-            g_byte_array_unref(o);
+        g_byte_array_unref(o);
     }
     g_byte_array_unref(b);
 }
--- a/tests/test_keeper.c
+++ b/tests/test_keeper.c
@@ -1,5 +1,5 @@
-/* The keeper, with real processes: whatever tasks do, nothing of them outlives their end, the lease,
- * the agent, or (by the next start) the keeper itself. */
+/* The keeper, with real processes: whatever tasks do, nothing of them outlives their end,
+ * the lease, the agent, or (by the next start) the keeper itself. */
 #include "agent/keeper.h"
 #include "base/clock.h"
 #include "base/proc.h"
@@ -98,12 +98,14 @@
     g_free(path);
 }
 
-/* A task that spreads: children in its group, in another group, in a session of their own, orphans. */
+/* A task that spreads: children in its group, in another group, in a session of their
+ * own, orphans. */
 static char *spreading(const char *ready)
 {
-    return g_strdup_printf("sleep 1000 & (sleep 1000 &) ; setsid sleep 1000 & "
-                           "(setsid sh -c 'sleep 1000 & sleep 1000' &) ; sleep 0.2; : > %s/%s; ",
-                           dir, ready);
+    return g_strdup_printf(
+        "sleep 1000 & (sleep 1000 &) ; setsid sleep 1000 & "
+        "(setsid sh -c 'sleep 1000 & sleep 1000' &) ; sleep 0.2; : > %s/%s; ",
+        dir, ready);
 }
 
 static void nothing_marked_is_left(void)
@@ -273,7 +275,8 @@
         cmocka_unit_test_setup_teardown(saving_has_its_time, fresh, wipe),
         cmocka_unit_test_setup_teardown(the_lease_is_kept_by_the_keeper, fresh, wipe),
         cmocka_unit_test_setup_teardown(without_an_agent_nothing_runs, fresh, wipe),
-        cmocka_unit_test_setup_teardown(without_a_keeper_the_next_one_clears, fresh, wipe),
+        cmocka_unit_test_setup_teardown(without_a_keeper_the_next_one_clears, fresh,
+                                        wipe),
     };
     signal(SIGPIPE, SIG_IGN);
     return cmocka_run_group_tests(tests, NULL, NULL);
