--- /dev/null
+++ b/bench/finals.c
@@ -0,0 +1,80 @@
+/* Memory of a controller's mirror over a million jobs that come and end.
+ *
+ *   bench_finals JOBS */
+#include "base/clock.h"
+#include "base/codec.h"
+#include "own/owner.h"
+#include "state/core.h"
+#include "state/finals.h"
+#include "state/mirror.h"
+#include "state/records.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static double resident_mb(void)
+{
+    char *text = NULL, *at;
+    double mb = 0;
+
+    if (g_file_get_contents("/proc/self/status", &text, NULL, NULL) &&
+        (at = strstr(text, "VmRSS:")))
+        mb = g_ascii_strtod(at + 6, NULL) / 1024;
+    g_free(text);
+    return mb;
+}
+
+int main(int argc, char **argv)
+{
+    static struct lmn_settings cfg = {.node = "n0",
+                                      .partitions = 1,
+                                      .state_rps = 100,
+                                      .state_write_rps = 100,
+                                      .value_kb = 16,
+                                      .txn_ops = 12,
+                                      .report_s = 1,
+                                      .lease_s = 10,
+                                      .cancel_s = 30,
+                                      .nteams = 1,
+                                      .teams = {{.name = "t"}}};
+    struct timespec now = {1000, 0};
+    unsigned long jobs = argc > 1 ? strtoul(argv[1], NULL, 10) : 1000000;
+    double first = 0, last = 0;
+    uint64_t rev = 0;
+
+    struct lmn_core *c = lmn_core_new(&cfg, lmn_state_new(&cfg), 1);
+    for (unsigned long n = 0; n < jobs; n++) {
+        struct lmn_spec s = {.class_name = (char *)"shift-settlement",
+                             .team = (char *)"t",
+                             .image = (char *)"img-07",
+                             .tasks = 20,
+                             .cpus = 1,
+                             .deadline_s = -1};
+        char key[64];
+        g_snprintf(s.ref, sizeof s.ref, "run-%09lu", n);
+        g_snprintf(key, sizeof key, "j/%s", s.ref);
+        for (int final = 0; final < 2; final++) {
+            GByteArray *b =
+                lmn_job_record(&s, final ? LMN_FINISHED : LMN_ACTIVE, !final, 1);
+            struct lmn_doc d;
+            if (lmn_doc_parse(&d, b->data, b->len) != 0)
+                return 1;
+            lmn_mirror_apply(c, key, &d, lmn_root(&d), ++rev, now);
+            lmn_doc_free(&d);
+            g_byte_array_unref(b);
+        }
+        now = lmn_after(now, 0.1); /* ten jobs a second */
+        lmn_finals_evict(c, now);
+        if ((n + 1) % (jobs / 10) == 0) {
+            last = resident_mb();
+            if (first <= 0)
+                first = last;
+            printf("jobs=%lu in_memory=%u resident=%.1f MB\n", n + 1,
+                   g_hash_table_size(c->jobs), last);
+        }
+    }
+    printf("%s after a tenth %.1f MB, at the end %.1f MB\n",
+           last < 1.1 * first + 2 ? "FLAT" : "GROWS", first, last);
+    return last < 1.1 * first + 2 ? 0 : 1;
+}
--- a/bench/state.c
+++ b/bench/state.c
@@ -2,7 +2,8 @@
  *
  *   bench_state kills N SEED      N kills at random instants under load from 8 writers
  *   bench_state speed SECONDS     transactions a second by writers, against the disk's
- * bare syncs bench_state sizes KEYS...     size and restart time by the number of keys
+ * bare syncs bench_state watches N         so many clients wait for one change
+ *   bench_state sizes KEYS...     size and restart time by the number of keys
  *
  * The checker needs no model of the service: each transaction raises one of a few
  * counters, on the condition that it is as it was read, and writes a key of its own that
@@ -19,6 +20,7 @@
 #include "base/wire.h"
 #include "store/db.h"
 
+#include <arpa/inet.h>
 #include <curl/curl.h>
 #include <errno.h>
 #include <fcntl.h>
@@ -26,6 +28,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -458,6 +462,63 @@
     return 0;
 }
 
+/* --- watches --- */
+
+static double status_field(const char *name)
+{
+    char *path = g_strdup_printf("/proc/%d/status", (int)service), *text = NULL, *at;
+    double v = 0;
+
+    if (g_file_get_contents(path, &text, NULL, NULL) && (at = strstr(text, name)))
+        v = g_ascii_strtod(at + strlen(name), NULL);
+    g_free(text);
+    g_free(path);
+    return v;
+}
+
+/* So many clients wait for changes, on a connection each; then one is made. */
+static int watches(int n)
+{
+    static const char ask[] = "GET " P_WATCH "?Under=w/&After=0&WaitMs=60000 HTTP/1.1\r\n"
+                              "Host: x\r\n\r\n";
+    struct sockaddr_in a = {.sin_family = AF_INET,
+                            .sin_port = htons(27379),
+                            .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    struct rlimit files = {(rlim_t)n + 256, (rlim_t)n + 256};
+    int *fds = g_new(int, n), heard = 0;
+    char buf[1024];
+
+    setrlimit(RLIMIT_NOFILE, &files);
+    start_service(NULL);
+    wait_service();
+    double threads = status_field("Threads:"), kb = status_field("VmRSS:");
+    for (int i = 0; i < n; i++) {
+        fds[i] = socket(AF_INET, SOCK_STREAM, 0);
+        if (connect(fds[i], (struct sockaddr *)&a, sizeof a) != 0 ||
+            write(fds[i], ask, sizeof ask - 1) < 0) {
+            fprintf(stderr, "watch %d: %s\n", i, strerror(errno));
+            return 1;
+        }
+    }
+    while (metric("lemonspar_state_watches") < n)
+        lmn_sleep(0.05);
+    threads = status_field("Threads:") - threads;
+    kb = status_field("VmRSS:") - kb;
+    struct lmn_http *h = lmn_http_new(addr);
+    GByteArray *in = g_byte_array_new(), *b = transaction(NULL, 0, "w/1", 1, NULL, NULL);
+    struct timespec begun = lmn_now();
+    int status = lmn_http_call(h, "POST", P_TXN, b, 10, in);
+    for (int i = 0; i < n; i++)
+        heard += read(fds[i], buf, sizeof buf) > 0 && strstr(buf, "200 OK");
+    double took = lmn_since(lmn_now(), begun);
+    printf("%s watches=%d heard=%d after=%.3f s threads_more=%.0f memory_more=%.1f KB "
+           "each\n",
+           heard == n && status == 200 ? "GOOD" : "BROKEN", n, heard, took, threads,
+           kb / n);
+    kill_service();
+    return heard == n ? 0 : 1;
+}
+
 /* --- sizes --- */
 
 static int sizes(int n, char **keys)
@@ -531,11 +592,13 @@
         rc = kills(atoi(argv[2]), (uint32_t)atoi(argv[3]));
     else if (argc == 3 && !strcmp(argv[1], "speed"))
         rc = speed(atof(argv[2]));
+    else if (argc == 3 && !strcmp(argv[1], "watches"))
+        rc = watches(atoi(argv[2]));
     else if (argc >= 3 && !strcmp(argv[1], "sizes"))
         rc = sizes(argc - 2, argv + 2);
     else
-        fprintf(stderr,
-                "usage: bench_state kills N SEED | speed SECONDS | sizes KEYS...\n");
+        fprintf(stderr, "usage: bench_state kills N SEED | speed SECONDS | watches N | "
+                        "sizes KEYS...\n");
     lmn_tree_remove(dir);
     return rc;
 }
--- a/src/base/conf.c
+++ b/src/base/conf.c
@@ -104,11 +104,11 @@
 {
     const char *t = lmn_conf_text(c, path, def);
     size_t n = strlen(t);
+    bool ok = n > 0 && n < LMN_NAME;
 
     for (size_t i = 0; i < n; i++)
-        if (!g_ascii_isalnum(t[i]) && !strchr("-_.", t[i]))
-            n = LMN_NAME;
-    if (!n || n >= LMN_NAME)
+        ok = ok && (g_ascii_isalnum(t[i]) || strchr("-_.", t[i]));
+    if (!ok)
         lmn_conf_fail(c, path,
                       "expected a name of 1 to %d letters, digits, '-', '_' and '.'",
                       LMN_NAME - 1);
--- a/src/fleet/slot.c
+++ b/src/fleet/slot.c
@@ -52,11 +52,15 @@
                 const char *addr, struct rented_as *as)
 {
     GByteArray *b = g_byte_array_new(), *in = g_byte_array_new();
+    static uint64_t seq; /* rises across restarts, too */
     struct lmn_doc d;
 
+    seq = MAX(seq + 1, (uint64_t)g_get_real_time());
+
     memset(as, 0, sizeof *as);
-    lmn_put_map(b, *holds ? 3 : 1);
+    lmn_put_map(b, *holds ? 4 : 2);
     lmn_put_text(b, "Slot"), lmn_put_text(b, o->name);
+    lmn_put_text(b, "Seq"), lmn_put_count(b, seq);
     if (*holds) {
         lmn_put_text(b, W_MACHINE), lmn_put_text(b, holds);
         lmn_put_text(b, W_ADDR), lmn_put_text(b, addr);
--- a/src/fleet/static.c
+++ b/src/fleet/static.c
@@ -29,6 +29,7 @@
 /* What a slot last said. */
 struct seen {
     struct timespec when;
+    uint64_t seq, said; /* its number, which rises; how often it has said something */
     char holds[LMN_NAME], addr[LMN_ADDR];
 };
 
@@ -324,15 +325,19 @@
 
 /* --- returning --- */
 
+/* Only what the slot says from now on counts: what it said before may be older than the
+ * answer that told it to be the machine. */
 static bool slot_gone(struct lmn_static *s, const char *slot, const char *machine)
 {
     struct timespec end = lmn_after(lmn_now(), END_S);
     bool gone = false;
 
     pthread_mutex_lock(&s->lock);
+    const struct seen *before = g_hash_table_lookup(s->slots, slot);
+    uint64_t said = before ? before->said : 0;
     for (;;) {
         const struct seen *seen = g_hash_table_lookup(s->slots, slot);
-        gone = seen && strcmp(seen->holds, machine);
+        gone = seen && seen->said > said && strcmp(seen->holds, machine);
         if (gone || lmn_before(end, lmn_now()))
             break;
         lmn_cond_wait_for(&s->slot_said, &s->lock, 0.5);
@@ -452,7 +457,8 @@
     pthread_mutex_unlock(&s->lock);
 }
 
-/* --- slots: POST /slots {"Slot", "Machine" (what it holds, or null), "Endpoint"} answers
+/* --- slots: POST /slots {"Slot", "Seq", "Machine" (what it holds, or null), "Endpoint"}
+ * answers
  * {"Machine"}: what it should hold, and as what --- */
 
 static gboolean find_slot(gpointer key, gpointer v, gpointer arg)
@@ -493,6 +499,17 @@
         seen = g_new0(struct seen, 1);
         g_hash_table_insert(s->slots, g_strdup(name), seen);
     }
+    uint64_t seq = 0;
+    lmn_count(lmn_get(&d, root, "Seq"), &seq);
+    if (seq <= seen->seq) {
+        /* It was given up long ago, and comes late: what it says is not so any more. */
+        pthread_mutex_unlock(&s->lock);
+        lmn_doc_free(&d);
+        lmn_call_fail(call, 409, "out of order");
+        return true;
+    }
+    seen->seq = seq;
+    seen->said++;
     seen->when = lmn_now();
     *seen->holds = *seen->addr = '\0';
     lmn_text(lmn_get(&d, root, W_MACHINE), seen->holds, sizeof seen->holds);
--- /dev/null
+++ b/tests/test_finals.c
@@ -0,0 +1,157 @@
+/* Final jobs leave memory, but nothing that is still referred to does, and what was
+ * forgotten is read again without starting anything. */
+#include "base/codec.h"
+#include "own/owner.h"
+#include "state/books.h"
+#include "state/core.h"
+#include "state/finals.h"
+#include "state/mirror.h"
+#include "state/records.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+#include <stdio.h>
+#include <string.h>
+
+/* A core is never freed. */
+const char *__asan_default_options(void);
+const char *__asan_default_options(void)
+{
+    return "detect_leaks=0";
+}
+
+enum { JOBS = 6000, KEPT = 1000 };
+
+static struct lmn_settings cfg = {.node = "n0",
+                                  .partitions = 1,
+                                  .state_rps = 1000,
+                                  .state_write_rps = 1000,
+                                  .value_kb = 16,
+                                  .txn_ops = 12,
+                                  .report_s = 1,
+                                  .lease_s = 10,
+                                  .cancel_s = 30,
+                                  .nteams = 1,
+                                  .teams = {{.name = "t"}}};
+static uint64_t rev;
+static struct timespec now = {1000, 0};
+
+static void apply(struct lmn_core *c, const char *key, GByteArray *value)
+{
+    struct lmn_doc d;
+    assert_int_equal(lmn_doc_parse(&d, value->data, value->len), 0);
+    lmn_mirror_apply(c, key, &d, lmn_root(&d), ++rev, now);
+    lmn_doc_free(&d);
+    g_byte_array_unref(value);
+}
+
+static void job(struct lmn_core *c, int n, enum lmn_phase phase)
+{
+    struct lmn_spec s = {.class_name = (char *)"c",
+                         .team = (char *)"t",
+                         .image = (char *)"i",
+                         .tasks = 2,
+                         .cpus = 1,
+                         .deadline_s = -1};
+    char key[64];
+
+    g_snprintf(s.ref, sizeof s.ref, "run-%06d", n);
+    g_snprintf(key, sizeof key, "j/%s", s.ref);
+    apply(c, key, lmn_job_record(&s, phase, phase == LMN_ACTIVE, 1));
+}
+
+static void range(struct lmn_core *c, int n)
+{
+    const struct lmn_range r = {.lo = 0, .hi = 2};
+    uint8_t none = 0;
+    char key[64];
+
+    g_snprintf(key, sizeof key, "r/0/run-%06d/0", n);
+    apply(c, key, lmn_range_record(&r, &none));
+}
+
+static bool known(const struct lmn_core *c, int n)
+{
+    char ref[LMN_REF];
+    g_snprintf(ref, sizeof ref, "run-%06d", n);
+    return g_hash_table_contains(c->jobs, ref);
+}
+
+static struct lmn_core *core(void)
+{
+    struct lmn_core *c = lmn_core_new(&cfg, lmn_state_new(&cfg), 1);
+    c->finals_most = KEPT;
+    rev = 0;
+    return c;
+}
+
+static void final_jobs_are_let_go(void **state)
+{
+    struct lmn_core *c = core();
+    (void)state;
+
+    for (int n = 0; n < JOBS; n++) {
+        job(c, n, LMN_ACTIVE);
+        if (n % 100 == 7)
+            range(c, n); /* withdrawn with a range that its owner has yet to remove */
+        if (n % 100 != 3)
+            job(c, n, n % 2 ? LMN_WITHDRAWN : LMN_FINISHED);
+    }
+    struct lmn_machine *m = lmn_machine_new(&c->parts[0], "host-000000");
+    struct lmn_attempt a = {.job = g_hash_table_lookup(c->jobs, "run-000001")};
+    g_array_append_val(m->attempts, a);
+    /* Nobody goes who was final only just now: whatever still runs of it counts for its
+     * team. */
+    assert_int_equal(lmn_finals_evict(c, now), 0);
+    now.tv_sec += 700;
+    assert_true(lmn_finals_evict(c, now) > JOBS - 2 * KEPT - 200);
+    assert_true(c->finals.length <= KEPT + 200);
+    assert_false(known(c, 0));
+    assert_true(known(c, 1));   /* an attempt points at it */
+    assert_true(known(c, 3));   /* it is active */
+    assert_true(known(c, 107)); /* it has a range */
+    assert_true(known(c, JOBS - 1));
+    /* What goes on in the mirror goes on. */
+    job(c, 3, LMN_FINISHED);
+    assert_int_equal(
+        ((struct lmn_job *)g_hash_table_lookup(c->jobs, "run-000003"))->phase,
+        LMN_FINISHED);
+}
+
+static void while_all_is_read_only_the_needed_are_taken(void **state)
+{
+    struct lmn_core *c = core();
+    (void)state;
+
+    c->reading = true;
+    for (int n = 0; n < JOBS && !c->crowded; n++)
+        job(c, n, LMN_WITHDRAWN);
+    assert_true(c->crowded); /* the ranges are listed first, and it begins anew */
+    assert_int_equal(c->finals.length, KEPT);
+    c->crowded = false;
+    c->needed = g_hash_table_new(g_str_hash, g_str_equal);
+    g_hash_table_add(c->needed, (gpointer) "run-005000");
+    for (int n = 0; n < JOBS; n++)
+        job(c, n, n == 5500 ? LMN_ACTIVE : LMN_WITHDRAWN);
+    assert_true(known(c, 5000));
+    assert_true(known(c, 5500));
+    assert_false(known(c, 5501));
+    assert_int_equal(g_hash_table_size(c->jobs), KEPT + 2);
+    range(c, 5000);
+    assert_false(c->reread);
+    range(c, 5501); /* it became final between the two listings: all is read once more */
+    assert_true(c->reread);
+    g_hash_table_destroy(c->needed);
+    c->needed = NULL;
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(final_jobs_are_let_go),
+        cmocka_unit_test(while_all_is_read_only_the_needed_are_taken),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_keeper.c
+++ b/tests/test_keeper.c
@@ -178,7 +178,9 @@
     nothing_marked_is_left();
     g_free(script);
     script = g_strdup_printf("trap '' TERM; %s sleep 1000", spread);
-    unlink(g_strconcat(dir, "/up", NULL));
+    char *up = g_build_filename(dir, "up", NULL);
+    unlink(up);
+    g_free(up);
     start(sock, 2, script);
     wait_for_file("up");
     say(sock, lmn_keeper_msg_kill(2));
--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -748,6 +748,20 @@
     memset(b->data, 0, b->len);
     assert_int_equal(insist("POST", P_JOBS, b, 400, 201, word), 400);
     g_byte_array_unref(b);
+    /* A description that no value of the state service can hold. */
+    char *types[251] = {NULL};
+    for (int i = 0; i < 250; i++)
+        types[i] = g_strnfill(63, 't');
+    struct lmn_spec large = {.class_name = (char *)"c", .team = (char *)"t", .image = (char *)"i",
+                             .types = types, .urgency = LMN_NORMAL, .tasks = 1, .cpus = 1,
+                             .deadline_s = -1, .ref = "run-000201"};
+    b = g_byte_array_new();
+    lmn_put_map(b, lmn_spec_pairs());
+    lmn_spec_put(b, &large);
+    assert_int_equal(insist("POST", P_JOBS, b, 400, 422, word), 400);
+    g_byte_array_unref(b);
+    for (int i = 0; i < 250; i++)
+        g_free(types[i]);
     b = job("run-000200", 61, LMN_DAEMON); /* all replicas: more than the team's limit */
     assert_int_equal(insist("POST", P_JOBS, b, 422, 201, word), 422);
     g_byte_array_unref(b);
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -120,8 +120,7 @@
     assert_int_equal(i->lease, n->lease);
     assert_int_equal(i->len, strlen(n->value));
     assert_memory_equal(i->value, n->value, i->len);
-    g_hash_table_steal(model, i->key);
-    free_naive((gpointer)n);
+    g_hash_table_remove(model, i->key);
     return true;
 }
 
