--- /dev/null
+++ b/bench/gateway.c
@@ -0,0 +1,563 @@
+/* Three sites with their daemons and gateways on loopback, through a night of work, while
+ * the links between them are cut, held, delayed, made one-way and restored, and gateways
+ * are killed.
+ *
+ *   bench_gateway TASKS CUTS SEED BASE_PORT
+ *
+ * Each link runs through a relay of this program's. The check does not trust the service:
+ * every task says in a file of its own when it starts and when it ends, and holds a lock
+ * on it meanwhile. There must be one outcome for each job, at its home, told twice alike;
+ * no task lost, none ended twice, none at two sites at a time. */
+#include "base/clock.h"
+#include "base/latency.h"
+#include "base/log.h"
+#include "base/proc.h"
+#include "base/thread.h"
+#include "base/wire.h"
+#include "cli/users.h"
+#include "gateway/keys.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+enum { SITES = 3, MOST_JOBS = 20000, JOB_TASKS = 20, CPUS = 24 };
+static const char *const names[SITES] = {"north", "south", "east"};
+static const double PATIENCE_S = 600;
+
+struct site {
+    struct lmn_site s;
+    char file[300], gateway[300], keys[300], users[64], link[64];
+    pid_t pid;
+};
+
+struct job {
+    char ref[LMN_REF], state[16];
+    int home;
+    uint32_t tasks;
+    bool cancel, told;
+};
+
+static char dir[256], stamps[300];
+static struct site sites[SITES];
+static struct job jobs[MOST_JOBS];
+static unsigned njobs, wrong, cuts_made, kills_made;
+static GRand *rng;
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static struct lmn_latency submitting, during;
+
+static void complain(const char *what, const char *of)
+{
+    if (wrong++ < 20)
+        fprintf(stderr, "WRONG %s: %s\n", of, what);
+}
+
+/* --- relays --- */
+
+enum mode { OPEN, STALL, RESET, ONE_WAY, SLOW, MODES };
+
+struct relay {
+    int listener, to_port;
+    volatile enum mode mode;
+};
+static struct relay relays[SITES][SITES];
+
+struct pipe_of {
+    struct relay *r;
+    int a, b; /* the dialler's side, the dialled's */
+};
+
+/* Passes what is there from one to the other; false at the end. */
+static bool pass(int from, int to)
+{
+    char buf[16384];
+    ssize_t n = read(from, buf, sizeof buf);
+
+    for (ssize_t at = 0; at < n;) {
+        ssize_t k = write(to, buf + at, (size_t)(n - at));
+        if (k <= 0)
+            return false;
+        at += k;
+    }
+    return n > 0;
+}
+
+static void *carry(void *arg)
+{
+    struct pipe_of *p = arg;
+
+    for (;;) {
+        struct pollfd w[2] = {{p->a, POLLIN, 0}, {p->b, POLLIN, 0}};
+        enum mode m = p->r->mode;
+        if (m == RESET)
+            break;
+        if (m == STALL) {
+            lmn_sleep(0.02); /* what is under way is held, and goes on later */
+            continue;
+        }
+        if (m == ONE_WAY)
+            w[1].fd = -1;
+        if (poll(w, 2, 50) < 0)
+            break;
+        if (m == SLOW)
+            lmn_sleep(0.15);
+        if (p->r->mode != m)
+            continue;
+        if ((w[0].revents && !pass(p->a, p->b)) || (w[1].revents && !pass(p->b, p->a)))
+            break;
+    }
+    struct linger hard = {1, 0};
+    setsockopt(p->a, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+    close(p->a);
+    close(p->b);
+    g_free(p);
+    return NULL;
+}
+
+static void *relay(void *arg)
+{
+    struct relay *r = arg;
+
+    for (;;) {
+        struct sockaddr_in a = {.sin_family = AF_INET,
+                                .sin_port = htons((uint16_t)r->to_port),
+                                .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+        int fd = accept(r->listener, NULL, NULL), to = socket(AF_INET, SOCK_STREAM, 0);
+        if (fd < 0 || r->mode == RESET ||
+            connect(to, (struct sockaddr *)&a, sizeof a) != 0) {
+            if (fd >= 0)
+                close(fd);
+            close(to);
+            continue;
+        }
+        struct pipe_of *p = g_new(struct pipe_of, 1);
+        *p = (struct pipe_of){r, fd, to};
+        lmn_thread(carry, p);
+    }
+    return NULL;
+}
+
+static int open_relay(int from, int to, int to_port)
+{
+    struct relay *r = &relays[from][to];
+    struct sockaddr_in a = {.sin_family = AF_INET,
+                            .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t len = sizeof a;
+
+    r->to_port = to_port;
+    r->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (bind(r->listener, (struct sockaddr *)&a, sizeof a) != 0 ||
+        listen(r->listener, 64) != 0)
+        exit(1);
+    getsockname(r->listener, (struct sockaddr *)&a, &len);
+    lmn_thread(relay, r);
+    return ntohs(a.sin_port);
+}
+
+/* --- sites --- */
+
+static int run(const char *a, const char *b, const char *file)
+{
+    pid_t pid = fork();
+    int status;
+
+    if (pid == 0) {
+        FILE *f = freopen("/dev/null", "w", stdout);
+        execl(LMN_PROGRAM_PATH, "lemonspar", a, b, "--config", file, (char *)NULL);
+        _exit(f ? 127 : 126);
+    }
+    waitpid(pid, &status, 0);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+static void start_gateway(struct site *s)
+{
+    s->pid = fork();
+    if (s->pid == 0) {
+        char *log = g_strdup_printf("%s.log", s->gateway);
+        int fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0644);
+        dup2(fd, 2);
+        execl(LMN_PROGRAM_PATH, "lemonspar", "gateway", "run", "--config", s->gateway,
+              (char *)NULL);
+        _exit(127);
+    }
+}
+
+static void describe_site(int i, int port)
+{
+    struct site *s = &sites[i];
+    char err[512], *inv = g_strdup_printf("%s/%s.inventory", dir, names[i]);
+    char *text = g_strdup_printf("name = \"%s\"\ndata = \"%s/%s\"\ninventory = "
+                                 "\"%s\"\nbase_port = %d\n[[teams]]\nname = \"t\"\n"
+                                 "cpus_max = 1000\n[workers]\nreport_s = 0.5\nlease_s = "
+                                 "20\ncancel_s = 45\n[state]\nrps = 3000\n"
+                                 "write_rps = 3000\n",
+                                 names[i], dir, names[i], inv, port);
+    char *pool =
+        g_strdup_printf("[[types]]\nname = \"small\"\ncpus = 4\nmem_gb = 8\nready_s = 1\n"
+                        "zones = [\"a\"]\n[[pools]]\ntype = \"small\"\ncount = %d\n",
+                        CPUS / 4);
+
+    g_snprintf(s->file, sizeof s->file, "%s/%s.toml", dir, names[i]);
+    g_snprintf(s->gateway, sizeof s->gateway, "%s/%s.gateway.toml", dir, names[i]);
+    g_snprintf(s->keys, sizeof s->keys, "%s/%s.keys", dir, names[i]);
+    g_snprintf(s->users, sizeof s->users, "127.0.0.1:%d", port + 90);
+    g_snprintf(s->link, sizeof s->link, "127.0.0.1:%d", port + 91);
+    g_file_set_contents(s->file, text, -1, NULL);
+    g_file_set_contents(inv, pool, -1, NULL);
+    if (lmn_site_load(s->file, &s->s, err, sizeof err) != 0 ||
+        lmn_keys_init(s->keys, names[i], 90, err, sizeof err) != 0) {
+        fprintf(stderr, "%s\n", err);
+        exit(1);
+    }
+    g_free(inv);
+    g_free(text);
+    g_free(pool);
+}
+
+static void describe_gateway(int i)
+{
+    struct site *s = &sites[i];
+    GString *t = g_string_new(NULL);
+
+    g_string_append_printf(
+        t,
+        "site = \"%s\"\nlisten = \"%s\"\nlink_listen = \"%s\"\nstate = \"%s\"\n"
+        "depot = \"%s\"\nkeys = \"%s\"\nteams = [\"t\"]\ncpus = %d\nfeed = 2\n"
+        "sync_s = 0.3\nsilent_s = 20\npoll_rps = 200\ncontrollers = [",
+        names[i], s->users, s->link, s->s.state, s->s.depot, s->keys, CPUS);
+    for (unsigned k = 0; k < s->s.controllers; k++)
+        g_string_append_printf(t, "%s\"%s\"", k ? ", " : "", s->s.users[k]);
+    g_string_append(t, "]\n");
+    for (int k = 0; k < SITES; k++) {
+        struct lmn_keys_info info;
+        char err[256];
+        if (k == i || lmn_keys_show(sites[k].keys, &info, err, sizeof err) != 0)
+            continue;
+        int port = open_relay(i, k, atoi(strrchr(sites[k].link, ':') + 1));
+        g_string_append_printf(t,
+                               "[[peers]]\nsite = \"%s\"\naddress = \"127.0.0.1:%d\"\n"
+                               "fingerprint = \"%s\"\n",
+                               names[k], port, info.fingerprint);
+    }
+    g_file_set_contents(s->gateway, t->str, -1, NULL);
+    g_string_free(t, TRUE);
+}
+
+/* --- users --- */
+
+static int call(struct lmn_http *h, const char *method, const char *path,
+                const GByteArray *body, char *state)
+{
+    GByteArray *in = g_byte_array_new();
+    struct lmn_doc d;
+    int status = lmn_http_call(h, method, path, body, 10, in);
+
+    *state = '\0';
+    if (in->len && lmn_doc_parse(&d, in->data, in->len) == 0) {
+        lmn_text(lmn_get(&d, lmn_root(&d), W_STATE), state, 16);
+        lmn_doc_free(&d);
+    }
+    g_byte_array_unref(in);
+    return status;
+}
+
+static void submit(struct job *j, struct lmn_http **gateways, struct lmn_http **depots,
+                   double seconds)
+{
+    static const char script[] =
+        "exec 9>>\"$STAMPS/$HOME_REF.$LEMONSPAR_TASK\"\n"
+        "flock -n 9 || echo \"$HOME_REF/$LEMONSPAR_TASK\" >>\"$STAMPS/TWICE\"\n"
+        "echo \"S $LEMONSPAR_JOB $LEMONSPAR_ATTEMPT\" >&9\nsleep $FOR\necho \"E "
+        "$LEMONSPAR_JOB\" >&9\n";
+    char *argv[] = {(char *)"sh", (char *)"-c", (char *)script, NULL};
+    char *env[] = {g_strdup_printf("STAMPS=%s", stamps),
+                   g_strdup_printf("FOR=%.2f", seconds),
+                   g_strdup_printf("HOME_REF=%s", j->ref), NULL};
+    struct lmn_work w = {.argv = argv, .env = env};
+    struct lmn_depot_error e;
+    char digest[LMN_DIGEST], state[16];
+    int status;
+
+    w.spec = (struct lmn_spec){.class_name = (char *)"c",
+                               .team = (char *)"t",
+                               .image = (char *)LMN_NO_IMAGE,
+                               .urgency = LMN_NORMAL,
+                               .tasks = j->tasks,
+                               .cpus = 1,
+                               .mem = 0.1,
+                               .estimate_s = 2,
+                               .deadline_s = -1};
+    g_strlcpy(w.spec.ref, j->ref, sizeof w.spec.ref);
+    GByteArray *blob = lmn_work_put(&w), *body = g_byte_array_new();
+    while (lmn_depot_put(depots[j->home], blob, digest, &e) != 0 ||
+           lmn_depot_name(depots[j->home], LMN_DEPOT_JOB, j->ref, digest, &e) != 0)
+        lmn_sleep(0.1);
+    lmn_put_map(body, lmn_spec_pairs());
+    lmn_spec_put(body, &w.spec);
+    struct timespec begun = lmn_now();
+    do {
+        status = call(gateways[j->home], "POST", P_JOBS, body, state);
+        if (status != 200 && status != 201)
+            lmn_sleep(0.1);
+    } while (status != 200 && status != 201 && status != 400 && status != 422);
+    if (status >= 400)
+        complain("refused", j->ref);
+    lmn_latency_add(&submitting, lmn_since(lmn_now(), begun));
+    g_byte_array_unref(blob);
+    g_byte_array_unref(body);
+    for (int i = 0; i < 3; i++)
+        g_free(env[i]);
+}
+
+struct night {
+    unsigned tasks;
+    volatile bool over;
+};
+
+static void *users(void *arg)
+{
+    struct night *n = arg;
+    struct lmn_http *gateways[SITES], *depots[SITES];
+    unsigned tasks = 0;
+    char path[96], state[16];
+
+    for (int i = 0; i < SITES; i++) {
+        gateways[i] = lmn_http_new(sites[i].users);
+        depots[i] = lmn_http_new(sites[i].s.depot);
+    }
+    while (tasks < n->tasks && njobs < MOST_JOBS) {
+        struct job *j = &jobs[njobs];
+        pthread_mutex_lock(&lock);
+        /* Most of the work comes to one site. */
+        j->home = g_rand_int_range(rng, 0, 10) < 8 ? 0 : g_rand_int_range(rng, 1, SITES);
+        j->tasks = JOB_TASKS;
+        g_snprintf(j->ref, sizeof j->ref, W_JOB_PREFIX "%09u%06u",
+                   g_rand_int(rng) % 1000000000u, njobs);
+        double seconds = 0.05 + 0.3 * g_rand_double(rng);
+        bool cancel = g_rand_int_range(rng, 0, 25) == 0;
+        pthread_mutex_unlock(&lock);
+        submit(j, gateways, depots, seconds);
+        tasks += j->tasks;
+        njobs++;
+        if (cancel) {
+            j->cancel = true;
+            g_snprintf(path, sizeof path, P_JOBS "/%s" P_CANCEL, j->ref);
+            if (call(gateways[j->home], "POST", path, NULL, state) == 200)
+                j->told = !strcmp(state, W_WITHDRAWN);
+        }
+        lmn_sleep(0.02);
+    }
+    n->over = true;
+    return NULL;
+}
+
+/* --- troubles --- */
+
+static void cut_one(void)
+{
+    int from = g_rand_int_range(rng, 0, SITES),
+        to = (from + g_rand_int_range(rng, 1, SITES)) % SITES;
+    enum mode m = (enum mode)g_rand_int_range(rng, 1, MODES);
+    bool both = g_rand_boolean(rng);
+
+    relays[from][to].mode = m;
+    if (both)
+        relays[to][from].mode = m;
+    lmn_sleep(0.05 +
+              1.2 * g_rand_double(rng) * (g_rand_int_range(rng, 0, 8) == 0 ? 6 : 1));
+    relays[from][to].mode = OPEN;
+    relays[to][from].mode = both ? OPEN : relays[to][from].mode;
+    cuts_made++;
+}
+
+static void kill_gateway(void)
+{
+    struct site *s = &sites[g_rand_int_range(rng, 0, SITES)];
+
+    kill(s->pid, SIGKILL);
+    waitpid(s->pid, NULL, 0);
+    start_gateway(s);
+    kills_made++;
+}
+
+/* --- the check --- */
+
+static unsigned started_again;
+
+static void check_task(const struct job *j, uint32_t index)
+{
+    char *path = g_strdup_printf("%s/%s.%u", stamps, j->ref, index), *text = NULL;
+    unsigned starts = 0, ends = 0;
+
+    g_file_get_contents(path, &text, NULL, NULL);
+    char **lines = g_strsplit(text ? text : "", "\n", -1);
+    for (char **l = lines; *l; l++) {
+        starts += **l == 'S';
+        ends += **l == 'E';
+    }
+    started_again += starts > 1;
+    if (ends > 1)
+        complain("came to its end twice", path);
+    if (!strcmp(j->state, W_DONE) && !ends)
+        complain("is called done, and did not come to its end", path);
+    g_strfreev(lines);
+    g_free(text);
+    g_free(path);
+}
+
+/* Every job has one outcome at its home, and is told alike when asked again. */
+static void await_all(void)
+{
+    struct timespec end = lmn_after(lmn_now(), PATIENCE_S);
+    struct lmn_http *h[SITES];
+    char path[96], state[16];
+
+    for (int i = 0; i < SITES; i++)
+        h[i] = lmn_http_new(sites[i].users);
+    for (unsigned i = 0; i < njobs; i++) {
+        struct job *j = &jobs[i];
+        g_snprintf(path, sizeof path, P_JOBS "/%s", j->ref);
+        for (;;) {
+            int status = call(h[j->home], "GET", path, NULL, state);
+            if (status == 404)
+                complain("was accepted, and is not known", j->ref);
+            if (!strcmp(state, W_DONE) || !strcmp(state, W_WITHDRAWN) || status == 404 ||
+                lmn_before(end, lmn_now()))
+                break;
+            lmn_sleep(0.1);
+        }
+        g_strlcpy(j->state, state, sizeof j->state);
+        if (strcmp(state, W_DONE) && strcmp(state, W_WITHDRAWN))
+            complain("has no outcome", j->ref);
+        if (!j->cancel && !strcmp(state, W_WITHDRAWN))
+            complain("is withdrawn, and nobody asked for it", j->ref);
+        if (j->told && strcmp(state, W_WITHDRAWN))
+            complain("was told to be withdrawn, and is something else", j->ref);
+    }
+    for (unsigned i = 0; i < njobs; i++) {
+        g_snprintf(path, sizeof path, P_JOBS "/%s", jobs[i].ref);
+        if (call(h[jobs[i].home], "GET", path, NULL, state) != 200 ||
+            strcmp(state, jobs[i].state))
+            complain("its outcome changed", jobs[i].ref);
+    }
+}
+
+static uint64_t away_of(int i)
+{
+    struct lmn_http *h = lmn_http_new(sites[i].users);
+    GByteArray *in = g_byte_array_new();
+    struct lmn_doc d;
+    uint64_t sum = 0, n;
+
+    if (lmn_http_call(h, "GET", "/gateway", NULL, 5, in) == 200 &&
+        lmn_doc_parse(&d, in->data, in->len) == 0) {
+        const struct lmn_node *list = lmn_get(&d, lmn_root(&d), "Peers");
+        for (const struct lmn_node *p = lmn_child(&d, list); p; p = lmn_next(&d, p))
+            if (lmn_count(lmn_get(&d, p, "OffersOut"), &n))
+                sum += n;
+        lmn_doc_free(&d);
+    }
+    g_byte_array_unref(in);
+    lmn_http_free(h);
+    return sum;
+}
+
+static void end_all(void)
+{
+    for (int i = 0; i < SITES; i++) {
+        if (sites[i].pid > 0) {
+            kill(sites[i].pid, SIGKILL);
+            waitpid(sites[i].pid, NULL, 0);
+        }
+        run("site", "down", sites[i].file);
+    }
+}
+
+int main(int argc, char **argv)
+{
+    struct night night = {0};
+    unsigned most_cuts, done = 0, withdrawn = 0;
+    pthread_t user;
+    uint64_t tasks = 0, elsewhere = 0;
+    char *text = NULL;
+
+    if (argc != 5) {
+        fprintf(stderr, "usage: bench_gateway TASKS CUTS SEED BASE_PORT\n");
+        return 2;
+    }
+    setlinebuf(stdout);
+    signal(SIGPIPE, SIG_IGN);
+    night.tasks = (unsigned)atoi(argv[1]);
+    most_cuts = (unsigned)atoi(argv[2]);
+    rng = g_rand_new_with_seed((guint32)atoi(argv[3]));
+    lmn_latency_init(&submitting);
+    lmn_latency_init(&during);
+    g_snprintf(dir, sizeof dir, "/tmp/lemonspar-gateway-%d", (int)getpid());
+    g_snprintf(stamps, sizeof stamps, "%s/stamps", dir);
+    g_mkdir_with_parents(stamps, 0755);
+    for (int i = 0; i < SITES; i++)
+        describe_site(i, atoi(argv[4]) + 100 * i);
+    for (int i = 0; i < SITES; i++) {
+        describe_gateway(i);
+        if (run("site", "up", sites[i].file) != 0) {
+            fprintf(stderr, "%s does not come up\n", names[i]);
+            end_all();
+            return 1;
+        }
+        start_gateway(&sites[i]);
+    }
+    struct timespec begun = lmn_now();
+    pthread_create(&user, NULL, users, &night);
+    while (!night.over || cuts_made < most_cuts) {
+        cut_one();
+        if (g_rand_int_range(rng, 0, 12) == 0)
+            kill_gateway();
+        if (cuts_made % 50 == 0)
+            printf("%u cuts, %u kills of gateways, %u jobs\n", cuts_made, kills_made,
+                   njobs);
+        if (night.over && cuts_made >= most_cuts)
+            break;
+    }
+    pthread_join(user, NULL);
+    for (int i = 0; i < SITES; i++)
+        for (int k = 0; k < SITES; k++)
+            relays[i][k].mode = OPEN;
+    struct timespec healed = lmn_now();
+    await_all();
+    double after = lmn_since(lmn_now(), healed);
+    for (int i = 0; i < SITES; i++)
+        elsewhere += away_of(i);
+    double all = lmn_since(lmn_now(), begun);
+    end_all();
+    char *twice = g_build_filename(stamps, "TWICE", NULL);
+    if (g_file_get_contents(twice, &text, NULL, NULL))
+        complain(text, "a task ran twice at the same time");
+    for (unsigned i = 0; i < njobs; i++) {
+        tasks += jobs[i].tasks;
+        done += !strcmp(jobs[i].state, W_DONE);
+        withdrawn += !strcmp(jobs[i].state, W_WITHDRAWN);
+        for (uint32_t k = 0; k < jobs[i].tasks; k++)
+            check_task(&jobs[i], k);
+    }
+    printf("%s cuts=%u gateway_kills=%u jobs=%u done=%u withdrawn=%u "
+           "tasks=%" G_GUINT64_FORMAT " offers_since_last_kill=%" G_GUINT64_FORMAT
+           " started_again=%u submit_p50=%.3f "
+           "submit_p99=%.3f last_outcome_after_heal=%.1f s all=%.0f s wrong=%u\n",
+           wrong ? "BROKEN" : "GOOD", cuts_made, kills_made, njobs, done, withdrawn,
+           tasks, elsewhere, started_again, lmn_latency_quantile(&submitting, 0.5),
+           lmn_latency_quantile(&submitting, 0.99), after, all, wrong);
+    if (!wrong)
+        lmn_tree_remove(dir);
+    else
+        fprintf(stderr, "the sites' files stay in %s\n", dir);
+    return wrong || !done ? 1 : 0;
+}
--- a/src/cli/cli.c
+++ b/src/cli/cli.c
@@ -16,6 +16,7 @@
     {"worker", "--config FILE", "the agent of one machine", lmn_cmd_worker},
     {"admin", "ADDRESS status|get|set|drain", "a controller's administration",
      lmn_cmd_admin},
+    {"gateway", "--config FILE | status|job|unfence", "work across sites", lmn_cmd_gateway},
     {"key", "init|issue|renew|revoke|show", "keys of a site's gateway", lmn_cmd_key},
     {"completion", "bash", "a completion script for a shell", lmn_cmd_completion},
     {0},
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -20,6 +20,7 @@
 int lmn_cmd_job(int argc, char **argv);
 int lmn_cmd_image(int argc, char **argv);
 int lmn_cmd_admin(int argc, char **argv);
+int lmn_cmd_gateway(int argc, char **argv);
 int lmn_cmd_key(int argc, char **argv);
 int lmn_cmd_completion(int argc, char **argv);
 
--- /dev/null
+++ b/src/cli/gateway.c
@@ -0,0 +1,163 @@
+/* lemonspar gateway. */
+#include "cli/cli.h"
+#include "base/http_client.h"
+#include "base/json.h"
+#include "base/log.h"
+#include "base/wire.h"
+#include "gateway/gateway.h"
+
+#include <curl/curl.h>
+#include <stdio.h>
+#include <string.h>
+
+static struct lmn_gateway_options o;
+static char *config;
+static gboolean json;
+
+static int load(const char *args, const char *summary, int want, int *argc, char ***argv)
+{
+    const GOptionEntry entries[] = {
+        {"config", 'c', 0, G_OPTION_ARG_FILENAME, &config,
+         "The gateway's file (deploy/gateway.toml)", "FILE"},
+        {"json", 0, 0, G_OPTION_ARG_NONE, &json, "JSON for programs", NULL},
+        G_OPTION_ENTRY_NULL,
+    };
+    char err[512];
+    int rc =
+        lmn_cli_parse(entries, args, summary, "See docs/gateway.md.", false, argc, argv);
+
+    if (!rc && *argc != want)
+        rc =
+            lmn_cli_fail(LMN_EXIT_USAGE, "expected: %s %s", (*argv)[0], args ? args : "");
+    if (!rc && lmn_gateway_load(config ? config : "deploy/gateway.toml", &o, err,
+                                sizeof err) != 0)
+        rc = lmn_cli_fail(LMN_EXIT_FAILED, "%s", err);
+    curl_global_init(CURL_GLOBAL_NOTHING);
+    return rc;
+}
+
+static json_t *ask(const char *method, const char *path, int *status)
+{
+    struct lmn_http *h = lmn_http_new(o.listen);
+    GByteArray *in = g_byte_array_new();
+
+    *status = lmn_http_call(h, method, path, NULL, 30, in);
+    json_t *j = in->len ? lmn_json_of_bytes(in->data, in->len) : NULL;
+    g_byte_array_unref(in);
+    lmn_http_free(h);
+    return j;
+}
+
+static int run(int argc, char **argv)
+{
+    char err[512] = "";
+    int rc = load(NULL, "Runs a gateway; a second one of the same site stands by.", 1,
+                  &argc, &argv);
+
+    if (rc)
+        return rc;
+    lmn_log_init(o.name);
+    lmn_gateway_run(&o, err, sizeof err);
+    return lmn_cli_fail(LMN_EXIT_FAILED, "%s", err);
+}
+
+/* Exit status 1 if a peer is silent for too long, or a job is fenced: for scripts. */
+static int status(int argc, char **argv)
+{
+    int st,
+        rc = load(
+            NULL,
+            "Shows jobs by their course, and peers. Exit status 1 if a peer is silent "
+            "for too\nlong, or a job is fenced.",
+            1, &argc, &argv);
+    json_t *j, *p;
+    const char *key;
+    size_t i;
+    bool alarm = false;
+
+    if (rc)
+        return rc;
+    j = ask("GET", "/gateway", &st);
+    if (st != 200 || !j)
+        return lmn_cli_fail(LMN_EXIT_FAILED, "%s: no gateway answers there", o.listen);
+    json_t *jobs = json_object_get(j, "Jobs"), *peers = json_object_get(j, "Peers");
+    alarm = json_integer_value(json_object_get(jobs, "fenced")) > 0;
+    if (!json)
+        printf("site %s, gateway %s\n", json_string_value(json_object_get(j, "Site")),
+               json_string_value(json_object_get(j, "Gateway")));
+    json_object_foreach(jobs, key, p) if (!json)
+        printf("jobs %-14s %" JSON_INTEGER_FORMAT "\n", key, json_integer_value(p));
+    json_array_foreach(peers, i, p)
+    {
+        bool a = json_is_true(json_object_get(p, "Alarm"));
+        alarm = alarm || a;
+        if (!json)
+            printf("peer %-14s %-4s silent %.1f s%s offers out %" JSON_INTEGER_FORMAT
+                   " in %" JSON_INTEGER_FORMAT " outcomes out %" JSON_INTEGER_FORMAT
+                   " in %" JSON_INTEGER_FORMAT " %s\n",
+                   json_string_value(json_object_get(p, "Site")),
+                   json_is_true(json_object_get(p, "Up")) ? "up" : "down",
+                   json_number_value(json_object_get(p, "SilentS")), a ? " ALARM" : "",
+                   json_integer_value(json_object_get(p, "OffersOut")),
+                   json_integer_value(json_object_get(p, "OffersIn")),
+                   json_integer_value(json_object_get(p, "OutcomesOut")),
+                   json_integer_value(json_object_get(p, "OutcomesIn")),
+                   json_string_value(json_object_get(p, "Why")));
+    }
+    if (json)
+        lmn_json_print(j, true);
+    return alarm ? LMN_EXIT_FAILED : LMN_EXIT_OK;
+}
+
+static int job(int argc, char **argv)
+{
+    int st, rc = load("REF", "Shows where a job is, and how old that knowledge is.", 2,
+                      &argc, &argv);
+
+    if (rc)
+        return rc;
+    char *path = g_strdup_printf(P_JOBS "/%s", argv[1]);
+    json_t *j = ask("GET", path, &st);
+    g_free(path);
+    if (st == 404)
+        return lmn_cli_fail(LMN_EXIT_FAILED, "%s: this site is not its home", argv[1]);
+    if (st != 200 || !j)
+        return lmn_cli_fail(LMN_EXIT_FAILED, "%s: no gateway answers there", o.listen);
+    lmn_json_print(j, true);
+    return LMN_EXIT_OK;
+}
+
+static int unfence(int argc, char **argv)
+{
+    int st,
+        rc = load(NULL,
+                  "Says that nothing of the fenced jobs runs anywhere: they wait at home "
+                  "again.",
+                  1, &argc, &argv);
+
+    if (rc)
+        return rc;
+    json_t *j = ask("POST", "/gateway/unfence", &st);
+    if (st != 200 || !j)
+        return lmn_cli_fail(LMN_EXIT_FAILED, "%s: no gateway answers there", o.listen);
+    printf("%" JSON_INTEGER_FORMAT " jobs wait at home again\n",
+           json_integer_value(json_object_get(j, "Jobs")));
+    return LMN_EXIT_OK;
+}
+
+int lmn_cmd_gateway(int argc, char **argv)
+{
+    static const struct lmn_subcommand subs[] = {
+        {"run", "--config FILE", "the gateway itself", run},
+        {"status", "", "jobs by their course, and peers", status},
+        {"peers", "", "the same", status},
+        {"links", "", "the same", status},
+        {"job", "REF", "where a job is", job},
+        {"unfence", "", "after a restore: nothing of the fenced jobs runs", unfence},
+        {0},
+    };
+    if (argc > 1 && argv[1][0] == '-')
+        return strcmp(argv[1], "--help") ? run(argc, argv)
+                                         : lmn_cli_sub(subs, argc, argv);
+    return lmn_cli_sub(subs, argc, argv);
+}
--- /dev/null
+++ b/src/gateway/book.c
@@ -0,0 +1,534 @@
+#include "gateway/book.h"
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/thread.h"
+#include "base/wire.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+static const double TTL_S = 6, PATIENCE_S = 5;
+
+/* --- the state service --- */
+
+/* A call that is repeated until it is answered for certain; the status. */
+static int insist(struct lmn_http *h, const char *method, const char *path,
+                  const GByteArray *body, GByteArray *in)
+{
+    for (;;) {
+        int status = lmn_http_call(h, method, path, body, PATIENCE_S, in);
+        if (status == 200 || status == 404 || status == 409 || status == 400 ||
+            status == 410)
+            return status;
+        lmn_sleep(status == 429 ? 0.05 + 0.1 * g_random_double()
+                                : 0.2 + 0.2 * g_random_double());
+    }
+}
+
+static void put_cond(GByteArray *b, const char *key, uint64_t rev)
+{
+    lmn_put_map(b, 2);
+    lmn_put_text(b, W_KEY), lmn_put_text(b, key);
+    lmn_put_text(b, W_VERSION), lmn_put_count(b, rev);
+}
+
+/* --- records --- */
+
+static GByteArray *job_record(const struct lmn_gjob *j, const struct lmn_home *h)
+{
+    GByteArray *b = g_byte_array_new();
+
+    lmn_put_map(b, 10);
+    lmn_put_text(b, "spec"), lmn_put_map(b, lmn_spec_pairs()), lmn_spec_put(b, &j->spec);
+    lmn_put_text(b, "digest"), lmn_put_text(b, j->digest);
+    lmn_put_text(b, "at"), lmn_put_number(b, j->at);
+    lmn_put_text(b, "leash"), lmn_put_number(b, j->leash_s);
+    lmn_put_text(b, "state"), lmn_put_count(b, h->state);
+    lmn_put_text(b, "epoch"), lmn_put_count(b, h->epoch);
+    lmn_put_text(b, "site"), lmn_put_text(b, h->site);
+    lmn_put_text(b, "incarnation"), lmn_put_count(b, h->incarnation);
+    lmn_put_text(b, "outcome"),
+        lmn_put_count(b, (uint64_t)h->outcome | (uint64_t)h->cancel << 8);
+    lmn_put_text(b, "transfers"), lmn_put_count(b, h->transfers);
+    return b;
+}
+
+static GByteArray *guest_record(const struct lmn_guest *g, const struct lmn_host *f)
+{
+    GByteArray *b = g_byte_array_new();
+
+    lmn_put_map(b, 7);
+    lmn_put_text(b, "spec"), lmn_put_map(b, lmn_spec_pairs()), lmn_spec_put(b, &g->spec);
+    lmn_put_text(b, "digest"), lmn_put_text(b, g->digest);
+    lmn_put_text(b, "leash"), lmn_put_number(b, g->leash_s);
+    lmn_put_text(b, "state"), lmn_put_count(b, f->state);
+    lmn_put_text(b, "epoch"), lmn_put_count(b, f->epoch);
+    lmn_put_text(b, "floor"), lmn_put_count(b, f->floor);
+    lmn_put_text(b, "outcome");
+    lmn_put_count(b, (uint64_t)f->outcome | (uint64_t)f->cancel << 8 |
+                         (uint64_t)f->heard << 9);
+    return b;
+}
+
+static uint64_t count_of(const struct lmn_doc *d, const struct lmn_node *m,
+                         const char *key)
+{
+    uint64_t v = 0;
+    lmn_count(lmn_get(d, m, key), &v);
+    return v;
+}
+
+static void read_job(struct lmn_book *b, const char *ref, const struct lmn_doc *d,
+                     const struct lmn_node *v, uint64_t rev)
+{
+    struct lmn_gjob *j = g_new0(struct lmn_gjob, 1);
+    uint64_t outcome = count_of(d, v, "outcome");
+    const char *what;
+
+    g_strlcpy(j->ref, ref, sizeof j->ref);
+    if (lmn_spec_parse(&j->spec, d, lmn_get(d, v, "spec"), &what) != 0) {
+        lmn_error("unreadable-record key=g/j/%s field=%s", ref, what);
+        g_free(j);
+        return;
+    }
+    lmn_text(lmn_get(d, v, "digest"), j->digest, sizeof j->digest);
+    lmn_number(lmn_get(d, v, "at"), &j->at);
+    lmn_number(lmn_get(d, v, "leash"), &j->leash_s);
+    j->hand.state = (enum lmn_home_state)count_of(d, v, "state");
+    j->hand.epoch = count_of(d, v, "epoch");
+    lmn_text(lmn_get(d, v, "site"), j->hand.site, sizeof j->hand.site);
+    j->hand.incarnation = count_of(d, v, "incarnation");
+    j->hand.outcome = (enum lmn_outcome_word)(outcome & 0xff);
+    j->hand.cancel = outcome >> 8 & 1;
+    j->hand.transfers = (uint32_t)count_of(d, v, "transfers");
+    j->rev = rev;
+    g_hash_table_insert(b->jobs, j->ref, j);
+}
+
+static void read_guest(struct lmn_book *b, const char *key, const struct lmn_doc *d,
+                       const struct lmn_node *v, uint64_t rev)
+{
+    struct lmn_guest *g = g_new0(struct lmn_guest, 1);
+    uint64_t outcome = count_of(d, v, "outcome");
+    const char *what, *slash = strchr(key, '/');
+
+    if (!slash || (size_t)(slash - key) >= sizeof g->home ||
+        lmn_spec_parse(&g->spec, d, lmn_get(d, v, "spec"), &what) != 0) {
+        lmn_error("unreadable-record key=g/f/%s", key);
+        g_free(g);
+        return;
+    }
+    g->key = g_strdup(key);
+    g_strlcpy(g->home, key, (gsize)(slash - key) + 1);
+    g_strlcpy(g->ref, slash + 1, sizeof g->ref);
+    lmn_text(lmn_get(d, v, "digest"), g->digest, sizeof g->digest);
+    lmn_number(lmn_get(d, v, "leash"), &g->leash_s);
+    g->hand.state = (enum lmn_host_state)count_of(d, v, "state");
+    g->hand.epoch = count_of(d, v, "epoch");
+    g->hand.floor = count_of(d, v, "floor");
+    g->hand.outcome = (enum lmn_outcome_word)(outcome & 0xff);
+    g->hand.cancel = outcome >> 8 & 1;
+    g->hand.heard = outcome >> 9 & 1;
+    g->rev = rev;
+    lmn_guest_local(g->home, g->ref, g->hand.epoch, g->local);
+    g_hash_table_insert(b->guests, g->key, g);
+}
+
+static void read_all(struct lmn_book *b, struct lmn_http *h)
+{
+    GByteArray *in = g_byte_array_new();
+    char after[256] = "", path[512];
+    bool more = true;
+
+    while (more) {
+        struct lmn_doc d;
+        g_snprintf(path, sizeof path, P_STORE "?Under=g/%s%s&Limit=500",
+                   *after ? "&After=" : "", after);
+        if (insist(h, "GET", path, NULL, in) != 200 ||
+            lmn_doc_parse(&d, in->data, in->len) != 0)
+            continue;
+        const struct lmn_node *root = lmn_root(&d), *items = lmn_get(&d, root, W_ITEMS);
+        more = false;
+        lmn_truth(lmn_get(&d, root, W_MORE), &more);
+        for (const struct lmn_node *n = lmn_child(&d, items); n; n = lmn_next(&d, n)) {
+            const struct lmn_node *v = lmn_get(&d, n, W_VALUE);
+            uint64_t rev = count_of(&d, n, W_VERSION);
+            if (!lmn_text(lmn_get(&d, n, W_KEY), after, sizeof after) || !v)
+                continue;
+            if (g_str_has_prefix(after, "g/j/"))
+                read_job(b, after + 4, &d, v, rev);
+            else if (g_str_has_prefix(after, "g/f/"))
+                read_guest(b, after + 4, &d, v, rev);
+        }
+        lmn_doc_free(&d);
+    }
+    g_byte_array_unref(in);
+}
+
+/* --- leading --- */
+
+static void *keep_lease(void *arg)
+{
+    struct lmn_book *b = arg;
+    struct lmn_http *h = lmn_http_new(b->state);
+    GByteArray *in = g_byte_array_new();
+    char path[64];
+
+    g_snprintf(path, sizeof path, P_LEASES "/%" G_GUINT64_FORMAT P_RENEW, b->lease);
+    for (;;) {
+        if (lmn_http_call(h, "POST", path, NULL, 2, in) == 404) {
+            /* Another may lead by now. Nothing that this one writes is taken any more. */
+            lmn_error("lead-lost");
+            _exit(1);
+        }
+        lmn_sleep(TTL_S / 4);
+    }
+    return NULL;
+}
+
+static uint64_t new_lease(struct lmn_http *h, GByteArray *in)
+{
+    GByteArray *q = g_byte_array_new();
+    struct lmn_doc d;
+    uint64_t id = 0;
+
+    lmn_put_map(q, 1);
+    lmn_put_text(q, W_TTL_MS), lmn_put_count(q, (uint64_t)(TTL_S * 1000));
+    if (insist(h, "POST", P_LEASES, q, in) == 200 &&
+        lmn_doc_parse(&d, in->data, in->len) == 0) {
+        id = count_of(&d, lmn_root(&d), W_LEASE);
+        lmn_doc_free(&d);
+    }
+    g_byte_array_unref(q);
+    return id;
+}
+
+/* Puts the name at g/lead if nobody's stands there; the revision, 0: somebody leads. */
+static uint64_t try_lead(struct lmn_http *h, const char *gateway, uint64_t lease,
+                         GByteArray *in)
+{
+    GByteArray *q = g_byte_array_new();
+    struct lmn_doc d;
+    uint64_t rev = 0;
+
+    lmn_put_map(q, 2);
+    lmn_put_text(q, W_IF), lmn_put_list(q, 1), put_cond(q, "g/lead", 0);
+    lmn_put_text(q, W_THEN), lmn_put_list(q, 1), lmn_put_map(q, 3);
+    lmn_put_text(q, W_PUT), lmn_put_text(q, "g/lead");
+    lmn_put_text(q, W_VALUE), lmn_put_text(q, gateway);
+    lmn_put_text(q, W_LEASE), lmn_put_count(q, lease);
+    int status = lmn_http_call(h, "POST", P_TXN, q, PATIENCE_S, in);
+    if (status == 200 && lmn_doc_parse(&d, in->data, in->len) == 0) {
+        rev = count_of(&d, lmn_root(&d), W_REVISION);
+        lmn_doc_free(&d);
+    }
+    g_byte_array_unref(q);
+    return rev;
+}
+
+static uint64_t read_number(struct lmn_http *h, const char *path, const char *field,
+                            uint64_t *rev, GByteArray *in)
+{
+    struct lmn_doc d;
+    uint64_t v = 0;
+
+    *rev = 0;
+    if (insist(h, "GET", path, NULL, in) != 200 ||
+        lmn_doc_parse(&d, in->data, in->len) != 0)
+        return 0;
+    lmn_count(lmn_get(&d, lmn_root(&d), field), &v);
+    *rev = count_of(&d, lmn_root(&d), W_VERSION);
+    lmn_doc_free(&d);
+    return v;
+}
+
+static void note_incarnation(struct lmn_book *b, struct lmn_http *h, uint64_t rev,
+                             GByteArray *in)
+{
+    GByteArray *q = g_byte_array_new();
+
+    lmn_put_map(q, 2);
+    lmn_put_text(q, W_IF), lmn_put_list(q, 2);
+    put_cond(q, "g/lead", b->lead_rev), put_cond(q, "g/i", rev);
+    lmn_put_text(q, W_THEN), lmn_put_list(q, 1), lmn_put_map(q, 2);
+    lmn_put_text(q, W_PUT), lmn_put_text(q, "g/i");
+    lmn_put_text(q, W_VALUE), lmn_put_count(q, b->incarnation);
+    insist(h, "POST", P_TXN, q, in);
+    g_byte_array_unref(q);
+}
+
+void lmn_book_open(struct lmn_book *b, const char *state, const char *gateway,
+                   int txn_ops, bool *restored)
+{
+    struct lmn_http *h = lmn_http_new(state);
+    GByteArray *in = g_byte_array_new();
+    uint64_t rev, was;
+
+    memset(b, 0, sizeof *b);
+    g_strlcpy(b->state, state, sizeof b->state);
+    b->txn_ops = txn_ops;
+    pthread_mutex_init(&b->lock, NULL);
+    lmn_cond_init(&b->idle);
+    b->jobs = g_hash_table_new(g_str_hash, g_str_equal);
+    b->guests = g_hash_table_new(g_str_hash, g_str_equal);
+    while (!b->lead_rev) {
+        b->lease = new_lease(h, in);
+        struct timespec begun = lmn_now();
+        while (b->lease && !b->lead_rev && lmn_since(lmn_now(), begun) < TTL_S / 2) {
+            b->lead_rev = try_lead(h, gateway, b->lease, in);
+            if (!b->lead_rev)
+                lmn_sleep(0.3);
+        }
+    }
+    lmn_thread(keep_lease, b);
+    b->incarnation = read_number(h, "/incarnation", "Incarnation", &rev, in);
+    was = read_number(h, P_STORE "/g/i", W_VALUE, &rev, in);
+    *restored = rev && was != b->incarnation;
+    read_all(b, h);
+    if (!rev)
+        note_incarnation(b, h, rev, in);
+    lmn_info("lead gateway=%s jobs=%u guests=%u restored=%d", gateway,
+             g_hash_table_size(b->jobs), g_hash_table_size(b->guests), *restored);
+    lmn_http_free(h);
+    g_byte_array_unref(in);
+}
+
+/* --- taking --- */
+
+struct lmn_gjob *lmn_book_take_job(struct lmn_book *b, const char *ref)
+{
+    struct lmn_gjob *j;
+
+    while ((j = g_hash_table_lookup(b->jobs, ref)) && j->busy)
+        pthread_cond_wait(&b->idle, &b->lock);
+    if (j)
+        j->busy = true;
+    return j;
+}
+
+struct lmn_guest *lmn_book_take_guest(struct lmn_book *b, const char *home,
+                                      const char *ref)
+{
+    char key[LMN_NAME + LMN_REF + 2];
+    struct lmn_guest *g;
+
+    g_snprintf(key, sizeof key, "%s/%s", home, ref);
+    while ((g = g_hash_table_lookup(b->guests, key)) && g->busy)
+        pthread_cond_wait(&b->idle, &b->lock);
+    if (g)
+        g->busy = true;
+    return g;
+}
+
+static void copy_spec(struct lmn_spec *to, const struct lmn_spec *from)
+{
+    *to = *from;
+    to->class_name = g_strdup(from->class_name);
+    to->team = g_strdup(from->team);
+    to->image = g_strdup(from->image);
+    to->zone = g_strdup(from->zone);
+    to->types = g_strdupv(from->types);
+}
+
+struct lmn_gjob *lmn_book_new_job(struct lmn_book *b, const struct lmn_spec *spec)
+{
+    if (g_hash_table_contains(b->jobs, spec->ref))
+        return NULL;
+    struct lmn_gjob *j = g_new0(struct lmn_gjob, 1);
+    g_strlcpy(j->ref, spec->ref, sizeof j->ref);
+    copy_spec(&j->spec, spec);
+    j->busy = true;
+    j->at = lmn_seconds(lmn_wall());
+    j->progress.known = lmn_now();
+    g_hash_table_insert(b->jobs, j->ref, j);
+    return j;
+}
+
+struct lmn_guest *lmn_book_new_guest(struct lmn_book *b, const char *home,
+                                     const char *ref)
+{
+    struct lmn_guest *g = g_new0(struct lmn_guest, 1);
+
+    g->key = g_strdup_printf("%s/%s", home, ref);
+    if (g_hash_table_contains(b->guests, g->key)) {
+        g_free(g->key);
+        g_free(g);
+        return NULL;
+    }
+    g_strlcpy(g->home, home, sizeof g->home);
+    g_strlcpy(g->ref, ref, sizeof g->ref);
+    g->busy = true;
+    g_hash_table_insert(b->guests, g->key, g);
+    return g;
+}
+
+void lmn_book_put_job(struct lmn_book *b, struct lmn_gjob *j)
+{
+    j->busy = false;
+    pthread_cond_broadcast(&b->idle);
+}
+
+void lmn_book_put_guest(struct lmn_book *b, struct lmn_guest *g)
+{
+    g->busy = false;
+    pthread_cond_broadcast(&b->idle);
+}
+
+void lmn_guest_local(const char *home, const char *ref, uint64_t epoch, char *local)
+{
+    char *what = g_strdup_printf("%s/%s/%" G_GUINT64_FORMAT, home, ref, epoch);
+    char *hex = g_compute_checksum_for_string(G_CHECKSUM_SHA256, what, -1);
+    char half[16] = "";
+
+    /* 18 digits of the first 60 bits: as many as a job's name has room for. */
+    memcpy(half, hex, 15);
+    g_snprintf(local, LMN_REF, W_JOB_PREFIX "%018" G_GUINT64_FORMAT,
+               (uint64_t)(g_ascii_strtoull(half, NULL, 16) % 1000000000000000000ull));
+    g_free(what);
+    g_free(hex);
+}
+
+/* --- writing --- */
+
+static char *key_of(const struct lmn_write *w)
+{
+    return w->job ? g_strdup_printf("g/j/%s", w->job->ref)
+                  : g_strdup_printf("g/f/%s", w->guest->key);
+}
+
+static GByteArray *value_of(const struct lmn_write *w)
+{
+    return w->job ? job_record(w->job, &w->home) : guest_record(w->guest, &w->host);
+}
+
+/* One transaction of them; the status. */
+static int send(struct lmn_book *b, struct lmn_http *h, const struct lmn_write *w,
+                unsigned n, uint64_t *rev, GByteArray *in)
+{
+    GByteArray *q = g_byte_array_new();
+    struct lmn_doc d;
+
+    lmn_put_map(q, 2);
+    lmn_put_text(q, W_IF), lmn_put_list(q, n + 1);
+    put_cond(q, "g/lead", b->lead_rev);
+    for (unsigned i = 0; i < n; i++) {
+        char *key = key_of(&w[i]);
+        put_cond(q, key, w[i].job ? w[i].job->rev : w[i].guest->rev);
+        g_free(key);
+    }
+    lmn_put_text(q, W_THEN), lmn_put_list(q, n);
+    for (unsigned i = 0; i < n; i++) {
+        char *key = key_of(&w[i]);
+        GByteArray *v = value_of(&w[i]);
+        lmn_put_map(q, 2);
+        lmn_put_text(q, W_PUT), lmn_put_text(q, key);
+        lmn_put_text(q, W_VALUE), g_byte_array_append(q, v->data, v->len);
+        g_byte_array_unref(v);
+        g_free(key);
+    }
+    int status = insist(h, "POST", P_TXN, q, in);
+    if (status == 200 && lmn_doc_parse(&d, in->data, in->len) == 0) {
+        *rev = count_of(&d, lmn_root(&d), W_REVISION);
+        lmn_doc_free(&d);
+    }
+    g_byte_array_unref(q);
+    return status;
+}
+
+/* A conflict where only this gateway writes: an earlier try of the same, without an
+ * answer, was applied. Whether it was shows the record. */
+static bool was_written(struct lmn_http *h, const struct lmn_write *w, uint64_t *rev,
+                        GByteArray *in)
+{
+    char *key = key_of(w), *path = g_strdup_printf(P_STORE "/%s", key);
+    GByteArray *v = value_of(w), *is = g_byte_array_new();
+    struct lmn_doc d;
+    bool same = false;
+
+    if (insist(h, "GET", path, NULL, in) == 200 &&
+        lmn_doc_parse(&d, in->data, in->len) == 0) {
+        const struct lmn_node *n = lmn_get(&d, lmn_root(&d), W_VALUE);
+        *rev = count_of(&d, lmn_root(&d), W_VERSION);
+        if (n)
+            lmn_put_node(is, &d, n);
+        same = is->len == v->len && !memcmp(is->data, v->data, v->len);
+        lmn_doc_free(&d);
+    }
+    g_byte_array_unref(v);
+    g_byte_array_unref(is);
+    g_free(key);
+    g_free(path);
+    return same;
+}
+
+static void install(struct lmn_book *b, struct lmn_write *w, uint64_t rev)
+{
+    w->ok = true;
+    if (w->job) {
+        w->job->hand = w->home;
+        w->job->rev = rev;
+    } else {
+        if (w->host.epoch != w->guest->hand.epoch) {
+            w->guest->handed = w->guest->leashed = false;
+            w->guest->progress = (struct lmn_progress){0};
+        }
+        w->guest->hand = w->host;
+        w->guest->rev = rev;
+        lmn_guest_local(w->guest->home, w->guest->ref, w->host.epoch, w->guest->local);
+    }
+    b->writes++;
+}
+
+static void put_back(struct lmn_book *b, struct lmn_write *w)
+{
+    if (w->job && !w->job->rev) {
+        g_hash_table_remove(b->jobs, w->job->ref);
+        lmn_spec_clear(&w->job->spec);
+        g_clear_pointer(&w->job, g_free);
+        pthread_cond_broadcast(&b->idle);
+    } else if (w->guest && !w->guest->rev) {
+        g_hash_table_remove(b->guests, w->guest->key);
+        lmn_spec_clear(&w->guest->spec);
+        g_free(w->guest->key);
+        g_clear_pointer(&w->guest, g_free);
+        pthread_cond_broadcast(&b->idle);
+    } else if (w->job) {
+        lmn_book_put_job(b, w->job);
+    } else {
+        lmn_book_put_guest(b, w->guest);
+    }
+}
+
+void lmn_book_write(struct lmn_book *b, struct lmn_http *h, struct lmn_write *w,
+                    unsigned n)
+{
+    GByteArray *in = g_byte_array_new();
+
+    for (unsigned at = 0; at < n;) {
+        /* Descriptions may be long: what goes together stays well below a transaction's
+         * size. */
+        unsigned k = MIN(n - at, (unsigned)MIN(b->txn_ops, 24));
+        uint64_t rev = 0;
+        int status = send(b, h, w + at, k, &rev, in);
+        for (unsigned i = 0; i < k; i++) {
+            struct lmn_write *x = &w[at + i];
+            uint64_t own = rev;
+            bool ok = status == 200;
+            if (!ok && k > 1)
+                ok = send(b, h, x, 1, &own, in) == 200;
+            if (!ok)
+                ok = was_written(h, x, &own, in);
+            pthread_mutex_lock(&b->lock);
+            if (ok)
+                install(b, x, own);
+            else
+                b->conflicts++;
+            put_back(b, x);
+            pthread_mutex_unlock(&b->lock);
+        }
+        at += k;
+    }
+    g_byte_array_unref(in);
+}
--- /dev/null
+++ b/src/gateway/book.h
@@ -0,0 +1,98 @@
+/* A gateway's records, in the site's state service under g/, and in memory.
+ *
+ *   g/lead            the gateway that acts, tied to its lease; every write is
+ * conditional on it g/i               the state's incarnation when it was last looked at
+ *   g/j/REF           a job of this home: description, hand-over, when it came
+ *   g/f/HOME/REF      another site's job that is, or was, here
+ *
+ * A record is changed by one thread at a time: taken (busy), a copy changed by a
+ * transition of hand.h, written, and only then put in the place of the old. Locking:
+ * b->lock guards all below it, and is never held while something is written. */
+#ifndef LMN_BOOK_H
+#define LMN_BOOK_H
+
+#include "base/http_client.h"
+#include "base/job.h"
+#include "gateway/hand.h"
+
+#include <pthread.h>
+
+/* What is known of a job's course, for display. */
+struct lmn_progress {
+    uint32_t done, running;
+    struct timespec known; /* as of when */
+};
+
+struct lmn_gjob {
+    char ref[LMN_REF];
+    struct lmn_home hand;
+    struct lmn_spec spec;
+    char digest[65]; /* of what its tasks run; empty: none */
+    double at;       /* time of day of its acceptance */
+    double leash_s;  /* 0: none */
+    uint64_t rev;
+    bool busy, handed; /* the own controllers have it */
+    struct lmn_progress progress;
+    struct timespec offered, polled;
+};
+
+struct lmn_guest {
+    char home[LMN_NAME], ref[LMN_REF],
+        local[LMN_REF]; /* its name at the own controllers */
+    char *key;          /* HOME/REF */
+    struct lmn_host hand;
+    struct lmn_spec spec;
+    char digest[65];
+    double leash_s;
+    uint64_t rev;
+    bool busy, handed, leashed; /* leashed: its leash is over, it is being stopped */
+    struct lmn_progress progress;
+    struct timespec polled;
+};
+
+struct lmn_book {
+    char state[LMN_ADDR];
+    int txn_ops;
+    uint64_t lead_rev, lease, incarnation;
+    pthread_mutex_t lock; /* of what follows */
+    pthread_cond_t idle;  /* a record is not busy any more */
+    GHashTable *jobs;     /* ref -> lmn_gjob */
+    GHashTable *guests;   /* HOME/REF -> lmn_guest */
+    uint64_t writes, conflicts;
+};
+
+/* Waits until this gateway leads the site, then reads all records. Its lease is kept by a
+ * thread, which ends the process if it is lost. *restored: the state was restored from a
+ * backup since. */
+void lmn_book_open(struct lmn_book *b, const char *state, const char *gateway,
+                   int txn_ops, bool *restored);
+/* Takes the record: it is this thread's until it is put back. NULL: there is none. The
+ * lock is held, and let go while it waits. */
+struct lmn_gjob *lmn_book_take_job(struct lmn_book *b, const char *ref);
+struct lmn_guest *lmn_book_take_guest(struct lmn_book *b, const char *home,
+                                      const char *ref);
+/* Makes a record that is not written yet, taken. The lock is held. NULL: there is one. */
+struct lmn_gjob *lmn_book_new_job(struct lmn_book *b, const struct lmn_spec *spec);
+struct lmn_guest *lmn_book_new_guest(struct lmn_book *b, const char *home,
+                                     const char *ref);
+
+/* A record as it should be: written by lmn_book_write with others, in few transactions.
+ */
+struct lmn_write {
+    struct lmn_gjob *job; /* one of the two, taken */
+    struct lmn_guest *guest;
+    struct lmn_home home; /* as it should be */
+    struct lmn_host host;
+    bool ok; /* it is so, on the disk */
+};
+/* Writes them, the lock not held; those that are written are changed in memory, all are
+ * put back. A new record that could not be written is forgotten. */
+void lmn_book_write(struct lmn_book *b, struct lmn_http *h, struct lmn_write *w,
+                    unsigned n);
+/* Puts back without a change. The lock is held. */
+void lmn_book_put_job(struct lmn_book *b, struct lmn_gjob *j);
+void lmn_book_put_guest(struct lmn_book *b, struct lmn_guest *g);
+/* The name that a guest has at the own controllers: a function of home, ref and epoch. */
+void lmn_guest_local(const char *home, const char *ref, uint64_t epoch, char *local);
+
+#endif
--- /dev/null
+++ b/src/gateway/feed.c
@@ -0,0 +1,332 @@
+/* The own controllers, reached as any user does: jobs of this home that stay, and guests.
+ */
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/thread.h"
+#include "base/wire.h"
+#include "depot/depot.h"
+#include "depot/work.h"
+#include "gateway/gateway_part.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* How often a run is asked about; how long a leash waits for the state that it is to be
+ * stopped by. */
+static const double POLL_S = 0.7, TICK_S = 0.1;
+
+struct feeder {
+    struct lmn_gateway *g;
+    struct lmn_http *controllers[LMN_G_CONTROLLERS], *depot, *state;
+    unsigned turn;
+    struct lmn_budget polls;
+    GByteArray *in;
+};
+
+/* What the controllers say of a job: status, and its state. */
+static int ask(struct feeder *f, const char *method, const char *path,
+               const GByteArray *body, char *word, struct lmn_progress *p)
+{
+    struct lmn_doc d;
+    int status = LMN_NOT_SENT;
+    uint64_t done = 0, running = 0;
+
+    for (unsigned i = 0; i < f->g->o->ncontrollers && status == LMN_NOT_SENT; i++)
+        status = lmn_http_call(f->controllers[f->turn++ % f->g->o->ncontrollers], method,
+                               path, body, 4, f->in);
+    *word = '\0';
+    if (status < 0 || !f->in->len || lmn_doc_parse(&d, f->in->data, f->in->len) != 0)
+        return status;
+    const struct lmn_node *root = lmn_root(&d);
+    lmn_text(lmn_get(&d, root, W_STATE), word, 16);
+    lmn_count(lmn_get(&d, root, W_DONE), &done);
+    lmn_count(lmn_get(&d, root, W_RUNNING), &running);
+    lmn_doc_free(&d);
+    /* Controllers know more and less of it; what is done stays done. */
+    p->done = MAX(p->done, (uint32_t)done);
+    p->running = (uint32_t)running;
+    p->known = lmn_now();
+    return status;
+}
+
+static enum lmn_outcome_word ended(const char *word)
+{
+    return !strcmp(word, W_DONE)        ? LMN_O_DONE
+           : !strcmp(word, W_WITHDRAWN) ? LMN_O_WITHDRAWN
+                                        : LMN_O_NONE;
+}
+
+/* A run at the own controllers: a job of this home, or a guest. */
+struct run {
+    struct lmn_gjob *job;
+    struct lmn_guest *guest;
+    char ref[LMN_REF], home[LMN_NAME], local[LMN_REF];
+    bool handed, cancel, asked; /* cancel: to be stopped; asked: by its user */
+    uint64_t epoch;
+};
+
+static GByteArray *body_of(const struct lmn_spec *spec, const char *local)
+{
+    GByteArray *b = g_byte_array_new();
+    struct lmn_spec s = *spec;
+
+    g_strlcpy(s.ref, local, sizeof s.ref);
+    lmn_put_map(b, lmn_spec_pairs());
+    lmn_spec_put(b, &s);
+    return b;
+}
+
+/* The description of what a guest runs, under its name here: from the home's blob, which
+ * the peer's thread has put into the depot. False: it is not there yet. */
+static bool describe(struct feeder *f, const char *digest, const char *local)
+{
+    GByteArray *b = g_byte_array_new();
+    struct lmn_depot_error e;
+    struct lmn_work w;
+    const char *what;
+    char own[LMN_DIGEST];
+    bool ok = false;
+
+    if (lmn_depot_get(f->depot, digest, b, &e) == 0 &&
+        lmn_work_read(&w, b->data, b->len, &what) == 0) {
+        g_strlcpy(w.spec.ref, local, sizeof w.spec.ref);
+        GByteArray *mine = lmn_work_put(&w);
+        ok = lmn_depot_put(f->depot, mine, own, &e) == 0 &&
+             lmn_depot_name(f->depot, LMN_DEPOT_JOB, local, own, &e) == 0;
+        g_byte_array_unref(mine);
+        lmn_work_clear(&w);
+    }
+    g_byte_array_unref(b);
+    return ok;
+}
+
+/* Ends the hand-over on this side. */
+static void conclude(struct feeder *f, const struct run *r, enum lmn_outcome_word outcome)
+{
+    struct lmn_book *b = &f->g->book;
+    struct lmn_write w = {0};
+
+    pthread_mutex_lock(&b->lock);
+    w.job = r->guest ? NULL : lmn_book_take_job(b, r->ref);
+    w.guest = r->guest ? lmn_book_take_guest(b, r->home, r->ref) : NULL;
+    if (w.job)
+        w.home = w.job->hand;
+    if (w.guest)
+        w.host = w.guest->hand;
+    /* What was looked at may be another epoch's by now. */
+    bool change =
+        w.job ? w.home.epoch == r->epoch && lmn_home_kept_over(&w.home, outcome)
+              : w.guest && w.host.epoch == r->epoch && lmn_host_over(&w.host, outcome);
+    if (!change && w.job)
+        lmn_book_put_job(b, w.job);
+    if (!change && w.guest)
+        lmn_book_put_guest(b, w.guest);
+    pthread_mutex_unlock(&b->lock);
+    if (!change)
+        return;
+    lmn_book_write(b, f->state, &w, 1);
+    pthread_mutex_lock(&b->lock);
+    if (r->guest)
+        lmn_peer_poke(f->g, r->home);
+    pthread_mutex_unlock(&b->lock);
+}
+
+static void look_at(struct feeder *f, const struct run *r, const struct lmn_spec *spec,
+                    const char *digest, struct lmn_progress *p)
+{
+    char path[96], word[16];
+    int status;
+
+    if (!r->handed) {
+        if (r->guest && *digest && !describe(f, digest, r->local))
+            return;
+        GByteArray *body = body_of(spec, r->local);
+        status = ask(f, "POST", P_JOBS, body, word, p);
+        g_byte_array_unref(body);
+        if ((status == 422 || status == 400) && r->guest)
+            conclude(f, r, LMN_O_RETURNED); /* it can't run here */
+        if (status != 200 && status != 201)
+            return;
+        pthread_mutex_lock(&f->g->book.lock);
+        struct lmn_gjob *j =
+            r->guest ? NULL : g_hash_table_lookup(f->g->book.jobs, r->ref);
+        if (j)
+            j->handed = true;
+        char *key = g_strdup_printf("%s/%s", r->home, r->ref);
+        struct lmn_guest *x =
+            r->guest ? g_hash_table_lookup(f->g->book.guests, key) : NULL;
+        if (x && x->hand.epoch == r->epoch)
+            x->handed = true;
+        g_free(key);
+        pthread_mutex_unlock(&f->g->book.lock);
+    } else {
+        g_snprintf(path, sizeof path, P_JOBS "/%s%s", r->local,
+                   r->cancel ? P_CANCEL : "");
+        status = ask(f, r->cancel ? "POST" : "GET", path, NULL, word, p);
+        if (status == 404 && r->cancel)
+            conclude(f, r,
+                     r->asked
+                         ? LMN_O_WITHDRAWN
+                         : LMN_O_RETURNED); /* never accepted there: nothing of it runs */
+        if (status != 200)
+            return;
+    }
+    enum lmn_outcome_word o = ended(word);
+    /* Stopped here, but not by its user: that is no outcome, it goes back. */
+    if (o == LMN_O_WITHDRAWN && r->guest && !r->asked)
+        o = LMN_O_RETURNED;
+    if (o != LMN_O_NONE)
+        conclude(f, r, o);
+}
+
+static void add_run(GPtrArray *v, struct lmn_gjob *j, struct lmn_guest *x)
+{
+    struct run *r = g_new0(struct run, 1);
+
+    r->job = j;
+    r->guest = x;
+    g_strlcpy(r->ref, j ? j->ref : x->ref, sizeof r->ref);
+    g_strlcpy(r->local, j ? j->ref : x->local, sizeof r->local);
+    if (x)
+        g_strlcpy(r->home, x->home, sizeof r->home);
+    r->handed = j ? j->handed : x->handed;
+    r->asked = j ? j->hand.cancel : x->hand.cancel;
+    r->cancel = r->asked || (x && x->leashed);
+    r->epoch = j ? j->hand.epoch : x->hand.epoch;
+    g_ptr_array_add(v, r);
+}
+
+/* A guest on a leash stops when its home was not heard for so long. */
+static void check_leash(struct feeder *f, struct lmn_guest *x, struct timespec now)
+{
+    if (x->leash_s <= 0 || x->leashed)
+        return;
+    for (unsigned i = 0; i < f->g->o->npeers; i++)
+        if (!strcmp(f->g->o->peers[i].site, x->home) &&
+            lmn_since(now, f->g->peers[i].synced) > x->leash_s) {
+            lmn_info("leash-over home=%s job=%s", x->home, x->ref);
+            x->leashed =
+                true; /* in memory: after a restart it is counted anew, which is later */
+        }
+}
+
+static GPtrArray *due_runs(struct feeder *f)
+{
+    GPtrArray *v = g_ptr_array_new_with_free_func(g_free);
+    struct timespec now = lmn_now();
+    GHashTableIter it;
+    gpointer p;
+
+    pthread_mutex_lock(&f->g->book.lock);
+    g_hash_table_iter_init(&it, f->g->book.jobs);
+    while (g_hash_table_iter_next(&it, NULL, &p)) {
+        struct lmn_gjob *j = p;
+        if (j->hand.state != LMN_H_LOCAL || lmn_since(now, j->polled) < POLL_S)
+            continue;
+        j->polled = now;
+        add_run(v, j, NULL);
+    }
+    g_hash_table_iter_init(&it, f->g->book.guests);
+    while (g_hash_table_iter_next(&it, NULL, &p)) {
+        struct lmn_guest *x = p;
+        if (x->hand.state != LMN_HO_RUNS || lmn_since(now, x->polled) < POLL_S)
+            continue;
+        check_leash(f, x, now);
+        x->polled = now;
+        add_run(v, NULL, x);
+    }
+    pthread_mutex_unlock(&f->g->book.lock);
+    return v;
+}
+
+/* The next that the own controllers get: by urgency, then the oldest. */
+static gint by_order(gconstpointer a, gconstpointer b)
+{
+    const struct lmn_gjob *x = *(struct lmn_gjob *const *)a,
+                          *y = *(struct lmn_gjob *const *)b;
+
+    if (x->spec.urgency != y->spec.urgency)
+        return x->spec.urgency > y->spec.urgency ? -1 : 1;
+    return x->at < y->at ? -1 : x->at > y->at;
+}
+
+static void feed(struct feeder *f)
+{
+    struct lmn_book *b = &f->g->book;
+    GArray *w = g_array_new(FALSE, TRUE, sizeof(struct lmn_write));
+    GPtrArray *v = g_ptr_array_new();
+    GHashTableIter it;
+    gpointer p;
+
+    pthread_mutex_lock(&b->lock);
+    double handed = lmn_handed_cpus(f->g), most = f->g->o->feed * f->g->o->cpus;
+    g_hash_table_iter_init(&it, b->jobs);
+    while (handed < most && g_hash_table_iter_next(&it, NULL, &p)) {
+        struct lmn_gjob *j = p;
+        if (j->hand.state == LMN_H_QUEUED && !j->busy)
+            g_ptr_array_add(v, j);
+    }
+    g_ptr_array_sort(v, by_order);
+    for (guint i = 0; i < v->len && handed < most; i++) {
+        struct lmn_gjob *j = v->pdata[i];
+        struct lmn_write x = {.job = j, .home = j->hand};
+        if (!lmn_home_keep(&x.home))
+            continue;
+        j->busy = true;
+        j->handed = false;
+        handed += lmn_job_cpus(&j->spec);
+        g_array_append_val(w, x);
+    }
+    pthread_mutex_unlock(&b->lock);
+    lmn_book_write(b, f->state, (struct lmn_write *)(void *)w->data, w->len);
+    g_array_free(w, TRUE);
+    g_ptr_array_free(v, TRUE);
+}
+
+static void pass(struct feeder *f)
+{
+    GPtrArray *runs = due_runs(f);
+
+    for (guint i = 0; i < runs->len; i++) {
+        const struct run *r = runs->pdata[i];
+        struct lmn_spec spec;
+        struct lmn_progress p;
+        char digest[65];
+        double wait = lmn_budget_take(&f->polls, 1, lmn_now());
+        if (wait > 0)
+            lmn_sleep(wait);
+        /* Records are never freed once they are written, and descriptions never change.
+         */
+        spec = r->job ? r->job->spec : r->guest->spec;
+        g_strlcpy(digest, r->job ? r->job->digest : r->guest->digest, sizeof digest);
+        pthread_mutex_lock(&f->g->book.lock);
+        p = r->job ? r->job->progress : r->guest->progress;
+        pthread_mutex_unlock(&f->g->book.lock);
+        look_at(f, r, &spec, digest, &p);
+        pthread_mutex_lock(&f->g->book.lock);
+        if (r->job)
+            r->job->progress = p;
+        else if (r->guest->hand.epoch == r->epoch)
+            r->guest->progress = p;
+        pthread_mutex_unlock(&f->g->book.lock);
+    }
+    g_ptr_array_free(runs, TRUE);
+}
+
+void *lmn_feed_thread(void *arg)
+{
+    struct lmn_gateway *g = arg;
+    struct feeder f = {.g = g, .in = g_byte_array_new()};
+
+    for (unsigned i = 0; i < g->o->ncontrollers; i++)
+        f.controllers[i] = lmn_http_new(g->o->controllers[i]);
+    f.depot = lmn_http_new(g->o->depot);
+    f.state = lmn_http_new(g->o->state);
+    lmn_budget_init(&f.polls, g->o->poll_rps, MAX(g->o->poll_rps, 1), lmn_now());
+    for (;;) {
+        feed(&f);
+        pass(&f);
+        lmn_sleep(TICK_S);
+    }
+    return NULL;
+}
--- /dev/null
+++ b/src/gateway/front.c
@@ -0,0 +1,357 @@
+/* The users' interface of the gateway: as a controller's, for jobs that may be run
+ * elsewhere; and what the command line asks. Whatever writes is done by a few hands;
+ * nothing is told before it is written. */
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/metrics.h"
+#include "base/thread.h"
+#include "base/wire.h"
+#include "depot/depot.h"
+#include "gateway/gateway_part.h"
+
+#include <string.h>
+
+enum { HANDS = 8, MAX_BODY = 64 * 1024, MOST_CALLS = 512 };
+
+static const char *const states[] = {"waits at home", "at home", "offered",
+                                     "away",          "final",   "fenced"};
+
+/* Queued, running, done or withdrawn, as the protocol says. */
+static const char *word(const struct lmn_gjob *j)
+{
+    if (j->hand.state == LMN_H_FINAL)
+        return j->hand.outcome == LMN_O_DONE ? W_DONE : W_WITHDRAWN;
+    return j->progress.done || j->progress.running ? W_RUNNING : W_QUEUED;
+}
+
+/* The lock is held. */
+static GByteArray *job_answer(const struct lmn_gateway *g, const struct lmn_gjob *j)
+{
+    GByteArray *b = g_byte_array_new();
+    bool final = j->hand.state == LMN_H_FINAL, away = *j->hand.site && !final;
+
+    lmn_put_map(b, 9);
+    lmn_put_text(b, W_ID), lmn_put_text(b, j->ref);
+    lmn_put_text(b, W_STATE), lmn_put_text(b, word(j));
+    lmn_put_text(b, W_DONE);
+    lmn_put_count(b, final && j->hand.outcome == LMN_O_DONE ? j->spec.tasks
+                                                            : j->progress.done);
+    lmn_put_text(b, W_RUNNING), lmn_put_count(b, final ? 0 : j->progress.running);
+    /* Where it is, and how old that knowledge is. */
+    lmn_put_text(b, "Site"), lmn_put_text(b, away ? j->hand.site : g->o->site);
+    lmn_put_text(b, "AgeS"),
+        lmn_put_number(b, final ? 0 : lmn_since(lmn_now(), j->progress.known));
+    lmn_put_text(b, "Course"), lmn_put_text(b, states[j->hand.state]);
+    lmn_put_text(b, "Epoch"), lmn_put_count(b, j->hand.epoch);
+    lmn_put_text(b, "Cancel"), lmn_put_truth(b, j->hand.cancel);
+    return b;
+}
+
+/* --- what writes --- */
+
+static void find_digest(struct lmn_http *depot, const char *ref, char *digest)
+{
+    struct lmn_depot_error e;
+
+    if (lmn_depot_look(depot, LMN_DEPOT_JOB, ref, digest, &e) != 0)
+        *digest = '\0';
+}
+
+static void submit(struct lmn_gateway *g, struct lmn_http *state, struct lmn_http *depot,
+                   struct lmn_call *call)
+{
+    const GByteArray *body = lmn_call_body(call);
+    struct lmn_write w = {0};
+    struct lmn_spec s;
+    struct lmn_doc d;
+    const char *what = "not CBOR";
+    char digest[LMN_DIGEST] = "";
+    double leash = 0;
+    bool team = false;
+
+    if (lmn_doc_parse(&d, body->data, body->len) != 0) {
+        lmn_call_fail(call, 400, what);
+        return;
+    }
+    bool sane = lmn_spec_parse(&s, &d, lmn_root(&d), &what) == 0;
+    lmn_number(lmn_get(&d, lmn_root(&d), "LeashS"), &leash);
+    lmn_doc_free(&d);
+    for (unsigned i = 0; sane && i < g->o->nteams; i++)
+        team = team || !strcmp(g->o->teams[i], s.team);
+    if (sane && team)
+        find_digest(depot, s.ref, digest);
+    pthread_mutex_lock(&g->book.lock);
+    struct lmn_gjob *j = *s.ref ? lmn_book_take_job(&g->book, s.ref) : NULL;
+    GByteArray *known = j ? job_answer(g, j) : NULL;
+    if (j)
+        lmn_book_put_job(&g->book, j);
+    else if (sane && team)
+        w.job = lmn_book_new_job(&g->book, &s);
+    if (w.job) {
+        g_strlcpy(w.job->digest, digest, sizeof w.job->digest);
+        w.job->leash_s = CLAMP(leash, 0, 1e7);
+    }
+    pthread_mutex_unlock(&g->book.lock);
+    lmn_spec_clear(&s);
+    if (known) {
+        lmn_call_answer(call, 200, known, 0);
+        return;
+    }
+    if (!w.job) {
+        lmn_call_fail(call, sane ? 422 : 400, sane ? "unknown team" : what);
+        return;
+    }
+    lmn_book_write(&g->book, state, &w, 1);
+    if (!w.ok) {
+        lmn_call_answer(call, 503, NULL, 1);
+        return;
+    }
+    pthread_mutex_lock(&g->book.lock);
+    g->submitted++;
+    GByteArray *b = job_answer(g, w.job);
+    pthread_mutex_unlock(&g->book.lock);
+    lmn_call_answer(call, 201, b, 0);
+}
+
+/* What waits at home is withdrawn at once; what runs, when that is true: until then the
+ * answer is honest, and says when to ask again. */
+static void cancel(struct lmn_gateway *g, struct lmn_http *state, struct lmn_call *call,
+                   const char *ref)
+{
+    struct lmn_write w = {0};
+
+    pthread_mutex_lock(&g->book.lock);
+    w.job = lmn_book_take_job(&g->book, ref);
+    if (w.job)
+        w.home = w.job->hand;
+    bool change = w.job && lmn_home_cancel(&w.home);
+    if (w.job && !change)
+        lmn_book_put_job(&g->book, w.job);
+    pthread_mutex_unlock(&g->book.lock);
+    if (!w.job) {
+        lmn_call_answer(call, 404, NULL, 0);
+        return;
+    }
+    if (change)
+        lmn_book_write(&g->book, state, &w, 1);
+    pthread_mutex_lock(&g->book.lock);
+    const struct lmn_gjob *j = g_hash_table_lookup(g->book.jobs, ref);
+    bool final = j->hand.state == LMN_H_FINAL, reached = true;
+    for (unsigned i = 0; i < g->o->npeers; i++)
+        if (!strcmp(g->o->peers[i].site, j->hand.site))
+            reached = g->peers[i].up;
+    GByteArray *b = final ? job_answer(g, j) : NULL;
+    g->cancelled += change;
+    pthread_mutex_unlock(&g->book.lock);
+    lmn_call_answer(call, final ? 200 : 503, b, final ? 0 : reached ? 1 : 10);
+}
+
+static GPtrArray *fenced_jobs(struct lmn_gateway *g)
+{
+    GPtrArray *v = g_ptr_array_new_with_free_func(g_free);
+    GHashTableIter it;
+    gpointer x;
+
+    pthread_mutex_lock(&g->book.lock);
+    g_hash_table_iter_init(&it, g->book.jobs);
+    while (g_hash_table_iter_next(&it, NULL, &x))
+        if (((struct lmn_gjob *)x)->hand.state == LMN_H_FENCED)
+            g_ptr_array_add(v, g_strdup(((struct lmn_gjob *)x)->ref));
+    pthread_mutex_unlock(&g->book.lock);
+    return v;
+}
+
+/* An operator has found out that nothing of the fenced jobs runs: they wait at home
+ * again. */
+static void unfence(struct lmn_gateway *g, struct lmn_http *state, struct lmn_call *call)
+{
+    GPtrArray *refs = fenced_jobs(g);
+    GByteArray *b = g_byte_array_new();
+
+    for (guint i = 0; i < refs->len; i++) {
+        struct lmn_write w = {0};
+        pthread_mutex_lock(&g->book.lock);
+        w.job = lmn_book_take_job(&g->book, refs->pdata[i]);
+        w.home = w.job->hand;
+        bool change = lmn_home_unfence(&w.home);
+        if (!change)
+            lmn_book_put_job(&g->book, w.job);
+        pthread_mutex_unlock(&g->book.lock);
+        if (change)
+            lmn_book_write(&g->book, state, &w, 1);
+    }
+    lmn_info("unfenced jobs=%u", refs->len);
+    lmn_put_map(b, 1);
+    lmn_put_text(b, "Jobs"), lmn_put_count(b, refs->len);
+    g_ptr_array_free(refs, TRUE);
+    lmn_call_answer(call, 200, b, 0);
+}
+
+static void *hand(void *arg)
+{
+    struct lmn_gateway *g = arg;
+    struct lmn_http *state = lmn_http_new(g->o->state),
+                    *depot = lmn_http_new(g->o->depot);
+
+    for (;;) {
+        pthread_mutex_lock(&g->book.lock);
+        while (!g->calls.head)
+            pthread_cond_wait(&g->calls_more, &g->book.lock);
+        struct lmn_call *call = g_queue_pop_head(&g->calls);
+        pthread_mutex_unlock(&g->book.lock);
+        const char *path = lmn_call_path(call);
+        if (!strcmp(path, P_JOBS)) {
+            submit(g, state, depot, call);
+        } else if (!strcmp(path, "/gateway/unfence")) {
+            unfence(g, state, call);
+        } else {
+            char *ref = g_strdup(path + strlen(P_JOBS "/"));
+            ref[strlen(ref) - strlen(P_CANCEL)] = '\0';
+            cancel(g, state, call, ref);
+            g_free(ref);
+        }
+    }
+    return NULL;
+}
+
+/* --- what only reads --- */
+
+static void poll_job(struct lmn_gateway *g, struct lmn_call *call, const char *ref)
+{
+    pthread_mutex_lock(&g->book.lock);
+    const struct lmn_gjob *j = g_hash_table_lookup(g->book.jobs, ref);
+    /* One that is being written for the first time was never told to anybody. */
+    GByteArray *b = j && j->rev ? job_answer(g, j) : NULL;
+    pthread_mutex_unlock(&g->book.lock);
+    lmn_call_answer(call, b ? 200 : 404, b, 0);
+}
+
+static void status(struct lmn_gateway *g, struct lmn_call *call)
+{
+    GByteArray *b = g_byte_array_new();
+    uint64_t n[6] = {0}, guests = 0, untold = 0;
+    GHashTableIter it;
+    gpointer x;
+
+    pthread_mutex_lock(&g->book.lock);
+    g_hash_table_iter_init(&it, g->book.jobs);
+    while (g_hash_table_iter_next(&it, NULL, &x))
+        n[((struct lmn_gjob *)x)->hand.state]++;
+    g_hash_table_iter_init(&it, g->book.guests);
+    while (g_hash_table_iter_next(&it, NULL, &x)) {
+        const struct lmn_guest *guest = x;
+        guests += guest->hand.state == LMN_HO_RUNS;
+        untold += guest->hand.state == LMN_HO_OVER && !guest->hand.heard;
+    }
+    lmn_put_map(b, 8);
+    lmn_put_text(b, "Site"), lmn_put_text(b, g->o->site);
+    lmn_put_text(b, "Gateway"), lmn_put_text(b, g->o->name);
+    lmn_put_text(b, "Jobs"), lmn_put_map(b, 6);
+    for (int i = 0; i < 6; i++)
+        lmn_put_text(b, states[i]), lmn_put_count(b, n[i]);
+    lmn_put_text(b, "Guests"), lmn_put_count(b, guests);
+    lmn_put_text(b, "OutcomesUntold"), lmn_put_count(b, untold);
+    lmn_put_text(b, "HandedCpus"), lmn_put_number(b, lmn_handed_cpus(g));
+    lmn_put_text(b, "QueuedCpuS"), lmn_put_number(b, lmn_queued_cpu_s(g));
+    lmn_put_text(b, "Peers"), lmn_put_list(b, g->o->npeers);
+    for (unsigned i = 0; i < g->o->npeers; i++) {
+        const struct lmn_gpeer *p = &g->peers[i];
+        lmn_put_map(b, 11);
+        lmn_put_text(b, "Site"), lmn_put_text(b, g->o->peers[i].site);
+        lmn_put_text(b, "Address"), lmn_put_text(b, g->o->addresses[i]);
+        lmn_put_text(b, "Up"), lmn_put_truth(b, p->up);
+        lmn_put_text(b, "SilentS"), lmn_put_number(b, lmn_since(lmn_now(), p->heard));
+        lmn_put_text(b, "Alarm"), lmn_put_truth(b, p->alarmed);
+        lmn_put_text(b, "Why"), lmn_put_text(b, p->up ? "" : p->why);
+        lmn_put_text(b, "OffersOut"), lmn_put_count(b, p->offers_out);
+        lmn_put_text(b, "OffersIn"), lmn_put_count(b, p->offers_in);
+        lmn_put_text(b, "OutcomesOut"), lmn_put_count(b, p->outcomes_out);
+        lmn_put_text(b, "OutcomesIn"), lmn_put_count(b, p->outcomes_in);
+        lmn_put_text(b, "QueuedCpuS"), lmn_put_number(b, p->queued_cpu_s);
+    }
+    pthread_mutex_unlock(&g->book.lock);
+    lmn_call_answer(call, 200, b, 0);
+}
+
+static void metrics(void *arg, GString *out)
+{
+    struct lmn_gateway *g = arg;
+    uint64_t n[6] = {0};
+    GHashTableIter it;
+    gpointer x;
+
+    pthread_mutex_lock(&g->book.lock);
+    g_hash_table_iter_init(&it, g->book.jobs);
+    while (g_hash_table_iter_next(&it, NULL, &x))
+        n[((struct lmn_gjob *)x)->hand.state]++;
+    lmn_metric_head(out, "lemonspar_gateway_jobs", "gauge",
+                    "Jobs of this home, by their course");
+    for (int i = 0; i < 6; i++)
+        lmn_metric_sample(out, "lemonspar_gateway_jobs", "course", states[i],
+                          (double)n[i]);
+    lmn_metric_head(out, "lemonspar_gateway_peer_silent_seconds", "gauge",
+                    "Since a peer spoke");
+    for (unsigned i = 0; i < g->o->npeers; i++)
+        lmn_metric_sample(out, "lemonspar_gateway_peer_silent_seconds", "site",
+                          g->o->peers[i].site, lmn_since(lmn_now(), g->peers[i].heard));
+    lmn_counter(out, "lemonspar_gateway_submitted", "Jobs accepted", g->submitted);
+    lmn_counter(out, "lemonspar_gateway_cancelled", "Cancellations", g->cancelled);
+    lmn_counter(out, "lemonspar_gateway_pulls", "Pulls answered", g->pulls);
+    lmn_counter(out, "lemonspar_gateway_empty_pulls", "Pulls that brought nothing",
+                g->empty_pulls);
+    lmn_counter(out, "lemonspar_gateway_writes", "Records written", g->book.writes);
+    lmn_counter(out, "lemonspar_gateway_conflicts", "Writes that were not taken",
+                g->book.conflicts);
+    pthread_mutex_unlock(&g->book.lock);
+}
+
+static void queue_call(struct lmn_gateway *g, struct lmn_call *call)
+{
+    pthread_mutex_lock(&g->book.lock);
+    bool full = g->calls.length >= MOST_CALLS;
+    if (!full) {
+        lmn_call_hold(call);
+        g_queue_push_tail(&g->calls, call);
+        pthread_cond_signal(&g->calls_more);
+    }
+    pthread_mutex_unlock(&g->book.lock);
+    if (full)
+        lmn_call_answer(call, 503, NULL, 2);
+}
+
+static void route(void *arg, struct lmn_call *call)
+{
+    struct lmn_gateway *g = arg;
+    const char *path = lmn_call_path(call);
+    bool get = lmn_call_method(call) == LMN_GET, post = lmn_call_method(call) == LMN_POST;
+    bool aborts = g_str_has_prefix(path, P_JOBS "/") && g_str_has_suffix(path, P_CANCEL);
+
+    if (get && !strcmp(path, P_READY))
+        lmn_call_answer(call, 200, NULL, 0);
+    else if (get && !strcmp(path, "/metrics"))
+        lmn_metrics_answer(call, metrics, g);
+    else if (get && !strcmp(path, "/gateway"))
+        status(g, call);
+    else if (get && g_str_has_prefix(path, P_JOBS "/"))
+        poll_job(g, call, path + strlen(P_JOBS "/"));
+    else if (post &&
+             (!strcmp(path, P_JOBS) || aborts || !strcmp(path, "/gateway/unfence")))
+        queue_call(g, call);
+    else
+        lmn_call_answer(call, 404, NULL, 0);
+}
+
+int lmn_front_start(struct lmn_gateway *g)
+{
+    const struct lmn_httpd_options o = {.listen = g->o->listen,
+                                        .connections = 4096,
+                                        .max_body = MAX_BODY,
+                                        .patience_s = 0,
+                                        .route = route,
+                                        .arg = g};
+
+    for (int i = 0; i < HANDS; i++)
+        lmn_thread(hand, g);
+    g->server = lmn_httpd_start(&o);
+    return g->server ? 0 : -1;
+}
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,43 @@
+/* A site's gateway: takes users' jobs, runs them at home or hands them to sites that are
+ * idle, and runs other sites' jobs here; one outcome for each. It reaches its site by the
+ * users' interface of the controllers, the state service and the depot, all as published.
+ */
+#ifndef LMN_GATEWAY_H
+#define LMN_GATEWAY_H
+
+#include "gateway/link.h"
+
+enum { LMN_G_TEAMS = 64, LMN_G_CONTROLLERS = LMN_MAX_MEMBERS + 1 };
+
+struct lmn_gateway_options {
+    char site[LMN_NAME], name[LMN_NAME];
+    char listen[LMN_ADDR];      /* users, and the command line */
+    char link_listen[LMN_ADDR]; /* other sites' gateways */
+    char state[LMN_ADDR], depot[LMN_ADDR], keys[256];
+    char controllers[LMN_G_CONTROLLERS][LMN_ADDR];
+    unsigned ncontrollers;
+    struct lmn_peer_key peers[LMN_MAX_PEERS];
+    char addresses[LMN_MAX_PEERS][LMN_ADDR];
+    unsigned npeers;
+    char teams[LMN_G_TEAMS][LMN_NAME];
+    unsigned nteams;
+    double cpus; /* what the site's machines have together, about */
+    double feed; /* so many times that is handed to the controllers at a time */
+    double
+        pull_at;  /* it pulls while it has less than this part of its processors to do */
+    double share; /* part of the busiest site's queue that a pull takes */
+    unsigned most_transfers; /* of one job; then it stays at home */
+    unsigned most_transit;   /* offers to one site without an answer */
+    double sync_s;           /* between two messages to a site that has nothing new */
+    double poll_rps;         /* requests a second to the own controllers */
+    double silent_s;         /* a peer that is silent for longer is an alarm */
+    int txn_ops;
+};
+
+/* Reads and checks the file; -1 with "file: line N: field: what". */
+int lmn_gateway_load(const char *path, struct lmn_gateway_options *o, char *err,
+                     size_t len);
+/* Runs until the process ends; returns only if it can't start, with err. */
+int lmn_gateway_run(const struct lmn_gateway_options *o, char *err, size_t len);
+
+#endif
--- /dev/null
+++ b/src/gateway/gateway_part.h
@@ -0,0 +1,73 @@
+/* What the files of a gateway share. */
+#ifndef LMN_GATEWAY_PART_H
+#define LMN_GATEWAY_PART_H
+
+#include "base/budget.h"
+#include "base/httpd.h"
+#include "gateway/book.h"
+#include "gateway/gateway.h"
+
+/* A peer as this site's gateway sees it. */
+struct lmn_gpeer {
+    struct lmn_gateway *g;
+    unsigned index;
+    struct timespec heard; /* it last spoke, either way */
+    struct timespec
+        synced;          /* a sync of ours was last answered: what leashes count from */
+    double queued_cpu_s; /* work that waits there, as it last said */
+    unsigned pull;       /* jobs to ask it for with the next sync */
+    bool up, alarmed;
+    char why[160]; /* the last failure */
+    uint64_t dials, failures, messages, bytes, offers_out, offers_in, outcomes_out,
+        outcomes_in;
+    uint64_t incarnation;
+    GQueue refusals;    /* struct lmn_gsay: to be told once; the peer asks again if it was
+                           lost */
+    pthread_cond_t due; /* with the book's lock */
+    bool news;
+};
+
+struct lmn_gsay {
+    char ref[LMN_REF];
+    uint64_t epoch;
+};
+
+struct lmn_gateway {
+    const struct lmn_gateway_options *o;
+    struct lmn_book book;
+    struct lmn_tls *tls;
+    struct lmn_gpeer peers[LMN_MAX_PEERS]; /* guarded by the book's lock */
+    bool fenced; /* the state was restored: nothing goes out until an operator has said
+                    what is so */
+    GRand *rng;
+    double poll_s; /* interval of pulls, by the book's lock */
+    struct timespec next_pull;
+    GQueue calls; /* users' calls that write, for the hands */
+    pthread_cond_t calls_more;
+    struct lmn_httpd *server;
+    uint64_t submitted, cancelled, pulls, empty_pulls;
+};
+
+/* Processors that the job needs, all its tasks together. */
+double lmn_job_cpus(const struct lmn_spec *s);
+/* Processors' worth of work that was handed to the own controllers and has not ended; the
+ * lock is held. */
+double lmn_handed_cpus(const struct lmn_gateway *g);
+/* Processor seconds that wait at home; the lock is held. */
+double lmn_queued_cpu_s(const struct lmn_gateway *g);
+/* Tells the peer's thread that there is something to say; the lock is held. */
+void lmn_peer_poke(struct lmn_gateway *g, const char *site);
+
+/* --- users (front.c) --- */
+int lmn_front_start(struct lmn_gateway *g);
+
+/* --- the own controllers (feed.c); for ever (threads) --- */
+void *lmn_feed_thread(void *gateway);
+
+/* --- other sites (peers.c) --- */
+void *lmn_host_thread(void *peer); /* asks the peer, as the host of its jobs */
+int lmn_home_start(struct lmn_gateway *g, char *err,
+                   size_t len);       /* answers peers, as the home of jobs */
+void *lmn_pull_thread(void *gateway); /* decides whom to pull from */
+
+#endif
--- a/src/gateway/hand.c
+++ b/src/gateway/hand.c
@@ -106,6 +106,14 @@
     return come_back(h);
 }
 
+bool lmn_home_restored(struct lmn_home *h)
+{
+    if (h->state == LMN_H_FINAL || h->state == LMN_H_FENCED)
+        return false;
+    h->state = LMN_H_FENCED;
+    return true;
+}
+
 bool lmn_home_unfence(struct lmn_home *h)
 {
     return h->state == LMN_H_FENCED && come_back(h);
--- a/src/gateway/hand.h
+++ b/src/gateway/hand.h
@@ -70,7 +70,10 @@
 /* The host must have stopped it by now (its leash is over): a job that was cancelled is
  * withdrawn, one that may run again waits at home. */
 bool lmn_home_conclude(struct lmn_home *h, bool may_run_again);
-/* An operator knows that the site does not run it. */
+/* The home's own state was restored from a backup: what became of the job since, nobody
+ * here knows. */
+bool lmn_home_restored(struct lmn_home *h);
+/* An operator knows that nothing of it runs anywhere. */
 bool lmn_home_unfence(struct lmn_home *h);
 
 /* --- the host's record of another site's job --- */
--- /dev/null
+++ b/src/gateway/process.c
@@ -0,0 +1,242 @@
+#include "base/clock.h"
+#include "base/conf.h"
+#include "base/log.h"
+#include "base/thread.h"
+#include "gateway/gateway_part.h"
+
+#include <curl/curl.h>
+#include <signal.h>
+#include <string.h>
+#include <unistd.h>
+
+double lmn_job_cpus(const struct lmn_spec *s)
+{
+    return s->tasks * MAX(s->cpus, 0.01);
+}
+
+double lmn_handed_cpus(const struct lmn_gateway *g)
+{
+    GHashTableIter it;
+    gpointer v;
+    double sum = 0;
+
+    g_hash_table_iter_init(&it, g->book.jobs);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const struct lmn_gjob *j = v;
+        if (j->hand.state == LMN_H_LOCAL)
+            sum += (j->spec.tasks - MIN(j->progress.done, j->spec.tasks)) *
+                   MAX(j->spec.cpus, 0.01);
+    }
+    g_hash_table_iter_init(&it, g->book.guests);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const struct lmn_guest *x = v;
+        if (x->hand.state == LMN_HO_RUNS)
+            sum += (x->spec.tasks - MIN(x->progress.done, x->spec.tasks)) *
+                   MAX(x->spec.cpus, 0.01);
+    }
+    return sum;
+}
+
+double lmn_queued_cpu_s(const struct lmn_gateway *g)
+{
+    GHashTableIter it;
+    gpointer v;
+    double sum = 0;
+
+    g_hash_table_iter_init(&it, g->book.jobs);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const struct lmn_gjob *j = v;
+        if (j->hand.state == LMN_H_QUEUED && !j->busy)
+            sum += lmn_job_cpus(&j->spec) * MAX(j->spec.estimate_s, 0.1);
+    }
+    return sum;
+}
+
+void lmn_peer_poke(struct lmn_gateway *g, const char *site)
+{
+    for (unsigned i = 0; i < g->o->npeers; i++)
+        if (!strcmp(g->o->peers[i].site, site)) {
+            g->peers[i].news = true;
+            pthread_cond_signal(&g->peers[i].due);
+        }
+}
+
+/* --- after a restore --- */
+
+/* Everything whose fate may lie in what was lost: fenced here, stopped there. */
+static void fence(struct lmn_gateway *g)
+{
+    struct lmn_http *h = lmn_http_new(g->o->state);
+    GArray *all = g_array_new(FALSE, TRUE, sizeof(struct lmn_write));
+    GHashTableIter it;
+    gpointer v;
+
+    pthread_mutex_lock(&g->book.lock);
+    g_hash_table_iter_init(&it, g->book.jobs);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        struct lmn_gjob *j = v;
+        struct lmn_write w = {.job = j, .home = j->hand};
+        if (!lmn_home_restored(&w.home))
+            continue;
+        j->busy = true;
+        g_array_append_val(all, w);
+    }
+    g_hash_table_iter_init(&it, g->book.guests);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        struct lmn_guest *x = v;
+        struct lmn_write w = {.guest = x, .host = x->hand};
+        if (!lmn_host_restored(&w.host))
+            continue;
+        x->busy = true;
+        g_array_append_val(all, w);
+    }
+    pthread_mutex_unlock(&g->book.lock);
+    lmn_error("state-restored fenced=%u mend=\"lemonspar gateway unfence, once it is "
+              "known that "
+              "nothing of them runs\"",
+              all->len);
+    lmn_book_write(&g->book, h, (struct lmn_write *)(void *)all->data, all->len);
+    g_array_free(all, TRUE);
+    lmn_http_free(h);
+}
+
+/* A peer that is silent for too long is said once, and once more when it is heard again.
+ */
+static void watch_peers(struct lmn_gateway *g)
+{
+    pthread_mutex_lock(&g->book.lock);
+    for (unsigned i = 0; i < g->o->npeers; i++) {
+        struct lmn_gpeer *p = &g->peers[i];
+        double silent = lmn_since(lmn_now(), p->heard);
+        if (!p->alarmed && silent > g->o->silent_s)
+            lmn_error("peer-silent site=%s seconds=%.0f why=\"%s\"", g->o->peers[i].site,
+                      silent, p->why);
+        else if (p->alarmed && silent <= g->o->silent_s)
+            lmn_info("peer-heard-again site=%s", g->o->peers[i].site);
+        p->alarmed = silent > g->o->silent_s;
+    }
+    pthread_mutex_unlock(&g->book.lock);
+}
+
+int lmn_gateway_run(const struct lmn_gateway_options *o, char *err, size_t len)
+{
+    struct lmn_gateway *g = g_new0(struct lmn_gateway, 1);
+    bool restored;
+
+    signal(SIGPIPE, SIG_IGN);
+    curl_global_init(CURL_GLOBAL_NOTHING);
+    g->o = o;
+    g->rng = g_rand_new();
+    g->tls = lmn_tls_new(o->keys, o->site, o->peers, &o->npeers, err, len);
+    if (!g->tls)
+        return -1;
+    lmn_info("gateway-start site=%s name=%s peers=%u", o->site, o->name, o->npeers);
+    lmn_book_open(&g->book, o->state, o->name, o->txn_ops, &restored);
+    if (restored)
+        fence(g);
+    lmn_cond_init(&g->calls_more);
+    for (unsigned i = 0; i < o->npeers; i++) {
+        struct lmn_gpeer *p = &g->peers[i];
+        p->g = g;
+        p->index = i;
+        p->heard = p->synced = lmn_now();
+        lmn_cond_init(&p->due);
+        g_queue_init(&p->refusals);
+    }
+    if (lmn_front_start(g) != 0) {
+        g_snprintf(err, len, "%s: can't listen", o->listen);
+        return -1;
+    }
+    if (lmn_home_start(g, err, len) != 0)
+        return -1;
+    for (unsigned i = 0; i < o->npeers; i++)
+        lmn_thread(lmn_host_thread, &g->peers[i]);
+    lmn_thread(lmn_feed_thread, g);
+    lmn_thread(lmn_pull_thread, g);
+    for (;;) {
+        lmn_sleep(1);
+        watch_peers(g);
+    }
+}
+
+/* --- settings --- */
+
+static unsigned names(struct lmn_conf *c, const char *path, unsigned most, bool addr,
+                      char *out, size_t each)
+{
+    guint n = lmn_conf_count(c, path);
+    char p[96];
+
+    if (n < 1 || n > most)
+        lmn_conf_fail(c, path, "expected 1 to %u of them", most);
+    for (guint i = 0; i < MIN(n, most); i++) {
+        g_snprintf(p, sizeof p, "%s[%u]", path, i);
+        g_strlcpy(out + i * each,
+                  addr ? lmn_conf_addr(c, p, NULL) : lmn_conf_name(c, p, NULL), each);
+    }
+    return MIN(n, most);
+}
+
+static void read_peers(struct lmn_conf *c, struct lmn_gateway_options *o)
+{
+    guint n = lmn_conf_count(c, "peers");
+    char p[96];
+
+    if (n > LMN_MAX_PEERS)
+        lmn_conf_fail(c, "peers", "expected at most %d", LMN_MAX_PEERS);
+    for (guint i = 0; i < MIN(n, LMN_MAX_PEERS); i++) {
+        struct lmn_peer_key *k = &o->peers[o->npeers];
+        g_snprintf(p, sizeof p, "peers[%u].site", i);
+        g_strlcpy(k->site, lmn_conf_name(c, p, NULL), sizeof k->site);
+        for (unsigned x = 0; x < o->npeers; x++)
+            if (!strcmp(o->peers[x].site, k->site))
+                lmn_conf_fail(c, p, "named twice");
+        if (!strcmp(k->site, o->site))
+            lmn_conf_fail(c, p, "names this site itself");
+        g_snprintf(p, sizeof p, "peers[%u].address", i);
+        g_strlcpy(o->addresses[o->npeers], lmn_conf_addr(c, p, NULL), LMN_ADDR);
+        g_snprintf(p, sizeof p, "peers[%u].fingerprint", i);
+        g_strlcpy(k->fingerprint, lmn_conf_text(c, p, NULL), sizeof k->fingerprint);
+        if (strlen(k->fingerprint) != LMN_FINGERPRINT - 1 ||
+            strspn(k->fingerprint, "0123456789abcdefABCDEF") != LMN_FINGERPRINT - 1)
+            lmn_conf_fail(c, p,
+                          "expected 64 digits of hexadecimal: 'lemonspar key show' there "
+                          "says them");
+        o->npeers++;
+    }
+}
+
+int lmn_gateway_load(const char *path, struct lmn_gateway_options *o, char *err,
+                     size_t len)
+{
+    struct lmn_conf *c = lmn_conf_load(path, err, len);
+
+    memset(o, 0, sizeof *o);
+    if (!c)
+        return -1;
+    g_strlcpy(o->site, lmn_conf_name(c, "site", NULL), sizeof o->site);
+    g_strlcpy(o->name, lmn_conf_name(c, "name", "gateway-0"), sizeof o->name);
+    g_strlcpy(o->listen, lmn_conf_addr(c, "listen", NULL), sizeof o->listen);
+    g_strlcpy(o->link_listen, lmn_conf_addr(c, "link_listen", NULL),
+              sizeof o->link_listen);
+    g_strlcpy(o->state, lmn_conf_addr(c, "state", NULL), sizeof o->state);
+    g_strlcpy(o->depot, lmn_conf_addr(c, "depot", NULL), sizeof o->depot);
+    g_strlcpy(o->keys, lmn_conf_text(c, "keys", NULL), sizeof o->keys);
+    o->ncontrollers =
+        names(c, "controllers", LMN_G_CONTROLLERS, true, o->controllers[0], LMN_ADDR);
+    o->nteams = names(c, "teams", LMN_G_TEAMS, false, o->teams[0], LMN_NAME);
+    read_peers(c, o);
+    o->cpus = lmn_conf_number(c, "cpus", 1, 0.1, 1e7);
+    o->feed = lmn_conf_number(c, "feed", 2, 0.1, 1000);
+    o->pull_at = lmn_conf_number(c, "pull_at", 0.7, 0, 100);
+    o->share = lmn_conf_number(c, "share", 0.5, 0.01, 1);
+    o->most_transfers = (unsigned)lmn_conf_number(c, "most_transfers", 4, 0, 1000);
+    o->most_transit = (unsigned)lmn_conf_number(c, "most_transit", 64, 1, 10000);
+    o->sync_s = lmn_conf_number(c, "sync_s", 1, 0.05, 60);
+    o->poll_rps = lmn_conf_number(c, "poll_rps", 50, 1, 1e5);
+    o->silent_s = lmn_conf_number(c, "silent_s", 60, 1, 1e6);
+    o->txn_ops = (int)lmn_conf_number(c, "txn_ops", 24, 2, 1000);
+    int rc = lmn_conf_end(c, err, len);
+    lmn_conf_free(c);
+    return rc;
+}
--- a/src/store/service.c
+++ b/src/store/service.c
@@ -292,6 +292,22 @@
     lmn_doc_free(&d);
 }
 
+/* Beyond the protocol: by it others see that this state was restored from a backup. */
+static void incarnation(struct lmn_store *s, struct lmn_call *call)
+{
+    struct lmn_db_meta meta;
+    GByteArray *b = g_byte_array_new();
+
+    if (lmn_db_view(s->reader, &meta) != 0) {
+        lmn_call_answer(call, 503, b, 1);
+        return;
+    }
+    lmn_db_view_end(s->reader);
+    lmn_put_map(b, 1);
+    lmn_put_text(b, "Incarnation"), lmn_put_count(b, meta.incarnation);
+    lmn_call_answer(call, 200, b, 0);
+}
+
 static void route(void *arg, struct lmn_call *call)
 {
     struct lmn_store *s = arg;
@@ -308,6 +324,10 @@
     }
     if (limited(s, call, &s->requests, 1))
         return;
+    if (method == LMN_GET && !strcmp(path, "/incarnation")) {
+        incarnation(s, call);
+        return;
+    }
     if (method == LMN_POST && (!strcmp(path, P_TXN) || !strcmp(path, P_LEASES)))
         post(s, call, path);
     else if (g_str_has_prefix(path, P_LEASES "/"))
