--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -7,6 +7,7 @@
 #include "base/wire.h"
 #include "depot/depot.h"
 #include "gateway/gateway_part.h"
+#include "gateway/route.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -19,8 +20,7 @@
 /* A reply that took longer may hold offers that the home has given up: they are not
  * accepted any more, so that a leash can be reckoned with. */
 static const double LATE_S = 10, LINK_S = 5;
-static const double DIAL_FLOOR_S = 0.2, DIAL_CAP_S = 5, PULL_FLOOR_S = 0.2,
-                    PULL_CAP_S = 5;
+static const double DIAL_FLOOR_S = 0.2, DIAL_CAP_S = 5;
 /* An offer without an answer is asked about after so long. */
 static const double RESOLVE_S = 1.5;
 
@@ -343,11 +343,7 @@
     if (pull) {
         g->pulls++;
         g->empty_pulls += !y->offers.offers_len;
-        /* MATRIX: the interval doubles with each failure, and is reset by success. */
-        if (y->offers.offers_len)
-            g->poll_s = 0;
-        else
-            g->poll_s = g->poll_s > 0 ? MIN(2 * g->poll_s, PULL_CAP_S) : PULL_FLOOR_S;
+        g->poll_s = lmn_route_interval(g->poll_s, y->offers.offers_len > 0);
         g->next_pull = lmn_after(lmn_now(), g->poll_s);
     }
     pthread_mutex_unlock(&g->book.lock);
@@ -436,27 +432,22 @@
         lmn_sleep(0.05);
         pthread_mutex_lock(&g->book.lock);
         struct timespec now = lmn_now();
-        bool idle =
-            lmn_handed_cpus(g) < g->o->pull_at * g->o->cpus && lmn_queued_cpu_s(g) <= 0;
+        bool idle = lmn_route_idle(g->o->cpus, lmn_handed_cpus(g), lmn_queued_cpu_s(g),
+                                   g->o->pull_at);
         if (!idle || g->fenced || !g->o->npeers || lmn_before(now, g->next_pull)) {
             pthread_mutex_unlock(&g->book.lock);
             continue;
         }
-        unsigned n = (unsigned)ceil(sqrt(g->o->npeers));
-        struct lmn_gpeer *busiest = NULL;
-        for (unsigned i = 0; i < n; i++) {
-            struct lmn_gpeer *p =
-                &g->peers[g_rand_int_range(g->rng, 0, (gint32)g->o->npeers)];
-            if (p->up && p->queued_cpu_s > 0 &&
-                (!busiest || p->queued_cpu_s > busiest->queued_cpu_s))
-                busiest = p;
-        }
-        if (busiest) {
-            busiest->pull = LMN_G_OFFERS;
-            pthread_cond_signal(&busiest->due);
+        struct lmn_route_peer view[LMN_MAX_PEERS];
+        for (unsigned i = 0; i < g->o->npeers; i++)
+            view[i] = (struct lmn_route_peer){g->peers[i].up, g->peers[i].queued_cpu_s};
+        int busiest = lmn_route_pick(g->rng, view, g->o->npeers);
+        if (busiest >= 0) {
+            g->peers[busiest].pull = LMN_G_OFFERS;
+            pthread_cond_signal(&g->peers[busiest].due);
             g->next_pull = lmn_after(now, 1); /* until its answer says otherwise */
         } else {
-            g->poll_s = g->poll_s > 0 ? MIN(2 * g->poll_s, PULL_CAP_S) : PULL_FLOOR_S;
+            g->poll_s = lmn_route_interval(g->poll_s, false);
             g->next_pull = lmn_after(now, g->poll_s);
         }
         pthread_mutex_unlock(&g->book.lock);
@@ -532,8 +523,24 @@
     return x->at < y->at ? -1 : x->at > y->at;
 }
 
-/* What would start sooner there than here, the most urgent first, up to a share of what
- * waits, and what there is room for. */
+/* How a job that waits looks to routing. */
+static struct lmn_route_job seen(const struct lmn_gjob *j, double wall)
+{
+    const struct lmn_spec *s = &j->spec;
+    double run = MAX(s->estimate_s, 0.1);
+
+    return (struct lmn_route_job){
+        .cpus = lmn_job_cpus(s),
+        .work_s = lmn_job_cpus(s) * run,
+        .run_s = run,
+        .slack_s = s->deadline_s >= 0 ? j->at + s->deadline_s - run - wall : INFINITY,
+        /* A hand-over takes some messages; an image comes by no less than a gigabyte in
+           two seconds. */
+        .fetch_s = 0.5 + 2 * s->image_gb,
+    };
+}
+
+/* Offers jobs to a site that pulls: recorded by the caller before they are sent. */
 static void choose_offers(struct answering *a, const lmn_g_sync *q, GArray *writes)
 {
     struct lmn_gateway *g = a->g;
@@ -542,43 +549,39 @@
     GPtrArray *v = g_ptr_array_new();
     GHashTableIter it;
     gpointer x;
-    unsigned transit = 0;
+    unsigned transit = 0, picks[LMN_G_OFFERS], n = 0;
 
     pthread_mutex_lock(&b->lock);
-    double ahead = lmn_handed_cpus(g), room = q->room_cpus, share = 0;
     g_hash_table_iter_init(&it, b->jobs);
     while (g_hash_table_iter_next(&it, NULL, &x)) {
         struct lmn_gjob *j = x;
         transit += j->hand.state == LMN_H_OFFERED && !strcmp(j->hand.site, a->site);
-        if (j->hand.state == LMN_H_QUEUED && !j->busy) {
+        if (j->hand.state == LMN_H_QUEUED && !j->busy)
             g_ptr_array_add(v, j);
-            share += lmn_job_cpus(&j->spec) * g->o->share;
-        }
     }
     g_ptr_array_sort(v, by_worth);
-    /* The own controllers will get the first ones before they have run dry. */
-    double spared = MAX(g->o->feed * g->o->cpus - ahead, 0);
-    for (guint i = 0;
-         i < v->len && writes->len < MIN(q->most, LMN_G_OFFERS) && room > 0 &&
-         share > 0 && transit < g->o->most_transit && !g->fenced && p->incarnation;
-         i++) {
-        struct lmn_gjob *j = v->pdata[i];
+    struct lmn_route_job *jobs = g_new(struct lmn_route_job, v->len + 1);
+    double wall = lmn_seconds(lmn_wall());
+    for (guint i = 0; i < v->len; i++)
+        jobs[i] = seen(v->pdata[i], wall);
+    const struct lmn_route_home home = {g->o->cpus, lmn_handed_cpus(g), g->o->feed,
+                                        g->o->share};
+    unsigned most = MIN(q->most, LMN_G_OFFERS);
+    most = MIN(most, g->o->most_transit > transit ? g->o->most_transit - transit : 0);
+    if (!g->fenced && p->incarnation)
+        n = lmn_route_choose(jobs, v->len, &home, q->room_cpus, most, picks);
+    for (unsigned i = 0; i < n; i++) {
+        struct lmn_gjob *j = v->pdata[picks[i]];
         struct lmn_write w = {.job = j, .home = j->hand};
-        if (spared > 0) {
-            spared -= lmn_job_cpus(&j->spec);
-            continue;
-        }
         if (!lmn_home_offer(&w.home, a->site, p->incarnation, g->o->most_transfers))
             continue;
         j->busy = true;
         j->offered = lmn_now();
-        room -= lmn_job_cpus(&j->spec);
-        share -= lmn_job_cpus(&j->spec);
-        transit++;
         p->offers_out++;
         g_array_append_val(writes, w);
     }
     pthread_mutex_unlock(&b->lock);
+    g_free(jobs);
     g_ptr_array_free(v, TRUE);
 }
 
