Gateway: peers with several gateways' addresses; what a leash does not prove yet

Need: a site's second gateway listens elsewhere; and a conclusion drawn from a leash must be true.

Change: addresses of a peer's gateways are tried in turn. The home concludes nothing from a leash: tried and left out, since it is the host's gateway that enforces it, and if that has died the tasks go on.

--- a/src/gateway/front.c
+++ b/src/gateway/front.c
@@ -258,7 +258,7 @@
         const struct lmn_gpeer *p = &g->peers[i];
         lmn_put_map(b, 11);
         lmn_put_text(b, "Site"), lmn_put_text(b, g->o->peers[i].site);
-        lmn_put_text(b, "Address"), lmn_put_text(b, g->o->addresses[i]);
+        lmn_put_text(b, "Address"), lmn_put_text(b, g->o->addresses[i][0]);
         lmn_put_text(b, "Up"), lmn_put_truth(b, p->up);
         lmn_put_text(b, "SilentS"), lmn_put_number(b, lmn_since(lmn_now(), p->heard));
         lmn_put_text(b, "Alarm"), lmn_put_truth(b, p->alarmed);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,7 +7,11 @@
 
 #include "gateway/link.h"
 
-enum { LMN_G_TEAMS = 64, LMN_G_CONTROLLERS = LMN_MAX_MEMBERS + 1 };
+enum { LMN_G_TEAMS = 64, LMN_G_CONTROLLERS = LMN_MAX_MEMBERS + 1, LMN_G_GATEWAYS = 4 };
+
+/* A host drops offers that took longer to come, by its own clock: so that a leash can be
+ * reckoned with. */
+#define LMN_LATE_S 10.0
 
 struct lmn_gateway_options {
     char site[LMN_NAME], name[LMN_NAME];
@@ -17,7 +21,8 @@
     char controllers[LMN_G_CONTROLLERS][LMN_ADDR];
     unsigned ncontrollers;
     struct lmn_peer_key peers[LMN_MAX_PEERS];
-    char addresses[LMN_MAX_PEERS][LMN_ADDR];
+    char addresses[LMN_MAX_PEERS][LMN_G_GATEWAYS]
+                  [LMN_ADDR]; /* of its gateways: one acts */
     unsigned npeers;
     char teams[LMN_G_TEAMS][LMN_NAME];
     unsigned nteams;
--- a/src/gateway/gateway_part.h
+++ b/src/gateway/gateway_part.h
@@ -11,11 +11,10 @@
 struct lmn_gpeer {
     struct lmn_gateway *g;
     unsigned index;
-    struct timespec heard; /* it last spoke, either way */
-    struct timespec
-        synced;          /* a sync of ours was last answered: what leashes count from */
-    double queued_cpu_s; /* work that waits there, as it last said */
-    unsigned pull;       /* jobs to ask it for with the next sync */
+    struct timespec heard;  /* it last spoke, either way */
+    struct timespec synced; /* our last sync that it answered: leashes count from it */
+    double queued_cpu_s;    /* work that waits there, as it last said */
+    unsigned pull;          /* jobs to ask it for with the next sync */
     bool up, alarmed;
     char why[160]; /* the last failure */
     uint64_t dials, failures, messages, bytes, offers_out, offers_in, outcomes_out,
--- a/src/gateway/hand.h
+++ b/src/gateway/hand.h
@@ -67,8 +67,9 @@
 /* Its user asks: what waits at home is withdrawn at once, what is elsewhere when that is
  * true. */
 bool lmn_home_cancel(struct lmn_home *h);
-/* The host must have stopped it by now (its leash is over): a job that was cancelled is
- * withdrawn, one that may run again waits at home. */
+/* Not used yet: the host surely has stopped it by now (its leash is over, and somebody
+ * other than its gateway sees to that): a job that was cancelled is withdrawn, one that
+ * may run again waits at home. */
 bool lmn_home_conclude(struct lmn_home *h, bool may_run_again);
 /* The home's own state was restored from a backup: what became of the job since, nobody
  * here knows. */
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -17,9 +17,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-/* A reply that took longer may hold offers that the home has given up: they are not
- * accepted any more, so that a leash can be reckoned with. */
-static const double LATE_S = 10, LINK_S = 5;
+static const double LINK_S = 5;
 static const double DIAL_FLOOR_S = 0.2, DIAL_CAP_S = 5;
 /* An offer without an answer is asked about after so long. */
 static const double RESOLVE_S = 1.5;
@@ -326,7 +324,7 @@
         return false;
     }
     const struct lmn_g_reply *y = &r.lmn_g_response_u.reply;
-    bool late = lmn_since(lmn_now(), sent) > LATE_S;
+    bool late = lmn_since(lmn_now(), sent) > LMN_LATE_S;
     for (u_int i = 0; i < y->heard.heard_len; i++)
         take_word(k, &y->heard.heard_val[i], false);
     for (u_int i = 0; i < y->cancel.cancel_len; i++)
@@ -392,12 +390,19 @@
     struct host k = {
         .p = p, .state = lmn_http_new(g->o->state), .depot = lmn_http_new(g->o->depot)};
     char err[256];
+    unsigned turn = 0;
 
     for (;;) {
         if (!k.link) {
             p->dials++;
-            k.link = lmn_link_dial(g->tls, g->o->addresses[p->index], site_of(p), LINK_S,
-                                   err, sizeof err);
+            /* Of a site's gateways one listens; which, shows the next try. */
+            const char *addr = g->o->addresses[p->index][turn % LMN_G_GATEWAYS];
+            if (!*addr) {
+                turn = 0;
+                continue;
+            }
+            turn++;
+            k.link = lmn_link_dial(g->tls, addr, site_of(p), LINK_S, err, sizeof err);
             if (!k.link) {
                 drop(&k, err);
                 continue;
--- a/src/gateway/process.c
+++ b/src/gateway/process.c
@@ -193,8 +193,17 @@
                 lmn_conf_fail(c, p, "named twice");
         if (!strcmp(k->site, o->site))
             lmn_conf_fail(c, p, "names this site itself");
+        g_snprintf(p, sizeof p, "peers[%u].addresses", i);
+        guint gateways = lmn_conf_count(c, p);
+        if (gateways > LMN_G_GATEWAYS)
+            lmn_conf_fail(c, p, "expected at most %d", LMN_G_GATEWAYS);
+        for (guint a = 0; a < MIN(gateways, LMN_G_GATEWAYS); a++) {
+            g_snprintf(p, sizeof p, "peers[%u].addresses[%u]", i, a);
+            g_strlcpy(o->addresses[o->npeers][a], lmn_conf_addr(c, p, NULL), LMN_ADDR);
+        }
         g_snprintf(p, sizeof p, "peers[%u].address", i);
-        g_strlcpy(o->addresses[o->npeers], lmn_conf_addr(c, p, NULL), LMN_ADDR);
+        if (!gateways)
+            g_strlcpy(o->addresses[o->npeers][0], lmn_conf_addr(c, p, NULL), LMN_ADDR);
         g_snprintf(p, sizeof p, "peers[%u].fingerprint", i);
         g_strlcpy(k->fingerprint, lmn_conf_text(c, p, NULL), sizeof k->fingerprint);
         if (strlen(k->fingerprint) != LMN_FINGERPRINT - 1 ||
