Gateway: outcomes are heard in batches; a peer that names a job twice holds nobody up

A message that named one job twice made the thread that answered wait for itself, with the job taken.

--- a/bench/gateway.c
+++ b/bench/gateway.c
@@ -231,7 +231,7 @@
     g_string_append_printf(
         t,
         "site = \"%s\"\nlisten = \"%s\"\nlink_listen = \"%s\"\nstate = \"%s\"\n"
-        "depot = \"%s\"\nkeys = \"%s\"\nteams = [\"t\"]\ncpus = %d\nfeed = 2\n"
+        "depot = \"%s\"\nkeys = \"%s\"\nteams = [\"t\"]\ncpus = %d\nfeed_s = 40\n"
         "sync_s = 0.3\nsilent_s = 20\npoll_rps = 200\ncontrollers = [",
         names[i], s->users, s->link, s->s.state, s->s.depot, s->keys, CPUS);
     for (unsigned k = 0; k < s->s.controllers; k++)
@@ -294,7 +294,7 @@
                                .tasks = j->tasks,
                                .cpus = 1,
                                .mem = 0.1,
-                               .estimate_s = 2,
+                               .estimate_s = 8,
                                .deadline_s = -1};
     g_strlcpy(w.spec.ref, j->ref, sizeof w.spec.ref);
     GByteArray *blob = lmn_work_put(&w), *body = g_byte_array_new();
--- a/bench/routes.c
+++ b/bench/routes.c
@@ -136,7 +136,8 @@
             unsigned picks[OFFERS], n = 0;
             for (GList *l = o->queue.head; l && n < G_N_ELEMENTS(jobs); l = l->next)
                 jobs[n++] = (struct lmn_route_job){1, RUN_S, RUN_S, INFINITY, 2 * LINK_S};
-            const struct lmn_route_home home = {CPUS, o->busy, 1, 0.5};
+            const struct lmn_route_home home = {CPUS, o->busy, (CPUS - o->busy) * RUN_S,
+                                                0.5};
             unsigned k = lmn_route_choose(jobs, n, &home, CPUS - s->busy, OFFERS, picks);
             w.messages += 2 + k; /* pull and offers, an answer each */
             for (unsigned i = k; i-- > 0; got++) {
--- a/src/gateway/feed.c
+++ b/src/gateway/feed.c
@@ -259,7 +259,7 @@
     gpointer p;
 
     pthread_mutex_lock(&b->lock);
-    double handed = lmn_handed_cpus(f->g), most = f->g->o->feed * f->g->o->cpus;
+    double handed = lmn_handed_work_s(f->g), most = f->g->o->feed_s * f->g->o->cpus;
     g_hash_table_iter_init(&it, b->jobs);
     while (handed < most && g_hash_table_iter_next(&it, NULL, &p)) {
         struct lmn_gjob *j = p;
@@ -274,7 +274,7 @@
             continue;
         j->busy = true;
         j->handed = false;
-        handed += lmn_job_cpus(&j->spec);
+        handed += lmn_job_cpus(&j->spec) * MAX(j->spec.estimate_s, 0.1);
         g_array_append_val(w, x);
     }
     pthread_mutex_unlock(&b->lock);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -21,16 +21,16 @@
     char controllers[LMN_G_CONTROLLERS][LMN_ADDR];
     unsigned ncontrollers;
     struct lmn_peer_key peers[LMN_MAX_PEERS];
-    char addresses[LMN_MAX_PEERS][LMN_G_GATEWAYS]
-                  [LMN_ADDR]; /* of its gateways: one acts */
+    char addresses[LMN_MAX_PEERS][LMN_G_GATEWAYS][LMN_ADDR]; /* one of a peer's acts */
     unsigned npeers;
     char teams[LMN_G_TEAMS][LMN_NAME];
     unsigned nteams;
     double cpus; /* what the site's machines have together, about */
-    double feed; /* so many times that is handed to the controllers at a time */
-    double
-        pull_at;  /* it pulls while it has less than this part of its processors to do */
-    double share; /* part of the busiest site's queue that a pull takes */
+    /* Work that the controllers have at a time, in seconds of all processors: what they
+     * see decides how many machines they rent. */
+    double feed_s;
+    double pull_at; /* it pulls while its controllers have less than this part of cpus */
+    double share;   /* part of the busiest site's queue that a pull takes */
     unsigned most_transfers; /* of one job; then it stays at home */
     unsigned most_transit;   /* offers to one site without an answer */
     double sync_s;           /* between two messages to a site that has nothing new */
--- a/src/gateway/gateway_part.h
+++ b/src/gateway/gateway_part.h
@@ -52,6 +52,8 @@
 /* Processors' worth of work that was handed to the own controllers and has not ended; the
  * lock is held. */
 double lmn_handed_cpus(const struct lmn_gateway *g);
+/* The same in processor seconds; the lock is held. */
+double lmn_handed_work_s(const struct lmn_gateway *g);
 /* Processor seconds that wait at home; the lock is held. */
 double lmn_queued_cpu_s(const struct lmn_gateway *g);
 /* Tells the peer's thread that there is something to say; the lock is held. */
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -269,12 +269,25 @@
     pthread_mutex_unlock(&g->book.lock);
 }
 
-static void take_word(struct host *k, const struct lmn_g_item *i, bool cancel)
+/* Whether the job is among those that are taken already: a peer that names one twice must
+ * not make this thread wait for itself. */
+static bool taken(const GArray *writes, const char *ref)
+{
+    for (guint i = 0; i < writes->len; i++) {
+        const struct lmn_write *w = &g_array_index(writes, struct lmn_write, i);
+        if (!strcmp(w->job ? w->job->ref : w->guest->ref, ref))
+            return true;
+    }
+    return false;
+}
+
+static void take_word(struct host *k, const struct lmn_g_item *i, bool cancel,
+                      GArray *writes)
 {
     struct lmn_gateway *g = k->p->g;
     struct lmn_write w = {0};
 
-    if (i->incarnation != g->book.incarnation)
+    if (i->incarnation != g->book.incarnation || taken(writes, i->ref))
         return;
     pthread_mutex_lock(&g->book.lock);
     w.guest = lmn_book_take_guest(&g->book, site_of(k->p), i->ref);
@@ -282,12 +295,12 @@
         w.host = w.guest->hand;
     bool change = w.guest && (cancel ? lmn_host_cancel(&w.host, i->epoch)
                                      : lmn_host_heard(&w.host, i->epoch));
-    if (w.guest && !change)
+    if (change)
+        g_array_append_val(writes, w);
+    else if (w.guest)
         lmn_book_put_guest(&g->book, w.guest);
     k->p->outcomes_out += change && !cancel;
     pthread_mutex_unlock(&g->book.lock);
-    if (change)
-        lmn_book_write(&g->book, k->state, &w, 1);
 }
 
 /* The idle processors that are left, as offers take them. */
@@ -325,10 +338,14 @@
     }
     const struct lmn_g_reply *y = &r.lmn_g_response_u.reply;
     bool late = lmn_since(lmn_now(), sent) > LMN_LATE_S;
+    GArray *writes = g_array_new(FALSE, TRUE, sizeof(struct lmn_write));
     for (u_int i = 0; i < y->heard.heard_len; i++)
-        take_word(k, &y->heard.heard_val[i], false);
+        take_word(k, &y->heard.heard_val[i], false, writes);
     for (u_int i = 0; i < y->cancel.cancel_len; i++)
-        take_word(k, &y->cancel.cancel_val[i], true);
+        take_word(k, &y->cancel.cancel_val[i], true, writes);
+    lmn_book_write(&g->book, k->state, (struct lmn_write *)(void *)writes->data,
+                   writes->len);
+    g_array_free(writes, TRUE);
     for (u_int i = 0; i < y->resolve.resolve_len; i++)
         resolve(k, &y->resolve.resolve_val[i]);
     for (u_int i = 0; i < y->offers.offers_len && !late; i++)
@@ -484,7 +501,7 @@
     bool done = false;
 
     if (!lmn_ref_ok(i->ref) || i->word < LMN_A_ACCEPTED || i->word > LMN_A_OVER ||
-        i->outcome < 0 || i->outcome > LMN_O_RETURNED)
+        i->outcome < 0 || i->outcome > LMN_O_RETURNED || taken(writes, i->ref))
         return;
     pthread_mutex_lock(&b->lock);
     w.job = lmn_book_take_job(b, i->ref);
@@ -569,7 +586,8 @@
     double wall = lmn_seconds(lmn_wall());
     for (guint i = 0; i < v->len; i++)
         jobs[i] = seen(v->pdata[i], wall);
-    const struct lmn_route_home home = {g->o->cpus, lmn_handed_cpus(g), g->o->feed,
+    const struct lmn_route_home home = {g->o->cpus, lmn_handed_cpus(g),
+                                        g->o->feed_s * g->o->cpus - lmn_handed_work_s(g),
                                         g->o->share};
     unsigned most = MIN(q->most, LMN_G_OFFERS);
     most = MIN(most, g->o->most_transit > transit ? g->o->most_transit - transit : 0);
--- a/src/gateway/process.c
+++ b/src/gateway/process.c
@@ -37,6 +37,29 @@
     return sum;
 }
 
+double lmn_handed_work_s(const struct lmn_gateway *g)
+{
+    GHashTableIter it;
+    gpointer v;
+    double sum = 0;
+
+    g_hash_table_iter_init(&it, g->book.jobs);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const struct lmn_gjob *j = v;
+        if (j->hand.state == LMN_H_LOCAL)
+            sum += (j->spec.tasks - MIN(j->progress.done, j->spec.tasks)) *
+                   MAX(j->spec.cpus, 0.01) * MAX(j->spec.estimate_s, 0.1);
+    }
+    g_hash_table_iter_init(&it, g->book.guests);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const struct lmn_guest *x = v;
+        if (x->hand.state == LMN_HO_RUNS)
+            sum += (x->spec.tasks - MIN(x->progress.done, x->spec.tasks)) *
+                   MAX(x->spec.cpus, 0.01) * MAX(x->spec.estimate_s, 0.1);
+    }
+    return sum;
+}
+
 double lmn_queued_cpu_s(const struct lmn_gateway *g)
 {
     GHashTableIter it;
@@ -236,7 +259,7 @@
     o->nteams = names(c, "teams", LMN_G_TEAMS, false, o->teams[0], LMN_NAME);
     read_peers(c, o);
     o->cpus = lmn_conf_number(c, "cpus", 1, 0.1, 1e7);
-    o->feed = lmn_conf_number(c, "feed", 2, 0.1, 1000);
+    o->feed_s = lmn_conf_number(c, "feed_s", 60, 0.1, 1e6);
     o->pull_at = lmn_conf_number(c, "pull_at", 0.7, 0, 100);
     o->share = lmn_conf_number(c, "share", 0.5, 0.01, 1);
     o->most_transfers = (unsigned)lmn_conf_number(c, "most_transfers", 4, 0, 1000);
--- a/src/gateway/route.c
+++ b/src/gateway/route.c
@@ -34,7 +34,7 @@
                           const struct lmn_route_home *home, double room_cpus,
                           unsigned most, unsigned *picks)
 {
-    double spared = MAX(home->feed * home->cpus - home->handed_cpus, 0), share = 0;
+    double spared = MAX(home->spare_s, 0), share = 0;
     /* What is ahead of each, in processor seconds: what the controllers have is halfway
      * through. */
     double first = 0;
@@ -48,7 +48,7 @@
             const struct lmn_route_job *j = &jobs[i];
             if (keep > 0) {
                 /* The own controllers get it before they have run dry. */
-                keep -= j->cpus;
+                keep -= j->work_s;
                 ahead += j->work_s;
                 continue;
             }
--- a/src/gateway/route.h
+++ b/src/gateway/route.h
@@ -33,8 +33,8 @@
 };
 struct lmn_route_home {
     double cpus, handed_cpus; /* the site's processors; what its controllers have */
-    double feed;              /* times cpus that they get */
-    double share;             /* of what waits that a pull takes at most */
+    double spare_s; /* processor seconds that they will still get before they run dry */
+    double share;   /* of what waits that a pull takes at most */
 };
 /* Which of the jobs, in the order in which the home would start them, go to a site with
  * room for so many processors; picks: their places, at most so many. What would start
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -20,7 +20,7 @@
         struct lmn_route_job j[MOST];
         unsigned picks[MOST], n = (unsigned)g_rand_int_range(r, 0, MOST), most;
         struct lmn_route_home home = {1 + 50 * g_rand_double(r), 100 * g_rand_double(r),
-                                      0.5 + 2 * g_rand_double(r), g_rand_double(r)};
+                                      500 * (g_rand_double(r) - 0.3), g_rand_double(r)};
         double room = 40 * g_rand_double(r), all = 0, gone = 0, largest = 0;
         for (unsigned i = 0; i < n; i++) {
             j[i] = (struct lmn_route_job){
@@ -56,10 +56,9 @@
                     gone < home.share * all + largest + 1e-9);
         /* What the own controllers will get next stays. */
         double kept = 0;
-        for (unsigned i = 0; i < n && kept < home.feed * home.cpus - home.handed_cpus;
-             i++) {
+        for (unsigned i = 0; i < n && kept < home.spare_s; i++) {
             assert_false(seen[i]);
-            kept += j[i].cpus;
+            kept += j[i].work_s;
         }
         chosen += k;
     }
