Measuring programs share what they had each; three sites count tasks that ran elsewhere

Change: bench/common.h, lmn_worker_controllers, lmn_handed; peers.c is sync.c now; bench/gateway fails if no task ran elsewhere.

--- a/bench/finals.c
+++ b/bench/finals.c
@@ -8,23 +8,12 @@
 #include "state/finals.h"
 #include "state/mirror.h"
 #include "state/records.h"
+#include "common.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-static double resident_mb(void)
-{
-    char *text = NULL, *at;
-    double mb = 0;
-
-    if (g_file_get_contents("/proc/self/status", &text, NULL, NULL) &&
-        (at = strstr(text, "VmRSS:")))
-        mb = g_ascii_strtod(at + 6, NULL) / 1024;
-    g_free(text);
-    return mb;
-}
-
 int main(int argc, char **argv)
 {
     static struct lmn_settings cfg = {.node = "n0",
@@ -67,7 +56,7 @@
         now = lmn_after(now, 0.1); /* ten jobs a second */
         lmn_finals_evict(c, now);
         if ((n + 1) % (jobs / 10) == 0) {
-            last = resident_mb();
+            last = bench_resident_mb(0);
             if (first <= 0)
                 first = last;
             printf("jobs=%lu in_memory=%u resident=%.1f MB\n", n + 1,
--- a/bench/gateway.c
+++ b/bench/gateway.c
@@ -15,6 +15,7 @@
 #include "base/thread.h"
 #include "base/wire.h"
 #include "cli/users.h"
+#include "common.h"
 #include "gateway/keys.h"
 
 #include <arpa/inet.h>
@@ -164,20 +165,6 @@
 
 /* --- sites --- */
 
-static int run(const char *a, const char *b, const char *file)
-{
-    pid_t pid = fork();
-    int status;
-
-    if (pid == 0) {
-        FILE *f = freopen("/dev/null", "w", stdout);
-        execl(LMN_PROGRAM_PATH, "lemonspar", a, b, "--config", file, (char *)NULL);
-        _exit(f ? 127 : 126);
-    }
-    waitpid(pid, &status, 0);
-    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-}
-
 static void start_gateway(struct site *s)
 {
     s->pid = fork();
@@ -231,7 +218,7 @@
     g_string_append_printf(
         t,
         "site = \"%s\"\nlisten = \"%s\"\nlink_listen = \"%s\"\nstate = \"%s\"\n"
-        "depot = \"%s\"\nkeys = \"%s\"\nteams = [\"t\"]\ncpus = %d\nfeed_s = 40\n"
+        "depot = \"%s\"\nkeys = \"%s\"\nteams = [\"t\"]\ncpus = %d\nfeed_s = 20\n"
         "sync_s = 0.3\nsilent_s = 20\npoll_rps = 200\ncontrollers = [",
         names[i], s->users, s->link, s->s.state, s->s.depot, s->keys, CPUS);
     for (unsigned k = 0; k < s->s.controllers; k++)
@@ -391,20 +378,24 @@
 
 /* --- the check --- */
 
-static unsigned started_again;
+static unsigned started_again, elsewhere; /* tasks */
 
 static void check_task(const struct job *j, uint32_t index)
 {
     char *path = g_strdup_printf("%s/%s.%u", stamps, j->ref, index), *text = NULL;
     unsigned starts = 0, ends = 0;
+    bool away = false;
 
     g_file_get_contents(path, &text, NULL, NULL);
     char **lines = g_strsplit(text ? text : "", "\n", -1);
     for (char **l = lines; *l; l++) {
         starts += **l == 'S';
         ends += **l == 'E';
+        /* At another site it has another name. */
+        away = away || (**l == 'S' && !g_str_has_prefix(*l + 2, j->ref));
     }
     started_again += starts > 1;
+    elsewhere += away;
     if (ends > 1)
         complain("came to its end twice", path);
     if (!strcmp(j->state, W_DONE) && !ends)
@@ -451,26 +442,6 @@
     }
 }
 
-static uint64_t away_of(int i)
-{
-    struct lmn_http *h = lmn_http_new(sites[i].users);
-    GByteArray *in = g_byte_array_new();
-    struct lmn_doc d;
-    uint64_t sum = 0, n;
-
-    if (lmn_http_call(h, "GET", "/gateway", NULL, 5, in) == 200 &&
-        lmn_doc_parse(&d, in->data, in->len) == 0) {
-        const struct lmn_node *list = lmn_get(&d, lmn_root(&d), "Peers");
-        for (const struct lmn_node *p = lmn_child(&d, list); p; p = lmn_next(&d, p))
-            if (lmn_count(lmn_get(&d, p, "OffersOut"), &n))
-                sum += n;
-        lmn_doc_free(&d);
-    }
-    g_byte_array_unref(in);
-    lmn_http_free(h);
-    return sum;
-}
-
 static void end_all(void)
 {
     for (int i = 0; i < SITES; i++) {
@@ -478,7 +449,7 @@
             kill(sites[i].pid, SIGKILL);
             waitpid(sites[i].pid, NULL, 0);
         }
-        run("site", "down", sites[i].file);
+        bench_site("down", sites[i].file);
     }
 }
 
@@ -487,7 +458,7 @@
     struct night night = {0};
     unsigned most_cuts, done = 0, withdrawn = 0;
     pthread_t user;
-    uint64_t tasks = 0, elsewhere = 0;
+    uint64_t tasks = 0;
     char *text = NULL;
 
     if (argc != 5) {
@@ -508,7 +479,7 @@
         describe_site(i, atoi(argv[4]) + 100 * i);
     for (int i = 0; i < SITES; i++) {
         describe_gateway(i);
-        if (run("site", "up", sites[i].file) != 0) {
+        if (bench_site("up", sites[i].file) != 0) {
             fprintf(stderr, "%s does not come up\n", names[i]);
             end_all();
             return 1;
@@ -534,8 +505,6 @@
     struct timespec healed = lmn_now();
     await_all();
     double after = lmn_since(lmn_now(), healed);
-    for (int i = 0; i < SITES; i++)
-        elsewhere += away_of(i);
     double all = lmn_since(lmn_now(), begun);
     end_all();
     char *twice = g_build_filename(stamps, "TWICE", NULL);
@@ -549,8 +518,7 @@
             check_task(&jobs[i], k);
     }
     printf("%s cuts=%u gateway_kills=%u jobs=%u done=%u withdrawn=%u "
-           "tasks=%" G_GUINT64_FORMAT " offers_since_last_kill=%" G_GUINT64_FORMAT
-           " started_again=%u submit_p50=%.3f "
+           "tasks=%" G_GUINT64_FORMAT " elsewhere=%u started_again=%u submit_p50=%.3f "
            "submit_p99=%.3f last_outcome_after_heal=%.1f s all=%.0f s wrong=%u\n",
            wrong ? "BROKEN" : "GOOD", cuts_made, kills_made, njobs, done, withdrawn,
            tasks, elsewhere, started_again, lmn_latency_quantile(&submitting, 0.5),
@@ -559,5 +527,5 @@
         lmn_tree_remove(dir);
     else
         fprintf(stderr, "the sites' files stay in %s\n", dir);
-    return wrong || !done ? 1 : 0;
+    return wrong || !done || !elsewhere ? 1 : 0;
 }
--- a/bench/rehearsal.c
+++ b/bench/rehearsal.c
@@ -13,6 +13,7 @@
 #include "base/thread.h"
 #include "base/wire.h"
 #include "cli/users.h"
+#include "common.h"
 
 #include <signal.h>
 #include <stdio.h>
@@ -58,20 +59,6 @@
         fprintf(stderr, "WRONG %s: %s\n", of, what);
 }
 
-static int run(const char *a, const char *b)
-{
-    pid_t pid = fork();
-    int status;
-
-    if (pid == 0) {
-        FILE *f = freopen("/dev/null", "w", stdout);
-        execl(LMN_PROGRAM_PATH, "lemonspar", a, b, "--config", file, (char *)NULL);
-        _exit(f ? 127 : 126);
-    }
-    waitpid(pid, &status, 0);
-    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-}
-
 static void describe_site(int port)
 {
     char *inv = g_build_filename(dir, "inventory.toml", NULL), err[512];
@@ -253,7 +240,7 @@
     bool was = lmn_lock_signal(path, SIGKILL);
     if (was)
         lmn_lock_wait(path, 10);
-    if (was && kind == 5 && run("site", "up") != 0)
+    if (was && kind == 5 && bench_site("up", file) != 0)
         complain("the site does not come up again", "supervisor");
     pid_t pid;
     while (was && lmn_since(lmn_now(), begun) < 60) {
@@ -347,29 +334,13 @@
     g_free(path);
 }
 
-static long resident_kb(const char *pid)
-{
-    char *path = g_strdup_printf("/proc/%s/status", pid), *text = NULL;
-    long kb = 0;
-
-    if (g_file_get_contents(path, &text, NULL, NULL) && strstr(text, "VmRSS:"))
-        kb = strtol(strstr(text, "VmRSS:") + 6, NULL, 10);
-    g_free(text);
-    g_free(path);
-    return kb;
-}
-
 static void show_memory(void)
 {
-    for (unsigned i = 0; i < site.nprocesses; i++) {
-        char pid[16];
-        int n;
-        if (!lmn_site_up(&site, site.processes[i].name, &n))
-            continue;
-        g_snprintf(pid, sizeof pid, "%d", n);
-        printf("memory %s %.1f MB\n", site.processes[i].name,
-               (double)resident_kb(pid) / 1024);
-    }
+    int pid;
+
+    for (unsigned i = 0; i < site.nprocesses; i++)
+        if (lmn_site_up(&site, site.processes[i].name, &pid))
+            printf("memory %s %.1f MB\n", site.processes[i].name, bench_resident_mb(pid));
 }
 
 int main(int argc, char **argv)
@@ -392,8 +363,8 @@
     g_snprintf(stamps, sizeof stamps, "%s/stamps", dir);
     g_mkdir_with_parents(stamps, 0755);
     describe_site(atoi(argv[3]));
-    if (run("site", "up") != 0) {
-        run("site", "down");
+    if (bench_site("up", file) != 0) {
+        bench_site("down", file);
         fprintf(stderr, "the site does not come up; its files are in %s\n", dir);
         return 1;
     }
@@ -403,7 +374,7 @@
     pthread_join(submitter, NULL);
     await_all();
     show_memory();
-    run("site", "down");
+    bench_site("down", file);
     twice = g_build_filename(stamps, "TWICE", NULL);
     char *text = NULL;
     if (g_file_get_contents(twice, &text, NULL, NULL))
--- a/bench/site.c
+++ b/bench/site.c
@@ -11,6 +11,7 @@
 #include "base/thread.h"
 #include "base/wire.h"
 #include "cli/users.h"
+#include "common.h"
 
 #include <signal.h>
 #include <stdio.h>
@@ -26,31 +27,11 @@
 static struct lmn_users users;
 static unsigned jobs;
 
-static int run(const char *const *args)
-{
-    pid_t pid = fork();
-    int status;
-
-    if (pid == 0) {
-        FILE *f = freopen("/dev/null", "w", stdout);
-        execv(LMN_PROGRAM_PATH, (char *const *)args);
-        _exit(f ? 127 : 126);
-    }
-    waitpid(pid, &status, 0);
-    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-}
-
-static int site_command(const char *word)
-{
-    const char *const args[] = {"lemonspar", "site", word, "--config", file, NULL};
-    return run(args);
-}
-
 static void set(const char *name, const char *value)
 {
     const char *const args[] = {"lemonspar", "admin", site.peers[0], "set",
                                 name,        value,   NULL};
-    if (run(args) != 0)
+    if (bench_run(args) != 0)
         fprintf(stderr, "%s: not set\n", name);
 }
 
@@ -131,18 +112,11 @@
 
 static void show_memory(void)
 {
-    for (unsigned i = 0; i < site.nprocesses; i++) {
-        char *path, *text = NULL;
-        int pid;
-        if (!lmn_site_up(&site, site.processes[i].name, &pid))
-            continue;
-        path = g_strdup_printf("/proc/%d/status", pid);
-        if (g_file_get_contents(path, &text, NULL, NULL) && strstr(text, "VmRSS:"))
-            printf("  %s %.1f MB", site.processes[i].name,
-                   (double)strtol(strstr(text, "VmRSS:") + 6, NULL, 10) / 1024);
-        g_free(text);
-        g_free(path);
-    }
+    int pid;
+
+    for (unsigned i = 0; i < site.nprocesses; i++)
+        if (lmn_site_up(&site, site.processes[i].name, &pid))
+            printf("  %s %.1f MB", site.processes[i].name, bench_resident_mb(pid));
     printf("\n");
 }
 
@@ -179,10 +153,10 @@
         struct lmn_latency l;
         g_mkdir_with_parents(dir, 0755);
         describe_site(atoi(argv[1]), workers);
-        if (site_command("up") != 0 ||
+        if (bench_site("up", file) != 0 ||
             lmn_users_open(&users, file, NULL, NULL, err, sizeof err) != 0) {
             fprintf(stderr, "the site does not come up\n");
-            site_command("down");
+            bench_site("down", file);
             return 1;
         }
         /* All machines are rented, and stay. */
@@ -203,7 +177,7 @@
         await_done(ref);
         lmn_latency_clear(&l);
         lmn_users_close(&users);
-        site_command("down");
+        bench_site("down", file);
         lmn_tree_remove(dir);
     }
     return 0;
--- a/src/agent/process.c
+++ b/src/agent/process.c
@@ -424,7 +424,7 @@
 
 /* --- settings --- */
 
-static void read_controllers(struct lmn_conf *c, struct lmn_worker_options *o)
+void lmn_worker_controllers(struct lmn_conf *c, struct lmn_worker_options *o)
 {
     guint n = lmn_conf_count(c, "controllers");
     char path[64];
@@ -469,7 +469,7 @@
     o->type.mem = lmn_conf_number(c, "type.mem_gb", 1, 0, 1e9);
     o->type.cache_gb = lmn_conf_number(c, "type.cache_gb", 10, 0, 1e9);
     o->type.pull = lmn_conf_number(c, "type.pull_gb_per_s", 1, 0, 1e6);
-    read_controllers(c, o);
+    lmn_worker_controllers(c, o);
     if (o->lease_s <= o->report_s)
         lmn_conf_fail(c, "lease_s", "must be longer than report_s");
     int rc = lmn_conf_end(c, err, len);
--- a/src/fleet/local.c
+++ b/src/fleet/local.c
@@ -32,8 +32,6 @@
 void lmn_local_read(struct lmn_conf *c, struct lmn_local_options *o)
 {
     struct lmn_worker_options *w = &o->worker;
-    guint n = lmn_conf_count(c, "controllers");
-    char path[64];
 
     g_snprintf(w->listen, sizeof w->listen, "%s:0",
                lmn_conf_text(c, "address", "127.0.0.1"));
@@ -42,16 +40,7 @@
     w->report_s = lmn_conf_number(c, "report_s", 1.5, 0.05, 600);
     w->lease_s = lmn_conf_number(c, "lease_s", 10, 0.1, 3600);
     w->log_kb = lmn_conf_number(c, "log_kb", 256, 1, 7 * 1024);
-    if (n < 1 || n > LMN_MAX_CONTROLLERS)
-        lmn_conf_fail(c, "controllers", "expected 1 to %d tables with name and address",
-                      LMN_MAX_CONTROLLERS);
-    for (guint i = 0; i < n && i < LMN_MAX_CONTROLLERS; i++) {
-        g_snprintf(path, sizeof path, "controllers[%u].name", i);
-        g_strlcpy(w->controllers[i].name, lmn_conf_name(c, path, NULL), LMN_NAME);
-        g_snprintf(path, sizeof path, "controllers[%u].address", i);
-        g_strlcpy(w->controllers[i].addr, lmn_conf_addr(c, path, NULL), LMN_ADDR);
-        w->ncontrollers++;
-    }
+    lmn_worker_controllers(c, w);
     if (w->lease_s <= w->report_s)
         lmn_conf_fail(c, "lease_s", "must be longer than report_s");
 }
--- a/src/gateway/feed.c
+++ b/src/gateway/feed.c
@@ -259,7 +259,8 @@
     gpointer p;
 
     pthread_mutex_lock(&b->lock);
-    double handed = lmn_handed_work_s(f->g), most = f->g->o->feed_s * f->g->o->cpus;
+    double cpus, handed, most = f->g->o->feed_s * f->g->o->cpus;
+    lmn_handed(f->g, &cpus, &handed);
     g_hash_table_iter_init(&it, b->jobs);
     while (handed < most && g_hash_table_iter_next(&it, NULL, &p)) {
         struct lmn_gjob *j = p;
--- a/src/gateway/front.c
+++ b/src/gateway/front.c
@@ -251,7 +251,9 @@
         lmn_put_text(b, states[i]), lmn_put_count(b, n[i]);
     lmn_put_text(b, "Guests"), lmn_put_count(b, guests);
     lmn_put_text(b, "OutcomesUntold"), lmn_put_count(b, untold);
-    lmn_put_text(b, "HandedCpus"), lmn_put_number(b, lmn_handed_cpus(g));
+    double cpus, work_s;
+    lmn_handed(g, &cpus, &work_s);
+    lmn_put_text(b, "HandedCpus"), lmn_put_number(b, cpus);
     lmn_put_text(b, "QueuedCpuS"), lmn_put_number(b, lmn_queued_cpu_s(g));
     lmn_put_text(b, "Peers"), lmn_put_list(b, g->o->npeers);
     for (unsigned i = 0; i < g->o->npeers; i++) {
--- a/src/gateway/gateway_part.h
+++ b/src/gateway/gateway_part.h
@@ -49,11 +49,9 @@
 
 /* Processors that the job needs, all its tasks together. */
 double lmn_job_cpus(const struct lmn_spec *s);
-/* Processors' worth of work that was handed to the own controllers and has not ended; the
- * lock is held. */
-double lmn_handed_cpus(const struct lmn_gateway *g);
-/* The same in processor seconds; the lock is held. */
-double lmn_handed_work_s(const struct lmn_gateway *g);
+/* What was handed to the own controllers and has not ended, guests too: in processors,
+ * and in processor seconds; the lock is held. */
+void lmn_handed(const struct lmn_gateway *g, double *cpus, double *work_s);
 /* Processor seconds that wait at home; the lock is held. */
 double lmn_queued_cpu_s(const struct lmn_gateway *g);
 /* Tells the peer's thread that there is something to say; the lock is held. */
@@ -65,7 +63,7 @@
 /* --- the own controllers (feed.c); for ever (threads) --- */
 void *lmn_feed_thread(void *gateway);
 
-/* --- other sites (peers.c) --- */
+/* --- other sites (sync.c) --- */
 void *lmn_host_thread(void *peer); /* asks the peer, as the host of its jobs */
 int lmn_home_start(struct lmn_gateway *g, char *err,
                    size_t len);       /* answers peers, as the home of jobs */
--- a/src/gateway/process.c
+++ b/src/gateway/process.c
@@ -14,50 +14,33 @@
     return s->tasks * MAX(s->cpus, 0.01);
 }
 
-double lmn_handed_cpus(const struct lmn_gateway *g)
+static void add_left(const struct lmn_spec *s, const struct lmn_progress *p, double *cpus,
+                     double *work_s)
 {
-    GHashTableIter it;
-    gpointer v;
-    double sum = 0;
+    double left = (s->tasks - MIN(p->done, s->tasks)) * MAX(s->cpus, 0.01);
 
-    g_hash_table_iter_init(&it, g->book.jobs);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        const struct lmn_gjob *j = v;
-        if (j->hand.state == LMN_H_LOCAL)
-            sum += (j->spec.tasks - MIN(j->progress.done, j->spec.tasks)) *
-                   MAX(j->spec.cpus, 0.01);
-    }
-    g_hash_table_iter_init(&it, g->book.guests);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        const struct lmn_guest *x = v;
-        if (x->hand.state == LMN_HO_RUNS)
-            sum += (x->spec.tasks - MIN(x->progress.done, x->spec.tasks)) *
-                   MAX(x->spec.cpus, 0.01);
-    }
-    return sum;
+    *cpus += left;
+    *work_s += left * MAX(s->estimate_s, 0.1);
 }
 
-double lmn_handed_work_s(const struct lmn_gateway *g)
+void lmn_handed(const struct lmn_gateway *g, double *cpus, double *work_s)
 {
     GHashTableIter it;
     gpointer v;
-    double sum = 0;
 
+    *cpus = *work_s = 0;
     g_hash_table_iter_init(&it, g->book.jobs);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const struct lmn_gjob *j = v;
         if (j->hand.state == LMN_H_LOCAL)
-            sum += (j->spec.tasks - MIN(j->progress.done, j->spec.tasks)) *
-                   MAX(j->spec.cpus, 0.01) * MAX(j->spec.estimate_s, 0.1);
+            add_left(&j->spec, &j->progress, cpus, work_s);
     }
     g_hash_table_iter_init(&it, g->book.guests);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const struct lmn_guest *x = v;
         if (x->hand.state == LMN_HO_RUNS)
-            sum += (x->spec.tasks - MIN(x->progress.done, x->spec.tasks)) *
-                   MAX(x->spec.cpus, 0.01) * MAX(x->spec.estimate_s, 0.1);
+            add_left(&x->spec, &x->progress, cpus, work_s);
     }
-    return sum;
 }
 
 double lmn_queued_cpu_s(const struct lmn_gateway *g)
--- a/src/gateway/peers.c
+++ b/src/gateway/sync.c
@@ -306,7 +306,10 @@
 /* The idle processors that are left, as offers take them. */
 static double room_now(struct lmn_gateway *g)
 {
-    return MAX(g->o->cpus * MAX(g->o->pull_at, 1) - lmn_handed_cpus(g), 0);
+    double cpus, work_s;
+
+    lmn_handed(g, &cpus, &work_s);
+    return MAX(g->o->cpus * MAX(g->o->pull_at, 1) - cpus, 0);
 }
 
 static bool sync_once(struct host *k)
@@ -454,8 +457,9 @@
         lmn_sleep(0.05);
         pthread_mutex_lock(&g->book.lock);
         struct timespec now = lmn_now();
-        bool idle = lmn_route_idle(g->o->cpus, lmn_handed_cpus(g), lmn_queued_cpu_s(g),
-                                   g->o->pull_at);
+        double cpus, work_s;
+        lmn_handed(g, &cpus, &work_s);
+        bool idle = lmn_route_idle(g->o->cpus, cpus, lmn_queued_cpu_s(g), g->o->pull_at);
         if (!idle || g->fenced || !g->o->npeers || lmn_before(now, g->next_pull)) {
             pthread_mutex_unlock(&g->book.lock);
             continue;
@@ -586,9 +590,10 @@
     double wall = lmn_seconds(lmn_wall());
     for (guint i = 0; i < v->len; i++)
         jobs[i] = seen(v->pdata[i], wall);
-    const struct lmn_route_home home = {g->o->cpus, lmn_handed_cpus(g),
-                                        g->o->feed_s * g->o->cpus - lmn_handed_work_s(g),
-                                        g->o->share};
+    double cpus, work_s;
+    lmn_handed(g, &cpus, &work_s);
+    const struct lmn_route_home home = {g->o->cpus, cpus,
+                                        g->o->feed_s * g->o->cpus - work_s, g->o->share};
     unsigned most = MIN(q->most, LMN_G_OFFERS);
     most = MIN(most, g->o->most_transit > transit ? g->o->most_transit - transit : 0);
     if (!g->fenced && p->incarnation)
