--- a/src/gateway/book.c
+++ b/src/gateway/book.c
@@ -9,6 +9,7 @@
 #include <string.h>
 #include <unistd.h>
 
+enum { MOST_GUESTS = 500000 };
 static const double TTL_S = 6, PATIENCE_S = 5;
 
 /* --- the state service --- */
@@ -352,7 +353,9 @@
     struct lmn_guest *g = g_new0(struct lmn_guest, 1);
 
     g->key = g_strdup_printf("%s/%s", home, ref);
-    if (g_hash_table_contains(b->guests, g->key)) {
+    /* A bound on what other sites can make this one remember. */
+    if (g_hash_table_size(b->guests) >= MOST_GUESTS ||
+        g_hash_table_contains(b->guests, g->key)) {
         g_free(g->key);
         g_free(g);
         return NULL;
--- a/src/gateway/book.h
+++ b/src/gateway/book.h
@@ -71,7 +71,8 @@
 struct lmn_gjob *lmn_book_take_job(struct lmn_book *b, const char *ref);
 struct lmn_guest *lmn_book_take_guest(struct lmn_book *b, const char *home,
                                       const char *ref);
-/* Makes a record that is not written yet, taken. The lock is held. NULL: there is one. */
+/* Makes a record that is not written yet, taken. The lock is held. NULL: there is one,
+ * or there are too many. */
 struct lmn_gjob *lmn_book_new_job(struct lmn_book *b, const struct lmn_spec *spec);
 struct lmn_guest *lmn_book_new_guest(struct lmn_book *b, const char *home,
                                      const char *ref);
--- a/src/gateway/front.c
+++ b/src/gateway/front.c
@@ -11,6 +11,10 @@
 
 #include <string.h>
 
+/* A write that takes longer is answered 503: the user asks again, and finds what became
+ * of it. */
+static const double PATIENCE_S = 2.5;
+
 enum { HANDS = 8, MAX_BODY = 64 * 1024, MOST_CALLS = 512 };
 
 static const char *const states[] = {"waits at home", "at home", "offered",
@@ -74,6 +78,12 @@
         return;
     }
     bool sane = lmn_spec_parse(&s, &d, lmn_root(&d), &what) == 0;
+    /* The record holds it, and little more; what no value can hold would be 503 at each
+     * try. */
+    if (sane && (double)lmn_json_size(&d, lmn_root(&d)) + 600 > g->o->value_kb * 1024) {
+        sane = false;
+        what = "too large";
+    }
     lmn_number(lmn_get(&d, lmn_root(&d), "LeashS"), &leash);
     lmn_doc_free(&d);
     for (unsigned i = 0; sane && i < g->o->nteams; i++)
@@ -348,7 +358,7 @@
     const struct lmn_httpd_options o = {.listen = g->o->listen,
                                         .connections = 4096,
                                         .max_body = MAX_BODY,
-                                        .patience_s = 0,
+                                        .patience_s = PATIENCE_S,
                                         .route = route,
                                         .arg = g};
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -36,7 +36,8 @@
     double sync_s;           /* between two messages to a site that has nothing new */
     double poll_rps;         /* requests a second to the own controllers */
     double silent_s;         /* a peer that is silent for longer is an alarm */
-    int txn_ops;
+    int txn_ops;             /* of the state service, as is */
+    double value_kb;         /* of a value, counted as JSON */
 };
 
 /* Reads and checks the file; -1 with "file: line N: field: what". */
--- a/src/gateway/process.c
+++ b/src/gateway/process.c
@@ -159,9 +159,13 @@
         lmn_thread(lmn_host_thread, &g->peers[i]);
     lmn_thread(lmn_feed_thread, g);
     lmn_thread(lmn_pull_thread, g);
-    for (;;) {
-        lmn_sleep(1);
-        watch_peers(g);
+    for (unsigned turn = 0;; turn++) {
+        lmn_sleep(0.1);
+        /* While the state service does not answer, users are told so, and when to come
+         * back. */
+        lmn_httpd_sweep(g->server);
+        if (turn % 10 == 0)
+            watch_peers(g);
     }
 }
 
@@ -250,6 +254,7 @@
     o->sync_s = lmn_conf_number(c, "sync_s", 1, 0.05, 60);
     o->poll_rps = lmn_conf_number(c, "poll_rps", 50, 1, 1e5);
     o->silent_s = lmn_conf_number(c, "silent_s", 60, 1, 1e6);
+    o->value_kb = lmn_conf_number(c, "value_kb", 16, 1, 1e6);
     o->txn_ops = (int)lmn_conf_number(c, "txn_ops", 24, 2, 1000);
     int rc = lmn_conf_end(c, err, len);
     lmn_conf_free(c);
--- a/src/gateway/sync.c
+++ b/src/gateway/sync.c
@@ -182,7 +182,7 @@
     struct lmn_gateway *g = k->p->g;
     struct lmn_write w = {0};
     struct lmn_spec spec = {0};
-    enum lmn_answer answer;
+    enum lmn_answer answer = LMN_A_REFUSED;
     const char *what;
     struct lmn_doc d;
     bool old = false, ours = o->incarnation == g->book.incarnation;
@@ -200,13 +200,16 @@
     w.guest = lmn_book_take_guest(&g->book, site_of(k->p), o->ref);
     if (!w.guest && sane) {
         w.guest = lmn_book_new_guest(&g->book, site_of(k->p), o->ref);
-        w.guest->spec = spec;
-        memset(&spec, 0, sizeof spec);
-        g_strlcpy(w.guest->digest, o->digest, sizeof w.guest->digest);
-        w.guest->leash_s = o->leash_s;
+        if (w.guest) {
+            w.guest->spec = spec;
+            memset(&spec, 0, sizeof spec);
+            g_strlcpy(w.guest->digest, o->digest, sizeof w.guest->digest);
+            w.guest->leash_s = o->leash_s;
+        }
     }
     if (w.guest)
         w.host = w.guest->hand;
+    bool full = sane && !w.guest; /* nothing is on the disk: nothing may be said */
     bool change = w.guest && lmn_host_offer(&w.host, o->epoch, ours, room, &answer, &old);
     if (w.guest && !change && w.guest->rev)
         lmn_book_put_guest(&g->book, w.guest);
@@ -215,7 +218,7 @@
         lmn_book_write(&g->book, k->state, &w, 1);
     lmn_spec_clear(&spec);
     pthread_mutex_lock(&g->book.lock);
-    if (w.ok || (!change && !old)) {
+    if (!full && (w.ok || (!change && !old))) {
         if (!sane || answer == LMN_A_REFUSED)
             refuse_later(k->p, o->ref, o->epoch);
         else
@@ -248,6 +251,10 @@
             return;
         }
         w.guest = lmn_book_new_guest(&g->book, site_of(k->p), i->ref);
+        if (!w.guest) {
+            pthread_mutex_unlock(&g->book.lock);
+            return;
+        }
         w.guest->spec = none;
         g_strlcpy(w.guest->spec.ref, i->ref, LMN_REF);
         w.guest->spec.class_name = g_strdup("none");
