Gateway: jobs are called back, sites evicted and admitted again

Need: an operator could not get a job back from another site, nor stop work from going to one or coming from it, short of taking it out of the file.

Change: 'gateway recall REF' is a wish in the home's record, said with each sync until the host has stopped the job as one whose leash is over; it stays at home then. 'gateway evict SITE' is kept under g/e/, calls back what is there, and neither offers to that site nor pulls or accepts from it until 'gateway admit SITE'; outcomes are still told both ways.

--- a/src/cli/gateway.c
+++ b/src/cli/gateway.c
@@ -87,16 +87,22 @@
                json_string_value(json_object_get(j, "Gateway")));
     json_object_foreach(jobs, key, p) if (!json)
         printf("jobs %-14s %" JSON_INTEGER_FORMAT "\n", key, json_integer_value(p));
+    if (!json)
+        printf("guests %" JSON_INTEGER_FORMAT ", outcomes untold %" JSON_INTEGER_FORMAT
+               "\n",
+               json_integer_value(json_object_get(j, "Guests")),
+               json_integer_value(json_object_get(j, "OutcomesUntold")));
     json_array_foreach(peers, i, p)
     {
         bool a = json_is_true(json_object_get(p, "Alarm"));
         alarm = alarm || a;
         if (!json)
-            printf("peer %-14s %-4s silent %.1f s%s offers out %" JSON_INTEGER_FORMAT
+            printf("peer %-14s %-4s%s silent %.1f s%s offers out %" JSON_INTEGER_FORMAT
                    " in %" JSON_INTEGER_FORMAT " outcomes out %" JSON_INTEGER_FORMAT
                    " in %" JSON_INTEGER_FORMAT " %s\n",
                    json_string_value(json_object_get(p, "Site")),
                    json_is_true(json_object_get(p, "Up")) ? "up" : "down",
+                   json_is_true(json_object_get(p, "Evicted")) ? " evicted" : "",
                    json_number_value(json_object_get(p, "SilentS")), a ? " ALARM" : "",
                    json_integer_value(json_object_get(p, "OffersOut")),
                    json_integer_value(json_object_get(p, "OffersIn")),
@@ -145,6 +151,68 @@
     return LMN_EXIT_OK;
 }
 
+/* POSTs VERB/WHAT; the answer, or NULL with the exit status said. */
+static json_t *order(const char *verb, const char *what, const char *unknown, int *rc)
+{
+    char *escaped = g_uri_escape_string(what, NULL, FALSE),
+         *path = g_strdup_printf("/gateway/%s/%s", verb, escaped);
+    int st;
+    json_t *j = ask("POST", path, &st);
+
+    *rc = LMN_EXIT_OK;
+    if (st == 404)
+        *rc = lmn_cli_fail(LMN_EXIT_FAILED, "%s: %s", what, unknown);
+    else if (st == 409)
+        *rc = lmn_cli_fail(LMN_EXIT_FAILED, "%s: fenced; see 'lemonspar gateway unfence'",
+                           what);
+    else if (st == 503)
+        *rc = lmn_cli_fail(LMN_EXIT_FAILED, "%s: the gateway can't write now; ask again",
+                           what);
+    else if (st != 200 || !j)
+        *rc = lmn_cli_fail(LMN_EXIT_FAILED, "%s: no gateway answers there", o.listen);
+    g_free(escaped);
+    g_free(path);
+    return *rc ? NULL : j;
+}
+
+static int recall(int argc, char **argv)
+{
+    int rc = load("REF",
+                  "Calls a job back. It comes home when the other site has stopped it, "
+                  "and stays; its\ntasks that had ended run again.",
+                  2, &argc, &argv);
+    json_t *j = rc ? NULL : order("recall", argv[1], "this site is not its home", &rc);
+
+    if (j)
+        lmn_json_print(j, true);
+    return rc;
+}
+
+static int evict(int argc, char **argv)
+{
+    int rc = load("SITE",
+                  "Nothing goes to the site or comes from it any more; what is there is "
+                  "called back.",
+                  2, &argc, &argv);
+    json_t *j = rc ? NULL : order("evict", argv[1], "not among the peers", &rc);
+
+    if (j)
+        printf("%" JSON_INTEGER_FORMAT " jobs called back; they are home when 'lemonspar "
+               "gateway status' shows none offered or away\n",
+               json_integer_value(json_object_get(j, "Jobs")));
+    return rc;
+}
+
+static int admit(int argc, char **argv)
+{
+    int rc =
+        load("SITE", "Takes a site that was evicted as a peer again.", 2, &argc, &argv);
+
+    if (!rc)
+        order("admit", argv[1], "not among the peers", &rc);
+    return rc;
+}
+
 int lmn_cmd_gateway(int argc, char **argv)
 {
     static const struct lmn_subcommand subs[] = {
@@ -153,6 +221,10 @@
         {"peers", "", "the same", status},
         {"links", "", "the same", status},
         {"job", "REF", "where a job is", job},
+        {"recall", "REF", "calls a job back from another site", recall},
+        {"evict", "SITE", "no work to that site or from it; calls back what is there",
+         evict},
+        {"admit", "SITE", "the site is a peer again", admit},
         {"unfence", "", "after a restore: nothing of the fenced jobs runs", unfence},
         {0},
     };
--- a/src/gateway/book.c
+++ b/src/gateway/book.c
@@ -51,7 +51,8 @@
     lmn_put_text(b, "site"), lmn_put_text(b, h->site);
     lmn_put_text(b, "incarnation"), lmn_put_count(b, h->incarnation);
     lmn_put_text(b, "outcome"),
-        lmn_put_count(b, (uint64_t)h->outcome | (uint64_t)h->cancel << 8);
+        lmn_put_count(b, (uint64_t)h->outcome | (uint64_t)h->cancel << 8 |
+                             (uint64_t)h->recall << 9);
     lmn_put_text(b, "transfers"), lmn_put_count(b, h->transfers);
     return b;
 }
@@ -103,6 +104,7 @@
     j->hand.incarnation = count_of(d, v, "incarnation");
     j->hand.outcome = (enum lmn_outcome_word)(outcome & 0xff);
     j->hand.cancel = outcome >> 8 & 1;
+    j->hand.recall = outcome >> 9 & 1;
     j->hand.transfers = (uint32_t)count_of(d, v, "transfers");
     j->rev = rev;
     g_hash_table_insert(b->jobs, j->ref, j);
@@ -162,6 +164,8 @@
                 read_job(b, after + 4, &d, v, rev);
             else if (g_str_has_prefix(after, "g/f/"))
                 read_guest(b, after + 4, &d, v, rev);
+            else if (g_str_has_prefix(after, "g/e/"))
+                g_hash_table_add(b->evicted, g_strdup(after + 4));
         }
         lmn_doc_free(&d);
     }
@@ -274,6 +278,7 @@
     lmn_cond_init(&b->idle);
     b->jobs = g_hash_table_new(g_str_hash, g_str_equal);
     b->guests = g_hash_table_new(g_str_hash, g_str_equal);
+    b->evicted = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     while (!b->lead_rev) {
         b->lease = new_lease(h, in);
         struct timespec begun = lmn_now();
@@ -535,3 +540,35 @@
     }
     g_byte_array_unref(in);
 }
+
+/* --- peers that are evicted --- */
+
+void lmn_book_evict(struct lmn_book *b, struct lmn_http *h, const char *site, bool out)
+{
+    GByteArray *q = g_byte_array_new(), *in = g_byte_array_new();
+    char *key = g_strdup_printf("g/e/%s", site);
+
+    lmn_put_map(q, 2);
+    lmn_put_text(q, W_IF), lmn_put_list(q, 1), put_cond(q, "g/lead", b->lead_rev);
+    lmn_put_text(q, W_THEN), lmn_put_list(q, 1), lmn_put_map(q, out ? 2 : 1);
+    lmn_put_text(q, out ? W_PUT : W_DELETE), lmn_put_text(q, key);
+    if (out)
+        lmn_put_text(q, W_VALUE), lmn_put_truth(q, true);
+    /* Said again, it is the same: an answer that was lost does no harm. */
+    if (insist(h, "POST", P_TXN, q, in) == 200) {
+        pthread_mutex_lock(&b->lock);
+        if (out)
+            g_hash_table_add(b->evicted, g_strdup(site));
+        else
+            g_hash_table_remove(b->evicted, site);
+        pthread_mutex_unlock(&b->lock);
+    }
+    g_free(key);
+    g_byte_array_unref(q);
+    g_byte_array_unref(in);
+}
+
+bool lmn_book_is_evicted(const struct lmn_book *b, const char *site)
+{
+    return g_hash_table_contains(b->evicted, site);
+}
--- a/src/gateway/book.h
+++ b/src/gateway/book.h
@@ -4,6 +4,7 @@
  * conditional on it g/i               the state's incarnation when it was last looked at
  *   g/j/REF           a job of this home: description, hand-over, when it came
  *   g/f/HOME/REF      another site's job that is, or was, here
+ *   g/e/SITE          a peer that an operator has evicted
  *
  * A record is changed by one thread at a time: taken (busy), a copy changed by a
  * transition of hand.h, written, and only then put in the place of the old. Locking:
@@ -45,7 +46,8 @@
     char digest[65];
     double leash_s;
     uint64_t rev;
-    bool busy, handed, leashed; /* leashed: its leash is over, it is being stopped */
+    bool busy, handed;
+    bool leashed; /* its leash is over, or its home calls it back: it is being stopped */
     struct lmn_progress progress;
     struct timespec polled;
 };
@@ -58,6 +60,7 @@
     pthread_cond_t idle;  /* a record is not busy any more */
     GHashTable *jobs;     /* ref -> lmn_gjob */
     GHashTable *guests;   /* HOME/REF -> lmn_guest */
+    GHashTable *evicted;  /* sites, as g/e/ has them */
     uint64_t writes, conflicts;
 };
 
@@ -90,6 +93,11 @@
  * put back. A new record that could not be written is forgotten. */
 void lmn_book_write(struct lmn_book *b, struct lmn_http *h, struct lmn_write *w,
                     unsigned n);
+/* Records that an operator has evicted the site, or that it is a peer again; in memory
+ * only once it is on the disk. The lock is not held. */
+void lmn_book_evict(struct lmn_book *b, struct lmn_http *h, const char *site, bool out);
+/* Whether it is evicted; the lock is held. */
+bool lmn_book_is_evicted(const struct lmn_book *b, const char *site);
 /* Puts back without a change. The lock is held. */
 void lmn_book_put_job(struct lmn_book *b, struct lmn_gjob *j);
 void lmn_book_put_guest(struct lmn_book *b, struct lmn_guest *g);
--- a/src/gateway/front.c
+++ b/src/gateway/front.c
@@ -17,6 +17,11 @@
 
 enum { HANDS = 8, MAX_BODY = 64 * 1024, MOST_CALLS = 512 };
 
+/* What the command line asks. */
+#define RECALL "/gateway/recall/"
+#define EVICT "/gateway/evict/"
+#define ADMIT "/gateway/admit/"
+
 static const char *const states[] = {"waits at home", "at home", "offered",
                                      "away",          "final",   "fenced"};
 
@@ -34,7 +39,7 @@
     GByteArray *b = g_byte_array_new();
     bool final = j->hand.state == LMN_H_FINAL, away = *j->hand.site && !final;
 
-    lmn_put_map(b, 9);
+    lmn_put_map(b, 10);
     lmn_put_text(b, W_ID), lmn_put_text(b, j->ref);
     lmn_put_text(b, W_STATE), lmn_put_text(b, word(j));
     lmn_put_text(b, W_DONE);
@@ -48,6 +53,7 @@
     lmn_put_text(b, "Course"), lmn_put_text(b, states[j->hand.state]);
     lmn_put_text(b, "Epoch"), lmn_put_count(b, j->hand.epoch);
     lmn_put_text(b, "Cancel"), lmn_put_truth(b, j->hand.cancel);
+    lmn_put_text(b, "Recall"), lmn_put_truth(b, j->hand.recall);
     return b;
 }
 
@@ -197,6 +203,103 @@
     lmn_call_answer(call, 200, b, 0);
 }
 
+/* Records that the job is wanted at home. True: it is known. */
+static bool recall_one(struct lmn_gateway *g, struct lmn_http *state, const char *ref)
+{
+    struct lmn_write w = {0};
+
+    pthread_mutex_lock(&g->book.lock);
+    w.job = lmn_book_take_job(&g->book, ref);
+    bool known = w.job, change = false;
+    if (known) {
+        w.home = w.job->hand;
+        change = lmn_home_recall(&w.home);
+        if (!change)
+            lmn_book_put_job(&g->book, w.job);
+    }
+    pthread_mutex_unlock(&g->book.lock);
+    if (change) {
+        lmn_info("recall job=%s site=%s", ref, w.home.site);
+        lmn_book_write(&g->book, state, &w, 1);
+    }
+    return known;
+}
+
+/* An operator wants a job at home. It is answered with where it is now: it comes when
+ * the other site has stopped it and says so. */
+static void recall(struct lmn_gateway *g, struct lmn_http *state, struct lmn_call *call,
+                   const char *ref)
+{
+    GByteArray *b = NULL;
+    bool ok = false;
+
+    if (recall_one(g, state, ref)) {
+        pthread_mutex_lock(&g->book.lock);
+        const struct lmn_gjob *j = g_hash_table_lookup(g->book.jobs, ref);
+        ok = j && (j->hand.recall || j->hand.state == LMN_H_FINAL);
+        b = ok ? job_answer(g, j) : NULL;
+        bool fenced = j && j->hand.state == LMN_H_FENCED;
+        pthread_mutex_unlock(&g->book.lock);
+        if (fenced)
+            lmn_call_fail(call, 409, "fenced: see unfence");
+        else
+            lmn_call_answer(call, ok ? 200 : 503, b, ok ? 0 : 1);
+    } else {
+        lmn_call_answer(call, 404, NULL, 0);
+    }
+}
+
+/* Nothing goes to the site or comes from it any more; what is there is called back. What
+ * runs here for it ends here, and is told to it: its home waits for that. */
+static void evict(struct lmn_gateway *g, struct lmn_http *state, struct lmn_call *call,
+                  const char *site, bool out)
+{
+    GPtrArray *refs = g_ptr_array_new_with_free_func(g_free);
+    GHashTableIter it;
+    gpointer x;
+    bool known = false;
+
+    for (unsigned i = 0; i < g->o->npeers; i++)
+        known = known || !strcmp(g->o->peers[i].site, site);
+    if (known)
+        lmn_book_evict(&g->book, state, site, out);
+    pthread_mutex_lock(&g->book.lock);
+    bool ok = known && lmn_book_is_evicted(&g->book, site) == out;
+    g_hash_table_iter_init(&it, g->book.jobs);
+    while (ok && out && g_hash_table_iter_next(&it, NULL, &x)) {
+        const struct lmn_gjob *j = x;
+        /* An offer that is being written when the eviction is may not stand in memory
+         * yet: one that is busy is looked at as well. */
+        if (j->busy || ((j->hand.state == LMN_H_OFFERED || j->hand.state == LMN_H_AWAY) &&
+                        !strcmp(j->hand.site, site)))
+            g_ptr_array_add(refs, g_strdup(j->ref));
+    }
+    pthread_mutex_unlock(&g->book.lock);
+    uint64_t called = 0;
+    for (guint i = 0; i < refs->len; i++) {
+        pthread_mutex_lock(&g->book.lock);
+        struct lmn_gjob *j = lmn_book_take_job(&g->book, refs->pdata[i]);
+        bool there = j &&
+                     (j->hand.state == LMN_H_OFFERED || j->hand.state == LMN_H_AWAY) &&
+                     !strcmp(j->hand.site, site);
+        if (j)
+            lmn_book_put_job(&g->book, j);
+        pthread_mutex_unlock(&g->book.lock);
+        called += there && recall_one(g, state, refs->pdata[i]);
+    }
+    g_ptr_array_free(refs, TRUE);
+    if (ok) {
+        GByteArray *b = g_byte_array_new();
+        lmn_info("%s site=%s called_back=%" G_GUINT64_FORMAT,
+                 out ? "evicted" : "admitted", site, called);
+        lmn_put_map(b, 1);
+        lmn_put_text(b, "Jobs"), lmn_put_count(b, called);
+        lmn_call_answer(call, 200, b, 0);
+    } else {
+        lmn_call_answer(call, known ? 503 : 404, NULL, known ? 1 : 0);
+    }
+}
+
 static void *hand(void *arg)
 {
     struct lmn_gateway *g = arg;
@@ -214,6 +317,12 @@
             submit(g, state, depot, call);
         } else if (!strcmp(path, "/gateway/unfence")) {
             unfence(g, state, call);
+        } else if (g_str_has_prefix(path, RECALL)) {
+            recall(g, state, call, path + strlen(RECALL));
+        } else if (g_str_has_prefix(path, EVICT)) {
+            evict(g, state, call, path + strlen(EVICT), true);
+        } else if (g_str_has_prefix(path, ADMIT)) {
+            evict(g, state, call, path + strlen(ADMIT), false);
         } else {
             char *ref = g_strdup(path + strlen(P_JOBS "/"));
             ref[strlen(ref) - strlen(P_CANCEL)] = '\0';
@@ -268,11 +377,13 @@
     lmn_put_text(b, "Peers"), lmn_put_list(b, g->o->npeers);
     for (unsigned i = 0; i < g->o->npeers; i++) {
         const struct lmn_gpeer *p = &g->peers[i];
-        lmn_put_map(b, 11);
+        lmn_put_map(b, 12);
         lmn_put_text(b, "Site"), lmn_put_text(b, g->o->peers[i].site);
         lmn_put_text(b, "Address"), lmn_put_text(b, g->o->addresses[i][0]);
         lmn_put_text(b, "Up"), lmn_put_truth(b, p->up);
         lmn_put_text(b, "SilentS"), lmn_put_number(b, lmn_since(lmn_now(), p->heard));
+        lmn_put_text(b, "Evicted");
+        lmn_put_truth(b, lmn_book_is_evicted(&g->book, g->o->peers[i].site));
         lmn_put_text(b, "Alarm"), lmn_put_truth(b, p->alarmed);
         lmn_put_text(b, "Why"), lmn_put_text(b, p->up ? "" : p->why);
         lmn_put_text(b, "OffersOut"), lmn_put_count(b, p->offers_out);
@@ -347,7 +458,9 @@
     else if (get && g_str_has_prefix(path, P_JOBS "/"))
         poll_job(g, call, path + strlen(P_JOBS "/"));
     else if (post &&
-             (!strcmp(path, P_JOBS) || aborts || !strcmp(path, "/gateway/unfence")))
+             (!strcmp(path, P_JOBS) || aborts || !strcmp(path, "/gateway/unfence") ||
+              g_str_has_prefix(path, RECALL) || g_str_has_prefix(path, EVICT) ||
+              g_str_has_prefix(path, ADMIT)))
         queue_call(g, call);
     else
         lmn_call_answer(call, 404, NULL, 0);
--- a/src/gateway/gateway_wire.x
+++ b/src/gateway/gateway_wire.x
@@ -48,7 +48,7 @@
 struct lmn_g_reply {
     struct lmn_g_item heard<LMN_G_ITEMS>;   /* outcomes that the home has recorded */
     struct lmn_g_item resolve<LMN_G_ITEMS>; /* offers whose answer it lacks */
-    struct lmn_g_item cancel<LMN_G_ITEMS>;
+    struct lmn_g_item cancel<LMN_G_ITEMS>;  /* to be stopped; outcome: withdrawn, or returned */
     struct lmn_g_offer offers<LMN_G_OFFERS>;
     double queued_cpu_s; /* work that waits at the home */
 };
--- a/src/gateway/hand.c
+++ b/src/gateway/hand.c
@@ -6,7 +6,7 @@
 bool lmn_home_offer(struct lmn_home *h, const char *site, uint64_t incarnation,
                     uint32_t most)
 {
-    if (h->state != LMN_H_QUEUED || h->cancel || h->transfers >= most)
+    if (h->state != LMN_H_QUEUED || h->cancel || h->recall || h->transfers >= most)
         return false;
     h->state = LMN_H_OFFERED;
     h->epoch++;
@@ -97,6 +97,14 @@
     return true;
 }
 
+bool lmn_home_recall(struct lmn_home *h)
+{
+    if (h->state == LMN_H_FINAL || h->state == LMN_H_FENCED || h->recall)
+        return false;
+    h->recall = true;
+    return true;
+}
+
 bool lmn_home_conclude(struct lmn_home *h, bool may_run_again)
 {
     if (h->state != LMN_H_OFFERED && h->state != LMN_H_AWAY)
--- a/src/gateway/hand.h
+++ b/src/gateway/hand.h
@@ -46,6 +46,7 @@
     uint64_t incarnation;          /* of that site's state, as it was at the offer */
     enum lmn_outcome_word outcome; /* FINAL: done or withdrawn */
     bool cancel;                   /* its user has asked */
+    bool recall;                   /* an operator wants it at home, and it stays there */
     uint32_t transfers;
 };
 
@@ -67,6 +68,10 @@
 /* Its user asks: what waits at home is withdrawn at once, what is elsewhere when that is
  * true. */
 bool lmn_home_cancel(struct lmn_home *h);
+/* An operator wants it at home: what waits there is not offered any more, what is
+ * elsewhere is to be stopped there, and comes back when the host says that it has
+ * been. False: there is nothing to change. */
+bool lmn_home_recall(struct lmn_home *h);
 /* Not used yet: the host surely has stopped it by now (its leash is over, and somebody
  * other than its gateway sees to that): a job that was cancelled is withdrawn, one that
  * may run again waits at home. */
--- a/src/gateway/sync.c
+++ b/src/gateway/sync.c
@@ -22,7 +22,7 @@
 /* An offer without an answer is asked about after so long. */
 static const double RESOLVE_S = 1.5;
 
-enum { PROTOCOL = 1, MOST_ITEMS = LMN_G_ITEMS, MAX_LINKS = 64 };
+enum { PROTOCOL = 2, MOST_ITEMS = LMN_G_ITEMS, MAX_LINKS = 64 };
 
 static const char *site_of(const struct lmn_gpeer *p)
 {
@@ -195,7 +195,10 @@
     bool team = false;
     for (unsigned i = 0; sane && i < g->o->nteams; i++)
         team = team || !strcmp(g->o->teams[i], spec.team);
-    room = room && sane && team && fetch_blob(k, o->digest);
+    pthread_mutex_lock(&g->book.lock);
+    room = room && sane && team && !lmn_book_is_evicted(&g->book, site_of(k->p));
+    pthread_mutex_unlock(&g->book.lock);
+    room = room && fetch_blob(k, o->digest);
     pthread_mutex_lock(&g->book.lock);
     w.guest = lmn_book_take_guest(&g->book, site_of(k->p), o->ref);
     if (!w.guest && sane) {
@@ -300,8 +303,17 @@
     w.guest = lmn_book_take_guest(&g->book, site_of(k->p), i->ref);
     if (w.guest)
         w.host = w.guest->hand;
-    bool change = w.guest && (cancel ? lmn_host_cancel(&w.host, i->epoch)
-                                     : lmn_host_heard(&w.host, i->epoch));
+    bool recall = cancel && i->outcome == LMN_O_RETURNED;
+    /* A job that is called back is stopped as one whose leash is over. In memory: its
+     * home says so again until it has come. */
+    if (w.guest && recall && w.host.state == LMN_HO_RUNS && w.host.epoch == i->epoch &&
+        !w.guest->leashed) {
+        lmn_info("called-back home=%s job=%s", w.guest->home, w.guest->ref);
+        w.guest->leashed = true;
+    }
+    bool change =
+        w.guest && !recall &&
+        (cancel ? lmn_host_cancel(&w.host, i->epoch) : lmn_host_heard(&w.host, i->epoch));
     if (change)
         g_array_append_val(writes, w);
     else if (w.guest)
@@ -473,7 +485,9 @@
         }
         struct lmn_route_peer view[LMN_MAX_PEERS];
         for (unsigned i = 0; i < g->o->npeers; i++)
-            view[i] = (struct lmn_route_peer){g->peers[i].up, g->peers[i].queued_cpu_s};
+            view[i] = (struct lmn_route_peer){
+                g->peers[i].up && !lmn_book_is_evicted(&g->book, site_of(&g->peers[i])),
+                g->peers[i].queued_cpu_s};
         int busiest = lmn_route_pick(g->rng, view, g->o->npeers);
         if (busiest >= 0) {
             g->peers[busiest].pull = LMN_G_OFFERS;
@@ -603,7 +617,7 @@
                                         g->o->feed_s * g->o->cpus - work_s, g->o->share};
     unsigned most = MIN(q->most, LMN_G_OFFERS);
     most = MIN(most, g->o->most_transit > transit ? g->o->most_transit - transit : 0);
-    if (!g->fenced && p->incarnation)
+    if (!g->fenced && p->incarnation && !lmn_book_is_evicted(b, a->site))
         n = lmn_route_choose(jobs, v->len, &home, q->room_cpus, most, picks);
     for (unsigned i = 0; i < n; i++) {
         struct lmn_gjob *j = v->pdata[picks[i]];
@@ -634,7 +648,7 @@
         if ((!offered && !away) || strcmp(j->hand.site, a->site))
             continue;
         GArray *to = offered && lmn_since(lmn_now(), j->offered) > RESOLVE_S ? resolve
-                     : away && j->hand.cancel                                ? cancel
+                     : away && (j->hand.cancel || j->hand.recall)            ? cancel
                                                                              : NULL;
         if (!to || to->len >= MOST_ITEMS)
             continue;
@@ -642,6 +656,7 @@
         i->ref = g_strdup(j->ref);
         i->epoch = j->hand.epoch;
         i->incarnation = j->hand.incarnation;
+        i->outcome = j->hand.cancel ? LMN_O_WITHDRAWN : LMN_O_RETURNED;
     }
     pthread_mutex_unlock(&a->g->book.lock);
 }
