Gateway: what goes round looks at open jobs only; one way to change, order and find

Cause: every pass, sync and pull went through all records, final ones too, which are kept for ever. The home's order, the search for a peer, 'is it at that site', the counting by course, and taking a job through an operator's transition were each written two to five times.

Change: the book keeps jobs without an outcome and guests that are not done with in tables of their own, kept where records are installed; whatever goes round uses them. lmn_waiting, lmn_peer_named, lmn_home_is_at, count_courses, change_job and change_all replace the copies. An eviction is looked up once an answer, not once an offer. Behaviour as before, but unfence says how many jobs it changed, not how many it found.

--- a/src/gateway/book.c
+++ b/src/gateway/book.c
@@ -82,6 +82,23 @@
     return v;
 }
 
+/* Puts a record among those that are open, or takes it out. */
+static void sort_job(struct lmn_book *b, struct lmn_gjob *j)
+{
+    if (j->hand.state != LMN_H_FINAL)
+        g_hash_table_insert(b->open_jobs, j->ref, j);
+    else
+        g_hash_table_remove(b->open_jobs, j->ref);
+}
+
+static void sort_guest(struct lmn_book *b, struct lmn_guest *g)
+{
+    if (g->hand.state == LMN_HO_RUNS || (g->hand.state == LMN_HO_OVER && !g->hand.heard))
+        g_hash_table_insert(b->open_guests, g->key, g);
+    else
+        g_hash_table_remove(b->open_guests, g->key);
+}
+
 static void read_job(struct lmn_book *b, const char *ref, const struct lmn_doc *d,
                      const struct lmn_node *v, uint64_t rev)
 {
@@ -108,6 +125,7 @@
     j->hand.transfers = (uint32_t)count_of(d, v, "transfers");
     j->rev = rev;
     g_hash_table_insert(b->jobs, j->ref, j);
+    sort_job(b, j);
 }
 
 static void read_guest(struct lmn_book *b, const char *key, const struct lmn_doc *d,
@@ -137,6 +155,7 @@
     g->rev = rev;
     lmn_guest_local(g->home, g->ref, g->hand.epoch, g->local);
     g_hash_table_insert(b->guests, g->key, g);
+    sort_guest(b, g);
 }
 
 static void read_all(struct lmn_book *b, struct lmn_http *h)
@@ -278,6 +297,8 @@
     lmn_cond_init(&b->idle);
     b->jobs = g_hash_table_new(g_str_hash, g_str_equal);
     b->guests = g_hash_table_new(g_str_hash, g_str_equal);
+    b->open_jobs = g_hash_table_new(g_str_hash, g_str_equal);
+    b->open_guests = g_hash_table_new(g_str_hash, g_str_equal);
     b->evicted = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     while (!b->lead_rev) {
         b->lease = new_lease(h, in);
@@ -349,6 +370,7 @@
     j->at = lmn_seconds(lmn_wall());
     j->progress.known = lmn_now();
     g_hash_table_insert(b->jobs, j->ref, j);
+    sort_job(b, j);
     return j;
 }
 
@@ -476,6 +498,7 @@
     w->ok = true;
     if (w->job) {
         w->job->hand = w->home;
+        sort_job(b, w->job);
         w->job->rev = rev;
     } else {
         if (w->host.epoch != w->guest->hand.epoch) {
@@ -483,6 +506,7 @@
             w->guest->progress = (struct lmn_progress){0};
         }
         w->guest->hand = w->host;
+        sort_guest(b, w->guest);
         w->guest->rev = rev;
         lmn_guest_local(w->guest->home, w->guest->ref, w->host.epoch, w->guest->local);
     }
@@ -493,11 +517,13 @@
 {
     if (w->job && !w->job->rev) {
         g_hash_table_remove(b->jobs, w->job->ref);
+        g_hash_table_remove(b->open_jobs, w->job->ref);
         lmn_spec_clear(&w->job->spec);
         g_clear_pointer(&w->job, g_free);
         pthread_cond_broadcast(&b->idle);
     } else if (w->guest && !w->guest->rev) {
         g_hash_table_remove(b->guests, w->guest->key);
+        g_hash_table_remove(b->open_guests, w->guest->key);
         lmn_spec_clear(&w->guest->spec);
         g_free(w->guest->key);
         g_clear_pointer(&w->guest, g_free);
--- a/src/gateway/book.h
+++ b/src/gateway/book.h
@@ -60,7 +60,11 @@
     pthread_cond_t idle;  /* a record is not busy any more */
     GHashTable *jobs;     /* ref -> lmn_gjob */
     GHashTable *guests;   /* HOME/REF -> lmn_guest */
-    GHashTable *evicted;  /* sites, as g/e/ has them */
+    /* Of those, what there may still be something to do for: jobs without an outcome,
+     * guests that run here or whose outcome their home has not heard. Everything that
+     * goes round looks at these alone: the rest grows for ever. */
+    GHashTable *open_jobs, *open_guests;
+    GHashTable *evicted; /* sites, as g/e/ has them */
     uint64_t writes, conflicts;
 };
 
--- a/src/gateway/feed.c
+++ b/src/gateway/feed.c
@@ -201,13 +201,11 @@
 {
     if (x->leash_s <= 0 || x->leashed)
         return;
-    for (unsigned i = 0; i < f->g->o->npeers; i++)
-        if (!strcmp(f->g->o->peers[i].site, x->home) &&
-            lmn_since(now, f->g->peers[i].synced) > x->leash_s) {
-            lmn_info("leash-over home=%s job=%s", x->home, x->ref);
-            x->leashed =
-                true; /* in memory: after a restart it is counted anew, which is later */
-        }
+    const struct lmn_gpeer *p = lmn_peer_named(f->g, x->home);
+    if (!p || lmn_since(now, p->synced) <= x->leash_s)
+        return;
+    lmn_info("leash-over home=%s job=%s", x->home, x->ref);
+    x->leashed = true; /* in memory: after a restart it is counted anew, which is later */
 }
 
 static GPtrArray *due_runs(struct feeder *f)
@@ -218,7 +216,7 @@
     gpointer p;
 
     pthread_mutex_lock(&f->g->book.lock);
-    g_hash_table_iter_init(&it, f->g->book.jobs);
+    g_hash_table_iter_init(&it, f->g->book.open_jobs);
     while (g_hash_table_iter_next(&it, NULL, &p)) {
         struct lmn_gjob *j = p;
         if (j->hand.state != LMN_H_LOCAL || lmn_since(now, j->polled) < POLL_S)
@@ -226,7 +224,7 @@
         j->polled = now;
         add_run(v, j, NULL);
     }
-    g_hash_table_iter_init(&it, f->g->book.guests);
+    g_hash_table_iter_init(&it, f->g->book.open_guests);
     while (g_hash_table_iter_next(&it, NULL, &p)) {
         struct lmn_guest *x = p;
         if (x->hand.state != LMN_HO_RUNS || lmn_since(now, x->polled) < POLL_S)
@@ -239,35 +237,16 @@
     return v;
 }
 
-/* The next that the own controllers get: by urgency, then the oldest. */
-static gint by_order(gconstpointer a, gconstpointer b)
-{
-    const struct lmn_gjob *x = *(struct lmn_gjob *const *)a,
-                          *y = *(struct lmn_gjob *const *)b;
-
-    if (x->spec.urgency != y->spec.urgency)
-        return x->spec.urgency > y->spec.urgency ? -1 : 1;
-    return x->at < y->at ? -1 : x->at > y->at;
-}
-
+/* The next that the own controllers get. */
 static void feed(struct feeder *f)
 {
     struct lmn_book *b = &f->g->book;
     GArray *w = g_array_new(FALSE, TRUE, sizeof(struct lmn_write));
-    GPtrArray *v = g_ptr_array_new();
-    GHashTableIter it;
-    gpointer p;
 
     pthread_mutex_lock(&b->lock);
     double cpus, handed, most = f->g->o->feed_s * f->g->o->cpus;
     lmn_handed(f->g, &cpus, &handed);
-    g_hash_table_iter_init(&it, b->jobs);
-    while (handed < most && g_hash_table_iter_next(&it, NULL, &p)) {
-        struct lmn_gjob *j = p;
-        if (j->hand.state == LMN_H_QUEUED && !j->busy)
-            g_ptr_array_add(v, j);
-    }
-    g_ptr_array_sort(v, by_order);
+    GPtrArray *v = handed < most ? lmn_waiting(f->g) : g_ptr_array_new();
     for (guint i = 0; i < v->len && handed < most; i++) {
         struct lmn_gjob *j = v->pdata[i];
         struct lmn_write x = {.job = j, .home = j->hand};
--- a/src/gateway/front.c
+++ b/src/gateway/front.c
@@ -24,6 +24,7 @@
 
 static const char *const states[] = {"waits at home", "at home", "offered",
                                      "away",          "final",   "fenced"};
+enum { COURSES = G_N_ELEMENTS(states) };
 
 /* Queued, running, done or withdrawn, as the protocol says. */
 static const char *word(const struct lmn_gjob *j)
@@ -129,100 +130,98 @@
     lmn_call_answer(call, 201, b, 0);
 }
 
-/* What waits at home is withdrawn at once; what runs, when that is true: until then the
- * answer is honest, and says when to ask again. */
-static void cancel(struct lmn_gateway *g, struct lmn_http *state, struct lmn_call *call,
-                   const char *ref)
+enum changed { UNKNOWN, AS_IT_WAS, CHANGED };
+
+/* Takes the job through the transition, on the disk before it returns. site: only if it
+ * is there; NULL: wherever it is. */
+static enum changed change_job(struct lmn_gateway *g, struct lmn_http *state,
+                               const char *ref, const char *site,
+                               bool (*transition)(struct lmn_home *))
 {
     struct lmn_write w = {0};
 
     pthread_mutex_lock(&g->book.lock);
     w.job = lmn_book_take_job(&g->book, ref);
-    if (w.job)
+    bool known = w.job, change = false;
+    if (known) {
         w.home = w.job->hand;
-    bool change = w.job && lmn_home_cancel(&w.home);
-    if (w.job && !change)
-        lmn_book_put_job(&g->book, w.job);
+        change = (!site || lmn_home_is_at(&w.home, site)) && transition(&w.home);
+        if (!change)
+            lmn_book_put_job(&g->book, w.job);
+    }
     pthread_mutex_unlock(&g->book.lock);
-    if (!w.job) {
+    if (change && transition == lmn_home_recall)
+        lmn_info("recall job=%s site=%s", ref, w.home.site);
+    if (change)
+        lmn_book_write(&g->book, state, &w, 1);
+    return change ? CHANGED : known ? AS_IT_WAS : UNKNOWN;
+}
+
+/* What waits at home is withdrawn at once; what runs, when that is true: until then the
+ * answer is honest, and says when to ask again. */
+static void cancel(struct lmn_gateway *g, struct lmn_http *state, struct lmn_call *call,
+                   const char *ref)
+{
+    enum changed change = change_job(g, state, ref, NULL, lmn_home_cancel);
+
+    if (change == UNKNOWN) {
         lmn_call_answer(call, 404, NULL, 0);
         return;
     }
-    if (change)
-        lmn_book_write(&g->book, state, &w, 1);
     pthread_mutex_lock(&g->book.lock);
     const struct lmn_gjob *j = g_hash_table_lookup(g->book.jobs, ref);
-    bool final = j->hand.state == LMN_H_FINAL, reached = true;
-    for (unsigned i = 0; i < g->o->npeers; i++)
-        if (!strcmp(g->o->peers[i].site, j->hand.site))
-            reached = g->peers[i].up;
+    bool final = j->hand.state == LMN_H_FINAL;
+    const struct lmn_gpeer *p = lmn_peer_named(g, j->hand.site);
     GByteArray *b = final ? job_answer(g, j) : NULL;
-    g->cancelled += change;
+    bool reached = !p || p->up;
+    g->cancelled += change == CHANGED;
     pthread_mutex_unlock(&g->book.lock);
     lmn_call_answer(call, final ? 200 : 503, b, final ? 0 : reached ? 1 : 10);
 }
 
-static GPtrArray *fenced_jobs(struct lmn_gateway *g)
+/* Takes every job without an outcome through the transition; how many were changed. One
+ * that somebody holds is waited for. site: see change_job. */
+static uint64_t change_all(struct lmn_gateway *g, struct lmn_http *state,
+                           const char *site, bool (*transition)(struct lmn_home *))
 {
-    GPtrArray *v = g_ptr_array_new_with_free_func(g_free);
+    GPtrArray *refs = g_ptr_array_new_with_free_func(g_free);
     GHashTableIter it;
     gpointer x;
+    uint64_t n = 0;
 
     pthread_mutex_lock(&g->book.lock);
-    g_hash_table_iter_init(&it, g->book.jobs);
-    while (g_hash_table_iter_next(&it, NULL, &x))
-        if (((struct lmn_gjob *)x)->hand.state == LMN_H_FENCED)
-            g_ptr_array_add(v, g_strdup(((struct lmn_gjob *)x)->ref));
+    g_hash_table_iter_init(&it, g->book.open_jobs);
+    while (g_hash_table_iter_next(&it, NULL, &x)) {
+        const struct lmn_gjob *j = x;
+        struct lmn_home h = j->hand;
+        /* What is being written may become so. */
+        if (j->busy || ((!site || lmn_home_is_at(&h, site)) && transition(&h)))
+            g_ptr_array_add(refs, g_strdup(j->ref));
+    }
     pthread_mutex_unlock(&g->book.lock);
-    return v;
+    for (guint i = 0; i < refs->len; i++)
+        n += change_job(g, state, refs->pdata[i], site, transition) == CHANGED;
+    g_ptr_array_free(refs, TRUE);
+    return n;
 }
 
-/* An operator has found out that nothing of the fenced jobs runs: they wait at home
- * again. */
-static void unfence(struct lmn_gateway *g, struct lmn_http *state, struct lmn_call *call)
+static void answer_jobs(struct lmn_call *call, uint64_t n)
 {
-    GPtrArray *refs = fenced_jobs(g);
     GByteArray *b = g_byte_array_new();
 
-    for (guint i = 0; i < refs->len; i++) {
-        struct lmn_write w = {0};
-        pthread_mutex_lock(&g->book.lock);
-        w.job = lmn_book_take_job(&g->book, refs->pdata[i]);
-        w.home = w.job->hand;
-        bool change = lmn_home_unfence(&w.home);
-        if (!change)
-            lmn_book_put_job(&g->book, w.job);
-        pthread_mutex_unlock(&g->book.lock);
-        if (change)
-            lmn_book_write(&g->book, state, &w, 1);
-    }
-    lmn_info("unfenced jobs=%u", refs->len);
     lmn_put_map(b, 1);
-    lmn_put_text(b, "Jobs"), lmn_put_count(b, refs->len);
-    g_ptr_array_free(refs, TRUE);
+    lmn_put_text(b, "Jobs"), lmn_put_count(b, n);
     lmn_call_answer(call, 200, b, 0);
 }
 
-/* Records that the job is wanted at home. True: it is known. */
-static bool recall_one(struct lmn_gateway *g, struct lmn_http *state, const char *ref)
+/* An operator has found out that nothing of the fenced jobs runs: they wait at home
+ * again. */
+static void unfence(struct lmn_gateway *g, struct lmn_http *state, struct lmn_call *call)
 {
-    struct lmn_write w = {0};
+    uint64_t n = change_all(g, state, NULL, lmn_home_unfence);
 
-    pthread_mutex_lock(&g->book.lock);
-    w.job = lmn_book_take_job(&g->book, ref);
-    bool known = w.job, change = false;
-    if (known) {
-        w.home = w.job->hand;
-        change = lmn_home_recall(&w.home);
-        if (!change)
-            lmn_book_put_job(&g->book, w.job);
-    }
-    pthread_mutex_unlock(&g->book.lock);
-    if (change) {
-        lmn_info("recall job=%s site=%s", ref, w.home.site);
-        lmn_book_write(&g->book, state, &w, 1);
-    }
-    return known;
+    lmn_info("unfenced jobs=%" G_GUINT64_FORMAT, n);
+    answer_jobs(call, n);
 }
 
 /* An operator wants a job at home. It is answered with where it is now: it comes when
@@ -230,23 +229,20 @@
 static void recall(struct lmn_gateway *g, struct lmn_http *state, struct lmn_call *call,
                    const char *ref)
 {
-    GByteArray *b = NULL;
-    bool ok = false;
-
-    if (recall_one(g, state, ref)) {
-        pthread_mutex_lock(&g->book.lock);
-        const struct lmn_gjob *j = g_hash_table_lookup(g->book.jobs, ref);
-        ok = j && (j->hand.recall || j->hand.state == LMN_H_FINAL);
-        b = ok ? job_answer(g, j) : NULL;
-        bool fenced = j && j->hand.state == LMN_H_FENCED;
-        pthread_mutex_unlock(&g->book.lock);
-        if (fenced)
-            lmn_call_fail(call, 409, "fenced: see unfence");
-        else
-            lmn_call_answer(call, ok ? 200 : 503, b, ok ? 0 : 1);
-    } else {
+    if (change_job(g, state, ref, NULL, lmn_home_recall) == UNKNOWN) {
         lmn_call_answer(call, 404, NULL, 0);
+        return;
     }
+    pthread_mutex_lock(&g->book.lock);
+    const struct lmn_gjob *j = g_hash_table_lookup(g->book.jobs, ref);
+    bool ok = j->hand.recall || j->hand.state == LMN_H_FINAL,
+         fenced = j->hand.state == LMN_H_FENCED;
+    GByteArray *b = ok && !fenced ? job_answer(g, j) : NULL;
+    pthread_mutex_unlock(&g->book.lock);
+    if (fenced)
+        lmn_call_fail(call, 409, "fenced: see unfence");
+    else
+        lmn_call_answer(call, ok ? 200 : 503, b, ok ? 0 : 1);
 }
 
 /* Nothing goes to the site or comes from it any more; what is there is called back. What
@@ -254,50 +250,22 @@
 static void evict(struct lmn_gateway *g, struct lmn_http *state, struct lmn_call *call,
                   const char *site, bool out)
 {
-    GPtrArray *refs = g_ptr_array_new_with_free_func(g_free);
-    GHashTableIter it;
-    gpointer x;
-    bool known = false;
-
-    for (unsigned i = 0; i < g->o->npeers; i++)
-        known = known || !strcmp(g->o->peers[i].site, site);
-    if (known)
-        lmn_book_evict(&g->book, state, site, out);
-    pthread_mutex_lock(&g->book.lock);
-    bool ok = known && lmn_book_is_evicted(&g->book, site) == out;
-    g_hash_table_iter_init(&it, g->book.jobs);
-    while (ok && out && g_hash_table_iter_next(&it, NULL, &x)) {
-        const struct lmn_gjob *j = x;
-        /* An offer that is being written when the eviction is may not stand in memory
-         * yet: one that is busy is looked at as well. */
-        if (j->busy || ((j->hand.state == LMN_H_OFFERED || j->hand.state == LMN_H_AWAY) &&
-                        !strcmp(j->hand.site, site)))
-            g_ptr_array_add(refs, g_strdup(j->ref));
+    if (!lmn_peer_named(g, site)) {
+        lmn_call_answer(call, 404, NULL, 0);
+        return;
     }
+    lmn_book_evict(&g->book, state, site, out);
+    pthread_mutex_lock(&g->book.lock);
+    bool ok = lmn_book_is_evicted(&g->book, site) == out;
     pthread_mutex_unlock(&g->book.lock);
-    uint64_t called = 0;
-    for (guint i = 0; i < refs->len; i++) {
-        pthread_mutex_lock(&g->book.lock);
-        struct lmn_gjob *j = lmn_book_take_job(&g->book, refs->pdata[i]);
-        bool there = j &&
-                     (j->hand.state == LMN_H_OFFERED || j->hand.state == LMN_H_AWAY) &&
-                     !strcmp(j->hand.site, site);
-        if (j)
-            lmn_book_put_job(&g->book, j);
-        pthread_mutex_unlock(&g->book.lock);
-        called += there && recall_one(g, state, refs->pdata[i]);
-    }
-    g_ptr_array_free(refs, TRUE);
-    if (ok) {
-        GByteArray *b = g_byte_array_new();
-        lmn_info("%s site=%s called_back=%" G_GUINT64_FORMAT,
-                 out ? "evicted" : "admitted", site, called);
-        lmn_put_map(b, 1);
-        lmn_put_text(b, "Jobs"), lmn_put_count(b, called);
-        lmn_call_answer(call, 200, b, 0);
-    } else {
-        lmn_call_answer(call, known ? 503 : 404, NULL, known ? 1 : 0);
+    if (!ok) {
+        lmn_call_answer(call, 503, NULL, 1);
+        return;
     }
+    uint64_t n = out ? change_all(g, state, site, lmn_home_recall) : 0;
+    lmn_info("%s site=%s called_back=%" G_GUINT64_FORMAT, out ? "evicted" : "admitted",
+             site, n);
+    answer_jobs(call, n);
 }
 
 static void *hand(void *arg)
@@ -345,28 +313,40 @@
     lmn_call_answer(call, b ? 200 : 404, b, 0);
 }
 
+/* Jobs by their course; the lock is held. */
+static void count_courses(const struct lmn_gateway *g, uint64_t n[COURSES])
+{
+    const struct lmn_book *b = &g->book;
+    GHashTableIter it;
+    gpointer x;
+
+    memset(n, 0, COURSES * sizeof *n);
+    g_hash_table_iter_init(&it, b->open_jobs);
+    while (g_hash_table_iter_next(&it, NULL, &x))
+        n[((struct lmn_gjob *)x)->hand.state]++;
+    n[LMN_H_FINAL] = g_hash_table_size(b->jobs) - g_hash_table_size(b->open_jobs);
+}
+
 static void status(struct lmn_gateway *g, struct lmn_call *call)
 {
     GByteArray *b = g_byte_array_new();
-    uint64_t n[6] = {0}, guests = 0, untold = 0;
+    uint64_t n[COURSES], guests = 0, untold = 0;
     GHashTableIter it;
     gpointer x;
 
     pthread_mutex_lock(&g->book.lock);
-    g_hash_table_iter_init(&it, g->book.jobs);
-    while (g_hash_table_iter_next(&it, NULL, &x))
-        n[((struct lmn_gjob *)x)->hand.state]++;
-    g_hash_table_iter_init(&it, g->book.guests);
+    count_courses(g, n);
+    g_hash_table_iter_init(&it, g->book.open_guests);
     while (g_hash_table_iter_next(&it, NULL, &x)) {
-        const struct lmn_guest *guest = x;
-        guests += guest->hand.state == LMN_HO_RUNS;
-        untold += guest->hand.state == LMN_HO_OVER && !guest->hand.heard;
+        bool runs = ((struct lmn_guest *)x)->hand.state == LMN_HO_RUNS;
+        guests += runs;
+        untold += !runs;
     }
     lmn_put_map(b, 8);
     lmn_put_text(b, "Site"), lmn_put_text(b, g->o->site);
     lmn_put_text(b, "Gateway"), lmn_put_text(b, g->o->name);
-    lmn_put_text(b, "Jobs"), lmn_put_map(b, 6);
-    for (int i = 0; i < 6; i++)
+    lmn_put_text(b, "Jobs"), lmn_put_map(b, COURSES);
+    for (int i = 0; i < COURSES; i++)
         lmn_put_text(b, states[i]), lmn_put_count(b, n[i]);
     lmn_put_text(b, "Guests"), lmn_put_count(b, guests);
     lmn_put_text(b, "OutcomesUntold"), lmn_put_count(b, untold);
@@ -399,17 +379,13 @@
 static void metrics(void *arg, GString *out)
 {
     struct lmn_gateway *g = arg;
-    uint64_t n[6] = {0};
-    GHashTableIter it;
-    gpointer x;
+    uint64_t n[COURSES];
 
     pthread_mutex_lock(&g->book.lock);
-    g_hash_table_iter_init(&it, g->book.jobs);
-    while (g_hash_table_iter_next(&it, NULL, &x))
-        n[((struct lmn_gjob *)x)->hand.state]++;
+    count_courses(g, n);
     lmn_metric_head(out, "lemonspar_gateway_jobs", "gauge",
                     "Jobs of this home, by their course");
-    for (int i = 0; i < 6; i++)
+    for (int i = 0; i < COURSES; i++)
         lmn_metric_sample(out, "lemonspar_gateway_jobs", "course", states[i],
                           (double)n[i]);
     lmn_metric_head(out, "lemonspar_gateway_peer_silent_seconds", "gauge",
--- a/src/gateway/gateway_part.h
+++ b/src/gateway/gateway_part.h
@@ -54,6 +54,11 @@
 void lmn_handed(const struct lmn_gateway *g, double *cpus, double *work_s);
 /* Processor seconds that wait at home; the lock is held. */
 double lmn_queued_cpu_s(const struct lmn_gateway *g);
+/* The jobs that wait at home and that nobody holds, in the order in which the home starts
+ * them: by urgency, then the oldest. The lock is held; the caller frees the array. */
+GPtrArray *lmn_waiting(const struct lmn_gateway *g);
+/* NULL: there is no such peer. */
+struct lmn_gpeer *lmn_peer_named(struct lmn_gateway *g, const char *site);
 /* Tells the peer's thread that there is something to say; the lock is held. */
 void lmn_peer_poke(struct lmn_gateway *g, const char *site);
 
--- a/src/gateway/hand.c
+++ b/src/gateway/hand.c
@@ -3,6 +3,16 @@
 #include <glib.h>
 #include <string.h>
 
+static bool handed_over(const struct lmn_home *h)
+{
+    return h->state == LMN_H_OFFERED || h->state == LMN_H_AWAY;
+}
+
+bool lmn_home_is_at(const struct lmn_home *h, const char *site)
+{
+    return handed_over(h) && !strcmp(h->site, site);
+}
+
 bool lmn_home_offer(struct lmn_home *h, const char *site, uint64_t incarnation,
                     uint32_t most)
 {
@@ -54,11 +64,8 @@
                      uint64_t epoch, enum lmn_answer answer,
                      enum lmn_outcome_word outcome, bool *heard)
 {
-    bool ours = epoch == h->epoch && !strcmp(site, h->site);
-
     *heard = false;
-    if (h->state == LMN_H_FINAL ||
-        (h->state != LMN_H_OFFERED && h->state != LMN_H_AWAY) || !ours) {
+    if (!lmn_home_is_at(h, site) || epoch != h->epoch) {
         /* Of an epoch that is past: it changes nothing, and the host may forget it. */
         *heard = h->state != LMN_H_FENCED && epoch <= h->epoch;
         return false;
@@ -107,7 +114,7 @@
 
 bool lmn_home_conclude(struct lmn_home *h, bool may_run_again)
 {
-    if (h->state != LMN_H_OFFERED && h->state != LMN_H_AWAY)
+    if (!handed_over(h))
         return false;
     if (!h->cancel && !may_run_again)
         return false;
--- a/src/gateway/hand.h
+++ b/src/gateway/hand.h
@@ -50,6 +50,9 @@
     uint32_t transfers;
 };
 
+/* Whether the site has it, or may have it: offered to it, or accepted there. */
+bool lmn_home_is_at(const struct lmn_home *h, const char *site);
+
 /* What a host says of an epoch. */
 enum lmn_answer { LMN_A_ACCEPTED, LMN_A_REFUSED, LMN_A_OVER };
 
--- a/src/gateway/process.c
+++ b/src/gateway/process.c
@@ -29,13 +29,13 @@
     gpointer v;
 
     *cpus = *work_s = 0;
-    g_hash_table_iter_init(&it, g->book.jobs);
+    g_hash_table_iter_init(&it, g->book.open_jobs);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const struct lmn_gjob *j = v;
         if (j->hand.state == LMN_H_LOCAL)
             add_left(&j->spec, &j->progress, cpus, work_s);
     }
-    g_hash_table_iter_init(&it, g->book.guests);
+    g_hash_table_iter_init(&it, g->book.open_guests);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const struct lmn_guest *x = v;
         if (x->hand.state == LMN_HO_RUNS)
@@ -49,7 +49,7 @@
     gpointer v;
     double sum = 0;
 
-    g_hash_table_iter_init(&it, g->book.jobs);
+    g_hash_table_iter_init(&it, g->book.open_jobs);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const struct lmn_gjob *j = v;
         if (j->hand.state == LMN_H_QUEUED && !j->busy)
@@ -58,13 +58,48 @@
     return sum;
 }
 
-void lmn_peer_poke(struct lmn_gateway *g, const char *site)
+static gint by_order(gconstpointer a, gconstpointer b)
+{
+    const struct lmn_gjob *x = *(struct lmn_gjob *const *)a,
+                          *y = *(struct lmn_gjob *const *)b;
+
+    if (x->spec.urgency != y->spec.urgency)
+        return x->spec.urgency > y->spec.urgency ? -1 : 1;
+    return x->at < y->at ? -1 : x->at > y->at;
+}
+
+GPtrArray *lmn_waiting(const struct lmn_gateway *g)
+{
+    GPtrArray *v = g_ptr_array_new();
+    GHashTableIter it;
+    gpointer p;
+
+    g_hash_table_iter_init(&it, g->book.open_jobs);
+    while (g_hash_table_iter_next(&it, NULL, &p)) {
+        struct lmn_gjob *j = p;
+        if (j->hand.state == LMN_H_QUEUED && !j->busy)
+            g_ptr_array_add(v, j);
+    }
+    g_ptr_array_sort(v, by_order);
+    return v;
+}
+
+struct lmn_gpeer *lmn_peer_named(struct lmn_gateway *g, const char *site)
 {
     for (unsigned i = 0; i < g->o->npeers; i++)
-        if (!strcmp(g->o->peers[i].site, site)) {
-            g->peers[i].news = true;
-            pthread_cond_signal(&g->peers[i].due);
-        }
+        if (!strcmp(g->o->peers[i].site, site))
+            return &g->peers[i];
+    return NULL;
+}
+
+void lmn_peer_poke(struct lmn_gateway *g, const char *site)
+{
+    struct lmn_gpeer *p = lmn_peer_named(g, site);
+
+    if (!p)
+        return;
+    p->news = true;
+    pthread_cond_signal(&p->due);
 }
 
 /* --- after a restore --- */
@@ -78,7 +113,7 @@
     gpointer v;
 
     pthread_mutex_lock(&g->book.lock);
-    g_hash_table_iter_init(&it, g->book.jobs);
+    g_hash_table_iter_init(&it, g->book.open_jobs);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         struct lmn_gjob *j = v;
         struct lmn_write w = {.job = j, .home = j->hand};
--- a/src/gateway/sync.c
+++ b/src/gateway/sync.c
@@ -29,14 +29,6 @@
     return p->g->o->peers[p->index].site;
 }
 
-static struct lmn_gpeer *peer_named(struct lmn_gateway *g, const char *site)
-{
-    for (unsigned i = 0; i < g->o->npeers; i++)
-        if (!strcmp(g->o->peers[i].site, site))
-            return &g->peers[i];
-    return NULL;
-}
-
 static void fill_hello(struct lmn_gateway *g, lmn_g_hello *h)
 {
     static uint64_t serial;
@@ -58,7 +50,7 @@
 static const char *take_hello(struct lmn_gateway *g, const char *site,
                               const lmn_g_hello *h)
 {
-    struct lmn_gpeer *p = peer_named(g, site);
+    struct lmn_gpeer *p = lmn_peer_named(g, site);
 
     if (strcmp(h->site, site))
         return "wrong name: the hello is another site's";
@@ -111,12 +103,11 @@
     }
     /* Outcomes first: progress is only for display. */
     for (int outcomes = 1; outcomes >= 0; outcomes--) {
-        g_hash_table_iter_init(&it, p->g->book.guests);
+        g_hash_table_iter_init(&it, p->g->book.open_guests);
         while (g_hash_table_iter_next(&it, NULL, &x) && v->len < MOST_ITEMS) {
             const struct lmn_guest *guest = x;
             bool over = guest->hand.state == LMN_HO_OVER;
-            if (strcmp(guest->home, site_of(p)) || guest->hand.state == LMN_HO_NONE ||
-                guest->busy || over != outcomes || (over && guest->hand.heard))
+            if (strcmp(guest->home, site_of(p)) || guest->busy || over != outcomes)
                 continue;
             struct lmn_g_item *i = add_item(v);
             i->ref = g_strdup(guest->ref);
@@ -195,10 +186,7 @@
     bool team = false;
     for (unsigned i = 0; sane && i < g->o->nteams; i++)
         team = team || !strcmp(g->o->teams[i], spec.team);
-    pthread_mutex_lock(&g->book.lock);
-    room = room && sane && team && !lmn_book_is_evicted(&g->book, site_of(k->p));
-    pthread_mutex_unlock(&g->book.lock);
-    room = room && fetch_blob(k, o->digest);
+    room = room && sane && team && fetch_blob(k, o->digest);
     pthread_mutex_lock(&g->book.lock);
     w.guest = lmn_book_take_guest(&g->book, site_of(k->p), o->ref);
     if (!w.guest && sane) {
@@ -370,8 +358,11 @@
     g_array_free(writes, TRUE);
     for (u_int i = 0; i < y->resolve.resolve_len; i++)
         resolve(k, &y->resolve.resolve_val[i]);
+    pthread_mutex_lock(&g->book.lock);
+    bool evicted = lmn_book_is_evicted(&g->book, site_of(k->p));
+    pthread_mutex_unlock(&g->book.lock);
     for (u_int i = 0; i < y->offers.offers_len && !late; i++)
-        take_offer(k, &y->offers.offers_val[i], true);
+        take_offer(k, &y->offers.offers_val[i], !evicted);
     pthread_mutex_lock(&g->book.lock);
     k->p->heard = k->p->synced = sent;
     k->p->messages++;
@@ -560,16 +551,6 @@
     pthread_mutex_unlock(&b->lock);
 }
 
-static gint by_worth(gconstpointer a, gconstpointer b)
-{
-    const struct lmn_gjob *x = *(struct lmn_gjob *const *)a,
-                          *y = *(struct lmn_gjob *const *)b;
-
-    if (x->spec.urgency != y->spec.urgency)
-        return x->spec.urgency > y->spec.urgency ? -1 : 1;
-    return x->at < y->at ? -1 : x->at > y->at;
-}
-
 /* How a job that waits looks to routing. */
 static struct lmn_route_job seen(const struct lmn_gjob *j, double wall)
 {
@@ -592,21 +573,18 @@
 {
     struct lmn_gateway *g = a->g;
     struct lmn_book *b = &g->book;
-    struct lmn_gpeer *p = peer_named(g, a->site);
-    GPtrArray *v = g_ptr_array_new();
+    struct lmn_gpeer *p = lmn_peer_named(g, a->site);
     GHashTableIter it;
     gpointer x;
     unsigned transit = 0, picks[LMN_G_OFFERS], n = 0;
 
     pthread_mutex_lock(&b->lock);
-    g_hash_table_iter_init(&it, b->jobs);
+    g_hash_table_iter_init(&it, b->open_jobs);
     while (g_hash_table_iter_next(&it, NULL, &x)) {
-        struct lmn_gjob *j = x;
+        const struct lmn_gjob *j = x;
         transit += j->hand.state == LMN_H_OFFERED && !strcmp(j->hand.site, a->site);
-        if (j->hand.state == LMN_H_QUEUED && !j->busy)
-            g_ptr_array_add(v, j);
     }
-    g_ptr_array_sort(v, by_worth);
+    GPtrArray *v = lmn_waiting(g);
     struct lmn_route_job *jobs = g_new(struct lmn_route_job, v->len + 1);
     double wall = lmn_seconds(lmn_wall());
     for (guint i = 0; i < v->len; i++)
@@ -641,11 +619,11 @@
     gpointer x;
 
     pthread_mutex_lock(&a->g->book.lock);
-    g_hash_table_iter_init(&it, a->g->book.jobs);
+    g_hash_table_iter_init(&it, a->g->book.open_jobs);
     while (g_hash_table_iter_next(&it, NULL, &x)) {
         const struct lmn_gjob *j = x;
-        bool offered = j->hand.state == LMN_H_OFFERED, away = j->hand.state == LMN_H_AWAY;
-        if ((!offered && !away) || strcmp(j->hand.site, a->site))
+        bool offered = j->hand.state == LMN_H_OFFERED, away = !offered;
+        if (!lmn_home_is_at(&j->hand, a->site))
             continue;
         GArray *to = offered && lmn_since(lmn_now(), j->offered) > RESOLVE_S ? resolve
                      : away && (j->hand.cancel || j->hand.recall)            ? cancel
@@ -708,7 +686,7 @@
         y->offers.offers_len++;
     }
     pthread_mutex_lock(&a->g->book.lock);
-    struct lmn_gpeer *p = peer_named(a->g, a->site);
+    struct lmn_gpeer *p = lmn_peer_named(a->g, a->site);
     p->heard = lmn_now();
     p->outcomes_in += heard->len;
     y->queued_cpu_s = a->g->fenced ? 0 : lmn_queued_cpu_s(a->g);
