Command line and benches: one call to a job, to the gateway, to see who serves

Cause: showing, watching and cancelling a job each judged the answer by themselves, as did the gateway's commands; three measuring programs described the same job; two asked alike whether a service is ready.

Change: ask() in cli/job.c and cli/gateway.c, bench/submit.h, lmn_http_serves. bench_site now waits for a depot that is down, as the others did. A gateway that answers 503 is called unable to write by every command, not absent by some.

--- a/bench/gateway.c
+++ b/bench/gateway.c
@@ -16,6 +16,7 @@
 #include "base/wire.h"
 #include "cli/users.h"
 #include "common.h"
+#include "submit.h"
 #include "gateway/keys.h"
 
 #include <arpa/inet.h>
@@ -271,27 +272,10 @@
     char *env[] = {g_strdup_printf("STAMPS=%s", stamps),
                    g_strdup_printf("FOR=%.2f", seconds),
                    g_strdup_printf("HOME_REF=%s", j->ref), NULL};
-    struct lmn_work w = {.argv = argv, .env = env};
-    struct lmn_depot_error e;
-    char digest[LMN_DIGEST], state[16];
+    char state[16];
     int status;
 
-    w.spec = (struct lmn_spec){.class_name = (char *)"c",
-                               .team = (char *)"t",
-                               .image = (char *)LMN_NO_IMAGE,
-                               .urgency = LMN_NORMAL,
-                               .tasks = j->tasks,
-                               .cpus = 1,
-                               .mem = 0.1,
-                               .estimate_s = 8,
-                               .deadline_s = -1};
-    g_strlcpy(w.spec.ref, j->ref, sizeof w.spec.ref);
-    GByteArray *blob = lmn_work_put(&w), *body = g_byte_array_new();
-    while (lmn_depot_put(depots[j->home], blob, digest, &e) != 0 ||
-           lmn_depot_name(depots[j->home], LMN_DEPOT_JOB, j->ref, digest, &e) != 0)
-        lmn_sleep(0.1);
-    lmn_put_map(body, lmn_spec_pairs());
-    lmn_spec_put(body, &w.spec);
+    GByteArray *body = bench_describe(depots[j->home], j->ref, j->tasks, 8, argv, env);
     struct timespec begun = lmn_now();
     do {
         status = call(gateways[j->home], "POST", P_JOBS, body, state);
@@ -301,7 +285,6 @@
     if (status >= 400)
         complain("refused", j->ref);
     lmn_latency_add(&submitting, lmn_since(lmn_now(), begun));
-    g_byte_array_unref(blob);
     g_byte_array_unref(body);
     for (int i = 0; i < 3; i++)
         g_free(env[i]);
--- a/bench/rehearsal.c
+++ b/bench/rehearsal.c
@@ -14,6 +14,7 @@
 #include "base/wire.h"
 #include "cli/users.h"
 #include "common.h"
+#include "submit.h"
 
 #include <signal.h>
 #include <stdio.h>
@@ -96,27 +97,9 @@
     char *argv[] = {(char *)"sh", (char *)"-c", (char *)script, NULL};
     char *env[] = {g_strdup_printf("STAMPS=%s", stamps),
                    g_strdup_printf("FOR=%.2f", seconds), NULL};
-    struct lmn_work w = {.argv = argv, .env = env};
-    struct lmn_depot_error e;
     struct lmn_job_state s;
-    char digest[LMN_DIGEST];
-
-    w.spec = (struct lmn_spec){.class_name = (char *)"c",
-                               .team = (char *)"t",
-                               .image = (char *)LMN_NO_IMAGE,
-                               .urgency = LMN_NORMAL,
-                               .tasks = j->tasks,
-                               .cpus = 1,
-                               .mem = 0.1,
-                               .estimate_s = 4,
-                               .deadline_s = -1};
-    g_strlcpy(w.spec.ref, j->ref, sizeof w.spec.ref);
-    GByteArray *blob = lmn_work_put(&w), *body = g_byte_array_new();
-    while (lmn_depot_put(u->depot, blob, digest, &e) != 0 ||
-           lmn_depot_name(u->depot, LMN_DEPOT_JOB, j->ref, digest, &e) != 0)
-        lmn_sleep(0.2); /* the fleet is down */
-    lmn_put_map(body, lmn_spec_pairs());
-    lmn_spec_put(body, &w.spec);
+
+    GByteArray *body = bench_describe(u->depot, j->ref, j->tasks, 4, argv, env);
     struct timespec begun = lmn_now();
     int status;
     do
@@ -127,7 +110,6 @@
     pthread_mutex_unlock(&lock);
     if (status == 422 || status == 400)
         complain("refused", j->ref);
-    g_byte_array_unref(blob);
     g_byte_array_unref(body);
     g_free(env[0]);
     g_free(env[1]);
@@ -182,16 +164,6 @@
 
 /* --- kills --- */
 
-static bool serves(const char *addr)
-{
-    struct lmn_http *h = lmn_http_new(addr);
-    GByteArray *in = g_byte_array_new();
-    int status = lmn_http_call(h, "GET", P_READY, NULL, 1, in);
-    g_byte_array_unref(in);
-    lmn_http_free(h);
-    return status == 200;
-}
-
 static char *some_machine(void)
 {
     char *root = g_build_filename(site.data, "fleet", "machines", NULL);
@@ -244,7 +216,7 @@
         complain("the site does not come up again", "supervisor");
     pid_t pid;
     while (was && lmn_since(lmn_now(), begun) < 60) {
-        if (ready ? serves(ready) : lmn_lock_held(path, &pid))
+        if (ready ? lmn_http_serves(ready) : lmn_lock_held(path, &pid))
             break;
         /* A machine may have been returned meanwhile. */
         if ((kind == 3 || kind == 4) && access(path, F_OK) != 0) {
--- a/bench/site.c
+++ b/bench/site.c
@@ -12,6 +12,7 @@
 #include "base/wire.h"
 #include "cli/users.h"
 #include "common.h"
+#include "submit.h"
 
 #include <signal.h>
 #include <stdio.h>
@@ -66,34 +67,15 @@
 static double submit(char *ref, uint32_t tasks, double estimate)
 {
     char *argv[] = {(char *)"true", NULL}, *env[] = {NULL};
-    struct lmn_work w = {.argv = argv, .env = env};
-    struct lmn_depot_error e;
     struct lmn_job_state s;
-    char digest[LMN_DIGEST];
-
-    w.spec = (struct lmn_spec){.class_name = (char *)"c",
-                               .team = (char *)"t",
-                               .image = (char *)LMN_NO_IMAGE,
-                               .urgency = LMN_NORMAL,
-                               .tasks = tasks,
-                               .cpus = 1,
-                               .mem = 0.1,
-                               .estimate_s = estimate,
-                               .deadline_s = -1};
-    g_snprintf(w.spec.ref, sizeof w.spec.ref, W_JOB_PREFIX "%09u%06u",
-               g_random_int() % 1000000000u, jobs++);
-    g_strlcpy(ref, w.spec.ref, LMN_REF);
-    GByteArray *blob = lmn_work_put(&w), *body = g_byte_array_new();
-    if (lmn_depot_put(users.depot, blob, digest, &e) != 0 ||
-        lmn_depot_name(users.depot, LMN_DEPOT_JOB, ref, digest, &e) != 0)
-        fprintf(stderr, "%s\n", e.what);
-    lmn_put_map(body, lmn_spec_pairs());
-    lmn_spec_put(body, &w.spec);
+
+    g_snprintf(ref, LMN_REF, W_JOB_PREFIX "%09u%06u", g_random_int() % 1000000000u,
+               jobs++);
+    GByteArray *body = bench_describe(users.depot, ref, tasks, estimate, argv, env);
     struct timespec begun = lmn_now();
     int status = lmn_users_call(&users, "POST", P_JOBS, body, 60, &s);
     if (status != 201)
         fprintf(stderr, "%s: %d\n", ref, status);
-    g_byte_array_unref(blob);
     g_byte_array_unref(body);
     return lmn_since(lmn_now(), begun);
 }
--- /dev/null
+++ b/bench/submit.h
@@ -0,0 +1,40 @@
+/* A job as the measuring programs that run a site submit it. */
+#ifndef LMN_BENCH_SUBMIT_H
+#define LMN_BENCH_SUBMIT_H
+
+#include "base/thread.h"
+#include "base/wire.h"
+#include "depot/depot.h"
+#include "depot/work.h"
+
+/* Puts what its tasks run (argv, with env) into the depot, however long that is down; the
+ * body of the submission, the caller's. Tasks of a processor each, team t. */
+static inline GByteArray *bench_describe(struct lmn_http *depot, const char *ref,
+                                         uint32_t tasks, double estimate_s, char **argv,
+                                         char **env)
+{
+    struct lmn_work w = {.argv = argv, .env = env};
+    struct lmn_depot_error e;
+    char digest[LMN_DIGEST];
+
+    w.spec = (struct lmn_spec){.class_name = (char *)"c",
+                               .team = (char *)"t",
+                               .image = (char *)LMN_NO_IMAGE,
+                               .urgency = LMN_NORMAL,
+                               .tasks = tasks,
+                               .cpus = 1,
+                               .mem = 0.1,
+                               .estimate_s = estimate_s,
+                               .deadline_s = -1};
+    g_strlcpy(w.spec.ref, ref, sizeof w.spec.ref);
+    GByteArray *blob = lmn_work_put(&w), *body = g_byte_array_new();
+    while (lmn_depot_put(depot, blob, digest, &e) != 0 ||
+           lmn_depot_name(depot, LMN_DEPOT_JOB, ref, digest, &e) != 0)
+        lmn_sleep(0.1);
+    g_byte_array_unref(blob);
+    lmn_put_map(body, lmn_spec_pairs());
+    lmn_spec_put(body, &w.spec);
+    return body;
+}
+
+#endif
--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -1,4 +1,5 @@
 #include "base/http_client.h"
+#include "base/wire.h"
 
 #include <curl/curl.h>
 #include <string.h>
@@ -89,3 +90,14 @@
     curl_easy_getinfo(h->curl, CURLINFO_RETRY_AFTER, &s);
     return (double)s;
 }
+
+bool lmn_http_serves(const char *addr)
+{
+    struct lmn_http *h = lmn_http_new(addr);
+    GByteArray *in = g_byte_array_new();
+    int status = lmn_http_call(h, "GET", P_READY, NULL, 1, in);
+
+    g_byte_array_unref(in);
+    lmn_http_free(h);
+    return status == 200;
+}
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -3,6 +3,7 @@
 #define LMN_HTTP_CLIENT_H
 
 #include <glib.h>
+#include <stdbool.h>
 
 struct lmn_http;
 
@@ -20,4 +21,7 @@
 /* Seconds that the last answer asked to wait (Retry-After); 0: none. */
 double lmn_http_retry_after(struct lmn_http *h);
 
+/* Whether a service says at the address that it is ready; waits for up to a second. */
+bool lmn_http_serves(const char *addr);
+
 #endif
--- a/src/cli/gateway.c
+++ b/src/cli/gateway.c
@@ -13,6 +13,7 @@
 static struct lmn_gateway_options o;
 static char *config;
 static gboolean json;
+static const char not_home[] = "this site is not its home";
 
 static int load(const char *args, const char *summary, int want, int *argc, char ***argv)
 {
@@ -36,13 +37,29 @@
     return rc;
 }
 
-static json_t *ask(const char *method, const char *path, int *status)
+/* The answer, or NULL with what is wrong said and the exit status in *rc. what: that it
+ * is about; unknown: what a 404 means. */
+static json_t *ask(const char *method, const char *path, const char *what,
+                   const char *unknown, int *rc)
 {
     struct lmn_http *h = lmn_http_new(o.listen);
     GByteArray *in = g_byte_array_new();
-
-    *status = lmn_http_call(h, method, path, NULL, 30, in);
+    int status = lmn_http_call(h, method, path, NULL, 30, in);
     json_t *j = in->len ? lmn_json_of_bytes(in->data, in->len) : NULL;
+
+    *rc = LMN_EXIT_OK;
+    if (status == 404 && unknown)
+        *rc = lmn_cli_fail(LMN_EXIT_FAILED, "%s: %s", what, unknown);
+    else if (status == 409)
+        *rc = lmn_cli_fail(LMN_EXIT_FAILED, "%s: fenced; see 'lemonspar gateway unfence'",
+                           what);
+    else if (status == 503)
+        *rc = lmn_cli_fail(LMN_EXIT_FAILED, "%s: the gateway can't write now; ask again",
+                           what);
+    else if (status != 200 || !j)
+        *rc = lmn_cli_fail(LMN_EXIT_FAILED, "%s: no gateway answers there", o.listen);
+    if (*rc)
+        g_clear_pointer(&j, json_decref);
     g_byte_array_unref(in);
     lmn_http_free(h);
     return j;
@@ -64,12 +81,11 @@
 /* Exit status 1 if a peer is silent for too long, or a job is fenced: for scripts. */
 static int status(int argc, char **argv)
 {
-    int st,
-        rc = load(
-            NULL,
-            "Shows jobs by their course, and peers. Exit status 1 if a peer is silent "
-            "for too\nlong, or a job is fenced.",
-            1, &argc, &argv);
+    int rc =
+        load(NULL,
+             "Shows jobs by their course, and peers. Exit status 1 if a peer is silent "
+             "for too\nlong, or a job is fenced.",
+             1, &argc, &argv);
     json_t *j, *p;
     const char *key;
     size_t i;
@@ -77,9 +93,9 @@
 
     if (rc)
         return rc;
-    j = ask("GET", "/gateway", &st);
-    if (st != 200 || !j)
-        return lmn_cli_fail(LMN_EXIT_FAILED, "%s: no gateway answers there", o.listen);
+    j = ask("GET", "/gateway", o.listen, NULL, &rc);
+    if (!j)
+        return rc;
     json_t *jobs = json_object_get(j, "Jobs"), *peers = json_object_get(j, "Peers");
     alarm = json_integer_value(json_object_get(jobs, "fenced")) > 0;
     if (!json)
@@ -117,62 +133,43 @@
 
 static int job(int argc, char **argv)
 {
-    int st, rc = load("REF", "Shows where a job is, and how old that knowledge is.", 2,
-                      &argc, &argv);
+    int rc = load("REF", "Shows where a job is, and how old that knowledge is.", 2, &argc,
+                  &argv);
 
     if (rc)
         return rc;
     char *path = g_strdup_printf(P_JOBS "/%s", argv[1]);
-    json_t *j = ask("GET", path, &st);
+    json_t *j = ask("GET", path, argv[1], not_home, &rc);
     g_free(path);
-    if (st == 404)
-        return lmn_cli_fail(LMN_EXIT_FAILED, "%s: this site is not its home", argv[1]);
-    if (st != 200 || !j)
-        return lmn_cli_fail(LMN_EXIT_FAILED, "%s: no gateway answers there", o.listen);
-    lmn_json_print(j, true);
-    return LMN_EXIT_OK;
+    if (j)
+        lmn_json_print(j, true);
+    return rc;
 }
 
 static int unfence(int argc, char **argv)
 {
-    int st,
-        rc = load(NULL,
+    int rc = load(NULL,
                   "Says that nothing of the fenced jobs runs anywhere: they wait at home "
                   "again.",
                   1, &argc, &argv);
+    json_t *j = rc ? NULL : ask("POST", "/gateway/unfence", o.listen, NULL, &rc);
 
-    if (rc)
-        return rc;
-    json_t *j = ask("POST", "/gateway/unfence", &st);
-    if (st != 200 || !j)
-        return lmn_cli_fail(LMN_EXIT_FAILED, "%s: no gateway answers there", o.listen);
-    printf("%" JSON_INTEGER_FORMAT " jobs wait at home again\n",
-           json_integer_value(json_object_get(j, "Jobs")));
-    return LMN_EXIT_OK;
+    if (j)
+        printf("%" JSON_INTEGER_FORMAT " jobs wait at home again\n",
+               json_integer_value(json_object_get(j, "Jobs")));
+    return rc;
 }
 
-/* POSTs VERB/WHAT; the answer, or NULL with the exit status said. */
+/* POSTs VERB/WHAT. */
 static json_t *order(const char *verb, const char *what, const char *unknown, int *rc)
 {
     char *escaped = g_uri_escape_string(what, NULL, FALSE),
          *path = g_strdup_printf("/gateway/%s/%s", verb, escaped);
-    int st;
-    json_t *j = ask("POST", path, &st);
+    json_t *j = ask("POST", path, what, unknown, rc);
 
-    *rc = LMN_EXIT_OK;
-    if (st == 404)
-        *rc = lmn_cli_fail(LMN_EXIT_FAILED, "%s: %s", what, unknown);
-    else if (st == 409)
-        *rc = lmn_cli_fail(LMN_EXIT_FAILED, "%s: fenced; see 'lemonspar gateway unfence'",
-                           what);
-    else if (st == 503)
-        *rc = lmn_cli_fail(LMN_EXIT_FAILED, "%s: the gateway can't write now; ask again",
-                           what);
-    else if (st != 200 || !j)
-        *rc = lmn_cli_fail(LMN_EXIT_FAILED, "%s: no gateway answers there", o.listen);
     g_free(escaped);
     g_free(path);
-    return *rc ? NULL : j;
+    return j;
 }
 
 static int recall(int argc, char **argv)
@@ -181,7 +178,7 @@
                   "Calls a job back. It comes home when the other site has stopped it, "
                   "and stays; its\ntasks that had ended run again.",
                   2, &argc, &argv);
-    json_t *j = rc ? NULL : order("recall", argv[1], "this site is not its home", &rc);
+    json_t *j = rc ? NULL : order("recall", argv[1], not_home, &rc);
 
     if (j)
         lmn_json_print(j, true);
--- a/src/cli/job.c
+++ b/src/cli/job.c
@@ -105,21 +105,31 @@
     return n;
 }
 
+/* Asks for the job, or by suffix for something to be done with it; the exit status, said
+ * if it is a failure. */
+static int ask(struct lmn_users *u, const char *method, const char *ref,
+               const char *suffix, struct lmn_job_state *s)
+{
+    char path[96];
+
+    g_snprintf(path, sizeof path, P_JOBS "/%s%s", ref, suffix);
+    int status = lmn_users_call(u, method, path, NULL, 60, s);
+    if (status == 404)
+        return lmn_cli_fail(LMN_EXIT_FAILED, "%s: there is no such job", ref);
+    return status == 200 ? LMN_EXIT_OK : no_answer(ref, status);
+}
+
 static int watch_job(struct lmn_users *u, const char *ref, double seconds)
 {
     struct timespec end = lmn_after(lmn_now(), seconds > 0 ? seconds : 1e9);
     struct lmn_job_state s, last = {0};
     uint64_t tasks = tasks_of(u, ref);
     bool terminal = isatty(STDOUT_FILENO) && !json;
-    char path[96];
 
-    g_snprintf(path, sizeof path, P_JOBS "/%s", ref);
     for (;;) {
-        int status = lmn_users_call(u, "GET", path, NULL, 60, &s);
-        if (status == 404)
-            return lmn_cli_fail(LMN_EXIT_FAILED, "%s: there is no such job", ref);
-        if (status != 200)
-            return no_answer(ref, status);
+        int rc = ask(u, "GET", ref, "", &s);
+        if (rc)
+            return rc;
         /* A controller may know of fewer than another; what is done stays done. */
         s.done = MAX(s.done, last.done);
         bool final = !strcmp(s.state, W_DONE) || !strcmp(s.state, W_WITHDRAWN);
@@ -348,17 +358,10 @@
 {
     struct lmn_users u;
     struct lmn_job_state s;
-    char path[96];
     int rc = with_ref("REF", "Shows a job's state.", NULL, &argc, &argv);
 
-    if (rc || (rc = open_users(&u, false)))
+    if (rc || (rc = open_users(&u, false)) || (rc = ask(&u, "GET", argv[1], "", &s)))
         return rc;
-    g_snprintf(path, sizeof path, P_JOBS "/%s", argv[1]);
-    int status = lmn_users_call(&u, "GET", path, NULL, 60, &s);
-    if (status == 404)
-        return lmn_cli_fail(LMN_EXIT_FAILED, "%s: there is no such job", argv[1]);
-    if (status != 200)
-        return no_answer(argv[1], status);
     uint64_t tasks = tasks_of(&u, argv[1]);
     if (json)
         lmn_json_print(state_json(&s, tasks), true);
@@ -391,17 +394,11 @@
 {
     struct lmn_users u;
     struct lmn_job_state s;
-    char path[96];
     int rc = with_ref("REF", "Cancels a job.", NULL, &argc, &argv);
 
-    if (rc || (rc = open_users(&u, false)))
+    if (rc || (rc = open_users(&u, false)) ||
+        (rc = ask(&u, "POST", argv[1], P_CANCEL, &s)))
         return rc;
-    g_snprintf(path, sizeof path, P_JOBS "/%s" P_CANCEL, argv[1]);
-    int status = lmn_users_call(&u, "POST", path, NULL, 60, &s);
-    if (status == 404)
-        return lmn_cli_fail(LMN_EXIT_FAILED, "%s: there is no such job", argv[1]);
-    if (status != 200)
-        return no_answer(argv[1], status);
     if (json)
         lmn_json_print(state_json(&s, 0), true);
     else
--- a/src/cli/site.c
+++ b/src/cli/site.c
@@ -46,17 +46,6 @@
     return 0;
 }
 
-static bool serves(const char *addr)
-{
-    struct lmn_http *h = lmn_http_new(addr);
-    GByteArray *out = g_byte_array_new();
-    int status = lmn_http_call(h, "GET", P_READY, NULL, 1, out);
-
-    g_byte_array_unref(out);
-    lmn_http_free(h);
-    return status == 200;
-}
-
 static int spawn_supervisor(void)
 {
     char *log = lmn_site_path(&site, "supervisor", ".log"), err[512];
@@ -111,7 +100,7 @@
         return rc;
     struct timespec end = lmn_after(lmn_now(), patience);
     for (unsigned i = 0; i < site.nprocesses;) {
-        if (serves(site.processes[i].ready)) {
+        if (lmn_http_serves(site.processes[i].ready)) {
             i++;
         } else if (lmn_before(end, lmn_now())) {
             return lmn_cli_fail(LMN_EXIT_FAILED,
@@ -184,7 +173,9 @@
         unsigned starts;
         int at;
         bool is_up = lmn_site_up(&site, p->name, &at);
-        const char *word = !is_up ? "down" : serves(p->ready) ? "serving" : "starting";
+        const char *word = !is_up                      ? "down"
+                           : lmn_http_serves(p->ready) ? "serving"
+                                                       : "starting";
         history(text ? text : "", p->name, &starts, why, sizeof why);
         all = all && !strcmp(word, "serving");
         if (json)
