Gateway: host.c asks, home.c answers; sync.c keeps what both ends share

Cause: the file for links between sites had grown to 880 lines, with both ends of a link in it; the listener and a link were described by two structs of the same two fields; the pulling thread summed up all open jobs twenty times a second before it looked at the clock.

Change: two files and what they share (sync_part.h); one struct for a socket; the clock is looked at first. Nothing else.

--- a/src/gateway/gateway_part.h
+++ b/src/gateway/gateway_part.h
@@ -68,7 +68,7 @@
 /* --- the own controllers (feed.c); for ever (threads) --- */
 void *lmn_feed_thread(void *gateway);
 
-/* --- other sites (sync.c) --- */
+/* --- other sites (host.c, home.c) --- */
 void *lmn_host_thread(void *peer); /* asks the peer, as the host of its jobs */
 int lmn_home_start(struct lmn_gateway *g, char *err,
                    size_t len);       /* answers peers, as the home of jobs */
--- /dev/null
+++ b/src/gateway/home.c
@@ -0,0 +1,400 @@
+/* As the home of jobs: answers the sites that have them, or would. */
+#include "base/clock.h"
+#include "base/codec.h"
+#include "base/log.h"
+#include "base/thread.h"
+#include "depot/depot.h"
+#include "gateway/route.h"
+#include "gateway/sync_part.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* An offer without an answer is asked about after so long. */
+static const double RESOLVE_S = 1.5;
+
+enum { MAX_LINKS = 64 };
+
+/* A socket: that of the listener, or of a link. */
+struct conn {
+    struct lmn_gateway *g;
+    int fd;
+};
+
+struct answering {
+    struct lmn_gateway *g;
+    struct lmn_link *link;
+    struct lmn_http *state, *depot;
+    const char *site;
+};
+
+/* What the host says of a job of ours; heard: to be told that it need not say it again.
+ */
+static void hear(struct answering *a, const struct lmn_g_item *i, GArray *writes,
+                 GArray *heard)
+{
+    struct lmn_book *b = &a->g->book;
+    struct lmn_write w = {0};
+    bool done = false;
+
+    if (!lmn_ref_ok(i->ref) || i->word < LMN_A_ACCEPTED || i->word > LMN_A_OVER ||
+        i->outcome < 0 || i->outcome > LMN_O_RETURNED || lmn_write_among(writes, i->ref))
+        return;
+    pthread_mutex_lock(&b->lock);
+    w.job = lmn_book_take_job(b, i->ref);
+    if (w.job) {
+        w.home = w.job->hand;
+        bool change = lmn_home_answer(&w.home, a->site, i->incarnation, i->epoch,
+                                      (enum lmn_answer)i->word,
+                                      (enum lmn_outcome_word)i->outcome, &done);
+        if (w.home.state == LMN_H_AWAY && i->epoch == w.home.epoch) {
+            w.job->progress.done =
+                MAX(w.job->progress.done, MIN(i->done, w.job->spec.tasks));
+            w.job->progress.running = i->running;
+            w.job->progress.known = lmn_now();
+        }
+        if (w.home.state == LMN_H_FENCED && change)
+            lmn_error("job-fenced job=%s site=%s why=\"that site was restored\"", i->ref,
+                      a->site);
+        if (change)
+            g_array_append_val(writes, w);
+        else
+            lmn_book_put_job(b, w.job);
+        if (done &&
+            (!change || w.home.state == LMN_H_FINAL || w.home.state == LMN_H_QUEUED)) {
+            struct lmn_g_item *h = lmn_item_add(heard);
+            *h = *i;
+            h->ref = g_strdup(i->ref);
+            /* Told only once it is written: marked by the place of its write. */
+            h->running = change ? writes->len : 0;
+        }
+    }
+    pthread_mutex_unlock(&b->lock);
+}
+
+/* How a job that waits looks to routing. */
+static struct lmn_route_job seen(const struct lmn_gjob *j, double wall)
+{
+    const struct lmn_spec *s = &j->spec;
+    double run = MAX(s->estimate_s, 0.1);
+
+    return (struct lmn_route_job){
+        .cpus = lmn_job_cpus(s),
+        .work_s = lmn_job_cpus(s) * run,
+        .run_s = run,
+        .slack_s = s->deadline_s >= 0 ? j->at + s->deadline_s - run - wall : INFINITY,
+        /* A hand-over takes some messages; an image comes by no less than a gigabyte in
+           two seconds. */
+        .fetch_s = 0.5 + 2 * s->image_gb,
+    };
+}
+
+/* Offers jobs to a site that pulls: recorded by the caller before they are sent. */
+static void choose_offers(struct answering *a, const lmn_g_sync *q, GArray *writes)
+{
+    struct lmn_gateway *g = a->g;
+    struct lmn_book *b = &g->book;
+    struct lmn_gpeer *p = lmn_peer_named(g, a->site);
+    GHashTableIter it;
+    gpointer x;
+    unsigned transit = 0, picks[LMN_G_OFFERS], n = 0;
+
+    pthread_mutex_lock(&b->lock);
+    g_hash_table_iter_init(&it, b->open_jobs);
+    while (g_hash_table_iter_next(&it, NULL, &x)) {
+        const struct lmn_gjob *j = x;
+        transit += j->hand.state == LMN_H_OFFERED && !strcmp(j->hand.site, a->site);
+    }
+    GPtrArray *v = lmn_waiting(g);
+    struct lmn_route_job *jobs = g_new(struct lmn_route_job, v->len + 1);
+    double wall = lmn_seconds(lmn_wall());
+    for (guint i = 0; i < v->len; i++)
+        jobs[i] = seen(v->pdata[i], wall);
+    double cpus, work_s;
+    lmn_handed(g, &cpus, &work_s);
+    const struct lmn_route_home home = {g->o->cpus, cpus,
+                                        g->o->feed_s * g->o->cpus - work_s, g->o->share};
+    unsigned most = MIN(q->most, LMN_G_OFFERS);
+    most = MIN(most, g->o->most_transit > transit ? g->o->most_transit - transit : 0);
+    if (!g->fenced && p->incarnation && !lmn_book_is_evicted(b, a->site))
+        n = lmn_route_choose(jobs, v->len, &home, q->room_cpus, most, picks);
+    for (unsigned i = 0; i < n; i++) {
+        struct lmn_gjob *j = v->pdata[picks[i]];
+        struct lmn_write w = {.job = j, .home = j->hand};
+        if (!lmn_home_offer(&w.home, a->site, p->incarnation, g->o->most_transfers))
+            continue;
+        j->busy = true;
+        j->offered = lmn_now();
+        p->offers_out++;
+        g_array_append_val(writes, w);
+    }
+    pthread_mutex_unlock(&b->lock);
+    g_free(jobs);
+    g_ptr_array_free(v, TRUE);
+}
+
+/* Offers that lack an answer, and jobs that are to be stopped. */
+static void remind(struct answering *a, GArray *resolve, GArray *cancel)
+{
+    GHashTableIter it;
+    gpointer x;
+
+    pthread_mutex_lock(&a->g->book.lock);
+    g_hash_table_iter_init(&it, a->g->book.open_jobs);
+    while (g_hash_table_iter_next(&it, NULL, &x)) {
+        const struct lmn_gjob *j = x;
+        bool offered = j->hand.state == LMN_H_OFFERED, away = !offered;
+        if (!lmn_home_is_at(&j->hand, a->site))
+            continue;
+        GArray *to = offered && lmn_since(lmn_now(), j->offered) > RESOLVE_S ? resolve
+                     : away && (j->hand.cancel || j->hand.recall)            ? cancel
+                                                                             : NULL;
+        if (!to || to->len >= LMN_G_ITEMS)
+            continue;
+        struct lmn_g_item *i = lmn_item_add(to);
+        i->ref = g_strdup(j->ref);
+        i->epoch = j->hand.epoch;
+        i->incarnation = j->hand.incarnation;
+        i->outcome = j->hand.cancel ? LMN_O_WITHDRAWN : LMN_O_RETURNED;
+    }
+    pthread_mutex_unlock(&a->g->book.lock);
+}
+
+static void answer_sync(struct answering *a, const lmn_g_sync *q, lmn_g_response *r)
+{
+    struct lmn_g_reply *y = &r->lmn_g_response_u.reply;
+    GArray *writes = g_array_new(FALSE, TRUE, sizeof(struct lmn_write));
+    GArray *heard = g_array_new(FALSE, TRUE, sizeof(struct lmn_g_item));
+    GArray *resolve = g_array_new(FALSE, TRUE, sizeof(struct lmn_g_item));
+    GArray *cancel = g_array_new(FALSE, TRUE, sizeof(struct lmn_g_item));
+
+    for (u_int i = 0; i < q->says.says_len; i++)
+        hear(a, &q->says.says_val[i], writes, heard);
+    lmn_book_write(&a->g->book, a->state, (struct lmn_write *)(void *)writes->data,
+                   writes->len);
+    for (guint i = heard->len; i-- > 0;) {
+        struct lmn_g_item *h = &g_array_index(heard, struct lmn_g_item, i);
+        u_int at = h->running;
+        h->running = 0;
+        if (at && !g_array_index(writes, struct lmn_write, at - 1).ok) {
+            g_free(h->ref);
+            g_array_remove_index_fast(heard, i);
+        }
+    }
+    g_array_set_size(writes, 0);
+    if (q->most)
+        choose_offers(a, q, writes);
+    lmn_book_write(&a->g->book, a->state, (struct lmn_write *)(void *)writes->data,
+                   writes->len);
+    remind(a, resolve, cancel);
+    r->kind = LMN_G_SYNC;
+    y->offers.offers_val = g_new0(struct lmn_g_offer, writes->len + 1);
+    for (guint i = 0; i < writes->len; i++) {
+        const struct lmn_write *w = &g_array_index(writes, struct lmn_write, i);
+        struct lmn_g_offer *o = &y->offers.offers_val[y->offers.offers_len];
+        if (!w->ok || !w->job)
+            continue;
+        GByteArray *b = g_byte_array_new();
+        lmn_put_map(b, lmn_spec_pairs());
+        lmn_spec_put(b, &w->job->spec);
+        o->ref = g_strdup(w->job->ref);
+        o->epoch = w->home.epoch;
+        o->incarnation = w->home.incarnation;
+        o->spec.spec_len = b->len;
+        o->spec.spec_val = (char *)g_byte_array_free(b, FALSE);
+        o->digest = g_strdup(w->job->digest);
+        o->leash_s = w->job->leash_s;
+        y->offers.offers_len++;
+    }
+    pthread_mutex_lock(&a->g->book.lock);
+    struct lmn_gpeer *p = lmn_peer_named(a->g, a->site);
+    p->heard = lmn_now();
+    p->outcomes_in += heard->len;
+    y->queued_cpu_s = a->g->fenced ? 0 : lmn_queued_cpu_s(a->g);
+    pthread_mutex_unlock(&a->g->book.lock);
+    y->heard.heard_len = heard->len;
+    y->heard.heard_val = (struct lmn_g_item *)(void *)g_array_free(heard, FALSE);
+    y->resolve.resolve_len = resolve->len;
+    y->resolve.resolve_val = (struct lmn_g_item *)(void *)g_array_free(resolve, FALSE);
+    y->cancel.cancel_len = cancel->len;
+    y->cancel.cancel_val = (struct lmn_g_item *)(void *)g_array_free(cancel, FALSE);
+    g_array_free(writes, TRUE);
+}
+
+static void free_reply(lmn_g_reply *y)
+{
+    struct lmn_g_item *lists[] = {y->heard.heard_val, y->resolve.resolve_val,
+                                  y->cancel.cancel_val};
+    u_int lens[] = {y->heard.heard_len, y->resolve.resolve_len, y->cancel.cancel_len};
+
+    for (int k = 0; k < 3; k++) {
+        for (u_int i = 0; i < lens[k]; i++)
+            g_free(lists[k][i].ref);
+        g_free(lists[k]);
+    }
+    for (u_int i = 0; i < y->offers.offers_len; i++) {
+        g_free(y->offers.offers_val[i].ref);
+        g_free(y->offers.offers_val[i].spec.spec_val);
+        g_free(y->offers.offers_val[i].digest);
+    }
+    g_free(y->offers.offers_val);
+}
+
+/* Only what a job that is, or was, offered to the site runs. */
+static bool may_have(struct answering *a, const char *digest)
+{
+    GHashTableIter it;
+    gpointer x;
+    bool may = false;
+
+    pthread_mutex_lock(&a->g->book.lock);
+    g_hash_table_iter_init(&it, a->g->book.jobs);
+    while (!may && g_hash_table_iter_next(&it, NULL, &x)) {
+        const struct lmn_gjob *j = x;
+        may = !strcmp(j->digest, digest) && !strcmp(j->hand.site, a->site);
+    }
+    pthread_mutex_unlock(&a->g->book.lock);
+    return may;
+}
+
+static int answer_blob(struct answering *a, const char *digest)
+{
+    GByteArray *b = g_byte_array_new();
+    struct lmn_depot_error e;
+    lmn_g_response r = {0};
+
+    if (may_have(a, digest) && lmn_depot_get(a->depot, digest, b, &e) == 0 &&
+        b->len <= LMN_G_BYTES) {
+        r.kind = LMN_G_BLOB;
+        r.lmn_g_response_u.blob.blob_len = b->len;
+        r.lmn_g_response_u.blob.blob_val = (char *)b->data;
+    } else {
+        r.lmn_g_response_u.error = (char *)"no such blob";
+    }
+    int rc = lmn_link_send_response(a->link, &r);
+    g_byte_array_unref(b);
+    return rc;
+}
+
+static int answer_one(struct answering *a, const lmn_g_request *q, bool *greeted)
+{
+    lmn_g_response r = {0};
+    int rc;
+
+    if (q->kind == LMN_G_HELLO) {
+        const char *wrong = lmn_hello_take(a->g, a->site, &q->lmn_g_request_u.hello);
+        *greeted = !wrong;
+        if (wrong) {
+            lmn_error("hello-refused site=%s why=\"%s\"", a->site, wrong);
+            return -1;
+        }
+        r.kind = LMN_G_HELLO;
+        lmn_hello_fill(a->g, &r.lmn_g_response_u.hello);
+        return lmn_link_send_response(a->link, &r);
+    }
+    if (!*greeted)
+        return -1;
+    switch (q->kind) {
+    case LMN_G_SYNC:
+        answer_sync(a, &q->lmn_g_request_u.sync, &r);
+        rc = lmn_link_send_response(a->link, &r);
+        free_reply(&r.lmn_g_response_u.reply);
+        return rc;
+    case LMN_G_LOAD:
+        r.kind = LMN_G_LOAD;
+        pthread_mutex_lock(&a->g->book.lock);
+        r.lmn_g_response_u.queued_cpu_s = lmn_queued_cpu_s(a->g);
+        pthread_mutex_unlock(&a->g->book.lock);
+        return lmn_link_send_response(a->link, &r);
+    case LMN_G_BLOB:
+        return answer_blob(a, q->lmn_g_request_u.digest);
+    default:
+        r.lmn_g_response_u.error = (char *)"no such request";
+        return lmn_link_send_response(a->link, &r);
+    }
+}
+
+static int links; /* that are answered; atomic */
+
+static void *serve_link(void *arg)
+{
+    struct conn *c = arg;
+    struct answering a = {.g = c->g};
+    char err[256];
+    lmn_g_request q;
+    bool greeted = false;
+
+    /* Longer than a peer's silence between two syncs. */
+    a.link = lmn_link_accept(c->g->tls, c->fd, MAX(LMN_LINK_S, 3 * c->g->o->sync_s), err,
+                             sizeof err);
+    if (!a.link) {
+        lmn_info("link-refused why=\"%s\"", err);
+    } else {
+        a.site = lmn_link_site(a.link);
+        a.state = lmn_http_new(c->g->o->state);
+        a.depot = lmn_http_new(c->g->o->depot);
+        while (lmn_link_read_request(a.link, &q) == 0) {
+            int rc = answer_one(&a, &q, &greeted);
+            xdr_free((xdrproc_t)xdr_lmn_g_request, (char *)&q);
+            if (rc != 0)
+                break;
+        }
+        lmn_link_close(a.link);
+        lmn_http_free(a.state);
+        lmn_http_free(a.depot);
+    }
+    g_atomic_int_add(&links, -1);
+    g_free(c);
+    return NULL;
+}
+
+static void *accept_links(void *arg)
+{
+    struct conn *l = arg;
+
+    for (;;) {
+        int fd = accept4(l->fd, NULL, NULL, SOCK_CLOEXEC);
+        if (fd < 0) {
+            lmn_sleep(0.05);
+            continue;
+        }
+        /* A bound on what strangers, and peers that dial again and again, can take. */
+        if (g_atomic_int_add(&links, 1) >= MAX_LINKS + 2 * (int)l->g->o->npeers) {
+            g_atomic_int_add(&links, -1);
+            close(fd);
+            continue;
+        }
+        struct conn *c = g_new(struct conn, 1);
+        *c = (struct conn){l->g, fd};
+        lmn_thread(serve_link, c);
+    }
+    return NULL;
+}
+
+int lmn_home_start(struct lmn_gateway *g, char *err, size_t len)
+{
+    struct conn *l = g_new0(struct conn, 1);
+    struct sockaddr_in a = {.sin_family = AF_INET};
+    char host[LMN_ADDR];
+    int port, one = 1;
+
+    l->g = g;
+    l->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    lmn_addr_split(g->o->link_listen, host, sizeof host, &port);
+    a.sin_port = htons((uint16_t)port);
+    inet_pton(AF_INET, host, &a.sin_addr);
+    setsockopt(l->fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+    if (l->fd < 0 || bind(l->fd, (struct sockaddr *)&a, sizeof a) != 0 ||
+        listen(l->fd, 64) != 0) {
+        g_snprintf(err, len, "%s: can't listen: %s", g->o->link_listen,
+                   g_strerror(errno));
+        return -1;
+    }
+    lmn_thread(accept_links, l);
+    return 0;
+}
--- /dev/null
+++ b/src/gateway/sync_part.h
@@ -0,0 +1,22 @@
+/* What both ends of a link share: host.c, which asks, and home.c, which answers. */
+#ifndef LMN_SYNC_PART_H
+#define LMN_SYNC_PART_H
+
+#include "gateway/gateway_part.h"
+#include "gateway/link.h"
+
+/* A message takes no longer, seconds. */
+#define LMN_LINK_S 5.0
+
+const char *lmn_peer_site(const struct lmn_gpeer *p);
+/* This gateway's hello; its strings belong to the gateway. */
+void lmn_hello_fill(struct lmn_gateway *g, lmn_g_hello *h);
+/* Takes a peer's hello; what is wrong with it, or NULL. */
+const char *lmn_hello_take(struct lmn_gateway *g, const char *site, const lmn_g_hello *h);
+/* One more in an array of lmn_g_item, zero; belongs to the array, until that grows. */
+struct lmn_g_item *lmn_item_add(GArray *v);
+/* Whether the job is among those that are taken already: a peer that names one twice must
+ * not make this thread wait for itself. */
+bool lmn_write_among(const GArray *writes, const char *ref);
+
+#endif
