Controllers: sockets are parted by purpose; past its part a connection ends with its answer

Change: src/limits/sockets.c parts max_connections by a pure function of the settings: own calls, and floors for users, workers and what passes; a connection stays open only if that takes from no other's floor or use. The HTTP server counts connections by kind and closes with the answer else. An idle connection ends after the workers' lease (20 to 90 s).

--- a/src/base/httpd.c
+++ b/src/base/httpd.c
@@ -11,13 +11,22 @@
 struct lmn_httpd {
     struct MHD_Daemon *daemon;
     lmn_route *route;
+    lmn_stands *stands;
     void *arg;
     size_t max_body;
     double patience_s;
+    /* By kind; read by any thread (atomic). */
+    gint open[LMN_HTTPD_KINDS];
+    guint64 closed[LMN_HTTPD_KINDS];
     pthread_mutex_t lock; /* of the calls' phases and of waiting */
     GQueue waiting;
 };
 
+/* What is kept with a connection, from its start to its end. */
+struct peer {
+    unsigned kind;
+};
+
 struct lmn_call {
     struct lmn_httpd *server;
     struct MHD_Connection *conn;
@@ -54,6 +63,64 @@
     return MHD_lookup_connection_value(call->conn, MHD_GET_ARGUMENT_KIND, name);
 }
 
+static struct peer *peer_of(struct MHD_Connection *conn)
+{
+    const union MHD_ConnectionInfo *i =
+        MHD_get_connection_info(conn, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+
+    return i ? i->socket_context : NULL;
+}
+
+void lmn_call_kind(struct lmn_call *call, unsigned kind)
+{
+    struct peer *p = peer_of(call->conn);
+
+    if (!p || p->kind == kind || kind >= LMN_HTTPD_KINDS)
+        return;
+    g_atomic_int_add(&call->server->open[p->kind], -1);
+    g_atomic_int_inc(&call->server->open[kind]);
+    p->kind = kind;
+}
+
+static void counted(void *arg, struct MHD_Connection *conn, void **context,
+                    enum MHD_ConnectionNotificationCode what)
+{
+    struct lmn_httpd *h = arg;
+    (void)conn;
+
+    if (what == MHD_CONNECTION_NOTIFY_STARTED) {
+        *context = g_new0(struct peer, 1);
+        g_atomic_int_inc(&h->open[0]);
+    } else if (*context) {
+        g_atomic_int_add(&h->open[((struct peer *)*context)->kind], -1);
+        g_clear_pointer(context, g_free);
+    }
+}
+
+void lmn_httpd_load(const struct lmn_httpd *h, struct lmn_httpd_load *load)
+{
+    for (int k = 0; k < LMN_HTTPD_KINDS; k++) {
+        load->open[k] = (unsigned)MAX(g_atomic_int_get(&h->open[k]), 0);
+        load->closed[k] = __atomic_load_n(&h->closed[k], __ATOMIC_RELAXED);
+    }
+}
+
+/* Whether the call's connection is to end with its answer. */
+static bool ends(struct lmn_call *call)
+{
+    struct lmn_httpd *h = call->server;
+    struct peer *p = peer_of(call->conn);
+    struct lmn_httpd_load load;
+
+    if (!h->stands || !p)
+        return false;
+    lmn_httpd_load(h, &load);
+    if (h->stands(h->arg, load.open, p->kind))
+        return false;
+    __atomic_fetch_add(&h->closed[p->kind], 1, __ATOMIC_RELAXED);
+    return true;
+}
+
 int lmn_call_port(const struct lmn_call *call)
 {
     const union MHD_ConnectionInfo *i =
@@ -176,6 +243,8 @@
         g_snprintf(t, sizeof t, "%d", call->retry_after);
         MHD_add_response_header(r, "Retry-After", t);
     }
+    if (ends(call))
+        MHD_add_response_header(r, "Connection", "close");
     ok = MHD_queue_response(call->conn, (unsigned)call->status, r);
     MHD_destroy_response(r);
     return ok;
@@ -264,6 +333,7 @@
 
     pthread_mutex_init(&h->lock, NULL);
     h->route = o->route;
+    h->stands = o->stands;
     h->arg = o->arg;
     h->max_body = o->max_body;
     h->patience_s = o->patience_s;
@@ -285,10 +355,11 @@
     h->daemon = MHD_start_daemon(
         flags, (uint16_t)port, NULL, NULL, handler, h, MHD_OPTION_SOCK_ADDR,
         (struct sockaddr *)&a, MHD_OPTION_NOTIFY_COMPLETED, completed, h,
-        MHD_OPTION_CONNECTION_LIMIT, o->connections, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+        MHD_OPTION_NOTIFY_CONNECTION, counted, h, MHD_OPTION_CONNECTION_LIMIT,
+        o->connections, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
         o->call_memory ? o->call_memory : (size_t)32768, MHD_OPTION_CONNECTION_TIMEOUT,
-        90u, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_THREAD_STACK_SIZE,
-        (size_t)(256 * 1024), MHD_OPTION_END);
+        o->idle_s ? o->idle_s : 90u, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
+        MHD_OPTION_THREAD_STACK_SIZE, (size_t)(256 * 1024), MHD_OPTION_END);
     if (!h->daemon)
         g_clear_pointer(&h, g_free);
     return h;
--- a/src/base/httpd.h
+++ b/src/base/httpd.h
@@ -16,6 +16,14 @@
  */
 typedef void lmn_route(void *arg, struct lmn_call *call);
 
+/* Connections are counted by kind: numbers that the caller gives a meaning to. A new one
+ * is of kind 0. */
+enum { LMN_HTTPD_KINDS = 4 };
+
+/* Whether a connection of the kind may stay open after its answer, with so many open of
+ * each. On the server's thread. */
+typedef bool lmn_stands(void *arg, const unsigned open[LMN_HTTPD_KINDS], unsigned kind);
+
 struct lmn_httpd_options {
     const char *listen; /* "IPv4:port"; NULL: connections come by lmn_httpd_adopt alone */
     unsigned connections; /* at most so many; further ones are refused */
@@ -24,7 +32,9 @@
                            default */
     double patience_s;  /* what is held for longer is answered 503 by lmn_httpd_sweep; 0:
                            never */
+    unsigned idle_s;    /* a connection without a word for this long is closed; 0: 90 s */
     lmn_route *route;
+    lmn_stands *stands; /* NULL: all stay open */
     void *arg;
 };
 
@@ -37,12 +47,23 @@
 /* Calls that have waited too long are answered 503 now. */
 void lmn_httpd_sweep(struct lmn_httpd *h);
 
+/* Connections now, by kind, and how many answers closed theirs for want of sockets. From
+ * any thread. */
+struct lmn_httpd_load {
+    unsigned open[LMN_HTTPD_KINDS];
+    uint64_t closed[LMN_HTTPD_KINDS];
+};
+void lmn_httpd_load(const struct lmn_httpd *h, struct lmn_httpd_load *load);
+
 enum lmn_method lmn_call_method(const struct lmn_call *call);
 const char *lmn_call_path(const struct lmn_call *call);
 const GByteArray *lmn_call_body(const struct lmn_call *call);
 /* A query's value; NULL if there is none. Valid until the call is answered; only on the
  * server's thread. */
 const char *lmn_call_query(const struct lmn_call *call, const char *name);
+/* Counts the call's connection among those of the kind from now on. Only on the server's
+ * thread, before the call is answered or held. */
+void lmn_call_kind(struct lmn_call *call, unsigned kind);
 /* The connection's local port, for servers of many addresses. */
 int lmn_call_port(const struct lmn_call *call);
 /* Answers it with CBOR; whoever comes first counts. retry_after in seconds, 0: none.
--- /dev/null
+++ b/src/limits/sockets.c
@@ -0,0 +1,48 @@
+#include "limits/sockets.h"
+
+/* Listening, the log, the state service (following, writing, reading, the lease), the
+ * cloud, with some to spare; and for each other member a call each way and one that is
+ * just being replaced. */
+enum { FIXED = 12, EACH_MEMBER = 3, LEAST_ACCEPTED = 16, LANES = 16 };
+
+static unsigned most(unsigned a, unsigned b)
+{
+    return a > b ? a : b;
+}
+
+static unsigned fixed(const struct lmn_settings *cfg)
+{
+    return FIXED + EACH_MEMBER * (unsigned)cfg->nmembers;
+}
+
+unsigned lmn_sockets_least(const struct lmn_settings *cfg)
+{
+    return fixed(cfg) + LANES + LEAST_ACCEPTED;
+}
+
+void lmn_socket_plan(const struct lmn_settings *cfg, struct lmn_socket_plan *p)
+{
+    unsigned all = (unsigned)cfg->max_connections;
+
+    /* Each lane has one call under way at most, whatever it keeps open besides. */
+    p->direct = most(lmn_direct_connections(cfg), LANES);
+    p->own = fixed(cfg) + p->direct;
+    p->accepted = all > p->own + LEAST_ACCEPTED ? all - p->own : LEAST_ACCEPTED;
+    /* An eighth is left to pass through, however many stand: a report needs a connection
+     * for as long as its answer takes. A quarter each is users' and workers' own; the
+     * rest is whose it is needed by. */
+    p->floor[LMN_SOCKET_PASSING] = most(p->accepted / 8, 4);
+    p->floor[LMN_SOCKET_USER] = most(p->accepted / 4, 4);
+    p->floor[LMN_SOCKET_WORKER] = most(p->accepted / 4, 4);
+}
+
+bool lmn_socket_stands(const struct lmn_socket_plan *p,
+                       const unsigned open[LMN_SOCKET_KINDS], enum lmn_socket_kind kind)
+{
+    unsigned others = 0;
+
+    for (int k = 0; k < LMN_SOCKET_KINDS; k++)
+        if (k != (int)kind)
+            others += most(p->floor[k], open[k]);
+    return open[kind] + others <= p->accepted;
+}
--- /dev/null
+++ b/src/limits/sockets.h
@@ -0,0 +1,43 @@
+/* A controller's sockets, parted by purpose: what may stand open, and what is answered
+ * and closed. Pure functions of the settings and of counts; nothing here is locked.
+ *
+ * Without this, workers' standing connections alone filled a node once there were more of
+ * them than sockets: health checks and users then waited at a door that nobody opened. */
+#ifndef LMN_SOCKETS_H
+#define LMN_SOCKETS_H
+
+#include "base/settings.h"
+
+#include <stdbool.h>
+
+/* Who has opened a connection. One that has not asked for anything yet is passing. */
+enum lmn_socket_kind {
+    LMN_SOCKET_PASSING,
+    LMN_SOCKET_USER,
+    LMN_SOCKET_WORKER,
+    LMN_SOCKET_KINDS
+};
+
+struct lmn_socket_plan {
+    unsigned own;                     /* the node's own calls, and what it listens on */
+    unsigned direct;                  /* of these, kept open to workers, over all lanes */
+    unsigned accepted;                /* others' connections, at most */
+    unsigned floor[LMN_SOCKET_KINDS]; /* of the accepted, which other kinds can't take */
+};
+
+/* How the node's max_connections are parted. For any settings: own and accepted together
+ * are no more than max_connections, as long as that is at least LMN_SOCKETS_LEAST with
+ * the members counted (lmn_sockets_least); below, accepted is 16 and something will be
+ * refused. */
+void lmn_socket_plan(const struct lmn_settings *cfg, struct lmn_socket_plan *p);
+
+/* The fewest max_connections that a node with so many members can serve with. */
+unsigned lmn_sockets_least(const struct lmn_settings *cfg);
+
+/* Whether a connection of the kind may stay open after its answer, with so many of each
+ * kind open now (itself among them): not if that took from what other kinds have open, or
+ * from their floors. */
+bool lmn_socket_stands(const struct lmn_socket_plan *p,
+                       const unsigned open[LMN_SOCKET_KINDS], enum lmn_socket_kind kind);
+
+#endif
--- a/src/own/worker.c
+++ b/src/own/worker.c
@@ -644,8 +644,7 @@
         struct lmn_http *h = g_hash_table_lookup(clients, addr);
         if (!h) {
             /* Connections are kept, but the sockets are the workers' and users' first. */
-            if (g_hash_table_size(clients) >=
-                lmn_direct_connections(c->cfg) / lane->lanes)
+            if (g_hash_table_size(clients) >= c->sockets.direct / lane->lanes)
                 drop_any(clients);
             h = lmn_http_new(addr);
             g_hash_table_insert(clients, g_strdup(addr), h);
--- a/src/serve/server.c
+++ b/src/serve/server.c
@@ -2,6 +2,7 @@
 #include "serve/server.h"
 #include "base/metrics.h"
 #include "base/wire.h"
+#include "limits/sockets.h"
 #include "own/worker.h"
 #include "serve/api.h"
 #include "serve/metrics.h"
@@ -29,12 +30,28 @@
     g_free(ref);
 }
 
+/* What the connection asks for tells whose it is. */
+static void tell_kind(struct lmn_call *call, bool post, const char *path)
+{
+    bool report = post && !strcmp(path, P_REPORT);
+
+    lmn_call_kind(call, report ? LMN_SOCKET_WORKER : LMN_SOCKET_USER);
+}
+
+static bool stands(void *arg, const unsigned open[LMN_HTTPD_KINDS], unsigned kind)
+{
+    const struct lmn_core *c = arg;
+
+    return lmn_socket_stands(&c->sockets, open, (enum lmn_socket_kind)kind);
+}
+
 static void route(void *arg, struct lmn_call *call)
 {
     struct lmn_core *c = arg;
     const char *path = lmn_call_path(call);
     bool post = lmn_call_method(call) == LMN_POST;
 
+    tell_kind(call, post, path);
     if (!post && lmn_call_method(call) != LMN_GET) {
         lmn_call_answer(call, 405, NULL, 0);
     } else if (post && !strcmp(path, P_REPORT)) {
@@ -57,15 +74,16 @@
 
 struct lmn_httpd *lmn_server_start(struct lmn_core *c)
 {
-    /* Some sockets stay for the node's own calls. */
-    int kept = 32 + (int)lmn_direct_connections(c->cfg);
     const struct lmn_httpd_options o = {
         .listen = c->cfg->listen,
-        .connections = (unsigned)MAX(c->cfg->max_connections - kept, 16),
+        .connections = c->sockets.accepted,
         .max_body = MAX_BODY,
         .call_memory = 6144,
         .patience_s = PATIENCE_S,
+        /* A machine that was silent for a lease holds no socket any more. */
+        .idle_s = (unsigned)CLAMP(c->cfg->lease_s, 20, 90),
         .route = route,
+        .stands = stands,
         .arg = c,
     };
 
--- a/src/state/core.c
+++ b/src/state/core.c
@@ -24,6 +24,7 @@
     lmn_cond_init(&c->poked);
     c->cfg = cfg;
     c->state = state;
+    lmn_socket_plan(cfg, &c->sockets);
     c->tuning = lmn_tuning_default;
     c->rng = g_rand_new_with_seed(seed);
     c->jobs = g_hash_table_new(g_str_hash, g_str_equal);
--- a/src/state/model.h
+++ b/src/state/model.h
@@ -11,6 +11,7 @@
 #include "base/job.h"
 #include "base/latency.h"
 #include "base/settings.h"
+#include "limits/sockets.h"
 #include "state/state.h"
 #include "base/tuning.h"
 
@@ -260,6 +261,7 @@
     const struct lmn_settings *cfg;
     struct lmn_state *state;
     const struct lmn_owner_ops *owner;
+    struct lmn_socket_plan sockets;
     struct lmn_tuning tuning;
     uint64_t tuning_rev;
     GRand *rng;
--- /dev/null
+++ b/tests/test_sockets.c
@@ -0,0 +1,205 @@
+/* Sockets by purpose: the plan over generated sizes, and a server that is full of workers
+ * and still answers users. */
+#include "base/httpd.h"
+#include "base/http_client.h"
+#include "limits/sockets.h"
+
+#include <arpa/inet.h>
+#include <math.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+static struct lmn_settings settings(int sockets, size_t members)
+{
+    struct lmn_settings s = {.max_connections = sockets, .nmembers = members};
+    return s;
+}
+
+/* Any number of workers and users that come in any order and are answered: what stands
+ * never passes the limit, nor takes a floor. */
+static void crowd(GRand *rng, const struct lmn_socket_plan *p, unsigned workers,
+                  unsigned users)
+{
+    unsigned open[LMN_SOCKET_KINDS] = {0};
+    unsigned want[LMN_SOCKET_KINDS] = {0, users, workers};
+
+    while (want[LMN_SOCKET_USER] + want[LMN_SOCKET_WORKER]) {
+        enum lmn_socket_kind k =
+            g_rand_boolean(rng) ? LMN_SOCKET_USER : LMN_SOCKET_WORKER;
+        if (!want[k])
+            k = k == LMN_SOCKET_USER ? LMN_SOCKET_WORKER : LMN_SOCKET_USER;
+        want[k]--;
+        open[k]++;
+        if (!lmn_socket_stands(p, open, k))
+            open[k]--;
+        else if (g_rand_int_range(rng, 0, 20) == 0)
+            open[k]--; /* it ends by itself */
+        unsigned sum = open[LMN_SOCKET_USER] + open[LMN_SOCKET_WORKER];
+        assert_true(sum + p->floor[LMN_SOCKET_PASSING] <= p->accepted);
+    }
+    /* Whoever else is there, a floor is had. */
+    for (enum lmn_socket_kind k = LMN_SOCKET_USER; k < LMN_SOCKET_KINDS; k++)
+        if (open[k] < p->floor[k]) {
+            open[k]++;
+            assert_true(lmn_socket_stands(p, open, k));
+            open[k]--;
+        }
+}
+
+static void plans(void **state)
+{
+    GRand *rng = g_rand_new_with_seed(21);
+    (void)state;
+
+    for (int i = 0; i < 400; i++) {
+        int sockets = (int)exp2(g_rand_double_range(rng, 6, 14.3));
+        struct lmn_settings s = settings(sockets, (size_t)g_rand_int_range(rng, 0, 33));
+        struct lmn_socket_plan p;
+        unsigned floors = 0;
+        lmn_socket_plan(&s, &p);
+        for (int k = 0; k < LMN_SOCKET_KINDS; k++)
+            floors += p.floor[k];
+        assert_true(floors <= p.accepted);
+        assert_true(p.direct >= 16);
+        if ((unsigned)sockets >= lmn_sockets_least(&s) && p.direct == 16)
+            assert_true(p.own + p.accepted <= (unsigned)sockets);
+        if (p.own + 16 <= (unsigned)sockets)
+            assert_int_equal(p.own + p.accepted, sockets);
+        crowd(rng, &p, (unsigned)exp2(g_rand_double_range(rng, 0, 15.6)),
+              (unsigned)exp2(g_rand_double_range(rng, 0, 13)));
+    }
+    g_rand_free(rng);
+}
+
+static void nothing_is_lost_while_there_is_room(void **state)
+{
+    struct lmn_settings s = settings(2000, 2);
+    struct lmn_socket_plan p;
+    (void)state;
+
+    lmn_socket_plan(&s, &p);
+    /* Beyond a floor, what the other kind has no use for may be used: */
+    unsigned quiet[] = {0, 3, p.accepted / 2};
+    assert_true(lmn_socket_stands(&p, quiet, LMN_SOCKET_WORKER));
+    /* and no more than that. */
+    unsigned full[] = {0, 3, p.accepted - p.floor[0] - p.floor[1] + 1};
+    assert_false(lmn_socket_stands(&p, full, LMN_SOCKET_WORKER));
+    assert_true(lmn_socket_stands(&p, full, LMN_SOCKET_USER));
+    /* Many that pass make fewer stand. */
+    unsigned storm[] = {p.accepted / 2, 3, p.accepted / 2};
+    assert_false(lmn_socket_stands(&p, storm, LMN_SOCKET_WORKER));
+}
+
+/* --- a server --- */
+
+static struct lmn_socket_plan plan;
+
+static void answer(void *arg, struct lmn_call *call)
+{
+    bool worker = lmn_call_method(call) == LMN_POST;
+    (void)arg;
+
+    lmn_call_kind(call, worker ? LMN_SOCKET_WORKER : LMN_SOCKET_USER);
+    lmn_call_answer(call, 200, NULL, 0);
+}
+
+static bool stands(void *arg, const unsigned open[LMN_HTTPD_KINDS], unsigned kind)
+{
+    (void)arg;
+    return lmn_socket_stands(&plan, open, (enum lmn_socket_kind)kind);
+}
+
+/* Asks over a connection of its own; 1: it was answered and stays open, 0: it was
+ * answered and closed, -1: no answer. */
+static int report(int port, int *fd)
+{
+    static const char ask[] =
+        "POST /hello HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+    struct sockaddr_in a = {.sin_family = AF_INET, .sin_port = htons((uint16_t)port)};
+    struct timeval patience = {20, 0};
+    char in[1024] = "";
+    ssize_t n;
+
+    inet_pton(AF_INET, "127.0.0.1", &a.sin_addr);
+    *fd = socket(AF_INET, SOCK_STREAM, 0);
+    setsockopt(*fd, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+    if (connect(*fd, (struct sockaddr *)&a, sizeof a) != 0 ||
+        send(*fd, ask, sizeof ask - 1, MSG_NOSIGNAL) < 0)
+        return -1;
+    n = recv(*fd, in, sizeof in - 1, 0);
+    if (n <= 0 || strncmp(in, "HTTP/1.1 200", 12))
+        return -1;
+    return !strcasestr(in, "connection: close");
+}
+
+/* Found on a site with four times the machines that its sockets could hold: workers'
+ * connections filled every node, and users and health checks found no way in. */
+static void users_get_in_past_a_crowd_of_workers(void **state)
+{
+    enum { CROWD = 200 };
+    struct lmn_settings s = settings(96, 0);
+    int fds[CROWD], standing = 0, closed = 0;
+    struct lmn_httpd_load load;
+    (void)state;
+
+    lmn_socket_plan(&s, &plan);
+    const struct lmn_httpd_options o = {.listen = "127.0.0.1:0",
+                                        .connections = plan.accepted,
+                                        .max_body = 1024,
+                                        .route = answer,
+                                        .stands = stands};
+    struct lmn_httpd *h = lmn_httpd_start(&o);
+    assert_non_null(h);
+    for (int i = 0; i < CROWD; i++) {
+        int r = report(lmn_httpd_port(h), &fds[i]);
+        assert_true(r >= 0);
+        standing += r == 1;
+        closed += r == 0;
+        if (r == 0) { /* as a worker does */
+            close(fds[i]);
+            fds[i] = -1;
+        }
+    }
+    assert_int_equal(standing, plan.accepted - plan.floor[LMN_SOCKET_PASSING] -
+                                   plan.floor[LMN_SOCKET_USER]);
+    assert_int_equal(closed, CROWD - standing);
+    lmn_httpd_load(h, &load);
+    assert_int_equal(load.closed[LMN_SOCKET_WORKER], closed);
+    assert_int_equal(load.open[LMN_SOCKET_WORKER], standing);
+    /* All that stand stay open, and users are served. */
+    struct lmn_http *users[3];
+    GByteArray *in = g_byte_array_new();
+    char addr[32];
+    g_snprintf(addr, sizeof addr, "127.0.0.1:%d", lmn_httpd_port(h));
+    for (int i = 0; i < 3; i++) {
+        users[i] = lmn_http_new(addr);
+        for (int k = 0; k < 3; k++)
+            assert_int_equal(lmn_http_call(users[i], "GET", "/ready", NULL, 20, in), 200);
+    }
+    lmn_httpd_load(h, &load);
+    assert_int_equal(load.open[LMN_SOCKET_USER], 3);
+    assert_int_equal(load.closed[LMN_SOCKET_USER], 0);
+    for (int i = 0; i < 3; i++)
+        lmn_http_free(users[i]);
+    for (int i = 0; i < CROWD; i++)
+        if (fds[i] >= 0)
+            close(fds[i]);
+    g_byte_array_unref(in);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(plans),
+        cmocka_unit_test(nothing_is_lost_while_there_is_room),
+        cmocka_unit_test(users_get_in_past_a_crowd_of_workers),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
