Renting counts what teams' limits let run, and ordinary machines once

And what only ordinary machines can do was rented for twice where both deficits were open.

Change: each team's wants are cut to its limit before deficits are taken; the deficit that any machine may fill leaves out what ordinary ones have to.

--- a/src/decide/fleet.c
+++ b/src/decide/fleet.c
@@ -12,9 +12,37 @@
 
 struct want {
     const struct lmn_spec *spec;
-    double cpus, mem;
+    int team;
+    double cpus, gpus, mem;
 };
 
+/* A team's work runs on no more than its limit, however much of it waits: what it wants
+ * beyond that is not rented for. Else, with limits far below the demand, thousands of
+ * machines were rented, found nothing that might start, went back as idle, and were
+ * rented again. All its ranges are cut alike: which of them goes first is not decided
+ * here. */
+static void bound_by_limits(const struct lmn_core *c, GArray *a)
+{
+    double cpus[LMN_MAX_TEAMS] = {0}, gpus[LMN_MAX_TEAMS] = {0};
+
+    for (guint i = 0; i < a->len; i++) {
+        const struct want *w = &g_array_index(a, struct want, i);
+        cpus[w->team] += w->cpus;
+        gpus[w->team] += w->gpus;
+    }
+    for (guint i = 0; i < a->len; i++) {
+        struct want *w = &g_array_index(a, struct want, i);
+        const struct lmn_team *t = &c->cfg->teams[w->team];
+        double part = 1;
+        if (t->cpus_max > 0 && cpus[w->team] > t->cpus_max)
+            part = t->cpus_max / cpus[w->team];
+        if (t->gpus_max > 0 && gpus[w->team] > t->gpus_max)
+            part = MIN(part, t->gpus_max / gpus[w->team]);
+        w->cpus *= part;
+        w->mem *= part;
+    }
+}
+
 /* Processors that each open range could use: all of a service's, and of an array as many
  * as work it off within the horizon. */
 static GArray *wants(const struct lmn_core *c)
@@ -30,14 +58,16 @@
             const struct lmn_range *r = v;
             const struct lmn_spec *s = &r->job->spec;
             double left = r->hi - r->lo - (r->st ? r->nfinished : r->ndone);
-            if (r->job->phase != LMN_ACTIVE || left <= 0)
+            if (r->job->phase != LMN_ACTIVE || left <= 0 || r->job->team < 0)
                 continue;
             if (s->kind == LMN_BATCH)
                 left = MIN(left, MAX(left * MAX(s->estimate_s, 1) / horizon, 1));
-            struct want w = {s, left * s->cpus, left * s->mem};
+            struct want w = {s, r->job->team, left * s->cpus, left * s->gpus,
+                             left * s->mem};
             g_array_append_val(a, w);
         }
     }
+    bound_by_limits(c, a);
     return a;
 }
 
@@ -144,7 +174,8 @@
     double ordinary = need_ordinary - have_ordinary, all = need - have;
     bool any = all - MAX(ordinary, 0) > ordinary;
     for (int turn = 0; turn < 2 && best == INFINITY; turn++, any = !any) {
-        double deficit = any ? all : ordinary;
+        /* What only ordinary machines can do is theirs to rent, while they can be had. */
+        double deficit = !any ? ordinary : turn ? all : all - MAX(ordinary, 0);
         if (deficit >= 1)
             best = choose(c, f, w, deficit, any, have <= 0, out, now);
     }
--- /dev/null
+++ b/tests/test_rent.c
@@ -0,0 +1,134 @@
+/* What is rented, over generated demands and limits. */
+#include "decide/fleet.h"
+#include "state/core.h"
+#include "state/mirror.h"
+#include "state/records.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+const char *__asan_default_options(void);
+const char *__asan_default_options(void)
+{
+    return "detect_leaks=0";
+}
+
+static struct lmn_settings cfg;
+static struct lmn_type types[] = {
+    {.name = "small", .zones = {"a"}, .nzones = 1, .cpus = 8, .mem = 64, .rate = 1,
+     .spot_rate = 0.4, .ready_s = 20},
+    {.name = "large", .zones = {"a", "b"}, .nzones = 2, .cpus = 32, .mem = 256, .rate = 3.5,
+     .spot_rate = 1.5, .ready_s = 40},
+};
+static struct lmn_job jobs[64];
+static struct lmn_range ranges[64];
+
+static struct lmn_core *make(GRand *r, int njobs)
+{
+    struct lmn_core *c;
+
+    memset(&cfg, 0, sizeof cfg);
+    cfg.partitions = 3;
+    cfg.nteams = 3;
+    cfg.max_connections = 1000;
+    for (int i = 0; i < 3; i++) {
+        g_snprintf(cfg.teams[i].name, LMN_NAME, "team%d", i);
+        /* One of the teams has no limit now and then. */
+        cfg.teams[i].cpus_max = g_rand_int_range(r, 0, 4) ? 100.0 * g_rand_int_range(r, 1, 30) : 0;
+    }
+    c = lmn_core_bare(&cfg, NULL, 1);
+    memcpy(c->types.v, types, sizeof types);
+    c->types.n = G_N_ELEMENTS(types);
+    c->types_known = true;
+    for (int i = 0; i < njobs; i++) {
+        struct lmn_job *j = &jobs[i];
+        memset(j, 0, sizeof *j);
+        j->team = g_rand_int_range(r, 0, 3);
+        j->phase = LMN_ACTIVE;
+        j->spec.kind = LMN_BATCH;
+        j->spec.cpus = 1 << g_rand_int_range(r, 0, 4);
+        j->spec.mem = 2 * j->spec.cpus;
+        j->spec.estimate_s = g_rand_int_range(r, 1, 200);
+        j->spec.spot = g_rand_boolean(r);
+        j->spec.tasks = (uint32_t)g_rand_int_range(r, 1, 400);
+        ranges[i] = (struct lmn_range){.job = j, .hi = j->spec.tasks};
+        ranges[i].part = &c->parts[i % 3];
+        ranges[i].key = g_strdup_printf("r/%d", i);
+        g_hash_table_insert(c->parts[i % 3].ranges, ranges[i].key, &ranges[i]);
+    }
+    return c;
+}
+
+/* What the teams could use at once, limits and horizon counted. */
+static double usable(int njobs, double horizon, bool ordinary)
+{
+    double sum = 0;
+
+    for (int t = 0; t < 3; t++) {
+        double all = 0, bound = 0;
+        for (int i = 0; i < njobs; i++) {
+            const struct lmn_spec *s = &jobs[i].spec;
+            double n = MIN(s->tasks, MAX(s->tasks * MAX(s->estimate_s, 1) / horizon, 1));
+            if (jobs[i].team != t)
+                continue;
+            all += n * s->cpus;
+            if (!s->spot)
+                bound += n * s->cpus;
+        }
+        double limit = cfg.teams[t].cpus_max > 0 ? cfg.teams[t].cpus_max : 1e12;
+        double part = all > limit ? limit / all : 1;
+        sum += part * (ordinary ? bound : all);
+    }
+    return sum;
+}
+
+/* Found on a site with four times the machines and limits as they were: some 5,200 machines
+ * were kept where tasks could run on a third of their processors, and came and went. */
+static void no_more_than_limits_let_run(void **state)
+{
+    GRand *r = g_rand_new_with_seed(7);
+    (void)state;
+
+    for (int round = 0; round < 60; round++) {
+        int n = g_rand_int_range(r, 0, 64);
+        struct lmn_core *c = make(r, n);
+        struct timespec now = {1000, 0};
+        struct lmn_fleet f;
+        struct lmn_rental rental;
+        double have = 0, ordinary = 0;
+        int calls = 0;
+        lmn_fleet_init(&f);
+        while (lmn_fleet_choose(c, &f, &rental, now)) {
+            assert_true(++calls < 10000);
+            const struct lmn_type *t = lmn_type_named(c, rental.type);
+            for (unsigned i = 0; i < rental.count; i++) {
+                struct lmn_listed *m = g_new0(struct lmn_listed, 1);
+                g_snprintf(m->name, LMN_NAME, "m-%d-%u", calls, i);
+                g_strlcpy(m->type, rental.type, LMN_NAME);
+                m->spot = rental.spot;
+                g_hash_table_insert(f.machines, m->name, m);
+                have += t->cpus;
+                ordinary += rental.spot ? 0 : t->cpus;
+            }
+        }
+        double most = usable(n, c->tuning.horizon_s, false);
+        double most_ordinary = usable(n, c->tuning.horizon_s, true);
+        /* No less than what can run, and no more than that by half a machine of each kind. */
+        assert_true(have <= MAX(most, most_ordinary) + 2 * 32);
+        assert_true(have >= most - 32);
+        assert_true(ordinary >= most_ordinary - 32);
+    }
+    g_rand_free(r);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(no_more_than_limits_let_run),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
