--- a/src/decide/order.c
+++ b/src/decide/order.c
@@ -1,6 +1,5 @@
 /* Which job goes first, and which should yield when not all can be in time. */
 #include "decide/order.h"
-#include "decide/quota.h"
 
 #include <math.h>
 #include <string.h>
@@ -86,74 +85,48 @@
     return strcmp(x->spec.ref, y->spec.ref);
 }
 
-/* What the jobs before one in the order ask for, of each thing that can be short. */
-struct sums {
-    double all, ordinary, team[LMN_MAX_TEAMS];
-};
-
-static void add(struct sums *s, const struct lmn_job *j, double sign)
-{
-    s->all += sign * j->left;
-    if (!j->spec.spot)
-        s->ordinary += sign * j->left;
-    if (j->team >= 0)
-        s->team[j->team] += sign * j->left;
-}
-
-/* When the job would end, in seconds from now; *by_team: its team's limit makes it so. */
-static double ends_in(const struct lmn_room_now *n, const struct sums *s,
-                      const struct lmn_job *j, bool *by_team)
-{
-    double machines =
-        j->spec.spot ? s->all / MAX(n->cpus, 1) : s->ordinary / MAX(n->ordinary, 1);
-    double limit =
-        j->team >= 0 && n->team[j->team] > 0 ? s->team[j->team] / n->team[j->team] : 0;
-
-    *by_team = limit > machines;
-    return MAX(machines, limit);
-}
-
 /* With more work than can be in time, the earliest first makes all late, one after the
  * other. So the jobs are run through in that order, and whenever one would be late, the
  * largest so far of its urgency yields (after J. M. Moore, "An n job, one machine
- * sequencing algorithm for minimizing the number of late jobs", 1968). A team's limit is
- * a machine of its own, which only its own jobs wait for: where limits are far below the
- * machines, all of a team's jobs were taken for timely, and none was. */
-void lmn_triage(GPtrArray *v, double wall, const struct lmn_room_now *n)
+ * sequencing algorithm for minimizing the number of late jobs", 1968). */
+void lmn_triage(GPtrArray *v, double wall, double cpus, double ordinary_cpus)
 {
-    struct sums s = {0};
+    double all = 0, ordinary = 0;
 
     g_ptr_array_sort(v, by_latest);
     for (guint i = 0; i < v->len; i++) {
         struct lmn_job *j = v->pdata[i];
         j->yields = false;
-        add(&s, j, 1);
+        all += j->left;
+        if (!j->spec.spot)
+            ordinary += j->left;
         for (;;) {
+            double ends = wall + (j->spec.spot ? all / MAX(cpus, 1)
+                                               : ordinary / MAX(ordinary_cpus, 1));
             struct lmn_job *most = NULL;
-            bool by_team;
-            if (wall + ends_in(n, &s, j, &by_team) <= j->latest)
+            if (ends <= j->latest)
                 break;
             for (guint k = 0; k <= i; k++) {
                 struct lmn_job *o = v->pdata[k];
                 if (!o->yields && o->guaranteed == j->guaranteed &&
                     o->spec.urgency == j->spec.urgency &&
-                    (by_team ? o->team == j->team : j->spec.spot || !o->spec.spot) &&
-                    (!most || o->left > most->left))
+                    (j->spec.spot || !o->spec.spot) && (!most || o->left > most->left))
                     most = o;
             }
             if (!most || most->left <= 0)
                 break;
             most->yields = true;
-            add(&s, most, -1);
+            all -= most->left;
+            if (!most->spec.spot)
+                ordinary -= most->left;
         }
     }
 }
 
-static void triage_partition(const struct lmn_core *c, struct lmn_partition *p,
-                             double wall)
+static void triage_partition(struct lmn_partition *p, double wall)
 {
     GPtrArray *v = g_ptr_array_new();
-    struct lmn_room_now n = {0};
+    double cpus = 0, ordinary = 0;
     GHashTableIter it;
     gpointer x;
 
@@ -162,13 +135,8 @@
         const struct lmn_machine *m = x;
         if (!m->type || !m->accounted || m->retiring || m->lapsed || m->is_gone)
             continue;
-        n.cpus += m->type->cpus;
-        n.ordinary += m->spot ? 0 : m->type->cpus;
-    }
-    for (size_t i = 0; i < c->cfg->nteams; i++) {
-        double gpus;
-        if (c->cfg->teams[i].cpus_max > 0)
-            lmn_quota_part(c, p, (int)i, &n.team[i], &gpus);
+        cpus += m->type->cpus;
+        ordinary += m->spot ? 0 : m->type->cpus;
     }
     g_hash_table_iter_init(&it, p->ranges);
     while (g_hash_table_iter_next(&it, NULL, &x)) {
@@ -180,7 +148,7 @@
         j->left = work_left(j, p);
         g_ptr_array_add(v, j);
     }
-    lmn_triage(v, wall, &n);
+    lmn_triage(v, wall, cpus, ordinary);
     for (guint i = 0; i < v->len; i++)
         ((struct lmn_job *)v->pdata[i])->ranked = NULL;
     g_ptr_array_free(v, TRUE);
@@ -204,7 +172,7 @@
         while (g_hash_table_iter_next(&it, NULL, &v))
             lmn_job_rank(c->cfg, ((struct lmn_range *)v)->job, wall);
         if (due)
-            triage_partition(c, p, wall);
+            triage_partition(p, wall);
     }
 }
 
--- a/src/decide/order.h
+++ b/src/decide/order.h
@@ -9,15 +9,8 @@
 /* Works out latest and lost for the time of day now. */
 void lmn_job_rank(const struct lmn_settings *cfg, struct lmn_job *j, double wall);
 void lmn_rank_all(struct lmn_core *c, double wall);
-
-/* What a partition's work can run on, in processors. */
-struct lmn_room_now {
-    double cpus, ordinary;      /* of machines: of all, and of ordinary ones */
-    double team[LMN_MAX_TEAMS]; /* the partition's parts of the limits; 0: no limit */
-};
-
-/* Which of the jobs should yield, so that as many as possible are in time. v holds jobs
- * that are not lost, with what they have left; it is sorted. */
-void lmn_triage(GPtrArray *v, double wall, const struct lmn_room_now *n);
+/* Which of the jobs should yield, so that as many as possible are in time: v holds jobs
+ * that are not lost, the capacities are in processors. */
+void lmn_triage(GPtrArray *v, double wall, double cpus, double ordinary_cpus);
 
 #endif
