Looks over queues remember what they found; samples and pokes walk no machine list

Cause: at eight times the machines (3,600 a node, 0.176 of a core, simulated machines) the node stood at 1.26 of its share: 35% of it copied a partition's machines for each sample, 20% asked the same jobs again in each queue, the lanes and the upkeep walked all machines several times a second.

Change: a partition keeps its machines in a list too, in which a sample is a partial shuffle; what a look finds out of a job (can't start, can, its fetch) is kept in the job for its length; machines to be given work stand in a list; nobody looks for silent machines while there are none; the upkeep looks at all machines every 0.3 ms times their number beyond 1,000 of them, 1 s at most.

--- a/src/decide/pack.c
+++ b/src/decide/pack.c
@@ -153,7 +153,7 @@
             a->grace = a->job->spec.save_s + 1;
         }
         lmn_machine_retire(c, m, false, "its replicas have room elsewhere", now);
-        m->poke = true;
+        lmn_poke(m);
         pthread_cond_broadcast(&c->poked);
         break;
     }
--- a/src/decide/preempt.c
+++ b/src/decide/preempt.c
@@ -34,7 +34,7 @@
 
     for (guint i = 0; i < q->segs->len && out->len < HELPED_AT_ONCE; i++) {
         const struct lmn_seg *s = q->segs->pdata[i];
-        const struct lmn_job *j = s->range->job;
+        const struct lmn_job *j = s->job;
         if (j->spec.urgency != LMN_PROD || j->phase != LMN_ACTIVE ||
             lmn_before(now, j->hold))
             continue;
@@ -143,7 +143,7 @@
         const struct lmn_machine *m = v;
         for (guint i = 0; m->promised && i < m->queue.segs->len; i++) {
             const struct lmn_seg *s = m->queue.segs->pdata[i];
-            if (s->range->job == j && !strcmp(m->zone, zone))
+            if (s->job == j && !strcmp(m->zone, zone))
                 n += s->hi - s->lo;
         }
     }
@@ -207,7 +207,7 @@
             lmn_queue_take(w->queue, w->range, w->index);
             lmn_queue_add(&m->queue, w->range, w->index, w->index + 1);
         }
-        m->poke = true;
+        lmn_poke(m);
         pthread_cond_broadcast(&c->poked);
     }
     g_array_free(wait, TRUE);
--- a/src/decide/queue.c
+++ b/src/decide/queue.c
@@ -163,7 +163,7 @@
             continue;
         g_hash_table_insert(dealt, x->m->zone, GUINT_TO_POINTER(there + n));
         deal_to(x->m, r, lo, lo + n, now);
-        x->m->poke = true;
+        lmn_poke(x->m);
         lo += n;
     }
     g_hash_table_destroy(dealt);
@@ -209,23 +209,16 @@
         return false;
     const struct lmn_team *t = &c->cfg->teams[j->team];
     double cpus, gpus;
-    GHashTableIter it;
-    gpointer v;
 
     lmn_quota_part(c, p, j->team, &cpus, &gpus);
 
-    /* A machine that is not accounted for may be full of this team's tasks. */
+    /* A machine that is not accounted for may be full of this team's tasks. As counted at
+     * the last check: since then there are only fewer of them. */
     if (!p->ready && (t->cpus_max > 0 || t->gpus_max > 0)) {
-        g_hash_table_iter_init(&it, p->machines);
-        while (g_hash_table_iter_next(&it, NULL, &v)) {
-            const struct lmn_machine *m = v;
-            if (!m->inherited || m->accounted)
-                continue;
-            if (!m->type)
-                return false;
-            cpus -= m->type->cpus;
-            gpus -= m->type->gpus;
-        }
+        if (p->unheard_unknown)
+            return false;
+        cpus -= p->unheard_cpus;
+        gpus -= p->unheard_gpus;
     }
 
     if (t->cpus_max > 0 && p->used_cpus[j->team] + j->spec.cpus > cpus + 1e-6)
@@ -233,11 +226,19 @@
     return !(t->gpus_max > 0 && p->used_gpus[j->team] + j->spec.gpus > gpus + 1e-6);
 }
 
+/* A look over queues begins: for one machine, at one time. What is found out of a job is
+ * kept for its length, since the same few jobs stand in most queues. */
+static void look_anew(struct lmn_core *c)
+{
+    c->look++;
+    c->turn++;
+}
+
 static void start(struct lmn_core *c, struct lmn_machine *m, struct lmn_seg *s,
                   GByteArray *out, struct timespec now)
 {
     struct lmn_partition *p = m->part;
-    struct lmn_attempt a = {.job = s->range->job,
+    struct lmn_attempt a = {.job = s->job,
                             .range = s->range,
                             .index = s->lo,
                             .state = LMN_A_SENT,
@@ -250,8 +251,11 @@
     s->range->st[a.index - s->range->lo] = LMN_T_STARTED;
     s->range->nstarted++;
     lmn_attempt_count(m, &a);
-    if (m->promised && a.job->spec.urgency == LMN_PROD)
+    c->turn++;
+    if (m->promised && a.job->spec.urgency == LMN_PROD) {
         m->promised--;
+        look_anew(c); /* lesser work may start again */
+    }
     lmn_note_image(m, a.job);
     g_array_append_val(m->attempts, a);
     c->count.starts++;
@@ -268,24 +272,47 @@
     s->lo++;
 }
 
+/* Within a look, starts only take room away: who can't start stays so; who could is looked
+ * at again after each. */
 static bool startable(const struct lmn_core *c, const struct lmn_machine *m,
-                      const struct lmn_job *j, struct timespec now)
+                      struct lmn_job *j, struct timespec now)
+{
+    if (j->look_no == c->look)
+        return false;
+    if (j->look_yes == c->turn)
+        return true;
+    bool ok = j->phase == LMN_ACTIVE && room(m, &j->spec) > 0 &&
+              (!m->promised || j->spec.urgency == LMN_PROD) &&
+              !lmn_before(now, j->hold) && lmn_can_hold(m, j) &&
+              lmn_in_quota(c, m->part, j) && lmn_zone_room(j, m->zone) > 0;
+    if (ok)
+        j->look_yes = c->turn;
+    else
+        j->look_no = c->look;
+    return ok;
+}
+
+/* lmn_fetch_s, remembered until the next start. */
+static double fetch_now(const struct lmn_core *c, const struct lmn_machine *m,
+                        struct lmn_job *j)
 {
-    return room(m, &j->spec) > 0 && (!m->promised || j->spec.urgency == LMN_PROD) &&
-           j->phase == LMN_ACTIVE && !lmn_before(now, j->hold) && lmn_can_hold(m, j) &&
-           lmn_in_quota(c, m->part, j) && lmn_zone_room(j, m->zone) > 0;
+    if (j->look_fetch != c->turn) {
+        j->fetch_s = lmn_fetch_s(m, j);
+        j->look_fetch = c->turn;
+    }
+    return j->fetch_s;
 }
 
 /* How the machine should choose between the jobs: as lmn_job_order, but a task whose
  * image it lacks would start, and end, later by the fetch, and hold its room idle
  * meanwhile. */
-static int order_on(const struct lmn_machine *m, const struct lmn_job *a,
-                    const struct lmn_job *b)
+static int order_on(const struct lmn_core *c, const struct lmn_machine *m,
+                    struct lmn_job *a, struct lmn_job *b)
 {
     if (a->guaranteed == b->guaranteed && a->lost == b->lost && a->yields == b->yields &&
         a->spec.urgency == b->spec.urgency) {
-        double x = (a->lost ? 0 : a->latest) + FETCH_WEIGHT * lmn_fetch_s(m, a);
-        double y = (b->lost ? 0 : b->latest) + FETCH_WEIGHT * lmn_fetch_s(m, b);
+        double x = (a->lost ? 0 : a->latest) + FETCH_WEIGHT * fetch_now(c, m, a);
+        double y = (b->lost ? 0 : b->latest) + FETCH_WEIGHT * fetch_now(c, m, b);
         if (x != y)
             return x < y ? -1 : 1;
     }
@@ -301,12 +328,12 @@
 
     for (guint i = 0; i < q->segs->len; i++) {
         const struct lmn_seg *s = q->segs->pdata[i];
-        if (!startable(c, m, s->range->job, now))
+        if (!startable(c, m, s->job, now))
             continue;
         if (best >= 0) {
             const struct lmn_seg *t = q->segs->pdata[best];
-            if (s->range->job == t->range->job ||
-                order_on(m, s->range->job, t->range->job) > 0)
+            if (s->job == t->job ||
+                order_on(c, m, s->job, t->job) > 0)
                 continue;
         }
         best = (int)i;
@@ -314,33 +341,35 @@
     return best;
 }
 
+static void swap(struct lmn_machine **v, guint i, guint k)
+{
+    struct lmn_machine *t = v[i];
+
+    v[i] = v[k];
+    v[k] = t;
+    v[i]->at = i;
+    v[k]->at = k;
+}
+
 /* A fresh random sample of the other machines' queues, and limbo, which is no machine's.
  */
 static GPtrArray *sample_queues(struct lmn_core *c, struct lmn_machine *m)
 {
     struct lmn_partition *p = m->part;
     GPtrArray *queues = g_ptr_array_new();
-    GHashTableIter it;
-    gpointer v;
+    struct lmn_machine **v = (struct lmn_machine **)p->list->pdata;
+    guint n = p->list->len - 1;
 
-    g_hash_table_iter_init(&it, p->machines);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        struct lmn_machine *o = v;
-        if (o != m)
-            g_ptr_array_add(queues, &o->queue);
-    }
-    guint n = queues->len;
     guint sample = c->tuning.sample > 0 ? (guint)c->tuning.sample
                                         : (guint)ceil(2 * sqrt((double)n + 1));
     sample = MIN(sample, n);
-    /* The first places of a partial shuffle. */
+    /* The first places of a partial shuffle, in the list itself, with the machine's own
+     * place put last: what a sample costs does not grow with the partition. */
+    swap(v, m->at, n);
     for (guint i = 0; i < sample; i++) {
-        guint k = i + (guint)g_rand_int_range(c->rng, 0, (gint32)(n - i));
-        gpointer t = queues->pdata[i];
-        queues->pdata[i] = queues->pdata[k];
-        queues->pdata[k] = t;
+        swap(v, i, i + (guint)g_rand_int_range(c->rng, 0, (gint32)(n - i)));
+        g_ptr_array_add(queues, &v[i]->queue);
     }
-    g_ptr_array_set_size(queues, (gint)sample);
     g_ptr_array_add(queues, &p->limbo);
     return queues;
 }
@@ -379,16 +408,15 @@
 
     while ((at = best_seg(c, &m->queue, m, now)) >= 0) {
         struct lmn_queue *from = &m->queue;
-        const struct lmn_job *best =
-            ((struct lmn_seg *)from->segs->pdata[at])->range->job;
+        struct lmn_job *best = ((struct lmn_seg *)from->segs->pdata[at])->job;
         if (!queues)
             queues = sample_queues(c, m);
         for (guint i = 0; i < queues->len; i++) {
             struct lmn_queue *q = queues->pdata[i];
             int k = best_seg(c, q, m, now);
-            const struct lmn_job *j =
-                k < 0 ? NULL : ((struct lmn_seg *)q->segs->pdata[k])->range->job;
-            if (j && j != best && order_on(m, j, best) < 0) {
+            struct lmn_job *j =
+                k < 0 ? NULL : ((struct lmn_seg *)q->segs->pdata[k])->job;
+            if (j && j != best && order_on(c, m, j, best) < 0) {
                 from = q;
                 at = k;
                 best = j;
@@ -409,7 +437,7 @@
     uint32_t n = 0;
     for (guint i = 0; i < q->segs->len; i++) {
         const struct lmn_seg *s = q->segs->pdata[i];
-        if (startable(c, thief, s->range->job, now))
+        if (startable(c, thief, s->job, now))
             n += s->hi - s->lo;
     }
     return n;
@@ -441,6 +469,7 @@
 
     if (lmn_before(now, m->next_steal))
         return false;
+    look_anew(c);
     GPtrArray *queues = sample_queues(c, m);
     c->count.steal_tries++;
     for (guint i = 0; i < queues->len; i++) {
@@ -477,6 +506,7 @@
     m->hungry = false;
     if (p->releasing || !m->accounted || !m->rev || m->retiring || m->noticed || !m->type)
         return 0;
+    look_anew(c);
     n = start_own(c, m, out, now);
     /* Left with room and nothing of its own that fits: it pulls, until that brings
      * nothing. */
--- a/src/own/partition.c
+++ b/src/own/partition.c
@@ -34,7 +34,8 @@
         lmn_attempt_uncount(m, &g_array_index(m->attempts, struct lmn_attempt, i));
     g_array_set_size(m->attempts, 0);
     g_ptr_array_set_size(m->failed_jobs, 0);
-    m->poke = m->in_call = false;
+    lmn_unpoke(m);
+    m->in_call = false;
     m->probes = 0;
     m->promised = 0;
     m->next_probe = (struct timespec){0, 0};
@@ -57,6 +58,7 @@
     p->my_rev = p->owner_rev;
     p->attempts = 0;
     p->since = now;
+    p->asking = true;
     memset(p->used_cpus, 0, sizeof p->used_cpus);
     memset(p->used_gpus, 0, sizeof p->used_gpus);
     c->count.takeovers++;
@@ -136,11 +138,18 @@
     if (!p->mine || p->ready)
         return;
     bool all = true;
+    p->unheard_cpus = p->unheard_gpus = 0;
+    p->unheard_unknown = false;
     g_hash_table_iter_init(&it, p->machines);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const struct lmn_machine *m = v;
+        if (!m->inherited || m->accounted)
+            continue;
         /* It may hold any task that a predecessor started. */
-        all = all && !(m->inherited && !m->accounted);
+        all = false;
+        p->unheard_unknown = p->unheard_unknown || !m->type;
+        p->unheard_cpus += m->type ? m->type->cpus : 0;
+        p->unheard_gpus += m->type ? m->type->gpus : 0;
     }
     p->ready = all;
     if (all) {
--- a/src/own/upkeep.c
+++ b/src/own/upkeep.c
@@ -46,13 +46,10 @@
                          struct timespec now)
 {
     GArray *a = g_array_new(FALSE, TRUE, sizeof(struct silence));
-    GHashTableIter it;
-    gpointer v;
 
     g_array_set_size(a, 1);
-    g_hash_table_iter_init(&it, p->machines);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        const struct lmn_machine *m = v;
+    for (guint k = 0; k < p->list->len; k++) {
+        const struct lmn_machine *m = p->list->pdata[k];
         guint i = 1;
         if ((!m->heard && !m->inherited) || m->is_gone)
             continue;
@@ -223,24 +220,35 @@
     g_list_free(ranges);
 }
 
+/* The interval between looks at all machines, for each of them, and the longest. */
+static const double EACH_S = 0.0003, LONGEST_S = 1;
+enum { FEW = 1000 };
+
 void lmn_upkeep(struct lmn_core *c, struct timespec now)
 {
     bool due = lmn_since(now, c->audited) > 5.0;
+    guint machines = 0;
 
+    for (int i = 0; i < c->nparts; i++)
+        machines += c->parts[i].mine ? c->parts[i].list->len : 0;
+    /* A look at each takes as long as there are machines; what it finds has waited for
+     * seconds already. */
+    if (machines > FEW && lmn_since(now, c->kept_up) < MIN(machines * EACH_S, LONGEST_S))
+        return;
+    c->kept_up = now;
     if (due)
         c->audited = now;
     for (int i = 0; i < c->nparts; i++) {
         struct lmn_partition *p = &c->parts[i];
         if (!p->mine)
             continue;
-        GList *all = g_hash_table_get_values(p->machines);
         /* Once for all machines: a look at each from each takes their square. */
         GArray *silence = listen_to(c, p, now);
         note_cuts(c, p, silence, now);
-        for (GList *l = all; l; l = l->next)
-            upkeep_machine(c, l->data, silence, now);
+        p->asking = g_array_index(silence, struct silence, 0).silent > 0;
+        for (guint k = 0; k < p->list->len; k++)
+            upkeep_machine(c, p->list->pdata[k], silence, now);
         g_array_free(silence, TRUE);
-        g_list_free(all);
         lmn_partition_check(c, p, now);
         if (due)
             audit(c, p, now);
--- a/src/own/worker.c
+++ b/src/own/worker.c
@@ -369,7 +369,7 @@
         n += settle_tasks(c, m, d, r->tasks, commands, now);
         lmn_partition_check(c, p, now);
         n += lmn_schedule(c, m, commands, now);
-        m->poke = false;
+        lmn_unpoke(m);
         if (!lmn_machine_bare(m))
             m->idle = (struct timespec){0, 0};
         else if (!m->idle.tv_sec)
@@ -420,7 +420,7 @@
     gpointer v;
 
     for (int i = 0; i < c->nparts; i++) {
-        if (!c->parts[i].mine)
+        if (!c->parts[i].mine || !c->parts[i].asking)
             continue;
         g_hash_table_iter_init(&it, c->parts[i].machines);
         while (g_hash_table_iter_next(&it, NULL, &v)) {
@@ -526,18 +526,15 @@
 bool lmn_direct_next(struct lmn_core *c, unsigned lane, unsigned lanes, char *name,
                      char *addr, GByteArray *body, struct timespec now)
 {
-    GHashTableIter it;
-    gpointer v;
-
     for (int i = 0; i < c->nparts; i++) {
+        GPtrArray *poked = c->parts[i].poked;
         if (!c->parts[i].mine)
             continue;
-        g_hash_table_iter_init(&it, c->parts[i].machines);
-        while (g_hash_table_iter_next(&it, NULL, &v)) {
-            struct lmn_machine *m = v;
-            if (!m->poke || m->in_call || g_str_hash(m->name) % lanes != lane)
+        for (guint at = poked->len; at-- > 0;) {
+            struct lmn_machine *m = at < poked->len ? poked->pdata[at] : NULL;
+            if (!m || m->in_call || g_str_hash(m->name) % lanes != lane)
                 continue;
-            m->poke = false;
+            lmn_unpoke(m);
             if (!m->accounted || m->lapsed ||
                 lmn_since(now, m->last) > 0.6 * c->cfg->lease_s)
                 continue;
@@ -603,7 +600,7 @@
     }
     /* What made room has ended: the task it was made for goes there at once. */
     if (m->promised && read) {
-        m->poke = true;
+        lmn_poke(m);
         pthread_cond_broadcast(&c->poked);
     }
 }
--- a/src/state/books.c
+++ b/src/state/books.c
@@ -28,7 +28,7 @@
         }
     }
     struct lmn_seg *s = g_new(struct lmn_seg, 1);
-    *s = (struct lmn_seg){r, lo, hi};
+    *s = (struct lmn_seg){r, r->job, lo, hi};
     g_ptr_array_add(q->segs, s);
 }
 
@@ -117,6 +117,20 @@
     g_array_append_val(j->zones, new);
 }
 
+void lmn_poke(struct lmn_machine *m)
+{
+    if (!m->poke)
+        g_ptr_array_add(m->part->poked, m);
+    m->poke = true;
+}
+
+void lmn_unpoke(struct lmn_machine *m)
+{
+    if (m->poke)
+        g_ptr_array_remove_fast(m->part->poked, m);
+    m->poke = false;
+}
+
 struct lmn_machine *lmn_machine_new(struct lmn_partition *p, const char *name)
 {
     struct lmn_machine *m = g_new0(struct lmn_machine, 1);
@@ -128,12 +142,22 @@
     m->images = g_array_new(FALSE, FALSE, sizeof(struct lmn_image));
     lmn_queue_init(&m->queue);
     g_hash_table_insert(p->machines, m->name, m);
+    m->at = p->list->len;
+    g_ptr_array_add(p->list, m);
     return m;
 }
 
 void lmn_machine_free(struct lmn_machine *m)
 {
+    GPtrArray *list = m->part->list;
+    struct lmn_machine *last = list->pdata[list->len - 1];
+
+    lmn_unpoke(m);
     lmn_block_leave(m);
+    /* The last takes its place. */
+    list->pdata[m->at] = last;
+    last->at = m->at;
+    g_ptr_array_set_size(list, (gint)list->len - 1);
     lmn_queue_clear(&m->queue);
     g_ptr_array_free(m->queue.segs, TRUE);
     g_array_free(m->attempts, TRUE);
--- a/src/state/core.c
+++ b/src/state/core.c
@@ -43,6 +43,8 @@
         p->gift.team = -1;
         p->ranges = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_range);
         p->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_machine);
+        p->list = g_ptr_array_new();
+        p->poked = g_ptr_array_new();
         p->blocks = g_ptr_array_new();
         p->cuts = g_array_new(FALSE, TRUE, sizeof(struct lmn_cut));
         lmn_queue_init(&p->limbo);
--- a/src/state/model.h
+++ b/src/state/model.h
@@ -44,6 +44,10 @@
     struct timespec
         final_at; /* when the mirror showed it final, or it was last looked at */
     const struct lmn_partition *ranked; /* mark of the triage under way */
+    /* What one look over queues has found out (decide/queue.c): it can't start there, it
+     * can, and what its image would take; each as long as the core's count is the same. */
+    uint64_t look_no, look_yes, look_fetch;
+    double fetch_s;
     /* a job whose tasks fail is held back by itself */
     unsigned errors;
     struct timespec hold;
@@ -84,6 +88,7 @@
 /* A stretch of queued tasks. */
 struct lmn_seg {
     struct lmn_range *range;
+    struct lmn_job *job; /* the range's: looks over queues want nothing else of it */
     uint32_t lo, hi;
 };
 
@@ -129,6 +134,7 @@
     const struct lmn_type *type; /* NULL: not known yet */
     bool spot;
     struct lmn_partition *part;
+    guint at;                /* in the partition's list */
     uint64_t rev;            /* of the record that first named it; 0: not recorded */
     struct lmn_block *block; /* where it is recorded, or will be */
     uint64_t block_rev;      /* of the last record that named it */
@@ -142,7 +148,8 @@
     bool returning; /* the request is under way */
     bool noticed;
     double notice_s;
-    bool poke, in_call;
+    bool poke; /* to be given work at once: it stands in the partition's list of those */
+    bool in_call;
     unsigned probes; /* without an answer, since the takeover */
     struct timespec next_probe;
     uint64_t session, seq, report_seq;
@@ -200,9 +207,16 @@
     uint32_t owner_gen;
     struct timespec vacant; /* since when nobody owns it */
     GHashTable *ranges, *machines;
+    GPtrArray *list;   /* the same machines in no order: what samples are drawn from */
+    GPtrArray *poked;  /* those to be given work at once (lmn_poke) */
     GPtrArray *blocks; /* struct lmn_block by number */
     /* the owner's */
     bool mine, ready, releasing;
+    bool asking; /* some machine may have to be asked whether it is there */
+    /* what may run on inherited machines that are not accounted for, as of the last
+     * lmn_partition_check; unknown: of one, not even the type is known */
+    double unheard_cpus, unheard_gpus;
+    bool unheard_unknown;
     uint64_t my_term, my_rev, attempts;
     struct timespec since, ready_at;
     double poll_s; /* interval of steals from other partitions */
@@ -265,6 +279,8 @@
     struct lmn_tuning tuning;
     uint64_t tuning_rev;
     GRand *rng;
+    uint64_t look, turn; /* counts of looks over queues, and of starts within them */
+    struct timespec kept_up; /* the last look at all machines */
 
     GHashTable *jobs;  /* ref -> lmn_job */
     GQueue finals;     /* those that are final, the oldest first */
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -108,6 +108,11 @@
     GHashTableIter it;
     gpointer v;
 
+    /* The list that samples are drawn from holds each machine once, at its place. */
+    const GPtrArray *list = core->parts[0].list;
+    assert_int_equal(list->len, g_hash_table_size(core->parts[0].machines));
+    for (guint i = 0; i < list->len; i++)
+        assert_int_equal(((struct lmn_machine *)list->pdata[i])->at, i);
     count_queue(&core->parts[0].limbo, seen);
     g_hash_table_iter_init(&it, core->parts[0].machines);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -209,6 +209,7 @@
     (void)state;
     make(0);
     core->parts[0].ready = false;
+    core->parts[0].asking = true;
     for (int i = 0; i < 20; i++) {
         struct lmn_machine *m = add(i);
         m->inherited = true;
@@ -233,6 +234,7 @@
     (void)state;
     make(40);
     core->parts[0].ready = false;
+    core->parts[0].asking = true;
     for (int i = 0; i < 12; i++) {
         lost[i] = add(100 + i);
         lost[i]->inherited = true;
