A task whose image is still being fetched counts what is left of the fetch

Change: an image has a time at which its fetch should be over, shared by fetches under way, until a task of it is seen to run; the order on a machine weighs what is left. Dealing is as before.

--- a/src/decide/pack.c
+++ b/src/decide/pack.c
@@ -65,7 +65,7 @@
         if (t->m == from || t->cpus < s->cpus - 1e-6 || t->gpus < s->gpus - 1e-6 ||
             t->mem < s->mem - 1e-6 || (best && t->cpus >= best->cpus))
             continue;
-        if (!lmn_can_hold(t->m, j) || lmn_fetch_s(t->m, j) > 0 ||
+        if (!lmn_can_hold(t->m, j) || !lmn_has_image(t->m, j) ||
             (strcmp(t->m->zone, from->zone) && !lmn_zone_room(j, t->m->zone)))
             continue;
         best = t;
--- a/src/decide/preempt.c
+++ b/src/decide/preempt.c
@@ -166,7 +166,7 @@
         if (m->promised || !lmn_can_hold(m, j) || !lmn_zone_room(j, m->zone) ||
             lmn_machine_silent(c, m, now))
             continue;
-        double cost = FETCH_WEIGHT * j->spec.cpus * lmn_fetch_s(m, j);
+        double cost = FETCH_WEIGHT * j->spec.cpus * lmn_fetch_s(m, j, now);
         if (cost < least)
             cost += make_on(m, &j->spec, patience(c->cfg, &j->spec), false, now);
         if (cost >= least || lmn_zone_room(j, m->zone) <= promised_in(p, j, m->zone))
--- a/src/decide/queue.c
+++ b/src/decide/queue.c
@@ -21,21 +21,54 @@
     return -1;
 }
 
-double lmn_fetch_s(const struct lmn_machine *m, const struct lmn_job *j)
+bool lmn_has_image(const struct lmn_machine *m, const struct lmn_job *j)
 {
-    if (image_at(m, j->image) >= 0)
-        return 0;
-    return m->type->pull > 0 ? j->spec.image_gb / m->type->pull : 0;
+    return image_at(m, j->image) >= 0;
 }
 
-void lmn_note_image(struct lmn_machine *m, const struct lmn_job *j)
+static double whole_fetch_s(const struct lmn_machine *m, const struct lmn_job *j)
+{
+    return m->type && m->type->pull > 0 ? j->spec.image_gb / m->type->pull : 0;
+}
+
+double lmn_fetch_s(const struct lmn_machine *m, const struct lmn_job *j,
+                   struct timespec now)
 {
-    struct lmn_image new = {j->image, j->spec.image_gb};
+    int at = image_at(m, j->image);
+
+    if (at < 0)
+        return whole_fetch_s(m, j);
+    const struct lmn_image *x = &g_array_index(m->images, struct lmn_image, (guint)at);
+    return x->ready.tv_sec ? MAX(lmn_since(x->ready, now), 0) : 0;
+}
+
+/* Fetches under way may share the machine's rate. */
+static guint fetches(const struct lmn_machine *m, struct timespec now)
+{
+    guint n = 0;
+
+    for (guint i = 0; i < m->images->len; i++) {
+        const struct lmn_image *x = &g_array_index(m->images, struct lmn_image, i);
+        n += x->ready.tv_sec && lmn_before(now, x->ready);
+    }
+    return n;
+}
+
+void lmn_note_image(struct lmn_machine *m, const struct lmn_job *j, bool there,
+                    struct timespec now)
+{
+    struct lmn_image new = {j->image, j->spec.image_gb, {0, 0}};
     int at = image_at(m, j->image);
     double gb = 0;
 
-    if (at >= 0)
+    if (at >= 0) {
+        new.ready = g_array_index(m->images, struct lmn_image, (guint)at).ready;
         g_array_remove_index(m->images, (guint)at);
+    } else if (!there) {
+        new.ready = lmn_after(now, whole_fetch_s(m, j) * (1 + fetches(m, now)));
+    }
+    if (there)
+        new.ready = (struct timespec){0, 0};
     g_array_append_val(m->images, new);
     /* A worker drops the least recently used when its cache is full. */
     for (guint i = 0; i < m->images->len; i++)
@@ -73,7 +106,7 @@
  * some work can run nowhere else; an image that is missing has to be fetched first. */
 static int unfit(const struct lmn_machine *m, const struct lmn_job *j)
 {
-    return (j->spec.spot && !m->spot ? 2 : 0) + (lmn_fetch_s(m, j) > 0);
+    return (j->spec.spot && !m->spot ? 2 : 0) + !lmn_has_image(m, j);
 }
 
 static void deal_to(struct lmn_machine *m, struct lmn_range *r, uint32_t lo, uint32_t hi,
@@ -113,7 +146,7 @@
     GPtrArray *near = g_ptr_array_new();
 
     for (guint i = 0; i < able->len; i++)
-        if (lmn_fetch_s(able->pdata[i], r->job) <= 0)
+        if (lmn_has_image(able->pdata[i], r->job))
             g_ptr_array_add(near, able->pdata[i]);
     const GPtrArray *to = 2 * near->len >= hi - lo ? near : able;
     p->rr++;
@@ -256,7 +289,7 @@
         m->promised--;
         look_anew(c); /* lesser work may start again */
     }
-    lmn_note_image(m, a.job);
+    lmn_note_image(m, a.job, false, now);
     g_array_append_val(m->attempts, a);
     c->count.starts++;
     lmn_latency_add(&c->starting, c->wall - a.job->at);
@@ -294,10 +327,10 @@
 
 /* lmn_fetch_s, remembered until the next start. */
 static double fetch_now(const struct lmn_core *c, const struct lmn_machine *m,
-                        struct lmn_job *j)
+                        struct lmn_job *j, struct timespec now)
 {
     if (j->look_fetch != c->turn) {
-        j->fetch_s = lmn_fetch_s(m, j);
+        j->fetch_s = lmn_fetch_s(m, j, now);
         j->look_fetch = c->turn;
     }
     return j->fetch_s;
@@ -305,14 +338,16 @@
 
 /* How the machine should choose between the jobs: as lmn_job_order, but a task whose
  * image it lacks would start, and end, later by the fetch, and hold its room idle
- * meanwhile. */
+ * meanwhile. So do those that come after it while the fetch is under way: once it counted
+ * as there from the first start on, whole machines waited side by side for one fetch, with
+ * other work in their queues that lacked nothing. */
 static int order_on(const struct lmn_core *c, const struct lmn_machine *m,
-                    struct lmn_job *a, struct lmn_job *b)
+                    struct lmn_job *a, struct lmn_job *b, struct timespec now)
 {
     if (a->guaranteed == b->guaranteed && a->lost == b->lost && a->yields == b->yields &&
         a->spec.urgency == b->spec.urgency) {
-        double x = (a->lost ? 0 : a->latest) + FETCH_WEIGHT * fetch_now(c, m, a);
-        double y = (b->lost ? 0 : b->latest) + FETCH_WEIGHT * fetch_now(c, m, b);
+        double x = (a->lost ? 0 : a->latest) + FETCH_WEIGHT * fetch_now(c, m, a, now);
+        double y = (b->lost ? 0 : b->latest) + FETCH_WEIGHT * fetch_now(c, m, b, now);
         if (x != y)
             return x < y ? -1 : 1;
     }
@@ -333,7 +368,7 @@
         if (best >= 0) {
             const struct lmn_seg *t = q->segs->pdata[best];
             if (s->job == t->job ||
-                order_on(c, m, s->job, t->job) > 0)
+                order_on(c, m, s->job, t->job, now) > 0)
                 continue;
         }
         best = (int)i;
@@ -416,7 +451,7 @@
             int k = best_seg(c, q, m, now);
             struct lmn_job *j =
                 k < 0 ? NULL : ((struct lmn_seg *)q->segs->pdata[k])->job;
-            if (j && j != best && order_on(c, m, j, best) < 0) {
+            if (j && j != best && order_on(c, m, j, best, now) < 0) {
                 from = q;
                 at = k;
                 best = j;
--- a/src/decide/queue.h
+++ b/src/decide/queue.h
@@ -12,10 +12,15 @@
 void lmn_redeal_machine(struct lmn_core *c, struct lmn_machine *m, struct timespec now);
 void lmn_machine_retire(struct lmn_core *c, struct lmn_machine *m, bool force,
                         const char *why, struct timespec now);
-/* Seconds for which a task of the job would wait for its image there. */
-double lmn_fetch_s(const struct lmn_machine *m, const struct lmn_job *j);
-/* The machine has the job's image, or is fetching it. */
-void lmn_note_image(struct lmn_machine *m, const struct lmn_job *j);
+/* Seconds for which a task of the job would wait for its image there: those that are left
+ * of a fetch under way. */
+double lmn_fetch_s(const struct lmn_machine *m, const struct lmn_job *j,
+                   struct timespec now);
+/* Whether the machine has the job's image, or is fetching it. */
+bool lmn_has_image(const struct lmn_machine *m, const struct lmn_job *j);
+/* The machine has the job's image (there), or is fetching it at least. */
+void lmn_note_image(struct lmn_machine *m, const struct lmn_job *j, bool there,
+                    struct timespec now);
 /* Whether the job's team may use one task's processors more. */
 bool lmn_in_quota(const struct lmn_core *c, const struct lmn_partition *p,
                   const struct lmn_job *j);
--- a/src/own/worker.c
+++ b/src/own/worker.c
@@ -196,7 +196,7 @@
             a = adopt(c, m, task, index, number, state, now);
         a->seen = a->listed = true;
         if (a->job && state != LMN_A_ENDED)
-            lmn_note_image(m, a->job);
+            lmn_note_image(m, a->job, state != LMN_A_FETCHING, now);
         if (state == LMN_A_ENDED) {
             if (a->state != LMN_A_ENDED ||
                 (!a->done && lmn_is(lmn_get(d, n, W_WHY), W_DONE)))
--- a/src/state/model.h
+++ b/src/state/model.h
@@ -127,6 +127,7 @@
 struct lmn_image {
     const char *name; /* interned */
     double gb;
+    struct timespec ready; /* when a fetch under way should be over; 0: it is there */
 };
 
 struct lmn_machine {
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -351,9 +351,9 @@
         jobs[i].image = g_intern_string(i ? "near" : "far");
         lmn_queue_add(&m->queue, jobs[i].ranges->pdata[0], 0, 1);
     }
-    lmn_note_image(m, &jobs[1]);
-    assert_true(lmn_fetch_s(m, &jobs[1]) == 0);
-    assert_true(fabs(lmn_fetch_s(m, &jobs[0]) - 20) < 1e-9);
+    lmn_note_image(m, &jobs[1], true, now);
+    assert_true(lmn_fetch_s(m, &jobs[1], now) == 0);
+    assert_true(fabs(lmn_fetch_s(m, &jobs[0], now) - 20) < 1e-9);
     for (int urgent = 0; urgent < 2; urgent++) {
         GByteArray *out = g_byte_array_new();
         jobs[0].latest = 1000;
@@ -367,14 +367,24 @@
             lmn_queue_add(&m->queue, jobs[i].ranges->pdata[0], 0, 1);
         g_byte_array_free(out, TRUE);
     }
+    /* While one task's fetch is under way, others of its job wait for what is left of it. */
+    struct lmn_machine *o = g_hash_table_lookup(core->parts[0].machines, "m-1");
+    lmn_note_image(o, &jobs[0], false, now);
+    assert_true(lmn_has_image(o, &jobs[0]));
+    assert_true(fabs(lmn_fetch_s(o, &jobs[0], lmn_after(now, 5)) - 15) < 1e-6);
+    lmn_note_image(o, &jobs[1], false, now); /* a second one shares the rate */
+    assert_true(fabs(lmn_fetch_s(o, &jobs[1], now) - 40) < 1e-6);
+    lmn_note_image(o, &jobs[0], true, lmn_after(now, 6)); /* a task of it runs */
+    assert_true(lmn_fetch_s(o, &jobs[0], lmn_after(now, 6)) == 0);
+    assert_true(lmn_fetch_s(o, &jobs[1], lmn_after(now, 50)) == 0);
     /* The cache holds ten: the least recently used go. */
     for (int i = 2; i < 7; i++) {
         jobs[i].spec.image_gb = 2;
         jobs[i].image = g_intern_string(jobs[i].spec.ref);
-        lmn_note_image(m, &jobs[i]);
+        lmn_note_image(m, &jobs[i], true, now);
     }
-    assert_true(lmn_fetch_s(m, &jobs[6]) == 0);
-    assert_true(lmn_fetch_s(m, &jobs[1]) > 0);
+    assert_true(lmn_fetch_s(m, &jobs[6], now) == 0);
+    assert_true(lmn_fetch_s(m, &jobs[1], now) > 0);
 }
 
 /* Found so: the last tasks of nearly every job waited for minutes in the queue of a machine that
@@ -664,7 +674,7 @@
         while (g_hash_table_iter_next(&it, NULL, &v)) {
             struct lmn_machine *m = v;
             m->spot = false;
-            lmn_note_image(m, &jobs[3]);
+            lmn_note_image(m, &jobs[3], true, now);
             for (uint32_t i = 0, n = 1 + (seed + at) % 2; i < n; i++)
                 run(m, r, at++);
         }
