Overload: workers past their sockets are turned away, and a node that is behind sheds in order

Need: at four times the machines, after all controllers had restarted, a crowd of workers held every socket for seconds; and a node behind with its work made everybody wait.

Change: a connection's purpose is known as it comes, by the hosts that machines report from (limits/hosts.c): a worker's is not let in once only users' part is left. How late the node does what is due is measured; beyond stated bounds it sheds polls, then submissions, then starts, each at once (limits/load.c); Retry-After is spread over half of the wait.

--- a/src/base/httpd.c
+++ b/src/base/httpd.c
@@ -12,12 +12,14 @@
     struct MHD_Daemon *daemon;
     lmn_route *route;
     lmn_stands *stands;
+    lmn_kind_of *kind_of;
+    lmn_admits *admits;
     void *arg;
     size_t max_body;
     double patience_s;
     /* By kind; read by any thread (atomic). */
     gint open[LMN_HTTPD_KINDS];
-    guint64 closed[LMN_HTTPD_KINDS];
+    guint64 closed[LMN_HTTPD_KINDS], turned_away[LMN_HTTPD_KINDS];
     pthread_mutex_t lock; /* of the calls' phases and of waiting */
     GQueue waiting;
 };
@@ -86,11 +88,15 @@
                     enum MHD_ConnectionNotificationCode what)
 {
     struct lmn_httpd *h = arg;
-    (void)conn;
 
     if (what == MHD_CONNECTION_NOTIFY_STARTED) {
-        *context = g_new0(struct peer, 1);
-        g_atomic_int_inc(&h->open[0]);
+        const union MHD_ConnectionInfo *i =
+            MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+        struct peer *p = g_new0(struct peer, 1);
+        if (h->kind_of && i && i->client_addr)
+            p->kind = h->kind_of(h->arg, i->client_addr);
+        g_atomic_int_inc(&h->open[p->kind]);
+        *context = p;
     } else if (*context) {
         g_atomic_int_add(&h->open[((struct peer *)*context)->kind], -1);
         g_clear_pointer(context, g_free);
@@ -102,9 +108,26 @@
     for (int k = 0; k < LMN_HTTPD_KINDS; k++) {
         load->open[k] = (unsigned)MAX(g_atomic_int_get(&h->open[k]), 0);
         load->closed[k] = __atomic_load_n(&h->closed[k], __ATOMIC_RELAXED);
+        load->turned_away[k] = __atomic_load_n(&h->turned_away[k], __ATOMIC_RELAXED);
     }
 }
 
+static enum MHD_Result let_in(void *arg, const struct sockaddr *addr, socklen_t len)
+{
+    struct lmn_httpd *h = arg;
+    struct lmn_httpd_load load;
+    (void)len;
+
+    if (!h->admits || !h->kind_of)
+        return MHD_YES;
+    unsigned kind = h->kind_of(h->arg, addr);
+    lmn_httpd_load(h, &load);
+    if (h->admits(h->arg, load.open, kind))
+        return MHD_YES;
+    __atomic_fetch_add(&h->turned_away[kind], 1, __ATOMIC_RELAXED);
+    return MHD_NO;
+}
+
 /* Whether the call's connection is to end with its answer. */
 static bool ends(struct lmn_call *call)
 {
@@ -334,6 +357,8 @@
     pthread_mutex_init(&h->lock, NULL);
     h->route = o->route;
     h->stands = o->stands;
+    h->kind_of = o->kind_of;
+    h->admits = o->admits;
     h->arg = o->arg;
     h->max_body = o->max_body;
     h->patience_s = o->patience_s;
@@ -353,7 +378,7 @@
         inet_pton(AF_INET, host, &a.sin_addr);
     }
     h->daemon = MHD_start_daemon(
-        flags, (uint16_t)port, NULL, NULL, handler, h, MHD_OPTION_SOCK_ADDR,
+        flags, (uint16_t)port, let_in, h, handler, h, MHD_OPTION_SOCK_ADDR,
         (struct sockaddr *)&a, MHD_OPTION_NOTIFY_COMPLETED, completed, h,
         MHD_OPTION_NOTIFY_CONNECTION, counted, h, MHD_OPTION_CONNECTION_LIMIT,
         o->connections, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
--- a/src/base/httpd.h
+++ b/src/base/httpd.h
@@ -6,6 +6,8 @@
 
 #include "base/codec.h"
 
+struct sockaddr;
+
 struct lmn_httpd;
 /* One request whose answer may come later, from another thread. */
 struct lmn_call;
@@ -24,6 +26,11 @@
  * each. On the server's thread. */
 typedef bool lmn_stands(void *arg, const unsigned open[LMN_HTTPD_KINDS], unsigned kind);
 
+/* The kind of a connection by its peer's address, and whether it is let in: both on the
+ * server's thread, as it comes. */
+typedef unsigned lmn_kind_of(void *arg, const struct sockaddr *peer);
+typedef bool lmn_admits(void *arg, const unsigned open[LMN_HTTPD_KINDS], unsigned kind);
+
 struct lmn_httpd_options {
     const char *listen; /* "IPv4:port"; NULL: connections come by lmn_httpd_adopt alone */
     unsigned connections; /* at most so many; further ones are refused */
@@ -34,7 +41,9 @@
                            never */
     unsigned idle_s;    /* a connection without a word for this long is closed; 0: 90 s */
     lmn_route *route;
-    lmn_stands *stands; /* NULL: all stay open */
+    lmn_stands *stands;   /* NULL: all stay open */
+    lmn_kind_of *kind_of; /* NULL: all are of kind 0 */
+    lmn_admits *admits;   /* NULL: all are let in; who is not is closed at once */
     void *arg;
 };
 
@@ -52,6 +61,7 @@
 struct lmn_httpd_load {
     unsigned open[LMN_HTTPD_KINDS];
     uint64_t closed[LMN_HTTPD_KINDS];
+    uint64_t turned_away[LMN_HTTPD_KINDS]; /* not let in */
 };
 void lmn_httpd_load(const struct lmn_httpd *h, struct lmn_httpd_load *load);
 
--- a/src/emulate/driver.c
+++ b/src/emulate/driver.c
@@ -33,6 +33,8 @@
     unsigned controller;
     bool busy; /* a report is under way, or waits for a sender */
     struct timespec next, last;
+    struct lmn_http *http; /* its own connection, to http_to; NULL: none */
+    unsigned http_to;
     GQueue held; /* calls that came while it hung, or was cut off */
 };
 
@@ -119,6 +121,13 @@
     epoll_ctl(e->epoll, EPOLL_CTL_ADD, u->listener, &ev);
 }
 
+static void free_unit(struct unit *u)
+{
+    if (u->http)
+        lmn_http_free(u->http);
+    g_free(u);
+}
+
 /* It lives no more. */
 static void go_down(struct lmn_emulation *e, struct unit *u)
 {
@@ -134,7 +143,7 @@
     if (u->busy)
         return; /* its sender frees it */
     lmn_emu_worker_clear(&u->w);
-    g_free(u);
+    free_unit(u);
 }
 
 static bool unheard(const struct unit *u, double now)
@@ -274,6 +283,20 @@
     return now;
 }
 
+/* The connection that the unit reports over: its own, or its sender's. */
+static struct lmn_http *line(const struct lmn_emulation *e, struct unit *u,
+                             struct lmn_http **h, unsigned to)
+{
+    if (u->w.knobs->own_connections < 0.5)
+        return h[to];
+    if (u->http && u->http_to != to)
+        g_clear_pointer(&u->http, lmn_http_free);
+    if (!u->http)
+        u->http = lmn_http_new(e->o.worker.controllers[to].addr);
+    u->http_to = to;
+    return u->http;
+}
+
 /* One report of the unit, and its answer. The lock is held, and let go while it is under
  * way. */
 static void report(struct lmn_emulation *e, struct unit *u, struct lmn_http **h,
@@ -287,8 +310,9 @@
     lmn_agent_report(&u->w.agent, out, sent);
     u->last = sent;
     e->reports++;
+    struct lmn_http *http = line(e, u, h, to);
     pthread_mutex_unlock(&e->lock);
-    int status = lmn_http_call(h[to], "POST", P_REPORT, out, ANSWER_S, in);
+    int status = lmn_http_call(http, "POST", P_REPORT, out, ANSWER_S, in);
     g_byte_array_unref(out);
     pthread_mutex_lock(&e->lock);
     u->busy = false;
@@ -328,7 +352,7 @@
             u->busy = false;
         if (!u->m) {
             lmn_emu_worker_clear(&u->w);
-            g_free(u);
+            free_unit(u);
         }
     }
     return NULL;
--- a/src/emulate/knobs.c
+++ b/src/emulate/knobs.c
@@ -33,6 +33,7 @@
     KNOB(slow, 1, false),          KNOB(faulty, 1, false),
     KNOB(cut, 1, false),           KNOB(noise, 3, false),
     KNOB(speed, 1e6, false),       KNOB(hang_s, 3600, false),
+    KNOB(own_connections, 1, false),
     KNOB(take, 1, true),           KNOB(die, 1, true),
     KNOB(hang, 1, true),
 #undef KNOB
--- a/src/emulate/knobs.h
+++ b/src/emulate/knobs.h
@@ -23,6 +23,8 @@
     double noise;  /* of run times: sigma of a log-normal factor around the estimate */
     double speed;  /* run times are divided by it */
     double hang_s; /* how long a machine hangs */
+    double own_connections; /* 1: each worker keeps a connection of its own, as real ones
+                               do; 0: all share a few */
     /* events: setting one does it to that share of the machines, once */
     double take; /* spot machines are taken */
     double die;  /* machines die */
--- /dev/null
+++ b/src/limits/hosts.c
@@ -0,0 +1,66 @@
+#include "limits/hosts.h"
+#include "base/settings.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+/* 0: no host that counts. */
+static guint32 host_of(const struct lmn_hosts *h, const char *addr)
+{
+    char host[LMN_ADDR];
+    struct in_addr a;
+    int port;
+
+    if (lmn_addr_split(addr, host, sizeof host, &port) != 0 ||
+        inet_pton(AF_INET, host, &a) != 1)
+        return 0;
+    guint32 n = ntohl(a.s_addr);
+    return n >> 24 == 127 || n == h->own ? 0 : n;
+}
+
+void lmn_hosts_init(struct lmn_hosts *h, const char *listen)
+{
+    pthread_mutex_init(&h->lock, NULL);
+    h->count = g_hash_table_new(NULL, NULL);
+    h->own = 0;
+    h->own = host_of(h, listen);
+}
+
+static void count(struct lmn_hosts *h, const char *addr, int by)
+{
+    guint32 host = host_of(h, addr);
+
+    if (!host)
+        return;
+    pthread_mutex_lock(&h->lock);
+    int n = GPOINTER_TO_INT(g_hash_table_lookup(h->count, GUINT_TO_POINTER(host))) + by;
+    if (n > 0)
+        g_hash_table_insert(h->count, GUINT_TO_POINTER(host), GINT_TO_POINTER(n));
+    else
+        g_hash_table_remove(h->count, GUINT_TO_POINTER(host));
+    pthread_mutex_unlock(&h->lock);
+}
+
+void lmn_hosts_add(struct lmn_hosts *h, const char *addr)
+{
+    count(h, addr, 1);
+}
+
+void lmn_hosts_drop(struct lmn_hosts *h, const char *addr)
+{
+    count(h, addr, -1);
+}
+
+bool lmn_hosts_know(struct lmn_hosts *h, const struct sockaddr *peer)
+{
+    const struct sockaddr_in *a = (const struct sockaddr_in *)peer;
+
+    if (!peer || peer->sa_family != AF_INET)
+        return false;
+    pthread_mutex_lock(&h->lock);
+    bool known =
+        g_hash_table_contains(h->count, GUINT_TO_POINTER(ntohl(a->sin_addr.s_addr)));
+    pthread_mutex_unlock(&h->lock);
+    return known;
+}
--- /dev/null
+++ b/src/limits/hosts.h
@@ -0,0 +1,26 @@
+/* The hosts that workers report from, so that a connection's purpose is known as it
+ * comes. A lock of its own: the server's thread looks one up for each connection. */
+#ifndef LMN_HOSTS_H
+#define LMN_HOSTS_H
+
+#include <glib.h>
+#include <pthread.h>
+#include <stdbool.h>
+struct sockaddr;
+
+struct lmn_hosts {
+    pthread_mutex_t lock;
+    GHashTable *count; /* IPv4 address as a number -> machines there */
+    guint32 own;       /* the node's own */
+};
+
+/* listen: the node's own "IPv4:port". Hosts that users may share are never counted: the
+ * node's own, and loopback. */
+void lmn_hosts_init(struct lmn_hosts *h, const char *listen);
+/* One machine more, or one less, at "IPv4:port"; another form counts nowhere. */
+void lmn_hosts_add(struct lmn_hosts *h, const char *addr);
+void lmn_hosts_drop(struct lmn_hosts *h, const char *addr);
+/* Whether some machine stands there. */
+bool lmn_hosts_know(struct lmn_hosts *h, const struct sockaddr *peer);
+
+#endif
--- /dev/null
+++ b/src/limits/load.c
@@ -0,0 +1,39 @@
+#include "limits/load.h"
+
+#include <math.h>
+
+/* Seconds behind from which on some are shed. A poll waits for 2 s and a submission for
+ * 5 s (the protocol's patience); a report for 4 s. */
+static const double FROM_S[LMN_SHEDS] = {0.4, 1.0, 1.5};
+
+void lmn_load_note(struct lmn_load *l, double late_s, double dt_s)
+{
+    double late = MAX(late_s, 0);
+
+    if (late > l->behind)
+        l->behind += (late - l->behind) / 2;
+    else
+        l->behind += (late - l->behind) * (1 - exp(-MAX(dt_s, 0)));
+}
+
+double lmn_load_share(double behind_s, enum lmn_shed what)
+{
+    return CLAMP(behind_s / FROM_S[what] - 1, 0, 1);
+}
+
+bool lmn_load_sheds(struct lmn_load *l, enum lmn_shed what, GRand *rng)
+{
+    double share = lmn_load_share(l->behind, what);
+    bool shed = share > 0 && g_rand_double(rng) < share;
+
+    l->shed[what] += shed;
+    return shed;
+}
+
+int lmn_retry_after(double wait_s, GRand *rng)
+{
+    double wait = CLAMP(wait_s, 1, 20);
+
+    /* No sooner than the wait, and up to half as long again. */
+    return (int)CLAMP(ceil(wait * g_rand_double_range(rng, 1, 1.5)), 1, 30);
+}
--- a/src/limits/sockets.c
+++ b/src/limits/sockets.c
@@ -36,6 +36,15 @@
     p->floor[LMN_SOCKET_WORKER] = most(p->accepted / 4, 4);
 }
 
+bool lmn_socket_admits(const struct lmn_socket_plan *p,
+                       const unsigned open[LMN_SOCKET_KINDS], enum lmn_socket_kind kind)
+{
+    unsigned users = most(p->floor[LMN_SOCKET_USER], open[LMN_SOCKET_USER]);
+
+    return kind != LMN_SOCKET_WORKER ||
+           open[LMN_SOCKET_WORKER] + open[LMN_SOCKET_PASSING] + users < p->accepted;
+}
+
 bool lmn_socket_stands(const struct lmn_socket_plan *p,
                        const unsigned open[LMN_SOCKET_KINDS], enum lmn_socket_kind kind)
 {
--- a/src/limits/sockets.h
+++ b/src/limits/sockets.h
@@ -34,6 +34,13 @@
 /* The fewest max_connections that a node with so many members can serve with. */
 unsigned lmn_sockets_least(const struct lmn_settings *cfg);
 
+/* Whether a new connection is let in at all, with so many open: a worker's is not once
+ * workers and those whose purpose is not known yet have everything but users' part. It is
+ * closed then; a worker goes on to the next node a second later. Others are let in as
+ * long as there are sockets. */
+bool lmn_socket_admits(const struct lmn_socket_plan *p,
+                       const unsigned open[LMN_SOCKET_KINDS], enum lmn_socket_kind kind);
+
 /* Whether a connection of the kind may stay open after its answer, with so many of each
  * kind open now (itself among them): not if that took from what other kinds have open, or
  * from their floors. */
--- a/src/own/block.c
+++ b/src/own/block.c
@@ -52,7 +52,7 @@
                          const struct lmn_doc *d, const struct lmn_node *n, uint64_t rev,
                          struct timespec now)
 {
-    char name[LMN_NAME];
+    char name[LMN_NAME], addr[LMN_ADDR] = "";
 
     n = lmn_child(d, n);
     if (!lmn_text(n, name, sizeof name))
@@ -64,7 +64,8 @@
     }
     if (!m->rev) {
         lmn_block_leave(m);
-        n = lmn_next(d, n), lmn_text(n, m->addr, sizeof m->addr);
+        n = lmn_next(d, n), lmn_text(n, addr, sizeof addr);
+        lmn_machine_at(m, addr);
         n = lmn_next(d, n), lmn_text(n, m->type_name, sizeof m->type_name);
         n = lmn_next(d, n), lmn_text(n, m->zone, sizeof m->zone);
         n = lmn_next(d, n), lmn_truth(n, &m->spot);
--- a/src/own/worker.c
+++ b/src/own/worker.c
@@ -324,7 +324,7 @@
     if (m->lapsed && r->session == m->session)
         return 503; /* its tasks are given up: the session has to end */
     if (!m->block) {
-        g_strlcpy(m->addr, r->addr, sizeof m->addr);
+        lmn_machine_at(m, r->addr);
         g_strlcpy(m->type_name, r->type, sizeof m->type_name);
         g_strlcpy(m->zone, r->zone, sizeof m->zone);
         m->spot = r->spot;
@@ -368,7 +368,9 @@
         }
         n += settle_tasks(c, m, d, r->tasks, commands, now);
         lmn_partition_check(c, p, now);
-        n += lmn_schedule(c, m, commands, now);
+        /* Far behind, the node settles what was, and starts nothing. */
+        if (!lmn_load_sheds(&c->load, LMN_SHED_START, c->rng))
+            n += lmn_schedule(c, m, commands, now);
         lmn_unpoke(m);
         if (!lmn_machine_bare(m))
             m->idle = (struct timespec){0, 0};
--- a/src/serve/api.c
+++ b/src/serve/api.c
@@ -124,14 +124,30 @@
     return false;
 }
 
+/* Answers the call at once if it is one of those that the node is too far behind for. */
+static bool shed(struct lmn_core *c, enum lmn_shed what, struct lmn_call *call,
+                 int status)
+{
+    pthread_mutex_lock(&c->lock);
+    bool gone = lmn_load_sheds(&c->load, what, c->rng);
+    int wait = gone ? lmn_retry_after(2 * c->load.behind, c->rng) : 0;
+    pthread_mutex_unlock(&c->lock);
+    if (gone)
+        lmn_call_answer(call, status, NULL, wait);
+    return gone;
+}
+
 void lmn_api_poll(struct lmn_core *c, struct lmn_call *call, const char *ref)
 {
     if (!lmn_ref_ok(ref)) {
         lmn_call_answer(call, 404, NULL, 0);
         return;
     }
-    if (!answer_final(c, call, ref))
-        enqueue(ASK_POLL, call, ref, 404);
+    if (answer_final(c, call, ref))
+        return;
+    if (shed(c, LMN_SHED_POLL, call, 503))
+        return;
+    enqueue(ASK_POLL, call, ref, 404);
 }
 
 void lmn_api_cancel(struct lmn_core *c, struct lmn_call *call, const char *ref)
@@ -384,9 +400,10 @@
         if (wait > 2.0) {
             pthread_mutex_lock(&c->lock);
             c->count.refused++;
+            int after = lmn_retry_after(wait, c->rng);
             pthread_mutex_unlock(&c->lock);
-            lmn_call_answer(call, 429, NULL, (int)ceil(wait));
-        } else {
+            lmn_call_answer(call, 429, NULL, after);
+        } else if (!shed(c, LMN_SHED_SUBMISSION, call, 429)) {
             struct submission *arg = g_new0(struct submission, 1);
             arg->c = c;
             arg->call = call;
--- a/src/serve/metrics.c
+++ b/src/serve/metrics.c
@@ -1,4 +1,5 @@
 #include "serve/metrics.h"
+#include "base/httpd.h"
 #include "base/metrics.h"
 #include "state/core.h"
 
@@ -75,6 +76,31 @@
         lmn_counter(out, all[i].name, all[i].help, all[i].value);
 }
 
+static void sockets(GString *out, const struct lmn_core *c,
+                    const struct lmn_httpd *server)
+{
+    static const char *const kinds[] = {"passing", "users", "workers"};
+    struct lmn_httpd_load load;
+
+    lmn_httpd_load(server, &load);
+    lmn_metric_head(out, "lemonspar_connections", "gauge",
+                    "Connections open, by purpose");
+    for (int i = 0; i < LMN_SOCKET_KINDS; i++)
+        lmn_metric_sample(out, "lemonspar_connections", "of", kinds[i], load.open[i]);
+    lmn_gauge(out, "lemonspar_connections_most", "Connections let in at a time",
+              c->sockets.accepted);
+    lmn_metric_head(out, "lemonspar_connections_closed", "counter",
+                    "Connections closed with their answer, for want of sockets");
+    for (int i = 0; i < LMN_SOCKET_KINDS; i++)
+        lmn_metric_sample(out, "lemonspar_connections_closed_total", "of", kinds[i],
+                          (double)load.closed[i]);
+    lmn_metric_head(out, "lemonspar_connections_turned_away", "counter",
+                    "Connections not let in, for want of sockets");
+    for (int i = 0; i < LMN_SOCKET_KINDS; i++)
+        lmn_metric_sample(out, "lemonspar_connections_turned_away_total", "of", kinds[i],
+                          (double)load.turned_away[i]);
+}
+
 void lmn_controller_metrics(void *core, GString *out)
 {
     struct lmn_core *c = core;
@@ -85,6 +111,8 @@
         if (c->parts[i].mine)
             count_partition(c, &s, &c->parts[i]);
     struct lmn_counters n = c->count;
+    struct lmn_load load = c->load;
+    const struct lmn_httpd *server = c->server;
     double stale = lmn_staleness(c, lmn_now());
     guint jobs = g_hash_table_size(c->jobs), finals = c->finals.length;
     lmn_quantiles(out, "lemonspar_accepting_seconds", "From a submission to its commit",
@@ -119,6 +147,16 @@
         lmn_metric_sample(out, "lemonspar_team_cpus", "team", c->cfg->teams[i].name,
                           s.used[i]);
     counters(out, &n);
+    static const char *const sheds[] = {"polls", "submissions", "starts"};
+    lmn_gauge(out, "lemonspar_behind_seconds", "How late the node does what is due",
+              load.behind);
+    lmn_metric_head(out, "lemonspar_shed", "counter",
+                    "Requests answered at once since the node was behind");
+    for (int i = 0; i < LMN_SHEDS; i++)
+        lmn_metric_sample(out, "lemonspar_shed_total", "what", sheds[i],
+                          (double)load.shed[i]);
+    if (server)
+        sockets(out, c, server);
     struct lmn_latency writing;
     lmn_latency_init(&writing);
     double waiting = lmn_state_figures(c->state, &writing);
--- a/src/serve/peer.c
+++ b/src/serve/peer.c
@@ -1,4 +1,5 @@
 #include "serve/peer.h"
+#include "base/httpd.h"
 #include "base/log.h"
 #include "base/thread.h"
 #include "decide/queue.h"
@@ -69,6 +70,22 @@
                            lmn_latency_quantile(l, 0.99), l->max);
 }
 
+static void show_sockets(GString *s)
+{
+    struct lmn_httpd_load l;
+
+    if (!core->server)
+        return;
+    lmn_httpd_load(core->server, &l);
+    g_string_append_printf(
+        s,
+        "sockets most=%u passing=%u users=%u workers=%u closed_users=%" G_GUINT64_FORMAT
+        " closed_workers=%" G_GUINT64_FORMAT " turned_away=%" G_GUINT64_FORMAT "\n",
+        core->sockets.accepted, l.open[LMN_SOCKET_PASSING], l.open[LMN_SOCKET_USER],
+        l.open[LMN_SOCKET_WORKER], l.closed[LMN_SOCKET_USER], l.closed[LMN_SOCKET_WORKER],
+        l.turned_away[LMN_SOCKET_WORKER]);
+}
+
 static char *status_text(void)
 {
     GString *s = g_string_new(NULL);
@@ -90,6 +107,14 @@
         " moves=%" G_GUINT64_FORMAT " moved=%" G_GUINT64_FORMAT "\n",
         n->submissions, n->polls, n->reports, n->starts, n->kills, n->steal_tries,
         n->steals, n->stolen_tasks, n->takeovers, n->refused, n->moves, n->moved_tasks);
+    const struct lmn_load *load = &core->load;
+    g_string_append_printf(s,
+                           "load behind=%.2f shed_polls=%" G_GUINT64_FORMAT
+                           " shed_submissions=%" G_GUINT64_FORMAT
+                           " shed_starts=%" G_GUINT64_FORMAT "\n",
+                           load->behind, load->shed[LMN_SHED_POLL],
+                           load->shed[LMN_SHED_SUBMISSION], load->shed[LMN_SHED_START]);
+    show_sockets(s);
     show_latency(s, "accepting", &core->accepting);
     show_latency(s, "starting", &core->starting);
     pthread_mutex_unlock(&core->lock);
--- a/src/serve/server.c
+++ b/src/serve/server.c
@@ -2,6 +2,7 @@
 #include "serve/server.h"
 #include "base/metrics.h"
 #include "base/wire.h"
+#include "limits/hosts.h"
 #include "limits/sockets.h"
 #include "own/worker.h"
 #include "serve/api.h"
@@ -45,6 +46,20 @@
     return lmn_socket_stands(&c->sockets, open, (enum lmn_socket_kind)kind);
 }
 
+static unsigned kind_of(void *arg, const struct sockaddr *peer)
+{
+    struct lmn_core *c = arg;
+
+    return lmn_hosts_know(&c->hosts, peer) ? LMN_SOCKET_WORKER : LMN_SOCKET_PASSING;
+}
+
+static bool admits(void *arg, const unsigned open[LMN_HTTPD_KINDS], unsigned kind)
+{
+    const struct lmn_core *c = arg;
+
+    return lmn_socket_admits(&c->sockets, open, (enum lmn_socket_kind)kind);
+}
+
 static void route(void *arg, struct lmn_call *call)
 {
     struct lmn_core *c = arg;
@@ -84,6 +99,8 @@
         .idle_s = (unsigned)CLAMP(c->cfg->lease_s, 20, 90),
         .route = route,
         .stands = stands,
+        .kind_of = kind_of,
+        .admits = admits,
         .arg = c,
     };
 
--- a/src/serve/service.c
+++ b/src/serve/service.c
@@ -23,6 +23,8 @@
 #include <malloc.h>
 #include <signal.h>
 
+static const double TICK_S = 0.15;
+
 int lmn_service_run(const struct lmn_settings *cfg)
 {
     signal(SIGPIPE, SIG_IGN);
@@ -41,6 +43,9 @@
         lmn_error("listen-failed address=%s", cfg->listen);
         return 1;
     }
+    pthread_mutex_lock(&core->lock);
+    core->server = server;
+    pthread_mutex_unlock(&core->lock);
     if (lmn_peer_start(core) != 0) {
         lmn_error("listen-failed address=%s", cfg->peer_listen);
         return 1;
@@ -56,11 +61,16 @@
         lanes[i] = (struct lmn_lane){core, i, G_N_ELEMENTS(lanes)};
         lmn_thread(lmn_direct_thread, &lanes[i]);
     }
+    struct timespec last = lmn_now();
     for (;;) {
-        lmn_sleep(0.15);
+        lmn_sleep(TICK_S);
         lmn_httpd_sweep(server);
         pthread_mutex_lock(&core->lock);
+        /* With the lock, so that waiting for it counts as being late. */
         struct timespec now = lmn_now();
+        double since = lmn_since(now, last);
+        lmn_load_note(&core->load, since - TICK_S, since);
+        last = now;
         lmn_rank_all(core, lmn_seconds(lmn_wall()));
         lmn_upkeep(core, now);
         for (int i = 0; i < core->nparts; i++) {
--- a/src/state/books.c
+++ b/src/state/books.c
@@ -131,6 +131,16 @@
     m->poke = false;
 }
 
+void lmn_machine_at(struct lmn_machine *m, const char *addr)
+{
+    if (!strcmp(m->addr, addr))
+        return;
+    if (*m->addr)
+        lmn_hosts_drop(m->part->hosts, m->addr);
+    g_strlcpy(m->addr, addr, sizeof m->addr);
+    lmn_hosts_add(m->part->hosts, m->addr);
+}
+
 struct lmn_machine *lmn_machine_new(struct lmn_partition *p, const char *name)
 {
     struct lmn_machine *m = g_new0(struct lmn_machine, 1);
@@ -153,6 +163,8 @@
     struct lmn_machine *last = list->pdata[list->len - 1];
 
     lmn_unpoke(m);
+    if (*m->addr)
+        lmn_hosts_drop(m->part->hosts, m->addr);
     lmn_block_leave(m);
     /* The last takes its place. */
     list->pdata[m->at] = last;
--- a/src/state/books.h
+++ b/src/state/books.h
@@ -23,6 +23,8 @@
 /* The machine is to be given work at once, or need not be any more. */
 void lmn_poke(struct lmn_machine *m);
 void lmn_unpoke(struct lmn_machine *m);
+/* The machine reports from there. */
+void lmn_machine_at(struct lmn_machine *m, const char *addr);
 struct lmn_machine *lmn_machine_new(struct lmn_partition *p, const char *name);
 void lmn_machine_free(struct lmn_machine *m);
 void lmn_attempt_count(struct lmn_machine *m, struct lmn_attempt *a);
--- a/src/state/core.c
+++ b/src/state/core.c
@@ -25,6 +25,7 @@
     c->cfg = cfg;
     c->state = state;
     lmn_socket_plan(cfg, &c->sockets);
+    lmn_hosts_init(&c->hosts, cfg->listen);
     c->tuning = lmn_tuning_default;
     c->rng = g_rand_new_with_seed(seed);
     c->jobs = g_hash_table_new(g_str_hash, g_str_equal);
@@ -44,6 +45,7 @@
         p->ranges = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_range);
         p->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_machine);
         p->list = g_ptr_array_new();
+        p->hosts = &c->hosts;
         p->poked = g_ptr_array_new();
         p->blocks = g_ptr_array_new();
         p->cuts = g_array_new(FALSE, TRUE, sizeof(struct lmn_cut));
--- a/src/state/model.h
+++ b/src/state/model.h
@@ -11,6 +11,8 @@
 #include "base/job.h"
 #include "base/latency.h"
 #include "base/settings.h"
+#include "limits/hosts.h"
+#include "limits/load.h"
 #include "limits/sockets.h"
 #include "state/state.h"
 #include "base/tuning.h"
@@ -209,6 +211,7 @@
     struct timespec vacant; /* since when nobody owns it */
     GHashTable *ranges, *machines;
     GPtrArray *list;   /* the same machines in no order: what samples are drawn from */
+    struct lmn_hosts *hosts; /* the core's, where its machines' addresses are counted */
     GPtrArray *poked;  /* those to be given work at once (lmn_poke) */
     GPtrArray *blocks; /* struct lmn_block by number */
     /* the owner's */
@@ -246,6 +249,7 @@
 };
 
 struct lmn_core;
+struct lmn_httpd;
 
 /* What the mirror tells an owner's books: they stand above it. Set once, before any
  * change is applied; the lock is held in every call. */
@@ -277,6 +281,9 @@
     struct lmn_state *state;
     const struct lmn_owner_ops *owner;
     struct lmn_socket_plan sockets;
+    struct lmn_load load;
+    struct lmn_httpd *server; /* the users' and workers'; NULL: none */
+    struct lmn_hosts hosts; /* of all machines known, with a lock of its own */
     struct lmn_tuning tuning;
     uint64_t tuning_rev;
     GRand *rng;
--- a/tests/test_sockets.c
+++ b/tests/test_limits.c
@@ -1,7 +1,9 @@
-/* Sockets by purpose: the plan over generated sizes, and a server that is full of workers
+/* What bends at a limit: sockets by purpose, the plan over generated sizes, and a server that is full of workers
  * and still answers users. */
 #include "base/httpd.h"
 #include "base/http_client.h"
+#include "limits/hosts.h"
+#include "limits/load.h"
 #include "limits/sockets.h"
 
 #include <arpa/inet.h>
@@ -97,6 +99,101 @@
     assert_false(lmn_socket_stands(&p, storm, LMN_SOCKET_WORKER));
 }
 
+/* A crowd of workers that comes all at once, none of them answered yet, leaves users' part
+ * alone; users come in whatever stands. */
+static void admission(void **state)
+{
+    GRand *rng = g_rand_new_with_seed(5);
+    (void)state;
+
+    for (int i = 0; i < 300; i++) {
+        struct lmn_settings s = settings((int)exp2(g_rand_double_range(rng, 7, 14.3)), 2);
+        struct lmn_socket_plan p;
+        unsigned open[LMN_SOCKET_KINDS] = {0};
+        lmn_socket_plan(&s, &p);
+        open[LMN_SOCKET_USER] = (unsigned)g_rand_int_range(rng, 0, (int)p.accepted / 2);
+        while (lmn_socket_admits(&p, open, LMN_SOCKET_WORKER))
+            open[g_rand_boolean(rng) ? LMN_SOCKET_WORKER : LMN_SOCKET_PASSING]++;
+        unsigned left = p.accepted - open[0] - open[1] - open[2];
+        assert_true(open[LMN_SOCKET_USER] + left >= p.floor[LMN_SOCKET_USER]);
+        assert_true(lmn_socket_admits(&p, open, LMN_SOCKET_USER));
+        assert_true(lmn_socket_admits(&p, open, LMN_SOCKET_PASSING));
+    }
+    g_rand_free(rng);
+}
+
+static bool knows(struct lmn_hosts *h, const char *host)
+{
+    struct sockaddr_in a = {.sin_family = AF_INET};
+
+    inet_pton(AF_INET, host, &a.sin_addr);
+    return lmn_hosts_know(h, (struct sockaddr *)&a);
+}
+
+static void hosts(void **state)
+{
+    struct lmn_hosts h;
+    (void)state;
+
+    lmn_hosts_init(&h, "10.0.0.1:8080");
+    lmn_hosts_add(&h, "10.1.0.7:9000");
+    lmn_hosts_add(&h, "10.1.0.7:9001");
+    assert_true(knows(&h, "10.1.0.7"));
+    lmn_hosts_drop(&h, "10.1.0.7:9000");
+    assert_true(knows(&h, "10.1.0.7"));
+    lmn_hosts_drop(&h, "10.1.0.7:9001");
+    assert_false(knows(&h, "10.1.0.7"));
+    lmn_hosts_drop(&h, "10.1.0.7:9001"); /* never below none */
+    lmn_hosts_add(&h, "10.1.0.7:9000");
+    assert_true(knows(&h, "10.1.0.7"));
+    /* Where users may be too, an address tells nothing. */
+    lmn_hosts_add(&h, "127.0.0.1:9000");
+    lmn_hosts_add(&h, "10.0.0.1:9000");
+    lmn_hosts_add(&h, "worker.example:9000");
+    assert_false(knows(&h, "127.0.0.1"));
+    assert_false(knows(&h, "10.0.0.1"));
+}
+
+static void what_is_shed_first(void **state)
+{
+    GRand *rng = g_rand_new_with_seed(9);
+    struct lmn_load l = {0};
+    (void)state;
+
+    /* Polls before submissions before starts, each more the further behind. */
+    for (double s = 0; s < 6; s += 0.01)
+        for (int k = 0; k < LMN_SHEDS; k++) {
+            assert_true(lmn_load_share(s, k) <= lmn_load_share(s + 0.01, k));
+            if (k > 0)
+                assert_true(lmn_load_share(s, k) <= lmn_load_share(s, k - 1));
+        }
+    assert_true(lmn_load_share(0.3, LMN_SHED_POLL) == 0);
+    assert_true(lmn_load_share(0.9, LMN_SHED_SUBMISSION) == 0);
+    assert_true(lmn_load_share(10, LMN_SHED_START) == 1);
+    /* A node that stood still for a moment is itself again after a few seconds on time. */
+    for (int i = 0; i < 4; i++)
+        lmn_load_note(&l, 3, 3);
+    assert_true(l.behind > 2.5);
+    assert_true(lmn_load_sheds(&l, LMN_SHED_POLL, rng));
+    assert_int_equal(l.shed[LMN_SHED_POLL], 1);
+    for (int i = 0; i < 30; i++)
+        lmn_load_note(&l, 0, 0.15);
+    assert_true(l.behind < 0.1);
+    assert_false(lmn_load_sheds(&l, LMN_SHED_POLL, rng));
+    /* Those sent away come back spread, never at once, never after the protocol's 30 s. */
+    unsigned at[31] = {0};
+    for (int i = 0; i < 3000; i++) {
+        int s = lmn_retry_after(8, rng);
+        assert_in_range(s, 8, 12);
+        at[s]++;
+    }
+    for (int s = 9; s <= 12; s++)
+        assert_true(at[s] > 500);
+    assert_in_range(lmn_retry_after(0, rng), 1, 2);
+    assert_in_range(lmn_retry_after(1e9, rng), 20, 30);
+    g_rand_free(rng);
+}
+
 /* --- a server --- */
 
 static struct lmn_socket_plan plan;
@@ -199,6 +296,9 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(plans),
         cmocka_unit_test(nothing_is_lost_while_there_is_room),
+        cmocka_unit_test(admission),
+        cmocka_unit_test(hosts),
+        cmocka_unit_test(what_is_shed_first),
         cmocka_unit_test(users_get_in_past_a_crowd_of_workers),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
