--- a/src/decide/fleet.c
+++ b/src/decide/fleet.c
@@ -1,4 +1,5 @@
 #include "decide/fleet.h"
+#include "limits/sockets.h"
 #include "state/core.h"
 
 #include <math.h>
@@ -143,12 +144,15 @@
     return best;
 }
 
+/* How far behind a node may be that rents. */
+static const double BEHIND_S = 1;
+
 bool lmn_fleet_choose(struct lmn_core *c, struct lmn_fleet *f, struct lmn_rental *out,
                       struct timespec now)
 {
     GArray *w = wants(c);
     double need = c->tuning.spare_cpus, need_ordinary = 0, have = 0, have_ordinary = 0;
-    double best = INFINITY;
+    double best = INFINITY, machines = 0;
     GHashTableIter it;
     gpointer v;
 
@@ -162,12 +166,20 @@
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const struct lmn_listed *m = v;
         const struct lmn_type *t = lmn_type_named(c, m->type);
+        machines++;
         if (m->broken || !t)
             continue;
         have += t->cpus;
         if (!m->spot)
             have_ordinary += t->cpus;
     }
+    double heard = lmn_socket_hears(&c->sockets, c->cfg) - machines;
+    /* A machine that can't be heard runs nothing, and those that are heard have enough to
+     * wait for while the node is behind. */
+    if (heard < 1 || c->load.behind > BEHIND_S) {
+        g_array_free(w, TRUE);
+        return false;
+    }
     /* Ordinary machines for the work that must have them, and whatever is cheapest for
      * the rest: the larger deficit first, since calls are few; where the one can't be
      * had, the other. */
@@ -180,5 +192,7 @@
             best = choose(c, f, w, deficit, any, have <= 0, out, now);
     }
     g_array_free(w, TRUE);
+    if (best < INFINITY)
+        out->count = (unsigned)MIN(out->count, heard);
     return best < INFINITY && out->count > 0;
 }
--- a/src/limits/sockets.c
+++ b/src/limits/sockets.c
@@ -36,6 +36,14 @@
     p->floor[LMN_SOCKET_WORKER] = most(p->accepted / 4, 4);
 }
 
+double lmn_socket_hears(const struct lmn_socket_plan *p, const struct lmn_settings *cfg)
+{
+    static const double held_s = 1;
+    double each = p->accepted - p->floor[LMN_SOCKET_USER];
+
+    return each * (double)(cfg->nmembers + 1) * (cfg->report_s / held_s);
+}
+
 bool lmn_socket_admits(const struct lmn_socket_plan *p,
                        const unsigned open[LMN_SOCKET_KINDS], enum lmn_socket_kind kind)
 {
