--- a/bench/crowd.c
+++ b/bench/crowd.c
@@ -199,8 +199,14 @@
 {
     const char *const args[] = {"lemonspar", "admin", site.peers[0], "set",
                                 name,        value,   NULL};
-    if (bench_run(args) != 0)
-        fprintf(stderr, "%s: not set\n", name);
+    /* Just after the start the settings may not have been read yet: a conflict. */
+    for (int tries = 0; bench_run(args) != 0; tries++) {
+        if (tries == 20) {
+            fprintf(stderr, "%s: not set\n", name);
+            exit(1);
+        }
+        lmn_sleep(0.3);
+    }
 }
 
 static void show(const char *what, unsigned workers, double times, struct result *r)
