--- a/src/limits/sockets.c
+++ b/src/limits/sockets.c
@@ -38,7 +38,8 @@
 
 double lmn_socket_hears(const struct lmn_socket_plan *p, const struct lmn_settings *cfg)
 {
-    static const double held_s = 1;
+    /* A few round trips between far zones, and the wait for its turn. */
+    static const double held_s = 0.25;
     double each = p->accepted - p->floor[LMN_SOCKET_USER];
 
     return each * (double)(cfg->nmembers + 1) * (cfg->report_s / held_s);
--- a/src/limits/sockets.h
+++ b/src/limits/sockets.h
@@ -35,8 +35,8 @@
 unsigned lmn_sockets_least(const struct lmn_settings *cfg);
 
 /* How many machines the site's controllers can hear: all members' connections but users'
- * part, each held for a second at most by a report that comes every report_s. No more than
- * that are rented. */
+ * part, each held for a quarter of a second by a report that comes every report_s. No
+ * more than that are rented. */
 double lmn_socket_hears(const struct lmn_socket_plan *p, const struct lmn_settings *cfg);
 
 /* Whether a new connection is let in at all, with so many open: a worker's is not once
--- a/src/own/cloud.c
+++ b/src/own/cloud.c
@@ -327,9 +327,10 @@
     k->request[0] = '\0';
 }
 
-/* Of the cloud's calls, what the one who rents may use, and all others together, who return
- * up to 100 machines a call. A call rents 50 at most: with 0.6 of 4 calls a second, 5,600
- * machines took 47 s, and what had waited for them waited for minutes more. */
+/* Of the cloud's calls, what the one who rents may use, and all others together, who
+ * return up to 100 machines a call. A call rents 50 at most: with 0.6 of 4 calls a
+ * second, 5,600 machines took 47 s, and what had waited for them waited for minutes more.
+ */
 static const double ROLE_SHARE = 0.8, OTHERS_SHARE = 0.15;
 
 void *lmn_cloud_thread(void *arg)
@@ -363,9 +364,8 @@
         }
         if (role != k.had_role) {
             /* The holder of the role lists and rents; the others only return. */
-            double rps =
-                c->cfg->cloud_rps *
-                (role ? ROLE_SHARE : OTHERS_SHARE / MAX(c->cfg->nmembers, 1));
+            double rps = c->cfg->cloud_rps *
+                         (role ? ROLE_SHARE : OTHERS_SHARE / MAX(c->cfg->nmembers, 1));
             k.budget.rate = rps;
             k.budget.burst = role ? MAX(c->cfg->cloud_rps, 1) : 1;
         }
