--- a/src/limits/hosts.c
+++ b/src/limits/hosts.c
@@ -27,6 +27,12 @@
     h->own = host_of(h, listen);
 }
 
+void lmn_hosts_clear(struct lmn_hosts *h)
+{
+    g_hash_table_destroy(h->count);
+    pthread_mutex_destroy(&h->lock);
+}
+
 static void count(struct lmn_hosts *h, const char *addr, int by)
 {
     guint32 host = host_of(h, addr);
--- a/src/limits/hosts.h
+++ b/src/limits/hosts.h
@@ -17,6 +17,7 @@
 /* listen: the node's own "IPv4:port". Hosts that users may share are never counted: the
  * node's own, and loopback. */
 void lmn_hosts_init(struct lmn_hosts *h, const char *listen);
+void lmn_hosts_clear(struct lmn_hosts *h);
 /* One machine more, or one less, at "IPv4:port"; another form counts nowhere. */
 void lmn_hosts_add(struct lmn_hosts *h, const char *addr);
 void lmn_hosts_drop(struct lmn_hosts *h, const char *addr);
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -1,5 +1,5 @@
-/* What bends at a limit: sockets by purpose, the plan over generated sizes, and a server that is full of workers
- * and still answers users. */
+/* What bends at a limit: sockets by purpose over generated sizes, a server that is full of workers
+ * and still answers users, what is shed. */
 #include "base/httpd.h"
 #include "base/http_client.h"
 #include "limits/hosts.h"
@@ -152,6 +152,7 @@
     lmn_hosts_add(&h, "worker.example:9000");
     assert_false(knows(&h, "127.0.0.1"));
     assert_false(knows(&h, "10.0.0.1"));
+    lmn_hosts_clear(&h);
 }
 
 static void what_is_shed_first(void **state)
