--- a/src/limits/sockets.c
+++ b/src/limits/sockets.c
@@ -3,7 +3,7 @@
 /* Listening, the log, the state service (following, writing, reading, the lease), the
  * cloud, with some to spare; and for each other member a call each way and one that is
  * just being replaced. */
-enum { FIXED = 12, EACH_MEMBER = 3, LEAST_ACCEPTED = 16, LANES = 16 };
+enum { FIXED = 12, EACH_MEMBER = 3, LEAST_ACCEPTED = 16 };
 
 static unsigned most(unsigned a, unsigned b)
 {
@@ -17,7 +17,7 @@
 
 unsigned lmn_sockets_least(const struct lmn_settings *cfg)
 {
-    return fixed(cfg) + LANES + LEAST_ACCEPTED;
+    return fixed(cfg) + LMN_LANES + LEAST_ACCEPTED;
 }
 
 void lmn_socket_plan(const struct lmn_settings *cfg, struct lmn_socket_plan *p)
@@ -25,7 +25,7 @@
     unsigned all = (unsigned)cfg->max_connections;
 
     /* Each lane has one call under way at most, whatever it keeps open besides. */
-    p->direct = most(lmn_direct_connections(cfg), LANES);
+    p->direct = most(lmn_direct_connections(cfg), LMN_LANES);
     p->own = fixed(cfg) + p->direct;
     p->accepted = all > p->own + LEAST_ACCEPTED ? all - p->own : LEAST_ACCEPTED;
     /* An eighth is left to pass through, however many stand: a report needs a connection
--- a/src/limits/sockets.h
+++ b/src/limits/sockets.h
@@ -18,6 +18,9 @@
     LMN_SOCKET_KINDS
 };
 
+/* Threads that call workers: each has a call under way at most. */
+enum { LMN_LANES = 16 };
+
 struct lmn_socket_plan {
     unsigned own;                     /* the node's own calls, and what it listens on */
     unsigned direct;                  /* of these, kept open to workers, over all lanes */
@@ -26,8 +29,8 @@
 };
 
 /* How the node's max_connections are parted. For any settings: own and accepted together
- * are no more than max_connections, as long as that is at least LMN_SOCKETS_LEAST with
- * the members counted (lmn_sockets_least); below, accepted is 16 and something will be
+ * are no more than max_connections, as long as that is at least
+ * lmn_sockets_least; below, accepted is 16 and something will be
  * refused. */
 void lmn_socket_plan(const struct lmn_settings *cfg, struct lmn_socket_plan *p);
 
--- a/src/serve/service.c
+++ b/src/serve/service.c
@@ -6,6 +6,7 @@
 #include "decide/order.h"
 #include "decide/pack.h"
 #include "decide/preempt.h"
+#include "limits/sockets.h"
 #include "own/cloud.h"
 #include "own/flush.h"
 #include "own/owner.h"
@@ -56,7 +57,7 @@
     lmn_thread(lmn_api_thread, core);
     lmn_thread(lmn_cloud_thread, core);
     lmn_thread(lmn_peer_thread, core);
-    static struct lmn_lane lanes[16];
+    static struct lmn_lane lanes[LMN_LANES];
     for (unsigned i = 0; i < G_N_ELEMENTS(lanes); i++) {
         lanes[i] = (struct lmn_lane){core, i, G_N_ELEMENTS(lanes)};
         lmn_thread(lmn_direct_thread, &lanes[i]);
