--- a/src/cli/controller.c
+++ b/src/cli/controller.c
@@ -37,9 +37,10 @@
 
 int lmn_cmd_admin(int argc, char **argv)
 {
-    int rc = lmn_cli_parse(NULL, "ADDRESS status | get | set NAME VALUE | drain MACHINE",
-                           "Administers a controller. ADDRESS: its internal_addr.", NULL,
-                           true, &argc, &argv);
+    int rc = lmn_cli_parse(
+        NULL, "ADDRESS status | members [--json] | get | set NAME VALUE | drain MACHINE",
+        "Administers a controller. ADDRESS: its internal_addr.", NULL, true, &argc,
+        &argv);
 
     if (rc)
         return rc;
--- a/src/limits/sockets.c
+++ b/src/limits/sockets.c
@@ -1,9 +1,9 @@
 #include "limits/sockets.h"
 
 /* Listening, the log, the state service (following, writing, reading, the lease), the
- * cloud, with some to spare; and for each other member a call each way and one that is
- * just being replaced. */
-enum { FIXED = 12, EACH_MEMBER = 3, LEAST_ACCEPTED = 16 };
+ * cloud, with some to spare; and for each other member a call and a question each way
+ * and one that is just being replaced. */
+enum { FIXED = 12, EACH_MEMBER = 5, LEAST_ACCEPTED = 16 };
 
 static unsigned most(unsigned a, unsigned b)
 {
--- /dev/null
+++ b/src/member/member.h
@@ -0,0 +1,222 @@
+/* What a controller knows of the others: evidence, suspicion, refutation, verdict.
+ *
+ * Pure functions of what was observed, the settings and a passed-in time; no I/O. The
+ * structure stands in the shared state, and its lock is held by the caller throughout.
+ * Members are named by their rank (lmn_settings_rank). All durations in seconds, steady
+ * clock. Why it is done so: docs/design/failover.md. */
+#ifndef LMN_MEMBER_H
+#define LMN_MEMBER_H
+
+#include "base/clock.h"
+#include "base/settings.h"
+#include "member/accrual.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/* What follows from the settings. */
+struct lmn_member_times {
+    double lease_s;    /* of a member's lease in the state service: 0.4 of the workers',
+                          2 to 8 */
+    double every_s;    /* between questions: a sixteenth of it */
+    double patience_s; /* for an answer at the least */
+    double doubt_s;    /* for which a suspicion stands before a verdict: a sixth of the
+                          lease, a second at least */
+    double jump_s;     /* a tick that comes later than this was a stand-still */
+    double overdue_s;  /* a worker that is silent for so long was not heard */
+};
+void lmn_member_times(const struct lmn_settings *cfg, struct lmn_member_times *t);
+
+/* What a member is suspected of. */
+enum lmn_cause {
+    LMN_SILENT, /* it answers nobody */
+    LMN_DEAF,   /* it does not hear its workers, others do */
+    LMN_BLIND,  /* its mirror stands still, others' move */
+    LMN_CAUSES
+};
+const char *lmn_cause_name(enum lmn_cause c);
+
+/* A member's word of itself. */
+struct lmn_word {
+    double behind_s; /* how late it does what is due */
+    double stale_s;  /* the age of its mirror */
+    double deaf;     /* the part of its machines that it does not hear, 0 to 1 */
+};
+
+/* What one member says of another; ages as of its telling. */
+struct lmn_statement {
+    int of;
+    uint64_t inc;        /* of the member as the teller's mirror shows it */
+    double heard_s;      /* since the last sign of life; negative: never */
+    double unanswered_s; /* since the first question that was not answered; 0: none */
+    unsigned visitors;   /* its workers that came to the teller lately */
+};
+enum { LMN_STATEMENTS = 8 }; /* at most so many go along with a question */
+
+struct lmn_witness {
+    struct timespec at; /* when it was told; 0: never */
+    struct lmn_statement s;
+};
+
+enum { LMN_VISITORS = 64 };
+
+struct lmn_peer_view {
+    /* as the mirror shows it */
+    bool present; /* it has a record, tied to its lease */
+    uint64_t inc; /* that record's revision: its incarnation */
+    uint64_t rev; /* of the record's last change, its end included */
+    struct timespec inc_at; /* when the mirror showed this incarnation */
+    uint64_t lease;
+    uint32_t gen;
+    struct timespec since; /* when present last changed */
+    /* a suspicion as recorded; it counts while it is about this incarnation */
+    uint64_t doubt_inc, doubt_rev, doubt_seen;
+    char doubt_by[LMN_NAME];
+    enum lmn_cause doubt_why;
+    uint32_t doubt_gen;
+    struct timespec doubted; /* since when it has stood, the mirror fresh all the while */
+    /* our own questions */
+    bool ever;                  /* heard by this process */
+    struct timespec heard;      /* a time at which it surely lived */
+    struct timespec unanswered; /* when the first of the questions that it has not
+                                   answered since was sent; 0: none */
+    unsigned failures;          /* of them */
+    bool excused;               /* another has heard it meanwhile: the fault was here */
+    bool soon;                  /* to be asked next */
+    struct timespec next;       /* not to be asked before */
+    unsigned helped;            /* how many others were asked about it in this turn */
+    struct timespec help;       /* when the next of them may be asked */
+    struct timespec helped_at;  /* when somebody last spoke of it */
+    struct lmn_accrual answers;
+    struct lmn_word word;
+    struct timespec word_at;
+    struct lmn_witness witness[LMN_MAX_MEMBERS + 1]; /* what others say of it, by rank */
+    /* its workers that came here, having given it up: distinct names (hashed) */
+    struct {
+        guint who;
+        struct timespec at;
+    } visitors[LMN_VISITORS];
+    guint machines; /* recorded of the partitions that it owns; the caller keeps it */
+    /* coming back */
+    unsigned strikes;
+    struct timespec struck;
+    unsigned refutes; /* lately */
+    struct timespec refuted;
+    bool judged;
+};
+
+struct lmn_members {
+    const struct lmn_settings *cfg;
+    struct lmn_member_times t;
+    int n, me;                              /* all members, and this one's rank */
+    const char *names[LMN_MAX_MEMBERS + 1]; /* by rank, the settings' */
+    struct lmn_peer_view v[LMN_MAX_MEMBERS + 1];
+    int order[LMN_MAX_MEMBERS + 1], at; /* of questions, shuffled each round */
+    struct timespec next, beyond;       /* the next question of the round is due, and
+                                           the next beyond it */
+    /* of this node */
+    struct timespec tick, woke, synced, fresh;
+    struct timespec steady; /* since when the mirror has been fresh without a gap */
+    struct lmn_word word;
+    double late_s;   /* of the ticks, smoothed */
+    unsigned health; /* 0: well, to 8: its own clocks are not to be trusted */
+    bool shut;       /* it hears no workers: it owns nothing until one reaches it */
+    struct timespec heard_worker;
+    struct lmn_member_counts {
+        uint64_t asked, unanswered, suspicions, refutations, verdicts, returns, gives;
+    } count;
+};
+
+void lmn_members_init(struct lmn_members *ms, const struct lmn_settings *cfg,
+                      struct timespec now);
+const char *lmn_member_name(const struct lmn_members *ms, int rank);
+/* -1: no member of that name. */
+int lmn_member_rank(const struct lmn_members *ms, const char *name);
+
+/* --- what is observed --- */
+
+/* This node does its rounds; late_s: how late it is. Notices a stand-still. */
+void lmn_members_tick(struct lmn_members *ms, double late_s, struct timespec now);
+/* The mirror was asked at this time, and answered. The asking is what it proves. */
+void lmn_members_fresh(struct lmn_members *ms, struct timespec asked);
+/* The record n/NODE; rev 0: it is gone. lease: the one that it hangs on. */
+void lmn_member_record(struct lmn_members *ms, int rank, uint64_t rev, uint64_t lease,
+                       struct timespec now);
+/* The record u/NODE; rev 0: it is gone. */
+void lmn_member_doubt(struct lmn_members *ms, int rank, uint64_t rev, uint64_t inc,
+                      const char *by, enum lmn_cause why, struct timespec now);
+/* Its partition was taken, or given away: it earns its work back later. */
+void lmn_member_strike(struct lmn_members *ms, int rank, struct timespec now);
+/* A question to it was sent, and answered; or it asked us: then sent is now. */
+void lmn_member_heard(struct lmn_members *ms, int rank, const struct lmn_word *w,
+                      struct timespec sent, struct timespec now);
+void lmn_member_answered(struct lmn_members *ms, int rank, const struct lmn_word *w,
+                         struct timespec sent, struct timespec now);
+void lmn_member_unanswered(struct lmn_members *ms, int rank, struct timespec sent,
+                           struct timespec now);
+/* What another says of a third. */
+void lmn_member_told(struct lmn_members *ms, int by, const struct lmn_statement *s,
+                     struct timespec now);
+/* Another asks about it: it is asked next, unless it was heard just now. */
+void lmn_member_wonder(struct lmn_members *ms, int rank, struct timespec now);
+/* A worker of a partition that the member owns has come here, having given it up. */
+void lmn_member_visited(struct lmn_members *ms, int rank, const char *worker,
+                        struct timespec now);
+/* A worker of our own has reached us. */
+void lmn_members_reached(struct lmn_members *ms, struct timespec now);
+
+/* --- questions --- */
+
+struct lmn_question {
+    int rank;
+    int about; /* -1: nobody in particular */
+    double patience_s;
+};
+/* The question that is due; false if none is, then *wait is for how long. */
+bool lmn_member_question(struct lmn_members *ms, GRand *rng, struct timespec now,
+                         struct lmn_question *q, double *wait);
+/* What to tell along with a question to, or an answer for, a member: about it itself,
+ * about a third (-1: none), and what is suspicious. Returns their number. */
+unsigned lmn_member_statements(const struct lmn_members *ms, int to, int about,
+                               struct timespec now, struct lmn_statement *out);
+
+/* --- what follows --- */
+
+/* What speaks against a member. */
+struct lmn_evidence {
+    double asked;         /* phi of our questions */
+    double others;        /* the surest of the others' questions, phi */
+    unsigned by;          /* how many others' questions speak against it */
+    unsigned visitors;    /* the most of its workers that one node has seen lately */
+    double stale_s, deaf; /* its own word, if fresh; else 0 */
+    bool alive;           /* somebody has heard it since our first unanswered question */
+    unsigned sides;       /* independent sides against it, for the cause: */
+    enum lmn_cause cause;
+};
+void lmn_member_evidence(const struct lmn_members *ms, int rank, struct timespec now,
+                         struct lmn_evidence *e);
+
+/* Suspicion: a record u/NODE should be written (it has none of this incarnation). */
+bool lmn_member_suspect(const struct lmn_members *ms, int rank, struct timespec now,
+                        struct lmn_evidence *e);
+/* A suspicion of its incarnation stands. */
+bool lmn_member_doubted(const struct lmn_members *ms, int rank);
+/* It may be judged now: its partitions claimed on condition of its incarnation. */
+bool lmn_member_judged(const struct lmn_members *ms, int rank, struct timespec now);
+/* Up, not suspected, and fit by its own word. */
+bool lmn_member_trusted(const struct lmn_members *ms, int rank, struct timespec now);
+/* Seconds until its work may be given back to it; 0: now. */
+double lmn_member_back_s(const struct lmn_members *ms, int rank, struct timespec now);
+
+/* This node is suspected, untruly as far as it knows: it should write its record anew. */
+bool lmn_self_refutes(const struct lmn_members *ms, struct timespec now);
+/* It may answer workers: it has not stood still since the mirror was last asked. */
+bool lmn_self_awake(const struct lmn_members *ms, struct timespec now);
+/* It may claim, and judge others. */
+bool lmn_self_fit(const struct lmn_members *ms, struct timespec now);
+/* It hears less than half of its machines, which come to others: the rank of the member
+ * to give its partitions to, -1: none. */
+int lmn_self_heir(const struct lmn_members *ms, struct timespec now);
+
+#endif
--- /dev/null
+++ b/src/member/question.c
@@ -0,0 +1,158 @@
+/* Whom to ask next, and what to tell along. */
+#include "member/member.h"
+
+#include <string.h>
+
+/* As SWIM (A. Das and others, 2002): one at a time, in an order that is shuffled each
+ * round, so that each is asked once in a round; when one does not answer, up to three
+ * others are asked about it. */
+enum { HELPERS = 3 };
+
+/* An answer is given up when it is this unlikely to come. */
+static const double GIVE_UP_PHI = 8;
+
+static double patience(const struct lmn_members *ms, const struct lmn_peer_view *m)
+{
+    double s = lmn_accrual_wait(&m->answers, GIVE_UP_PHI);
+
+    return CLAMP(s * (1 + ms->health), ms->t.patience_s, 2 * ms->t.patience_s);
+}
+
+static bool ask(struct lmn_members *ms, int rank, int about, struct lmn_question *q)
+{
+    q->rank = rank;
+    q->about = about;
+    q->patience_s = patience(ms, &ms->v[rank]);
+    ms->count.asked++;
+    return true;
+}
+
+/* One that has not answered, and is not dealt with yet; its turn of helpers is open. */
+static bool wants_help(const struct lmn_members *ms, int rank, struct timespec now)
+{
+    const struct lmn_peer_view *m = &ms->v[rank];
+
+    return rank != ms->me && m->present && m->unanswered.tv_sec && !m->judged &&
+           !lmn_before(now, m->help);
+}
+
+static int helper(const struct lmn_members *ms, int about, GRand *rng)
+{
+    int from = g_rand_int_range(rng, 0, ms->n);
+
+    for (int k = 0; k < ms->n; k++) {
+        int i = (from + k) % ms->n;
+        const struct lmn_peer_view *m = &ms->v[i];
+        if (i != ms->me && i != about && m->present && !m->unanswered.tv_sec)
+            return i;
+    }
+    return -1;
+}
+
+static bool beyond_the_round(struct lmn_members *ms, GRand *rng, struct timespec now,
+                             struct lmn_question *q)
+{
+    for (int i = 0; i < ms->n; i++) {
+        struct lmn_peer_view *m = &ms->v[i];
+        if (i == ms->me || !m->soon || !m->present || lmn_before(now, m->next))
+            continue;
+        m->soon = false;
+        return ask(ms, i, -1, q);
+    }
+    for (int i = 0; i < ms->n; i++) {
+        struct lmn_peer_view *m = &ms->v[i];
+        if (!wants_help(ms, i, now))
+            continue;
+        int h = helper(ms, i, rng);
+        if (++m->helped >= MIN(HELPERS, (unsigned)MAX(ms->n - 2, 0)) || h < 0) {
+            m->helped = 0;
+            m->help = lmn_after(now, ms->t.every_s / 2);
+        }
+        if (h >= 0)
+            return ask(ms, h, i, q);
+    }
+    return false;
+}
+
+static bool of_the_round(struct lmn_members *ms, GRand *rng, struct lmn_question *q)
+{
+    for (int tries = 0; tries < 2 * ms->n; tries++) {
+        if (ms->at >= ms->n) {
+            ms->at = 0;
+            for (int i = 0; i < ms->n; i++) {
+                int k = g_rand_int_range(rng, i, ms->n), x = ms->order[i];
+                ms->order[i] = ms->order[k];
+                ms->order[k] = x;
+            }
+        }
+        int rank = ms->order[ms->at++];
+        /* Those without an answer are asked beyond the round. */
+        if (rank != ms->me && ms->v[rank].present && !ms->v[rank].unanswered.tv_sec)
+            return ask(ms, rank, -1, q);
+    }
+    return false;
+}
+
+bool lmn_member_question(struct lmn_members *ms, GRand *rng, struct timespec now,
+                         struct lmn_question *q, double *wait)
+{
+    if (!lmn_before(now, ms->beyond)) {
+        /* Four to an interval at most, whatever is the matter. */
+        if (beyond_the_round(ms, rng, now, q)) {
+            ms->beyond = lmn_after(now, ms->t.every_s / 4);
+            return true;
+        }
+    }
+    if (!lmn_before(now, ms->next)) {
+        ms->next = lmn_after(now, ms->t.every_s);
+        if (of_the_round(ms, rng, q))
+            return true;
+    }
+    *wait = CLAMP(lmn_since(ms->next, now), 0.01, ms->t.every_s / 4);
+    return false;
+}
+
+static guint recent_visitors(const struct lmn_members *ms, const struct lmn_peer_view *m,
+                             struct timespec now)
+{
+    guint n = 0;
+
+    /* A worker comes back at its next report at the latest. */
+    for (guint i = 0; i < LMN_VISITORS; i++)
+        n += m->visitors[i].at.tv_sec &&
+             lmn_since(now, m->visitors[i].at) < ms->t.overdue_s + 5;
+    return n;
+}
+
+static void state_of(const struct lmn_members *ms, int of, struct timespec now,
+                     struct lmn_statement *s)
+{
+    const struct lmn_peer_view *m = &ms->v[of];
+
+    *s = (struct lmn_statement){
+        .of = of,
+        .inc = m->inc,
+        .heard_s = m->ever ? lmn_since(now, m->heard) : -1,
+        .unanswered_s = m->unanswered.tv_sec ? lmn_since(now, m->unanswered) : 0,
+        .visitors = recent_visitors(ms, m, now),
+    };
+}
+
+unsigned lmn_member_statements(const struct lmn_members *ms, int to, int about,
+                               struct timespec now, struct lmn_statement *out)
+{
+    unsigned n = 0;
+
+    if (to >= 0 && to != ms->me)
+        state_of(ms, to, now, &out[n++]);
+    if (about >= 0 && about != ms->me && about != to)
+        state_of(ms, about, now, &out[n++]);
+    for (int i = 0; i < ms->n && n < LMN_STATEMENTS; i++) {
+        const struct lmn_peer_view *m = &ms->v[i];
+        if (i == to || i == about || i == ms->me || !m->present)
+            continue;
+        state_of(ms, i, now, &out[n]);
+        n += out[n].unanswered_s > 0 || out[n].visitors > 0 || lmn_member_doubted(ms, i);
+    }
+    return n;
+}
--- a/src/own/partition.c
+++ b/src/own/partition.c
@@ -160,80 +160,6 @@
     deal_ranges(c, p, now);
 }
 
-/* --- the thread that holds the lease and claims partitions --- */
-
-struct holder {
-    struct lmn_core *c;
-    struct lmn_http *http;
-    GByteArray *buf;
-    double ttl;
-    uint64_t lease;
-    struct timespec renewed;
-    bool announced;
-};
-
-static void drop_lease(struct holder *h, const char *why)
-{
-    lmn_info("lease-lost lease=%" G_GUINT64_FORMAT " why=\"%s\"", h->lease, why);
-    h->lease = 0;
-    h->announced = false;
-    pthread_mutex_lock(&h->c->lock);
-    h->c->lease = 0;
-    for (int i = 0; i < h->c->nparts; i++)
-        if (h->c->parts[i].mine)
-            lmn_partition_lose(h->c, &h->c->parts[i], "lease ended");
-    pthread_mutex_unlock(&h->c->lock);
-}
-
-static void keep_lease(struct holder *h)
-{
-    struct lmn_core *c = h->c;
-    char path[64];
-    int status;
-
-    if (h->lease) {
-        g_snprintf(path, sizeof path, P_LEASES "/%" G_GUINT64_FORMAT P_RENEW, h->lease);
-        struct timespec sent = lmn_now();
-        status = lmn_http_call(h->http, "POST", path, NULL, 1.0, h->buf);
-        if (status == 200)
-            h->renewed = sent;
-        else if (status == 404)
-            drop_lease(h, "ended");
-        return;
-    }
-    GByteArray *body = g_byte_array_new();
-    lmn_put_map(body, 1);
-    lmn_put_text(body, W_TTL_MS), lmn_put_count(body, (uint64_t)(h->ttl * 1000));
-    struct timespec sent = lmn_now();
-    status = lmn_http_call(h->http, "POST", P_LEASES, body, 1.5, h->buf);
-    g_byte_array_unref(body);
-    struct lmn_doc d;
-    if (status == 200 && lmn_doc_parse(&d, h->buf->data, h->buf->len) == 0) {
-        if (lmn_count(lmn_get(&d, lmn_root(&d), W_LEASE), &h->lease)) {
-            h->renewed = sent;
-            pthread_mutex_lock(&c->lock);
-            c->lease = h->lease;
-            pthread_mutex_unlock(&c->lock);
-            lmn_info("lease-new lease=%" G_GUINT64_FORMAT, h->lease);
-        }
-        lmn_doc_free(&d);
-    }
-}
-
-static void announce(struct holder *h)
-{
-    char key[LMN_NAME + 4];
-    uint64_t rev;
-
-    g_snprintf(key, sizeof key, "n/%s", h->c->cfg->node);
-    struct lmn_txn *t = lmn_txn_new(LMN_RANK_OWNER, NULL, NULL);
-    GByteArray *v = g_byte_array_new();
-    lmn_put_count(v, h->lease);
-    lmn_txn_write(t, key, v, h->lease);
-    h->announced = lmn_state_send(h->c->state, h->http, t, &rev, NULL) == LMN_OK;
-    lmn_txn_free(t);
-}
-
 bool lmn_holder_stands_in(const struct lmn_core *c, const struct lmn_partition *p,
                           const char *zone)
 {
@@ -247,32 +173,53 @@
     return false;
 }
 
+int lmn_partition_next(const struct lmn_core *c, const struct lmn_partition *p,
+                       struct timespec now)
+{
+    for (int k = 0; k < c->members.n; k++) {
+        int rank = (p->id + k) % c->members.n;
+        if (lmn_member_trusted(&c->members, rank, now))
+            return rank;
+    }
+    return -1;
+}
+
 bool lmn_partition_wanted(const struct lmn_core *c, const struct lmn_partition *p,
                           struct timespec now)
 {
-    int n = (int)c->cfg->nmembers + 1, me = lmn_settings_rank(c->cfg, c->cfg->node);
+    const struct lmn_members *ms = &c->members;
+    struct timespec since = p->vacant;
     int ahead = 0;
 
-    if (p->owner_rev) /* only one process runs for a member: what our last one held is
-                         ours */
-        return !strcmp(p->owner, c->cfg->node) && p->owner_lease != c->lease;
-    if (p->id % n == me)
+    if (ms->shut || !lmn_self_awake(ms, now))
+        return false; /* it could not serve it */
+    if (p->owner_rev) {
+        int owner = lmn_member_rank(ms, p->owner);
+        /* Only one process runs for a member: what our last one held is ours. */
+        if (owner == ms->me)
+            return p->owner_lease != c->lease;
+        if (owner < 0 || !lmn_member_judged(ms, owner, now))
+            return false;
+        since = lmn_after(ms->v[owner].doubted, ms->t.doubt_s);
+    } else if (p->id % ms->n == ms->me) {
         return true;
+    }
     if (lmn_since(now, c->synced_at) < 3.0)
         return false;
     /* The preferred owner first, then the others that are up, in their order. */
-    for (int k = 0; k < n; k++) {
-        int rank = (p->id + k) % n;
-        if (rank == me)
+    for (int k = 0; k < ms->n; k++) {
+        int rank = (p->id + k) % ms->n;
+        if (rank == ms->me)
             break;
-        if (c->peers[rank].alive)
-            ahead++;
+        ahead += lmn_member_trusted(ms, rank, now);
     }
-    return lmn_since(now, p->vacant) >= 1.5 * ahead;
+    return lmn_since(now, since) >= 1.5 * ahead;
 }
 
-struct lmn_txn *lmn_partition_claim(const struct lmn_core *c,
-                                    const struct lmn_partition *p, uint64_t lease)
+/* The owner's key and a higher term, both conditional on what the mirror shows. The key
+ * hangs on the new owner's lease, whoever writes it. */
+static struct lmn_txn *transfer(const struct lmn_partition *p, const char *to,
+                                uint64_t lease)
 {
     struct lmn_txn *t = lmn_txn_new(LMN_RANK_OWNER, NULL, NULL);
     uint64_t term = p->term + 1;
@@ -280,7 +227,7 @@
     char key[32];
 
     lmn_put_map(b, 3);
-    lmn_put_text(b, "node"), lmn_put_text(b, c->cfg->node);
+    lmn_put_text(b, "node"), lmn_put_text(b, to);
     lmn_put_text(b, "lease"), lmn_put_count(b, lease);
     lmn_put_text(b, "term"), lmn_put_count(b, term);
     g_snprintf(key, sizeof key, "o/%d", p->id);
@@ -294,89 +241,32 @@
     return t;
 }
 
-static void claim(struct holder *h, int id)
+static void if_incarnation(const struct lmn_core *c, struct lmn_txn *t, int rank)
 {
-    struct lmn_core *c = h->c;
-    struct lmn_partition *p = &c->parts[id];
-    struct lmn_txn *t = NULL;
-    uint64_t rev = 0;
+    char *key = g_strdup_printf("n/%s", lmn_member_name(&c->members, rank));
 
-    pthread_mutex_lock(&c->lock);
-    if (c->synced && !p->mine && lmn_partition_wanted(c, p, lmn_now()))
-        t = lmn_partition_claim(c, p, h->lease);
-    pthread_mutex_unlock(&c->lock);
-    if (!t)
-        return;
-    enum lmn_outcome r = lmn_state_send(c->state, h->http, t, &rev, NULL);
-    lmn_txn_free(t);
-    lmn_info("partition-claim partition=%d outcome=%d", id, r);
+    lmn_txn_if(t, key, c->members.v[rank].inc);
+    g_free(key);
 }
 
-/* A partition that another member should hold goes back to it once that one has been up
- * for a while. */
-static void hand_over(struct holder *h, int id)
+struct lmn_txn *lmn_partition_claim(const struct lmn_core *c,
+                                    const struct lmn_partition *p, uint64_t lease)
 {
-    struct lmn_core *c = h->c;
-    struct lmn_partition *p = &c->parts[id];
-    int n = (int)c->cfg->nmembers + 1, owner = id % n;
-    struct timespec now = lmn_now();
-    char key[32];
-    uint64_t rev = 0;
+    int owner = p->owner_rev ? lmn_member_rank(&c->members, p->owner) : -1;
+    struct lmn_txn *t = transfer(p, c->cfg->node, lease);
 
-    pthread_mutex_lock(&c->lock);
-    int held = 0, theirs = 0;
-    for (int i = 0; i < c->nparts; i++) {
-        held += c->parts[i].mine;
-        theirs += lmn_settings_rank(c->cfg, c->parts[i].owner) == owner &&
-                  c->parts[i].owner_rev;
-    }
-    bool go = p->mine && p->ready && held > 1 && !theirs && c->peers[owner].alive &&
-              owner != lmn_settings_rank(c->cfg, c->cfg->node) &&
-              lmn_since(now, c->peers[owner].since) > 15.0 &&
-              lmn_since(now, p->since) > 15.0;
-    if (go)
-        p->releasing = true;
-    uint64_t my_rev = p->my_rev;
-    pthread_mutex_unlock(&c->lock);
-    if (!go)
-        return;
-    struct lmn_txn *t = lmn_txn_new(LMN_RANK_OWNER, NULL, NULL);
-    g_snprintf(key, sizeof key, "o/%d", id);
-    lmn_txn_if(t, key, my_rev);
-    lmn_txn_remove(t, key);
-    enum lmn_outcome r = lmn_state_send(c->state, h->http, t, &rev, NULL);
-    lmn_txn_free(t);
-    lmn_info("partition-hand-over partition=%d outcome=%d", id, r);
-    pthread_mutex_lock(&c->lock);
-    if (r != LMN_OK)
-        p->releasing = false;
-    pthread_mutex_unlock(&c->lock);
+    /* A verdict: it does not hold against one that refutes it first. */
+    if (owner >= 0 && owner != c->members.me)
+        if_incarnation(c, t, owner);
+    return t;
 }
 
-void *lmn_partition_thread(void *arg)
+struct lmn_txn *lmn_partition_gift(const struct lmn_core *c,
+                                   const struct lmn_partition *p, int heir)
 {
-    struct lmn_core *c = arg;
-    struct holder h = {.c = c};
+    struct lmn_txn *t =
+        transfer(p, lmn_member_name(&c->members, heir), c->members.v[heir].lease);
 
-    /* Short enough that a successor answers a crashed owner's workers within their lease,
-     * long enough for the stalls of a small share of a core. */
-    h.ttl = CLAMP(0.4 * c->cfg->lease_s, 2.0, 8.0);
-    h.http = lmn_http_new(c->cfg->state);
-    h.buf = g_byte_array_new();
-    for (;;) {
-        struct timespec now = lmn_now();
-        if (!h.lease || lmn_since(now, h.renewed) > h.ttl / 4)
-            keep_lease(&h);
-        if (h.lease && !h.announced)
-            announce(&h);
-        if (h.lease)
-            for (int i = 0; i < c->nparts; i++) {
-                claim(&h, i);
-                hand_over(&h, i);
-            }
-        pthread_mutex_lock(&c->lock);
-        lmn_cond_wait_for(&c->changed, &c->lock, 0.25);
-        pthread_mutex_unlock(&c->lock);
-    }
-    return NULL;
+    if_incarnation(c, t, heir);
+    return t;
 }
--- a/src/own/partition.h
+++ b/src/own/partition.h
@@ -1,5 +1,4 @@
-/* Who owns which partition, under what term. The lock is held, but by
- * lmn_partition_thread's caller. */
+/* Who owns which partition, under what term. The lock is held. */
 #ifndef LMN_PARTITION_H
 #define LMN_PARTITION_H
 
@@ -14,12 +13,20 @@
 /* Whether the member that holds the partition by default stands in the zone. */
 bool lmn_holder_stands_in(const struct lmn_core *c, const struct lmn_partition *p,
                           const char *zone);
+/* Who would own it if its owner were judged now: the first in order that is trusted; -1:
+ * nobody. */
+int lmn_partition_next(const struct lmn_core *c, const struct lmn_partition *p,
+                       struct timespec now);
 /* Whether this node should try to own the partition now. */
 bool lmn_partition_wanted(const struct lmn_core *c, const struct lmn_partition *p,
                           struct timespec now);
-/* The transaction that claims it: the owner's key and a higher term, both conditional. */
+/* The transaction that claims it: the owner's key and a higher term, both conditional;
+ * and where the owner is judged, conditional on its incarnation. */
 struct lmn_txn *lmn_partition_claim(const struct lmn_core *c,
                                     const struct lmn_partition *p, uint64_t lease);
-void *lmn_partition_thread(void *core);
+/* The same write by an owner that gives it to another member: conditional on that one's
+ * incarnation, and hanging on its lease. */
+struct lmn_txn *lmn_partition_gift(const struct lmn_core *c,
+                                   const struct lmn_partition *p, int heir);
 
 #endif
--- a/src/own/upkeep.c
+++ b/src/own/upkeep.c
@@ -220,6 +220,38 @@
     g_list_free(ranges);
 }
 
+/* Which part of its machines this node does not hear, in all its partitions together:
+ * its word of itself. */
+static void note_deaf(struct lmn_core *c, struct timespec now)
+{
+    guint overdue = 0, all = 0;
+
+    for (int i = 0; i < c->nparts; i++) {
+        const struct lmn_partition *p = &c->parts[i];
+        for (guint k = 0; p->mine && k < p->list->len; k++) {
+            const struct lmn_machine *m = p->list->pdata[k];
+            if (!m->accounted || m->is_gone)
+                continue;
+            all++;
+            overdue += lmn_since(now, m->last) > c->members.t.overdue_s;
+        }
+    }
+    c->members.word.deaf = c->members.shut ? 1 : all > 2 ? overdue / (double)all : 0;
+}
+
+/* How many machines each member's partitions have. */
+static void note_machines(struct lmn_core *c)
+{
+    for (int i = 0; i < c->members.n; i++)
+        c->members.v[i].machines = 0;
+    for (int i = 0; i < c->nparts; i++) {
+        const struct lmn_partition *p = &c->parts[i];
+        int owner = *p->owner ? lmn_member_rank(&c->members, p->owner) : -1;
+        if (owner >= 0)
+            c->members.v[owner].machines += p->list->len;
+    }
+}
+
 /* The interval between looks at all machines, for each of them, and the longest. */
 static const double EACH_S = 0.0003, LONGEST_S = 1;
 enum { FEW = 1000 };
@@ -236,6 +268,8 @@
     if (machines > FEW && lmn_since(now, c->kept_up) < MIN(machines * EACH_S, LONGEST_S))
         return;
     c->kept_up = now;
+    note_deaf(c, now);
+    note_machines(c);
     if (due)
         c->audited = now;
     for (int i = 0; i < c->nparts; i++) {
--- a/src/own/worker.c
+++ b/src/own/worker.c
@@ -284,16 +284,34 @@
     return commands;
 }
 
+/* Where a worker of another's partition should go. Not to one that is suspected: it may
+ * wait there for an answer until its lease is half over; but to who would take over. */
 static int redirect(const struct lmn_core *c, const struct lmn_partition *p,
-                    GByteArray *out)
+                    GByteArray *out, struct timespec now)
 {
-    if (!*p->owner || !strcmp(p->owner, c->cfg->node))
+    int owner = *p->owner ? lmn_member_rank(&c->members, p->owner) : -1;
+
+    if (owner >= 0 && lmn_member_doubted(&c->members, owner))
+        owner = lmn_partition_next(c, p, now);
+    if (owner < 0 || owner == c->members.me)
         return 503;
     lmn_put_map(out, 1);
-    lmn_put_text(out, W_REPORT_TO), lmn_put_text(out, p->owner);
+    lmn_put_text(out, W_REPORT_TO);
+    lmn_put_text(out, lmn_member_name(&c->members, owner));
     return 421;
 }
 
+/* It has spoken with its owner before, and has come here all the same: to the owner's
+ * neighbours it is a witness. */
+static void note_visitor(struct lmn_core *c, const struct lmn_partition *p,
+                         const struct report *r, struct timespec now)
+{
+    int owner = *p->owner ? lmn_member_rank(&c->members, p->owner) : -1;
+
+    if (owner >= 0 && owner != c->members.me && r->token && r->token == p->owner_term)
+        lmn_member_visited(&c->members, owner, r->name, now);
+}
+
 static int handle(struct lmn_core *c, const struct report *r, const struct lmn_doc *d,
                   GByteArray *out, struct timespec now)
 {
@@ -301,12 +319,19 @@
     double margin = MAX(1.0, 0.05 * c->cfg->cancel_s);
 
     c->count.reports++;
+    lmn_members_reached(&c->members, now);
+    /* Whoever has stood still may have been replaced meanwhile: an answer would hold the
+     * worker here while its lease runs out. */
+    if (!lmn_self_awake(&c->members, now))
+        return 503;
     /* A node that may have missed a cancellation must let its workers' leases run out in
      * time: the last answer, a lease, and all of it within cancel_s. */
     if (!c->synced || lmn_staleness(c, now) > c->cfg->cancel_s - c->cfg->lease_s - margin)
         return 503;
-    if (!p->mine)
-        return redirect(c, p, out);
+    if (!p->mine) {
+        note_visitor(c, p, r, now);
+        return redirect(c, p, out, now);
+    }
     if (r->token > p->my_term || g_hash_table_contains(c->gone, r->name))
         return 503; /* a successor is at work that the mirror doesn't show yet */
     struct lmn_machine *m = g_hash_table_lookup(p->machines, r->name);
@@ -414,6 +439,25 @@
            ((m->inherited && !m->accounted) || lmn_machine_silent(c, m, now));
 }
 
+/* A node that hears no workers has none, so none comes to it either: it asks one now and
+ * then, whosever it is. */
+static bool reach_next(struct lmn_core *c, char *name, char *addr, uint64_t *term,
+                       struct timespec now)
+{
+    if (!c->members.shut || lmn_before(now, c->next_reach))
+        return false;
+    c->next_reach = lmn_after(now, 2);
+    const GPtrArray *list = c->parts[g_rand_int_range(c->rng, 0, c->nparts)].list;
+    if (!list->len)
+        return false;
+    const struct lmn_machine *m =
+        list->pdata[g_rand_int_range(c->rng, 0, (gint32)list->len)];
+    g_strlcpy(name, m->name, LMN_NAME);
+    g_strlcpy(addr, m->addr, LMN_ADDR);
+    *term = 0;
+    return *addr != 0;
+}
+
 bool lmn_probe_next(struct lmn_core *c, unsigned lane, unsigned lanes, char *name,
                     char *addr, uint64_t *term, struct timespec now)
 {
@@ -421,6 +465,8 @@
     GHashTableIter it;
     gpointer v;
 
+    if (reach_next(c, name, addr, term, now))
+        return true;
     for (int i = 0; i < c->nparts; i++) {
         if (!c->parts[i].mine || !c->parts[i].asking)
             continue;
@@ -456,6 +502,11 @@
     struct lmn_doc d;
     struct report r;
 
+    if (!term) {
+        if (status == 200)
+            lmn_members_reached(&c->members, now);
+        return;
+    }
     if (!m || !p->mine || p->my_term != term || m->is_gone)
         return;
     m->probes++;
@@ -495,6 +546,8 @@
     uint64_t session = 0;
     int status = lmn_http_call(h, "GET", P_SHOW, NULL, 1.0, answer);
 
+    if (!term)
+        return status;
     if (status != 200 || lmn_doc_parse(&d, answer->data, answer->len) != 0)
         return status == 200 ? LMN_NO_ANSWER : status;
     lmn_count(lmn_get(&d, lmn_root(&d), W_SESSION), &session);
--- a/src/own/worker.h
+++ b/src/own/worker.h
@@ -15,7 +15,7 @@
 void lmn_direct_outcome(struct lmn_core *c, const char *name, int status,
                         const GByteArray *answer, struct timespec now);
 /* The same for machines of a partition just taken over, which are asked what they hold.
- */
+ * term 0: any machine, only whether it can be reached. */
 bool lmn_probe_next(struct lmn_core *c, unsigned lane, unsigned lanes, char *name,
                     char *addr, uint64_t *term, struct timespec now);
 void lmn_probe_outcome(struct lmn_core *c, const char *name, uint64_t term, int status,
--- a/src/serve/admin.c
+++ b/src/serve/admin.c
@@ -1,9 +1,10 @@
 /* The administration client. */
 #include "serve/admin.h"
-#include "serve/peer.h"
+#include "serve/dial.h"
 #include "peer_wire.h"
 
 #include <rpc/rpc.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -41,6 +42,13 @@
     return 0;
 }
 
+/* members, members --json */
+static bool asks_members(int argc, char **argv)
+{
+    return !strcmp(argv[0], "members") &&
+           (argc == 1 || (argc == 2 && !strcmp(argv[1], "--json")));
+}
+
 int lmn_admin_main(const char *addr, int argc, char **argv)
 {
     CLIENT *cl;
@@ -49,14 +57,14 @@
     int rc = 2;
 
     bool ok = (argc == 1 && (!strcmp(argv[0], "status") || !strcmp(argv[0], "get"))) ||
-              (argc == 2 && !strcmp(argv[0], "drain"));
+              (argc == 2 && !strcmp(argv[0], "drain")) || asks_members(argc, argv);
     if (argc == 3 && !strcmp(argv[0], "set")) {
         value = strtod(argv[2], &end);
         ok = end != argv[2] && !*end;
     }
     if (!ok) {
-        fprintf(stderr, "usage: lemonspar admin ADDRESS status | get | set NAME VALUE | "
-                        "drain MACHINE\n");
+        fprintf(stderr, "usage: lemonspar admin ADDRESS status | members [--json] | get "
+                        "| set NAME VALUE | drain MACHINE\n");
         return 2;
     }
     cl = lmn_peer_dial(addr);
@@ -66,7 +74,10 @@
     }
     if (!strcmp(argv[0], "status"))
         rc = show_reply(cl, LMN_STATUS, nothing, NULL);
-    else if (!strcmp(argv[0], "get"))
+    else if (!strcmp(argv[0], "members")) {
+        u_int json = argc > 1;
+        rc = show_reply(cl, LMN_MEMBERS, (xdrproc_t)xdr_u_int, &json);
+    } else if (!strcmp(argv[0], "get"))
         rc = show_tuning(cl);
     else if (!strcmp(argv[0], "set")) {
         struct lmn_set_request q = {argv[1], value};
--- /dev/null
+++ b/src/serve/ask.c
@@ -0,0 +1,173 @@
+#include "serve/ask.h"
+#include "base/log.h"
+#include "base/thread.h"
+#include "serve/dial.h"
+#include "state/core.h"
+
+#include <rpc/rpc.h>
+
+/* A node whose mirror stands still while another's moves, or who reaches nobody, is at
+ * fault itself: its users are better served elsewhere. In an outage of the state service
+ * everybody stays. */
+static void look_around(struct lmn_core *c, struct timespec now)
+{
+    double stale = c->synced ? lmn_staleness(c, now) : 0;
+    bool odd = stale >= LMN_STALE_S && c->members.n > 1, anybody = false;
+
+    for (int i = 0; i < c->members.n && odd; i++) {
+        const struct lmn_peer_view *m = &c->members.v[i];
+        if (i == c->members.me || !m->word_at.tv_sec || lmn_since(now, m->word_at) > 2)
+            continue;
+        if (!anybody)
+            odd = false;
+        anybody = true;
+        if (m->word.stale_s < LMN_STALE_S) {
+            odd = true;
+            break;
+        }
+    }
+    if (odd != c->odd_one)
+        lmn_info("odd-one-out odd=%d stale=%.1f", odd, stale);
+    c->odd_one = odd;
+}
+
+static lmn_xword own_word(const struct lmn_core *c, struct timespec now)
+{
+    const struct lmn_word *w = &c->members.word;
+
+    return (lmn_xword){w->behind_s, MIN(lmn_staleness(c, now), 1e6), w->deaf};
+}
+
+static struct lmn_word word_of(const lmn_xword *x)
+{
+    return (struct lmn_word){x->behind, x->stale, x->deaf};
+}
+
+/* Names are the settings', which stand for ever. */
+static u_int tell(const struct lmn_core *c, int to, int about, struct timespec now,
+                  struct lmn_ask_room *room)
+{
+    struct lmn_statement s[LMN_STATEMENTS];
+    unsigned n = lmn_member_statements(&c->members, to, about, now, s);
+
+    for (unsigned i = 0; i < n; i++)
+        room->said[i] =
+            (lmn_xstatement){(char *)lmn_member_name(&c->members, s[i].of), s[i].inc,
+                             s[i].heard_s, s[i].unanswered_s, s[i].visitors};
+    return n;
+}
+
+static void be_told(struct lmn_core *c, int by, u_int n, const lmn_xstatement *said,
+                    struct timespec now)
+{
+    for (u_int i = 0; i < n; i++) {
+        struct lmn_statement s = {lmn_member_rank(&c->members, said[i].of),
+                                  said[i].incarnation, said[i].heard, said[i].unanswered,
+                                  said[i].visitors};
+        lmn_member_told(&c->members, by, &s, now);
+    }
+}
+
+void lmn_ask_answer(struct lmn_core *c, const lmn_xask *q, lmn_xanswer *a,
+                    struct lmn_ask_room *room)
+{
+    struct timespec now = lmn_now();
+    struct lmn_word w = word_of(&q->word);
+
+    pthread_mutex_lock(&c->lock);
+    int from = lmn_member_rank(&c->members, q->from);
+    int about = *q->about ? lmn_member_rank(&c->members, q->about) : -1;
+    if (from >= 0 && from != c->members.me) {
+        lmn_member_heard(&c->members, from, &w, now, now);
+        be_told(c, from, q->said.said_len, q->said.said_val, now);
+    }
+    if (about >= 0 && about != c->members.me) {
+        lmn_member_wonder(&c->members, about, now);
+        pthread_cond_signal(&c->asking);
+    }
+    a->word = own_word(c, now);
+    a->said.said_len = tell(c, from, about, now, room);
+    a->said.said_val = room->said;
+    pthread_mutex_unlock(&c->lock);
+}
+
+/* --- the thread --- */
+
+struct asked {
+    CLIENT *client;
+};
+
+static bool call(struct lmn_core *c, struct asked *peer, const struct lmn_question *q,
+                 lmn_xask *x, lmn_xanswer *a)
+{
+    const char *name = lmn_member_name(&c->members, q->rank), *addr = NULL;
+    struct timeval wait = {(time_t)q->patience_s,
+                           (suseconds_t)(1e6 * (q->patience_s - (time_t)q->patience_s))};
+
+    for (size_t i = 0; i < c->cfg->nmembers; i++)
+        if (!strcmp(c->cfg->members[i].name, name))
+            addr = c->cfg->members[i].addr;
+    if (!peer->client && addr)
+        peer->client = lmn_peer_dial_within(addr, q->patience_s);
+    if (!peer->client)
+        return false;
+    if (clnt_call(peer->client, LMN_ASK, (xdrproc_t)xdr_lmn_xask, (char *)x,
+                  (xdrproc_t)xdr_lmn_xanswer, (char *)a, wait) == RPC_SUCCESS)
+        return true;
+    clnt_destroy(peer->client);
+    peer->client = NULL;
+    return false;
+}
+
+static void ask_one(struct lmn_core *c, struct asked *peer, const struct lmn_question *q)
+{
+    struct lmn_members *ms = &c->members;
+    struct lmn_ask_room room;
+    lmn_xask x = {.from = (char *)c->cfg->node, .about = (char *)""};
+    lmn_xanswer a = {0};
+
+    if (q->about >= 0)
+        x.about = (char *)lmn_member_name(ms, q->about);
+    pthread_mutex_lock(&c->lock);
+    struct timespec sent = lmn_now();
+    x.word = own_word(c, sent);
+    x.said.said_len = tell(c, q->rank, q->about, sent, &room);
+    x.said.said_val = room.said;
+    pthread_mutex_unlock(&c->lock);
+    bool answered = call(c, peer, q, &x, &a);
+    pthread_mutex_lock(&c->lock);
+    struct timespec now = lmn_now();
+    if (answered) {
+        struct lmn_word w = word_of(&a.word);
+        lmn_member_answered(ms, q->rank, &w, sent, now);
+        be_told(c, q->rank, a.said.said_len, a.said.said_val, now);
+    } else {
+        lmn_member_unanswered(ms, q->rank, sent, now);
+        lmn_debug("member-unanswered member=%s after=%.2f times=%u",
+                  lmn_member_name(ms, q->rank), lmn_since(now, sent),
+                  ms->v[q->rank].failures);
+        pthread_cond_broadcast(&c->changed);
+    }
+    pthread_mutex_unlock(&c->lock);
+    if (answered)
+        xdr_free((xdrproc_t)xdr_lmn_xanswer, (char *)&a);
+}
+
+void *lmn_ask_thread(void *arg)
+{
+    struct lmn_core *c = arg;
+    struct asked peers[LMN_MAX_MEMBERS + 1] = {0};
+
+    for (;;) {
+        struct lmn_question q;
+        double wait;
+        pthread_mutex_lock(&c->lock);
+        while (!lmn_member_question(&c->members, c->rng, lmn_now(), &q, &wait)) {
+            look_around(c, lmn_now());
+            lmn_cond_wait_for(&c->asking, &c->lock, wait);
+        }
+        pthread_mutex_unlock(&c->lock);
+        ask_one(c, &peers[q.rank], &q);
+    }
+    return NULL;
+}
--- /dev/null
+++ b/src/serve/ask.h
@@ -0,0 +1,21 @@
+/* Members ask each other whether they are there, and tell what they know of third ones
+ * (member/question.h): the thread that asks, and the answers. */
+#ifndef LMN_ASK_H
+#define LMN_ASK_H
+
+#include "state/model.h"
+#include "peer_wire.h"
+
+/* What a question or an answer carries, with room for its names. */
+struct lmn_ask_room {
+    lmn_xstatement said[LMN_STATEMENTS];
+};
+
+/* Takes in a question that another member has sent, and fills the answer, which points
+ * into the room. Takes the lock. */
+void lmn_ask_answer(struct lmn_core *c, const lmn_xask *q, lmn_xanswer *a,
+                    struct lmn_ask_room *room);
+/* Asks (a thread). */
+void *lmn_ask_thread(void *core);
+
+#endif
--- a/src/serve/metrics.c
+++ b/src/serve/metrics.c
@@ -1,6 +1,7 @@
 #include "serve/metrics.h"
 #include "base/httpd.h"
 #include "base/metrics.h"
+#include "serve/members.h"
 #include "state/core.h"
 
 struct tasks {
@@ -119,6 +120,7 @@
                   &c->accepting);
     lmn_quantiles(out, "lemonspar_starting_seconds",
                   "From a job's acceptance to a task's start", &c->starting);
+    lmn_members_metrics(c, out);
     pthread_mutex_unlock(&c->lock);
     lmn_gauge(out, "lemonspar_mirror_behind_seconds", "How far the mirror may be behind",
               stale);
--- a/src/serve/peer.c
+++ b/src/serve/peer.c
@@ -8,15 +8,14 @@
 #include "own/flush.h"
 #include "own/gift.h"
 #include "own/partition.h"
+#include "serve/ask.h"
+#include "serve/dial.h"
+#include "serve/members.h"
 #include "state/core.h"
 #include "peer_wire.h"
 
 #include <arpa/inet.h>
-#include <errno.h>
-#include <fcntl.h>
 #include <math.h>
-#include <netinet/tcp.h>
-#include <poll.h>
 #include <rpc/rpc.h>
 #include <rpc/rpc_com.h>
 #include <stdio.h>
@@ -311,6 +310,30 @@
         svc_freeargs(x, (xdrproc_t)xdr_lmn_xquota, (char *)&q);
         return;
     }
+    case LMN_ASK: {
+        struct lmn_xask q = {0};
+        struct lmn_ask_room room;
+        lmn_xanswer a = {0};
+        if (!svc_getargs(x, (xdrproc_t)xdr_lmn_xask, (char *)&q)) {
+            svcerr_decode(x);
+            return;
+        }
+        lmn_ask_answer(core, &q, &a, &room);
+        svc_sendreply(x, (xdrproc_t)xdr_lmn_xanswer, (char *)&a);
+        svc_freeargs(x, (xdrproc_t)xdr_lmn_xask, (char *)&q);
+        return;
+    }
+    case LMN_MEMBERS: {
+        u_int json = 0;
+        if (!svc_getargs(x, (xdrproc_t)xdr_u_int, (char *)&json)) {
+            svcerr_decode(x);
+            return;
+        }
+        struct lmn_reply r = {0, lmn_members_text(core, json != 0)};
+        svc_sendreply(x, (xdrproc_t)xdr_lmn_reply, (char *)&r);
+        g_free(r.text);
+        return;
+    }
     default:
         svcerr_noproc(x);
     }
@@ -351,43 +374,6 @@
     return 0;
 }
 
-/* --- clients --- */
-
-CLIENT *lmn_peer_dial(const char *addr)
-{
-    struct sockaddr_in a = {.sin_family = AF_INET};
-    struct netbuf nb = {sizeof a, sizeof a, &a};
-    char host[LMN_ADDR];
-    int port, fd, error = 0;
-    socklen_t len = sizeof error;
-
-    if (lmn_addr_split(addr, host, sizeof host, &port) != 0)
-        return NULL;
-    a.sin_port = htons((uint16_t)port);
-    inet_pton(AF_INET, host, &a.sin_addr);
-    fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-    if (fd < 0)
-        return NULL;
-    /* A member behind a cut says nothing: a connection is not waited for longer than
-     * this. */
-    if (connect(fd, (struct sockaddr *)&a, sizeof a) != 0) {
-        struct pollfd w = {fd, POLLOUT, 0};
-        if (errno != EINPROGRESS || poll(&w, 1, 600) != 1 ||
-            getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len) != 0 || error) {
-            close(fd);
-            return NULL;
-        }
-    }
-    fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) & ~O_NONBLOCK);
-    CLIENT *cl = clnt_vc_create(fd, &nb, LMN_PROGRAM, LMN_VERSION_1, 0, 0);
-    if (!cl) {
-        close(fd);
-        return NULL;
-    }
-    clnt_control(cl, CLSET_FD_CLOSE, NULL);
-    return cl;
-}
-
 /* --- stealing from other controllers --- */
 
 struct member {
@@ -548,47 +534,14 @@
     pthread_mutex_unlock(&core->lock);
 }
 
-/* A node whose mirror stands still asks the others whether theirs do. If they move on, or
- * can't be reached at all, the fault is its own, and users are better served elsewhere;
- * in an outage of the state service everybody stays. */
-static void look_around(struct member *members, struct timespec *next)
-{
-    struct timespec now = lmn_now();
-    bool odd = true;
-
-    pthread_mutex_lock(&core->lock);
-    double stale = core->synced ? lmn_staleness(core, now) : 0;
-    if (stale < LMN_STALE_S)
-        core->odd_one = false;
-    pthread_mutex_unlock(&core->lock);
-    if (stale < LMN_STALE_S || lmn_before(now, *next) || !core->cfg->nmembers)
-        return;
-    *next = lmn_after(now, 1.0);
-    for (size_t i = 0; i < core->cfg->nmembers; i++) {
-        u_int ms;
-        if (!call_member(&members[i], LMN_STALENESS, nothing, NULL, &ms))
-            continue;
-        odd = ms < LMN_STALE_S * 1000;
-        if (odd)
-            break;
-    }
-    pthread_mutex_lock(&core->lock);
-    if (odd != core->odd_one)
-        lmn_info("odd-one-out odd=%d stale=%.1f", odd, stale);
-    core->odd_one = odd;
-    pthread_mutex_unlock(&core->lock);
-}
-
 void *lmn_peer_thread(void *arg)
 {
     struct member members[LMN_MAX_MEMBERS] = {0};
-    struct timespec next = {0, 0};
     (void)arg;
 
     for (size_t i = 0; i < core->cfg->nmembers; i++)
         members[i].cfg = &core->cfg->members[i];
     for (;;) {
-        look_around(members, &next);
         for (int i = 0; core->nparts > 1 && i < core->nparts; i++) {
             struct lmn_thief t;
             pthread_mutex_lock(&core->lock);
--- a/src/serve/peer.h
+++ b/src/serve/peer.h
@@ -4,13 +4,9 @@
 
 #include "state/model.h"
 
-#include <rpc/rpc.h>
-
 /* Serves internal_addr (a thread). -1 if it can't listen. */
 int lmn_peer_start(struct lmn_core *c);
 /* Pulls work from other partitions for machines that have run dry (a thread). */
 void *lmn_peer_thread(void *core);
-/* A connection to a controller's internal_addr; NULL if there is none within 0.6 s. */
-CLIENT *lmn_peer_dial(const char *addr);
 
 #endif
--- a/src/serve/peer_wire.x
+++ b/src/serve/peer_wire.x
@@ -4,6 +4,7 @@
 const LMN_XDR_NAME = 64;
 const LMN_XDR_TEXT = 65536;
 const LMN_XDR_TUNINGS = 64;
+const LMN_XDR_STATEMENTS = 8;
 
 struct lmn_tuning_item {
     string name<LMN_XDR_NAME>;
@@ -62,6 +63,36 @@
     double least_gpus;
 };
 
+/* A member's word of itself, in seconds; deaf: the part of its machines that it does not
+ * hear. */
+struct lmn_xword {
+    double behind;
+    double stale;
+    double deaf;
+};
+
+/* What it says of another: ages in seconds, negative: never heard. */
+struct lmn_xstatement {
+    string of<LMN_XDR_NAME>;
+    unsigned hyper incarnation;
+    double heard;
+    double unanswered;
+    unsigned visitors;
+};
+
+/* Are you there, and what do you know of another (empty: nobody in particular)? */
+struct lmn_xask {
+    string from<LMN_XDR_NAME>;
+    string about<LMN_XDR_NAME>;
+    lmn_xword word;
+    lmn_xstatement said<LMN_XDR_STATEMENTS>;
+};
+
+struct lmn_xanswer {
+    lmn_xword word;
+    lmn_xstatement said<LMN_XDR_STATEMENTS>;
+};
+
 program LMN_PROGRAM {
     version LMN_VERSION_1 {
         void LMN_PING(void) = 0;
@@ -73,5 +104,7 @@
         unsigned LMN_STEAL(lmn_xthief) = 6;
         unsigned LMN_STALENESS(void) = 7;      /* of the mirror, in milliseconds */
         unsigned LMN_QUOTA(lmn_xquota) = 8;    /* 1: something is on its way */
+        lmn_xanswer LMN_ASK(lmn_xask) = 9;
+        lmn_reply LMN_MEMBERS(unsigned) = 10;  /* 1: as JSON */
     } = 1;
 } = 0x2c0a5b41;
--- a/src/serve/service.c
+++ b/src/serve/service.c
@@ -10,10 +10,11 @@
 #include "own/cloud.h"
 #include "own/flush.h"
 #include "own/owner.h"
-#include "own/partition.h"
+#include "own/holder.h"
 #include "own/upkeep.h"
 #include "own/worker.h"
 #include "serve/api.h"
+#include "serve/ask.h"
 #include "serve/peer.h"
 #include "serve/server.h"
 #include "state/mirror.h"
@@ -53,10 +54,12 @@
     }
     lmn_state_start(state);
     lmn_thread(lmn_mirror_thread, core);
-    lmn_thread(lmn_partition_thread, core);
+    lmn_thread(lmn_holder_thread, core);
     lmn_thread(lmn_api_thread, core);
     lmn_thread(lmn_cloud_thread, core);
     lmn_thread(lmn_peer_thread, core);
+    if (cfg->nmembers)
+        lmn_thread(lmn_ask_thread, core);
     static struct lmn_lane lanes[LMN_LANES];
     for (unsigned i = 0; i < G_N_ELEMENTS(lanes); i++) {
         lanes[i] = (struct lmn_lane){core, i, G_N_ELEMENTS(lanes)};
@@ -71,6 +74,8 @@
         struct timespec now = lmn_now();
         double since = lmn_since(now, last);
         lmn_load_note(&core->load, since - TICK_S, since);
+        lmn_members_tick(&core->members, since - TICK_S, now);
+        core->members.word.behind_s = core->load.behind;
         last = now;
         lmn_rank_all(core, lmn_seconds(lmn_wall()));
         lmn_upkeep(core, now);
--- a/src/state/core.c
+++ b/src/state/core.c
@@ -22,6 +22,7 @@
     pthread_mutex_init(&c->lock, NULL);
     lmn_cond_init(&c->changed);
     lmn_cond_init(&c->poked);
+    lmn_cond_init(&c->asking);
     c->cfg = cfg;
     c->state = state;
     lmn_socket_plan(cfg, &c->sockets);
@@ -35,6 +36,7 @@
     c->nparts = cfg->partitions;
     c->parts = g_new0(struct lmn_partition, c->nparts);
     c->booted = lmn_now();
+    lmn_members_init(&c->members, cfg, c->booted);
     lmn_latency_init(&c->accepting);
     lmn_latency_init(&c->starting);
     for (int i = 0; i < c->nparts; i++) {
--- a/src/state/core.h
+++ b/src/state/core.h
@@ -14,7 +14,7 @@
 /* Seconds by which the mirror may be behind; beyond LMN_BLIND_S a node touches no machine
  * of the cloud's: it may long have lost them to a successor. */
 #define LMN_BLIND_S 5.0
-/* The mirror stands still: it is asked for at least every 1.5 s. */
+/* The mirror stands still: it is asked for at least every 0.8 s. */
 #define LMN_STALE_S 3.0
 double lmn_staleness(const struct lmn_core *c, struct timespec now);
 
--- a/src/state/mirror.c
+++ b/src/state/mirror.c
@@ -7,6 +7,7 @@
  *        m/P/N          machines that partition P may have started tasks on (block.c)
  *        q/TEAM         the partitions' parts of the team's limit, once they are not even
  *        n/NODE         a controller that is up (tied to its lease)
+ *        u/NODE         a suspicion of it (tied to the lease of who suspects)
  *        s              operators' settings
  */
 #include "state/mirror.h"
@@ -181,6 +182,19 @@
         c->owner->range_born(c, r, now);
 }
 
+/* Who loses a partition has failed, unless it held the partition for another, who has it
+ * back. */
+static void note_loss(struct lmn_core *c, const struct lmn_partition *p, const char *to,
+                      struct timespec now)
+{
+    int from = *p->owner ? lmn_member_rank(&c->members, p->owner) : -1;
+
+    if (from < 0 || !strcmp(p->owner, to) ||
+        (*to && lmn_member_rank(&c->members, to) == p->id % c->members.n))
+        return;
+    lmn_member_strike(&c->members, from, now);
+}
+
 static void apply_owner(struct lmn_core *c, struct lmn_partition *p,
                         const struct lmn_doc *d, const struct lmn_node *v, uint64_t rev,
                         struct timespec now)
@@ -198,6 +212,7 @@
     }
     if (p->mine)
         c->owner->partition_lose(c, p, v ? "taken" : "owner key gone");
+    note_loss(c, p, owner, now);
     g_strlcpy(p->owner, owner, sizeof p->owner);
     p->owner_lease = lease;
     p->owner_term = term;
@@ -210,24 +225,59 @@
 static void apply_node(struct lmn_core *c, const char *name, const struct lmn_node *v,
                        uint64_t rev, struct timespec now)
 {
-    int rank = lmn_settings_rank(c->cfg, name);
-    bool known = !strcmp(name, c->cfg->node);
+    int rank = lmn_member_rank(&c->members, name);
+    uint64_t lease = 0;
 
-    for (size_t i = 0; i < c->cfg->nmembers; i++)
-        known = known || !strcmp(name, c->cfg->members[i].name);
-    if (!known)
+    if (rank < 0)
         return;
-    struct lmn_peer_view *n = &c->peers[rank];
-    n->gen = c->gen;
-    if (n->rev >= rev)
+    struct lmn_peer_view *m = &c->members.v[rank];
+    m->gen = c->gen;
+    if (m->rev >= rev)
         return;
-    if (n->alive != (v != NULL))
-        n->since = now;
-    n->alive = v != NULL;
-    n->rev = rev;
+    m->rev = rev;
+    if (v)
+        lmn_count(v, &lease);
+    if (v && lmn_member_doubted(&c->members, rank))
+        lmn_info("member-refute member=%s incarnation=%" G_GUINT64_FORMAT
+                 " was=%" G_GUINT64_FORMAT,
+                 name, rev, m->inc);
+    else if (v && !m->present)
+        lmn_info("member-up member=%s incarnation=%" G_GUINT64_FORMAT, name, rev);
+    else if (!v && m->present)
+        lmn_info("member-gone member=%s incarnation=%" G_GUINT64_FORMAT, name, m->inc);
+    lmn_member_record(&c->members, rank, v ? rev : 0, lease, now);
     pthread_cond_broadcast(&c->changed);
 }
 
+static void apply_doubt(struct lmn_core *c, const char *name, const struct lmn_doc *d,
+                        const struct lmn_node *v, uint64_t rev, struct timespec now)
+{
+    int rank = lmn_member_rank(&c->members, name);
+    char by[LMN_NAME] = "";
+    uint64_t inc = 0, why = 0;
+
+    if (rank < 0)
+        return;
+    struct lmn_peer_view *m = &c->members.v[rank];
+    m->doubt_gen = c->gen;
+    if (m->doubt_seen >= rev)
+        return;
+    m->doubt_seen = rev;
+    if (v) {
+        lmn_count(lmn_get(d, v, "incarnation"), &inc);
+        lmn_count(lmn_get(d, v, "why"), &why);
+        lmn_text(lmn_get(d, v, "by"), by, sizeof by);
+    }
+    lmn_member_doubt(&c->members, rank, v ? rev : 0, inc, by,
+                     (enum lmn_cause)MIN(why, LMN_CAUSES), now);
+    if (lmn_member_doubted(&c->members, rank))
+        lmn_info("member-suspect member=%s incarnation=%" G_GUINT64_FORMAT
+                 " by=%s why=%s",
+                 name, inc, by, lmn_cause_name(m->doubt_why));
+    pthread_cond_broadcast(&c->changed);
+    pthread_cond_broadcast(&c->asking);
+}
+
 void lmn_mirror_apply(struct lmn_core *c, const char *key, const struct lmn_doc *d,
                       const struct lmn_node *v, uint64_t rev, struct timespec now)
 {
@@ -254,6 +304,10 @@
         apply_node(c, key + 2, v, rev, now);
         return;
     }
+    if (key[0] == 'u') {
+        apply_doubt(c, key + 2, d, v, rev, now);
+        return;
+    }
     unsigned long id = strtoul(key + 2, &rest, 10);
     if (rest == key + 2 || id >= (unsigned long)c->nparts)
         return;
@@ -289,16 +343,19 @@
         if (p->owner_gen != c->gen && p->owner_rev) {
             if (p->mine)
                 c->owner->partition_lose(c, p, "owner key gone");
+            note_loss(c, p, "", now);
             p->owner[0] = '\0';
             p->owner_lease = p->owner_rev = 0;
             p->vacant = now;
         }
     }
-    for (size_t i = 0; i <= c->cfg->nmembers; i++)
-        if (c->peers[i].gen != c->gen && c->peers[i].alive) {
-            c->peers[i].alive = false;
-            c->peers[i].since = now;
-        }
+    for (int i = 0; i < c->members.n; i++) {
+        struct lmn_peer_view *m = &c->members.v[i];
+        if (m->gen != c->gen && m->present)
+            lmn_member_record(&c->members, i, 0, 0, now);
+        if (m->doubt_gen != c->gen && m->doubt_inc)
+            lmn_member_doubt(&c->members, i, 0, 0, "", LMN_SILENT, now);
+    }
     pthread_cond_broadcast(&c->changed);
 }
 
@@ -455,8 +512,15 @@
 {
     char path[256];
     struct lmn_doc d;
-    int wait_ms = first ? 0 : 1500;
+    int wait_ms = first ? 0 : 800;
 
+    /* Whoever is suspected has to be able to refute, and a verdict needs a fresh mirror.
+     */
+    pthread_mutex_lock(&c->lock);
+    for (int i = 0; i < c->members.n; i++)
+        if (lmn_member_doubted(&c->members, i))
+            wait_ms = MIN(wait_ms, 200);
+    pthread_mutex_unlock(&c->lock);
     lmn_state_pace(c->state);
     struct timespec sent = lmn_now();
     g_snprintf(path, sizeof path,
@@ -478,6 +542,7 @@
         *revision = upto;
     /* The answer may have been on its way for long: it proves only the time of asking. */
     c->fresh = sent;
+    lmn_members_fresh(&c->members, sent);
     if (!c->synced) {
         c->synced = true;
         c->synced_at = now;
--- a/src/state/model.h
+++ b/src/state/model.h
@@ -14,6 +14,7 @@
 #include "limits/hosts.h"
 #include "limits/load.h"
 #include "limits/sockets.h"
+#include "member/member.h"
 #include "state/state.h"
 #include "base/tuning.h"
 
@@ -47,7 +48,8 @@
         final_at; /* when the mirror showed it final, or it was last looked at */
     const struct lmn_partition *ranked; /* mark of the triage under way */
     /* What one look over queues has found out (decide/queue.c): it can't start there, it
-     * can, and what its image would take; each as long as the core's count is the same. */
+     * can, and what its image would take; each as long as the core's count is the same.
+     */
     uint64_t look_no, look_yes, look_fetch;
     double fetch_s;
     /* a job whose tasks fail is held back by itself */
@@ -210,10 +212,10 @@
     uint32_t owner_gen;
     struct timespec vacant; /* since when nobody owns it */
     GHashTable *ranges, *machines;
-    GPtrArray *list;   /* the same machines in no order: what samples are drawn from */
+    GPtrArray *list; /* the same machines in no order: what samples are drawn from */
     struct lmn_hosts *hosts; /* the core's, where its machines' addresses are counted */
-    GPtrArray *poked;  /* those to be given work at once (lmn_poke) */
-    GPtrArray *blocks; /* struct lmn_block by number */
+    GPtrArray *poked;        /* those to be given work at once (lmn_poke) */
+    GPtrArray *blocks;       /* struct lmn_block by number */
     /* the owner's */
     bool mine, ready, releasing;
     bool asking; /* some machine may have to be asked whether it is there */
@@ -223,7 +225,8 @@
     bool unheard_unknown;
     uint64_t my_term, my_rev, attempts;
     struct timespec since, ready_at;
-    double poll_s; /* interval of steals from other partitions */
+    struct timespec released; /* when the write that gives it away was last tried */
+    double poll_s;            /* interval of steals from other partitions */
     struct timespec next_steal;
     struct lmn_queue limbo; /* tasks that no machine's queue holds yet */
     double used_cpus[LMN_MAX_TEAMS], used_gpus[LMN_MAX_TEAMS];
@@ -235,13 +238,6 @@
     guint rr;
 };
 
-struct lmn_peer_view {
-    bool alive;
-    uint64_t rev;
-    uint32_t gen;
-    struct timespec since;
-};
-
 struct lmn_counters {
     uint64_t steal_tries, steals, stolen_tasks, starts, kills, reports, polls,
         submissions;
@@ -276,6 +272,7 @@
 struct lmn_core {
     pthread_mutex_t lock;
     pthread_cond_t changed; /* ownership, or membership */
+    pthread_cond_t asking;  /* a question has become due */
     pthread_cond_t poked;   /* machines to be given work at once */
     const struct lmn_settings *cfg;
     struct lmn_state *state;
@@ -283,11 +280,11 @@
     struct lmn_socket_plan sockets;
     struct lmn_load load;
     struct lmn_httpd *server; /* the users' and workers'; NULL: none */
-    struct lmn_hosts hosts; /* of all machines known, with a lock of its own */
+    struct lmn_hosts hosts;   /* of all machines known, with a lock of its own */
     struct lmn_tuning tuning;
     uint64_t tuning_rev;
     GRand *rng;
-    uint64_t look, turn; /* counts of looks over queues, and of starts within them */
+    uint64_t look, turn;     /* counts of looks over queues, and of starts within them */
     struct timespec kept_up; /* the last look at all machines */
 
     GHashTable *jobs;  /* ref -> lmn_job */
@@ -298,7 +295,7 @@
     bool reading, crowded, reread;
     struct lmn_partition *parts;
     int nparts;
-    struct lmn_peer_view peers[LMN_MAX_MEMBERS + 1]; /* by rank */
+    struct lmn_members members;
     double wall;    /* the time of day at the last tick */
     double triaged; /* the time of day at the last triage */
     bool synced;
@@ -306,7 +303,8 @@
     uint32_t gen;
     struct timespec fresh; /* the mirror is no older than this */
     struct timespec booted, synced_at, audited;
-    uint64_t lease; /* ours, 0: none */
+    struct timespec next_reach; /* when a node that hears no workers may ask one */
+    uint64_t lease;             /* ours, 0: none */
 
     uint64_t quota_rev[LMN_MAX_TEAMS]; /* of the teams' records of parts; 0: none */
     bool quota_known[LMN_MAX_TEAMS];   /* there is a record, and of this limit */
