--- a/bench/crowd.c
+++ b/bench/crowd.c
@@ -42,16 +42,16 @@
         "[[types]]\nname = \"small\"\ncpus = %d\nmem_gb = 64\nready_s = 0.2\n"
         "zones = [\"a\"]\n[[pools]]\ntype = \"small\"\ncount = %u\n",
         CPUS, workers);
-    char *text =
-        g_strdup_printf("name = \"bench\"\ndata = \"%s/data\"\ninventory = \"%s\"\n"
-                        "base_port = %d\nbackend = \"emulated\"\ncontrollers = "
-                        "%d\n[[teams]]\nname = \"t\"\n"
-                        "cpus_max = 100000\n[workers]\nreport_s = %g\nlease_s = 20\n"
-                        "cancel_s = 50\n[state]\nrps = 3000\nwrite_rps = 2000\n"
-                        "[resources]\nmax_connections = %d\n"
-                        "[emulate]\nnoise = 0\nown_connections = 1\n[cloud]\nrps = "
-                        "100\nlist_lag_s = 0.5\n",
-                        dir, inv, port, NODES, REPORT_S, sockets);
+    char *text = g_strdup_printf(
+        "name = \"bench\"\ndata = \"%s/data\"\ninventory = \"%s\"\n"
+        "base_port = %d\nbackend = \"emulated\"\nlog_level = \"error\"\ncontrollers = "
+        "%d\n[[teams]]\nname = \"t\"\n"
+        "cpus_max = 100000\n[workers]\nreport_s = %g\nlease_s = 20\n"
+        "cancel_s = 50\n[state]\nrps = 3000\nwrite_rps = 2000\n"
+        "[resources]\nmax_connections = %d\n"
+        "[emulate]\nnoise = 0\nown_connections = 1\n[cloud]\nrps = "
+        "100\nlist_lag_s = 0.5\n",
+        dir, inv, port, NODES, REPORT_S, sockets);
 
     g_mkdir_with_parents(dir, 0755);
     g_file_set_contents(file, text, -1, NULL);
--- a/src/decide/queue.c
+++ b/src/decide/queue.c
@@ -284,6 +284,10 @@
     s->range->st[a.index - s->range->lo] = LMN_T_STARTED;
     s->range->nstarted++;
     lmn_attempt_count(m, &a);
+    if (!p->started)
+        lmn_info("partition-start partition=%d term=%" G_GUINT64_FORMAT " after=%.2f",
+                 p->id, p->my_term, lmn_since(now, p->since));
+    p->started = true;
     c->turn++;
     if (m->promised && a.job->spec.urgency == LMN_PROD) {
         m->promised--;
@@ -305,8 +309,8 @@
     s->lo++;
 }
 
-/* Within a look, starts only take room away: who can't start stays so; who could is looked
- * at again after each. */
+/* Within a look, starts only take room away: who can't start stays so; who could is
+ * looked at again after each. */
 static bool startable(const struct lmn_core *c, const struct lmn_machine *m,
                       struct lmn_job *j, struct timespec now)
 {
@@ -339,8 +343,8 @@
 /* How the machine should choose between the jobs: as lmn_job_order, but a task whose
  * image it lacks would start, and end, later by the fetch, and hold its room idle
  * meanwhile. So do those that come after it while the fetch is under way: once it counted
- * as there from the first start on, whole machines waited side by side for one fetch, with
- * other work in their queues that lacked nothing. */
+ * as there from the first start on, whole machines waited side by side for one fetch,
+ * with other work in their queues that lacked nothing. */
 static int order_on(const struct lmn_core *c, const struct lmn_machine *m,
                     struct lmn_job *a, struct lmn_job *b, struct timespec now)
 {
@@ -367,8 +371,7 @@
             continue;
         if (best >= 0) {
             const struct lmn_seg *t = q->segs->pdata[best];
-            if (s->job == t->job ||
-                order_on(c, m, s->job, t->job, now) > 0)
+            if (s->job == t->job || order_on(c, m, s->job, t->job, now) > 0)
                 continue;
         }
         best = (int)i;
@@ -449,8 +452,7 @@
         for (guint i = 0; i < queues->len; i++) {
             struct lmn_queue *q = queues->pdata[i];
             int k = best_seg(c, q, m, now);
-            struct lmn_job *j =
-                k < 0 ? NULL : ((struct lmn_seg *)q->segs->pdata[k])->job;
+            struct lmn_job *j = k < 0 ? NULL : ((struct lmn_seg *)q->segs->pdata[k])->job;
             if (j && j != best && order_on(c, m, j, best, now) < 0) {
                 from = q;
                 at = k;
--- a/src/emulate/driver.c
+++ b/src/emulate/driver.c
@@ -55,6 +55,7 @@
     struct lmn_httpd *server;
     int epoll;
     uint64_t reports, failed_reports;
+    struct lmn_emu_ledger ledger;
 };
 
 struct question {
@@ -111,6 +112,7 @@
     g_strlcpy(u->w.agent.zone, m->zone, LMN_NAME);
     u->w.agent.type = e->o.inventory->types[m->type];
     u->w.agent.spot = m->spot;
+    u->w.ledger = &e->ledger;
     lmn_emu_worker_init(&u->w, &e->cloud.knobs, g_rand_int(e->cloud.rng),
                         e->o.worker.lease_s, lmn_now());
     u->controller = (unsigned)u->serial % e->o.worker.ncontrollers;
@@ -535,6 +537,12 @@
               (double)done);
     lmn_gauge(out, "lemonspar_emulated_failed", "Tasks failed on machines that are up",
               (double)failed);
+    lmn_counter(out, "lemonspar_emulated_starts", "Tasks begun", e->ledger.starts);
+    lmn_counter(out, "lemonspar_emulated_twice",
+                "Tasks that began while they ran elsewhere (there should be none)",
+                e->ledger.twice);
+    lmn_counter(out, "lemonspar_emulated_lapsed_tasks",
+                "Tasks that ended with their machine's lease", e->ledger.lapsed);
     lmn_gauge(out, "lemonspar_emulated_lapses", "Leases over on machines that are up",
               (double)lapses);
     pthread_mutex_unlock(&e->lock);
@@ -664,6 +672,7 @@
     pthread_mutex_init(&e->lock, NULL);
     lmn_cond_init(&e->due_more);
     lmn_cond_init(&e->asked_more);
+    lmn_emu_ledger_init(&e->ledger);
     e->units = g_hash_table_new(g_int64_hash, g_int64_equal);
     e->ports = g_hash_table_new(g_int_hash, g_int_equal);
     e->specs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, forget_spec);
--- /dev/null
+++ b/src/emulate/ledger.h
@@ -0,0 +1,26 @@
+/* What runs where in an emulated fleet: the truth that no controller knows, to hold its
+ * rules against. The caller serializes. */
+#ifndef LMN_EMU_LEDGER_H
+#define LMN_EMU_LEDGER_H
+
+#include <glib.h>
+#include <stdint.h>
+
+struct lmn_emu_ledger {
+    GHashTable *on; /* "ref/index" -> where it runs */
+    uint64_t starts;
+    uint64_t twice;  /* began while it ran elsewhere */
+    uint64_t lapsed; /* ended with their machine's lease */
+};
+
+void lmn_emu_ledger_init(struct lmn_emu_ledger *l);
+void lmn_emu_ledger_clear(struct lmn_emu_ledger *l);
+/* The task begins, or ends, on the machine: any pointer that tells it from others. */
+void lmn_emu_ledger_begin(struct lmn_emu_ledger *l, const char *ref, uint32_t index,
+                          gconstpointer machine);
+void lmn_emu_ledger_end(struct lmn_emu_ledger *l, const char *ref, uint32_t index,
+                        gconstpointer machine);
+/* All of its tasks end; how many. */
+guint lmn_emu_ledger_empty(struct lmn_emu_ledger *l, gconstpointer machine);
+
+#endif
--- a/src/emulate/worker.c
+++ b/src/emulate/worker.c
@@ -93,6 +93,8 @@
     struct lmn_emu_worker *w = arg;
     const struct lmn_emu_spec *s = spec_of(w, r);
 
+    if (w->ledger)
+        lmn_emu_ledger_begin(w->ledger, r->ref, r->index, w);
     if (s->service)
         return;
     double sigma = w->knobs->noise;
@@ -117,6 +119,8 @@
 static void kill_all(void *arg)
 {
     struct lmn_emu_worker *w = arg;
+    if (w->ledger)
+        w->ledger->lapsed += lmn_emu_ledger_empty(w->ledger, w);
     g_array_set_size(w->timers, 0);
     g_array_set_size(w->asking, 0);
     add(w, T_EMPTY, lmn_after(now_of_call, KILL_S), 0, NULL);
@@ -152,6 +156,8 @@
 
 void lmn_emu_worker_clear(struct lmn_emu_worker *w)
 {
+    if (w->ledger)
+        lmn_emu_ledger_empty(w->ledger, w);
     lmn_agent_clear(&w->agent);
     g_rand_free(w->rng);
     g_array_free(w->timers, TRUE);
@@ -185,6 +191,14 @@
         g_ptr_array_remove_index(w->images, 0);
 }
 
+static void exited(struct lmn_emu_worker *w, const struct lmn_run *r, bool done,
+                   bool saved, struct timespec now)
+{
+    if (w->ledger)
+        lmn_emu_ledger_end(w->ledger, r->ref, r->index, w);
+    lmn_agent_exited(&w->agent, r->id, done, saved, now);
+}
+
 static void ring(struct lmn_emu_worker *w, const struct timer *t, struct timespec now)
 {
     const struct lmn_run *r = lmn_agent_run(&w->agent, t->id);
@@ -204,11 +218,11 @@
             g_hash_table_add(w->results, g_strdup_printf("%s/%u", r->ref, r->index));
         w->done += !w->faulty;
         w->failed += w->faulty;
-        lmn_agent_exited(&w->agent, t->id, !w->faulty, false, now);
+        exited(w, r, !w->faulty, false, now);
         return;
     default:
         if (r)
-            lmn_agent_exited(&w->agent, t->id, false, t->kind == T_SAVED, now);
+            exited(w, r, false, t->kind == T_SAVED, now);
     }
 }
 
--- a/src/emulate/worker.h
+++ b/src/emulate/worker.h
@@ -6,10 +6,12 @@
 
 #include "agent/agent.h"
 #include "emulate/knobs.h"
+#include "emulate/ledger.h"
 
 struct lmn_emu_worker {
     struct lmn_agent agent;
     const struct lmn_knobs *knobs;
+    struct lmn_emu_ledger *ledger; /* the fleet's; NULL: none */
     GRand *rng;
     double speed; /* of this machine, 1: as its type */
     bool faulty, hanging;
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -151,7 +151,9 @@
 {
     struct lmn_peer_view *m = &ms->v[rank];
 
-    m->judged = true;
+    /* One that gave them away itself is not judged, and has nothing to refute: found when
+     * such a member never got its partition back. */
+    m->judged = m->judged || lmn_member_doubted(ms, rank);
     /* All its partitions at once are one failure. */
     if (m->struck.tv_sec && lmn_since(now, m->struck) < ms->t.lease_s)
         return;
--- a/src/member/member.h
+++ b/src/member/member.h
@@ -63,9 +63,9 @@
 
 struct lmn_peer_view {
     /* as the mirror shows it */
-    bool present; /* it has a record, tied to its lease */
-    uint64_t inc; /* that record's revision: its incarnation */
-    uint64_t rev; /* of the record's last change, its end included */
+    bool present;           /* it has a record, tied to its lease */
+    uint64_t inc;           /* that record's revision: its incarnation */
+    uint64_t rev;           /* of the record's last change, its end included */
     struct timespec inc_at; /* when the mirror showed this incarnation */
     uint64_t lease;
     uint32_t gen;
@@ -113,6 +113,7 @@
     const char *names[LMN_MAX_MEMBERS + 1]; /* by rank, the settings' */
     struct lmn_peer_view v[LMN_MAX_MEMBERS + 1];
     int order[LMN_MAX_MEMBERS + 1], at; /* of questions, shuffled each round */
+    int turn, told;                     /* where the next look over members begins */
     struct timespec next, beyond;       /* the next question of the round is due, and
                                            the next beyond it */
     /* of this node */
@@ -146,7 +147,8 @@
 /* The record u/NODE; rev 0: it is gone. */
 void lmn_member_doubt(struct lmn_members *ms, int rank, uint64_t rev, uint64_t inc,
                       const char *by, enum lmn_cause why, struct timespec now);
-/* Its partition was taken, or given away: it earns its work back later. */
+/* Its partition was taken, or given away: it earns its work back later. Where a suspicion
+ * stands, that was the verdict, and it is out until its record is written anew. */
 void lmn_member_strike(struct lmn_members *ms, int rank, struct timespec now);
 /* A question to it was sent, and answered; or it asked us: then sent is now. */
 void lmn_member_heard(struct lmn_members *ms, int rank, const struct lmn_word *w,
@@ -178,8 +180,10 @@
                          struct lmn_question *q, double *wait);
 /* What to tell along with a question to, or an answer for, a member: about it itself,
  * about a third (-1: none), and what is suspicious. Returns their number. */
-unsigned lmn_member_statements(const struct lmn_members *ms, int to, int about,
+unsigned lmn_member_statements(struct lmn_members *ms, int to, int about,
                                struct timespec now, struct lmn_statement *out);
+/* How many of its workers have come here lately. */
+unsigned lmn_member_visitors(const struct lmn_members *ms, int rank, struct timespec now);
 
 /* --- what follows --- */
 
--- a/src/member/question.c
+++ b/src/member/question.c
@@ -49,17 +49,26 @@
     return -1;
 }
 
-static bool beyond_the_round(struct lmn_members *ms, GRand *rng, struct timespec now,
-                             struct lmn_question *q)
+/* Those that have not answered are asked again, */
+static bool once_more(struct lmn_members *ms, struct timespec now, struct lmn_question *q)
 {
-    for (int i = 0; i < ms->n; i++) {
+    for (int k = 0; k < ms->n; k++) {
+        int i = (ms->turn + k) % ms->n;
         struct lmn_peer_view *m = &ms->v[i];
         if (i == ms->me || !m->soon || !m->present || lmn_before(now, m->next))
             continue;
         m->soon = false;
         return ask(ms, i, -1, q);
     }
-    for (int i = 0; i < ms->n; i++) {
+    return false;
+}
+
+/* and others are asked about them. */
+static bool elsewhere(struct lmn_members *ms, GRand *rng, struct timespec now,
+                      struct lmn_question *q)
+{
+    for (int k = 0; k < ms->n; k++) {
+        int i = (ms->turn + k) % ms->n;
         struct lmn_peer_view *m = &ms->v[i];
         if (!wants_help(ms, i, now))
             continue;
@@ -74,6 +83,17 @@
     return false;
 }
 
+/* In turns: when a third of the members died at once, those first in order were asked
+ * about all the time, and nobody spoke of the last. */
+static bool beyond_the_round(struct lmn_members *ms, GRand *rng, struct timespec now,
+                             struct lmn_question *q)
+{
+    ms->turn = (ms->turn + 1) % ms->n;
+    if (ms->turn % 2)
+        return once_more(ms, now, q) || elsewhere(ms, rng, now, q);
+    return elsewhere(ms, rng, now, q) || once_more(ms, now, q);
+}
+
 static bool of_the_round(struct lmn_members *ms, GRand *rng, struct lmn_question *q)
 {
     for (int tries = 0; tries < 2 * ms->n; tries++) {
@@ -112,10 +132,10 @@
     return false;
 }
 
-static guint recent_visitors(const struct lmn_members *ms, const struct lmn_peer_view *m,
-                             struct timespec now)
+unsigned lmn_member_visitors(const struct lmn_members *ms, int rank, struct timespec now)
 {
-    guint n = 0;
+    const struct lmn_peer_view *m = &ms->v[rank];
+    unsigned n = 0;
 
     /* A worker comes back at its next report at the latest. */
     for (guint i = 0; i < LMN_VISITORS; i++)
@@ -134,11 +154,11 @@
         .inc = m->inc,
         .heard_s = m->ever ? lmn_since(now, m->heard) : -1,
         .unanswered_s = m->unanswered.tv_sec ? lmn_since(now, m->unanswered) : 0,
-        .visitors = recent_visitors(ms, m, now),
+        .visitors = lmn_member_visitors(ms, of, now),
     };
 }
 
-unsigned lmn_member_statements(const struct lmn_members *ms, int to, int about,
+unsigned lmn_member_statements(struct lmn_members *ms, int to, int about,
                                struct timespec now, struct lmn_statement *out)
 {
     unsigned n = 0;
@@ -147,7 +167,9 @@
         state_of(ms, to, now, &out[n++]);
     if (about >= 0 && about != ms->me && about != to)
         state_of(ms, about, now, &out[n++]);
-    for (int i = 0; i < ms->n && n < LMN_STATEMENTS; i++) {
+    ms->told = (ms->told + 1) % ms->n;
+    for (int k = 0; k < ms->n && n < LMN_STATEMENTS; k++) {
+        int i = (ms->told + k) % ms->n;
         const struct lmn_peer_view *m = &ms->v[i];
         if (i == to || i == about || i == ms->me || !m->present)
             continue;
--- a/src/member/verdict.c
+++ b/src/member/verdict.c
@@ -61,14 +61,12 @@
                          struct lmn_evidence *e)
 {
     const struct lmn_peer_view *m = &ms->v[rank];
-    struct lmn_statement own[LMN_STATEMENTS];
 
     memset(e, 0, sizeof *e);
     if (m->unanswered.tv_sec && m->ever)
         e->asked = lmn_accrual_phi(&m->answers,
                                    lmn_since(now, m->unanswered) / (1 + ms->health));
-    if (lmn_member_statements(ms, rank, -1, now, own) && own[0].of == rank)
-        e->visitors = own[0].visitors;
+    e->visitors = lmn_member_visitors(ms, rank, now);
     for (int k = 0; k < ms->n; k++)
         if (k != rank && k != ms->me)
             hear_witness(ms, m, &m->witness[k], now, e);
@@ -113,6 +111,14 @@
            since < MIN(ms->t.every_s * (double)(1u << MIN(n, 10u)), ms->t.lease_s);
 }
 
+static bool others_to_ask(const struct lmn_members *ms, int about)
+{
+    for (int i = 0; i < ms->n; i++)
+        if (i != ms->me && i != about && ms->v[i].present && !ms->v[i].unanswered.tv_sec)
+            return true;
+    return false;
+}
+
 bool lmn_member_suspect(const struct lmn_members *ms, int rank, struct timespec now,
                         struct lmn_evidence *e)
 {
@@ -120,13 +126,14 @@
 
     lmn_member_evidence(ms, rank, now, e);
     if (rank == ms->me || !m->present || lmn_member_doubted(ms, rank) ||
-        !lmn_self_fit(ms, now) || refuted_lately(ms, m, now))
+        !lmn_self_fit(ms, now) || (refuted_lately(ms, m, now) && e->visitors < enough(m)))
         return false;
     if (e->cause != LMN_SILENT)
         return e->sides >= 2;
-    /* Another has had the time to say that it hears it. */
+    /* Another has had the time to say that it hears it, if there is one to ask. */
     return e->sides >= 1 &&
-           (ms->n <= 2 || e->by || lmn_before(m->unanswered, m->helped_at) ||
+           (!others_to_ask(ms, rank) || e->by ||
+            lmn_before(m->unanswered, m->helped_at) ||
             lmn_since(now, m->unanswered) > ms->t.patience_s + 2 * ms->t.every_s);
 }
 
--- a/src/own/holder.c
+++ b/src/own/holder.c
@@ -71,99 +71,80 @@
     return r;
 }
 
-/* Writes this node's record: first, and anew to refute a suspicion, since its revision is
- * the node's incarnation. */
-static void announce(struct holder *h)
-{
-    char key[LMN_NAME + 4];
-    struct lmn_core *c = h->c;
+/* --- decisions --- */
 
+/* This node's record: its revision is the node's incarnation. */
+static struct lmn_txn *record(const struct lmn_core *c, uint64_t lease)
+{
     struct lmn_txn *t = lmn_txn_new(LMN_RANK_OWNER, NULL, NULL);
+    char *key = g_strdup_printf("n/%s", c->cfg->node);
     GByteArray *v = g_byte_array_new();
-    lmn_put_count(v, h->lease);
-    g_snprintf(key, sizeof key, "n/%s", c->cfg->node);
-    lmn_txn_write(t, key, v, h->lease);
-    h->announced = send(h, t) == LMN_OK;
+
+    lmn_put_count(v, lease);
+    lmn_txn_write(t, key, v, lease);
+    g_free(key);
+    return t;
 }
 
-static void refute(struct holder *h)
+struct lmn_txn *lmn_holder_refutation(const struct lmn_core *c, uint64_t lease,
+                                      struct timespec now)
 {
-    struct lmn_core *c = h->c;
-
-    pthread_mutex_lock(&c->lock);
-    bool go = lmn_self_refutes(&c->members, lmn_now());
-    pthread_mutex_unlock(&c->lock);
-    if (go)
-        announce(h);
+    return lmn_self_refutes(&c->members, now) ? record(c, lease) : NULL;
 }
 
-/* Suspicions, each written once: tied to our lease, so that none outlives us. */
-static void suspect(struct holder *h, int rank)
+struct lmn_txn *lmn_holder_suspicion(struct lmn_core *c, int rank, uint64_t lease,
+                                     struct timespec now)
 {
-    struct lmn_core *c = h->c;
     struct lmn_members *ms = &c->members;
+    const struct lmn_peer_view *m = &ms->v[rank];
     struct lmn_evidence e;
-    struct lmn_txn *t = NULL;
 
-    pthread_mutex_lock(&c->lock);
-    if (lmn_member_suspect(ms, rank, lmn_now(), &e)) {
-        const struct lmn_peer_view *m = &ms->v[rank];
-        GByteArray *v = g_byte_array_new();
-        char *key = g_strdup_printf("u/%s", lmn_member_name(ms, rank));
-        t = lmn_txn_new(LMN_RANK_OWNER, NULL, NULL);
-        lmn_txn_if(t, key, m->doubt_rev);
-        lmn_put_map(v, 3);
-        lmn_put_text(v, "incarnation"), lmn_put_count(v, m->inc);
-        lmn_put_text(v, "by"), lmn_put_text(v, c->cfg->node);
-        lmn_put_text(v, "why"), lmn_put_count(v, e.cause);
-        lmn_txn_write(t, key, v, h->lease);
-        g_free(key);
-        ms->count.suspicions++;
-        lmn_info("member-doubt member=%s incarnation=%" G_GUINT64_FORMAT
-                 " why=%s asked=%.1f others=%.1f by=%u workers=%u stale=%.1f deaf=%.2f",
-                 lmn_member_name(ms, rank), m->inc, lmn_cause_name(e.cause), e.asked,
-                 e.others, e.by, e.visitors, e.stale_s, e.deaf);
-    }
-    pthread_mutex_unlock(&c->lock);
-    if (t)
-        send(h, t);
+    if (!lmn_member_suspect(ms, rank, now, &e))
+        return NULL;
+    struct lmn_txn *t = lmn_txn_new(LMN_RANK_OWNER, NULL, NULL);
+    char *key = g_strdup_printf("u/%s", lmn_member_name(ms, rank));
+    GByteArray *v = g_byte_array_new();
+    lmn_txn_if(t, key, m->doubt_rev);
+    lmn_put_map(v, 3);
+    lmn_put_text(v, "incarnation"), lmn_put_count(v, m->inc);
+    lmn_put_text(v, "by"), lmn_put_text(v, c->cfg->node);
+    lmn_put_text(v, "why"), lmn_put_count(v, e.cause);
+    lmn_txn_write(t, key, v, lease);
+    g_free(key);
+    ms->count.suspicions++;
+    lmn_info("member-suspect member=%s incarnation=%" G_GUINT64_FORMAT
+             " why=%s asked=%.1f others=%.1f by=%u workers=%u stale=%.1f deaf=%.2f",
+             lmn_member_name(ms, rank), m->inc, lmn_cause_name(e.cause), e.asked,
+             e.others, e.by, e.visitors, e.stale_s, e.deaf);
+    return t;
 }
 
-static void claim(struct holder *h, int id)
+struct lmn_txn *lmn_holder_claim(struct lmn_core *c, int id, uint64_t lease,
+                                 struct timespec now)
 {
-    struct lmn_core *c = h->c;
-    struct lmn_partition *p = &c->parts[id];
+    const struct lmn_partition *p = &c->parts[id];
     struct lmn_members *ms = &c->members;
-    struct lmn_txn *t = NULL;
     struct lmn_evidence e;
-    int judged = -1;
 
-    pthread_mutex_lock(&c->lock);
-    struct timespec now = lmn_now();
-    if (c->synced && !p->mine && lmn_partition_wanted(c, p, now)) {
-        t = lmn_partition_claim(c, p, h->lease);
-        if (p->owner_rev)
-            judged = lmn_member_rank(ms, p->owner);
-        if (judged >= 0 && judged != ms->me) {
-            lmn_member_evidence(ms, judged, now, &e);
-            ms->count.verdicts++;
-            lmn_info("member-verdict member=%s incarnation=%" G_GUINT64_FORMAT
-                     " partition=%d why=%s sides=%u asked=%.1f others=%.1f by=%u "
-                     "workers=%u suspected=%.2f",
-                     p->owner, ms->v[judged].inc, id, lmn_cause_name(e.cause), e.sides,
-                     e.asked, e.others, e.by, e.visitors,
-                     lmn_since(now, ms->v[judged].doubted));
-        }
+    if (!c->synced || p->mine || !lmn_partition_wanted(c, p, now))
+        return NULL;
+    int judged = p->owner_rev ? lmn_member_rank(ms, p->owner) : -1;
+    if (judged >= 0 && judged != ms->me) {
+        lmn_member_evidence(ms, judged, now, &e);
+        ms->count.verdicts++;
+        lmn_info("member-verdict member=%s incarnation=%" G_GUINT64_FORMAT
+                 " partition=%d why=%s sides=%u asked=%.1f others=%.1f by=%u "
+                 "workers=%u suspected=%.2f",
+                 p->owner, ms->v[judged].inc, id, lmn_cause_name(e.cause), e.sides,
+                 e.asked, e.others, e.by, e.visitors,
+                 lmn_since(now, ms->v[judged].doubted));
     }
-    pthread_mutex_unlock(&c->lock);
-    if (!t)
-        return;
-    enum lmn_outcome r = send(h, t);
-    lmn_info("partition-claim partition=%d outcome=%d", id, r);
+    return lmn_partition_claim(c, p, lease);
 }
 
-int lmn_holder_gives(const struct lmn_core *c, const struct lmn_partition *p,
-                     struct timespec now)
+/* Who may have the partition now; -1: nobody. */
+static int gives(const struct lmn_core *c, const struct lmn_partition *p,
+                 struct timespec now)
 {
     const struct lmn_members *ms = &c->members;
     int holder = p->id % ms->n, held = 0, theirs = 0;
@@ -185,40 +166,89 @@
     return holder;
 }
 
-static void give(struct holder *h, int id)
+struct lmn_txn *lmn_holder_gift(struct lmn_core *c, int id, int *heir,
+                                struct timespec now)
 {
-    struct lmn_core *c = h->c;
     struct lmn_partition *p = &c->parts[id];
     struct lmn_members *ms = &c->members;
-    struct lmn_txn *t = NULL;
 
-    pthread_mutex_lock(&c->lock);
-    struct timespec now = lmn_now();
     /* One whose outcome was not known, and that the mirror has not shown since. */
     if (p->mine && p->releasing && lmn_before(p->released, c->fresh))
         p->releasing = false;
-    int heir = p->releasing ? -1 : lmn_holder_gives(c, p, now);
-    bool deaf = heir >= 0 && lmn_self_heir(ms, now) == heir;
-    if (heir >= 0) {
-        t = lmn_partition_gift(c, p, heir);
-        p->releasing = true;
-        p->released = now;
-        ms->count.gives++;
-        if (deaf && !ms->shut)
-            lmn_info("member-deaf deaf=%.2f heir=%s", ms->word.deaf,
-                     lmn_member_name(ms, heir));
-        ms->shut = ms->shut || deaf;
+    *heir = p->releasing ? -1 : gives(c, p, now);
+    if (*heir < 0)
+        return NULL;
+    if (lmn_self_heir(ms, now) == *heir && !ms->shut) {
+        lmn_info("member-deaf deaf=%.2f heir=%s", ms->word.deaf,
+                 lmn_member_name(ms, *heir));
+        ms->shut = true;
+    }
+    p->releasing = true;
+    p->released = now;
+    ms->count.gives++;
+    return lmn_partition_gift(c, p, *heir);
+}
+
+void lmn_holder_given(struct lmn_core *c, int id, enum lmn_outcome r, struct timespec now)
+{
+    struct lmn_partition *p = &c->parts[id];
+
+    p->released = now;
+    if (r == LMN_REFUSED || r == LMN_CONFLICT)
+        p->releasing = false;
+}
+
+/* --- the thread --- */
+
+static void announce(struct holder *h)
+{
+    h->announced = send(h, record(h->c, h->lease)) == LMN_OK;
+}
+
+static void tell(struct holder *h)
+{
+    struct lmn_core *c = h->c;
+
+    for (int i = 0; i < c->members.n; i++) {
+        pthread_mutex_lock(&c->lock);
+        struct lmn_txn *t = i == c->members.me
+                                ? lmn_holder_refutation(c, h->lease, lmn_now())
+                                : lmn_holder_suspicion(c, i, h->lease, lmn_now());
+        pthread_mutex_unlock(&c->lock);
+        if (t)
+            send(h, t);
     }
+}
+
+static void claim(struct holder *h, int id)
+{
+    struct lmn_core *c = h->c;
+
+    pthread_mutex_lock(&c->lock);
+    struct lmn_txn *t = lmn_holder_claim(c, id, h->lease, lmn_now());
+    pthread_mutex_unlock(&c->lock);
+    if (!t)
+        return;
+    /* Not in the log line: that does nothing at a lower level. */
+    enum lmn_outcome r = send(h, t);
+    lmn_info("partition-claim partition=%d outcome=%d", id, r);
+}
+
+static void give(struct holder *h, int id)
+{
+    struct lmn_core *c = h->c;
+    int heir;
+
+    pthread_mutex_lock(&c->lock);
+    struct lmn_txn *t = lmn_holder_gift(c, id, &heir, lmn_now());
     pthread_mutex_unlock(&c->lock);
     if (!t)
         return;
     enum lmn_outcome r = send(h, t);
     lmn_info("partition-hand-over partition=%d to=%s outcome=%d", id,
-             lmn_member_name(ms, heir), r);
+             lmn_member_name(&c->members, heir), r);
     pthread_mutex_lock(&c->lock);
-    p->released = lmn_now();
-    if (r == LMN_REFUSED || r == LMN_CONFLICT)
-        p->releasing = false;
+    lmn_holder_given(c, id, r, lmn_now());
     pthread_mutex_unlock(&c->lock);
 }
 
@@ -235,11 +265,8 @@
             keep_lease(&h);
         if (h.lease && !h.announced)
             announce(&h);
-        if (h.lease && h.announced) {
-            refute(&h);
-            for (int i = 0; i < c->members.n; i++)
-                suspect(&h, i);
-        }
+        if (h.lease && h.announced)
+            tell(&h);
         if (h.lease)
             for (int i = 0; i < c->nparts; i++) {
                 claim(&h, i);
--- a/src/own/holder.h
+++ b/src/own/holder.h
@@ -5,11 +5,23 @@
 
 #include "state/model.h"
 
-/* What may be given now, and to whom (a rank); -1: nothing. The lock is held.
- * A partition goes back to the member that holds it by default once that one has earned
- * it; all go to others while this node does not hear its workers. */
-int lmn_holder_gives(const struct lmn_core *c, const struct lmn_partition *p,
-                     struct timespec now);
+/* Each returns the transaction that is due, to be freed by the caller, or NULL. The lock
+ * is held; the lease is this node's. They write events to the log. */
+struct lmn_txn *lmn_holder_refutation(const struct lmn_core *c, uint64_t lease,
+                                      struct timespec now);
+/* Each suspicion is written once, tied to our lease, so that none outlives us. */
+struct lmn_txn *lmn_holder_suspicion(struct lmn_core *c, int rank, uint64_t lease,
+                                     struct timespec now);
+struct lmn_txn *lmn_holder_claim(struct lmn_core *c, int id, uint64_t lease,
+                                 struct timespec now);
+/* A partition goes back to the member that holds it by default once that one has earned
+ * it; all go to others while this node does not hear its workers. From then on nothing is
+ * started there; lmn_holder_given tells what became of it. */
+struct lmn_txn *lmn_holder_gift(struct lmn_core *c, int id, int *heir,
+                                struct timespec now);
+void lmn_holder_given(struct lmn_core *c, int id, enum lmn_outcome r,
+                      struct timespec now);
+
 void *lmn_holder_thread(void *core);
 
 #endif
--- a/src/own/partition.c
+++ b/src/own/partition.c
@@ -53,7 +53,7 @@
     gpointer v;
 
     p->mine = true;
-    p->ready = p->releasing = false;
+    p->ready = p->releasing = p->started = false;
     p->my_term = p->owner_term;
     p->my_rev = p->owner_rev;
     p->attempts = 0;
--- a/src/serve/ask.c
+++ b/src/serve/ask.c
@@ -44,7 +44,7 @@
 }
 
 /* Names are the settings', which stand for ever. */
-static u_int tell(const struct lmn_core *c, int to, int about, struct timespec now,
+static u_int tell(struct lmn_core *c, int to, int about, struct timespec now,
                   struct lmn_ask_room *room)
 {
     struct lmn_statement s[LMN_STATEMENTS];
--- a/src/state/books.c
+++ b/src/state/books.c
@@ -220,6 +220,15 @@
     g_free(r);
 }
 
+void lmn_job_free(struct lmn_job *j)
+{
+    lmn_spec_clear(&j->spec);
+    g_ptr_array_free(j->ranges, TRUE);
+    if (j->zones)
+        g_array_free(j->zones, TRUE);
+    g_free(j);
+}
+
 bool lmn_range_free_to_start(const struct lmn_range *r)
 {
     const struct lmn_partition *p = r->part;
--- a/src/state/books.h
+++ b/src/state/books.h
@@ -30,6 +30,8 @@
 void lmn_attempt_count(struct lmn_machine *m, struct lmn_attempt *a);
 void lmn_attempt_uncount(struct lmn_machine *m, struct lmn_attempt *a);
 void lmn_range_free(struct lmn_range *r);
+/* Nothing may refer to it any more. */
+void lmn_job_free(struct lmn_job *j);
 /* Whether its queued tasks may start: an inherited range's only once every machine that
  * may hold them is accounted for; one that is younger than our ownership was never a
  * predecessor's. */
--- a/src/state/core.c
+++ b/src/state/core.c
@@ -58,6 +58,51 @@
     return c;
 }
 
+static void free_partition(struct lmn_partition *p)
+{
+    lmn_queue_clear(&p->limbo);
+    g_ptr_array_free(p->limbo.segs, TRUE);
+    g_hash_table_destroy(p->ranges);
+    g_hash_table_destroy(p->machines);
+    for (guint i = 0; i < p->blocks->len; i++) {
+        struct lmn_block *b = p->blocks->pdata[i];
+        if (b)
+            g_ptr_array_free(b->machines, TRUE);
+        g_free(b);
+    }
+    g_ptr_array_free(p->blocks, TRUE);
+    g_ptr_array_free(p->poked, TRUE);
+    g_ptr_array_free(p->list, TRUE);
+    g_array_free(p->cuts, TRUE);
+}
+
+void lmn_core_free(struct lmn_core *c)
+{
+    GHashTableIter it;
+    gpointer v;
+
+    /* Machines uncount their tasks of jobs, so those go last. */
+    for (int i = 0; i < c->nparts; i++)
+        free_partition(&c->parts[i]);
+    g_free(c->parts);
+    g_hash_table_iter_init(&it, c->jobs);
+    while (g_hash_table_iter_next(&it, NULL, &v))
+        lmn_job_free(v);
+    g_hash_table_destroy(c->jobs);
+    g_hash_table_destroy(c->gone);
+    g_queue_clear(&c->finals);
+    lmn_hosts_clear(&c->hosts);
+    lmn_latency_clear(&c->accepting);
+    lmn_latency_clear(&c->starting);
+    g_rand_free(c->rng);
+    g_free(c->types.v);
+    pthread_cond_destroy(&c->changed);
+    pthread_cond_destroy(&c->asking);
+    pthread_cond_destroy(&c->poked);
+    pthread_mutex_destroy(&c->lock);
+    g_free(c);
+}
+
 const struct lmn_type *lmn_type_named(const struct lmn_core *c, const char *name)
 {
     for (size_t i = 0; i < c->types.n; i++)
--- a/src/state/core.h
+++ b/src/state/core.h
@@ -4,9 +4,13 @@
 
 #include "state/model.h"
 
-/* Without an owner's books: lmn_core_new (own/owner.h) is what is wanted. Never freed. */
+/* Without an owner's books: lmn_core_new (own/owner.h) is what is wanted. A controller
+ * never frees it. */
 struct lmn_core *lmn_core_bare(const struct lmn_settings *cfg, struct lmn_state *state,
                                uint32_t seed);
+/* For simulated controllers, which crash by the thousand: no thread may use it any more.
+ * Its state service's client is the caller's. */
+void lmn_core_free(struct lmn_core *c);
 
 /* NULL: the cloud has not named it yet. */
 const struct lmn_type *lmn_type_named(const struct lmn_core *c, const char *name);
--- a/src/state/finals.c
+++ b/src/state/finals.c
@@ -1,5 +1,6 @@
 #include "state/finals.h"
 #include "base/log.h"
+#include "state/books.h"
 
 /* Whatever a withdrawn job's tasks do on machines that were not heard for so long, its
  * team's limit has to count them: a job that was final only just now stays, however many
@@ -38,11 +39,7 @@
 static void free_job(struct lmn_core *c, struct lmn_job *j)
 {
     g_hash_table_remove(c->jobs, j->spec.ref);
-    lmn_spec_clear(&j->spec);
-    g_ptr_array_free(j->ranges, TRUE);
-    if (j->zones)
-        g_array_free(j->zones, TRUE);
-    g_free(j);
+    lmn_job_free(j);
 }
 
 guint lmn_finals_evict(struct lmn_core *c, struct timespec now)
--- a/src/state/mirror.c
+++ b/src/state/mirror.c
@@ -241,6 +241,9 @@
         lmn_info("member-refute member=%s incarnation=%" G_GUINT64_FORMAT
                  " was=%" G_GUINT64_FORMAT,
                  name, rev, m->inc);
+    else if (v && !m->present && m->strikes)
+        lmn_info("member-back member=%s incarnation=%" G_GUINT64_FORMAT " failures=%u",
+                 name, rev, m->strikes);
     else if (v && !m->present)
         lmn_info("member-up member=%s incarnation=%" G_GUINT64_FORMAT, name, rev);
     else if (!v && m->present)
@@ -271,7 +274,7 @@
     lmn_member_doubt(&c->members, rank, v ? rev : 0, inc, by,
                      (enum lmn_cause)MIN(why, LMN_CAUSES), now);
     if (lmn_member_doubted(&c->members, rank))
-        lmn_info("member-suspect member=%s incarnation=%" G_GUINT64_FORMAT
+        lmn_info("member-suspected member=%s incarnation=%" G_GUINT64_FORMAT
                  " by=%s why=%s",
                  name, inc, by, lmn_cause_name(m->doubt_why));
     pthread_cond_broadcast(&c->changed);
--- a/src/state/model.h
+++ b/src/state/model.h
@@ -218,7 +218,8 @@
     GPtrArray *blocks;       /* struct lmn_block by number */
     /* the owner's */
     bool mine, ready, releasing;
-    bool asking; /* some machine may have to be asked whether it is there */
+    bool started; /* something, since it is ours */
+    bool asking;  /* some machine may have to be asked whether it is there */
     /* what may run on inherited machines that are not accounted for, as of the last
      * lmn_partition_check; unknown: of one, not even the type is known */
     double unheard_cpus, unheard_gpus;
--- a/src/state/state.c
+++ b/src/state/state.c
@@ -108,12 +108,13 @@
 }
 
 void lmn_txn_each(const struct lmn_txn *t,
-                  void (*f)(void *arg, const char *key, const GByteArray *value),
+                  void (*f)(void *arg, const char *key, const GByteArray *value,
+                            uint64_t lease),
                   void *arg)
 {
     for (guint i = 0; i < t->changes->len; i++) {
         const struct change *c = &g_array_index(t->changes, struct change, i);
-        f(arg, c->key, c->value);
+        f(arg, c->key, c->value, c->lease);
     }
 }
 
@@ -127,6 +128,13 @@
     }
 }
 
+void lmn_txn_finish(struct lmn_txn *t, enum lmn_outcome r, uint64_t revision)
+{
+    if (t->done)
+        t->done(t->arg, t, r, revision);
+    lmn_txn_free(t);
+}
+
 struct lmn_state *lmn_state_new(const struct lmn_settings *cfg)
 {
     struct lmn_state *s = g_new0(struct lmn_state, 1);
@@ -149,6 +157,17 @@
     return s;
 }
 
+void lmn_state_free(struct lmn_state *s)
+{
+    for (int i = 0; i < LMN_RANKS; i++)
+        for (struct lmn_txn *t; (t = g_queue_pop_head(&s->queue[i]));)
+            lmn_txn_finish(t, LMN_REFUSED, 0);
+    lmn_latency_clear(&s->writing);
+    pthread_cond_destroy(&s->more);
+    pthread_mutex_destroy(&s->lock);
+    g_free(s);
+}
+
 void lmn_state_pace(struct lmn_state *s)
 {
     for (;;) {
@@ -406,13 +425,6 @@
     return n;
 }
 
-void lmn_txn_finish(struct lmn_txn *t, enum lmn_outcome r, uint64_t revision)
-{
-    if (t->done)
-        t->done(t->arg, t, r, revision);
-    lmn_txn_free(t);
-}
-
 struct lmn_txn *lmn_state_take(struct lmn_state *s)
 {
     struct lmn_txn *t = NULL;
--- a/src/state/state.h
+++ b/src/state/state.h
@@ -24,6 +24,9 @@
                           uint64_t revision);
 
 struct lmn_state *lmn_state_new(const struct lmn_settings *cfg);
+/* Of one whose thread was never started; what was not sent counts as refused, so whoever
+ * hears of that must still be there. */
+void lmn_state_free(struct lmn_state *s);
 /* Starts the writer's thread. */
 void lmn_state_start(struct lmn_state *s);
 
@@ -38,9 +41,11 @@
 void lmn_txn_remove(struct lmn_txn *t, const char *key);
 void lmn_txn_free(struct lmn_txn *t);
 guint lmn_txn_changes(const struct lmn_txn *t);
-/* Calls f for each change: value NULL is a removal. */
+/* Calls f for each change: value NULL is a removal; lease: what the key hangs on, 0 if
+ * nothing. */
 void lmn_txn_each(const struct lmn_txn *t,
-                  void (*f)(void *arg, const char *key, const GByteArray *value),
+                  void (*f)(void *arg, const char *key, const GByteArray *value,
+                            uint64_t lease),
                   void *arg);
 
 void lmn_txn_each_condition(const struct lmn_txn *t,
