--- a/src/base/tuning.c
+++ b/src/base/tuning.c
@@ -13,6 +13,7 @@
     .spare_cpus = 0,
     .horizon_s = 30,
     .spot = 1,
+    .standby = 1,
 };
 
 static const struct {
@@ -28,6 +29,7 @@
     {"spare_cpus", offsetof(struct lmn_tuning, spare_cpus), 0, 1e6},
     {"horizon_s", offsetof(struct lmn_tuning, horizon_s), 1, 86400},
     {"spot", offsetof(struct lmn_tuning, spot), 0, 1},
+    {"standby", offsetof(struct lmn_tuning, standby), 0, 1},
 };
 
 const char *lmn_tuning_name(size_t i)
--- a/src/base/tuning.h
+++ b/src/base/tuning.h
@@ -14,6 +14,7 @@
     double spare_cpus;    /* processors kept beyond the demand */
     double horizon_s;     /* backlog that may be worked off in this time rents nothing */
     double spot;          /* 1: rent spot machines for work that may use them */
+    double standby;       /* 1: each partition has a standby that follows its owner */
 };
 
 extern const struct lmn_tuning lmn_tuning_default;
--- a/src/decide/queue.c
+++ b/src/decide/queue.c
@@ -5,6 +5,7 @@
 #include "decide/order.h"
 #include "decide/place.h"
 #include "decide/quota.h"
+#include "standby/stream.h"
 #include "state/books.h"
 
 #include <math.h>
@@ -247,7 +248,7 @@
 
     /* A machine that is not accounted for may be full of this team's tasks. As counted at
      * the last check: since then there are only fewer of them. */
-    if (!p->ready && (t->cpus_max > 0 || t->gpus_max > 0)) {
+    if (!p->ready && !p->warm && (t->cpus_max > 0 || t->gpus_max > 0)) {
         if (p->unheard_unknown)
             return false;
         cpus -= p->unheard_cpus;
@@ -281,6 +282,7 @@
     /* Unique for ever without a write: no two owners share a term. */
     a.number = p->my_term << 24 | (++p->attempts & 0xffffff);
     g_strlcpy(a.ref, a.job->spec.ref, sizeof a.ref);
+    a.mark = lmn_untold_start(m, now);
     s->range->st[a.index - s->range->lo] = LMN_T_STARTED;
     s->range->nstarted++;
     lmn_attempt_count(m, &a);
@@ -543,6 +545,9 @@
     m->hungry = false;
     if (p->releasing || !m->accounted || !m->rev || m->retiring || m->noticed || !m->type)
         return 0;
+    /* Nobody acknowledges starts now: they would only be taken back. */
+    if (lmn_stream_stuck(p, now))
+        return 0;
     look_anew(c);
     n = start_own(c, m, out, now);
     /* Left with room and nothing of its own that fits: it pulls, until that brings
--- a/src/own/holder.c
+++ b/src/own/holder.c
@@ -3,6 +3,7 @@
 #include "base/thread.h"
 #include "base/wire.h"
 #include "own/partition.h"
+#include "standby/stream.h"
 
 struct holder {
     struct lmn_core *c;
@@ -119,6 +120,9 @@
     return t;
 }
 
+/* A process that starts again hears of the others within this time, if they are there. */
+static const double HEAR_S = 1;
+
 struct lmn_txn *lmn_holder_claim(struct lmn_core *c, int id, uint64_t lease,
                                  struct timespec now)
 {
@@ -128,6 +132,17 @@
 
     if (!c->synced || p->mine || !lmn_partition_wanted(c, p, now))
         return NULL;
+    if (p->owner_rev && lmn_member_rank(ms, p->owner) == ms->me) {
+        /* Our last life held it. Who was in step with that one knows more than we do. */
+        int named = lmn_standby_named(c, p, now);
+        if (named >= 0 && named != ms->me && ms->v[named].ever) {
+            lmn_info("partition-hand-on partition=%d to=%s", id,
+                     lmn_member_name(ms, named));
+            return lmn_partition_gift(c, p, named);
+        }
+        if (named >= 0 && named != ms->me && lmn_since(now, c->synced_at) < HEAR_S)
+            return NULL;
+    }
     int judged = p->owner_rev ? lmn_member_rank(ms, p->owner) : -1;
     if (judged >= 0 && judged != ms->me) {
         lmn_member_evidence(ms, judged, now, &e);
@@ -142,6 +157,8 @@
     return lmn_partition_claim(c, p, lease);
 }
 
+static const double LATEST_BACK_S = 30;
+
 /* Who may have the partition now; -1: nobody. */
 static int gives(const struct lmn_core *c, const struct lmn_partition *p,
                  struct timespec now)
@@ -163,6 +180,11 @@
         !lmn_member_trusted(ms, holder, now) || lmn_member_back_s(ms, holder, now) > 0 ||
         lmn_since(now, p->since) < 15.0)
         return -1;
+    /* It is told everything first, so that nothing stands still; if that does not come
+     * about, it gets its work all the same. */
+    if (c->tuning.standby > 0 && lmn_standby_named(c, p, now) != holder &&
+        lmn_since(now, p->since) < LATEST_BACK_S)
+        return -1;
     return holder;
 }
 
--- a/src/own/owner.c
+++ b/src/own/owner.c
@@ -7,6 +7,7 @@
 #include "own/gift.h"
 #include "own/partition.h"
 #include "own/range.h"
+#include "standby/stream.h"
 #include "state/books.h"
 #include "state/core.h"
 
@@ -29,6 +30,7 @@
     .block_apply = lmn_block_apply,
     .block_sweep = lmn_block_sweep,
     .quota_apply = lmn_quota_apply,
+    .partition_free = lmn_standby_forget,
 };
 
 struct lmn_core *lmn_core_new(const struct lmn_settings *cfg, struct lmn_state *state,
--- a/src/own/partition.c
+++ b/src/own/partition.c
@@ -7,6 +7,8 @@
 #include "own/block.h"
 #include "own/gift.h"
 #include "own/range.h"
+#include "standby/stream.h"
+#include "standby/takeover.h"
 #include "state/books.h"
 
 #include <string.h>
@@ -47,13 +49,36 @@
     m->idle = m->next_steal = (struct timespec){0, 0};
 }
 
+/* With what a standby was told; else as one that knows nothing. */
+static void begin_warm(struct lmn_core *c, struct lmn_partition *p, struct timespec now)
+{
+    const char *why = lmn_takeover_cold(c, p);
+
+    p->warm = !why;
+    if (p->warm) {
+        guint held = lmn_takeover_inherit(c, p, now);
+        c->count.warm++;
+        lmn_info("takeover-warm partition=%d term=%" G_GUINT64_FORMAT
+                 " machines=%u attempts=%u",
+                 p->id, p->my_term, p->list->len, held);
+    } else if (p->list->len) {
+        c->count.cold++;
+        lmn_info("takeover-cold partition=%d term=%" G_GUINT64_FORMAT
+                 " machines=%u why=\"%s\"",
+                 p->id, p->my_term, p->list->len, why);
+    }
+    lmn_copy_free(p->copy);
+    p->copy = NULL;
+}
+
 void lmn_partition_own(struct lmn_core *c, struct lmn_partition *p, struct timespec now)
 {
     GHashTableIter it;
     gpointer v;
 
+    lmn_stream_reset(c, p);
     p->mine = true;
-    p->ready = p->releasing = p->started = false;
+    p->ready = p->releasing = p->started = p->warm = p->open = false;
     p->my_term = p->owner_term;
     p->my_rev = p->owner_rev;
     p->attempts = 0;
@@ -73,6 +98,7 @@
     lmn_info(
         "partition-own partition=%d term=%" G_GUINT64_FORMAT " machines=%u ranges=%u",
         p->id, p->my_term, g_hash_table_size(p->machines), g_hash_table_size(p->ranges));
+    begin_warm(c, p, now);
     lmn_partition_check(c, p, now);
     pthread_cond_broadcast(&c->poked);
 }
@@ -81,11 +107,11 @@
 {
     GHashTableIter it;
     gpointer v;
-    (void)c;
 
     lmn_info("partition-lose partition=%d term=%" G_GUINT64_FORMAT " why=\"%s\"", p->id,
              p->my_term, why);
-    p->mine = p->ready = p->releasing = false;
+    p->mine = p->ready = p->releasing = p->warm = p->open = false;
+    lmn_stream_reset(c, p);
     lmn_quota_reset(p);
     lmn_queue_clear(&p->limbo);
     g_hash_table_iter_init(&it, p->machines);
@@ -130,6 +156,10 @@
     }
 }
 
+/* A warm takeover deals once most machines have spoken, or after this time: dealt to the
+ * first few, everything would stand in their queues. */
+static const double OPEN_S = 0.5;
+
 void lmn_partition_check(struct lmn_core *c, struct lmn_partition *p, struct timespec now)
 {
     GHashTableIter it;
@@ -137,26 +167,36 @@
 
     if (!p->mine || p->ready)
         return;
-    bool all = true;
+    guint inherited = 0, unheard = 0;
     p->unheard_cpus = p->unheard_gpus = 0;
     p->unheard_unknown = false;
     g_hash_table_iter_init(&it, p->machines);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const struct lmn_machine *m = v;
+        inherited += m->inherited;
         if (!m->inherited || m->accounted)
             continue;
-        /* It may hold any task that a predecessor started. */
-        all = false;
+        /* It may hold any task that a predecessor started; if the takeover is warm, only
+         * those that are in the books. */
+        unheard++;
         p->unheard_unknown = p->unheard_unknown || !m->type;
         p->unheard_cpus += m->type ? m->type->cpus : 0;
         p->unheard_gpus += m->type ? m->type->gpus : 0;
     }
-    p->ready = all;
-    if (all) {
+    p->ready = !unheard;
+    if (p->ready) {
         p->ready_at = now;
         lmn_info("partition-ready partition=%d term=%" G_GUINT64_FORMAT " after=%.2f",
                  p->id, p->my_term, lmn_since(now, p->since));
     }
+    if (!p->open && (p->ready || (p->warm && (4 * unheard <= inherited ||
+                                              lmn_since(now, p->since) > OPEN_S)))) {
+        p->open = true;
+        if (p->warm)
+            lmn_info("takeover-open partition=%d term=%" G_GUINT64_FORMAT
+                     " after=%.2f unheard=%u of=%u",
+                     p->id, p->my_term, lmn_since(now, p->since), unheard, inherited);
+    }
     deal_ranges(c, p, now);
 }
 
@@ -176,6 +216,10 @@
 int lmn_partition_next(const struct lmn_core *c, const struct lmn_partition *p,
                        struct timespec now)
 {
+    int named = lmn_standby_named(c, p, now);
+
+    if (named >= 0)
+        return named;
     for (int k = 0; k < c->members.n; k++) {
         int rank = (p->id + k) % c->members.n;
         if (lmn_member_trusted(&c->members, rank, now))
@@ -189,7 +233,7 @@
 {
     const struct lmn_members *ms = &c->members;
     struct timespec since = p->vacant;
-    int ahead = 0;
+    int ahead = 0, named = lmn_standby_named(c, p, now);
 
     if (ms->shut || !lmn_self_awake(ms, now))
         return false; /* it could not serve it */
@@ -201,35 +245,39 @@
         if (owner < 0 || !lmn_member_judged(ms, owner, now))
             return false;
         since = lmn_after(ms->v[owner].doubted, ms->t.doubt_s);
-    } else if (p->id % ms->n == ms->me) {
+    } else if (p->id % ms->n == ms->me && (named < 0 || named == ms->me)) {
         return true;
     }
     if (lmn_since(now, c->synced_at) < 3.0)
         return false;
-    /* The preferred owner first, then the others that are up, in their order. */
-    for (int k = 0; k < ms->n; k++) {
+    /* Who is in step first, then the preferred owner, then the others that are up, in
+     * their order. */
+    for (int k = 0; k < ms->n && named != ms->me; k++) {
         int rank = (p->id + k) % ms->n;
         if (rank == ms->me)
             break;
-        ahead += lmn_member_trusted(ms, rank, now);
+        ahead += rank != named && lmn_member_trusted(ms, rank, now);
     }
+    ahead += named >= 0 && named != ms->me;
     return lmn_since(now, since) >= 1.5 * ahead;
 }
 
 /* The owner's key and a higher term, both conditional on what the mirror shows. The key
  * hangs on the new owner's lease, whoever writes it. */
-static struct lmn_txn *transfer(const struct lmn_partition *p, const char *to,
-                                uint64_t lease)
+static struct lmn_txn *transfer(const struct lmn_core *c, const struct lmn_partition *p,
+                                const char *to, uint64_t lease, bool standby)
 {
     struct lmn_txn *t = lmn_txn_new(LMN_RANK_OWNER, NULL, NULL);
     uint64_t term = p->term + 1;
+    uint64_t stream = standby ? lmn_standby_condition(c, p, to, t) : 0;
     GByteArray *b = g_byte_array_new();
     char key[32];
 
-    lmn_put_map(b, 3);
+    lmn_put_map(b, 4);
     lmn_put_text(b, "node"), lmn_put_text(b, to);
     lmn_put_text(b, "lease"), lmn_put_count(b, lease);
     lmn_put_text(b, "term"), lmn_put_count(b, term);
+    lmn_put_text(b, "stream"), lmn_put_count(b, stream);
     g_snprintf(key, sizeof key, "o/%d", p->id);
     lmn_txn_if(t, key, p->owner_rev);
     lmn_txn_write(t, key, b, lease);
@@ -253,7 +301,9 @@
                                     const struct lmn_partition *p, uint64_t lease)
 {
     int owner = p->owner_rev ? lmn_member_rank(&c->members, p->owner) : -1;
-    struct lmn_txn *t = transfer(p, c->cfg->node, lease);
+    /* Conditional on the record only with its copy: without, that would be no help. */
+    bool warm = p->copy && p->copy->stream == p->standby_stream;
+    struct lmn_txn *t = transfer(c, p, c->cfg->node, lease, warm);
 
     /* A verdict: it does not hold against one that refutes it first. */
     if (owner >= 0 && owner != c->members.me)
@@ -265,7 +315,7 @@
                                    const struct lmn_partition *p, int heir)
 {
     struct lmn_txn *t =
-        transfer(p, lmn_member_name(&c->members, heir), c->members.v[heir].lease);
+        transfer(c, p, lmn_member_name(&c->members, heir), c->members.v[heir].lease, true);
 
     if_incarnation(c, t, heir);
     return t;
--- a/src/own/range.c
+++ b/src/own/range.c
@@ -90,4 +90,5 @@
         }
     }
     g_array_free(old, TRUE);
+    lmn_untold(m);
 }
--- a/src/own/worker.c
+++ b/src/own/worker.c
@@ -6,6 +6,7 @@
 #include "decide/queue.h"
 #include "own/partition.h"
 #include "own/range.h"
+#include "standby/stream.h"
 #include "state/books.h"
 #include "state/core.h"
 
@@ -111,6 +112,7 @@
                   ref, index, number, m->name, a.range != NULL);
     }
     g_array_append_val(m->attempts, a);
+    lmn_untold(m);
     return &g_array_index(m->attempts, struct lmn_attempt, m->attempts->len - 1);
 }
 
@@ -136,6 +138,7 @@
     struct lmn_range *r = a->range;
 
     lmn_attempt_uncount(m, a);
+    lmn_untold(m);
     a->state = LMN_A_ENDED;
     a->done = lmn_is(why, W_DONE);
     if (a->done) {
@@ -195,6 +198,7 @@
         if (!a)
             a = adopt(c, m, task, index, number, state, now);
         a->seen = a->listed = true;
+        a->told = false;
         if (a->job && state != LMN_A_ENDED)
             lmn_note_image(m, a->job, state != LMN_A_FETCHING, now);
         if (state == LMN_A_ENDED) {
@@ -218,6 +222,7 @@
     struct lmn_attempt gone = *a;
 
     lmn_attempt_uncount(m, a);
+    lmn_untold(m);
     g_array_remove_index_fast(m->attempts, i);
     if (gone.state != LMN_A_ENDED) {
         lmn_debug("task-vanished task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s",
@@ -313,7 +318,7 @@
 }
 
 static int handle(struct lmn_core *c, const struct report *r, const struct lmn_doc *d,
-                  GByteArray *out, struct timespec now)
+                  GByteArray *out, struct lmn_held *held, struct timespec now)
 {
     struct lmn_partition *p = &c->parts[lmn_partition_of(r->name, c->nparts)];
     double margin = MAX(1.0, 0.05 * c->cfg->cancel_s);
@@ -365,6 +370,8 @@
             struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
             a->direct = a->unsure = false;
         }
+    if (m->session != r->session)
+        lmn_untold(m);
     m->heard = true;
     m->session = r->session;
     m->report_seq = r->seq;
@@ -385,6 +392,7 @@
     /* Only a report that was written after the worker had seen our term tells what is
      * there for good: an older one may have been overtaken by a predecessor's commands.
      */
+    uint64_t mark = p->stream.mark;
     if (r->token == p->my_term && !overtaken) {
         if (!m->accounted) {
             m->accounted = true;
@@ -407,27 +415,51 @@
     lmn_put_text(out, W_COMMANDS), lmn_put_list(out, n);
     g_byte_array_append(out, commands->data, commands->len);
     g_byte_array_unref(commands);
+    if (lmn_stream_gates(p) && p->stream.mark > mark) {
+        *held = (struct lmn_held){p->id, p->my_term, mark, p->stream.mark, ""};
+        g_strlcpy(held->machine, m->name, sizeof held->machine);
+    }
     return 200;
 }
 
 int lmn_worker_report(struct lmn_core *c, const void *body, size_t len, GByteArray *out,
-                      struct timespec now)
+                      struct lmn_held *held, struct timespec now)
 {
     struct lmn_doc d;
     struct report r;
     int status = 400;
 
+    held->mark = 0;
     if (lmn_doc_parse(&d, body, len) != 0)
         return 400;
     if (read_report(&r, &d)) {
         pthread_mutex_lock(&c->lock);
-        status = handle(c, &r, &d, out, now);
+        status = handle(c, &r, &d, out, held, now);
         pthread_mutex_unlock(&c->lock);
     }
     lmn_doc_free(&d);
     return status;
 }
 
+void lmn_worker_withhold(struct lmn_core *c, const struct lmn_held *held, GByteArray *out,
+                         struct timespec now)
+{
+    struct lmn_partition *p = &c->parts[held->part];
+    struct lmn_machine *m = g_hash_table_lookup(p->machines, held->machine);
+
+    for (guint i = m ? m->attempts->len : 0; i-- > 0;) {
+        const struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
+        if (a->mark > held->from && a->mark <= held->mark) {
+            c->count.withheld++;
+            vanish(c, m, i, now);
+        }
+    }
+    g_byte_array_set_size(out, 0);
+    lmn_put_map(out, 2);
+    lmn_put_text(out, W_TOKEN), lmn_put_count(out, held->term);
+    lmn_put_text(out, W_COMMANDS), lmn_put_list(out, 0);
+}
+
 /* --- commands sent straight to the worker --- */
 
 /* Inherited machines that are not accounted for, and those that have fallen silent since.
@@ -515,6 +547,8 @@
             m->probes = 0;
         return;
     }
+    if (status == 409 && !m->heard)
+        m->session = 0; /* not the one that we were told: it is asked for */
     if (status != 200 || lmn_doc_parse(&d, answer->data, answer->len) != 0)
         return;
     /* Written after the worker had taken our term: whatever a predecessor sends comes too
@@ -533,25 +567,38 @@
         lmn_debug("machine-accounted machine=%s term=%" G_GUINT64_FORMAT " by=probe",
                   m->name, term);
         read_tasks(c, m, &d, r.tasks, now);
+        /* What we were told may be there, and is not, will not be: a command that is
+         * still on its way is of an older term. */
+        for (guint i = m->attempts->len; i-- > 0;)
+            if (g_array_index(m->attempts, struct lmn_attempt, i).told)
+                vanish(c, m, i, now);
+        lmn_untold(m);
         lmn_partition_check(c, p, now);
+        if (p->warm) {
+            lmn_poke(m);
+            pthread_cond_broadcast(&c->poked);
+        }
     }
     lmn_doc_free(&d);
 }
 
-/* Asks a machine of a partition just taken over what it holds: first for its session,
- * then, by a direct message without commands, for a report under the new term. */
-static int probe(struct lmn_http *h, uint64_t term, GByteArray *body, GByteArray *answer)
+/* Asks a machine of a partition just taken over what it holds: first for its session, if
+ * that is not known (0), then, by a direct message without commands, for a report under
+ * the new term. */
+static int probe(struct lmn_http *h, uint64_t term, uint64_t session, GByteArray *body,
+                 GByteArray *answer)
 {
     struct lmn_doc d;
-    uint64_t session = 0;
-    int status = lmn_http_call(h, "GET", P_SHOW, NULL, 1.0, answer);
 
-    if (!term)
-        return status;
-    if (status != 200 || lmn_doc_parse(&d, answer->data, answer->len) != 0)
-        return status == 200 ? LMN_NO_ANSWER : status;
-    lmn_count(lmn_get(&d, lmn_root(&d), W_SESSION), &session);
-    lmn_doc_free(&d);
+    if (!session) {
+        int status = lmn_http_call(h, "GET", P_SHOW, NULL, 1.0, answer);
+        if (!term)
+            return status;
+        if (status != 200 || lmn_doc_parse(&d, answer->data, answer->len) != 0)
+            return status == 200 ? LMN_NO_ANSWER : status;
+        lmn_count(lmn_get(&d, lmn_root(&d), W_SESSION), &session);
+        lmn_doc_free(&d);
+    }
     g_byte_array_set_size(body, 0);
     lmn_put_map(body, 3);
     lmn_put_text(body, W_TOKEN), lmn_put_count(body, term);
@@ -660,6 +707,45 @@
     }
 }
 
+uint64_t lmn_direct_mark(const struct lmn_core *c, const char *name, int *part)
+{
+    *part = lmn_partition_of(name, c->nparts);
+    const struct lmn_machine *m = g_hash_table_lookup(c->parts[*part].machines, name);
+    uint64_t mark = 0;
+
+    for (guint i = 0; m && i < m->attempts->len; i++) {
+        const struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
+        if (a->direct)
+            mark = MAX(mark, a->mark);
+    }
+    return mark;
+}
+
+/* Whether the starts may go out: waits until the standby has acknowledged them. */
+static bool told(struct lmn_core *c, int part, uint64_t term, uint64_t mark)
+{
+    struct lmn_partition *p = &c->parts[part];
+    struct timespec until = lmn_after(lmn_now(), LMN_STREAM_HOLD_S);
+    double left;
+
+    while (p->mine && p->my_term == term && !lmn_stream_covers(p, mark) &&
+           (left = lmn_since(until, lmn_now())) > 0)
+        lmn_cond_wait_for(&c->told, &c->lock, left);
+    bool ok = p->mine && p->my_term == term && lmn_stream_covers(p, mark);
+    if (!ok)
+        c->count.withheld++;
+    return ok;
+}
+
+/* The session that we were told, if nobody has said another since. */
+static uint64_t told_session(const struct lmn_core *c, const char *name)
+{
+    const struct lmn_partition *p = &c->parts[lmn_partition_of(name, c->nparts)];
+    const struct lmn_machine *m = g_hash_table_lookup(p->machines, name);
+
+    return m && !m->heard ? m->session : 0;
+}
+
 static void drop_any(GHashTable *clients)
 {
     GHashTableIter it;
@@ -681,7 +767,8 @@
     char name[LMN_NAME], addr[LMN_ADDR];
 
     for (;;) {
-        uint64_t term = 0;
+        uint64_t term = 0, session = 0, mark = 0;
+        int part = 0;
         bool probing;
         pthread_mutex_lock(&c->lock);
         for (;;) {
@@ -692,6 +779,15 @@
                 break;
             lmn_cond_wait_for(&c->poked, &c->lock, 0.5);
         }
+        if (probing)
+            session = term ? told_session(c, name) : 0;
+        else
+            mark = lmn_direct_mark(c, name, &part);
+        if (mark && !told(c, part, c->parts[part].my_term, mark)) {
+            lmn_direct_outcome(c, name, LMN_NOT_SENT, NULL, lmn_now());
+            pthread_mutex_unlock(&c->lock);
+            continue;
+        }
         pthread_mutex_unlock(&c->lock);
         struct lmn_http *h = g_hash_table_lookup(clients, addr);
         if (!h) {
@@ -701,7 +797,7 @@
             h = lmn_http_new(addr);
             g_hash_table_insert(clients, g_strdup(addr), h);
         }
-        int status = probing ? probe(h, term, body, answer)
+        int status = probing ? probe(h, term, session, body, answer)
                              : lmn_http_call(h, "POST", P_DIRECT, body, 1.5, answer);
         lmn_debug("direct machine=%s probe=%d status=%d", name, probing, status);
         pthread_mutex_lock(&c->lock);
--- a/src/own/worker.h
+++ b/src/own/worker.h
@@ -1,5 +1,5 @@
-/* Workers' reports, and commands sent straight to them. The functions take the lock
- * themselves, but for lmn_machine_bare; none is to be called with it. */
+/* Workers' reports, and commands sent straight to them. The lock is held by the caller,
+ * but for lmn_worker_report, which takes it. */
 #ifndef LMN_WORKER_H
 #define LMN_WORKER_H
 
@@ -26,8 +26,24 @@
     struct lmn_core *core;
     unsigned lane, lanes;
 };
+/* An answer with starts that the partition's standby has to acknowledge first
+ * (lmn_stream_covers). */
+struct lmn_held {
+    int part;
+    uint64_t term;
+    uint64_t from, mark; /* its starts are those after from, up to mark; mark 0: it waits
+                            for nothing */
+    char machine[LMN_NAME];
+};
 /* Answers a report: returns the HTTP status, and a body in out if there is one. */
 int lmn_worker_report(struct lmn_core *c, const void *body, size_t len, GByteArray *out,
-                      struct timespec now);
+                      struct lmn_held *held, struct timespec now);
+/* The standby did not acknowledge the answer's starts in time: they are taken back, and
+ * out becomes an answer without them. */
+void lmn_worker_withhold(struct lmn_core *c, const struct lmn_held *held, GByteArray *out,
+                         struct timespec now);
+/* The mark that the starts of the call that lmn_direct_next has just filled wait for; 0:
+ * none. */
+uint64_t lmn_direct_mark(const struct lmn_core *c, const char *name, int *part);
 
 #endif
--- /dev/null
+++ b/src/serve/follow.c
@@ -0,0 +1,264 @@
+#include "serve/follow.h"
+#include "base/log.h"
+#include "base/thread.h"
+#include "serve/dial.h"
+#include "standby/stream.h"
+
+#include <rpc/rpc.h>
+#include <string.h>
+
+/* An answer to a report that waits for the standby. */
+struct lmn_waiter {
+    struct lmn_call *call;
+    GByteArray *out;
+    struct lmn_held held;
+    struct timespec since;
+    int status; /* 0: it waits still */
+};
+
+/* A batch, or a connection, is not waited for for longer, s. */
+static const double CALL_S = 0.25;
+/* Between two tries, so that a refused connection is not three refusals at once. */
+static const double PAUSE_S = 0.03;
+
+/* --- being told --- */
+
+u_int lmn_follow_take(struct lmn_core *c, const lmn_xbatch *x)
+{
+    struct lmn_batch *b = lmn_batch_new();
+
+    b->part = x->part;
+    b->term = x->term;
+    b->stream = x->stream;
+    b->number = x->number;
+    for (u_int i = 0; i < x->machines.machines_len; i++) {
+        const lmn_xmachine *m = &x->machines.machines_val[i];
+        struct lmn_told *t = lmn_told_new(m->name);
+        t->session = m->session;
+        t->gone = m->state & 1;
+        t->forget = m->state & 2;
+        for (u_int k = 0; k < m->attempts.attempts_len; k++) {
+            const lmn_xattempt *a = &m->attempts.attempts_val[k];
+            struct lmn_told_attempt y = {.index = a->index,
+                                         .number = a->number,
+                                         .ended = a->state & 1,
+                                         .done = a->state & 2};
+            g_strlcpy(y.ref, a->ref, sizeof y.ref);
+            g_array_append_val(t->attempts, y);
+        }
+        if (m->state & 4)
+            t->images = g_array_new(FALSE, FALSE, sizeof(struct lmn_told_image));
+        for (u_int k = 0; t->images && k < m->images.images_len; k++) {
+            const lmn_ximage *a = &m->images.images_val[k];
+            struct lmn_told_image y = {.gb = a->gb, .there = a->there};
+            g_strlcpy(y.name, a->name, sizeof y.name);
+            g_array_append_val(t->images, y);
+        }
+        g_ptr_array_add(b->machines, t);
+    }
+    pthread_mutex_lock(&c->lock);
+    enum lmn_copy_answer answer = lmn_copy_take(c, b, lmn_now());
+    pthread_mutex_unlock(&c->lock);
+    lmn_batch_free(b);
+    return answer;
+}
+
+/* --- telling --- */
+
+/* Names stay the batch's. */
+static void fill_machine(lmn_xmachine *m, const struct lmn_told *t)
+{
+    m->name = (char *)t->name;
+    m->session = t->session;
+    m->state = t->gone * 1u | t->forget * 2u | (t->images ? 4u : 0);
+    m->attempts.attempts_len = MIN(t->attempts->len, LMN_XDR_ATTEMPTS);
+    m->attempts.attempts_val = g_new0(lmn_xattempt, t->attempts->len);
+    for (u_int k = 0; k < m->attempts.attempts_len; k++) {
+        struct lmn_told_attempt *a =
+            &g_array_index(t->attempts, struct lmn_told_attempt, k);
+        m->attempts.attempts_val[k] =
+            (lmn_xattempt){a->ref, a->index, a->number, a->ended * 1u | a->done * 2u};
+    }
+    if (!t->images)
+        return;
+    m->images.images_len = MIN(t->images->len, LMN_XDR_TUNINGS);
+    m->images.images_val = g_new0(lmn_ximage, t->images->len);
+    for (u_int k = 0; k < m->images.images_len; k++) {
+        struct lmn_told_image *a = &g_array_index(t->images, struct lmn_told_image, k);
+        m->images.images_val[k] = (lmn_ximage){a->name, a->gb, a->there};
+    }
+}
+
+struct teller {
+    struct lmn_core *c;
+    struct lmn_partition *p;
+    struct lmn_http *http; /* to the state service */
+    CLIENT *client;        /* to whom: */
+    int to;
+};
+
+static const char *addr_of(const struct lmn_core *c, int rank)
+{
+    const char *name = lmn_member_name(&c->members, rank);
+
+    for (size_t i = 0; i < c->cfg->nmembers; i++)
+        if (!strcmp(c->cfg->members[i].name, name))
+            return c->cfg->members[i].addr;
+    return NULL;
+}
+
+static bool call(struct teller *f, int to, const lmn_xbatch *x, u_int *answer)
+{
+    const struct timeval wait = {0, (suseconds_t)(1e6 * CALL_S)};
+
+    if (f->client && f->to != to) {
+        clnt_destroy(f->client);
+        f->client = NULL;
+    }
+    f->to = to;
+    if (!f->client && addr_of(f->c, to))
+        f->client = lmn_peer_dial_within(addr_of(f->c, to), CALL_S);
+    if (!f->client)
+        return false;
+    if (clnt_call(f->client, LMN_FOLLOW, (xdrproc_t)xdr_lmn_xbatch, (char *)x,
+                  (xdrproc_t)xdr_u_int, (char *)answer, wait) == RPC_SUCCESS)
+        return true;
+    clnt_destroy(f->client);
+    f->client = NULL;
+    return false;
+}
+
+/* The batch is not altered by anyone while it is being sent. */
+static bool send_batch(struct teller *f, int to, const struct lmn_batch *b, u_int *answer)
+{
+    lmn_xmachine machines[LMN_BATCH_MACHINES] = {0};
+    lmn_xbatch x = {b->part, b->term, b->stream, b->number, {b->machines->len, machines}};
+
+    for (guint i = 0; i < b->machines->len; i++)
+        fill_machine(&machines[i], b->machines->pdata[i]);
+    bool ok = call(f, to, &x, answer);
+    for (guint i = 0; i < b->machines->len; i++) {
+        g_free(machines[i].attempts.attempts_val);
+        g_free(machines[i].images.images_val);
+    }
+    return ok;
+}
+
+/* --- what waits --- */
+
+/* Takes those out whose fate is known: their starts may go out, or were taken back, or
+ * the partition is another's. The lock is held. */
+static void settle(struct lmn_core *c, struct lmn_partition *p, GQueue *out,
+                   struct timespec now)
+{
+    GQueue *q = &p->stream.waiting;
+
+    for (GList *l = q->head, *next; l; l = next) {
+        struct lmn_waiter *w = l->data;
+        next = l->next;
+        if (!p->mine || p->my_term != w->held.term) {
+            w->status = 503;
+            g_byte_array_set_size(w->out, 0);
+        } else if (lmn_stream_covers(p, w->held.mark)) {
+            w->status = 200;
+        } else if (lmn_since(now, w->since) > LMN_STREAM_HOLD_S) {
+            w->status = 200;
+            lmn_worker_withhold(c, &w->held, w->out, now);
+        } else {
+            continue;
+        }
+        g_queue_unlink(q, l);
+        g_queue_push_tail_link(out, l);
+    }
+}
+
+/* No lock held. */
+static void answer_all(GQueue *out)
+{
+    struct lmn_waiter *w;
+
+    while ((w = g_queue_pop_head(out))) {
+        lmn_call_answer(w->call, w->status, w->out, 0);
+        g_free(w);
+    }
+}
+
+void lmn_follow_hold(struct lmn_core *c, struct lmn_call *call, GByteArray *out,
+                     const struct lmn_held *held)
+{
+    struct lmn_partition *p = &c->parts[held->part];
+    int status = 0;
+
+    pthread_mutex_lock(&c->lock);
+    if (!p->mine || p->my_term != held->term)
+        status = 503;
+    else if (lmn_stream_covers(p, held->mark))
+        status = 200;
+    if (!status) {
+        struct lmn_waiter *w = g_new0(struct lmn_waiter, 1);
+        *w = (struct lmn_waiter){call, out, *held, lmn_now(), 0};
+        lmn_call_hold(call);
+        g_queue_push_tail(&p->stream.waiting, w);
+    }
+    pthread_mutex_unlock(&c->lock);
+    if (status == 503)
+        g_byte_array_set_size(out, 0);
+    if (status)
+        lmn_call_answer(call, status, out, 0);
+}
+
+/* --- the threads --- */
+
+static void *tell_thread(void *arg)
+{
+    struct teller *f = arg;
+    struct lmn_core *c = f->c;
+    struct lmn_partition *p = f->p;
+    GQueue done = G_QUEUE_INIT;
+
+    f->http = lmn_http_new(c->cfg->state);
+    pthread_mutex_lock(&c->lock);
+    for (;;) {
+        struct lmn_batch *batch = NULL;
+        struct lmn_txn *txn = NULL;
+        double wait;
+        enum lmn_stream_step step =
+            lmn_stream_next(c, p, lmn_now(), &batch, &txn, &wait);
+        int to = p->stream.to;
+        settle(c, p, &done, lmn_now());
+        if (step == LMN_STREAM_WAIT && g_queue_is_empty(&done)) {
+            lmn_cond_wait_for(&p->following, &c->lock, wait);
+            continue;
+        }
+        pthread_mutex_unlock(&c->lock);
+        answer_all(&done);
+        if (step == LMN_STREAM_SEND) {
+            u_int answer = LMN_COPY_UNKNOWN;
+            bool answered = send_batch(f, to, batch, &answer);
+            if (!answered)
+                lmn_sleep(PAUSE_S);
+            pthread_mutex_lock(&c->lock);
+            lmn_stream_sent(c, p, batch, answered, (enum lmn_copy_answer)answer,
+                            lmn_now());
+            continue;
+        }
+        if (step == LMN_STREAM_WRITE) {
+            uint64_t rev;
+            enum lmn_outcome r = lmn_state_send(c->state, f->http, txn, &rev, NULL);
+            lmn_debug("standby-write partition=%d outcome=%d", p->id, r);
+            lmn_txn_free(txn);
+        }
+        pthread_mutex_lock(&c->lock);
+    }
+    return NULL;
+}
+
+void lmn_follow_start(struct lmn_core *c)
+{
+    for (int i = 0; i < c->nparts; i++) {
+        struct teller *f = g_new0(struct teller, 1);
+        f->c = c;
+        f->p = &c->parts[i];
+        lmn_thread(tell_thread, f);
+    }
+}
--- /dev/null
+++ b/src/serve/follow.h
@@ -0,0 +1,21 @@
+/* Telling standbys, and being told: the threads, and the answers that wait. */
+#ifndef LMN_FOLLOW_H
+#define LMN_FOLLOW_H
+
+#include "base/httpd.h"
+#include "own/worker.h"
+#include "peer_wire.h"
+
+/* A thread for each partition, which tells its standby while the partition is ours: one
+ * standby that does not answer holds up no other. */
+void lmn_follow_start(struct lmn_core *c);
+
+/* Answers a report with out, which it takes over, once the standby has acknowledged its
+ * starts; without them if that takes too long. On the server's thread, no lock held. */
+void lmn_follow_hold(struct lmn_core *c, struct lmn_call *call, GByteArray *out,
+                     const struct lmn_held *held);
+
+/* A batch from another; returns an lmn_copy_answer. No lock held. */
+u_int lmn_follow_take(struct lmn_core *c, const lmn_xbatch *x);
+
+#endif
--- a/src/serve/peer.c
+++ b/src/serve/peer.c
@@ -10,6 +10,7 @@
 #include "own/partition.h"
 #include "serve/ask.h"
 #include "serve/dial.h"
+#include "serve/follow.h"
 #include "serve/members.h"
 #include "state/core.h"
 #include "peer_wire.h"
@@ -334,6 +335,17 @@
         g_free(r.text);
         return;
     }
+    case LMN_FOLLOW: {
+        lmn_xbatch q = {0};
+        if (!svc_getargs(x, (xdrproc_t)xdr_lmn_xbatch, (char *)&q)) {
+            svcerr_decode(x);
+            return;
+        }
+        u_int n = lmn_follow_take(core, &q);
+        svc_sendreply(x, (xdrproc_t)xdr_u_int, (char *)&n);
+        svc_freeargs(x, (xdrproc_t)xdr_lmn_xbatch, (char *)&q);
+        return;
+    }
     default:
         svcerr_noproc(x);
     }
--- a/src/serve/peer_wire.x
+++ b/src/serve/peer_wire.x
@@ -5,6 +5,9 @@
 const LMN_XDR_TEXT = 65536;
 const LMN_XDR_TUNINGS = 64;
 const LMN_XDR_STATEMENTS = 8;
+const LMN_XDR_IMAGE = 128;
+const LMN_XDR_MACHINES = 64;
+const LMN_XDR_ATTEMPTS = 4096;
 
 struct lmn_tuning_item {
     string name<LMN_XDR_NAME>;
@@ -93,6 +96,37 @@
     lmn_xstatement said<LMN_XDR_STATEMENTS>;
 };
 
+/* What an owner tells its standby: an attempt that may be on a machine. */
+struct lmn_xattempt {
+    string ref<LMN_XDR_NAME>;
+    unsigned index;
+    unsigned hyper number;
+    unsigned state;               /* 1: ended, 3: ended and done */
+};
+
+struct lmn_ximage {
+    string name<LMN_XDR_IMAGE>;
+    double gb;
+    bool there;
+};
+
+/* A machine, whole; state 1: gone, 2: to be forgotten, 4: with its images. */
+struct lmn_xmachine {
+    string name<LMN_XDR_NAME>;
+    unsigned hyper session;
+    unsigned state;
+    lmn_xattempt attempts<LMN_XDR_ATTEMPTS>;
+    lmn_ximage images<LMN_XDR_TUNINGS>;
+};
+
+struct lmn_xbatch {
+    int part;
+    unsigned hyper term;
+    unsigned hyper stream;
+    unsigned hyper number;
+    lmn_xmachine machines<LMN_XDR_MACHINES>;
+};
+
 program LMN_PROGRAM {
     version LMN_VERSION_1 {
         void LMN_PING(void) = 0;
@@ -106,5 +140,6 @@
         unsigned LMN_QUOTA(lmn_xquota) = 8;    /* 1: something is on its way */
         lmn_xanswer LMN_ASK(lmn_xask) = 9;
         lmn_reply LMN_MEMBERS(unsigned) = 10;  /* 1: as JSON */
+        unsigned LMN_FOLLOW(lmn_xbatch) = 11;  /* 0: taken, 1: unknown, 2: refused */
     } = 1;
 } = 0x2c0a5b41;
--- a/src/serve/server.c
+++ b/src/serve/server.c
@@ -6,6 +6,7 @@
 #include "limits/sockets.h"
 #include "own/worker.h"
 #include "serve/api.h"
+#include "serve/follow.h"
 #include "serve/metrics.h"
 
 #include <string.h>
@@ -72,8 +73,12 @@
     } else if (post && !strcmp(path, P_REPORT)) {
         GByteArray *out = g_byte_array_new();
         const GByteArray *body = lmn_call_body(call);
-        int status = lmn_worker_report(c, body->data, body->len, out, lmn_now());
-        lmn_call_answer(call, status, out, 0);
+        struct lmn_held held;
+        int status = lmn_worker_report(c, body->data, body->len, out, &held, lmn_now());
+        if (held.mark)
+            lmn_follow_hold(c, call, out, &held);
+        else
+            lmn_call_answer(call, status, out, 0);
     } else if (!post && !strcmp(path, "/metrics")) {
         lmn_metrics_answer(call, lmn_controller_metrics, c);
     } else if (!post && !strcmp(path, P_READY)) {
--- a/src/serve/service.c
+++ b/src/serve/service.c
@@ -15,6 +15,7 @@
 #include "own/worker.h"
 #include "serve/api.h"
 #include "serve/ask.h"
+#include "serve/follow.h"
 #include "serve/peer.h"
 #include "serve/server.h"
 #include "state/mirror.h"
@@ -58,8 +59,10 @@
     lmn_thread(lmn_api_thread, core);
     lmn_thread(lmn_cloud_thread, core);
     lmn_thread(lmn_peer_thread, core);
-    if (cfg->nmembers)
+    if (cfg->nmembers) {
         lmn_thread(lmn_ask_thread, core);
+        lmn_follow_start(core);
+    }
     static struct lmn_lane lanes[LMN_LANES];
     for (unsigned i = 0; i < G_N_ELEMENTS(lanes); i++) {
         lanes[i] = (struct lmn_lane){core, i, G_N_ELEMENTS(lanes)};
--- /dev/null
+++ b/src/standby/copy.c
@@ -0,0 +1,72 @@
+#include "standby/copy.h"
+
+#include <string.h>
+
+void lmn_copy_free(struct lmn_copy *copy)
+{
+    if (!copy)
+        return;
+    g_hash_table_destroy(copy->machines);
+    g_free(copy);
+}
+
+static struct lmn_copy *begin(const struct lmn_batch *b)
+{
+    struct lmn_copy *copy = g_new0(struct lmn_copy, 1);
+
+    copy->term = b->term;
+    copy->stream = b->stream;
+    copy->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, lmn_told_free);
+    return copy;
+}
+
+static void take_machine(struct lmn_copy *copy, struct lmn_told *t)
+{
+    struct lmn_told *was = g_hash_table_lookup(copy->machines, t->name);
+
+    if (t->forget) {
+        g_hash_table_remove(copy->machines, t->name);
+        lmn_told_free(t);
+        return;
+    }
+    if (!t->images && was) {
+        t->images = was->images;
+        was->images = NULL;
+    }
+    g_hash_table_replace(copy->machines, t->name, t);
+}
+
+enum lmn_copy_answer lmn_copy_take(struct lmn_core *c, struct lmn_batch *b,
+                                   struct timespec now)
+{
+    if (b->part < 0 || b->part >= c->nparts)
+        return LMN_COPY_REFUSED;
+    struct lmn_partition *p = &c->parts[b->part];
+    struct lmn_copy *copy = p->copy;
+    /* Whoever owned it before the term that the mirror shows has been replaced. */
+    if (p->mine || b->term < p->term)
+        return LMN_COPY_REFUSED;
+    if (copy && b->term == copy->term && b->stream == copy->stream &&
+        b->number <= copy->number) {
+        copy->last = now;
+        return LMN_COPY_TAKEN; /* a repeat, or a late twin */
+    }
+    if (b->number == 0) {
+        /* A late twin of an older stream must not take the place of a newer one. */
+        if (copy && (b->term < copy->term ||
+                     (b->term == copy->term && b->stream < copy->stream)))
+            return LMN_COPY_UNKNOWN;
+        lmn_copy_free(copy);
+        copy = p->copy = begin(b);
+    } else if (!copy || b->term != copy->term || b->stream != copy->stream ||
+               b->number != copy->number + 1) {
+        return LMN_COPY_UNKNOWN;
+    }
+    copy->number = b->number;
+    copy->last = now;
+    for (guint i = 0; i < b->machines->len; i++) {
+        take_machine(copy, b->machines->pdata[i]);
+        b->machines->pdata[i] = NULL;
+    }
+    return LMN_COPY_TAKEN;
+}
--- /dev/null
+++ b/src/standby/stream.h
@@ -0,0 +1,65 @@
+/* An owner's side: who follows it, what it is told, and what waits for that.
+ *
+ * A primary and its backup with a recorded configuration, after PacificA (Lin and others,
+ * 2008): while the record b/P names a standby, no start goes out that it has not
+ * acknowledged; to go on without it, the owner strikes it off the record first. Why that
+ * is enough: docs/design/failover.md.
+ *
+ * Functions of the shared state and a passed-in time; no I/O. The core's lock is held by
+ * the caller throughout. */
+#ifndef LMN_STANDBY_STREAM_H
+#define LMN_STANDBY_STREAM_H
+
+#include "standby/batch.h"
+#include "standby/copy.h"
+
+/* Who should follow this node in the partition: the rank of a trusted member, -1: nobody.
+ * The usual holder first, then those of another zone, those with the fewest partitions
+ * and standbys, then by a rendezvous hash (Thaler and Ravishankar, 1998). */
+int lmn_standby_choose(const struct lmn_core *c, const struct lmn_partition *p,
+                       struct timespec now);
+/* Who is in step with the partition's last owner, as far as the mirror shows, and can be
+ * expected to take it over: a rank, -1: nobody. */
+int lmn_standby_named(const struct lmn_core *c, const struct lmn_partition *p,
+                      struct timespec now);
+
+enum lmn_stream_step {
+    LMN_STREAM_WAIT,  /* for so many seconds, or until p->following is signalled */
+    LMN_STREAM_SEND,  /* the batch; tell what became of it by lmn_stream_sent */
+    LMN_STREAM_WRITE, /* the transaction; the mirror will show what became of it */
+};
+/* What is due. The batch stays the stream's until lmn_stream_sent. *txn is the caller's
+ * to send and free. */
+enum lmn_stream_step lmn_stream_next(struct lmn_core *c, struct lmn_partition *p,
+                                     struct timespec now, struct lmn_batch **batch,
+                                     struct lmn_txn **txn, double *wait);
+/* answered: false if there was no answer. The stream may be another by then, or the
+ * partition lost; then the batch is only freed. */
+void lmn_stream_sent(struct lmn_core *c, struct lmn_partition *p, struct lmn_batch *b,
+                     bool answered, enum lmn_copy_answer answer, struct timespec now);
+/* The partition is ours no more, or has just become ours. */
+void lmn_stream_reset(struct lmn_core *c, struct lmn_partition *p);
+
+/* Starts wait for their acknowledgement. */
+bool lmn_stream_gates(const struct lmn_partition *p);
+/* What was decided on up to the mark may go out. */
+bool lmn_stream_covers(const struct lmn_partition *p, uint64_t mark);
+/* Starts have waited for too long: none is decided on until that is over. */
+bool lmn_stream_stuck(const struct lmn_partition *p, struct timespec now);
+/* Seconds for which an answer waits at most before it goes out without its starts. */
+extern const double LMN_STREAM_HOLD_S;
+/* How long it takes a standby's silence to be acted on, s. */
+extern const double LMN_STREAM_PATIENCE_S;
+
+/* All of the stream's record, for other transactions: the condition that it is in step
+ * with the member, and the stream's name to write into o/P. Returns 0 if it is not. */
+uint64_t lmn_standby_condition(const struct lmn_core *c, const struct lmn_partition *p,
+                               const char *member, struct lmn_txn *t);
+/* How many machines and starts the standby has not been told of. */
+void lmn_stream_lag(const struct lmn_partition *p, struct timespec now, guint *machines,
+                    uint64_t *starts, double *seconds);
+const char *lmn_stream_phase_name(enum lmn_stream_phase phase);
+/* Frees what a partition holds of and for standbys. */
+void lmn_standby_forget(struct lmn_partition *p);
+
+#endif
--- /dev/null
+++ b/src/standby/takeover.h
@@ -0,0 +1,18 @@
+/* What a new owner checks before its first decision, and what it then knows. The core's
+ * lock is held. */
+#ifndef LMN_STANDBY_TAKEOVER_H
+#define LMN_STANDBY_TAKEOVER_H
+
+#include "standby/copy.h"
+
+/* The checks, for a partition that the mirror has just shown to be ours: NULL if the copy
+ * holds every task that may be on a machine; else which of them failed, and the partition
+ * has to be taken over cold. */
+const char *lmn_takeover_cold(const struct lmn_core *c, const struct lmn_partition *p);
+
+/* Fills the books from the copy: p's machines are reset, its ranges open. What the record
+ * says wins over what was told. Returns how many attempts have to be asked about. */
+guint lmn_takeover_inherit(struct lmn_core *c, struct lmn_partition *p,
+                           struct timespec now);
+
+#endif
--- a/src/state/books.c
+++ b/src/state/books.c
@@ -131,6 +131,31 @@
     m->poke = false;
 }
 
+void lmn_untold(struct lmn_machine *m)
+{
+    struct lmn_partition *p = m->part;
+
+    if (!m->untold && p->stream.phase != LMN_STREAM_NONE)
+        g_ptr_array_add(p->untold, m);
+    m->untold = p->stream.phase != LMN_STREAM_NONE;
+}
+
+uint64_t lmn_untold_start(struct lmn_machine *m, struct timespec now)
+{
+    struct lmn_stream *s = &m->part->stream;
+
+    lmn_untold(m);
+    if (s->phase < LMN_STREAM_CLOSING) {
+        /* Nobody waits for it; but it has to be told before a record may be written. */
+        s->mark++;
+        return 0;
+    }
+    if (s->acked == s->mark)
+        s->waits = now;
+    pthread_cond_signal(&m->part->following);
+    return ++s->mark;
+}
+
 void lmn_machine_at(struct lmn_machine *m, const char *addr)
 {
     if (!strcmp(m->addr, addr))
@@ -163,6 +188,10 @@
     struct lmn_machine *last = list->pdata[list->len - 1];
 
     lmn_unpoke(m);
+    if (m->untold)
+        g_ptr_array_remove_fast(m->part->untold, m);
+    if (m->part->stream.phase != LMN_STREAM_NONE)
+        g_ptr_array_add(m->part->forgotten, g_strdup(m->name));
     if (*m->addr)
         lmn_hosts_drop(m->part->hosts, m->addr);
     lmn_block_leave(m);
@@ -233,7 +262,7 @@
 {
     const struct lmn_partition *p = r->part;
 
-    if (p->ready)
+    if (p->open)
         return true;
     /* A predecessor sees the changes in their order: before such a range it saw that it
      * had lost the partition. That goes for tasks that look at each other's places too,
--- a/src/state/books.h
+++ b/src/state/books.h
@@ -23,6 +23,11 @@
 /* The machine is to be given work at once, or need not be any more. */
 void lmn_poke(struct lmn_machine *m);
 void lmn_unpoke(struct lmn_machine *m);
+/* What may be on the machine has changed: its standby is to be told. */
+void lmn_untold(struct lmn_machine *m);
+/* A start was decided on for it: it goes out once the standby has acknowledged it, if
+ * there is one. Returns the mark to wait for, 0: none. */
+uint64_t lmn_untold_start(struct lmn_machine *m, struct timespec now);
 /* The machine reports from there. */
 void lmn_machine_at(struct lmn_machine *m, const char *addr);
 struct lmn_machine *lmn_machine_new(struct lmn_partition *p, const char *name);
--- a/src/state/core.c
+++ b/src/state/core.c
@@ -23,6 +23,7 @@
     lmn_cond_init(&c->changed);
     lmn_cond_init(&c->poked);
     lmn_cond_init(&c->asking);
+    lmn_cond_init(&c->told);
     c->cfg = cfg;
     c->state = state;
     lmn_socket_plan(cfg, &c->sockets);
@@ -39,6 +40,7 @@
     lmn_members_init(&c->members, cfg, c->booted);
     lmn_latency_init(&c->accepting);
     lmn_latency_init(&c->starting);
+    lmn_latency_init(&c->telling);
     for (int i = 0; i < c->nparts; i++) {
         struct lmn_partition *p = &c->parts[i];
         p->id = i;
@@ -51,6 +53,10 @@
         p->poked = g_ptr_array_new();
         p->blocks = g_ptr_array_new();
         p->cuts = g_array_new(FALSE, TRUE, sizeof(struct lmn_cut));
+        p->untold = g_ptr_array_new();
+        p->forgotten = g_ptr_array_new_with_free_func(g_free);
+        g_queue_init(&p->stream.waiting);
+        lmn_cond_init(&p->following);
         lmn_queue_init(&p->limbo);
     }
     /* Fixed room: machines point at their types. */
@@ -58,8 +64,10 @@
     return c;
 }
 
-static void free_partition(struct lmn_partition *p)
+static void free_partition(const struct lmn_core *c, struct lmn_partition *p)
 {
+    if (c->owner)
+        c->owner->partition_free(p);
     lmn_queue_clear(&p->limbo);
     g_ptr_array_free(p->limbo.segs, TRUE);
     g_hash_table_destroy(p->ranges);
@@ -74,6 +82,9 @@
     g_ptr_array_free(p->poked, TRUE);
     g_ptr_array_free(p->list, TRUE);
     g_array_free(p->cuts, TRUE);
+    g_ptr_array_free(p->untold, TRUE);
+    g_ptr_array_free(p->forgotten, TRUE);
+    pthread_cond_destroy(&p->following);
 }
 
 void lmn_core_free(struct lmn_core *c)
@@ -83,7 +94,7 @@
 
     /* Machines uncount their tasks of jobs, so those go last. */
     for (int i = 0; i < c->nparts; i++)
-        free_partition(&c->parts[i]);
+        free_partition(c, &c->parts[i]);
     g_free(c->parts);
     g_hash_table_iter_init(&it, c->jobs);
     while (g_hash_table_iter_next(&it, NULL, &v))
@@ -94,11 +105,13 @@
     lmn_hosts_clear(&c->hosts);
     lmn_latency_clear(&c->accepting);
     lmn_latency_clear(&c->starting);
+    lmn_latency_clear(&c->telling);
     g_rand_free(c->rng);
     g_free(c->types.v);
     pthread_cond_destroy(&c->changed);
     pthread_cond_destroy(&c->asking);
     pthread_cond_destroy(&c->poked);
+    pthread_cond_destroy(&c->told);
     pthread_mutex_destroy(&c->lock);
     g_free(c);
 }
--- a/src/state/mirror.c
+++ b/src/state/mirror.c
@@ -200,7 +200,7 @@
                         struct timespec now)
 {
     char owner[LMN_NAME] = "";
-    uint64_t lease = 0, term = 0;
+    uint64_t lease = 0, term = 0, stream = 0;
 
     p->owner_gen = c->gen;
     if (p->owner_rev >= rev)
@@ -209,6 +209,7 @@
         lmn_text(lmn_get(d, v, "node"), owner, sizeof owner);
         lmn_count(lmn_get(d, v, "lease"), &lease);
         lmn_count(lmn_get(d, v, "term"), &term);
+        lmn_count(lmn_get(d, v, "stream"), &stream);
     }
     if (p->mine)
         c->owner->partition_lose(c, p, v ? "taken" : "owner key gone");
@@ -216,12 +217,31 @@
     g_strlcpy(p->owner, owner, sizeof p->owner);
     p->owner_lease = lease;
     p->owner_term = term;
+    p->owner_stream = stream;
     p->owner_rev = v ? rev : 0;
     if (!v)
         p->vacant = now;
     pthread_cond_broadcast(&c->changed);
 }
 
+static void apply_standby(struct lmn_core *c, struct lmn_partition *p,
+                          const struct lmn_doc *d, const struct lmn_node *v, uint64_t rev)
+{
+    if (p->standby_rev >= rev)
+        return;
+    p->standby[0] = '\0';
+    p->standby_lease = p->standby_stream = p->standby_term = 0;
+    p->standby_rev = rev;
+    if (v) {
+        lmn_text(lmn_get(d, v, "node"), p->standby, sizeof p->standby);
+        lmn_count(lmn_get(d, v, "lease"), &p->standby_lease);
+        lmn_count(lmn_get(d, v, "stream"), &p->standby_stream);
+        lmn_count(lmn_get(d, v, "term"), &p->standby_term);
+    }
+    pthread_cond_signal(&p->following);
+    pthread_cond_broadcast(&c->changed);
+}
+
 static void apply_node(struct lmn_core *c, const char *name, const struct lmn_node *v,
                        uint64_t rev, struct timespec now)
 {
@@ -317,6 +337,8 @@
     struct lmn_partition *p = &c->parts[id];
     if (key[0] == 'o' && !*rest) {
         apply_owner(c, p, d, v, rev, now);
+    } else if (key[0] == 'b' && !*rest) {
+        apply_standby(c, p, d, v, rev);
     } else if (key[0] == 't' && !*rest) {
         if (v && rev > p->term_rev && lmn_count(v, &p->term))
             p->term_rev = rev;
@@ -348,7 +370,7 @@
                 c->owner->partition_lose(c, p, "owner key gone");
             note_loss(c, p, "", now);
             p->owner[0] = '\0';
-            p->owner_lease = p->owner_rev = 0;
+            p->owner_lease = p->owner_rev = p->owner_stream = 0;
             p->vacant = now;
         }
     }
--- a/src/state/model.h
+++ b/src/state/model.h
@@ -124,6 +124,9 @@
     bool
         unsure; /* sent in a call without an answer: it may yet arrive, in this session */
     bool listed; /* the worker has named it */
+    bool told;   /* a predecessor's, from the copy of it that we have; not heard yet */
+    uint64_t mark; /* of its start, which waits until that is acknowledged; 0: it did not
+                      have to */
     struct timespec since;
 };
 
@@ -167,6 +170,9 @@
     GPtrArray *failed_jobs; /* distinct jobs that failed here since the last success */
     GArray *images;         /* struct lmn_image, the most recently used last */
     double used_cpus, used_gpus, used_mem;
+    bool untold;       /* it has changed since the standby was told: it stands in the
+                          partition's list of those */
+    guint told_images; /* hash of the images that were told */
     uint32_t promised; /* tasks that room is being made for: nothing less urgent starts,
                           until: */
     struct timespec promise_until;
@@ -196,6 +202,43 @@
     struct timespec retry;
 };
 
+/* Where an owner stands with the standby that follows it (standby/stream.h). From CLOSING
+ * on starts wait until they are acknowledged. */
+enum lmn_stream_phase {
+    LMN_STREAM_NONE,
+    LMN_STREAM_COPYING, /* it is being told everything */
+    LMN_STREAM_CLOSING, /* what is left, while starts wait already */
+    LMN_STREAM_NAMING,  /* the record that names it is being written */
+    LMN_STREAM_IN_STEP,
+    LMN_STREAM_STRIKING, /* it is being struck off the record */
+};
+
+struct lmn_batch;
+
+struct lmn_stream {
+    enum lmn_stream_phase phase;
+    int to;             /* the rank of who follows */
+    uint64_t to_lease;  /* and its lease when it began to */
+    uint64_t id;        /* of the stream: the term, and a count */
+    uint64_t number;    /* of the batch that is next */
+    uint64_t mark;      /* starts so far; never set back */
+    uint64_t acked;     /* as of this mark, all is acknowledged */
+    uint64_t closing;   /* as of this, all has to be before the record is written */
+    uint64_t named_rev; /* the record's revision on which the naming was conditional */
+    struct lmn_batch *batch; /* on its way, or to be sent again; NULL: none */
+    bool sending;            /* it is with the thread that sends */
+    unsigned failures;       /* of sending it */
+    unsigned struck;         /* how often in a row a stream has come to nothing */
+    const char *why;         /* the last one did */
+    struct timespec began, told, waits, next, written;
+    GQueue waiting; /* struct lmn_waiter: answers that wait (serve/follow.h) */
+    struct lmn_stream_counts {
+        uint64_t batches, machines, streams, strikes;
+    } count;
+};
+
+struct lmn_copy;
+
 /* A zone most of whose machines have been silent. */
 struct lmn_cut {
     const char *zone; /* interned */
@@ -210,7 +253,12 @@
     double quota_cpus[LMN_MAX_TEAMS],
         quota_gpus[LMN_MAX_TEAMS]; /* if there is a record */
     uint32_t owner_gen;
+    uint64_t owner_stream; /* that its claim, or its being given, was conditional on */
     struct timespec vacant; /* since when nobody owns it */
+    /* who is in step with the owner of that term, by which stream; 0: nobody */
+    char standby[LMN_NAME];
+    uint64_t standby_lease, standby_stream, standby_term, standby_rev;
+    struct lmn_copy *copy; /* what we have been told of it; NULL: nothing */
     GHashTable *ranges, *machines;
     GPtrArray *list; /* the same machines in no order: what samples are drawn from */
     struct lmn_hosts *hosts; /* the core's, where its machines' addresses are counted */
@@ -218,6 +266,9 @@
     GPtrArray *blocks;       /* struct lmn_block by number */
     /* the owner's */
     bool mine, ready, releasing;
+    bool warm;    /* every task that may be on a machine is in the books, though not
+                     every machine has spoken */
+    bool open;    /* inherited tasks may start: ready, or warm and some machines heard */
     bool started; /* something, since it is ours */
     bool asking;  /* some machine may have to be asked whether it is there */
     /* what may run on inherited machines that are not accounted for, as of the last
@@ -232,7 +283,11 @@
     struct lmn_queue limbo; /* tasks that no machine's queue holds yet */
     double used_cpus[LMN_MAX_TEAMS], used_gpus[LMN_MAX_TEAMS];
     struct lmn_gift gift;
-    GArray *cuts; /* struct lmn_cut */
+    struct lmn_stream stream;
+    GPtrArray *untold;    /* machines that the standby has to be told about */
+    GPtrArray *forgotten; /* names of machines that it need not know any more */
+    pthread_cond_t following; /* something is to be told */
+    GArray *cuts;             /* struct lmn_cut */
     struct timespec next_pack;
     struct timespec next_quota; /* when it may ask others again */
     double quota_poll_s;
@@ -243,6 +298,8 @@
     uint64_t steal_tries, steals, stolen_tasks, starts, kills, reports, polls,
         submissions;
     uint64_t refused, takeovers, moves, moved_tasks, unqueued, preempted;
+    uint64_t warm, cold;  /* takeovers */
+    uint64_t withheld;    /* starts that a standby did not acknowledge in time */
 };
 
 struct lmn_core;
@@ -268,6 +325,8 @@
     void (*block_sweep)(struct lmn_core *c, struct lmn_partition *p, struct timespec now);
     void (*quota_apply)(struct lmn_core *c, const char *key, const struct lmn_doc *d,
                         const struct lmn_node *v, uint64_t rev);
+    /* The core is freed: what the partition holds of and for standbys goes. */
+    void (*partition_free)(struct lmn_partition *p);
 };
 
 struct lmn_core {
@@ -275,6 +334,7 @@
     pthread_cond_t changed; /* ownership, or membership */
     pthread_cond_t asking;  /* a question has become due */
     pthread_cond_t poked;   /* machines to be given work at once */
+    pthread_cond_t told;    /* a standby has acknowledged, or need not any more */
     const struct lmn_settings *cfg;
     struct lmn_state *state;
     const struct lmn_owner_ops *owner;
@@ -319,6 +379,7 @@
     struct lmn_counters count;
     struct lmn_latency accepting; /* from a submission to its commit */
     struct lmn_latency starting;  /* from a job's acceptance to a task's start command */
+    struct lmn_latency telling;   /* what a start has waited for its standby */
 };
 
 #endif
--- a/tests/test_block.c
+++ b/tests/test_block.c
@@ -47,6 +47,7 @@
     owner->types.n = 1;
     owner->types.v[0] = (struct lmn_type){.name = "x", .cpus = 8, .mem = 64};
     owner->parts[0].mine = owner->parts[0].ready = true;
+    owner->parts[0].open = true;
     store = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     rev = 10;
     writes = 0;
--- a/tests/test_model.c
+++ b/tests/test_model.c
@@ -976,7 +976,8 @@
                 continue;
             }
             if (up(n) && n->core && reaches(x->node, m)) {
-                int status = lmn_worker_report(n->core, x->body->data, x->body->len, out, w.clock);
+                struct lmn_held held;
+                int status = lmn_worker_report(n->core, x->body->data, x->body->len, out, &held, w.clock);
                 if (status == 200 && !m->dead && w.now >= m->hang_until && !trouble(0.05)) {
                     struct message answer = {.body = out, .session = x->session, .seq = x->seq};
                     machine_answer(m, &answer);
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -45,7 +45,7 @@
     core->types.n = 1;
     core->types.v[0] = (struct lmn_type){.name = "x", .cpus = 8, .mem = 64};
     struct lmn_partition *p = &core->parts[0];
-    p->mine = p->ready = true;
+    p->mine = p->ready = p->open = true;
     p->my_term = 1;
     for (int i = 0; i < MACHINES; i++) {
         char name[16];
--- a/tests/test_takeover.c
+++ b/tests/test_takeover.c
@@ -4,7 +4,9 @@
  * suspicions, refutations, claims, gifts, stand-stills, restarts and ends of leases is
  * played, up to a depth; a path is played anew from its beginning, and states that were
  * seen are not gone on from. With each guard taken away the same search must find a state
- * that breaks what it guards. */
+ * that breaks what it guards. With standbys, the owner's stream of what it starts is
+ * part of it: batches and their acknowledgements are lost, the record is written late,
+ * a standby is struck off while it claims. */
 #include "base/clock.h"
 #include "base/codec.h"
 #include "base/log.h"
@@ -16,6 +18,7 @@
 #include "own/range.h"
 #include "own/upkeep.h"
 #include "own/worker.h"
+#include "standby/stream.h"
 #include "state/books.h"
 #include "state/core.h"
 #include "state/mirror.h"
@@ -44,6 +47,11 @@
     G_TOKEN,       /* machines refuse commands of an older term */
     G_RECORD,      /* a machine is recorded before its first start */
     G_INCARNATION, /* a verdict is about an incarnation */
+    G_ACKNOWLEDGE, /* a start waits until the standby has acknowledged it */
+    G_STRIKE,      /* the standby is struck off before starts go on without it */
+    G_NAMED,       /* a warm takeover is by who the record names */
+    G_STREAM,      /* and by a copy of the stream that it names */
+    G_HOLD,        /* what was told is held until its machine has spoken */
 };
 
 static struct {
@@ -54,8 +62,14 @@
     bool still;
     struct lmn_txn *txn; /* a claim or a gift on its way */
     bool gift;
+    struct lmn_txn *record; /* of its standby, on its way */
+    GByteArray *pending;    /* starts that wait for an acknowledgement */
+    char pending_to[LMN_NAME];
 } node[NODES];
 
+static bool streams; /* standbys follow */
+static bool fair;    /* what waits for an acknowledgement gets it */
+
 static struct {
     char name[16];
     uint64_t token, seq, session;
@@ -91,7 +105,7 @@
 static enum guard broken;
 static const char *broke;
 static bool judged_late; /* a verdict was applied to an incarnation that was refuted */
-static unsigned jumps, crashes, suspicions;
+static unsigned jumps, crashes, suspicions, passes;
 
 /* --- the state service --- */
 
@@ -129,6 +143,8 @@
         return;
     if (key[0] == 'n' && broken == G_INCARNATION)
         judged_late = true;
+    else if (key[0] == 'b' && broken == G_NAMED)
+        return;
     else
         *(bool *)arg = false;
 }
@@ -184,6 +200,18 @@
         if (e->value)
             lmn_doc_free(&d);
     }
+    struct lmn_partition *p = &c->parts[0];
+    if (broken == G_NAMED && p->owner_stream) {
+        p->standby_stream = p->owner_stream;
+        p->standby_term = p->owner_term - 1;
+        g_strlcpy(p->standby, c->cfg->node, LMN_NAME);
+    }
+    if (broken == G_STREAM && p->copy && p->owner_stream) {
+        p->copy->stream = p->owner_stream;
+        p->copy->term = p->standby_term;
+    }
+    if (broken == G_HOLD && p->copy)
+        g_hash_table_remove_all(p->copy->machines);
     c->fresh = clk;
     lmn_members_fresh(&c->members, clk);
     c->synced = true;
@@ -211,9 +239,13 @@
 
     memset(s, 0, sizeof *s);
     g_strlcpy(s->node, names[n], LMN_NAME);
+    /* So that the two choose each other for a standby. */
+    g_strlcpy(s->zone, n == A ? "y" : "z", LMN_NAME);
     for (int i = 0; i < 3; i++)
-        if (i != n)
+        if (i != n) {
+            g_strlcpy(s->members[s->nmembers].zone, i == B ? "z" : "y", LMN_NAME);
             g_strlcpy(s->members[s->nmembers++].name, names[i], LMN_NAME);
+        }
     s->partitions = 1;
     s->report_s = 1;
     s->lease_s = 8;
@@ -244,6 +276,12 @@
     if (node[n].txn)
         lmn_txn_free(node[n].txn);
     node[n].txn = NULL;
+    if (node[n].record)
+        lmn_txn_free(node[n].record);
+    node[n].record = NULL;
+    if (node[n].pending)
+        g_byte_array_unref(node[n].pending);
+    node[n].pending = NULL;
 }
 
 static struct lmn_partition *part(int n)
@@ -353,18 +391,62 @@
     END_1,
     FLUSH_A, /* what an owner has to write is written */
     FLUSH_B,
+    TELL_A, /* what is due for its standby is done */
+    TELL_B,
+    TELL_UNHEARD, /* the owner's batch arrives, its acknowledgement is lost */
+    TELL_LOST,    /* neither arrives, however often it is sent */
+    GO_A,         /* starts that waited go out, or are taken back */
+    GO_B,
+    RECORD_A, /* a record on its way is applied, or lost */
+    UNRECORD_A,
+    RESTART_B, /* another life, with another lease, that has no copy */
+    PASS,      /* so much time that a warm takeover deals, whoever has spoken */
     MOVES
 };
 
+static bool launch(int n, const char *name, GByteArray *body)
+{
+    int i = 0;
+
+    while (i < FLIGHT && flight[i].body)
+        i++;
+    if (i == FLIGHT)
+        return false;
+    lmn_direct_outcome(node[n].core, name, LMN_NO_ANSWER, NULL, clk);
+    flight[i].body = body;
+    flight[i].machine = name[strlen(name) - 1] - '0';
+    return true;
+}
+
+/* What waited goes out, or is taken back. */
+static bool go(int n)
+{
+    struct lmn_core *c = node[n].core;
+    int id;
+
+    if (!node[n].pending || node[n].still)
+        return false;
+    uint64_t mark = lmn_direct_mark(c, node[n].pending_to, &id);
+    if ((part(n)->mine && lmn_stream_covers(part(n), mark)) || broken == G_ACKNOWLEDGE) {
+        if (!launch(n, node[n].pending_to, node[n].pending))
+            return false;
+    } else {
+        lmn_direct_outcome(c, node[n].pending_to, LMN_NOT_SENT, NULL, clk);
+        g_byte_array_unref(node[n].pending);
+    }
+    node[n].pending = NULL;
+    return true;
+}
+
 /* A command that is sent straight to a machine: it is in flight, and never answered. */
 static bool start(int n)
 {
     char name[LMN_NAME], addr[LMN_ADDR];
-    int i = 0;
+    int i = 0, id;
 
     while (i < FLIGHT && flight[i].body)
         i++;
-    if (i == FLIGHT || node[n].still)
+    if (i == FLIGHT || node[n].still || node[n].pending)
         return false;
     GByteArray *body = g_byte_array_new();
     for (guint k = 0; k < part(n)->list->len; k++) {
@@ -378,23 +460,102 @@
         g_byte_array_unref(body);
         return false;
     }
-    lmn_direct_outcome(node[n].core, name, LMN_NO_ANSWER, NULL, clk);
-    flight[i].body = body;
-    flight[i].machine = name[strlen(name) - 1] - '0';
+    if (lmn_direct_mark(node[n].core, name, &id)) {
+        node[n].pending = body;
+        g_strlcpy(node[n].pending_to, name, LMN_NAME);
+        return true;
+    }
+    return launch(n, name, body);
+}
+
+enum hearing { HEARD, UNHEARD, LOST };
+
+static bool take_batch(int to, const struct lmn_batch *b, enum lmn_copy_answer *answer)
+{
+    struct lmn_batch *same = lmn_batch_new();
+
+    if (to > B || node[to].still) {
+        lmn_batch_free(same);
+        return false;
+    }
+    *same = (struct lmn_batch){b->part,   b->term, b->stream,
+                               b->number, b->mark, same->machines};
+    for (guint i = 0; i < b->machines->len; i++) {
+        const struct lmn_told *t = b->machines->pdata[i];
+        struct lmn_told *u = lmn_told_new(t->name);
+        u->session = t->session;
+        u->gone = t->gone;
+        u->forget = t->forget;
+        if (t->attempts->len)
+            g_array_append_vals(u->attempts, t->attempts->data, t->attempts->len);
+        g_ptr_array_add(same->machines, u);
+    }
+    *answer = lmn_copy_take(node[to].core, same, clk);
+    lmn_batch_free(same);
+    return true;
+}
+
+/* One step of telling the standby. */
+static bool tell(int n, enum hearing how)
+{
+    struct lmn_partition *p = part(n);
+    enum lmn_copy_answer answer = LMN_COPY_TAKEN;
+    struct lmn_batch *b = NULL;
+    struct lmn_txn *t = NULL;
+    double wait;
+
+    if (!streams || node[n].still || !p->mine)
+        return false;
+    enum lmn_stream_phase before = p->stream.phase;
+    enum lmn_stream_step step = lmn_stream_next(node[n].core, p, clk, &b, &t, &wait);
+    if (step == LMN_STREAM_WRITE) {
+        if (node[n].record)
+            lmn_txn_free(node[n].record);
+        node[n].record = t;
+        return true;
+    }
+    if (broken == G_STRIKE && p->stream.phase == LMN_STREAM_STRIKING)
+        lmn_stream_reset(node[n].core, p);
+    if (step != LMN_STREAM_SEND)
+        return p->stream.phase != before;
+    bool taken = how != LOST && take_batch(p->stream.to, b, &answer);
+    if (how == LOST)
+        p->stream.failures = 10; /* as after some tries */
+    lmn_stream_sent(node[n].core, p, b, taken && how == HEARD, answer, clk);
+    return true;
+}
+
+static bool write_record(int n, bool applied)
+{
+    uint64_t at;
+
+    if (!node[n].record)
+        return false;
+    if (applied)
+        commit(node[n].record, &at);
+    lmn_txn_free(node[n].record);
+    node[n].record = NULL;
     return true;
 }
 
 static bool report(int n, int k)
 {
     GByteArray *b, *out;
+    struct lmn_held held;
 
     if (node[n].still)
         return false;
     b = g_byte_array_new();
     out = g_byte_array_new();
     put_report(k, b);
-    if (lmn_worker_report(node[n].core, b->data, b->len, out, clk) == 200 &&
-        take(k, out, false))
+    int status = lmn_worker_report(node[n].core, b->data, b->len, out, &held, clk);
+    while (fair && status == 200 && held.mark && !lmn_stream_covers(part(n), held.mark) &&
+           tell(n, HEARD))
+        write_record(n, true);
+    if (status == 200 && held.mark && !lmn_stream_covers(part(n), held.mark) &&
+        broken != G_ACKNOWLEDGE)
+        lmn_worker_withhold(node[n].core, &held, out, clk);
+    if (status == 200 && take(k, out, false))
         machine[k].lease_from = lmn_seconds(clk);
     g_byte_array_unref(b);
     g_byte_array_unref(out);
@@ -628,6 +789,32 @@
     case FLUSH_A:
     case FLUSH_B:
         return flush(m - FLUSH_A);
+    case TELL_A:
+    case TELL_B:
+        return tell(m - TELL_A, HEARD);
+    case TELL_UNHEARD:
+        return tell(A, UNHEARD);
+    case TELL_LOST:
+        return tell(A, LOST);
+    case GO_A:
+    case GO_B:
+        return go(m - GO_A);
+    case RECORD_A:
+    case UNRECORD_A:
+        return write_record(A, m == RECORD_A);
+    case RESTART_B:
+        if (!streams || crashes++)
+            return false;
+        end_lease(node[B].lease);
+        bury(B);
+        boot(B);
+        join(B);
+        return true;
+    case PASS:
+        if (!streams || passes++)
+            return false;
+        jump(0.6);
+        return true;
     default:
         return false;
     }
@@ -661,7 +848,7 @@
     memset(alive, 0, sizeof alive);
     nevents = 0;
     rev = next_lease = 0;
-    jumps = crashes = suspicions = 0;
+    jumps = crashes = suspicions = passes = 0;
     broke = NULL;
 }
 
@@ -743,8 +930,23 @@
         const struct lmn_core *c = node[n].core;
         const struct lmn_partition *p = part(n);
         const struct lmn_members *ms = &c->members;
+        const struct lmn_stream *f = &p->stream;
+        g_string_append_printf(s, "{%d%d%d%d%d%d%d%d%d %d}", f->phase, f->to,
+                               f->batch != NULL, f->number > 0, f->acked < f->mark,
+                               f->failures > 0, p->untold->len, node[n].record != NULL,
+                               node[n].pending != NULL,
+                               p->standby_stream ? (int)p->standby_term : 0);
+        if (p->copy) {
+            g_string_append_printf(s, "[%d%d", (int)p->copy->term,
+                                   p->copy->stream == p->standby_stream);
+            for (int k = 0; k < MACHINES; k++) {
+                const struct lmn_told *u =
+                    g_hash_table_lookup(p->copy->machines, machine[k].name);
+                g_string_append_printf(s, ",%d", u ? (int)u->attempts->len : 9);
+            }
+        }
         g_string_append_printf(s, "|%d%d%d%d %d %d %d%d%d %d%d %d", node[n].still,
-                               node[n].txn != NULL, p->mine, p->ready, (int)p->my_term,
+                               node[n].txn != NULL, p->mine, p->ready + 2 * p->open, (int)p->my_term,
                                (int)(nevents - node[n].seen), lmn_member_doubted(ms, A),
                                ms->v[A].unanswered.tv_sec != 0,
                                lmn_member_judged(ms, A, clk), p->releasing,
@@ -786,24 +988,32 @@
         }
     for (int i = 0; i < KEYS && *store[i].key; i++)
         g_string_append_printf(s, "%d", store[i].value != NULL);
-    g_string_append_printf(s, " %d%d%d%d", alive[1], (int)jumps, (int)crashes,
-                           (int)suspicions);
+    g_string_append_printf(s, " %d%d%d%d%d", alive[1], (int)jumps, (int)crashes,
+                           (int)suspicions, (int)passes);
     return g_string_free(s, FALSE);
 }
 
-static const char *at_end_it_is_done(void)
+/* Fair steps alone: everybody follows, asks, reports, writes. */
+static const char *ends(void)
 {
-    /* Fair steps alone: everybody follows, asks, reports, writes. */
     node[A].still = false;
-    for (int n = 0; n < NODES; n++)
+    for (int n = 0; n < NODES; n++) {
         if (node[n].txn)
             apply(n);
+        write_record(n, true);
+        go(n);
+    }
     for (int round = 0; round < 60; round++) {
         jump(0.5);
         for (int n = 0; n < NODES; n++) {
             uint64_t at;
             struct lmn_txn *t;
+            int heir;
             follow(n);
+            if ((t = lmn_holder_gift(node[n].core, 0, &heir, clk))) {
+                commit(t, &at);
+                lmn_txn_free(t);
+            }
             if (!alive[node[n].lease]) {
                 for (int i = 0; i < 1; i++)
                     if (part(n)->mine)
@@ -822,6 +1032,9 @@
                 report(n, k);
             flush(n);
             lmn_upkeep(node[n].core, clk);
+            while (tell(n, HEARD) && !node[n].record)
+                ;
+            write_record(n, true);
         }
         for (int k = 0; k < MACHINES && round % 4 == 3; k++)
             complete(k);
@@ -844,6 +1057,14 @@
     return "the job is never done";
 }
 
+static const char *at_end_it_is_done(void)
+{
+    fair = true;
+    const char *why = ends();
+    fair = false;
+    return why;
+}
+
 static void replay(const guint8 *path, guint len)
 {
     begin();
@@ -911,6 +1132,18 @@
 static const enum move giving[] = {START_A, GIVE, APPLY_A, FOLLOW_B};
 static const enum move frozen[] = {START_A, STILL, SUSPECT, FOLLOW_B, STAND, CLAIM};
 
+/* The copy is made, the record written and seen by both. */
+#define IN_STEP TELL_A, TELL_A, TELL_A, RECORD_A, FOLLOW_A, FOLLOW_B, TELL_A
+#define DOUBT SUSPECT, FOLLOW_B, STAND
+static const enum move in_step[] = {IN_STEP};
+static const enum move told_claim[] = {IN_STEP, START_A, TELL_A, GO_A,    DOUBT,
+                                       CLAIM,   APPLY_B, FOLLOW_B};
+static const enum move untold_claim[] = {IN_STEP, START_A, TELL_UNHEARD, DOUBT, CLAIM};
+static const enum move struck_claim[] = {IN_STEP, DOUBT,  CLAIM,    START_A,
+                                         TELL_LOST, TELL_A, RECORD_A, FOLLOW_A};
+static const enum move told_gift[] = {IN_STEP, START_A, TELL_A, GO_A, GIVE, APPLY_A,
+                                      FOLLOW_B};
+
 static void goes_on(const enum move *prefix, guint len)
 {
     const char *found;
@@ -931,6 +1164,18 @@
     goes_on(frozen, G_N_ELEMENTS(frozen));
 }
 
+static void keeps_the_rules_with_a_standby(void **state)
+{
+    (void)state;
+    streams = true;
+    goes_on(in_step, G_N_ELEMENTS(in_step));
+    goes_on(told_claim, G_N_ELEMENTS(told_claim));
+    goes_on(untold_claim, G_N_ELEMENTS(untold_claim));
+    goes_on(struck_claim, G_N_ELEMENTS(struck_claim));
+    goes_on(told_gift, G_N_ELEMENTS(told_gift));
+    streams = false;
+}
+
 static void breaks(enum guard g, const enum move *prefix, guint len, const char *what)
 {
     const char *found;
@@ -967,12 +1212,39 @@
     breaks(G_INCARNATION, claiming, 5, "one that had refuted was judged");
 }
 
+static void breaks_with_a_standby(enum guard g, const enum move *prefix, guint len)
+{
+    streams = true;
+    breaks(g, prefix, len, "the task runs on both machines");
+    streams = false;
+}
+
+static void each_check_of_a_warm_takeover_is_needed(void **state)
+{
+    static const enum move begun[] = {IN_STEP, START_A, GO_A,     DOUBT,
+                                      CLAIM,   APPLY_B, FOLLOW_B, PASS};
+    static const enum move claimed[] = {IN_STEP, START_A, TELL_LOST, TELL_A, TELL_A, GO_A,
+                                        DOUBT,   CLAIM,   APPLY_B,   FOLLOW_B, PASS};
+    static const enum move named[] = {IN_STEP,  DOUBT,    CLAIM,   START_A,  TELL_LOST,
+                                      TELL_A,   RECORD_A, FOLLOW_A, TELL_A,  GO_A,
+                                      APPLY_B,  FOLLOW_B, PASS};
+    static const enum move held[] = {IN_STEP, START_A, TELL_A,   GO_A, DOUBT,
+                                     CLAIM,   APPLY_B, FOLLOW_B, PASS};
+    (void)state;
+    breaks_with_a_standby(G_ACKNOWLEDGE, begun, G_N_ELEMENTS(begun));
+    breaks_with_a_standby(G_STRIKE, claimed, G_N_ELEMENTS(claimed));
+    breaks_with_a_standby(G_NAMED, named, G_N_ELEMENTS(named));
+    breaks_with_a_standby(G_HOLD, held, G_N_ELEMENTS(held));
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(keeps_the_rules),         cmocka_unit_test(accounting_is_needed),
         cmocka_unit_test(tokens_are_needed),       cmocka_unit_test(records_are_needed),
         cmocka_unit_test(incarnations_are_needed),
+        cmocka_unit_test(keeps_the_rules_with_a_standby),
+        cmocka_unit_test(each_check_of_a_warm_takeover_is_needed),
     };
     lmn_log_level = LMN_LOG_ERROR;
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -48,7 +48,7 @@
     cfg.cancel_s = 64;
     now = (struct timespec){1000, 0};
     core = lmn_core_new(&cfg, lmn_state_new(&cfg), 1);
-    core->parts[0].mine = core->parts[0].ready = true;
+    core->parts[0].mine = core->parts[0].ready = core->parts[0].open = true;
     core->parts[0].my_term = 1;
     core->parts[0].since = now;
     core->synced = true;
