A warm takeover deals at once, also to machines that have not spoken yet

Cause: after a warm takeover work was dealt once three quarters of the machines had spoken, or after 0.5 s; at four times the machines 1 of 20 had by then, and stood with the whole backlog. Change: machines that were told are dealt work by what was told of them; each starts it when it has spoken.

--- a/src/decide/queue.c
+++ b/src/decide/queue.c
@@ -83,8 +83,12 @@
 
 bool lmn_can_hold(const struct lmn_machine *m, const struct lmn_job *j)
 {
-    return m->type && m->accounted && m->rev && !m->retiring && !m->noticed &&
-           !m->lapsed && !m->is_gone &&
+    /* One that was told, and has not spoken yet, is dealt work too, which it starts once it
+     * has: dealt to the first few that speak, everything would stand in their queues. */
+    bool known = m->accounted || (m->part->warm && m->session);
+
+    return m->type && known && m->rev && !m->retiring && !m->noticed && !m->lapsed &&
+           !m->is_gone &&
            lmn_spec_allows(&j->spec, m->type, m->zone, m->spot);
 }
 
--- a/src/own/partition.c
+++ b/src/own/partition.c
@@ -156,10 +156,6 @@
     }
 }
 
-/* A warm takeover deals once most machines have spoken, or after this time: dealt to the
- * first few, everything would stand in their queues. */
-static const double OPEN_S = 0.5;
-
 void lmn_partition_check(struct lmn_core *c, struct lmn_partition *p, struct timespec now)
 {
     GHashTableIter it;
@@ -167,13 +163,12 @@
 
     if (!p->mine || p->ready)
         return;
-    guint inherited = 0, unheard = 0;
+    guint unheard = 0;
     p->unheard_cpus = p->unheard_gpus = 0;
     p->unheard_unknown = false;
     g_hash_table_iter_init(&it, p->machines);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const struct lmn_machine *m = v;
-        inherited += m->inherited;
         if (!m->inherited || m->accounted)
             continue;
         /* It may hold any task that a predecessor started; if the takeover is warm, only
@@ -189,14 +184,7 @@
         lmn_info("partition-ready partition=%d term=%" G_GUINT64_FORMAT " after=%.2f",
                  p->id, p->my_term, lmn_since(now, p->since));
     }
-    if (!p->open && (p->ready || (p->warm && (4 * unheard <= inherited ||
-                                              lmn_since(now, p->since) > OPEN_S)))) {
-        p->open = true;
-        if (p->warm)
-            lmn_info("takeover-open partition=%d term=%" G_GUINT64_FORMAT
-                     " after=%.2f unheard=%u of=%u",
-                     p->id, p->my_term, lmn_since(now, p->since), unheard, inherited);
-    }
+    p->open = p->ready || p->warm;
     deal_ranges(c, p, now);
 }
 
--- a/src/state/model.h
+++ b/src/state/model.h
@@ -268,7 +268,7 @@
     bool mine, ready, releasing;
     bool warm;    /* every task that may be on a machine is in the books, though not
                      every machine has spoken */
-    bool open;    /* inherited tasks may start: ready, or warm and some machines heard */
+    bool open;    /* inherited tasks may start: ready, or warm */
     bool started; /* something, since it is ours */
     bool asking;  /* some machine may have to be asked whether it is there */
     /* what may run on inherited machines that are not accounted for, as of the last
