An outage of the state service strikes no standby off; silent inherited machines are asked twice at once

And: a machine that does not answer after a takeover is asked again after 0.2 s and returned after 2.5 s, not 4.

--- a/src/own/upkeep.c
+++ b/src/own/upkeep.c
@@ -163,7 +163,7 @@
      * elsewhere, nobody answers them, and the partition's queued work need not wait. */
     double patience = !few                                         ? cfg->lease_s + 8
                       : cut && lmn_holder_stands_in(c, p, m->zone) ? cfg->cancel_s + 4
-                                                                   : 4;
+                                                                   : 2.5;
     if (m->inherited && !m->accounted && silent > patience &&
         (m->probes >= 2 || (m->probes && silent > 1.25 * cfg->report_s + patience) ||
          silent > cfg->lease_s))
--- a/src/own/worker.c
+++ b/src/own/worker.c
@@ -556,6 +556,9 @@
     }
     if (status == 409 && !m->heard)
         m->session = 0; /* not the one that we were told: it is asked for */
+    /* Whatever it may hold waits for it: the second question follows at once. */
+    if (m->probes == 1 && status != 200)
+        m->next_probe = lmn_after(now, 0.2);
     if (status != 200 || lmn_doc_parse(&d, answer->data, answer->len) != 0)
         return;
     /* Written after the worker had taken our term: whatever a predecessor sends comes too
--- a/tests/test_standby.c
+++ b/tests/test_standby.c
@@ -307,6 +307,12 @@
     put("b/0", owner("nb", 2, 2, s->id), 20);
     lmn_stream_next(core, p, now, &b, &t, &wait);
     assert_int_equal(s->phase, LMN_STREAM_IN_STEP);
+    /* In an outage of the state service its mirror stands still, as everybody's does. */
+    struct lmn_word old = {0, 30, 0};
+    lmn_member_answered(&core->members, nb, &old, now, now);
+    assert_false(lmn_member_trusted(&core->members, nb, now));
+    lmn_stream_next(core, p, now, &b, &t, &wait);
+    assert_int_equal(s->phase, LMN_STREAM_IN_STEP);
     uint64_t mark = lmn_untold_start(p->list->pdata[0], now);
     assert_true(mark && !lmn_stream_covers(p, mark) && !lmn_stream_stuck(p, now));
     for (int k = 0; k < 3; k++) {
