Controllers leave in order, and orphaned partitions are spread

Need: a process that was asked to end just died, and its partitions stood still until the others were sure; several partitions whose owners failed together went to whoever stood next in their order.

Change: SIGTERM and admin leave: the member's record says so, partitions go to who is in step by one write, the lease is let go, /ready and closing connections send users on, the process ends after 6 s (10 s at most); admin join and balance; a member that left has not failed. own/heir.c: one function of the mirror over all orphans in turn (who is in step, its usual holder, the fewest machines). tests/test_heir.c: 1 of 3 to 16 of 33 members gone; the model has members that leave.

--- a/bench/failover.c
+++ b/bench/failover.c
@@ -4,9 +4,11 @@
  *
  *   bench_failover [--untimed] BASE_PORT CONTROLLERS WORKERS ROUNDS SEED
  *   bench_failover --takeovers BASE_PORT CONTROLLERS WORKERS ROUNDS SEED
+ *   bench_failover --roll BASE_PORT CONTROLLERS WORKERS ROUNDS SEED
  *
  * The second form only kills, twice a round: once with standbys, once without (the
- * setting standby), so that warm and cold takeovers are compared in one run.
+ * setting standby), so that warm and cold takeovers are compared in one run. The third
+ * asks one controller after the other to end (SIGTERM) and starts it again.
  *
  * Controllers, state service and sockets are real, the workers' time is emulated, all on
  * loopback; whatever a controller hears of others goes through relays of this program.
@@ -73,7 +75,7 @@
         return;
     sscanf(what + 1, "%23s", e.what);
     if (!g_str_has_prefix(e.what, "partition-") && !g_str_has_prefix(e.what, "member-") &&
-        !g_str_has_prefix(e.what, "takeover-"))
+        !g_str_has_prefix(e.what, "takeover-") && !g_str_has_prefix(e.what, "leave-"))
         return;
     if (part)
         e.partition = atoi(part + strlen(" partition="));
@@ -536,6 +538,49 @@
     return true;
 }
 
+/* --- a roll: one after the other is asked to end --- */
+
+static struct lmn_latency stood, ended;
+
+static bool roll_one(int node)
+{
+    bool held[MOST], ok = true;
+    double lapsed = metric(site.cloud, "\nlemonspar_emulated_lapsed_tasks_total ");
+    int status = 0, n = 0;
+
+    if (!all_owned(60) || !settled(true))
+        return false;
+    for (int i = 0; i < nodes; i++)
+        held[i] = owner(i) == node;
+    struct timespec then = lmn_now();
+    kill(controller(node)->pid, SIGTERM);
+    while (waitpid(controller(node)->pid, &status, WNOHANG) == 0 &&
+           lmn_since(lmn_now(), then) < 15)
+        lmn_sleep(0.02);
+    double end_s = lmn_since(lmn_now(), then);
+    controller(node)->pid = 0;
+    lmn_latency_add(&ended, end_s);
+    for (int i = 0; i < nodes; i++) {
+        if (!held[i])
+            continue;
+        double begun = first(then, "partition-give", i, -1);
+        double went = first(then, "partition-start", i, node);
+        bool warm = first(then, "takeover-warm", i, node) >= 0;
+        printf("controller %d, partition %d: stood still for %.2f s, %s\n", node, i,
+               went - begun, warm ? "warm" : "cold");
+        ok = ok && begun >= 0 && went >= 0;
+        if (went >= 0)
+            lmn_latency_add(&stood, went - begun);
+        n++;
+    }
+    lapsed = metric(site.cloud, "\nlemonspar_emulated_lapsed_tasks_total ") - lapsed;
+    printf("controller %d: %d partitions given, ended after %.2f s with %d; tasks ended by "
+           "leases %.0f\n",
+           node, n, end_s, WEXITSTATUS(status), lapsed);
+    start(controller(node));
+    return ready(site.users[node], 20) && ok && WIFEXITED(status) && !status && lapsed == 0;
+}
+
 static bool all_done(void)
 {
     struct timespec begun = lmn_now();
@@ -572,12 +617,13 @@
     bool takeovers = argc > 1 && !strcmp(argv[1], "--takeovers");
     if (argc > 1 && !strcmp(argv[1], "--untimed"))
         timed = false;
-    if (takeovers || !timed) {
+    bool roll = argc > 1 && !strcmp(argv[1], "--roll");
+    if (takeovers || roll || !timed) {
         argc--;
         argv++;
     }
     if (argc != 6 || atoi(argv[2]) < 2 || atoi(argv[2]) > MOST) {
-        fprintf(stderr, "usage: bench_failover [--untimed | --takeovers] BASE_PORT CONTROLLERS WORKERS "
+        fprintf(stderr, "usage: bench_failover [--untimed | --takeovers | --roll] BASE_PORT CONTROLLERS WORKERS "
                         "ROUNDS SEED\n");
         return 2;
     }
@@ -594,6 +640,8 @@
     lmn_latency_init(&owned);
     lmn_latency_init(&readied);
     lmn_latency_init(&started);
+    lmn_latency_init(&stood);
+    lmn_latency_init(&ended);
     for (int i = 0; i < 2; i++) {
         lmn_latency_init(&taken[i]);
         lmn_latency_init(&begun_after[i]);
@@ -618,7 +666,10 @@
            metric(site.cloud, "\nlemonspar_emulated_up "));
     for (int round = 0; takeovers && round < atoi(argv[4]); round++)
         ok = take_over(true) && take_over(false) && ok;
-    for (int round = 0; !takeovers && round < atoi(argv[4]); round++)
+    for (int round = 0; roll && round < atoi(argv[4]); round++)
+        for (int i = 0; i < nodes; i++)
+            ok = roll_one(i) && ok;
+    for (int round = 0; !takeovers && !roll && round < atoi(argv[4]); round++)
         for (int t = 0; t < TROUBLES; t++)
             ok = play(t) && ok;
     pthread_mutex_lock(&night.lock);
@@ -631,7 +682,10 @@
     printf("jobs %u, not accepted %u; tasks %.0f, begun %.0f times, %.0f while they ran "
            "elsewhere\n",
            night.submitted, night.lost, (double)night.tasks, starts, twice);
-    if (takeovers) {
+    if (roll) {
+        show("asked to end to ended", &ended);
+        show("a partition stood still", &stood);
+    } else if (takeovers) {
         show("warm: from the end to the first start", &taken[1]);
         show("warm: from owning to the first start", &begun_after[1]);
         show("cold: from the end to the first start", &taken[0]);
--- a/src/cli/cli.c
+++ b/src/cli/cli.c
@@ -14,8 +14,8 @@
      lmn_cmd_state},
     {"fleet", "--config FILE", "machines, and the depot", lmn_cmd_fleet},
     {"worker", "--config FILE", "the agent of one machine", lmn_cmd_worker},
-    {"admin", "ADDRESS status|get|set|drain", "a controller's administration",
-     lmn_cmd_admin},
+    {"admin", "ADDRESS status|members|get|set|drain|balance|leave|join",
+     "a controller's administration", lmn_cmd_admin},
     {"gateway", "--config FILE | status|job|recall|evict|...", "work across sites",
      lmn_cmd_gateway},
     {"key", "init|issue|renew|revoke|show", "keys of a site's gateway", lmn_cmd_key},
@@ -113,7 +113,7 @@
         "--json\" ;;\n"
         "        state) words=\"backup restore check dump --data --listen --config\" ;;\n"
         "        image) words=\"put list\" ;;\n"
-        "        admin) words=\"status get set drain\" ;;\n"
+        "        admin) words=\"status members get set drain balance leave join\" ;;\n"
         "        *) words=\"--config --help\" ;;\n        esac\n    fi\n"
         "    mapfile -t COMPREPLY < <(compgen -W \"$words\" -- "
         "\"${COMP_WORDS[COMP_CWORD]}\")\n"
--- a/src/member/member.h
+++ b/src/member/member.h
@@ -64,6 +64,7 @@
 struct lmn_peer_view {
     /* as the mirror shows it */
     bool present;           /* it has a record, tied to its lease */
+    bool leaving;           /* which says that it is about to end */
     uint64_t inc;           /* that record's revision: its incarnation */
     uint64_t rev;           /* of the record's last change, its end included */
     struct timespec inc_at; /* when the mirror showed this incarnation */
@@ -208,7 +209,7 @@
 bool lmn_member_doubted(const struct lmn_members *ms, int rank);
 /* It may be judged now: its partitions claimed on condition of its incarnation. */
 bool lmn_member_judged(const struct lmn_members *ms, int rank, struct timespec now);
-/* Up, not suspected, and fit by its own word. */
+/* Up and staying, not suspected, and fit by its own word. */
 bool lmn_member_trusted(const struct lmn_members *ms, int rank, struct timespec now);
 /* Seconds until its work may be given back to it; 0: now. */
 double lmn_member_back_s(const struct lmn_members *ms, int rank, struct timespec now);
--- a/src/member/verdict.c
+++ b/src/member/verdict.c
@@ -176,6 +176,8 @@
     const struct lmn_peer_view *m = &ms->v[rank];
     struct lmn_evidence e;
 
+    if (m->leaving)
+        return false;
     if (rank == ms->me)
         return lmn_self_fit(ms, now) && !lmn_member_doubted(ms, rank);
     if (!m->present || m->judged || lmn_member_doubted(ms, rank))
--- a/src/own/holder.c
+++ b/src/own/holder.c
@@ -2,6 +2,7 @@
 #include "base/log.h"
 #include "base/thread.h"
 #include "base/wire.h"
+#include "own/leave.h"
 #include "own/partition.h"
 #include "standby/stream.h"
 
@@ -81,7 +82,13 @@
     char *key = g_strdup_printf("n/%s", c->cfg->node);
     GByteArray *v = g_byte_array_new();
 
-    lmn_put_count(v, lease);
+    if (c->leaving) {
+        lmn_put_map(v, 2);
+        lmn_put_text(v, "lease"), lmn_put_count(v, lease);
+        lmn_put_text(v, "leaving"), lmn_put_truth(v, true);
+    } else {
+        lmn_put_count(v, lease);
+    }
     lmn_txn_write(t, key, v, lease);
     g_free(key);
     return t;
@@ -168,6 +175,8 @@
 
     if (!p->mine)
         return -1;
+    if (c->leaving)
+        return lmn_leave_heir(c, p, now);
     int heir = lmn_self_heir(ms, now);
     if (heir >= 0)
         return heir;
@@ -205,6 +214,8 @@
                  lmn_member_name(ms, *heir));
         ms->shut = true;
     }
+    lmn_info("partition-give partition=%d to=%s warm=%d", id, lmn_member_name(ms, *heir),
+             lmn_standby_named(c, p, now) == *heir);
     p->releasing = true;
     p->released = now;
     ms->count.gives++;
@@ -224,7 +235,63 @@
 
 static void announce(struct holder *h)
 {
-    h->announced = send(h, record(h->c, h->lease)) == LMN_OK;
+    pthread_mutex_lock(&h->c->lock);
+    bool leaving = h->c->leaving;
+    struct lmn_txn *t = record(h->c, h->lease);
+    pthread_mutex_unlock(&h->c->lock);
+    h->announced = send(h, t) == LMN_OK;
+    if (h->announced && leaving) {
+        pthread_mutex_lock(&h->c->lock);
+        h->c->recorded = h->c->leaving;
+        pthread_mutex_unlock(&h->c->lock);
+    }
+}
+
+/* Once nothing hangs on it, a lease that is let go spares the others the wait for its end.
+ * They are not to miss this member, which is about to end. */
+static void leave(struct holder *h)
+{
+    struct lmn_core *c = h->c;
+    char path[64];
+
+    pthread_mutex_lock(&c->lock);
+    bool bare = lmn_leave_bare(c) && !c->left;
+    pthread_mutex_unlock(&c->lock);
+    if (!bare)
+        return;
+    if (h->lease) {
+        g_snprintf(path, sizeof path, P_LEASES "/%" G_GUINT64_FORMAT, h->lease);
+        int status = lmn_http_call(h->http, "DELETE", path, NULL, 1.0, h->buf);
+        if (status != 200 && status != 404)
+            return;
+        h->lease = 0;
+        h->announced = false;
+    }
+    pthread_mutex_lock(&c->lock);
+    c->lease = 0;
+    c->left = true;
+    c->left_at = lmn_now();
+    lmn_info("leave-given after=%.2f", lmn_since(c->left_at, c->leave_at));
+    pthread_mutex_unlock(&c->lock);
+}
+
+/* Whether its record says what it should of its leaving. */
+static bool recorded(struct holder *h)
+{
+    pthread_mutex_lock(&h->c->lock);
+    bool is = h->c->recorded == h->c->leaving;
+    if (!h->c->leaving)
+        h->c->recorded = false;
+    pthread_mutex_unlock(&h->c->lock);
+    return is;
+}
+
+static bool gone(struct holder *h)
+{
+    pthread_mutex_lock(&h->c->lock);
+    bool left = h->c->left;
+    pthread_mutex_unlock(&h->c->lock);
+    return left;
 }
 
 static void tell(struct holder *h)
@@ -283,10 +350,15 @@
     h.buf = g_byte_array_new();
     for (;;) {
         struct timespec now = lmn_now();
+        if (gone(&h)) {
+            lmn_sleep(0.5);
+            continue;
+        }
         if (!h.lease || lmn_since(now, h.renewed) > h.ttl / 4)
             keep_lease(&h);
-        if (h.lease && !h.announced)
+        if (h.lease && (!h.announced || !recorded(&h)))
             announce(&h);
+        leave(&h);
         if (h.lease && h.announced)
             tell(&h);
         if (h.lease)
--- /dev/null
+++ b/src/own/leave.h
@@ -0,0 +1,27 @@
+/* A controller that is to end: it says so, gives its partitions to who is in step, lets its
+ * lease go, sends workers and users on, and ends. Functions of the shared state and a
+ * passed-in time; the core's lock is held. */
+#ifndef LMN_LEAVE_H
+#define LMN_LEAVE_H
+
+#include "state/model.h"
+
+/* Idempotent. */
+void lmn_leave(struct lmn_core *c, struct timespec now);
+/* The node takes part again: false if it is too late for that. */
+bool lmn_leave_undo(struct lmn_core *c);
+/* To whom it should give the partition now: a rank; -1: nobody yet. Without anybody in
+ * step one is waited for, for 2 s. */
+int lmn_leave_heir(const struct lmn_core *c, const struct lmn_partition *p,
+                   struct timespec now);
+/* It has given everything away: its lease may go. */
+bool lmn_leave_bare(const struct lmn_core *c);
+/* The process may end: all is given and the users' balancer has had its time, or that has
+ * taken too long. */
+bool lmn_leave_over(const struct lmn_core *c, struct timespec now);
+/* Seconds until the process ends at the latest. */
+double lmn_leave_left_s(const struct lmn_core *c, struct timespec now);
+/* What it does and how far it is: a line. */
+void lmn_leave_show(const struct lmn_core *c, GString *s, struct timespec now);
+
+#endif
--- a/src/own/partition.c
+++ b/src/own/partition.c
@@ -6,6 +6,7 @@
 #include "decide/queue.h"
 #include "own/block.h"
 #include "own/gift.h"
+#include "own/heir.h"
 #include "own/range.h"
 #include "standby/stream.h"
 #include "standby/takeover.h"
@@ -221,32 +222,35 @@
 {
     const struct lmn_members *ms = &c->members;
     struct timespec since = p->vacant;
-    int ahead = 0, named = lmn_standby_named(c, p, now);
+    int heir[LMN_MAX_PARTS], ahead = 1;
 
-    if (ms->shut || !lmn_self_awake(ms, now))
+    if (ms->shut || c->leaving || !lmn_self_awake(ms, now))
         return false; /* it could not serve it */
     if (p->owner_rev) {
         int owner = lmn_member_rank(ms, p->owner);
         /* Only one process runs for a member: what our last one held is ours. */
         if (owner == ms->me)
             return p->owner_lease != c->lease;
-        if (owner < 0 || !lmn_member_judged(ms, owner, now))
+        if (!lmn_orphaned(c, p, now))
             return false;
         since = lmn_after(ms->v[owner].doubted, ms->t.doubt_s);
-    } else if (p->id % ms->n == ms->me && (named < 0 || named == ms->me)) {
-        return true;
+    } else if (p->id % ms->n == ms->me) {
+        int named = lmn_standby_named(c, p, now);
+        if (named < 0 || named == ms->me)
+            return true;
     }
     if (lmn_since(now, c->synced_at) < 3.0)
         return false;
-    /* Who is in step first, then the preferred owner, then the others that are up, in
-     * their order. */
-    for (int k = 0; k < ms->n && named != ms->me; k++) {
+    lmn_heirs(c, now, heir);
+    if (heir[p->id] == ms->me)
+        return true;
+    /* Should that one not come, the others that are up, in their order. */
+    for (int k = 0; k < ms->n; k++) {
         int rank = (p->id + k) % ms->n;
         if (rank == ms->me)
             break;
-        ahead += rank != named && lmn_member_trusted(ms, rank, now);
+        ahead += rank != heir[p->id] && lmn_member_trusted(ms, rank, now);
     }
-    ahead += named >= 0 && named != ms->me;
     return lmn_since(now, since) >= 1.5 * ahead;
 }
 
--- a/src/serve/admin.c
+++ b/src/serve/admin.c
@@ -8,6 +8,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 static const struct timeval patience = {5, 0};
 
@@ -49,6 +50,37 @@
            (argc == 1 || (argc == 2 && !strcmp(argv[1], "--json")));
 }
 
+/* Shows how far it is until the controller has ended; 0 then. */
+static int leave(const char *addr, CLIENT **cl)
+{
+    u_int yes = 1;
+    char last[256] = "";
+
+    for (int i = 0; i < 100 && *cl; i++) {
+        struct lmn_reply r = {0};
+        if (clnt_call(*cl, LMN_LEAVE, (xdrproc_t)xdr_u_int, (char *)&yes,
+                      (xdrproc_t)xdr_lmn_reply, (char *)&r, patience) != RPC_SUCCESS)
+            break;
+        /* The seconds change all the time. */
+        const char *what = strstr(r.text, ": ");
+        size_t len = what ? strcspn(what, "e") : 0;
+        if (!what || strncmp(last, what, len))
+            printf("%s", r.text);
+        snprintf(last, sizeof last, "%.*s", (int)len, what ? what : "");
+        fflush(stdout);
+        xdr_free((xdrproc_t)xdr_lmn_reply, (char *)&r);
+        usleep(150000);
+    }
+    clnt_destroy(*cl);
+    *cl = lmn_peer_dial(addr);
+    if (*cl) {
+        fprintf(stderr, "lemonspar: %s: it has not ended\n", addr);
+        return 1;
+    }
+    printf("left\n");
+    return 0;
+}
+
 int lmn_admin_main(const char *addr, int argc, char **argv)
 {
     CLIENT *cl;
@@ -56,15 +88,17 @@
     double value = 0;
     int rc = 2;
 
-    bool ok = (argc == 1 && (!strcmp(argv[0], "status") || !strcmp(argv[0], "get"))) ||
-              (argc == 2 && !strcmp(argv[0], "drain")) || asks_members(argc, argv);
+    static const char *const words[] = {"status", "get", "leave", "join", "balance"};
+    bool ok = (argc == 2 && !strcmp(argv[0], "drain")) || asks_members(argc, argv);
+    for (size_t i = 0; argc == 1 && i < sizeof words / sizeof *words; i++)
+        ok = ok || !strcmp(argv[0], words[i]);
     if (argc == 3 && !strcmp(argv[0], "set")) {
         value = strtod(argv[2], &end);
         ok = end != argv[2] && !*end;
     }
     if (!ok) {
         fprintf(stderr, "usage: lemonspar admin ADDRESS status | members [--json] | get "
-                        "| set NAME VALUE | drain MACHINE\n");
+                        "| set NAME VALUE | drain MACHINE | balance | leave | join\n");
         return 2;
     }
     cl = lmn_peer_dial(addr);
@@ -79,6 +113,13 @@
         rc = show_reply(cl, LMN_MEMBERS, (xdrproc_t)xdr_u_int, &json);
     } else if (!strcmp(argv[0], "get"))
         rc = show_tuning(cl);
+    else if (!strcmp(argv[0], "balance"))
+        rc = show_reply(cl, LMN_BALANCE, nothing, NULL);
+    else if (!strcmp(argv[0], "join")) {
+        u_int no = 0;
+        rc = show_reply(cl, LMN_LEAVE, (xdrproc_t)xdr_u_int, &no);
+    } else if (!strcmp(argv[0], "leave"))
+        rc = leave(addr, &cl);
     else if (!strcmp(argv[0], "set")) {
         struct lmn_set_request q = {argv[1], value};
         rc = show_reply(cl, LMN_TUNING_SET, (xdrproc_t)xdr_lmn_set_request, &q);
@@ -86,6 +127,7 @@
         struct lmn_machine_request q = {argv[1]};
         rc = show_reply(cl, LMN_DRAIN, (xdrproc_t)xdr_lmn_machine_request, &q);
     }
-    clnt_destroy(cl);
+    if (cl)
+        clnt_destroy(cl);
     return rc;
 }
--- a/src/serve/api.c
+++ b/src/serve/api.c
@@ -164,7 +164,7 @@
 {
     pthread_mutex_lock(&c->lock);
     double stale = lmn_staleness(c, lmn_now());
-    bool ready = c->synced && c->types_known &&
+    bool ready = c->synced && c->types_known && !c->leaving &&
                  (stale < LMN_STALE_S || (!c->odd_one && stale < 30));
     pthread_mutex_unlock(&c->lock);
     return ready;
--- /dev/null
+++ b/src/serve/balance.c
@@ -0,0 +1,80 @@
+#include "serve/balance.h"
+#include "own/heir.h"
+#include "own/leave.h"
+#include "standby/stream.h"
+#include "state/core.h"
+
+static const char *name_or_none(const struct lmn_core *c, int rank)
+{
+    return rank < 0 ? "-" : lmn_member_name(&c->members, rank);
+}
+
+/* What is going to happen to it. */
+static void move(const struct lmn_core *c, GString *s, const struct lmn_partition *p,
+                 int owner, int heir, struct timespec now)
+{
+    const struct lmn_members *ms = &c->members;
+    int holder = p->id % ms->n;
+
+    if (owner < 0 || heir >= 0) {
+        g_string_append_printf(s, " move=%s why=\"%s\"", name_or_none(c, heir),
+                               owner < 0 ? "nobody owns it" : "its owner is judged");
+    } else if (owner != holder) {
+        double s_left = lmn_member_back_s(ms, holder, now);
+        const char *why = !ms->v[holder].present       ? "its usual holder is gone"
+                          : ms->v[holder].leaving      ? "its usual holder leaves"
+                          : lmn_member_holds(c, owner) < 2
+                              ? "its owner holds no other"
+                          : lmn_member_holds(c, holder) ? "its usual holder has another"
+                          : s_left > 0                 ? "its usual holder has to stay up"
+                          : lmn_standby_named(c, p, now) != holder
+                              ? "its usual holder is not in step yet"
+                              : "due";
+        g_string_append_printf(s, " move=%s in_s=%.0f why=\"%s\"", name_or_none(c, holder),
+                               s_left, why);
+    }
+}
+
+char *lmn_balance_text(struct lmn_core *c)
+{
+    GString *s = g_string_new(NULL);
+    struct timespec now = lmn_now();
+    int heir[LMN_MAX_PARTS];
+
+    pthread_mutex_lock(&c->lock);
+    lmn_heirs(c, now, heir);
+    for (int i = 0; i < c->nparts; i++) {
+        const struct lmn_partition *p = &c->parts[i];
+        int owner = p->owner_rev ? lmn_member_rank(&c->members, p->owner) : -1;
+        g_string_append_printf(s, "partition %d owner=%s holder=%s standby=%s machines=%u",
+                               i, name_or_none(c, owner),
+                               name_or_none(c, i % c->members.n),
+                               name_or_none(c, lmn_standby_named(c, p, now)), p->list->len);
+        move(c, s, p, owner, heir[i], now);
+        g_string_append_c(s, '\n');
+    }
+    if (c->leaving)
+        lmn_leave_show(c, s, now);
+    pthread_mutex_unlock(&c->lock);
+    return g_string_free(s, FALSE);
+}
+
+int lmn_balance_leave(struct lmn_core *c, bool leave, char **text)
+{
+    GString *s = g_string_new(NULL);
+    struct timespec now = lmn_now();
+    int code = 0;
+
+    pthread_mutex_lock(&c->lock);
+    if (leave)
+        lmn_leave(c, now);
+    else if (!lmn_leave_undo(c))
+        code = 1;
+    if (code)
+        g_string_append(s, "it has given everything away and ends: start it again\n");
+    else
+        lmn_leave_show(c, s, now);
+    pthread_mutex_unlock(&c->lock);
+    *text = g_string_free(s, FALSE);
+    return code;
+}
--- /dev/null
+++ b/src/serve/balance.h
@@ -0,0 +1,14 @@
+/* What is shown of partitions and who holds them. No lock held. */
+#ifndef LMN_BALANCE_H
+#define LMN_BALANCE_H
+
+#include "state/model.h"
+
+/* A line for each partition: its owner, its usual holder, who is in step, and what is going
+ * to move, when, and why not yet. To be freed with g_free. */
+char *lmn_balance_text(struct lmn_core *c);
+/* Leaves, or takes part again; text tells how far that is (g_free). 0, or 1 if it is too
+ * late to take part again. */
+int lmn_balance_leave(struct lmn_core *c, bool leave, char **text);
+
+#endif
--- a/src/serve/members.c
+++ b/src/serve/members.c
@@ -11,6 +11,8 @@
 
     if (!m->present)
         return "gone";
+    if (m->leaving)
+        return "leaving";
     if (m->judged)
         return "judged";
     if (lmn_member_doubted(ms, rank))
@@ -20,16 +22,6 @@
     return lmn_member_back_s(ms, rank, now) > 0 ? "coming-back" : "alive";
 }
 
-static unsigned holds(const struct lmn_core *c, int rank)
-{
-    unsigned n = 0;
-
-    for (int i = 0; i < c->nparts; i++)
-        n += c->parts[i].owner_rev &&
-             lmn_member_rank(&c->members, c->parts[i].owner) == rank;
-    return n;
-}
-
 static json_t *member(const struct lmn_core *c, int rank, struct timespec now)
 {
     const struct lmn_members *ms = &c->members;
@@ -43,7 +35,7 @@
     json_object_set_new(j, "self", json_boolean(rank == ms->me));
     json_object_set_new(j, "standing", json_string(standing(ms, rank, now)));
     json_object_set_new(j, "incarnation", json_integer((json_int_t)m->inc));
-    json_object_set_new(j, "partitions", json_integer(holds(c, rank)));
+    json_object_set_new(j, "partitions", json_integer(lmn_member_holds(c, rank)));
     json_object_set_new(j, "stands_by", lmn_standbys_of(c, rank));
     json_object_set_new(j, "heard_s",
                         m->ever ? json_real(lmn_since(now, m->heard)) : json_null());
--- a/src/serve/peer.c
+++ b/src/serve/peer.c
@@ -9,6 +9,7 @@
 #include "own/gift.h"
 #include "own/partition.h"
 #include "serve/ask.h"
+#include "serve/balance.h"
 #include "serve/dial.h"
 #include "serve/follow.h"
 #include "serve/members.h"
@@ -338,6 +339,24 @@
         g_free(r.text);
         return;
     }
+    case LMN_LEAVE: {
+        u_int leave = 0;
+        if (!svc_getargs(x, (xdrproc_t)xdr_u_int, (char *)&leave)) {
+            svcerr_decode(x);
+            return;
+        }
+        struct lmn_reply r = {0};
+        r.code = lmn_balance_leave(core, leave != 0, &r.text);
+        svc_sendreply(x, (xdrproc_t)xdr_lmn_reply, (char *)&r);
+        g_free(r.text);
+        return;
+    }
+    case LMN_BALANCE: {
+        struct lmn_reply r = {0, lmn_balance_text(core)};
+        svc_sendreply(x, (xdrproc_t)xdr_lmn_reply, (char *)&r);
+        g_free(r.text);
+        return;
+    }
     case LMN_FOLLOW: {
         lmn_xbatch q = {0};
         if (!svc_getargs(x, (xdrproc_t)xdr_lmn_xbatch, (char *)&q)) {
--- a/src/serve/peer_wire.x
+++ b/src/serve/peer_wire.x
@@ -141,5 +141,7 @@
         lmn_xanswer LMN_ASK(lmn_xask) = 9;
         lmn_reply LMN_MEMBERS(unsigned) = 10;  /* 1: as JSON */
         unsigned LMN_FOLLOW(lmn_xbatch) = 11;  /* 0: taken, 1: unknown, 2: refused */
+        lmn_reply LMN_LEAVE(unsigned) = 12;    /* 0: take part again, 1: leave */
+        lmn_reply LMN_BALANCE(void) = 13;
     } = 1;
 } = 0x2c0a5b41;
--- a/src/serve/server.c
+++ b/src/serve/server.c
@@ -44,6 +44,10 @@
 {
     const struct lmn_core *c = arg;
 
+    /* Who comes again is to come to another. Read without the lock, which an answer need
+     * not wait for: one more connection stands, or one fewer. */
+    if (__atomic_load_n(&c->leaving, __ATOMIC_RELAXED))
+        return false;
     return lmn_socket_stands(&c->sockets, open, (enum lmn_socket_kind)kind);
 }
 
--- a/src/serve/service.c
+++ b/src/serve/service.c
@@ -11,6 +11,7 @@
 #include "own/flush.h"
 #include "own/owner.h"
 #include "own/holder.h"
+#include "own/leave.h"
 #include "own/upkeep.h"
 #include "own/worker.h"
 #include "serve/api.h"
@@ -25,12 +26,25 @@
 #include <curl/curl.h>
 #include <malloc.h>
 #include <signal.h>
+#include <unistd.h>
 
 static const double TICK_S = 0.15;
 
+/* Asked to end, a controller leaves; asked again, it ends at once. */
+static volatile sig_atomic_t asked_to_end;
+
+static void on_term(int sig)
+{
+    (void)sig;
+    asked_to_end++;
+}
+
 int lmn_service_run(const struct lmn_settings *cfg)
 {
+    struct sigaction end = {.sa_handler = on_term};
+
     signal(SIGPIPE, SIG_IGN);
+    sigaction(SIGTERM, &end, NULL);
     /* Few arenas: memory is scarce, and so are the threads that allocate at once. */
     mallopt(M_ARENA_MAX, 2);
     lmn_log_init(cfg->node);
@@ -75,6 +89,14 @@
         pthread_mutex_lock(&core->lock);
         /* With the lock, so that waiting for it counts as being late. */
         struct timespec now = lmn_now();
+        if (asked_to_end)
+            lmn_leave(core, now);
+        if (asked_to_end > 1 || lmn_leave_over(core, now)) {
+            lmn_info("leave-end after=%.2f given=%d", lmn_since(now, core->leave_at),
+                     core->left);
+            /* Nothing is to be cleared away, and the other threads go on until then. */
+            _exit(core->left ? 0 : 1);
+        }
         double since = lmn_since(now, last);
         lmn_load_note(&core->load, since - TICK_S, since);
         lmn_members_tick(&core->members, since - TICK_S, now);
--- a/src/standby/copy.c
+++ b/src/standby/copy.c
@@ -43,8 +43,9 @@
         return LMN_COPY_REFUSED;
     struct lmn_partition *p = &c->parts[b->part];
     struct lmn_copy *copy = p->copy;
-    /* Whoever owned it before the term that the mirror shows has been replaced. */
-    if (p->mine || b->term < p->term)
+    /* Whoever owned it before the term that the mirror shows has been replaced. One that
+     * is about to end follows nobody. */
+    if (p->mine || b->term < p->term || c->leaving)
         return LMN_COPY_REFUSED;
     if (copy && b->term == copy->term && b->stream == copy->stream &&
         b->number <= copy->number) {
--- a/src/state/core.c
+++ b/src/state/core.c
@@ -116,6 +116,16 @@
     g_free(c);
 }
 
+unsigned lmn_member_holds(const struct lmn_core *c, int rank)
+{
+    unsigned n = 0;
+
+    for (int i = 0; i < c->nparts; i++)
+        n += c->parts[i].owner_rev &&
+             !strcmp(c->parts[i].owner, lmn_member_name(&c->members, rank));
+    return n;
+}
+
 const struct lmn_type *lmn_type_named(const struct lmn_core *c, const char *name)
 {
     for (size_t i = 0; i < c->types.n; i++)
--- a/src/state/core.h
+++ b/src/state/core.h
@@ -13,6 +13,8 @@
 void lmn_core_free(struct lmn_core *c);
 
 /* NULL: the cloud has not named it yet. */
+/* How many partitions the member owns, as the mirror shows. */
+unsigned lmn_member_holds(const struct lmn_core *c, int rank);
 const struct lmn_type *lmn_type_named(const struct lmn_core *c, const char *name);
 
 /* Seconds by which the mirror may be behind; beyond LMN_BLIND_S a node touches no machine
--- a/src/state/mirror.c
+++ b/src/state/mirror.c
@@ -189,7 +189,8 @@
 {
     int from = *p->owner ? lmn_member_rank(&c->members, p->owner) : -1;
 
-    if (from < 0 || !strcmp(p->owner, to) ||
+    /* Nor has one that gives its partitions away since it is asked to end. */
+    if (from < 0 || !strcmp(p->owner, to) || c->members.v[from].leaving ||
         (*to && lmn_member_rank(&c->members, to) == p->id % c->members.n))
         return;
     lmn_member_strike(&c->members, from, now);
@@ -242,10 +243,11 @@
     pthread_cond_broadcast(&c->changed);
 }
 
-static void apply_node(struct lmn_core *c, const char *name, const struct lmn_node *v,
-                       uint64_t rev, struct timespec now)
+static void apply_node(struct lmn_core *c, const char *name, const struct lmn_doc *d,
+                       const struct lmn_node *v, uint64_t rev, struct timespec now)
 {
     int rank = lmn_member_rank(&c->members, name);
+    bool leaving = false;
     uint64_t lease = 0;
 
     if (rank < 0)
@@ -255,8 +257,16 @@
     if (m->rev >= rev)
         return;
     m->rev = rev;
-    if (v)
+    /* Its lease; or, with that, that it is about to end. */
+    if (v && v->type == LMN_MAP) {
+        lmn_count(lmn_get(d, v, "lease"), &lease);
+        lmn_truth(lmn_get(d, v, "leaving"), &leaving);
+    } else if (v) {
         lmn_count(v, &lease);
+    }
+    if (leaving && !m->leaving)
+        lmn_info("member-leaving member=%s incarnation=%" G_GUINT64_FORMAT, name, rev);
+    m->leaving = leaving;
     if (v && lmn_member_doubted(&c->members, rank))
         lmn_info("member-refute member=%s incarnation=%" G_GUINT64_FORMAT
                  " was=%" G_GUINT64_FORMAT,
@@ -324,7 +334,7 @@
         return;
     }
     if (key[0] == 'n') {
-        apply_node(c, key + 2, v, rev, now);
+        apply_node(c, key + 2, d, v, rev, now);
         return;
     }
     if (key[0] == 'u') {
--- a/src/state/model.h
+++ b/src/state/model.h
@@ -361,6 +361,10 @@
     double triaged; /* the time of day at the last triage */
     bool synced;
     bool odd_one; /* the mirror stands still, and only here, as far as known */
+    bool leaving; /* it gives its partitions away, and ends (own/leave.h) */
+    bool left;    /* it has none, and no lease any more */
+    bool recorded; /* that it leaves: its record says so */
+    struct timespec leave_at, left_at;
     uint32_t gen;
     struct timespec fresh; /* the mirror is no older than this */
     struct timespec booted, synced_at, audited;
--- /dev/null
+++ b/tests/test_heir.c
@@ -0,0 +1,212 @@
+/* Who inherits: generated members and partitions, with some of them gone. */
+#include "base/log.h"
+#include "own/heir.h"
+#include "own/leave.h"
+#include "own/owner.h"
+#include "state/books.h"
+#include "state/core.h"
+#include "state/mirror.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+#include <string.h>
+
+static struct timespec now = {1000, 0};
+
+static void put(struct lmn_core *c, const char *key, GByteArray *v, uint64_t rev)
+{
+    struct lmn_doc d;
+
+    assert_int_equal(lmn_doc_parse(&d, v->data, v->len), 0);
+    lmn_mirror_apply(c, key, &d, lmn_root(&d), rev, now);
+    lmn_doc_free(&d);
+    g_byte_array_unref(v);
+}
+
+/* A node's view of n members that are all up, each with its partition. */
+static struct lmn_core *view(struct lmn_settings *cfg, int n, int me, const bool *gone,
+                             const bool *leaving)
+{
+    char key[32];
+
+    memset(cfg, 0, sizeof *cfg);
+    g_snprintf(cfg->node, LMN_NAME, "n%02d", me);
+    for (int k = 0; k < n; k++)
+        if (k != me)
+            g_snprintf(cfg->members[cfg->nmembers++].name, LMN_NAME, "n%02d", k);
+    cfg->partitions = n;
+    cfg->report_s = 1;
+    cfg->lease_s = 8;
+    cfg->cancel_s = 30;
+    cfg->state_rps = cfg->state_write_rps = 1e6;
+    cfg->value_kb = 16;
+    cfg->txn_ops = 12;
+    struct lmn_core *c = lmn_core_new(cfg, lmn_state_new(cfg), 1);
+    lmn_members_fresh(&c->members, now);
+    lmn_members_tick(&c->members, 0, now);
+    c->members.synced = lmn_after(now, -100);
+    c->synced = true;
+    c->fresh = now;
+    for (int k = 0; k < n; k++) {
+        struct lmn_word well = {0, 0, 0};
+        GByteArray *v = g_byte_array_new();
+        if (gone[k])
+            continue;
+        lmn_put_map(v, 2);
+        lmn_put_text(v, "lease"), lmn_put_count(v, 100 + (uint64_t)k);
+        lmn_put_text(v, "leaving"), lmn_put_truth(v, leaving[k]);
+        g_snprintf(key, sizeof key, "n/n%02d", k);
+        put(c, key, v, 10 + (uint64_t)k);
+        if (k != me)
+            lmn_member_answered(&c->members, k, &well, now, now);
+    }
+    for (int k = 0; k < n; k++) {
+        GByteArray *v = g_byte_array_new();
+        char name[LMN_NAME];
+        if (gone[k]) {
+            g_byte_array_unref(v);
+            continue;
+        }
+        g_snprintf(name, sizeof name, "n%02d", k);
+        lmn_put_map(v, 4);
+        lmn_put_text(v, "node"), lmn_put_text(v, name);
+        lmn_put_text(v, "lease"), lmn_put_count(v, 100 + (uint64_t)k);
+        lmn_put_text(v, "term"), lmn_put_count(v, 1);
+        lmn_put_text(v, "stream"), lmn_put_count(v, 0);
+        g_snprintf(key, sizeof key, "o/%d", k);
+        put(c, key, v, 50 + (uint64_t)k);
+    }
+    return c;
+}
+
+static void drop(struct lmn_core *c)
+{
+    struct lmn_state *s = c->state;
+
+    lmn_core_free(c);
+    lmn_state_free(s);
+}
+
+/* Whoever is gone: all that are left agree; each orphan has an heir that is up and stays;
+ * and nobody gets more than his share of as many. */
+static void orphans_are_spread(void **state)
+{
+    static const int sizes[][2] = {{3, 1}, {3, 2}, {9, 3}, {9, 8}, {15, 7}, {33, 16}};
+    GRand *r = g_rand_new_with_seed(3);
+    (void)state;
+
+    for (guint s = 0; s < G_N_ELEMENTS(sizes); s++)
+        for (int day = 0; day < 12; day++) {
+            int n = sizes[s][0], dead = sizes[s][1], heir[2][LMN_MAX_PARTS];
+            bool gone[LMN_MAX_PARTS] = {0}, leaving[LMN_MAX_PARTS] = {0};
+            int got[LMN_MAX_PARTS] = {0}, up[LMN_MAX_PARTS], ups = 0, stay = n - dead;
+            static struct lmn_settings cfg[2];
+            for (int left = dead; left > 0;) {
+                int k = g_rand_int_range(r, 0, n);
+                left -= !gone[k];
+                gone[k] = true;
+            }
+            for (int k = 0; k < n; k++)
+                if (!gone[k])
+                    up[ups++] = k;
+            if (ups > 2 && day % 3 == 0) {
+                leaving[up[0]] = true;
+                stay--;
+            }
+            for (int v = 0; v < 2; v++) {
+                struct lmn_core *c = view(&cfg[v], n, up[v ? ups - 1 : ups / 2], gone,
+                                          leaving);
+                lmn_heirs(c, now, heir[v]);
+                drop(c);
+            }
+            for (int k = 0; k < n; k++) {
+                assert_int_equal(heir[0][k], heir[1][k]);
+                if (!gone[k]) {
+                    assert_int_equal(heir[0][k], -1);
+                    continue;
+                }
+                assert_true(heir[0][k] >= 0 && !gone[heir[0][k]] && !leaving[heir[0][k]]);
+                got[heir[0][k]]++;
+            }
+            for (int k = 0; k < n; k++)
+                assert_true(got[k] <= (dead + stay - 1) / stay);
+        }
+    g_rand_free(r);
+}
+
+/* Who is in step with the last owner goes before all that have less. */
+static void who_is_in_step_inherits(void **state)
+{
+    bool gone[5] = {false, true}, leaving[5] = {0};
+    int heir[LMN_MAX_PARTS];
+    static struct lmn_settings cfg;
+    struct lmn_core *c = view(&cfg, 5, 0, gone, leaving);
+    GByteArray *v = g_byte_array_new(), *t = g_byte_array_new();
+    (void)state;
+
+    lmn_put_count(t, 1);
+    put(c, "t/1", t, 90);
+    lmn_heirs(c, now, heir);
+    assert_int_equal(heir[1], 2);
+    lmn_put_map(v, 4);
+    lmn_put_text(v, "node"), lmn_put_text(v, "n04");
+    lmn_put_text(v, "lease"), lmn_put_count(v, 104);
+    lmn_put_text(v, "stream"), lmn_put_count(v, 7);
+    lmn_put_text(v, "term"), lmn_put_count(v, 1);
+    put(c, "b/1", v, 91);
+    lmn_heirs(c, now, heir);
+    assert_int_equal(heir[1], 4);
+    /* Not with another lease: that is another life, which has no copy. */
+    c->members.v[4].lease = 999;
+    lmn_heirs(c, now, heir);
+    assert_int_equal(heir[1], 2);
+    drop(c);
+}
+
+/* One that leaves claims nothing, gives what it has, and may change its mind until all is
+ * given; with nobody to give to it ends all the same, after a while. */
+static void leaving_gives_everything(void **state)
+{
+    bool gone[3] = {0}, leaving[3] = {0};
+    static struct lmn_settings cfg;
+    struct lmn_core *c = view(&cfg, 3, 0, gone, leaving);
+    struct lmn_partition *p = &c->parts[0];
+    (void)state;
+
+    c->lease = 100;
+    lmn_mirror_settle(c, now);
+    assert_true(p->mine);
+    lmn_leave(c, now);
+    assert_false(lmn_leave_bare(c) || lmn_leave_over(c, now));
+    /* Nobody is in step: for 2 s it waits for somebody. */
+    assert_int_equal(lmn_leave_heir(c, p, now), -1);
+    assert_int_equal(lmn_leave_heir(c, p, lmn_after(now, 2.1)), 1);
+    assert_true(lmn_leave_undo(c));
+    assert_false(c->leaving);
+    lmn_leave(c, now);
+    c->owner->partition_lose(c, p, "given");
+    p->owner[0] = '\0';
+    p->owner_rev = 0;
+    assert_true(lmn_leave_bare(c));
+    c->left = true;
+    assert_false(lmn_leave_undo(c));
+    assert_false(lmn_leave_over(c, lmn_after(now, 5.9)));
+    assert_true(lmn_leave_over(c, lmn_after(now, 6.1)));
+    c->left = false;
+    assert_false(lmn_leave_over(c, lmn_after(now, 9.9)));
+    assert_true(lmn_leave_over(c, lmn_after(now, 10.1)));
+    drop(c);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(orphans_are_spread),
+        cmocka_unit_test(who_is_in_step_inherits),
+        cmocka_unit_test(leaving_gives_everything),
+    };
+    lmn_log_level = LMN_LOG_ERROR;
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_model.c
+++ b/tests/test_model.c
@@ -18,6 +18,7 @@
 #include "own/flush.h"
 #include "own/gift.h"
 #include "own/holder.h"
+#include "own/leave.h"
 #include "own/owner.h"
 #include "own/partition.h"
 #include "own/range.h"
@@ -173,7 +174,7 @@
     unsigned broke[RULES];
     unsigned starts, finished, takeovers, steals, preempted;
     unsigned verdicts, refutations, gives;
-    unsigned warm, compared, withheld;
+    unsigned warm, compared, withheld, leaves;
     bool standbys;
     bool flapping; /* members fail again and again */
     bool calm;     /* no trouble begins any more */
@@ -730,6 +731,39 @@
     }
 }
 
+/* Asked to end, it says so, gives everything away, lets its lease go and ends; true then.
+ */
+static bool node_leave(struct node *n)
+{
+    struct lmn_core *c = n->core;
+    char key[32];
+
+    if (!c->leaving)
+        return false;
+    if (!c->recorded && n->lease) {
+        GByteArray *v = g_byte_array_new();
+        lmn_put_map(v, 2);
+        lmn_put_text(v, "lease"), lmn_put_count(v, n->lease);
+        lmn_put_text(v, "leaving"), lmn_put_truth(v, true);
+        w.rev++;
+        g_snprintf(key, sizeof key, "n/%s", n->cfg.node);
+        put(key, v, n->lease);
+        g_byte_array_unref(v);
+        c->recorded = true;
+    }
+    bool bare = lmn_leave_bare(c);
+    if (!bare && !lmn_leave_over(c, w.clock))
+        return false;
+    for (guint i = 0; bare && i < w.leases->len; i++)
+        if (g_array_index(w.leases, struct holder, i).id == n->lease)
+            g_array_index(w.leases, struct holder, i).until = w.now;
+    w.leaves += bare;
+    w.warm += (unsigned)c->count.warm;
+    n->core = NULL;
+    n->down_until = w.now + g_rand_double_range(w.r, 0.2, 6);
+    return true;
+}
+
 static void node_write(struct node *n)
 {
     struct lmn_txn *t;
@@ -1083,6 +1117,10 @@
     node_ask(n, i);
     if (!cut && n->core->synced)
         node_hold(n);
+    if (w.standbys && trouble(0.0015))
+        lmn_leave(n->core, w.clock);
+    if (!cut && node_leave(n))
+        return;
     if (w.broken)
         break_guards(n);
     double wall = w.now;
@@ -1412,7 +1450,7 @@
 {
     static const int nodes[] = {2, 3, 5, 9, 17, MOST_NODES};
     unsigned verdicts = 0, refutations = 0, gives = 0;
-    unsigned warm = 0, compared = 0, withheld = 0;
+    unsigned warm = 0, compared = 0, withheld = 0, leaves = 0;
     (void)state;
 
     for (uint32_t k = 0; k < G_N_ELEMENTS(nodes); k++) {
@@ -1434,6 +1472,7 @@
             warm += w.warm;
             compared += w.compared;
             withheld += w.withheld;
+            leaves += w.leaves;
             all_is_well();
             for (int i = 0; i < RULES; i++)
                 if (w.broke[i])
@@ -1448,8 +1487,9 @@
     assert_true(verdicts > 300);
     assert_true(refutations > 300);
     assert_true(gives > 30);
-    print_message("%u warm takeovers, %u copies compared, %u starts taken back\n", warm,
-                  compared, withheld);
+    print_message("%u warm takeovers, %u copies compared, %u starts taken back, %u left\n",
+                  warm, compared, withheld, leaves);
+    assert_true(leaves > 100);
     assert_true(warm > 100);
     assert_true(compared > 10000);
     assert_true(withheld > 0);
