--- a/src/own/holder.c
+++ b/src/own/holder.c
@@ -57,6 +57,7 @@
             h->renewed = sent;
             pthread_mutex_lock(&c->lock);
             c->lease = h->lease;
+            c->leased = lmn_now();
             pthread_mutex_unlock(&c->lock);
             lmn_info("lease-new lease=%" G_GUINT64_FORMAT, h->lease);
         }
--- a/src/own/partition.c
+++ b/src/own/partition.c
@@ -217,6 +217,9 @@
     return -1;
 }
 
+/* A process that starts, or gets a new lease, takes only its own for so long. */
+static const double FIRST_S = 3;
+
 bool lmn_partition_wanted(const struct lmn_core *c, const struct lmn_partition *p,
                           struct timespec now)
 {
@@ -239,7 +242,9 @@
         if (named < 0 || named == ms->me)
             return true;
     }
-    if (lmn_since(now, c->synced_at) < 3.0)
+    /* Whoever is just back may be the first of many: after a cut of all controllers' zone
+     * one took every partition, cold, 0.3 s before the others had their leases. */
+    if (lmn_since(now, c->synced_at) < FIRST_S || lmn_since(now, c->leased) < FIRST_S)
         return false;
     lmn_heirs(c, now, heir);
     if (heir[p->id] == ms->me)
--- a/src/state/model.h
+++ b/src/state/model.h
@@ -370,6 +370,7 @@
     struct timespec booted, synced_at, audited;
     struct timespec next_reach; /* when a node that hears no workers may ask one */
     uint64_t lease;             /* ours, 0: none */
+    struct timespec leased;     /* when we last got one */
 
     uint64_t quota_rev[LMN_MAX_TEAMS]; /* of the teams' records of parts; 0: none */
     bool quota_known[LMN_MAX_TEAMS];   /* there is a record, and of this limit */
