A floor for each class and team, and what of each class runs

Change: src/decide/floor.c: whoever has work waiting and less than a quarter of an even part of the processors in use goes before all but guaranteed work and production. Status and metrics by class.

--- /dev/null
+++ b/src/decide/floor.c
@@ -0,0 +1,109 @@
+#include "decide/floor.h"
+
+/* Of an even part. */
+static const double PART = 0.25;
+
+bool lmn_floor_owed(const struct lmn_floor *f, double all_used, unsigned kinds)
+{
+    return kinds > 1 && f->waiting > 0 && f->used < PART * all_used / kinds;
+}
+
+static struct lmn_floor *find(GArray *v, const void *of)
+{
+    struct lmn_floor new = {.of = of};
+
+    for (guint i = 0; i < v->len; i++) {
+        struct lmn_floor *f = &g_array_index(v, struct lmn_floor, i);
+        if (f->of == of)
+            return f;
+    }
+    g_array_append_val(v, new);
+    return &g_array_index(v, struct lmn_floor, v->len - 1);
+}
+
+static void count(struct lmn_floor *f, const struct lmn_range *r)
+{
+    uint32_t waiting = r->hi - r->lo - MIN(r->nfinished + r->nstarted, r->hi - r->lo);
+
+    f->used += r->nstarted * r->job->spec.cpus;
+    f->waiting += waiting * r->job->spec.cpus;
+}
+
+static void add_up(const struct lmn_core *c, GArray *classes, GArray *teams)
+{
+    for (int i = 0; i < c->nparts; i++) {
+        const struct lmn_partition *p = &c->parts[i];
+        GHashTableIter it;
+        gpointer v;
+        if (!p->mine)
+            continue;
+        g_hash_table_iter_init(&it, p->ranges);
+        while (g_hash_table_iter_next(&it, NULL, &v)) {
+            const struct lmn_range *r = v;
+            if (r->job->phase != LMN_ACTIVE || !r->st)
+                continue;
+            if (classes)
+                count(find(classes, r->job->cls), r);
+            if (teams && r->job->team >= 0)
+                count(find(teams, &c->cfg->teams[r->job->team]), r);
+        }
+    }
+}
+
+GArray *lmn_floor_classes(const struct lmn_core *c)
+{
+    GArray *classes = g_array_new(FALSE, FALSE, sizeof(struct lmn_floor));
+
+    add_up(c, classes, NULL);
+    return classes;
+}
+
+/* Keeps those that are owed; returns whether there are any. */
+static bool keep_owed(GArray *v)
+{
+    double used = 0;
+    unsigned kinds = 0;
+
+    for (guint i = 0; i < v->len; i++) {
+        const struct lmn_floor *f = &g_array_index(v, struct lmn_floor, i);
+        used += f->used;
+        kinds += f->waiting > 0;
+    }
+    for (guint i = v->len; i-- > 0;)
+        if (!lmn_floor_owed(&g_array_index(v, struct lmn_floor, i), used, kinds))
+            g_array_remove_index_fast(v, i);
+    return v->len > 0;
+}
+
+static bool among(const GArray *v, const void *of)
+{
+    for (guint i = 0; i < v->len; i++)
+        if (g_array_index(v, struct lmn_floor, i).of == of)
+            return true;
+    return false;
+}
+
+void lmn_floors(struct lmn_core *c)
+{
+    GArray *classes = g_array_new(FALSE, FALSE, sizeof(struct lmn_floor));
+    GArray *teams = g_array_new(FALSE, FALSE, sizeof(struct lmn_floor));
+
+    add_up(c, classes, teams);
+    bool any = keep_owed(classes);
+    any = keep_owed(teams) || any;
+    for (int i = 0; i < c->nparts && (any || c->owing); i++) {
+        GHashTableIter it;
+        gpointer v;
+        if (!c->parts[i].mine)
+            continue;
+        g_hash_table_iter_init(&it, c->parts[i].ranges);
+        while (g_hash_table_iter_next(&it, NULL, &v)) {
+            struct lmn_job *j = ((struct lmn_range *)v)->job;
+            j->owed = among(classes, j->cls) ||
+                      (j->team >= 0 && among(teams, &c->cfg->teams[j->team]));
+        }
+    }
+    c->owing = any;
+    g_array_free(classes, TRUE);
+    g_array_free(teams, TRUE);
+}
--- /dev/null
+++ b/src/decide/floor.h
@@ -0,0 +1,27 @@
+/* A floor for each class of jobs and each team: while room is short for long, the order by
+ * urgency and by what can still be in time would leave the lesser with nothing. The core's
+ * lock is held. */
+#ifndef LMN_FLOOR_H
+#define LMN_FLOOR_H
+
+#include "state/model.h"
+
+/* A class, or a team, over this node's partitions; processors. */
+struct lmn_floor {
+    const void *of;
+    double used;    /* by its tasks that were started */
+    double waiting; /* asked for by those that were not */
+};
+
+/* Whether it is owed room: it has work waiting, and its tasks have less than a quarter of
+ * an even part of all processors in use, even over those that have work waiting. Pure. */
+bool lmn_floor_owed(const struct lmn_floor *f, double all_used, unsigned kinds);
+
+/* Marks the jobs that are owed room by their class or their team. */
+void lmn_floors(struct lmn_core *c);
+
+/* What of each class this node's partitions have: an array of struct lmn_floor, `of` the
+ * class's name; to be freed. */
+GArray *lmn_floor_classes(const struct lmn_core *c);
+
+#endif
--- a/src/decide/order.c
+++ b/src/decide/order.c
@@ -1,5 +1,6 @@
 /* Which job goes first, and which should yield when not all can be in time. */
 #include "decide/order.h"
+#include "decide/floor.h"
 
 #include <math.h>
 #include <string.h>
@@ -162,8 +163,10 @@
     bool due = wall < c->triaged || wall - c->triaged > TRIAGE_S;
 
     c->wall = wall;
-    if (due)
+    if (due) {
         c->triaged = wall;
+        lmn_floors(c);
+    }
     for (int i = 0; i < c->nparts; i++) {
         struct lmn_partition *p = &c->parts[i];
         if (!p->mine)
@@ -176,11 +179,20 @@
     }
 }
 
+/* A class or team that has less than its floor goes before all but production: with more
+ * work than room for long, the rest of the order leaves it nothing. */
+static int group(const struct lmn_job *j)
+{
+    return j->spec.urgency == LMN_PROD && !j->lost ? 0 : j->owed ? 1 : 2;
+}
+
 int lmn_job_order(const struct lmn_job *a, const struct lmn_job *b)
 {
     /* A team need not wait for others as long as its work fits into its guarantee. */
     if (a->guaranteed != b->guaranteed)
         return a->guaranteed ? -1 : 1;
+    if (group(a) != group(b))
+        return group(a) - group(b);
     /* What can't be in time any more yields to what still can. */
     if (a->lost != b->lost)
         return a->lost ? 1 : -1;
--- a/src/decide/queue.c
+++ b/src/decide/queue.c
@@ -354,8 +354,8 @@
 static int order_on(const struct lmn_core *c, const struct lmn_machine *m,
                     struct lmn_job *a, struct lmn_job *b, struct timespec now)
 {
-    if (a->guaranteed == b->guaranteed && a->lost == b->lost && a->yields == b->yields &&
-        a->spec.urgency == b->spec.urgency) {
+    if (a->guaranteed == b->guaranteed && a->owed == b->owed && a->lost == b->lost &&
+        a->yields == b->yields && a->spec.urgency == b->spec.urgency) {
         double x = (a->lost ? 0 : a->latest) + FETCH_WEIGHT * fetch_now(c, m, a, now);
         double y = (b->lost ? 0 : b->latest) + FETCH_WEIGHT * fetch_now(c, m, b, now);
         if (x != y)
--- a/src/serve/metrics.c
+++ b/src/serve/metrics.c
@@ -1,6 +1,7 @@
 #include "serve/metrics.h"
 #include "base/httpd.h"
 #include "base/metrics.h"
+#include "decide/floor.h"
 #include "serve/members.h"
 #include "serve/standbys.h"
 #include "state/core.h"
@@ -121,6 +122,20 @@
                   &c->accepting);
     lmn_quantiles(out, "lemonspar_starting_seconds",
                   "From a job's acceptance to a task's start", &c->starting);
+    GArray *classes = lmn_floor_classes(c);
+    lmn_metric_head(out, "lemonspar_class_cpus", "gauge",
+                    "Processors that the tasks of a class use here");
+    for (guint i = 0; i < classes->len; i++)
+        lmn_metric_sample(out, "lemonspar_class_cpus", "class",
+                          g_array_index(classes, struct lmn_floor, i).of,
+                          g_array_index(classes, struct lmn_floor, i).used);
+    lmn_metric_head(out, "lemonspar_class_waiting_cpus", "gauge",
+                    "Processors that its tasks that were not started ask for");
+    for (guint i = 0; i < classes->len; i++)
+        lmn_metric_sample(out, "lemonspar_class_waiting_cpus", "class",
+                          g_array_index(classes, struct lmn_floor, i).of,
+                          g_array_index(classes, struct lmn_floor, i).waiting);
+    g_array_free(classes, TRUE);
     lmn_members_metrics(c, out);
     lmn_standbys_metrics(c, out, lmn_now());
     pthread_mutex_unlock(&c->lock);
--- a/src/serve/peer.c
+++ b/src/serve/peer.c
@@ -2,6 +2,7 @@
 #include "base/httpd.h"
 #include "base/log.h"
 #include "base/thread.h"
+#include "decide/floor.h"
 #include "decide/queue.h"
 #include "decide/quota.h"
 #include "decide/steal.h"
@@ -66,6 +67,27 @@
     }
 }
 
+/* What of each class runs here, and what waits; the floor is what it goes first below. */
+static void show_classes(GString *s)
+{
+    GArray *v = lmn_floor_classes(core);
+    double used = 0;
+    unsigned kinds = 0;
+
+    for (guint i = 0; i < v->len; i++) {
+        const struct lmn_floor *f = &g_array_index(v, struct lmn_floor, i);
+        used += f->used;
+        kinds += f->waiting > 0;
+    }
+    for (guint i = 0; i < v->len; i++) {
+        const struct lmn_floor *f = &g_array_index(v, struct lmn_floor, i);
+        g_string_append_printf(s, "class %s cpus=%.1f waiting=%.1f owed=%d\n",
+                               (const char *)f->of, f->used, f->waiting,
+                               lmn_floor_owed(f, used, kinds));
+    }
+    g_array_free(v, TRUE);
+}
+
 static void show_latency(GString *s, const char *what, const struct lmn_latency *l)
 {
     g_string_append_printf(s, "latency %s p50=%.4f p95=%.4f p99=%.4f max=%.4f\n", what,
@@ -99,6 +121,7 @@
                            g_hash_table_size(core->jobs));
     for (int i = 0; i < core->nparts; i++)
         show_partition(s, &core->parts[i], core->cfg);
+    show_classes(s);
     const struct lmn_counters *n = &core->count;
     g_string_append_printf(
         s,
--- a/src/state/mirror.c
+++ b/src/state/mirror.c
@@ -89,6 +89,7 @@
         j->at = at;
         j->ranges = g_ptr_array_new();
         j->image = g_intern_string(j->spec.image);
+        j->cls = g_intern_string(j->spec.class_name);
         j->team = team_index(c->cfg, j->spec.team);
         g_hash_table_insert(c->jobs, j->spec.ref, j);
         lmn_debug("job-known job=%s class=%s tasks=%u cpus=%.1f estimate=%.1f "
--- a/src/state/model.h
+++ b/src/state/model.h
@@ -32,6 +32,8 @@
     uint32_t gen;
     GPtrArray *ranges;
     const char *image; /* interned: looked for on every machine, at every deal */
+    const char *cls;   /* its class, interned */
+    bool owed;         /* its class or team has less than its floor (decide/floor.h) */
     int team;          /* index in the settings, -1 if it has left them */
     uint64_t closing;  /* revision on which a close of ours is under way */
     /* when its next task has to start, by the time of day, for the next expectation that
@@ -359,6 +361,7 @@
     struct lmn_members members;
     double wall;    /* the time of day at the last tick */
     double triaged; /* the time of day at the last triage */
+    bool owing;     /* some class or team was owed room then */
     bool synced;
     bool odd_one; /* the mirror stands still, and only here, as far as known */
     bool leaving; /* it gives its partitions away, and ends (own/leave.h) */
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -3,6 +3,7 @@
 #include "base/codec.h"
 #include "base/job.h"
 #include "base/settings.h"
+#include "decide/floor.h"
 #include "decide/order.h"
 #include "decide/pack.h"
 #include "decide/preempt.h"
@@ -181,6 +182,11 @@
 {
     (void)state;
     make(77);
+    for (int a = 0; a < JOBS; a++) {
+        jobs[a].owed = a % 3 == 1;
+        jobs[a].lost = a % 4 == 2;
+        jobs[a].guaranteed = a % 5 == 0;
+    }
     for (int a = 0; a < JOBS; a++)
         for (int b = 0; b < JOBS; b++) {
             int ab = lmn_job_order(&jobs[a], &jobs[b]), ba = lmn_job_order(&jobs[b], &jobs[a]);
@@ -192,6 +198,43 @@
         }
 }
 
+/* A quarter of an even part of what is in use, over those with work waiting. */
+static void floors(void **state)
+{
+    struct lmn_floor f = {.used = 12, .waiting = 1};
+    (void)state;
+
+    assert_true(lmn_floor_owed(&f, 100, 2));  /* of 12.5 */
+    assert_false(lmn_floor_owed(&f, 100, 3)); /* of 8.3 */
+    assert_false(lmn_floor_owed(&f, 100, 1)); /* nobody else waits */
+    f.used = 13;
+    assert_false(lmn_floor_owed(&f, 100, 2));
+    f.used = 0;
+    assert_true(lmn_floor_owed(&f, 1, 50));
+    f.waiting = 0;
+    assert_false(lmn_floor_owed(&f, 100, 2));
+}
+
+/* Twenty tasks of an urgent class came before one of a lesser one, and more come with each
+ * that ends: without the floor the lesser would never start. */
+static void the_lesser_class_gets_its_floor(void **state)
+{
+    struct lmn_job high = {.spec = {.urgency = LMN_HIGH}, .latest = 10},
+                   low = {.spec = {.urgency = LMN_NORMAL}, .lost = true};
+    struct lmn_job prod = {.spec = {.urgency = LMN_PROD}, .latest = 99};
+    (void)state;
+
+    g_strlcpy(high.spec.ref, "run-000001", LMN_REF);
+    g_strlcpy(low.spec.ref, "run-000002", LMN_REF);
+    g_strlcpy(prod.spec.ref, "run-000003", LMN_REF);
+    assert_true(lmn_job_order(&high, &low) < 0);
+    low.owed = true;
+    assert_true(lmn_job_order(&low, &high) < 0);
+    assert_true(lmn_job_order(&prod, &low) < 0);
+    high.guaranteed = true;
+    assert_true(lmn_job_order(&high, &low) < 0);
+}
+
 /* What can be in time goes before what can't, whatever the urgency; and a job's next expectation
  * takes the place of one that is past. */
 static void expectations(void **state)
@@ -752,6 +795,8 @@
         cmocka_unit_test(guarantee_is_kept),
         cmocka_unit_test(never_loses_or_doubles_a_task),
         cmocka_unit_test(order_is_total),
+        cmocka_unit_test(floors),
+        cmocka_unit_test(the_lesser_class_gets_its_floor),
         cmocka_unit_test(expectations),
         cmocka_unit_test(interval_doubles),
         cmocka_unit_test(xdr),
