--- a/bench/failover.c
+++ b/bench/failover.c
@@ -479,7 +479,7 @@
 static bool set_standby(bool on)
 {
     for (int i = 0; i < nodes; i++) {
-        const char *const args[] = {"lemonspar", "admin",         site.peers[i], "set",
+        const char *const args[] = {"lemonspar", "admin",        site.peers[i], "set",
                                     "standby",   on ? "1" : "0", NULL};
         if (bench_run(args) == 0)
             return true;
@@ -526,9 +526,8 @@
     start(controller(node));
     ready(site.users[node], 20);
     printf("%s: owned after %.2f s, ready %.2f s, first start %.2f s%s\n",
-           warm ? "warm" : "cold", own,
-           first(then, "partition-ready", partition, node), went,
-           how < 0 ? " (the other way)" : "");
+           warm ? "warm" : "cold", own, first(then, "partition-ready", partition, node),
+           went, how < 0 ? " (the other way)" : "");
     if (own < 0 || went < 0)
         return false;
     if (how >= 0) {
@@ -574,11 +573,13 @@
         n++;
     }
     lapsed = metric(site.cloud, "\nlemonspar_emulated_lapsed_tasks_total ") - lapsed;
-    printf("controller %d: %d partitions given, ended after %.2f s with %d; tasks ended by "
-           "leases %.0f\n",
-           node, n, end_s, WEXITSTATUS(status), lapsed);
+    printf(
+        "controller %d: %d partitions given, ended after %.2f s with %d; tasks ended by "
+        "leases %.0f\n",
+        node, n, end_s, WEXITSTATUS(status), lapsed);
     start(controller(node));
-    return ready(site.users[node], 20) && ok && WIFEXITED(status) && !status && lapsed == 0;
+    return ready(site.users[node], 20) && ok && WIFEXITED(status) && !status &&
+           lapsed == 0;
 }
 
 static bool all_done(void)
@@ -623,7 +624,8 @@
         argv++;
     }
     if (argc != 6 || atoi(argv[2]) < 2 || atoi(argv[2]) > MOST) {
-        fprintf(stderr, "usage: bench_failover [--untimed | --takeovers | --roll] BASE_PORT CONTROLLERS WORKERS "
+        fprintf(stderr, "usage: bench_failover [--untimed | --takeovers | --roll] "
+                        "BASE_PORT CONTROLLERS WORKERS "
                         "ROUNDS SEED\n");
         return 2;
     }
--- a/src/cli/controller.c
+++ b/src/cli/controller.c
@@ -38,7 +38,8 @@
 int lmn_cmd_admin(int argc, char **argv)
 {
     int rc = lmn_cli_parse(
-        NULL, "ADDRESS status | members [--json] | get | set NAME VALUE | drain MACHINE | "
+        NULL,
+        "ADDRESS status | members [--json] | get | set NAME VALUE | drain MACHINE | "
         "balance | leave | join",
         "Administers a controller. ADDRESS: its internal_addr.", NULL, true, &argc,
         &argv);
--- a/src/decide/queue.c
+++ b/src/decide/queue.c
@@ -83,13 +83,13 @@
 
 bool lmn_can_hold(const struct lmn_machine *m, const struct lmn_job *j)
 {
-    /* One that was told, and has not spoken yet, is dealt work too, which it starts once it
-     * has: dealt to the first few that speak, everything would stand in their queues. */
+    /* One that was told, and has not spoken yet, is dealt work too, which it starts once
+     * it has: dealt to the first few that speak, everything would stand in their queues.
+     */
     bool known = m->accounted || (m->part->warm && m->session);
 
     return m->type && known && m->rev && !m->retiring && !m->noticed && !m->lapsed &&
-           !m->is_gone &&
-           lmn_spec_allows(&j->spec, m->type, m->zone, m->spot);
+           !m->is_gone && lmn_spec_allows(&j->spec, m->type, m->zone, m->spot);
 }
 
 /* How many tasks of the job have room on the machine now, its queue aside. */
--- a/src/limits/sockets.c
+++ b/src/limits/sockets.c
@@ -2,8 +2,8 @@
 
 /* Listening, the log, the state service (following, writing, reading, the lease), the
  * cloud, with some to spare; and for each other member a call and a question each way
- * and one that is just being replaced; and for each partition, of which there are as many,
- * its standby, the record of that, and the owner that this node stands by for. */
+ * and one that is just being replaced; and for each partition, of which there are as
+ * many, its standby, the record of that, and the owner that this node stands by for. */
 enum { FIXED = 12, EACH_MEMBER = 8, LEAST_ACCEPTED = 16 };
 
 static unsigned most(unsigned a, unsigned b)
--- a/src/own/heir.h
+++ b/src/own/heir.h
@@ -1,5 +1,6 @@
-/* Who inherits: a function of what the mirror shows of members and partitions, so that all
- * agree without talk; the claim's conditions decide where they do not. The lock is held.
+/* Who inherits: a function of what the mirror shows of members and partitions, so that
+ * all agree without talk; the claim's conditions decide where they do not. The lock is
+ * held.
  */
 #ifndef LMN_HEIR_H
 #define LMN_HEIR_H
--- a/src/own/holder.c
+++ b/src/own/holder.c
@@ -248,8 +248,8 @@
     }
 }
 
-/* Once nothing hangs on it, a lease that is let go spares the others the wait for its end.
- * They are not to miss this member, which is about to end. */
+/* Once nothing hangs on it, a lease that is let go spares the others the wait for its
+ * end. They are not to miss this member, which is about to end. */
 static void leave(struct holder *h)
 {
     struct lmn_core *c = h->c;
--- a/src/own/leave.c
+++ b/src/own/leave.c
@@ -6,8 +6,9 @@
 
 #include <string.h>
 
-/* The users' balancer notices after two probes, a second apart and a second late each, and
- * resets what is still open 5 s later: by then all answers have closed their connections. */
+/* The users' balancer notices after two probes, a second apart and a second late each,
+ * and resets what is still open 5 s later: by then all answers have closed their
+ * connections. */
 static const double USERS_S = 6;
 /* However far it is, the process ends after this time. */
 static const double MOST_S = 10;
@@ -83,9 +84,10 @@
         g_string_append(s, "not leaving\n");
         return;
     }
-    g_string_append_printf(s, "leaving for %.1f s: %u partitions left to give, lease %s, "
-                              "ends within %.1f s\n",
+    g_string_append_printf(s,
+                           "leaving for %.1f s: %u partitions left to give, lease %s, "
+                           "ends within %.1f s\n",
                            lmn_since(now, c->leave_at),
-                           lmn_member_holds(c, c->members.me),
-                           c->left ? "gone" : "held", lmn_leave_left_s(c, now));
+                           lmn_member_holds(c, c->members.me), c->left ? "gone" : "held",
+                           lmn_leave_left_s(c, now));
 }
--- a/src/own/leave.h
+++ b/src/own/leave.h
@@ -1,5 +1,5 @@
-/* A controller that is to end: it says so, gives its partitions to who is in step, lets its
- * lease go, sends workers and users on, and ends. Functions of the shared state and a
+/* A controller that is to end: it says so, gives its partitions to who is in step, lets
+ * its lease go, sends workers and users on, and ends. Functions of the shared state and a
  * passed-in time; the core's lock is held. */
 #ifndef LMN_LEAVE_H
 #define LMN_LEAVE_H
--- a/src/own/partition.c
+++ b/src/own/partition.c
@@ -311,8 +311,8 @@
 struct lmn_txn *lmn_partition_gift(const struct lmn_core *c,
                                    const struct lmn_partition *p, int heir)
 {
-    struct lmn_txn *t =
-        transfer(c, p, lmn_member_name(&c->members, heir), c->members.v[heir].lease, true);
+    struct lmn_txn *t = transfer(c, p, lmn_member_name(&c->members, heir),
+                                 c->members.v[heir].lease, true);
 
     if_incarnation(c, t, heir);
     return t;
--- a/src/own/worker.c
+++ b/src/own/worker.c
@@ -512,9 +512,10 @@
         while (g_hash_table_iter_next(&it, NULL, &v)) {
             struct lmn_machine *m = v;
             /* Those with room first, since work can start there. Those that have not
-             * answered come last: each holds its lane up for a second. Whoever has answered before has a connection in its own lane; the
-             * rest go to any, since after a wave of losses a few lanes were left with
-             * most of the silent ones. */
+             * answered come last: each holds its lane up for a second. Whoever has
+             * answered before has a connection in its own lane; the rest go to any, since
+             * after a wave of losses a few lanes were left with most of the silent ones.
+             */
             if (worth_asking(c, m, now) &&
                 (g_str_hash(m->name) % lanes == lane || m->probes > 0 ||
                  lmn_since(now, c->parts[i].since) > 2) &&
--- a/src/serve/balance.c
+++ b/src/serve/balance.c
@@ -21,17 +21,16 @@
                                owner < 0 ? "nobody owns it" : "its owner is judged");
     } else if (owner != holder) {
         double s_left = lmn_member_back_s(ms, holder, now);
-        const char *why = !ms->v[holder].present       ? "its usual holder is gone"
-                          : ms->v[holder].leaving      ? "its usual holder leaves"
-                          : lmn_member_holds(c, owner) < 2
-                              ? "its owner holds no other"
+        const char *why = !ms->v[holder].present           ? "its usual holder is gone"
+                          : ms->v[holder].leaving          ? "its usual holder leaves"
+                          : lmn_member_holds(c, owner) < 2 ? "its owner holds no other"
                           : lmn_member_holds(c, holder) ? "its usual holder has another"
-                          : s_left > 0                 ? "its usual holder has to stay up"
+                          : s_left > 0 ? "its usual holder has to stay up"
                           : lmn_standby_named(c, p, now) != holder
                               ? "its usual holder is not in step yet"
                               : "due";
-        g_string_append_printf(s, " move=%s in_s=%.0f why=\"%s\"", name_or_none(c, holder),
-                               s_left, why);
+        g_string_append_printf(s, " move=%s in_s=%.0f why=\"%s\"",
+                               name_or_none(c, holder), s_left, why);
     }
 }
 
@@ -46,10 +45,10 @@
     for (int i = 0; i < c->nparts; i++) {
         const struct lmn_partition *p = &c->parts[i];
         int owner = p->owner_rev ? lmn_member_rank(&c->members, p->owner) : -1;
-        g_string_append_printf(s, "partition %d owner=%s holder=%s standby=%s machines=%u",
-                               i, name_or_none(c, owner),
-                               name_or_none(c, i % c->members.n),
-                               name_or_none(c, lmn_standby_named(c, p, now)), p->list->len);
+        g_string_append_printf(
+            s, "partition %d owner=%s holder=%s standby=%s machines=%u", i,
+            name_or_none(c, owner), name_or_none(c, i % c->members.n),
+            name_or_none(c, lmn_standby_named(c, p, now)), p->list->len);
         move(c, s, p, owner, heir[i], now);
         g_string_append_c(s, '\n');
     }
--- a/src/serve/follow.c
+++ b/src/serve/follow.c
@@ -222,8 +222,7 @@
         struct lmn_batch *batch = NULL;
         struct lmn_txn *txn = NULL;
         double wait;
-        enum lmn_stream_step step =
-            lmn_stream_next(c, p, lmn_now(), &batch, &txn, &wait);
+        enum lmn_stream_step step = lmn_stream_next(c, p, lmn_now(), &batch, &txn, &wait);
         int to = p->stream.to;
         settle(c, p, &done, lmn_now());
         if (step == LMN_STREAM_WAIT && g_queue_is_empty(&done)) {
--- a/src/serve/peer.c
+++ b/src/serve/peer.c
@@ -123,16 +123,17 @@
         show_partition(s, &core->parts[i], core->cfg);
     show_classes(s);
     const struct lmn_counters *n = &core->count;
-    g_string_append_printf(
-        s,
-        "counts submissions=%" G_GUINT64_FORMAT " polls=%" G_GUINT64_FORMAT
-        " reports=%" G_GUINT64_FORMAT " starts=%" G_GUINT64_FORMAT
-        " kills=%" G_GUINT64_FORMAT " steal_tries=%" G_GUINT64_FORMAT
-        " steals=%" G_GUINT64_FORMAT " stolen=%" G_GUINT64_FORMAT
-        " takeovers=%" G_GUINT64_FORMAT " warm=%" G_GUINT64_FORMAT " refused=%" G_GUINT64_FORMAT
-        " moves=%" G_GUINT64_FORMAT " moved=%" G_GUINT64_FORMAT "\n",
-        n->submissions, n->polls, n->reports, n->starts, n->kills, n->steal_tries,
-        n->steals, n->stolen_tasks, n->takeovers, n->warm, n->refused, n->moves, n->moved_tasks);
+    g_string_append_printf(s,
+                           "counts submissions=%" G_GUINT64_FORMAT
+                           " polls=%" G_GUINT64_FORMAT " reports=%" G_GUINT64_FORMAT
+                           " starts=%" G_GUINT64_FORMAT " kills=%" G_GUINT64_FORMAT
+                           " steal_tries=%" G_GUINT64_FORMAT " steals=%" G_GUINT64_FORMAT
+                           " stolen=%" G_GUINT64_FORMAT " takeovers=%" G_GUINT64_FORMAT
+                           " warm=%" G_GUINT64_FORMAT " refused=%" G_GUINT64_FORMAT
+                           " moves=%" G_GUINT64_FORMAT " moved=%" G_GUINT64_FORMAT "\n",
+                           n->submissions, n->polls, n->reports, n->starts, n->kills,
+                           n->steal_tries, n->steals, n->stolen_tasks, n->takeovers,
+                           n->warm, n->refused, n->moves, n->moved_tasks);
     const struct lmn_load *load = &core->load;
     g_string_append_printf(s,
                            "load behind=%.2f shed_polls=%" G_GUINT64_FORMAT
--- a/src/serve/standbys.c
+++ b/src/serve/standbys.c
@@ -22,7 +22,8 @@
             g_string_append_printf(s, " last=\"%s\" again_in=%.1f", f->why,
                                    MAX(lmn_since(f->next, now), 0));
         g_string_append_printf(s,
-                               " batches=%" G_GUINT64_FORMAT " machines=%" G_GUINT64_FORMAT
+                               " batches=%" G_GUINT64_FORMAT
+                               " machines=%" G_GUINT64_FORMAT
                                " strikes=%" G_GUINT64_FORMAT "\n",
                                f->count.batches, f->count.machines, f->count.strikes);
     } else if (p->copy) {
@@ -74,8 +75,8 @@
     }
     lmn_gauge(out, "lemonspar_standby_in_step",
               "Owned partitions whose standby is in step", in_step);
-    lmn_gauge(out, "lemonspar_standby_copies", "Others' partitions that this node follows",
-              copies);
+    lmn_gauge(out, "lemonspar_standby_copies",
+              "Others' partitions that this node follows", copies);
     lmn_gauge(out, "lemonspar_standby_untold", "Machines that standbys are to be told of",
               untold);
     lmn_gauge(out, "lemonspar_standby_wait_seconds",
--- a/src/standby/choose.c
+++ b/src/standby/choose.c
@@ -57,10 +57,9 @@
         int far = !!strcmp(zone_of(c, k), c->cfg->zone);
         int best_far = !!strcmp(zone_of(c, best), c->cfg->zone);
         unsigned load = carries(c, k, p), best_load = carries(c, best, p);
-        if (far != best_far ? far
-            : load != best_load
-                ? load < best_load
-                : weight(c, k, p) > weight(c, best, p))
+        if (far != best_far     ? far
+            : load != best_load ? load < best_load
+                                : weight(c, k, p) > weight(c, best, p))
             best = k;
     }
     return best;
--- a/src/standby/copy.c
+++ b/src/standby/copy.c
@@ -54,8 +54,8 @@
     }
     if (b->number == 0) {
         /* A late twin of an older stream must not take the place of a newer one. */
-        if (copy && (b->term < copy->term ||
-                     (b->term == copy->term && b->stream < copy->stream)))
+        if (copy &&
+            (b->term < copy->term || (b->term == copy->term && b->stream < copy->stream)))
             return LMN_COPY_UNKNOWN;
         lmn_copy_free(copy);
         copy = p->copy = begin(b);
--- a/src/standby/copy.h
+++ b/src/standby/copy.h
@@ -7,14 +7,15 @@
 
 struct lmn_copy {
     uint64_t term, stream;
-    uint64_t number; /* of the last batch taken */
+    uint64_t number;      /* of the last batch taken */
     GHashTable *machines; /* name -> struct lmn_told */
     struct timespec last; /* when a batch came last, steady clock */
 };
 
 enum lmn_copy_answer {
     LMN_COPY_TAKEN,   /* or was before */
-    LMN_COPY_UNKNOWN, /* of no stream that is followed here, or not the next: begin anew */
+    LMN_COPY_UNKNOWN, /* of no stream that is followed here, or not the next: begin anew
+                       */
     LMN_COPY_REFUSED, /* of a term that is over, or the partition is ours */
 };
 
--- a/src/standby/stream.c
+++ b/src/standby/stream.c
@@ -6,8 +6,8 @@
 
 const double LMN_STREAM_HOLD_S = 0.3;
 const double LMN_STREAM_PATIENCE_S = 0.4;
-/* Starts that are decided on within this time share a batch: a call each took a fifth more
- * processor, at 22 starts a second. */
+/* Starts that are decided on within this time share a batch: a call each took a fifth
+ * more processor, at 22 starts a second. */
 static const double GATHER_S = 0.003;
 /* What is not awaited is told within this time. */
 static const double LAZY_S = 0.5;
@@ -149,8 +149,8 @@
     s->sending = false;
     if (s->phase != LMN_STREAM_NONE && why) {
         s->struck = lmn_since(now, s->began) > HELD_S ? 1 : MIN(s->struck + 1, 10);
-        s->next = lmn_after(now, MIN(AGAIN_S * (double)(1u << (s->struck - 1)),
-                                     LONGEST_S));
+        s->next =
+            lmn_after(now, MIN(AGAIN_S * (double)(1u << (s->struck - 1)), LONGEST_S));
         s->why = why;
         if (why == BACK) {
             s->struck = 0;
@@ -200,7 +200,8 @@
            !lmn_member_doubted(&c->members, s->to);
 }
 
-/* Another follows, though the usual holder could, and is about to have its partition back.
+/* Another follows, though the usual holder could, and is about to have its partition
+ * back.
  */
 static bool passed_over(const struct lmn_core *c, const struct lmn_partition *p,
                         struct timespec now)
@@ -218,7 +219,8 @@
 {
     struct lmn_stream *s = &p->stream;
 
-    lmn_info("standby-struck partition=%d member=%s phase=%s why=\"%s\" waiting=%" G_GUINT64_FORMAT,
+    lmn_info("standby-struck partition=%d member=%s phase=%s why=\"%s\" "
+             "waiting=%" G_GUINT64_FORMAT,
              p->id, lmn_member_name(&c->members, s->to), lmn_stream_phase_name(s->phase),
              why, s->mark - s->acked);
     s->phase = LMN_STREAM_STRIKING;
@@ -382,8 +384,9 @@
     if (answer != LMN_COPY_TAKEN) {
         lmn_batch_free(b);
         if (s->phase != LMN_STREAM_STRIKING)
-            fail(c, p, answer == LMN_COPY_UNKNOWN ? "it does not know the stream"
-                                                  : "it refuses the stream",
+            fail(c, p,
+                 answer == LMN_COPY_UNKNOWN ? "it does not know the stream"
+                                            : "it refuses the stream",
                  now);
         return;
     }
--- a/src/state/model.h
+++ b/src/state/model.h
@@ -125,8 +125,8 @@
     bool direct; /* sent straight to the worker, in a call that is under way */
     bool
         unsure; /* sent in a call without an answer: it may yet arrive, in this session */
-    bool listed; /* the worker has named it */
-    bool told;   /* a predecessor's, from the copy of it that we have; not heard yet */
+    bool listed;   /* the worker has named it */
+    bool told;     /* a predecessor's, from the copy of it that we have; not heard yet */
     uint64_t mark; /* of its start, which waits until that is acknowledged; 0: it did not
                       have to */
     struct timespec since;
@@ -255,7 +255,7 @@
     double quota_cpus[LMN_MAX_TEAMS],
         quota_gpus[LMN_MAX_TEAMS]; /* if there is a record */
     uint32_t owner_gen;
-    uint64_t owner_stream; /* that its claim, or its being given, was conditional on */
+    uint64_t owner_stream;  /* that its claim, or its being given, was conditional on */
     struct timespec vacant; /* since when nobody owns it */
     /* who is in step with the owner of that term, by which stream; 0: nobody */
     char standby[LMN_NAME];
@@ -286,8 +286,8 @@
     double used_cpus[LMN_MAX_TEAMS], used_gpus[LMN_MAX_TEAMS];
     struct lmn_gift gift;
     struct lmn_stream stream;
-    GPtrArray *untold;    /* machines that the standby has to be told about */
-    GPtrArray *forgotten; /* names of machines that it need not know any more */
+    GPtrArray *untold;        /* machines that the standby has to be told about */
+    GPtrArray *forgotten;     /* names of machines that it need not know any more */
     pthread_cond_t following; /* something is to be told */
     GArray *cuts;             /* struct lmn_cut */
     struct timespec next_pack;
@@ -300,8 +300,8 @@
     uint64_t steal_tries, steals, stolen_tasks, starts, kills, reports, polls,
         submissions;
     uint64_t refused, takeovers, moves, moved_tasks, unqueued, preempted;
-    uint64_t warm, cold;  /* takeovers */
-    uint64_t withheld;    /* starts that a standby did not acknowledge in time */
+    uint64_t warm, cold; /* takeovers */
+    uint64_t withheld;   /* starts that a standby did not acknowledge in time */
 };
 
 struct lmn_core;
@@ -363,9 +363,9 @@
     double triaged; /* the time of day at the last triage */
     bool owing;     /* some class or team was owed room then */
     bool synced;
-    bool odd_one; /* the mirror stands still, and only here, as far as known */
-    bool leaving; /* it gives its partitions away, and ends (own/leave.h) */
-    bool left;    /* it has none, and no lease any more */
+    bool odd_one;  /* the mirror stands still, and only here, as far as known */
+    bool leaving;  /* it gives its partitions away, and ends (own/leave.h) */
+    bool left;     /* it has none, and no lease any more */
     bool recorded; /* that it leaves: its record says so */
     struct timespec leave_at, left_at;
     uint32_t gen;
--- a/tests/test_heir.c
+++ b/tests/test_heir.c
@@ -51,9 +51,9 @@
     c->fresh = now;
     for (int k = 0; k < n; k++) {
         struct lmn_word well = {0, 0, 0};
-        GByteArray *v = g_byte_array_new();
         if (gone[k])
             continue;
+        GByteArray *v = g_byte_array_new();
         lmn_put_map(v, 2);
         lmn_put_text(v, "lease"), lmn_put_count(v, 100 + (uint64_t)k);
         lmn_put_text(v, "leaving"), lmn_put_truth(v, leaving[k]);
@@ -63,12 +63,10 @@
             lmn_member_answered(&c->members, k, &well, now, now);
     }
     for (int k = 0; k < n; k++) {
-        GByteArray *v = g_byte_array_new();
         char name[LMN_NAME];
-        if (gone[k]) {
-            g_byte_array_unref(v);
+        if (gone[k])
             continue;
-        }
+        GByteArray *v = g_byte_array_new();
         g_snprintf(name, sizeof name, "n%02d", k);
         lmn_put_map(v, 4);
         lmn_put_text(v, "node"), lmn_put_text(v, name);
@@ -116,8 +114,8 @@
                 stay--;
             }
             for (int v = 0; v < 2; v++) {
-                struct lmn_core *c = view(&cfg[v], n, up[v ? ups - 1 : ups / 2], gone,
-                                          leaving);
+                struct lmn_core *c =
+                    view(&cfg[v], n, up[v ? ups - 1 : ups / 2], gone, leaving);
                 lmn_heirs(c, now, heir[v]);
                 drop(c);
             }
--- a/tests/test_standby.c
+++ b/tests/test_standby.c
@@ -1,6 +1,6 @@
 /* What a standby has been told, held against what there was to tell: generated histories
- * of batches that are lost, repeated, late and of other streams; and what a takeover makes
- * of a copy. */
+ * of batches that are lost, repeated, late and of other streams; and what a takeover
+ * makes of a copy. */
 #include "base/log.h"
 #include "own/owner.h"
 #include "own/partition.h"
@@ -81,9 +81,9 @@
     return a;
 }
 
-/* Any history of the batches 0, 1, 2, ... of a stream, of which each may come late, twice,
- * or before another was acknowledged: those that were taken stand in their order without
- * a hole, and the copy is what the last of them said of each machine. */
+/* Any history of the batches 0, 1, 2, ... of a stream, of which each may come late,
+ * twice, or before another was acknowledged: those that were taken stand in their order
+ * without a hole, and the copy is what the last of them said of each machine. */
 static void copies_have_no_hole(void **state)
 {
     GRand *r = g_rand_new_with_seed(7);
@@ -95,11 +95,10 @@
         for (int k = 0; k < 60; k++) {
             /* mostly the next; else one that was, or one too early */
             int off = g_rand_int_range(r, 0, 10);
-            uint64_t number = off < 6   ? next
-                              : off < 8 ? (next ? (uint64_t)g_rand_int_range(
-                                                      r, 0, (gint32)next)
-                                                : 0)
-                                        : next + 1;
+            uint64_t number =
+                off < 6   ? next
+                : off < 8 ? (next ? (uint64_t)g_rand_int_range(r, 0, (gint32)next) : 0)
+                          : next + 1;
             uint64_t which = number % 4;
             char name[16];
             g_snprintf(name, sizeof name, "host-%d", (int)which);
@@ -258,8 +257,7 @@
     p->copy->stream = 7;
     struct lmn_copy *copy = p->copy;
     p->copy = NULL;
-    assert_string_equal(lmn_takeover_cold(core, p),
-                        "no copy: another life was in step");
+    assert_string_equal(lmn_takeover_cold(core, p), "no copy: another life was in step");
     p->copy = copy;
 }
 
--- a/tests/test_takeover.c
+++ b/tests/test_takeover.c
@@ -928,9 +928,9 @@
         const struct lmn_members *ms = &c->members;
         const struct lmn_stream *f = &p->stream;
         g_string_append_printf(s, "{%d%d%d%d%d%d%d%d%d %d}", f->phase, f->to,
-                               f->batch != NULL, f->number > 0, f->acked < f->mark,
-                               f->failures > 0, p->untold->len, node[n].record != NULL,
-                               node[n].pending != NULL,
+                               f->batch != NULL, f->number > 0,
+                               f->acked<f->mark, f->failures> 0, p->untold->len,
+                               node[n].record != NULL, node[n].pending != NULL,
                                p->standby_stream ? (int)p->standby_term : 0);
         if (p->copy) {
             g_string_append_printf(s, "[%d%d", (int)p->copy->term,
@@ -942,9 +942,9 @@
             }
         }
         g_string_append_printf(s, "|%d%d%d%d %d %d %d%d%d %d%d %d", node[n].still,
-                               node[n].txn != NULL, p->mine, p->ready + 2 * p->open, (int)p->my_term,
-                               (int)(nevents - node[n].seen), lmn_member_doubted(ms, A),
-                               ms->v[A].unanswered.tv_sec != 0,
+                               node[n].txn != NULL, p->mine, p->ready + 2 * p->open,
+                               (int)p->my_term, (int)(nevents - node[n].seen),
+                               lmn_member_doubted(ms, A), ms->v[A].unanswered.tv_sec != 0,
                                lmn_member_judged(ms, A, clk), p->releasing,
                                lmn_self_awake(ms, clk), (int)p->owner_term);
         GHashTableIter it;
@@ -1132,13 +1132,13 @@
 #define IN_STEP TELL_A, TELL_A, TELL_A, RECORD_A, FOLLOW_A, FOLLOW_B, TELL_A
 #define DOUBT SUSPECT, FOLLOW_B, STAND
 static const enum move in_step[] = {IN_STEP};
-static const enum move told_claim[] = {IN_STEP, START_A, TELL_A, GO_A,    DOUBT,
-                                       CLAIM,   APPLY_B, FOLLOW_B};
+static const enum move told_claim[] = {IN_STEP, START_A, TELL_A,  GO_A,
+                                       DOUBT,   CLAIM,   APPLY_B, FOLLOW_B};
 static const enum move untold_claim[] = {IN_STEP, START_A, TELL_UNHEARD, DOUBT, CLAIM};
-static const enum move struck_claim[] = {IN_STEP, DOUBT,  CLAIM,    START_A,
+static const enum move struck_claim[] = {IN_STEP,   DOUBT,  CLAIM,    START_A,
                                          TELL_LOST, TELL_A, RECORD_A, FOLLOW_A};
-static const enum move told_gift[] = {IN_STEP, START_A, TELL_A, GO_A, GIVE, APPLY_A,
-                                      FOLLOW_B};
+static const enum move told_gift[] = {IN_STEP, START_A, TELL_A,  GO_A,
+                                      GIVE,    APPLY_A, FOLLOW_B};
 
 static void goes_on(const enum move *prefix, guint len)
 {
@@ -1219,11 +1219,12 @@
 {
     static const enum move begun[] = {IN_STEP, START_A, GO_A,     DOUBT,
                                       CLAIM,   APPLY_B, FOLLOW_B, PASS};
-    static const enum move claimed[] = {IN_STEP, START_A, TELL_LOST, TELL_A, TELL_A, GO_A,
-                                        DOUBT,   CLAIM,   APPLY_B,   FOLLOW_B, PASS};
-    static const enum move named[] = {IN_STEP,  DOUBT,    CLAIM,   START_A,  TELL_LOST,
-                                      TELL_A,   RECORD_A, FOLLOW_A, TELL_A,  GO_A,
-                                      APPLY_B,  FOLLOW_B, PASS};
+    static const enum move claimed[] = {IN_STEP, START_A,  TELL_LOST, TELL_A,
+                                        TELL_A,  GO_A,     DOUBT,     CLAIM,
+                                        APPLY_B, FOLLOW_B, PASS};
+    static const enum move named[] = {IN_STEP, DOUBT,    CLAIM,    START_A, TELL_LOST,
+                                      TELL_A,  RECORD_A, FOLLOW_A, TELL_A,  GO_A,
+                                      APPLY_B, FOLLOW_B, PASS};
     static const enum move held[] = {IN_STEP, START_A, TELL_A,   GO_A, DOUBT,
                                      CLAIM,   APPLY_B, FOLLOW_B, PASS};
     (void)state;
@@ -1236,8 +1237,10 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(keeps_the_rules),         cmocka_unit_test(accounting_is_needed),
-        cmocka_unit_test(tokens_are_needed),       cmocka_unit_test(records_are_needed),
+        cmocka_unit_test(keeps_the_rules),
+        cmocka_unit_test(accounting_is_needed),
+        cmocka_unit_test(tokens_are_needed),
+        cmocka_unit_test(records_are_needed),
         cmocka_unit_test(incarnations_are_needed),
         cmocka_unit_test(keeps_the_rules_with_a_standby),
         cmocka_unit_test(each_check_of_a_warm_takeover_is_needed),
