--- a/src/decide/floor.c
+++ b/src/decide/floor.c
@@ -58,17 +58,25 @@
     return classes;
 }
 
-/* Keeps those that are owed; returns whether there are any. */
-static bool keep_owed(GArray *v)
+unsigned lmn_floor_sum(const GArray *v, double *used)
 {
-    double used = 0;
     unsigned kinds = 0;
 
+    *used = 0;
     for (guint i = 0; i < v->len; i++) {
         const struct lmn_floor *f = &g_array_index(v, struct lmn_floor, i);
-        used += f->used;
+        *used += f->used;
         kinds += f->waiting > 0;
     }
+    return kinds;
+}
+
+/* Keeps those that are owed; returns whether there are any. */
+static bool keep_owed(GArray *v)
+{
+    double used;
+    unsigned kinds = lmn_floor_sum(v, &used);
+
     for (guint i = v->len; i-- > 0;)
         if (!lmn_floor_owed(&g_array_index(v, struct lmn_floor, i), used, kinds))
             g_array_remove_index_fast(v, i);
--- a/src/decide/floor.h
+++ b/src/decide/floor.h
@@ -17,6 +17,9 @@
  * an even part of all processors in use, even over those that have work waiting. Pure. */
 bool lmn_floor_owed(const struct lmn_floor *f, double all_used, unsigned kinds);
 
+/* Of an array of struct lmn_floor: how many have work waiting, and what all of them use. */
+unsigned lmn_floor_sum(const GArray *v, double *used);
+
 /* Marks the jobs that are owed room by their class or their team. */
 void lmn_floors(struct lmn_core *c);
 
--- a/src/own/worker.c
+++ b/src/own/worker.c
@@ -77,17 +77,6 @@
     return NULL;
 }
 
-static struct lmn_range *range_of(struct lmn_partition *p, struct lmn_job *j,
-                                  uint32_t index)
-{
-    for (guint i = 0; j && i < j->ranges->len; i++) {
-        struct lmn_range *r = j->ranges->pdata[i];
-        if (r->part == p && index >= r->lo && index < r->hi)
-            return r;
-    }
-    return NULL;
-}
-
 /* A task that we did not start in this term: a predecessor's. */
 static struct lmn_attempt *adopt(struct lmn_core *c, struct lmn_machine *m,
                                  const char *ref, uint32_t index, uint64_t number,
@@ -98,7 +87,7 @@
 
     g_strlcpy(a.ref, ref, sizeof a.ref);
     a.job = g_hash_table_lookup(c->jobs, ref);
-    a.range = range_of(m->part, a.job, index);
+    a.range = lmn_range_of(m->part, a.job, index);
     if (state != LMN_A_ENDED) {
         lmn_attempt_count(m, &a);
         if (a.range && a.range->st[index - a.range->lo] == LMN_T_QUEUED) {
@@ -149,7 +138,7 @@
         if (a->job)
             a->job->errors = 0;
         if (!r)
-            r = a->range = range_of(m->part, a->job, a->index);
+            r = a->range = lmn_range_of(m->part, a->job, a->index);
         if (r)
             lmn_task_finished(r, a->index, now);
         return;
--- a/src/serve/peer.c
+++ b/src/serve/peer.c
@@ -71,14 +71,9 @@
 static void show_classes(GString *s)
 {
     GArray *v = lmn_floor_classes(core);
-    double used = 0;
-    unsigned kinds = 0;
+    double used;
+    unsigned kinds = lmn_floor_sum(v, &used);
 
-    for (guint i = 0; i < v->len; i++) {
-        const struct lmn_floor *f = &g_array_index(v, struct lmn_floor, i);
-        used += f->used;
-        kinds += f->waiting > 0;
-    }
     for (guint i = 0; i < v->len; i++) {
         const struct lmn_floor *f = &g_array_index(v, struct lmn_floor, i);
         g_string_append_printf(s, "class %s cpus=%.1f waiting=%.1f owed=%d\n",
--- a/src/standby/takeover.c
+++ b/src/standby/takeover.c
@@ -25,17 +25,6 @@
     return NULL;
 }
 
-static struct lmn_range *range_of(const struct lmn_partition *p, struct lmn_job *j,
-                                  uint32_t index)
-{
-    for (guint i = 0; j && i < j->ranges->len; i++) {
-        struct lmn_range *r = j->ranges->pdata[i];
-        if (r->part == p && index >= r->lo && index < r->hi)
-            return r;
-    }
-    return NULL;
-}
-
 /* Of the attempts of one task only the newest can be on a machine: its owner had
  * concluded that the others were gone before it made that one. */
 static GHashTable *newest(const struct lmn_partition *p)
@@ -72,7 +61,7 @@
 
     g_strlcpy(a.ref, told->ref, sizeof a.ref);
     a.job = g_hash_table_lookup(c->jobs, told->ref);
-    a.range = range_of(m->part, a.job, told->index);
+    a.range = lmn_range_of(m->part, a.job, told->index);
     /* One that has failed is not there, and its task was queued again. One that is done
      * is held until the worker says so, or is gone. */
     if (told->ended && (!told->done || !a.range))
--- a/src/state/books.c
+++ b/src/state/books.c
@@ -241,6 +241,17 @@
     }
 }
 
+struct lmn_range *lmn_range_of(const struct lmn_partition *p, struct lmn_job *j,
+                               uint32_t index)
+{
+    for (guint i = 0; j && i < j->ranges->len; i++) {
+        struct lmn_range *r = j->ranges->pdata[i];
+        if (r->part == p && index >= r->lo && index < r->hi)
+            return r;
+    }
+    return NULL;
+}
+
 void lmn_range_free(struct lmn_range *r)
 {
     g_free(r->key);
--- a/src/state/books.h
+++ b/src/state/books.h
@@ -34,6 +34,9 @@
 void lmn_machine_free(struct lmn_machine *m);
 void lmn_attempt_count(struct lmn_machine *m, struct lmn_attempt *a);
 void lmn_attempt_uncount(struct lmn_machine *m, struct lmn_attempt *a);
+/* The job's range in the partition that holds the task; NULL: none. j may be NULL. */
+struct lmn_range *lmn_range_of(const struct lmn_partition *p, struct lmn_job *j,
+                               uint32_t index);
 void lmn_range_free(struct lmn_range *r);
 /* Nothing may refer to it any more. */
 void lmn_job_free(struct lmn_job *j);
