--- /dev/null
+++ b/src/serve/status.c
@@ -0,0 +1,118 @@
+/* What a controller tells an operator of itself. */
+#include "serve/status.h"
+#include "base/httpd.h"
+#include "decide/floor.h"
+#include "serve/standbys.h"
+#include "state/core.h"
+
+static void show_partition(GString *s, const struct lmn_core *c,
+                           const struct lmn_partition *p)
+{
+    GHashTableIter it;
+    gpointer v;
+    guint queued = 0, running = 0;
+
+    g_hash_table_iter_init(&it, p->machines);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const struct lmn_machine *m = v;
+        queued += m->queue.tasks;
+        running += m->attempts->len;
+    }
+    g_string_append_printf(
+        s,
+        "partition %d owner=%s term=%" G_GUINT64_FORMAT
+        " mine=%d ready=%d machines=%u ranges=%u queued=%u limbo=%u held=%u\n",
+        p->id, *p->owner ? p->owner : "-", p->owner_term, p->mine, p->ready,
+        g_hash_table_size(p->machines), g_hash_table_size(p->ranges), queued,
+        p->limbo.tasks, running);
+    lmn_standbys_show(s, c, p, lmn_now());
+    for (size_t i = 0; p->mine && i < c->cfg->nteams; i++)
+        g_string_append_printf(s, "  team %s cpus=%.1f gpus=%.1f\n",
+                               c->cfg->teams[i].name, p->used_cpus[i], p->used_gpus[i]);
+    g_hash_table_iter_init(&it, p->machines);
+    while (p->mine && g_hash_table_iter_next(&it, NULL, &v)) {
+        const struct lmn_machine *m = v;
+        g_string_append_printf(
+            s, "  machine %s type=%s zone=%s spot=%d cpus=%.1f queued=%u%s%s%s\n",
+            m->name, m->type_name, m->zone, m->spot, m->used_cpus, m->queue.tasks,
+            m->accounted ? "" : " unaccounted", m->retiring ? " retiring" : "",
+            m->lapsed ? " lapsed" : "");
+    }
+}
+
+/* What of each class runs here, and what waits; the floor is what it goes first below. */
+static void show_classes(GString *s, const struct lmn_core *c)
+{
+    GArray *v = lmn_floor_classes(c);
+    double used;
+    unsigned kinds = lmn_floor_sum(v, &used);
+
+    for (guint i = 0; i < v->len; i++) {
+        const struct lmn_floor *f = &g_array_index(v, struct lmn_floor, i);
+        g_string_append_printf(s, "class %s cpus=%.1f waiting=%.1f owed=%d\n",
+                               (const char *)f->of, f->used, f->waiting,
+                               lmn_floor_owed(f, used, kinds));
+    }
+    g_array_free(v, TRUE);
+}
+
+static void show_latency(GString *s, const char *what, const struct lmn_latency *l)
+{
+    g_string_append_printf(s, "latency %s p50=%.4f p95=%.4f p99=%.4f max=%.4f\n", what,
+                           lmn_latency_quantile(l, 0.5), lmn_latency_quantile(l, 0.95),
+                           lmn_latency_quantile(l, 0.99), l->max);
+}
+
+static void show_sockets(GString *s, const struct lmn_core *c)
+{
+    struct lmn_httpd_load l;
+
+    if (!c->server)
+        return;
+    lmn_httpd_load(c->server, &l);
+    g_string_append_printf(
+        s,
+        "sockets most=%u passing=%u users=%u workers=%u closed_users=%" G_GUINT64_FORMAT
+        " closed_workers=%" G_GUINT64_FORMAT " turned_away=%" G_GUINT64_FORMAT "\n",
+        c->sockets.accepted, l.open[LMN_SOCKET_PASSING], l.open[LMN_SOCKET_USER],
+        l.open[LMN_SOCKET_WORKER], l.closed[LMN_SOCKET_USER], l.closed[LMN_SOCKET_WORKER],
+        l.turned_away[LMN_SOCKET_WORKER]);
+}
+
+char *lmn_status_text(struct lmn_core *c)
+{
+    GString *s = g_string_new(NULL);
+
+    pthread_mutex_lock(&c->lock);
+    g_string_append_printf(s, "node %s lease=%" G_GUINT64_FORMAT " stale=%.1f jobs=%u\n",
+                           c->cfg->node, c->lease, lmn_staleness(c, lmn_now()),
+                           g_hash_table_size(c->jobs));
+    for (int i = 0; i < c->nparts; i++)
+        show_partition(s, c, &c->parts[i]);
+    show_classes(s, c);
+    const struct lmn_counters *n = &c->count;
+    g_string_append_printf(s,
+                           "counts submissions=%" G_GUINT64_FORMAT
+                           " polls=%" G_GUINT64_FORMAT " reports=%" G_GUINT64_FORMAT
+                           " starts=%" G_GUINT64_FORMAT " kills=%" G_GUINT64_FORMAT
+                           " steal_tries=%" G_GUINT64_FORMAT " steals=%" G_GUINT64_FORMAT
+                           " stolen=%" G_GUINT64_FORMAT " takeovers=%" G_GUINT64_FORMAT
+                           " warm=%" G_GUINT64_FORMAT " refused=%" G_GUINT64_FORMAT
+                           " moves=%" G_GUINT64_FORMAT " moved=%" G_GUINT64_FORMAT "\n",
+                           n->submissions, n->polls, n->reports, n->starts, n->kills,
+                           n->steal_tries, n->steals, n->stolen_tasks, n->takeovers,
+                           n->warm, n->refused, n->moves, n->moved_tasks);
+    const struct lmn_load *load = &c->load;
+    g_string_append_printf(s,
+                           "load behind=%.2f shed_polls=%" G_GUINT64_FORMAT
+                           " shed_submissions=%" G_GUINT64_FORMAT
+                           " shed_starts=%" G_GUINT64_FORMAT "\n",
+                           load->behind, load->shed[LMN_SHED_POLL],
+                           load->shed[LMN_SHED_SUBMISSION], load->shed[LMN_SHED_START]);
+    show_sockets(s, c);
+    show_latency(s, "accepting", &c->accepting);
+    show_latency(s, "starting", &c->starting);
+    show_latency(s, "telling", &c->telling);
+    pthread_mutex_unlock(&c->lock);
+    return g_string_free(s, FALSE);
+}
--- /dev/null
+++ b/src/serve/status.h
@@ -0,0 +1,10 @@
+/* What a controller tells an operator of itself. */
+#ifndef LMN_STATUS_H
+#define LMN_STATUS_H
+
+#include "state/model.h"
+
+/* Lines of text; to be freed with g_free. Takes the lock. */
+char *lmn_status_text(struct lmn_core *c);
+
+#endif
