What starts wait for their standby is counted only while they wait

Found with admin status on a running site: telling max=3683, since batches that were acknowledged while the copy was made counted from the beginning of the clock on. A test holds it below a second.

--- a/src/standby/stream.c
+++ b/src/standby/stream.c
@@ -394,7 +394,9 @@
     s->count.batches++;
     s->count.machines += b->machines->len;
     if (b->mark > s->acked) {
-        lmn_latency_add(&c->telling, lmn_since(now, s->waits));
+        /* While it is copied, no start waits. */
+        if (s->phase >= LMN_STREAM_CLOSING)
+            lmn_latency_add(&c->telling, lmn_since(now, s->waits));
         s->acked = b->mark;
         s->waits = now;
     }
--- a/tests/test_standby.c
+++ b/tests/test_standby.c
@@ -305,6 +305,9 @@
     put("b/0", owner("nb", 2, 2, s->id), 20);
     lmn_stream_next(core, p, now, &b, &t, &wait);
     assert_int_equal(s->phase, LMN_STREAM_IN_STEP);
+    /* Found in a status: what was told before anything waited counted as waiting, from
+     * the beginning of time on. */
+    assert_true(core->telling.max < 1);
     /* In an outage of the state service its mirror stands still, as everybody's does. */
     struct lmn_word old = {0, 30, 0};
     lmn_member_answered(&core->members, nb, &old, now, now);
