A member that is judged is judged for all of its partitions at once

Once the first was taken the member counted among those that are gone, and again as the one to be judged: out of the bound on verdicts, until its workers came to others.

--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -127,6 +127,9 @@
     assert_false(lmn_member_trusted(&ms, 2, at(now)));
     pass(ms.t.doubt_s + 0.3, 2, true);
     assert_true(lmn_member_judged(&ms, 2, at(now)));
+    /* For all of its partitions: after the first it is judged still. */
+    lmn_member_strike(&ms, 2, at(now));
+    assert_true(lmn_member_judged(&ms, 2, at(now)));
     /* Nor once it was refuted. */
     lmn_member_record(&ms, 2, 2000, 102, at(now));
     assert_false(lmn_member_judged(&ms, 2, at(now)));
--- a/tests/test_model.c
+++ b/tests/test_model.c
@@ -758,6 +758,7 @@
         if (g_array_index(w.leases, struct holder, i).id == n->lease)
             g_array_index(w.leases, struct holder, i).until = w.now;
     w.leaves += bare;
+    w.preempted += (unsigned)c->count.preempted;
     w.warm += (unsigned)c->count.warm;
     n->core = NULL;
     n->down_until = w.now + g_rand_double_range(w.r, 0.2, 6);
@@ -1436,8 +1437,12 @@
         takeovers += w.takeovers;
         steals += w.steals;
         preempted += w.preempted;
+        for (int i = 0; i < w.layout.nodes; i++)
+            preempted += w.nodes[i].core ? (unsigned)w.nodes[i].core->count.preempted : 0;
     }
     /* The days were worth playing. */
+    print_message("%u jobs done, %u takeovers, %u stolen, %u stopped for others\n", finished,
+                  takeovers, steals, preempted);
     assert_true(finished > 12 * JOBS / 4);
     assert_true(takeovers > 12 * 5);
     assert_true(steals > 12);
