--- a/tests/test_takeover.c
+++ b/tests/test_takeover.c
@@ -50,6 +50,7 @@
     G_ACKNOWLEDGE, /* a start waits until the standby has acknowledged it */
     G_STRIKE,      /* the standby is struck off before starts go on without it */
     G_NAMED,       /* a warm takeover is by who the record names */
+    G_TERM,        /* nobody owned it between the copy's owner and us */
     G_HOLD,        /* what was told is held until its machine has spoken */
 };
 
@@ -205,6 +206,8 @@
         p->standby_term = p->owner_term - 1;
         g_strlcpy(p->standby, c->cfg->node, LMN_NAME);
     }
+    if (broken == G_TERM && p->copy && p->owner_stream)
+        p->copy->term = p->standby_term = p->owner_term - 1;
     if (broken == G_HOLD && p->copy)
         g_hash_table_remove_all(p->copy->machines);
     c->fresh = clk;
@@ -395,6 +398,7 @@
     RECORD_A, /* a record on its way is applied, or lost */
     UNRECORD_A,
     RESTART_B, /* another life, with another lease, that has no copy */
+    CLAIM_A,   /* another life of the owner claims what the last one held */
     PASS,      /* so much time that a warm takeover deals, whoever has spoken */
     MOVES
 };
@@ -741,6 +745,8 @@
     case CLAIM:
         if (node[B].txn)
             return false;
+        if (broken == G_TERM && part(B)->standby_stream)
+            part(B)->standby_term = part(B)->term;
         node[B].txn = lmn_holder_claim(node[B].core, 0, node[B].lease, clk);
         return node[B].txn != NULL;
     case GIVE:
@@ -806,6 +812,12 @@
         boot(B);
         join(B);
         return true;
+    case CLAIM_A:
+        if (!streams || node[A].txn || node[A].still || part(A)->mine)
+            return false;
+        node[A].txn = lmn_holder_claim(node[A].core, 0, node[A].lease, clk);
+        node[A].gift = false;
+        return node[A].txn != NULL;
     case PASS:
         if (!streams || passes++)
             return false;
@@ -1227,7 +1239,13 @@
                                       APPLY_B, FOLLOW_B, PASS};
     static const enum move held[] = {IN_STEP, START_A, TELL_A,   GO_A, DOUBT,
                                      CLAIM,   APPLY_B, FOLLOW_B, PASS};
+    /* The owner starts again, claims what was its own, and has nobody in step yet. */
+    static const enum move again[] = {
+        IN_STEP,    RESTART_A,  FOLLOW_A,   CLAIM_A, APPLY_A, FOLLOW_A, REPORT_A_0,
+        REPORT_A_0, REPORT_A_1, REPORT_A_1, FOLLOW_B, DOUBT,  CLAIM,    APPLY_B,
+        FOLLOW_B,   PASS};
     (void)state;
+    breaks_with_a_standby(G_TERM, again, G_N_ELEMENTS(again));
     breaks_with_a_standby(G_ACKNOWLEDGE, begun, G_N_ELEMENTS(begun));
     breaks_with_a_standby(G_STRIKE, claimed, G_N_ELEMENTS(claimed));
     breaks_with_a_standby(G_NAMED, named, G_N_ELEMENTS(named));
