--- a/src/standby/choose.c
+++ b/src/standby/choose.c
@@ -39,16 +39,22 @@
     return g_str_hash(text) * 2654435761u; /* Knuth's multiplier: near names, far apart */
 }
 
+static bool able(const struct lmn_members *ms, int rank, struct timespec now)
+{
+    return lmn_member_trusted(ms, rank, now) &&
+           ms->v[rank].word.behind_s < LMN_STANDBY_CALM_S;
+}
+
 int lmn_standby_choose(const struct lmn_core *c, const struct lmn_partition *p,
                        struct timespec now)
 {
     const struct lmn_members *ms = &c->members;
     int best = -1, holder = p->id % ms->n;
 
-    if (holder != ms->me && lmn_member_trusted(ms, holder, now))
+    if (holder != ms->me && able(ms, holder, now))
         return holder;
     for (int k = 0; k < ms->n; k++) {
-        if (k == ms->me || !lmn_member_trusted(ms, k, now))
+        if (k == ms->me || !able(ms, k, now))
             continue;
         if (best < 0) {
             best = k;
--- a/src/standby/stream.c
+++ b/src/standby/stream.c
@@ -275,7 +275,7 @@
     if (s->phase == LMN_STREAM_NONE) {
         int to = -1;
         if ((p->ready || p->warm) && c->tuning.standby > 0 && !p->releasing &&
-            !lmn_before(now, s->next))
+            c->load.behind < LMN_STANDBY_CALM_S && !lmn_before(now, s->next))
             to = lmn_standby_choose(c, p, now);
         if (to >= 0)
             begin(c, p, to, now);
--- a/tests/test_standby.c
+++ b/tests/test_standby.c
@@ -295,6 +295,16 @@
     struct lmn_word well = {0, 0, 0};
     lmn_member_record(&core->members, nb, 3, 2, now);
     lmn_member_answered(&core->members, nb, &well, now, now);
+    /* Not while either is behind. */
+    core->load.behind = 1;
+    lmn_stream_next(core, p, now, &b, &t, &wait);
+    assert_int_equal(s->phase, LMN_STREAM_NONE);
+    core->load.behind = 0;
+    struct lmn_word late = {1, 0, 0};
+    lmn_member_answered(&core->members, nb, &late, now, now);
+    lmn_stream_next(core, p, now, &b, &t, &wait);
+    assert_int_equal(s->phase, LMN_STREAM_NONE);
+    lmn_member_answered(&core->members, nb, &well, now, now);
     for (int k = 0; k < 9 && s->phase != LMN_STREAM_NAMING; k++)
         if (lmn_stream_next(core, p, now, &b, &t, &wait) == LMN_STREAM_SEND)
             lmn_stream_sent(core, p, b, true, LMN_COPY_TAKEN, now);
