Parameters and a time that nobody used are gone

Found on reading the change again: strike() and lmn_standby_condition() took what they did not look at, and the time at which a controller had left was kept for one log line. Behaviour is as it was; the explorer and the tests of standbys, heirs, members and the service pass.

--- a/src/own/holder.c
+++ b/src/own/holder.c
@@ -271,8 +271,7 @@
     pthread_mutex_lock(&c->lock);
     c->lease = 0;
     c->left = true;
-    c->left_at = lmn_now();
-    lmn_info("leave-given after=%.2f", lmn_since(c->left_at, c->leave_at));
+    lmn_info("leave-given after=%.2f", lmn_since(lmn_now(), c->leave_at));
     pthread_mutex_unlock(&c->lock);
 }
 
--- a/src/own/partition.c
+++ b/src/own/partition.c
@@ -261,12 +261,12 @@
 
 /* The owner's key and a higher term, both conditional on what the mirror shows. The key
  * hangs on the new owner's lease, whoever writes it. */
-static struct lmn_txn *transfer(const struct lmn_core *c, const struct lmn_partition *p,
-                                const char *to, uint64_t lease, bool standby)
+static struct lmn_txn *transfer(const struct lmn_partition *p, const char *to,
+                                uint64_t lease, bool standby)
 {
     struct lmn_txn *t = lmn_txn_new(LMN_RANK_OWNER, NULL, NULL);
     uint64_t term = p->term + 1;
-    uint64_t stream = standby ? lmn_standby_condition(c, p, to, t) : 0;
+    uint64_t stream = standby ? lmn_standby_condition(p, to, t) : 0;
     GByteArray *b = g_byte_array_new();
     char key[32];
 
@@ -300,7 +300,7 @@
     int owner = p->owner_rev ? lmn_member_rank(&c->members, p->owner) : -1;
     /* Conditional on the record only with its copy: without, that would be no help. */
     bool warm = p->copy && p->copy->stream == p->standby_stream;
-    struct lmn_txn *t = transfer(c, p, c->cfg->node, lease, warm);
+    struct lmn_txn *t = transfer(p, c->cfg->node, lease, warm);
 
     /* A verdict: it does not hold against one that refutes it first. */
     if (owner >= 0 && owner != c->members.me)
@@ -311,8 +311,8 @@
 struct lmn_txn *lmn_partition_gift(const struct lmn_core *c,
                                    const struct lmn_partition *p, int heir)
 {
-    struct lmn_txn *t = transfer(c, p, lmn_member_name(&c->members, heir),
-                                 c->members.v[heir].lease, true);
+    struct lmn_txn *t =
+        transfer(p, lmn_member_name(&c->members, heir), c->members.v[heir].lease, true);
 
     if_incarnation(c, t, heir);
     return t;
--- a/src/standby/stream.c
+++ b/src/standby/stream.c
@@ -214,8 +214,7 @@
            lmn_member_back_s(ms, holder, now) < BEFORE_S;
 }
 
-static void strike(struct lmn_core *c, struct lmn_partition *p, const char *why,
-                   struct timespec now)
+static void strike(struct lmn_core *c, struct lmn_partition *p, const char *why)
 {
     struct lmn_stream *s = &p->stream;
 
@@ -227,14 +226,13 @@
     s->why = why;
     s->written = (struct timespec){0, 0};
     s->count.strikes++;
-    (void)now;
 }
 
 static void fail(struct lmn_core *c, struct lmn_partition *p, const char *why,
                  struct timespec now)
 {
     if (p->stream.phase >= LMN_STREAM_NAMING)
-        strike(c, p, why, now);
+        strike(c, p, why);
     else
         end(c, p, why, now);
 }
@@ -295,7 +293,7 @@
     } else if (s->failures >= TRIES) {
         fail(c, p, "no answer", now);
     } else if (s->phase == LMN_STREAM_IN_STEP && passed_over(c, p, now)) {
-        strike(c, p, BACK, now);
+        strike(c, p, BACK);
     } else if (s->phase == LMN_STREAM_COPYING && s->number > 0 && !s->batch &&
                p->untold->len <= LMN_BATCH_MACHINES / 2 && !p->forgotten->len) {
         s->phase = LMN_STREAM_CLOSING;
@@ -414,11 +412,10 @@
     s->why = NULL;
 }
 
-uint64_t lmn_standby_condition(const struct lmn_core *c, const struct lmn_partition *p,
-                               const char *member, struct lmn_txn *t)
+uint64_t lmn_standby_condition(const struct lmn_partition *p, const char *member,
+                               struct lmn_txn *t)
 {
     char key[32];
-    (void)c;
 
     if (!p->standby_stream || p->standby_term != p->term || strcmp(p->standby, member))
         return 0;
--- a/src/standby/stream.h
+++ b/src/standby/stream.h
@@ -57,8 +57,8 @@
 
 /* All of the stream's record, for other transactions: the condition that it is in step
  * with the member, and the stream's name to write into o/P. Returns 0 if it is not. */
-uint64_t lmn_standby_condition(const struct lmn_core *c, const struct lmn_partition *p,
-                               const char *member, struct lmn_txn *t);
+uint64_t lmn_standby_condition(const struct lmn_partition *p, const char *member,
+                               struct lmn_txn *t);
 /* How many machines and starts the standby has not been told of. */
 void lmn_stream_lag(const struct lmn_partition *p, struct timespec now, guint *machines,
                     uint64_t *starts, double *seconds);
--- a/src/state/model.h
+++ b/src/state/model.h
@@ -367,7 +367,7 @@
     bool leaving;  /* it gives its partitions away, and ends (own/leave.h) */
     bool left;     /* it has none, and no lease any more */
     bool recorded; /* that it leaves: its record says so */
-    struct timespec leave_at, left_at;
+    struct timespec leave_at;
     uint32_t gen;
     struct timespec fresh; /* the mirror is no older than this */
     struct timespec booted, synced_at, audited;
