--- a/bench/common.h
+++ b/bench/common.h
@@ -2,6 +2,9 @@
 #ifndef LMN_BENCH_COMMON_H
 #define LMN_BENCH_COMMON_H
 
+#include "base/codec.h"
+#include "base/http_client.h"
+
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
@@ -31,6 +34,24 @@
     return bench_run(args);
 }
 
+/* A number of the metrics of whoever serves there; 0 if there is none. name: with what
+ * stands before it and behind, as in "\nname ". */
+static inline double bench_metric(const char *addr, const char *name)
+{
+    struct lmn_http *h = lmn_http_new(addr);
+    GByteArray *in = g_byte_array_new();
+    double v = 0;
+
+    if (lmn_http_call(h, "GET", "/metrics", NULL, 5, in) == 200) {
+        g_byte_array_append(in, (const guint8 *)"", 1);
+        const char *at = strstr((char *)in->data, name);
+        v = at ? g_ascii_strtod(at + strlen(name), NULL) : 0;
+    }
+    g_byte_array_unref(in);
+    lmn_http_free(h);
+    return v;
+}
+
 /* Resident memory of a process, MB; pid 0: this one. */
 static inline double bench_resident_mb(int pid)
 {
--- a/bench/crowd.c
+++ b/bench/crowd.c
@@ -128,29 +128,12 @@
     }
 }
 
-/* A number of the controller's metrics; 0 if there is none. */
-static double metric(int node, const char *name)
-{
-    struct lmn_http *h = lmn_http_new(site.users[node]);
-    GByteArray *in = g_byte_array_new();
-    double v = 0;
-
-    if (lmn_http_call(h, "GET", "/metrics", NULL, 5, in) == 200) {
-        g_byte_array_append(in, (const guint8 *)"", 1);
-        const char *at = strstr((char *)in->data, name);
-        v = at ? g_ascii_strtod(at + strlen(name), NULL) : 0;
-    }
-    g_byte_array_unref(in);
-    lmn_http_free(h);
-    return v;
-}
-
 static double sum(const char *name)
 {
     double s = 0;
 
     for (int i = 0; i < NODES; i++)
-        s += metric(i, name);
+        s += bench_metric(site.users[i], name);
     return s;
 }
 
--- a/bench/failover.c
+++ b/bench/failover.c
@@ -238,22 +238,6 @@
     return ok;
 }
 
-static double metric(const char *addr, const char *name)
-{
-    struct lmn_http *h = lmn_http_new(addr);
-    GByteArray *in = g_byte_array_new();
-    double v = 0;
-
-    if (lmn_http_call(h, "GET", "/metrics", NULL, 5, in) == 200) {
-        g_byte_array_append(in, (const guint8 *)"", 1);
-        const char *at = strstr((char *)in->data, name);
-        v = at ? g_ascii_strtod(at + strlen(name), NULL) : 0;
-    }
-    g_byte_array_unref(in);
-    lmn_http_free(h);
-    return v;
-}
-
 /* --- work --- */
 
 static struct {
@@ -314,7 +298,7 @@
             lmn_sleep(0.3);
     }
     submit(MIN(workers * CPUS * 2, 100000), 4);
-    while (metric(site.cloud, "\nlemonspar_emulated_up ") < workers) {
+    while (bench_metric(site.cloud, "\nlemonspar_emulated_up ") < workers) {
         if (lmn_since(lmn_now(), begun) > 120)
             return false;
         lmn_sleep(0.5);
@@ -428,7 +412,7 @@
     node = owner(partition);
     if (node < 0)
         return false;
-    double lapsed = metric(site.cloud, "\nlemonspar_emulated_lapsed_tasks_total ");
+    double lapsed = bench_metric(site.cloud, "\nlemonspar_emulated_lapsed_tasks_total ");
     struct timespec then = lmn_now();
     begin(t, node);
     /* Until its work goes on elsewhere; where it should stay, for as long as a lease. */
@@ -446,7 +430,8 @@
         ready(site.users[node], 20);
     /* Until what the trouble held up has come through. */
     lmn_sleep(2);
-    lapsed = metric(site.cloud, "\nlemonspar_emulated_lapsed_tasks_total ") - lapsed;
+    lapsed =
+        bench_metric(site.cloud, "\nlemonspar_emulated_lapsed_tasks_total ") - lapsed;
     tell(a, sizeof a, doubt);
     tell(b, sizeof b, own);
     tell(c, sizeof c, rdy);
@@ -495,7 +480,8 @@
     while (lmn_since(lmn_now(), begun) < 90) {
         double in_step = 0;
         for (int i = 0; i < nodes; i++)
-            in_step += MAX(metric(site.users[i], "\nlemonspar_standby_in_step "), 0);
+            in_step +=
+                MAX(bench_metric(site.users[i], "\nlemonspar_standby_in_step "), 0);
         if (in_step == (on ? nodes : 0))
             return true;
         lmn_sleep(0.2);
@@ -544,7 +530,7 @@
 static bool roll_one(int node)
 {
     bool held[MOST], ok = true;
-    double lapsed = metric(site.cloud, "\nlemonspar_emulated_lapsed_tasks_total ");
+    double lapsed = bench_metric(site.cloud, "\nlemonspar_emulated_lapsed_tasks_total ");
     int status = 0, n = 0;
 
     if (!all_owned(60) || !settled(true))
@@ -572,7 +558,8 @@
             lmn_latency_add(&stood, went - begun);
         n++;
     }
-    lapsed = metric(site.cloud, "\nlemonspar_emulated_lapsed_tasks_total ") - lapsed;
+    lapsed =
+        bench_metric(site.cloud, "\nlemonspar_emulated_lapsed_tasks_total ") - lapsed;
     printf(
         "controller %d: %d partitions given, ended after %.2f s with %d; tasks ended by "
         "leases %.0f\n",
@@ -665,7 +652,7 @@
     ok = fill(workers) && ok;
     pthread_create(&user, NULL, submit_all, NULL);
     printf("%d controllers, %.0f emulated workers\n", nodes,
-           metric(site.cloud, "\nlemonspar_emulated_up "));
+           bench_metric(site.cloud, "\nlemonspar_emulated_up "));
     for (int round = 0; takeovers && round < atoi(argv[4]); round++)
         ok = take_over(true) && take_over(false) && ok;
     for (int round = 0; roll && round < atoi(argv[4]); round++)
@@ -679,8 +666,8 @@
     pthread_mutex_unlock(&night.lock);
     pthread_join(user, NULL);
     ok = all_done() && ok;
-    double twice = metric(site.cloud, "\nlemonspar_emulated_twice_total ");
-    double starts = metric(site.cloud, "\nlemonspar_emulated_starts_total ");
+    double twice = bench_metric(site.cloud, "\nlemonspar_emulated_twice_total ");
+    double starts = bench_metric(site.cloud, "\nlemonspar_emulated_starts_total ");
     printf("jobs %u, not accepted %u; tasks %.0f, begun %.0f times, %.0f while they ran "
            "elsewhere\n",
            night.submitted, night.lost, (double)night.tasks, starts, twice);
--- a/tests/test_model.c
+++ b/tests/test_model.c
@@ -30,6 +30,7 @@
 #include "state/model.h"
 #include "state/records.h"
 #include "state/state.h"
+#include "twin.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -821,26 +822,6 @@
 
 /* --- standbys --- */
 
-static struct lmn_batch *twin(const struct lmn_batch *b)
-{
-    struct lmn_batch *c = lmn_batch_new();
-    GPtrArray *machines = c->machines;
-
-    *c = *b;
-    c->machines = machines;
-    for (guint i = 0; i < b->machines->len; i++) {
-        const struct lmn_told *t = b->machines->pdata[i];
-        struct lmn_told *u = lmn_told_new(t->name);
-        u->session = t->session;
-        u->gone = t->gone;
-        u->forget = t->forget;
-        if (t->attempts->len)
-            g_array_append_vals(u->attempts, t->attempts->data, t->attempts->len);
-        g_ptr_array_add(machines, u);
-    }
-    return c;
-}
-
 /* In step with nothing untold, a standby knows to the letter what the owner does. */
 static void compare(const struct node *n, const struct lmn_partition *p)
 {
@@ -889,7 +870,7 @@
             struct node *o = &w.nodes[p->stream.to];
             bool heard = talk(me, p->stream.to) && w.now >= o->still_until && !trouble(0.02);
             if (heard) {
-                struct lmn_batch *same = twin(b);
+                struct lmn_batch *same = batch_twin(b);
                 answer = lmn_copy_take(o->core, same, w.clock);
                 lmn_batch_free(same);
                 heard = !trouble(0.02);
--- a/tests/test_takeover.c
+++ b/tests/test_takeover.c
@@ -23,6 +23,7 @@
 #include "state/core.h"
 #include "state/mirror.h"
 #include "state/records.h"
+#include "twin.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -479,24 +480,9 @@
 
 static bool take_batch(int to, const struct lmn_batch *b, enum lmn_copy_answer *answer)
 {
-    struct lmn_batch *same = lmn_batch_new();
-
-    if (to > B || node[to].still) {
-        lmn_batch_free(same);
+    if (to > B || node[to].still)
         return false;
-    }
-    *same = (struct lmn_batch){b->part,   b->term, b->stream,
-                               b->number, b->mark, same->machines};
-    for (guint i = 0; i < b->machines->len; i++) {
-        const struct lmn_told *t = b->machines->pdata[i];
-        struct lmn_told *u = lmn_told_new(t->name);
-        u->session = t->session;
-        u->gone = t->gone;
-        u->forget = t->forget;
-        if (t->attempts->len)
-            g_array_append_vals(u->attempts, t->attempts->data, t->attempts->len);
-        g_ptr_array_add(same->machines, u);
-    }
+    struct lmn_batch *same = batch_twin(b);
     *answer = lmn_copy_take(node[to].core, same, clk);
     lmn_batch_free(same);
     return true;
--- /dev/null
+++ b/tests/twin.h
@@ -0,0 +1,28 @@
+/* What a message of the product's is after its way through a network: the same, apart. */
+#ifndef LMN_TESTS_TWIN_H
+#define LMN_TESTS_TWIN_H
+
+#include "standby/batch.h"
+
+/* A copy of the batch, but for images; to be freed. */
+static inline struct lmn_batch *batch_twin(const struct lmn_batch *b)
+{
+    struct lmn_batch *c = lmn_batch_new();
+    GPtrArray *machines = c->machines;
+
+    *c = *b;
+    c->machines = machines;
+    for (guint i = 0; i < b->machines->len; i++) {
+        const struct lmn_told *t = b->machines->pdata[i];
+        struct lmn_told *u = lmn_told_new(t->name);
+        u->session = t->session;
+        u->gone = t->gone;
+        u->forget = t->forget;
+        if (t->attempts->len)
+            g_array_append_vals(u->attempts, t->attempts->data, t->attempts->len);
+        g_ptr_array_add(machines, u);
+    }
+    return c;
+}
+
+#endif
