--- a/src/decide/fleet.c
+++ b/src/decide/fleet.c
@@ -63,6 +63,8 @@
                 continue;
             if (s->kind == LMN_BATCH)
                 left = MIN(left, MAX(left * MAX(s->estimate_s, 1) / horizon, 1));
+            if (lmn_job_accused(&r->job->blame))
+                left = MIN(left, 1); /* its only try */
             struct want w = {s, r->job->team, left * s->cpus, left * s->gpus,
                              left * s->mem};
             g_array_append_val(a, w);
--- a/src/decide/floor.c
+++ b/src/decide/floor.c
@@ -25,6 +25,9 @@
 {
     uint32_t waiting = r->hi - r->lo - MIN(r->nfinished + r->nstarted, r->hi - r->lo);
 
+    /* Of one that fails wherever it starts, nothing can. */
+    if (lmn_job_accused(&r->job->blame))
+        waiting = 0;
     f->used += r->nstarted * r->job->spec.cpus;
     f->waiting += waiting * r->job->spec.cpus;
 }
--- a/src/decide/preempt.c
+++ b/src/decide/preempt.c
@@ -36,7 +36,7 @@
         const struct lmn_seg *s = q->segs->pdata[i];
         const struct lmn_job *j = s->job;
         if (j->spec.urgency != LMN_PROD || j->phase != LMN_ACTIVE ||
-            lmn_before(now, j->hold))
+            lmn_before(now, j->blame.hold))
             continue;
         for (uint32_t k = s->lo; k < s->hi && out->len < HELPED_AT_ONCE; k++) {
             struct waiting w = {q, on, s->range, k};
--- a/src/decide/queue.c
+++ b/src/decide/queue.c
@@ -166,6 +166,11 @@
     struct lmn_partition *p = r->part;
     GHashTableIter it;
     gpointer v;
+    if (lmn_job_accused(&r->job->blame)) {
+        /* It is tried with a task at a time: there it fills no machine's queue. */
+        lmn_queue_add(&p->limbo, r, lo, hi);
+        return;
+    }
     GPtrArray *able = g_ptr_array_new();
     GArray *roomy = g_array_new(FALSE, FALSE, sizeof(struct candidate));
 
@@ -212,6 +217,36 @@
     g_ptr_array_free(able, TRUE);
 }
 
+void lmn_deal_range(struct lmn_core *c, struct lmn_range *r, struct timespec now)
+{
+    uint32_t n = r->hi - r->lo;
+
+    for (uint32_t i = 0; i < n;) {
+        uint32_t k = i;
+        while (k < n && r->st[k] == LMN_T_QUEUED)
+            k++;
+        if (k > i)
+            lmn_deal(c, r, r->lo + i, r->lo + k, now);
+        i = k + 1;
+    }
+}
+
+void lmn_job_redeal(struct lmn_core *c, struct lmn_job *j, struct timespec now)
+{
+    for (guint i = 0; i < j->ranges->len; i++) {
+        struct lmn_range *r = j->ranges->pdata[i];
+        GHashTableIter it;
+        gpointer v;
+        if (!r->part->mine || !r->st || !r->dealt)
+            continue;
+        lmn_queue_drop_range(&r->part->limbo, r);
+        g_hash_table_iter_init(&it, r->part->machines);
+        while (g_hash_table_iter_next(&it, NULL, &v))
+            lmn_queue_drop_range(&((struct lmn_machine *)v)->queue, r);
+        lmn_deal_range(c, r, now);
+    }
+}
+
 void lmn_redeal_machine(struct lmn_core *c, struct lmn_machine *m, struct timespec now)
 {
     struct lmn_queue old = m->queue;
@@ -295,6 +330,8 @@
                  p->id, p->my_term, lmn_since(now, p->since));
     p->started = true;
     c->turn++;
+    if (lmn_job_accused(&a.job->blame))
+        lmn_job_tried(&a.job->blame, now);
     if (m->promised && a.job->spec.urgency == LMN_PROD) {
         m->promised--;
         look_anew(c); /* lesser work may start again */
@@ -326,7 +363,7 @@
         return true;
     bool ok = j->phase == LMN_ACTIVE && room(m, &j->spec) > 0 &&
               (!m->promised || j->spec.urgency == LMN_PROD) &&
-              !lmn_before(now, j->hold) && lmn_can_hold(m, j) &&
+              !lmn_before(now, j->blame.hold) && lmn_can_hold(m, j) &&
               lmn_in_quota(c, m->part, j) && lmn_zone_room(j, m->zone) > 0;
     if (ok)
         j->look_yes = c->turn;
@@ -550,7 +587,7 @@
     if (p->releasing || !m->accounted || !m->rev || m->retiring || m->noticed || !m->type)
         return 0;
     /* Nobody acknowledges starts now: they would only be taken back. */
-    if (lmn_stream_stuck(p, now))
+    if (lmn_stream_stuck(p, now) || lmn_before(now, m->hold))
         return 0;
     look_anew(c);
     n = start_own(c, m, out, now);
--- a/src/decide/queue.h
+++ b/src/decide/queue.h
@@ -8,6 +8,11 @@
 /* Cuts the range's queued tasks over the queues of the machines that could hold them. */
 void lmn_deal(struct lmn_core *c, struct lmn_range *r, uint32_t lo, uint32_t hi,
               struct timespec now);
+/* Cuts all of the range's queued tasks so. */
+void lmn_deal_range(struct lmn_core *c, struct lmn_range *r, struct timespec now);
+/* Deals the job's queued tasks in this node's partitions anew: an accused job's into
+ * limbo, away from the machines' queues. */
+void lmn_job_redeal(struct lmn_core *c, struct lmn_job *j, struct timespec now);
 /* Gives a machine's queue, or all of limbo, back to be dealt anew. */
 void lmn_redeal_machine(struct lmn_core *c, struct lmn_machine *m, struct timespec now);
 void lmn_machine_retire(struct lmn_core *c, struct lmn_machine *m, bool force,
--- a/src/decide/steal.c
+++ b/src/decide/steal.c
@@ -84,8 +84,9 @@
 
     if (!r->st || r->job->phase != LMN_ACTIVE || r->writing || r->move_to >= 0)
         return 0;
-    /* Tasks that look at each other's places stay with one owner. */
-    if (r->job->spec.one_zone || r->job->spec.spread)
+    /* Tasks that look at each other's places stay with one owner; those that fail
+     * wherever they start are not worth a change. */
+    if (r->job->spec.one_zone || r->job->spec.spread || lmn_job_accused(&r->job->blame))
         return 0;
     while (k > 0 && r->st[k - 1] == LMN_T_QUEUED)
         k--;
--- a/src/own/partition.c
+++ b/src/own/partition.c
@@ -36,7 +36,8 @@
     for (guint i = 0; i < m->attempts->len; i++)
         lmn_attempt_uncount(m, &g_array_index(m->attempts, struct lmn_attempt, i));
     g_array_set_size(m->attempts, 0);
-    g_ptr_array_set_size(m->failed_jobs, 0);
+    g_array_set_size(m->accusers, 0);
+    m->hold = (struct timespec){0, 0};
     lmn_unpoke(m);
     m->in_call = false;
     m->probes = 0;
@@ -142,18 +143,10 @@
     g_hash_table_iter_init(&it, p->ranges);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         struct lmn_range *r = v;
-        uint32_t n = r->hi - r->lo;
         if (r->dealt || r->job->phase != LMN_ACTIVE || !lmn_range_free_to_start(r))
             continue;
         r->dealt = true;
-        for (uint32_t i = 0; i < n;) {
-            uint32_t k = i;
-            while (k < n && r->st[k] == LMN_T_QUEUED)
-                k++;
-            if (k > i)
-                lmn_deal(c, r, r->lo + i, r->lo + k, now);
-            i = k + 1;
-        }
+        lmn_deal_range(c, r, now);
     }
 }
 
--- a/src/own/upkeep.c
+++ b/src/own/upkeep.c
@@ -213,9 +213,7 @@
         g_hash_table_iter_init(&it, p->machines);
         while (g_hash_table_iter_next(&it, NULL, &v))
             lmn_queue_drop_range(&((struct lmn_machine *)v)->queue, r);
-        for (uint32_t i = 0; i < n; i++)
-            if (r->st[i] == LMN_T_QUEUED)
-                lmn_deal(c, r, r->lo + i, r->lo + i + 1, now);
+        lmn_deal_range(c, r, now);
     }
     g_list_free(ranges);
 }
--- a/src/own/worker.c
+++ b/src/own/worker.c
@@ -105,19 +105,91 @@
     return &g_array_index(m->attempts, struct lmn_attempt, m->attempts->len - 1);
 }
 
-static void blame(struct lmn_core *c, struct lmn_machine *m, struct lmn_job *j,
+static struct lmn_accuser *accuser(struct lmn_machine *m, struct lmn_job *j)
+{
+    struct lmn_accuser new = {.job = j};
+
+    for (guint i = 0; i < m->accusers->len; i++) {
+        struct lmn_accuser *x = &g_array_index(m->accusers, struct lmn_accuser, i);
+        if (x->job == j)
+            return x;
+    }
+    g_array_append_val(m->accusers, new);
+    return &g_array_index(m->accusers, struct lmn_accuser, m->accusers->len - 1);
+}
+
+/* A task has failed: at the fault of its job, or of the machine. What its job says counts
+ * as it stands now: one that has failed elsewhere meanwhile takes its word back. */
+static void blame(struct lmn_core *c, struct lmn_machine *m, struct lmn_attempt *a,
                   struct timespec now)
 {
-    if (!j)
+    struct lmn_job *j = a->job;
+    guint where = g_str_hash(m->name);
+    double sum = 0;
+
+    c->count.failures++;
+    if (!j || j->phase != LMN_ACTIVE)
+        return;
+    bool was = lmn_job_accused(&j->blame);
+    lmn_job_failed(&j->blame, where, a->since, now);
+    if (!was && lmn_job_accused(&j->blame)) {
+        c->count.accused++;
+        lmn_info("job-accused job=%s machines=%u proven=%d", j->spec.ref, j->blame.places,
+                 j->blame.proven);
+        lmn_job_redeal(c, j, now);
+    }
+    struct lmn_accuser *x = accuser(m, j);
+    x->times++;
+    x->last = now;
+    for (guint i = 0; i < m->accusers->len; i++) {
+        x = &g_array_index(m->accusers, struct lmn_accuser, i);
+        sum += lmn_testimony(&x->job->blame, where, x->times, x->last, now);
+    }
+    /* One whose tasks fail at once has room at once: it would empty healthy queues into
+     * failures. */
+    m->hold = lmn_after(now, lmn_machine_pause(sum));
+    if (lmn_machine_guilty(sum) && !m->retiring) {
+        c->count.faulty++;
+        lmn_info("machine-accused machine=%s jobs=%u weight=%.2f", m->name,
+                 m->accusers->len, sum);
+        lmn_machine_retire(c, m, false, "tasks fail on it that succeed elsewhere", now);
+    }
+}
+
+/* What a predecessor has left in the reports: it had accused the job. */
+static void had_failed(struct lmn_core *c, struct lmn_machine *m, struct lmn_attempt *a,
+                       struct timespec now)
+{
+    struct lmn_job *j = a->job;
+
+    a->failed = true;
+    if (!j || j->phase != LMN_ACTIVE)
         return;
-    /* A job that fails everywhere is held back by itself; a machine on which different
-     * jobs fail one after the other empties queues into failures, and goes. */
-    j->errors++;
-    j->hold = lmn_after(now, MIN(60.0, 0.5 * (double)(1u << MIN(j->errors, 7u))));
-    if (!g_ptr_array_find(m->failed_jobs, j, NULL))
-        g_ptr_array_add(m->failed_jobs, j);
-    if (m->failed_jobs->len >= 2)
-        lmn_machine_retire(c, m, false, "tasks of several jobs fail on it", now);
+    bool was = lmn_job_accused(&j->blame);
+    lmn_job_had_failed(&j->blame, g_str_hash(m->name), now);
+    if (!was && lmn_job_accused(&j->blame)) {
+        lmn_info("job-accused job=%s machines=%u by=predecessor", j->spec.ref,
+                 j->blame.places);
+        lmn_job_redeal(c, j, now);
+    }
+}
+
+/* A failure of an accused job stays in the machine's reports, one on each machine: the
+ * history outlives its owner at no change of the state service. Else every takeover
+ * started the job's tasks all at once again. */
+static bool is_history(const struct lmn_machine *m, const struct lmn_attempt *a)
+{
+    if (!a->failed || !a->job || a->job->phase != LMN_ACTIVE ||
+        !lmn_job_accused(&a->job->blame))
+        return false;
+    for (guint i = 0; i < m->attempts->len; i++) {
+        const struct lmn_attempt *b = &g_array_index(m->attempts, struct lmn_attempt, i);
+        if (b == a)
+            return true;
+        if (b->failed && b->job == a->job)
+            return false;
+    }
+    return false;
 }
 
 static void ended(struct lmn_core *c, struct lmn_machine *m, struct lmn_attempt *a,
@@ -134,9 +206,13 @@
         lmn_debug("task-done task=%s/%u attempt=%" G_GUINT64_FORMAT
                   " machine=%s after=%.1f",
                   a->ref, a->index, a->number, m->name, lmn_since(now, a->since));
-        g_ptr_array_set_size(m->failed_jobs, 0);
-        if (a->job)
-            a->job->errors = 0;
+        g_array_set_size(m->accusers, 0);
+        if (a->job) {
+            bool was = lmn_job_accused(&a->job->blame);
+            lmn_job_succeeded(&a->job->blame);
+            if (was)
+                lmn_job_redeal(c, a->job, now);
+        }
         if (!r)
             r = a->range = lmn_range_of(m->part, a->job, a->index);
         if (r)
@@ -146,9 +222,12 @@
     lmn_debug("task-ended task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s why=%.*s",
               a->ref, a->index, a->number, m->name, why ? (int)why->len : 0,
               why ? why->s : "");
-    if (lmn_is(why, W_FAILED) || lmn_is(why, W_NO_SUCH))
-        blame(c, m, a->job, now);
+    a->failed = lmn_is(why, W_FAILED);
     a->range = NULL;
+    if (a->failed)
+        blame(c, m, a, now);
+    else if (lmn_is(why, W_NO_SUCH) && a->job)
+        lmn_job_failed(&a->job->blame, g_str_hash(m->name), a->since, now);
     if (r)
         lmn_task_requeue(c, r, a->index, now);
 }
@@ -184,8 +263,11 @@
         uint32_t index = (uint32_t)strtoul(slash + 1, NULL, 10);
         enum lmn_attempt_state state = attempt_state(lmn_get(d, n, W_STATE));
         struct lmn_attempt *a = find(m, task, index, number);
-        if (!a)
+        if (!a) {
             a = adopt(c, m, task, index, number, state, now);
+            if (state == LMN_A_ENDED && lmn_is(lmn_get(d, n, W_WHY), W_FAILED))
+                had_failed(c, m, a, now);
+        }
         a->seen = a->listed = true;
         a->told = false;
         if (a->job && state != LMN_A_ENDED)
@@ -251,7 +333,7 @@
              * start may still arrive must stay known, or that would start it anew. */
             bool recorded = !a->done || !live || !a->range ||
                             lmn_bit(a->range->done, a->index - a->range->lo);
-            if (recorded && !a->unsure) {
+            if (recorded && !a->unsure && !is_history(m, a)) {
                 command(out, W_CLEAR, a, -1);
                 commands++;
             }
--- a/src/serve/status.c
+++ b/src/serve/status.c
@@ -56,6 +56,23 @@
     g_array_free(v, TRUE);
 }
 
+/* Jobs that fail wherever they start: they are tried with a task at a time. */
+static void show_accused(GString *s, const struct lmn_core *c)
+{
+    GHashTableIter it;
+    gpointer v;
+
+    g_hash_table_iter_init(&it, c->jobs);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const struct lmn_job *j = v;
+        if (j->phase == LMN_ACTIVE && lmn_job_accused(&j->blame))
+            g_string_append_printf(s,
+                                   "accused job=%s machines=%u rounds=%u next_try=%.1f\n",
+                                   j->spec.ref, j->blame.places, j->blame.rounds,
+                                   MAX(lmn_since(j->blame.hold, lmn_now()), 0));
+    }
+}
+
 static void show_latency(GString *s, const char *what, const struct lmn_latency *l)
 {
     g_string_append_printf(s, "latency %s p50=%.4f p95=%.4f p99=%.4f max=%.4f\n", what,
@@ -90,6 +107,7 @@
     for (int i = 0; i < c->nparts; i++)
         show_partition(s, c, &c->parts[i]);
     show_classes(s, c);
+    show_accused(s, c);
     const struct lmn_counters *n = &c->count;
     g_string_append_printf(s,
                            "counts submissions=%" G_GUINT64_FORMAT
--- a/src/state/books.c
+++ b/src/state/books.c
@@ -173,7 +173,7 @@
     g_strlcpy(m->name, name, sizeof m->name);
     m->part = p;
     m->attempts = g_array_new(FALSE, FALSE, sizeof(struct lmn_attempt));
-    m->failed_jobs = g_ptr_array_new();
+    m->accusers = g_array_new(FALSE, FALSE, sizeof(struct lmn_accuser));
     m->images = g_array_new(FALSE, FALSE, sizeof(struct lmn_image));
     lmn_queue_init(&m->queue);
     g_hash_table_insert(p->machines, m->name, m);
@@ -202,7 +202,7 @@
     lmn_queue_clear(&m->queue);
     g_ptr_array_free(m->queue.segs, TRUE);
     g_array_free(m->attempts, TRUE);
-    g_ptr_array_free(m->failed_jobs, TRUE);
+    g_array_free(m->accusers, TRUE);
     g_array_free(m->images, TRUE);
     g_free(m);
 }
--- a/src/state/finals.c
+++ b/src/state/finals.c
@@ -29,8 +29,9 @@
             for (guint k = 0; k < m->attempts->len; k++)
                 g_hash_table_add(set,
                                  g_array_index(m->attempts, struct lmn_attempt, k).job);
-            for (guint k = 0; k < m->failed_jobs->len; k++)
-                g_hash_table_add(set, m->failed_jobs->pdata[k]);
+            for (guint k = 0; k < m->accusers->len; k++)
+                g_hash_table_add(set,
+                                 g_array_index(m->accusers, struct lmn_accuser, k).job);
         }
     }
     return set;
--- a/src/state/model.h
+++ b/src/state/model.h
@@ -15,6 +15,7 @@
 #include "limits/load.h"
 #include "limits/sockets.h"
 #include "member/member.h"
+#include "state/blame.h"
 #include "state/state.h"
 #include "base/tuning.h"
 
@@ -54,9 +55,7 @@
      */
     uint64_t look_no, look_yes, look_fetch;
     double fetch_s;
-    /* a job whose tasks fail is held back by itself */
-    unsigned errors;
-    struct timespec hold;
+    struct lmn_job_blame blame; /* a job whose tasks fail is held back by itself */
 };
 
 /* How many of a job's tasks are, or may be, on machines of a zone. */
@@ -120,7 +119,8 @@
     enum lmn_attempt_state state;
     bool counted; /* holds room and quota */
     bool done, seen, killed;
-    bool stop; /* it has to make room, with so many seconds to save: */
+    bool failed; /* it has ended with an error */
+    bool stop;   /* it has to make room, with so many seconds to save: */
     double grace;
     bool direct; /* sent straight to the worker, in a call that is under way */
     bool
@@ -132,6 +132,13 @@
     struct timespec since;
 };
 
+/* A job that has failed on a machine since something last succeeded there. */
+struct lmn_accuser {
+    struct lmn_job *job;
+    unsigned times;
+    struct timespec last;
+};
+
 /* An image that a machine has, or fetches, as far as known. */
 struct lmn_image {
     const char *name; /* interned */
@@ -169,8 +176,9 @@
     double poll_s;
     bool hungry; /* has room for which nothing in its partition fits */
     struct timespec next_steal;
-    GPtrArray *failed_jobs; /* distinct jobs that failed here since the last success */
-    GArray *images;         /* struct lmn_image, the most recently used last */
+    GArray *accusers;     /* struct lmn_accuser */
+    struct timespec hold; /* after a failure it starts nothing before */
+    GArray *images;       /* struct lmn_image, the most recently used last */
     double used_cpus, used_gpus, used_mem;
     bool untold;       /* it has changed since the standby was told: it stands in the
                           partition's list of those */
@@ -302,6 +310,8 @@
     uint64_t refused, takeovers, moves, moved_tasks, unqueued, preempted;
     uint64_t warm, cold; /* takeovers */
     uint64_t withheld;   /* starts that a standby did not acknowledge in time */
+    uint64_t failures, accused, faulty; /* tasks that failed; jobs, and machines, that
+                                           were found to be at fault */
 };
 
 struct lmn_core;
