What has waited for long begins first; long idle work keeps to cheap machines

The first task of a job that has waited for 60 s goes first; idle work that runs for more than 30 s starts on, and rents, no ordinary machine that costs more than twice a cheap one, unless no cheap one can hold it.

--- a/src/decide/fleet.c
+++ b/src/decide/fleet.c
@@ -1,4 +1,5 @@
 #include "decide/fleet.h"
+#include "decide/floor.h"
 #include "limits/sockets.h"
 #include "state/core.h"
 
@@ -14,6 +15,7 @@
 struct want {
     const struct lmn_spec *spec;
     int team;
+    bool cheap; /* cheap machines only */
     double cpus, gpus, mem;
 };
 
@@ -44,9 +46,18 @@
     }
 }
 
+/* Whether no ordinary machine is worth renting for it. */
+static bool cheap_only(const struct lmn_core *c, const struct lmn_spec *s)
+{
+    for (size_t i = 0; i < c->types.n; i++)
+        if (!lmn_cheap_only(s, &c->types.v[i]))
+            return false;
+    return c->types.n > 0;
+}
+
 /* Processors that each open range could use: all of a service's, and of an array as many
  * as work it off within the horizon. */
-static GArray *wants(const struct lmn_core *c)
+static GArray *wants(const struct lmn_core *c, bool cheap)
 {
     GArray *a = g_array_new(FALSE, FALSE, sizeof(struct want));
     double horizon = c->tuning.horizon_s;
@@ -65,7 +76,11 @@
                 left = MIN(left, MAX(left * MAX(s->estimate_s, 1) / horizon, 1));
             if (lmn_job_accused(&r->job->blame))
                 left = MIN(left, 1); /* its only try */
-            struct want w = {s, r->job->team, left * s->cpus, left * s->gpus,
+            struct want w = {s,
+                             r->job->team,
+                             cheap && cheap_only(c, s),
+                             left * s->cpus,
+                             left * s->gpus,
                              left * s->mem};
             g_array_append_val(a, w);
         }
@@ -106,10 +121,11 @@
     old->until = lmn_after(now, old->wait_s);
 }
 
-/* The cheapest that serves the deficit; returns its cost, or infinity. */
+/* The cheapest that serves the deficit, of which ordinary machines may serve no more than
+ * `dear`; returns its cost, or infinity. */
 static double choose(const struct lmn_core *c, struct lmn_fleet *f, const GArray *w,
-                     double deficit, bool any, bool first, struct lmn_rental *out,
-                     struct timespec now)
+                     double deficit, double dear, bool any, bool first,
+                     struct lmn_rental *out, struct timespec now)
 {
     double best = INFINITY;
 
@@ -123,12 +139,16 @@
                     continue;
                 for (guint k = 0; k < w->len; k++) {
                     const struct want *x = &g_array_index(w, struct want, k);
-                    if (lmn_spec_allows(x->spec, t, t->zones[z], spot)) {
+                    if ((spot || !x->cheap) &&
+                        lmn_spec_allows(x->spec, t, t->zones[z], spot)) {
                         cpus += x->cpus;
                         mem += x->mem;
                     }
                 }
-                if (cpus <= 0)
+                double most = MIN(deficit, cpus);
+                if (!spot)
+                    most = MIN(most, dear);
+                if (most < 1)
                     continue;
                 double usable = MIN(t->cpus, mem > 0 ? t->mem * cpus / mem : t->cpus);
                 double rate = spot ? t->spot_rate : t->rate;
@@ -140,7 +160,7 @@
                 g_strlcpy(out->type, t->name, sizeof out->type);
                 g_strlcpy(out->zone, t->zones[z], sizeof out->zone);
                 out->spot = spot;
-                double n = MIN(deficit, cpus) / usable;
+                double n = most / usable;
                 out->count = (unsigned)CLAMP(first ? ceil(n) : floor(n + 0.5), 0, 50);
             }
     return best;
@@ -152,18 +172,11 @@
 bool lmn_fleet_choose(struct lmn_core *c, struct lmn_fleet *f, struct lmn_rental *out,
                       struct timespec now)
 {
-    GArray *w = wants(c);
     double need = c->tuning.spare_cpus, need_ordinary = 0, have = 0, have_ordinary = 0;
-    double best = INFINITY, machines = 0;
+    double best = INFINITY, machines = 0, need_cheap = 0;
+    bool refused = c->tuning.spot < 0.5;
     GHashTableIter it;
     gpointer v;
-
-    for (guint i = 0; i < w->len; i++) {
-        const struct want *x = &g_array_index(w, struct want, i);
-        need += x->cpus;
-        if (!x->spec->spot)
-            need_ordinary += x->cpus;
-    }
     g_hash_table_iter_init(&it, f->machines);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const struct lmn_listed *m = v;
@@ -175,6 +188,17 @@
         if (!m->spot)
             have_ordinary += t->cpus;
     }
+    for (guint i = 0; i < f->refusals->len; i++)
+        refused = refused || g_array_index(f->refusals, struct lmn_refusal, i).spot;
+    /* Where no cheap machine can be had at all, idle work takes what there is. */
+    GArray *w = wants(c, !refused || have > have_ordinary);
+    for (guint i = 0; i < w->len; i++) {
+        const struct want *x = &g_array_index(w, struct want, i);
+        need += x->cpus;
+        need_cheap += x->cheap ? x->cpus : 0;
+        if (!x->spec->spot)
+            need_ordinary += x->cpus;
+    }
     double heard = lmn_socket_hears(&c->sockets, c->cfg) - machines;
     /* A machine that can't be heard runs nothing, and those that are heard have enough to
      * wait for while the node is behind. */
@@ -190,8 +214,12 @@
     for (int turn = 0; turn < 2 && best == INFINITY; turn++, any = !any) {
         /* What only ordinary machines can do is theirs to rent, while they can be had. */
         double deficit = !any ? ordinary : turn ? all : all - MAX(ordinary, 0);
+        /* Of what any may serve: what cheap machines leave, once those that may use no
+         * others have theirs. */
+        double left = MAX(have - have_ordinary - need_cheap, 0);
+        double dear = any ? need - need_cheap - have_ordinary - left : ordinary;
         if (deficit >= 1)
-            best = choose(c, f, w, deficit, any, have <= 0, out, now);
+            best = choose(c, f, w, deficit, dear, any, have <= 0, out, now);
     }
     g_array_free(w, TRUE);
     if (best < INFINITY)
--- a/src/decide/floor.c
+++ b/src/decide/floor.c
@@ -2,6 +2,12 @@
 
 /* Of an even part. */
 static const double PART = 0.25;
+/* The largest jobs, too, have to begin within four minutes; a machine may have to run
+ * empty for that. */
+static const double AGED_S = 60;
+/* Work that is bought elsewhere costs so many times its worth; what runs no longer than
+ * so fills a gap on a machine that stays for others. */
+static const double LEFT = 2, GAP_S = 30;
 
 bool lmn_floor_owed(const struct lmn_floor *f, double all_used, unsigned kinds)
 {
@@ -118,3 +124,42 @@
     g_array_free(classes, TRUE);
     g_array_free(teams, TRUE);
 }
+
+bool lmn_cheap_only(const struct lmn_spec *s, const struct lmn_type *t)
+{
+    return s->urgency == LMN_IDLE && s->spot && s->kind == LMN_BATCH &&
+           s->estimate_s > GAP_S && t->rate > LEFT * t->spot_rate;
+}
+
+/* Where no cheap machine could hold it, any will do. */
+static bool cheap_here(const struct lmn_partition *p, const struct lmn_spec *s)
+{
+    for (guint k = 0; k < p->list->len; k++) {
+        const struct lmn_machine *m = p->list->pdata[k];
+        if (m->spot && m->type && m->accounted && !m->is_gone && !m->lapsed &&
+            lmn_spec_allows(s, m->type, m->zone, true))
+            return true;
+    }
+    return false;
+}
+
+void lmn_ages(struct lmn_core *c, double wall)
+{
+    for (int i = 0; i < c->nparts; i++) {
+        struct lmn_partition *p = &c->parts[i];
+        GHashTableIter it;
+        gpointer v;
+        if (!p->mine)
+            continue;
+        g_hash_table_iter_init(&it, p->ranges);
+        while (g_hash_table_iter_next(&it, NULL, &v)) {
+            const struct lmn_range *r = v;
+            struct lmn_job *j = r->job;
+            if (j->phase != LMN_ACTIVE || !r->st)
+                continue;
+            j->aged = wall - j->at > AGED_S && !r->nstarted && !r->nfinished &&
+                      !lmn_job_accused(&j->blame);
+            j->cheap = j->spec.urgency == LMN_IDLE && cheap_here(p, &j->spec);
+        }
+    }
+}
--- a/src/decide/floor.h
+++ b/src/decide/floor.h
@@ -17,12 +17,23 @@
  * an even part of all processors in use, even over those that have work waiting. Pure. */
 bool lmn_floor_owed(const struct lmn_floor *f, double all_used, unsigned kinds);
 
-/* Of an array of struct lmn_floor: how many have work waiting, and what all of them use. */
+/* Of an array of struct lmn_floor: how many have work waiting, and what all of them use.
+ */
 unsigned lmn_floor_sum(const GArray *v, double *used);
 
 /* Marks the jobs that are owed room by their class or their team. */
 void lmn_floors(struct lmn_core *c);
 
+/* Marks the jobs that have waited for so long by the time of day that their next task
+ * goes first, as nothing of them has started here yet; and the idle ones that are to run
+ * on cheap machines only (lmn_cheap_only), as long as this node has any for them. */
+void lmn_ages(struct lmn_core *c, double wall);
+
+/* Whether idle work of that kind is worth leaving rather than running on an ordinary
+ * machine of the type: work that is left in the end costs twice its worth, and what runs
+ * for long keeps the machine from being returned. Pure. */
+bool lmn_cheap_only(const struct lmn_spec *s, const struct lmn_type *t);
+
 /* What of each class this node's partitions have: an array of struct lmn_floor, `of` the
  * class's name; to be freed. */
 GArray *lmn_floor_classes(const struct lmn_core *c);
--- a/src/decide/order.c
+++ b/src/decide/order.c
@@ -168,6 +168,7 @@
     if (due) {
         c->triaged = wall;
         lmn_floors(c);
+        lmn_ages(c, wall);
     }
     for (int i = 0; i < c->nparts; i++) {
         struct lmn_partition *p = &c->parts[i];
@@ -182,10 +183,12 @@
 }
 
 /* A class or team that has less than its floor goes before all but production: with more
- * work than room for long, the rest of the order leaves it nothing. */
+ * work than room for long, the rest of the order leaves it nothing. So does the first
+ * task of a job that has waited for long: a class's floor was used up by two of its six
+ * jobs, while the others waited for six minutes. */
 static int group(const struct lmn_job *j)
 {
-    return j->spec.urgency == LMN_PROD && !j->lost ? 0 : j->owed ? 1 : 2;
+    return j->spec.urgency == LMN_PROD && !j->lost ? 0 : j->aged ? 1 : j->owed ? 2 : 3;
 }
 
 int lmn_job_order(const struct lmn_job *a, const struct lmn_job *b)
--- a/src/decide/queue.c
+++ b/src/decide/queue.c
@@ -2,6 +2,7 @@
 #include "decide/queue.h"
 #include "base/log.h"
 #include "base/wire.h"
+#include "decide/floor.h"
 #include "decide/order.h"
 #include "decide/place.h"
 #include "decide/quota.h"
@@ -330,6 +331,7 @@
                  p->id, p->my_term, lmn_since(now, p->since));
     p->started = true;
     c->turn++;
+    a.job->aged = false; /* it has begun */
     if (lmn_job_accused(&a.job->blame))
         lmn_job_tried(&a.job->blame, now);
     if (m->promised && a.job->spec.urgency == LMN_PROD) {
@@ -352,6 +354,13 @@
     s->lo++;
 }
 
+/* Long idle work that found gaps on ordinary machines kept them rented for minutes after
+ * everything else was done, and from work that may run nowhere else. */
+static bool too_dear(const struct lmn_machine *m, const struct lmn_job *j)
+{
+    return j->cheap && !m->spot && !j->aged && lmn_cheap_only(&j->spec, m->type);
+}
+
 /* Within a look, starts only take room away: who can't start stays so; who could is
  * looked at again after each. */
 static bool startable(const struct lmn_core *c, const struct lmn_machine *m,
@@ -362,7 +371,7 @@
     if (j->look_yes == c->turn)
         return true;
     bool ok = j->phase == LMN_ACTIVE && room(m, &j->spec) > 0 &&
-              (!m->promised || j->spec.urgency == LMN_PROD) &&
+              (!m->promised || j->spec.urgency == LMN_PROD) && !too_dear(m, j) &&
               !lmn_before(now, j->blame.hold) && lmn_can_hold(m, j) &&
               lmn_in_quota(c, m->part, j) && lmn_zone_room(j, m->zone) > 0;
     if (ok)
@@ -391,8 +400,9 @@
 static int order_on(const struct lmn_core *c, const struct lmn_machine *m,
                     struct lmn_job *a, struct lmn_job *b, struct timespec now)
 {
-    if (a->guaranteed == b->guaranteed && a->owed == b->owed && a->lost == b->lost &&
-        a->yields == b->yields && a->spec.urgency == b->spec.urgency) {
+    if (a->guaranteed == b->guaranteed && a->owed == b->owed && a->aged == b->aged &&
+        a->lost == b->lost && a->yields == b->yields &&
+        a->spec.urgency == b->spec.urgency) {
         double x = (a->lost ? 0 : a->latest) + FETCH_WEIGHT * fetch_now(c, m, a, now);
         double y = (b->lost ? 0 : b->latest) + FETCH_WEIGHT * fetch_now(c, m, b, now);
         if (x != y)
--- a/src/state/model.h
+++ b/src/state/model.h
@@ -35,6 +35,8 @@
     const char *image; /* interned: looked for on every machine, at every deal */
     const char *cls;   /* its class, interned */
     bool owed;         /* its class or team has less than its floor (decide/floor.h) */
+    bool aged;         /* it has waited for long, and nothing of it has started here */
+    bool cheap;        /* it fills gaps: on machines as cheap as it may use only */
     int team;          /* index in the settings, -1 if it has left them */
     uint64_t closing;  /* revision on which a close of ours is under way */
     /* when its next task has to start, by the time of day, for the next expectation that
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -235,6 +235,141 @@
     assert_true(lmn_job_order(&high, &low) < 0);
 }
 
+static guint started_of(const struct lmn_job *j, bool spot)
+{
+    GHashTableIter it;
+    gpointer v;
+    guint n = 0;
+
+    g_hash_table_iter_init(&it, core->parts[0].machines);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const struct lmn_machine *m = v;
+        for (guint i = 0; m->spot == spot && i < m->attempts->len; i++)
+            n += g_array_index(m->attempts, struct lmn_attempt, i).job == j;
+    }
+    return n;
+}
+
+/* Every machine is asked what it starts, until none starts anything. */
+static void start_all(void)
+{
+    GHashTableIter it;
+    gpointer v;
+    GByteArray *out = g_byte_array_new();
+    guint n;
+
+    do {
+        n = 0;
+        g_hash_table_iter_init(&it, core->parts[0].machines);
+        while (g_hash_table_iter_next(&it, NULL, &v)) {
+            ((struct lmn_machine *)v)->next_steal = now;
+            n += lmn_schedule(core, v, out, now);
+        }
+    } while (n);
+    g_byte_array_unref(out);
+}
+
+/* The tasks of one job alone wait; it is of the given urgency, and may use cheap machines. */
+static struct lmn_job *alone(enum lmn_urgency urgency, double estimate)
+{
+    struct lmn_job *j = &jobs[0];
+
+    make(3);
+    core->types.v[0].rate = 3;
+    core->types.v[0].spot_rate = 1;
+    for (int i = 1; i < JOBS; i++)
+        jobs[i].phase = LMN_FINISHED;
+    j->spec.kind = LMN_BATCH;
+    j->spec.urgency = urgency;
+    j->spec.estimate_s = estimate;
+    j->spec.spot = true;
+    j->spec.zone = NULL;
+    j->spec.cpus = 8;
+    lmn_deal_range(core, j->ranges->pdata[0], now);
+    return j;
+}
+
+/* Found when long idle work sat on ordinary machines, at three times the price, for minutes after
+ * all else was done. Short work fills their gaps; all of it runs there if no others are. */
+static void idle_work_keeps_to_cheap_machines(void **state)
+{
+    (void)state;
+    for (int k = 0; k < 4; k++) {
+        struct lmn_job *j = alone(k == 1 ? LMN_NORMAL : LMN_IDLE, k == 2 ? 10 : 300);
+        GHashTableIter it;
+        gpointer v;
+        jobs[0].spec.tasks = 40;
+        g_hash_table_iter_init(&it, core->parts[0].machines);
+        while (k == 3 && g_hash_table_iter_next(&it, NULL, &v))
+            ((struct lmn_machine *)v)->spot = false;
+        lmn_ages(core, j->at);
+        start_all();
+        assert_int_equal(started_of(j, true) > 0, k != 3);
+        assert_int_equal(started_of(j, false) > 0, k != 0);
+    }
+}
+
+/* Two of a class's six jobs took its floor, and the other four waited for six minutes: the first
+ * task of one that has waited goes first, and no more of it. */
+static void the_aged_begin(void **state)
+{
+    struct lmn_job *old, *urgent;
+    (void)state;
+
+    make(5);
+    for (int i = 0; i < JOBS; i++)
+        jobs[i].phase = i < 2 ? LMN_ACTIVE : LMN_FINISHED;
+    old = &jobs[0];
+    urgent = &jobs[1];
+    for (int i = 0; i < 2; i++) {
+        struct lmn_range *r = jobs[i].ranges->pdata[0];
+        jobs[i].spec.cpus = 8;
+        jobs[i].spec.zone = NULL;
+        jobs[i].spec.spot = true;
+        jobs[i].spec.tasks = r->hi = 30;
+        lmn_range_open(core, r);
+        r->dealt = true;
+    }
+    old->spec.urgency = LMN_NORMAL;
+    urgent->spec.urgency = LMN_HIGH;
+    old->lost = urgent->lost = false;
+    lmn_deal_range(core, urgent->ranges->pdata[0], now);
+    lmn_deal_range(core, old->ranges->pdata[0], now);
+    lmn_ages(core, old->at + 50);
+    assert_false(old->aged);
+    lmn_ages(core, old->at + 61);
+    assert_true(old->aged && lmn_job_order(old, urgent) < 0);
+    urgent->aged = false;
+    start_all();
+    assert_int_equal(started_of(old, true) + started_of(old, false), 1);
+    lmn_ages(core, old->at + 100);
+    assert_false(old->aged);
+}
+
+/* A job that fails wherever it starts stands in limbo, out of the machines' queues, and is tried
+ * with one task at a time; one success brings all of it back. */
+static void the_accused_are_set_aside(void **state)
+{
+    struct lmn_job *j = alone(LMN_HIGH, 10);
+    struct lmn_range *r = j->ranges->pdata[0];
+    (void)state;
+
+    j->spec.cpus = 1;
+    for (guint m = 1; m <= 3; m++)
+        lmn_job_failed(&j->blame, m, now, now);
+    lmn_job_redeal(core, j, now);
+    assert_int_equal(core->parts[0].limbo.tasks, r->hi);
+    start_all();
+    assert_int_equal(r->nstarted, 0);
+    now = lmn_after(j->blame.hold, 0.1);
+    start_all();
+    assert_int_equal(r->nstarted, 1);
+    lmn_job_succeeded(&j->blame);
+    lmn_job_redeal(core, j, now);
+    start_all();
+    assert_true(r->nstarted == MIN(r->hi, 8 * MACHINES));
+}
+
 /* What can be in time goes before what can't, whatever the urgency; and a job's next expectation
  * takes the place of one that is past. */
 static void expectations(void **state)
@@ -797,6 +932,9 @@
         cmocka_unit_test(order_is_total),
         cmocka_unit_test(floors),
         cmocka_unit_test(the_lesser_class_gets_its_floor),
+        cmocka_unit_test(idle_work_keeps_to_cheap_machines),
+        cmocka_unit_test(the_aged_begin),
+        cmocka_unit_test(the_accused_are_set_aside),
         cmocka_unit_test(expectations),
         cmocka_unit_test(interval_doubles),
         cmocka_unit_test(xdr),
--- a/tests/test_rent.c
+++ b/tests/test_rent.c
@@ -163,11 +163,60 @@
     g_rand_free(r);
 }
 
+/* Long idle work rents cheap machines only, where these can be had at all; what is short of
+ * machines besides it rents as ever. */
+static void idle_work_rents_no_ordinary_machine(void **state)
+{
+    GRand *r = g_rand_new_with_seed(9);
+    (void)state;
+
+    for (int k = 0; k < 4; k++) {
+        struct lmn_core *c = make(r, 2);
+        struct timespec now = {1000, 0};
+        struct lmn_fleet f;
+        struct lmn_rental rental;
+        unsigned ordinary = 0, spot = 0;
+        for (int i = 0; i < 2; i++) {
+            cfg.teams[jobs[i].team].cpus_max = 0;
+            jobs[i].spec.cpus = 8;
+            jobs[i].spec.mem = 16;
+            jobs[i].spec.estimate_s = 300;
+            jobs[i].spec.spot = true;
+            jobs[i].spec.tasks = ranges[i].hi = 40;
+            jobs[i].spec.urgency = i == 1 && k == 1 ? LMN_HIGH : LMN_IDLE;
+        }
+        lmn_fleet_init(&f);
+        /* Five cheap machines, if any, are all there are. */
+        for (int calls = 0; calls < 400; calls++) {
+            now = lmn_after(now, 1);
+            if (!lmn_fleet_choose(c, &f, &rental, now))
+                continue;
+            unsigned got = !rental.spot ? rental.count
+                           : k == 2 || spot >= 5 ? 0 : MIN(rental.count, 5 - spot);
+            lmn_fleet_outcome(&f, &rental, got, now);
+            for (unsigned i = 0; i < got; i++) {
+                struct lmn_listed *m = g_new0(struct lmn_listed, 1);
+                g_snprintf(m->name, LMN_NAME, "m-%d-%u", calls, i);
+                g_strlcpy(m->type, rental.type, LMN_NAME);
+                m->spot = rental.spot;
+                g_hash_table_insert(f.machines, m->name, m);
+            }
+            *(rental.spot ? &spot : &ordinary) += got;
+        }
+        assert_int_equal(spot, k == 2 ? 0 : 5);
+        assert_int_equal(ordinary > 0, k == 1 || k == 2);
+        if (k == 1) /* for the other job, and not for both */
+            assert_in_range(ordinary, 40 * 8 / 32 - 5, 40 + 1);
+    }
+    g_rand_free(r);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(no_more_than_limits_let_run),
         cmocka_unit_test(no_more_than_can_be_heard),
+        cmocka_unit_test(idle_work_rents_no_ordinary_machine),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
