--- a/tests/test_rent.c
+++ b/tests/test_rent.c
@@ -201,12 +201,13 @@
                 m->spot = rental.spot;
                 g_hash_table_insert(f.machines, m->name, m);
             }
-            *(rental.spot ? &spot : &ordinary) += got;
+            spot += rental.spot ? got : 0;
+            ordinary += rental.spot ? 0 : got * (unsigned)lmn_type_named(c, rental.type)->cpus;
         }
         assert_int_equal(spot, k == 2 ? 0 : 5);
         assert_int_equal(ordinary > 0, k == 1 || k == 2);
-        if (k == 1) /* for the other job, and not for both */
-            assert_in_range(ordinary, 40 * 8 / 32 - 5, 40 + 1);
+        if (k == 1) /* processors for the other job, and not for both */
+            assert_in_range(ordinary, 40 * 8 - 5 * 32, 40 * 8 + 32);
     }
     g_rand_free(r);
 }
