Machines that don't hear, copies that come late, a controller on its own

A machine whose reports arrive and whom nothing reaches took whatever it had room for with each report: now it is dealt nothing, and gets one task to try, more and more seldom, until an order is seen to have had an effect. Reports of an older term put off the return of an inherited machine for as long as they came; ghosts of returned machines stayed recorded; a copy counted as a visit of a worker and as a sign that workers reach this node. A node that is cut off from the state service and all other controllers sends its workers on, once each, where the way round is shorter than their lease.

Tests: test_worker, test_member, each fails without its guard.

--- a/src/decide/queue.c
+++ b/src/decide/queue.c
@@ -178,7 +178,7 @@
     g_hash_table_iter_init(&it, p->machines);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         struct lmn_machine *m = v;
-        if (!lmn_can_hold(m, r->job))
+        if (m->unheeded || !lmn_can_hold(m, r->job))
             continue;
         uint32_t has = room(m, &r->job->spec);
         if (has > m->queue.tasks) {
@@ -514,6 +514,8 @@
         }
         c->count.steals += from != &m->queue;
         n += start_from(c, from, at, m, out, now);
+        if (n && m->unheeded)
+            break; /* a try whether it hears */
     }
     if (queues)
         g_ptr_array_free(queues, TRUE);
@@ -572,7 +574,9 @@
     g_ptr_array_free(queues, TRUE);
     uint32_t got = 0;
     if (best)
-        got = take(c, best, m, MAX((uint32_t)((double)most * c->tuning.share), 1), now);
+        got = take(c, best, m,
+                   m->unheeded ? 1 : MAX((uint32_t)((double)most * c->tuning.share), 1),
+                   now);
     if (!got) {
         m->poll_s = m->poll_s > 0 ? MIN(m->poll_s * 2, c->tuning.poll_cap_s)
                                   : c->tuning.poll_floor_s;
@@ -604,10 +608,10 @@
     /* Left with room and nothing of its own that fits: it pulls, until that brings
      * nothing. */
     for (int turn = 0; turn < 8; turn++) {
-        if (load_for(c, &m->queue, m, now) || !lmn_steal(c, m, now))
+        if ((m->unheeded && n) || load_for(c, &m->queue, m, now) || !lmn_steal(c, m, now))
             break;
         n += start_own(c, m, out, now);
     }
-    m->hungry = !load_for(c, &m->queue, m, now);
+    m->hungry = !m->unheeded && !load_for(c, &m->queue, m, now);
     return n;
 }
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -249,13 +249,17 @@
 }
 
 void lmn_member_visited(struct lmn_members *ms, int rank, const char *worker,
-                        struct timespec now)
+                        uint64_t session, uint64_t seq, struct timespec now)
 {
     struct lmn_peer_view *m = &ms->v[rank];
     guint who = g_str_hash(worker), at = 0;
 
     for (guint i = 0; i < LMN_VISITORS; i++) {
         if (m->visitors[i].who == who && m->visitors[i].at.tv_sec) {
+            /* A copy of a report that comes again, minutes later, is no witness. */
+            if (session < m->visitors[i].session ||
+                (session == m->visitors[i].session && seq <= m->visitors[i].seq))
+                return;
             at = i;
             break;
         }
@@ -263,5 +267,7 @@
             at = i;
     }
     m->visitors[at].who = who;
+    m->visitors[at].session = session;
+    m->visitors[at].seq = seq;
     m->visitors[at].at = now;
 }
--- a/src/member/member.h
+++ b/src/member/member.h
@@ -96,6 +96,7 @@
     /* its workers that came here, having given it up: distinct names (hashed) */
     struct {
         guint who;
+        uint64_t session, seq; /* of its latest report here */
         struct timespec at;
     } visitors[LMN_VISITORS];
     guint machines; /* recorded of the partitions that it owns; the caller keeps it */
@@ -163,9 +164,10 @@
                      struct timespec now);
 /* Another asks about it: it is asked next, unless it was heard just now. */
 void lmn_member_wonder(struct lmn_members *ms, int rank, struct timespec now);
-/* A worker of a partition that the member owns has come here, having given it up. */
+/* A worker of a partition that the member owns has come here, having given it up; by its
+ * report of that session and number. */
 void lmn_member_visited(struct lmn_members *ms, int rank, const char *worker,
-                        struct timespec now);
+                        uint64_t session, uint64_t seq, struct timespec now);
 /* A worker of our own has reached us. */
 void lmn_members_reached(struct lmn_members *ms, struct timespec now);
 
--- a/src/member/verdict.c
+++ b/src/member/verdict.c
@@ -151,8 +151,8 @@
             (!o->present && lmn_since(now, o->since) > LATELY_S))
             continue;
         up++;
-        /* Itself is counted below: once a first partition of it was taken it counted twice,
-         * and the others waited for its workers. */
+        /* Itself is counted below: once a first partition of it was taken it counted
+         * twice, and the others waited for its workers. */
         gone += o != m && (!o->present || (o->judged && o->unanswered.tv_sec));
     }
     /* Of two, each may judge the other: there, the unanswered suspicion is what tells. */
--- a/src/own/partition.c
+++ b/src/own/partition.c
@@ -40,7 +40,7 @@
     m->hold = (struct timespec){0, 0};
     lmn_unpoke(m);
     m->in_call = false;
-    m->probes = 0;
+    m->probes = m->unheeded = 0;
     m->promised = 0;
     m->next_probe = (struct timespec){0, 0};
     m->heard = m->accounted = m->lapsed = false;
--- a/src/own/upkeep.c
+++ b/src/own/upkeep.c
@@ -164,10 +164,21 @@
     double patience = !few                                         ? cfg->lease_s + 8
                       : cut && lmn_holder_stands_in(c, p, m->zone) ? cfg->cancel_s + 4
                                                                    : 2.5;
-    if (m->inherited && !m->accounted && silent > patience &&
-        (m->probes >= 2 || (m->probes && silent > 1.25 * cfg->report_s + patience) ||
-         silent > cfg->lease_s))
+    /* Heard or not: reports of an older term may be copies that come late, or come from a
+     * machine that does not hear us. Once each of them put the return off, and the
+     * partition's inherited work waited for as long as they came. One that was heard has
+     * had an answer, and the time for another report. */
+    double waited = lmn_since(now, m->inherited ? p->since : m->first);
+    if (m->heard)
+        patience = MAX(patience, 1.25 * cfg->report_s + 4);
+    if (m->inherited && !m->accounted && waited > patience &&
+        (m->probes >= 2 || (m->probes && waited > 1.25 * cfg->report_s + patience) ||
+         waited > cfg->lease_s))
         lmn_machine_retire(c, m, true, "not heard under the new term", now);
+    /* One that nobody recorded, and that was never heard under our term: a copy of a
+     * report of a machine that is gone, or one that does not hear. */
+    if (!m->inherited && !m->accounted && waited > cfg->lease_s + 1.25 * cfg->report_s)
+        lmn_machine_retire(c, m, true, "never heard under this term", now);
     /* While a partition's inherited work has to wait, its machines are idle for that
      * alone. */
     if (m->accounted && !m->retiring && m->idle.tv_sec && p->ready &&
@@ -231,7 +242,9 @@
             if (!m->accounted || m->is_gone)
                 continue;
             all++;
-            overdue += lmn_since(now, m->last) > c->members.t.overdue_s;
+            /* Nor is one in command of whoever does not hear it. */
+            overdue +=
+                m->unheeded > 1 || lmn_since(now, m->last) > c->members.t.overdue_s;
         }
     }
     c->members.word.deaf = c->members.shut ? 1 : all > 2 ? overdue / (double)all : 0;
--- a/src/own/worker.c
+++ b/src/own/worker.c
@@ -13,6 +13,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* A worker's patience with an answer (the protocol's). */
+static const double WORKER_WAITS_S = 4;
+
 struct report {
     char name[LMN_NAME], addr[LMN_ADDR], type[LMN_NAME], zone[LMN_NAME];
     bool spot, noticed;
@@ -268,6 +271,9 @@
             if (state == LMN_A_ENDED && lmn_is(lmn_get(d, n, W_WHY), W_FAILED))
                 had_failed(c, m, a, now);
         }
+        /* It has taken an order of ours: the way there is open. */
+        if (!a->listed && a->state == LMN_A_SENT)
+            m->unheeded = 0;
         a->seen = a->listed = true;
         a->told = false;
         if (a->job && state != LMN_A_ENDED)
@@ -302,11 +308,26 @@
     }
 }
 
+/* Our last answer, or command, had no effect, though the machine is heard: its way to us
+ * may be open, and ours to it not. Being heard is not being in command. Once such
+ * machines took whatever they had room for, again with each report, and ran none of it.
+ * Now one task is tried, more and more seldom, until one order is seen to have had an
+ * effect; its queue is others'. */
+static void unheeded(struct lmn_core *c, struct lmn_machine *m, struct timespec now)
+{
+    m->unheeded++;
+    m->hold = lmn_after(now, (double)(1u << MIN(m->unheeded, 4u)));
+    if (m->unheeded > 1)
+        return;
+    lmn_info("machine-unheeding machine=%s partition=%d", m->name, m->part->id);
+    lmn_redeal_machine(c, m, now);
+}
+
 static guint settle_tasks(struct lmn_core *c, struct lmn_machine *m,
                           const struct lmn_doc *d, const struct lmn_node *tasks,
                           GByteArray *out, struct timespec now)
 {
-    guint commands = 0;
+    guint commands = 0, lost = 0;
 
     read_tasks(c, m, d, tasks, now);
     /* What a newer report does not name is not there: the worker had dealt with our last
@@ -314,9 +335,13 @@
      * are another matter: they travel by themselves, and may arrive minutes late. */
     for (guint i = m->attempts->len; i-- > 0;) {
         const struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
-        if (!a->seen && !a->direct && !(a->unsure && !a->listed))
+        if (!a->seen && !a->direct && !(a->unsure && !a->listed)) {
+            lost += a->state == LMN_A_SENT && !a->listed && !a->told;
             vanish(c, m, i, now);
+        }
     }
+    if (lost)
+        unheeded(c, m, now);
     for (guint i = 0; i < m->attempts->len; i++) {
         struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
         bool live = a->job && a->job->phase == LMN_ACTIVE;
@@ -360,6 +385,16 @@
     return commands;
 }
 
+static int redirect_to(const struct lmn_core *c, int rank, GByteArray *out)
+{
+    if (rank < 0 || rank == c->members.me)
+        return 503;
+    lmn_put_map(out, 1);
+    lmn_put_text(out, W_REPORT_TO);
+    lmn_put_text(out, lmn_member_name(&c->members, rank));
+    return 421;
+}
+
 /* Where a worker of another's partition should go. Not to one that is suspected: it may
  * wait there for an answer until its lease is half over; but to who would take over. */
 static int redirect(const struct lmn_core *c, const struct lmn_partition *p,
@@ -369,12 +404,22 @@
 
     if (owner >= 0 && lmn_member_doubted(&c->members, owner))
         owner = lmn_partition_next(c, p, now);
-    if (owner < 0 || owner == c->members.me)
-        return 503;
-    lmn_put_map(out, 1);
-    lmn_put_text(out, W_REPORT_TO);
-    lmn_put_text(out, lmn_member_name(&c->members, owner));
-    return 421;
+    return redirect_to(c, owner, out);
+}
+
+/* Cut off from the state service and the other controllers, this node may have lost its
+ * partitions, and starts nothing: its workers are sent on, once each. One that finds
+ * nobody else, and comes back, is kept alive as long as the fence allows. */
+static bool sent_on(const struct lmn_core *c, struct lmn_machine *m, struct timespec now)
+{
+    /* If all others hang, it is back after so long, and must not have lost its lease. */
+    double round = (WORKER_WAITS_S + 1) * (c->members.n - 1) + 2 * c->cfg->report_s;
+
+    if (!c->isolated.tv_sec || !lmn_before(m->sent_on, c->isolated) ||
+        round > 0.8 * c->cfg->lease_s)
+        return false;
+    m->sent_on = now;
+    return true;
 }
 
 /* It has spoken with its owner before, and has come here all the same: to the owner's
@@ -385,7 +430,7 @@
     int owner = *p->owner ? lmn_member_rank(&c->members, p->owner) : -1;
 
     if (owner >= 0 && owner != c->members.me && r->token && r->token == p->owner_term)
-        lmn_member_visited(&c->members, owner, r->name, now);
+        lmn_member_visited(&c->members, owner, r->name, r->session, r->seq, now);
 }
 
 static int handle(struct lmn_core *c, const struct report *r, const struct lmn_doc *d,
@@ -395,7 +440,6 @@
     double margin = MAX(1.0, 0.05 * c->cfg->cancel_s);
 
     c->count.reports++;
-    lmn_members_reached(&c->members, now);
     /* Whoever has stood still may have been replaced meanwhile: an answer would hold the
      * worker here while its lease runs out. */
     if (!lmn_self_awake(&c->members, now))
@@ -424,6 +468,12 @@
         return 503; /* it was overtaken on its way */
     if (m->lapsed && r->session == m->session)
         return 503; /* its tasks are given up: the session has to end */
+    /* A copy that comes late is no sign that workers reach this node; one that nothing is
+     * known of may be one. */
+    if (m->heard)
+        lmn_members_reached(&c->members, now);
+    if (sent_on(c, m, now))
+        return redirect_to(c, lmn_partition_next(c, p, now), out);
     if (!m->block) {
         lmn_machine_at(m, r->addr);
         g_strlcpy(m->type_name, r->type, sizeof m->type_name);
@@ -448,7 +498,9 @@
     m->report_seq = r->seq;
     m->seq = overtaken ? m->seq : r->seq;
     m->last = now;
-    m->probes = 0;
+    /* Of an older term it may be a copy, or of one that does not hear us. */
+    if (r->token == p->my_term)
+        m->probes = 0;
     m->lapsed = false;
     if (r->noticed && !m->noticed) {
         m->noticed = true;
@@ -718,7 +770,7 @@
             if (!m || m->in_call || g_str_hash(m->name) % lanes != lane)
                 continue;
             lmn_unpoke(m);
-            if (!m->accounted || m->lapsed ||
+            if (!m->accounted || m->lapsed || m->unheeded ||
                 lmn_since(now, m->last) > 0.6 * c->cfg->lease_s)
                 continue;
             GByteArray *commands = g_byte_array_new();
@@ -754,7 +806,7 @@
     struct lmn_machine *m = g_hash_table_lookup(p->machines, name);
     struct lmn_doc d;
     struct report r;
-    bool read = false, newer = false;
+    bool read = false, newer = false, lost = false;
 
     if (!m || !m->in_call)
         return; /* the partition was lost meanwhile */
@@ -779,8 +831,11 @@
         if (status == LMN_NOT_SENT || (status == 409 && newer && !a->seen))
             vanish(c, m, i, now);
         else if (!read || (status == 200 && newer && !a->seen))
-            a->unsure = true;
+            a->unsure = lost = true;
     }
+    /* Its answer may be late; a report that lists what was ordered settles it. */
+    if (lost && !read)
+        unheeded(c, m, now);
     /* What made room has ended: the task it was made for goes there at once. */
     if (m->promised && read) {
         lmn_poke(m);
--- a/src/serve/ask.c
+++ b/src/serve/ask.c
@@ -27,8 +27,12 @@
         }
     }
     if (odd != c->odd_one)
-        lmn_info("odd-one-out odd=%d stale=%.1f", odd, stale);
+        lmn_info("odd-one-out odd=%d stale=%.1f alone=%d", odd, stale, !anybody);
     c->odd_one = odd;
+    if (!odd || anybody)
+        c->isolated = (struct timespec){0, 0};
+    else if (!c->isolated.tv_sec)
+        c->isolated = now;
 }
 
 static lmn_xword own_word(const struct lmn_core *c, struct timespec now)
--- a/src/state/model.h
+++ b/src/state/model.h
@@ -170,6 +170,10 @@
     bool poke; /* to be given work at once: it stands in the partition's list of those */
     bool in_call;
     unsigned probes; /* without an answer, since the takeover */
+    /* Answers, or commands, in a row that had no effect: it is heard, and does not hear.
+     */
+    unsigned unheeded;
+    struct timespec sent_on; /* when it was last told to try another controller */
     struct timespec next_probe;
     uint64_t session, seq, report_seq;
     struct timespec first, last, idle, noticed_at, retired_at;
@@ -375,7 +379,9 @@
     double triaged; /* the time of day at the last triage */
     bool owing;     /* some class or team was owed room then */
     bool synced;
-    bool odd_one;  /* the mirror stands still, and only here, as far as known */
+    bool odd_one; /* the mirror stands still, and only here, as far as known */
+    /* since when no other controller is heard either; 0: some are */
+    struct timespec isolated;
     bool leaving;  /* it gives its partitions away, and ends (own/leave.h) */
     bool left;     /* it has none, and no lease any more */
     bool recorded; /* that it leaves: its record says so */
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -13,6 +13,7 @@
 static struct lmn_settings cfg;
 static struct lmn_members ms;
 static double now;
+static uint64_t visits;
 static const struct lmn_word well = {0, 0.5, 0};
 
 static struct timespec at(double s)
@@ -159,13 +160,34 @@
     for (int i = 0; i < 40; i++) {
         char name[16];
         g_snprintf(name, sizeof name, "host-%d", i);
-        lmn_member_visited(&ms, 2, name, at(now));
+        lmn_member_visited(&ms, 2, name, 1, ++visits, at(now));
         /* The same ones again are no more. */
         assert_int_equal(lmn_member_judged(&ms, 2, at(now)), i >= 19);
-        lmn_member_visited(&ms, 2, "host-0", at(now));
+        lmn_member_visited(&ms, 2, "host-0", 1, ++visits, at(now));
     }
 }
 
+/* A copy of a worker's report that comes again, up to minutes later, spoke against a member that
+ * was well by then. */
+static void late_copies_are_no_witnesses(void **state)
+{
+    (void)state;
+    meet(3);
+    pass(1, 3, true);
+    lmn_member_visited(&ms, 2, "host-1", 3, 7, at(now));
+    lmn_member_visited(&ms, 2, "host-2", 1, 9, at(now));
+    assert_int_equal(lmn_member_visitors(&ms, 2, at(now)), 2);
+    pass(60, 3, true);
+    assert_int_equal(lmn_member_visitors(&ms, 2, at(now)), 0);
+    lmn_member_visited(&ms, 2, "host-1", 3, 7, at(now));
+    lmn_member_visited(&ms, 2, "host-1", 2, 99, at(now));
+    lmn_member_visited(&ms, 2, "host-2", 1, 8, at(now));
+    assert_int_equal(lmn_member_visitors(&ms, 2, at(now)), 0);
+    lmn_member_visited(&ms, 2, "host-1", 4, 1, at(now));
+    lmn_member_visited(&ms, 2, "host-2", 1, 10, at(now));
+    assert_int_equal(lmn_member_visitors(&ms, 2, at(now)), 2);
+}
+
 static void most_are_not_judged_at_a_time(void **state)
 {
     unsigned judged = 0;
@@ -231,7 +253,7 @@
     lmn_member_answered(&ms, 2, &deaf, at(now), at(now));
     assert_false(lmn_member_suspect(&ms, 2, at(now), &e));
     for (int i = 0; i < 3; i++)
-        lmn_member_visited(&ms, 2, i ? i > 1 ? "a" : "b" : "c", at(now));
+        lmn_member_visited(&ms, 2, i ? i > 1 ? "a" : "b" : "c", 1, ++visits, at(now));
     lmn_member_answered(&ms, 2, &well, at(now), at(now));
     assert_false(lmn_member_suspect(&ms, 2, at(now), &e));
     lmn_member_answered(&ms, 2, &deaf, at(now), at(now));
@@ -440,6 +462,7 @@
         cmocka_unit_test(times_follow_from_the_settings),
         cmocka_unit_test(silence_is_suspected_then_judged),
         cmocka_unit_test(one_side_is_not_enough),
+        cmocka_unit_test(late_copies_are_no_witnesses),
         cmocka_unit_test(most_are_not_judged_at_a_time),
         cmocka_unit_test(an_old_mirror_judges_nobody),
         cmocka_unit_test(half_failures_are_told_apart),
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -1,7 +1,11 @@
 /* Which machines are asked, and when they are given up. */
 #include "base/clock.h"
+#include "base/codec.h"
 #include "base/settings.h"
+#include "base/wire.h"
+#include "decide/queue.h"
 #include "own/owner.h"
+#include "own/range.h"
 #include "own/upkeep.h"
 #include "own/worker.h"
 #include "state/books.h"
@@ -289,6 +293,248 @@
     assert_true(m->retiring);
 }
 
+/* --- reports --- */
+
+static struct lmn_job job;
+static struct lmn_range range;
+
+/* A job of so many tasks of a processor each, all of them queued. */
+static void queue_tasks(uint32_t n)
+{
+    memset(&job, 0, sizeof job);
+    memset(&range, 0, sizeof range);
+    g_strlcpy(job.spec.ref, "run-000001", LMN_REF);
+    job.spec.tasks = n;
+    job.spec.cpus = 1;
+    job.spec.image = (char *)"i";
+    job.spec.deadline_s = -1;
+    job.image = g_intern_string("i");
+    job.cls = g_intern_string("c");
+    job.rev = 1;
+    job.ranges = g_ptr_array_new();
+    range.job = &job;
+    range.part = &core->parts[0];
+    range.hi = n;
+    range.key = g_strdup("r/0/run-000001/0");
+    range.done = g_malloc0((n + 7) / 8);
+    g_ptr_array_add(job.ranges, &range);
+    g_hash_table_insert(core->parts[0].ranges, range.key, &range);
+    g_hash_table_insert(core->jobs, job.spec.ref, &job);
+    lmn_range_open(core, &range);
+    range.dealt = true;
+    lmn_deal_range(core, &range, now);
+}
+
+static void with_type(void)
+{
+    core->types.n = 1;
+    core->types.v[0] = (struct lmn_type){.name = "x", .cpus = 8, .mem = 64};
+    cfg.nteams = 1;
+    g_strlcpy(cfg.teams[0].name, "t", LMN_NAME);
+    core->members.fresh = core->members.tick = core->fresh = now;
+}
+
+/* A report that lists the tasks of the last answer if it was heard. Returns the status, and in
+ * *orders how many orders the answer has. */
+static int report(const struct lmn_machine *of, const char *name, uint64_t session, uint64_t seq,
+                  uint64_t token, bool lists, uint64_t *orders)
+{
+    GByteArray *b = g_byte_array_new(), *out = g_byte_array_new();
+    struct lmn_held held;
+    struct lmn_doc d;
+    guint n = lists ? of->attempts->len : 0;
+
+    lmn_put_map(b, 9);
+    lmn_put_text(b, W_MACHINE), lmn_put_text(b, name);
+    lmn_put_text(b, W_ADDR), lmn_put_text(b, "10.0.0.9:1");
+    lmn_put_text(b, W_TYPE), lmn_put_text(b, "x");
+    lmn_put_text(b, W_ZONE), lmn_put_text(b, "a");
+    lmn_put_text(b, W_SPOT), lmn_put_truth(b, false);
+    lmn_put_text(b, W_SESSION), lmn_put_count(b, session);
+    lmn_put_text(b, W_SEQ), lmn_put_count(b, seq);
+    lmn_put_text(b, W_TOKEN), lmn_put_count(b, token);
+    lmn_put_text(b, W_TASKS), lmn_put_list(b, n);
+    for (guint i = 0; i < n; i++) {
+        const struct lmn_attempt *a = &g_array_index(of->attempts, struct lmn_attempt, i);
+        char task[64];
+        g_snprintf(task, sizeof task, "%s/%u", a->ref, a->index);
+        lmn_put_map(b, 3);
+        lmn_put_text(b, W_TASK), lmn_put_text(b, task);
+        lmn_put_text(b, W_ATTEMPT), lmn_put_count(b, a->number);
+        lmn_put_text(b, W_STATE), lmn_put_text(b, W_FETCHING);
+    }
+    core->members.fresh = core->members.tick = core->fresh = now;
+    int status = lmn_worker_report(core, b->data, b->len, out, &held, now);
+    *orders = 0;
+    if (status == 200 && lmn_doc_parse(&d, out->data, out->len) == 0) {
+        *orders = lmn_get(&d, lmn_root(&d), W_COMMANDS)->len;
+        lmn_doc_free(&d);
+    }
+    g_byte_array_unref(b);
+    g_byte_array_unref(out);
+    return status;
+}
+
+/* A machine that is heard and doesn't hear took whatever it had room for with each report, and ran
+ * none of it. Now others have the work; it gets a task to try, more and more seldom, and all it has
+ * room for once it is seen to have heard. */
+static void unheeding_machines_get_a_try(void **state)
+{
+    uint64_t orders, seq = 0;
+    unsigned tries = 0, given = 0;
+    (void)state;
+
+    make(0);
+    with_type();
+    struct lmn_machine *m = add(1);
+    m->type = &core->types.v[0];
+    m->last = now;
+    queue_tasks(20);
+    assert_int_equal(report(m, m->name, 1, ++seq, 1, true, &orders), 200);
+    assert_int_equal(orders, 8);
+    for (int i = 0; i < 15; i++) { /* a minute */
+        now = lmn_after(now, 4);
+        assert_int_equal(report(m, m->name, 1, ++seq, 1, false, &orders), 200);
+        assert_true(orders <= 1);
+        assert_int_equal(m->queue.tasks, 0);
+        given += (unsigned)orders;
+        tries++;
+    }
+    assert_in_range(given, 2, tries / 2);
+    assert_int_equal(range.nstarted, orders);
+    now = lmn_after(now, 20);
+    report(m, m->name, 1, ++seq, 1, false, &orders);
+    assert_int_equal(orders, 1);
+    now = lmn_after(now, 4);
+    report(m, m->name, 1, ++seq, 1, true, &orders); /* it was heard */
+    assert_int_equal(m->unheeded, 0);
+    now = lmn_after(now, 20);
+    m->next_steal = now;
+    report(m, m->name, 1, ++seq, 1, true, &orders);
+    assert_int_equal(range.nstarted, 8);
+}
+
+/* After a takeover the partition's inherited work waited for as long as copies of old reports, or
+ * reports of a machine that doesn't hear, came in: each put off its being returned. */
+static void old_reports_put_nothing_off(void **state)
+{
+    uint64_t orders, seq = 0;
+    (void)state;
+
+    for (int copies = 0; copies < 2; copies++) {
+        make(9);
+        with_type();
+        struct lmn_partition *p = &core->parts[0];
+        p->my_term = 5;
+        struct lmn_machine *m = add(100);
+        m->heard = m->accounted = false;
+        m->inherited = true;
+        m->probes = 2;
+        p->ready = false;
+        double waited = 0;
+        for (; !m->retiring && waited < 60; waited += 2) {
+            now = lmn_after(now, 2);
+            for (guint i = 0; i < p->list->len; i++)
+                if (p->list->pdata[i] != m)
+                    ((struct lmn_machine *)p->list->pdata[i])->last = now;
+            if (copies) /* one and the same, again and again, and older ones */
+                report(m, m->name, 3, waited < 10 ? 40 : 7, 4, false, &orders);
+            else
+                assert_int_equal(report(m, m->name, 3, 40 + ++seq, 4, false, &orders), 200);
+            assert_false(m->accounted);
+            core->fresh = now;
+            lmn_upkeep(core, now);
+        }
+        assert_true(m->retiring && m->force);
+        assert_in_range((int)waited, 1.25 * cfg.report_s + 4,
+                        1.25 * cfg.report_s + 8);
+    }
+}
+
+/* A copy of a report of a machine that was returned before this process began: it was counted as
+ * a machine, in the records and in how jobs are cut, until the next takeover. */
+static void ghosts_are_returned(void **state)
+{
+    uint64_t orders;
+    (void)state;
+
+    make(9);
+    with_type();
+    core->parts[0].my_term = 5;
+    assert_int_equal(report(NULL, "host-000900", 2, 70, 4, false, &orders), 200);
+    struct lmn_machine *m = g_hash_table_lookup(core->parts[0].machines, "host-000900");
+    assert_non_null(m);
+    assert_false(m->accounted);
+    assert_int_equal(orders, 0);
+    pass(cfg.lease_s, m);
+    assert_false(m->retiring);
+    pass(1.25 * cfg.report_s + 1, m);
+    assert_true(m->retiring && m->force);
+    lmn_machine_gone(core, m, now);
+    assert_int_equal(report(NULL, "host-000900", 2, 71, 4, false, &orders), 503);
+}
+
+/* Copies that come late neither say that workers reach a node that hears none, nor end or start
+ * anything. */
+static void late_copies_say_nothing(void **state)
+{
+    uint64_t orders;
+    (void)state;
+
+    make(9);
+    with_type();
+    struct lmn_machine *m = add(100);
+    m->type = &core->types.v[0];
+    queue_tasks(4);
+    report(m, m->name, 2, 10, 1, true, &orders);
+    assert_int_equal(orders, 4);
+    now = lmn_after(now, 2);
+    report(m, m->name, 2, 12, 1, true, &orders);
+    struct timespec last = m->last;
+    now = lmn_after(now, 2);
+    core->members.shut = true;
+    for (uint64_t seq = 9; seq <= 12; seq++) {
+        assert_int_equal(report(m, m->name, 2, seq, 1, false, &orders), 503);
+        assert_int_equal(report(m, m->name, 1, 90 + seq, 1, false, &orders), 503);
+    }
+    report(NULL, "host-000901", 1, 5, 1, false, &orders); /* of one that nothing is known of */
+    assert_true(core->members.shut);
+    assert_int_equal(range.nstarted, 4);
+    assert_int_equal(lmn_since(m->last, last), 0);
+    assert_int_equal(report(m, m->name, 2, 13, 1, true, &orders), 200);
+    assert_false(core->members.shut);
+    assert_int_equal(range.nstarted, 4);
+}
+
+/* Cut off from the state service and the other controllers, a node held its workers until the
+ * fence: it sends each on once, and keeps alive who comes back. Not where the way round takes
+ * longer than a lease. */
+static void an_isolated_node_sends_its_workers_on(void **state)
+{
+    uint64_t orders, seq = 0;
+    (void)state;
+
+    for (int lease = 10; lease <= 40; lease += 30) {
+        make(9);
+        with_type();
+        cfg.lease_s = lease;
+        struct lmn_machine *m = add(100);
+        core->members.n = 3;
+        core->members.names[1] = "poste-1";
+        core->members.names[2] = "poste-2";
+        for (int i = 1; i < 3; i++)
+            core->members.v[i].present = true;
+        assert_int_equal(report(m, m->name, 1, ++seq, 1, false, &orders), 200);
+        core->isolated = now;
+        now = lmn_after(now, 1);
+        int first = report(m, m->name, 1, ++seq, 1, false, &orders);
+        assert_int_equal(first == 200, lease == 10);
+        assert_int_equal(report(m, m->name, 1, ++seq, 1, false, &orders), 200);
+        core->isolated = (struct timespec){0, 0};
+        assert_int_equal(report(m, m->name, 1, ++seq, 1, false, &orders), 200);
+    }
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -297,6 +543,11 @@
         cmocka_unit_test(unanswered_come_last),
         cmocka_unit_test(lapses_need_ownership),
         cmocka_unit_test(any_lane_asks),
+        cmocka_unit_test(unheeding_machines_get_a_try),
+        cmocka_unit_test(old_reports_put_nothing_off),
+        cmocka_unit_test(ghosts_are_returned),
+        cmocka_unit_test(late_copies_say_nothing),
+        cmocka_unit_test(an_isolated_node_sends_its_workers_on),
         cmocka_unit_test(idle_counts_from_readiness),
         cmocka_unit_test(cut_zones_are_waited_for),
         cmocka_unit_test(inherited_ones_are_waited_for_where_the_holder_is),
