Questions about a job share one confirmation; who no longer listens is answered

While the state service held its answers, each question waited its turn for a confirmation and was answered long after its user had gone; a socket was held meanwhile.

--- a/src/serve/api.c
+++ b/src/serve/api.c
@@ -5,26 +5,16 @@
 #include "base/log.h"
 #include "base/thread.h"
 #include "base/wire.h"
+#include "serve/asks.h"
 #include "state/core.h"
 #include "state/records.h"
 
 #include <math.h>
 #include <string.h>
 
-enum ask_kind { ASK_POLL, ASK_SUBMIT, ASK_CANCEL };
-
-struct ask {
-    enum ask_kind kind;
-    struct lmn_call *call;
-    char ref[LMN_REF];
-    int absent_status; /* the answer if there is no such job */
-    GByteArray *answer;
-    uint64_t rev;
-};
-
 static pthread_mutex_t asks_lock = PTHREAD_MUTEX_INITIALIZER;
 static pthread_cond_t asks_more;
-static GQueue asks = G_QUEUE_INIT;
+static struct lmn_asks asks;
 
 static const char *phase_word(enum lmn_phase phase, uint32_t running, uint32_t done)
 {
@@ -89,22 +79,30 @@
     return job_answer(ref, j->phase, done, running);
 }
 
-static void enqueue(enum ask_kind kind, struct lmn_call *call, const char *ref,
-                    int absent_status)
+/* The call is held already. */
+static void enqueue_held(enum lmn_ask_kind kind, struct lmn_call *call, const char *ref,
+                         int absent_status)
 {
-    struct ask *a = g_new0(struct ask, 1);
+    struct lmn_ask *a = g_new0(struct lmn_ask, 1);
 
     a->kind = kind;
     a->call = call;
     a->absent_status = absent_status;
+    a->since = lmn_now();
     g_strlcpy(a->ref, ref, sizeof a->ref);
-    lmn_call_hold(call);
     pthread_mutex_lock(&asks_lock);
-    g_queue_push_tail(&asks, a);
+    lmn_asks_put(&asks, a);
     pthread_cond_signal(&asks_more);
     pthread_mutex_unlock(&asks_lock);
 }
 
+static void enqueue(enum lmn_ask_kind kind, struct lmn_call *call, const char *ref,
+                    int absent_status)
+{
+    lmn_call_hold(call);
+    enqueue_held(kind, call, ref, absent_status);
+}
+
 /* Final answers never change: the mirror's will do. 1 if the call was answered so. */
 static bool answer_final(struct lmn_core *c, struct lmn_call *call, const char *ref)
 {
@@ -137,6 +135,19 @@
     return gone;
 }
 
+/* Nothing can be confirmed now: held back, a question took a socket and its user's
+ * patience, and ended as 503 all the same. */
+static bool blind(struct lmn_core *c, struct lmn_call *call)
+{
+    pthread_mutex_lock(&c->lock);
+    bool is = lmn_staleness(c, lmn_now()) > LMN_STALE_S;
+    int wait = is ? lmn_retry_after(1, c->rng) : 0;
+    pthread_mutex_unlock(&c->lock);
+    if (is)
+        lmn_call_answer(call, 503, NULL, wait);
+    return is;
+}
+
 void lmn_api_poll(struct lmn_core *c, struct lmn_call *call, const char *ref)
 {
     if (!lmn_ref_ok(ref)) {
@@ -145,9 +156,9 @@
     }
     if (answer_final(c, call, ref))
         return;
-    if (shed(c, LMN_SHED_POLL, call, 503))
+    if (shed(c, LMN_SHED_POLL, call, 503) || blind(c, call))
         return;
-    enqueue(ASK_POLL, call, ref, 404);
+    enqueue(LMN_ASK_POLL, call, ref, 404);
 }
 
 void lmn_api_cancel(struct lmn_core *c, struct lmn_call *call, const char *ref)
@@ -157,7 +168,7 @@
         return;
     }
     if (!answer_final(c, call, ref))
-        enqueue(ASK_CANCEL, call, ref, 404);
+        enqueue(LMN_ASK_CANCEL, call, ref, 404);
 }
 
 bool lmn_api_ready(struct lmn_core *c)
@@ -200,15 +211,7 @@
         lmn_call_answer(s->call, 201, b, 0);
     } else if (outcome == LMN_CONFLICT) {
         /* Known already, though not yet to the mirror: the answer is read. */
-        struct ask *a = g_new0(struct ask, 1);
-        a->kind = ASK_POLL;
-        a->call = s->call;
-        a->absent_status = 503;
-        g_strlcpy(a->ref, s->ref, sizeof a->ref);
-        pthread_mutex_lock(&asks_lock);
-        g_queue_push_tail(&asks, a);
-        pthread_cond_signal(&asks_more);
-        pthread_mutex_unlock(&asks_lock);
+        enqueue_held(LMN_ASK_POLL, s->call, s->ref, 503);
     } else {
         /* Refused, or unknown: if it was executed after all, the retry finds the job. */
         lmn_call_answer(s->call, 503, NULL, 1);
@@ -368,7 +371,7 @@
         /* Even then, an id that was accepted before is answered with its state. */
         if (*s.ref && lmn_ref_ok(s.ref)) {
             if (!answer_final(c, call, s.ref))
-                enqueue(ASK_POLL, call, s.ref, 400);
+                enqueue(LMN_ASK_POLL, call, s.ref, 400);
         } else {
             lmn_call_answer(call, 400, error_answer(what), 0);
         }
@@ -386,16 +389,18 @@
     if (a && final) {
         lmn_call_answer(call, 200, a, 0);
     } else if (known) {
-        enqueue(ASK_POLL, call, s.ref, 503);
+        enqueue(LMN_ASK_POLL, call, s.ref, 503);
     } else if (too_large(c, &s)) {
         /* No value can hold it: that would be 503 at each try, for ever. */
         lmn_debug("job-too-large job=%s", s.ref);
-        enqueue(ASK_POLL, call, s.ref, 400);
+        enqueue(LMN_ASK_POLL, call, s.ref, 400);
     } else if (!synced || !types) {
         lmn_call_answer(call, 503, NULL, 2);
+    } else if (blind(c, call)) {
+        ; /* answered */
     } else if (!possible) {
         lmn_debug("job-impossible job=%s why=\"%s\"", s.ref, what);
-        enqueue(ASK_POLL, call, s.ref, 422);
+        enqueue(LMN_ASK_POLL, call, s.ref, 422);
     } else {
         double wait = lmn_state_backlog(c->state, LMN_RANK_USER);
         if (wait > 2.0) {
@@ -449,7 +454,7 @@
     return status;
 }
 
-static void answer_absent(struct ask *a)
+static void answer_absent(struct lmn_ask *a)
 {
     if (a->absent_status == 503)
         lmn_call_answer(a->call, 503, NULL, 1);
@@ -458,38 +463,54 @@
                         a->absent_status == 404 ? NULL : error_answer("refused"), 0);
 }
 
+/* The same to all who ask: a body, or that it isn't there, or NULL: that nobody knows. */
+static void answer_all(struct lmn_ask *asks, const GByteArray *body, bool absent)
+{
+    for (struct lmn_ask *a = asks, *next; a; a = next) {
+        next = a->next;
+        if (absent) {
+            answer_absent(a);
+        } else if (body) {
+            GByteArray *b = g_byte_array_sized_new(body->len);
+            g_byte_array_append(b, body->data, body->len);
+            lmn_call_answer(a->call, 200, b, 0);
+        } else {
+            lmn_call_answer(a->call, 503, NULL, 1);
+        }
+        g_free(a);
+    }
+}
+
 /* The mirror is behind: the job itself is read. */
 static void answer_read(struct lmn_core *c, struct lmn_http *h, GByteArray *buf,
-                        struct ask *a)
+                        struct lmn_ask *asks)
 {
     struct lmn_spec s;
     enum lmn_phase phase = LMN_ACTIVE;
     uint32_t open, done = 0, running = 0;
     double at;
     uint64_t rev;
-    int status = read_job(c, h, buf, a->ref, &s, &phase, &open, &at, &rev);
+    GByteArray *body = NULL;
+    int status = read_job(c, h, buf, asks->ref, &s, &phase, &open, &at, &rev);
 
     if (status == 200) {
         pthread_mutex_lock(&c->lock);
-        const struct lmn_job *j = g_hash_table_lookup(c->jobs, a->ref);
+        const struct lmn_job *j = g_hash_table_lookup(c->jobs, asks->ref);
         if (j)
             tally(j, &done, &running);
         pthread_mutex_unlock(&c->lock);
         if (phase == LMN_FINISHED)
             done = s.tasks;
-        lmn_call_answer(
-            a->call, 200,
-            job_answer(a->ref, phase, done, phase == LMN_ACTIVE ? running : 0), 0);
-    } else if (status == 404) {
-        answer_absent(a);
-    } else {
-        lmn_call_answer(a->call, 503, NULL, 1);
+        body = job_answer(asks->ref, phase, done, phase == LMN_ACTIVE ? running : 0);
     }
+    answer_all(asks, body, status == 404);
+    if (body)
+        g_byte_array_unref(body);
     lmn_spec_clear(&s);
 }
 
 static void cancel_one(struct lmn_core *c, struct lmn_http *h, GByteArray *buf,
-                       struct ask *a)
+                       struct lmn_ask *a)
 {
     for (int tries = 0; tries < 5; tries++) {
         struct lmn_spec s;
@@ -530,46 +551,42 @@
     lmn_call_answer(a->call, 503, NULL, 1);
 }
 
-/* Many polls, one request: a transaction of conditions alone says which of the mirror's
+/* Many jobs, one request: a transaction of conditions alone says which of the mirror's
  * versions are the latest. */
 static void check_batch(struct lmn_core *c, struct lmn_http *h, GByteArray *buf,
-                        struct ask **v, guint n)
+                        struct lmn_ask **v, guint n)
 {
     struct lmn_txn *t = lmn_txn_new(LMN_RANK_USER, NULL, NULL);
     GPtrArray *stale = g_ptr_array_new_with_free_func(g_free);
+    GByteArray **body = g_new0(GByteArray *, n);
     char key[64];
     uint64_t rev;
     bool final;
 
     pthread_mutex_lock(&c->lock);
     for (guint i = 0; i < n; i++) {
-        v[i]->answer = mirror_answer(c, v[i]->ref, &v[i]->rev, &final);
+        body[i] = mirror_answer(c, v[i]->ref, &rev, &final);
         g_snprintf(key, sizeof key, "j/%s", v[i]->ref);
-        lmn_txn_if(t, key, v[i]->rev);
+        lmn_txn_if(t, key, rev);
     }
     pthread_mutex_unlock(&c->lock);
     enum lmn_outcome r = lmn_state_send(c->state, h, t, &rev, stale);
     lmn_txn_free(t);
     for (guint i = 0; i < n; i++) {
-        struct ask *a = v[i];
         bool old = false;
-        g_snprintf(key, sizeof key, "j/%s", a->ref);
+        g_snprintf(key, sizeof key, "j/%s", v[i]->ref);
         for (guint k = 0; k < stale->len && !old; k++)
             old = !strcmp(stale->pdata[k], key);
-        if (r != LMN_OK && r != LMN_CONFLICT) {
-            lmn_call_answer(a->call, 503, NULL, 1);
-        } else if (old) {
-            answer_read(c, h, buf, a);
-        } else if (a->answer) {
-            lmn_call_answer(a->call, 200, a->answer, 0);
-            a->answer = NULL;
-        } else {
-            answer_absent(a);
-        }
-        if (a->answer)
-            g_byte_array_unref(a->answer);
-        g_free(a);
+        if (r != LMN_OK && r != LMN_CONFLICT)
+            answer_all(v[i], NULL, false);
+        else if (old)
+            answer_read(c, h, buf, v[i]);
+        else
+            answer_all(v[i], body[i], !body[i]);
+        if (body[i])
+            g_byte_array_unref(body[i]);
     }
+    g_free(body);
     g_ptr_array_free(stale, TRUE);
 }
 
@@ -579,27 +596,15 @@
     struct lmn_http *h = lmn_http_new(c->cfg->state);
     GByteArray *buf = g_byte_array_new();
     guint max = (guint)MIN(4 * c->cfg->txn_ops, 100);
-    struct ask **v = g_new0(struct ask *, max);
+    struct lmn_ask **v = g_new0(struct lmn_ask *, max), *cancel, *late;
 
     for (;;) {
-        guint n = 0;
-        struct ask *cancel = NULL;
         pthread_mutex_lock(&asks_lock);
-        while (!asks.length)
+        while (!asks.order.length)
             pthread_cond_wait(&asks_more, &asks_lock);
-        for (GList *l = asks.head; l && n < max;) {
-            GList *next = l->next;
-            struct ask *a = l->data;
-            if (a->kind == ASK_CANCEL && !cancel) {
-                cancel = a;
-                g_queue_delete_link(&asks, l);
-            } else if (a->kind != ASK_CANCEL) {
-                v[n++] = a;
-                g_queue_delete_link(&asks, l);
-            }
-            l = next;
-        }
+        guint n = lmn_asks_take(&asks, v, max, &cancel, &late, lmn_now());
         pthread_mutex_unlock(&asks_lock);
+        answer_all(late, NULL, false);
         if (cancel) {
             cancel_one(c, h, buf, cancel);
             g_free(cancel);
@@ -613,4 +618,5 @@
 __attribute__((constructor)) static void init(void)
 {
     lmn_cond_init(&asks_more);
+    lmn_asks_init(&asks);
 }
--- /dev/null
+++ b/tests/test_asks.c
@@ -0,0 +1,126 @@
+/* Questions that wait for their confirmation, over generated storms of them. */
+#include "base/clock.h"
+#include "serve/asks.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+static void put(struct lmn_asks *q, enum lmn_ask_kind kind, int job, struct timespec now)
+{
+    struct lmn_ask *a = g_new0(struct lmn_ask, 1);
+
+    a->kind = kind;
+    a->since = now;
+    g_snprintf(a->ref, sizeof a->ref, "run-%06d", job);
+    lmn_asks_put(q, a);
+}
+
+static guint done(struct lmn_ask *a)
+{
+    guint n = 0;
+
+    for (struct lmn_ask *next; a; a = next, n++) {
+        next = a->next;
+        g_free(a);
+    }
+    return n;
+}
+
+/* Questions come many times as often as they can be confirmed one by one, and the state service
+ * answers now and then only after seconds. Nobody who still listens is left out, nobody is held
+ * who doesn't, a job stands once in a batch, and what comes first is taken first. */
+static void storms(void **state)
+{
+    GRand *r = g_rand_new_with_seed(3);
+    (void)state;
+
+    for (int round = 0; round < 20; round++) {
+        struct lmn_asks q;
+        struct timespec now = {1000, 0};
+        struct lmn_ask *v[16], *cancel, *late;
+        guint in = 0, out = 0, told = 0, shared = 0, taken = 0;
+        lmn_asks_init(&q);
+        for (int tick = 0; tick < 2000; tick++) {
+            bool slow = tick % 400 > 350;
+            double took = slow ? 2 : 0.02;
+            guint asked = slow ? 60 : (guint)g_rand_int_range(r, 0, 30);
+            for (guint i = 0; i < asked; i++, in++)
+                put(&q, g_rand_int_range(r, 0, 50) ? LMN_ASK_POLL : LMN_ASK_CANCEL,
+                    g_rand_int_range(r, 0, 100), lmn_after(now, g_rand_double(r) * took));
+            now = lmn_after(now, took);
+            guint n = lmn_asks_take(&q, v, G_N_ELEMENTS(v), &cancel, &late, now);
+            assert_true(n <= G_N_ELEMENTS(v));
+            for (struct lmn_ask *a = late; a; a = a->next)
+                assert_true(lmn_since(now, a->since) > LMN_ASK_LISTENS_S);
+            /* What the state service holds up is over with it. */
+            assert_true(tick % 400 > 350 || tick % 400 < 20 || !late);
+            told += done(late);
+            for (guint i = 0; i < n; i++) {
+                guint who = 0;
+                for (guint k = 0; k < i; k++)
+                    assert_string_not_equal(v[i]->ref, v[k]->ref);
+                for (struct lmn_ask *a = v[i]; a; a = a->next, who++) {
+                    assert_true(lmn_since(now, a->since) <= LMN_ASK_LISTENS_S);
+                    assert_string_equal(a->ref, v[i]->ref);
+                }
+                shared += who > 1;
+            }
+            for (guint i = 0; i < n; i++, taken++)
+                out += done(v[i]);
+            out += done(cancel);
+            assert_int_equal(q.waiting, in - out - told);
+        }
+        while (q.waiting) {
+            now = lmn_after(now, 0.02);
+            guint n = lmn_asks_take(&q, v, G_N_ELEMENTS(v), &cancel, &late, now);
+            for (guint i = 0; i < n; i++)
+                out += done(v[i]);
+            out += done(cancel);
+            told += done(late);
+        }
+        assert_int_equal(in, out + told);
+        assert_true(shared > 100);
+        lmn_asks_clear(&q);
+    }
+    g_rand_free(r);
+}
+
+/* A job that few ask about is not passed over for those that many do. */
+static void nobody_is_passed_over(void **state)
+{
+    struct lmn_asks q;
+    struct timespec now = {1000, 0};
+    struct lmn_ask *v[8], *cancel, *late;
+    (void)state;
+
+    lmn_asks_init(&q);
+    for (int i = 0; i < 400; i++)
+        put(&q, LMN_ASK_POLL, i % 20, now);
+    put(&q, LMN_ASK_POLL, 99, now);
+    for (int i = 0; i < 400; i++)
+        put(&q, LMN_ASK_POLL, i % 20, now);
+    int batches = 0, at = -1;
+    while (q.waiting) {
+        guint n = lmn_asks_take(&q, v, G_N_ELEMENTS(v), &cancel, &late, now);
+        for (guint i = 0; i < n; i++) {
+            if (g_str_has_suffix(v[i]->ref, "000099"))
+                at = batches;
+            assert_int_equal(done(v[i]), i + (guint)batches * 8 == 20 ? 1 : 40);
+        }
+        batches++;
+    }
+    assert_int_equal(batches, 3);
+    assert_int_equal(at, 2);
+    lmn_asks_clear(&q);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(storms),
+        cmocka_unit_test(nobody_is_passed_over),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
