--- a/src/base/job.c
+++ b/src/base/job.c
@@ -246,3 +246,18 @@
         c += (uint32_t)__builtin_popcount(bits[i]);
     return c;
 }
+
+bool lmn_objective_concerns(const struct lmn_objective *o, const struct lmn_spec *s)
+{
+    return (!*o->class_name || !strcmp(o->class_name, s->class_name)) &&
+           (o->kind == LMN_WAIT || o->kind == LMN_FINISH ||
+            (o->kind == LMN_DEADLINE && s->deadline_s >= 0));
+}
+
+bool lmn_spec_expected(const struct lmn_settings *cfg, const struct lmn_spec *s)
+{
+    for (size_t i = 0; i < cfg->nobjectives; i++)
+        if (lmn_objective_concerns(&cfg->objectives[i], s))
+            return true;
+    return s->deadline_s >= 0;
+}
--- a/src/base/job.h
+++ b/src/base/job.h
@@ -54,6 +54,11 @@
 bool lmn_spec_possible(const struct lmn_spec *s, const struct lmn_settings *cfg,
                        const struct lmn_types *types, const char **why);
 
+/* Whether the objective says when such a job should start or end. */
+bool lmn_objective_concerns(const struct lmn_objective *o, const struct lmn_spec *s);
+/* Whether anything does, its deadline included. */
+bool lmn_spec_expected(const struct lmn_settings *cfg, const struct lmn_spec *s);
+
 /* Sets of done tasks: one bit a task, as text of hexadecimal digits without closing
  * zeros. */
 static inline bool lmn_bit(const uint8_t *bits, uint32_t i)
--- a/src/decide/fleet.c
+++ b/src/decide/fleet.c
@@ -50,7 +50,7 @@
 static bool cheap_only(const struct lmn_core *c, const struct lmn_spec *s)
 {
     for (size_t i = 0; i < c->types.n; i++)
-        if (!lmn_cheap_only(s, &c->types.v[i]))
+        if (!lmn_cheap_only(c->cfg, s, &c->types.v[i]))
             return false;
     return c->types.n > 0;
 }
--- a/src/decide/floor.c
+++ b/src/decide/floor.c
@@ -125,10 +125,12 @@
     g_array_free(teams, TRUE);
 }
 
-bool lmn_cheap_only(const struct lmn_spec *s, const struct lmn_type *t)
+bool lmn_cheap_only(const struct lmn_settings *cfg, const struct lmn_spec *s,
+                    const struct lmn_type *t)
 {
     return s->urgency == LMN_IDLE && s->spot && s->kind == LMN_BATCH &&
-           s->estimate_s > GAP_S && t->rate > LEFT * t->spot_rate;
+           s->estimate_s > GAP_S && t->rate > LEFT * t->spot_rate &&
+           !lmn_spec_expected(cfg, s);
 }
 
 /* Where no cheap machine could hold it, any will do. */
--- a/src/decide/floor.h
+++ b/src/decide/floor.h
@@ -29,10 +29,12 @@
  * on cheap machines only (lmn_cheap_only), as long as this node has any for them. */
 void lmn_ages(struct lmn_core *c, double wall);
 
-/* Whether idle work of that kind is worth leaving rather than running on an ordinary
- * machine of the type: work that is left in the end costs twice its worth, and what runs
- * for long keeps the machine from being returned. Pure. */
-bool lmn_cheap_only(const struct lmn_spec *s, const struct lmn_type *t);
+/* Whether idle work of that kind, of which nobody expects anything by a time, is worth
+ * leaving rather than running on an ordinary machine of the type: work that is left in
+ * the end costs twice its worth, and what runs for long keeps the machine from being
+ * returned. Pure. */
+bool lmn_cheap_only(const struct lmn_settings *cfg, const struct lmn_spec *s,
+                    const struct lmn_type *t);
 
 /* What of each class this node's partitions have: an array of struct lmn_floor, `of` the
  * class's name; to be freed. */
--- a/src/decide/order.c
+++ b/src/decide/order.c
@@ -37,16 +37,14 @@
     j->latest = 0;
     for (size_t i = 0; i < cfg->nobjectives; i++) {
         const struct lmn_objective *o = &cfg->objectives[i];
-        if (*o->class_name && strcmp(o->class_name, s->class_name))
+        if (!lmn_objective_concerns(o, s))
             continue;
         if (o->kind == LMN_WAIT)
             expect(j, j->at + o->within_s, wall);
         else if (o->kind == LMN_FINISH)
             expect(j, j->at + o->within_s - run, wall);
-        else if (o->kind == LMN_DEADLINE && s->deadline_s >= 0)
-            expect(j, j->at + s->deadline_s * o->times - run, wall);
         else
-            continue;
+            expect(j, j->at + s->deadline_s * o->times - run, wall);
         any = true;
     }
     if (s->deadline_s >= 0) {
--- a/src/decide/queue.c
+++ b/src/decide/queue.c
@@ -356,9 +356,10 @@
 
 /* Long idle work that found gaps on ordinary machines kept them rented for minutes after
  * everything else was done, and from work that may run nowhere else. */
-static bool too_dear(const struct lmn_machine *m, const struct lmn_job *j)
+static bool too_dear(const struct lmn_core *c, const struct lmn_machine *m,
+                     const struct lmn_job *j)
 {
-    return j->cheap && !m->spot && !j->aged && lmn_cheap_only(&j->spec, m->type);
+    return j->cheap && !m->spot && !j->aged && lmn_cheap_only(c->cfg, &j->spec, m->type);
 }
 
 /* Within a look, starts only take room away: who can't start stays so; who could is
@@ -371,7 +372,7 @@
     if (j->look_yes == c->turn)
         return true;
     bool ok = j->phase == LMN_ACTIVE && room(m, &j->spec) > 0 &&
-              (!m->promised || j->spec.urgency == LMN_PROD) && !too_dear(m, j) &&
+              (!m->promised || j->spec.urgency == LMN_PROD) && !too_dear(c, m, j) &&
               !lmn_before(now, j->blame.hold) && lmn_can_hold(m, j) &&
               lmn_in_quota(c, m->part, j) && lmn_zone_room(j, m->zone) > 0;
     if (ok)
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -294,7 +294,7 @@
 static void idle_work_keeps_to_cheap_machines(void **state)
 {
     (void)state;
-    for (int k = 0; k < 4; k++) {
+    for (int k = 0; k < 5; k++) {
         struct lmn_job *j = alone(k == 1 ? LMN_NORMAL : LMN_IDLE, k == 2 ? 10 : 300);
         GHashTableIter it;
         gpointer v;
@@ -302,6 +302,11 @@
         g_hash_table_iter_init(&it, core->parts[0].machines);
         while (k == 3 && g_hash_table_iter_next(&it, NULL, &v))
             ((struct lmn_machine *)v)->spot = false;
+        /* An archive that was expected within minutes missed it. */
+        if (k == 4) {
+            cfg.nobjectives = 1;
+            cfg.objectives[0] = (struct lmn_objective){LMN_FINISH, "c", 180, 1, 1};
+        }
         lmn_ages(core, j->at);
         start_all();
         assert_int_equal(started_of(j, true) > 0, k != 3);
