Room, and parts of limits, are kept for large tasks that have waited

While small jobs keep coming each piece of room is theirs as it becomes free: a task that needs a whole machine, or more of its team's limit than a partition's part, waited for as long as they came (a known gap). From 120 s on a machine runs empty for it (one in twenty at most), and its team's smaller tasks leave it its part of the limit; a partition that is asked for what one task lacks keeps that free until it can give it.

--- a/src/decide/queue.c
+++ b/src/decide/queue.c
@@ -285,6 +285,10 @@
     double cpus, gpus;
 
     lmn_quota_part(c, p, j->team, &cpus, &gpus);
+    if (p->keep[j->team].job != j) {
+        cpus -= p->keep[j->team].cpus;
+        gpus -= p->keep[j->team].gpus;
+    }
 
     /* A machine that is not accounted for may be full of this team's tasks. As counted at
      * the last check: since then there are only fewer of them. */
@@ -372,7 +376,8 @@
     if (j->look_yes == c->turn)
         return true;
     bool ok = j->phase == LMN_ACTIVE && room(m, &j->spec) > 0 &&
-              (!m->promised || j->spec.urgency == LMN_PROD) && !too_dear(c, m, j) &&
+              (!m->promised || j->spec.urgency == LMN_PROD) &&
+              (!m->kept || m->kept == j) && !too_dear(c, m, j) &&
               !lmn_before(now, j->blame.hold) && lmn_can_hold(m, j) &&
               lmn_in_quota(c, m->part, j) && lmn_zone_room(j, m->zone) > 0;
     if (ok)
--- a/src/decide/quota.c
+++ b/src/decide/quota.c
@@ -42,6 +42,8 @@
         double n = r->st ? r->hi - r->lo - r->nfinished - r->nstarted : 0;
         if (r->job->team != team || r->job->phase != LMN_ACTIVE || n <= 0)
             continue;
+        if (lmn_job_accused(&r->job->blame))
+            n = 1; /* it is tried with a task at a time */
         w->cpus += n * r->job->spec.cpus;
         w->gpus += n * r->job->spec.gpus;
         w->least_cpus = MAX(w->least_cpus, r->job->spec.cpus);
--- /dev/null
+++ b/src/decide/reserve.c
@@ -0,0 +1,163 @@
+#include "decide/reserve.h"
+#include "base/log.h"
+#include "decide/queue.h"
+#include "decide/quota.h"
+#include "state/books.h"
+
+#include <string.h>
+
+/* How long room is kept for a job before another place is looked for; what is kept for
+ * another partition is asked for again within 8 s (serve/peer.c). */
+static const double KEPT_S = 60, ASKED_S = 12;
+/* Of a partition's machines, so many run empty at a time: one in twenty, and one at
+ * least.
+ */
+enum { KEPT_OF = 20 };
+/* Nothing is kept before the job has waited for so long: an aged one goes first wherever
+ * it fits. Kept from 60 s on, and for tasks of any size, machines ran empty a hundred
+ * times on a day with more work than room. */
+static const double WAITED_S = 120;
+
+static void let_go(struct lmn_machine *m)
+{
+    m->kept = NULL;
+    lmn_poke(m);
+}
+
+static void keep(struct lmn_keep *k, const struct lmn_job *j, double cpus, double gpus,
+                 struct timespec until)
+{
+    *k = (struct lmn_keep){j, cpus, gpus, until};
+}
+
+void lmn_reserve_limit(struct lmn_partition *p, int team, double cpus, double gpus,
+                       struct timespec now)
+{
+    struct lmn_keep *k = &p->keep[team];
+
+    /* Our own that waits comes first. */
+    if (!k->job || !lmn_before(now, k->until))
+        keep(k, NULL, cpus, gpus, lmn_after(now, ASKED_S));
+}
+
+/* The machine that could hold the job's task and has most of the room free already. */
+static struct lmn_machine *place(const struct lmn_partition *p, const struct lmn_job *j)
+{
+    struct lmn_machine *best = NULL;
+
+    for (guint i = 0; i < p->list->len; i++) {
+        struct lmn_machine *m = p->list->pdata[i];
+        if (m->kept || m->promised || m->unheeded || !lmn_can_hold(m, j) ||
+            m->type->cpus < j->spec.cpus || m->type->gpus < j->spec.gpus ||
+            m->type->mem < j->spec.mem)
+            continue;
+        if (!best || m->type->cpus - m->used_cpus > best->type->cpus - best->used_cpus)
+            best = m;
+    }
+    return best;
+}
+
+/* Moves one of the range's queued tasks to the machine's own queue, so that it is found
+ * there as soon as it fits. */
+static void bring(struct lmn_partition *p, const struct lmn_range *r,
+                  struct lmn_machine *m)
+{
+    struct lmn_queue *from = &p->limbo;
+    uint32_t index = 0;
+    bool found = false;
+
+    for (guint k = 0; k <= p->list->len && !found; k++) {
+        from = k ? &((struct lmn_machine *)p->list->pdata[k - 1])->queue : &p->limbo;
+        for (guint i = 0; i < from->segs->len && !found; i++) {
+            const struct lmn_seg *s = from->segs->pdata[i];
+            found = s->range == r;
+            index = s->lo;
+        }
+    }
+    if (!found || from == &m->queue)
+        return;
+    struct lmn_range *range = g_hash_table_lookup(p->ranges, r->key);
+    lmn_queue_take(from, range, index);
+    lmn_queue_add(&m->queue, range, index, index + 1);
+}
+
+static bool has_room(const struct lmn_machine *m, const struct lmn_spec *s)
+{
+    return m->type && m->type->cpus - m->used_cpus >= s->cpus - 1e-6 &&
+           m->type->gpus - m->used_gpus >= s->gpus - 1e-6 &&
+           m->type->mem - m->used_mem >= s->mem - 1e-6;
+}
+
+/* Whether some machine could start it now, or one is kept for it. */
+static bool served(const struct lmn_partition *p, const struct lmn_job *j)
+{
+    for (guint i = 0; i < p->list->len; i++) {
+        const struct lmn_machine *m = p->list->pdata[i];
+        if (m->kept == j ||
+            (!m->kept && !m->unheeded && lmn_can_hold(m, j) && has_room(m, &j->spec)))
+            return true;
+    }
+    return false;
+}
+
+static void help(struct lmn_core *c, struct lmn_partition *p, const struct lmn_range *r,
+                 guint *kept, struct timespec now)
+{
+    struct lmn_job *j = r->job;
+
+    if (!lmn_in_quota(c, p, j)) {
+        struct lmn_keep *k = &p->keep[j->team];
+        double cpus, gpus;
+        /* What is more than all of the part has to come from others (own/gift.c); this
+         * much of it need not be waited for. */
+        lmn_quota_part(c, p, j->team, &cpus, &gpus);
+        if (!k->job || !lmn_before(now, k->until))
+            keep(k, j, j->spec.cpus, j->spec.gpus, lmn_after(now, KEPT_S));
+        return;
+    }
+    if (*kept == 0 || served(p, j))
+        return;
+    struct lmn_machine *m = place(p, j);
+    if (!m)
+        return;
+    --*kept;
+    m->kept = j;
+    m->kept_until = lmn_after(now, KEPT_S);
+    lmn_info("machine-kept machine=%s job=%s free=%.1f", m->name, j->spec.ref,
+             m->type->cpus - m->used_cpus);
+    bring(p, r, m);
+}
+
+void lmn_reserve(struct lmn_core *c, struct lmn_partition *p, struct timespec now)
+{
+    guint kept = MAX(p->list->len / KEPT_OF, 1);
+    GHashTableIter it;
+    gpointer v;
+
+    if (!p->mine)
+        return;
+    for (guint i = 0; i < p->list->len; i++) {
+        struct lmn_machine *m = p->list->pdata[i];
+        if (m->kept && (!m->kept->aged || m->kept->phase != LMN_ACTIVE ||
+                        !lmn_before(now, m->kept_until) || !lmn_can_hold(m, m->kept)))
+            let_go(m);
+        kept -= m->kept && kept;
+    }
+    for (size_t t = 0; t < c->cfg->nteams; t++) {
+        struct lmn_keep *k = &p->keep[t];
+        if (k->cpus + k->gpus > 0 &&
+            (!lmn_before(now, k->until) ||
+             (k->job && (!k->job->aged || k->job->phase != LMN_ACTIVE))))
+            memset(k, 0, sizeof *k);
+    }
+    if (!p->open || p->releasing)
+        return;
+    g_hash_table_iter_init(&it, p->ranges);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const struct lmn_range *r = v;
+        if (r->job->aged && c->wall - r->job->at > WAITED_S &&
+            r->job->phase == LMN_ACTIVE && r->st && r->dealt && r->job->team >= 0 &&
+            !lmn_job_accused(&r->job->blame) && lmn_range_free_to_start(r))
+            help(c, p, r, &kept, now);
+    }
+}
--- a/src/own/gift.c
+++ b/src/own/gift.c
@@ -6,6 +6,7 @@
  * mirror shows what became of it; what is received counts only once the mirror shows it.
  * So the parts in use never add up to more than the limit, whatever fails. */
 #include "own/gift.h"
+#include "decide/reserve.h"
 #include "base/log.h"
 
 #include <string.h>
@@ -158,12 +159,20 @@
 }
 
 bool lmn_quota_asked(struct lmn_core *c, struct lmn_partition *p, int to,
-                     const struct lmn_quota_want *w)
+                     const struct lmn_quota_want *w, struct timespec now)
 {
-    double cpus, gpus;
+    double cpus, gpus, have_cpus, have_gpus;
 
     if (!p->mine || w->team < 0 || w->team >= (int)c->cfg->nteams)
         return false;
     lmn_quota_spare(c, p, w, &cpus, &gpus);
+    /* Small tasks take each piece of the part as it becomes free: a task larger than any
+     * part waited for as long as they came. */
+    lmn_quota_part(c, p, w->team, &have_cpus, &have_gpus);
+    double lacks_cpus = MIN(w->least_cpus, have_cpus);
+    double lacks_gpus = MIN(w->least_gpus, have_gpus);
+    if (p->used_cpus[w->team] + lacks_cpus > have_cpus + 1e-6 ||
+        p->used_gpus[w->team] + lacks_gpus > have_gpus + 1e-6)
+        lmn_reserve_limit(p, w->team, lacks_cpus, lacks_gpus, now);
     return lmn_quota_give(c, p, w->team, to, cpus, gpus);
 }
--- a/src/own/gift.h
+++ b/src/own/gift.h
@@ -13,8 +13,9 @@
                     double cpus, double gpus);
 void lmn_quota_flush(struct lmn_core *c, struct lmn_partition *p, struct timespec now);
 void lmn_quota_reset(struct lmn_partition *p);
-/* Another partition is short of it: gives what can be spared. */
+/* Another partition is short of it: gives what can be spared, and keeps free what
+ * it lacks for one task, until that can be given. */
 bool lmn_quota_asked(struct lmn_core *c, struct lmn_partition *p, int to,
-                     const struct lmn_quota_want *w);
+                     const struct lmn_quota_want *w, struct timespec now);
 
 #endif
--- a/src/own/partition.c
+++ b/src/own/partition.c
@@ -42,6 +42,7 @@
     m->in_call = false;
     m->probes = m->unheeded = 0;
     m->promised = 0;
+    m->kept = NULL;
     m->next_probe = (struct timespec){0, 0};
     m->heard = m->accounted = m->lapsed = false;
     m->retiring = m->force = m->noticed = m->is_gone = false;
@@ -90,6 +91,7 @@
     memset(p->used_gpus, 0, sizeof p->used_gpus);
     c->count.takeovers++;
     lmn_block_reset(p);
+    memset(p->keep, 0, sizeof p->keep);
     lmn_quota_reset(p);
     g_hash_table_iter_init(&it, p->machines);
     while (g_hash_table_iter_next(&it, NULL, &v))
--- a/src/serve/peer.c
+++ b/src/serve/peer.c
@@ -134,7 +134,7 @@
     struct lmn_quota_want w = {(int)(team - core->cfg->teams), q->cpus, q->gpus,
                                q->least_cpus, q->least_gpus};
     pthread_mutex_lock(&core->lock);
-    given = lmn_quota_asked(core, &core->parts[q->victim], q->thief, &w);
+    given = lmn_quota_asked(core, &core->parts[q->victim], q->thief, &w, lmn_now());
     pthread_mutex_unlock(&core->lock);
     return given;
 }
--- a/src/serve/service.c
+++ b/src/serve/service.c
@@ -6,6 +6,7 @@
 #include "decide/order.h"
 #include "decide/pack.h"
 #include "decide/preempt.h"
+#include "decide/reserve.h"
 #include "limits/sockets.h"
 #include "own/cloud.h"
 #include "own/flush.h"
@@ -103,6 +104,8 @@
         core->members.word.behind_s = core->load.behind;
         last = now;
         lmn_rank_all(core, lmn_seconds(lmn_wall()));
+        for (int i = 0; i < core->nparts && core->triaged == core->wall; i++)
+            lmn_reserve(core, &core->parts[i], now);
         lmn_upkeep(core, now);
         for (int i = 0; i < core->nparts; i++) {
             lmn_make_room(core, &core->parts[i], now);
--- a/src/state/model.h
+++ b/src/state/model.h
@@ -189,6 +189,10 @@
     bool untold;       /* it has changed since the standby was told: it stands in the
                           partition's list of those */
     guint told_images; /* hash of the images that were told */
+    /* It runs empty for a job that waits for whole room, until then (decide/reserve.h).
+     */
+    const struct lmn_job *kept;
+    struct timespec kept_until;
     uint32_t promised; /* tasks that room is being made for: nothing less urgent starts,
                           until: */
     struct timespec promise_until;
@@ -255,6 +259,14 @@
 
 struct lmn_copy;
 
+/* A part of a team's limit that only one job may use: its own, or, with none, another
+ * partition that it is to be given to (decide/reserve.h). */
+struct lmn_keep {
+    const struct lmn_job *job;
+    double cpus, gpus;
+    struct timespec until;
+};
+
 /* A zone most of whose machines have been silent. */
 struct lmn_cut {
     const char *zone; /* interned */
@@ -299,6 +311,7 @@
     struct lmn_queue limbo; /* tasks that no machine's queue holds yet */
     double used_cpus[LMN_MAX_TEAMS], used_gpus[LMN_MAX_TEAMS];
     struct lmn_gift gift;
+    struct lmn_keep keep[LMN_MAX_TEAMS];
     struct lmn_stream stream;
     GPtrArray *untold;        /* machines that the standby has to be told about */
     GPtrArray *forgotten;     /* names of machines that it need not know any more */
--- a/tests/test_model.c
+++ b/tests/test_model.c
@@ -14,6 +14,7 @@
 #include "decide/order.h"
 #include "decide/pack.h"
 #include "decide/preempt.h"
+#include "decide/reserve.h"
 #include "decide/steal.h"
 #include "own/flush.h"
 #include "own/gift.h"
@@ -1107,6 +1108,8 @@
         break_guards(n);
     double wall = w.now;
     lmn_rank_all(n->core, wall);
+    for (int i = 0; i < n->core->nparts && n->core->triaged == n->core->wall; i++)
+        lmn_reserve(n->core, &n->core->parts[i], w.clock);
     lmn_upkeep(n->core, w.clock);
     for (int k = 0; k < w.layout.nodes; k++) {
         lmn_make_room(n->core, &n->core->parts[k], w.clock);
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -7,6 +7,7 @@
 #include "decide/order.h"
 #include "decide/pack.h"
 #include "decide/preempt.h"
+#include "decide/reserve.h"
 #include "decide/queue.h"
 #include "own/owner.h"
 #include "own/range.h"
@@ -351,6 +352,78 @@
     assert_false(old->aged);
 }
 
+/* One task of a job that needs a whole machine, while small ones keep coming and fill every piece
+ * of room as it becomes free: it once waited for as long as they came. With `limit`, the pieces are
+ * those of their team's limit. Returns after how many seconds it began; 600: never. */
+static int wait_among_small(bool limit)
+{
+    GByteArray *out = g_byte_array_new();
+    struct lmn_partition *p;
+    struct lmn_job *small = &jobs[1], *large = &jobs[0];
+    int t = 0;
+
+    make(11);
+    now = (struct timespec){1000, 0};
+    p = &core->parts[0];
+    cfg.teams[0].cpus_max = limit ? 24 : 0;
+    for (int i = 0; i < JOBS; i++)
+        jobs[i].phase = i < 2 ? LMN_ACTIVE : LMN_FINISHED;
+    for (int i = 0; i < 2; i++) {
+        struct lmn_range *r = jobs[i].ranges->pdata[0];
+        jobs[i].spec.zone = NULL;
+        jobs[i].spec.spot = true;
+        jobs[i].spec.urgency = i ? LMN_HIGH : LMN_NORMAL;
+        jobs[i].spec.cpus = i ? 1 : 8;
+        jobs[i].spec.tasks = r->hi = i ? 60000 : 1;
+        jobs[i].lost = false;
+        jobs[i].at = 0;
+        g_free(r->done);
+        r->done = g_malloc0(60000 / 8);
+        lmn_range_open(core, r);
+        r->dealt = true;
+    }
+    lmn_deal_range(core, small->ranges->pdata[0], now);
+    lmn_deal_range(core, large->ranges->pdata[0], now);
+    for (; t < 600 && !started_of(large, true) && !started_of(large, false); t++) {
+        now = lmn_after(now, 1);
+        core->wall = t;
+        lmn_ages(core, t);
+        lmn_reserve(core, p, now);
+        for (guint k = 0; k < p->list->len; k++) {
+            struct lmn_machine *m = p->list->pdata[k];
+            /* A tenth of the small tasks end each second, one after the other. */
+            for (guint i = m->attempts->len; i-- > 0;) {
+                struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
+                if (a->job != small || g_rand_int_range(core->rng, 0, 10))
+                    continue;
+                lmn_attempt_uncount(m, a);
+                lmn_task_finished(a->range, a->index, now);
+                g_array_remove_index_fast(m->attempts, i);
+                m->next_steal = now;
+                lmn_schedule(core, m, out, now);
+            }
+            m->next_steal = now;
+            lmn_schedule(core, m, out, now);
+        }
+    }
+    g_byte_array_unref(out);
+    return t;
+}
+
+static void large_tasks_find_room_among_small_ones(void **state)
+{
+    (void)state;
+    assert_in_range(wait_among_small(false), 120, 200);
+    assert_in_range(wait_among_small(true), 120, 240);
+    assert_int_equal(core->parts[0].keep[0].job != NULL, true);
+    /* And what was kept is given up once it has begun. */
+    lmn_ages(core, 601);
+    lmn_reserve(core, &core->parts[0], now);
+    assert_null(core->parts[0].keep[0].job);
+    for (guint k = 0; k < core->parts[0].list->len; k++)
+        assert_null(((struct lmn_machine *)core->parts[0].list->pdata[k])->kept);
+}
+
 /* A job that fails wherever it starts stands in limbo, out of the machines' queues, and is tried
  * with one task at a time; one success brings all of it back. */
 static void the_accused_are_set_aside(void **state)
@@ -940,6 +1013,7 @@
         cmocka_unit_test(idle_work_keeps_to_cheap_machines),
         cmocka_unit_test(the_aged_begin),
         cmocka_unit_test(the_accused_are_set_aside),
+        cmocka_unit_test(large_tasks_find_room_among_small_ones),
         cmocka_unit_test(expectations),
         cmocka_unit_test(interval_doubles),
         cmocka_unit_test(xdr),
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -2,6 +2,7 @@
 #include "base/clock.h"
 #include "base/codec.h"
 #include "base/settings.h"
+#include "decide/queue.h"
 #include "decide/quota.h"
 #include "own/flush.h"
 #include "own/gift.h"
@@ -238,7 +239,7 @@
         for (int i = 1; i < N; i++) {
             if (!lmn_quota_wanted(core[0], p, 0, &w))
                 break;
-            lmn_quota_asked(core[i], &core[i]->parts[i], 0, &w);
+            lmn_quota_asked(core[i], &core[i]->parts[i], 0, &w, now);
             write_out(NULL, i);
             for (int k = 0; k < N; k++)
                 follow(k, events->len);
@@ -248,11 +249,59 @@
     assert_false(lmn_quota_wanted(core[0], p, 0, &w));
 }
 
+/* The other partitions' parts are full of small tasks, and more of them wait: a task larger than
+ * any part waited for as long as they came. Now what it lacks is kept free as they end. */
+static void large_task_gets_it_from_busy_parts(void **state)
+{
+    (void)state;
+    make(2);
+    struct lmn_partition *p = &core[0]->parts[0];
+    struct lmn_quota_want w = {0};
+    GRand *r = g_rand_new_with_seed(4);
+    bool moved = false;
+
+    struct lmn_job *large = g_new0(struct lmn_job, 1), *small = g_new0(struct lmn_job, 1);
+    small->spec.cpus = 1;
+    large->spec.cpus = 14; /* of 24, in three parts of 8 */
+    large->ranges = g_ptr_array_new();
+    struct lmn_range *range = g_new0(struct lmn_range, 1);
+    range->job = large;
+    range->part = p;
+    range->hi = 1;
+    range->key = g_strdup("r/0/x/0");
+    range->done = g_malloc0(1);
+    g_hash_table_insert(p->ranges, range->key, range);
+    lmn_range_open(core[0], range);
+    for (int i = 1; i < N; i++)
+        core[i]->parts[i].used_cpus[0] = 8;
+    for (int turn = 0; turn < 200 && !moved; turn++) {
+        now = lmn_after(now, 1);
+        for (int i = 1; i < N; i++) {
+            struct lmn_partition *o = &core[i]->parts[i];
+            /* One ends now and then, and another starts at once, if it may. */
+            if (o->used_cpus[0] > 0 && g_rand_boolean(r))
+                o->used_cpus[0]--;
+            while (lmn_in_quota(core[i], o, small))
+                o->used_cpus[0]++;
+            if (lmn_quota_wanted(core[0], p, 0, &w))
+                lmn_quota_asked(core[i], o, 0, &w, now);
+            write_out(NULL, i);
+            for (int k = 0; k < N; k++)
+                follow(k, events->len);
+            check();
+        }
+        moved = part(0) >= 14 - 1e-6;
+    }
+    assert_true(moved);
+    g_rand_free(r);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(never_more_than_the_limit),
         cmocka_unit_test(large_task_gets_its_part),
+        cmocka_unit_test(large_task_gets_it_from_busy_parts),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_rent.c
+++ b/tests/test_rent.c
@@ -182,6 +182,7 @@
             jobs[i].spec.mem = 16;
             jobs[i].spec.estimate_s = 300;
             jobs[i].spec.spot = true;
+            jobs[i].spec.deadline_s = -1;
             jobs[i].spec.tasks = ranges[i].hi = 40;
             jobs[i].spec.urgency = i == 1 && k == 1 ? LMN_HIGH : LMN_IDLE;
         }
