Late boots are replaced, by what was seen of their kind

Now a few late ones are rented once more after 1.5 times what is usual, or was seen, of their type in their zone; where more than a quarter are late it is the cloud that is slow, and none are.

--- a/src/decide/fleet.c
+++ b/src/decide/fleet.c
@@ -10,6 +10,91 @@
 {
     f->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     f->refusals = g_array_new(FALSE, FALSE, sizeof(struct lmn_refusal));
+    f->boots = g_array_new(FALSE, FALSE, sizeof(struct lmn_boots));
+}
+
+/* Boots usually take up to 1.5 times what the type says (the protocol). */
+static const double USUAL = 1.5;
+/* How much the last boot counts. */
+static const double LAST = 0.2;
+
+static struct lmn_boots *boots(const struct lmn_fleet *f, const char *type,
+                               const char *zone)
+{
+    for (guint i = 0; i < f->boots->len; i++) {
+        struct lmn_boots *b = &g_array_index(f->boots, struct lmn_boots, i);
+        if (!strcmp(b->type, type) && !strcmp(b->zone, zone))
+            return b;
+    }
+    return NULL;
+}
+
+void lmn_fleet_booted(struct lmn_fleet *f, const struct lmn_listed *m, double age_s)
+{
+    struct lmn_boots *b = boots(f, m->type, m->zone), new = {.typical = age_s};
+
+    if (b) {
+        b->typical += (age_s - b->typical) * LAST;
+        return;
+    }
+    g_strlcpy(new.type, m->type, sizeof new.type);
+    g_strlcpy(new.zone, m->zone, sizeof new.zone);
+    g_array_append_val(f->boots, new);
+}
+
+double lmn_fleet_patience(const struct lmn_fleet *f, const struct lmn_type *t,
+                          const char *zone, double lag_s)
+{
+    const struct lmn_boots *b = boots(f, t->name, zone);
+
+    return USUAL * MAX(t->ready_s, b ? b->typical : 0) + 2 * lag_s;
+}
+
+/* Machines of one type and zone. */
+struct kind {
+    const struct lmn_type *type;
+    const char *zone;
+    unsigned all, late;
+};
+
+/* Processors that a few late ones will not bring: they are rented once more. Where many
+ * are late it is the cloud that is slow, and more of them would be no sooner there. */
+static void count_late(const struct lmn_core *c, const struct lmn_fleet *f, double *late,
+                       double *late_ordinary, struct timespec now)
+{
+    GArray *kinds = g_array_new(FALSE, FALSE, sizeof(struct kind));
+    GHashTableIter it;
+    gpointer v;
+
+    for (int pass = 0; pass < 2; pass++) {
+        g_hash_table_iter_init(&it, f->machines);
+        while (g_hash_table_iter_next(&it, NULL, &v)) {
+            const struct lmn_listed *m = v;
+            const struct lmn_type *t = lmn_type_named(c, m->type);
+            struct kind *k = NULL, new = {t, m->zone, 0, 0};
+            if (!t || m->broken)
+                continue;
+            for (guint i = 0; i < kinds->len && !k; i++) {
+                struct kind *x = &g_array_index(kinds, struct kind, i);
+                k = x->type == t && !strcmp(x->zone, m->zone) ? x : NULL;
+            }
+            if (!k) {
+                g_array_append_val(kinds, new);
+                k = &g_array_index(kinds, struct kind, kinds->len - 1);
+            }
+            bool is_late =
+                m->booting && lmn_since(now, m->since) >
+                                  lmn_fleet_patience(f, t, m->zone, c->cfg->list_lag_s);
+            if (!pass) {
+                k->all++;
+                k->late += is_late;
+            } else if (is_late && 4 * k->late <= k->all) {
+                *late += t->cpus;
+                *late_ordinary += m->spot ? 0 : t->cpus;
+            }
+        }
+    }
+    g_array_free(kinds, TRUE);
 }
 
 struct want {
@@ -188,6 +273,10 @@
         if (!m->spot)
             have_ordinary += t->cpus;
     }
+    double late = 0, late_ordinary = 0;
+    count_late(c, f, &late, &late_ordinary, now);
+    have -= late;
+    have_ordinary -= late_ordinary;
     for (guint i = 0; i < f->refusals->len; i++)
         refused = refused || g_array_index(f->refusals, struct lmn_refusal, i).spot;
     /* Where no cheap machine can be had at all, idle work takes what there is. */
--- a/src/decide/fleet.h
+++ b/src/decide/fleet.h
@@ -19,9 +19,16 @@
     struct timespec until;
 };
 
+/* How long machines of a type take to boot in a zone, as far as seen; s. */
+struct lmn_boots {
+    char type[LMN_NAME], zone[LMN_NAME];
+    double typical;
+};
+
 struct lmn_fleet {
     GHashTable *machines; /* name -> lmn_listed */
     GArray *refusals;
+    GArray *boots; /* struct lmn_boots */
 };
 
 struct lmn_rental {
@@ -31,6 +38,13 @@
 };
 
 void lmn_fleet_init(struct lmn_fleet *f);
+/* A machine was first listed as running at that age. */
+void lmn_fleet_booted(struct lmn_fleet *f, const struct lmn_listed *m, double age_s);
+/* Seconds within which a machine of the type should be up: from what was seen of its
+ * kind, and no less than is usual. From then on others are rented in its place, as long
+ * as only some are late; after twice that it is returned. */
+double lmn_fleet_patience(const struct lmn_fleet *f, const struct lmn_type *t,
+                          const char *zone, double lag_s);
 /* Whether to rent, and what. The core's lock is held. */
 bool lmn_fleet_choose(struct lmn_core *c, struct lmn_fleet *f, struct lmn_rental *r,
                       struct timespec now);
--- a/src/own/cloud.c
+++ b/src/own/cloud.c
@@ -201,7 +201,10 @@
             lmn_truth(lmn_get(&d, n, W_SPOT), &m->spot);
             lmn_number(lmn_get(&d, n, W_AGE), &age);
             const struct lmn_node *state = lmn_get(&d, n, W_STATE);
+            bool was = m->booting;
             m->booting = lmn_is(state, W_BOOTING);
+            if (was && !m->booting && !lmn_is(state, W_BROKEN))
+                lmn_fleet_booted(&k->fleet, m, age);
             m->broken = lmn_is(state, W_BROKEN);
             if (!m->listed)
                 m->since = lmn_after(now, -age);
@@ -238,7 +241,9 @@
             g_hash_table_iter_remove(&it);
             continue;
         }
-        double patience = 3 * (t ? t->ready_s : 30) + 2 * lag + 10;
+        /* Late ones are used when they do come; a few never do. */
+        double patience =
+            t ? 2 * lmn_fleet_patience(&k->fleet, t, m->zone, lag) + 10 : 120;
         if (m->broken || (m->booting && lmn_since(now, m->since) > patience))
             g_ptr_array_add(bad, g_strdup(m->name));
     }
--- a/tests/test_rent.c
+++ b/tests/test_rent.c
@@ -213,11 +213,74 @@
     g_rand_free(r);
 }
 
+/* A few machines are late, or never come: others are rented in their place, and no more than that.
+ * Where most of a kind are late, as when the cloud is slow, none are; and patience follows what was
+ * seen, not what the type says alone. */
+static void late_boots_are_replaced(void **state)
+{
+    GRand *r = g_rand_new_with_seed(10);
+    (void)state;
+
+    for (int k = 0; k < 3; k++) {
+        struct lmn_core *c = make(r, 1);
+        struct timespec now = {1000, 0};
+        struct lmn_fleet f;
+        struct lmn_rental rental;
+        GHashTableIter it;
+        gpointer v;
+        int n = 0, late = k == 0 ? 3 : 20;
+        unsigned more = 0;
+        cfg.teams[jobs[0].team].cpus_max = 0;
+        cfg.list_lag_s = 4;
+        jobs[0].spec.cpus = 8;
+        jobs[0].spec.mem = 16;
+        jobs[0].spec.spot = false;
+        jobs[0].spec.estimate_s = 300;
+        jobs[0].spec.tasks = ranges[0].hi = 30;
+        g_strlcpy(c->types.v[0].zones[0], "a", LMN_NAME);
+        c->types.n = 1;
+        lmn_fleet_init(&f);
+        for (int i = 0; i < 30; i++) {
+            struct lmn_listed *m = g_new0(struct lmn_listed, 1);
+            g_snprintf(m->name, LMN_NAME, "m-%d", i);
+            g_strlcpy(m->type, "small", LMN_NAME);
+            g_strlcpy(m->zone, "a", LMN_NAME);
+            m->since = now;
+            m->booting = i < late;
+            g_hash_table_insert(f.machines, m->name, m);
+        }
+        for (int i = 0; k == 2 && i < 20; i++) /* they take long here */
+            lmn_fleet_booted(&f, g_hash_table_lookup(f.machines, "m-25"), 200);
+        now = lmn_after(now, 30);
+        assert_false(lmn_fleet_choose(c, &f, &rental, now));
+        now = lmn_after(now, 20);
+        while (lmn_fleet_choose(c, &f, &rental, now) && ++n < 100)
+            for (unsigned i = 0; i < rental.count; i++, more++) {
+                struct lmn_listed *m = g_new0(struct lmn_listed, 1);
+                g_snprintf(m->name, LMN_NAME, "n-%u", more);
+                g_strlcpy(m->type, "small", LMN_NAME);
+                g_strlcpy(m->zone, "a", LMN_NAME);
+                m->since = now;
+                m->booting = true;
+                g_hash_table_insert(f.machines, m->name, m);
+            }
+        assert_int_equal(more, k == 0 ? 3 : 0);
+        /* They do come: what is too much goes back by itself. */
+        g_hash_table_iter_init(&it, f.machines);
+        while (g_hash_table_iter_next(&it, NULL, &v))
+            ((struct lmn_listed *)v)->booting = false;
+        assert_false(lmn_fleet_choose(c, &f, &rental, now));
+        assert_true(lmn_fleet_patience(&f, &c->types.v[0], "a", 4) > (k == 2 ? 250 : 30));
+    }
+    g_rand_free(r);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(no_more_than_limits_let_run),
         cmocka_unit_test(no_more_than_can_be_heard),
+        cmocka_unit_test(late_boots_are_replaced),
         cmocka_unit_test(idle_work_rents_no_ordinary_machine),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
