--- a/tests/test_model.c
+++ b/tests/test_model.c
@@ -98,6 +98,7 @@
     double at;
     int machine, node, life;
     bool direct;
+    bool copy; /* of a report that has arrived; nobody waits for its answer */
     GByteArray *body; /* of a report's answer, or of a direct command */
     uint64_t session, seq;
 };
@@ -108,6 +109,7 @@
     bool spot, dead;
     int island; /* only this node reaches it, until: */
     double island_until;
+    double unheard_until; /* its reports arrive, and nothing reaches it, until */
     double hang_until, lease_from, next_report, answer_by;
     uint64_t session, seq, token, told_token;
     int node;         /* reports to */
@@ -176,7 +178,7 @@
     unsigned broke[RULES];
     unsigned starts, finished, takeovers, steals, preempted;
     unsigned verdicts, refutations, gives;
-    unsigned warm, compared, withheld, leaves;
+    unsigned warm, compared, withheld, leaves, copies;
     bool standbys;
     bool flapping; /* members fail again and again */
     bool calm;     /* no trouble begins any more */
@@ -322,6 +324,12 @@
     return !m->dead && w.now >= m->hang_until && (w.now >= m->island_until || m->island == node);
 }
 
+/* Whether anything from that node gets to the machine. */
+static bool gets_to(int node, const struct machine *m)
+{
+    return reaches(node, m) && w.now >= m->unheard_until;
+}
+
 static void on_start(struct machine *m, const struct task *t)
 {
     const struct job *j = &w.jobs[t->job];
@@ -903,7 +911,7 @@
             GByteArray *answer = g_byte_array_new();
             int status = LMN_NOT_SENT;
             if (go)
-                status = there && reaches((int)(n - w.nodes), m)
+                status = there && gets_to((int)(n - w.nodes), m)
                              ? machine_direct(m, x->body, answer)
                              : LMN_NO_ANSWER;
             lmn_direct_outcome(n->core, x->held.machine, status, answer, w.clock);
@@ -912,7 +920,7 @@
             if (!go)
                 lmn_worker_withhold(n->core, &x->held, x->body, w.clock);
             struct message answer = {.body = x->body, .session = x->session, .seq = x->seq};
-            if (there)
+            if (there && w.now >= m->unheard_until)
                 machine_answer(m, &answer);
         }
         g_byte_array_unref(x->body);
@@ -945,7 +953,7 @@
 
     while (lmn_probe_next(n->core, 0, 1, name, addr, &term, w.clock)) {
         struct machine *m = machine_named(name);
-        if (!m || !reaches(me, m) || chance(0.3)) {
+        if (!m || !gets_to(me, m) || chance(0.3)) {
             lmn_probe_outcome(n->core, name, term, LMN_NO_ANSWER, answer, w.clock);
             continue;
         }
@@ -977,7 +985,7 @@
             continue;
         }
         g_byte_array_set_size(answer, 0);
-        if (!m || !reaches(me, m) || luck < 0.25) {
+        if (!m || !gets_to(me, m) || luck < 0.25) {
             /* No answer: lost for good, or delivered up to half a minute later. */
             if (m && !m->dead && chance(0.8)) {
                 struct message *x = g_new0(struct message, 1);
@@ -1143,12 +1151,26 @@
     return *name ? atoi(name + 1) : (m->node + 1) % w.layout.nodes;
 }
 
+static void mail_copy(const struct message *x)
+{
+    struct message *y = g_new0(struct message, 1);
+
+    *y = *x;
+    y->copy = true;
+    y->at = w.now + g_rand_double_range(w.r, 2, 24);
+    y->body = g_byte_array_new();
+    g_byte_array_append(y->body, x->body->data, x->body->len);
+    g_ptr_array_add(w.mail, y);
+}
+
 static void deliver(void)
 {
     for (guint i = 0; i < w.mail->len;) {
         struct message *x = w.mail->pdata[i];
         struct machine *m = &w.machines[x->machine];
-        if (x->at > w.now || (x->direct && w.now < m->hang_until)) {
+        /* What was held up arrives when the way there is open again. */
+        if (x->at > w.now ||
+            (x->direct && (w.now < m->hang_until || w.now < m->unheard_until))) {
             i++;
             continue;
         }
@@ -1156,7 +1178,7 @@
         if (x->direct) {
             if (!m->dead && x->life == m->life)
                 machine_direct(m, x->body, NULL);
-        } else if (x->life == m->life) { /* a report reaches its node */
+        } else if (x->life == m->life || x->copy) { /* a report reaches its node */
             struct node *n = &w.nodes[x->node];
             GByteArray *out = g_byte_array_new();
             if (up(n) && n->core && w.now < n->still_until) {
@@ -1166,12 +1188,21 @@
                 g_ptr_array_add(w.mail, x);
                 continue;
             }
-            if (up(n) && n->core && reaches(x->node, m)) {
+            if (x->copy) {
+                struct lmn_held held;
+                if (up(n) && n->core)
+                    lmn_worker_report(n->core, x->body->data, x->body->len, out, &held, w.clock);
+                w.copies++;
+            } else if (up(n) && n->core && reaches(x->node, m)) {
                 struct lmn_held held;
+                if (trouble(0.03)) /* it comes again, up to well over a lease later */
+                    mail_copy(x);
                 int status = lmn_worker_report(n->core, x->body->data, x->body->len, out, &held, w.clock);
                 if (status == 200 && held.mark &&
                     !lmn_stream_covers(&n->core->parts[held.part], held.mark)) {
                     hold(n, &held, x, m, out);
+                } else if (w.now < m->unheard_until) {
+                    ; /* the answer is lost */
                 } else if (status == 200 && !m->dead && w.now >= m->hang_until && !trouble(0.05)) {
                     struct message answer = {.body = out, .session = x->session, .seq = x->seq};
                     machine_answer(m, &answer);
@@ -1341,6 +1372,8 @@
             struct machine *m = &w.machines[i];
             if (trouble(0.0004))
                 m->hang_until = w.now + g_rand_double_range(w.r, 1, 25);
+            if (trouble(0.0003))
+                m->unheard_until = w.now + g_rand_double_range(w.r, 1, 40);
             if (m->dead && chance(0.004)) {
                 m->dead = false;
                 m->life++;
