--- a/tests/test_model.c
+++ b/tests/test_model.c
@@ -61,6 +61,7 @@
     G_FINAL,   /* final states are written conditionally */
     G_SPREAD,  /* tasks of a job that is spread look at each other's zones */
     G_JUDGED,  /* inherited tasks wait although their owner was judged */
+    G_ORDER,   /* a report is dropped if a newer one of its worker was heard */
     G_TOLD,    /* starts wait until the standby has acknowledged them */
 };
 
@@ -810,6 +811,8 @@
             struct lmn_machine *m = v;
             if (w.broken == G_ACCOUNT || (w.broken == G_JUDGED && n->judged[i]))
                 m->inherited = false;
+            if (w.broken == G_ORDER)
+                m->session = m->seq = m->report_seq = 0;
             if (w.broken == G_PLACE)
                 m->spot = false;
             if (w.broken == G_SPREAD)
@@ -1541,6 +1544,13 @@
     breaks(G_ACCOUNT, R_TWICE);
 }
 
+/* Of a copy that comes late, what was started since is missing. */
+static void the_order_of_reports_is_needed(void **state)
+{
+    (void)state;
+    breaks(G_ORDER, R_TWICE);
+}
+
 static void unsure_starts_are_needed(void **state)
 {
     (void)state;
@@ -1597,6 +1607,7 @@
         cmocka_unit_test(keeps_every_rule_while_members_flap),
         cmocka_unit_test(acknowledgements_are_needed),
         cmocka_unit_test(accounting_is_needed),
+        cmocka_unit_test(the_order_of_reports_is_needed),
         cmocka_unit_test(unsure_starts_are_needed),
         cmocka_unit_test(shares_of_limits_are_needed),
         cmocka_unit_test(accounting_is_needed_after_a_verdict),
