--- a/src/limits/sockets.c
+++ b/src/limits/sockets.c
@@ -56,10 +56,16 @@
 }
 
 bool lmn_socket_stands(const struct lmn_socket_plan *p,
-                       const unsigned open[LMN_SOCKET_KINDS], enum lmn_socket_kind kind)
+                       const unsigned open[LMN_SOCKET_KINDS], enum lmn_socket_kind kind,
+                       bool at_fault)
 {
     unsigned others = 0;
 
+    /* Where nothing can be confirmed, while it can elsewhere, no user is to ask again:
+     * answered 503 at once, users stayed on their connections and asked the same node
+     * until the balancer had noticed. */
+    if (at_fault && kind == LMN_SOCKET_USER)
+        return false;
     for (int k = 0; k < LMN_SOCKET_KINDS; k++)
         if (k != (int)kind)
             others += most(p->floor[k], open[k]);
--- a/src/limits/sockets.h
+++ b/src/limits/sockets.h
@@ -51,8 +51,9 @@
 
 /* Whether a connection of the kind may stay open after its answer, with so many of each
  * kind open now (itself among them): not if that took from what other kinds have open, or
- * from their floors. */
+ * from their floors; nor a user's, if this node alone is at fault. */
 bool lmn_socket_stands(const struct lmn_socket_plan *p,
-                       const unsigned open[LMN_SOCKET_KINDS], enum lmn_socket_kind kind);
+                       const unsigned open[LMN_SOCKET_KINDS], enum lmn_socket_kind kind,
+                       bool at_fault);
 
 #endif
--- a/src/serve/ask.c
+++ b/src/serve/ask.c
@@ -28,7 +28,7 @@
     }
     if (odd != c->odd_one)
         lmn_info("odd-one-out odd=%d stale=%.1f alone=%d", odd, stale, !anybody);
-    c->odd_one = odd;
+    __atomic_store_n(&c->odd_one, odd, __ATOMIC_RELAXED); /* serve/server.c reads it */
     if (!odd || anybody)
         c->isolated = (struct timespec){0, 0};
     else if (!c->isolated.tv_sec)
--- a/src/serve/server.c
+++ b/src/serve/server.c
@@ -48,7 +48,8 @@
      * not wait for: one more connection stands, or one fewer. */
     if (__atomic_load_n(&c->leaving, __ATOMIC_RELAXED))
         return false;
-    return lmn_socket_stands(&c->sockets, open, (enum lmn_socket_kind)kind);
+    return lmn_socket_stands(&c->sockets, open, (enum lmn_socket_kind)kind,
+                             __atomic_load_n(&c->odd_one, __ATOMIC_RELAXED));
 }
 
 static unsigned kind_of(void *arg, const struct sockaddr *peer)
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -39,7 +39,7 @@
             k = k == LMN_SOCKET_USER ? LMN_SOCKET_WORKER : LMN_SOCKET_USER;
         want[k]--;
         open[k]++;
-        if (!lmn_socket_stands(p, open, k))
+        if (!lmn_socket_stands(p, open, k, false))
             open[k]--;
         else if (g_rand_int_range(rng, 0, 20) == 0)
             open[k]--; /* it ends by itself */
@@ -50,7 +50,7 @@
     for (enum lmn_socket_kind k = LMN_SOCKET_USER; k < LMN_SOCKET_KINDS; k++)
         if (open[k] < p->floor[k]) {
             open[k]++;
-            assert_true(lmn_socket_stands(p, open, k));
+            assert_true(lmn_socket_stands(p, open, k, false));
             open[k]--;
         }
 }
@@ -89,14 +89,18 @@
     lmn_socket_plan(&s, &p);
     /* Beyond a floor, what the other kind has no use for may be used: */
     unsigned quiet[] = {0, 3, p.accepted / 2};
-    assert_true(lmn_socket_stands(&p, quiet, LMN_SOCKET_WORKER));
+    assert_true(lmn_socket_stands(&p, quiet, LMN_SOCKET_WORKER, false));
     /* and no more than that. */
     unsigned full[] = {0, 3, p.accepted - p.floor[0] - p.floor[1] + 1};
-    assert_false(lmn_socket_stands(&p, full, LMN_SOCKET_WORKER));
-    assert_true(lmn_socket_stands(&p, full, LMN_SOCKET_USER));
+    assert_false(lmn_socket_stands(&p, full, LMN_SOCKET_WORKER, false));
+    assert_true(lmn_socket_stands(&p, full, LMN_SOCKET_USER, false));
     /* Many that pass make fewer stand. */
     unsigned storm[] = {p.accepted / 2, 3, p.accepted / 2};
-    assert_false(lmn_socket_stands(&p, storm, LMN_SOCKET_WORKER));
+    assert_false(lmn_socket_stands(&p, storm, LMN_SOCKET_WORKER, false));
+    /* Users of a node that alone can't confirm anything go elsewhere; its workers stay. */
+    assert_true(lmn_socket_stands(&p, quiet, LMN_SOCKET_USER, false));
+    assert_false(lmn_socket_stands(&p, quiet, LMN_SOCKET_USER, true));
+    assert_true(lmn_socket_stands(&p, quiet, LMN_SOCKET_WORKER, true));
 }
 
 /* A crowd of workers that comes all at once, none of them answered yet, leaves users' part
@@ -211,7 +215,7 @@
 static bool stands(void *arg, const unsigned open[LMN_HTTPD_KINDS], unsigned kind)
 {
     (void)arg;
-    return lmn_socket_stands(&plan, open, (enum lmn_socket_kind)kind);
+    return lmn_socket_stands(&plan, open, (enum lmn_socket_kind)kind, false);
 }
 
 /* Asks over a connection of its own; 1: it was answered and stays open, 0: it was
