One range_redeal, one count of what a machine has room for

The audit and a job that is accused took a range out of all queues alike; reserve.c counted room as queue.c does, and asked for a part of a limit that it made no use of.

--- a/src/decide/queue.c
+++ b/src/decide/queue.c
@@ -93,8 +93,7 @@
            !m->is_gone && lmn_spec_allows(&j->spec, m->type, m->zone, m->spot);
 }
 
-/* How many tasks of the job have room on the machine now, its queue aside. */
-static uint32_t room(const struct lmn_machine *m, const struct lmn_spec *s)
+uint32_t lmn_room(const struct lmn_machine *m, const struct lmn_spec *s)
 {
     const double slack = 1e-6;
     double n = 1e6;
@@ -180,7 +179,7 @@
         struct lmn_machine *m = v;
         if (m->unheeded || !lmn_can_hold(m, r->job))
             continue;
-        uint32_t has = room(m, &r->job->spec);
+        uint32_t has = lmn_room(m, &r->job->spec);
         if (has > m->queue.tasks) {
             struct candidate x = {m, unfit(m, r->job), m->type->cpus - m->used_cpus,
                                   has - m->queue.tasks, able->len};
@@ -232,19 +231,24 @@
     }
 }
 
+void lmn_range_redeal(struct lmn_core *c, struct lmn_range *r, struct timespec now)
+{
+    GHashTableIter it;
+    gpointer v;
+
+    lmn_queue_drop_range(&r->part->limbo, r);
+    g_hash_table_iter_init(&it, r->part->machines);
+    while (g_hash_table_iter_next(&it, NULL, &v))
+        lmn_queue_drop_range(&((struct lmn_machine *)v)->queue, r);
+    lmn_deal_range(c, r, now);
+}
+
 void lmn_job_redeal(struct lmn_core *c, struct lmn_job *j, struct timespec now)
 {
     for (guint i = 0; i < j->ranges->len; i++) {
         struct lmn_range *r = j->ranges->pdata[i];
-        GHashTableIter it;
-        gpointer v;
-        if (!r->part->mine || !r->st || !r->dealt)
-            continue;
-        lmn_queue_drop_range(&r->part->limbo, r);
-        g_hash_table_iter_init(&it, r->part->machines);
-        while (g_hash_table_iter_next(&it, NULL, &v))
-            lmn_queue_drop_range(&((struct lmn_machine *)v)->queue, r);
-        lmn_deal_range(c, r, now);
+        if (r->part->mine && r->st && r->dealt)
+            lmn_range_redeal(c, r, now);
     }
 }
 
@@ -375,7 +379,7 @@
         return false;
     if (j->look_yes == c->turn)
         return true;
-    bool ok = j->phase == LMN_ACTIVE && room(m, &j->spec) > 0 &&
+    bool ok = j->phase == LMN_ACTIVE && lmn_room(m, &j->spec) > 0 &&
               (!m->promised || j->spec.urgency == LMN_PROD) &&
               (!m->kept || m->kept == j) && !too_dear(c, m, j) &&
               !lmn_before(now, j->blame.hold) && lmn_can_hold(m, j) &&
--- a/src/decide/queue.h
+++ b/src/decide/queue.h
@@ -10,6 +10,8 @@
               struct timespec now);
 /* Cuts all of the range's queued tasks so. */
 void lmn_deal_range(struct lmn_core *c, struct lmn_range *r, struct timespec now);
+/* Takes the range out of all queues, and deals it anew. */
+void lmn_range_redeal(struct lmn_core *c, struct lmn_range *r, struct timespec now);
 /* Deals the job's queued tasks in this node's partitions anew: an accused job's into
  * limbo, away from the machines' queues. */
 void lmn_job_redeal(struct lmn_core *c, struct lmn_job *j, struct timespec now);
@@ -29,6 +31,8 @@
 /* Whether the job's team may use one task's processors more. */
 bool lmn_in_quota(const struct lmn_core *c, const struct lmn_partition *p,
                   const struct lmn_job *j);
+/* How many tasks of the job have room on the machine now, its queue aside. */
+uint32_t lmn_room(const struct lmn_machine *m, const struct lmn_spec *s);
 bool lmn_can_hold(const struct lmn_machine *m, const struct lmn_job *j);
 /* Starts what fits on a machine that has just reported: commands go to out. */
 guint lmn_schedule(struct lmn_core *c, struct lmn_machine *m, GByteArray *out,
--- a/src/decide/reserve.c
+++ b/src/decide/reserve.c
@@ -1,7 +1,6 @@
 #include "decide/reserve.h"
 #include "base/log.h"
 #include "decide/queue.h"
-#include "decide/quota.h"
 #include "state/books.h"
 
 #include <string.h>
@@ -81,20 +80,13 @@
     lmn_queue_add(&m->queue, range, index, index + 1);
 }
 
-static bool has_room(const struct lmn_machine *m, const struct lmn_spec *s)
-{
-    return m->type && m->type->cpus - m->used_cpus >= s->cpus - 1e-6 &&
-           m->type->gpus - m->used_gpus >= s->gpus - 1e-6 &&
-           m->type->mem - m->used_mem >= s->mem - 1e-6;
-}
-
 /* Whether some machine could start it now, or one is kept for it. */
 static bool served(const struct lmn_partition *p, const struct lmn_job *j)
 {
     for (guint i = 0; i < p->list->len; i++) {
         const struct lmn_machine *m = p->list->pdata[i];
         if (m->kept == j ||
-            (!m->kept && !m->unheeded && lmn_can_hold(m, j) && has_room(m, &j->spec)))
+            (!m->kept && !m->unheeded && lmn_can_hold(m, j) && lmn_room(m, &j->spec) > 0))
             return true;
     }
     return false;
@@ -107,10 +99,7 @@
 
     if (!lmn_in_quota(c, p, j)) {
         struct lmn_keep *k = &p->keep[j->team];
-        double cpus, gpus;
-        /* What is more than all of the part has to come from others (own/gift.c); this
-         * much of it need not be waited for. */
-        lmn_quota_part(c, p, j->team, &cpus, &gpus);
+        /* What is more than all of the part has to come from others (own/gift.c). */
         if (!k->job || !lmn_before(now, k->until))
             keep(k, j, j->spec.cpus, j->spec.gpus, lmn_after(now, KEPT_S));
         return;
--- a/src/own/upkeep.c
+++ b/src/own/upkeep.c
@@ -220,11 +220,7 @@
             continue;
         c->count.unqueued++;
         lmn_error("tasks-unqueued range=%s queued=%u found=%u", r->key, queued, found);
-        lmn_queue_drop_range(&p->limbo, r);
-        g_hash_table_iter_init(&it, p->machines);
-        while (g_hash_table_iter_next(&it, NULL, &v))
-            lmn_queue_drop_range(&((struct lmn_machine *)v)->queue, r);
-        lmn_deal_range(c, r, now);
+        lmn_range_redeal(c, r, now);
     }
     g_list_free(ranges);
 }
