--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -1,6 +1,7 @@
 #include "base/settings.h"
 
 #include <arpa/inet.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -22,6 +23,39 @@
     return rank;
 }
 
+static double stale_margin(const struct lmn_settings *s)
+{
+    double share = 0.05 * s->cancel_s;
+    return share > 1 ? share : 1;
+}
+
+double lmn_settings_stale_limit(const struct lmn_settings *s)
+{
+    return s->cancel_s - s->lease_s - stale_margin(s);
+}
+
+/* A view is up to about a second old when all is well, and older when the state service
+ * is slow. */
+static const double TIGHT_S = 3;
+
+bool lmn_settings_warning(const struct lmn_settings *s, char *text, size_t len)
+{
+    double limit = lmn_settings_stale_limit(s);
+
+    if (limit > TIGHT_S)
+        return false;
+    snprintf(text, len,
+             "params.workers.cancel_s = %g, lease_s = %g: beside a lease and a margin of "
+             "%g s, a cancellation leaves a controller's view %g s to be old; %s. Raise "
+             "cancel_s to %g or more, or lower lease_s",
+             s->cancel_s, s->lease_s, stale_margin(s), limit > 0 ? limit : 0,
+             limit > 0 ? "whenever the state service is slower than that, all tasks are "
+                         "lost"
+                       : "no worker is ever answered, and no task ever starts",
+             (s->lease_s + TIGHT_S + 1) / 0.95);
+    return true;
+}
+
 int lmn_addr_split(const char *addr, char *host, size_t len, int *port)
 {
     const char *colon = strrchr(addr, ':');
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -2,6 +2,7 @@
 #ifndef LMN_SETTINGS_H
 #define LMN_SETTINGS_H
 
+#include <stdbool.h>
 #include <stddef.h>
 
 enum {
@@ -58,6 +59,14 @@
 int lmn_settings_parse(const char *text, const char *name, struct lmn_settings *s,
                        char *err, size_t errlen);
 
+/* How old a node's view may be, in seconds, for it to answer workers: what cancel_s
+ * leaves beside a lease and a margin for the clocks' drift and the last kill. Not above
+ * 0: no view ever is young enough. */
+double lmn_settings_stale_limit(const struct lmn_settings *s);
+/* Puts into text what follows from settings that can be kept, but not well; false: there
+ * is nothing to say. */
+bool lmn_settings_warning(const struct lmn_settings *s, char *text, size_t len);
+
 /* How many connections to workers a node keeps open for its own calls. */
 static inline unsigned lmn_direct_connections(const struct lmn_settings *s)
 {
--- a/src/cli/controller.c
+++ b/src/cli/controller.c
@@ -31,6 +31,8 @@
         return lmn_cli_fail(LMN_EXIT_FAILED, "%s", err);
     if (!check)
         return lmn_service_run(&settings);
+    if (lmn_settings_warning(&settings, err, sizeof err))
+        fprintf(stderr, "%s: warning: %s\n", check, err);
     printf("%s: good\n", check);
     return LMN_EXIT_OK;
 }
--- a/src/decide/queue.c
+++ b/src/decide/queue.c
@@ -379,7 +379,7 @@
         return false;
     if (j->look_yes == c->turn)
         return true;
-    bool ok = j->phase == LMN_ACTIVE && lmn_room(m, &j->spec) > 0 &&
+    bool ok = lmn_job_wanted(c, j) && lmn_room(m, &j->spec) > 0 &&
               (!m->promised || j->spec.urgency == LMN_PROD) &&
               (!m->kept || m->kept == j) && !too_dear(c, m, j) &&
               !lmn_before(now, j->blame.hold) && lmn_can_hold(m, j) &&
--- a/src/own/answer.c
+++ b/src/own/answer.c
@@ -9,6 +9,8 @@
 #include "state/books.h"
 #include "state/core.h"
 
+#include <string.h>
+
 /* A worker's patience with an answer (the protocol's). */
 static const double WORKER_WAITS_S = 4;
 
@@ -59,6 +61,41 @@
     lmn_redeal_machine(c, m, now);
 }
 
+static guint kill_now(struct lmn_core *c, struct lmn_attempt *a, GByteArray *out)
+{
+    lmn_command(out, W_KILL, a, 0);
+    c->count.kills += !a->killed;
+    a->killed = true;
+    return 1;
+}
+
+/* The kills of an answer that can't settle what is on the machine: its report is from
+ * before our term, or was overtaken. Such an answer renews the lease all the same.
+ * Without them a task of a job that had been withdrawn long before the takeover got
+ * another lease, and was there after cancel_s if the machine heard nothing more. */
+static guint kill_unwanted(struct lmn_core *c, struct lmn_machine *m,
+                           const struct lmn_doc *d, const struct lmn_node *tasks,
+                           GByteArray *out)
+{
+    guint n = 0;
+
+    for (const struct lmn_node *t = lmn_child(d, tasks); t; t = lmn_next(d, t)) {
+        struct lmn_attempt a;
+        if (!lmn_report_task(&a, d, t) || a.state == LMN_A_ENDED ||
+            !(a.job = g_hash_table_lookup(c->jobs, a.ref)) || lmn_job_wanted(c, a.job))
+            continue;
+        n += kill_now(c, &a, out);
+    }
+    /* What is known to be there, or may be: what a predecessor's copy or a newer message
+     * names. */
+    for (guint i = 0; i < m->attempts->len; i++) {
+        struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
+        if (a->state != LMN_A_ENDED && a->job && !lmn_job_wanted(c, a->job))
+            n += kill_now(c, a, out);
+    }
+    return n;
+}
+
 static guint settle_tasks(struct lmn_core *c, struct lmn_machine *m,
                           const struct lmn_doc *d, const struct lmn_node *tasks,
                           GByteArray *out, struct timespec now)
@@ -81,9 +118,10 @@
     for (guint i = 0; i < m->attempts->len; i++) {
         struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
         bool live = a->job && a->job->phase == LMN_ACTIVE;
-        if (a->direct)
+        bool wanted = lmn_job_wanted(c, a->job);
+        if (a->direct && wanted)
             continue;
-        if (a->unsure && !a->listed) {
+        if ((a->unsure || a->direct) && !a->listed) {
             /* The same start by the way that can't be late: then it is surely there, and
              * its late twin changes nothing. */
             lmn_command(out, W_START, a, -1);
@@ -94,17 +132,12 @@
              * start may still arrive must stay known, or that would start it anew. */
             bool recorded = !a->done || !live || !a->range ||
                             lmn_bit(a->range->done, a->index - a->range->lo);
-            if (recorded && !a->unsure && !is_history(m, a)) {
+            if (recorded && !a->unsure && !a->direct && !is_history(m, a)) {
                 lmn_command(out, W_CLEAR, a, -1);
                 commands++;
             }
-        } else if (!live || !a->range) {
-            lmn_command(out, W_KILL, a, 0);
-            commands++;
-            if (!a->killed) {
-                a->killed = true;
-                c->count.kills++;
-            }
+        } else if (!wanted || !a->range) {
+            commands += kill_now(c, a, out);
         } else if (a->stop && a->state != LMN_A_SAVING) {
             lmn_command(out, W_KILL, a, a->grace);
             commands++;
@@ -173,7 +206,6 @@
                   GByteArray *out, struct lmn_held *held, struct timespec now)
 {
     struct lmn_partition *p = &c->parts[lmn_partition_of(r->name, c->nparts)];
-    double margin = MAX(1.0, 0.05 * c->cfg->cancel_s);
 
     c->count.reports++;
     /* Whoever has stood still may have been replaced meanwhile: an answer would hold the
@@ -182,7 +214,7 @@
         return 503;
     /* A node that may have missed a cancellation must let its workers' leases run out in
      * time: the last answer, a lease, and all of it within cancel_s. */
-    if (!c->synced || lmn_staleness(c, now) > c->cfg->cancel_s - c->cfg->lease_s - margin)
+    if (lmn_too_stale(c, now))
         return 503;
     if (!p->mine) {
         note_visitor(c, p, r, now);
@@ -259,6 +291,8 @@
                       p->my_term);
         }
         n += settle_tasks(c, m, d, r->tasks, commands, now);
+        held->settled = n;
+        held->settled_bytes = commands->len;
         lmn_partition_check(c, p, now);
         /* Far behind, the node settles what was, and starts nothing. */
         if (!lmn_load_sheds(&c->load, LMN_SHED_START, c->rng))
@@ -268,35 +302,62 @@
             m->idle = (struct timespec){0, 0};
         else if (!m->idle.tv_sec)
             m->idle = now;
+    } else {
+        n += kill_unwanted(c, m, d, r->tasks, commands);
     }
     lmn_put_map(out, 2);
     lmn_put_text(out, W_TOKEN), lmn_put_count(out, p->my_term);
     lmn_put_text(out, W_COMMANDS), lmn_put_list(out, n);
+    held->commands = out->len;
     g_byte_array_append(out, commands->data, commands->len);
     g_byte_array_unref(commands);
     if (lmn_stream_gates(p) && p->stream.mark > mark) {
-        *held = (struct lmn_held){p->id, p->my_term, mark, p->stream.mark, ""};
+        held->part = p->id;
+        held->term = p->my_term;
+        held->from = mark;
+        held->mark = p->stream.mark;
         g_strlcpy(held->machine, m->name, sizeof held->machine);
     }
     return 200;
 }
 
+/* A report that makes no sense changes nothing. Whoever sends it may do so for long: it
+ * is said now and then. */
+static void complain(struct lmn_core *c, const char *name, const char *what,
+                     struct timespec now)
+{
+    c->count.malformed++;
+    if (c->complained.tv_sec && lmn_since(now, c->complained) < 10)
+        return;
+    c->complained = now;
+    lmn_error("report-malformed machine=%.32s what=\"%s\" so-far=%" G_GUINT64_FORMAT,
+              name, what, c->count.malformed);
+}
+
 int lmn_worker_report(struct lmn_core *c, const void *body, size_t len, GByteArray *out,
                       struct lmn_held *held, struct timespec now)
 {
     struct lmn_doc d;
-    struct lmn_report r;
+    struct lmn_report r = {0};
+    const char *what = "not CBOR, or too much of it";
     int status = 400;
 
-    held->mark = 0;
-    if (lmn_doc_parse(&d, body, len) != 0)
-        return 400;
-    if (lmn_report_read(&r, &d)) {
-        pthread_mutex_lock(&c->lock);
+    memset(held, 0, sizeof *held);
+    bool parsed = lmn_doc_parse(&d, body, len) == 0;
+    if (parsed)
+        what = lmn_report_read(&r, &d);
+    pthread_mutex_lock(&c->lock);
+    if (what)
+        complain(c, r.name, what, now);
+    else
         status = handle(c, &r, &d, out, held, now);
-        pthread_mutex_unlock(&c->lock);
+    pthread_mutex_unlock(&c->lock);
+    if (what) {
+        lmn_put_map(out, 1);
+        lmn_put_text(out, "error"), lmn_put_text(out, what);
     }
-    lmn_doc_free(&d);
+    if (parsed)
+        lmn_doc_free(&d);
     return status;
 }
 
@@ -313,8 +374,14 @@
             lmn_attempt_vanish(c, m, i, now);
         }
     }
+    /* Kills and clears stay: an answer without them renewed the lease of tasks that had
+     * to end. */
+    GByteArray *settled = g_byte_array_sized_new(held->settled_bytes);
+    g_byte_array_append(settled, out->data + held->commands, held->settled_bytes);
     g_byte_array_set_size(out, 0);
     lmn_put_map(out, 2);
     lmn_put_text(out, W_TOKEN), lmn_put_count(out, held->term);
-    lmn_put_text(out, W_COMMANDS), lmn_put_list(out, 0);
+    lmn_put_text(out, W_COMMANDS), lmn_put_list(out, held->settled);
+    g_byte_array_append(out, settled->data, settled->len);
+    g_byte_array_unref(settled);
 }
--- a/src/own/direct.c
+++ b/src/own/direct.c
@@ -114,7 +114,7 @@
         return;
     /* Written after the worker had taken our term: whatever a predecessor sends comes too
      * late. Its lease was renewed before now, if by anyone else. */
-    if (lmn_report_read(&r, &d) && r.token == term && !strcmp(r.name, m->name) &&
+    if (!lmn_report_read(&r, &d) && r.token == term && !strcmp(r.name, m->name) &&
         !(m->heard &&
           (r.session < m->session || (r.session == m->session && r.seq <= m->seq)))) {
         if (!m->heard || r.session > m->session)
@@ -203,7 +203,9 @@
             GByteArray *commands = g_byte_array_new();
             guint n = stop_some(c, m, commands);
             guint before = m->attempts->len;
-            n += lmn_schedule(c, m, commands, now);
+            /* Behind the fence no worker is answered, and nothing starts either. */
+            if (!lmn_too_stale(c, now))
+                n += lmn_schedule(c, m, commands, now);
             if (n) {
                 for (guint k = before; k < m->attempts->len; k++)
                     g_array_index(m->attempts, struct lmn_attempt, k).direct = true;
@@ -240,7 +242,7 @@
     m->in_call = false;
     if ((status == 200 || status == 409) &&
         lmn_doc_parse(&d, answer->data, answer->len) == 0) {
-        read = lmn_report_read(&r, &d) && r.session == m->session;
+        read = !lmn_report_read(&r, &d) && r.session == m->session;
         newer = read && r.seq > m->seq;
         if (newer) {
             m->seq = r.seq;
--- a/src/own/report.c
+++ b/src/own/report.c
@@ -10,26 +10,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-bool lmn_report_read(struct lmn_report *r, const struct lmn_doc *d)
-{
-    const struct lmn_node *m = lmn_root(d);
-
-    memset(r, 0, sizeof *r);
-    if (!lmn_text(lmn_get(d, m, W_MACHINE), r->name, sizeof r->name) || !*r->name ||
-        strpbrk(r->name, " /") ||
-        !lmn_text(lmn_get(d, m, W_ADDR), r->addr, sizeof r->addr) ||
-        !lmn_text(lmn_get(d, m, W_TYPE), r->type, sizeof r->type) ||
-        !lmn_text(lmn_get(d, m, W_ZONE), r->zone, sizeof r->zone) ||
-        !lmn_count(lmn_get(d, m, W_SESSION), &r->session) ||
-        !lmn_count(lmn_get(d, m, W_SEQ), &r->seq))
-        return false;
-    lmn_truth(lmn_get(d, m, W_SPOT), &r->spot);
-    lmn_count(lmn_get(d, m, W_TOKEN), &r->token);
-    r->noticed = lmn_number(lmn_get(d, m, W_NOTICE), &r->notice_s);
-    r->tasks = lmn_get(d, m, W_TASKS);
-    return !r->tasks || r->tasks->type == LMN_LIST;
-}
-
 static enum lmn_attempt_state attempt_state(const struct lmn_node *n)
 {
     if (lmn_is(n, W_ENDED))
@@ -41,6 +21,71 @@
     return LMN_A_RUNNING;
 }
 
+bool lmn_report_task(struct lmn_attempt *a, const struct lmn_doc *d,
+                     const struct lmn_node *n)
+{
+    char task[LMN_REF + 16], *slash;
+
+    memset(a, 0, sizeof *a);
+    if (!lmn_text(lmn_get(d, n, W_TASK), task, sizeof task) ||
+        !lmn_count(lmn_get(d, n, W_ATTEMPT), &a->number) || !(slash = strrchr(task, '/')))
+        return false;
+    /* Once a number of any size, or none, named some task: "x/" was x's first. */
+    size_t digits = strspn(slash + 1, "0123456789");
+    if (slash == task || slash - task >= LMN_REF || !digits || digits > 9 ||
+        slash[1 + digits])
+        return false;
+    *slash = '\0';
+    g_strlcpy(a->ref, task, sizeof a->ref);
+    a->index = (uint32_t)strtoul(slash + 1, NULL, 10);
+    a->state = attempt_state(lmn_get(d, n, W_STATE));
+    return true;
+}
+
+/* It goes into keys and log lines. */
+static bool is_name(const char *s)
+{
+    const char *at = s;
+
+    while (g_ascii_isgraph(*at) && *at != '/')
+        at++;
+    return at > s && !*at;
+}
+
+const char *lmn_report_read(struct lmn_report *r, const struct lmn_doc *d)
+{
+    const struct lmn_node *m = lmn_root(d);
+    struct lmn_attempt a;
+    char name[LMN_NAME];
+
+    memset(r, 0, sizeof *r);
+    if (!lmn_text(lmn_get(d, m, W_MACHINE), name, sizeof name) || !is_name(name))
+        return W_MACHINE ": expected a name";
+    g_strlcpy(r->name, name, sizeof r->name);
+    if (!lmn_text(lmn_get(d, m, W_ADDR), r->addr, sizeof r->addr))
+        return W_ADDR ": expected an address";
+    if (!lmn_text(lmn_get(d, m, W_TYPE), r->type, sizeof r->type))
+        return W_TYPE ": expected a name";
+    if (!lmn_text(lmn_get(d, m, W_ZONE), r->zone, sizeof r->zone))
+        return W_ZONE ": expected a name";
+    if (!lmn_count(lmn_get(d, m, W_SESSION), &r->session) || !r->session)
+        return W_SESSION ": expected a count from 1 on";
+    if (!lmn_count(lmn_get(d, m, W_SEQ), &r->seq))
+        return W_SEQ ": expected a count";
+    lmn_truth(lmn_get(d, m, W_SPOT), &r->spot);
+    lmn_count(lmn_get(d, m, W_TOKEN), &r->token);
+    r->noticed = lmn_number(lmn_get(d, m, W_NOTICE), &r->notice_s);
+    r->tasks = lmn_get(d, m, W_TASKS);
+    if (r->tasks && r->tasks->type != LMN_LIST)
+        return W_TASKS ": expected a list";
+    /* One entry that can't be read, and the task that it is about would count as gone. */
+    for (const struct lmn_node *n = lmn_child(d, r->tasks); n; n = lmn_next(d, n))
+        if (!lmn_report_task(&a, d, n))
+            return W_TASKS
+                ": expected a task, as in run-000412/3, and an attempt in each";
+    return NULL;
+}
+
 static struct lmn_attempt *find(struct lmn_machine *m, const char *ref, uint32_t index,
                                 uint64_t number)
 {
@@ -201,28 +246,19 @@
     return true;
 }
 
-/* What the message says of each task. */
 void lmn_report_tasks(struct lmn_core *c, struct lmn_machine *m, const struct lmn_doc *d,
                       const struct lmn_node *tasks, struct timespec now)
 {
     for (guint i = 0; i < m->attempts->len; i++)
         g_array_index(m->attempts, struct lmn_attempt, i).seen = false;
     for (const struct lmn_node *n = lmn_child(d, tasks); n; n = lmn_next(d, n)) {
-        char task[LMN_REF + 16];
-        uint64_t number = 0;
-        if (!lmn_text(lmn_get(d, n, W_TASK), task, sizeof task) ||
-            !lmn_count(lmn_get(d, n, W_ATTEMPT), &number))
-            continue;
-        char *slash = strrchr(task, '/');
-        if (!slash || slash - task >= LMN_REF)
+        struct lmn_attempt x;
+        if (!lmn_report_task(&x, d, n))
             continue;
-        *slash = '\0';
-        uint32_t index = (uint32_t)strtoul(slash + 1, NULL, 10);
-        enum lmn_attempt_state state = attempt_state(lmn_get(d, n, W_STATE));
-        struct lmn_attempt *a = find(m, task, index, number);
+        struct lmn_attempt *a = find(m, x.ref, x.index, x.number);
         if (!a) {
-            a = adopt(c, m, task, index, number, state, now);
-            if (state == LMN_A_ENDED && lmn_is(lmn_get(d, n, W_WHY), W_FAILED))
+            a = adopt(c, m, x.ref, x.index, x.number, x.state, now);
+            if (x.state == LMN_A_ENDED && lmn_is(lmn_get(d, n, W_WHY), W_FAILED))
                 had_failed(c, m, a, now);
         }
         /* It has taken an order of ours: the way there is open. */
@@ -230,18 +266,18 @@
             m->unheeded = 0;
         a->seen = a->listed = true;
         a->told = false;
-        if (a->job && state != LMN_A_ENDED)
-            lmn_note_image(m, a->job, state != LMN_A_FETCHING, now);
-        if (state == LMN_A_ENDED) {
+        if (a->job && x.state != LMN_A_ENDED)
+            lmn_note_image(m, a->job, x.state != LMN_A_FETCHING, now);
+        if (x.state == LMN_A_ENDED) {
             if (a->state != LMN_A_ENDED ||
                 (!a->done && lmn_is(lmn_get(d, n, W_WHY), W_DONE)))
                 ended(c, m, a, d, n, now);
         } else {
-            if (state == LMN_A_RUNNING && a->state != state)
+            if (x.state == LMN_A_RUNNING && a->state != x.state)
                 lmn_debug("task-run task=%s/%u attempt=%" G_GUINT64_FORMAT
                           " machine=%s after=%.1f",
                           a->ref, a->index, a->number, m->name, lmn_since(now, a->since));
-            a->state = state;
+            a->state = x.state;
         }
     }
 }
--- a/src/own/worker.h
+++ b/src/own/worker.h
@@ -34,6 +34,9 @@
     uint64_t from, mark; /* its starts are those after from, up to mark; mark 0: it waits
                             for nothing */
     char machine[LMN_NAME];
+    guint commands, settled_bytes; /* where the answer's commands begin, and how many
+                                      bytes of them are not its new starts, */
+    guint settled;                 /* and how many commands */
 };
 /* Answers a report: returns the HTTP status, and a body in out if there is one. */
 int lmn_worker_report(struct lmn_core *c, const void *body, size_t len, GByteArray *out,
--- a/src/own/worker_part.h
+++ b/src/own/worker_part.h
@@ -14,8 +14,12 @@
     const struct lmn_node *tasks;
 };
 
-/* False: malformed. */
-bool lmn_report_read(struct lmn_report *r, const struct lmn_doc *d);
+/* NULL, or what is wrong with it. */
+const char *lmn_report_read(struct lmn_report *r, const struct lmn_doc *d);
+/* Which attempt the entry of a report names, and its state; the rest of *a is 0. False:
+ * malformed. */
+bool lmn_report_task(struct lmn_attempt *a, const struct lmn_doc *d,
+                     const struct lmn_node *n);
 /* What the message says of each task. */
 void lmn_report_tasks(struct lmn_core *c, struct lmn_machine *m, const struct lmn_doc *d,
                       const struct lmn_node *tasks, struct timespec now);
--- a/src/serve/api.c
+++ b/src/serve/api.c
@@ -542,6 +542,10 @@
         lmn_txn_free(t);
         if (r == LMN_OK) {
             lmn_debug("job-cancelled job=%s", a->ref);
+            pthread_mutex_lock(&c->lock);
+            if (c->members.n > 1)
+                lmn_tombstone_add(&c->tombstones, a->ref);
+            pthread_mutex_unlock(&c->lock);
             lmn_call_answer(a->call, 200, job_answer(a->ref, LMN_WITHDRAWN, 0, 0), 0);
             return;
         }
--- a/src/serve/ask.c
+++ b/src/serve/ask.c
@@ -123,6 +123,53 @@
     return false;
 }
 
+u_int lmn_ask_tombstones(struct lmn_core *c, const lmn_xtombstones *q)
+{
+    u_int n = 0;
+
+    pthread_mutex_lock(&c->lock);
+    struct timespec now = lmn_now();
+    for (u_int i = 0; i < q->jobs.jobs_len; i++)
+        n += lmn_tombstone_heard(c, q->jobs.jobs_val[i].ref, now);
+    c->count.tombstones += n;
+    pthread_mutex_unlock(&c->lock);
+    return n;
+}
+
+/* Withdrawals that the member may not see yet, on the connection that has just answered. */
+static void tell_tombstones(struct lmn_core *c, struct asked *peer, int rank)
+{
+    const struct timeval wait = {1, 0};
+    char ref[LMN_XDR_TUNINGS][LMN_REF];
+    const char *refs[LMN_XDR_TUNINGS];
+    lmn_xref jobs[LMN_XDR_TUNINGS];
+    lmn_xtombstones x = {{0, jobs}};
+    u_int fresh;
+    uint64_t upto;
+
+    pthread_mutex_lock(&c->lock);
+    x.jobs.jobs_len =
+        lmn_tombstones_for(&c->tombstones, rank, refs, G_N_ELEMENTS(refs), &upto);
+    for (u_int i = 0; i < x.jobs.jobs_len; i++) {
+        g_strlcpy(ref[i], refs[i], LMN_REF);
+        jobs[i].ref = ref[i];
+    }
+    pthread_mutex_unlock(&c->lock);
+    if (!x.jobs.jobs_len)
+        return;
+    enum clnt_stat r =
+        clnt_call(peer->client, LMN_WITHDRAWN, (xdrproc_t)xdr_lmn_xtombstones, (char *)&x,
+                  (xdrproc_t)xdr_u_int, (char *)&fresh, wait);
+    if (r == RPC_SUCCESS || r == RPC_PROCUNAVAIL) { /* an older program has no use for them */
+        pthread_mutex_lock(&c->lock);
+        lmn_tombstones_taken(&c->tombstones, rank, upto);
+        pthread_mutex_unlock(&c->lock);
+        return;
+    }
+    clnt_destroy(peer->client);
+    peer->client = NULL;
+}
+
 static void ask_one(struct lmn_core *c, struct asked *peer, const struct lmn_question *q)
 {
     struct lmn_members *ms = &c->members;
@@ -153,8 +200,10 @@
         pthread_cond_broadcast(&c->changed);
     }
     pthread_mutex_unlock(&c->lock);
-    if (answered)
-        xdr_free((xdrproc_t)xdr_lmn_xanswer, (char *)&a);
+    if (!answered)
+        return;
+    xdr_free((xdrproc_t)xdr_lmn_xanswer, (char *)&a);
+    tell_tombstones(c, peer, q->rank);
 }
 
 void *lmn_ask_thread(void *arg)
--- a/src/serve/ask.h
+++ b/src/serve/ask.h
@@ -15,6 +15,9 @@
  * into the room. Takes the lock. */
 void lmn_ask_answer(struct lmn_core *c, const lmn_xask *q, lmn_xanswer *a,
                     struct lmn_ask_room *room);
+/* Takes in what another has confirmed to users as withdrawn; returns how many of them the
+ * mirror does not show. Takes the lock. */
+u_int lmn_ask_tombstones(struct lmn_core *c, const lmn_xtombstones *q);
 /* Asks (a thread). */
 void *lmn_ask_thread(void *core);
 
--- a/src/serve/peer.c
+++ b/src/serve/peer.c
@@ -273,6 +273,17 @@
         svc_freeargs(x, (xdrproc_t)xdr_lmn_xbatch, (char *)&q);
         return;
     }
+    case LMN_WITHDRAWN: {
+        lmn_xtombstones q = {0};
+        if (!svc_getargs(x, (xdrproc_t)xdr_lmn_xtombstones, (char *)&q)) {
+            svcerr_decode(x);
+            return;
+        }
+        u_int n = lmn_ask_tombstones(core, &q);
+        svc_sendreply(x, (xdrproc_t)xdr_u_int, (char *)&n);
+        svc_freeargs(x, (xdrproc_t)xdr_lmn_xtombstones, (char *)&q);
+        return;
+    }
     default:
         svcerr_noproc(x);
     }
--- a/src/serve/peer_wire.x
+++ b/src/serve/peer_wire.x
@@ -127,6 +127,15 @@
     lmn_xmachine machines<LMN_XDR_MACHINES>;
 };
 
+/* Jobs whose withdrawal was committed, and told their users. */
+struct lmn_xref {
+    string ref<LMN_XDR_NAME>;
+};
+
+struct lmn_xtombstones {
+    lmn_xref jobs<LMN_XDR_TUNINGS>;
+};
+
 program LMN_PROGRAM {
     version LMN_VERSION_1 {
         void LMN_PING(void) = 0;
@@ -143,5 +152,6 @@
         unsigned LMN_FOLLOW(lmn_xbatch) = 11;  /* 0: taken, 1: unknown, 2: refused */
         lmn_reply LMN_LEAVE(unsigned) = 12;    /* 0: take part again, 1: leave */
         lmn_reply LMN_BALANCE(void) = 13;
+        unsigned LMN_WITHDRAWN(lmn_xtombstones) = 14;  /* how many it did not know of */
     } = 1;
 } = 0x2c0a5b41;
--- a/src/serve/service.c
+++ b/src/serve/service.c
@@ -54,6 +54,10 @@
     lmn_info("start version=" LMN_VERSION " listen=%s partitions=%d members=%zu",
              cfg->listen, cfg->partitions, cfg->nmembers + 1);
 
+    char warning[512];
+    if (lmn_settings_warning(cfg, warning, sizeof warning))
+        lmn_error("settings-tight why=\"%s\"", warning);
+
     struct lmn_state *state = lmn_state_new(cfg);
     struct lmn_core *core = lmn_core_new(cfg, state, g_random_int());
     struct lmn_httpd *server = lmn_server_start(core);
--- a/src/state/core.c
+++ b/src/state/core.c
@@ -138,3 +138,8 @@
 {
     return c->synced ? lmn_since(now, c->fresh) : 1e9;
 }
+
+bool lmn_too_stale(const struct lmn_core *c, struct timespec now)
+{
+    return lmn_staleness(c, now) > lmn_settings_stale_limit(c->cfg);
+}
--- a/src/state/core.h
+++ b/src/state/core.h
@@ -23,5 +23,8 @@
 /* The mirror stands still: it is asked for at least every 0.8 s. */
 #define LMN_STALE_S 3.0
 double lmn_staleness(const struct lmn_core *c, struct timespec now);
+/* It may have missed a cancellation for so long that its workers' leases have to run out:
+ * it answers none of them, and sends them nothing. */
+bool lmn_too_stale(const struct lmn_core *c, struct timespec now);
 
 #endif
--- a/src/state/model.h
+++ b/src/state/model.h
@@ -17,6 +17,7 @@
 #include "member/member.h"
 #include "state/blame.h"
 #include "state/state.h"
+#include "state/tombstone.h"
 #include "base/tuning.h"
 
 #include <pthread.h>
@@ -49,6 +50,7 @@
     double left;     /* processor seconds that have not been started */
     GArray *zones;   /* struct lmn_zone_tasks, of a job whose tasks look at each other's
                         places */
+    struct timespec tombstone; /* when another controller told of its withdrawal; 0: none */
     struct timespec
         final_at; /* when the mirror showed it final, or it was last looked at */
     const struct lmn_partition *ranked; /* mark of the triage under way */
@@ -328,6 +330,8 @@
         submissions;
     uint64_t refused, takeovers, moves, moved_tasks, unqueued, preempted;
     uint64_t warm, cold; /* takeovers */
+    uint64_t malformed;  /* reports */
+    uint64_t tombstones; /* withdrawals that another controller told of first */
     uint64_t withheld;   /* starts that a standby did not acknowledge in time */
     uint64_t failures, accused, faulty; /* tasks that failed; jobs, and machines, that
                                            were found to be at fault */
@@ -402,6 +406,7 @@
     uint32_t gen;
     struct timespec fresh; /* the mirror is no older than this */
     struct timespec booted, synced_at, audited;
+    struct timespec complained; /* when a malformed report was last logged */
     struct timespec next_reach; /* when a node that hears no workers may ask one */
     uint64_t lease;             /* ours, 0: none */
     struct timespec leased;     /* when we last got one */
@@ -412,6 +417,7 @@
     /* what the teams' active jobs ask for, all their tasks together */
     double asked_cpus[LMN_MAX_TEAMS], asked_gpus[LMN_MAX_TEAMS];
 
+    struct lmn_tombstones tombstones;
     struct lmn_types types;
     bool types_known;
     GHashTable *gone; /* names of machines that were returned */
--- /dev/null
+++ b/src/state/tombstone.c
@@ -0,0 +1,45 @@
+#include "state/tombstone.h"
+#include "base/log.h"
+#include "state/model.h"
+
+void lmn_tombstone_add(struct lmn_tombstones *t, const char *ref)
+{
+    g_strlcpy(t->ref[t->n++ % LMN_TOMBSTONES], ref, LMN_REF);
+}
+
+unsigned lmn_tombstones_for(const struct lmn_tombstones *t, int rank, const char **refs,
+                            unsigned most, uint64_t *upto)
+{
+    uint64_t oldest = t->n > LMN_TOMBSTONES ? t->n - LMN_TOMBSTONES : 0;
+    uint64_t from = MAX(t->taken[rank], oldest);
+    unsigned n = (unsigned)MIN(t->n - from, most);
+
+    for (unsigned i = 0; i < n; i++)
+        refs[i] = t->ref[(from + i) % LMN_TOMBSTONES];
+    *upto = from + n;
+    return n;
+}
+
+void lmn_tombstones_taken(struct lmn_tombstones *t, int rank, uint64_t upto)
+{
+    t->taken[rank] = MAX(t->taken[rank], upto);
+}
+
+bool lmn_tombstone_heard(struct lmn_core *c, const char *ref, struct timespec now)
+{
+    struct lmn_job *j = g_hash_table_lookup(c->jobs, ref);
+
+    /* Of a job that the mirror does not show yet, nothing was started here. */
+    if (!j || j->phase != LMN_ACTIVE)
+        return false;
+    if (!j->tombstone.tv_sec)
+        lmn_debug("job-tombstone job=%s", ref);
+    j->tombstone = now;
+    return true;
+}
+
+bool lmn_job_wanted(const struct lmn_core *c, const struct lmn_job *j)
+{
+    return j && j->phase == LMN_ACTIVE &&
+           !(j->tombstone.tv_sec && lmn_before(c->fresh, j->tombstone));
+}
--- /dev/null
+++ b/src/state/tombstone.h
@@ -0,0 +1,44 @@
+/* Tombstones: jobs whose withdrawal this node has committed and told their users, for the
+ * members that may not see it yet.
+ *
+ * A help, never a condition. The refs of the last few are kept until each member has
+ * taken them; whoever takes one stops the job's tasks although its own mirror shows the
+ * job as active, and writes nothing on its strength. It counts only until the mirror is
+ * proven to be of a later time: it was committed before it was told, so the mirror shows
+ * it then, or it never was. So nothing can be revived, finished or cancelled by one that
+ * is lost, late, doubled or wrong. */
+#ifndef LMN_TOMBSTONE_H
+#define LMN_TOMBSTONE_H
+
+#include "base/clock.h"
+#include "base/job.h"
+#include "base/settings.h"
+
+#include <stdint.h>
+
+/* A member that can't be reached for longer misses the oldest; the leases see to those.
+ */
+enum { LMN_TOMBSTONES = 256 };
+
+struct lmn_tombstones {
+    char ref[LMN_TOMBSTONES][LMN_REF]; /* the n-th stands at n modulo their number */
+    uint64_t n;
+    uint64_t taken[LMN_MAX_PARTS]; /* by rank: all before this one */
+};
+
+struct lmn_core;
+struct lmn_job;
+
+void lmn_tombstone_add(struct lmn_tombstones *t, const char *ref);
+/* The oldest that the member has not taken, at most `most` of them; returns how many, and
+ * in *upto what to say to lmn_tombstones_taken once it has. */
+unsigned lmn_tombstones_for(const struct lmn_tombstones *t, int rank, const char **refs,
+                            unsigned most, uint64_t *upto);
+void lmn_tombstones_taken(struct lmn_tombstones *t, int rank, uint64_t upto);
+/* Another controller says that the job is withdrawn; false: the mirror knows better. */
+bool lmn_tombstone_heard(struct lmn_core *c, const char *ref, struct timespec now);
+/* Whether the job's tasks may run: it is active, and no tombstone says that this view of
+ * it is too old. NULL: it is not known, and nothing of it may. */
+bool lmn_job_wanted(const struct lmn_core *c, const struct lmn_job *j);
+
+#endif
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -7,6 +7,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <cmocka.h>
+#include <stdlib.h>
 #include <string.h>
 
 static const char good[] = "host_name = 'n1'\narea = 'a'\nclient_listen = '10.0.0.1:8080'\n"
@@ -130,6 +131,29 @@
     g_byte_array_unref(b);
 }
 
+/* Too little between lease_s and cancel_s is said with field and values; the limit that follows
+ * is kept whatever it is. */
+static void tight_leases_are_said(void **state)
+{
+    struct lmn_settings s = {.lease_s = 10, .cancel_s = 35};
+    char text[512];
+    (void)state;
+
+    assert_false(lmn_settings_warning(&s, text, sizeof text));
+    assert_true(lmn_settings_stale_limit(&s) > 23);
+    s.cancel_s = 12;
+    assert_true(lmn_settings_warning(&s, text, sizeof text));
+    assert_non_null(strstr(text, "cancel_s = 12, lease_s = 10"));
+    assert_null(strstr(text, "ever answered"));
+    s.cancel_s = 10.5;
+    assert_true(lmn_settings_warning(&s, text, sizeof text));
+    assert_non_null(strstr(text, "no worker is ever answered"));
+    assert_true(lmn_settings_stale_limit(&s) < 0);
+    /* What it advises is enough. */
+    s.cancel_s = strtod(strstr(text, "cancel_s to ") + 12, NULL) + 0.01;
+    assert_false(lmn_settings_warning(&s, text, sizeof text));
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -137,6 +161,7 @@
         cmocka_unit_test(refuses),
         cmocka_unit_test(hostile),
         cmocka_unit_test(operators_settings),
+        cmocka_unit_test(tight_leases_are_said),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -3,7 +3,9 @@
 #include "base/codec.h"
 #include "base/settings.h"
 #include "base/wire.h"
+#include "base/log.h"
 #include "decide/queue.h"
+#include "own/flush.h"
 #include "own/owner.h"
 #include "own/range.h"
 #include "own/upkeep.h"
@@ -336,11 +338,13 @@
 
 /* A report that lists the tasks of the last answer if it was heard. Returns the status, and in
  * *orders how many orders the answer has. */
+static GByteArray *answered; /* the last answer, and what it waits for */
+static struct lmn_held last_held;
+
 static int report(const struct lmn_machine *of, const char *name, uint64_t session, uint64_t seq,
                   uint64_t token, bool lists, uint64_t *orders)
 {
     GByteArray *b = g_byte_array_new(), *out = g_byte_array_new();
-    struct lmn_held held;
     struct lmn_doc d;
     guint n = lists ? of->attempts->len : 0;
 
@@ -364,14 +368,16 @@
         lmn_put_text(b, W_STATE), lmn_put_text(b, W_FETCHING);
     }
     core->members.fresh = core->members.tick = core->fresh = now;
-    int status = lmn_worker_report(core, b->data, b->len, out, &held, now);
+    int status = lmn_worker_report(core, b->data, b->len, out, &last_held, now);
     *orders = 0;
     if (status == 200 && lmn_doc_parse(&d, out->data, out->len) == 0) {
         *orders = lmn_get(&d, lmn_root(&d), W_COMMANDS)->len;
         lmn_doc_free(&d);
     }
     g_byte_array_unref(b);
-    g_byte_array_unref(out);
+    if (answered)
+        g_byte_array_unref(answered);
+    answered = out;
     return status;
 }
 
@@ -535,6 +541,215 @@
     }
 }
 
+/* --- cancellations --- */
+
+/* How many commands of the kind the answer has. */
+static unsigned commands(const GByteArray *out, const char *op)
+{
+    struct lmn_doc d;
+    unsigned n = 0;
+
+    assert_int_equal(lmn_doc_parse(&d, out->data, out->len), 0);
+    const struct lmn_node *list = lmn_get(&d, lmn_root(&d), W_COMMANDS);
+    for (const struct lmn_node *x = lmn_child(&d, list); x; x = lmn_next(&d, x))
+        n += lmn_is(lmn_get(&d, x, W_OP), op);
+    lmn_doc_free(&d);
+    return n;
+}
+
+/* A machine with four tasks of a job, which it names. */
+static struct lmn_machine *with_tasks(uint64_t *seq)
+{
+    uint64_t orders;
+
+    make(3);
+    with_type();
+    struct lmn_machine *m = add(100);
+    m->type = &core->types.v[0];
+    queue_tasks(4);
+    assert_int_equal(report(m, m->name, 2, ++*seq, 1, true, &orders), 200);
+    assert_int_equal(orders, 4);
+    now = lmn_after(now, 4);
+    assert_int_equal(report(m, m->name, 2, ++*seq, 1, true, &orders), 200);
+    return m;
+}
+
+/* An answer to a report from before the term, or to one that was overtaken, renewed the lease of
+ * tasks whose job had been withdrawn long before, and did not end them. */
+static void each_answer_ends_what_is_withdrawn(void **state)
+{
+    uint64_t orders, seq = 0;
+    (void)state;
+
+    for (int withdrawn = 0; withdrawn < 2; withdrawn++) {
+        struct lmn_machine *m = with_tasks(&seq), *names = lmn_machine_new(&core->parts[0], "x");
+        g_array_append_vals(names->attempts, m->attempts->data, m->attempts->len);
+        if (withdrawn)
+            job.phase = LMN_WITHDRAWN;
+        m->seq = seq + 9; /* a call's answer was newer */
+        assert_int_equal(report(m, m->name, 2, ++seq, 1, true, &orders), 200);
+        assert_int_equal(commands(answered, W_KILL), withdrawn ? 4 + 4 : 0);
+        assert_int_equal(orders, commands(answered, W_KILL));
+        /* Another has it from now on, and has heard nothing of the machine. */
+        g_array_set_size(m->attempts, 0);
+        m->heard = m->accounted = false;
+        core->parts[0].my_term = 2;
+        assert_int_equal(report(names, m->name, 2, ++seq, 1, true, &orders), 200);
+        assert_int_equal(commands(answered, W_KILL), withdrawn ? 4 : 0);
+        assert_int_equal(orders, commands(answered, W_KILL));
+        assert_false(m->accounted);
+    }
+}
+
+/* The standby acknowledged no start of the answer: what went out in its place had no kills either,
+ * and renewed the lease. */
+static void a_withheld_answer_keeps_its_kills(void **state)
+{
+    uint64_t orders, seq = 0;
+    (void)state;
+
+    struct lmn_machine *m = with_tasks(&seq);
+    struct lmn_job other = job;
+    for (guint i = 0; i < m->attempts->len; i++)
+        g_array_index(m->attempts, struct lmn_attempt, i).job = &other;
+    other.phase = LMN_WITHDRAWN;
+    for (int i = 0; i < 4; i++)
+        range.st[i] = LMN_T_QUEUED;
+    range.nstarted = 0;
+    lmn_deal_range(core, &range, now);
+    core->parts[0].stream.phase = LMN_STREAM_IN_STEP;
+    core->parts[0].stream.acked = core->parts[0].stream.mark;
+    now = lmn_after(now, 4);
+    assert_int_equal(report(m, m->name, 2, ++seq, 1, true, &orders), 200);
+    assert_true(last_held.mark > 0);
+    assert_int_equal(commands(answered, W_KILL), 4);
+    assert_int_equal(commands(answered, W_START), 4);
+    lmn_worker_withhold(core, &last_held, answered, now);
+    assert_int_equal(commands(answered, W_KILL), 4);
+    assert_int_equal(commands(answered, W_START), 0);
+    assert_int_equal(range.nstarted, 0);
+}
+
+/* Who answers no worker any more starts nothing by the other way either. */
+static void nothing_starts_behind_the_fence(void **state)
+{
+    char name[LMN_NAME], addr[LMN_ADDR];
+    GByteArray *body = g_byte_array_new();
+    (void)state;
+
+    for (int stale = 0; stale < 2; stale++) {
+        make(0);
+        with_type();
+        struct lmn_machine *m = add(1);
+        m->type = &core->types.v[0];
+        queue_tasks(4);
+        now = lmn_after(now, lmn_settings_stale_limit(&cfg) + (stale ? 0.01 : -0.01));
+        m->last = now;
+        lmn_poke(m);
+        assert_int_equal(lmn_direct_next(core, 0, 1, name, addr, body, now), !stale);
+        assert_int_equal(m->attempts->len, stale ? 0 : 4);
+    }
+    g_byte_array_unref(body);
+}
+
+static bool took(unsigned most, unsigned want, uint64_t *upto)
+{
+    const char *refs[LMN_TOMBSTONES];
+    return lmn_tombstones_for(&core->tombstones, 1, refs, most, upto) == want;
+}
+
+/* What another controller has confirmed ends although the mirror doesn't show it, and is neither
+ * written nor forgotten; once the mirror is proven to be of a later time, it alone counts. */
+static void tombstones_help_and_decide_nothing(void **state)
+{
+    uint64_t orders, seq = 0, upto;
+    (void)state;
+
+    struct lmn_machine *m = with_tasks(&seq);
+    assert_false(lmn_tombstone_heard(core, "run-999999", now));
+    now = lmn_after(now, 1);
+    assert_true(lmn_tombstone_heard(core, "run-000001", now));
+    struct timespec heard = now;
+    for (int late = 0; late < 2; late++) {
+        /* The mirror stands still; a late twin of the tombstone changes nothing. */
+        core->fresh = lmn_after(heard, -1);
+        assert_false(lmn_job_wanted(core, &job));
+        assert_int_equal(job.phase, LMN_ACTIVE);
+        lmn_ranges_flush(core, now);
+        assert_null(lmn_state_take(core->state));
+        assert_true(lmn_tombstone_heard(core, "run-000001", heard));
+    }
+    /* report() has the mirror proven as of now: a tombstone of later than that. */
+    assert_true(lmn_tombstone_heard(core, "run-000001", lmn_after(now, 30)));
+    now = lmn_after(now, 4);
+    assert_int_equal(report(m, m->name, 2, ++seq, 1, true, &orders), 200);
+    assert_int_equal(commands(answered, W_KILL), 4);
+    assert_int_equal(orders, 4);
+    now = lmn_after(now, 4); /* they are gone: queued again, and not started */
+    assert_int_equal(report(m, m->name, 2, ++seq, 1, false, &orders), 200);
+    assert_int_equal(orders, 0);
+    assert_int_equal(range.nstarted, 0);
+    now = lmn_after(now, 30); /* it was wrong */
+    assert_int_equal(report(m, m->name, 2, ++seq, 1, false, &orders), 200);
+    assert_true(orders > 0);
+    job.phase = LMN_WITHDRAWN;
+    assert_false(lmn_tombstone_heard(core, "run-000001", now));
+
+    /* Told until taken, the oldest first, in bounded room. */
+    for (int i = 0; i < 10; i++)
+        lmn_tombstone_add(&core->tombstones, "run-000001");
+    assert_true(took(4, 4, &upto) && took(4, 4, &upto));
+    lmn_tombstones_taken(&core->tombstones, 1, upto);
+    assert_true(took(100, 6, &upto));
+    lmn_tombstones_taken(&core->tombstones, 1, upto);
+    assert_true(took(100, 0, &upto));
+    lmn_tombstones_taken(&core->tombstones, 1, 3); /* the answer to an older call */
+    assert_true(took(100, 0, &upto));
+    for (int i = 0; i < 3 * LMN_TOMBSTONES; i++)
+        lmn_tombstone_add(&core->tombstones, "run-000002");
+    assert_true(took(LMN_TOMBSTONES, LMN_TOMBSTONES, &upto));
+    lmn_tombstones_taken(&core->tombstones, 1, upto);
+    assert_true(took(LMN_TOMBSTONES, 0, &upto));
+}
+
+/* Once an entry that could not be read was passed over, and its task counted as gone; and "x/" or
+ * a number beyond all bounds was read as some other task of x. */
+static void malformed_reports_change_nothing(void **state)
+{
+    static const char *const bad[] = {"run-000001", "run-000001/", "run-000001/4294967296", "/1",
+                                      "run-000001/-1", "run-000001/1x", "run-000001/1 "};
+    uint64_t orders, seq = 0;
+    (void)state;
+
+    struct lmn_machine *m = with_tasks(&seq);
+    struct lmn_machine old = *m;
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        GByteArray *b = g_byte_array_new(), *out = g_byte_array_new();
+        struct lmn_held held;
+        lmn_put_map(b, 8);
+        lmn_put_text(b, W_MACHINE), lmn_put_text(b, m->name);
+        lmn_put_text(b, W_ADDR), lmn_put_text(b, "10.0.0.9:1");
+        lmn_put_text(b, W_TYPE), lmn_put_text(b, "x");
+        lmn_put_text(b, W_ZONE), lmn_put_text(b, "a");
+        lmn_put_text(b, W_SESSION), lmn_put_count(b, 2);
+        lmn_put_text(b, W_SEQ), lmn_put_count(b, seq + 1);
+        lmn_put_text(b, W_TOKEN), lmn_put_count(b, 1);
+        lmn_put_text(b, W_TASKS), lmn_put_list(b, 1);
+        lmn_put_map(b, 2);
+        lmn_put_text(b, W_TASK), lmn_put_text(b, bad[i]);
+        lmn_put_text(b, W_ATTEMPT), lmn_put_count(b, 1);
+        assert_int_equal(lmn_worker_report(core, b->data, b->len, out, &held, now), 400);
+        assert_non_null(memmem(out->data, out->len, W_TASKS, strlen(W_TASKS)));
+        g_byte_array_unref(b);
+        g_byte_array_unref(out);
+    }
+    assert_int_equal(report(m, "host\n1", 2, seq + 1, 1, true, &orders), 400);
+    assert_int_equal(report(m, m->name, 0, seq + 1, 1, true, &orders), 400);
+    assert_int_equal(core->count.malformed, G_N_ELEMENTS(bad) + 2);
+    assert_memory_equal(&old, m, sizeof old);
+    assert_int_equal(range.nstarted, 4);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -548,6 +763,11 @@
         cmocka_unit_test(ghosts_are_returned),
         cmocka_unit_test(late_copies_say_nothing),
         cmocka_unit_test(an_isolated_node_sends_its_workers_on),
+        cmocka_unit_test(each_answer_ends_what_is_withdrawn),
+        cmocka_unit_test(a_withheld_answer_keeps_its_kills),
+        cmocka_unit_test(nothing_starts_behind_the_fence),
+        cmocka_unit_test(tombstones_help_and_decide_nothing),
+        cmocka_unit_test(malformed_reports_change_nothing),
         cmocka_unit_test(idle_counts_from_readiness),
         cmocka_unit_test(cut_zones_are_waited_for),
         cmocka_unit_test(inherited_ones_are_waited_for_where_the_holder_is),
--- /dev/null
+++ b/tests/world/day.c
@@ -0,0 +1,311 @@
+/* Users, the mail, and a whole day. */
+#include "world.h"
+
+#include "base/wire.h"
+#include "standby/stream.h"
+#include "state/records.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+const struct layout usual = {3, 7, 2, 9000, 0, 24, 20};
+struct world w;
+bool flap, standbys;
+const struct plan *plan;
+
+bool world_chance(double p)
+{
+    return g_rand_double(w.r) < p;
+}
+
+/* Something may go wrong. */
+bool world_trouble(double p)
+{
+    return !w.calm && world_chance(p);
+}
+
+/* Where a worker turns that was not answered: to the node that was named, or the next. */
+static int sent_on(const struct machine *m, int status, const GByteArray *answer)
+{
+    struct lmn_doc d;
+    char name[LMN_NAME] = "";
+
+    if (status == 421 && lmn_doc_parse(&d, answer->data, answer->len) == 0) {
+        lmn_text(lmn_get(&d, lmn_root(&d), W_REPORT_TO), name, sizeof name);
+        lmn_doc_free(&d);
+    }
+    return *name ? atoi(name + 1) : (m->node + 1) % w.layout.nodes;
+}
+
+static void mail_copy(const struct message *x)
+{
+    struct message *y = g_new0(struct message, 1);
+
+    *y = *x;
+    y->copy = true;
+    y->at = w.now + g_rand_double_range(w.r, 2, 24);
+    y->body = g_byte_array_new();
+    g_byte_array_append(y->body, x->body->data, x->body->len);
+    g_ptr_array_add(w.mail, y);
+}
+
+static void deliver(void)
+{
+    for (guint i = 0; i < w.mail->len;) {
+        struct message *x = w.mail->pdata[i];
+        struct machine *m = &w.machines[x->machine];
+        /* What was held up arrives when the way there is open again. */
+        if (x->at > w.now ||
+            (x->direct && (w.now < m->hang_until || w.now < m->unheard_until))) {
+            i++;
+            continue;
+        }
+        g_ptr_array_remove_index(w.mail, i);
+        if (x->direct) {
+            if (!m->dead && x->life == m->life)
+                machine_direct(m, x->body, NULL);
+        } else if (x->life == m->life || x->copy) { /* a report reaches its node */
+            struct node *n = &w.nodes[x->node];
+            GByteArray *out = g_byte_array_new();
+            if (node_up(n) && n->core && w.now < n->still_until) {
+                /* It waits there; but its sender may have given it up by then. */
+                g_byte_array_unref(out);
+                x->at = n->still_until + 0.02;
+                g_ptr_array_add(w.mail, x);
+                continue;
+            }
+            if (x->copy) {
+                struct lmn_held held;
+                if (node_up(n) && n->core)
+                    lmn_worker_report(n->core, x->body->data, x->body->len, out, &held,
+                                      w.clock);
+                w.copies++;
+            } else if (node_up(n) && n->core && machine_reached(x->node, m)) {
+                struct lmn_held held;
+                if (world_trouble(
+                        0.03)) /* it comes again, up to well over a lease later */
+                    mail_copy(x);
+                int status = lmn_worker_report(n->core, x->body->data, x->body->len, out,
+                                               &held, w.clock);
+                if (status == 200 && held.mark &&
+                    !lmn_stream_covers(&n->core->parts[held.part], held.mark)) {
+                    node_hold_back(n, &held, x, m, out);
+                } else if (w.now < m->unheard_until) {
+                    ; /* the answer is lost */
+                } else if (status == 200 && !m->dead && w.now >= m->hang_until &&
+                           !world_trouble(0.05)) {
+                    struct message answer = {
+                        .body = out, .session = x->session, .seq = x->seq};
+                    machine_answer(m, &answer);
+                } else if (status != 200 && m->in_flight && m->flight_seq == x->seq) {
+                    m->in_flight = false;
+                    m->node = sent_on(m, status, out);
+                    m->next_report = w.now + (status == 421 ? 0.1 : 0.3);
+                }
+            }
+            g_byte_array_unref(out);
+        }
+        g_byte_array_unref(x->body);
+        g_free(x);
+    }
+}
+
+static uint32_t part_end(const struct job *j, int whole, int part)
+{
+    if (whole >= 0)
+        return part >= whole ? j->spec.tasks : 0;
+    return j->spec.tasks * (uint32_t)(part + 1) / w.layout.nodes;
+}
+
+static void submit(struct job *j)
+{
+    GByteArray *b;
+    char key[64];
+    uint32_t at = 0, open = 0;
+
+    w.rev++;
+    /* One owner sees all of a job whose tasks look at each other's zones. */
+    int whole = j->spec.spread ? (int)(j->spec.tasks % w.layout.nodes) : -1;
+    for (int i = 0; i < w.layout.nodes; i++)
+        open += part_end(j, whole, i) > part_end(j, whole, i - 1);
+    b = lmn_job_record(&j->spec, LMN_ACTIVE, open, w.now);
+    g_snprintf(key, sizeof key, "j/%s", j->ref);
+    world_put(key, b, 0);
+    g_byte_array_unref(b);
+    for (int i = 0; i < w.layout.nodes; i++) {
+        struct lmn_range r = {.lo = at, .hi = part_end(j, whole, i)};
+        uint8_t none[8] = {0};
+        if (r.hi == r.lo)
+            continue;
+        b = lmn_range_record(&r, none);
+        g_snprintf(key, sizeof key, "r/%d/%s/%u", i, j->ref, at);
+        world_put(key, b, 0);
+        g_byte_array_unref(b);
+        at = r.hi;
+    }
+    j->submitted = true;
+}
+
+/* Any node that reaches the state service may confirm it; which one has no luck in it. */
+static struct node *confirming(const struct job *j)
+{
+    for (int k = 0; k < w.layout.nodes; k++) {
+        struct node *n = &w.nodes[((j - w.jobs) + k) % w.layout.nodes];
+        if (node_up(n) && n->core && node_served(n))
+            return n;
+    }
+    return NULL;
+}
+
+void world_cancel(struct job *j)
+{
+    struct node *n = confirming(j);
+    char key[64];
+    struct lmn_doc d;
+    struct lmn_spec s;
+    enum lmn_phase phase;
+    uint32_t open;
+    double at;
+
+    if (!n)
+        return;
+    g_snprintf(key, sizeof key, "j/%s", j->ref);
+    struct item *it = g_hash_table_lookup(w.store, key);
+    assert_int_equal(lmn_doc_parse(&d, it->value->data, it->value->len), 0);
+    assert_int_equal(lmn_job_read(&d, lmn_root(&d), &s, &phase, &open, &at), 0);
+    lmn_doc_free(&d);
+    if (phase == LMN_ACTIVE || w.broken == G_FINAL) {
+        GByteArray *b = lmn_job_record(&s, LMN_WITHDRAWN, open, at);
+        w.rev++;
+        world_put(key, b, 0);
+        g_byte_array_unref(b);
+        j->cancelled_at = w.now;
+        w.cancelled++;
+        lmn_tombstone_add(&n->core->tombstones, j->ref);
+    }
+    lmn_spec_clear(&s);
+}
+
+static void forget_world(void)
+{
+    if (w.r)
+        g_rand_free(w.r);
+    memset(&w, 0, sizeof w);
+}
+
+/* Once nothing goes wrong any more: no partition without an owner that is ready, nobody
+ * suspected or judged for ever. */
+void world_all_is_well(void)
+{
+    for (int i = 0; i < w.layout.nodes; i++) {
+        const struct lmn_core *c = w.nodes[i].core;
+        int owners = 0;
+        for (int k = 0; k < w.layout.nodes; k++) {
+            const struct lmn_partition *p = &w.nodes[k].core->parts[i];
+            owners += p->mine && p->ready;
+            assert_true(lmn_member_trusted(&c->members, k, w.clock));
+        }
+        assert_int_equal(owners, 1);
+    }
+}
+
+void world_play(const struct layout *l, uint32_t seed, enum guard broken)
+{
+    forget_world();
+    w.layout = *l;
+    w.r = g_rand_new_with_seed(seed);
+    w.broken = broken;
+    w.flapping = flap;
+    w.standbys = standbys;
+    w.cancel_s = plan ? plan->cancel_s : seed % 2 ? 16 : 40;
+    w.lease_s = plan ? plan->lease_s : 8;
+    w.run_s = plan ? plan->run_s : 12;
+    w.least_margin = w.cancel_s;
+    w.helped = seed % 2 && broken != G_FENCE;
+    w.late = g_ptr_array_new();
+    w.store = g_hash_table_new(g_str_hash, g_str_equal);
+    w.log = g_ptr_array_new();
+    w.leases = g_array_new(FALSE, FALSE, sizeof(struct holder));
+    w.mail = g_ptr_array_new();
+    w.now = 1000;
+    w.clock = lmn_after((struct timespec){0, 0}, w.now);
+    lmn_test_clock = &w.clock;
+    for (int i = 0; i < w.layout.machines; i++) {
+        struct machine *m = &w.machines[i];
+        machine_name(m);
+        g_snprintf(m->zone, sizeof m->zone, "%c", 'a' + i % w.layout.zones);
+        m->spot = i >= 4;
+        m->session = 1;
+        m->lease_from = m->next_report = w.now;
+        m->node = i % w.layout.nodes;
+    }
+    for (int i = 0; i < JOBS; i++) {
+        struct job *j = &w.jobs[i];
+        g_snprintf(j->ref, sizeof j->ref, "run-%06d", i);
+        g_strlcpy(j->spec.ref, j->ref, sizeof j->spec.ref);
+        j->spec.class_name = (char *)"c";
+        j->spec.team = (char *)"x";
+        j->spec.image = (char *)"img";
+        j->spec.zone = i % 5 == 4 ? (char *)"a" : NULL;
+        j->spec.urgency = i % 2 ? LMN_HIGH : LMN_NORMAL;
+        j->spec.tasks = 1 + (uint32_t)g_rand_int_range(w.r, 0, TASKS);
+        j->spec.cpus = 1 + i % 3;
+        j->spec.mem = 1;
+        j->spec.spot = i % 2;
+        j->spec.estimate_s = 3;
+        j->spec.deadline_s = -1;
+        if (i % 4 == 3) { /* a service of few replicas, some spread over the zones */
+            j->spec.kind = LMN_DAEMON;
+            j->spec.tasks = 1 + (uint32_t)g_rand_int_range(w.r, 0, 4);
+            j->spec.spread = i % 8 == 3;
+            j->spec.estimate_s = 0;
+            j->spec.urgency = LMN_PROD;
+        }
+        j->cancelled_at = -1;
+    }
+    for (int step = 0; step < w.layout.steps + w.layout.calm; step++) {
+        w.calm = plan || step >= w.layout.steps;
+        w.now += STEP_S;
+        w.clock = lmn_after((struct timespec){0, 0}, w.now);
+        world_expire();
+        if (plan)
+            plan->step();
+        if (world_trouble(0.0006))
+            w.cloud_down_until = w.now + g_rand_double_range(w.r, 5, 60);
+        for (int i = 0; i < JOBS; i++) {
+            struct job *j = &w.jobs[i];
+            if (!j->submitted && w.now > 1000 + i * w.layout.every)
+                submit(j);
+            else if (!plan && j->submitted && j->cancelled_at < 0 &&
+                     (w.broken == G_FINAL || !j->told_done) && i % 2 &&
+                     world_chance(0.004))
+                world_cancel(j);
+        }
+        for (int i = 0; i < w.layout.machines; i++) {
+            struct machine *m = &w.machines[i];
+            if (world_trouble(0.0004))
+                m->hang_until = w.now + g_rand_double_range(w.r, 1, 25);
+            if (world_trouble(0.0003))
+                m->unheard_until = w.now + g_rand_double_range(w.r, 1, 40);
+            if (m->dead && world_chance(0.004)) {
+                m->dead = false;
+                m->life++;
+                machine_name(m);
+                m->session = 1;
+                m->seq = m->token = 0;
+                m->ntasks = 0;
+                m->in_flight = false;
+                m->lease_from = m->next_report = w.now;
+            }
+            machine_step(m);
+        }
+        deliver();
+        for (int i = 0; i < w.layout.nodes; i++)
+            node_step(&w.nodes[i], i);
+        /* Found so: a range that came between the claim and its noticing was never dealt.
+         */
+        for (int i = 0; i < w.layout.nodes && w.broken == G_NONE; i++)
+            assert_true(!w.nodes[i].core || w.nodes[i].core->count.unqueued == 0);
+        world_check();
+    }
+}
--- /dev/null
+++ b/tests/world/machines.c
@@ -0,0 +1,199 @@
+/* Stand-in workers. */
+#include "world.h"
+
+#include "base/wire.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* A place's machines have different names, of the same partition: none comes back. */
+void machine_name(struct machine *m)
+{
+    g_snprintf(m->name, sizeof m->name, "host-%06d",
+               (int)(m - w.machines) + m->life * w.layout.machines * w.layout.nodes);
+}
+
+/* NULL: it is gone, and another has its place. */
+struct machine *machine_named(const char *name)
+{
+    struct machine *m = &w.machines[atoi(name + 5) % w.layout.machines];
+    return strcmp(m->name, name) ? NULL : m;
+}
+
+bool machine_reached(int node, const struct machine *m)
+{
+    bool island = w.now < m->island_until && m->island == node;
+    if (w.now < w.nodes[node].deaf_until || (w.now < w.nodes[node].zone_until && !island))
+        return false;
+    return !m->dead && w.now >= m->hang_until &&
+           (w.now >= m->island_until || m->island == node);
+}
+
+/* Whether anything from that node gets to the machine. */
+bool machine_told(int node, const struct machine *m)
+{
+    return machine_reached(node, m) && w.now >= m->unheard_until &&
+           w.now >= m->closed_until;
+}
+
+static void put_report(struct machine *m, GByteArray *b)
+{
+    static const char *const states[] = {W_FETCHING, W_RUNNING, W_ENDED};
+
+    lmn_put_map(b, 10);
+    lmn_put_text(b, W_MACHINE), lmn_put_text(b, m->name);
+    lmn_put_text(b, W_ADDR), lmn_put_text(b, "10.0.0.1:9000");
+    lmn_put_text(b, W_TYPE), lmn_put_text(b, "t");
+    lmn_put_text(b, W_ZONE), lmn_put_text(b, m->zone);
+    lmn_put_text(b, W_SPOT), lmn_put_truth(b, m->spot);
+    lmn_put_text(b, W_SESSION), lmn_put_count(b, m->session);
+    lmn_put_text(b, W_SEQ), lmn_put_count(b, ++m->seq);
+    lmn_put_text(b, W_TOKEN), lmn_put_count(b, m->token);
+    lmn_put_text(b, W_NOTICE), lmn_put_null(b);
+    lmn_put_text(b, W_TASKS), lmn_put_list(b, (size_t)m->ntasks);
+    for (int i = 0; i < m->ntasks; i++) {
+        const struct task *t = &m->tasks[i];
+        char name[64];
+        g_snprintf(name, sizeof name, "%s/%d", w.jobs[t->job].ref, t->index);
+        lmn_put_map(b, t->state == ENDED ? 4 : 3);
+        lmn_put_text(b, W_TASK), lmn_put_text(b, name);
+        lmn_put_text(b, W_ATTEMPT), lmn_put_count(b, t->attempt);
+        lmn_put_text(b, W_STATE), lmn_put_text(b, states[t->state]);
+        if (t->state == ENDED)
+            lmn_put_text(b, W_WHY), lmn_put_text(b, t->done ? W_DONE : W_STOPPED);
+    }
+}
+
+static void obey(struct machine *m, const struct lmn_doc *d,
+                 const struct lmn_node *orders)
+{
+    for (const struct lmn_node *n = lmn_child(d, orders); n; n = lmn_next(d, n)) {
+        char name[64];
+        uint64_t attempt = 0;
+        assert_true(lmn_text(lmn_get(d, n, W_TASK), name, sizeof name));
+        assert_true(lmn_count(lmn_get(d, n, W_ATTEMPT), &attempt));
+        char *slash = strrchr(name, '/');
+        *slash = '\0';
+        int job = world_job(name), index = atoi(slash + 1), at = -1;
+        bool same_task = false;
+        assert_true(job >= 0);
+        for (int i = 0; i < m->ntasks; i++) {
+            const struct task *t = &m->tasks[i];
+            if (t->job == job && t->index == index) {
+                if (t->attempt == attempt)
+                    at = i;
+                else if (t->state != ENDED)
+                    same_task = true;
+            }
+        }
+        if (lmn_is(lmn_get(d, n, W_OP), W_START)) {
+            if (at >= 0 || m->ntasks == 64)
+                continue;
+            struct task *t = &m->tasks[m->ntasks++];
+            *t = (struct task){job,      index, attempt,
+                               FETCHING, false, w.now + g_rand_double_range(w.r, 0, 0.5)};
+            if (same_task)
+                t->state = ENDED; /* busy */
+        } else if (lmn_is(lmn_get(d, n, W_OP), W_KILL)) {
+            if (at >= 0 && m->tasks[at].state != ENDED)
+                m->tasks[at].state = ENDED;
+        } else if (at >= 0 && m->tasks[at].state == ENDED) {
+            m->tasks[at] = m->tasks[--m->ntasks];
+        }
+    }
+}
+
+void machine_answer(struct machine *m, const struct message *x)
+{
+    struct lmn_doc d;
+    uint64_t token = 0;
+
+    /* An answer counts only while its report waits for it. */
+    if (!m->in_flight || m->flight_seq != x->seq || x->session != m->session)
+        return;
+    m->in_flight = false;
+    m->next_report = w.now + g_rand_double_range(w.r, 0.75, 1.25);
+    if (lmn_doc_parse(&d, x->body->data, x->body->len) != 0)
+        return;
+    lmn_count(lmn_get(&d, lmn_root(&d), W_TOKEN), &token);
+    if (token >= m->token && token) {
+        bool kills = w.broken != G_KILLS || token == m->token;
+        if (token > m->token)
+            m->next_report = w.now + 0.5;
+        m->token = token;
+        m->lease_from = m->answer_by - 4; /* when the report was sent */
+        if (kills)
+            obey(m, &d, lmn_get(&d, lmn_root(&d), W_COMMANDS));
+    }
+    lmn_doc_free(&d);
+}
+
+int machine_direct(struct machine *m, const GByteArray *body, GByteArray *report)
+{
+    struct lmn_doc d;
+    uint64_t token = 0, session = 0;
+    int status = 409;
+
+    assert_int_equal(lmn_doc_parse(&d, body->data, body->len), 0);
+    lmn_count(lmn_get(&d, lmn_root(&d), W_TOKEN), &token);
+    lmn_count(lmn_get(&d, lmn_root(&d), W_SESSION), &session);
+    if (token >= m->token && session == m->session) {
+        m->token = token;
+        obey(m, &d, lmn_get(&d, lmn_root(&d), W_COMMANDS));
+        status = 200;
+    }
+    lmn_doc_free(&d);
+    if (report)
+        put_report(m, report);
+    return status;
+}
+
+void machine_step(struct machine *m)
+{
+    if (m->dead || w.now < m->hang_until)
+        return;
+    if (w.now - m->lease_from > w.lease_s) {
+        m->session++;
+        m->ntasks = 0;
+        m->lease_from = w.now;
+        m->in_flight = false;
+    }
+    for (int i = 0; i < m->ntasks; i++) {
+        struct task *t = &m->tasks[i];
+        if (t->state == ENDED || w.now < t->until)
+            continue;
+        if (t->state == FETCHING) {
+            t->state = RUNNING;
+            /* A replica runs until its job is withdrawn. */
+            t->until = w.now + (w.jobs[t->job].spec.kind == LMN_DAEMON
+                                    ? 1e9
+                                    : g_rand_double_range(w.r, 1, w.run_s));
+            world_started(m, t);
+        } else {
+            t->state = ENDED;
+            t->done = true;
+            w.jobs[t->job].done[t->index] = true;
+            m->next_report = MIN(m->next_report, w.now + 0.3);
+        }
+    }
+    if (m->in_flight && w.now > m->answer_by) {
+        m->in_flight = false;
+        m->node = (m->node + 1) % w.layout.nodes;
+        m->next_report = w.now + 1;
+    }
+    if (!m->in_flight && w.now >= m->next_report) {
+        struct message *x = g_new0(struct message, 1);
+        x->body = g_byte_array_new();
+        put_report(m, x->body);
+        x->machine = (int)(m - w.machines);
+        x->life = m->life;
+        x->node = m->node;
+        x->seq = m->seq;
+        x->session = m->session;
+        x->at = w.now + (world_trouble(0.03) ? g_rand_double_range(w.r, 1, 30) : 0.02);
+        m->in_flight = true;
+        m->flight_seq = m->seq;
+        m->answer_by = w.now + 4;
+        g_ptr_array_add(w.mail, x);
+    }
+}
--- /dev/null
+++ b/tests/world/nodes.c
@@ -0,0 +1,387 @@
+/* Controllers: the product's own code, and what its threads would do. */
+#include "world.h"
+
+#include "decide/order.h"
+#include "decide/pack.h"
+#include "decide/preempt.h"
+#include "decide/reserve.h"
+#include "decide/steal.h"
+#include "own/flush.h"
+#include "own/gift.h"
+#include "own/holder.h"
+#include "own/leave.h"
+#include "own/owner.h"
+#include "own/partition.h"
+#include "own/range.h"
+#include "own/upkeep.h"
+#include "state/mirror.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+bool node_served(const struct node *n)
+{
+    return w.now >= n->cut_until;
+}
+
+bool node_up(const struct node *n)
+{
+    return w.now >= n->down_until;
+}
+
+static void node_boot(struct node *n, int i)
+{
+    memset(&n->cfg, 0, sizeof n->cfg);
+    g_snprintf(n->cfg.node, sizeof n->cfg.node, "n%02d", i);
+    for (int k = 0; k < w.layout.nodes; k++)
+        if (k != i)
+            g_snprintf(n->cfg.members[n->cfg.nmembers++].name, LMN_NAME, "n%02d", k);
+    n->cfg.partitions = w.layout.nodes;
+    n->cfg.report_s = 1;
+    n->cfg.lease_s = w.lease_s;
+    n->cfg.cancel_s = w.cancel_s;
+    n->cfg.state_rps = n->cfg.state_write_rps = 1e6;
+    n->cfg.value_kb = 16;
+    n->cfg.txn_ops = 12;
+    g_strlcpy(n->cfg.teams[0].name, "x", LMN_NAME);
+    n->cfg.teams[0].cpus_max = w.broken == G_QUOTA ? 4 * w.layout.limit : w.layout.limit;
+    n->cfg.nteams = 1;
+    n->state = lmn_state_new(&n->cfg);
+    n->core = lmn_core_new(&n->cfg, n->state, g_rand_int(w.r));
+    n->core->types.n = 1;
+    n->core->types.v[0] =
+        (struct lmn_type){.name = "t", .cpus = 6, .mem = 100, .nzones = 2};
+    n->core->types_known = true;
+    n->core->tuning.standby = w.standbys;
+    n->waiting = g_ptr_array_new(); /* what waited went with the process */
+    n->seen = 0;
+    n->lease = 0;
+}
+
+static void node_follow(struct node *n)
+{
+    struct lmn_core *c = n->core;
+
+    for (; n->seen < w.log->len; n->seen++) {
+        const struct event *e = w.log->pdata[n->seen];
+        struct lmn_doc d = {0};
+        if (e->value)
+            assert_int_equal(lmn_doc_parse(&d, e->value->data, e->value->len), 0);
+        lmn_mirror_apply(c, e->key, &d, e->value ? lmn_root(&d) : NULL, e->rev, w.clock);
+        if (e->value)
+            lmn_doc_free(&d);
+    }
+    c->fresh = w.clock;
+    lmn_members_fresh(&c->members, w.clock);
+    if (!c->synced)
+        c->synced_at = w.clock;
+    c->synced = true;
+    lmn_mirror_settle(c, w.clock);
+}
+
+struct lmn_word node_word(const struct node *n)
+{
+    struct lmn_word word = n->core->members.word;
+    word.stale_s = n->core->synced ? lmn_since(w.clock, n->core->fresh) : 1e6;
+    return word;
+}
+
+/* A write of the thread that holds the lease; what becomes of it is not always known. */
+enum lmn_outcome node_send(struct lmn_txn *t)
+{
+    enum lmn_outcome r = LMN_UNKNOWN;
+    uint64_t rev;
+    double luck = g_rand_double(w.r);
+
+    if (luck < 0.95)
+        r = world_commit(t, &rev);
+    if (luck > 0.9)
+        r = LMN_UNKNOWN;
+    if (luck > 0.97)
+        world_late(t);
+    lmn_txn_free(t);
+    return r;
+}
+
+static void node_lease(struct node *n)
+{
+    char key[32];
+
+    if (n->lease && !world_lease_alive(n->lease)) {
+        n->lease = n->core->lease = 0;
+        for (int i = 0; i < w.layout.nodes; i++)
+            if (n->core->parts[i].mine)
+                lmn_partition_lose(n->core, &n->core->parts[i], "lease ended");
+    }
+    if (!n->lease) {
+        struct holder h = {++w.next_lease, w.now + 3};
+        g_array_append_val(w.leases, h);
+        n->lease = n->core->lease = h.id;
+        GByteArray *v = g_byte_array_new();
+        lmn_put_count(v, h.id);
+        w.rev++;
+        g_snprintf(key, sizeof key, "n/%s", n->cfg.node);
+        world_put(key, v, h.id);
+        g_byte_array_unref(v);
+    }
+    for (guint i = 0; i < w.leases->len; i++)
+        if (g_array_index(w.leases, struct holder, i).id == n->lease)
+            g_array_index(w.leases, struct holder, i).until = w.now + 3;
+}
+
+static void node_hold(struct node *n)
+{
+    struct lmn_core *c = n->core;
+    struct lmn_txn *t;
+    int heir;
+
+    for (int i = 0; i < w.layout.nodes; i++) {
+        t = i == c->members.me ? lmn_holder_refutation(c, n->lease, w.clock)
+                               : lmn_holder_suspicion(c, i, n->lease, w.clock);
+        w.refutations += t && i == c->members.me;
+        if (t)
+            node_send(t);
+    }
+    for (int i = 0; i < w.layout.nodes; i++) {
+        uint64_t before = c->members.count.verdicts;
+        if ((t = lmn_holder_claim(c, i, n->lease, w.clock))) {
+            bool verdict = c->members.count.verdicts > before;
+            bool took = node_send(t) == LMN_OK;
+            w.takeovers += took;
+            w.verdicts += took && verdict;
+            n->judged[i] = verdict;
+        }
+        if ((t = lmn_holder_gift(c, i, &heir, w.clock))) {
+            enum lmn_outcome r = node_send(t);
+            lmn_holder_given(c, i, r, w.clock);
+            w.gives += r == LMN_OK;
+        }
+    }
+}
+
+/* Asked to end, it says so, gives everything away, lets its lease go and ends; true then.
+ */
+static bool node_leave(struct node *n)
+{
+    struct lmn_core *c = n->core;
+    char key[32];
+
+    if (!c->leaving)
+        return false;
+    if (!c->recorded && n->lease) {
+        GByteArray *v = g_byte_array_new();
+        lmn_put_map(v, 2);
+        lmn_put_text(v, "lease"), lmn_put_count(v, n->lease);
+        lmn_put_text(v, "leaving"), lmn_put_truth(v, true);
+        w.rev++;
+        g_snprintf(key, sizeof key, "n/%s", n->cfg.node);
+        world_put(key, v, n->lease);
+        g_byte_array_unref(v);
+        c->recorded = true;
+    }
+    bool bare = lmn_leave_bare(c);
+    if (!bare && !lmn_leave_over(c, w.clock))
+        return false;
+    for (guint i = 0; bare && i < w.leases->len; i++)
+        if (g_array_index(w.leases, struct holder, i).id == n->lease)
+            g_array_index(w.leases, struct holder, i).until = w.now;
+    w.leaves += bare;
+    w.preempted += (unsigned)c->count.preempted;
+    w.warm += (unsigned)c->count.warm;
+    n->core = NULL;
+    n->down_until = w.now + g_rand_double_range(w.r, 0.2, 6);
+    return true;
+}
+
+static void node_write(struct node *n)
+{
+    struct lmn_txn *t;
+
+    while ((t = lmn_state_take(n->state))) {
+        uint64_t rev = 0;
+        double luck = g_rand_double(w.r);
+        if (luck < 0.04) {
+            lmn_txn_finish(t, LMN_REFUSED, 0);
+        } else if (luck < 0.08) { /* applied, but the answer is lost */
+            world_commit(t, &rev);
+            lmn_txn_finish(t, LMN_UNKNOWN, 0);
+        } else if (luck < 0.10) { /* not applied, or late, and the answer is lost */
+            if (luck < 0.09)
+                world_late(t);
+            lmn_txn_finish(t, LMN_UNKNOWN, 0);
+        } else {
+            enum lmn_outcome r = world_commit(t, &rev);
+            lmn_txn_finish(t, r, rev);
+        }
+    }
+}
+
+static void break_guards(struct node *n)
+{
+    GHashTableIter it;
+    gpointer v;
+
+    for (int i = 0; i < w.layout.nodes; i++) {
+        struct lmn_partition *p = &n->core->parts[i];
+        if (!p->mine)
+            continue;
+        g_hash_table_iter_init(&it, p->machines);
+        while (g_hash_table_iter_next(&it, NULL, &v)) {
+            struct lmn_machine *m = v;
+            if (w.broken == G_ACCOUNT || (w.broken == G_JUDGED && n->judged[i]))
+                m->inherited = false;
+            if (w.broken == G_ORDER)
+                m->session = m->seq = m->report_seq = 0;
+            if (w.broken == G_PLACE)
+                m->spot = false;
+            if (w.broken == G_SPREAD)
+                for (GList *l = g_hash_table_get_values(n->core->jobs); l; l = l->next)
+                    ((struct lmn_job *)l->data)->spec.spread = false;
+            for (guint k = 0; k < m->attempts->len; k++) {
+                struct lmn_attempt *a =
+                    &g_array_index(m->attempts, struct lmn_attempt, k);
+                if (w.broken == G_UNSURE)
+                    a->unsure = a->direct = false;
+                if (w.broken == G_DONE && a->state == LMN_A_RUNNING && a->range &&
+                    a->range->st)
+                    lmn_task_finished(a->range, a->index, w.clock);
+            }
+        }
+        lmn_partition_check(n->core, p, w.clock);
+    }
+    if (w.broken == G_FENCE)
+        n->core->fresh = w.clock;
+}
+
+/* Steals between partitions, wherever their owners are. */
+static void node_steal(struct node *n)
+{
+    for (int i = 0; i < w.layout.nodes; i++) {
+        struct lmn_thief t;
+        uint32_t got = 0;
+        if (!lmn_thief_fill(n->core, &n->core->parts[i], &t, w.clock))
+            continue;
+        int victim = g_rand_int_range(w.r, 0, w.layout.nodes);
+        for (int k = 0; k < w.layout.nodes && !got; k++) {
+            struct node *o = &w.nodes[k];
+            if (node_up(o) && o->core && o->core->parts[victim].mine &&
+                lmn_victim_load(o->core, &o->core->parts[victim], &t))
+                got = lmn_victim_give(o->core, &o->core->parts[victim], &t, w.clock);
+        }
+        lmn_thief_result(n->core, &n->core->parts[i], got, w.clock);
+        w.steals += got;
+    }
+}
+
+/* Parts of the team's limit go to and fro, whatever is under way. */
+static void node_quota(struct node *n)
+{
+    for (int i = 0; i < w.layout.nodes; i++)
+        if (world_chance(0.02))
+            lmn_quota_give(n->core, &n->core->parts[i], 0,
+                           g_rand_int_range(w.r, 0, w.layout.nodes),
+                           g_rand_double_range(w.r, 0, w.layout.limit), 0);
+}
+
+/* The cloud: machines that owners want to be rid of are gone, and come back as new ones.
+ */
+static void node_cloud(struct node *n)
+{
+    if (w.now < w.cloud_down_until)
+        return;
+    for (int i = 0; i < w.layout.nodes; i++) {
+        struct lmn_partition *p = &n->core->parts[i];
+        if (!p->mine)
+            continue;
+        GList *all = g_hash_table_get_values(p->machines);
+        for (GList *l = all; l; l = l->next) {
+            struct lmn_machine *m = l->data;
+            if (!m->retiring || m->is_gone || !(m->force || lmn_machine_bare(m)))
+                continue;
+            struct machine *x = machine_named(m->name);
+            if (x) {
+                x->dead = true;
+                x->ntasks = 0;
+            }
+            lmn_machine_gone(n->core, m, w.clock);
+        }
+        g_list_free(all);
+    }
+}
+
+void node_step(struct node *n, int i)
+{
+    if (!node_up(n))
+        return;
+    if (!n->core)
+        node_boot(n, i);
+    if (w.now < n->still_until)
+        return;
+    if (world_trouble(w.flapping ? 0.004 : 0.001))
+        n->still_until = w.now + g_rand_double_range(w.r, 0.5, 12);
+    if (world_trouble(w.flapping ? 0.004 : 0.0007))
+        n->deaf_until = w.now + g_rand_double_range(w.r, 5, 40);
+    if (world_trouble(w.flapping ? 0.004 : 0.0007))
+        n->mute_until = w.now + g_rand_double_range(w.r, 2, 20);
+    if (world_trouble(0.0012)) { /* a crash: memory is gone, its lease runs on */
+        w.preempted += (unsigned)n->core->count.preempted;
+        w.warm += (unsigned)n->core->count.warm;
+        n->core = NULL; /* left behind: nothing of it is ever used again */
+        n->down_until = w.now + g_rand_double_range(w.r, 1, 6);
+        return;
+    }
+    /* A successor's return of a machine ends what the fence guards against: it is tried
+     * on days of many long cuts in which the cloud can't be reached either. */
+    bool fence = w.broken == G_FENCE;
+    if (world_trouble(fence ? 0.004 : 0.001)) {
+        n->cut_until = w.now + g_rand_double_range(w.r, fence ? 20 : 1, 40);
+        if (fence)
+            w.cloud_down_until = n->cut_until;
+        /* Often with its workers: a zone by itself. */
+        for (int k = 0; k < w.layout.machines; k++)
+            if (w.machines[k].node == i && world_chance(0.7)) {
+                w.machines[k].island = i;
+                w.machines[k].island_until = n->cut_until;
+            }
+        /* Then the machines of other zones may be silent to it, and alive elsewhere. */
+        if (world_chance(0.5))
+            n->zone_until = n->cut_until;
+    }
+    bool cut = !node_served(n);
+    if (!cut) {
+        node_lease(n);
+        if (world_chance(0.7))
+            node_follow(n);
+    }
+    node_ask(n, i);
+    if (!cut && n->core->synced)
+        node_hold(n);
+    if (w.standbys && world_trouble(0.0015))
+        lmn_leave(n->core, w.clock);
+    if (!cut && node_leave(n))
+        return;
+    if (w.broken)
+        break_guards(n);
+    double wall = w.now;
+    lmn_rank_all(n->core, wall);
+    for (int i = 0; i < n->core->nparts && n->core->triaged == n->core->wall; i++)
+        lmn_reserve(n->core, &n->core->parts[i], w.clock);
+    lmn_upkeep(n->core, w.clock);
+    for (int k = 0; k < w.layout.nodes; k++) {
+        lmn_make_room(n->core, &n->core->parts[k], w.clock);
+        lmn_pack(n->core, &n->core->parts[k], w.clock);
+    }
+    lmn_ranges_flush(n->core, w.clock);
+    if (!cut)
+        node_write(n);
+    else
+        for (struct lmn_txn *t; (t = lmn_state_take(n->state));) {
+            lmn_txn_finish(t, LMN_REFUSED, 0);
+        }
+    node_tell(n, i, cut);
+    node_release(n);
+    node_direct(n);
+    node_steal(n);
+    node_quota(n);
+    node_cloud(n);
+}
--- /dev/null
+++ b/tests/world/peers.c
@@ -0,0 +1,249 @@
+/* What controllers send each other, and straight to workers. */
+#include "world.h"
+
+#include "base/wire.h"
+#include "standby/stream.h"
+#include "twin.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static bool talk(int a, int b)
+{
+    const struct node *x = &w.nodes[a], *y = &w.nodes[b];
+    /* A zone by itself, with its controller, reaches nobody else. */
+    return node_up(x) && node_up(y) && x->core && y->core && w.now >= x->mute_until &&
+           w.now >= y->mute_until && w.now >= x->zone_until && w.now >= y->zone_until;
+}
+
+static void tell(struct node *from, struct node *to, int about)
+{
+    struct lmn_statement s[LMN_STATEMENTS];
+    unsigned n = lmn_member_statements(&from->core->members, to->core->members.me, about,
+                                       w.clock, s);
+    for (unsigned i = 0; i < n; i++)
+        lmn_member_told(&to->core->members, from->core->members.me, &s[i], w.clock);
+}
+
+static void tell_tombstones(struct node *from, struct node *to, int rank)
+{
+    const char *refs[8];
+    uint64_t upto;
+    unsigned n = lmn_tombstones_for(&from->core->tombstones, rank, refs, 8, &upto);
+
+    if (!w.helped)
+        return;
+    for (unsigned i = 0; i < n; i++)
+        w.tombstones += lmn_tombstone_heard(to->core, refs[i], w.clock);
+    if (!world_trouble(0.05)) /* else the answer is lost, and they are told again */
+        lmn_tombstones_taken(&from->core->tombstones, rank, upto);
+}
+
+/* Ranks are places by name, as the nodes are numbered. */
+void node_ask(struct node *n, int me)
+{
+    struct lmn_members *ms = &n->core->members;
+    struct lmn_question q;
+    double wait;
+
+    lmn_members_tick(ms, 0, w.clock);
+    while (lmn_member_question(ms, w.r, w.clock, &q, &wait)) {
+        struct node *o = &w.nodes[q.rank];
+        struct lmn_word mine = node_word(n);
+        if (!talk(me, q.rank) || w.now < o->still_until || world_trouble(0.05)) {
+            lmn_member_unanswered(ms, q.rank, w.clock, w.clock);
+            continue;
+        }
+        struct lmn_word its = node_word(o);
+        lmn_member_heard(&o->core->members, me, &mine, w.clock, w.clock);
+        tell(n, o, q.about);
+        if (q.about >= 0)
+            lmn_member_wonder(&o->core->members, q.about, w.clock);
+        if (world_trouble(0.05)) { /* the answer is lost */
+            lmn_member_unanswered(ms, q.rank, w.clock, w.clock);
+            continue;
+        }
+        lmn_member_answered(ms, q.rank, &its, w.clock, w.clock);
+        tell_tombstones(n, o, q.rank);
+        tell(o, n, q.about);
+    }
+}
+
+/* In step with nothing untold, a standby knows to the letter what the owner does. */
+static void compare(const struct node *n, const struct lmn_partition *p)
+{
+    const struct lmn_stream *s = &p->stream;
+    const struct lmn_core *c = w.nodes[s->to].core;
+    const struct lmn_copy *copy = c ? c->parts[p->id].copy : NULL;
+
+    if (s->phase != LMN_STREAM_IN_STEP || s->batch || p->untold->len ||
+        p->forgotten->len || !copy || copy->stream != s->id || copy->term != p->my_term)
+        return;
+    w.compared++;
+    for (guint k = 0; k < p->list->len; k++) {
+        const struct lmn_machine *m = p->list->pdata[k];
+        const struct lmn_told *t = g_hash_table_lookup(copy->machines, m->name);
+        guint known = t ? t->attempts->len : 0;
+        assert_int_equal(m->attempts->len, known);
+        for (guint i = 0; i < known; i++) {
+            const struct lmn_attempt *a =
+                &g_array_index(m->attempts, struct lmn_attempt, i);
+            const struct lmn_told_attempt *b =
+                &g_array_index(t->attempts, struct lmn_told_attempt, i);
+            assert_string_equal(a->ref, b->ref);
+            assert_int_equal(a->index, b->index);
+            assert_int_equal(a->number, b->number);
+        }
+    }
+    (void)n;
+}
+
+void node_tell(struct node *n, int me, bool cut)
+{
+    for (int i = 0; i < w.layout.nodes; i++) {
+        struct lmn_partition *p = &n->core->parts[i];
+        enum lmn_stream_step step = LMN_STREAM_SEND;
+        for (int k = 0; k < 6 && step != LMN_STREAM_WAIT; k++) {
+            enum lmn_copy_answer answer = LMN_COPY_UNKNOWN;
+            struct lmn_batch *b = NULL;
+            struct lmn_txn *t = NULL;
+            double wait;
+            step = lmn_stream_next(n->core, p, w.clock, &b, &t, &wait);
+            if (step == LMN_STREAM_WRITE && !cut)
+                node_send(t);
+            else if (step == LMN_STREAM_WRITE)
+                lmn_txn_free(t);
+            if (step != LMN_STREAM_SEND)
+                continue;
+            struct node *o = &w.nodes[p->stream.to];
+            bool heard =
+                talk(me, p->stream.to) && w.now >= o->still_until && !world_trouble(0.02);
+            if (heard) {
+                struct lmn_batch *same = batch_twin(b);
+                answer = lmn_copy_take(o->core, same, w.clock);
+                lmn_batch_free(same);
+                heard = !world_trouble(0.02);
+            }
+            lmn_stream_sent(n->core, p, b, heard, answer, w.clock);
+        }
+        if (p->mine)
+            compare(n, p);
+    }
+}
+
+/* How the waiting of serve/follow.c ends, and that of the lanes of own/direct.c. */
+void node_release(struct node *n)
+{
+    for (guint i = 0; i < n->waiting->len;) {
+        struct waiter *x = n->waiting->pdata[i];
+        struct lmn_partition *p = &n->core->parts[x->held.part];
+        struct machine *m = &w.machines[x->machine];
+        bool ours = p->mine && p->my_term == x->held.term;
+        bool go = w.broken == G_TOLD || (ours && lmn_stream_covers(p, x->held.mark));
+        if (ours && !go && w.now - x->since <= LMN_STREAM_HOLD_S) {
+            i++;
+            continue;
+        }
+        g_ptr_array_remove_index(n->waiting, i);
+        w.withheld += !go;
+        bool there = x->life == m->life && !m->dead && w.now >= m->hang_until;
+        if (x->direct) {
+            GByteArray *answer = g_byte_array_new();
+            int status = LMN_NOT_SENT;
+            if (go)
+                status = there && machine_told((int)(n - w.nodes), m)
+                             ? machine_direct(m, x->body, answer)
+                             : LMN_NO_ANSWER;
+            lmn_direct_outcome(n->core, x->held.machine, status, answer, w.clock);
+            g_byte_array_unref(answer);
+        } else if (ours) {
+            if (!go)
+                lmn_worker_withhold(n->core, &x->held, x->body, w.clock);
+            struct message answer = {
+                .body = x->body, .session = x->session, .seq = x->seq};
+            if (there && w.now >= m->unheard_until)
+                machine_answer(m, &answer);
+        }
+        g_byte_array_unref(x->body);
+        g_free(x);
+    }
+}
+
+void node_hold_back(struct node *n, const struct lmn_held *held, const struct message *x,
+                    struct machine *m, GByteArray *body)
+{
+    struct waiter *y = g_new0(struct waiter, 1);
+
+    *y = (struct waiter){.held = *held,
+                         .direct = !x,
+                         .machine = (int)(m - w.machines),
+                         .life = m->life,
+                         .body = g_byte_array_ref(body),
+                         .session = x ? x->session : 0,
+                         .seq = x ? x->seq : 0,
+                         .since = w.now};
+    g_ptr_array_add(n->waiting, y);
+}
+
+void node_direct(struct node *n)
+{
+    GByteArray *body = g_byte_array_new(), *answer = g_byte_array_new();
+    char name[LMN_NAME], addr[LMN_ADDR];
+    uint64_t term;
+    int me = (int)(n - w.nodes);
+
+    while (lmn_probe_next(n->core, 0, 1, name, addr, &term, w.clock)) {
+        struct machine *m = machine_named(name);
+        if (!m || !machine_told(me, m) || world_chance(0.3)) {
+            lmn_probe_outcome(n->core, name, term, LMN_NO_ANSWER, answer, w.clock);
+            continue;
+        }
+        g_byte_array_set_size(body, 0);
+        g_byte_array_set_size(answer, 0);
+        if (!term) { /* only whether it can be reached */
+            lmn_probe_outcome(n->core, name, term, 200, answer, w.clock);
+            continue;
+        }
+        lmn_put_map(body, 3);
+        lmn_put_text(body, W_TOKEN), lmn_put_count(body, term);
+        lmn_put_text(body, W_SESSION), lmn_put_count(body, m->session);
+        lmn_put_text(body, W_COMMANDS), lmn_put_list(body, 0);
+        int status = machine_direct(m, body, answer);
+        lmn_probe_outcome(n->core, name, term, status, answer, w.clock);
+    }
+    while (lmn_direct_next(n->core, 0, 1, name, addr, body, w.clock)) {
+        struct machine *m = machine_named(name);
+        double luck = g_rand_double(w.r);
+        struct lmn_held held = {0};
+        held.mark = lmn_direct_mark(n->core, name, &held.part);
+        if (m && held.mark && !lmn_stream_covers(&n->core->parts[held.part], held.mark)) {
+            GByteArray *own = g_byte_array_new();
+            g_byte_array_append(own, body->data, body->len);
+            held.term = n->core->parts[held.part].my_term;
+            g_strlcpy(held.machine, name, LMN_NAME);
+            node_hold_back(n, &held, NULL, m, own);
+            g_byte_array_unref(own);
+            continue;
+        }
+        g_byte_array_set_size(answer, 0);
+        if (!m || !machine_told(me, m) || luck < 0.25) {
+            /* No answer: lost for good, or delivered up to half a minute later. */
+            if (m && !m->dead && world_chance(0.8)) {
+                struct message *x = g_new0(struct message, 1);
+                x->direct = true;
+                x->machine = (int)(m - w.machines);
+                x->life = m->life;
+                x->body = g_byte_array_new();
+                g_byte_array_append(x->body, body->data, body->len);
+                x->at = w.now + g_rand_double_range(w.r, 0.1, world_chance(0.5) ? 3 : 30);
+                g_ptr_array_add(w.mail, x);
+            }
+            lmn_direct_outcome(n->core, name, LMN_NO_ANSWER, answer, w.clock);
+        } else {
+            int status = machine_direct(m, body, answer);
+            lmn_direct_outcome(n->core, name, status, answer, w.clock);
+        }
+    }
+    g_byte_array_unref(body);
+    g_byte_array_unref(answer);
+}
--- /dev/null
+++ b/tests/world/rules.c
@@ -0,0 +1,93 @@
+/* The protocol's rules, checked after each step. */
+#include "world.h"
+
+#include "state/records.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+int world_job(const char *ref)
+{
+    for (int i = 0; i < JOBS; i++)
+        if (!strcmp(w.jobs[i].ref, ref))
+            return i;
+    return -1;
+}
+
+/* Whether what the machine holds still counts. One that hangs past its lease has lost its
+ * tasks, though it will notice only when it goes on. */
+bool world_holds(const struct machine *m)
+{
+    return !m->dead && !(w.now < m->hang_until && w.now - m->lease_from > w.lease_s);
+}
+
+void world_started(struct machine *m, const struct task *t)
+{
+    const struct job *j = &w.jobs[t->job];
+    double cpus = 0;
+    uint32_t here = 0;
+
+    for (int i = 0; i < w.layout.machines; i++)
+        for (int k = 0; k < w.machines[i].ntasks; k++) {
+            const struct task *o = &w.machines[i].tasks[k];
+            here += o->job == t->job && o->state == RUNNING &&
+                    world_holds(&w.machines[i]) && !strcmp(w.machines[i].zone, m->zone);
+            if (o->state != RUNNING || !world_holds(&w.machines[i]))
+                continue;
+            if (&w.machines[i] != m && o->job == t->job && o->index == t->index)
+                w.broke[R_TWICE]++;
+            if (!strcmp(w.jobs[o->job].spec.team, j->spec.team))
+                cpus += w.jobs[o->job].spec.cpus;
+        }
+    if (cpus > w.layout.limit + 1e-6)
+        w.broke[R_QUOTA]++;
+    if ((m->spot && !j->spec.spot) || (j->spec.zone && strcmp(j->spec.zone, m->zone)))
+        w.broke[R_PLACE]++;
+    if (j->spec.spread && here > (j->spec.tasks + 1) / 2)
+        w.broke[R_PLACE]++;
+    w.starts++;
+}
+
+void world_check(void)
+{
+    for (int i = 0; i < w.layout.machines; i++)
+        for (int k = 0; k < w.machines[i].ntasks; k++) {
+            const struct task *t = &w.machines[i].tasks[k];
+            const struct job *j = &w.jobs[t->job];
+            if (t->state != RUNNING || !world_holds(&w.machines[i]) ||
+                j->cancelled_at < 0)
+                continue;
+            double margin = w.cancel_s - (w.now - j->cancelled_at);
+            w.least_margin = MIN(w.least_margin, margin);
+            w.broke[R_CANCELLED] += margin < 0;
+        }
+    for (int i = 0; i < JOBS; i++) {
+        struct job *j = &w.jobs[i];
+        char key[64];
+        struct lmn_doc d;
+        struct lmn_spec s;
+        enum lmn_phase phase;
+        uint32_t open;
+        double at;
+        if (!j->submitted)
+            continue;
+        g_snprintf(key, sizeof key, "j/%s", j->ref);
+        struct item *it = g_hash_table_lookup(w.store, key);
+        assert_int_equal(lmn_doc_parse(&d, it->value->data, it->value->len), 0);
+        assert_int_equal(lmn_job_read(&d, lmn_root(&d), &s, &phase, &open, &at), 0);
+        lmn_spec_clear(&s);
+        lmn_doc_free(&d);
+        if (phase == LMN_FINISHED && !j->told_done) {
+            j->told_done = true;
+            w.finished++;
+            for (uint32_t k = 0; k < j->spec.tasks; k++)
+                if (!j->done[k]) {
+                    w.broke[R_NOT_DONE]++;
+                    break;
+                }
+        }
+        if ((j->told_done && phase != LMN_FINISHED) ||
+            (j->cancelled_at >= 0 && phase != LMN_WITHDRAWN))
+            w.broke[R_WENT_BACK]++;
+    }
+}
--- /dev/null
+++ b/tests/world/store.c
@@ -0,0 +1,135 @@
+/* The stand-in state service: conditions, leases, and a log that controllers follow. */
+#include "world.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+void world_put(const char *key, const GByteArray *value, uint64_t lease)
+{
+    struct item *it = g_hash_table_lookup(w.store, key);
+    struct event *e = g_new0(struct event, 1);
+
+    if (!it) {
+        it = g_new0(struct item, 1);
+        g_hash_table_insert(w.store, g_strdup(key), it);
+    }
+    if (it->value)
+        g_byte_array_unref(it->value);
+    it->value = NULL;
+    if (value) {
+        it->value = g_byte_array_new();
+        g_byte_array_append(it->value, value->data, value->len);
+    }
+    it->rev = w.rev;
+    it->lease = lease;
+    e->key = g_strdup(key);
+    if (it->value)
+        e->value = g_byte_array_ref(it->value);
+    e->rev = w.rev;
+    g_ptr_array_add(w.log, e);
+}
+
+bool world_lease_alive(uint64_t id)
+{
+    for (guint i = 0; i < w.leases->len; i++)
+        if (g_array_index(w.leases, struct holder, i).id == id)
+            return true;
+    return false;
+}
+
+static void twin_condition(void *arg, const char *key, uint64_t version)
+{
+    lmn_txn_if(arg, key, version);
+}
+
+static void twin_change(void *arg, const char *key, const GByteArray *value,
+                        uint64_t lease)
+{
+    if (value)
+        lmn_txn_write(arg, key, g_byte_array_ref((GByteArray *)value), lease);
+    else
+        lmn_txn_remove(arg, key);
+}
+
+void world_late(const struct lmn_txn *t)
+{
+    struct late *l = g_new0(struct late, 1);
+
+    l->txn = lmn_txn_new(LMN_RANK_OWNER, NULL, NULL);
+    lmn_txn_each_condition(t, twin_condition, l->txn);
+    lmn_txn_each(t, twin_change, l->txn);
+    l->at = w.now + g_rand_double_range(w.r, 2, 12);
+    g_ptr_array_add(w.late, l);
+}
+
+static void carry_out_late(void)
+{
+    for (guint i = w.late->len; i-- > 0;) {
+        struct late *l = w.late->pdata[i];
+        uint64_t rev;
+        if (l->at > w.now)
+            continue;
+        w.lates += world_commit(l->txn, &rev) == LMN_OK;
+        lmn_txn_free(l->txn);
+        g_free(l);
+        g_ptr_array_remove_index_fast(w.late, i);
+    }
+}
+
+void world_expire(void)
+{
+    carry_out_late();
+    for (guint i = w.leases->len; i-- > 0;) {
+        struct holder h = g_array_index(w.leases, struct holder, i);
+        if (h.until > w.now)
+            continue;
+        g_array_remove_index(w.leases, i);
+        GList *keys = g_hash_table_get_keys(w.store);
+        w.rev++;
+        for (GList *l = keys; l; l = l->next) {
+            struct item *it = g_hash_table_lookup(w.store, l->data);
+            if (it->value && it->lease == h.id)
+                world_put(l->data, NULL, 0);
+        }
+        g_list_free(keys);
+    }
+}
+
+static void check_condition(void *arg, const char *key, uint64_t version)
+{
+    struct item *it = g_hash_table_lookup(w.store, key);
+    uint64_t have = it && it->value ? it->rev : 0;
+    if (have != version)
+        *(bool *)arg = false;
+}
+
+static void check_lease(void *arg, const char *key, const GByteArray *value,
+                        uint64_t lease)
+{
+    (void)key;
+    (void)value;
+    if (lease && !world_lease_alive(lease))
+        *(bool *)arg = false;
+}
+
+static void apply_change(void *arg, const char *key, const GByteArray *value,
+                         uint64_t lease)
+{
+    (void)arg;
+    world_put(key, value, lease);
+}
+
+enum lmn_outcome world_commit(const struct lmn_txn *t, uint64_t *rev)
+{
+    bool ok = true;
+
+    lmn_txn_each(t, check_lease, &ok);
+    if (!ok)
+        return LMN_REFUSED;
+    lmn_txn_each_condition(t, check_condition, &ok);
+    if (!ok)
+        return LMN_CONFLICT;
+    *rev = ++w.rev;
+    lmn_txn_each(t, apply_change, NULL);
+    return LMN_OK;
+}
--- /dev/null
+++ b/tests/world/world.h
@@ -0,0 +1,251 @@
+/* The whole service in simulated time: several controllers, each with the product's own
+ * mirror, books, queues and answers to workers, over a stand-in state service and
+ * stand-in workers. Messages are delayed, lost, doubled and applied late; controllers
+ * crash, are cut off and come back; machines hang and die. After every step the
+ * protocol's rules are checked. Same seed, same history. What is played in it are the
+ * days of the tests beside this folder. */
+#ifndef LMN_TESTS_WORLD_H
+#define LMN_TESTS_WORLD_H
+
+#include "base/codec.h"
+#include "own/worker.h"
+#include "state/model.h"
+#include "state/state.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+enum { MOST_NODES = 33, MOST_MACHINES = 66, JOBS = 40, TASKS = 24 };
+static const double STEP_S = 0.1;
+
+enum guard {
+    G_NONE,
+    G_ACCOUNT, /* inherited tasks wait until all machines are accounted for */
+    G_UNSURE,  /* unanswered direct starts are not given up */
+    G_QUOTA,   /* limits are shared out among the partitions */
+    G_PLACE,   /* only machines that the job allows */
+    G_FENCE,   /* a node with an old view stops answering workers */
+    G_DONE,    /* done only what a worker has reported done */
+    G_FINAL,   /* final states are written conditionally */
+    G_SPREAD,  /* tasks of a job that is spread look at each other's zones */
+    G_JUDGED,  /* inherited tasks wait although their owner was judged */
+    G_ORDER,   /* a report is dropped if a newer one of its worker was heard */
+    G_TOLD,    /* starts wait until the standby has acknowledged them */
+    G_KILLS,   /* the first answer of a new term ends what is withdrawn */
+};
+
+enum rule { R_TWICE, R_QUOTA, R_PLACE, R_CANCELLED, R_NOT_DONE, R_WENT_BACK, RULES };
+
+/* --- the state service --- */
+
+struct item {
+    GByteArray *value; /* NULL: removed */
+    uint64_t rev, lease;
+};
+
+struct event {
+    char *key;
+    GByteArray *value;
+    uint64_t rev;
+};
+
+struct holder {
+    uint64_t id;
+    double until;
+};
+
+/* One that got no answer, and is carried out late. */
+struct late {
+    struct lmn_txn *txn;
+    double at;
+};
+
+/* --- a machine --- */
+
+struct task {
+    int job, index;
+    uint64_t attempt;
+    enum { FETCHING, RUNNING, ENDED } state;
+    bool done;
+    double until;
+};
+
+struct message {
+    double at;
+    int machine, node, life;
+    bool direct;
+    bool copy;        /* of a report that has arrived; nobody waits for its answer */
+    GByteArray *body; /* of a report's answer, or of a direct command */
+    uint64_t session, seq;
+};
+
+struct machine {
+    char name[16], zone[8];
+    int life; /* how many machines have had its place before */
+    bool spot, dead;
+    int island; /* only this node reaches it, until: */
+    double island_until;
+    double unheard_until; /* its reports arrive, and nothing reaches it, until */
+    double closed_until;  /* nothing that is sent straight to it gets there, until */
+    double hang_until, lease_from, next_report, answer_by;
+    uint64_t session, seq, token, told_token;
+    int node; /* reports to */
+    bool in_flight;
+    uint64_t flight_seq;
+    struct task tasks[64];
+    int ntasks;
+};
+
+struct job {
+    struct lmn_spec spec;
+    char ref[LMN_REF];
+    bool submitted, told_done;
+    double cancelled_at; /* negative: not */
+    bool done[64];
+};
+
+struct node {
+    struct lmn_settings cfg;
+    struct lmn_state *state;
+    struct lmn_core *core;
+    uint64_t revision, lease;
+    size_t seen; /* events applied */
+    double down_until, cut_until, renewed;
+    double zone_until; /* its zone is cut off: it reaches only its island until then */
+    double still_until, deaf_until, mute_until; /* it stands still, and is cut off from
+                                                   the workers, from its peers, until */
+    bool judged[MOST_NODES]; /* it has the partition from one that was judged */
+    GPtrArray *waiting;      /* struct waiter: starts that wait for a standby */
+};
+
+/* An answer to a report, or a call to a machine, that waits for an acknowledgement. */
+struct waiter {
+    struct lmn_held held;
+    bool direct;
+    int machine, life;
+    GByteArray *body;
+    uint64_t session, seq;
+    double since;
+};
+
+/* How large a site is, and how long its day. */
+struct layout {
+    int nodes, machines, zones, steps;
+    int calm;     /* steps without trouble after that */
+    double limit; /* of the one team, processors */
+    double every; /* seconds from one job to the next */
+};
+extern const struct layout usual;
+
+/* A day by a schedule: nothing goes wrong but what its step does, and messages and writes
+ * that are lost or late as on any day. */
+struct plan {
+    void (*step)(void);              /* before all else of a step */
+    double lease_s, cancel_s, run_s; /* workers' leases; longest run of a task */
+};
+
+struct world {
+    struct layout layout;
+    GRand *r;
+    double now, cancel_s, lease_s, run_s;
+    struct timespec clock;
+    GHashTable *store;
+    GPtrArray *log;
+    GArray *leases;
+    GPtrArray *late; /* struct late: transactions on their way */
+    uint64_t rev, next_lease;
+    double cloud_down_until;
+    struct node nodes[MOST_NODES];
+    struct machine machines[MOST_MACHINES];
+    struct job jobs[JOBS];
+    GPtrArray *mail;
+    enum guard broken;
+    unsigned broke[RULES];
+    unsigned starts, finished, takeovers, steals, preempted;
+    unsigned verdicts, refutations, gives;
+    unsigned warm, compared, withheld, leaves, copies, cancelled, tombstones, lates;
+    double least_margin; /* of cancel_s, when a cancelled job's last task ended */
+    bool standbys;
+    bool flapping; /* members fail again and again */
+    bool helped;   /* tombstones are told: a help, without which the rules hold too */
+    bool calm;     /* no trouble begins any more */
+};
+extern struct world w;
+extern const struct plan *plan; /* of the next day; NULL: troubles at random */
+extern bool flap;               /* whether members flap in the next day */
+extern bool standbys;           /* whether controllers follow each other in it */
+
+/* A chance of the day; one that something goes wrong. */
+bool world_chance(double p);
+bool world_trouble(double p);
+
+/* --- store.c: the state service --- */
+
+/* One change, at the revision that the caller has raised. */
+void world_put(const char *key, const GByteArray *value, uint64_t lease);
+enum lmn_outcome world_commit(const struct lmn_txn *t, uint64_t *rev);
+/* The same transaction, once more: to be carried out seconds later, after newer ones. */
+void world_late(const struct lmn_txn *t);
+bool world_lease_alive(uint64_t id);
+/* Leases that are over end, with what hangs on them; what is late is carried out. */
+void world_expire(void);
+
+/* --- rules.c --- */
+
+int world_job(const char *ref); /* -1: there is none */
+/* Whether what the machine holds still counts. One that hangs past its lease has lost its
+ * tasks, though it will notice only when it goes on. */
+bool world_holds(const struct machine *m);
+/* A task has started there. */
+void world_started(struct machine *m, const struct task *t);
+void world_check(void);
+
+/* --- machines.c --- */
+
+/* A place's machines have different names, of the same partition: none comes back. */
+void machine_name(struct machine *m);
+/* NULL: it is gone, and another has its place. */
+struct machine *machine_named(const char *name);
+/* Whether the machine's messages get to the node; and whether anything from there gets
+ * back. */
+bool machine_reached(int node, const struct machine *m);
+bool machine_told(int node, const struct machine *m);
+void machine_answer(struct machine *m, const struct message *x);
+int machine_direct(struct machine *m, const GByteArray *body, GByteArray *report);
+void machine_step(struct machine *m);
+
+/* --- nodes.c: controllers --- */
+
+bool node_up(const struct node *n);
+struct lmn_word node_word(const struct node *n);
+/* A write of the thread that holds the lease; what becomes of it is not always known. */
+enum lmn_outcome node_send(struct lmn_txn *t);
+void node_step(struct node *n, int i);
+
+/* --- peers.c: what they send each other, and straight to workers --- */
+
+void node_ask(struct node *n, int me);
+void node_tell(struct node *n, int me, bool cut);
+void node_release(struct node *n);
+/* Holds an answer to a report, or with x NULL a call, until a standby has acknowledged
+ * it. */
+void node_hold_back(struct node *n, const struct lmn_held *held, const struct message *x,
+                    struct machine *m, GByteArray *body);
+void node_direct(struct node *n);
+
+/* --- day.c --- */
+
+/* The user cancels the job through a node that reaches the state service; not if there is
+ * none. */
+void world_cancel(struct job *j);
+/* Whether the node reaches the state service now. */
+bool node_served(const struct node *n);
+/* Once nothing goes wrong any more: no partition without an owner that is ready, nobody
+ * suspected or judged for ever. */
+void world_all_is_well(void);
+/* A whole day. */
+void world_play(const struct layout *l, uint32_t seed, enum guard broken);
+
+#endif
