Tests: meetings of troubles by schedule, each with the guard that it needs; a node sees to it that its record stands

A record n/NODE was written without a condition: one of an earlier life that was carried out late took the present one's place, went with that one's lease, and the node, which had written its own once, counted as gone for good. It is conditional now on what the mirror shows, and written anew whenever that is not as it should be.

The world plays slow answers of the state service, transactions that are late, shut doors and late copies, and checks that all is well and all jobs have run at the end.

--- a/src/own/holder.c
+++ b/src/own/holder.c
@@ -76,13 +76,17 @@
 
 /* --- decisions --- */
 
-/* This node's record: its revision is the node's incarnation. */
+/* This node's record: its revision is the node's incarnation. Conditional on what the
+ * mirror shows of it, so that one which is carried out late undoes no newer one. Before
+ * anything was read there is nothing to go by. */
 static struct lmn_txn *record(const struct lmn_core *c, uint64_t lease)
 {
     struct lmn_txn *t = lmn_txn_new(LMN_RANK_OWNER, NULL, NULL);
     char *key = g_strdup_printf("n/%s", c->cfg->node);
     GByteArray *v = g_byte_array_new();
 
+    if (c->synced)
+        lmn_txn_if(t, key, c->members.v[c->members.me].inc);
     if (c->leaving) {
         lmn_put_map(v, 2);
         lmn_put_text(v, "lease"), lmn_put_count(v, lease);
@@ -95,6 +99,29 @@
     return t;
 }
 
+bool lmn_holder_known(const struct lmn_core *c, uint64_t lease)
+{
+    const struct lmn_peer_view *me = &c->members.v[c->members.me];
+
+    return c->synced && me->present && me->lease == lease && me->leaving == c->leaving;
+}
+
+/* Until the mirror shows it, it is said again after this time. */
+static const double AGAIN_S = 1;
+
+struct lmn_txn *lmn_holder_announce(struct lmn_core *c, uint64_t lease,
+                                    struct timespec now)
+{
+    if (!lease || lmn_holder_known(c, lease) ||
+        (c->announced_lease == lease && c->announced_leaving == c->leaving &&
+         lmn_since(now, c->announced) < AGAIN_S))
+        return NULL;
+    c->announced_lease = lease;
+    c->announced_leaving = c->leaving;
+    c->announced = now;
+    return record(c, lease);
+}
+
 struct lmn_txn *lmn_holder_refutation(const struct lmn_core *c, uint64_t lease,
                                       struct timespec now)
 {
@@ -237,15 +264,11 @@
 static void announce(struct holder *h)
 {
     pthread_mutex_lock(&h->c->lock);
-    bool leaving = h->c->leaving;
-    struct lmn_txn *t = record(h->c, h->lease);
+    struct lmn_txn *t = lmn_holder_announce(h->c, h->lease, lmn_now());
+    h->announced = h->announced || lmn_holder_known(h->c, h->lease);
     pthread_mutex_unlock(&h->c->lock);
-    h->announced = send(h, t) == LMN_OK;
-    if (h->announced && leaving) {
-        pthread_mutex_lock(&h->c->lock);
-        h->c->recorded = h->c->leaving;
-        pthread_mutex_unlock(&h->c->lock);
-    }
+    if (t && send(h, t) == LMN_OK)
+        h->announced = true;
 }
 
 /* Once nothing hangs on it, a lease that is let go spares the others the wait for its
@@ -275,17 +298,6 @@
     pthread_mutex_unlock(&c->lock);
 }
 
-/* Whether its record says what it should of its leaving. */
-static bool recorded(struct holder *h)
-{
-    pthread_mutex_lock(&h->c->lock);
-    bool is = h->c->recorded == h->c->leaving;
-    if (!h->c->leaving)
-        h->c->recorded = false;
-    pthread_mutex_unlock(&h->c->lock);
-    return is;
-}
-
 static bool gone(struct holder *h)
 {
     pthread_mutex_lock(&h->c->lock);
@@ -356,7 +368,7 @@
         }
         if (!h.lease || lmn_since(now, h.renewed) > h.ttl / 4)
             keep_lease(&h);
-        if (h.lease && (!h.announced || !recorded(&h)))
+        if (h.lease)
             announce(&h);
         leave(&h);
         if (h.lease && h.announced)
--- a/src/own/holder.h
+++ b/src/own/holder.h
@@ -9,6 +9,12 @@
  * is held; the lease is this node's. They write events to the log. */
 struct lmn_txn *lmn_holder_refutation(const struct lmn_core *c, uint64_t lease,
                                       struct timespec now);
+/* This node's record, whenever the mirror does not show it as it should be: a record of
+ * an earlier life that was carried out late, and removed with that one's lease, once took
+ * the present one's place for good, and nobody counted on the node any more. */
+struct lmn_txn *lmn_holder_announce(struct lmn_core *c, uint64_t lease,
+                                    struct timespec now);
+bool lmn_holder_known(const struct lmn_core *c, uint64_t lease);
 /* Each suspicion is written once, tied to our lease, so that none outlives us. */
 struct lmn_txn *lmn_holder_suspicion(struct lmn_core *c, int rank, uint64_t lease,
                                      struct timespec now);
--- a/src/own/leave.c
+++ b/src/own/leave.c
@@ -20,7 +20,7 @@
     if (c->leaving)
         return;
     __atomic_store_n(&c->leaving, true, __ATOMIC_RELAXED);
-    c->recorded = c->left = false;
+    c->left = false;
     c->leave_at = now;
     lmn_info("leave-begin partitions=%u", lmn_member_holds(c, c->members.me));
     pthread_cond_broadcast(&c->changed);
@@ -32,7 +32,6 @@
         return false;
     if (c->leaving)
         lmn_info("leave-undone");
-    c->recorded = !c->leaving && c->recorded;
     __atomic_store_n(&c->leaving, false, __ATOMIC_RELAXED);
     pthread_cond_broadcast(&c->changed);
     return true;
--- a/src/state/model.h
+++ b/src/state/model.h
@@ -401,7 +401,10 @@
     struct timespec isolated;
     bool leaving;  /* it gives its partitions away, and ends (own/leave.h) */
     bool left;     /* it has none, and no lease any more */
-    bool recorded; /* that it leaves: its record says so */
+    /* the last try to write this node's record */
+    uint64_t announced_lease;
+    bool announced_leaving;
+    struct timespec announced;
     struct timespec leave_at;
     uint32_t gen;
     struct timespec fresh; /* the mirror is no older than this */
--- a/tests/test_model.c
+++ b/tests/test_model.c
@@ -111,7 +111,7 @@
             compared += w.compared;
             withheld += w.withheld;
             leaves += w.leaves;
-            world_all_is_well();
+            assert_true(world_is_well());
             for (int i = 0; i < RULES; i++)
                 if (w.broke[i])
                     fail_msg("%d controllers, seed %u: %s broken %u times", n, seed,
--- a/tests/world/day.c
+++ b/tests/world/day.c
@@ -44,6 +44,8 @@
     *y = *x;
     y->copy = true;
     y->at = w.now + g_rand_double_range(w.r, 2, 24);
+    if (w.now < w.copies_until && world_chance(0.3))
+        y->node = g_rand_int_range(w.r, 0, w.layout.nodes);
     y->body = g_byte_array_new();
     g_byte_array_append(y->body, x->body->data, x->body->len);
     g_ptr_array_add(w.mail, y);
@@ -56,7 +58,8 @@
         struct machine *m = &w.machines[x->machine];
         /* What was held up arrives when the way there is open again. */
         if (x->at > w.now ||
-            (x->direct && (w.now < m->hang_until || w.now < m->unheard_until))) {
+            (x->direct && (w.now < m->hang_until || w.now < m->unheard_until ||
+                           w.now < m->closed_until))) {
             i++;
             continue;
         }
@@ -82,8 +85,10 @@
                 w.copies++;
             } else if (node_up(n) && n->core && machine_reached(x->node, m)) {
                 struct lmn_held held;
-                if (world_trouble(
-                        0.03)) /* it comes again, up to well over a lease later */
+                if (world_trouble(0.03) ||
+                    (w.now < w.copies_until &&
+                     world_chance(
+                         0.5))) /* it comes again, up to well over a lease later */
                     mail_copy(x);
                 int status = lmn_worker_report(n->core, x->body->data, x->body->len, out,
                                                &held, w.clock);
@@ -195,7 +200,7 @@
 
 /* Once nothing goes wrong any more: no partition without an owner that is ready, nobody
  * suspected or judged for ever. */
-void world_all_is_well(void)
+bool world_is_well(void)
 {
     for (int i = 0; i < w.layout.nodes; i++) {
         const struct lmn_core *c = w.nodes[i].core;
@@ -203,10 +208,13 @@
         for (int k = 0; k < w.layout.nodes; k++) {
             const struct lmn_partition *p = &w.nodes[k].core->parts[i];
             owners += p->mine && p->ready;
-            assert_true(lmn_member_trusted(&c->members, k, w.clock));
+            if (!lmn_member_trusted(&c->members, k, w.clock))
+                return false;
         }
-        assert_int_equal(owners, 1);
+        if (owners != 1)
+            return false;
     }
+    return true;
 }
 
 void world_play(const struct layout *l, uint32_t seed, enum guard broken)
--- a/tests/world/nodes.c
+++ b/tests/world/nodes.c
@@ -56,13 +56,39 @@
     n->waiting = g_ptr_array_new(); /* what waited went with the process */
     n->seen = 0;
     n->lease = 0;
+    n->answer = 0;
+}
+
+/* Whether an answer is there: to which events, and as of when it was asked. */
+static bool answered(struct node *n, size_t *upto, double *asked)
+{
+    *upto = w.log->len;
+    *asked = w.now;
+    if (w.now >= n->slow_until && !n->answer)
+        return true;
+    if (!n->answer) {
+        n->asked = w.now;
+        n->asked_len = w.log->len;
+        n->answer = w.now + g_rand_double_range(w.r, 0.3, 2.7);
+    }
+    if (w.now < n->answer)
+        return false;
+    *upto = n->asked_len;
+    *asked = w.broken == G_SENT ? w.now : n->asked;
+    n->answer = 0;
+    return true;
 }
 
 static void node_follow(struct node *n)
 {
     struct lmn_core *c = n->core;
+    size_t upto;
+    double asked;
 
-    for (; n->seen < w.log->len; n->seen++) {
+    if (!answered(n, &upto, &asked))
+        return;
+    struct timespec fresh = lmn_after((struct timespec){0, 0}, asked);
+    for (; n->seen < upto; n->seen++) {
         const struct event *e = w.log->pdata[n->seen];
         struct lmn_doc d = {0};
         if (e->value)
@@ -71,8 +97,8 @@
         if (e->value)
             lmn_doc_free(&d);
     }
-    c->fresh = w.clock;
-    lmn_members_fresh(&c->members, w.clock);
+    c->fresh = fresh;
+    lmn_members_fresh(&c->members, fresh);
     if (!c->synced)
         c->synced_at = w.clock;
     c->synced = true;
@@ -93,11 +119,11 @@
     uint64_t rev;
     double luck = g_rand_double(w.r);
 
-    if (luck < 0.95)
+    if (luck < (w.now < w.late_until ? 0.6 : 0.95))
         r = world_commit(t, &rev);
     if (luck > 0.9)
         r = LMN_UNKNOWN;
-    if (luck > 0.97)
+    if (luck > 0.97 || (r == LMN_UNKNOWN && w.now < w.late_until))
         world_late(t);
     lmn_txn_free(t);
     return r;
@@ -105,8 +131,6 @@
 
 static void node_lease(struct node *n)
 {
-    char key[32];
-
     if (n->lease && !world_lease_alive(n->lease)) {
         n->lease = n->core->lease = 0;
         for (int i = 0; i < w.layout.nodes; i++)
@@ -117,18 +141,24 @@
         struct holder h = {++w.next_lease, w.now + 3};
         g_array_append_val(w.leases, h);
         n->lease = n->core->lease = h.id;
-        GByteArray *v = g_byte_array_new();
-        lmn_put_count(v, h.id);
-        w.rev++;
-        g_snprintf(key, sizeof key, "n/%s", n->cfg.node);
-        world_put(key, v, h.id);
-        g_byte_array_unref(v);
     }
     for (guint i = 0; i < w.leases->len; i++)
         if (g_array_index(w.leases, struct holder, i).id == n->lease)
             g_array_index(w.leases, struct holder, i).until = w.now + 3;
 }
 
+static void node_announce(struct node *n)
+{
+    struct lmn_txn *t = lmn_holder_announce(n->core, n->lease, w.clock);
+
+    if (t && w.broken == G_ANNOUNCE && n->announced == n->lease) {
+        lmn_txn_free(t);
+        return;
+    }
+    if (t && node_send(t) == LMN_OK)
+        n->announced = n->lease;
+}
+
 static void node_hold(struct node *n)
 {
     struct lmn_core *c = n->core;
@@ -164,21 +194,9 @@
 static bool node_leave(struct node *n)
 {
     struct lmn_core *c = n->core;
-    char key[32];
 
     if (!c->leaving)
         return false;
-    if (!c->recorded && n->lease) {
-        GByteArray *v = g_byte_array_new();
-        lmn_put_map(v, 2);
-        lmn_put_text(v, "lease"), lmn_put_count(v, n->lease);
-        lmn_put_text(v, "leaving"), lmn_put_truth(v, true);
-        w.rev++;
-        g_snprintf(key, sizeof key, "n/%s", n->cfg.node);
-        world_put(key, v, n->lease);
-        g_byte_array_unref(v);
-        c->recorded = true;
-    }
     bool bare = lmn_leave_bare(c);
     if (!bare && !lmn_leave_over(c, w.clock))
         return false;
@@ -186,10 +204,7 @@
         if (g_array_index(w.leases, struct holder, i).id == n->lease)
             g_array_index(w.leases, struct holder, i).until = w.now;
     w.leaves += bare;
-    w.preempted += (unsigned)c->count.preempted;
-    w.warm += (unsigned)c->count.warm;
-    n->core = NULL;
-    n->down_until = w.now + g_rand_double_range(w.r, 0.2, 6);
+    node_crash(n, g_rand_double_range(w.r, 0.2, 6));
     return true;
 }
 
@@ -200,7 +215,10 @@
     while ((t = lmn_state_take(n->state))) {
         uint64_t rev = 0;
         double luck = g_rand_double(w.r);
-        if (luck < 0.04) {
+        if (w.now < w.late_until && luck < 0.3) {
+            world_late(t);
+            lmn_txn_finish(t, LMN_UNKNOWN, 0);
+        } else if (luck < 0.04) {
             lmn_txn_finish(t, LMN_REFUSED, 0);
         } else if (luck < 0.08) { /* applied, but the answer is lost */
             world_commit(t, &rev);
@@ -309,6 +327,14 @@
     }
 }
 
+void node_crash(struct node *n, double down_s)
+{
+    w.preempted += (unsigned)n->core->count.preempted;
+    w.warm += (unsigned)n->core->count.warm;
+    n->core = NULL; /* left behind: nothing of it is ever used again */
+    n->down_until = w.now + down_s;
+}
+
 void node_step(struct node *n, int i)
 {
     if (!node_up(n))
@@ -324,10 +350,7 @@
     if (world_trouble(w.flapping ? 0.004 : 0.0007))
         n->mute_until = w.now + g_rand_double_range(w.r, 2, 20);
     if (world_trouble(0.0012)) { /* a crash: memory is gone, its lease runs on */
-        w.preempted += (unsigned)n->core->count.preempted;
-        w.warm += (unsigned)n->core->count.warm;
-        n->core = NULL; /* left behind: nothing of it is ever used again */
-        n->down_until = w.now + g_rand_double_range(w.r, 1, 6);
+        node_crash(n, g_rand_double_range(w.r, 1, 6));
         return;
     }
     /* A successor's return of a machine ends what the fence guards against: it is tried
@@ -354,6 +377,8 @@
             node_follow(n);
     }
     node_ask(n, i);
+    if (!cut)
+        node_announce(n);
     if (!cut && n->core->synced)
         node_hold(n);
     if (w.standbys && world_trouble(0.0015))
--- a/tests/world/store.c
+++ b/tests/world/store.c
@@ -37,6 +37,50 @@
     return false;
 }
 
+static void check_condition(void *arg, const char *key, uint64_t version)
+{
+    struct item *it = g_hash_table_lookup(w.store, key);
+    uint64_t have = it && it->value ? it->rev : 0;
+    if (have != version)
+        *(bool *)arg = false;
+}
+
+static void check_lease(void *arg, const char *key, const GByteArray *value,
+                        uint64_t lease)
+{
+    (void)key;
+    (void)value;
+    if (lease && !world_lease_alive(lease))
+        *(bool *)arg = false;
+}
+
+static void apply_change(void *arg, const char *key, const GByteArray *value,
+                         uint64_t lease)
+{
+    (void)arg;
+    world_put(key, value, lease);
+}
+
+static enum lmn_outcome commit(const struct lmn_txn *t, bool late, uint64_t *rev)
+{
+    bool ok = true;
+
+    lmn_txn_each(t, check_lease, &ok);
+    if (!ok)
+        return LMN_REFUSED;
+    lmn_txn_each_condition(t, check_condition, &ok);
+    if (!ok && !(late && w.broken == G_LATE))
+        return LMN_CONFLICT;
+    *rev = ++w.rev;
+    lmn_txn_each(t, apply_change, NULL);
+    return LMN_OK;
+}
+
+enum lmn_outcome world_commit(const struct lmn_txn *t, uint64_t *rev)
+{
+    return commit(t, false, rev);
+}
+
 static void twin_condition(void *arg, const char *key, uint64_t version)
 {
     lmn_txn_if(arg, key, version);
@@ -69,7 +113,7 @@
         uint64_t rev;
         if (l->at > w.now)
             continue;
-        w.lates += world_commit(l->txn, &rev) == LMN_OK;
+        w.lates += commit(l->txn, true, &rev) == LMN_OK;
         lmn_txn_free(l->txn);
         g_free(l);
         g_ptr_array_remove_index_fast(w.late, i);
@@ -94,42 +138,3 @@
         g_list_free(keys);
     }
 }
-
-static void check_condition(void *arg, const char *key, uint64_t version)
-{
-    struct item *it = g_hash_table_lookup(w.store, key);
-    uint64_t have = it && it->value ? it->rev : 0;
-    if (have != version)
-        *(bool *)arg = false;
-}
-
-static void check_lease(void *arg, const char *key, const GByteArray *value,
-                        uint64_t lease)
-{
-    (void)key;
-    (void)value;
-    if (lease && !world_lease_alive(lease))
-        *(bool *)arg = false;
-}
-
-static void apply_change(void *arg, const char *key, const GByteArray *value,
-                         uint64_t lease)
-{
-    (void)arg;
-    world_put(key, value, lease);
-}
-
-enum lmn_outcome world_commit(const struct lmn_txn *t, uint64_t *rev)
-{
-    bool ok = true;
-
-    lmn_txn_each(t, check_lease, &ok);
-    if (!ok)
-        return LMN_REFUSED;
-    lmn_txn_each_condition(t, check_condition, &ok);
-    if (!ok)
-        return LMN_CONFLICT;
-    *rev = ++w.rev;
-    lmn_txn_each(t, apply_change, NULL);
-    return LMN_OK;
-}
--- /dev/null
+++ b/tests/world/troubles.c
@@ -0,0 +1,143 @@
+/* Troubles that a day's schedule begins, by kind. */
+#include "own/leave.h"
+#include "world.h"
+
+static const char *const names[TROUBLES] = {
+    "refused",      "outage",       "isolated",   "slow-state",   "late-writes",
+    "crash",        "crash-all",    "freeze",     "deaf-node",    "mute-node",
+    "leave",        "zone",         "hang",       "deaf-machine", "shut-door",
+    "late-reports", "machine-dies", "cloud-down", "cancel"};
+
+const char *trouble_name(enum trouble k)
+{
+    return names[k];
+}
+
+int world_leader(void)
+{
+    int best = 0;
+    unsigned most = 0;
+
+    for (int i = 0; i < w.layout.nodes; i++) {
+        unsigned n = 0;
+        for (int k = 0; k < w.layout.nodes && w.nodes[i].core; k++)
+            n += w.nodes[i].core->parts[k].mine ? w.nodes[i].core->parts[k].list->len : 0;
+        if (n > most) {
+            most = n;
+            best = i;
+        }
+    }
+    return best;
+}
+
+void world_cancel_some(double share)
+{
+    for (int i = 0; i < JOBS; i++)
+        if (w.jobs[i].submitted && w.jobs[i].cancelled_at < 0 && !w.jobs[i].told_done &&
+            world_chance(share))
+            world_cancel(&w.jobs[i]);
+}
+
+static void later(double *until, double s)
+{
+    *until = MAX(*until, w.now + s);
+}
+
+static void on_nodes(enum trouble k, int who, double s)
+{
+    struct node *n = &w.nodes[who];
+
+    switch (k) {
+    case T_REFUSED:
+        later(&n->cut_until, s);
+        break;
+    case T_ISOLATED:
+        later(&n->cut_until, s);
+        later(&n->mute_until, s);
+        break;
+    case T_SLOW_STATE:
+        later(&n->slow_until, s);
+        break;
+    case T_CRASH:
+        if (n->core)
+            node_crash(n, s);
+        break;
+    case T_FREEZE:
+        later(&n->still_until, s);
+        break;
+    case T_DEAF_NODE:
+        later(&n->deaf_until, s);
+        break;
+    case T_MUTE_NODE:
+        later(&n->mute_until, s);
+        break;
+    case T_LEAVE:
+        if (n->core)
+            lmn_leave(n->core, w.clock);
+        break;
+    default:
+        break;
+    }
+}
+
+/* A few machines, or those that report to a node with it: a zone by itself. */
+static void on_machines(enum trouble k, int who, double s)
+{
+    for (int i = 0; i < w.layout.machines; i++) {
+        struct machine *m = &w.machines[i];
+        if (k == T_ZONE ? m->node != who : !world_chance(0.4))
+            continue;
+        switch (k) {
+        case T_ZONE:
+            m->island = who;
+            later(&m->island_until, s);
+            break;
+        case T_HANG:
+            later(&m->hang_until, s);
+            break;
+        case T_DEAF_MACHINE:
+            later(&m->unheard_until, s);
+            break;
+        case T_SHUT_DOOR:
+            later(&m->closed_until, s);
+            break;
+        case T_MACHINE_DIES:
+            if (world_chance(0.3)) {
+                m->dead = true;
+                m->ntasks = 0;
+            }
+            break;
+        default:
+            break;
+        }
+    }
+    if (k == T_ZONE)
+        later(&w.nodes[who].zone_until, s);
+}
+
+void trouble_begin(enum trouble k, int who, double s)
+{
+    switch (k) {
+    case T_OUTAGE:
+    case T_CRASH_ALL:
+        for (int i = 0; i < w.layout.nodes; i++)
+            on_nodes(k == T_OUTAGE ? T_REFUSED : T_CRASH, i, s);
+        break;
+    case T_LATE_WRITES:
+        later(&w.late_until, s);
+        break;
+    case T_LATE_REPORTS:
+        later(&w.copies_until, s);
+        break;
+    case T_CLOUD:
+        later(&w.cloud_down_until, s);
+        break;
+    case T_CANCEL:
+        world_cancel_some(0.5);
+        break;
+    default:
+        on_nodes(k, who, s);
+        on_machines(k, who, s);
+        break;
+    }
+}
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -22,18 +22,21 @@
 
 enum guard {
     G_NONE,
-    G_ACCOUNT, /* inherited tasks wait until all machines are accounted for */
-    G_UNSURE,  /* unanswered direct starts are not given up */
-    G_QUOTA,   /* limits are shared out among the partitions */
-    G_PLACE,   /* only machines that the job allows */
-    G_FENCE,   /* a node with an old view stops answering workers */
-    G_DONE,    /* done only what a worker has reported done */
-    G_FINAL,   /* final states are written conditionally */
-    G_SPREAD,  /* tasks of a job that is spread look at each other's zones */
-    G_JUDGED,  /* inherited tasks wait although their owner was judged */
-    G_ORDER,   /* a report is dropped if a newer one of its worker was heard */
-    G_TOLD,    /* starts wait until the standby has acknowledged them */
-    G_KILLS,   /* the first answer of a new term ends what is withdrawn */
+    G_ACCOUNT,  /* inherited tasks wait until all machines are accounted for */
+    G_UNSURE,   /* unanswered direct starts are not given up */
+    G_QUOTA,    /* limits are shared out among the partitions */
+    G_PLACE,    /* only machines that the job allows */
+    G_FENCE,    /* a node with an old view stops answering workers */
+    G_DONE,     /* done only what a worker has reported done */
+    G_FINAL,    /* final states are written conditionally */
+    G_SPREAD,   /* tasks of a job that is spread look at each other's zones */
+    G_JUDGED,   /* inherited tasks wait although their owner was judged */
+    G_ORDER,    /* a report is dropped if a newer one of its worker was heard */
+    G_TOLD,     /* starts wait until the standby has acknowledged them */
+    G_ANNOUNCE, /* a node sees to it that its record stands */
+    G_SENT,     /* a view is as old as its question, not its answer */
+    G_LATE,     /* what is carried out late is conditional like all else */
+    G_KILLS,    /* the first answer of a new term ends what is withdrawn */
 };
 
 enum rule { R_TWICE, R_QUOTA, R_PLACE, R_CANCELLED, R_NOT_DONE, R_WENT_BACK, RULES };
@@ -110,12 +113,15 @@
     struct lmn_settings cfg;
     struct lmn_state *state;
     struct lmn_core *core;
-    uint64_t revision, lease;
-    size_t seen; /* events applied */
+    uint64_t revision, lease, announced; /* the lease of which a record was written */
+    size_t seen;                         /* events applied */
     double down_until, cut_until, renewed;
     double zone_until; /* its zone is cut off: it reaches only its island until then */
     double still_until, deaf_until, mute_until; /* it stands still, and is cut off from
                                                    the workers, from its peers, until */
+    double slow_until;       /* the state service answers it late, until */
+    double asked, answer;    /* when it asked last, and when that will be answered */
+    size_t asked_len;        /* events when it did */
     bool judged[MOST_NODES]; /* it has the partition from one that was judged */
     GPtrArray *waiting;      /* struct waiter: starts that wait for a standby */
 };
@@ -157,6 +163,7 @@
     GPtrArray *late; /* struct late: transactions on their way */
     uint64_t rev, next_lease;
     double cloud_down_until;
+    double late_until, copies_until; /* many transactions, and reports, are late */
     struct node nodes[MOST_NODES];
     struct machine machines[MOST_MACHINES];
     struct job jobs[JOBS];
@@ -223,6 +230,8 @@
 /* A write of the thread that holds the lease; what becomes of it is not always known. */
 enum lmn_outcome node_send(struct lmn_txn *t);
 void node_step(struct node *n, int i);
+/* Its memory is gone, its lease runs on; it is back after so many seconds. */
+void node_crash(struct node *n, double down_s);
 
 /* --- peers.c: what they send each other, and straight to workers --- */
 
@@ -235,6 +244,37 @@
                     struct machine *m, GByteArray *body);
 void node_direct(struct node *n);
 
+/* --- troubles.c: what a schedule begins --- */
+
+enum trouble {
+    T_REFUSED,  /* the state service refuses one controller */
+    T_OUTAGE,   /* it is down for all */
+    T_ISOLATED, /* a controller is cut from the state service and from the others */
+    T_SLOW_STATE,
+    T_LATE_WRITES,
+    T_CRASH,
+    T_CRASH_ALL,
+    T_FREEZE,
+    T_DEAF_NODE, /* it is cut from the workers */
+    T_MUTE_NODE, /* from the other controllers */
+    T_LEAVE,
+    T_ZONE, /* a controller and its machines are cut off by themselves */
+    T_HANG,
+    T_DEAF_MACHINE, /* reports arrive, nothing gets back */
+    T_SHUT_DOOR,    /* direct calls are held up */
+    T_LATE_REPORTS,
+    T_MACHINE_DIES,
+    T_CLOUD,
+    T_CANCEL,
+    TROUBLES
+};
+const char *trouble_name(enum trouble k);
+/* Who owns most machines. */
+int world_leader(void);
+void world_cancel_some(double share);
+/* who: the controller that it befalls, if one is to. */
+void trouble_begin(enum trouble k, int who, double s);
+
 /* --- day.c --- */
 
 /* The user cancels the job through a node that reaches the state service; not if there is
@@ -244,7 +284,7 @@
 bool node_served(const struct node *n);
 /* Once nothing goes wrong any more: no partition without an owner that is ready, nobody
  * suspected or judged for ever. */
-void world_all_is_well(void);
+bool world_is_well(void);
 /* A whole day. */
 void world_play(const struct layout *l, uint32_t seed, enum guard broken);
 
