--- a/src/member/member.c
+++ b/src/member/member.c
@@ -143,6 +143,10 @@
         m->next = now;
     }
     m->doubt_inc = rev ? inc : 0;
+    /* A verdict stands as long as the suspicion that it was about. Once a member whose
+     * accuser had ended before it refuted had nothing to refute any more, and stayed
+     * judged for ever. */
+    m->judged = m->judged && m->doubt_inc == m->inc;
     m->doubt_why = why;
     g_strlcpy(m->doubt_by, by, sizeof m->doubt_by);
 }
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -136,6 +136,24 @@
     assert_false(lmn_member_judged(&ms, 2, at(now)));
 }
 
+/* The accuser has ended, and its suspicion with it, before the judged could refute: it had nothing
+ * to refute any more, and was trusted by nobody for ever. */
+static void a_verdict_ends_with_its_suspicion(void **state)
+{
+    (void)state;
+
+    meet(3);
+    pass(5, 2, true);
+    doubt(2, LMN_SILENT);
+    pass(5, 2, true);
+    lmn_member_strike(&ms, 2, at(now));
+    pass(5, 3, true);
+    assert_false(lmn_member_trusted(&ms, 2, at(now)));
+    lmn_member_doubt(&ms, 2, 0, 0, "", LMN_SILENT, at(now));
+    pass(1, 3, true);
+    assert_true(lmn_member_trusted(&ms, 2, at(now)));
+}
+
 static void one_side_is_not_enough(void **state)
 {
     struct lmn_evidence e;
@@ -461,6 +479,7 @@
         cmocka_unit_test(tells_how_unlikely_a_wait_is),
         cmocka_unit_test(times_follow_from_the_settings),
         cmocka_unit_test(silence_is_suspected_then_judged),
+        cmocka_unit_test(a_verdict_ends_with_its_suspicion),
         cmocka_unit_test(one_side_is_not_enough),
         cmocka_unit_test(late_copies_are_no_witnesses),
         cmocka_unit_test(most_are_not_judged_at_a_time),
