--- a/src/own/answer.c
+++ b/src/own/answer.c
@@ -236,9 +236,12 @@
         return 503; /* it was overtaken on its way */
     if (m->lapsed && r->session == m->session)
         return 503; /* its tasks are given up: the session has to end */
-    /* A copy that comes late is no sign that workers reach this node; one that nothing is
-     * known of may be one. */
-    if (m->heard)
+    /* Overtaken by the answer to a direct command: it renews the lease, and says nothing
+     * new. */
+    bool overtaken = m->heard && r->session == m->session && r->seq <= m->seq;
+    /* A copy that comes late is no sign that workers reach this node, nor is what was
+     * overtaken: it may have been for minutes. One that nothing is known of may be one. */
+    if (m->heard && !overtaken)
         lmn_members_reached(&c->members, now);
     if (sent_on(c, m, now))
         return redirect_to(c, lmn_partition_next(c, p, now), out);
@@ -250,9 +253,6 @@
     }
     if (!m->type)
         m->type = lmn_type_named(c, m->type_name);
-    /* Overtaken by the answer to a direct command: it renews the lease, and says nothing
-     * new. */
-    bool overtaken = m->heard && r->session == m->session && r->seq <= m->seq;
     if (m->heard && r->session != m->session)
         /* Commands to the old session are refused from now on. */
         for (guint i = 0; i < m->attempts->len; i++) {
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -507,7 +507,10 @@
     assert_true(core->members.shut);
     assert_int_equal(range.nstarted, 4);
     assert_int_equal(lmn_since(m->last, last), 0);
+    m->seq = 20; /* a call's answer: a report from before it may have been on its way for minutes */
     assert_int_equal(report(m, m->name, 2, 13, 1, true, &orders), 200);
+    assert_true(core->members.shut);
+    assert_int_equal(report(m, m->name, 2, 21, 1, true, &orders), 200);
     assert_false(core->members.shut);
     assert_int_equal(range.nstarted, 4);
 }
