--- a/tests/world/day.c
+++ b/tests/world/day.c
@@ -205,7 +205,11 @@
     for (int i = 0; i < w.layout.nodes; i++) {
         const struct lmn_core *c = w.nodes[i].core;
         int owners = 0;
+        if (!c)
+            return false;
         for (int k = 0; k < w.layout.nodes; k++) {
+            if (!w.nodes[k].core)
+                return false;
             const struct lmn_partition *p = &w.nodes[k].core->parts[i];
             owners += p->mine && p->ready;
             if (!lmn_member_trusted(&c->members, k, w.clock))
--- a/tests/world/troubles.c
+++ b/tests/world/troubles.c
@@ -141,3 +141,23 @@
         break;
     }
 }
+
+double world_trouble_until(void)
+{
+    double last = MAX(w.late_until, MAX(w.copies_until, w.cloud_down_until));
+
+    for (int i = 0; i < w.layout.nodes; i++) {
+        const struct node *n = &w.nodes[i];
+        const double until[] = {n->cut_until,  n->mute_until,  n->slow_until,
+                                n->down_until, n->still_until, n->deaf_until,
+                                n->zone_until};
+        for (size_t k = 0; k < G_N_ELEMENTS(until); k++)
+            last = MAX(last, until[k]);
+    }
+    for (int i = 0; i < w.layout.machines; i++) {
+        const struct machine *m = &w.machines[i];
+        last = MAX(last, MAX(m->island_until, m->hang_until));
+        last = MAX(last, MAX(m->unheard_until, m->closed_until));
+    }
+    return last;
+}
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -285,6 +285,8 @@
 /* Once nothing goes wrong any more: no partition without an owner that is ready, nobody
  * suspected or judged for ever. */
 bool world_is_well(void);
+/* When the last of the troubles that have begun is over. */
+double world_trouble_until(void);
 /* A whole day. */
 void world_play(const struct layout *l, uint32_t seed, enum guard broken);
 
