--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -655,6 +655,35 @@
     g_byte_array_unref(body);
 }
 
+/* A call was under way when its job was withdrawn: its starts were left alone until its outcome was
+ * known, and the answer renewed the lease. */
+static void starts_under_way_are_ended(void **state)
+{
+    char name[LMN_NAME], addr[LMN_ADDR];
+    GByteArray *body = g_byte_array_new();
+    uint64_t orders, seq = 0;
+    (void)state;
+
+    make(0);
+    with_type();
+    struct lmn_machine *m = add(1);
+    m->type = &core->types.v[0];
+    queue_tasks(4);
+    assert_int_equal(report(m, m->name, 2, ++seq, 1, true, &orders), 200);
+    lmn_machine_empty(core, m, "to begin with", now);
+    lmn_poke(m);
+    assert_true(lmn_direct_next(core, 0, 1, name, addr, body, now));
+    assert_int_equal(m->attempts->len, 4);
+    now = lmn_after(now, 1);
+    assert_int_equal(report(m, m->name, 2, ++seq, 1, false, &orders), 200);
+    assert_int_equal(orders, 0);
+    job.phase = LMN_WITHDRAWN;
+    assert_int_equal(report(m, m->name, 2, ++seq, 1, false, &orders), 200);
+    assert_int_equal(commands(answered, W_START), 4);
+    assert_int_equal(commands(answered, W_KILL), 4);
+    g_byte_array_unref(body);
+}
+
 static bool took(unsigned most, unsigned want, uint64_t *upto)
 {
     const char *refs[LMN_TOMBSTONES];
@@ -769,6 +798,7 @@
         cmocka_unit_test(each_answer_ends_what_is_withdrawn),
         cmocka_unit_test(a_withheld_answer_keeps_its_kills),
         cmocka_unit_test(nothing_starts_behind_the_fence),
+        cmocka_unit_test(starts_under_way_are_ended),
         cmocka_unit_test(tombstones_help_and_decide_nothing),
         cmocka_unit_test(malformed_reports_change_nothing),
         cmocka_unit_test(idle_counts_from_readiness),
