--- a/src/decide/queue.c
+++ b/src/decide/queue.c
@@ -8,6 +8,7 @@
 #include "decide/quota.h"
 #include "standby/stream.h"
 #include "state/books.h"
+#include "state/core.h"
 
 #include <math.h>
 #include <string.h>
--- a/src/state/core.c
+++ b/src/state/core.c
@@ -1,4 +1,5 @@
 #include "state/core.h"
+#include "base/log.h"
 #include "base/thread.h"
 #include "state/books.h"
 
@@ -143,3 +144,22 @@
 {
     return lmn_staleness(c, now) > lmn_settings_stale_limit(c->cfg);
 }
+
+bool lmn_tombstone_heard(struct lmn_core *c, const char *ref, struct timespec now)
+{
+    struct lmn_job *j = g_hash_table_lookup(c->jobs, ref);
+
+    /* Of a job that the mirror does not show yet, nothing was started here. */
+    if (!j || j->phase != LMN_ACTIVE)
+        return false;
+    if (!j->tombstone.tv_sec)
+        lmn_debug("job-tombstone job=%s", ref);
+    j->tombstone = now;
+    return true;
+}
+
+bool lmn_job_wanted(const struct lmn_core *c, const struct lmn_job *j)
+{
+    return j && j->phase == LMN_ACTIVE &&
+           !(j->tombstone.tv_sec && lmn_before(c->fresh, j->tombstone));
+}
--- a/src/state/core.h
+++ b/src/state/core.h
@@ -27,4 +27,10 @@
  * it answers none of them, and sends them nothing. */
 bool lmn_too_stale(const struct lmn_core *c, struct timespec now);
 
+/* Another controller says that the job is withdrawn; false: the mirror knows better. */
+bool lmn_tombstone_heard(struct lmn_core *c, const char *ref, struct timespec now);
+/* Whether the job's tasks may run: it is active, and no tombstone says that this view of
+ * it is too old. NULL: it is not known, and nothing of it may. */
+bool lmn_job_wanted(const struct lmn_core *c, const struct lmn_job *j);
+
 #endif
--- a/src/state/tombstone.c
+++ b/src/state/tombstone.c
@@ -1,6 +1,6 @@
 #include "state/tombstone.h"
-#include "base/log.h"
-#include "state/model.h"
+
+#include <glib.h>
 
 void lmn_tombstone_add(struct lmn_tombstones *t, const char *ref)
 {
@@ -24,22 +24,3 @@
 {
     t->taken[rank] = MAX(t->taken[rank], upto);
 }
-
-bool lmn_tombstone_heard(struct lmn_core *c, const char *ref, struct timespec now)
-{
-    struct lmn_job *j = g_hash_table_lookup(c->jobs, ref);
-
-    /* Of a job that the mirror does not show yet, nothing was started here. */
-    if (!j || j->phase != LMN_ACTIVE)
-        return false;
-    if (!j->tombstone.tv_sec)
-        lmn_debug("job-tombstone job=%s", ref);
-    j->tombstone = now;
-    return true;
-}
-
-bool lmn_job_wanted(const struct lmn_core *c, const struct lmn_job *j)
-{
-    return j && j->phase == LMN_ACTIVE &&
-           !(j->tombstone.tv_sec && lmn_before(c->fresh, j->tombstone));
-}
--- a/src/state/tombstone.h
+++ b/src/state/tombstone.h
@@ -26,19 +26,10 @@
     uint64_t taken[LMN_MAX_PARTS]; /* by rank: all before this one */
 };
 
-struct lmn_core;
-struct lmn_job;
-
 void lmn_tombstone_add(struct lmn_tombstones *t, const char *ref);
 /* The oldest that the member has not taken, at most `most` of them; returns how many, and
  * in *upto what to say to lmn_tombstones_taken once it has. */
 unsigned lmn_tombstones_for(const struct lmn_tombstones *t, int rank, const char **refs,
                             unsigned most, uint64_t *upto);
 void lmn_tombstones_taken(struct lmn_tombstones *t, int rank, uint64_t upto);
-/* Another controller says that the job is withdrawn; false: the mirror knows better. */
-bool lmn_tombstone_heard(struct lmn_core *c, const char *ref, struct timespec now);
-/* Whether the job's tasks may run: it is active, and no tombstone says that this view of
- * it is too old. NULL: it is not known, and nothing of it may. */
-bool lmn_job_wanted(const struct lmn_core *c, const struct lmn_job *j);
-
 #endif
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -11,6 +11,7 @@
 #include "own/upkeep.h"
 #include "own/worker.h"
 #include "state/books.h"
+#include "state/core.h"
 #include "state/model.h"
 #include "state/state.h"
 
--- a/tests/world/peers.c
+++ b/tests/world/peers.c
@@ -1,4 +1,5 @@
 /* What controllers send each other, and straight to workers. */
+#include "state/core.h"
 #include "world.h"
 
 #include "base/wire.h"
