--- a/tests/world/day.c
+++ b/tests/world/day.c
@@ -166,19 +166,14 @@
 {
     struct node *n = confirming(j);
     char key[64];
-    struct lmn_doc d;
     struct lmn_spec s;
-    enum lmn_phase phase;
     uint32_t open;
     double at;
 
     if (!n)
         return;
     g_snprintf(key, sizeof key, "j/%s", j->ref);
-    struct item *it = g_hash_table_lookup(w.store, key);
-    assert_int_equal(lmn_doc_parse(&d, it->value->data, it->value->len), 0);
-    assert_int_equal(lmn_job_read(&d, lmn_root(&d), &s, &phase, &open, &at), 0);
-    lmn_doc_free(&d);
+    enum lmn_phase phase = world_read_job(j, &s, &open, &at);
     if (phase == LMN_ACTIVE || w.broken == G_FINAL) {
         GByteArray *b = lmn_job_record(&s, LMN_WITHDRAWN, open, at);
         w.rev++;
--- a/tests/world/rules.c
+++ b/tests/world/rules.c
@@ -1,7 +1,6 @@
 /* The protocol's rules, checked after each step. */
 #include "world.h"
 
-#include "state/records.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -18,8 +17,8 @@
  * tasks, though it will notice only when it goes on. */
 bool world_holds(const struct machine *m)
 {
-    /* Nor in the step in which it goes on, before its turn: the first thing that it does is
-     * to end them. */
+    /* Nor in the step in which it goes on, before its turn: the first thing that it does
+     * is to end them. */
     bool hangs = w.now - STEP_S < m->hang_until;
 
     return !m->dead && !(hangs && w.now - m->lease_from > w.lease_s);
@@ -67,20 +66,13 @@
         }
     for (int i = 0; i < JOBS; i++) {
         struct job *j = &w.jobs[i];
-        char key[64];
-        struct lmn_doc d;
         struct lmn_spec s;
-        enum lmn_phase phase;
         uint32_t open;
         double at;
         if (!j->submitted)
             continue;
-        g_snprintf(key, sizeof key, "j/%s", j->ref);
-        struct item *it = g_hash_table_lookup(w.store, key);
-        assert_int_equal(lmn_doc_parse(&d, it->value->data, it->value->len), 0);
-        assert_int_equal(lmn_job_read(&d, lmn_root(&d), &s, &phase, &open, &at), 0);
+        enum lmn_phase phase = world_read_job(j, &s, &open, &at);
         lmn_spec_clear(&s);
-        lmn_doc_free(&d);
         if (phase == LMN_FINISHED && !j->told_done) {
             j->told_done = true;
             w.finished++;
--- a/tests/world/store.c
+++ b/tests/world/store.c
@@ -1,4 +1,5 @@
 /* The stand-in state service: conditions, leases, and a log that controllers follow. */
+#include "state/records.h"
 #include "world.h"
 
 #include <stdlib.h>
@@ -138,3 +139,18 @@
         g_list_free(keys);
     }
 }
+
+enum lmn_phase world_read_job(const struct job *j, struct lmn_spec *s, uint32_t *open,
+                              double *at)
+{
+    char key[64];
+    struct lmn_doc d;
+    enum lmn_phase phase;
+
+    g_snprintf(key, sizeof key, "j/%s", j->ref);
+    const struct item *it = g_hash_table_lookup(w.store, key);
+    assert_int_equal(lmn_doc_parse(&d, it->value->data, it->value->len), 0);
+    assert_int_equal(lmn_job_read(&d, lmn_root(&d), s, &phase, open, at), 0);
+    lmn_doc_free(&d);
+    return phase;
+}
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -192,6 +192,9 @@
 
 /* One change, at the revision that the caller has raised. */
 void world_put(const char *key, const GByteArray *value, uint64_t lease);
+/* The job's record as it stands; the description is to be cleared. */
+enum lmn_phase world_read_job(const struct job *j, struct lmn_spec *s, uint32_t *open,
+                              double *at);
 enum lmn_outcome world_commit(const struct lmn_txn *t, uint64_t *rev);
 /* The same transaction, once more: to be carried out seconds later, after newer ones. */
 void world_late(const struct lmn_txn *t);
