--- a/src/serve/ask.c
+++ b/src/serve/ask.c
@@ -136,10 +136,12 @@
     return n;
 }
 
-/* Withdrawals that the member may not see yet, on the connection that has just answered. */
+/* Withdrawals that the member may not see yet, on the connection that has just answered.
+ */
 static void tell_tombstones(struct lmn_core *c, struct asked *peer, int rank)
 {
-    const struct timeval wait = {1, 0};
+    /* It has just answered. Whoever stands still now must not hold up the questions. */
+    const struct timeval wait = {0, 250000};
     char ref[LMN_XDR_TUNINGS][LMN_REF];
     const char *refs[LMN_XDR_TUNINGS];
     lmn_xref jobs[LMN_XDR_TUNINGS];
@@ -160,7 +162,8 @@
     enum clnt_stat r =
         clnt_call(peer->client, LMN_WITHDRAWN, (xdrproc_t)xdr_lmn_xtombstones, (char *)&x,
                   (xdrproc_t)xdr_u_int, (char *)&fresh, wait);
-    if (r == RPC_SUCCESS || r == RPC_PROCUNAVAIL) { /* an older program has no use for them */
+    if (r == RPC_SUCCESS ||
+        r == RPC_PROCUNAVAIL) { /* an older program has no use for them */
         pthread_mutex_lock(&c->lock);
         lmn_tombstones_taken(&c->tombstones, rank, upto);
         pthread_mutex_unlock(&c->lock);
--- a/src/state/core.h
+++ b/src/state/core.h
@@ -24,7 +24,7 @@
 #define LMN_STALE_S 3.0
 double lmn_staleness(const struct lmn_core *c, struct timespec now);
 /* It may have missed a cancellation for so long that its workers' leases have to run out:
- * it answers none of them, and sends them nothing. */
+ * it answers none of them, and starts nothing. */
 bool lmn_too_stale(const struct lmn_core *c, struct timespec now);
 
 /* Another controller says that the job is withdrawn; false: the mirror knows better. */
