--- a/tests/test_meetings.c
+++ b/tests/test_meetings.c
@@ -480,6 +480,6 @@
     }
     lmn_log_level = LMN_LOG_ERROR;
     if (argc > 1)
-        factor = MAX((unsigned)atoi(argv[1]), 1);
+        factor = (unsigned)MAX(atoi(argv[1]), 1);
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
