--- a/src/base/toml.cpp
+++ b/src/base/toml.cpp
@@ -19,8 +19,8 @@
     using std::runtime_error::runtime_error;
 };
 
-void text(const toml::table &t, const std::string &at, const char *key, char *out, size_t len,
-          bool required = true)
+void text(const toml::table &t, const std::string &at, const char *key, char *out,
+          size_t len, bool required = true)
 {
     auto v = t[key];
     if (!v) {
@@ -29,7 +29,8 @@
         return;
     }
     auto s = v.value<std::string>();
-    if (!s || s->empty() || s->size() >= len || s->find_first_of(" \t\n/") != std::string::npos)
+    if (!s || s->empty() || s->size() >= len ||
+        s->find_first_of(" \t\n/") != std::string::npos)
         throw wrong(at + key + ": expected a text of 1 to " + std::to_string(len - 1) +
                     " characters without spaces or slashes");
     std::memcpy(out, s->c_str(), s->size() + 1);
@@ -41,11 +42,12 @@
     int port;
     text(t, at, key, out, LMN_ADDR);
     if (lmn_addr_split(out, host, sizeof host, &port) != 0)
-        throw wrong(at + key + ": expected an IPv4 address and a port, as in 10.0.0.1:8080");
+        throw wrong(at + key +
+                    ": expected an IPv4 address and a port, as in 10.0.0.1:8080");
 }
 
-double number(const toml::table &t, const std::string &at, const char *key, double def, double lo,
-              double hi)
+double number(const toml::table &t, const std::string &at, const char *key, double def,
+              double lo, double hi)
 {
     auto v = t[key];
     if (!v)
@@ -59,7 +61,8 @@
     return *d;
 }
 
-int whole(const toml::table &t, const std::string &at, const char *key, int def, int lo, int hi)
+int whole(const toml::table &t, const std::string &at, const char *key, int def, int lo,
+          int hi)
 {
     double d = number(t, at, key, def, lo, hi);
     if (d != std::floor(d))
@@ -76,7 +79,8 @@
     return {};
 }
 
-template <class F> void each(const toml::table &t, const std::string &at, const char *key, F f)
+template <class F>
+void each(const toml::table &t, const std::string &at, const char *key, F f)
 {
     if (!t[key])
         return;
@@ -115,8 +119,8 @@
     addr(out, "outside.", "cloud", s.cloud);
     addr(out, "outside.", "state", s.state);
     auto p = sub(t, "params");
-    s.partitions =
-        whole(p, "params.", "initial_size", static_cast<int>(s.nmembers) + 1, 1, LMN_MAX_PARTS);
+    s.partitions = whole(p, "params.", "initial_size", static_cast<int>(s.nmembers) + 1,
+                         1, LMN_MAX_PARTS);
     each(p, "params.", "teams", [&](const toml::table &m, const std::string &at) {
         if (s.nteams == LMN_MAX_TEAMS)
             throw wrong("params.teams: too many");
@@ -168,10 +172,12 @@
     auto r = sub(p, "resources");
     s.cores = number(r, "params.resources.", "cores", 1, 0.001, 1e6);
     s.memory_mb = number(r, "params.resources.", "memory_mb", 128, 16, 1e9);
-    s.max_connections = whole(r, "params.resources.", "max_connections", 1024, 32, 10000000);
+    s.max_connections =
+        whole(r, "params.resources.", "max_connections", 1024, 32, 10000000);
 }
 
-int parse(const std::string &doc, const char *name, lmn_settings *s, char *err, size_t errlen)
+int parse(const std::string &doc, const char *name, lmn_settings *s, char *err,
+          size_t errlen)
 {
     std::memset(s, 0, sizeof *s);
     try {
@@ -189,13 +195,14 @@
 
 } // namespace
 
-extern "C" int lmn_settings_parse(const char *t, const char *name, lmn_settings *s, char *err,
-                                  size_t errlen)
+extern "C" int lmn_settings_parse(const char *t, const char *name, lmn_settings *s,
+                                  char *err, size_t errlen)
 {
     return parse(t, name, s, err, errlen);
 }
 
-extern "C" int lmn_settings_load(const char *path, lmn_settings *s, char *err, size_t errlen)
+extern "C" int lmn_settings_load(const char *path, lmn_settings *s, char *err,
+                                 size_t errlen)
 {
     std::ifstream in(path);
     std::stringstream doc;
@@ -222,7 +229,8 @@
             flatten(c, (path.empty() ? "" : path + ".") + std::string(key.str()), value);
     } else if (auto *a = n.as_array()) {
         size_t i = 0;
-        lmn_conf_add(c, path.c_str(), LMN_CONF_ARRAY, "", static_cast<double>(a->size()), line);
+        lmn_conf_add(c, path.c_str(), LMN_CONF_ARRAY, "", static_cast<double>(a->size()),
+                     line);
         for (auto &e : *a)
             flatten(c, path + "[" + std::to_string(i++) + "]", e);
     } else if (auto *b = n.as_boolean()) {
@@ -232,13 +240,15 @@
     } else if (auto s = n.value<std::string>()) {
         lmn_conf_add(c, path.c_str(), LMN_CONF_TEXT, s->c_str(), 0, line);
     } else {
-        lmn_conf_add(c, path.c_str(), LMN_CONF_TABLE, "", 0, line); // dates: of no field here
+        lmn_conf_add(c, path.c_str(), LMN_CONF_TABLE, "", 0,
+                     line); // dates: of no field here
     }
 }
 
 } // namespace
 
-extern "C" lmn_conf *lmn_conf_parse(const char *text, const char *name, char *err, size_t len)
+extern "C" lmn_conf *lmn_conf_parse(const char *text, const char *name, char *err,
+                                    size_t len)
 {
     try {
         auto doc = toml::parse(std::string(text));
--- a/src/emulate/driver.c
+++ b/src/emulate/driver.c
@@ -20,9 +20,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-/* A report that is not answered holds its sender for 4 s. With 24 of them a controller that
- * could not hear 300 workers stopped the reports of all others, too, and no worker came to
- * anybody else. */
+/* A report that is not answered holds its sender for 4 s. With 24 of them a controller
+ * that could not hear 300 workers stopped the reports of all others, too, and no worker
+ * came to anybody else. */
 enum { SENDERS = 192, ASKERS = 4, MAX_BODY = 64 * 1024, MAX_SPECS = 5000 };
 static const double PASS_S = 0.01, ANSWER_S = 4;
 
--- a/src/own/answer.c
+++ b/src/own/answer.c
@@ -240,7 +240,8 @@
      * new. */
     bool overtaken = m->heard && r->session == m->session && r->seq <= m->seq;
     /* A copy that comes late is no sign that workers reach this node, nor is what was
-     * overtaken: it may have been for minutes. One that nothing is known of may be one. */
+     * overtaken: it may have been for minutes. One that nothing is known of may be one.
+     */
     if (m->heard && !overtaken)
         lmn_members_reached(&c->members, now);
     if (sent_on(c, m, now))
--- a/src/serve/standbys.c
+++ b/src/serve/standbys.c
@@ -86,9 +86,10 @@
     lmn_counter(out, "lemonspar_standby_streams", "Copies begun", sum.streams);
     lmn_counter(out, "lemonspar_standby_strikes", "Standbys struck off the record",
                 sum.strikes);
-    lmn_counter(out, "lemonspar_tombstones",
-                "Withdrawals that another controller told of before the mirror showed them",
-                c->count.tombstones);
+    lmn_counter(
+        out, "lemonspar_tombstones",
+        "Withdrawals that another controller told of before the mirror showed them",
+        c->count.tombstones);
     lmn_counter(out, "lemonspar_starts_withheld",
                 "Starts taken back since no standby acknowledged them",
                 c->count.withheld);
--- a/src/standby/stream.h
+++ b/src/standby/stream.h
@@ -13,8 +13,9 @@
 #include "standby/batch.h"
 #include "standby/copy.h"
 
-/* Who is this far behind would be struck off at once: with eight times the machines, copies
- * were begun and broken off all day, and a tenth fewer tasks started for it. Seconds. */
+/* Who is this far behind would be struck off at once: with eight times the machines,
+ * copies were begun and broken off all day, and a tenth fewer tasks started for it.
+ * Seconds. */
 #define LMN_STANDBY_CALM_S 0.25
 
 /* Who should follow this node in the partition: the rank of a trusted member, -1: nobody.
--- a/src/state/model.h
+++ b/src/state/model.h
@@ -50,7 +50,8 @@
     double left;     /* processor seconds that have not been started */
     GArray *zones;   /* struct lmn_zone_tasks, of a job whose tasks look at each other's
                         places */
-    struct timespec tombstone; /* when another controller told of its withdrawal; 0: none */
+    struct timespec
+        tombstone; /* when another controller told of its withdrawal; 0: none */
     struct timespec
         final_at; /* when the mirror showed it final, or it was last looked at */
     const struct lmn_partition *ranked; /* mark of the triage under way */
@@ -399,8 +400,8 @@
     bool odd_one; /* the mirror stands still, and only here, as far as known */
     /* since when no other controller is heard either; 0: some are */
     struct timespec isolated;
-    bool leaving;  /* it gives its partitions away, and ends (own/leave.h) */
-    bool left;     /* it has none, and no lease any more */
+    bool leaving; /* it gives its partitions away, and ends (own/leave.h) */
+    bool left;    /* it has none, and no lease any more */
     /* the last try to write this node's record */
     uint64_t announced_lease;
     bool announced_leaving;
--- a/tests/test_asks.c
+++ b/tests/test_asks.c
@@ -28,9 +28,10 @@
     return n;
 }
 
-/* Questions come many times as often as they can be confirmed one by one, and the state service
- * answers now and then only after seconds. Nobody who still listens is left out, nobody is held
- * who doesn't, a job stands once in a batch, and what comes first is taken first. */
+/* Questions come many times as often as they can be confirmed one by one, and the state
+ * service answers now and then only after seconds. Nobody who still listens is left out,
+ * nobody is held who doesn't, a job stands once in a batch, and what comes first is taken
+ * first. */
 static void storms(void **state)
 {
     GRand *r = g_rand_new_with_seed(3);
--- a/tests/test_block.c
+++ b/tests/test_block.c
@@ -1,5 +1,5 @@
-/* Records of machines: few writes for many machines, and what stands recorded is what is there,
- * whatever becomes of single writes. */
+/* Records of machines: few writes for many machines, and what stands recorded is what is
+ * there, whatever becomes of single writes. */
 #include "base/clock.h"
 #include "base/codec.h"
 #include "base/job.h"
@@ -117,7 +117,8 @@
         late.version = version;
 }
 
-static void keep_change(void *arg, const char *key, const GByteArray *value, uint64_t lease)
+static void keep_change(void *arg, const char *key, const GByteArray *value,
+                        uint64_t lease)
 {
     (void)lease;
     (void)arg;
@@ -242,13 +243,14 @@
     }
 }
 
-/* A range holds three tasks for each byte of a value's limit (api.c): its done set fits when all but
- * the last task are done, which is its longest form. */
+/* A range holds three tasks for each byte of a value's limit (api.c): its done set fits
+ * when all but the last task are done, which is its longest form. */
 static void full_ranges_fit(void **state)
 {
     (void)state;
     for (uint32_t kb = 1; kb <= 16; kb++) {
-        struct lmn_range r = {.lo = LMN_MAX_TASKS - 1, .hi = LMN_MAX_TASKS - 1 + kb * 1024 * 3};
+        struct lmn_range r = {.lo = LMN_MAX_TASKS - 1,
+                              .hi = LMN_MAX_TASKS - 1 + kb * 1024 * 3};
         uint32_t n = r.hi - r.lo;
         uint8_t *done = g_malloc((n + 7) / 8);
         memset(done, 0xff, (n + 7) / 8);
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -69,8 +69,8 @@
     g_rand_free(r);
 }
 
-/* Cut, prolonged, altered: never a crash, never more memory than the message is worth; cut or
- * prolonged is never accepted. */
+/* Cut, prolonged, altered: never a crash, never more memory than the message is worth;
+ * cut or prolonged is never accepted. */
 static void hostile(void **state)
 {
     GRand *r = g_rand_new_with_seed(2);
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -63,7 +63,8 @@
 }
 
 /* Writes the description once more with one field left out, or replaced. */
-static int parse_with(const struct lmn_spec *s, const char *field, const GByteArray *instead)
+static int parse_with(const struct lmn_spec *s, const char *field,
+                      const GByteArray *instead)
 {
     GByteArray *x = encode(s), *y = g_byte_array_new();
     struct lmn_doc d, e;
@@ -97,16 +98,15 @@
 
 static void each_field_is_checked(void **state)
 {
-    static const char *const required[] = {W_ID,       W_CLASS,      W_TEAM,     W_KIND,
-                                           W_URGENCY,  W_TASKS,      W_CPUS,     W_GPUS,
-                                           W_MEM,      W_IMAGE,      W_IMAGE_GB, W_ONE_ZONE,
-                                           W_SPREAD,   W_SPOT,       W_ESTIMATE, W_CHECKPOINT,
-                                           W_SAVE};
+    static const char *const required[] = {
+        W_ID,     W_CLASS, W_TEAM,     W_KIND,       W_URGENCY,  W_TASKS,
+        W_CPUS,   W_GPUS,  W_MEM,      W_IMAGE,      W_IMAGE_GB, W_ONE_ZONE,
+        W_SPREAD, W_SPOT,  W_ESTIMATE, W_CHECKPOINT, W_SAVE};
     static const char *const optional[] = {W_TYPES, W_ZONE, W_DEADLINE};
     GRand *r = g_rand_new_with_seed(4);
     struct lmn_spec s;
-    GByteArray *list = g_byte_array_new(), *nan = g_byte_array_new(), *minus = g_byte_array_new(),
-               *null = g_byte_array_new();
+    GByteArray *list = g_byte_array_new(), *nan = g_byte_array_new(),
+               *minus = g_byte_array_new(), *null = g_byte_array_new();
     (void)state;
 
     random_spec(r, &s);
@@ -136,15 +136,22 @@
 {
     (void)state;
     assert_true(lmn_ref_ok("run-000412"));
-    static const char *const bad[] = {"",          "run-",        "run",      "run-00041x",
-                                      "Run-000412", "run-000412/0", "job-000412", "run--00412",
-                                      " run-000412", "run-000000000000000000000000000000412"};
+    static const char *const bad[] = {"",
+                                      "run-",
+                                      "run",
+                                      "run-00041x",
+                                      "Run-000412",
+                                      "run-000412/0",
+                                      "job-000412",
+                                      "run--00412",
+                                      " run-000412",
+                                      "run-000000000000000000000000000000412"};
     for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
         assert_false(lmn_ref_ok(bad[i]));
 }
 
-/* Done sets against a naive model: any set comes back as it was, and a text that names a task
- * that there is not is refused. */
+/* Done sets against a naive model: any set comes back as it was, and a text that names a
+ * task that there is not is refused. */
 static void done_sets(void **state)
 {
     GRand *r = g_rand_new_with_seed(5);
@@ -210,8 +217,8 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(round_trip),   cmocka_unit_test(each_field_is_checked),
-        cmocka_unit_test(forms_of_ids), cmocka_unit_test(done_sets),
+        cmocka_unit_test(round_trip),         cmocka_unit_test(each_field_is_checked),
+        cmocka_unit_test(forms_of_ids),       cmocka_unit_test(done_sets),
         cmocka_unit_test(what_can_never_run),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -1,5 +1,5 @@
-/* What bends at a limit: sockets by purpose over generated sizes, a server that is full of workers
- * and still answers users, what is shed. */
+/* What bends at a limit: sockets by purpose over generated sizes, a server that is full
+ * of workers and still answers users, what is shed. */
 #include "base/httpd.h"
 #include "base/http_client.h"
 #include "limits/hosts.h"
@@ -97,14 +97,15 @@
     /* Many that pass make fewer stand. */
     unsigned storm[] = {p.accepted / 2, 3, p.accepted / 2};
     assert_false(lmn_socket_stands(&p, storm, LMN_SOCKET_WORKER, false));
-    /* Users of a node that alone can't confirm anything go elsewhere; its workers stay. */
+    /* Users of a node that alone can't confirm anything go elsewhere; its workers stay.
+     */
     assert_true(lmn_socket_stands(&p, quiet, LMN_SOCKET_USER, false));
     assert_false(lmn_socket_stands(&p, quiet, LMN_SOCKET_USER, true));
     assert_true(lmn_socket_stands(&p, quiet, LMN_SOCKET_WORKER, true));
 }
 
-/* A crowd of workers that comes all at once, none of them answered yet, leaves users' part
- * alone; users come in whatever stands. */
+/* A crowd of workers that comes all at once, none of them answered yet, leaves users'
+ * part alone; users come in whatever stands. */
 static void admission(void **state)
 {
     GRand *rng = g_rand_new_with_seed(5);
@@ -175,7 +176,8 @@
     assert_true(lmn_load_share(0.3, LMN_SHED_POLL) == 0);
     assert_true(lmn_load_share(0.9, LMN_SHED_SUBMISSION) == 0);
     assert_true(lmn_load_share(10, LMN_SHED_START) == 1);
-    /* A node that stood still for a moment is itself again after a few seconds on time. */
+    /* A node that stood still for a moment is itself again after a few seconds on time.
+     */
     for (int i = 0; i < 4; i++)
         lmn_load_note(&l, 3, 3);
     assert_true(l.behind > 2.5);
@@ -185,7 +187,8 @@
         lmn_load_note(&l, 0, 0.15);
     assert_true(l.behind < 0.1);
     assert_false(lmn_load_sheds(&l, LMN_SHED_POLL, rng));
-    /* Those sent away come back spread, never at once, never after the protocol's 30 s. */
+    /* Those sent away come back spread, never at once, never after the protocol's 30 s.
+     */
     unsigned at[31] = {0};
     for (int i = 0; i < 3000; i++) {
         int s = lmn_retry_after(8, rng);
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -136,8 +136,8 @@
     assert_false(lmn_member_judged(&ms, 2, at(now)));
 }
 
-/* The accuser has ended, and its suspicion with it, before the judged could refute: it had nothing
- * to refute any more, and was trusted by nobody for ever. */
+/* The accuser has ended, and its suspicion with it, before the judged could refute: it
+ * had nothing to refute any more, and was trusted by nobody for ever. */
 static void a_verdict_ends_with_its_suspicion(void **state)
 {
     (void)state;
@@ -185,8 +185,8 @@
     }
 }
 
-/* A copy of a worker's report that comes again, up to minutes later, spoke against a member that
- * was well by then. */
+/* A copy of a worker's report that comes again, up to minutes later, spoke against a
+ * member that was well by then. */
 static void late_copies_are_no_witnesses(void **state)
 {
     (void)state;
--- a/tests/test_model.c
+++ b/tests/test_model.c
@@ -1,7 +1,7 @@
 /* Days of the whole service in simulated time (world/world.h).
  *
- * Each rule's check is itself checked: with the guard that keeps the rule taken away, the same
- * days must break it. */
+ * Each rule's check is itself checked: with the guard that keeps the rule taken away, the
+ * same days must break it. */
 #include "base/log.h"
 #include "world.h"
 
@@ -20,8 +20,8 @@
 static const char *const rule_names[] = {"ran_twice",     "quota",    "wrong_place",
                                          "ran_cancelled", "not_done", "went_back"};
 
-/* From one controller to as many as the settings take, one zone to five, and as few machines
- * as controllers or many more. */
+/* From one controller to as many as the settings take, one zone to five, and as few
+ * machines as controllers or many more. */
 static void keeps_every_rule_on_any_layout(void **state)
 {
     static const int nodes[] = {1, 2, 5, 9, 16, MOST_NODES};
@@ -44,8 +44,10 @@
             standbys = false;
             for (int i = 0; i < RULES; i++)
                 if (w.broke[i])
-                    fail_msg("%d controllers, %d machines, %d zones, seed %u: %s broken %u times",
-                             l.nodes, l.machines, l.zones, seed, rule_names[i], w.broke[i]);
+                    fail_msg("%d controllers, %d machines, %d zones, seed %u: %s broken "
+                             "%u times",
+                             l.nodes, l.machines, l.zones, seed, rule_names[i],
+                             w.broke[i]);
             starts += w.starts;
             takeovers += w.takeovers;
         }
@@ -74,8 +76,8 @@
             preempted += w.nodes[i].core ? (unsigned)w.nodes[i].core->count.preempted : 0;
     }
     /* The days were worth playing. */
-    print_message("%u jobs done, %u takeovers, %u stolen, %u stopped for others\n", finished,
-                  takeovers, steals, preempted);
+    print_message("%u jobs done, %u takeovers, %u stolen, %u stopped for others\n",
+                  finished, takeovers, steals, preempted);
     assert_true(finished > 12 * JOBS / 4);
     assert_true(takeovers > 12 * 5);
     assert_true(steals > 12);
@@ -125,8 +127,9 @@
     assert_true(verdicts > 300);
     assert_true(refutations > 300);
     assert_true(gives > 30);
-    print_message("%u warm takeovers, %u copies compared, %u starts taken back, %u left\n",
-                  warm, compared, withheld, leaves);
+    print_message(
+        "%u warm takeovers, %u copies compared, %u starts taken back, %u left\n", warm,
+        compared, withheld, leaves);
     assert_true(leaves > 100);
     assert_true(warm > 100);
     assert_true(compared > 10000);
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -122,7 +122,8 @@
         double cpus = 0;
         count_queue(&m->queue, seen);
         for (guint i = 0; i < m->attempts->len; i++) {
-            const struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
+            const struct lmn_attempt *a =
+                &g_array_index(m->attempts, struct lmn_attempt, i);
             seen[a->job - jobs][a->index]++;
             cpus += a->job->spec.cpus;
             assert_true(lmn_spec_allows(&a->job->spec, m->type, m->zone, m->spot));
@@ -190,8 +191,9 @@
     }
     for (int a = 0; a < JOBS; a++)
         for (int b = 0; b < JOBS; b++) {
-            int ab = lmn_job_order(&jobs[a], &jobs[b]), ba = lmn_job_order(&jobs[b], &jobs[a]);
-            assert_int_equal(ab < 0, ba > 0);
+            int ab = lmn_job_order(&jobs[a], &jobs[b]),
+                ba = lmn_job_order(&jobs[b], &jobs[a]);
+            assert_int_equal(ab<0, ba> 0);
             assert_int_equal(ab == 0, a == b);
             for (int c = 0; c < JOBS; c++)
                 if (ab < 0 && lmn_job_order(&jobs[b], &jobs[c]) < 0)
@@ -216,8 +218,8 @@
     assert_false(lmn_floor_owed(&f, 100, 2));
 }
 
-/* Twenty tasks of an urgent class came before one of a lesser one, and more come with each
- * that ends: without the floor the lesser would never start. */
+/* Twenty tasks of an urgent class came before one of a lesser one, and more come with
+ * each that ends: without the floor the lesser would never start. */
 static void the_lesser_class_gets_its_floor(void **state)
 {
     struct lmn_job high = {.spec = {.urgency = LMN_HIGH}, .latest = 10},
@@ -270,7 +272,8 @@
     g_byte_array_unref(out);
 }
 
-/* The tasks of one job alone wait; it is of the given urgency, and may use cheap machines. */
+/* The tasks of one job alone wait; it is of the given urgency, and may use cheap
+ * machines. */
 static struct lmn_job *alone(enum lmn_urgency urgency, double estimate)
 {
     struct lmn_job *j = &jobs[0];
@@ -290,8 +293,9 @@
     return j;
 }
 
-/* Found when long idle work sat on ordinary machines, at three times the price, for minutes after
- * all else was done. Short work fills their gaps; all of it runs there if no others are. */
+/* Found when long idle work sat on ordinary machines, at three times the price, for
+ * minutes after all else was done. Short work fills their gaps; all of it runs there if
+ * no others are. */
 static void idle_work_keeps_to_cheap_machines(void **state)
 {
     (void)state;
@@ -315,8 +319,8 @@
     }
 }
 
-/* Two of a class's six jobs took its floor, and the other four waited for six minutes: the first
- * task of one that has waited goes first, and no more of it. */
+/* Two of a class's six jobs took its floor, and the other four waited for six minutes:
+ * the first task of one that has waited goes first, and no more of it. */
 static void the_aged_begin(void **state)
 {
     struct lmn_job *old, *urgent;
@@ -352,9 +356,10 @@
     assert_false(old->aged);
 }
 
-/* One task of a job that needs a whole machine, while small ones keep coming and fill every piece
- * of room as it becomes free: it once waited for as long as they came. With `limit`, the pieces are
- * those of their team's limit. Returns after how many seconds it began; 600: never. */
+/* One task of a job that needs a whole machine, while small ones keep coming and fill
+ * every piece of room as it becomes free: it once waited for as long as they came. With
+ * `limit`, the pieces are those of their team's limit. Returns after how many seconds it
+ * began; 600: never. */
 static int wait_among_small(bool limit)
 {
     GByteArray *out = g_byte_array_new();
@@ -393,7 +398,8 @@
             struct lmn_machine *m = p->list->pdata[k];
             /* A tenth of the small tasks end each second, one after the other. */
             for (guint i = m->attempts->len; i-- > 0;) {
-                struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
+                struct lmn_attempt *a =
+                    &g_array_index(m->attempts, struct lmn_attempt, i);
                 if (a->job != small || g_rand_int_range(core->rng, 0, 10))
                     continue;
                 lmn_attempt_uncount(m, a);
@@ -424,8 +430,8 @@
         assert_null(((struct lmn_machine *)core->parts[0].list->pdata[k])->kept);
 }
 
-/* A job that fails wherever it starts stands in limbo, out of the machines' queues, and is tried
- * with one task at a time; one success brings all of it back. */
+/* A job that fails wherever it starts stands in limbo, out of the machines' queues, and
+ * is tried with one task at a time; one success brings all of it back. */
 static void the_accused_are_set_aside(void **state)
 {
     struct lmn_job *j = alone(LMN_HIGH, 10);
@@ -448,13 +454,14 @@
     assert_true(r->nstarted == MIN(r->hi, 8 * MACHINES));
 }
 
-/* What can be in time goes before what can't, whatever the urgency; and a job's next expectation
- * takes the place of one that is past. */
+/* What can be in time goes before what can't, whatever the urgency; and a job's next
+ * expectation takes the place of one that is past. */
 static void expectations(void **state)
 {
     struct lmn_settings s = {.nobjectives = 3};
-    struct lmn_job j = {.spec = {.class_name = (char *)"c", .estimate_s = 10, .deadline_s = -1},
-                        .at = 100};
+    struct lmn_job j = {
+        .spec = {.class_name = (char *)"c", .estimate_s = 10, .deadline_s = -1},
+        .at = 100};
     (void)state;
 
     s.objectives[0] = (struct lmn_objective){LMN_WAIT, "c", 20, 1, 1};
@@ -509,11 +516,15 @@
         char bytes[4096];
         struct lmn_xroom rooms[5];
         struct lmn_xteam teams[3];
-        struct lmn_xthief q = {1, 2, {(u_int)g_rand_int_range(r, 0, 6), rooms}, {3, teams}}, back;
+        struct lmn_xthief q = {1,
+                               2,
+                               {(u_int)g_rand_int_range(r, 0, 6), rooms},
+                               {3, teams}},
+                          back;
         XDR x;
         for (int k = 0; k < 5; k++)
-            rooms[k] = (struct lmn_xroom){(char *)"type", (char *)"zone", k % 2,
-                                          g_rand_double(r), 0, 1};
+            rooms[k] = (struct lmn_xroom){
+                (char *)"type", (char *)"zone", k % 2, g_rand_double(r), 0, 1};
         for (int k = 0; k < 3; k++)
             teams[k] = (struct lmn_xteam){(char *)"team", k, g_rand_double(r)};
         xdrmem_create(&x, bytes, sizeof bytes, XDR_ENCODE);
@@ -526,9 +537,11 @@
         for (u_int k = 0; k < q.rooms.rooms_len; k++)
             assert_true(back.rooms.rooms_val[k].cpus == rooms[k].cpus);
         xdr_free((xdrproc_t)xdr_lmn_xthief, (char *)&back);
-        bytes[g_rand_int_range(r, 0, (gint32)len)] ^= (char)(1 + g_rand_int_range(r, 0, 255));
+        bytes[g_rand_int_range(r, 0, (gint32)len)] ^=
+            (char)(1 + g_rand_int_range(r, 0, 255));
         memset(&back, 0, sizeof back);
-        xdrmem_create(&x, bytes, (u_int)g_rand_int_range(r, 0, (gint32)len + 1), XDR_DECODE);
+        xdrmem_create(&x, bytes, (u_int)g_rand_int_range(r, 0, (gint32)len + 1),
+                      XDR_DECODE);
         xdr_lmn_xthief(&x, &back);
         xdr_free((xdrproc_t)xdr_lmn_xthief, (char *)&back);
     }
@@ -588,8 +601,8 @@
     }
 }
 
-/* Where two jobs are alike, a machine takes the one whose image it has; a fetch is not worth
- * being late for by more than it costs. */
+/* Where two jobs are alike, a machine takes the one whose image it has; a fetch is not
+ * worth being late for by more than it costs. */
 static void images_count(void **state)
 {
     (void)state;
@@ -623,7 +636,8 @@
             lmn_queue_add(&m->queue, jobs[i].ranges->pdata[0], 0, 1);
         g_byte_array_free(out, TRUE);
     }
-    /* While one task's fetch is under way, others of its job wait for what is left of it. */
+    /* While one task's fetch is under way, others of its job wait for what is left of it.
+     */
     struct lmn_machine *o = g_hash_table_lookup(core->parts[0].machines, "m-1");
     lmn_note_image(o, &jobs[0], false, now);
     assert_true(lmn_has_image(o, &jobs[0]));
@@ -643,8 +657,9 @@
     assert_true(lmn_fetch_s(m, &jobs[1], now) > 0);
 }
 
-/* Found so: the last tasks of nearly every job waited for minutes in the queue of a machine that
- * was busy for long, while machines with work of their own started what came much later. */
+/* Found so: the last tasks of nearly every job waited for minutes in the queue of a
+ * machine that was busy for long, while machines with work of their own started what came
+ * much later. */
 static void urgent_first_across_queues(void **state)
 {
     (void)state;
@@ -684,18 +699,26 @@
     g_byte_array_free(out, TRUE);
 }
 
-/* A job is guaranteed if it fits into its team's guarantee with what was unfinished before it. */
+/* A job is guaranteed if it fits into its team's guarantee with what was unfinished
+ * before it. */
 static void guarantee_is_kept(void **state)
 {
     static struct lmn_settings s;
     (void)state;
-    s = (struct lmn_settings){.partitions = 1, .state_rps = 10, .state_write_rps = 10, .txn_ops = 12,
+    s = (struct lmn_settings){.partitions = 1,
+                              .state_rps = 10,
+                              .state_write_rps = 10,
+                              .txn_ops = 12,
                               .nteams = 1};
     g_strlcpy(s.teams[0].name, "t", LMN_NAME);
     s.teams[0].cpus = 10;
     struct lmn_core *c = lmn_core_new(&s, lmn_state_new(&s), 1);
-    struct lmn_spec spec = {.class_name = (char *)"c", .team = (char *)"t", .image = (char *)"i",
-                            .tasks = 3, .cpus = 2, .deadline_s = -1};
+    struct lmn_spec spec = {.class_name = (char *)"c",
+                            .team = (char *)"t",
+                            .image = (char *)"i",
+                            .tasks = 3,
+                            .cpus = 2,
+                            .deadline_s = -1};
     uint64_t rev = 1;
     bool expected[] = {true, false, true};
 
@@ -705,7 +728,8 @@
         for (int final = 0; final < (i == 1 ? 2 : 1); final++) {
             g_snprintf(spec.ref, sizeof spec.ref, "run-%06d", i);
             g_snprintf(key, sizeof key, "j/%s", spec.ref);
-            GByteArray *b = lmn_job_record(&spec, final ? LMN_FINISHED : LMN_ACTIVE, 1, i);
+            GByteArray *b =
+                lmn_job_record(&spec, final ? LMN_FINISHED : LMN_ACTIVE, 1, i);
             assert_int_equal(lmn_doc_parse(&d, b->data, b->len), 0);
             lmn_mirror_apply(c, key, &d, lmn_root(&d), ++rev, now);
             lmn_doc_free(&d);
@@ -723,20 +747,26 @@
     assert_true(lmn_job_order(a, &b) < 0);
 }
 
-/* A service is never too late: counted as lost once its start was late, it waited behind all
- * batches that could still be in time. */
+/* A service is never too late: counted as lost once its start was late, it waited behind
+ * all batches that could still be in time. */
 static void services_are_never_lost(void **state)
 {
     struct lmn_settings s = {.nobjectives = 2};
     struct lmn_job service = {.at = 100}, batch = {.at = 500};
     (void)state;
 
-    s.objectives[0] = (struct lmn_objective){.kind = LMN_WAIT, .class_name = "s", .within_s = 5};
-    s.objectives[1] = (struct lmn_objective){.kind = LMN_FINISH, .class_name = "b", .within_s = 180};
-    service.spec = (struct lmn_spec){.kind = LMN_DAEMON, .class_name = (char *)"s",
-                                     .urgency = LMN_PROD, .deadline_s = -1};
-    batch.spec = (struct lmn_spec){.kind = LMN_BATCH, .class_name = (char *)"b",
-                                   .urgency = LMN_NORMAL, .deadline_s = -1};
+    s.objectives[0] =
+        (struct lmn_objective){.kind = LMN_WAIT, .class_name = "s", .within_s = 5};
+    s.objectives[1] =
+        (struct lmn_objective){.kind = LMN_FINISH, .class_name = "b", .within_s = 180};
+    service.spec = (struct lmn_spec){.kind = LMN_DAEMON,
+                                     .class_name = (char *)"s",
+                                     .urgency = LMN_PROD,
+                                     .deadline_s = -1};
+    batch.spec = (struct lmn_spec){.kind = LMN_BATCH,
+                                   .class_name = (char *)"b",
+                                   .urgency = LMN_NORMAL,
+                                   .deadline_s = -1};
     for (double wall = 500; wall < 5000; wall += 50) {
         lmn_job_rank(&s, &service, wall);
         lmn_job_rank(&s, &batch, wall);
@@ -748,8 +778,14 @@
 /* Puts a running attempt of the range's next task on the machine. */
 static struct lmn_attempt *run(struct lmn_machine *m, struct lmn_range *r, uint32_t index)
 {
-    struct lmn_attempt a = {.job = r->job, .range = r, .index = index, .number = index + 1,
-                            .state = LMN_A_RUNNING, .listed = true, .seen = true, .since = now};
+    struct lmn_attempt a = {.job = r->job,
+                            .range = r,
+                            .index = index,
+                            .number = index + 1,
+                            .state = LMN_A_RUNNING,
+                            .listed = true,
+                            .seen = true,
+                            .since = now};
 
     r->st[index - r->lo] = LMN_T_STARTED;
     r->nstarted++;
@@ -758,8 +794,9 @@
     return &g_array_index(m->attempts, struct lmn_attempt, m->attempts->len - 1);
 }
 
-/* A task of production that finds all machines full has room made for it: by lesser tasks only, no
- * more of them than it needs, and what lesser work waits does not take the pieces. */
+/* A task of production that finds all machines full has room made for it: by lesser tasks
+ * only, no more of them than it needs, and what lesser work waits does not take the
+ * pieces. */
 static void room_is_made(void **state)
 {
     (void)state;
@@ -768,7 +805,8 @@
         struct lmn_partition *p = &core->parts[0];
         GHashTableIter it;
         gpointer v;
-        struct lmn_range *prod = jobs[3].ranges->pdata[0], *low = jobs[4].ranges->pdata[0];
+        struct lmn_range *prod = jobs[3].ranges->pdata[0],
+                         *low = jobs[4].ranges->pdata[0];
         struct lmn_range *peer = jobs[7].ranges->pdata[0];
         uint32_t at = 0, k = 0;
         core->fresh = now;
@@ -800,7 +838,8 @@
         while (g_hash_table_iter_next(&it, NULL, &v)) {
             struct lmn_machine *m = v;
             for (guint i = 0; i < m->attempts->len; i++) {
-                const struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
+                const struct lmn_attempt *a =
+                    &g_array_index(m->attempts, struct lmn_attempt, i);
                 assert_true(!a->stop || a->job == &jobs[4]);
                 stopped += a->stop;
                 where = a->stop ? m : where;
@@ -817,7 +856,8 @@
         for (int gone = 0; gone < 2; gone++) {
             GByteArray *out = g_byte_array_new();
             for (guint i = 0; i < where->attempts->len; i++) {
-                struct lmn_attempt *a = &g_array_index(where->attempts, struct lmn_attempt, i);
+                struct lmn_attempt *a =
+                    &g_array_index(where->attempts, struct lmn_attempt, i);
                 if (!a->stop || a->state == LMN_A_ENDED)
                     continue;
                 lmn_attempt_uncount(where, a);
@@ -832,7 +872,8 @@
     }
 }
 
-/* A zone takes no more of a spread job's tasks than half, rounded up, and the deal says so. */
+/* A zone takes no more of a spread job's tasks than half, rounded up, and the deal says
+ * so. */
 static void spread_is_dealt(void **state)
 {
     (void)state;
@@ -859,15 +900,16 @@
     }
 }
 
-/* Those who make room save if the one who waits can wait for it: with a start expected within 5 s,
- * 3 s of saving came before a fetch and made most starts late. */
+/* Those who make room save if the one who waits can wait for it: with a start expected
+ * within 5 s, 3 s of saving came before a fetch and made most starts late. */
 static void saving_takes_no_more_time_than_there_is(void **state)
 {
     (void)state;
     for (int hurry = 0; hurry < 2; hurry++) {
         make(1);
         struct lmn_partition *p = &core->parts[0];
-        struct lmn_range *prod = jobs[3].ranges->pdata[0], *low = jobs[4].ranges->pdata[0];
+        struct lmn_range *prod = jobs[3].ranges->pdata[0],
+                         *low = jobs[4].ranges->pdata[0];
         GHashTableIter it;
         gpointer v;
         uint32_t at = 0;
@@ -875,7 +917,8 @@
         core->fresh = now;
         core->synced = true;
         if (hurry) {
-            cfg.objectives[0] = (struct lmn_objective){.kind = LMN_WAIT, .class_name = "c", .within_s = 5};
+            cfg.objectives[0] = (struct lmn_objective){
+                .kind = LMN_WAIT, .class_name = "c", .within_s = 5};
             cfg.nobjectives = 1;
         }
         jobs[3].spec.cpus = jobs[4].spec.cpus = 8;
@@ -895,8 +938,8 @@
         lmn_make_room(core, p, now);
         g_hash_table_iter_init(&it, p->machines);
         while (g_hash_table_iter_next(&it, NULL, &v)) {
-            const struct lmn_attempt *a =
-                &g_array_index(((struct lmn_machine *)v)->attempts, struct lmn_attempt, 0);
+            const struct lmn_attempt *a = &g_array_index(
+                ((struct lmn_machine *)v)->attempts, struct lmn_attempt, 0);
             stopped += a->stop;
             if (a->stop)
                 assert_true(a->grace == (hurry ? 0 : 4));
@@ -905,8 +948,9 @@
     }
 }
 
-/* Replicas left over on many machines are moved together, one machine at a time and only if all of
- * its own have room elsewhere; nothing moves while work waits, or right after a start. */
+/* Replicas left over on many machines are moved together, one machine at a time and only
+ * if all of its own have room elsewhere; nothing moves while work waits, or right after a
+ * start. */
 static void replicas_are_packed(void **state)
 {
     (void)state;
@@ -955,7 +999,8 @@
                 struct lmn_machine *m = v;
                 after += m->retiring;
                 for (guint i = m->attempts->len; i-- > 0;) {
-                    struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
+                    struct lmn_attempt *a =
+                        &g_array_index(m->attempts, struct lmn_attempt, i);
                     if (!a->stop)
                         continue;
                     assert_true(m->retiring);
@@ -978,7 +1023,8 @@
                 lmn_schedule(core, m, out, then);
                 g_byte_array_unref(out);
                 for (guint i = 0; i < m->attempts->len; i++) {
-                    struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
+                    struct lmn_attempt *a =
+                        &g_array_index(m->attempts, struct lmn_attempt, i);
                     a->state = LMN_A_RUNNING;
                     a->listed = true;
                 }
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -1,4 +1,5 @@
-/* Parts of a team's limit: whatever fails, the parts in use never add up to more than the limit. */
+/* Parts of a team's limit: whatever fails, the parts in use never add up to more than the
+ * limit. */
 #include "base/clock.h"
 #include "base/codec.h"
 #include "base/settings.h"
@@ -99,7 +100,8 @@
         l->rev = version;
 }
 
-static void read_change(void *arg, const char *key, const GByteArray *value, uint64_t lease)
+static void read_change(void *arg, const char *key, const GByteArray *value,
+                        uint64_t lease)
 {
     (void)lease;
     struct letter *l = arg;
@@ -181,9 +183,11 @@
                 commit(&l);
             }
             if (g_rand_double(r) < 0.7)
-                follow(i, (guint)g_rand_int_range(r, (gint32)seen[i], (gint32)events->len + 1));
+                follow(i, (guint)g_rand_int_range(r, (gint32)seen[i],
+                                                  (gint32)events->len + 1));
             if (g_rand_double(r) < 0.03) {
-                /* It crashes; its successor has seen all that was written before its claim. */
+                /* It crashes; its successor has seen all that was written before its
+                 * claim. */
                 lmn_partition_lose(core[i], p, "crash");
                 follow(i, events->len);
                 own(i);
@@ -249,8 +253,9 @@
     assert_false(lmn_quota_wanted(core[0], p, 0, &w));
 }
 
-/* The other partitions' parts are full of small tasks, and more of them wait: a task larger than
- * any part waited for as long as they came. Now what it lacks is kept free as they end. */
+/* The other partitions' parts are full of small tasks, and more of them wait: a task
+ * larger than any part waited for as long as they came. Now what it lacks is kept free as
+ * they end. */
 static void large_task_gets_it_from_busy_parts(void **state)
 {
     (void)state;
--- a/tests/test_rent.c
+++ b/tests/test_rent.c
@@ -20,10 +20,22 @@
 
 static struct lmn_settings cfg;
 static struct lmn_type types[] = {
-    {.name = "small", .zones = {"a"}, .nzones = 1, .cpus = 8, .mem = 64, .rate = 1,
-     .spot_rate = 0.4, .ready_s = 20},
-    {.name = "large", .zones = {"a", "b"}, .nzones = 2, .cpus = 32, .mem = 256, .rate = 3.5,
-     .spot_rate = 1.5, .ready_s = 40},
+    {.name = "small",
+     .zones = {"a"},
+     .nzones = 1,
+     .cpus = 8,
+     .mem = 64,
+     .rate = 1,
+     .spot_rate = 0.4,
+     .ready_s = 20},
+    {.name = "large",
+     .zones = {"a", "b"},
+     .nzones = 2,
+     .cpus = 32,
+     .mem = 256,
+     .rate = 3.5,
+     .spot_rate = 1.5,
+     .ready_s = 40},
 };
 static struct lmn_job jobs[64];
 static struct lmn_range ranges[64];
@@ -40,7 +52,8 @@
     for (int i = 0; i < 3; i++) {
         g_snprintf(cfg.teams[i].name, LMN_NAME, "team%d", i);
         /* One of the teams has no limit now and then. */
-        cfg.teams[i].cpus_max = g_rand_int_range(r, 0, 4) ? 100.0 * g_rand_int_range(r, 1, 30) : 0;
+        cfg.teams[i].cpus_max =
+            g_rand_int_range(r, 0, 4) ? 100.0 * g_rand_int_range(r, 1, 30) : 0;
     }
     c = lmn_core_bare(&cfg, NULL, 1);
     memcpy(c->types.v, types, sizeof types);
@@ -88,8 +101,9 @@
     return sum;
 }
 
-/* Found on a site with four times the machines and limits as they were: some 5,200 machines
- * were kept where tasks could run on a third of their processors, and came and went. */
+/* Found on a site with four times the machines and limits as they were: some 5,200
+ * machines were kept where tasks could run on a third of their processors, and came and
+ * went. */
 static void no_more_than_limits_let_run(void **state)
 {
     GRand *r = g_rand_new_with_seed(7);
@@ -119,7 +133,8 @@
         }
         double most = usable(n, c->tuning.horizon_s, false);
         double most_ordinary = usable(n, c->tuning.horizon_s, true);
-        /* No less than what can run, and no more than that by half a machine of each kind. */
+        /* No less than what can run, and no more than that by half a machine of each
+         * kind. */
         assert_true(have <= MAX(most, most_ordinary) + 2 * 32);
         assert_true(have >= most - 32);
         assert_true(ordinary >= most_ordinary - 32);
@@ -163,8 +178,8 @@
     g_rand_free(r);
 }
 
-/* Long idle work rents cheap machines only, where these can be had at all; what is short of
- * machines besides it rents as ever. */
+/* Long idle work rents cheap machines only, where these can be had at all; what is short
+ * of machines besides it rents as ever. */
 static void idle_work_rents_no_ordinary_machine(void **state)
 {
     GRand *r = g_rand_new_with_seed(9);
@@ -192,8 +207,9 @@
             now = lmn_after(now, 1);
             if (!lmn_fleet_choose(c, &f, &rental, now))
                 continue;
-            unsigned got = !rental.spot ? rental.count
-                           : k == 2 || spot >= 5 ? 0 : MIN(rental.count, 5 - spot);
+            unsigned got = !rental.spot          ? rental.count
+                           : k == 2 || spot >= 5 ? 0
+                                                 : MIN(rental.count, 5 - spot);
             lmn_fleet_outcome(&f, &rental, got, now);
             for (unsigned i = 0; i < got; i++) {
                 struct lmn_listed *m = g_new0(struct lmn_listed, 1);
@@ -203,7 +219,8 @@
                 g_hash_table_insert(f.machines, m->name, m);
             }
             spot += rental.spot ? got : 0;
-            ordinary += rental.spot ? 0 : got * (unsigned)lmn_type_named(c, rental.type)->cpus;
+            ordinary +=
+                rental.spot ? 0 : got * (unsigned)lmn_type_named(c, rental.type)->cpus;
         }
         assert_int_equal(spot, k == 2 ? 0 : 5);
         assert_int_equal(ordinary > 0, k == 1 || k == 2);
@@ -213,9 +230,9 @@
     g_rand_free(r);
 }
 
-/* A few machines are late, or never come: others are rented in their place, and no more than that.
- * Where most of a kind are late, as when the cloud is slow, none are; and patience follows what was
- * seen, not what the type says alone. */
+/* A few machines are late, or never come: others are rented in their place, and no more
+ * than that. Where most of a kind are late, as when the cloud is slow, none are; and
+ * patience follows what was seen, not what the type says alone. */
 static void late_boots_are_replaced(void **state)
 {
     GRand *r = g_rand_new_with_seed(10);
--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -1,6 +1,7 @@
-/* Real processes over loopback, against stand-ins for the state service, the cloud and the
- * workers: jobs are accepted and done, one is cancelled, controllers are killed on the way and
- * started again; no task is ever on two machines at once, and an accepted job stays known. */
+/* Real processes over loopback, against stand-ins for the state service, the cloud and
+ * the workers: jobs are accepted and done, one is cancelled, controllers are killed on
+ * the way and started again; no task is ever on two machines at once, and an accepted job
+ * stays known. */
 #include "base/clock.h"
 #include "base/codec.h"
 #include "base/http_client.h"
@@ -198,7 +199,8 @@
         lmn_put_text(out, e->value ? W_PUT : W_DELETE), lmn_put_text(out, e->key);
         lmn_put_text(out, W_VERSION), lmn_put_count(out, e->rev);
         if (e->value)
-            lmn_put_text(out, W_VALUE), g_byte_array_append(out, e->value->data, e->value->len);
+            lmn_put_text(out, W_VALUE),
+                g_byte_array_append(out, e->value->data, e->value->len);
     }
     return 200;
 }
@@ -294,12 +296,14 @@
         lmn_put_map(b, 4);
         lmn_put_text(b, W_TASK), lmn_put_text(b, h->task);
         lmn_put_text(b, W_ATTEMPT), lmn_put_count(b, h->attempt);
-        lmn_put_text(b, W_STATE), lmn_put_text(b, h->state == RUNNING ? W_RUNNING : W_ENDED);
+        lmn_put_text(b, W_STATE),
+            lmn_put_text(b, h->state == RUNNING ? W_RUNNING : W_ENDED);
         lmn_put_text(b, W_WHY), lmn_put_text(b, h->done ? W_DONE : W_STOPPED);
     }
 }
 
-static void obey(struct machine *m, const struct lmn_doc *d, const struct lmn_node *orders)
+static void obey(struct machine *m, const struct lmn_doc *d,
+                 const struct lmn_node *orders)
 {
     for (const struct lmn_node *n = lmn_child(d, orders); n; n = lmn_next(d, n)) {
         const struct lmn_node *op = lmn_get(d, n, W_OP);
@@ -324,7 +328,8 @@
             g_strlcpy(room->task, task, sizeof room->task);
             room->attempt = attempt;
             /* The service's replicas run until they are killed. */
-            room->until = lmn_after(lmn_now(), g_str_has_prefix(task, "run-000100/") ? 1e6 : 0.4);
+            room->until =
+                lmn_after(lmn_now(), g_str_has_prefix(task, "run-000100/") ? 1e6 : 0.4);
             started++;
         } else if (lmn_is(op, W_KILL) && same && same->state == RUNNING) {
             same->state = ENDED;
@@ -425,27 +430,27 @@
 
 /* --- serving the stand-ins --- */
 
-static int serve(int (*answer)(void *, struct MHD_Connection *, const char *, const char *,
-                               const struct lmn_doc *, GByteArray *),
+static int serve(int (*answer)(void *, struct MHD_Connection *, const char *,
+                               const char *, const struct lmn_doc *, GByteArray *),
                  void *arg);
 
-static int answer_worker(void *arg, struct MHD_Connection *c, const char *path, const char *method,
-                         const struct lmn_doc *d, GByteArray *out)
+static int answer_worker(void *arg, struct MHD_Connection *c, const char *path,
+                         const char *method, const struct lmn_doc *d, GByteArray *out)
 {
     (void)c;
     (void)method;
     return worker_answer(arg, path, d, out);
 }
 
-static int answer_state(void *arg, struct MHD_Connection *c, const char *path, const char *method,
-                        const struct lmn_doc *d, GByteArray *out)
+static int answer_state(void *arg, struct MHD_Connection *c, const char *path,
+                        const char *method, const struct lmn_doc *d, GByteArray *out)
 {
     (void)arg;
     return state_answer(c, path, method, d, out);
 }
 
-static int answer_cloud(void *arg, struct MHD_Connection *c, const char *path, const char *method,
-                        const struct lmn_doc *d, GByteArray *out)
+static int answer_cloud(void *arg, struct MHD_Connection *c, const char *path,
+                        const char *method, const struct lmn_doc *d, GByteArray *out)
 {
     const struct lmn_node *root = lmn_root(d);
     (void)arg;
@@ -527,8 +532,8 @@
 };
 
 static enum MHD_Result on_request(void *arg, struct MHD_Connection *c, const char *url,
-                                  const char *method, const char *version, const char *data,
-                                  size_t *size, void **state)
+                                  const char *method, const char *version,
+                                  const char *data, size_t *size, void **state)
 {
     struct stand_in *s = arg;
     GByteArray *in = *state, *out;
@@ -562,18 +567,18 @@
     return ok;
 }
 
-static int serve(int (*answer)(void *, struct MHD_Connection *, const char *, const char *,
-                               const struct lmn_doc *, GByteArray *),
+static int serve(int (*answer)(void *, struct MHD_Connection *, const char *,
+                               const char *, const struct lmn_doc *, GByteArray *),
                  void *arg)
 {
     struct stand_in *s = g_new0(struct stand_in, 1);
-    struct sockaddr_in a = {.sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    struct sockaddr_in a = {.sin_family = AF_INET,
+                            .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
     s->answer = answer;
     s->arg = arg;
-    struct MHD_Daemon *d =
-        MHD_start_daemon(MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, 0, NULL,
-                         NULL, on_request, s, MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&a,
-                         MHD_OPTION_END);
+    struct MHD_Daemon *d = MHD_start_daemon(
+        MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, 0, NULL, NULL,
+        on_request, s, MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&a, MHD_OPTION_END);
     assert_non_null(d);
     return MHD_get_daemon_info(d, MHD_DAEMON_INFO_BIND_PORT)->port;
 }
@@ -585,7 +590,8 @@
 
 static int free_port(void)
 {
-    struct sockaddr_in a = {.sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    struct sockaddr_in a = {.sin_family = AF_INET,
+                            .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
     socklen_t len = sizeof a;
     int fd = socket(AF_INET, SOCK_STREAM, 0);
     assert_int_equal(bind(fd, (struct sockaddr *)&a, sizeof a), 0);
@@ -605,21 +611,26 @@
 
 static void configure(int i)
 {
-    g_snprintf(paths[i], sizeof paths[i], "/tmp/lemonspar-test-%d-%d.toml", (int)getpid(), i);
+    g_snprintf(paths[i], sizeof paths[i], "/tmp/lemonspar-test-%d-%d.toml", (int)getpid(),
+               i);
     FILE *f = fopen(paths[i], "w");
     assert_non_null(f);
-    fprintf(f, "host_name = 'n%d'\narea = 'a'\nclient_listen = '127.0.0.1:%d'\n", i, ports[i][0]);
+    fprintf(f, "host_name = 'n%d'\narea = 'a'\nclient_listen = '127.0.0.1:%d'\n", i,
+            ports[i][0]);
     fprintf(f, "internal_addr = '127.0.0.1:%d'\n", ports[i][1]);
     for (int k = 0; k < NODES; k++)
         if (k != i)
-            fprintf(f, "[[members]]\nhost_name = 'n%d'\narea = 'a'\naddress = '127.0.0.1:%d'\n", k,
-                    ports[k][1]);
+            fprintf(
+                f,
+                "[[members]]\nhost_name = 'n%d'\narea = 'a'\naddress = '127.0.0.1:%d'\n",
+                k, ports[k][1]);
     fprintf(f, "[outside]\ncloud = '127.0.0.1:%d'\nstate = '127.0.0.1:%d'\n", cloud_port,
             state_port);
-    fprintf(f, "[params]\ninitial_size = 3\n[[params.teams]]\nname = 't'\ncpus_max = 60.0\n"
-               "[params.workers]\nreport_s = 0.4\nlease_s = 6.0\ncancel_s = 20.0\n"
-               "[params.state]\nrps = 600.0\nwrite_rps = 300.0\ntxn_ops = 12\n"
-               "[params.cloud]\nrps = 20.0\nlist_lag_s = 1.0\n");
+    fprintf(f,
+            "[params]\ninitial_size = 3\n[[params.teams]]\nname = 't'\ncpus_max = 60.0\n"
+            "[params.workers]\nreport_s = 0.4\nlease_s = 6.0\ncancel_s = 20.0\n"
+            "[params.state]\nrps = 600.0\nwrite_rps = 300.0\ntxn_ops = 12\n"
+            "[params.cloud]\nrps = 20.0\nlist_lag_s = 1.0\n");
     fclose(f);
 }
 
@@ -649,8 +660,8 @@
 }
 
 /* Asks until one of two statuses, as users do. */
-static int insist(const char *method, const char *path, const GByteArray *body, int a, int b,
-                  char *word)
+static int insist(const char *method, const char *path, const GByteArray *body, int a,
+                  int b, char *word)
 {
     struct timespec end = lmn_after(lmn_now(), PATIENCE_S);
     int status = 0;
@@ -703,7 +714,8 @@
     for (int i = 0; i < NODES; i++) {
         lmn_sleep(1.5);
         int status;
-        assert_int_equal(waitpid(pids[i], &status, WNOHANG), 0); /* none ended by itself */
+        assert_int_equal(waitpid(pids[i], &status, WNOHANG),
+                         0); /* none ended by itself */
         kill(pids[i], SIGKILL);
         waitpid(pids[i], &status, 0);
         lmn_sleep(1.0);
@@ -752,9 +764,15 @@
     char *types[251] = {NULL};
     for (int i = 0; i < 250; i++)
         types[i] = g_strnfill(63, 't');
-    struct lmn_spec large = {.class_name = (char *)"c", .team = (char *)"t", .image = (char *)"i",
-                             .types = types, .urgency = LMN_NORMAL, .tasks = 1, .cpus = 1,
-                             .deadline_s = -1, .ref = "run-000201"};
+    struct lmn_spec large = {.class_name = (char *)"c",
+                             .team = (char *)"t",
+                             .image = (char *)"i",
+                             .types = types,
+                             .urgency = LMN_NORMAL,
+                             .tasks = 1,
+                             .cpus = 1,
+                             .deadline_s = -1,
+                             .ref = "run-000201"};
     b = g_byte_array_new();
     lmn_put_map(b, lmn_spec_pairs());
     lmn_spec_put(b, &large);
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -10,16 +10,17 @@
 #include <stdlib.h>
 #include <string.h>
 
-static const char good[] = "host_name = 'n1'\narea = 'a'\nclient_listen = '10.0.0.1:8080'\n"
-                           "internal_addr = '10.0.0.1:8081'\nnew_field = 3\n"
-                           "[[members]]\nhost_name = 'n0'\narea = 'a'\naddress = '10.0.0.2:8081'\n"
-                           "[[members]]\nhost_name = 'n2'\naddress = '10.0.0.3:8081'\n"
-                           "[outside]\ncloud = '10.2.0.2:1'\nstate = '10.2.0.1:2'\nmore = []\n"
-                           "[params]\ninitial_size = 3\n"
-                           "[[params.teams]]\nname = 't'\ncpus = 8.0\ncpus_max = 0\n"
-                           "[[params.objectives]]\nkind = 'wait'\nclass = 'c'\nwithin_s = 5\n"
-                           "[[params.objectives]]\nkind = 'of-tomorrow'\n"
-                           "[params.workers]\nlease_s = 10.0\ncancel_s = 35\n";
+static const char good[] =
+    "host_name = 'n1'\narea = 'a'\nclient_listen = '10.0.0.1:8080'\n"
+    "internal_addr = '10.0.0.1:8081'\nnew_field = 3\n"
+    "[[members]]\nhost_name = 'n0'\narea = 'a'\naddress = '10.0.0.2:8081'\n"
+    "[[members]]\nhost_name = 'n2'\naddress = '10.0.0.3:8081'\n"
+    "[outside]\ncloud = '10.2.0.2:1'\nstate = '10.2.0.1:2'\nmore = []\n"
+    "[params]\ninitial_size = 3\n"
+    "[[params.teams]]\nname = 't'\ncpus = 8.0\ncpus_max = 0\n"
+    "[[params.objectives]]\nkind = 'wait'\nclass = 'c'\nwithin_s = 5\n"
+    "[[params.objectives]]\nkind = 'of-tomorrow'\n"
+    "[params.workers]\nlease_s = 10.0\ncancel_s = 35\n";
 
 static void reads(void **state)
 {
@@ -39,8 +40,9 @@
     assert_int_equal(s.partitions, 3);
     /* As many partitions as there can be controllers. */
     char *most = g_strdup(strstr(good, "initial_size")), *text;
-    text = g_strdup_printf("%.*sinitial_size = %d%s", (int)(strstr(good, "initial_size") - good),
-                           good, LMN_MAX_PARTS, strchr(most, '\n'));
+    text = g_strdup_printf("%.*sinitial_size = %d%s",
+                           (int)(strstr(good, "initial_size") - good), good,
+                           LMN_MAX_PARTS, strchr(most, '\n'));
     struct lmn_settings large;
     assert_int_equal(lmn_settings_parse(text, "f", &large, err, sizeof err), 0);
     assert_int_equal(large.partitions, LMN_MAX_PARTS);
@@ -100,7 +102,8 @@
     for (int i = 0; i < 2000; i++) {
         memcpy(text, good, sizeof good);
         for (int k = g_rand_int_range(r, 1, 6); k--;)
-            text[g_rand_int_range(r, 0, sizeof good - 1)] = (char)g_rand_int_range(r, 1, 256);
+            text[g_rand_int_range(r, 0, sizeof good - 1)] =
+                (char)g_rand_int_range(r, 1, 256);
         lmn_settings_parse(text, "f", &s, err, sizeof err);
     }
     g_rand_free(r);
@@ -118,8 +121,9 @@
     assert_int_equal(lmn_tuning_set(&t, "share", __builtin_nan(""), err, sizeof err), -1);
     assert_int_equal(lmn_tuning_set(&t, "nothing", 1, err, sizeof err), -1);
     for (size_t i = 0; lmn_tuning_name(i); i++)
-        assert_int_equal(
-            lmn_tuning_set(&t, lmn_tuning_name(i), lmn_tuning_value(&t, i), err, sizeof err), 0);
+        assert_int_equal(lmn_tuning_set(&t, lmn_tuning_name(i), lmn_tuning_value(&t, i),
+                                        err, sizeof err),
+                         0);
     GByteArray *b = lmn_tuning_record(&t);
     assert_int_equal(lmn_doc_parse(&d, b->data, b->len), 0);
     lmn_tuning_read(&u, &d, lmn_root(&d));
@@ -131,8 +135,8 @@
     g_byte_array_unref(b);
 }
 
-/* Too little between lease_s and cancel_s is said with field and values; the limit that follows
- * is kept whatever it is. */
+/* Too little between lease_s and cancel_s is said with field and values; the limit that
+ * follows is kept whatever it is. */
 static void tight_leases_are_said(void **state)
 {
     struct lmn_settings s = {.lease_s = 10, .cancel_s = 35};
--- a/tests/test_state.c
+++ b/tests/test_state.c
@@ -110,13 +110,14 @@
         for (int step = 0; step < 3000; step++) {
             if (step < 1500 && g_rand_double(r) < 0.2) {
                 enum lmn_rank rank = (enum lmn_rank)g_rand_int_range(r, 0, LMN_RANKS);
-                submit(s, rank, (guint)g_rand_int_range(r, 1, rank == LMN_RANK_USER ? 48 : 4));
+                submit(s, rank,
+                       (guint)g_rand_int_range(r, 1, rank == LMN_RANK_USER ? 48 : 4));
                 submitted[rank]++;
             }
             now = lmn_after(now, 0.2);
             sent += drain(s);
-            /* A transaction larger than the bucket is taken from a full one, users may overdraw,
-             * and both are paid off. */
+            /* A transaction larger than the bucket is taken from a full one, users may
+             * overdraw, and both are paid off. */
             most = lmn_since(now, begun) * 25 + 2 * 25 + 48;
             assert_true(sent <= most);
         }
--- a/tests/test_takeover.c
+++ b/tests/test_takeover.c
@@ -1226,10 +1226,10 @@
     static const enum move held[] = {IN_STEP, START_A, TELL_A,   GO_A, DOUBT,
                                      CLAIM,   APPLY_B, FOLLOW_B, PASS};
     /* The owner starts again, claims what was its own, and has nobody in step yet. */
-    static const enum move again[] = {
-        IN_STEP,    RESTART_A,  FOLLOW_A,   CLAIM_A, APPLY_A, FOLLOW_A, REPORT_A_0,
-        REPORT_A_0, REPORT_A_1, REPORT_A_1, FOLLOW_B, DOUBT,  CLAIM,    APPLY_B,
-        FOLLOW_B,   PASS};
+    static const enum move again[] = {IN_STEP,    RESTART_A,  FOLLOW_A,   CLAIM_A,
+                                      APPLY_A,    FOLLOW_A,   REPORT_A_0, REPORT_A_0,
+                                      REPORT_A_1, REPORT_A_1, FOLLOW_B,   DOUBT,
+                                      CLAIM,      APPLY_B,    FOLLOW_B,   PASS};
     (void)state;
     breaks_with_a_standby(G_TERM, again, G_N_ELEMENTS(again));
     breaks_with_a_standby(G_ACKNOWLEDGE, begun, G_N_ELEMENTS(begun));
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -63,8 +63,8 @@
         add(i);
 }
 
-/* Lets seconds pass in which all but the silent report, and asks whoever is worth asking: none
- * of those answers. */
+/* Lets seconds pass in which all but the silent report, and asks whoever is worth asking:
+ * none of those answers. */
 static void pass(double seconds, const struct lmn_machine *silent)
 {
     GHashTableIter it;
@@ -87,8 +87,8 @@
     }
 }
 
-/* A machine that vanished without notice was once only asked during takeovers; its tasks waited
- * for the lease. */
+/* A machine that vanished without notice was once only asked during takeovers; its tasks
+ * waited for the lease. */
 static void silent_is_asked(void **state)
 {
     (void)state;
@@ -101,7 +101,8 @@
     assert_true(m->retiring && m->force);
 }
 
-/* Tasks on a machine that the cloud has announced to take are not waited for beyond that. */
+/* Tasks on a machine that the cloud has announced to take are not waited for beyond that.
+ */
 static void taken_is_given_up(void **state)
 {
     (void)state;
@@ -116,15 +117,17 @@
     assert_true(m->retiring && m->force);
 }
 
-/* A zone was cut off with its controller: that gave up the machines of the other zones when their
- * lease was over by its own reckoning, though a successor had kept them alive, and started their
- * tasks a second time. It may so only if it was the owner still when the lease was over. */
+/* A zone was cut off with its controller: that gave up the machines of the other zones
+ * when their lease was over by its own reckoning, though a successor had kept them alive,
+ * and started their tasks a second time. It may so only if it was the owner still when
+ * the lease was over. */
 static void lapses_need_ownership(void **state)
 {
     (void)state;
     make(0);
     struct lmn_machine *m = add(1);
-    core->fresh = lmn_after(now, cfg.lease_s - 1); /* the last that it heard of the state service */
+    core->fresh =
+        lmn_after(now, cfg.lease_s - 1); /* the last that it heard of the state service */
     now = lmn_after(now, 2 * cfg.lease_s);
     lmn_upkeep(core, now);
     assert_false(m->lapsed);
@@ -133,8 +136,9 @@
     assert_true(m->lapsed);
 }
 
-/* With a zone that is cut off, its machines were once returned after some seconds, and all
- * replicas on them ended. They are waited for, while a single silent machine is not. */
+/* With a zone that is cut off, its machines were once returned after some seconds, and
+ * all replicas on them ended. They are waited for, while a single silent machine is not.
+ */
 static void cut_zones_are_waited_for(void **state)
 {
     struct lmn_machine *far[8];
@@ -149,7 +153,8 @@
     }
     for (int i = 0; i < 20; i++)
         g_strlcpy(((struct lmn_machine *)g_hash_table_lookup(
-                       core->parts[0].machines, g_strdup_printf("host-%06d", i)))->zone,
+                       core->parts[0].machines, g_strdup_printf("host-%06d", i)))
+                      ->zone,
                   "a", LMN_NAME);
     one->probes = 2;
     now = lmn_after(now, cfg.lease_s - 5);
@@ -164,7 +169,8 @@
     assert_true(one->retiring);
     for (int i = 0; i < 8; i++)
         assert_false(far[i]->retiring);
-    /* The cut is over and most are heard again: the others once were returned at that moment. */
+    /* The cut is over and most are heard again: the others once were returned at that
+     * moment. */
     for (int k = 0; k < 2; k++) {
         core->fresh = now = lmn_after(now, k ? cfg.report_s + 11 : 1);
         g_hash_table_iter_init(&it, core->parts[0].machines);
@@ -177,8 +183,9 @@
     }
 }
 
-/* After a takeover with a zone cut off: where the partition's usual holder stands in that zone, it
- * may still answer its workers; elsewhere nobody does, and all queued work would wait for them. */
+/* After a takeover with a zone cut off: where the partition's usual holder stands in that
+ * zone, it may still answer its workers; elsewhere nobody does, and all queued work would
+ * wait for them. */
 static void inherited_ones_are_waited_for_where_the_holder_is(void **state)
 {
     static const char *const holder_in[] = {"a", "b"};
@@ -208,7 +215,8 @@
     }
 }
 
-/* One that does not answer holds a lane up: the others are asked before it is asked again. */
+/* One that does not answer holds a lane up: the others are asked before it is asked
+ * again. */
 static void unanswered_come_last(void **state)
 {
     char name[LMN_NAME], addr[LMN_ADDR];
@@ -231,8 +239,9 @@
     assert_false(lmn_probe_next(core, 0, 1, name, addr, &term, now));
 }
 
-/* After a wave of losses a few lanes were left with most of the silent machines, a second for each
- * question: any lane asks them, and once is enough for one whose report is overdue. */
+/* After a wave of losses a few lanes were left with most of the silent machines, a second
+ * for each question: any lane asks them, and once is enough for one whose report is
+ * overdue. */
 static void any_lane_asks(void **state)
 {
     char name[LMN_NAME], addr[LMN_ADDR];
@@ -269,8 +278,8 @@
         assert_true(lost[i]->retiring);
 }
 
-/* Machines of a partition whose inherited work still waits were returned as idle, and rented anew
- * as soon as it was ready. */
+/* Machines of a partition whose inherited work still waits were returned as idle, and
+ * rented anew as soon as it was ready. */
 static void idle_counts_from_readiness(void **state)
 {
     (void)state;
@@ -337,13 +346,13 @@
     core->members.fresh = core->members.tick = core->fresh = now;
 }
 
-/* A report that lists the tasks of the last answer if it was heard. Returns the status, and in
- * *orders how many orders the answer has. */
+/* A report that lists the tasks of the last answer if it was heard. Returns the status,
+ * and in *orders how many orders the answer has. */
 static GByteArray *answered; /* the last answer, and what it waits for */
 static struct lmn_held last_held;
 
-static int report(const struct lmn_machine *of, const char *name, uint64_t session, uint64_t seq,
-                  uint64_t token, bool lists, uint64_t *orders)
+static int report(const struct lmn_machine *of, const char *name, uint64_t session,
+                  uint64_t seq, uint64_t token, bool lists, uint64_t *orders)
 {
     GByteArray *b = g_byte_array_new(), *out = g_byte_array_new();
     struct lmn_doc d;
@@ -382,9 +391,9 @@
     return status;
 }
 
-/* A machine that is heard and doesn't hear took whatever it had room for with each report, and ran
- * none of it. Now others have the work; it gets a task to try, more and more seldom, and all it has
- * room for once it is seen to have heard. */
+/* A machine that is heard and doesn't hear took whatever it had room for with each
+ * report, and ran none of it. Now others have the work; it gets a task to try, more and
+ * more seldom, and all it has room for once it is seen to have heard. */
 static void unheeding_machines_get_a_try(void **state)
 {
     uint64_t orders, seq = 0;
@@ -421,8 +430,9 @@
     assert_int_equal(range.nstarted, 8);
 }
 
-/* After a takeover the partition's inherited work waited for as long as copies of old reports, or
- * reports of a machine that doesn't hear, came in: each put off its being returned. */
+/* After a takeover the partition's inherited work waited for as long as copies of old
+ * reports, or reports of a machine that doesn't hear, came in: each put off its being
+ * returned. */
 static void old_reports_put_nothing_off(void **state)
 {
     uint64_t orders, seq = 0;
@@ -447,19 +457,20 @@
             if (copies) /* one and the same, again and again, and older ones */
                 report(m, m->name, 3, waited < 10 ? 40 : 7, 4, false, &orders);
             else
-                assert_int_equal(report(m, m->name, 3, 40 + ++seq, 4, false, &orders), 200);
+                assert_int_equal(report(m, m->name, 3, 40 + ++seq, 4, false, &orders),
+                                 200);
             assert_false(m->accounted);
             core->fresh = now;
             lmn_upkeep(core, now);
         }
         assert_true(m->retiring && m->force);
-        assert_in_range((int)waited, 1.25 * cfg.report_s + 4,
-                        1.25 * cfg.report_s + 8);
+        assert_in_range((int)waited, 1.25 * cfg.report_s + 4, 1.25 * cfg.report_s + 8);
     }
 }
 
-/* A copy of a report of a machine that was returned before this process began: it was counted as
- * a machine, in the records and in how jobs are cut, until the next takeover. */
+/* A copy of a report of a machine that was returned before this process began: it was
+ * counted as a machine, in the records and in how jobs are cut, until the next takeover.
+ */
 static void ghosts_are_returned(void **state)
 {
     uint64_t orders;
@@ -481,8 +492,8 @@
     assert_int_equal(report(NULL, "host-000900", 2, 71, 4, false, &orders), 503);
 }
 
-/* Copies that come late neither say that workers reach a node that hears none, nor end or start
- * anything. */
+/* Copies that come late neither say that workers reach a node that hears none, nor end or
+ * start anything. */
 static void late_copies_say_nothing(void **state)
 {
     uint64_t orders;
@@ -504,11 +515,13 @@
         assert_int_equal(report(m, m->name, 2, seq, 1, false, &orders), 503);
         assert_int_equal(report(m, m->name, 1, 90 + seq, 1, false, &orders), 503);
     }
-    report(NULL, "host-000901", 1, 5, 1, false, &orders); /* of one that nothing is known of */
+    report(NULL, "host-000901", 1, 5, 1, false,
+           &orders); /* of one that nothing is known of */
     assert_true(core->members.shut);
     assert_int_equal(range.nstarted, 4);
     assert_int_equal(lmn_since(m->last, last), 0);
-    m->seq = 20; /* a call's answer: a report from before it may have been on its way for minutes */
+    m->seq = 20; /* a call's answer: a report from before it may have been on its way for
+                    minutes */
     assert_int_equal(report(m, m->name, 2, 13, 1, true, &orders), 200);
     assert_true(core->members.shut);
     assert_int_equal(report(m, m->name, 2, 21, 1, true, &orders), 200);
@@ -516,9 +529,9 @@
     assert_int_equal(range.nstarted, 4);
 }
 
-/* Cut off from the state service and the other controllers, a node held its workers until the
- * fence: it sends each on once, and keeps alive who comes back. Not where the way round takes
- * longer than a lease. */
+/* Cut off from the state service and the other controllers, a node held its workers until
+ * the fence: it sends each on once, and keeps alive who comes back. Not where the way
+ * round takes longer than a lease. */
 static void an_isolated_node_sends_its_workers_on(void **state)
 {
     uint64_t orders, seq = 0;
@@ -578,15 +591,16 @@
     return m;
 }
 
-/* An answer to a report from before the term, or to one that was overtaken, renewed the lease of
- * tasks whose job had been withdrawn long before, and did not end them. */
+/* An answer to a report from before the term, or to one that was overtaken, renewed the
+ * lease of tasks whose job had been withdrawn long before, and did not end them. */
 static void each_answer_ends_what_is_withdrawn(void **state)
 {
     uint64_t orders, seq = 0;
     (void)state;
 
     for (int withdrawn = 0; withdrawn < 2; withdrawn++) {
-        struct lmn_machine *m = with_tasks(&seq), *names = lmn_machine_new(&core->parts[0], "x");
+        struct lmn_machine *m = with_tasks(&seq),
+                           *names = lmn_machine_new(&core->parts[0], "x");
         g_array_append_vals(names->attempts, m->attempts->data, m->attempts->len);
         if (withdrawn)
             job.phase = LMN_WITHDRAWN;
@@ -605,8 +619,8 @@
     }
 }
 
-/* The standby acknowledged no start of the answer: what went out in its place had no kills either,
- * and renewed the lease. */
+/* The standby acknowledged no start of the answer: what went out in its place had no
+ * kills either, and renewed the lease. */
 static void a_withheld_answer_keeps_its_kills(void **state)
 {
     uint64_t orders, seq = 0;
@@ -656,8 +670,8 @@
     g_byte_array_unref(body);
 }
 
-/* A call was under way when its job was withdrawn: its starts were left alone until its outcome was
- * known, and the answer renewed the lease. */
+/* A call was under way when its job was withdrawn: its starts were left alone until its
+ * outcome was known, and the answer renewed the lease. */
 static void starts_under_way_are_ended(void **state)
 {
     char name[LMN_NAME], addr[LMN_ADDR];
@@ -691,8 +705,9 @@
     return lmn_tombstones_for(&core->tombstones, 1, refs, most, upto) == want;
 }
 
-/* What another controller has confirmed ends although the mirror doesn't show it, and is neither
- * written nor forgotten; once the mirror is proven to be of a later time, it alone counts. */
+/* What another controller has confirmed ends although the mirror doesn't show it, and is
+ * neither written nor forgotten; once the mirror is proven to be of a later time, it
+ * alone counts. */
 static void tombstones_help_and_decide_nothing(void **state)
 {
     uint64_t orders, seq = 0, upto;
@@ -745,12 +760,13 @@
     assert_true(took(LMN_TOMBSTONES, 0, &upto));
 }
 
-/* Once an entry that could not be read was passed over, and its task counted as gone; and "x/" or
- * a number beyond all bounds was read as some other task of x. */
+/* Once an entry that could not be read was passed over, and its task counted as gone; and
+ * "x/" or a number beyond all bounds was read as some other task of x. */
 static void malformed_reports_change_nothing(void **state)
 {
-    static const char *const bad[] = {"run-000001", "run-000001/", "run-000001/4294967296", "/1",
-                                      "run-000001/-1", "run-000001/1x", "run-000001/1 "};
+    static const char *const bad[] = {
+        "run-000001",    "run-000001/",   "run-000001/4294967296", "/1",
+        "run-000001/-1", "run-000001/1x", "run-000001/1 "};
     uint64_t orders, seq = 0;
     (void)state;
 
--- a/tests/world/rules.c
+++ b/tests/world/rules.c
@@ -1,7 +1,6 @@
 /* The protocol's rules, checked after each step. */
 #include "world.h"
 
-
 #include <stdlib.h>
 #include <string.h>
 
