--- a/bench/finals.c
+++ b/bench/retention.c
@@ -1,11 +1,11 @@
 /* Memory of a controller's mirror over a million jobs that come and end.
  *
- *   bench_finals JOBS */
+ *   bench_retention JOBS */
 #include "base/clock.h"
 #include "base/codec.h"
 #include "own/owner.h"
 #include "state/core.h"
-#include "state/finals.h"
+#include "state/retention.h"
 #include "state/mirror.h"
 #include "state/records.h"
 #include "common.h"
@@ -54,7 +54,7 @@
             g_byte_array_unref(b);
         }
         now = lmn_after(now, 0.1); /* ten jobs a second */
-        lmn_finals_evict(c, now);
+        lmn_retention_evict(c, now);
         if ((n + 1) % (jobs / 10) == 0) {
             last = bench_resident_mb(0);
             if (first <= 0)
--- a/src/decide/fleet.c
+++ b/src/decide/fleet.c
@@ -159,7 +159,7 @@
                 continue;
             if (s->kind == LMN_BATCH)
                 left = MIN(left, MAX(left * MAX(s->estimate_s, 1) / horizon, 1));
-            if (lmn_job_accused(&r->job->blame))
+            if (lmn_job_accused(&r->job->failures))
                 left = MIN(left, 1); /* its only try */
             struct want w = {s,
                              r->job->team,
--- a/src/decide/pack.c
+++ b/src/decide/pack.c
@@ -5,7 +5,7 @@
 #include "decide/pack.h"
 #include "decide/place.h"
 #include "decide/queue.h"
-#include "state/books.h"
+#include "state/owner_state.h"
 #include "state/core.h"
 
 #include <string.h>
@@ -110,7 +110,7 @@
     GHashTableIter it;
     gpointer v;
     double free_cpus = 0, all = 0;
-    bool waits = p->limbo.tasks > 0;
+    bool waits = p->unplaced.tasks > 0;
 
     if (!p->mine || !p->ready || p->releasing || lmn_before(now, p->next_pack) ||
         lmn_staleness(c, now) > LMN_BLIND_S)
--- a/src/decide/preempt.c
+++ b/src/decide/preempt.c
@@ -6,7 +6,7 @@
 #include "base/log.h"
 #include "decide/place.h"
 #include "decide/queue.h"
-#include "state/books.h"
+#include "state/owner_state.h"
 
 #include <math.h>
 #include <string.h>
@@ -22,7 +22,7 @@
 
 struct waiting {
     struct lmn_queue *queue;
-    struct lmn_machine *on; /* NULL: limbo */
+    struct lmn_machine *on; /* NULL: unplaced */
     struct lmn_range *range;
     uint32_t index;
 };
@@ -36,7 +36,7 @@
         const struct lmn_seg *s = q->segs->pdata[i];
         const struct lmn_job *j = s->job;
         if (j->spec.urgency != LMN_PROD || j->phase != LMN_ACTIVE ||
-            lmn_before(now, j->blame.hold))
+            lmn_before(now, j->failures.hold))
             continue;
         for (uint32_t k = s->lo; k < s->hi && out->len < HELPED_AT_ONCE; k++) {
             struct waiting w = {q, on, s->range, k};
@@ -192,7 +192,7 @@
             m->promised = 0;
         collect(&m->queue, m, wait, now);
     }
-    collect(&p->limbo, NULL, wait, now);
+    collect(&p->unplaced, NULL, wait, now);
     for (guint i = 0; i < wait->len; i++) {
         struct waiting *w = &g_array_index(wait, struct waiting, i);
         const struct lmn_job *j = w->range->job;
--- a/src/decide/queue.c
+++ b/src/decide/queue.c
@@ -7,7 +7,7 @@
 #include "decide/place.h"
 #include "decide/quota.h"
 #include "standby/stream.h"
-#include "state/books.h"
+#include "state/owner_state.h"
 #include "state/core.h"
 
 #include <math.h>
@@ -167,9 +167,9 @@
     struct lmn_partition *p = r->part;
     GHashTableIter it;
     gpointer v;
-    if (lmn_job_accused(&r->job->blame)) {
+    if (lmn_job_accused(&r->job->failures)) {
         /* It is tried with a task at a time: there it fills no machine's queue. */
-        lmn_queue_add(&p->limbo, r, lo, hi);
+        lmn_queue_add(&p->unplaced, r, lo, hi);
         return;
     }
     GPtrArray *able = g_ptr_array_new();
@@ -189,7 +189,7 @@
         g_ptr_array_add(able, m);
     }
     if (!able->len)
-        lmn_queue_add(&p->limbo, r, lo, hi);
+        lmn_queue_add(&p->unplaced, r, lo, hi);
     /* First what has room: the fittest kind of machine, and of these the fullest, so that
      * large tasks find whole machines and idle ones can go. Then round robin, one each a
      * turn. */
@@ -237,7 +237,7 @@
     GHashTableIter it;
     gpointer v;
 
-    lmn_queue_drop_range(&r->part->limbo, r);
+    lmn_queue_drop_range(&r->part->unplaced, r);
     g_hash_table_iter_init(&it, r->part->machines);
     while (g_hash_table_iter_next(&it, NULL, &v))
         lmn_queue_drop_range(&((struct lmn_machine *)v)->queue, r);
@@ -341,8 +341,8 @@
     p->started = true;
     c->turn++;
     a.job->aged = false; /* it has begun */
-    if (lmn_job_accused(&a.job->blame))
-        lmn_job_tried(&a.job->blame, now);
+    if (lmn_job_accused(&a.job->failures))
+        lmn_job_tried(&a.job->failures, now);
     if (m->promised && a.job->spec.urgency == LMN_PROD) {
         m->promised--;
         look_anew(c); /* lesser work may start again */
@@ -383,7 +383,7 @@
     bool ok = lmn_job_wanted(c, j) && lmn_room(m, &j->spec) > 0 &&
               (!m->promised || j->spec.urgency == LMN_PROD) &&
               (!m->kept || m->kept == j) && !too_dear(c, m, j) &&
-              !lmn_before(now, j->blame.hold) && lmn_can_hold(m, j) &&
+              !lmn_before(now, j->failures.hold) && lmn_can_hold(m, j) &&
               lmn_in_quota(c, m->part, j) && lmn_zone_room(j, m->zone) > 0;
     if (ok)
         j->look_yes = c->turn;
@@ -453,7 +453,8 @@
     v[k]->at = k;
 }
 
-/* A fresh random sample of the other machines' queues, and limbo, which is no machine's.
+/* A fresh random sample of the other machines' queues, and unplaced, which is no
+ * machine's.
  */
 static GPtrArray *sample_queues(struct lmn_core *c, struct lmn_machine *m)
 {
@@ -472,7 +473,7 @@
         swap(v, i, i + (guint)g_rand_int_range(c->rng, 0, (gint32)(n - i)));
         g_ptr_array_add(queues, &v[i]->queue);
     }
-    g_ptr_array_add(queues, &p->limbo);
+    g_ptr_array_add(queues, &p->unplaced);
     return queues;
 }
 
--- a/src/decide/queue.h
+++ b/src/decide/queue.h
@@ -13,9 +13,9 @@
 /* Takes the range out of all queues, and deals it anew. */
 void lmn_range_redeal(struct lmn_core *c, struct lmn_range *r, struct timespec now);
 /* Deals the job's queued tasks in this node's partitions anew: an accused job's into
- * limbo, away from the machines' queues. */
+ * unplaced, away from the machines' queues. */
 void lmn_job_redeal(struct lmn_core *c, struct lmn_job *j, struct timespec now);
-/* Gives a machine's queue, or all of limbo, back to be dealt anew. */
+/* Gives a machine's queue, or all of unplaced, back to be dealt anew. */
 void lmn_redeal_machine(struct lmn_core *c, struct lmn_machine *m, struct timespec now);
 void lmn_machine_retire(struct lmn_core *c, struct lmn_machine *m, bool force,
                         const char *why, struct timespec now);
--- a/src/decide/quota.c
+++ b/src/decide/quota.c
@@ -1,5 +1,5 @@
 /* A team's limit, parted among the partitions. Without a record each has an even part;
- * parts are moved by own/gift.c. */
+ * parts are moved by own/limit_transfer.c. */
 #include "decide/quota.h"
 
 #include <string.h>
@@ -23,9 +23,9 @@
         *cpus = p->quota_cpus[team];
         *gpus = p->quota_gpus[team];
     }
-    if (p->gift.team == team) {
-        *cpus -= p->gift.cpus;
-        *gpus -= p->gift.gpus;
+    if (p->transfer.team == team) {
+        *cpus -= p->transfer.cpus;
+        *gpus -= p->transfer.gpus;
     }
 }
 
@@ -42,7 +42,7 @@
         double n = r->st ? r->hi - r->lo - r->nfinished - r->nstarted : 0;
         if (r->job->team != team || r->job->phase != LMN_ACTIVE || n <= 0)
             continue;
-        if (lmn_job_accused(&r->job->blame))
+        if (lmn_job_accused(&r->job->failures))
             n = 1; /* it is tried with a task at a time */
         w->cpus += n * r->job->spec.cpus;
         w->gpus += n * r->job->spec.gpus;
--- a/src/decide/reserve.c
+++ b/src/decide/reserve.c
@@ -1,7 +1,7 @@
 #include "decide/reserve.h"
 #include "base/log.h"
 #include "decide/queue.h"
-#include "state/books.h"
+#include "state/owner_state.h"
 
 #include <string.h>
 
@@ -61,12 +61,12 @@
 static void bring(struct lmn_partition *p, const struct lmn_range *r,
                   struct lmn_machine *m)
 {
-    struct lmn_queue *from = &p->limbo;
+    struct lmn_queue *from = &p->unplaced;
     uint32_t index = 0;
     bool found = false;
 
     for (guint k = 0; k <= p->list->len && !found; k++) {
-        from = k ? &((struct lmn_machine *)p->list->pdata[k - 1])->queue : &p->limbo;
+        from = k ? &((struct lmn_machine *)p->list->pdata[k - 1])->queue : &p->unplaced;
         for (guint i = 0; i < from->segs->len && !found; i++) {
             const struct lmn_seg *s = from->segs->pdata[i];
             found = s->range == r;
@@ -99,7 +99,8 @@
 
     if (!lmn_in_quota(c, p, j)) {
         struct lmn_keep *k = &p->keep[j->team];
-        /* What is more than all of the part has to come from others (own/gift.c). */
+        /* What is more than all of the part has to come from others
+         * (own/limit_transfer.c). */
         if (!k->job || !lmn_before(now, k->until))
             keep(k, j, j->spec.cpus, j->spec.gpus, lmn_after(now, KEPT_S));
         return;
@@ -146,7 +147,7 @@
         const struct lmn_range *r = v;
         if (r->job->aged && c->wall - r->job->at > WAITED_S &&
             r->job->phase == LMN_ACTIVE && r->st && r->dealt && r->job->team >= 0 &&
-            !lmn_job_accused(&r->job->blame) && lmn_range_free_to_start(r))
+            !lmn_job_accused(&r->job->failures) && lmn_range_free_to_start(r))
             help(c, p, r, &kept, now);
     }
 }
--- a/src/decide/steal.c
+++ b/src/decide/steal.c
@@ -7,7 +7,7 @@
 #include "decide/order.h"
 #include "decide/queue.h"
 #include "decide/quota.h"
-#include "state/books.h"
+#include "state/owner_state.h"
 #include "state/core.h"
 
 #include <math.h>
@@ -86,7 +86,8 @@
         return 0;
     /* Tasks that look at each other's places stay with one owner; those that fail
      * wherever they start are not worth a change. */
-    if (r->job->spec.one_zone || r->job->spec.spread || lmn_job_accused(&r->job->blame))
+    if (r->job->spec.one_zone || r->job->spec.spread ||
+        lmn_job_accused(&r->job->failures))
         return 0;
     while (k > 0 && r->st[k - 1] == LMN_T_QUEUED)
         k--;
@@ -157,7 +158,7 @@
     best->move_rev = best->rev;
     for (uint32_t i = best->move_at; i < best->hi; i++)
         best->st[i - best->lo] = LMN_T_MOVING;
-    lmn_queue_cut(&p->limbo, best, best->move_at);
+    lmn_queue_cut(&p->unplaced, best, best->move_at);
     g_hash_table_iter_init(&it, p->machines);
     while (g_hash_table_iter_next(&it, NULL, &v))
         lmn_queue_cut(&((struct lmn_machine *)v)->queue, best, best->move_at);
@@ -188,7 +189,7 @@
     gpointer v;
     (void)c;
 
-    lmn_queue_cut(&r->part->limbo, r, hi);
+    lmn_queue_cut(&r->part->unplaced, r, hi);
     g_hash_table_iter_init(&it, r->part->machines);
     while (g_hash_table_iter_next(&it, NULL, &v))
         lmn_queue_cut(&((struct lmn_machine *)v)->queue, r, hi);
--- a/src/member/member.h
+++ b/src/member/member.h
@@ -224,6 +224,6 @@
 bool lmn_self_fit(const struct lmn_members *ms, struct timespec now);
 /* It hears less than half of its machines, which come to others: the rank of the member
  * to give its partitions to, -1: none. */
-int lmn_self_heir(const struct lmn_members *ms, struct timespec now);
+int lmn_self_successor(const struct lmn_members *ms, struct timespec now);
 
 #endif
--- a/src/member/verdict.c
+++ b/src/member/verdict.c
@@ -218,11 +218,11 @@
            (m->doubt_why != LMN_DEAF || ms->word.deaf <= DEAF);
 }
 
-int lmn_self_heir(const struct lmn_members *ms, struct timespec now)
+int lmn_self_successor(const struct lmn_members *ms, struct timespec now)
 {
     const struct lmn_peer_view *m = &ms->v[ms->me];
     unsigned most = 0;
-    int heir = -1;
+    int successor = -1;
 
     if (ms->word.deaf <= DEAF || !lmn_self_awake(ms, now))
         return -1;
@@ -233,8 +233,8 @@
             continue;
         if (w->s.visitors > most) {
             most = w->s.visitors;
-            heir = k;
+            successor = k;
         }
     }
-    return heir;
+    return successor;
 }
--- a/src/own/answer.c
+++ b/src/own/answer.c
@@ -6,7 +6,7 @@
 #include "own/partition.h"
 #include "own/worker_part.h"
 #include "standby/stream.h"
-#include "state/books.h"
+#include "state/owner_state.h"
 #include "state/core.h"
 
 #include <string.h>
@@ -34,7 +34,7 @@
 static bool is_history(const struct lmn_machine *m, const struct lmn_attempt *a)
 {
     if (!a->failed || !a->job || a->job->phase != LMN_ACTIVE ||
-        !lmn_job_accused(&a->job->blame))
+        !lmn_job_accused(&a->job->failures))
         return false;
     for (guint i = 0; i < m->attempts->len; i++) {
         const struct lmn_attempt *b = &g_array_index(m->attempts, struct lmn_attempt, i);
--- a/src/own/flush.c
+++ b/src/own/flush.c
@@ -2,7 +2,7 @@
 #include "own/flush.h"
 #include "decide/steal.h"
 #include "own/block.h"
-#include "own/gift.h"
+#include "own/limit_transfer.h"
 #include "state/records.h"
 
 #include <string.h>
--- a/src/own/holder.c
+++ b/src/own/holder.c
@@ -180,7 +180,7 @@
         if (named >= 0 && named != ms->me && ms->v[named].ever) {
             lmn_info("partition-hand-on partition=%d to=%s", id,
                      lmn_member_name(ms, named));
-            return lmn_partition_gift(c, p, named);
+            return lmn_partition_handover(c, p, named);
         }
         if (named >= 0 && named != ms->me && lmn_since(now, c->synced_at) < HEAR_S)
             return NULL;
@@ -211,10 +211,10 @@
     if (!p->mine)
         return -1;
     if (c->leaving)
-        return lmn_leave_heir(c, p, now);
-    int heir = lmn_self_heir(ms, now);
-    if (heir >= 0)
-        return heir;
+        return lmn_leave_successor(c, p, now);
+    int successor = lmn_self_successor(ms, now);
+    if (successor >= 0)
+        return successor;
     for (int i = 0; i < c->nparts; i++) {
         const struct lmn_partition *o = &c->parts[i];
         held += o->mine;
@@ -232,8 +232,8 @@
     return holder;
 }
 
-struct lmn_txn *lmn_holder_gift(struct lmn_core *c, int id, int *heir,
-                                struct timespec now)
+struct lmn_txn *lmn_holder_handover(struct lmn_core *c, int id, int *successor,
+                                    struct timespec now)
 {
     struct lmn_partition *p = &c->parts[id];
     struct lmn_members *ms = &c->members;
@@ -241,20 +241,20 @@
     /* One whose outcome was not known, and that the mirror has not shown since. */
     if (p->mine && p->releasing && lmn_before(p->released, c->fresh))
         p->releasing = false;
-    *heir = p->releasing ? -1 : gives(c, p, now);
-    if (*heir < 0)
+    *successor = p->releasing ? -1 : gives(c, p, now);
+    if (*successor < 0)
         return NULL;
-    if (lmn_self_heir(ms, now) == *heir && !ms->shut) {
-        lmn_info("member-deaf deaf=%.2f heir=%s", ms->word.deaf,
-                 lmn_member_name(ms, *heir));
+    if (lmn_self_successor(ms, now) == *successor && !ms->shut) {
+        lmn_info("member-deaf deaf=%.2f successor=%s", ms->word.deaf,
+                 lmn_member_name(ms, *successor));
         ms->shut = true;
     }
-    lmn_info("partition-give partition=%d to=%s warm=%d", id, lmn_member_name(ms, *heir),
-             lmn_standby_named(c, p, now) == *heir);
+    lmn_info("partition-give partition=%d to=%s warm=%d", id,
+             lmn_member_name(ms, *successor), lmn_standby_named(c, p, now) == *successor);
     p->releasing = true;
     p->released = now;
     ms->count.gives++;
-    return lmn_partition_gift(c, p, *heir);
+    return lmn_partition_handover(c, p, *successor);
 }
 
 void lmn_holder_given(struct lmn_core *c, int id, enum lmn_outcome r, struct timespec now)
@@ -350,16 +350,16 @@
 static void give(struct holder *h, int id)
 {
     struct lmn_core *c = h->c;
-    int heir;
+    int successor;
 
     pthread_mutex_lock(&c->lock);
-    struct lmn_txn *t = lmn_holder_gift(c, id, &heir, lmn_now());
+    struct lmn_txn *t = lmn_holder_handover(c, id, &successor, lmn_now());
     pthread_mutex_unlock(&c->lock);
     if (!t)
         return;
     enum lmn_outcome r = send(h, t);
     lmn_info("partition-hand-over partition=%d to=%s outcome=%d", id,
-             lmn_member_name(&c->members, heir), r);
+             lmn_member_name(&c->members, successor), r);
     pthread_mutex_lock(&c->lock);
     lmn_holder_given(c, id, r, lmn_now());
     pthread_mutex_unlock(&c->lock);
--- a/src/own/holder.h
+++ b/src/own/holder.h
@@ -24,8 +24,8 @@
 /* A partition goes back to the member that holds it by default once that one has earned
  * it; all go to others while this node does not hear its workers. From then on nothing is
  * started there; lmn_holder_given tells what became of it. */
-struct lmn_txn *lmn_holder_gift(struct lmn_core *c, int id, int *heir,
-                                struct timespec now);
+struct lmn_txn *lmn_holder_handover(struct lmn_core *c, int id, int *successor,
+                                    struct timespec now);
 void lmn_holder_given(struct lmn_core *c, int id, enum lmn_outcome r,
                       struct timespec now);
 
--- a/src/own/leave.c
+++ b/src/own/leave.c
@@ -1,6 +1,6 @@
 #include "own/leave.h"
 #include "base/log.h"
-#include "own/heir.h"
+#include "own/successor.h"
 #include "standby/stream.h"
 #include "state/core.h"
 
@@ -37,8 +37,8 @@
     return true;
 }
 
-int lmn_leave_heir(const struct lmn_core *c, const struct lmn_partition *p,
-                   struct timespec now)
+int lmn_leave_successor(const struct lmn_core *c, const struct lmn_partition *p,
+                        struct timespec now)
 {
     int named = lmn_standby_named(c, p, now);
 
@@ -48,7 +48,7 @@
      * anew. */
     if (lmn_since(now, c->leave_at) < COPY_S && c->tuning.standby > 0)
         return -1;
-    return lmn_heir_of(c, p, now);
+    return lmn_successor_of(c, p, now);
 }
 
 bool lmn_leave_bare(const struct lmn_core *c)
--- a/src/own/leave.h
+++ b/src/own/leave.h
@@ -12,8 +12,8 @@
 bool lmn_leave_undo(struct lmn_core *c);
 /* To whom it should give the partition now: a rank; -1: nobody yet. Without anybody in
  * step one is waited for, for 2 s. */
-int lmn_leave_heir(const struct lmn_core *c, const struct lmn_partition *p,
-                   struct timespec now);
+int lmn_leave_successor(const struct lmn_core *c, const struct lmn_partition *p,
+                        struct timespec now);
 /* It has given everything away: its lease may go. */
 bool lmn_leave_bare(const struct lmn_core *c);
 /* The process may end: all is given and the users' balancer has had its time, or that has
--- a/src/own/gift.c
+++ b/src/own/limit_transfer.c
@@ -5,7 +5,7 @@
  * use. What is being given counts as given from before the write goes out until the
  * mirror shows what became of it; what is received counts only once the mirror shows it.
  * So the parts in use never add up to more than the limit, whatever fails. */
-#include "own/gift.h"
+#include "own/limit_transfer.h"
 #include "decide/reserve.h"
 #include "base/log.h"
 
@@ -42,9 +42,9 @@
             lmn_number(cpus, &p->quota_cpus[team]), cpus = lmn_next(d, cpus);
         if (gpus)
             lmn_number(gpus, &p->quota_gpus[team]), gpus = lmn_next(d, gpus);
-        /* Either our gift was applied, or it can't be any more. */
-        if (p->gift.team == team && rev > p->gift.rev)
-            p->gift.team = -1;
+        /* Either our transfer was applied, or it can't be any more. */
+        if (p->transfer.team == team && rev > p->transfer.rev)
+            p->transfer.team = -1;
     }
     c->quota_rev[team] = rev;
     /* Parts of another limit, from settings before these, are no parts of this one. */
@@ -55,7 +55,7 @@
                            gpus_max == c->cfg->teams[team].gpus_max;
 }
 
-struct gift_ref {
+struct transfer_ref {
     struct lmn_core *c;
     int part;
     uint64_t serial;
@@ -65,20 +65,20 @@
 
 static void given(void *arg, struct lmn_txn *t, enum lmn_outcome outcome, uint64_t rev)
 {
-    struct gift_ref *w = arg;
+    struct transfer_ref *w = arg;
     struct lmn_core *c = w->c;
     struct lmn_partition *p = &c->parts[w->part];
     (void)t;
     (void)rev;
 
     pthread_mutex_lock(&c->lock);
-    if (p->mine && p->gift.team >= 0 && p->gift.serial == w->serial) {
-        if (outcome == LMN_REFUSED && !p->gift.unsure) {
-            p->gift.team = -1; /* surely not applied, and never will be */
+    if (p->mine && p->transfer.team >= 0 && p->transfer.serial == w->serial) {
+        if (outcome == LMN_REFUSED && !p->transfer.unsure) {
+            p->transfer.team = -1; /* surely not applied, and never will be */
         } else if (outcome == LMN_REFUSED || outcome == LMN_UNKNOWN) {
             /* Only the mirror can tell; the same write again makes it tell. */
-            p->gift.unsure = true;
-            p->gift.retry = lmn_after(lmn_now(), 0.5);
+            p->transfer.unsure = true;
+            p->transfer.retry = lmn_after(lmn_now(), 0.5);
         }
     }
     pthread_mutex_unlock(&c->lock);
@@ -87,16 +87,16 @@
 
 static void submit(struct lmn_core *c, struct lmn_partition *p)
 {
-    struct gift_ref *w = g_new0(struct gift_ref, 1);
-    int team = p->gift.team;
+    struct transfer_ref *w = g_new0(struct transfer_ref, 1);
+    int team = p->transfer.team;
     char *key = record_key(c, team), owner[32];
     GByteArray *b = g_byte_array_new();
 
-    *w = (struct gift_ref){c, p->id, p->gift.serial};
+    *w = (struct transfer_ref){c, p->id, p->transfer.serial};
     struct lmn_txn *t = lmn_txn_new(LMN_RANK_CLOSE, given, w);
     g_snprintf(owner, sizeof owner, "o/%d", p->id);
     lmn_txn_if(t, owner, p->my_rev);
-    lmn_txn_if(t, key, p->gift.rev);
+    lmn_txn_if(t, key, p->transfer.rev);
     lmn_put_map(b, 4);
     lmn_put_text(b, "cpus_max"), lmn_put_number(b, c->cfg->teams[team].cpus_max);
     lmn_put_text(b, "gpus_max"), lmn_put_number(b, c->cfg->teams[team].gpus_max);
@@ -108,15 +108,15 @@
             lmn_quota_even(c, team, &x, &y);
             if (c->quota_known[team])
                 x = c->parts[i].quota_cpus[team], y = c->parts[i].quota_gpus[team];
-            double by = gpus ? p->gift.gpus : p->gift.cpus;
-            lmn_put_number(b, (gpus ? y : x) + (i == p->gift.to ? by
-                                                : i == p->id    ? -by
-                                                                : 0));
+            double by = gpus ? p->transfer.gpus : p->transfer.cpus;
+            lmn_put_number(b, (gpus ? y : x) + (i == p->transfer.to ? by
+                                                : i == p->id        ? -by
+                                                                    : 0));
         }
     }
     lmn_txn_write(t, key, b, 0);
     g_free(key);
-    p->gift.retry = (struct timespec){0, 0};
+    p->transfer.retry = (struct timespec){0, 0};
     lmn_state_submit(c->state, t);
 }
 
@@ -125,7 +125,7 @@
 {
     double have_cpus, have_gpus;
 
-    if (!p->mine || !p->ready || p->releasing || p->gift.team >= 0 || to == p->id ||
+    if (!p->mine || !p->ready || p->releasing || p->transfer.team >= 0 || to == p->id ||
         to < 0 || to >= c->nparts || team < 0 || team >= (int)c->cfg->nteams ||
         !lmn_quota_limited(&c->cfg->teams[team]))
         return false;
@@ -134,12 +134,12 @@
     gpus = CLAMP(gpus, 0, MAX(have_gpus - p->used_gpus[team], 0));
     if (cpus < 1e-6 && gpus < 1e-6)
         return false;
-    p->gift = (struct lmn_gift){.team = team,
-                                .to = to,
-                                .cpus = cpus,
-                                .gpus = gpus,
-                                .rev = c->quota_rev[team],
-                                .serial = ++c->gifts};
+    p->transfer = (struct lmn_limit_transfer){.team = team,
+                                              .to = to,
+                                              .cpus = cpus,
+                                              .gpus = gpus,
+                                              .rev = c->quota_rev[team],
+                                              .serial = ++c->transfers};
     lmn_debug("quota-give team=%s partition=%d to=%d cpus=%.1f gpus=%.1f",
               c->cfg->teams[team].name, p->id, to, cpus, gpus);
     submit(c, p);
@@ -148,14 +148,15 @@
 
 void lmn_quota_flush(struct lmn_core *c, struct lmn_partition *p, struct timespec now)
 {
-    if (p->gift.team >= 0 && p->gift.retry.tv_sec && !lmn_before(now, p->gift.retry) &&
-        c->quota_rev[p->gift.team] == p->gift.rev)
+    if (p->transfer.team >= 0 && p->transfer.retry.tv_sec &&
+        !lmn_before(now, p->transfer.retry) &&
+        c->quota_rev[p->transfer.team] == p->transfer.rev)
         submit(c, p);
 }
 
 void lmn_quota_reset(struct lmn_partition *p)
 {
-    p->gift.team = -1;
+    p->transfer.team = -1;
 }
 
 bool lmn_quota_asked(struct lmn_core *c, struct lmn_partition *p, int to,
--- a/src/own/gift.h
+++ b/src/own/limit_transfer.h
@@ -1,13 +1,13 @@
 /* Parts of limits that move, by conditional writes. The core's lock is held by the caller
  * throughout. */
-#ifndef LMN_GIFT_H
-#define LMN_GIFT_H
+#ifndef LMN_LIMIT_TRANSFER_H
+#define LMN_LIMIT_TRANSFER_H
 
 #include "decide/quota.h"
 
 void lmn_quota_apply(struct lmn_core *c, const char *key, const struct lmn_doc *d,
                      const struct lmn_node *v, uint64_t rev);
-/* Sets a gift to another partition going, of no more than is free; false if there is
+/* Sets a transfer to another partition going, of no more than is free; false if there is
  * none. */
 bool lmn_quota_give(struct lmn_core *c, struct lmn_partition *p, int team, int to,
                     double cpus, double gpus);
--- a/src/own/owner.c
+++ b/src/own/owner.c
@@ -4,11 +4,11 @@
 #include "decide/queue.h"
 #include "decide/steal.h"
 #include "own/block.h"
-#include "own/gift.h"
+#include "own/limit_transfer.h"
 #include "own/partition.h"
 #include "own/range.h"
 #include "standby/stream.h"
-#include "state/books.h"
+#include "state/owner_state.h"
 #include "state/core.h"
 
 static void range_born(struct lmn_core *c, struct lmn_range *r, struct timespec now)
--- a/src/own/partition.c
+++ b/src/own/partition.c
@@ -5,12 +5,12 @@
 #include "base/wire.h"
 #include "decide/queue.h"
 #include "own/block.h"
-#include "own/gift.h"
-#include "own/heir.h"
+#include "own/limit_transfer.h"
+#include "own/successor.h"
 #include "own/range.h"
 #include "standby/stream.h"
 #include "standby/takeover.h"
-#include "state/books.h"
+#include "state/owner_state.h"
 
 #include <string.h>
 
@@ -117,7 +117,7 @@
     p->mine = p->ready = p->releasing = p->warm = p->open = false;
     lmn_stream_reset(c, p);
     lmn_quota_reset(p);
-    lmn_queue_clear(&p->limbo);
+    lmn_queue_clear(&p->unplaced);
     g_hash_table_iter_init(&it, p->machines);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         struct lmn_machine *m = v;
@@ -220,7 +220,7 @@
 {
     const struct lmn_members *ms = &c->members;
     struct timespec since = p->vacant;
-    int heir[LMN_MAX_PARTS], ahead = 1;
+    int successor[LMN_MAX_PARTS], ahead = 1;
 
     if (ms->shut || c->leaving || !lmn_self_awake(ms, now))
         return false; /* it could not serve it */
@@ -241,15 +241,15 @@
      * one took every partition, cold, 0.3 s before the others had their leases. */
     if (lmn_since(now, c->synced_at) < FIRST_S || lmn_since(now, c->leased) < FIRST_S)
         return false;
-    lmn_heirs(c, now, heir);
-    if (heir[p->id] == ms->me)
+    lmn_successors(c, now, successor);
+    if (successor[p->id] == ms->me)
         return true;
     /* Should that one not come, the others that are up, in their order. */
     for (int k = 0; k < ms->n; k++) {
         int rank = (p->id + k) % ms->n;
         if (rank == ms->me)
             break;
-        ahead += rank != heir[p->id] && lmn_member_trusted(ms, rank, now);
+        ahead += rank != successor[p->id] && lmn_member_trusted(ms, rank, now);
     }
     return lmn_since(now, since) >= 1.5 * ahead;
 }
@@ -303,12 +303,12 @@
     return t;
 }
 
-struct lmn_txn *lmn_partition_gift(const struct lmn_core *c,
-                                   const struct lmn_partition *p, int heir)
+struct lmn_txn *lmn_partition_handover(const struct lmn_core *c,
+                                       const struct lmn_partition *p, int successor)
 {
-    struct lmn_txn *t =
-        transfer(p, lmn_member_name(&c->members, heir), c->members.v[heir].lease, true);
+    struct lmn_txn *t = transfer(p, lmn_member_name(&c->members, successor),
+                                 c->members.v[successor].lease, true);
 
-    if_incarnation(c, t, heir);
+    if_incarnation(c, t, successor);
     return t;
 }
--- a/src/own/partition.h
+++ b/src/own/partition.h
@@ -26,7 +26,7 @@
                                     const struct lmn_partition *p, uint64_t lease);
 /* The same write by an owner that gives it to another member: conditional on that one's
  * incarnation, and hanging on its lease. */
-struct lmn_txn *lmn_partition_gift(const struct lmn_core *c,
-                                   const struct lmn_partition *p, int heir);
+struct lmn_txn *lmn_partition_handover(const struct lmn_core *c,
+                                       const struct lmn_partition *p, int successor);
 
 #endif
--- a/src/own/range.c
+++ b/src/own/range.c
@@ -3,7 +3,7 @@
 #include "own/range.h"
 #include "base/log.h"
 #include "decide/queue.h"
-#include "state/books.h"
+#include "state/owner_state.h"
 
 #include <math.h>
 #include <string.h>
@@ -34,7 +34,7 @@
     gpointer v;
     (void)c;
 
-    lmn_queue_drop_range(&p->limbo, r);
+    lmn_queue_drop_range(&p->unplaced, r);
     g_hash_table_iter_init(&it, p->machines);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         struct lmn_machine *m = v;
--- a/src/own/report.c
+++ b/src/own/report.c
@@ -5,7 +5,7 @@
 #include "decide/queue.h"
 #include "own/range.h"
 #include "own/worker_part.h"
-#include "state/books.h"
+#include "state/owner_state.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -140,8 +140,8 @@
 
 /* A task has failed: at the fault of its job, or of the machine. What its job says counts
  * as it stands now: one that has failed elsewhere meanwhile takes its word back. */
-static void blame(struct lmn_core *c, struct lmn_machine *m, struct lmn_attempt *a,
-                  struct timespec now)
+static void attribute_failure(struct lmn_core *c, struct lmn_machine *m,
+                              struct lmn_attempt *a, struct timespec now)
 {
     struct lmn_job *j = a->job;
     guint where = g_str_hash(m->name);
@@ -150,12 +150,12 @@
     c->count.failures++;
     if (!j || j->phase != LMN_ACTIVE)
         return;
-    bool was = lmn_job_accused(&j->blame);
-    lmn_job_failed(&j->blame, where, a->since, now);
-    if (!was && lmn_job_accused(&j->blame)) {
+    bool was = lmn_job_accused(&j->failures);
+    lmn_job_failed(&j->failures, where, a->since, now);
+    if (!was && lmn_job_accused(&j->failures)) {
         c->count.accused++;
-        lmn_info("job-accused job=%s machines=%u proven=%d", j->spec.ref, j->blame.places,
-                 j->blame.proven);
+        lmn_info("job-accused job=%s machines=%u proven=%d", j->spec.ref,
+                 j->failures.places, j->failures.proven);
         lmn_job_redeal(c, j, now);
     }
     struct lmn_accuser *x = accuser(m, j);
@@ -163,12 +163,12 @@
     x->last = now;
     for (guint i = 0; i < m->accusers->len; i++) {
         x = &g_array_index(m->accusers, struct lmn_accuser, i);
-        sum += lmn_testimony(&x->job->blame, where, x->times, x->last, now);
+        sum += lmn_failure_weight(&x->job->failures, where, x->times, x->last, now);
     }
     /* One whose tasks fail at once has room at once: it would empty healthy queues into
      * failures. */
     m->hold = lmn_after(now, lmn_machine_pause(sum));
-    if (lmn_machine_guilty(sum) && !m->retiring) {
+    if (lmn_machine_faulty(sum) && !m->retiring) {
         c->count.faulty++;
         lmn_info("machine-accused machine=%s jobs=%u weight=%.2f", m->name,
                  m->accusers->len, sum);
@@ -185,11 +185,11 @@
     a->failed = true;
     if (!j || j->phase != LMN_ACTIVE)
         return;
-    bool was = lmn_job_accused(&j->blame);
-    lmn_job_had_failed(&j->blame, g_str_hash(m->name), now);
-    if (!was && lmn_job_accused(&j->blame)) {
+    bool was = lmn_job_accused(&j->failures);
+    lmn_job_had_failed(&j->failures, g_str_hash(m->name), now);
+    if (!was && lmn_job_accused(&j->failures)) {
         lmn_info("job-accused job=%s machines=%u by=predecessor", j->spec.ref,
-                 j->blame.places);
+                 j->failures.places);
         lmn_job_redeal(c, j, now);
     }
 }
@@ -210,8 +210,8 @@
                   a->ref, a->index, a->number, m->name, lmn_since(now, a->since));
         g_array_set_size(m->accusers, 0);
         if (a->job) {
-            bool was = lmn_job_accused(&a->job->blame);
-            lmn_job_succeeded(&a->job->blame);
+            bool was = lmn_job_accused(&a->job->failures);
+            lmn_job_succeeded(&a->job->failures);
             if (was)
                 lmn_job_redeal(c, a->job, now);
         }
@@ -227,9 +227,9 @@
     a->failed = lmn_is(why, W_FAILED);
     a->range = NULL;
     if (a->failed)
-        blame(c, m, a, now);
+        attribute_failure(c, m, a, now);
     else if (lmn_is(why, W_NO_SUCH) && a->job)
-        lmn_job_failed(&a->job->blame, g_str_hash(m->name), a->since, now);
+        lmn_job_failed(&a->job->failures, g_str_hash(m->name), a->since, now);
     if (r)
         lmn_task_requeue(c, r, a->index, now);
 }
--- a/src/own/heir.c
+++ b/src/own/successor.c
@@ -1,4 +1,4 @@
-#include "own/heir.h"
+#include "own/successor.h"
 #include "standby/stream.h"
 
 /* What a partition weighs: its machines, and itself. */
@@ -64,21 +64,21 @@
     return least(c, p, f, but);
 }
 
-void lmn_heirs(const struct lmn_core *c, struct timespec now, int *heir)
+void lmn_successors(const struct lmn_core *c, struct timespec now, int *successor)
 {
     struct fleet f;
 
     weigh(c, now, &f);
     for (int i = 0; i < c->nparts; i++) {
         const struct lmn_partition *p = &c->parts[i];
-        heir[i] = lmn_orphaned(c, p, now) ? choose(c, p, &f, -1, now) : -1;
-        if (heir[i] >= 0)
-            f.load[heir[i]] += weight(p);
+        successor[i] = lmn_orphaned(c, p, now) ? choose(c, p, &f, -1, now) : -1;
+        if (successor[i] >= 0)
+            f.load[successor[i]] += weight(p);
     }
 }
 
-int lmn_heir_of(const struct lmn_core *c, const struct lmn_partition *p,
-                struct timespec now)
+int lmn_successor_of(const struct lmn_core *c, const struct lmn_partition *p,
+                     struct timespec now)
 {
     struct fleet f;
 
--- a/src/own/heir.h
+++ b/src/own/successor.h
@@ -2,8 +2,8 @@
  * all agree without talk; the claim's conditions decide where they do not. The lock is
  * held.
  */
-#ifndef LMN_HEIR_H
-#define LMN_HEIR_H
+#ifndef LMN_SUCCESSOR_H
+#define LMN_SUCCESSOR_H
 
 #include "state/model.h"
 
@@ -13,10 +13,10 @@
 /* For each orphaned partition the rank of who should claim it, else -1: who is in step
  * with its last owner; or its usual holder, if that one holds nothing; or whoever has the
  * fewest machines, those of the orphans before it included, so that several at a time are
- * spread. heir: room for all partitions. */
-void lmn_heirs(const struct lmn_core *c, struct timespec now, int *heir);
+ * spread. successor: room for all partitions. */
+void lmn_successors(const struct lmn_core *c, struct timespec now, int *successor);
 /* Who should have a partition that its owner, this node, gives away; -1: nobody. */
-int lmn_heir_of(const struct lmn_core *c, const struct lmn_partition *p,
-                struct timespec now);
+int lmn_successor_of(const struct lmn_core *c, const struct lmn_partition *p,
+                     struct timespec now);
 
 #endif
--- a/src/own/upkeep.c
+++ b/src/own/upkeep.c
@@ -5,7 +5,7 @@
 #include "decide/queue.h"
 #include "own/partition.h"
 #include "own/range.h"
-#include "state/books.h"
+#include "state/owner_state.h"
 #include "state/core.h"
 
 #include <math.h>
@@ -206,7 +206,7 @@
 
     for (GList *l = ranges; l && p->ready; l = l->next) {
         struct lmn_range *r = l->data;
-        uint32_t n = r->hi - r->lo, queued = 0, found = in_queue(&p->limbo, r);
+        uint32_t n = r->hi - r->lo, queued = 0, found = in_queue(&p->unplaced, r);
         GHashTableIter it;
         gpointer v;
         if (!r->st || r->job->phase != LMN_ACTIVE)
--- a/src/serve/balance.c
+++ b/src/serve/balance.c
@@ -1,5 +1,5 @@
 #include "serve/balance.h"
-#include "own/heir.h"
+#include "own/successor.h"
 #include "own/leave.h"
 #include "standby/stream.h"
 #include "state/core.h"
@@ -11,13 +11,13 @@
 
 /* What is going to happen to it. */
 static void move(const struct lmn_core *c, GString *s, const struct lmn_partition *p,
-                 int owner, int heir, struct timespec now)
+                 int owner, int successor, struct timespec now)
 {
     const struct lmn_members *ms = &c->members;
     int holder = p->id % ms->n;
 
-    if (owner < 0 || heir >= 0) {
-        g_string_append_printf(s, " move=%s why=\"%s\"", name_or_none(c, heir),
+    if (owner < 0 || successor >= 0) {
+        g_string_append_printf(s, " move=%s why=\"%s\"", name_or_none(c, successor),
                                owner < 0 ? "nobody owns it" : "its owner is judged");
     } else if (owner != holder) {
         double s_left = lmn_member_back_s(ms, holder, now);
@@ -38,10 +38,10 @@
 {
     GString *s = g_string_new(NULL);
     struct timespec now = lmn_now();
-    int heir[LMN_MAX_PARTS];
+    int successor[LMN_MAX_PARTS];
 
     pthread_mutex_lock(&c->lock);
-    lmn_heirs(c, now, heir);
+    lmn_successors(c, now, successor);
     for (int i = 0; i < c->nparts; i++) {
         const struct lmn_partition *p = &c->parts[i];
         int owner = p->owner_rev ? lmn_member_rank(&c->members, p->owner) : -1;
@@ -49,7 +49,7 @@
             s, "partition %d owner=%s holder=%s standby=%s machines=%u", i,
             name_or_none(c, owner), name_or_none(c, i % c->members.n),
             name_or_none(c, lmn_standby_named(c, p, now)), p->list->len);
-        move(c, s, p, owner, heir[i], now);
+        move(c, s, p, owner, successor[i], now);
         g_string_append_c(s, '\n');
     }
     if (c->leaving)
--- a/src/serve/metrics.c
+++ b/src/serve/metrics.c
@@ -24,7 +24,7 @@
 
 struct sums {
     struct tasks tasks;
-    double machines, unaccounted, retiring, queued, limbo, owned, ready,
+    double machines, unaccounted, retiring, queued, unplaced, owned, ready,
         used[LMN_MAX_TEAMS];
 };
 
@@ -36,7 +36,7 @@
 
     s->owned++;
     s->ready += p->ready;
-    s->limbo += p->limbo.tasks;
+    s->unplaced += p->unplaced.tasks;
     g_hash_table_iter_init(&it, p->machines);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const struct lmn_machine *m = v;
@@ -121,7 +121,7 @@
     struct lmn_load load = c->load;
     const struct lmn_httpd *server = c->server;
     double stale = lmn_staleness(c, lmn_now());
-    guint jobs = g_hash_table_size(c->jobs), finals = c->finals.length;
+    guint jobs = g_hash_table_size(c->jobs), final_jobs = c->final_jobs.length;
     lmn_quantiles(out, "lemonspar_accepting_seconds", "From a submission to its commit",
                   &c->accepting);
     lmn_quantiles(out, "lemonspar_starting_seconds",
@@ -154,10 +154,10 @@
     lmn_gauge(out, "lemonspar_machines_retiring", "Of these, on their way back",
               s.retiring);
     lmn_gauge(out, "lemonspar_queued_tasks", "Tasks in machines' queues", s.queued);
-    lmn_gauge(out, "lemonspar_limbo_tasks", "Tasks that no machine's queue could take",
-              s.limbo);
+    lmn_gauge(out, "lemonspar_unplaced_tasks", "Tasks that no machine's queue could take",
+              s.unplaced);
     lmn_gauge(out, "lemonspar_jobs", "Jobs in memory", jobs);
-    lmn_gauge(out, "lemonspar_final_jobs", "Of these, final", finals);
+    lmn_gauge(out, "lemonspar_final_jobs", "Of these, final", final_jobs);
     lmn_metric_head(out, "lemonspar_tasks", "gauge",
                     "Tasks of active jobs in owned partitions");
     lmn_metric_sample(out, "lemonspar_tasks", "state", "queued", s.tasks.queued);
--- a/src/serve/peer.c
+++ b/src/serve/peer.c
@@ -5,7 +5,7 @@
 #include "decide/quota.h"
 #include "decide/steal.h"
 #include "own/flush.h"
-#include "own/gift.h"
+#include "own/limit_transfer.h"
 #include "own/partition.h"
 #include "serve/ask.h"
 #include "serve/balance.h"
--- a/src/serve/status.c
+++ b/src/serve/status.c
@@ -21,10 +21,10 @@
     g_string_append_printf(
         s,
         "partition %d owner=%s term=%" G_GUINT64_FORMAT
-        " mine=%d ready=%d machines=%u ranges=%u queued=%u limbo=%u held=%u\n",
+        " mine=%d ready=%d machines=%u ranges=%u queued=%u unplaced=%u held=%u\n",
         p->id, *p->owner ? p->owner : "-", p->owner_term, p->mine, p->ready,
         g_hash_table_size(p->machines), g_hash_table_size(p->ranges), queued,
-        p->limbo.tasks, running);
+        p->unplaced.tasks, running);
     lmn_standbys_show(s, c, p, lmn_now());
     for (size_t i = 0; p->mine && i < c->cfg->nteams; i++)
         g_string_append_printf(s, "  team %s cpus=%.1f gpus=%.1f\n",
@@ -65,11 +65,11 @@
     g_hash_table_iter_init(&it, c->jobs);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const struct lmn_job *j = v;
-        if (j->phase == LMN_ACTIVE && lmn_job_accused(&j->blame))
+        if (j->phase == LMN_ACTIVE && lmn_job_accused(&j->failures))
             g_string_append_printf(s,
                                    "accused job=%s machines=%u rounds=%u next_try=%.1f\n",
-                                   j->spec.ref, j->blame.places, j->blame.rounds,
-                                   MAX(lmn_since(j->blame.hold, lmn_now()), 0));
+                                   j->spec.ref, j->failures.places, j->failures.rounds,
+                                   MAX(lmn_since(j->failures.hold, lmn_now()), 0));
     }
 }
 
--- a/src/standby/stream.c
+++ b/src/standby/stream.c
@@ -1,6 +1,6 @@
 #include "standby/stream.h"
 #include "base/log.h"
-#include "state/books.h"
+#include "state/owner_state.h"
 
 #include <string.h>
 
--- a/src/standby/takeover.c
+++ b/src/standby/takeover.c
@@ -1,6 +1,6 @@
 #include "standby/takeover.h"
 #include "base/log.h"
-#include "state/books.h"
+#include "state/owner_state.h"
 #include "state/core.h"
 
 #include <string.h>
--- a/src/state/core.c
+++ b/src/state/core.c
@@ -1,7 +1,7 @@
 #include "state/core.h"
 #include "base/log.h"
 #include "base/thread.h"
-#include "state/books.h"
+#include "state/owner_state.h"
 
 #include <string.h>
 
@@ -33,8 +33,8 @@
     c->rng = g_rand_new_with_seed(seed);
     c->jobs = g_hash_table_new(g_str_hash, g_str_equal);
     c->gone = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    g_queue_init(&c->finals);
-    c->finals_most = LMN_FINALS_KEPT;
+    g_queue_init(&c->final_jobs);
+    c->retained_most = LMN_RETAINED_JOBS;
     c->nparts = cfg->partitions;
     c->parts = g_new0(struct lmn_partition, c->nparts);
     c->booted = lmn_now();
@@ -46,7 +46,7 @@
         struct lmn_partition *p = &c->parts[i];
         p->id = i;
         p->vacant = c->booted;
-        p->gift.team = -1;
+        p->transfer.team = -1;
         p->ranges = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_range);
         p->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_machine);
         p->list = g_ptr_array_new();
@@ -58,7 +58,7 @@
         p->forgotten = g_ptr_array_new_with_free_func(g_free);
         g_queue_init(&p->stream.waiting);
         lmn_cond_init(&p->following);
-        lmn_queue_init(&p->limbo);
+        lmn_queue_init(&p->unplaced);
     }
     /* Fixed room: machines point at their types. */
     c->types.v = g_new0(struct lmn_type, 256);
@@ -69,8 +69,8 @@
 {
     if (c->owner)
         c->owner->partition_free(p);
-    lmn_queue_clear(&p->limbo);
-    g_ptr_array_free(p->limbo.segs, TRUE);
+    lmn_queue_clear(&p->unplaced);
+    g_ptr_array_free(p->unplaced.segs, TRUE);
     g_hash_table_destroy(p->ranges);
     g_hash_table_destroy(p->machines);
     for (guint i = 0; i < p->blocks->len; i++) {
@@ -102,7 +102,7 @@
         lmn_job_free(v);
     g_hash_table_destroy(c->jobs);
     g_hash_table_destroy(c->gone);
-    g_queue_clear(&c->finals);
+    g_queue_clear(&c->final_jobs);
     lmn_hosts_clear(&c->hosts);
     lmn_latency_clear(&c->accepting);
     lmn_latency_clear(&c->starting);
--- a/src/state/blame.c
+++ b/src/state/failures.c
@@ -1,4 +1,4 @@
-#include "state/blame.h"
+#include "state/failures.h"
 #include "base/clock.h"
 
 #include <math.h>
@@ -14,13 +14,13 @@
  * does, three times. */
 static const double GUILTY = 1.5, UNPROVEN = 0.5;
 
-static void forget(struct lmn_job_blame *b)
+static void forget(struct lmn_job_failures *b)
 {
     b->places = b->rounds = 0;
     b->hold = b->round = (struct timespec){0, 0};
 }
 
-static bool known(const struct lmn_job_blame *b, guint machine)
+static bool known(const struct lmn_job_failures *b, guint machine)
 {
     for (unsigned i = 0; i < b->places; i++)
         if (b->on[i] == machine)
@@ -28,21 +28,21 @@
     return false;
 }
 
-static void note(struct lmn_job_blame *b, guint machine, struct timespec now)
+static void note(struct lmn_job_failures *b, guint machine, struct timespec now)
 {
     if (b->places && lmn_since(now, b->failed) > FORGET_S)
         forget(b);
     b->failed = now;
-    if (!known(b, machine) && b->places < LMN_BLAME_PLACES)
+    if (!known(b, machine) && b->places < LMN_FAILURE_MACHINES)
         b->on[b->places++] = machine;
 }
 
-bool lmn_job_accused(const struct lmn_job_blame *b)
+bool lmn_job_accused(const struct lmn_job_failures *b)
 {
     return b->places >= (b->proven ? TOO_MANY_PROVEN : TOO_MANY);
 }
 
-static double pause_s(const struct lmn_job_blame *b)
+static double pause_s(const struct lmn_job_failures *b)
 {
     double doubled = (double)(1u << MIN(b->rounds, 6u));
 
@@ -50,7 +50,7 @@
                               : MIN(FIRST_S * doubled, MOST_S);
 }
 
-void lmn_job_failed(struct lmn_job_blame *b, guint machine, struct timespec started,
+void lmn_job_failed(struct lmn_job_failures *b, guint machine, struct timespec started,
                     struct timespec now)
 {
     note(b, machine, now);
@@ -65,7 +65,7 @@
         b->hold = hold;
 }
 
-void lmn_job_had_failed(struct lmn_job_blame *b, guint machine, struct timespec now)
+void lmn_job_had_failed(struct lmn_job_failures *b, guint machine, struct timespec now)
 {
     note(b, machine, now);
     if (lmn_job_accused(b) && !b->rounds) {
@@ -75,19 +75,19 @@
     }
 }
 
-void lmn_job_succeeded(struct lmn_job_blame *b)
+void lmn_job_succeeded(struct lmn_job_failures *b)
 {
     b->proven = true;
     forget(b);
 }
 
-void lmn_job_tried(struct lmn_job_blame *b, struct timespec now)
+void lmn_job_tried(struct lmn_job_failures *b, struct timespec now)
 {
     b->hold = lmn_after(now, pause_s(b));
 }
 
-double lmn_testimony(const struct lmn_job_blame *b, guint machine, unsigned times,
-                     struct timespec last, struct timespec now)
+double lmn_failure_weight(const struct lmn_job_failures *b, guint machine, unsigned times,
+                          struct timespec last, struct timespec now)
 {
     unsigned others = b->places - known(b, machine);
     double fades = exp2(-lmn_since(now, last) / HALF_S);
@@ -99,7 +99,7 @@
     return fades * weight / (1 + others);
 }
 
-bool lmn_machine_guilty(double sum)
+bool lmn_machine_faulty(double sum)
 {
     /* A little less, for what has faded between failures that came together. */
     return sum >= 0.9 * GUILTY;
--- a/src/state/blame.h
+++ b/src/state/failures.h
@@ -3,20 +3,20 @@
  * starts on it. What tells them apart is how many machines and how many jobs share the
  * failures, and whether anything has succeeded since. Pure functions of what was seen and
  * a time. */
-#ifndef LMN_BLAME_H
-#define LMN_BLAME_H
+#ifndef LMN_FAILURES_H
+#define LMN_FAILURES_H
 
 #include <glib.h>
 #include <stdbool.h>
 #include <time.h>
 
-enum { LMN_BLAME_PLACES = 8 };
+enum { LMN_FAILURE_MACHINES = 8 };
 
 /* Of a job, in one controller's books. */
-struct lmn_job_blame {
-    guint on[LMN_BLAME_PLACES]; /* machines on which it has failed since it last
+struct lmn_job_failures {
+    guint on[LMN_FAILURE_MACHINES]; /* machines on which it has failed since it last
                                    succeeded, as hashes of their names */
-    unsigned places;            /* how many of them */
+    unsigned places;                /* how many of them */
     unsigned rounds; /* of failures in a row: many that started together are one */
     bool proven;     /* some task of it has succeeded */
     struct timespec round, failed;
@@ -24,25 +24,25 @@
 };
 
 /* A task of the job, started at that time, has failed on that machine. */
-void lmn_job_failed(struct lmn_job_blame *b, guint machine, struct timespec started,
+void lmn_job_failed(struct lmn_job_failures *b, guint machine, struct timespec started,
                     struct timespec now);
 /* A predecessor has kept such a failure in the machine's reports: it had accused the job
  * (lmn_job_accused). Counts once a machine. */
-void lmn_job_had_failed(struct lmn_job_blame *b, guint machine, struct timespec now);
-void lmn_job_succeeded(struct lmn_job_blame *b);
+void lmn_job_had_failed(struct lmn_job_failures *b, guint machine, struct timespec now);
+void lmn_job_succeeded(struct lmn_job_failures *b);
 /* Whether the job itself is at fault, as far as known: it has failed on so many machines
  * that they can't all be. Then it is tried with one task at a time, and says nothing
  * against machines. */
-bool lmn_job_accused(const struct lmn_job_blame *b);
+bool lmn_job_accused(const struct lmn_job_failures *b);
 /* An accused job is tried once more: the next try waits. */
-void lmn_job_tried(struct lmn_job_blame *b, struct timespec now);
+void lmn_job_tried(struct lmn_job_failures *b, struct timespec now);
 
 /* What failures of a job on a machine, so many times since anything succeeded there, and
  * the last at that time, say against the machine. */
-double lmn_testimony(const struct lmn_job_blame *b, guint machine, unsigned times,
-                     struct timespec last, struct timespec now);
+double lmn_failure_weight(const struct lmn_job_failures *b, guint machine, unsigned times,
+                          struct timespec last, struct timespec now);
 /* Whether testimonies that add up to so much are enough to leave the machine. */
-bool lmn_machine_guilty(double sum);
+bool lmn_machine_faulty(double sum);
 /* Seconds for which a machine starts nothing after a failure, with so much against it. */
 double lmn_machine_pause(double sum);
 
--- a/src/state/mirror.c
+++ b/src/state/mirror.c
@@ -14,7 +14,7 @@
 #include "base/log.h"
 #include "base/thread.h"
 #include "base/wire.h"
-#include "state/finals.h"
+#include "state/retention.h"
 #include "state/records.h"
 
 #include <stdlib.h>
@@ -51,7 +51,7 @@
  * there are ranges of theirs. */
 static bool passed_over(struct lmn_core *c, const char *ref, enum lmn_phase phase)
 {
-    if (!c->reading || phase == LMN_ACTIVE || c->finals.length < c->finals_most)
+    if (!c->reading || phase == LMN_ACTIVE || c->final_jobs.length < c->retained_most)
         return false;
     if (c->needed)
         return !g_hash_table_contains(c->needed, ref);
@@ -109,7 +109,7 @@
         lmn_debug("job-final job=%s phase=%d after=%.1f", ref, phase,
                   lmn_seconds(lmn_wall()) - j->at);
     if (phase != LMN_ACTIVE && (j->phase == LMN_ACTIVE || !j->rev))
-        lmn_finals_note(c, j, now);
+        lmn_retention_note(c, j, now);
     j->phase = phase;
     j->open = open;
     j->rev = rev;
@@ -585,7 +585,7 @@
         pthread_cond_broadcast(&c->changed);
     }
     lmn_mirror_settle(c, now);
-    lmn_finals_evict(c, now);
+    lmn_retention_evict(c, now);
     pthread_mutex_unlock(&c->lock);
     lmn_doc_free(&d);
     return 200;
--- a/src/state/model.h
+++ b/src/state/model.h
@@ -15,7 +15,7 @@
 #include "limits/load.h"
 #include "limits/sockets.h"
 #include "member/member.h"
-#include "state/blame.h"
+#include "state/failures.h"
 #include "state/state.h"
 #include "state/tombstone.h"
 #include "base/tuning.h"
@@ -60,7 +60,7 @@
      */
     uint64_t look_no, look_yes, look_fetch;
     double fetch_s;
-    struct lmn_job_blame blame; /* a job whose tasks fail is held back by itself */
+    struct lmn_job_failures failures; /* a job whose tasks fail is held back by itself */
 };
 
 /* How many of a job's tasks are, or may be, on machines of a zone. */
@@ -212,11 +212,11 @@
     struct timespec written, retry;
 };
 
-enum { LMN_FINALS_KEPT = 20000 };
+enum { LMN_RETAINED_JOBS = 20000 };
 enum { LMN_MAX_BLOCKS = 4096 };
 
 /* A part of a team's limit on its way from a partition to another. */
-struct lmn_gift {
+struct lmn_limit_transfer {
     int team, to; /* team -1: none */
     double cpus, gpus;
     uint64_t rev; /* of the team's record, on which the write is conditional */
@@ -311,9 +311,9 @@
     struct timespec released; /* when the write that gives it away was last tried */
     double poll_s;            /* interval of steals from other partitions */
     struct timespec next_steal;
-    struct lmn_queue limbo; /* tasks that no machine's queue holds yet */
+    struct lmn_queue unplaced; /* tasks that no machine's queue holds yet */
     double used_cpus[LMN_MAX_TEAMS], used_gpus[LMN_MAX_TEAMS];
-    struct lmn_gift gift;
+    struct lmn_limit_transfer transfer;
     struct lmn_keep keep[LMN_MAX_TEAMS];
     struct lmn_stream stream;
     GPtrArray *untold;        /* machines that the standby has to be told about */
@@ -384,9 +384,9 @@
     uint64_t look, turn;     /* counts of looks over queues, and of starts within them */
     struct timespec kept_up; /* the last look at all machines */
 
-    GHashTable *jobs;  /* ref -> lmn_job */
-    GQueue finals;     /* those that are final, the oldest first */
-    guint finals_most; /* so many are kept in memory at least (state/finals.h) */
+    GHashTable *jobs;    /* ref -> lmn_job */
+    GQueue final_jobs;   /* those that are final, the oldest first */
+    guint retained_most; /* so many are kept in memory at least (state/retention.h) */
     GHashTable
         *needed; /* while everything is read: refs of jobs that have ranges; or NULL */
     bool reading, crowded, reread;
@@ -417,7 +417,7 @@
 
     uint64_t quota_rev[LMN_MAX_TEAMS]; /* of the teams' records of parts; 0: none */
     bool quota_known[LMN_MAX_TEAMS];   /* there is a record, and of this limit */
-    uint64_t gifts;
+    uint64_t transfers;
     /* what the teams' active jobs ask for, all their tasks together */
     double asked_cpus[LMN_MAX_TEAMS], asked_gpus[LMN_MAX_TEAMS];
 
--- a/src/state/books.c
+++ b/src/state/owner_state.c
@@ -1,5 +1,5 @@
 /* The books' parts: what they are made of, counted and freed. */
-#include "state/books.h"
+#include "state/owner_state.h"
 
 #include <string.h>
 
--- a/src/state/finals.c
+++ b/src/state/retention.c
@@ -1,6 +1,6 @@
-#include "state/finals.h"
+#include "state/retention.h"
 #include "base/log.h"
-#include "state/books.h"
+#include "state/owner_state.h"
 
 /* Whatever a withdrawn job's tasks do on machines that were not heard for so long, its
  * team's limit has to count them: a job that was final only just now stays, however many
@@ -9,10 +9,10 @@
 /* So many go together: to see what machines refer to takes a look at all of them. */
 enum { TOGETHER = 1000 };
 
-void lmn_finals_note(struct lmn_core *c, struct lmn_job *j, struct timespec now)
+void lmn_retention_note(struct lmn_core *c, struct lmn_job *j, struct timespec now)
 {
     j->final_at = now;
-    g_queue_push_tail(&c->finals, j);
+    g_queue_push_tail(&c->final_jobs, j);
 }
 
 /* The jobs that attempts and blamed machines point at. */
@@ -43,24 +43,24 @@
     lmn_job_free(j);
 }
 
-guint lmn_finals_evict(struct lmn_core *c, struct timespec now)
+guint lmn_retention_evict(struct lmn_core *c, struct timespec now)
 {
-    const struct lmn_job *oldest = g_queue_peek_head(&c->finals);
+    const struct lmn_job *oldest = g_queue_peek_head(&c->final_jobs);
     guint gone = 0;
 
-    if (c->finals.length < c->finals_most + TOGETHER || !oldest ||
+    if (c->final_jobs.length < c->retained_most + TOGETHER || !oldest ||
         lmn_since(now, oldest->final_at) < OLD_S)
         return 0;
     GHashTable *set = referred(c);
-    guint most = c->finals.length - c->finals_most;
+    guint most = c->final_jobs.length - c->retained_most;
     for (guint i = 0; i < most; i++) {
-        struct lmn_job *j = g_queue_peek_head(&c->finals);
+        struct lmn_job *j = g_queue_peek_head(&c->final_jobs);
         if (lmn_since(now, j->final_at) < OLD_S)
             break;
-        g_queue_pop_head(&c->finals);
+        g_queue_pop_head(&c->final_jobs);
         if (j->ranges->len || g_hash_table_contains(set, j)) {
             j->final_at = now; /* looked at again, with those that come now */
-            g_queue_push_tail(&c->finals, j);
+            g_queue_push_tail(&c->final_jobs, j);
             continue;
         }
         free_job(c, j);
@@ -68,6 +68,6 @@
     }
     g_hash_table_destroy(set);
     if (gone)
-        lmn_info("finals-evicted jobs=%u kept=%u", gone, c->finals.length);
+        lmn_info("final-jobs-evicted jobs=%u kept=%u", gone, c->final_jobs.length);
     return gone;
 }
--- a/tests/test_block.c
+++ b/tests/test_block.c
@@ -7,7 +7,7 @@
 #include "own/flush.h"
 #include "own/owner.h"
 #include "own/upkeep.h"
-#include "state/books.h"
+#include "state/owner_state.h"
 #include "state/mirror.h"
 #include "state/model.h"
 #include "state/records.h"
--- a/tests/test_blame.c
+++ b/tests/test_failures.c
@@ -1,6 +1,6 @@
 /* Failures: broken jobs are told from faulty machines. */
 #include "base/clock.h"
-#include "state/blame.h"
+#include "state/failures.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -18,7 +18,7 @@
 struct day {
     GRand *rng;
     struct timespec now;
-    struct lmn_job_blame jobs[JOBS];
+    struct lmn_job_failures jobs[JOBS];
     unsigned times[MACHINES][JOBS]; /* failures since the machine's last success */
     struct timespec last[MACHINES][JOBS], pause[MACHINES];
     bool faulty[MACHINES], left[MACHINES], broken[JOBS];
@@ -39,10 +39,10 @@
     d->last[machine][job] = d->now;
     for (int j = 0; j < JOBS; j++)
         if (d->times[machine][j])
-            sum += lmn_testimony(&d->jobs[j], where, d->times[machine][j],
-                                 d->last[machine][j], d->now);
+            sum += lmn_failure_weight(&d->jobs[j], where, d->times[machine][j],
+                                      d->last[machine][j], d->now);
     d->pause[machine] = lmn_after(d->now, lmn_machine_pause(sum));
-    d->left[machine] = d->left[machine] || lmn_machine_guilty(sum);
+    d->left[machine] = d->left[machine] || lmn_machine_faulty(sum);
 }
 
 /* A day on which every job has tasks without end; a broken one's, and those on a faulty
@@ -61,7 +61,7 @@
     for (int tick = 0; tick < 2400; tick++) {
         d->now = lmn_after(d->now, 0.25);
         if (takeover && tick == 1200) {
-            struct lmn_job_blame old[JOBS];
+            struct lmn_job_failures old[JOBS];
             memcpy(old, d->jobs, sizeof old);
             memset(d->jobs, 0, sizeof d->jobs);
             memset(d->times, 0, sizeof d->times);
@@ -135,7 +135,7 @@
  * no blame: once it waited for a minute. */
 static void a_faulty_first_machine(void **state)
 {
-    struct lmn_job_blame b = {0};
+    struct lmn_job_failures b = {0};
     struct timespec t = {1000, 0};
     (void)state;
 
@@ -152,17 +152,17 @@
         assert_false(lmn_job_accused(&b));
         assert_in_range((int)lmn_since(b.hold, t), 0, 5);
     }
-    assert_false(lmn_machine_guilty(lmn_testimony(&b, 1, 50, t, t)));
+    assert_false(lmn_machine_faulty(lmn_failure_weight(&b, 1, 50, t, t)));
     lmn_job_succeeded(&b); /* elsewhere */
     lmn_job_failed(&b, 1, t, lmn_after(t, 1));
-    assert_true(lmn_machine_guilty(lmn_testimony(&b, 1, 51, t, t)));
+    assert_true(lmn_machine_faulty(lmn_failure_weight(&b, 1, 51, t, t)));
 }
 
 /* An accused job is tried, at most once in four seconds and at least once in a minute;
  * one success clears it. */
 static void the_trickle(void **state)
 {
-    struct lmn_job_blame b = {0};
+    struct lmn_job_failures b = {0};
     struct timespec t = {1000, 0}, end = lmn_after(t, 3600);
     unsigned tries = 0;
     (void)state;
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -303,19 +303,19 @@
     meet(4);
     ms.v[0].machines = 300;
     ms.word.deaf = 0.8;
-    assert_int_equal(lmn_self_heir(&ms, at(now)), -1);
+    assert_int_equal(lmn_self_successor(&ms, at(now)), -1);
     lmn_member_told(&ms, 1, &few, at(now));
-    assert_int_equal(lmn_self_heir(&ms, at(now)), -1);
+    assert_int_equal(lmn_self_successor(&ms, at(now)), -1);
     lmn_member_told(&ms, 2, &many, at(now));
-    assert_int_equal(lmn_self_heir(&ms, at(now)), 2);
+    assert_int_equal(lmn_self_successor(&ms, at(now)), 2);
     /* What they said is forgotten, and one that is suspected inherits nothing. */
     doubt(2, LMN_SILENT);
-    assert_int_equal(lmn_self_heir(&ms, at(now)), -1);
+    assert_int_equal(lmn_self_successor(&ms, at(now)), -1);
     lmn_member_record(&ms, 2, 3000, 102, at(now));
-    assert_int_equal(lmn_self_heir(&ms, at(now)), 2);
-    assert_int_equal(lmn_self_heir(&ms, at(now + 5)), -1);
+    assert_int_equal(lmn_self_successor(&ms, at(now)), 2);
+    assert_int_equal(lmn_self_successor(&ms, at(now + 5)), -1);
     ms.word.deaf = 0.2;
-    assert_int_equal(lmn_self_heir(&ms, at(now)), -1);
+    assert_int_equal(lmn_self_successor(&ms, at(now)), -1);
 }
 
 static void a_stand_still_is_noticed_before_an_answer(void **state)
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -11,7 +11,7 @@
 #include "decide/queue.h"
 #include "own/owner.h"
 #include "own/range.h"
-#include "state/books.h"
+#include "state/owner_state.h"
 #include "state/mirror.h"
 #include "state/model.h"
 #include "state/records.h"
@@ -115,7 +115,7 @@
     assert_int_equal(list->len, g_hash_table_size(core->parts[0].machines));
     for (guint i = 0; i < list->len; i++)
         assert_int_equal(((struct lmn_machine *)list->pdata[i])->at, i);
-    count_queue(&core->parts[0].limbo, seen);
+    count_queue(&core->parts[0].unplaced, seen);
     g_hash_table_iter_init(&it, core->parts[0].machines);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const struct lmn_machine *m = v;
@@ -430,8 +430,8 @@
         assert_null(((struct lmn_machine *)core->parts[0].list->pdata[k])->kept);
 }
 
-/* A job that fails wherever it starts stands in limbo, out of the machines' queues, and
- * is tried with one task at a time; one success brings all of it back. */
+/* A job that fails wherever it starts stands in unplaced, out of the machines' queues,
+ * and is tried with one task at a time; one success brings all of it back. */
 static void the_accused_are_set_aside(void **state)
 {
     struct lmn_job *j = alone(LMN_HIGH, 10);
@@ -440,15 +440,15 @@
 
     j->spec.cpus = 1;
     for (guint m = 1; m <= 3; m++)
-        lmn_job_failed(&j->blame, m, now, now);
+        lmn_job_failed(&j->failures, m, now, now);
     lmn_job_redeal(core, j, now);
-    assert_int_equal(core->parts[0].limbo.tasks, r->hi);
+    assert_int_equal(core->parts[0].unplaced.tasks, r->hi);
     start_all();
     assert_int_equal(r->nstarted, 0);
-    now = lmn_after(j->blame.hold, 0.1);
+    now = lmn_after(j->failures.hold, 0.1);
     start_all();
     assert_int_equal(r->nstarted, 1);
-    lmn_job_succeeded(&j->blame);
+    lmn_job_succeeded(&j->failures);
     lmn_job_redeal(core, j, now);
     start_all();
     assert_true(r->nstarted == MIN(r->hi, 8 * MACHINES));
@@ -830,7 +830,7 @@
             for (uint32_t i = 0; i < 4; i++)
                 run(m, i < equals ? peer : low, at++);
         }
-        lmn_queue_add(&p->limbo, prod, 0, 1);
+        lmn_queue_add(&p->unplaced, prod, 0, 1);
         lmn_make_room(core, p, now);
         guint stopped = 0;
         struct lmn_machine *where = NULL;
@@ -847,7 +847,7 @@
         }
         assert_int_equal(stopped, 2);
         assert_int_equal(where->promised, 1);
-        assert_int_equal(p->limbo.tasks, 0);
+        assert_int_equal(p->unplaced.tasks, 0);
         /* Again: it is helped already. */
         lmn_make_room(core, p, lmn_after(now, 1));
         assert_int_equal(core->count.preempted, 1);
@@ -934,7 +934,7 @@
             ((struct lmn_machine *)v)->last = now;
             run(v, low, at++);
         }
-        lmn_queue_add(&p->limbo, prod, 0, 1);
+        lmn_queue_add(&p->unplaced, prod, 0, 1);
         lmn_make_room(core, p, now);
         g_hash_table_iter_init(&it, p->machines);
         while (g_hash_table_iter_next(&it, NULL, &v)) {
@@ -990,9 +990,9 @@
                 ((struct lmn_machine *)v)->last = then;
             }
             if (step == 10)
-                lmn_queue_add(&p->limbo, jobs[5].ranges->pdata[0], 0, 1);
+                lmn_queue_add(&p->unplaced, jobs[5].ranges->pdata[0], 0, 1);
             if (step == 11)
-                lmn_queue_clear(&p->limbo);
+                lmn_queue_clear(&p->unplaced);
             lmn_pack(core, p, then);
             g_hash_table_iter_init(&it, p->machines);
             while (g_hash_table_iter_next(&it, NULL, &v)) {
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -6,7 +6,7 @@
 #include "decide/queue.h"
 #include "decide/quota.h"
 #include "own/flush.h"
-#include "own/gift.h"
+#include "own/limit_transfer.h"
 #include "own/owner.h"
 #include "own/partition.h"
 #include "own/range.h"
@@ -211,7 +211,7 @@
         }
         double sum = 0;
         for (int i = 0; i < N; i++) {
-            assert_int_equal(core[i]->parts[i].gift.team, -1);
+            assert_int_equal(core[i]->parts[i].transfer.team, -1);
             sum += part(i);
         }
         assert_true(sum > LIMIT - 1e-6);
--- a/tests/test_finals.c
+++ b/tests/test_retention.c
@@ -2,9 +2,9 @@
  * forgotten is read again without starting anything. */
 #include "base/codec.h"
 #include "own/owner.h"
-#include "state/books.h"
+#include "state/owner_state.h"
 #include "state/core.h"
-#include "state/finals.h"
+#include "state/retention.h"
 #include "state/mirror.h"
 #include "state/records.h"
 
@@ -82,7 +82,7 @@
 static struct lmn_core *core(void)
 {
     struct lmn_core *c = lmn_core_new(&cfg, lmn_state_new(&cfg), 1);
-    c->finals_most = KEPT;
+    c->retained_most = KEPT;
     rev = 0;
     return c;
 }
@@ -104,10 +104,10 @@
     g_array_append_val(m->attempts, a);
     /* Nobody goes who was final only just now: whatever still runs of it counts for its
      * team. */
-    assert_int_equal(lmn_finals_evict(c, now), 0);
+    assert_int_equal(lmn_retention_evict(c, now), 0);
     now.tv_sec += 700;
-    assert_true(lmn_finals_evict(c, now) > JOBS - 2 * KEPT - 200);
-    assert_true(c->finals.length <= KEPT + 200);
+    assert_true(lmn_retention_evict(c, now) > JOBS - 2 * KEPT - 200);
+    assert_true(c->final_jobs.length <= KEPT + 200);
     assert_false(known(c, 0));
     assert_true(known(c, 1));   /* an attempt points at it */
     assert_true(known(c, 3));   /* it is active */
@@ -129,7 +129,7 @@
     for (int n = 0; n < JOBS && !c->crowded; n++)
         job(c, n, LMN_WITHDRAWN);
     assert_true(c->crowded); /* the ranges are listed first, and it begins anew */
-    assert_int_equal(c->finals.length, KEPT);
+    assert_int_equal(c->final_jobs.length, KEPT);
     c->crowded = false;
     c->needed = g_hash_table_new(g_str_hash, g_str_equal);
     g_hash_table_add(c->needed, (gpointer) "run-005000");
--- a/tests/test_standby.c
+++ b/tests/test_standby.c
@@ -7,7 +7,7 @@
 #include "own/range.h"
 #include "standby/stream.h"
 #include "standby/takeover.h"
-#include "state/books.h"
+#include "state/owner_state.h"
 #include "state/core.h"
 #include "state/mirror.h"
 #include "state/records.h"
--- a/tests/test_heir.c
+++ b/tests/test_successor.c
@@ -1,9 +1,9 @@
 /* Who inherits: generated members and partitions, with some of them gone. */
 #include "base/log.h"
-#include "own/heir.h"
+#include "own/successor.h"
 #include "own/leave.h"
 #include "own/owner.h"
-#include "state/books.h"
+#include "state/owner_state.h"
 #include "state/core.h"
 #include "state/mirror.h"
 
@@ -87,8 +87,8 @@
     lmn_state_free(s);
 }
 
-/* Whoever is gone: all that are left agree; each orphan has an heir that is up and stays;
- * and nobody gets more than his share of as many. */
+/* Whoever is gone: all that are left agree; each orphan has an successor that is up and
+ * stays; and nobody gets more than his share of as many. */
 static void orphans_are_spread(void **state)
 {
     static const int sizes[][2] = {{3, 1}, {3, 2}, {9, 3}, {9, 8}, {15, 7}, {33, 16}};
@@ -97,7 +97,7 @@
 
     for (guint s = 0; s < G_N_ELEMENTS(sizes); s++)
         for (int day = 0; day < 12; day++) {
-            int n = sizes[s][0], dead = sizes[s][1], heir[2][LMN_MAX_PARTS];
+            int n = sizes[s][0], dead = sizes[s][1], successor[2][LMN_MAX_PARTS];
             bool gone[LMN_MAX_PARTS] = {0}, leaving[LMN_MAX_PARTS] = {0};
             int got[LMN_MAX_PARTS] = {0}, up[LMN_MAX_PARTS], ups = 0, stay = n - dead;
             static struct lmn_settings cfg[2];
@@ -116,17 +116,18 @@
             for (int v = 0; v < 2; v++) {
                 struct lmn_core *c =
                     view(&cfg[v], n, up[v ? ups - 1 : ups / 2], gone, leaving);
-                lmn_heirs(c, now, heir[v]);
+                lmn_successors(c, now, successor[v]);
                 drop(c);
             }
             for (int k = 0; k < n; k++) {
-                assert_int_equal(heir[0][k], heir[1][k]);
+                assert_int_equal(successor[0][k], successor[1][k]);
                 if (!gone[k]) {
-                    assert_int_equal(heir[0][k], -1);
+                    assert_int_equal(successor[0][k], -1);
                     continue;
                 }
-                assert_true(heir[0][k] >= 0 && !gone[heir[0][k]] && !leaving[heir[0][k]]);
-                got[heir[0][k]]++;
+                assert_true(successor[0][k] >= 0 && !gone[successor[0][k]] &&
+                            !leaving[successor[0][k]]);
+                got[successor[0][k]]++;
             }
             for (int k = 0; k < n; k++)
                 assert_true(got[k] <= (dead + stay - 1) / stay);
@@ -138,7 +139,7 @@
 static void who_is_in_step_inherits(void **state)
 {
     bool gone[5] = {false, true}, leaving[5] = {0};
-    int heir[LMN_MAX_PARTS];
+    int successor[LMN_MAX_PARTS];
     static struct lmn_settings cfg;
     struct lmn_core *c = view(&cfg, 5, 0, gone, leaving);
     GByteArray *v = g_byte_array_new(), *t = g_byte_array_new();
@@ -146,20 +147,20 @@
 
     lmn_put_count(t, 1);
     put(c, "t/1", t, 90);
-    lmn_heirs(c, now, heir);
-    assert_int_equal(heir[1], 2);
+    lmn_successors(c, now, successor);
+    assert_int_equal(successor[1], 2);
     lmn_put_map(v, 4);
     lmn_put_text(v, "node"), lmn_put_text(v, "n04");
     lmn_put_text(v, "lease"), lmn_put_count(v, 104);
     lmn_put_text(v, "stream"), lmn_put_count(v, 7);
     lmn_put_text(v, "term"), lmn_put_count(v, 1);
     put(c, "b/1", v, 91);
-    lmn_heirs(c, now, heir);
-    assert_int_equal(heir[1], 4);
+    lmn_successors(c, now, successor);
+    assert_int_equal(successor[1], 4);
     /* Not with another lease: that is another life, which has no copy. */
     c->members.v[4].lease = 999;
-    lmn_heirs(c, now, heir);
-    assert_int_equal(heir[1], 2);
+    lmn_successors(c, now, successor);
+    assert_int_equal(successor[1], 2);
     drop(c);
 }
 
@@ -179,8 +180,8 @@
     lmn_leave(c, now);
     assert_false(lmn_leave_bare(c) || lmn_leave_over(c, now));
     /* Nobody is in step: for 2 s it waits for somebody. */
-    assert_int_equal(lmn_leave_heir(c, p, now), -1);
-    assert_int_equal(lmn_leave_heir(c, p, lmn_after(now, 2.1)), 1);
+    assert_int_equal(lmn_leave_successor(c, p, now), -1);
+    assert_int_equal(lmn_leave_successor(c, p, lmn_after(now, 2.1)), 1);
     assert_true(lmn_leave_undo(c));
     assert_false(c->leaving);
     lmn_leave(c, now);
--- a/tests/test_takeover.c
+++ b/tests/test_takeover.c
@@ -1,11 +1,11 @@
 /* An explorer of a takeover: the product's own mirror, membership, partitions, books and
  * answers to workers, for an owner that is judged while it may be alive, a claimant, two
  * machines and one task. Every order of starts, losses, late and doubled arrivals,
- * suspicions, refutations, claims, gifts, stand-stills, restarts and ends of leases is
- * played, up to a depth; a path is played anew from its beginning, and states that were
- * seen are not gone on from. With each guard taken away the same search must find a state
- * that breaks what it guards. With standbys, the owner's stream of what it starts is
- * part of it: batches and their acknowledgements are lost, the record is written late,
+ * suspicions, refutations, claims, hand-overs, stand-stills, restarts and ends of leases
+ * is played, up to a depth; a path is played anew from its beginning, and states that
+ * were seen are not gone on from. With each guard taken away the same search must find a
+ * state that breaks what it guards. With standbys, the owner's stream of what it starts
+ * is part of it: batches and their acknowledgements are lost, the record is written late,
  * a standby is struck off while it claims. */
 #include "base/clock.h"
 #include "base/codec.h"
@@ -19,7 +19,7 @@
 #include "own/upkeep.h"
 #include "own/worker.h"
 #include "standby/stream.h"
-#include "state/books.h"
+#include "state/owner_state.h"
 #include "state/core.h"
 #include "state/mirror.h"
 #include "state/records.h"
@@ -61,8 +61,8 @@
     uint64_t lease;
     guint seen;
     bool still;
-    struct lmn_txn *txn; /* a claim or a gift on its way */
-    bool gift;
+    struct lmn_txn *txn; /* a claim or a hand-over on its way */
+    bool handover;
     struct lmn_txn *record; /* of its standby, on its way */
     GByteArray *pending;    /* starts that wait for an acknowledgement */
     char pending_to[LMN_NAME];
@@ -612,7 +612,7 @@
     enum lmn_outcome r = commit(node[n].txn, &at);
     lmn_txn_free(node[n].txn);
     node[n].txn = NULL;
-    if (node[n].gift)
+    if (node[n].handover)
         lmn_holder_given(node[n].core, 0, LMN_UNKNOWN, clk);
     (void)r;
     return true;
@@ -651,15 +651,15 @@
 {
     struct lmn_members *ms = &node[A].core->members;
     struct lmn_statement says = {A, ms->v[A].inc, 0.1, 0, 40};
-    int heir;
+    int successor;
 
     if (node[A].still || node[A].txn || !part(A)->mine)
         return false;
     ms->v[A].machines = 2;
     ms->word.deaf = 1;
     lmn_member_told(ms, B, &says, clk);
-    node[A].txn = lmn_holder_gift(node[A].core, 0, &heir, clk);
-    node[A].gift = true;
+    node[A].txn = lmn_holder_handover(node[A].core, 0, &successor, clk);
+    node[A].handover = true;
     ms->word.deaf = 0;
     ms->shut = false;
     return node[A].txn != NULL;
@@ -802,7 +802,7 @@
         if (!streams || node[A].txn || node[A].still || part(A)->mine)
             return false;
         node[A].txn = lmn_holder_claim(node[A].core, 0, node[A].lease, clk);
-        node[A].gift = false;
+        node[A].handover = false;
         return node[A].txn != NULL;
     case PASS:
         if (!streams || passes++)
@@ -1002,9 +1002,9 @@
         for (int n = 0; n < NODES; n++) {
             uint64_t at;
             struct lmn_txn *t;
-            int heir;
+            int successor;
             follow(n);
-            if ((t = lmn_holder_gift(node[n].core, 0, &heir, clk))) {
+            if ((t = lmn_holder_handover(node[n].core, 0, &successor, clk))) {
                 commit(t, &at);
                 lmn_txn_free(t);
             }
@@ -1135,8 +1135,8 @@
 static const enum move untold_claim[] = {IN_STEP, START_A, TELL_UNHEARD, DOUBT, CLAIM};
 static const enum move struck_claim[] = {IN_STEP,   DOUBT,  CLAIM,    START_A,
                                          TELL_LOST, TELL_A, RECORD_A, FOLLOW_A};
-static const enum move told_gift[] = {IN_STEP, START_A, TELL_A,  GO_A,
-                                      GIVE,    APPLY_A, FOLLOW_B};
+static const enum move told_handover[] = {IN_STEP, START_A, TELL_A,  GO_A,
+                                          GIVE,    APPLY_A, FOLLOW_B};
 
 static void goes_on(const enum move *prefix, guint len)
 {
@@ -1166,7 +1166,7 @@
     goes_on(told_claim, G_N_ELEMENTS(told_claim));
     goes_on(untold_claim, G_N_ELEMENTS(untold_claim));
     goes_on(struck_claim, G_N_ELEMENTS(struck_claim));
-    goes_on(told_gift, G_N_ELEMENTS(told_gift));
+    goes_on(told_handover, G_N_ELEMENTS(told_handover));
     streams = false;
 }
 
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -10,7 +10,7 @@
 #include "own/range.h"
 #include "own/upkeep.h"
 #include "own/worker.h"
-#include "state/books.h"
+#include "state/owner_state.h"
 #include "state/core.h"
 #include "state/model.h"
 #include "state/state.h"
--- a/tests/world/nodes.c
+++ b/tests/world/nodes.c
@@ -7,7 +7,7 @@
 #include "decide/reserve.h"
 #include "decide/steal.h"
 #include "own/flush.h"
-#include "own/gift.h"
+#include "own/limit_transfer.h"
 #include "own/holder.h"
 #include "own/leave.h"
 #include "own/owner.h"
@@ -167,7 +167,7 @@
 {
     struct lmn_core *c = n->core;
     struct lmn_txn *t;
-    int heir;
+    int successor;
 
     for (int i = 0; i < w.layout.nodes; i++) {
         t = i == c->members.me ? lmn_holder_refutation(c, n->lease, w.clock)
@@ -185,7 +185,7 @@
             w.verdicts += took && verdict;
             n->judged[i] = verdict;
         }
-        if ((t = lmn_holder_gift(c, i, &heir, w.clock))) {
+        if ((t = lmn_holder_handover(c, i, &successor, w.clock))) {
             enum lmn_outcome r = node_send(t);
             lmn_holder_given(c, i, r, w.clock);
             w.gives += r == LMN_OK;
--- /dev/null
+++ b/tests/world/scenario.c
@@ -0,0 +1,186 @@
+#include "scenario.h"
+
+#include "base/log.h"
+
+#include <stdlib.h>
+
+const char *__asan_default_options(void);
+const char *__asan_default_options(void)
+{
+    return "detect_leaks=0"; /* crashed controllers are left behind, as a crash does */
+}
+
+/* A job about which no question is answered for longer is forgotten: who owns what, and
+ * whom all trust, has to be settled by then. */
+static const double LONGEST_S = 75;
+static const char *const rule_names[] = {"ran_twice",     "quota",    "wrong_place",
+                                         "ran_cancelled", "not_done", "went_back"};
+
+/* Seconds since the day began. */
+double scenario_time(void)
+{
+    return w.now - 1000;
+}
+
+/* This step is the one. */
+bool scenario_at(double when)
+{
+    return scenario_time() >= when && scenario_time() < when + STEP_S;
+}
+
+bool scenario_between(double from, double to)
+{
+    return scenario_time() >= from && scenario_time() < to;
+}
+
+/* About every so many seconds, as long as there is to be trouble. */
+bool scenario_every(double s)
+{
+    return scenario_time() > 30 && scenario_time() < w.layout.steps * STEP_S &&
+           world_chance(STEP_S / s);
+}
+
+double scenario_drawn(double from, double to)
+{
+    return g_rand_double_range(w.r, from, to);
+}
+
+void scenario_usual_draw(struct plan *p, GRand *r)
+{
+    p->lease_s = g_rand_double_range(r, 5, 12);
+    p->cancel_s = p->lease_s + g_rand_double_range(r, 5, 24);
+    p->run_s = g_rand_double_range(r, 8, 25);
+}
+
+/* --- playing them --- */
+
+static unsigned factor = 1; /* so many times the days */
+
+static const struct layout day = {3, 9, 1, 1100, 1300, 36, 2};
+static const struct scenario *played;
+static double well; /* seconds from the end of the last trouble until all was well */
+
+bool scenario_is_over(void)
+{
+    return scenario_time() >= w.layout.steps * STEP_S;
+}
+
+/* Once it is over, services end, and what has not begun is short: there is time for all.
+ */
+static void step(void)
+{
+    for (int i = 0; i < JOBS; i++) {
+        struct job *j = &w.jobs[i];
+        if (!j->submitted)
+            j->spec.tasks = MIN(j->spec.tasks, 6);
+        else if (scenario_is_over() && j->spec.kind == LMN_DAEMON && j->cancelled_at < 0)
+            world_cancel(j);
+    }
+    if (scenario_is_over()) {
+        w.run_s = 3;
+        if (well < 0 && w.now > world_trouble_until() && world_is_well())
+            well = w.now - MAX(world_trouble_until(), 1000 + w.layout.steps * STEP_S);
+    }
+    played->step();
+}
+
+/* How many jobs have not run that should have, and one of them. */
+static unsigned unfinished(const char **one)
+{
+    unsigned n = 0;
+
+    for (int i = 0; i < JOBS; i++) {
+        const struct job *j = &w.jobs[i];
+        if (!j->submitted || j->cancelled_at >= 0 || j->told_done)
+            continue;
+        n++;
+        *one = j->ref;
+    }
+    return n;
+}
+
+static bool play(const struct scenario *m, uint32_t seed, enum guard g)
+{
+    struct plan p = {.step = step};
+    GRand *r = g_rand_new_with_seed(seed);
+
+    m->draw(&p, r);
+    g_rand_free(r);
+    plan = &p;
+    played = m;
+    well = -1;
+    if (m->begin)
+        m->begin();
+    standbys = m->standbys || seed % 2;
+    world_play(m->layout ? m->layout : &day, seed, g);
+    standbys = false;
+    plan = NULL;
+    bool broke = false;
+    for (int i = 0; i < RULES; i++)
+        broke = broke || (w.broke[i] && (m->rule == i || m->rule == ANY_RULE));
+    return broke || (m->rule == NOT_RECOVERED && !world_is_well());
+}
+
+static void holds(void **state)
+{
+    const struct scenario *m = *state;
+    double margin = 1e9, longest = 0;
+    unsigned cancelled = 0, late = 0, copies = 0, takeovers = 0;
+
+    for (uint32_t seed = 1; seed <= factor * m->days; seed++) {
+        play(m, seed, G_NONE);
+        for (int i = 0; i < RULES; i++)
+            if (w.broke[i])
+                fail_msg("%s, seed %u: %s broken %u times", m->name, seed, rule_names[i],
+                         w.broke[i]);
+        if (!world_is_well())
+            fail_msg("%s, seed %u: not all is well at the end", m->name, seed);
+        const char *one;
+        unsigned n = unfinished(&one);
+        if (n)
+            fail_msg("%s, seed %u: %u jobs have not run, as %s", m->name, seed, n, one);
+        if (well < 0 || well > LONGEST_S)
+            fail_msg("%s, seed %u: all was well %.1f s after the last trouble", m->name,
+                     seed, well);
+        longest = MAX(longest, well);
+        margin = MIN(margin, w.least_margin);
+        cancelled += w.cancelled;
+        late += w.lates;
+        copies += w.copies;
+        takeovers += w.takeovers;
+    }
+    print_message("%s: %u days, %u takeovers, %u late writes, %u late copies; %u "
+                  "cancelled, least margin of cancel_s %.1f s; all well after %.1f s\n",
+                  m->name, factor * m->days, takeovers, late, copies, cancelled, margin,
+                  longest);
+    if (m->report)
+        m->report();
+}
+
+static void needs_its_guard(void **state)
+{
+    const struct scenario *m = *state;
+
+    for (uint32_t seed = 1; seed <= 10 * m->days; seed++)
+        if (play(m, seed, m->guard))
+            return;
+    fail_msg("%s: nothing breaks without the guard", m->name);
+}
+
+int scenario_main(const struct scenario *scenarios, size_t n, int argc, char **argv)
+{
+    struct CMUnitTest *tests = g_new0(struct CMUnitTest, 2 * n);
+
+    for (size_t i = 0; i < n; i++) {
+        void *m = (void *)&scenarios[i];
+        tests[2 * i] = (struct CMUnitTest){scenarios[i].name, holds, NULL, NULL, m};
+        tests[2 * i + 1] =
+            (struct CMUnitTest){"its guard is needed", needs_its_guard, NULL, NULL, m};
+    }
+    lmn_log_level = LMN_LOG_ERROR;
+    if (argc > 1)
+        factor = (unsigned)MAX(atoi(argv[1]), 1);
+    int failed = _cmocka_run_group_tests("scenarios", tests, 2 * n, NULL, NULL);
+    g_free(tests);
+    return failed;
+}
