A lost answer of the state service holds up its own batch only

Cause: one thread wrote all transactions, and waited up to 2 s for an answer that was lost; all submissions decided on meanwhile waited with it. Now a batch that has no answer after 0.1 s is overtaken by another writer. Each transaction is conditional on what it was derived from, so their order never mattered.

Rest: submissions whose own answer is lost.

--- a/src/state/state.c
+++ b/src/state/state.c
@@ -11,6 +11,12 @@
 
 enum { TXN_BYTES = 60000 };
 static const double TXN_TIMEOUT_S = 2.0;
+/* Threads that write. One alone has the way to the service to itself, so that what is
+ * submitted meanwhile shares the next batch. */
+enum { WRITERS = 4 };
+/* A batch without an answer for this long no longer holds up what has come since: another
+ * writer takes it. Without this each lost answer delayed all writes by TXN_TIMEOUT_S. */
+static const double OVERTAKE_S = 0.1;
 
 struct cond {
     char *key;
@@ -41,6 +47,8 @@
     struct lmn_budget requests, writes;
     struct lmn_budget lazy;     /* the part of writes that what can wait may use */
     struct lmn_latency writing; /* from a transaction's sending to its answer */
+    unsigned in_flight;         /* batches without an answer yet */
+    struct timespec sent;       /* when the last of them went out */
     struct timespec hold;       /* after a 429: nothing goes out before */
 };
 
@@ -256,6 +264,12 @@
     return s->writes.level - reserve(s, rank) >= MIN(changes, 0.45 * s->writes.burst);
 }
 
+/* Seconds until a further batch may go out beside those in flight; 0: now. */
+static double until_overtaking(const struct lmn_state *s, struct timespec now)
+{
+    return s->in_flight ? OVERTAKE_S - lmn_since(now, s->sent) : 0;
+}
+
 /* Seconds until the first transaction of some rank may go out; 0: now. */
 static double until_next(struct lmn_state *s, struct timespec now)
 {
@@ -274,6 +288,7 @@
                            s->writes.level) /
                               s->writes.rate);
     }
+    wait = MAX(wait, until_overtaking(s, now));
     return MAX(wait, lmn_since(s->hold, now));
 }
 
@@ -436,6 +451,46 @@
     return t;
 }
 
+/* Waits until something may go out, and takes it. */
+static guint next_batch(struct lmn_state *s, struct lmn_txn **v, guint max)
+{
+    pthread_mutex_lock(&s->lock);
+    /* Wait for the budget before choosing, so that the urgent still go first. */
+    for (;;) {
+        double wait = until_next(s, lmn_now());
+        if (wait <= 0)
+            break;
+        if (isinf(wait))
+            pthread_cond_wait(&s->more, &s->lock);
+        else
+            lmn_cond_wait_for(&s->more, &s->lock, wait + 1e-3);
+    }
+    guint n = gather(s, v, max);
+    s->in_flight++;
+    s->sent = lmn_now();
+    pthread_mutex_unlock(&s->lock);
+    return n;
+}
+
+static void batch_answered(struct lmn_state *s, struct timespec sent, int status)
+{
+    pthread_mutex_lock(&s->lock);
+    s->in_flight--;
+    lmn_latency_add(&s->writing, lmn_since(lmn_now(), sent));
+    if (status == 429)
+        s->hold = lmn_after(lmn_now(), 0.1 + g_random_double() * 0.2);
+    pthread_mutex_unlock(&s->lock);
+}
+
+/* One of a batch that the service found unfit (an ended lease, say) goes out alone. */
+static void send_alone(struct lmn_state *s, struct lmn_http *h, struct lmn_txn *t)
+{
+    uint64_t revision = 0;
+    enum lmn_outcome r = lmn_state_send(s, h, t, &revision, NULL);
+
+    lmn_txn_finish(t, r, revision);
+}
+
 static void *writer(void *arg)
 {
     struct lmn_state *s = arg;
@@ -443,46 +498,20 @@
     struct lmn_txn *v[64];
 
     for (;;) {
-        pthread_mutex_lock(&s->lock);
-        /* Wait for the budget before choosing, so that the urgent still go first. */
-        for (;;) {
-            double wait = until_next(s, lmn_now());
-            if (wait <= 0)
-                break;
-            if (isinf(wait))
-                pthread_cond_wait(&s->more, &s->lock);
-            else
-                lmn_cond_wait_for(&s->more, &s->lock, wait + 1e-3);
-        }
-        guint n = gather(s, v, G_N_ELEMENTS(v));
-        pthread_mutex_unlock(&s->lock);
-
+        guint n = next_batch(s, v, G_N_ELEMENTS(v));
         lmn_state_pace(s);
         GPtrArray *conflicts = g_ptr_array_new_with_free_func(g_free);
         uint64_t revision = 0;
         int status;
         struct timespec sent = lmn_now();
         enum lmn_outcome r = send_batch(h, v, n, &revision, conflicts, &status);
-        pthread_mutex_lock(&s->lock);
-        lmn_latency_add(&s->writing, lmn_since(lmn_now(), sent));
-        pthread_mutex_unlock(&s->lock);
-        if (status == 429) {
-            pthread_mutex_lock(&s->lock);
-            s->hold = lmn_after(lmn_now(), 0.1 + g_random_double() * 0.2);
-            pthread_mutex_unlock(&s->lock);
-        }
+        batch_answered(s, sent, status);
         for (guint i = 0; i < n; i++) {
             if (r == LMN_CONFLICT && n > 1 && !touches(v[i], conflicts)) {
                 /* It was only in bad company: it goes out again. */
                 lmn_state_submit(s, v[i]);
             } else if (r == LMN_REFUSED && status == 400 && n > 1) {
-                /* One of them is unfit (an ended lease, say): each goes out alone. */
-                uint64_t rev = 0;
-                int st;
-                g_ptr_array_set_size(conflicts, 0);
-                lmn_state_pace(s);
-                enum lmn_outcome one = send_batch(h, &v[i], 1, &rev, conflicts, &st);
-                lmn_txn_finish(v[i], one, rev);
+                send_alone(s, h, v[i]);
             } else if (status == 429 && lmn_since(lmn_now(), v[i]->since) < 1.5) {
                 lmn_state_submit(s, v[i]);
             } else {
@@ -496,5 +525,6 @@
 
 void lmn_state_start(struct lmn_state *s)
 {
-    lmn_thread(writer, s);
+    for (int i = 0; i < WRITERS; i++)
+        lmn_thread(writer, s);
 }
--- a/src/state/state.h
+++ b/src/state/state.h
@@ -1,5 +1,6 @@
-/* The state service's client: a batching writer, and blocking calls for the other
- * threads. */
+/* The state service's client: batching writers, and blocking calls for the other threads.
+ * Batches may be carried out in another order than they were submitted in, as any that is
+ * late may: each transaction is conditional on what it was derived from. */
 #ifndef LMN_STATE_H
 #define LMN_STATE_H
 
@@ -24,13 +25,13 @@
                           uint64_t revision);
 
 struct lmn_state *lmn_state_new(const struct lmn_settings *cfg);
-/* Of one whose thread was never started; what was not sent counts as refused, so whoever
- * hears of that must still be there. */
+/* Of one whose threads were never started; what was not sent counts as refused, so
+ * whoever hears of that must still be there. */
 void lmn_state_free(struct lmn_state *s);
-/* Starts the writer's thread. */
+/* Starts the writers' threads. */
 void lmn_state_start(struct lmn_state *s);
 
-/* A transaction: conditions, changes, and who hears of its outcome (once, on the writer's
+/* A transaction: conditions, changes, and who hears of its outcome (once, on a writer's
  * thread, no lock held). */
 struct lmn_txn *lmn_txn_new(enum lmn_rank rank, lmn_txn_done *done, void *arg);
 void lmn_txn_if(struct lmn_txn *t, const char *key, uint64_t version);
@@ -51,8 +52,8 @@
 void lmn_txn_each_condition(const struct lmn_txn *t,
                             void (*f)(void *arg, const char *key, uint64_t version),
                             void *arg);
-/* Without the writer's thread (in tests): takes the next transaction off the queues, NULL
- * if there is none, and tells its outcome. */
+/* Without the writers' threads (in tests): takes the next transaction off the queues,
+ * NULL if there is none, and tells its outcome. */
 struct lmn_txn *lmn_state_take(struct lmn_state *s);
 void lmn_txn_finish(struct lmn_txn *t, enum lmn_outcome outcome, uint64_t revision);
 
--- a/tests/test_state.c
+++ b/tests/test_state.c
@@ -1,7 +1,10 @@
 /* The writer's order and budget. */
 #include "base/clock.h"
 #include "base/codec.h"
+#include "base/httpd.h"
 #include "base/settings.h"
+#include "base/thread.h"
+#include "base/wire.h"
 #include "state/state.h"
 
 #include <setjmp.h>
@@ -127,12 +130,68 @@
     }
 }
 
+static int calls;
+
+/* A state service whose first answer is lost. */
+static void lose_the_first(void *arg, struct lmn_call *call)
+{
+    (void)arg;
+    if (g_atomic_int_add(&calls, 1) == 0) {
+        lmn_call_hold(call);
+        return;
+    }
+    GByteArray *b = g_byte_array_new();
+    lmn_put_map(b, 1);
+    lmn_put_text(b, W_REVISION), lmn_put_count(b, 7);
+    lmn_call_answer(call, 200, b, 0);
+}
+
+static void answered(void *arg, struct lmn_txn *t, enum lmn_outcome o, uint64_t revision)
+{
+    (void)t;
+    if (o == LMN_OK && revision == 7)
+        g_atomic_int_set((int *)arg, 1);
+}
+
+/* A lost answer held up all that was submitted after it until its time was over. */
+static void a_lost_answer_delays_nobody_else(void **state)
+{
+    (void)state;
+    struct lmn_httpd_options o = {.listen = "127.0.0.1:0",
+                                  .connections = 16,
+                                  .max_body = 65536,
+                                  .route = lose_the_first};
+    struct timespec stopped = now;
+    int done = 0;
+
+    make();
+    lmn_test_clock = NULL;
+    struct lmn_httpd *h = lmn_httpd_start(&o);
+    assert_non_null(h);
+    g_snprintf(cfg.state, sizeof cfg.state, "127.0.0.1:%d", lmn_httpd_port(h));
+    struct lmn_state *s = lmn_state_new(&cfg);
+    lmn_state_start(s);
+    submit(s, LMN_RANK_USER, 1);
+    while (!g_atomic_int_get(&calls))
+        lmn_sleep(0.005);
+    struct lmn_txn *t = lmn_txn_new(LMN_RANK_USER, answered, &done);
+    lmn_txn_remove(t, "k/late");
+    struct timespec begun = lmn_now();
+    lmn_state_submit(s, t);
+    while (!g_atomic_int_get(&done) && lmn_since(lmn_now(), begun) < 1.5)
+        lmn_sleep(0.005);
+    assert_true(g_atomic_int_get(&done));
+    now = stopped;
+    lmn_test_clock = &now;
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(users_find_budget),
         cmocka_unit_test(urgent_first),
         cmocka_unit_test(within_limit),
+        cmocka_unit_test(a_lost_answer_delays_nobody_else),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
