HTTP client: a request with a body is sent once

libcurl sends a request again by itself when a kept connection ends without an answer. A transaction that was carried out, its answer lost, was then told as a conflict: 'nothing was applied'. The owner of a moved range took its tasks back and could start them beside the new owner; a partition that had been given away was served on. The body is handed out by a read function that can't rewind, so that libcurl reports the loss instead and the outcome counts as unknown.

--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -8,6 +8,8 @@
     CURL *curl;
     struct curl_slist *headers;
     char base[96];
+    const GByteArray *body; /* of the request under way */
+    size_t sent;            /* so much of it */
 };
 
 enum { MAX_ANSWER = 8 << 20 };
@@ -21,6 +23,20 @@
     return size * n;
 }
 
+/* Hands out the body once. libcurl sends a request again by itself when a kept connection
+ * ends without an answer; the first may have been executed all the same, and a repeated
+ * transaction would then be told as a conflict, as if nothing had been applied. It can't
+ * do so with a body that it can't rewind: no seek function is set. */
+static size_t next_part(char *to, size_t size, size_t n, void *arg)
+{
+    struct lmn_http *h = arg;
+    size_t part = MIN(size * n, h->body->len - h->sent);
+
+    memcpy(to, h->body->data + h->sent, part);
+    h->sent += part;
+    return part;
+}
+
 struct lmn_http *lmn_http_new(const char *addr)
 {
     struct lmn_http *h = g_new0(struct lmn_http, 1);
@@ -34,6 +50,8 @@
     curl_easy_setopt(h->curl, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(h->curl, CURLOPT_HTTPHEADER, h->headers);
     curl_easy_setopt(h->curl, CURLOPT_WRITEFUNCTION, on_body);
+    curl_easy_setopt(h->curl, CURLOPT_READFUNCTION, next_part);
+    curl_easy_setopt(h->curl, CURLOPT_READDATA, h);
     curl_easy_setopt(h->curl, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(h->curl, CURLOPT_PROXY, "");
     curl_easy_setopt(h->curl, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
@@ -66,7 +84,9 @@
         curl_easy_setopt(h->curl, CURLOPT_CUSTOMREQUEST,
                          !strcmp(method, "PUT") ? method : NULL);
         curl_easy_setopt(h->curl, CURLOPT_POST, 1L);
-        curl_easy_setopt(h->curl, CURLOPT_POSTFIELDS, body ? (char *)body->data : "");
+        h->body = body;
+        h->sent = 0;
+        curl_easy_setopt(h->curl, CURLOPT_POSTFIELDS, body && body->len ? NULL : "");
         curl_easy_setopt(h->curl, CURLOPT_POSTFIELDSIZE, body ? (long)body->len : 0L);
     } else {
         curl_easy_setopt(h->curl, CURLOPT_HTTPGET, 1L);
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -13,8 +13,8 @@
 struct lmn_http *lmn_http_new(const char *addr);
 void lmn_http_free(struct lmn_http *h);
 /* method: GET, POST, PUT or DELETE. Returns the status, or one of the above: LMN_NOT_SENT
- * only when the request can't have been executed. The answer's body replaces what is in
- * out. */
+ * only when the request can't have been executed. A request with a body is sent once at
+ * most. The answer's body replaces what is in out. */
 int lmn_http_call(struct lmn_http *h, const char *method, const char *path,
                   const GByteArray *body, double timeout_s, GByteArray *out);
 
