Users' replies: decisions as pure functions, apart from HTTP and threads

What is told is decided in replies.c: first decisions, confirmations, readings, cancellations. submission.c reads a body and plans the transaction that accepts it.

A conflict that names no key confirms nothing (it counted as a confirmation of every job in the batch). Between the confirmation and the answer the mirror may have moved on: the later revision is told.

--- /dev/null
+++ b/src/serve/replies.c
@@ -0,0 +1,349 @@
+#include "serve/replies.h"
+#include "base/log.h"
+#include "base/wire.h"
+#include "state/core.h"
+#include "state/records.h"
+
+#include <string.h>
+
+/* --- replies --- */
+
+static struct lmn_reply plain(int status, int retry_after)
+{
+    return (struct lmn_reply){.status = status, .retry_after = retry_after};
+}
+
+static struct lmn_reply fault(int status, const char *error)
+{
+    return (struct lmn_reply){.status = status, .error = error};
+}
+
+static struct lmn_reply job_state(enum lmn_phase phase, uint32_t done, uint32_t running)
+{
+    return (struct lmn_reply){.status = 200,
+                              .shows_job = true,
+                              .phase = phase,
+                              .done = done,
+                              .running = running};
+}
+
+struct lmn_reply lmn_reply_unavailable(void)
+{
+    return plain(503, 1);
+}
+
+/* There is no such job. */
+static struct lmn_reply absent(int status)
+{
+    if (status == 503)
+        return lmn_reply_unavailable();
+    return status == 404 ? plain(404, 0) : fault(status, "refused");
+}
+
+static const char *state_word(const struct lmn_reply *r)
+{
+    if (r->phase == LMN_FINISHED)
+        return W_DONE;
+    if (r->phase == LMN_WITHDRAWN)
+        return W_WITHDRAWN;
+    return r->running || r->done ? W_RUNNING : W_QUEUED;
+}
+
+GByteArray *lmn_reply_body(const struct lmn_reply *r, const char *ref)
+{
+    GByteArray *b;
+
+    if (!r->shows_job && !r->error)
+        return NULL;
+    b = g_byte_array_new();
+    if (r->error) {
+        lmn_put_map(b, 1);
+        lmn_put_text(b, "error"), lmn_put_text(b, r->error);
+        return b;
+    }
+    lmn_put_map(b, r->status == 201 ? 2 : 4);
+    lmn_put_text(b, W_ID), lmn_put_text(b, ref);
+    lmn_put_text(b, W_STATE), lmn_put_text(b, state_word(r));
+    if (r->status == 201)
+        return b;
+    lmn_put_text(b, W_DONE), lmn_put_count(b, r->done);
+    lmn_put_text(b, W_RUNNING), lmn_put_count(b, r->running);
+    return b;
+}
+
+/* --- the mirror's view --- */
+
+/* Tasks done and running, as far as this node knows; for display. */
+static void tally(const struct lmn_job *j, uint32_t *done, uint32_t *running)
+{
+    uint32_t left = 0;
+
+    *running = 0;
+    for (guint i = 0; i < j->ranges->len; i++) {
+        const struct lmn_range *r = j->ranges->pdata[i];
+        left += r->hi - r->lo - (r->st ? r->nfinished : r->ndone);
+        *running += r->nstarted;
+    }
+    *done = j->phase == LMN_FINISHED ? j->spec.tasks
+                                     : j->spec.tasks - MIN(left, j->spec.tasks);
+    if (j->phase != LMN_ACTIVE)
+        *running = 0;
+}
+
+void lmn_view_take(const struct lmn_core *c, const char *ref, struct lmn_view *v)
+{
+    const struct lmn_job *j = g_hash_table_lookup(c->jobs, ref);
+    uint32_t done, running;
+
+    memset(v, 0, sizeof *v);
+    g_strlcpy(v->ref, ref, sizeof v->ref);
+    if (!j)
+        return;
+    tally(j, &done, &running);
+    v->rev = j->rev;
+    v->reply = job_state(j->phase, done, running);
+}
+
+static bool is_final(const struct lmn_view *v)
+{
+    return v->rev && v->reply.phase != LMN_ACTIVE;
+}
+
+static void job_key(char *key, size_t len, const char *ref)
+{
+    g_snprintf(key, len, "j/%s", ref);
+}
+
+struct lmn_txn *lmn_confirmation(const struct lmn_view *v, guint n)
+{
+    struct lmn_txn *t = lmn_txn_new(LMN_RANK_USER, NULL, NULL);
+    char key[64];
+
+    for (guint i = 0; i < n; i++) {
+        job_key(key, sizeof key, v[i].ref);
+        lmn_txn_if(t, key, v[i].rev);
+    }
+    return t;
+}
+
+enum lmn_confirmed lmn_view_confirmed(const struct lmn_view *v, enum lmn_outcome outcome,
+                                      const GPtrArray *failed)
+{
+    char key[64];
+
+    if (outcome == LMN_OK)
+        return LMN_CONFIRMED_LATEST;
+    /* A conflict that names no key says nothing about any. */
+    if (outcome != LMN_CONFLICT || !failed->len)
+        return LMN_CONFIRMED_NOTHING;
+    job_key(key, sizeof key, v->ref);
+    for (guint i = 0; i < failed->len; i++)
+        if (!strcmp(failed->pdata[i], key))
+            return LMN_CONFIRMED_OUTDATED;
+    return LMN_CONFIRMED_LATEST;
+}
+
+struct lmn_reply lmn_reply_confirmed(const struct lmn_core *c, const struct lmn_view *v,
+                                     int absent_status)
+{
+    struct lmn_view latest;
+
+    /* A later revision in the mirror is of a later instant than the confirmation. */
+    lmn_view_take(c, v->ref, &latest);
+    if (latest.rev > v->rev)
+        return latest.reply;
+    return v->rev ? v->reply : absent(absent_status);
+}
+
+/* --- first decisions --- */
+
+static struct lmn_decision reply_now(struct lmn_reply r)
+{
+    return (struct lmn_decision){.step = LMN_STEP_REPLY, .reply = r};
+}
+
+static struct lmn_decision next_step(enum lmn_step step, int absent_status)
+{
+    return (struct lmn_decision){.step = step, .absent_status = absent_status};
+}
+
+/* Nothing can be confirmed now: held back, a question took a socket and its user's
+ * patience, and ended as 503 all the same. */
+static bool is_blind(const struct lmn_core *c, struct timespec now)
+{
+    return lmn_staleness(c, now) > LMN_STALE_S;
+}
+
+struct lmn_decision lmn_decide_status(struct lmn_core *c, const char *ref,
+                                      struct timespec now)
+{
+    struct lmn_view v;
+
+    if (!lmn_ref_ok(ref))
+        return reply_now(plain(404, 0));
+    c->count.polls++;
+    lmn_view_take(c, ref, &v);
+    if (is_final(&v))
+        return reply_now(v.reply);
+    if (lmn_load_sheds(&c->load, LMN_SHED_POLL, c->rng))
+        return reply_now(plain(503, lmn_retry_after(2 * c->load.behind, c->rng)));
+    if (is_blind(c, now))
+        return reply_now(plain(503, lmn_retry_after(1, c->rng)));
+    return next_step(LMN_STEP_CONFIRM, 404);
+}
+
+struct lmn_decision lmn_decide_cancel(struct lmn_core *c, const char *ref)
+{
+    struct lmn_view v;
+
+    if (!lmn_ref_ok(ref))
+        return reply_now(plain(404, 0));
+    c->count.polls++;
+    lmn_view_take(c, ref, &v);
+    if (is_final(&v))
+        return reply_now(v.reply);
+    return next_step(LMN_STEP_CANCEL, 404);
+}
+
+/* A job that nobody is known to have submitted, and nothing is wrong with. */
+static struct lmn_decision decide_new(struct lmn_core *c)
+{
+    double wait = lmn_state_backlog(c->state, LMN_RANK_USER);
+
+    if (wait > 2.0) {
+        c->count.refused++;
+        return reply_now(plain(429, lmn_retry_after(wait, c->rng)));
+    }
+    if (lmn_load_sheds(&c->load, LMN_SHED_SUBMISSION, c->rng))
+        return reply_now(plain(429, lmn_retry_after(2 * c->load.behind, c->rng)));
+    return next_step(LMN_STEP_COMMIT, 503);
+}
+
+struct lmn_decision lmn_decide_submission(struct lmn_core *c,
+                                          const struct lmn_submission *s,
+                                          struct timespec now)
+{
+    const char *why;
+    struct lmn_view v;
+
+    if (s->fault == LMN_SUBMISSION_UNNAMED)
+        return reply_now(fault(400, s->what));
+    c->count.submissions++;
+    lmn_view_take(c, s->spec.ref, &v);
+    if (is_final(&v))
+        return reply_now(v.reply);
+    /* An id that was accepted before is answered with its state, whatever is wrong with
+     * what is sent now: so a refusal too has to be confirmed. */
+    if (s->fault == LMN_SUBMISSION_MALFORMED)
+        return next_step(LMN_STEP_CONFIRM, 400);
+    if (v.rev)
+        return next_step(LMN_STEP_CONFIRM, 503);
+    /* No value can hold it: that would be 503 at each try, for ever. */
+    if (s->fault == LMN_SUBMISSION_TOO_LARGE)
+        return next_step(LMN_STEP_CONFIRM, 400);
+    if (!c->synced || !c->types_known)
+        return reply_now(plain(503, 2));
+    if (is_blind(c, now))
+        return reply_now(plain(503, lmn_retry_after(1, c->rng)));
+    if (!lmn_spec_possible(&s->spec, c->cfg, &c->types, &why)) {
+        lmn_debug("job-impossible job=%s why=\"%s\"", s->spec.ref, why);
+        return next_step(LMN_STEP_CONFIRM, 422);
+    }
+    return decide_new(c);
+}
+
+struct lmn_decision lmn_decide_submitted(enum lmn_outcome outcome)
+{
+    struct lmn_reply accepted = job_state(LMN_ACTIVE, 0, 0);
+
+    switch (outcome) {
+    case LMN_OK:
+        accepted.status = 201;
+        return reply_now(accepted);
+    case LMN_CONFLICT:
+        /* Known already, though not yet to the mirror: it is read. */
+        return next_step(LMN_STEP_CONFIRM, 503);
+    default:
+        /* If it was executed after all, the user's retry finds the job. */
+        return reply_now(lmn_reply_unavailable());
+    }
+}
+
+/* --- reading, and cancelling --- */
+
+void lmn_reading_parse(struct lmn_job_reading *r, int status, const guint8 *body,
+                       size_t len)
+{
+    struct lmn_doc d;
+
+    memset(r, 0, sizeof *r);
+    r->status = status;
+    if (status != 200)
+        return;
+    r->status = LMN_NO_ANSWER;
+    if (lmn_doc_parse(&d, body, len) != 0)
+        return;
+    const struct lmn_node *root = lmn_root(&d);
+    if (lmn_count(lmn_get(&d, root, W_VERSION), &r->rev) &&
+        lmn_job_read(&d, lmn_get(&d, root, W_VALUE), &r->spec, &r->phase, &r->open,
+                     &r->at) == 0)
+        r->status = 200;
+    lmn_doc_free(&d);
+}
+
+void lmn_reading_clear(struct lmn_job_reading *r)
+{
+    lmn_spec_clear(&r->spec);
+}
+
+/* Of a job's record that has ended. */
+static struct lmn_reply ended(const struct lmn_job_reading *r)
+{
+    return job_state(r->phase, r->phase == LMN_FINISHED ? r->spec.tasks : 0, 0);
+}
+
+struct lmn_reply lmn_reply_read(const struct lmn_core *c, const char *ref,
+                                const struct lmn_job_reading *r, int absent_status)
+{
+    struct lmn_view latest;
+
+    if (r->status == 404)
+        return absent(absent_status);
+    if (r->status != 200)
+        return lmn_reply_unavailable();
+    if (r->phase != LMN_ACTIVE)
+        return ended(r);
+    /* The mirror's counts will do for an active job; and it may have moved on. */
+    lmn_view_take(c, ref, &latest);
+    if (latest.rev > r->rev)
+        return latest.reply;
+    return job_state(LMN_ACTIVE, latest.reply.done, latest.reply.running);
+}
+
+struct lmn_txn *lmn_cancellation(const char *ref, const struct lmn_job_reading *r,
+                                 int absent_status, struct lmn_reply *reply)
+{
+    struct lmn_txn *t;
+    char key[64];
+
+    if (r->status == 404)
+        *reply = absent(absent_status);
+    else if (r->status != 200)
+        *reply = lmn_reply_unavailable();
+    else if (r->phase != LMN_ACTIVE)
+        *reply = ended(r);
+    if (r->status != 200 || r->phase != LMN_ACTIVE)
+        return NULL;
+    t = lmn_txn_new(LMN_RANK_OWNER, NULL, NULL);
+    job_key(key, sizeof key, ref);
+    lmn_txn_if(t, key, r->rev);
+    lmn_txn_write(t, key, lmn_job_record(&r->spec, LMN_WITHDRAWN, r->open, r->at), 0);
+    return t;
+}
+
+bool lmn_cancelled(enum lmn_outcome outcome, struct lmn_reply *reply)
+{
+    /* With an unknown outcome the user asks again, and then it is read. */
+    *reply = outcome == LMN_OK ? job_state(LMN_WITHDRAWN, 0, 0) : lmn_reply_unavailable();
+    return outcome != LMN_CONFLICT;
+}
--- /dev/null
+++ b/src/serve/replies.h
@@ -0,0 +1,111 @@
+/* What users are told: decisions as pure functions of the shared state, a time and a
+ * random source, without HTTP, threads or I/O. Functions that take the core are to be
+ * called with its lock.
+ *
+ * Each reply is true at an instant between the arrival of its request and its sending, or
+ * it is final. Final states are told from the mirror. All else is confirmed first: a view
+ * of the mirror is taken after the request has arrived, a transaction of conditions alone
+ * asks the state service whether its revision is still the latest, and what that does not
+ * confirm is read. docs/design/failover.md has the argument for each path. */
+#ifndef LMN_REPLIES_H
+#define LMN_REPLIES_H
+
+#include "serve/submission.h"
+#include "state/model.h"
+
+/* What is to be done about a request. */
+enum lmn_step {
+    LMN_STEP_REPLY,   /* it is answered now */
+    LMN_STEP_CONFIRM, /* the job's state is told once it is confirmed */
+    LMN_STEP_CANCEL,  /* the job is read, and its cancellation written */
+    LMN_STEP_COMMIT,  /* the submission is written */
+};
+
+struct lmn_reply {
+    int status;
+    int retry_after;   /* seconds; 0: none */
+    const char *error; /* what is wrong with the request; NULL: nothing to say */
+    bool shows_job;    /* the state that follows is told */
+    enum lmn_phase phase;
+    uint32_t done, running; /* tasks, as far as this node knows */
+};
+
+struct lmn_decision {
+    enum lmn_step step;
+    struct lmn_reply reply; /* of LMN_STEP_REPLY */
+    int absent_status;      /* of the others: the status if there is no such job */
+};
+
+/* --- first decisions, when a request has arrived --- */
+
+struct lmn_decision lmn_decide_status(struct lmn_core *c, const char *ref,
+                                      struct timespec now);
+struct lmn_decision lmn_decide_cancel(struct lmn_core *c, const char *ref);
+struct lmn_decision lmn_decide_submission(struct lmn_core *c,
+                                          const struct lmn_submission *s,
+                                          struct timespec now);
+/* Once the outcome of a submission's transaction is known. */
+struct lmn_decision lmn_decide_submitted(enum lmn_outcome outcome);
+
+/* --- confirmations --- */
+
+/* What the mirror shows of a job. */
+struct lmn_view {
+    char ref[LMN_REF];
+    uint64_t rev; /* of the job's record; 0: there is none */
+    struct lmn_reply reply;
+};
+
+enum lmn_confirmed {
+    LMN_CONFIRMED_LATEST,   /* the view was the latest when the state service looked */
+    LMN_CONFIRMED_OUTDATED, /* there is a later one: it has to be read */
+    LMN_CONFIRMED_NOTHING,  /* nobody knows */
+};
+
+void lmn_view_take(const struct lmn_core *c, const char *ref, struct lmn_view *v);
+/* The transaction that confirms the views: conditions alone. */
+struct lmn_txn *lmn_confirmation(const struct lmn_view *v, guint n);
+/* What its outcome says of one of them; failed: the keys whose condition did not hold. */
+enum lmn_confirmed lmn_view_confirmed(const struct lmn_view *v, enum lmn_outcome outcome,
+                                      const GPtrArray *failed);
+/* The reply of a view that was confirmed, or of what became of it since: the mirror may
+ * have moved on while the answer was on its way. */
+struct lmn_reply lmn_reply_confirmed(const struct lmn_core *c, const struct lmn_view *v,
+                                     int absent_status);
+struct lmn_reply lmn_reply_unavailable(void);
+
+/* --- reading, and cancelling --- */
+
+/* A job's record as read from the state service. */
+struct lmn_job_reading {
+    int status;   /* 200: the record was read; 404: there is none; else: unknown */
+    uint64_t rev; /* all of this with 200 only */
+    struct lmn_spec spec;
+    enum lmn_phase phase;
+    uint32_t open;
+    double at;
+};
+
+/* Of an answer of the state service; to be cleared. */
+void lmn_reading_parse(struct lmn_job_reading *r, int status, const guint8 *body,
+                       size_t len);
+void lmn_reading_clear(struct lmn_job_reading *r);
+struct lmn_reply lmn_reply_read(const struct lmn_core *c, const char *ref,
+                                const struct lmn_job_reading *r, int absent_status);
+
+/* The transaction that cancels an active job, conditional on the revision that was read;
+ * NULL: there is nothing to cancel, and *reply is the answer. */
+struct lmn_txn *lmn_cancellation(const char *ref, const struct lmn_job_reading *r,
+                                 int absent_status, struct lmn_reply *reply);
+/* Whether *reply is the answer now; else the job has changed, and is read again. */
+bool lmn_cancelled(enum lmn_outcome outcome, struct lmn_reply *reply);
+
+/* A cancellation is tried so often while others change the job. */
+enum { LMN_CANCEL_TRIES = 5 };
+
+/* --- on the wire --- */
+
+/* The reply's body; NULL: none. */
+GByteArray *lmn_reply_body(const struct lmn_reply *r, const char *ref);
+
+#endif
--- /dev/null
+++ b/src/serve/submission.c
@@ -0,0 +1,162 @@
+#include "serve/submission.h"
+#include "state/core.h"
+#include "state/records.h"
+
+#include <math.h>
+#include <string.h>
+
+/* What a partition could give to the job, and what it still has to do, in processors. */
+static void weigh(struct lmn_core *c, int id, const struct lmn_spec *s, double *weight,
+                  double *load)
+{
+    GHashTableIter it;
+    gpointer v;
+
+    *weight = *load = 0;
+    g_hash_table_iter_init(&it, c->parts[id].machines);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        struct lmn_machine *m = v;
+        if (!m->type)
+            m->type = lmn_type_named(c, m->type_name);
+        if (m->type && m->rev && !m->is_gone &&
+            lmn_spec_allows(s, m->type, m->zone, m->spot))
+            *weight += m->type->cpus + m->type->gpus;
+    }
+    /* As recorded, for one's own partitions too: else they would look emptier than the
+     * others. */
+    g_hash_table_iter_init(&it, c->parts[id].ranges);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const struct lmn_range *r = v;
+        if (r->job->phase == LMN_ACTIVE)
+            *load += (r->hi - r->lo - r->ndone) * (r->job->spec.cpus + r->job->spec.gpus);
+    }
+}
+
+/* A part of a job is no smaller than this share of what a partition could give. Each part
+ * costs the state service changes at its birth and at its end; a small job gains nothing
+ * by being cut. */
+static const double LEAST_PART = 0.05;
+
+/* The job's tasks for each partition: as few parts as its size needs, to those with the
+ * least to do for their size. */
+static void shares(struct lmn_core *c, const struct lmn_spec *s, uint32_t *n)
+{
+    double weight[LMN_MAX_PARTS], load[LMN_MAX_PARTS], sum = 0;
+    int parts = c->nparts, order[LMN_MAX_PARTS], able = 0;
+    int first = (int)(g_str_hash(s->ref) % (guint)parts);
+    uint32_t given = 0;
+
+    memset(n, 0, sizeof *n * (size_t)c->nparts);
+    for (int i = 0; i < parts; i++) {
+        weigh(c, i, s, &weight[i], &load[i]);
+        sum += weight[i];
+    }
+    double size = s->tasks * (s->cpus + s->gpus) * parts;
+    int want = sum > 0 ? (int)MIN(ceil(size / (LEAST_PART * sum)), parts) : 1;
+    for (int i = 0; sum <= 0 && i < parts; i++)
+        weight[i] = 1;
+    /* While writes have to wait, a job is not cut: steals will spread what one partition
+     * can't start. And one owner must see all of a job whose tasks depend on each other's
+     * places. */
+    if (s->one_zone || s->spread || lmn_state_backlog(c->state, LMN_RANK_CLOSE) > 0)
+        want = 1;
+    for (int k = 0; k < parts; k++) {
+        int i = (first + k) % parts, at = able;
+        if (weight[i] <= 0)
+            continue;
+        while (at > 0 &&
+               load[i] / weight[i] < load[order[at - 1]] / weight[order[at - 1]]) {
+            order[at] = order[at - 1];
+            at--;
+        }
+        order[at] = i;
+        able++;
+    }
+    /* The job's record and each part are a change of one transaction. */
+    want = CLAMP(want, 1, MIN(able, MAX(c->cfg->txn_ops - 1, 1)));
+    sum = 0;
+    for (int k = 0; k < want; k++)
+        sum += weight[order[k]];
+    for (int k = 0; k < want; k++) {
+        uint32_t part = (uint32_t)floor((double)s->tasks * weight[order[k]] / sum + 0.5);
+        n[order[k]] = MIN(part, s->tasks - given);
+        given += n[order[k]];
+    }
+    n[order[0]] += s->tasks - given;
+}
+
+struct lmn_txn *lmn_submission_txn(struct lmn_core *c, const struct lmn_spec *s,
+                                   double accepted_at, lmn_txn_done *done, void *arg)
+{
+    struct lmn_txn *t = lmn_txn_new(LMN_RANK_USER, done, arg);
+    uint32_t n[LMN_MAX_PARTS], open = 0, at = 0;
+    struct lmn_range r = {0};
+    char key[96];
+    /* One bit a task as hexadecimal text: so many that no value passes the limit. */
+    uint32_t most = (uint32_t)(c->cfg->value_kb * 1024 * 3);
+
+    shares(c, s, n);
+    g_snprintf(key, sizeof key, "j/%s", s->ref);
+    lmn_txn_if(t, key, 0);
+    char *job_key = g_strdup(key);
+    for (int i = 0; i < c->nparts; i++)
+        while (n[i] > 0) {
+            uint32_t k = MIN(n[i], most);
+            r.lo = at;
+            r.hi = at + k;
+            uint8_t *none = g_malloc0((k + 7) / 8);
+            g_snprintf(key, sizeof key, "r/%d/%s/%u", i, s->ref, at);
+            lmn_txn_write(t, key, lmn_range_record(&r, none), 0);
+            g_free(none);
+            at += k;
+            n[i] -= k;
+            open++;
+        }
+    /* The watch shows changes in the order of the transaction: first ranges, then the
+     * job, would leave ranges without a job. */
+    lmn_txn_write_first(t, job_key, lmn_job_record(s, LMN_ACTIVE, open, accepted_at));
+    g_free(job_key);
+    return t;
+}
+
+/* Whether the job's record is larger than a value may be, counted as JSON. */
+static bool too_large(const struct lmn_settings *cfg, const struct lmn_spec *s)
+{
+    size_t most = (size_t)(cfg->value_kb * 1024), types = 0;
+    struct lmn_doc d;
+
+    for (char **t = s->types; t && *t; t++)
+        types += strlen(*t) + 3;
+    /* All else is bounded; few descriptions need a closer look. */
+    if (types + 2048 < most)
+        return false;
+    GByteArray *b = lmn_job_record(s, LMN_ACTIVE, UINT32_MAX, 1e10);
+    bool large =
+        lmn_doc_parse(&d, b->data, b->len) == 0 && lmn_json_size(&d, lmn_root(&d)) > most;
+    lmn_doc_free(&d);
+    g_byte_array_unref(b);
+    return large;
+}
+
+void lmn_submission_parse(struct lmn_submission *s, const struct lmn_settings *cfg,
+                          const guint8 *body, size_t len)
+{
+    struct lmn_doc d;
+
+    memset(s, 0, sizeof *s);
+    s->what = "not CBOR";
+    s->fault = LMN_SUBMISSION_UNNAMED;
+    if (lmn_doc_parse(&d, body, len) != 0)
+        return;
+    if (lmn_spec_parse(&s->spec, &d, lmn_root(&d), &s->what) == 0)
+        s->fault =
+            too_large(cfg, &s->spec) ? LMN_SUBMISSION_TOO_LARGE : LMN_SUBMISSION_SOUND;
+    else if (lmn_ref_ok(s->spec.ref))
+        s->fault = LMN_SUBMISSION_MALFORMED;
+    lmn_doc_free(&d);
+}
+
+void lmn_submission_clear(struct lmn_submission *s)
+{
+    lmn_spec_clear(&s->spec);
+}
--- /dev/null
+++ b/src/serve/submission.h
@@ -0,0 +1,31 @@
+/* A submission: what its body says, and the transaction that accepts it. No threads and
+ * no I/O; lmn_submission_txn is to be called with the core's lock. */
+#ifndef LMN_SUBMISSION_H
+#define LMN_SUBMISSION_H
+
+#include "state/model.h"
+
+enum lmn_submission_fault {
+    LMN_SUBMISSION_SOUND,
+    LMN_SUBMISSION_UNNAMED,   /* unreadable, or without an id that could be known */
+    LMN_SUBMISSION_MALFORMED, /* it names an id; a field is missing or invalid */
+    LMN_SUBMISSION_TOO_LARGE, /* no value of the state service could hold it */
+};
+
+struct lmn_submission {
+    struct lmn_spec spec; /* MALFORMED: of this the id alone can be relied on */
+    enum lmn_submission_fault fault;
+    const char *what; /* the field at fault */
+};
+
+/* Reads a request's body. To be cleared, whatever its fault. */
+void lmn_submission_parse(struct lmn_submission *s, const struct lmn_settings *cfg,
+                          const guint8 *body, size_t len);
+void lmn_submission_clear(struct lmn_submission *s);
+
+/* The transaction that accepts the job, conditional on its id being unknown: the job's
+ * record, and its tasks parted among the partitions. */
+struct lmn_txn *lmn_submission_txn(struct lmn_core *c, const struct lmn_spec *s,
+                                   double accepted_at, lmn_txn_done *done, void *arg);
+
+#endif
