Simulated world: users ask, repeat, cancel and submit through the product's code

New faults: answers to transactions lost, close looks, odd requests, cancellations as the last task ends.

--- a/tests/test_model.c
+++ b/tests/test_model.c
@@ -18,7 +18,8 @@
 }
 
 static const char *const rule_names[] = {"ran_twice",     "quota",    "wrong_place",
-                                         "ran_cancelled", "not_done", "went_back"};
+                                         "ran_cancelled", "not_done", "went_back",
+                                         "forgotten",     "invented"};
 
 /* From one controller to as many as the settings take, one zone to five, and as few
  * machines as controllers or many more. */
--- a/tests/test_scenarios.c
+++ b/tests/test_scenarios.c
@@ -259,6 +259,12 @@
     when[2] = world_chance(0.5) ? w.now + scenario_drawn(0, 0.9) : 0;
 }
 
+static void pairs_draw(struct plan *p, GRand *r)
+{
+    scenario_usual_draw(p, r);
+    p->users = true;
+}
+
 static void pairs_begin(void)
 {
     memset(until, 0, sizeof until);
@@ -304,7 +310,7 @@
      NULL, NULL},
     {"small jobs", apart_step, scenario_usual_draw, G_DONE, R_NOT_DONE, false, 8, NULL,
      NULL, NULL},
-    {"pairs", pairs_step, scenario_usual_draw, G_ACCOUNT, R_TWICE, false, 40, pairs_begin,
+    {"pairs", pairs_step, pairs_draw, G_ACCOUNT, R_TWICE, false, 64, pairs_begin,
      all_have_met, NULL},
 };
 
--- a/tests/world/day.c
+++ b/tests/world/day.c
@@ -128,6 +128,10 @@
     char key[64];
     uint32_t at = 0, open = 0;
 
+    if (w.users) {
+        users_submit(j);
+        return;
+    }
     w.rev++;
     /* One owner sees all of a job whose tasks look at each other's zones. */
     int whole = j->spec.spread ? (int)(j->spec.tasks % w.layout.nodes) : -1;
@@ -170,6 +174,10 @@
     uint32_t open;
     double at;
 
+    if (w.users) {
+        users_cancel(j);
+        return;
+    }
     if (!n)
         return;
     g_snprintf(key, sizeof key, "j/%s", j->ref);
@@ -229,6 +237,9 @@
     w.run_s = plan ? plan->run_s : 12;
     w.least_margin = w.cancel_s;
     w.helped = seed % 2 && broken != G_FENCE;
+    w.users = plan && plan->users;
+    w.lost_kind = TXN_KINDS;
+    users_begin(seed);
     w.late = g_ptr_array_new();
     w.store = g_hash_table_new(g_str_hash, g_str_equal);
     w.log = g_ptr_array_new();
@@ -281,7 +292,7 @@
             w.cloud_down_until = w.now + g_rand_double_range(w.r, 5, 60);
         for (int i = 0; i < JOBS; i++) {
             struct job *j = &w.jobs[i];
-            if (!j->submitted && w.now > 1000 + i * w.layout.every)
+            if (!j->submitted && !j->offered && w.now > 1000 + i * w.layout.every)
                 submit(j);
             else if (!plan && j->submitted && j->cancelled_at < 0 &&
                      (w.broken == G_FINAL || !j->told_done) && i % 2 &&
@@ -307,8 +318,16 @@
             machine_step(m);
         }
         deliver();
-        for (int i = 0; i < w.layout.nodes; i++)
+        if (w.users)
+            users_step();
+        for (int i = 0; i < w.layout.nodes; i++) {
             node_step(&w.nodes[i], i);
+            if (w.users)
+                users_step(); /* between the others' writes and what this one saw */
+        }
+        /* What was told stays so for ever. */
+        if (w.users && step + 20 >= w.layout.steps + w.layout.calm)
+            users_look_at_all();
         /* Found so: a range that came between the claim and its noticing was never dealt.
          */
         for (int i = 0; i < w.layout.nodes && w.broken == G_NONE; i++)
--- a/tests/world/nodes.c
+++ b/tests/world/nodes.c
@@ -49,8 +49,8 @@
     n->state = lmn_state_new(&n->cfg);
     n->core = lmn_core_new(&n->cfg, n->state, g_rand_int(w.r));
     n->core->types.n = 1;
-    n->core->types.v[0] =
-        (struct lmn_type){.name = "t", .cpus = 6, .mem = 100, .nzones = 2};
+    n->core->types.v[0] = (struct lmn_type){
+        .name = "t", .cpus = 6, .mem = 100, .nzones = 2, .zones = {"a", "b"}};
     n->core->types_known = true;
     n->core->tuning.standby = w.standbys;
     n->waiting = g_ptr_array_new(); /* what waited went with the process */
@@ -113,12 +113,17 @@
 }
 
 /* A write of the thread that holds the lease; what becomes of it is not always known. */
-enum lmn_outcome node_send(struct lmn_txn *t)
+enum lmn_outcome node_send(struct node *n, struct lmn_txn *t)
 {
     enum lmn_outcome r = LMN_UNKNOWN;
     uint64_t rev;
     double luck = g_rand_double(w.r);
 
+    if (world_loses(t, luck)) {
+        r = world_lose(n, t);
+        lmn_txn_free(t);
+        return r;
+    }
     if (luck < (w.now < w.late_until ? 0.6 : 0.95))
         r = world_commit(t, &rev);
     if (luck > 0.9)
@@ -157,7 +162,7 @@
     }
     if (!t)
         return;
-    enum lmn_outcome r = node_send(t);
+    enum lmn_outcome r = node_send(n, t);
     lmn_holder_announced(n->core, r);
     if (r == LMN_OK)
         n->announced = n->lease;
@@ -174,19 +179,19 @@
                                : lmn_holder_suspicion(c, i, n->lease, w.clock);
         w.refutations += t && i == c->members.me;
         if (t)
-            node_send(t);
+            node_send(n, t);
     }
     for (int i = 0; i < w.layout.nodes; i++) {
         uint64_t before = c->members.count.verdicts;
         if ((t = lmn_holder_claim(c, i, n->lease, w.clock))) {
             bool verdict = c->members.count.verdicts > before;
-            bool took = node_send(t) == LMN_OK;
+            bool took = node_send(n, t) == LMN_OK;
             w.takeovers += took;
             w.verdicts += took && verdict;
             n->judged[i] = verdict;
         }
         if ((t = lmn_holder_handover(c, i, &successor, w.clock))) {
-            enum lmn_outcome r = node_send(t);
+            enum lmn_outcome r = node_send(n, t);
             lmn_holder_given(c, i, r, w.clock);
             w.gives += r == LMN_OK;
         }
@@ -218,23 +223,8 @@
 
     while ((t = lmn_state_take(n->state))) {
         uint64_t rev = 0;
-        double luck = g_rand_double(w.r);
-        if (w.now < w.late_until && luck < 0.3) {
-            world_late(t);
-            lmn_txn_finish(t, LMN_UNKNOWN, 0);
-        } else if (luck < 0.04) {
-            lmn_txn_finish(t, LMN_REFUSED, 0);
-        } else if (luck < 0.08) { /* applied, but the answer is lost */
-            world_commit(t, &rev);
-            lmn_txn_finish(t, LMN_UNKNOWN, 0);
-        } else if (luck < 0.10) { /* not applied, or late, and the answer is lost */
-            if (luck < 0.09)
-                world_late(t);
-            lmn_txn_finish(t, LMN_UNKNOWN, 0);
-        } else {
-            enum lmn_outcome r = world_commit(t, &rev);
-            lmn_txn_finish(t, r, rev);
-        }
+        enum lmn_outcome r = world_send(n, t, g_rand_double(w.r), &rev);
+        lmn_txn_finish(t, r, rev);
     }
 }
 
@@ -343,6 +333,12 @@
 {
     if (!node_up(n))
         return;
+    if (n->ends) {
+        n->ends = false;
+        if (n->core)
+            node_crash(n, g_rand_double_range(w.r, 0.2, 5));
+        return;
+    }
     if (!n->core)
         node_boot(n, i);
     if (w.now < n->still_until)
--- a/tests/world/peers.c
+++ b/tests/world/peers.c
@@ -111,7 +111,7 @@
             double wait;
             step = lmn_stream_next(n->core, p, w.clock, &b, &t, &wait);
             if (step == LMN_STREAM_WRITE && !cut)
-                node_send(t);
+                node_send(n, t);
             else if (step == LMN_STREAM_WRITE)
                 lmn_txn_free(t);
             if (step != LMN_STREAM_SEND)
--- a/tests/world/scenario.c
+++ b/tests/world/scenario.c
@@ -14,7 +14,8 @@
  * whom all trust, has to be settled by then. */
 static const double LONGEST_S = 75;
 static const char *const rule_names[] = {"ran_twice",     "quota",    "wrong_place",
-                                         "ran_cancelled", "not_done", "went_back"};
+                                         "ran_cancelled", "not_done", "went_back",
+                                         "forgotten",     "invented"};
 
 /* Seconds since the day began. */
 double scenario_time(void)
@@ -71,7 +72,7 @@
 {
     for (int i = 0; i < JOBS; i++) {
         struct job *j = &w.jobs[i];
-        if (!j->submitted)
+        if (!j->submitted && !j->offered)
             j->spec.tasks = MIN(j->spec.tasks, 6);
         else if (scenario_is_over() && j->spec.kind == LMN_DAEMON && j->cancelled_at < 0)
             world_cancel(j);
@@ -91,7 +92,7 @@
 
     for (int i = 0; i < JOBS; i++) {
         const struct job *j = &w.jobs[i];
-        if (!j->submitted || j->cancelled_at >= 0 || j->told_done)
+        if ((!j->submitted && !j->offered) || j->cancelled_at >= 0 || j->told_done)
             continue;
         n++;
         *one = j->ref;
@@ -126,6 +127,7 @@
     const struct scenario *m = *state;
     double margin = 1e9, longest = 0;
     unsigned cancelled = 0, late = 0, copies = 0, takeovers = 0;
+    unsigned answers = 0, back = 0, overtaken = 0, none = 0;
 
     for (uint32_t seed = 1; seed <= factor * m->days; seed++) {
         play(m, seed, G_NONE);
@@ -148,11 +150,19 @@
         late += w.lates;
         copies += w.copies;
         takeovers += w.takeovers;
+        answers += w.answers;
+        back += w.answers_back;
+        overtaken += w.answers_overtaken;
+        none += w.answers_none;
     }
     print_message("%s: %u days, %u takeovers, %u late writes, %u late copies; %u "
                   "cancelled, least margin of cancel_s %.1f s; all well after %.1f s\n",
                   m->name, factor * m->days, takeovers, late, copies, cancelled, margin,
                   longest);
+    if (answers)
+        print_message("%s: %u answers checked, %u went back, %u overtaken on their way, "
+                      "%u were 503\n",
+                      m->name, answers, back, overtaken, none);
     if (m->report)
         m->report();
 }
@@ -162,8 +172,14 @@
     const struct scenario *m = *state;
 
     for (uint32_t seed = 1; seed <= 10 * m->days; seed++)
-        if (play(m, seed, m->guard))
+        if (play(m, seed, m->guard)) {
+            print_message("%s: broken without its guard by seed %u:", m->name, seed);
+            for (int i = 0; i < RULES; i++)
+                if (w.broke[i])
+                    print_message(" %s %u", rule_names[i], w.broke[i]);
+            print_message("\n");
             return;
+        }
     fail_msg("%s: nothing breaks without the guard", m->name);
 }
 
--- a/tests/world/store.c
+++ b/tests/world/store.c
@@ -46,6 +46,15 @@
         *(bool *)arg = false;
 }
 
+static void collect_failed(void *arg, const char *key, uint64_t version)
+{
+    bool ok = true;
+
+    check_condition(&ok, key, version);
+    if (!ok)
+        g_ptr_array_add(arg, g_strdup(key));
+}
+
 static void check_lease(void *arg, const char *key, const GByteArray *value,
                         uint64_t lease)
 {
@@ -82,6 +91,103 @@
     return commit(t, false, rev);
 }
 
+enum lmn_outcome world_confirm(const struct lmn_txn *t, GPtrArray *failed)
+{
+    g_ptr_array_set_size(failed, 0);
+    lmn_txn_each_condition(t, collect_failed, failed);
+    return failed->len ? LMN_CONFLICT : LMN_OK;
+}
+
+/* --- answers that are lost --- */
+
+struct keys {
+    bool has[128]; /* keys that begin with this letter are changed */
+    bool new_job;
+};
+
+static void note_key(void *arg, const char *key, const GByteArray *value, uint64_t lease)
+{
+    (void)value;
+    (void)lease;
+    ((struct keys *)arg)->has[key[0] & 127] = true;
+}
+
+static void note_new_job(void *arg, const char *key, uint64_t version)
+{
+    if (key[0] == 'j' && version == 0)
+        ((struct keys *)arg)->new_job = true;
+}
+
+enum txn_kind world_txn_kind(const struct lmn_txn *t)
+{
+    struct keys k = {0};
+
+    lmn_txn_each(t, note_key, &k);
+    lmn_txn_each_condition(t, note_new_job, &k);
+    if (k.has['j'] && k.new_job)
+        return TXN_ACCEPTANCE;
+    return k.has['o']   ? TXN_CLAIM
+           : k.has['q'] ? TXN_LIMIT
+           : k.has['m'] ? TXN_BLOCK
+           : k.has['b'] ? TXN_STANDBY
+           : k.has['u'] ? TXN_SUSPICION
+           : k.has['n'] ? TXN_MEMBER
+           : k.has['r'] ? TXN_RANGE
+                        : TXN_CANCELLATION;
+}
+
+const char *world_txn_name(enum txn_kind k)
+{
+    static const char *const names[TXN_KINDS] = {
+        "acceptance", "cancellation", "claim",     "limit",        "range",
+        "block",      "standby",      "suspicion", "member record"};
+
+    return names[k];
+}
+
+bool world_loses(const struct lmn_txn *t, double luck)
+{
+    return w.now < w.lost_until && luck >= 0.4 && luck < 0.8 &&
+           (w.lost_kind == TXN_KINDS || w.lost_kind == (int)world_txn_kind(t));
+}
+
+enum lmn_outcome world_lose(struct node *n, const struct lmn_txn *t)
+{
+    uint64_t rev;
+
+    if (world_commit(t, &rev) != LMN_OK)
+        return LMN_UNKNOWN;
+    w.lost[world_txn_kind(t)]++;
+    if (w.lost_ends && world_chance(0.2))
+        n->ends = true;
+    return w.broken == G_LOST ? LMN_CONFLICT : LMN_UNKNOWN;
+}
+
+enum lmn_outcome world_send(struct node *n, const struct lmn_txn *t, double luck,
+                            uint64_t *rev)
+{
+    if (world_loses(t, luck))
+        return world_lose(n, t);
+    if (w.now < w.late_until && luck < 0.3) {
+        world_late(t);
+        return LMN_UNKNOWN;
+    }
+    if (luck < 0.04)
+        return LMN_REFUSED;
+    if (luck < 0.08) { /* applied, but the answer is lost */
+        world_commit(t, rev);
+        return LMN_UNKNOWN;
+    }
+    if (luck < 0.10) { /* not applied, or late, and the answer is lost */
+        if (luck < 0.09)
+            world_late(t);
+        return LMN_UNKNOWN;
+    }
+    return world_commit(t, rev);
+}
+
+/* --- transactions that are late --- */
+
 static void twin_condition(void *arg, const char *key, uint64_t version)
 {
     lmn_txn_if(arg, key, version);
--- a/tests/world/troubles.c
+++ b/tests/world/troubles.c
@@ -3,10 +3,11 @@
 #include "world.h"
 
 static const char *const names[TROUBLES] = {
-    "refused",      "outage",       "isolated",   "slow-state",   "late-writes",
-    "crash",        "crash-all",    "freeze",     "deaf-node",    "mute-node",
-    "leave",        "zone",         "hang",       "deaf-machine", "shut-door",
-    "late-reports", "machine-dies", "cloud-down", "cancel"};
+    "refused",      "outage",       "isolated",     "slow-state",   "late-writes",
+    "crash",        "crash-all",    "freeze",       "deaf-node",    "mute-node",
+    "leave",        "zone",         "hang",         "deaf-machine", "shut-door",
+    "late-reports", "machine-dies", "cloud-down",   "cancel",       "lost-answers",
+    "close-looks",  "odd-requests", "cancel-at-end"};
 
 const char *trouble_name(enum trouble k)
 {
@@ -135,6 +136,18 @@
     case T_CANCEL:
         world_cancel_some(0.5);
         break;
+    case T_LOST_ANSWERS:
+        later(&w.lost_until, s);
+        break;
+    case T_CLOSE_LOOKS:
+        later(&w.looks_until, s);
+        break;
+    case T_ODD_REQUESTS:
+        later(&w.odd_until, s);
+        break;
+    case T_CANCEL_AT_END:
+        later(&w.cancel_at_end_until, s);
+        break;
     default:
         on_nodes(k, who, s);
         on_machines(k, who, s);
@@ -146,6 +159,8 @@
 {
     double last = MAX(w.late_until, MAX(w.copies_until, w.cloud_down_until));
 
+    last = MAX(MAX(last, w.lost_until), MAX(w.odd_until, w.cancel_at_end_until));
+
     for (int i = 0; i < w.layout.nodes; i++) {
         const struct node *n = &w.nodes[i];
         const double until[] = {n->cut_until,  n->mute_until,  n->slow_until,
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -37,9 +37,37 @@
     G_SENT,     /* a view is as old as its question, not its answer */
     G_LATE,     /* what is carried out late is conditional like all else */
     G_KILLS,    /* the first answer of a new term ends what is withdrawn */
+    G_CONFIRM,  /* what is not final is confirmed before it is told */
+    G_OUTCOME,  /* a submission with an unknown outcome is not told as accepted */
+    G_LOST,     /* a transaction whose answer was lost is not told as a conflict */
+    G_REPEAT,   /* a refusal is confirmed: the id may have been accepted before */
 };
 
-enum rule { R_TWICE, R_QUOTA, R_PLACE, R_CANCELLED, R_NOT_DONE, R_WENT_BACK, RULES };
+/* What a transaction is for. */
+enum txn_kind {
+    TXN_ACCEPTANCE,
+    TXN_CANCELLATION,
+    TXN_CLAIM, /* or a partition is given away */
+    TXN_LIMIT,
+    TXN_RANGE,
+    TXN_BLOCK,
+    TXN_STANDBY,
+    TXN_SUSPICION,
+    TXN_MEMBER, /* a controller's record of itself */
+    TXN_KINDS
+};
+
+enum rule {
+    R_TWICE,
+    R_QUOTA,
+    R_PLACE,
+    R_CANCELLED,
+    R_NOT_DONE,
+    R_WENT_BACK,
+    R_FORGOTTEN,
+    R_INVENTED,
+    RULES
+};
 
 /* --- the state service --- */
 
@@ -107,6 +135,11 @@
     bool submitted, told_done;
     double cancelled_at; /* negative: not */
     bool done[64];
+    /* of its user, on days with users (users.c) */
+    bool offered;                     /* its submission has begun */
+    bool cancel_wanted, cancel_asked; /* it is to be cancelled; some node was asked to */
+    bool accepted;                    /* it was told so */
+    enum lmn_phase told;              /* the end that was told; LMN_ACTIVE: none */
 };
 
 struct node {
@@ -119,6 +152,7 @@
     double zone_until; /* its zone is cut off: it reaches only its island until then */
     double still_until, deaf_until, mute_until; /* it stands still, and is cut off from
                                                    the workers, from its peers, until */
+    bool ends;                                  /* with its next step */
     double slow_until;       /* the state service answers it late, until */
     double asked, answer;    /* when it asked last, and when that will be answered */
     size_t asked_len;        /* events when it did */
@@ -150,6 +184,7 @@
 struct plan {
     void (*step)(void);              /* before all else of a step */
     double lease_s, cancel_s, run_s; /* workers' leases; longest run of a task */
+    bool users; /* jobs are submitted, asked about and cancelled through controllers */
 };
 
 struct world {
@@ -164,6 +199,10 @@
     uint64_t rev, next_lease;
     double cloud_down_until;
     double late_until, copies_until; /* many transactions, and reports, are late */
+    double lost_until;               /* many transactions' answers are lost */
+    int lost_kind;                   /* of this kind (enum txn_kind); TXN_KINDS: of all */
+    bool lost_ends;                  /* their controllers often end with it */
+    double looks_until, odd_until, cancel_at_end_until;
     struct node nodes[MOST_NODES];
     struct machine machines[MOST_MACHINES];
     struct job jobs[JOBS];
@@ -173,6 +212,11 @@
     unsigned starts, finished, takeovers, steals, preempted;
     unsigned verdicts, refutations, gives;
     unsigned warm, compared, withheld, leaves, copies, cancelled, tombstones, lates;
+    unsigned lost[TXN_KINDS]; /* answers to transactions that were carried out */
+    /* Users' requests that were answered; so many went back, came after a newer answer
+     * that was asked for later, and were 503. */
+    unsigned answers, answers_back, answers_overtaken, answers_none;
+    bool users;
     double least_margin; /* of cancel_s, when a cancelled job's last task ended */
     bool standbys;
     bool flapping; /* members fail again and again */
@@ -196,6 +240,17 @@
 enum lmn_phase world_read_job(const struct job *j, struct lmn_spec *s, uint32_t *open,
                               double *at);
 enum lmn_outcome world_commit(const struct lmn_txn *t, uint64_t *rev);
+/* One of conditions alone; the keys whose condition did not hold are added to failed. */
+enum lmn_outcome world_confirm(const struct lmn_txn *t, GPtrArray *failed);
+enum txn_kind world_txn_kind(const struct lmn_txn *t);
+const char *world_txn_name(enum txn_kind k);
+/* Whether its answer is to be lost now, by luck (0 to 1). */
+bool world_loses(const struct lmn_txn *t, double luck);
+/* The transaction is carried out, and the node does not hear of it. */
+enum lmn_outcome world_lose(struct node *n, const struct lmn_txn *t);
+/* A transaction of the node is carried out, refused, lost or late, by luck. */
+enum lmn_outcome world_send(struct node *n, const struct lmn_txn *t, double luck,
+                            uint64_t *rev);
 /* The same transaction, once more: to be carried out seconds later, after newer ones. */
 void world_late(const struct lmn_txn *t);
 bool world_lease_alive(uint64_t id);
@@ -231,7 +286,7 @@
 bool node_up(const struct node *n);
 struct lmn_word node_word(const struct node *n);
 /* A write of the thread that holds the lease; what becomes of it is not always known. */
-enum lmn_outcome node_send(struct lmn_txn *t);
+enum lmn_outcome node_send(struct node *n, struct lmn_txn *t);
 void node_step(struct node *n, int i);
 /* Its memory is gone, its lease runs on; it is back after so many seconds. */
 void node_crash(struct node *n, double down_s);
@@ -269,6 +324,10 @@
     T_MACHINE_DIES,
     T_CLOUD,
     T_CANCEL,
+    T_LOST_ANSWERS,  /* transactions are carried out, and their answers lost */
+    T_CLOSE_LOOKS,   /* users ask at all nodes within milliseconds */
+    T_ODD_REQUESTS,  /* and send what must be refused, or is known */
+    T_CANCEL_AT_END, /* jobs are cancelled as their last task ends */
     TROUBLES
 };
 const char *trouble_name(enum trouble k);
@@ -278,6 +337,18 @@
 /* who: the controller that it befalls, if one is to. */
 void trouble_begin(enum trouble k, int who, double s);
 
+/* --- users.c --- */
+
+/* The day's users; before its first step. */
+void users_begin(uint32_t seed);
+/* The job is submitted, or cancelled, however often its user has to ask. */
+void users_submit(struct job *j);
+void users_cancel(struct job *j);
+/* What users do at this instant; several times a step. */
+void users_step(void);
+/* Each job is asked about at each node. */
+void users_look_at_all(void);
+
 /* --- day.c --- */
 
 /* The user cancels the job through a node that reaches the state service; not if there is
