Tests of users' replies: each request against each state of a node, also over HTTP

test_replies.c holds the decisions of a node that has just started, one whose view is old and one that follows to a table; test_service.c sends odd requests to each controller, also during an outage and to one that began in it.

--- /dev/null
+++ b/tests/test_replies.c
@@ -0,0 +1,284 @@
+/* What users are told, decided by a node that has just started, one whose view is old,
+ * and one that follows: each request against each of them. */
+#include "serve/replies.h"
+#include "base/wire.h"
+#include "state/core.h"
+#include "state/records.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+#include <string.h>
+
+enum view { JUST_STARTED, OLD_VIEW, FOLLOWING, VIEWS };
+enum job { UNKNOWN, ACTIVE, DONE, CANCELLED, KINDS_OF_JOBS };
+enum request { STATUS, CANCEL, SOUND, NO_FIELD, NO_ROOM, TOO_LARGE, REQUESTS };
+
+static const struct timespec now = {1000, 0};
+static const char *const refs[] = {"run-000000", "run-000001", "run-000002",
+                                   "run-000003"};
+
+static struct lmn_settings settings(void)
+{
+    struct lmn_settings cfg = {.partitions = 1,
+                               .state_rps = 100,
+                               .state_write_rps = 100,
+                               .value_kb = 16,
+                               .txn_ops = 12,
+                               .nteams = 1};
+
+    g_strlcpy(cfg.node, "n0", LMN_NAME);
+    g_strlcpy(cfg.teams[0].name, "t", LMN_NAME);
+    cfg.teams[0].cpus_max = 8;
+    return cfg;
+}
+
+static void know(struct lmn_core *c, enum job kind, enum lmn_phase phase)
+{
+    struct lmn_job *j = g_new0(struct lmn_job, 1);
+
+    g_strlcpy(j->spec.ref, refs[kind], LMN_REF);
+    j->spec.tasks = 3;
+    j->phase = phase;
+    j->rev = 10 + (uint64_t)kind;
+    j->ranges = g_ptr_array_new();
+    g_hash_table_insert(c->jobs, j->spec.ref, j);
+}
+
+static struct lmn_core *core_with(const struct lmn_settings *cfg, enum view view)
+{
+    struct lmn_core *c = lmn_core_bare(cfg, lmn_state_new(cfg), 1);
+
+    if (view == JUST_STARTED)
+        return c;
+    c->synced = c->types_known = true;
+    c->fresh = view == OLD_VIEW ? lmn_after(now, -LMN_STALE_S - 1) : now;
+    c->types.n = 1;
+    c->types.v[0] = (struct lmn_type){
+        .name = "small", .cpus = 4, .mem = 16, .nzones = 1, .zones = {"a"}};
+    know(c, ACTIVE, LMN_ACTIVE);
+    know(c, DONE, LMN_FINISHED);
+    know(c, CANCELLED, LMN_WITHDRAWN);
+    return c;
+}
+
+static void core_end(struct lmn_core *c)
+{
+    struct lmn_state *s = c->state;
+
+    lmn_core_free(c);
+    lmn_state_free(s);
+}
+
+static GByteArray *submission(const char *ref, enum request what)
+{
+    GByteArray *b = g_byte_array_new();
+    struct lmn_spec s = {.class_name = (char *)(what == NO_FIELD ? "" : "c"),
+                         .team = (char *)"t",
+                         .image = (char *)"i",
+                         .urgency = LMN_NORMAL,
+                         .tasks = 3,
+                         .cpus = what == NO_ROOM ? 5 : 1,
+                         .mem = 1,
+                         .estimate_s = 2,
+                         .deadline_s = -1};
+    char long_type[64], *types[251] = {NULL};
+
+    memset(long_type, 't', 63);
+    long_type[63] = '\0';
+    for (int i = 0; i < 250; i++)
+        types[i] = long_type;
+    if (what == TOO_LARGE)
+        s.types = types;
+    g_strlcpy(s.ref, ref, sizeof s.ref);
+    lmn_put_map(b, lmn_spec_pairs());
+    lmn_spec_put(b, &s);
+    return b;
+}
+
+static struct lmn_decision decide(struct lmn_core *c, enum request what, const char *ref)
+{
+    struct lmn_submission s;
+    struct lmn_decision d;
+
+    if (what == STATUS)
+        return lmn_decide_status(c, ref, now);
+    if (what == CANCEL)
+        return lmn_decide_cancel(c, ref);
+    GByteArray *b = submission(ref, what);
+    lmn_submission_parse(&s, c->cfg, b->data, b->len);
+    d = lmn_decide_submission(c, &s, now);
+    lmn_submission_clear(&s);
+    g_byte_array_unref(b);
+    return d;
+}
+
+/* The step, and the status: of the reply, or if there is no such job. */
+struct expected {
+    enum lmn_step step;
+    int status;
+};
+#define REPLY(status)                                                                    \
+    {                                                                                    \
+        LMN_STEP_REPLY, status                                                           \
+    }
+#define CONFIRM(absent)                                                                  \
+    {                                                                                    \
+        LMN_STEP_CONFIRM, absent                                                         \
+    }
+#define CANCELS                                                                          \
+    {                                                                                    \
+        LMN_STEP_CANCEL, 404                                                             \
+    }
+
+/* Of a job that the mirror does not show, by the node's view. */
+static const struct expected unknown[VIEWS][REQUESTS] = {
+    [JUST_STARTED] = {REPLY(503), CANCELS, REPLY(503), CONFIRM(400), REPLY(503),
+                      CONFIRM(400)},
+    [OLD_VIEW] = {REPLY(503), CANCELS, REPLY(503), CONFIRM(400), REPLY(503),
+                  CONFIRM(400)},
+    [FOLLOWING] = {CONFIRM(404),
+                   CANCELS,
+                   {LMN_STEP_COMMIT, 503},
+                   CONFIRM(400),
+                   CONFIRM(422),
+                   CONFIRM(400)},
+};
+/* Of one that it shows as active. */
+static const struct expected active[VIEWS][REQUESTS] = {
+    [OLD_VIEW] = {REPLY(503), CANCELS, CONFIRM(503), CONFIRM(400), CONFIRM(503),
+                  CONFIRM(503)},
+    [FOLLOWING] = {CONFIRM(404), CANCELS, CONFIRM(503), CONFIRM(400), CONFIRM(503),
+                   CONFIRM(503)},
+};
+
+static void each_request_at_each_node(void **state)
+{
+    struct lmn_settings cfg = settings();
+    (void)state;
+
+    for (enum view view = 0; view < VIEWS; view++)
+        for (enum job kind = 0; kind < KINDS_OF_JOBS; kind++)
+            for (enum request what = 0; what < REQUESTS; what++) {
+                struct lmn_core *c = core_with(&cfg, view);
+                struct lmn_decision d = decide(c, what, refs[kind]);
+                bool shown = view != JUST_STARTED && kind != UNKNOWN;
+                struct expected e = shown ? active[view][what] : unknown[view][what];
+                if (shown && kind != ACTIVE)
+                    e = (struct expected)REPLY(200);
+                assert_int_equal(d.step, e.step);
+                assert_int_equal(d.step == LMN_STEP_REPLY ? d.reply.status
+                                                          : d.absent_status,
+                                 e.status);
+                assert_int_equal(d.reply.shows_job, e.status == 200);
+                if (e.status == 200)
+                    assert_int_equal(d.reply.phase,
+                                     kind == DONE ? LMN_FINISHED : LMN_WITHDRAWN);
+                core_end(c);
+            }
+}
+
+static void what_names_no_job(void **state)
+{
+    struct lmn_settings cfg = settings();
+    struct lmn_submission s;
+    (void)state;
+
+    for (enum view view = 0; view < VIEWS; view++) {
+        struct lmn_core *c = core_with(&cfg, view);
+        assert_int_equal(lmn_decide_status(c, "nonsense", now).reply.status, 404);
+        assert_int_equal(lmn_decide_cancel(c, "run-").reply.status, 404);
+        const char *const bodies[] = {"", "\xa0", "\x80", "\xff\xff", "\x01"};
+        for (size_t i = 0; i < G_N_ELEMENTS(bodies); i++) {
+            lmn_submission_parse(&s, &cfg, (const guint8 *)bodies[i], strlen(bodies[i]));
+            struct lmn_decision d = lmn_decide_submission(c, &s, now);
+            assert_int_equal(d.step, LMN_STEP_REPLY);
+            assert_int_equal(d.reply.status, 400);
+            lmn_submission_clear(&s);
+        }
+        core_end(c);
+    }
+}
+
+static void confirmations(void **state)
+{
+    struct lmn_settings cfg = settings();
+    struct lmn_core *c = core_with(&cfg, FOLLOWING);
+    GPtrArray *failed = g_ptr_array_new();
+    struct lmn_view v, absent;
+    (void)state;
+
+    lmn_view_take(c, refs[ACTIVE], &v);
+    lmn_view_take(c, refs[UNKNOWN], &absent);
+    assert_int_equal(lmn_view_confirmed(&v, LMN_OK, failed), LMN_CONFIRMED_LATEST);
+    assert_int_equal(lmn_view_confirmed(&v, LMN_UNKNOWN, failed), LMN_CONFIRMED_NOTHING);
+    assert_int_equal(lmn_view_confirmed(&v, LMN_REFUSED, failed), LMN_CONFIRMED_NOTHING);
+    /* A conflict that names nothing says nothing. */
+    assert_int_equal(lmn_view_confirmed(&v, LMN_CONFLICT, failed), LMN_CONFIRMED_NOTHING);
+    g_ptr_array_add(failed, (char *)"j/run-000001");
+    assert_int_equal(lmn_view_confirmed(&v, LMN_CONFLICT, failed),
+                     LMN_CONFIRMED_OUTDATED);
+    assert_int_equal(lmn_view_confirmed(&absent, LMN_CONFLICT, failed),
+                     LMN_CONFIRMED_LATEST);
+
+    for (int status = 400; status < 504; status++) {
+        struct lmn_reply r = lmn_reply_confirmed(c, &absent, status);
+        assert_int_equal(r.status, status);
+        assert_false(r.shows_job);
+    }
+    /* What the mirror has learnt since is told, by its revision. */
+    struct lmn_job *j = g_hash_table_lookup(c->jobs, refs[ACTIVE]);
+    assert_int_equal(lmn_reply_confirmed(c, &v, 404).phase, LMN_ACTIVE);
+    j->phase = LMN_FINISHED;
+    j->rev++;
+    assert_int_equal(lmn_reply_confirmed(c, &v, 404).phase, LMN_FINISHED);
+    struct lmn_job_reading reading = {
+        .status = 200, .rev = v.rev, .phase = LMN_ACTIVE, .spec.tasks = 3};
+    assert_int_equal(lmn_reply_read(c, refs[ACTIVE], &reading, 404).phase, LMN_FINISHED);
+    reading.rev = j->rev + 1;
+    assert_int_equal(lmn_reply_read(c, refs[ACTIVE], &reading, 404).phase, LMN_ACTIVE);
+    know(c, UNKNOWN, LMN_ACTIVE);
+    assert_int_equal(lmn_reply_confirmed(c, &absent, 422).status, 200);
+    g_ptr_array_free(failed, TRUE);
+    core_end(c);
+}
+
+static void cancellations(void **state)
+{
+    struct lmn_reply r;
+    struct lmn_job_reading reading = {.status = 200, .phase = LMN_FINISHED};
+    (void)state;
+
+    assert_null(lmn_cancellation("run-000001", &reading, 404, &r));
+    assert_int_equal(r.phase, LMN_FINISHED);
+    reading.status = 404;
+    assert_null(lmn_cancellation("run-000001", &reading, 404, &r));
+    assert_int_equal(r.status, 404);
+    reading.status = LMN_NO_ANSWER;
+    assert_null(lmn_cancellation("run-000001", &reading, 404, &r));
+    assert_int_equal(r.status, 503);
+    assert_true(lmn_cancelled(LMN_OK, &r));
+    assert_int_equal(r.phase, LMN_WITHDRAWN);
+    assert_true(lmn_cancelled(LMN_UNKNOWN, &r));
+    assert_int_equal(r.status, 503);
+    assert_false(lmn_cancelled(LMN_CONFLICT, &r)); /* it is read again */
+    assert_int_equal(r.status, 503);               /* or that was the last try */
+    /* Only what is known to be committed is told as accepted. */
+    assert_int_equal(lmn_decide_submitted(LMN_OK).reply.status, 201);
+    assert_int_equal(lmn_decide_submitted(LMN_UNKNOWN).reply.status, 503);
+    assert_int_equal(lmn_decide_submitted(LMN_REFUSED).reply.status, 503);
+    assert_int_equal(lmn_decide_submitted(LMN_CONFLICT).step, LMN_STEP_CONFIRM);
+    assert_int_equal(lmn_decide_submitted(LMN_CONFLICT).absent_status, 503);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(each_request_at_each_node),
+        cmocka_unit_test(what_names_no_job),
+        cmocka_unit_test(confirmations),
+        cmocka_unit_test(cancellations),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -50,6 +50,7 @@
 static GPtrArray *events;
 static GArray *leases;
 static uint64_t revision, last_lease;
+static bool refusing; /* it answers 503, whatever it is asked */
 
 static void put(const char *key, GByteArray *value, uint64_t lease)
 {
@@ -210,6 +211,8 @@
 {
     bool post = !strcmp(method, "POST");
     expire();
+    if (refusing)
+        return 503;
     if (post && !strcmp(path, P_TXN))
         return state_txn(d, out);
     if (!strcmp(path, P_WATCH))
@@ -329,7 +332,7 @@
             room->attempt = attempt;
             /* The service's replicas run until they are killed. */
             room->until =
-                lmn_after(lmn_now(), g_str_has_prefix(task, "run-000100/") ? 1e6 : 0.4);
+                lmn_after(lmn_now(), g_str_has_prefix(task, "run-00010") ? 1e6 : 0.4);
             started++;
         } else if (lmn_is(op, W_KILL) && same && same->state == RUNNING) {
             same->state = ENDED;
@@ -636,13 +639,12 @@
 
 /* --- a user --- */
 
-static int call(const char *method, const char *path, const GByteArray *body, char *word)
+static int call_at(int i, const char *method, const char *path, const GByteArray *body,
+                   char *word)
 {
     static struct lmn_http *h[NODES];
-    static int turn;
     GByteArray *out = g_byte_array_new();
     struct lmn_doc d;
-    int i = turn++ % NODES;
 
     if (!h[i]) {
         char addr[32];
@@ -659,6 +661,13 @@
     return status;
 }
 
+static int call(const char *method, const char *path, const GByteArray *body, char *word)
+{
+    static int turn;
+
+    return call_at(turn++ % NODES, method, path, body, word);
+}
+
 /* Asks until one of two statuses, as users do. */
 static int insist(const char *method, const char *path, const GByteArray *body, int a,
                   int b, char *word)
@@ -787,6 +796,127 @@
     insist("GET", P_JOBS "/nonsense", NULL, 404, 404, word);
 }
 
+/* --- odd requests, at each controller --- */
+
+enum odd { ASK, CANCEL, REPEAT, NO_FIELD, NO_ROOM, ODD };
+
+static GByteArray *odd_body(enum odd what, const char *ref)
+{
+    GByteArray *b = job(ref, what == NO_ROOM ? 61 : 1, LMN_DAEMON);
+
+    if (what == NO_FIELD) {
+        g_byte_array_set_size(b, 0);
+        lmn_put_map(b, 1);
+        lmn_put_text(b, W_ID), lmn_put_text(b, ref);
+    }
+    return b;
+}
+
+static int odd_call(int node, enum odd what, const char *ref, char *word)
+{
+    char path[96];
+
+    if (what <= CANCEL) {
+        g_snprintf(path, sizeof path, P_JOBS "/%s%s", ref,
+                   what == CANCEL ? P_CANCEL : "");
+        return call_at(node, what == CANCEL ? "POST" : "GET", path, NULL, word);
+    }
+    GByteArray *b = odd_body(what, ref);
+    int status = call_at(node, "POST", P_JOBS, b, word);
+    g_byte_array_unref(b);
+    return status;
+}
+
+/* Each request about the job gets this status; word: the state then told. */
+static void expect(int node, const char *ref, const int status[ODD], const char *word)
+{
+    char told[32];
+
+    for (enum odd what = 0; what < ODD; what++) {
+        struct timespec end = lmn_after(lmn_now(), PATIENCE_S);
+        int got = odd_call(node, what, ref, told);
+        while (got == 503 && status[what] != 503 && lmn_before(lmn_now(), end)) {
+            lmn_sleep(0.2);
+            got = odd_call(node, what, ref, told);
+        }
+        if (got != status[what])
+            fail_msg("n%d, %s, request %d: %d, not %d", node, ref, what, got,
+                     status[what]);
+        if (got == 200 && word)
+            assert_string_equal(told, word);
+    }
+}
+
+static void refuse(bool on)
+{
+    pthread_mutex_lock(&lock);
+    refusing = on;
+    pthread_mutex_unlock(&lock);
+}
+
+static void expect_unnamed(int node)
+{
+    char word[32];
+    GByteArray *b = g_byte_array_new();
+
+    assert_int_equal(odd_call(node, ASK, "nonsense", word), 404);
+    assert_int_equal(odd_call(node, CANCEL, "nonsense", word), 404);
+    assert_int_equal(odd_call(node, NO_FIELD, "nonsense", word), 400);
+    g_byte_array_append(b, (const guint8 *)"\xff", 1);
+    assert_int_equal(call_at(node, "POST", P_JOBS, b, word), 400);
+    g_byte_array_unref(b);
+}
+
+static void odd_requests_get_the_protocols_answer(void **state)
+{
+    static const int known[ODD] = {200, 200, 200, 200, 200};
+    static const int cant_tell[ODD] = {503, 503, 503, 503, 503};
+    char word[32];
+    GByteArray *b = job("run-000101", 1, LMN_DAEMON);
+    (void)state;
+
+    insist("POST", P_JOBS, b, 201, 200, word);
+    g_byte_array_unref(b);
+    for (int i = 0; i < NODES; i++) {
+        expect(i, "run-000000", known, W_DONE);
+        expect(i, "run-000100", known, W_WITHDRAWN);
+        for (enum odd what = ASK; what < ODD; what++)
+            if (what != CANCEL)
+                assert_int_equal(odd_call(i, what, "run-000101", word), 200);
+        assert_int_equal(odd_call(i, NO_FIELD, "run-000900", word), 400);
+        assert_int_equal(odd_call(i, NO_ROOM, "run-000900", word), 422);
+        assert_int_equal(odd_call(i, CANCEL, "run-000900", word), 404);
+        assert_int_equal(odd_call(i, ASK, "run-000900", word), 404);
+        expect_unnamed(i);
+    }
+    /* An outage: ends stay known, and nothing is told that can't be confirmed; a
+     * controller that begins in it knows nothing. */
+    refuse(true);
+    int status;
+    kill(pids[0], SIGKILL);
+    waitpid(pids[0], &status, 0);
+    start_node(0);
+    while (call_at(0, "GET", P_READY, NULL, word) != 503)
+        lmn_sleep(0.05);
+    for (int i = 0; i < NODES; i++) {
+        expect(i, "run-000000", i ? known : cant_tell, W_DONE);
+        expect(i, "run-000101", cant_tell, NULL);
+        expect(i, "run-000900", cant_tell, NULL);
+        expect_unnamed(i);
+    }
+    lmn_sleep(4); /* now their views are old as well */
+    for (int i = 0; i < NODES; i++) {
+        expect(i, "run-000000", i ? known : cant_tell, W_DONE);
+        expect(i, "run-000101", cant_tell, NULL);
+        expect(i, "run-000900", cant_tell, NULL);
+    }
+    refuse(false);
+    for (int i = 0; i < NODES; i++) {
+        expect(i, "run-000000", known, W_DONE);
+        expect(i, "run-000101", known, i ? W_WITHDRAWN : NULL);
+    }
+}
+
 static int setup(void **state)
 {
     (void)state;
@@ -832,6 +962,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(what_cannot_be_taken),
         cmocka_unit_test(jobs_survive_their_controllers),
+        cmocka_unit_test(odd_requests_get_the_protocols_answer),
     };
     return cmocka_run_group_tests(tests, setup, teardown);
 }
