Simulated world: one thread at each controller asks the state service for users

Questions go through the product's own queue (serve/asks.h): those about the same job share a confirmation, and a slow answer holds up those behind it.

--- /dev/null
+++ b/tests/world/requests.h
@@ -0,0 +1,48 @@
+/* Requests of the day's users: on their way to a controller, within it, and answered. */
+#ifndef LMN_TESTS_REQUESTS_H
+#define LMN_TESTS_REQUESTS_H
+
+#include "serve/replies.h"
+#include "world.h"
+
+enum request_kind { STATUS, SUBMISSION, CANCELLATION };
+
+/* What is wrong with a submission. */
+enum form { SOUND, LACKS_FIELD, FITS_NOWHERE, FORMS };
+
+struct request {
+    enum request_kind kind;
+    enum form form;
+    char ref[LMN_REF];
+    struct job *job; /* NULL: an id that nobody submits */
+    int node;
+    double sent;
+    const struct lmn_core *life; /* the controller's: with it, its requests end */
+    bool arrived, answered;
+    bool over; /* no controller holds it any more */
+    struct lmn_submission submission;
+    /* when it was sent: the record, and what its user had been told */
+    bool recorded, accepted;
+    enum lmn_phase phase, told;
+};
+
+/* The job's record; NULL: there is none. */
+const struct item *world_record(const char *ref);
+void world_read_record(const char *ref, struct lmn_job_reading *r);
+
+/* --- serving.c: what the controllers do with them --- */
+
+/* Forgets what an earlier day has left; random numbers are of r. */
+void serving_begin(GRand *r);
+/* As far as it gets at this instant. */
+void serving_arrive(struct request *q);
+void serving_step(void);
+
+/* --- users.c --- */
+
+/* The first answer; the user hears no other. */
+void request_reply(struct request *q, const struct lmn_reply *r);
+/* The controller has nothing more to do with it. */
+void request_over(struct request *q);
+
+#endif
--- /dev/null
+++ b/tests/world/serving.c
@@ -0,0 +1,386 @@
+/* Controllers and their users' requests: what the product's threads of serve/api.c do,
+ * with its decisions and its queue of questions. One thread asks the state service, so a
+ * slow answer holds up those behind it, and who asks meanwhile shares the next
+ * confirmation. */
+#include "requests.h"
+#include "serve/asks.h"
+
+#include <string.h>
+
+enum { BATCH = 48 };
+/* A call that is not answered by then is answered 503, whatever becomes of it. */
+static const double PATIENCE_S = 2.5;
+
+enum stage {
+    IDLE,
+    CANCEL_READS,
+    CANCEL_WRITES,
+    CANCEL_ENDS,
+    CONFIRM_ASKS,
+    CONFIRM_ENDS,
+    READ_ASKS,
+    READ_ENDS
+};
+
+/* The thread that asks the state service. */
+struct asker {
+    const struct lmn_core *life;
+    struct lmn_asks asks;
+    enum stage stage;
+    double at; /* when the stage goes on */
+    struct lmn_ask *cancel, *batch[BATCH];
+    struct lmn_view views[BATCH];
+    guint n, next;
+    unsigned tries;
+    struct lmn_job_reading reading;
+    enum lmn_outcome outcome;
+    GPtrArray *failed;
+};
+
+static struct asker askers[MOST_NODES];
+static GRand *random_numbers;
+
+static bool chance(double p)
+{
+    return g_rand_double(random_numbers) < p;
+}
+
+/* How long the state service's answer takes: mostly nothing that a step would show. */
+static double on_the_way(const struct node *n)
+{
+    if (w.now < n->slow_until)
+        return g_rand_double_range(random_numbers, 0, 2);
+    return chance(0.1) ? g_rand_double_range(random_numbers, 0, 0.4) : 0;
+}
+
+/* --- the thread that asks --- */
+
+static struct request *request_of(const struct lmn_ask *a)
+{
+    return (struct request *)(void *)a->call;
+}
+
+static void enqueue(enum lmn_ask_kind kind, struct request *q, int absent_status)
+{
+    struct lmn_ask *a = g_new0(struct lmn_ask, 1);
+
+    a->kind = kind;
+    a->call = (struct lmn_call *)(void *)q;
+    a->absent_status = absent_status;
+    a->since = w.clock;
+    g_strlcpy(a->ref, q->ref, sizeof a->ref);
+    lmn_asks_put(&askers[q->node].asks, a);
+}
+
+static void answer(struct lmn_ask *a, const struct lmn_reply *r)
+{
+    request_reply(request_of(a), r);
+    request_over(request_of(a));
+    g_free(a);
+}
+
+static void answer_unavailable(struct lmn_ask *list)
+{
+    const struct lmn_reply r = lmn_reply_unavailable();
+
+    for (struct lmn_ask *a = list, *next; a; a = next) {
+        next = a->next;
+        answer(a, &r);
+    }
+}
+
+static void take(struct asker *k)
+{
+    struct lmn_ask *late;
+
+    k->n = lmn_asks_take(&k->asks, k->batch, BATCH, &k->cancel, &late, w.clock);
+    k->tries = 0;
+    k->stage = k->cancel ? CANCEL_READS : CONFIRM_ASKS;
+    answer_unavailable(late);
+}
+
+static void read_job(struct asker *k, const struct node *n, const char *ref)
+{
+    lmn_reading_clear(&k->reading);
+    if (node_served(n) && !chance(0.02))
+        world_read_record(ref, &k->reading);
+    else
+        k->reading.status = LMN_NO_ANSWER;
+    k->at = w.now + on_the_way(n);
+}
+
+static void cancel_answered(struct asker *k, const struct lmn_reply *r)
+{
+    answer(k->cancel, r);
+    k->cancel = NULL;
+    k->stage = CONFIRM_ASKS;
+}
+
+static void cancel_writes(struct asker *k, struct node *n)
+{
+    const char *ref = k->cancel->ref;
+    struct lmn_reply r;
+    uint64_t rev = 0;
+
+    if (w.broken == G_FINAL && k->reading.status == 200) {
+        /* Written whatever the record has become. */
+        lmn_reading_clear(&k->reading);
+        world_read_record(ref, &k->reading);
+        k->reading.phase = LMN_ACTIVE;
+    }
+    struct lmn_txn *t = lmn_cancellation(ref, &k->reading, k->cancel->absent_status, &r);
+    if (!t) {
+        cancel_answered(k, &r);
+        return;
+    }
+    k->outcome = node_served(n) ? world_send(n, t, g_rand_double(random_numbers), &rev)
+                                : LMN_REFUSED;
+    lmn_txn_free(t);
+    if (k->outcome == LMN_OK)
+        lmn_tombstone_add(&n->core->tombstones, ref);
+    k->stage = CANCEL_ENDS;
+    k->at = w.now + on_the_way(n);
+}
+
+static void cancel_ends(struct asker *k)
+{
+    struct lmn_reply r;
+
+    if (lmn_cancelled(k->outcome, &r) || ++k->tries == LMN_CANCEL_TRIES)
+        cancel_answered(k, &r);
+    else
+        k->stage = CANCEL_READS;
+}
+
+static void confirm_asks(struct asker *k, const struct node *n)
+{
+    for (guint i = 0; i < k->n; i++)
+        lmn_view_take(n->core, k->batch[i]->ref, &k->views[i]);
+    struct lmn_txn *t = lmn_confirmation(k->views, k->n);
+    k->outcome = world_confirm(t, k->failed);
+    lmn_txn_free(t);
+    if (!node_served(n))
+        k->outcome = LMN_REFUSED;
+    else if (chance(w.now < w.lost_until ? 0.3 : 0.02))
+        k->outcome = LMN_UNKNOWN;
+    if (w.broken == G_CONFIRM)
+        k->outcome = LMN_OK;
+    k->stage = CONFIRM_ENDS;
+    k->at = w.now + on_the_way(n);
+}
+
+static void confirm_ends(struct asker *k, const struct node *n)
+{
+    guint outdated = 0;
+
+    for (guint i = 0; i < k->n; i++) {
+        enum lmn_confirmed known =
+            lmn_view_confirmed(&k->views[i], k->outcome, k->failed);
+        if (known == LMN_CONFIRMED_OUTDATED) {
+            k->batch[outdated++] = k->batch[i];
+            continue;
+        }
+        if (known == LMN_CONFIRMED_NOTHING) {
+            answer_unavailable(k->batch[i]);
+            continue;
+        }
+        for (struct lmn_ask *a = k->batch[i], *next; a; a = next) {
+            next = a->next;
+            struct lmn_reply r =
+                lmn_reply_confirmed(n->core, &k->views[i], a->absent_status);
+            answer(a, &r);
+        }
+    }
+    k->n = outdated;
+    k->next = 0;
+    k->stage = READ_ASKS;
+}
+
+static void read_ends(struct asker *k, const struct node *n)
+{
+    for (struct lmn_ask *a = k->batch[k->next], *next; a; a = next) {
+        next = a->next;
+        struct lmn_reply r =
+            lmn_reply_read(n->core, a->ref, &k->reading, a->absent_status);
+        answer(a, &r);
+    }
+    k->next++;
+    k->stage = READ_ASKS;
+}
+
+static void go_on(struct asker *k, struct node *n)
+{
+    switch (k->stage) {
+    case IDLE:
+        take(k);
+        break;
+    case CANCEL_READS:
+        read_job(k, n, k->cancel->ref);
+        k->stage = CANCEL_WRITES;
+        break;
+    case CANCEL_WRITES:
+        cancel_writes(k, n);
+        break;
+    case CANCEL_ENDS:
+        cancel_ends(k);
+        break;
+    case CONFIRM_ASKS:
+        if (k->n)
+            confirm_asks(k, n);
+        else
+            k->stage = IDLE;
+        break;
+    case CONFIRM_ENDS:
+        confirm_ends(k, n);
+        break;
+    case READ_ASKS:
+        if (k->next == k->n) {
+            k->n = 0;
+            k->stage = IDLE;
+            break;
+        }
+        read_job(k, n, k->batch[k->next]->ref);
+        k->stage = READ_ENDS;
+        break;
+    case READ_ENDS:
+        read_ends(k, n);
+        break;
+    }
+}
+
+static void free_list(struct lmn_ask *list)
+{
+    for (struct lmn_ask *a = list, *next; a; a = next) {
+        next = a->next;
+        g_free(a);
+    }
+}
+
+/* The controller has ended, and with it all that it held. */
+static void reset(struct asker *k, const struct lmn_core *life)
+{
+    if (k->failed) {
+        lmn_asks_clear(&k->asks);
+        free_list(k->cancel);
+        for (guint i = k->stage >= READ_ASKS ? k->next : 0; i < k->n; i++)
+            free_list(k->batch[i]);
+        lmn_reading_clear(&k->reading);
+        g_ptr_array_free(k->failed, TRUE);
+    }
+    memset(k, 0, sizeof *k);
+    k->life = life;
+    k->failed = g_ptr_array_new_with_free_func(g_free);
+    lmn_asks_init(&k->asks);
+}
+
+void serving_begin(GRand *r)
+{
+    random_numbers = r;
+    for (int i = 0; i < MOST_NODES; i++)
+        reset(&askers[i], NULL);
+}
+
+void serving_step(void)
+{
+    for (int i = 0; i < w.layout.nodes; i++) {
+        struct node *n = &w.nodes[i];
+        struct asker *k = &askers[i];
+        if (!node_up(n) || !n->core || n->core != k->life)
+            reset(k, n->core);
+        if (!node_up(n) || !n->core || w.now < n->still_until)
+            continue;
+        while (k->at <= w.now && (k->stage != IDLE || k->asks.order.length))
+            go_on(k, n);
+    }
+}
+
+/* --- requests --- */
+
+static void submitted(void *arg, struct lmn_txn *t, enum lmn_outcome outcome,
+                      uint64_t rev)
+{
+    struct request *q = arg;
+    (void)t;
+    (void)rev;
+
+    if (w.broken == G_OUTCOME && outcome == LMN_UNKNOWN)
+        outcome = LMN_OK;
+    struct lmn_decision d = lmn_decide_submitted(outcome);
+    if (d.step != LMN_STEP_REPLY) {
+        enqueue(LMN_ASK_POLL, q, d.absent_status);
+        return;
+    }
+    request_reply(q, &d.reply);
+    request_over(q);
+}
+
+static GByteArray *body_of(const struct request *q)
+{
+    GByteArray *b = g_byte_array_new();
+    struct lmn_spec s = q->job ? q->job->spec : w.jobs[0].spec;
+
+    g_strlcpy(s.ref, q->ref, sizeof s.ref);
+    if (q->form == FITS_NOWHERE)
+        s.cpus = 1000;
+    if (q->form == LACKS_FIELD)
+        s.class_name = (char *)"";
+    lmn_put_map(b, lmn_spec_pairs());
+    lmn_spec_put(b, &s);
+    return b;
+}
+
+static struct lmn_decision decide(struct request *q, struct node *n)
+{
+    if (q->kind == STATUS)
+        return lmn_decide_status(n->core, q->ref, w.clock);
+    if (q->kind == CANCELLATION)
+        return lmn_decide_cancel(n->core, q->ref);
+    GByteArray *body = body_of(q);
+    lmn_submission_parse(&q->submission, &n->cfg, body->data, body->len);
+    g_byte_array_unref(body);
+    return lmn_decide_submission(n->core, &q->submission, w.clock);
+}
+
+static void carry_out(struct request *q, struct node *n)
+{
+    struct lmn_decision d = decide(q, n);
+
+    if (w.broken == G_REPEAT && q->form != SOUND && d.step == LMN_STEP_CONFIRM)
+        d = (struct lmn_decision){.step = LMN_STEP_REPLY,
+                                  .reply.status = d.absent_status};
+    switch (d.step) {
+    case LMN_STEP_REPLY:
+        request_reply(q, &d.reply);
+        request_over(q);
+        break;
+    case LMN_STEP_CONFIRM:
+        enqueue(LMN_ASK_POLL, q, d.absent_status);
+        break;
+    case LMN_STEP_CANCEL:
+        enqueue(LMN_ASK_CANCEL, q, d.absent_status);
+        break;
+    case LMN_STEP_COMMIT:
+        lmn_state_submit(n->state, lmn_submission_txn(n->core, &q->submission.spec, w.now,
+                                                      submitted, q));
+    }
+}
+
+void serving_arrive(struct request *q)
+{
+    struct node *n = &w.nodes[q->node];
+
+    if (!node_up(n) || !n->core || (q->arrived && q->life != n->core)) {
+        request_over(q); /* nobody answers */
+        return;
+    }
+    if (w.now < n->still_until)
+        return;
+    if (!q->arrived) {
+        q->arrived = true;
+        q->life = n->core;
+        carry_out(q, n);
+    } else if (!q->answered && w.now - q->sent > PATIENCE_S) {
+        const struct lmn_reply r = lmn_reply_unavailable();
+        request_reply(q, &r);
+    }
+}
--- a/tests/world/users.c
+++ b/tests/world/users.c
@@ -2,49 +2,10 @@
  * each answer is held to what the state service's record was when its request was sent.
  * What is answered is decided by the product (serve/replies.h). Users have random numbers
  * of their own: days without them keep their histories. */
-#include "serve/replies.h"
-#include "world.h"
+#include "requests.h"
 
 #include <string.h>
 
-enum kind { STATUS, SUBMISSION, CANCELLATION };
-
-/* What is wrong with a submission. */
-enum form { SOUND, LACKS_FIELD, FITS_NOWHERE, FORMS };
-
-enum stage {
-    ARRIVING,   /* at its controller */
-    COMMITTING, /* its transaction is with the controller's writer */
-    CONFIRMING, /* the confirmation is on its way to the state service */
-    CONFIRMED,  /* and its answer back */
-    READING,
-    READ,
-    CANCELLING, /* the job was read: its cancellation is written next */
-    CANCELLED,
-    OVER
-};
-
-struct request {
-    enum kind kind;
-    enum form form;
-    char ref[LMN_REF];
-    struct job *job; /* NULL: an id that nobody submits */
-    int node;
-    const struct lmn_core *life; /* the controller's: with it, its requests end */
-    enum stage stage;
-    double at; /* when the stage goes on */
-    struct lmn_submission sent;
-    struct lmn_decision decision;
-    struct lmn_view view;
-    struct lmn_job_reading reading;
-    enum lmn_outcome outcome;
-    GPtrArray *failed;
-    unsigned tries;
-    /* when it was sent: the record, and what its user had been told */
-    bool recorded, accepted;
-    enum lmn_phase phase, told;
-};
-
 static struct {
     GRand *r;
     GPtrArray *requests;
@@ -70,7 +31,7 @@
 
 /* --- the state service --- */
 
-static const struct item *record_of(const char *ref)
+const struct item *world_record(const char *ref)
 {
     char key[64];
 
@@ -79,9 +40,9 @@
     return it && it->value ? it : NULL;
 }
 
-static void read_record(const char *ref, struct lmn_job_reading *r)
+void world_read_record(const char *ref, struct lmn_job_reading *r)
 {
-    const struct item *it = record_of(ref);
+    const struct item *it = world_record(ref);
     const struct job *j = &w.jobs[MAX(world_job(ref), 0)];
 
     memset(r, 0, sizeof *r);
@@ -92,14 +53,6 @@
     r->phase = world_read_job(j, &r->spec, &r->open, &r->at);
 }
 
-/* How long a message takes on its way: mostly nothing that a step would show. */
-static double on_the_way(const struct node *n)
-{
-    if (w.now < n->slow_until)
-        return between(0, 2);
-    return chance(0.1) ? between(0, 0.4) : 0;
-}
-
 /* --- checking --- */
 
 static void wrong(const struct request *q, enum rule rule, const struct lmn_reply *r)
@@ -147,6 +100,8 @@
 {
     struct job *j = q->job;
 
+    if (!r->status) /* none */
+        return;
     w.answers++;
     switch (r->status) {
     case 200:
@@ -174,253 +129,61 @@
 
 /* --- requests --- */
 
-static void end(struct request *q)
+void request_reply(struct request *q, const struct lmn_reply *r)
 {
     int i = q->job ? (int)(q->job - w.jobs) : -1;
 
+    if (q->answered)
+        return;
+    q->answered = true;
+    receive(q, r);
     for (int k = 0; k < 2 && i >= 0; k++)
         if (users.pending[i][k] == q) {
             users.pending[i][k] = NULL;
             users.retry[i][k] = w.now + between(0.1, 1.5);
         }
-    q->stage = OVER;
 }
 
-static void reply(struct request *q, const struct lmn_reply *r)
+void request_over(struct request *q)
 {
-    receive(q, r);
-    end(q);
-}
+    const struct lmn_reply nobody = {0};
 
-static void submitted(void *arg, struct lmn_txn *t, enum lmn_outcome outcome,
-                      uint64_t rev)
-{
-    struct request *q = arg;
-    (void)t;
-    (void)rev;
-
-    if (w.broken == G_OUTCOME && outcome == LMN_UNKNOWN)
-        outcome = LMN_OK;
-    q->decision = lmn_decide_submitted(outcome);
-    q->stage = CONFIRMING;
-    if (q->decision.step == LMN_STEP_REPLY)
-        reply(q, &q->decision.reply);
-}
-
-static GByteArray *body_of(const struct request *q)
-{
-    GByteArray *b = g_byte_array_new();
-    struct lmn_spec s = q->job ? q->job->spec : w.jobs[0].spec;
-
-    g_strlcpy(s.ref, q->ref, sizeof s.ref);
-    if (q->form == FITS_NOWHERE)
-        s.cpus = 1000;
-    if (q->form == LACKS_FIELD)
-        s.class_name = (char *)"";
-    lmn_put_map(b, lmn_spec_pairs());
-    lmn_spec_put(b, &s);
-    return b;
+    if (!q->answered)
+        request_reply(q, &nobody);
+    q->over = true;
 }
 
-static void arrive(struct request *q, struct node *n)
-{
-    struct lmn_core *c = n->core;
-    GByteArray *body;
-
-    q->life = c;
-    if (q->kind == STATUS) {
-        q->decision = lmn_decide_status(c, q->ref, w.clock);
-    } else if (q->kind == CANCELLATION) {
-        q->decision = lmn_decide_cancel(c, q->ref);
-    } else {
-        body = body_of(q);
-        lmn_submission_parse(&q->sent, &n->cfg, body->data, body->len);
-        g_byte_array_unref(body);
-        q->decision = lmn_decide_submission(c, &q->sent, w.clock);
-    }
-    if (w.broken == G_REPEAT && q->form != SOUND && q->decision.step == LMN_STEP_CONFIRM)
-        q->decision = (struct lmn_decision){.step = LMN_STEP_REPLY,
-                                            .reply.status = q->decision.absent_status};
-    switch (q->decision.step) {
-    case LMN_STEP_REPLY:
-        reply(q, &q->decision.reply);
-        break;
-    case LMN_STEP_CONFIRM:
-        q->stage = CONFIRMING;
-        break;
-    case LMN_STEP_CANCEL:
-        q->stage = READING;
-        break;
-    case LMN_STEP_COMMIT:
-        q->stage = COMMITTING;
-        lmn_state_submit(n->state,
-                         lmn_submission_txn(c, &q->sent.spec, w.now, submitted, q));
-    }
-}
-
-/* The view is taken, and the state service asked: at once, or it takes its time. */
-static void confirm(struct request *q, const struct node *n)
-{
-    struct lmn_txn *t;
-
-    lmn_view_take(n->core, q->ref, &q->view);
-    t = lmn_confirmation(&q->view, 1);
-    q->outcome = !node_served(n) ? LMN_REFUSED
-                 : chance(0.02) || (w.now < w.lost_until && chance(0.3))
-                     ? LMN_UNKNOWN
-                     : world_confirm(t, q->failed);
-    if (w.broken == G_CONFIRM)
-        q->outcome = LMN_OK;
-    lmn_txn_free(t);
-    q->stage = CONFIRMED;
-    q->at = w.now + on_the_way(n);
-}
-
-static void confirmed(struct request *q, const struct node *n)
-{
-    struct lmn_reply r;
-
-    switch (lmn_view_confirmed(&q->view, q->outcome, q->failed)) {
-    case LMN_CONFIRMED_LATEST:
-        r = lmn_reply_confirmed(n->core, &q->view, q->decision.absent_status);
-        reply(q, &r);
-        break;
-    case LMN_CONFIRMED_OUTDATED:
-        q->stage = READING;
-        break;
-    case LMN_CONFIRMED_NOTHING:
-        r = lmn_reply_unavailable();
-        reply(q, &r);
-    }
-}
-
-static void start_reading(struct request *q, const struct node *n)
-{
-    lmn_reading_clear(&q->reading);
-    if (node_served(n) && !chance(0.02))
-        read_record(q->ref, &q->reading);
-    else
-        q->reading.status = LMN_NO_ANSWER;
-    q->stage = q->decision.step == LMN_STEP_CANCEL ? CANCELLING : READ;
-    q->at = w.now + on_the_way(n);
-}
-
-static void cancel(struct request *q, struct node *n)
-{
-    struct lmn_reply r;
-    uint64_t rev = 0;
-
-    if (w.broken == G_FINAL && q->reading.status == 200) {
-        /* Written whatever the record has become. */
-        lmn_reading_clear(&q->reading);
-        read_record(q->ref, &q->reading);
-        q->reading.phase = LMN_ACTIVE;
-    }
-    struct lmn_txn *t =
-        lmn_cancellation(q->ref, &q->reading, q->decision.absent_status, &r);
-    if (!t) {
-        reply(q, &r);
-        return;
-    }
-    q->outcome =
-        node_served(n) ? world_send(n, t, g_rand_double(users.r), &rev) : LMN_REFUSED;
-    lmn_txn_free(t);
-    if (q->outcome == LMN_OK)
-        lmn_tombstone_add(&n->core->tombstones, q->ref);
-    q->stage = CANCELLED;
-    q->at = w.now + on_the_way(n);
-}
-
-static void cancelled(struct request *q)
-{
-    struct lmn_reply r;
-
-    if (lmn_cancelled(q->outcome, &r) || ++q->tries == LMN_CANCEL_TRIES)
-        reply(q, &r);
-    else
-        q->stage = READING;
-}
-
-static void go_on(struct request *q, struct node *n)
-{
-    struct lmn_reply r;
-
-    switch (q->stage) {
-    case ARRIVING:
-        arrive(q, n);
-        break;
-    case CONFIRMING:
-        confirm(q, n);
-        break;
-    case CONFIRMED:
-        confirmed(q, n);
-        break;
-    case READING:
-        start_reading(q, n);
-        break;
-    case READ:
-        r = lmn_reply_read(n->core, q->ref, &q->reading, q->decision.absent_status);
-        reply(q, &r);
-        break;
-    case CANCELLING:
-        cancel(q, n);
-        break;
-    case CANCELLED:
-        cancelled(q);
-        break;
-    case COMMITTING:
-    case OVER:
-        break;
-    }
-}
-
-/* As far as it gets at this instant. */
-static void advance(struct request *q)
-{
-    struct node *n = &w.nodes[q->node];
-
-    if (!node_up(n) || !n->core || (q->life && q->life != n->core)) {
-        end(q); /* nobody answers */
-        return;
-    }
-    while (q->stage != OVER && q->stage != COMMITTING && q->at <= w.now &&
-           w.now >= n->still_until)
-        go_on(q, n);
-}
-
-static struct request *send(enum kind kind, enum form form, const char *ref, int node)
+static void send(enum request_kind kind, enum form form, const char *ref, int node)
 {
     struct request *q = g_new0(struct request, 1);
     int i = world_job(ref);
-    const struct item *it = record_of(ref);
+    const struct item *it = world_record(ref);
 
     q->kind = kind;
     q->form = form;
     q->node = node;
+    q->sent = w.now;
     q->job = i < 0 ? NULL : &w.jobs[i];
-    q->failed = g_ptr_array_new_with_free_func(g_free);
     g_strlcpy(q->ref, ref, sizeof q->ref);
     q->recorded = it != NULL;
     if (it) {
         struct lmn_job_reading now;
-        read_record(ref, &now);
+        world_read_record(ref, &now);
         q->phase = now.phase;
         lmn_reading_clear(&now);
     }
     if (q->job) {
         q->accepted = q->job->accepted;
         q->told = q->job->told;
+        q->job->cancel_asked = q->job->cancel_asked || kind == CANCELLATION;
     }
-    if (q->job && kind == CANCELLATION)
-        q->job->cancel_asked = true;
-    g_ptr_array_add(users.requests, q);
     if (kind != STATUS && q->job && form == SOUND) {
         int which = kind == CANCELLATION;
         if (!users.pending[i][which])
             users.pending[i][which] = q;
     }
-    advance(q);
-    return q;
+    g_ptr_array_add(users.requests, q);
+    serving_arrive(q);
 }
 
 static int any_node(void)
@@ -437,6 +200,7 @@
     memset(&users, 0, sizeof users);
     users.r = g_rand_new_with_seed(seed + 1000);
     users.requests = g_ptr_array_new();
+    serving_begin(users.r);
 }
 
 void users_submit(struct job *j)
@@ -462,7 +226,7 @@
 /* A job is looked at closely when its record has changed, and as its last task ends. */
 static void notice(struct job *j, int i)
 {
-    const struct item *it = record_of(j->ref);
+    const struct item *it = world_record(j->ref);
     bool all = j->submitted && j->spec.kind == LMN_BATCH;
 
     if (it && it->rev != users.seen[i]) {
@@ -515,15 +279,14 @@
 
 static void go_on_with_requests(void)
 {
+    serving_step();
     for (guint i = users.requests->len; i-- > 0;) {
         struct request *q = users.requests->pdata[i];
-        if (q->stage != OVER)
-            advance(q);
-        if (q->stage != OVER)
+        if (!q->over)
+            serving_arrive(q);
+        if (!q->over)
             continue;
-        lmn_submission_clear(&q->sent);
-        lmn_reading_clear(&q->reading);
-        g_ptr_array_free(q->failed, TRUE);
+        lmn_submission_clear(&q->submission);
         g_ptr_array_remove_index_fast(users.requests, i);
         g_free(q);
     }
@@ -535,7 +298,7 @@
         struct job *j = &w.jobs[i];
         if (!j->offered)
             continue;
-        if (record_of(j->ref))
+        if (world_record(j->ref))
             j->submitted = true;
         notice(j, i);
         insist(j, i);
