--- a/tests/test_asks.c
+++ b/tests/test_asks.c
@@ -117,11 +117,37 @@
     lmn_asks_clear(&q);
 }
 
+/* A confirmation may be of an instant before a later question arrived: that one waits for
+ * the next, and a cancellation shares none. */
+static void who_comes_later_is_confirmed_anew(void **state)
+{
+    struct lmn_asks q;
+    struct timespec now = {1000, 0};
+    struct lmn_ask *first[4], *second[4], *cancel, *none, *late;
+    (void)state;
+
+    lmn_asks_init(&q);
+    put(&q, LMN_ASK_POLL, 1, now);
+    put(&q, LMN_ASK_POLL, 1, now);
+    put(&q, LMN_ASK_CANCEL, 1, now);
+    put(&q, LMN_ASK_POLL, 1, now);
+    assert_int_equal(lmn_asks_take(&q, first, 4, &cancel, &late, now), 1);
+    put(&q, LMN_ASK_POLL, 1, now);
+    assert_int_equal(lmn_asks_take(&q, second, 4, &none, &late, now), 1);
+    assert_null(none);
+    assert_int_equal(done(first[0]), 3);
+    assert_int_equal(done(second[0]), 1);
+    assert_int_equal(done(cancel), 1);
+    assert_int_equal(q.waiting, 0);
+    lmn_asks_clear(&q);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(storms),
         cmocka_unit_test(nobody_is_passed_over),
+        cmocka_unit_test(who_comes_later_is_confirmed_anew),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
