--- a/tests/test_scenarios_answers.c
+++ b/tests/test_scenarios_answers.c
@@ -38,6 +38,16 @@
         world_cancel_some(0.1);
 }
 
+/* Confirmations take their time, while others answer at once and many ask. */
+static void slow_confirmations_step(void)
+{
+    w.looks_until = w.now + 1;
+    if (scenario_every(5))
+        trouble_begin(T_SLOW_STATE, any_node(), scenario_drawn(2, 20));
+    if (scenario_every(4))
+        world_cancel_some(0.1);
+}
+
 /* Submissions whose transaction is not, or not yet, carried out. */
 static void outcomes_step(void)
 {
@@ -120,6 +130,8 @@
 static const struct scenario scenarios[] = {
     {"close looks", looks_step, draw_users, G_CONFIRM, ANY_RULE, false, 6, NULL, NULL,
      NULL},
+    {"slow confirmations", slow_confirmations_step, draw_users, G_SHARE, ANY_RULE, false,
+     6, NULL, NULL, NULL},
     {"unknown outcomes", outcomes_step, draw_users, G_OUTCOME, R_FORGOTTEN, false, 6,
      NULL, NULL, NULL},
     {"lost answers", lost_step, draw_users, G_LOST, ANY_RULE, false, 12, lost_begin,
--- a/tests/world/serving.c
+++ b/tests/world/serving.c
@@ -60,6 +60,20 @@
     return (struct request *)(void *)a->call;
 }
 
+/* The question joins one that is being confirmed already; false: there is none. */
+static bool join(struct asker *k, struct lmn_ask *a)
+{
+    if (k->stage != CONFIRM_ENDS || a->kind != LMN_ASK_POLL)
+        return false;
+    for (guint i = 0; i < k->n; i++)
+        if (!strcmp(k->batch[i]->ref, a->ref)) {
+            a->next = k->batch[i]->next;
+            k->batch[i]->next = a;
+            return true;
+        }
+    return false;
+}
+
 static void enqueue(enum lmn_ask_kind kind, struct request *q, int absent_status)
 {
     struct lmn_ask *a = g_new0(struct lmn_ask, 1);
@@ -69,7 +83,8 @@
     a->absent_status = absent_status;
     a->since = w.clock;
     g_strlcpy(a->ref, q->ref, sizeof a->ref);
-    lmn_asks_put(&askers[q->node].asks, a);
+    if (w.broken != G_SHARE || !join(&askers[q->node], a))
+        lmn_asks_put(&askers[q->node].asks, a);
 }
 
 static void answer(struct lmn_ask *a, const struct lmn_reply *r)
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -40,6 +40,7 @@
     G_CONFIRM,  /* what is not final is confirmed before it is told */
     G_OUTCOME,  /* a submission with an unknown outcome is not told as accepted */
     G_LOST,     /* a transaction whose answer was lost is not told as a conflict */
+    G_SHARE,    /* who asks later than a confirmation was asked for waits for the next */
     G_REPEAT,   /* a refusal is confirmed: the id may have been accepted before */
 };
 
