--- a/src/serve/api.c
+++ b/src/serve/api.c
@@ -4,15 +4,15 @@
 #include "base/log.h"
 #include "base/thread.h"
 #include "base/wire.h"
-#include "serve/asks.h"
+#include "serve/query_queue.h"
 #include "serve/replies.h"
 #include "state/core.h"
 
 #include <string.h>
 
-static pthread_mutex_t asks_lock = PTHREAD_MUTEX_INITIALIZER;
-static pthread_cond_t asks_more;
-static struct lmn_asks asks;
+static pthread_mutex_t queries_lock = PTHREAD_MUTEX_INITIALIZER;
+static pthread_cond_t queries_more;
+static struct lmn_query_queue queries;
 
 static void answer(struct lmn_call *call, const char *ref, const struct lmn_reply *r)
 {
@@ -20,20 +20,20 @@
 }
 
 /* The call is held already. */
-static void enqueue(enum lmn_ask_kind kind, struct lmn_call *call, const char *ref,
+static void enqueue(enum lmn_query_kind kind, struct lmn_call *call, const char *ref,
                     int absent_status)
 {
-    struct lmn_ask *a = g_new0(struct lmn_ask, 1);
+    struct lmn_query *a = g_new0(struct lmn_query, 1);
 
     a->kind = kind;
     a->call = call;
     a->absent_status = absent_status;
     a->since = lmn_now();
     g_strlcpy(a->ref, ref, sizeof a->ref);
-    pthread_mutex_lock(&asks_lock);
-    lmn_asks_put(&asks, a);
-    pthread_cond_signal(&asks_more);
-    pthread_mutex_unlock(&asks_lock);
+    pthread_mutex_lock(&queries_lock);
+    lmn_query_queue_put(&queries, a);
+    pthread_cond_signal(&queries_more);
+    pthread_mutex_unlock(&queries_lock);
 }
 
 /* All steps but the commit of a submission. */
@@ -45,7 +45,7 @@
         return;
     }
     lmn_call_hold(call);
-    enqueue(d->step == LMN_STEP_CANCEL ? LMN_ASK_CANCEL : LMN_ASK_POLL, call, ref,
+    enqueue(d->step == LMN_STEP_CANCEL ? LMN_QUERY_CANCEL : LMN_QUERY_STATUS, call, ref,
             d->absent_status);
 }
 
@@ -102,7 +102,7 @@
     if (d.step == LMN_STEP_REPLY)
         answer(s->call, s->ref, &d.reply);
     else
-        enqueue(LMN_ASK_POLL, s->call, s->ref, d.absent_status);
+        enqueue(LMN_QUERY_STATUS, s->call, s->ref, d.absent_status);
     g_free(s);
 }
 
@@ -152,11 +152,11 @@
 }
 
 /* Answers all in the list, for which nobody knows anything. */
-static void answer_unavailable(struct lmn_ask *list)
+static void answer_unavailable(struct lmn_query *list)
 {
     const struct lmn_reply r = lmn_reply_unavailable();
 
-    for (struct lmn_ask *a = list, *next; a; a = next) {
+    for (struct lmn_query *a = list, *next; a; a = next) {
         next = a->next;
         answer(a->call, a->ref, &r);
         g_free(a);
@@ -165,9 +165,9 @@
 
 /* Answers all who asked about the same job by its confirmed view. */
 static void answer_confirmed(struct lmn_core *c, const struct lmn_view *v,
-                             struct lmn_ask *list)
+                             struct lmn_query *list)
 {
-    for (struct lmn_ask *a = list, *next; a; a = next) {
+    for (struct lmn_query *a = list, *next; a; a = next) {
         next = a->next;
         pthread_mutex_lock(&c->lock);
         struct lmn_reply r = lmn_reply_confirmed(c, v, a->absent_status);
@@ -179,12 +179,12 @@
 
 /* The mirror is behind: the job itself is read. */
 static void answer_read(struct lmn_core *c, struct lmn_http *h, GByteArray *buf,
-                        struct lmn_ask *list)
+                        struct lmn_query *list)
 {
     struct lmn_job_reading reading;
 
     read_job(c, h, buf, list->ref, &reading);
-    for (struct lmn_ask *a = list, *next; a; a = next) {
+    for (struct lmn_query *a = list, *next; a; a = next) {
         next = a->next;
         pthread_mutex_lock(&c->lock);
         struct lmn_reply r = lmn_reply_read(c, a->ref, &reading, a->absent_status);
@@ -206,7 +206,7 @@
 }
 
 static void cancel_one(struct lmn_core *c, struct lmn_http *h, GByteArray *buf,
-                       const struct lmn_ask *a)
+                       const struct lmn_query *a)
 {
     struct lmn_reply reply = lmn_reply_unavailable();
     bool over = false;
@@ -232,7 +232,7 @@
 /* Many jobs, one request: a transaction of conditions alone says which of the mirror's
  * versions are the latest. */
 static void confirm_batch(struct lmn_core *c, struct lmn_http *h, GByteArray *buf,
-                          struct lmn_ask **v, guint n)
+                          struct lmn_query **v, guint n)
 {
     struct lmn_view *views = g_new0(struct lmn_view, n);
     GPtrArray *failed = g_ptr_array_new_with_free_func(g_free);
@@ -269,14 +269,14 @@
     struct lmn_http *h = lmn_http_new(c->cfg->state);
     GByteArray *buf = g_byte_array_new();
     guint max = (guint)MIN(4 * c->cfg->txn_ops, 100);
-    struct lmn_ask **v = g_new0(struct lmn_ask *, max), *cancel, *late;
+    struct lmn_query **v = g_new0(struct lmn_query *, max), *cancel, *late;
 
     for (;;) {
-        pthread_mutex_lock(&asks_lock);
-        while (!asks.order.length)
-            pthread_cond_wait(&asks_more, &asks_lock);
-        guint n = lmn_asks_take(&asks, v, max, &cancel, &late, lmn_now());
-        pthread_mutex_unlock(&asks_lock);
+        pthread_mutex_lock(&queries_lock);
+        while (!queries.order.length)
+            pthread_cond_wait(&queries_more, &queries_lock);
+        guint n = lmn_query_queue_take(&queries, v, max, &cancel, &late, lmn_now());
+        pthread_mutex_unlock(&queries_lock);
         answer_unavailable(late);
         if (cancel) {
             cancel_one(c, h, buf, cancel);
@@ -290,6 +290,6 @@
 
 __attribute__((constructor)) static void init(void)
 {
-    lmn_cond_init(&asks_more);
-    lmn_asks_init(&asks);
+    lmn_cond_init(&queries_more);
+    lmn_query_queue_init(&queries);
 }
--- a/src/serve/asks.c
+++ b/src/serve/query_queue.c
@@ -1,16 +1,16 @@
-#include "serve/asks.h"
+#include "serve/query_queue.h"
 #include "base/clock.h"
 
-void lmn_asks_init(struct lmn_asks *q)
+void lmn_query_queue_init(struct lmn_query_queue *q)
 {
     g_queue_init(&q->order);
     q->jobs = g_hash_table_new(g_str_hash, g_str_equal);
     q->waiting = 0;
 }
 
-void lmn_asks_clear(struct lmn_asks *q)
+void lmn_query_queue_clear(struct lmn_query_queue *q)
 {
-    struct lmn_ask *a, *next;
+    struct lmn_query *a, *next;
 
     while ((a = g_queue_pop_head(&q->order)))
         for (; a; a = next) {
@@ -20,16 +20,16 @@
     g_hash_table_destroy(q->jobs);
 }
 
-void lmn_asks_put(struct lmn_asks *q, struct lmn_ask *a)
+void lmn_query_queue_put(struct lmn_query_queue *q, struct lmn_query *a)
 {
-    struct lmn_ask *first =
-        a->kind == LMN_ASK_POLL ? g_hash_table_lookup(q->jobs, a->ref) : NULL;
+    struct lmn_query *first =
+        a->kind == LMN_QUERY_STATUS ? g_hash_table_lookup(q->jobs, a->ref) : NULL;
 
     q->waiting++;
     a->next = NULL;
     if (!first) {
         g_queue_push_tail(&q->order, a);
-        if (a->kind == LMN_ASK_POLL)
+        if (a->kind == LMN_QUERY_STATUS)
             g_hash_table_insert(q->jobs, a->ref, a);
         return;
     }
@@ -39,14 +39,14 @@
 }
 
 /* Splits the list: who still listens is returned, the others go before *late. */
-static struct lmn_ask *listening(struct lmn_ask *a, struct lmn_ask **late,
-                                 struct timespec now)
+static struct lmn_query *listening(struct lmn_query *a, struct lmn_query **late,
+                                   struct timespec now)
 {
-    struct lmn_ask *still = NULL, *next;
+    struct lmn_query *still = NULL, *next;
 
     for (; a; a = next) {
-        struct lmn_ask **to =
-            lmn_since(now, a->since) > LMN_ASK_LISTENS_S ? late : &still;
+        struct lmn_query **to =
+            lmn_since(now, a->since) > LMN_QUERY_PATIENCE_S ? late : &still;
         next = a->next;
         a->next = *to;
         *to = a;
@@ -54,23 +54,24 @@
     return still;
 }
 
-guint lmn_asks_take(struct lmn_asks *q, struct lmn_ask **jobs, guint most,
-                    struct lmn_ask **cancel, struct lmn_ask **late, struct timespec now)
+guint lmn_query_queue_take(struct lmn_query_queue *q, struct lmn_query **jobs, guint most,
+                           struct lmn_query **cancel, struct lmn_query **late,
+                           struct timespec now)
 {
     guint n = 0;
 
     *cancel = *late = NULL;
     for (GList *l = q->order.head, *next; l && n < most; l = next) {
-        struct lmn_ask *a = l->data;
+        struct lmn_query *a = l->data;
         next = l->next;
-        if (a->kind == LMN_ASK_CANCEL) {
+        if (a->kind == LMN_QUERY_CANCEL) {
             if (*cancel)
                 continue;
             *cancel = a;
             q->waiting--;
         } else {
             g_hash_table_remove(q->jobs, a->ref);
-            for (const struct lmn_ask *x = a; x; x = x->next)
+            for (const struct lmn_query *x = a; x; x = x->next)
                 q->waiting--;
             if ((a = listening(a, late, now)))
                 jobs[n++] = a;
--- a/tests/world/serving.c
+++ b/tests/world/serving.c
@@ -3,7 +3,7 @@
  * slow answer holds up those behind it, and who asks meanwhile shares the next
  * confirmation. */
 #include "requests.h"
-#include "serve/asks.h"
+#include "serve/query_queue.h"
 
 #include <string.h>
 
@@ -25,10 +25,10 @@
 /* The thread that asks the state service. */
 struct asker {
     const struct lmn_core *life;
-    struct lmn_asks asks;
+    struct lmn_query_queue asks;
     enum stage stage;
     double at; /* when the stage goes on */
-    struct lmn_ask *cancel, *batch[BATCH];
+    struct lmn_query *cancel, *batch[BATCH];
     struct lmn_view views[BATCH];
     guint n, next;
     unsigned tries;
@@ -55,15 +55,15 @@
 
 /* --- the thread that asks --- */
 
-static struct request *request_of(const struct lmn_ask *a)
+static struct request *request_of(const struct lmn_query *a)
 {
     return (struct request *)(void *)a->call;
 }
 
 /* The question joins one that is being confirmed already; false: there is none. */
-static bool join(struct asker *k, struct lmn_ask *a)
+static bool join(struct asker *k, struct lmn_query *a)
 {
-    if (k->stage != CONFIRM_ENDS || a->kind != LMN_ASK_POLL)
+    if (k->stage != CONFIRM_ENDS || a->kind != LMN_QUERY_STATUS)
         return false;
     for (guint i = 0; i < k->n; i++)
         if (!strcmp(k->batch[i]->ref, a->ref)) {
@@ -74,9 +74,9 @@
     return false;
 }
 
-static void enqueue(enum lmn_ask_kind kind, struct request *q, int absent_status)
+static void enqueue(enum lmn_query_kind kind, struct request *q, int absent_status)
 {
-    struct lmn_ask *a = g_new0(struct lmn_ask, 1);
+    struct lmn_query *a = g_new0(struct lmn_query, 1);
 
     a->kind = kind;
     a->call = (struct lmn_call *)(void *)q;
@@ -84,21 +84,21 @@
     a->since = w.clock;
     g_strlcpy(a->ref, q->ref, sizeof a->ref);
     if (w.broken != G_SHARE || !join(&askers[q->node], a))
-        lmn_asks_put(&askers[q->node].asks, a);
+        lmn_query_queue_put(&askers[q->node].asks, a);
 }
 
-static void answer(struct lmn_ask *a, const struct lmn_reply *r)
+static void answer(struct lmn_query *a, const struct lmn_reply *r)
 {
     request_reply(request_of(a), r);
     request_over(request_of(a));
     g_free(a);
 }
 
-static void answer_unavailable(struct lmn_ask *list)
+static void answer_unavailable(struct lmn_query *list)
 {
     const struct lmn_reply r = lmn_reply_unavailable();
 
-    for (struct lmn_ask *a = list, *next; a; a = next) {
+    for (struct lmn_query *a = list, *next; a; a = next) {
         next = a->next;
         answer(a, &r);
     }
@@ -106,9 +106,9 @@
 
 static void take(struct asker *k)
 {
-    struct lmn_ask *late;
+    struct lmn_query *late;
 
-    k->n = lmn_asks_take(&k->asks, k->batch, BATCH, &k->cancel, &late, w.clock);
+    k->n = lmn_query_queue_take(&k->asks, k->batch, BATCH, &k->cancel, &late, w.clock);
     k->tries = 0;
     k->stage = k->cancel ? CANCEL_READS : CONFIRM_ASKS;
     answer_unavailable(late);
@@ -199,7 +199,7 @@
             answer_unavailable(k->batch[i]);
             continue;
         }
-        for (struct lmn_ask *a = k->batch[i], *next; a; a = next) {
+        for (struct lmn_query *a = k->batch[i], *next; a; a = next) {
             next = a->next;
             struct lmn_reply r =
                 lmn_reply_confirmed(n->core, &k->views[i], a->absent_status);
@@ -213,7 +213,7 @@
 
 static void read_ends(struct asker *k, const struct node *n)
 {
-    for (struct lmn_ask *a = k->batch[k->next], *next; a; a = next) {
+    for (struct lmn_query *a = k->batch[k->next], *next; a; a = next) {
         next = a->next;
         struct lmn_reply r =
             lmn_reply_read(n->core, a->ref, &k->reading, a->absent_status);
@@ -263,9 +263,9 @@
     }
 }
 
-static void free_list(struct lmn_ask *list)
+static void free_list(struct lmn_query *list)
 {
-    for (struct lmn_ask *a = list, *next; a; a = next) {
+    for (struct lmn_query *a = list, *next; a; a = next) {
         next = a->next;
         g_free(a);
     }
@@ -275,7 +275,7 @@
 static void reset(struct asker *k, const struct lmn_core *life)
 {
     if (k->failed) {
-        lmn_asks_clear(&k->asks);
+        lmn_query_queue_clear(&k->asks);
         free_list(k->cancel);
         for (guint i = k->stage >= READ_ASKS ? k->next : 0; i < k->n; i++)
             free_list(k->batch[i]);
@@ -285,7 +285,7 @@
     memset(k, 0, sizeof *k);
     k->life = life;
     k->failed = g_ptr_array_new_with_free_func(g_free);
-    lmn_asks_init(&k->asks);
+    lmn_query_queue_init(&k->asks);
 }
 
 void serving_begin(GRand *r)
@@ -322,7 +322,7 @@
         outcome = LMN_OK;
     struct lmn_decision d = lmn_decide_submitted(outcome);
     if (d.step != LMN_STEP_REPLY) {
-        enqueue(LMN_ASK_POLL, q, d.absent_status);
+        enqueue(LMN_QUERY_STATUS, q, d.absent_status);
         return;
     }
     request_reply(q, &d.reply);
@@ -369,10 +369,10 @@
         request_over(q);
         break;
     case LMN_STEP_CONFIRM:
-        enqueue(LMN_ASK_POLL, q, d.absent_status);
+        enqueue(LMN_QUERY_STATUS, q, d.absent_status);
         break;
     case LMN_STEP_CANCEL:
-        enqueue(LMN_ASK_CANCEL, q, d.absent_status);
+        enqueue(LMN_QUERY_CANCEL, q, d.absent_status);
         break;
     case LMN_STEP_COMMIT:
         lmn_state_submit(n->state, lmn_submission_txn(n->core, &q->submission.spec, w.now,
