--- a/tests/world/day.c
+++ b/tests/world/day.c
@@ -13,6 +13,10 @@
 bool flap, standbys;
 const struct plan *plan;
 
+/* How many steps a day may go on for so that a partition that has just changed hands is
+ * ready. */
+enum { RETURN_STEPS = 50 };
+
 bool world_chance(double p)
 {
     return g_rand_double(w.r) < p;
@@ -128,6 +132,10 @@
     char key[64];
     uint32_t at = 0, open = 0;
 
+    if (w.users) {
+        users_submit(j);
+        return;
+    }
     w.rev++;
     /* One owner sees all of a job whose tasks look at each other's zones. */
     int whole = j->spec.spread ? (int)(j->spec.tasks % w.layout.nodes) : -1;
@@ -170,6 +178,10 @@
     uint32_t open;
     double at;
 
+    if (w.users) {
+        users_cancel(j);
+        return;
+    }
     if (!n)
         return;
     g_snprintf(key, sizeof key, "j/%s", j->ref);
@@ -229,6 +241,9 @@
     w.run_s = plan ? plan->run_s : 12;
     w.least_margin = w.cancel_s;
     w.helped = seed % 2 && broken != G_FENCE;
+    w.users = plan && plan->users;
+    w.lost_kind = TXN_KINDS;
+    users_begin(seed);
     w.late = g_ptr_array_new();
     w.store = g_hash_table_new(g_str_hash, g_str_equal);
     w.log = g_ptr_array_new();
@@ -270,7 +285,12 @@
         }
         j->cancelled_at = -1;
     }
-    for (int step = 0; step < w.layout.steps + w.layout.calm; step++) {
+    int steps = w.layout.steps + w.layout.calm;
+    /* A planned day does not end in the midst of a partition's return to its usual
+     * holder. */
+    for (int step = 0;
+         step < steps || (plan && !world_is_well() && step < steps + RETURN_STEPS);
+         step++) {
         w.calm = plan || step >= w.layout.steps;
         w.now += STEP_S;
         w.clock = lmn_after((struct timespec){0, 0}, w.now);
@@ -281,7 +301,7 @@
             w.cloud_down_until = w.now + g_rand_double_range(w.r, 5, 60);
         for (int i = 0; i < JOBS; i++) {
             struct job *j = &w.jobs[i];
-            if (!j->submitted && w.now > 1000 + i * w.layout.every)
+            if (!j->submitted && !j->offered && w.now > 1000 + i * w.layout.every)
                 submit(j);
             else if (!plan && j->submitted && j->cancelled_at < 0 &&
                      (w.broken == G_FINAL || !j->told_done) && i % 2 &&
@@ -307,8 +327,16 @@
             machine_step(m);
         }
         deliver();
-        for (int i = 0; i < w.layout.nodes; i++)
+        if (w.users)
+            users_step();
+        for (int i = 0; i < w.layout.nodes; i++) {
             node_step(&w.nodes[i], i);
+            if (w.users)
+                users_step(); /* between the others' writes and what this one saw */
+        }
+        /* What was told stays so for ever. */
+        if (w.users && step + 20 >= steps)
+            users_look_at_all();
         /* Found so: a range that came between the claim and its noticing was never dealt.
          */
         for (int i = 0; i < w.layout.nodes && w.broken == G_NONE; i++)
