--- /dev/null
+++ b/tests/world/users.c
@@ -0,0 +1,319 @@
+/* Users: they submit, ask, repeat and cancel at all controllers, within milliseconds, and
+ * each answer is held to what the state service's record was when its request was sent.
+ * What is answered is decided by the product (serve/replies.h). Users have random numbers
+ * of their own: days without them keep their histories. */
+#include "requests.h"
+
+#include <string.h>
+
+static struct {
+    GRand *r;
+    GPtrArray *requests;
+    /* a step may bring so many close looks at a job whose record has changed */
+    double hot_until[JOBS];
+    uint64_t seen[JOBS];
+    bool ending[JOBS]; /* the end of its last task was noticed */
+    double retry[JOBS][2];
+    struct request *pending[JOBS][2]; /* the submission, the cancellation */
+} users;
+
+static const double HOT_S = 0.6;
+
+static bool chance(double p)
+{
+    return g_rand_double(users.r) < p;
+}
+
+static double between(double from, double to)
+{
+    return g_rand_double_range(users.r, from, to);
+}
+
+/* --- the state service --- */
+
+const struct item *world_record(const char *ref)
+{
+    char key[64];
+
+    g_snprintf(key, sizeof key, "j/%s", ref);
+    const struct item *it = g_hash_table_lookup(w.store, key);
+    return it && it->value ? it : NULL;
+}
+
+void world_read_record(const char *ref, struct lmn_job_reading *r)
+{
+    const struct item *it = world_record(ref);
+    const struct job *j = &w.jobs[MAX(world_job(ref), 0)];
+
+    memset(r, 0, sizeof *r);
+    r->status = it ? 200 : 404;
+    if (!it)
+        return;
+    r->rev = it->rev;
+    r->phase = world_read_job(j, &r->spec, &r->open, &r->at);
+}
+
+/* --- checking --- */
+
+static void wrong(const struct request *q, enum rule rule, const struct lmn_reply *r)
+{
+    w.broke[rule]++;
+    w.answers_back++;
+    if (w.broken == G_NONE)
+        print_message("%.1f: %s asked of n%02d (kind %d, form %d): %d, phase %d; the "
+                      "record was %s, phase %d\n",
+                      w.now, q->ref, q->node, q->kind, q->form, r->status, r->phase,
+                      q->recorded ? "there" : "not there", q->phase);
+}
+
+/* A state was told. */
+static void check_state(const struct request *q, const struct lmn_reply *r)
+{
+    struct job *j = q->job;
+
+    if (!j || !j->offered) {
+        wrong(q, R_INVENTED, r);
+        return;
+    }
+    if ((q->phase != LMN_ACTIVE && r->phase != q->phase) ||
+        (q->told != LMN_ACTIVE && r->phase != q->told) ||
+        (r->phase == LMN_WITHDRAWN && !j->cancel_asked) ||
+        (q->kind == CANCELLATION && r->phase == LMN_ACTIVE))
+        wrong(q, R_WENT_BACK, r);
+    for (uint32_t k = 0; r->phase == LMN_FINISHED && k < j->spec.tasks; k++)
+        if (!j->done[k]) {
+            wrong(q, R_NOT_DONE, r);
+            break;
+        }
+    j->accepted = true;
+    w.answers_overtaken += j->told != LMN_ACTIVE && r->phase == LMN_ACTIVE;
+    if (r->phase != LMN_ACTIVE)
+        j->told = r->phase;
+    if (r->phase == LMN_WITHDRAWN && j->cancelled_at < 0) {
+        j->cancelled_at = w.now;
+        w.cancelled++;
+    }
+}
+
+/* An answer has reached its user. */
+static void receive(const struct request *q, const struct lmn_reply *r)
+{
+    struct job *j = q->job;
+
+    if (!r->status) /* none */
+        return;
+    w.answers++;
+    switch (r->status) {
+    case 200:
+    case 201:
+        check_state(q, r);
+        if (r->status == 201 && (q->recorded || q->form != SOUND))
+            wrong(q, R_INVENTED, r); /* it was known, or can't be accepted */
+        break;
+    case 404:
+        if (q->recorded || q->accepted || q->kind == SUBMISSION)
+            wrong(q, R_FORGOTTEN, r);
+        w.answers_overtaken += j && j->accepted && !q->accepted;
+        break;
+    case 400:
+    case 422:
+        if (q->recorded || q->accepted || q->kind != SUBMISSION ||
+            q->form != (r->status == 400 ? LACKS_FIELD : FITS_NOWHERE))
+            wrong(q, R_FORGOTTEN, r);
+        break;
+    default:
+        assert_int_equal(r->status, 503);
+        w.answers_none++;
+    }
+}
+
+/* --- requests --- */
+
+void request_reply(struct request *q, const struct lmn_reply *r)
+{
+    int i = q->job ? (int)(q->job - w.jobs) : -1;
+
+    if (q->answered)
+        return;
+    q->answered = true;
+    receive(q, r);
+    for (int k = 0; k < 2 && i >= 0; k++)
+        if (users.pending[i][k] == q) {
+            users.pending[i][k] = NULL;
+            users.retry[i][k] = w.now + between(0.1, 1.5);
+        }
+}
+
+void request_over(struct request *q)
+{
+    const struct lmn_reply nobody = {0};
+
+    if (!q->answered)
+        request_reply(q, &nobody);
+    q->over = true;
+}
+
+static void send(enum request_kind kind, enum form form, const char *ref, int node)
+{
+    struct request *q = g_new0(struct request, 1);
+    int i = world_job(ref);
+    const struct item *it = world_record(ref);
+
+    q->kind = kind;
+    q->form = form;
+    q->node = node;
+    q->sent = w.now;
+    q->job = i < 0 ? NULL : &w.jobs[i];
+    g_strlcpy(q->ref, ref, sizeof q->ref);
+    q->recorded = it != NULL;
+    if (it) {
+        struct lmn_job_reading now;
+        world_read_record(ref, &now);
+        q->phase = now.phase;
+        lmn_reading_clear(&now);
+    }
+    if (q->job) {
+        q->accepted = q->job->accepted;
+        q->told = q->job->told;
+        q->job->cancel_asked = q->job->cancel_asked || kind == CANCELLATION;
+    }
+    if (kind != STATUS && q->job && form == SOUND) {
+        int which = kind == CANCELLATION;
+        if (!users.pending[i][which])
+            users.pending[i][which] = q;
+    }
+    g_ptr_array_add(users.requests, q);
+    serving_arrive(q);
+}
+
+static int any_node(void)
+{
+    return g_rand_int_range(users.r, 0, w.layout.nodes);
+}
+
+/* --- what users do --- */
+
+void users_begin(uint32_t seed)
+{
+    if (users.r)
+        g_rand_free(users.r);
+    memset(&users, 0, sizeof users);
+    users.r = g_rand_new_with_seed(seed + 1000);
+    users.requests = g_ptr_array_new();
+    serving_begin(users.r);
+}
+
+void users_submit(struct job *j)
+{
+    j->offered = true;
+}
+
+void users_cancel(struct job *j)
+{
+    j->cancel_wanted = true;
+}
+
+/* Submissions and cancellations are repeated until they are answered. */
+static void insist(struct job *j, int i)
+{
+    if (j->offered && !j->accepted && !users.pending[i][0] && w.now >= users.retry[i][0])
+        send(SUBMISSION, SOUND, j->ref, any_node());
+    if (j->cancel_wanted && j->cancelled_at < 0 && !j->told_done &&
+        !users.pending[i][1] && w.now >= users.retry[i][1])
+        send(CANCELLATION, SOUND, j->ref, any_node());
+}
+
+/* A job is looked at closely when its record has changed, and as its last task ends. */
+static void notice(struct job *j, int i)
+{
+    const struct item *it = world_record(j->ref);
+    bool all = j->submitted && j->spec.kind == LMN_BATCH;
+
+    if (it && it->rev != users.seen[i]) {
+        users.seen[i] = it->rev;
+        users.hot_until[i] = w.now + HOT_S;
+    }
+    for (uint32_t k = 0; all && k < j->spec.tasks; k++)
+        all = j->done[k];
+    if (!all || users.ending[i])
+        return;
+    users.ending[i] = true;
+    users.hot_until[i] = w.now + HOT_S;
+    if (w.now < w.cancel_at_end_until && chance(0.5))
+        j->cancel_wanted = true;
+}
+
+static void look_closely(const struct job *j, int i)
+{
+    if (w.now >= w.looks_until || w.now >= users.hot_until[i])
+        return;
+    for (int k = 0; k < w.layout.nodes; k++) {
+        send(STATUS, SOUND, j->ref, k);
+        if (j->accepted && chance(0.3))
+            send(SUBMISSION, SOUND, j->ref, k);
+        if (j->cancel_wanted && chance(0.3))
+            send(CANCELLATION, SOUND, j->ref, k);
+    }
+}
+
+static void ask_oddly(const struct job *j, int i)
+{
+    static const char *const strange[] = {"run-900001", "run-000000000001", "nonsense"};
+    const char *nobodys = strange[g_rand_int_range(users.r, 0, 3)];
+    int node = any_node();
+
+    if (w.now >= w.odd_until || !chance(w.now < users.hot_until[i] ? 0.5 : 0.02))
+        return;
+    for (int k = 0; k < w.layout.nodes; k++)
+        for (enum form f = LACKS_FIELD; f < FORMS; f++)
+            send(SUBMISSION, f, j->ref, k);
+    if (j->accepted)
+        send(SUBMISSION, SOUND, j->ref, node);
+    if (j->told_done)
+        send(CANCELLATION, SOUND, j->ref, node);
+    send(STATUS, SOUND, nobodys, node);
+    send(CANCELLATION, SOUND, nobodys, node);
+    if (lmn_ref_ok(nobodys))
+        send(SUBMISSION, chance(0.5) ? LACKS_FIELD : FITS_NOWHERE, nobodys, node);
+}
+
+static void go_on_with_requests(void)
+{
+    serving_step();
+    for (guint i = users.requests->len; i-- > 0;) {
+        struct request *q = users.requests->pdata[i];
+        if (!q->over)
+            serving_arrive(q);
+        if (!q->over)
+            continue;
+        lmn_submission_clear(&q->submission);
+        g_ptr_array_remove_index_fast(users.requests, i);
+        g_free(q);
+    }
+}
+
+void users_step(void)
+{
+    for (int i = 0; i < JOBS; i++) {
+        struct job *j = &w.jobs[i];
+        if (!j->offered)
+            continue;
+        if (world_record(j->ref))
+            j->submitted = true;
+        notice(j, i);
+        insist(j, i);
+        look_closely(j, i);
+        ask_oddly(j, i);
+        if (chance(0.01))
+            send(STATUS, SOUND, j->ref, any_node());
+    }
+    go_on_with_requests();
+}
+
+void users_look_at_all(void)
+{
+    for (int i = 0; i < JOBS; i++)
+        for (int k = 0; k < w.layout.nodes && w.jobs[i].offered; k++)
+            send(STATUS, SOUND, w.jobs[i].ref, k);
+    go_on_with_requests();
+}
