A submission whose answer is lost is told within the users' aims

Cause: one whose transaction got no answer was answered 503 after 2 s, and its user came again a second later; questions that shared a lost confirmation waited 2 s for it, with all that was asked meanwhile. Now a submission without an answer after 0.05 s is confirmed like any question once the mirror shows its job, and its transaction is sent once more after 0.3 s if it does not: it is conditional on the job's absence, so one of the two is carried out at most. Nothing is told from the mirror alone. Confirmations time out after 0.6 s and are asked again for those who still listen; a slow one is overtaken after 0.1 s.

--- /dev/null
+++ b/src/base/flight.c
@@ -0,0 +1,21 @@
+#include "base/flight.h"
+
+/* Most answers come within 10 ms. Without this each lost answer delayed all that was
+ * asked or written after it by a whole time-out. */
+static const double OVERTAKE_S = 0.1;
+
+double lmn_flight_wait(const struct lmn_flight *f, struct timespec now)
+{
+    return f->in_flight ? OVERTAKE_S - lmn_since(now, f->sent) : 0;
+}
+
+void lmn_flight_begin(struct lmn_flight *f, struct timespec now)
+{
+    f->in_flight++;
+    f->sent = now;
+}
+
+void lmn_flight_end(struct lmn_flight *f)
+{
+    f->in_flight--;
+}
--- /dev/null
+++ b/src/base/flight.h
@@ -0,0 +1,19 @@
+/* Requests to one service that go one at a time, so that what comes meanwhile shares the
+ * next one; but one that is slow to be answered no longer holds up what has come since.
+ * Not locked. */
+#ifndef LMN_FLIGHT_H
+#define LMN_FLIGHT_H
+
+#include "base/clock.h"
+
+struct lmn_flight {
+    unsigned in_flight;   /* requests without an answer yet */
+    struct timespec sent; /* when the last of them went out */
+};
+
+/* Seconds until a further request may go out beside those in flight; 0 or less: now. */
+double lmn_flight_wait(const struct lmn_flight *f, struct timespec now);
+void lmn_flight_begin(struct lmn_flight *f, struct timespec now);
+void lmn_flight_end(struct lmn_flight *f);
+
+#endif
--- a/src/serve/api.c
+++ b/src/serve/api.c
@@ -1,10 +1,12 @@
 /* Users' requests over HTTP: what is answered is decided in replies.c; here calls are
  * held, confirmations shared, and the state service asked. */
 #include "serve/api.h"
+#include "base/flight.h"
 #include "base/log.h"
 #include "base/thread.h"
 #include "base/wire.h"
 #include "serve/asks.h"
+#include "serve/pending.h"
 #include "serve/replies.h"
 #include "state/core.h"
 
@@ -13,6 +15,9 @@
 static pthread_mutex_t asks_lock = PTHREAD_MUTEX_INITIALIZER;
 static pthread_cond_t asks_more;
 static struct lmn_asks asks;
+static struct lmn_flight flight; /* of confirmations and cancellations */
+/* Threads that ask the state service; one alone asks at a time unless it is slow. */
+enum { ASKERS = 3 };
 
 static void answer(struct lmn_call *call, const char *ref, const struct lmn_reply *r)
 {
@@ -36,17 +41,23 @@
     pthread_mutex_unlock(&asks_lock);
 }
 
-/* All steps but the commit of a submission. */
+/* All steps but the commit of a submission, for a call that is held. */
+static void carry_out_held(struct lmn_call *call, const char *ref,
+                           const struct lmn_decision *d)
+{
+    if (d->step == LMN_STEP_REPLY)
+        answer(call, ref, &d->reply);
+    else
+        enqueue(d->step == LMN_STEP_CANCEL ? LMN_ASK_CANCEL : LMN_ASK_POLL, call, ref,
+                d->absent_status);
+}
+
 static void carry_out(const struct lmn_decision *d, struct lmn_call *call,
                       const char *ref)
 {
-    if (d->step == LMN_STEP_REPLY) {
-        answer(call, ref, &d->reply);
-        return;
-    }
-    lmn_call_hold(call);
-    enqueue(d->step == LMN_STEP_CANCEL ? LMN_ASK_CANCEL : LMN_ASK_POLL, call, ref,
-            d->absent_status);
+    if (d->step != LMN_STEP_REPLY)
+        lmn_call_hold(call);
+    carry_out_held(call, ref, d);
 }
 
 void lmn_api_poll(struct lmn_core *c, struct lmn_call *call, const char *ref)
@@ -75,52 +86,6 @@
     return ready;
 }
 
-/* --- submission --- */
-
-struct submission {
-    struct lmn_core *c;
-    struct lmn_call *call;
-    char ref[LMN_REF];
-    struct timespec since;
-};
-
-static void submitted(void *arg, struct lmn_txn *t, enum lmn_outcome outcome,
-                      uint64_t rev)
-{
-    struct submission *s = arg;
-    struct lmn_decision d = lmn_decide_submitted(outcome);
-    double took = lmn_since(lmn_now(), s->since);
-    (void)t;
-    (void)rev;
-
-    lmn_debug("job-submitted job=%s outcome=%d took=%.3f", s->ref, outcome, took);
-    if (outcome == LMN_OK) {
-        pthread_mutex_lock(&s->c->lock);
-        lmn_latency_add(&s->c->accepting, took);
-        pthread_mutex_unlock(&s->c->lock);
-    }
-    if (d.step == LMN_STEP_REPLY)
-        answer(s->call, s->ref, &d.reply);
-    else
-        enqueue(LMN_ASK_POLL, s->call, s->ref, d.absent_status);
-    g_free(s);
-}
-
-static void commit(struct lmn_core *c, struct lmn_call *call, const struct lmn_spec *s)
-{
-    struct submission *arg = g_new0(struct submission, 1);
-
-    arg->c = c;
-    arg->call = call;
-    arg->since = lmn_now();
-    g_strlcpy(arg->ref, s->ref, sizeof arg->ref);
-    pthread_mutex_lock(&c->lock);
-    struct lmn_txn *t = lmn_submission_txn(c, s, lmn_seconds(lmn_wall()), submitted, arg);
-    pthread_mutex_unlock(&c->lock);
-    lmn_call_hold(call);
-    lmn_state_submit(c->state, t);
-}
-
 void lmn_api_submit(struct lmn_core *c, struct lmn_call *call)
 {
     const GByteArray *body = lmn_call_body(call);
@@ -130,14 +95,16 @@
     pthread_mutex_lock(&c->lock);
     struct lmn_decision d = lmn_decide_submission(c, &s, lmn_now());
     pthread_mutex_unlock(&c->lock);
-    if (d.step == LMN_STEP_COMMIT)
-        commit(c, call, &s.spec);
-    else
+    if (d.step == LMN_STEP_COMMIT) {
+        lmn_call_hold(call);
+        lmn_pending_submit(c, call, &s.spec);
+    } else {
         carry_out(&d, call, s.spec.ref);
+    }
     lmn_submission_clear(&s);
 }
 
-/* --- the thread that asks the state service --- */
+/* --- the threads that ask the state service --- */
 
 /* Reads one job; to be cleared. */
 static void read_job(struct lmn_core *c, struct lmn_http *h, GByteArray *buf,
@@ -163,6 +130,17 @@
     }
 }
 
+/* The confirmation's answer was lost: those who still listen are asked for again. */
+static void ask_again(struct lmn_ask *list)
+{
+    pthread_mutex_lock(&asks_lock);
+    for (struct lmn_ask *a = list, *next; a; a = next) {
+        next = a->next;
+        lmn_asks_put(&asks, a);
+    }
+    pthread_mutex_unlock(&asks_lock);
+}
+
 /* Answers all who asked about the same job by its confirmed view. */
 static void answer_confirmed(struct lmn_core *c, const struct lmn_view *v,
                              struct lmn_ask *list)
@@ -252,6 +230,8 @@
             continue;
         if (known == LMN_CONFIRMED_LATEST)
             answer_confirmed(c, &views[i], v[i]);
+        else if (outcome == LMN_UNKNOWN)
+            ask_again(v[i]);
         else
             answer_unavailable(v[i]);
         v[i] = NULL;
@@ -263,7 +243,27 @@
     g_ptr_array_free(failed, TRUE);
 }
 
-void *lmn_api_thread(void *arg)
+/* Waits for questions and takes the next; returns how many jobs they are about. */
+static guint next_asks(struct lmn_ask **v, guint most, struct lmn_ask **cancel,
+                       struct lmn_ask **late)
+{
+    pthread_mutex_lock(&asks_lock);
+    for (;;) {
+        double wait = lmn_flight_wait(&flight, lmn_now());
+        if (!asks.order.length)
+            pthread_cond_wait(&asks_more, &asks_lock);
+        else if (wait > 0)
+            lmn_cond_wait_for(&asks_more, &asks_lock, wait + 1e-3);
+        else
+            break;
+    }
+    guint n = lmn_asks_take(&asks, v, most, cancel, late, lmn_now());
+    lmn_flight_begin(&flight, lmn_now());
+    pthread_mutex_unlock(&asks_lock);
+    return n;
+}
+
+static void *ask_thread(void *arg)
 {
     struct lmn_core *c = arg;
     struct lmn_http *h = lmn_http_new(c->cfg->state);
@@ -272,22 +272,28 @@
     struct lmn_ask **v = g_new0(struct lmn_ask *, max), *cancel, *late;
 
     for (;;) {
-        pthread_mutex_lock(&asks_lock);
-        while (!asks.order.length)
-            pthread_cond_wait(&asks_more, &asks_lock);
-        guint n = lmn_asks_take(&asks, v, max, &cancel, &late, lmn_now());
-        pthread_mutex_unlock(&asks_lock);
+        guint n = next_asks(v, max, &cancel, &late);
         answer_unavailable(late);
+        if (n)
+            confirm_batch(c, h, buf, v, n);
         if (cancel) {
             cancel_one(c, h, buf, cancel);
             g_free(cancel);
         }
-        if (n)
-            confirm_batch(c, h, buf, v, n);
+        pthread_mutex_lock(&asks_lock);
+        lmn_flight_end(&flight);
+        pthread_mutex_unlock(&asks_lock);
     }
     return NULL;
 }
 
+void lmn_api_start(struct lmn_core *c)
+{
+    for (int i = 0; i < ASKERS; i++)
+        lmn_thread(ask_thread, c);
+    lmn_pending_start(c, carry_out_held);
+}
+
 __attribute__((constructor)) static void init(void)
 {
     lmn_cond_init(&asks_more);
--- a/src/serve/api.h
+++ b/src/serve/api.h
@@ -10,7 +10,7 @@
 void lmn_api_poll(struct lmn_core *c, struct lmn_call *call, const char *ref);
 void lmn_api_cancel(struct lmn_core *c, struct lmn_call *call, const char *ref);
 bool lmn_api_ready(struct lmn_core *c);
-/* Reads through to the state service, for ever (a thread). */
-void *lmn_api_thread(void *core);
+/* Starts the threads that ask the state service, and that look after submissions. */
+void lmn_api_start(struct lmn_core *c);
 
 #endif
--- /dev/null
+++ b/src/serve/pending.h
@@ -0,0 +1,24 @@
+/* Submissions that are being written. Most commits are answered within 10 ms. For one
+ * that is not, the answer may be lost: the mirror then shows the job, whose state is
+ * confirmed as for any question; if it does not show it, the same transaction is sent
+ * once more. It is conditional on the job's absence, so one of the two is carried out at
+ * most. */
+#ifndef LMN_PENDING_H
+#define LMN_PENDING_H
+
+#include "serve/replies.h"
+
+struct lmn_call;
+struct lmn_pending;
+
+/* Carries out a decision for a call that is held. */
+typedef void lmn_pending_reply(struct lmn_call *call, const char *ref,
+                               const struct lmn_decision *d);
+
+/* Starts the thread that looks after them. */
+void lmn_pending_start(struct lmn_core *c, lmn_pending_reply *reply);
+/* Takes over the call, which is held, and sends the transaction that accepts the job. */
+void lmn_pending_submit(struct lmn_core *c, struct lmn_call *call,
+                        const struct lmn_spec *s);
+
+#endif
--- a/src/serve/replies.c
+++ b/src/serve/replies.c
@@ -269,6 +269,24 @@
     }
 }
 
+/* A transaction without an answer for so long may never be carried out. */
+static const double RESEND_S = 0.3;
+
+enum lmn_pending_step lmn_decide_pending(const struct lmn_core *c, const char *ref,
+                                         struct timespec since, bool resent,
+                                         struct timespec now)
+{
+    double waited = lmn_since(now, since);
+
+    if (waited < LMN_PENDING_LOOK_S)
+        return LMN_PENDING_WAIT;
+    /* Not answered from the mirror: the job may have been cancelled since, and another
+     * node may have said so. */
+    if (g_hash_table_contains(c->jobs, ref))
+        return LMN_PENDING_CONFIRM;
+    return waited >= RESEND_S && !resent ? LMN_PENDING_RESEND : LMN_PENDING_WAIT;
+}
+
 /* --- reading, and cancelling --- */
 
 void lmn_reading_parse(struct lmn_job_reading *r, int status, const guint8 *body,
--- a/src/serve/replies.h
+++ b/src/serve/replies.h
@@ -47,6 +47,21 @@
 /* Once the outcome of a submission's transaction is known. */
 struct lmn_decision lmn_decide_submitted(enum lmn_outcome outcome);
 
+/* What is due for a submission whose transaction has no answer yet. */
+enum lmn_pending_step {
+    LMN_PENDING_WAIT,
+    LMN_PENDING_CONFIRM, /* the mirror shows the job: its state is to be confirmed */
+    LMN_PENDING_RESEND,  /* the transaction is sent once more */
+};
+
+/* Seconds without an answer after which a submission is looked at. */
+#define LMN_PENDING_LOOK_S 0.05
+
+/* resent: it was sent twice already. */
+enum lmn_pending_step lmn_decide_pending(const struct lmn_core *c, const char *ref,
+                                         struct timespec since, bool resent,
+                                         struct timespec now);
+
 /* --- confirmations --- */
 
 /* What the mirror shows of a job. */
--- a/src/serve/service.c
+++ b/src/serve/service.c
@@ -75,7 +75,7 @@
     lmn_state_start(state);
     lmn_thread(lmn_mirror_thread, core);
     lmn_thread(lmn_holder_thread, core);
-    lmn_thread(lmn_api_thread, core);
+    lmn_api_start(core);
     lmn_thread(lmn_cloud_thread, core);
     lmn_thread(lmn_peer_thread, core);
     if (cfg->nmembers) {
--- a/src/state/state.c
+++ b/src/state/state.c
@@ -1,6 +1,7 @@
 #include "state/state.h"
 #include "base/budget.h"
 #include "base/clock.h"
+#include "base/flight.h"
 #include "base/log.h"
 #include "base/thread.h"
 #include "base/wire.h"
@@ -14,9 +15,8 @@
 /* Threads that write. One alone has the way to the service to itself, so that what is
  * submitted meanwhile shares the next batch. */
 enum { WRITERS = 4 };
-/* A batch without an answer for this long no longer holds up what has come since: another
- * writer takes it. Without this each lost answer delayed all writes by TXN_TIMEOUT_S. */
-static const double OVERTAKE_S = 0.1;
+/* A transaction of conditions alone can be sent again at any time. */
+static const double CONFIRM_TIMEOUT_S = 0.6;
 
 struct cond {
     char *key;
@@ -47,8 +47,7 @@
     struct lmn_budget requests, writes;
     struct lmn_budget lazy;     /* the part of writes that what can wait may use */
     struct lmn_latency writing; /* from a transaction's sending to its answer */
-    unsigned in_flight;         /* batches without an answer yet */
-    struct timespec sent;       /* when the last of them went out */
+    struct lmn_flight flight;   /* of batches */
     struct timespec hold;       /* after a 429: nothing goes out before */
 };
 
@@ -110,6 +109,24 @@
     g_free(t);
 }
 
+struct lmn_txn *lmn_txn_twin(const struct lmn_txn *t)
+{
+    struct lmn_txn *twin = lmn_txn_new(t->rank, t->done, t->arg);
+
+    for (guint i = 0; i < t->conds->len; i++) {
+        const struct cond *c = &g_array_index(t->conds, struct cond, i);
+        lmn_txn_if(twin, c->key, c->version);
+    }
+    for (guint i = 0; i < t->changes->len; i++) {
+        const struct change *c = &g_array_index(t->changes, struct change, i);
+        if (c->value)
+            lmn_txn_write(twin, c->key, g_byte_array_ref(c->value), c->lease);
+        else
+            lmn_txn_remove(twin, c->key);
+    }
+    return twin;
+}
+
 guint lmn_txn_changes(const struct lmn_txn *t)
 {
     return t->changes->len;
@@ -264,12 +281,6 @@
     return s->writes.level - reserve(s, rank) >= MIN(changes, 0.45 * s->writes.burst);
 }
 
-/* Seconds until a further batch may go out beside those in flight; 0: now. */
-static double until_overtaking(const struct lmn_state *s, struct timespec now)
-{
-    return s->in_flight ? OVERTAKE_S - lmn_since(now, s->sent) : 0;
-}
-
 /* Seconds until the first transaction of some rank may go out; 0: now. */
 static double until_next(struct lmn_state *s, struct timespec now)
 {
@@ -288,7 +299,7 @@
                            s->writes.level) /
                               s->writes.rate);
     }
-    wait = MAX(wait, until_overtaking(s, now));
+    wait = MAX(wait, lmn_flight_wait(&s->flight, now));
     return MAX(wait, lmn_since(s->hold, now));
 }
 
@@ -360,12 +371,13 @@
 }
 
 static enum lmn_outcome send_batch(struct lmn_http *h, struct lmn_txn **v, guint n,
-                                   uint64_t *revision, GPtrArray *conflicts, int *status)
+                                   double timeout_s, uint64_t *revision,
+                                   GPtrArray *conflicts, int *status)
 {
     GByteArray *body = encode(v, n), *answer = g_byte_array_new();
 
     struct timespec sent = lmn_now();
-    *status = lmn_http_call(h, "POST", P_TXN, body, TXN_TIMEOUT_S, answer);
+    *status = lmn_http_call(h, "POST", P_TXN, body, timeout_s, answer);
     lmn_debug("state-write transactions=%u status=%d took=%.3f", n, *status,
               lmn_since(lmn_now(), sent));
     enum lmn_outcome r = judge(*status, answer, revision, conflicts);
@@ -380,7 +392,8 @@
 {
     int status;
     lmn_state_pace(s);
-    return send_batch(h, &t, 1, revision, conflicts, &status);
+    return send_batch(h, &t, 1, t->changes->len ? TXN_TIMEOUT_S : CONFIRM_TIMEOUT_S,
+                      revision, conflicts, &status);
 }
 
 static bool touches(const struct lmn_txn *t, const GPtrArray *keys)
@@ -466,8 +479,7 @@
             lmn_cond_wait_for(&s->more, &s->lock, wait + 1e-3);
     }
     guint n = gather(s, v, max);
-    s->in_flight++;
-    s->sent = lmn_now();
+    lmn_flight_begin(&s->flight, lmn_now());
     pthread_mutex_unlock(&s->lock);
     return n;
 }
@@ -475,7 +487,7 @@
 static void batch_answered(struct lmn_state *s, struct timespec sent, int status)
 {
     pthread_mutex_lock(&s->lock);
-    s->in_flight--;
+    lmn_flight_end(&s->flight);
     lmn_latency_add(&s->writing, lmn_since(lmn_now(), sent));
     if (status == 429)
         s->hold = lmn_after(lmn_now(), 0.1 + g_random_double() * 0.2);
@@ -504,7 +516,8 @@
         uint64_t revision = 0;
         int status;
         struct timespec sent = lmn_now();
-        enum lmn_outcome r = send_batch(h, v, n, &revision, conflicts, &status);
+        enum lmn_outcome r =
+            send_batch(h, v, n, TXN_TIMEOUT_S, &revision, conflicts, &status);
         batch_answered(s, sent, status);
         for (guint i = 0; i < n; i++) {
             if (r == LMN_CONFLICT && n > 1 && !touches(v[i], conflicts)) {
--- a/src/state/state.h
+++ b/src/state/state.h
@@ -41,6 +41,8 @@
 void lmn_txn_write_first(struct lmn_txn *t, const char *key, GByteArray *value);
 void lmn_txn_remove(struct lmn_txn *t, const char *key);
 void lmn_txn_free(struct lmn_txn *t);
+/* The same transaction once more, to be sent beside or after it. */
+struct lmn_txn *lmn_txn_twin(const struct lmn_txn *t);
 guint lmn_txn_changes(const struct lmn_txn *t);
 /* Calls f for each change: value NULL is a removal; lease: what the key hangs on, 0 if
  * nothing. */
--- a/tests/world/store.c
+++ b/tests/world/store.c
@@ -188,27 +188,11 @@
 
 /* --- transactions that are late --- */
 
-static void twin_condition(void *arg, const char *key, uint64_t version)
-{
-    lmn_txn_if(arg, key, version);
-}
-
-static void twin_change(void *arg, const char *key, const GByteArray *value,
-                        uint64_t lease)
-{
-    if (value)
-        lmn_txn_write(arg, key, g_byte_array_ref((GByteArray *)value), lease);
-    else
-        lmn_txn_remove(arg, key);
-}
-
 void world_late(const struct lmn_txn *t)
 {
     struct late *l = g_new0(struct late, 1);
 
-    l->txn = lmn_txn_new(LMN_RANK_OWNER, NULL, NULL);
-    lmn_txn_each_condition(t, twin_condition, l->txn);
-    lmn_txn_each(t, twin_change, l->txn);
+    l->txn = lmn_txn_twin(t);
     l->at = w.now + g_rand_double_range(w.r, 2, 12);
     g_ptr_array_add(w.late, l);
 }
