An owner that was not replaced takes its partition back warm

When all leases ended together each owner threw its state away and took its partition over cold. Its own state at the loss is now kept as a copy of its term. A claim of the same process that raises the term by one proves that nobody owned the partition in between, so the copy is as complete as a standby's. The last owner claims first: for 1.5 s the others leave a vacant partition to it, if it answers them.

Cuts that were noted in an earlier term are dropped with it: they held returns up for up to 16 s.

--- a/src/own/partition.c
+++ b/src/own/partition.c
@@ -52,7 +52,8 @@
     m->idle = m->next_steal = (struct timespec){0, 0};
 }
 
-/* With what a standby was told; else as one that knows nothing. */
+/* With what a standby was told, or what this process knew as the last owner; else as one
+ * that knows nothing. */
 static void begin_warm(struct lmn_core *c, struct lmn_partition *p, struct timespec now)
 {
     const char *why = lmn_takeover_cold(c, p);
@@ -62,8 +63,8 @@
         guint held = lmn_takeover_inherit(c, p, now);
         c->count.warm++;
         lmn_info("takeover-warm partition=%d term=%" G_GUINT64_FORMAT
-                 " machines=%u attempts=%u",
-                 p->id, p->my_term, p->list->len, held);
+                 " machines=%u attempts=%u own=%d",
+                 p->id, p->my_term, p->list->len, held, p->copy->own);
     } else if (p->list->len) {
         c->count.cold++;
         lmn_info("takeover-cold partition=%d term=%" G_GUINT64_FORMAT
@@ -91,6 +92,8 @@
     memset(p->used_gpus, 0, sizeof p->used_gpus);
     c->count.takeovers++;
     lmn_block_reset(p);
+    /* Of an earlier term of ours: they would hold returns up that wait for no cut. */
+    g_array_set_size(p->cuts, 0);
     memset(p->keep, 0, sizeof p->keep);
     lmn_quota_reset(p);
     g_hash_table_iter_init(&it, p->machines);
@@ -114,6 +117,7 @@
 
     lmn_info("partition-lose partition=%d term=%" G_GUINT64_FORMAT " why=\"%s\"", p->id,
              p->my_term, why);
+    lmn_copy_keep_own(p);
     p->mine = p->ready = p->releasing = p->warm = p->open = false;
     lmn_stream_reset(c, p);
     lmn_quota_reset(p);
@@ -212,6 +216,26 @@
     return -1;
 }
 
+/* The last owner has so long to claim its partition again before others do: its claim
+ * comes with its next lease, within a few tenths of a second. */
+static const double TAKE_BACK_S = 1.5;
+
+/* Whether to leave the partition, whose owner key is gone, to its last owner for a
+ * moment. One that has lived all the while knows what is on the machines. Not if it does
+ * not answer: that of a crashed owner is taken over without delay. */
+static bool left_to_last_owner(const struct lmn_core *c, const struct lmn_partition *p,
+                               struct timespec now)
+{
+    const struct lmn_members *ms = &c->members;
+    int last = lmn_member_rank(ms, p->last_owner);
+
+    if (last < 0 || last == ms->me || lmn_since(now, p->vacant) >= TAKE_BACK_S)
+        return false;
+    const struct lmn_peer_view *m = &ms->v[last];
+    return m->ever && !m->unanswered.tv_sec && !m->judged && !m->leaving &&
+           !lmn_member_doubted(ms, last);
+}
+
 /* A process that starts, or gets a new lease, takes only its own for so long. */
 static const double FIRST_S = 3;
 
@@ -232,6 +256,10 @@
         if (!lmn_orphaned(c, p, now))
             return false;
         since = lmn_after(ms->v[owner].doubted, ms->t.doubt_s);
+    } else if (lmn_copy_own_is_last(p)) {
+        return true;
+    } else if (left_to_last_owner(c, p, now)) {
+        return false;
     } else if (p->id % ms->n == ms->me) {
         int named = lmn_standby_named(c, p, now);
         if (named < 0 || named == ms->me)
@@ -294,7 +322,7 @@
 {
     int owner = p->owner_rev ? lmn_member_rank(&c->members, p->owner) : -1;
     /* Conditional on the record only with its copy: without, that would be no help. */
-    bool warm = p->copy && p->copy->stream == p->standby_stream;
+    bool warm = p->copy && !p->copy->own && p->copy->stream == p->standby_stream;
     struct lmn_txn *t = transfer(p, c->cfg->node, lease, warm);
 
     /* A verdict: it does not hold against one that refutes it first. */
--- a/src/own/upkeep.c
+++ b/src/own/upkeep.c
@@ -5,6 +5,7 @@
 #include "decide/queue.h"
 #include "own/partition.h"
 #include "own/range.h"
+#include "standby/copy.h"
 #include "state/owner_state.h"
 #include "state/core.h"
 
@@ -281,6 +282,7 @@
         c->audited = now;
     for (int i = 0; i < c->nparts; i++) {
         struct lmn_partition *p = &c->parts[i];
+        lmn_copy_drop_outdated(c, p);
         if (!p->mine)
             continue;
         /* Once for all machines: a look at each from each takes their square. */
--- a/src/standby/batch.c
+++ b/src/standby/batch.c
@@ -1,5 +1,7 @@
 #include "standby/batch.h"
 
+#include <string.h>
+
 struct lmn_told *lmn_told_new(const char *name)
 {
     struct lmn_told *t = g_new0(struct lmn_told, 1);
@@ -9,6 +11,41 @@
     return t;
 }
 
+static GArray *images_of(const struct lmn_machine *m)
+{
+    GArray *images = g_array_new(FALSE, FALSE, sizeof(struct lmn_told_image));
+
+    for (guint i = 0; i < m->images->len; i++) {
+        const struct lmn_image *x = &g_array_index(m->images, struct lmn_image, i);
+        struct lmn_told_image y = {.gb = x->gb, .there = !x->ready.tv_sec};
+        if (strlen(x->name) >= sizeof y.name)
+            continue;
+        g_strlcpy(y.name, x->name, sizeof y.name);
+        g_array_append_val(images, y);
+    }
+    return images;
+}
+
+struct lmn_told *lmn_told_of(const struct lmn_machine *m, bool images)
+{
+    struct lmn_told *t = lmn_told_new(m->name);
+
+    t->session = m->session;
+    t->gone = m->is_gone;
+    for (guint i = 0; i < m->attempts->len; i++) {
+        const struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
+        struct lmn_told_attempt x = {.index = a->index,
+                                     .number = a->number,
+                                     .ended = a->state == LMN_A_ENDED,
+                                     .done = a->done};
+        g_strlcpy(x.ref, a->ref, sizeof x.ref);
+        g_array_append_val(t->attempts, x);
+    }
+    if (images)
+        t->images = images_of(m);
+    return t;
+}
+
 void lmn_told_free(gpointer told)
 {
     struct lmn_told *t = told;
--- a/src/standby/batch.h
+++ b/src/standby/batch.h
@@ -38,6 +38,8 @@
 enum { LMN_BATCH_MACHINES = 32 };
 
 struct lmn_told *lmn_told_new(const char *name);
+/* What may be on the machine now, by its owner's state; with its images or without. */
+struct lmn_told *lmn_told_of(const struct lmn_machine *m, bool images);
 void lmn_told_free(gpointer told);
 struct lmn_batch *lmn_batch_new(void);
 void lmn_batch_free(struct lmn_batch *b);
--- a/src/standby/copy.c
+++ b/src/standby/copy.c
@@ -10,12 +10,12 @@
     g_free(copy);
 }
 
-static struct lmn_copy *begin(const struct lmn_batch *b)
+static struct lmn_copy *new_copy(uint64_t term, uint64_t stream)
 {
     struct lmn_copy *copy = g_new0(struct lmn_copy, 1);
 
-    copy->term = b->term;
-    copy->stream = b->stream;
+    copy->term = term;
+    copy->stream = stream;
     copy->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, lmn_told_free);
     return copy;
 }
@@ -58,7 +58,7 @@
             (b->term < copy->term || (b->term == copy->term && b->stream < copy->stream)))
             return LMN_COPY_UNKNOWN;
         lmn_copy_free(copy);
-        copy = p->copy = begin(b);
+        copy = p->copy = new_copy(b->term, b->stream);
     } else if (!copy || b->term != copy->term || b->stream != copy->stream ||
                b->number != copy->number + 1) {
         return LMN_COPY_UNKNOWN;
@@ -71,3 +71,34 @@
     }
     return LMN_COPY_TAKEN;
 }
+
+void lmn_copy_keep_own(struct lmn_partition *p)
+{
+    /* Before every machine was accounted for, a cold owner does not know what its
+     * predecessors started. */
+    if (!p->ready && !p->warm)
+        return;
+    lmn_copy_free(p->copy);
+    p->copy = new_copy(p->my_term, 0);
+    p->copy->own = true;
+    for (guint i = 0; i < p->list->len; i++) {
+        struct lmn_told *t = lmn_told_of(p->list->pdata[i], true);
+        g_hash_table_replace(p->copy->machines, t->name, t);
+    }
+}
+
+bool lmn_copy_own_is_last(const struct lmn_partition *p)
+{
+    return p->copy && p->copy->own && p->copy->term == p->term;
+}
+
+void lmn_copy_drop_outdated(const struct lmn_core *c, struct lmn_partition *p)
+{
+    if (p->mine || !p->copy || !p->copy->own || p->term <= p->copy->term)
+        return;
+    /* Of the next term only our own claim may be on its way. */
+    if (p->term == p->copy->term + 1 && (!*p->owner || !strcmp(p->owner, c->cfg->node)))
+        return;
+    lmn_copy_free(p->copy);
+    p->copy = NULL;
+}
--- a/src/standby/copy.h
+++ b/src/standby/copy.h
@@ -1,4 +1,5 @@
-/* What a standby has been told of a partition that another owns. The core's lock is held
+/* What a node knows of a partition that it does not own: what its owner has told it, as
+ * the standby; or what it knew itself when it was the last owner. The core's lock is held
  * by the caller throughout. */
 #ifndef LMN_STANDBY_COPY_H
 #define LMN_STANDBY_COPY_H
@@ -10,6 +11,7 @@
     uint64_t number;      /* of the last batch taken */
     GHashTable *machines; /* name -> struct lmn_told */
     struct timespec last; /* when a batch came last, steady clock */
+    bool own; /* this process's own state at the end of that term; no stream */
 };
 
 enum lmn_copy_answer {
@@ -24,5 +26,14 @@
 enum lmn_copy_answer lmn_copy_take(struct lmn_core *c, struct lmn_batch *b,
                                    struct timespec now);
 void lmn_copy_free(struct lmn_copy *copy);
+/* The partition is about to be lost: keeps what its owner, this process, knows of it, if
+ * that names every attempt that may be on a machine. A batch of another owner takes its
+ * place. */
+void lmn_copy_keep_own(struct lmn_partition *p);
+/* Whether this process was the partition's last owner, as far as the mirror shows, and
+ * has kept what it knew. */
+bool lmn_copy_own_is_last(const struct lmn_partition *p);
+/* Frees what was kept once another has owned the partition: it is of no use any more. */
+void lmn_copy_drop_outdated(const struct lmn_core *c, struct lmn_partition *p);
 
 #endif
--- a/src/standby/stream.c
+++ b/src/standby/stream.c
@@ -73,33 +73,11 @@
 
 static struct lmn_told *tell(struct lmn_machine *m)
 {
-    struct lmn_told *t = lmn_told_new(m->name);
     guint hash = images_hash(m);
+    bool changed = hash != m->told_images;
 
-    t->session = m->session;
-    t->gone = m->is_gone;
-    for (guint i = 0; i < m->attempts->len; i++) {
-        const struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
-        struct lmn_told_attempt x = {.index = a->index,
-                                     .number = a->number,
-                                     .ended = a->state == LMN_A_ENDED,
-                                     .done = a->done};
-        g_strlcpy(x.ref, a->ref, sizeof x.ref);
-        g_array_append_val(t->attempts, x);
-    }
-    if (hash == m->told_images)
-        return t;
     m->told_images = hash;
-    t->images = g_array_new(FALSE, FALSE, sizeof(struct lmn_told_image));
-    for (guint i = 0; i < m->images->len; i++) {
-        const struct lmn_image *x = &g_array_index(m->images, struct lmn_image, i);
-        struct lmn_told_image y = {.gb = x->gb, .there = !x->ready.tv_sec};
-        if (strlen(x->name) >= sizeof y.name)
-            continue;
-        g_strlcpy(y.name, x->name, sizeof y.name);
-        g_array_append_val(t->images, y);
-    }
-    return t;
+    return lmn_told_of(m, changed);
 }
 
 static struct lmn_batch *build(struct lmn_partition *p, struct timespec now)
--- a/src/standby/takeover.c
+++ b/src/standby/takeover.c
@@ -9,6 +9,10 @@
 {
     const struct lmn_copy *copy = p->copy;
 
+    /* Each claim raises the term by one, conditional on the term before: nobody has owned
+     * the partition since this process did. */
+    if (copy && copy->own)
+        return copy->term + 1 == p->owner_term ? NULL : "another has owned it meanwhile";
     /* The claim, or the giving, was conditional on a record that names us: until it was
      * applied no start went out that we had not acknowledged, and none can after it,
      * since the owner can strike us off no more. */
--- a/src/state/mirror.c
+++ b/src/state/mirror.c
@@ -216,6 +216,8 @@
     if (p->mine)
         c->owner->partition_lose(c, p, v ? "taken" : "owner key gone");
     note_loss(c, p, owner, now);
+    if (!v && p->owner_rev)
+        g_strlcpy(p->last_owner, p->owner, sizeof p->last_owner);
     g_strlcpy(p->owner, owner, sizeof p->owner);
     p->owner_lease = lease;
     p->owner_term = term;
@@ -380,6 +382,7 @@
             if (p->mine)
                 c->owner->partition_lose(c, p, "owner key gone");
             note_loss(c, p, "", now);
+            g_strlcpy(p->last_owner, p->owner, sizeof p->last_owner);
             p->owner[0] = '\0';
             p->owner_lease = p->owner_rev = p->owner_stream = 0;
             p->vacant = now;
--- a/src/state/model.h
+++ b/src/state/model.h
@@ -286,6 +286,7 @@
     uint32_t owner_gen;
     uint64_t owner_stream;  /* that its claim, or its being given, was conditional on */
     struct timespec vacant; /* since when nobody owns it */
+    char last_owner[LMN_NAME]; /* who did until then; empty: not known */
     /* who is in step with the owner of that term, by which stream; 0: nobody */
     char standby[LMN_NAME];
     uint64_t standby_lease, standby_stream, standby_term, standby_rev;
