A node that answered no reports does not hold its machines' silence against them

After a stand-still, or an outage past the fence, all its machines seem silent. It noted every zone as cut off, which held back returns for up to 16 s, returned machines at once whose leases had run out, and called itself deaf: then members gave their partitions away in a circle though nothing was wrong with their links. Until workers have had the time to come back, silence counts only for machines that left a direct question unanswered.

--- a/src/own/upkeep.c
+++ b/src/own/upkeep.c
@@ -35,6 +35,36 @@
 /* By then most of an inherited partition's machines that are alive have answered a
  * question. */
 static const double HEARD_S = 3;
+/* A worker that was refused everywhere is back so much later than its next report. */
+static const double LATE_BACK_S = 4;
+
+/* Until then this node answered no reports. A machine that was silent by then was refused
+ * here, or had nobody to talk to, and says nothing about its link. */
+static struct timespec listening_since(const struct lmn_core *c)
+{
+    struct timespec woke = c->members.woke;
+
+    return lmn_before(c->refused_until, woke) ? woke : c->refused_until;
+}
+
+/* Whether this node has answered reports for so long that each worker which reaches it
+ * has had the time to report here again. */
+static bool has_listened(const struct lmn_core *c, struct timespec now)
+{
+    return lmn_since(now, listening_since(c)) > c->members.t.overdue_s + LATE_BACK_S;
+}
+
+/* Its link is in doubt: neither a report came nor, where it may just not have come back
+ * yet, an answer to a question. */
+static bool unheard(const struct lmn_core *c, const struct lmn_machine *m,
+                    struct timespec now)
+{
+    if (!m->accounted)
+        return true;
+    if (!m->lapsed && !lmn_machine_silent(c, m, now))
+        return false;
+    return m->probes > 0 || has_listened(c, now);
+}
 
 /* How many of a partition's machines are silent, of those that should not be. */
 struct silence {
@@ -60,7 +90,7 @@
             struct silence z = {.zone = m->zone};
             g_array_append_val(a, z);
         }
-        bool silent = !m->accounted || m->lapsed || lmn_machine_silent(c, m, now);
+        bool silent = unheard(c, m, now);
         g_array_index(a, struct silence, 0).all++;
         g_array_index(a, struct silence, 0).silent += silent;
         g_array_index(a, struct silence, i).all++;
@@ -120,6 +150,9 @@
     return false;
 }
 
+/* A worker whose lease has run out has so long to come back with a new session. */
+static const double LAPSED_BACK_S = 12;
+
 static void upkeep_machine(struct lmn_core *c, struct lmn_machine *m,
                            const GArray *silence, struct timespec now)
 {
@@ -153,7 +186,9 @@
     bool few = !most_silent(silence), cut = is_cut(p, m->zone, now);
     if (lmn_machine_silent(c, m, now) && m->probes >= 2 && few && !cut)
         lmn_machine_retire(c, m, true, "silent and unreachable", now);
-    if (m->lapsed && silent > cfg->lease_s + 12 + (few && cut ? cfg->cancel_s : 0))
+    if (m->lapsed &&
+        silent > cfg->lease_s + LAPSED_BACK_S + (few && cut ? cfg->cancel_s : 0) &&
+        lmn_since(now, listening_since(c)) > LAPSED_BACK_S)
         lmn_machine_retire(c, m, true, "silent", now);
     if (m->noticed && lmn_since(now, m->noticed_at) > m->notice_s + 0.5)
         lmn_machine_retire(c, m, true, "taken by the cloud", now);
@@ -227,10 +262,13 @@
 }
 
 /* Which part of its machines this node does not hear, in all its partitions together:
- * its word of itself. */
+ * its word of itself. Those that it refused have gone to others and may not be back yet:
+ * after an outage of the state service all members called each other deaf for that, and
+ * gave their partitions away in a circle. */
 static void note_deaf(struct lmn_core *c, struct timespec now)
 {
     guint overdue = 0, all = 0;
+    bool listened = has_listened(c, now);
 
     for (int i = 0; i < c->nparts; i++) {
         const struct lmn_partition *p = &c->parts[i];
@@ -240,8 +278,8 @@
                 continue;
             all++;
             /* Nor is one in command of whoever does not hear it. */
-            overdue +=
-                m->unheeded > 1 || lmn_since(now, m->last) > c->members.t.overdue_s;
+            overdue += m->unheeded > 1 ||
+                       (listened && lmn_since(now, m->last) > c->members.t.overdue_s);
         }
     }
     c->members.word.deaf = c->members.shut ? 1 : all > 2 ? overdue / (double)all : 0;
@@ -276,6 +314,8 @@
     if (machines > FEW && lmn_since(now, c->kept_up) < MIN(machines * EACH_S, LONGEST_S))
         return;
     c->kept_up = now;
+    if (lmn_too_stale(c, now) || !lmn_self_awake(&c->members, now))
+        c->refused_until = now;
     note_deaf(c, now);
     note_machines(c);
     if (due)
--- a/src/state/model.h
+++ b/src/state/model.h
@@ -384,6 +384,9 @@
     GRand *rng;
     uint64_t look, turn;     /* counts of looks over queues, and of starts within them */
     struct timespec kept_up; /* the last look at all machines */
+    /* until when this node answered no reports: it had stood still, or its view was too
+     * old; 0: it always has */
+    struct timespec refused_until;
 
     GHashTable *jobs;    /* ref -> lmn_job */
     GQueue final_jobs;   /* those that are final, the oldest first */
