--- /dev/null
+++ b/tests/test_takeback.c
@@ -0,0 +1,474 @@
+/* An owner takes its own partition back: what it keeps when it loses it, when that may be
+ * used, and who claims first. And what a machine's silence says after a spell in which
+ * the node itself answered nobody. */
+#include "base/log.h"
+#include "own/owner.h"
+#include "own/partition.h"
+#include "own/upkeep.h"
+#include "own/worker.h"
+#include "standby/copy.h"
+#include "state/core.h"
+#include "state/mirror.h"
+#include "state/owner_state.h"
+#include "state/records.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+#include <string.h>
+
+enum { MACHINES = 4, TASKS = 6, ME = 1, HOLDER = 0 };
+
+static struct lmn_settings cfg;
+static struct lmn_core *core;
+static struct lmn_partition *part;
+static struct timespec now;
+static uint64_t rev;
+
+/* This node is nb: partition 0 is usually na's. */
+static int setup(void **state)
+{
+    (void)state;
+    memset(&cfg, 0, sizeof cfg);
+    g_strlcpy(cfg.node, "nb", LMN_NAME);
+    g_strlcpy(cfg.members[0].name, "na", LMN_NAME);
+    g_strlcpy(cfg.members[1].name, "nc", LMN_NAME);
+    cfg.nmembers = 2;
+    cfg.partitions = 3;
+    cfg.report_s = 1;
+    cfg.lease_s = 8;
+    cfg.cancel_s = 30;
+    cfg.state_rps = cfg.state_write_rps = 1e6;
+    cfg.value_kb = 16;
+    cfg.txn_ops = 12;
+    g_strlcpy(cfg.teams[0].name, "x", LMN_NAME);
+    cfg.teams[0].cpus_max = 100;
+    cfg.nteams = 1;
+    now = (struct timespec){1000, 0};
+    rev = 0;
+    core = lmn_core_new(&cfg, lmn_state_new(&cfg), 1);
+    core->types.n = 1;
+    core->types.v[0] = (struct lmn_type){.name = "t", .cpus = 8, .nzones = 1};
+    core->types_known = true;
+    core->synced = true;
+    core->fresh = now;
+    core->lease = 1;
+    part = &core->parts[0];
+    assert_int_equal(lmn_member_rank(&core->members, "na"), HOLDER);
+    assert_int_equal(lmn_member_rank(&core->members, "nb"), ME);
+    return 0;
+}
+
+static int teardown(void **state)
+{
+    struct lmn_state *s = core->state;
+
+    (void)state;
+    lmn_core_free(core);
+    lmn_state_free(s);
+    return 0;
+}
+
+/* NULL: the key goes. */
+static void put(const char *key, GByteArray *v)
+{
+    struct lmn_doc d = {0};
+
+    if (v)
+        assert_int_equal(lmn_doc_parse(&d, v->data, v->len), 0);
+    lmn_mirror_apply(core, key, &d, v ? lmn_root(&d) : NULL, ++rev, now);
+    if (!v)
+        return;
+    lmn_doc_free(&d);
+    g_byte_array_unref(v);
+}
+
+static void claimed(const char *node, uint64_t lease, uint64_t term)
+{
+    GByteArray *b = g_byte_array_new(), *t = g_byte_array_new();
+
+    lmn_put_map(b, 4);
+    lmn_put_text(b, "node"), lmn_put_text(b, node);
+    lmn_put_text(b, "lease"), lmn_put_count(b, lease);
+    lmn_put_text(b, "term"), lmn_put_count(b, term);
+    lmn_put_text(b, "stream"), lmn_put_count(b, 0);
+    put("o/0", b);
+    lmn_put_count(t, term);
+    put("t/0", t);
+    lmn_mirror_settle(core, now);
+}
+
+static void member_is_up(int rank)
+{
+    struct lmn_word well = {0, 0, 0};
+
+    lmn_member_record(&core->members, rank, ++rev, 50 + (uint64_t)rank, now);
+    if (rank != ME)
+        lmn_member_answered(&core->members, rank, &well, now, now);
+}
+
+static struct lmn_machine *machine(int i)
+{
+    char name[16];
+
+    g_snprintf(name, sizeof name, "host-%d", 3 * i);
+    return g_hash_table_lookup(part->machines, name);
+}
+
+static const struct lmn_range *range(void)
+{
+    return g_hash_table_lookup(part->ranges, "r/0/run-000001/0");
+}
+
+/* The partition is ours, cold, by the term; its machines are recorded. */
+static void own_cold(uint64_t term)
+{
+    struct lmn_spec spec = {.ref = "run-000001",
+                            .class_name = (char *)"c",
+                            .team = (char *)"x",
+                            .image = (char *)"img",
+                            .tasks = TASKS,
+                            .cpus = 2,
+                            .deadline_s = -1};
+    struct lmn_range r = {.lo = 0, .hi = TASKS};
+    uint8_t done = 0;
+    GByteArray *b = g_byte_array_new();
+
+    lmn_put_list(b, MACHINES);
+    for (int i = 0; i < MACHINES; i++) {
+        char name[16];
+        g_snprintf(name, sizeof name, "host-%d", 3 * i);
+        lmn_put_list(b, 5);
+        lmn_put_text(b, name), lmn_put_text(b, "10.0.0.1:9000"), lmn_put_text(b, "t");
+        lmn_put_text(b, "z"), lmn_put_truth(b, false);
+    }
+    put("m/0/0", b);
+    put("j/run-000001", lmn_job_record(&spec, LMN_ACTIVE, 1, 1000));
+    put("r/0/run-000001/0", lmn_range_record(&r, &done));
+    claimed("nb", 1, term);
+    assert_true(part->mine && !part->warm);
+}
+
+/* All machines have spoken: starts are known from now on. */
+static void account(void)
+{
+    for (int i = 0; i < MACHINES; i++) {
+        struct lmn_machine *m = machine(i);
+        m->heard = m->accounted = true;
+        m->last = now;
+        m->session = 7;
+        m->type = &core->types.v[0];
+    }
+    lmn_partition_check(core, part, now);
+    assert_true(part->ready);
+}
+
+static struct lmn_attempt *start(struct lmn_machine *m, uint32_t index, uint64_t number)
+{
+    struct lmn_attempt a = {.index = index, .number = number, .since = now};
+
+    g_strlcpy(a.ref, "run-000001", sizeof a.ref);
+    a.job = g_hash_table_lookup(core->jobs, a.ref);
+    a.range = g_hash_table_lookup(part->ranges, "r/0/run-000001/0");
+    a.range->st[index] = LMN_T_STARTED;
+    a.range->nstarted++;
+    lmn_attempt_count(m, &a);
+    g_array_append_val(m->attempts, a);
+    return &g_array_index(m->attempts, struct lmn_attempt, m->attempts->len - 1);
+}
+
+/* Attempts of each kind, then the end of the lease. */
+static void lose_with_attempts(void)
+{
+    own_cold(4);
+    account();
+    start(machine(0), 0, 100)->state = LMN_A_RUNNING;
+    start(machine(0), 1, 101)->direct = true;          /* a call that is under way */
+    start(machine(1), 2, 102)->unsure = true;          /* one without an answer */
+    start(machine(1), 3, 103)->mark = 9;               /* an answer that is held back */
+    struct lmn_attempt *a = start(machine(2), 4, 104); /* ended, not recorded yet */
+    a->state = LMN_A_ENDED;
+    a->done = true;
+    machine(1)->in_call = true;
+    machine(3)->is_gone = true;
+    put("o/0", NULL);
+    assert_false(part->mine);
+}
+
+static void its_own_state_is_a_whole_copy(void **state)
+{
+    (void)state;
+    lose_with_attempts();
+    assert_true(lmn_copy_own_is_last(part));
+    assert_int_equal(machine(0)->attempts->len, 0);
+    core->lease = 2;
+    claimed("nb", 2, 5);
+    assert_true(part->mine && part->warm && part->open && !part->ready);
+    assert_int_equal(core->count.warm, 1);
+    assert_null(part->copy);
+    for (int i = 0; i < TASKS; i++)
+        assert_int_equal(range()->st[i], i < 5 ? LMN_T_STARTED : LMN_T_QUEUED);
+    for (int i = 0; i < 3; i++) {
+        assert_int_equal(machine(i)->session, 7);
+        assert_false(machine(i)->accounted);
+        for (guint k = 0; k < machine(i)->attempts->len; k++)
+            assert_true(g_array_index(machine(i)->attempts, struct lmn_attempt, k).told);
+    }
+    assert_true(machine(3)->is_gone);
+    /* The team's limit counts each of them. */
+    assert_true(part->used_cpus[0] == 10);
+}
+
+/* What was on its way when the partition was lost ends only now: it says nothing about
+ * the attempts of the new term. */
+static void what_ends_late_gives_no_attempt_up(void **state)
+{
+    struct lmn_held held = {.part = 0, .term = 4, .from = 8, .mark = 9};
+    GByteArray *out = g_byte_array_new(), *answer = g_byte_array_new();
+    (void)state;
+
+    lose_with_attempts();
+    core->lease = 2;
+    claimed("nb", 2, 5);
+    g_strlcpy(held.machine, machine(1)->name, sizeof held.machine);
+    lmn_worker_withhold(core, &held, out, now);
+    lmn_direct_outcome(core, machine(0)->name, LMN_NOT_SENT, NULL, now);
+    lmn_direct_outcome(core, machine(1)->name, LMN_NOT_SENT, NULL, now);
+    lmn_probe_outcome(core, machine(1)->name, 4, 200, answer, now);
+    assert_int_equal(machine(0)->attempts->len, 2);
+    assert_int_equal(machine(1)->attempts->len, 2);
+    assert_false(machine(1)->accounted);
+    g_byte_array_unref(out);
+    g_byte_array_unref(answer);
+}
+
+/* It may lose the partition again before a machine has spoken: what it holds stays. */
+static void twice_in_a_row(void **state)
+{
+    (void)state;
+    lose_with_attempts();
+    core->lease = 2;
+    claimed("nb", 2, 5);
+    put("o/0", NULL);
+    core->lease = 3;
+    claimed("nb", 3, 6);
+    assert_true(part->warm);
+    assert_int_equal(range()->nstarted, 5);
+}
+
+static void not_after_another_owner(void **state)
+{
+    (void)state;
+    lose_with_attempts();
+    claimed("nc", 9, 5);
+    assert_false(lmn_copy_own_is_last(part));
+    put("o/0", NULL);
+    core->lease = 2;
+    claimed("nb", 2, 6);
+    assert_true(part->mine && !part->warm && !part->open);
+    assert_int_equal(range()->nstarted, 0);
+}
+
+/* A claim of ours of an earlier lease, carried out when that was over, is a term too:
+ * that nobody acted on it is not known to the check. */
+static void nor_after_a_claim_that_came_late(void **state)
+{
+    (void)state;
+    lose_with_attempts();
+    core->lease = 3;
+    claimed("nb", 2, 5);
+    assert_false(part->mine);
+    put("o/0", NULL);
+    claimed("nb", 3, 6);
+    assert_true(part->mine && !part->warm);
+}
+
+/* Cold, and not all machines have spoken: a predecessor's starts are not known. */
+static void not_before_it_knew_all(void **state)
+{
+    (void)state;
+    own_cold(4);
+    put("o/0", NULL);
+    assert_null(part->copy);
+    core->lease = 2;
+    claimed("nb", 2, 5);
+    assert_true(part->mine && !part->warm);
+}
+
+/* Controllers are small: what can be of no use any more is freed. */
+static void an_outdated_copy_goes(void **state)
+{
+    (void)state;
+    lose_with_attempts();
+    lmn_copy_drop_outdated(core, part);
+    assert_non_null(part->copy);
+    claimed("nc", 9, 5);
+    lmn_copy_drop_outdated(core, part);
+    assert_null(part->copy);
+}
+
+/* The new owner tells us what it knows: that takes the place of our own. */
+static void a_newer_owners_stream_takes_its_place(void **state)
+{
+    struct lmn_batch *b = lmn_batch_new();
+    (void)state;
+
+    lose_with_attempts();
+    claimed("nc", 9, 5);
+    b->term = 5;
+    b->stream = 5 << 20 | 1;
+    assert_int_equal(lmn_copy_take(core, b, now), LMN_COPY_TAKEN);
+    assert_false(part->copy->own);
+    lmn_batch_free(b);
+}
+
+/* --- who claims first --- */
+
+static void at_once_by_the_last_owner(void **state)
+{
+    (void)state;
+    lose_with_attempts();
+    /* Neither its usual holder, nor for long with its lease. */
+    core->lease = 2;
+    core->leased = core->synced_at = now;
+    member_is_up(HOLDER);
+    assert_true(lmn_partition_wanted(core, part, now));
+    core->leaving = true;
+    assert_false(lmn_partition_wanted(core, part, now));
+}
+
+/* This node's own partition, which nc holds until its key goes. */
+static struct lmn_partition *held_by_nc(void)
+{
+    struct lmn_partition *p = &core->parts[ME];
+    GByteArray *b = g_byte_array_new();
+
+    lmn_put_map(b, 2);
+    lmn_put_text(b, "node"), lmn_put_text(b, "nc");
+    lmn_put_text(b, "lease"), lmn_put_count(b, 9);
+    put("o/1", b);
+    return p;
+}
+
+static void by_others_after_a_moment(void **state)
+{
+    struct lmn_partition *p = held_by_nc();
+    (void)state;
+
+    member_is_up(lmn_member_rank(&core->members, "nc"));
+    put("o/1", NULL);
+    assert_false(lmn_partition_wanted(core, p, now));
+    assert_false(lmn_partition_wanted(core, p, lmn_after(now, 1.4)));
+    assert_true(lmn_partition_wanted(core, p, lmn_after(now, 1.6)));
+}
+
+/* A crash costs nothing more: its questions are unanswered, or it was never heard. */
+static void at_once_if_the_last_owner_is_silent(void **state)
+{
+    struct lmn_partition *p = held_by_nc();
+    int nc = lmn_member_rank(&core->members, "nc");
+    (void)state;
+
+    put("o/1", NULL);
+    assert_true(lmn_partition_wanted(core, p, now));
+    member_is_up(nc);
+    assert_false(lmn_partition_wanted(core, p, now));
+    struct timespec later = lmn_after(now, 0.5);
+    lmn_member_unanswered(&core->members, nc, later, lmn_after(later, 0.4));
+    assert_true(lmn_partition_wanted(core, p, lmn_after(later, 0.4)));
+}
+
+/* --- silence of our own making --- */
+
+/* Machines report, if at all, for as long as this node answers them. */
+static void pass(double seconds, bool outage, bool reports)
+{
+    for (double t = 0; t < seconds; t += 0.25) {
+        now = lmn_after(now, 0.25);
+        lmn_members_tick(&core->members, 0, now);
+        if (!outage) {
+            core->fresh = now;
+            lmn_members_fresh(&core->members, now);
+        }
+        for (int i = 0; reports && i < MACHINES && !lmn_too_stale(core, now); i++)
+            machine(i)->last = now;
+        lmn_upkeep(core, now);
+    }
+}
+
+/* The state service is down for longer than the fence: every report was refused. */
+static void refused_machines_are_not_silent(void **state)
+{
+    (void)state;
+    own_cold(4);
+    account();
+    pass(2 * cfg.cancel_s, true, true);
+    pass(1, false, false);
+    assert_true(core->members.word.deaf < 0.1);
+    assert_int_equal(part->cuts->len, 0);
+    for (int i = 0; i < MACHINES; i++) {
+        assert_true(machine(i)->lapsed); /* its lease has run out all the same */
+        assert_false(machine(i)->retiring);
+    }
+    /* They had the time to come back, and did not. */
+    pass(10, false, false);
+    assert_true(core->members.word.deaf > 0.9);
+    assert_int_equal(part->cuts->len, 1);
+}
+
+/* The process stood still: it comes to, and has heard nothing. */
+static void nor_after_a_stand_still(void **state)
+{
+    (void)state;
+    own_cold(4);
+    account();
+    pass(4, false, true);
+    now = lmn_after(now, 20);
+    pass(1, true, false);
+    pass(0.5, false, false);
+    assert_true(core->members.word.deaf < 0.1);
+    assert_int_equal(part->cuts->len, 0);
+}
+
+/* A machine that leaves a direct question unanswered is silent at once. */
+static void but_unanswered_questions_count(void **state)
+{
+    (void)state;
+    own_cold(4);
+    account();
+    pass(4, false, true);
+    now = lmn_after(now, 4);
+    pass(0.5, true, false);
+    for (int i = 0; i < MACHINES; i++)
+        machine(i)->probes = 1;
+    pass(0.25, false, false);
+    assert_int_equal(part->cuts->len, 1);
+}
+
+int main(void)
+{
+    lmn_log_level = LMN_LOG_ERROR;
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(its_own_state_is_a_whole_copy, setup, teardown),
+        cmocka_unit_test_setup_teardown(what_ends_late_gives_no_attempt_up, setup,
+                                        teardown),
+        cmocka_unit_test_setup_teardown(twice_in_a_row, setup, teardown),
+        cmocka_unit_test_setup_teardown(not_after_another_owner, setup, teardown),
+        cmocka_unit_test_setup_teardown(nor_after_a_claim_that_came_late, setup,
+                                        teardown),
+        cmocka_unit_test_setup_teardown(not_before_it_knew_all, setup, teardown),
+        cmocka_unit_test_setup_teardown(an_outdated_copy_goes, setup, teardown),
+        cmocka_unit_test_setup_teardown(a_newer_owners_stream_takes_its_place, setup,
+                                        teardown),
+        cmocka_unit_test_setup_teardown(at_once_by_the_last_owner, setup, teardown),
+        cmocka_unit_test_setup_teardown(by_others_after_a_moment, setup, teardown),
+        cmocka_unit_test_setup_teardown(at_once_if_the_last_owner_is_silent, setup,
+                                        teardown),
+        cmocka_unit_test_setup_teardown(refused_machines_are_not_silent, setup, teardown),
+        cmocka_unit_test_setup_teardown(nor_after_a_stand_still, setup, teardown),
+        cmocka_unit_test_setup_teardown(but_unanswered_questions_count, setup, teardown),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
