--- a/src/own/partition.c
+++ b/src/own/partition.c
@@ -62,6 +62,7 @@
     if (p->warm) {
         guint held = lmn_takeover_inherit(c, p, now);
         c->count.warm++;
+        c->count.own += p->copy->own;
         lmn_info("takeover-warm partition=%d term=%" G_GUINT64_FORMAT
                  " machines=%u attempts=%u own=%d",
                  p->id, p->my_term, p->list->len, held, p->copy->own);
--- a/src/serve/standbys.c
+++ b/src/serve/standbys.c
@@ -26,6 +26,9 @@
                                " machines=%" G_GUINT64_FORMAT
                                " strikes=%" G_GUINT64_FORMAT "\n",
                                f->count.batches, f->count.machines, f->count.strikes);
+    } else if (p->copy && p->copy->own) {
+        g_string_append_printf(s, "  own term=%" G_GUINT64_FORMAT " machines=%u\n",
+                               p->copy->term, g_hash_table_size(p->copy->machines));
     } else if (p->copy) {
         g_string_append_printf(
             s, "  copy term=%" G_GUINT64_FORMAT " machines=%u last=%.2f in_step=%d\n",
@@ -65,7 +68,7 @@
         sum.machines += n->machines;
         sum.streams += n->streams;
         sum.strikes += n->strikes;
-        copies += p->copy != NULL;
+        copies += p->copy && !p->copy->own;
         if (!p->mine)
             continue;
         lmn_stream_lag(p, now, &machines, &starts, &seconds);
@@ -93,8 +96,10 @@
     lmn_counter(out, "lemonspar_starts_withheld",
                 "Starts taken back since no standby acknowledged them",
                 c->count.withheld);
-    lmn_counter(out, "lemonspar_takeovers_warm", "Takeovers with a standby's copy",
-                c->count.warm);
+    lmn_counter(out, "lemonspar_takeovers_warm",
+                "Takeovers with a standby's copy, or an owner's own", c->count.warm);
+    lmn_counter(out, "lemonspar_takeovers_own",
+                "Of those: by the last owner, with its own", c->count.own);
     lmn_counter(out, "lemonspar_takeovers_cold", "Takeovers without", c->count.cold);
     lmn_quantiles(out, "lemonspar_standby_ack_seconds",
                   "What starts wait for their acknowledgement", &c->telling);
--- a/src/state/model.h
+++ b/src/state/model.h
@@ -332,6 +332,7 @@
         submissions;
     uint64_t refused, takeovers, moves, moved_tasks, unqueued, preempted;
     uint64_t warm, cold; /* takeovers */
+    uint64_t own;        /* of the warm ones: with what this process knew itself */
     uint64_t malformed;  /* reports */
     uint64_t tombstones; /* withdrawals that another controller told of first */
     uint64_t withheld;   /* starts that a standby did not acknowledge in time */
--- a/tests/world/nodes.c
+++ b/tests/world/nodes.c
@@ -14,6 +14,7 @@
 #include "own/partition.h"
 #include "own/range.h"
 #include "own/upkeep.h"
+#include "standby/copy.h"
 #include "state/mirror.h"
 
 #include <stdlib.h>
@@ -79,6 +80,16 @@
     return true;
 }
 
+/* As if nobody had owned the partitions since. */
+static void trust_own_copies(struct lmn_core *c)
+{
+    for (int i = 0; i < c->nparts; i++) {
+        const struct lmn_partition *p = &c->parts[i];
+        if (p->copy && p->copy->own)
+            p->copy->term = p->owner_rev ? p->owner_term - 1 : p->term;
+    }
+}
+
 static void node_follow(struct node *n)
 {
     struct lmn_core *c = n->core;
@@ -102,6 +113,8 @@
     if (!c->synced)
         c->synced_at = w.clock;
     c->synced = true;
+    if (w.broken == G_OWN_TERM)
+        trust_own_copies(c);
     lmn_mirror_settle(c, w.clock);
 }
 
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -37,6 +37,7 @@
     G_SENT,     /* a view is as old as its question, not its answer */
     G_LATE,     /* what is carried out late is conditional like all else */
     G_KILLS,    /* the first answer of a new term ends what is withdrawn */
+    G_OWN_TERM, /* an owner's own state counts only if nobody owned it since */
 };
 
 enum rule { R_TWICE, R_QUOTA, R_PLACE, R_CANCELLED, R_NOT_DONE, R_WENT_BACK, RULES };
