--- a/src/own/direct.c
+++ b/src/own/direct.c
@@ -84,6 +84,27 @@
     return true;
 }
 
+/* The session that we were told has ended: its worker's answer names the one that runs
+ * now, and the question is asked again at once. */
+static bool learn_session(struct lmn_machine *m, const GByteArray *answer,
+                          struct timespec now)
+{
+    struct lmn_doc d;
+    struct lmn_report r;
+
+    if (lmn_doc_parse(&d, answer->data, answer->len) != 0)
+        return false;
+    bool newer =
+        !lmn_report_read(&r, &d) && !strcmp(r.name, m->name) && r.session > m->session;
+    lmn_doc_free(&d);
+    if (!newer)
+        return false;
+    m->session = r.session;
+    m->probes = 0; /* it has answered */
+    m->next_probe = now;
+    return true;
+}
+
 void lmn_probe_outcome(struct lmn_core *c, const char *name, uint64_t term, int status,
                        const GByteArray *answer, struct timespec now)
 {
@@ -105,8 +126,11 @@
             m->probes = 0;
         return;
     }
-    if (status == 409 && !m->heard)
+    if (status == 409 && !m->heard) {
+        if (m->session && learn_session(m, answer, now))
+            return;
         m->session = 0; /* not the one that we were told: it is asked for */
+    }
     /* Whatever it may hold waits for it: the second question follows at once. */
     if (m->probes == 1 && status != 200)
         m->next_probe = lmn_after(now, 0.2);
--- a/tests/test_takeback.c
+++ b/tests/test_takeback.c
@@ -2,6 +2,7 @@
  * used, and who claims first. And what a machine's silence says after a spell in which
  * the node itself answered nobody. */
 #include "base/log.h"
+#include "base/wire.h"
 #include "own/owner.h"
 #include "own/partition.h"
 #include "own/upkeep.h"
@@ -243,6 +244,55 @@
     g_byte_array_unref(answer);
 }
 
+static GByteArray *report(const struct lmn_machine *m, uint64_t session, uint64_t token)
+{
+    GByteArray *b = g_byte_array_new();
+
+    lmn_put_map(b, 9);
+    lmn_put_text(b, W_MACHINE), lmn_put_text(b, m->name);
+    lmn_put_text(b, W_ADDR), lmn_put_text(b, m->addr);
+    lmn_put_text(b, W_TYPE), lmn_put_text(b, "t");
+    lmn_put_text(b, W_ZONE), lmn_put_text(b, "z");
+    lmn_put_text(b, W_SPOT), lmn_put_truth(b, false);
+    lmn_put_text(b, W_SESSION), lmn_put_count(b, session);
+    lmn_put_text(b, W_SEQ), lmn_put_count(b, 1);
+    lmn_put_text(b, W_TOKEN), lmn_put_count(b, token);
+    lmn_put_text(b, W_TASKS), lmn_put_list(b, 0);
+    return b;
+}
+
+/* Its worker's lease ran out meanwhile, and with it its session: the refusal names the
+ * new one, which is asked at once. It proves nothing yet. */
+static void a_session_that_ended_is_asked_again_at_once(void **state)
+{
+    char name[LMN_NAME], addr[LMN_ADDR];
+    uint64_t term;
+    (void)state;
+
+    lose_with_attempts();
+    core->lease = 2;
+    claimed("nb", 2, 5);
+    struct lmn_machine *m = machine(1);
+    GByteArray *refusal = report(m, 8, 4), *answer = report(m, 8, 5);
+    lmn_probe_outcome(core, m->name, 5, 409, refusal, now);
+    assert_int_equal(m->session, 8);
+    assert_int_equal(m->attempts->len, 2);
+    assert_false(m->accounted);
+    bool asked = false;
+    while (lmn_probe_next(core, 0, 1, name, addr, &term, now))
+        asked = asked || !strcmp(name, m->name);
+    assert_true(asked);
+    /* Refused in that session too: not at once, but by asking for it. */
+    lmn_probe_outcome(core, m->name, 5, 409, refusal, now);
+    assert_int_equal(m->session, 0);
+    assert_true(lmn_before(now, m->next_probe));
+    lmn_probe_outcome(core, m->name, 5, 200, answer, now);
+    assert_true(m->accounted);
+    assert_int_equal(m->attempts->len, 0);
+    g_byte_array_unref(refusal);
+    g_byte_array_unref(answer);
+}
+
 /* It may lose the partition again before a machine has spoken: what it holds stays. */
 static void twice_in_a_row(void **state)
 {
@@ -453,6 +503,8 @@
         cmocka_unit_test_setup_teardown(its_own_state_is_a_whole_copy, setup, teardown),
         cmocka_unit_test_setup_teardown(what_ends_late_gives_no_attempt_up, setup,
                                         teardown),
+        cmocka_unit_test_setup_teardown(a_session_that_ended_is_asked_again_at_once,
+                                        setup, teardown),
         cmocka_unit_test_setup_teardown(twice_in_a_row, setup, teardown),
         cmocka_unit_test_setup_teardown(not_after_another_owner, setup, teardown),
         cmocka_unit_test_setup_teardown(nor_after_a_claim_that_came_late, setup,
