Silent machines are asked also where their silence does not count yet

The question whether any is to be asked hung on the same count: after a start, a stand-still or an outage a machine that died was asked only seconds later.

--- a/src/own/upkeep.c
+++ b/src/own/upkeep.c
@@ -104,6 +104,19 @@
     return s->silent > 2 && 2 * s->silent > s->all;
 }
 
+/* Whether some machine is to be asked, whatever its silence says so far. */
+static bool has_to_ask(const struct lmn_core *c, const struct lmn_partition *p,
+                       struct timespec now)
+{
+    for (guint k = 0; k < p->list->len; k++) {
+        const struct lmn_machine *m = p->list->pdata[k];
+        if (!m->is_gone &&
+            ((m->inherited && !m->accounted) || lmn_machine_silent(c, m, now)))
+            return true;
+    }
+    return false;
+}
+
 /* If most machines are silent, the fault is more likely on this side. */
 static bool most_silent(const GArray *a)
 {
@@ -328,7 +341,7 @@
         /* Once for all machines: a look at each from each takes their square. */
         GArray *silence = listen_to(c, p, now);
         note_cuts(c, p, silence, now);
-        p->asking = g_array_index(silence, struct silence, 0).silent > 0;
+        p->asking = has_to_ask(c, p, now);
         for (guint k = 0; k < p->list->len; k++)
             upkeep_machine(c, p->list->pdata[k], silence, now);
         g_array_free(silence, TRUE);
--- a/tests/test_takeback.c
+++ b/tests/test_takeback.c
@@ -497,11 +497,13 @@
     own_cold(4);
     account();
     pass(4, false, true);
-    now = lmn_after(now, 20);
+    now = lmn_after(now, 6);
     pass(1, true, false);
     pass(0.5, false, false);
     assert_true(core->members.word.deaf < 0.1);
     assert_int_equal(part->cuts->len, 0);
+    /* They are asked all the same: at once, as no answer may ever come. */
+    assert_true(part->asking);
 }
 
 /* A machine that leaves a direct question unanswered is silent at once. */
