--- a/src/state/model.h
+++ b/src/state/model.h
@@ -286,6 +286,7 @@
     uint32_t owner_gen;
     uint64_t owner_stream;  /* that its claim, or its being given, was conditional on */
     struct timespec vacant; /* since when nobody owns it */
+    char last_owner[LMN_NAME]; /* who did until then; empty: not known */
     /* who is in step with the owner of that term, by which stream; 0: nobody */
     char standby[LMN_NAME];
     uint64_t standby_lease, standby_stream, standby_term, standby_rev;
@@ -331,6 +332,7 @@
         submissions;
     uint64_t refused, takeovers, moves, moved_tasks, unqueued, preempted;
     uint64_t warm, cold; /* takeovers */
+    uint64_t own;        /* of the warm ones: with what this process knew itself */
     uint64_t malformed;  /* reports */
     uint64_t tombstones; /* withdrawals that another controller told of first */
     uint64_t withheld;   /* starts that a standby did not acknowledge in time */
@@ -383,6 +385,9 @@
     GRand *rng;
     uint64_t look, turn;     /* counts of looks over queues, and of starts within them */
     struct timespec kept_up; /* the last look at all machines */
+    /* until when this node answered no reports: it had stood still, or its view was too
+     * old; 0: it always has */
+    struct timespec refused_until;
 
     GHashTable *jobs;    /* ref -> lmn_job */
     GQueue final_jobs;   /* those that are final, the oldest first */
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -42,6 +42,7 @@
     G_LOST,     /* a transaction whose answer was lost is not told as a conflict */
     G_SHARE,    /* who asks later than a confirmation was asked for waits for the next */
     G_REPEAT,   /* a refusal is confirmed: the id may have been accepted before */
+    G_OWN_TERM, /* an owner's own state counts only if nobody owned it since */
 };
 
 /* What a transaction is for. */
