--- /dev/null
+++ b/tests/takeover/commands.c
@@ -0,0 +1,175 @@
+/* What owners and machines exchange: reports, direct starts, probes, late copies. */
+#include "takeover.h"
+
+#include "base/wire.h"
+#include "own/owner.h"
+#include "state/owner_state.h"
+#include "own/worker.h"
+#include "standby/stream.h"
+
+#include <string.h>
+
+static int machine_index(const char *name)
+{
+    return name[strlen(name) - 1] - '0';
+}
+
+static struct command *free_command(void)
+{
+    for (int i = 0; i < COMMANDS; i++)
+        if (!explored.commands[i].body)
+            return &explored.commands[i];
+    return NULL;
+}
+
+/* Sends a command that is never answered. */
+static bool send_directly(int n, const char *name, GByteArray *body)
+{
+    struct command *c = free_command();
+
+    if (!c)
+        return false;
+    lmn_direct_outcome(explored.nodes[n].core, name, LMN_NO_ANSWER, NULL, explored.now);
+    *c = (struct command){machine_index(name), body};
+    return true;
+}
+
+bool release_pending(int n)
+{
+    struct node *node = &explored.nodes[n];
+    int id;
+
+    if (!node->pending || node->stalled)
+        return false;
+    uint64_t mark = lmn_direct_mark(node->core, node->pending_to, &id);
+    bool covered = node_partition(n)->mine && lmn_stream_covers(node_partition(n), mark);
+    if (covered || explored.without == GUARD_ACKNOWLEDGED) {
+        if (!send_directly(n, node->pending_to, node->pending))
+            return false;
+    } else {
+        lmn_direct_outcome(node->core, node->pending_to, LMN_NOT_SENT, NULL,
+                           explored.now);
+        g_byte_array_unref(node->pending);
+    }
+    node->pending = NULL;
+    return true;
+}
+
+bool start_directly(int n)
+{
+    struct node *node = &explored.nodes[n];
+    struct lmn_partition *p = node_partition(n);
+    char name[LMN_NAME], addr[LMN_ADDR];
+    int id;
+
+    if (!free_command() || node->stalled || node->pending)
+        return false;
+    for (guint k = 0; k < p->list->len; k++) {
+        struct lmn_machine *m = p->list->pdata[k];
+        if (explored.without == GUARD_RECORD && p->mine && !m->rev)
+            m->rev = 1;
+        if (p->mine && !m->in_call)
+            lmn_poke(m);
+    }
+    GByteArray *body = g_byte_array_new();
+    if (!lmn_direct_next(node->core, 0, 1, name, addr, body, explored.now)) {
+        g_byte_array_unref(body);
+        return false;
+    }
+    if (!lmn_direct_mark(node->core, name, &id))
+        return send_directly(n, name, body);
+    node->pending = body;
+    g_strlcpy(node->pending_to, name, LMN_NAME);
+    return true;
+}
+
+static void keep_last(int k, GByteArray *body)
+{
+    struct machine *m = &explored.machines[k];
+
+    if (m->last_report)
+        g_byte_array_unref(m->last_report);
+    m->last_report = g_byte_array_ref(body);
+}
+
+/* Hands a report to the owner; returns its status, and the answer. */
+static int answer_report(int n, const GByteArray *body, GByteArray *answer)
+{
+    struct lmn_core *c = explored.nodes[n].core;
+    struct lmn_partition *p = node_partition(n);
+    struct lmn_held held;
+    int status = lmn_worker_report(c, body->data, body->len, answer, &held, explored.now);
+
+    if (status != 200 || !held.mark)
+        return status;
+    while (explored.fair && !lmn_stream_covers(p, held.mark) && replicate(n, DELIVERED))
+        write_standby_record(n, true);
+    if (!lmn_stream_covers(p, held.mark) && explored.without != GUARD_ACKNOWLEDGED)
+        lmn_worker_withhold(c, &held, answer, explored.now);
+    return status;
+}
+
+bool report(int n, int k)
+{
+    if (explored.nodes[n].stalled)
+        return false;
+    GByteArray *body = g_byte_array_new(), *answer = g_byte_array_new();
+    machine_report(k, body);
+    keep_last(k, body);
+    if (answer_report(n, body, answer) == 200)
+        machine_accept(k, answer, false);
+    g_byte_array_unref(body);
+    g_byte_array_unref(answer);
+    return true;
+}
+
+bool keep_copy(int k)
+{
+    struct machine *m = &explored.machines[k];
+
+    if (explored.had.copies == explored.allowed.copies || explored.late_report ||
+        !m->last_report)
+        return false;
+    explored.had.copies++;
+    explored.late_report = g_byte_array_ref(m->last_report);
+    explored.late_machine = k;
+    return true;
+}
+
+bool deliver_copy(int n)
+{
+    if (!explored.late_report || explored.nodes[n].stalled)
+        return false;
+    if (explored.without == GUARD_REPORT_ORDER) {
+        const char *name = explored.machines[explored.late_machine].name;
+        struct lmn_machine *m = g_hash_table_lookup(node_partition(n)->machines, name);
+        if (m)
+            m->seq = m->report_seq = 0;
+    }
+    GByteArray *answer = g_byte_array_new();
+    answer_report(n, explored.late_report, answer);
+    g_byte_array_unref(answer);
+    return true;
+}
+
+bool probe(int n)
+{
+    struct lmn_core *c = explored.nodes[n].core;
+    char name[LMN_NAME], addr[LMN_ADDR];
+    uint64_t term;
+
+    if (!lmn_probe_next(c, 0, 1, name, addr, &term, explored.now) || !term)
+        return false;
+    GByteArray *body = g_byte_array_new(), *answer = g_byte_array_new();
+    int k = machine_index(name);
+    lmn_put_map(body, 3);
+    lmn_put_text(body, W_TOKEN), lmn_put_count(body, term);
+    lmn_put_text(body, W_SESSION), lmn_put_count(body, explored.machines[k].session);
+    lmn_put_text(body, W_COMMANDS), lmn_put_list(body, 0);
+    bool accepted = machine_accept(k, body, true);
+    machine_report(k, answer);
+    lmn_probe_outcome(c, name, term, accepted ? 200 : 409, answer, explored.now);
+    g_byte_array_unref(body);
+    g_byte_array_unref(answer);
+    return true;
+}
--- /dev/null
+++ b/tests/takeover/fair.c
@@ -0,0 +1,109 @@
+/* Fair steps alone: everybody mirrors, asks, reports and writes, machines complete what
+ * they run, and the job is finished in the end. */
+#include "takeover.h"
+
+#include "own/flush.h"
+#include "own/holder.h"
+#include "own/partition.h"
+#include "own/upkeep.h"
+#include "state/records.h"
+
+enum { MOST_ROUNDS = 60, ROUNDS_A_TASK = 4 };
+
+/* What is on its way arrives. */
+static void settle_messages(int n)
+{
+    if (explored.nodes[n].ownership)
+        apply_ownership(n);
+    write_standby_record(n, true);
+    release_pending(n);
+}
+
+static void commit_if_any(struct lmn_txn *t)
+{
+    uint64_t revision;
+
+    if (!t)
+        return;
+    store_commit(t, &revision);
+    lmn_txn_free(t);
+}
+
+/* A node whose lease ended loses its partition, and joins with a new one. */
+static void renew_lease(int n)
+{
+    struct node *node = &explored.nodes[n];
+
+    if (explored.lease_alive[node->lease])
+        return;
+    if (node_partition(n)->mine)
+        lmn_partition_lose(node->core, node_partition(n), "lease ended");
+    node_join(n);
+    node_mirror(n);
+}
+
+static void step_of_node(int n)
+{
+    struct node *node = &explored.nodes[n];
+    struct lmn_core *c = node->core;
+    int successor;
+
+    node_mirror(n);
+    commit_if_any(lmn_holder_handover(c, 0, &successor, explored.now));
+    renew_lease(n);
+    struct lmn_txn *t = lmn_holder_refutation(c, node->lease, explored.now);
+    commit_if_any(t ? t : lmn_holder_claim(c, 0, node->lease, explored.now));
+    node_mirror(n);
+    probe(n);
+    for (int k = 0; k < MACHINES; k++)
+        report(n, k);
+    flush(n, true);
+    lmn_upkeep(c, explored.now);
+    while (replicate(n, DELIVERED) && !node->standby_record)
+        ;
+    write_standby_record(n, true);
+}
+
+static bool job_is_finished(void)
+{
+    const struct entry *e = &explored.store[store_index("j/run-000001")];
+    struct lmn_doc d;
+    struct lmn_spec spec;
+    enum lmn_phase phase;
+    uint32_t open;
+    double when;
+
+    lmn_doc_parse(&d, e->value->data, e->value->len);
+    lmn_job_read(&d, lmn_root(&d), &spec, &phase, &open, &when);
+    lmn_spec_clear(&spec);
+    lmn_doc_free(&d);
+    return phase == LMN_FINISHED;
+}
+
+static const char *play_rounds(void)
+{
+    explored.nodes[A].stalled = false;
+    for (int n = 0; n < NODES; n++)
+        settle_messages(n);
+    for (int round = 1; round <= MOST_ROUNDS; round++) {
+        advance(0.5);
+        for (int n = 0; n < NODES; n++)
+            step_of_node(n);
+        for (int k = 0; k < MACHINES && round % ROUNDS_A_TASK == 0; k++)
+            machine_complete(k);
+        check_rules();
+        if (explored.broken_rule)
+            return explored.broken_rule;
+        if (job_is_finished())
+            return NULL;
+    }
+    return "the job is never done";
+}
+
+const char *finish_fairly(void)
+{
+    explored.fair = true;
+    const char *broken = play_rounds();
+    explored.fair = false;
+    return broken;
+}
--- /dev/null
+++ b/tests/takeover/nodes.c
@@ -0,0 +1,275 @@
+/* Nodes: how they boot, join, mirror the state service and are discarded; and the state
+ * that every path begins with. */
+#include "takeover.h"
+
+#include "member/member.h"
+#include "own/holder.h"
+#include "own/owner.h"
+#include "own/partition.h"
+#include "standby/copy.h"
+#include "state/mirror.h"
+#include "state/owner_state.h"
+#include "state/records.h"
+
+#include <string.h>
+
+struct explored explored = {.allowed = {.restarts = 1}};
+
+enum { LEASE_OF_C = LEASES - 1 };
+
+const char *__asan_default_options(void);
+const char *__asan_default_options(void)
+{
+    return "detect_leaks=0"; /* nodes that crashed are left behind as they are */
+}
+
+struct lmn_partition *node_partition(int n)
+{
+    return &explored.nodes[n].core->parts[0];
+}
+
+void advance(double seconds)
+{
+    explored.now = lmn_after(explored.now, seconds);
+    for (int n = 0; n < NODES; n++)
+        if (!explored.nodes[n].stalled)
+            lmn_members_tick(&explored.nodes[n].core->members, 0, explored.now);
+}
+
+static void apply_event(struct lmn_core *c, const struct entry *e)
+{
+    struct lmn_doc d = {0};
+
+    if (e->value)
+        lmn_doc_parse(&d, e->value->data, e->value->len);
+    lmn_mirror_apply(c, e->key, &d, e->value ? lmn_root(&d) : NULL, e->revision,
+                     explored.now);
+    if (e->value)
+        lmn_doc_free(&d);
+}
+
+/* Makes up what the guards of a warm takeover would have found wrong. */
+static void remove_takeover_guard(struct lmn_core *c)
+{
+    struct lmn_partition *p = &c->parts[0];
+
+    if (explored.without == GUARD_NAMED && p->owner_stream) {
+        p->standby_stream = p->owner_stream;
+        p->standby_term = p->owner_term - 1;
+        g_strlcpy(p->standby, c->cfg->node, LMN_NAME);
+    }
+    if (explored.without == GUARD_TERM && p->copy && p->owner_stream)
+        p->copy->term = p->standby_term = p->owner_term - 1;
+    if (explored.without == GUARD_HELD && p->copy)
+        g_hash_table_remove_all(p->copy->machines);
+}
+
+void node_mirror(int n)
+{
+    struct node *node = &explored.nodes[n];
+    struct lmn_core *c = node->core;
+
+    while (node->seen < explored.nevents)
+        apply_event(c, &explored.events[node->seen++]);
+    remove_takeover_guard(c);
+    c->fresh = explored.now;
+    lmn_members_fresh(&c->members, explored.now);
+    c->synced = true;
+    lmn_mirror_settle(c, explored.now);
+}
+
+/* The record of a member hangs on its lease. */
+static void put_member(const char *name, uint64_t lease)
+{
+    char key[24];
+    GByteArray *value = g_byte_array_new();
+
+    assert_true(lease < LEASES);
+    explored.lease_alive[lease] = true;
+    explored.revision++;
+    lmn_put_count(value, lease);
+    g_snprintf(key, sizeof key, "n/%s", name);
+    store_put(NULL, key, value, lease);
+    g_byte_array_unref(value);
+}
+
+void node_join(int n)
+{
+    struct node *node = &explored.nodes[n];
+
+    node->lease = node->core->lease = ++explored.next_lease;
+    put_member(node->settings.node, node->lease);
+}
+
+static void set_up(struct lmn_settings *s, int n)
+{
+    static const char *const names[] = {"na", "nb", "nc"};
+
+    memset(s, 0, sizeof *s);
+    g_strlcpy(s->node, names[n], LMN_NAME);
+    /* So that the two choose each other for a standby. */
+    g_strlcpy(s->zone, n == A ? "y" : "z", LMN_NAME);
+    for (int i = 0; i <= C; i++)
+        if (i != n) {
+            g_strlcpy(s->members[s->nmembers].zone, i == B ? "z" : "y", LMN_NAME);
+            g_strlcpy(s->members[s->nmembers++].name, names[i], LMN_NAME);
+        }
+    s->partitions = 1;
+    s->report_s = 1;
+    s->lease_s = 8;
+    s->cancel_s = 30;
+    s->state_rps = s->state_write_rps = 1e6;
+    s->value_kb = 16;
+    s->txn_ops = 12;
+    g_strlcpy(s->teams[0].name, "x", LMN_NAME);
+    s->nteams = 1;
+}
+
+void node_boot(int n)
+{
+    struct node *node = &explored.nodes[n];
+    struct timespec long_ago = lmn_after(explored.now, -100);
+
+    set_up(&node->settings, n);
+    struct lmn_core *c = lmn_core_new(&node->settings, lmn_state_new(&node->settings), 1);
+    c->types.n = 1;
+    c->types.v[0] = (struct lmn_type){.name = "t", .cpus = 1, .nzones = 1};
+    c->types_known = true;
+    c->booted = c->synced_at = long_ago;
+    c->members.synced = c->members.fresh = long_ago;
+    c->members.tick = explored.now;
+    node->core = c;
+    node->seen = 0;
+    node->stalled = false;
+}
+
+void node_discard(int n)
+{
+    struct node *node = &explored.nodes[n];
+
+    if (!node->core)
+        return;
+    lmn_state_free(node->core->state);
+    lmn_core_free(node->core);
+    if (node->ownership)
+        lmn_txn_free(node->ownership);
+    node->ownership = NULL;
+    if (node->standby_record)
+        lmn_txn_free(node->standby_record);
+    node->standby_record = NULL;
+    if (node->pending)
+        g_byte_array_unref(node->pending);
+    node->pending = NULL;
+}
+
+void explored_forget(void)
+{
+    for (int n = 0; n < NODES; n++)
+        node_discard(n);
+    for (guint i = 0; i < explored.nevents; i++)
+        if (explored.events[i].value)
+            g_byte_array_unref(explored.events[i].value);
+    for (int i = 0; i < COMMANDS; i++)
+        if (explored.commands[i].body)
+            g_byte_array_unref(explored.commands[i].body);
+    for (int k = 0; k < MACHINES; k++)
+        if (explored.machines[k].last_report)
+            g_byte_array_unref(explored.machines[k].last_report);
+    if (explored.late_report)
+        g_byte_array_unref(explored.late_report);
+    memset((char *)&explored + offsetof(struct explored, nodes), 0,
+           sizeof explored - offsetof(struct explored, nodes));
+}
+
+static void own_partition(int n)
+{
+    struct node *node = &explored.nodes[n];
+    uint64_t revision;
+    struct lmn_txn *t = lmn_holder_claim(node->core, 0, node->lease, explored.now);
+
+    assert_int_equal(store_commit(t, &revision), LMN_OK);
+    lmn_txn_free(t);
+    node_mirror(n);
+    assert_true(node_partition(n)->mine);
+}
+
+/* The first report makes a machine known, its record is written, and the next one finds
+ * it recorded. */
+static void record_machines(void)
+{
+    for (int k = 0; k < MACHINES; k++) {
+        struct machine *m = &explored.machines[k];
+        g_snprintf(m->name, sizeof m->name, "host-%d", k);
+        m->session = 1;
+    }
+    report(A, 0);
+    report(A, 0);
+    flush(A, true);
+    node_mirror(A);
+    report(A, 0);
+    if (explored.without == GUARD_RECORD)
+        return;
+    report(A, 1);
+    report(A, 1);
+    explored.now = lmn_after(explored.now, 1);
+    flush(A, true);
+    node_mirror(A);
+    report(A, 1);
+}
+
+static void put_job(void)
+{
+    struct lmn_spec spec = {.class_name = (char *)"c",
+                            .team = (char *)"x",
+                            .image = (char *)"img",
+                            .urgency = LMN_NORMAL,
+                            .tasks = 1,
+                            .cpus = 1,
+                            .estimate_s = 5,
+                            .deadline_s = -1};
+    struct lmn_range range = {.lo = 0, .hi = 1};
+    uint8_t none_done = 0;
+
+    g_strlcpy(spec.ref, "run-000001", sizeof spec.ref);
+    GByteArray *job = lmn_job_record(&spec, LMN_ACTIVE, 1, 1000);
+    GByteArray *tasks = lmn_range_record(&range, &none_done);
+    explored.revision++;
+    store_put(NULL, "j/run-000001", job, 0);
+    store_put(NULL, "r/0/run-000001/0", tasks, 0);
+    g_byte_array_unref(job);
+    g_byte_array_unref(tasks);
+}
+
+/* Each has heard both others 20 s ago. */
+static void meet(int n)
+{
+    struct lmn_members *members = &explored.nodes[n].core->members;
+    struct lmn_word well = {0, 0.5, 0};
+    struct timespec then = lmn_after(explored.now, -20);
+
+    lmn_members_tick(members, 0, explored.now);
+    for (int i = 0; i <= C; i++)
+        if (i != n)
+            lmn_member_answered(members, i, &well, then, then);
+}
+
+void explored_begin(void)
+{
+    explored_forget();
+    explored.now = lmn_after((struct timespec){0, 0}, 1000);
+    lmn_test_clock = &explored.now;
+    for (int n = 0; n < NODES; n++) {
+        node_boot(n);
+        node_join(n);
+    }
+    put_member("nc", LEASE_OF_C);
+    node_mirror(A);
+    node_mirror(B);
+    own_partition(A);
+    record_machines();
+    put_job();
+    node_mirror(A);
+    node_mirror(B);
+    for (int n = 0; n < NODES; n++)
+        meet(n);
+}
--- /dev/null
+++ b/tests/takeover/ownership.c
@@ -0,0 +1,123 @@
+/* Suspicion, refutation, claims, hand-overs, and what an owner writes. */
+#include "takeover.h"
+
+#include "member/member.h"
+#include "own/flush.h"
+#include "own/holder.h"
+
+enum { MOST_SUSPICIONS = 2 };
+
+void speak_against_a(void)
+{
+    struct lmn_members *members = &explored.nodes[B].core->members;
+    struct lmn_statement says = {A, members->v[A].inc, 20, 10, 0};
+
+    lmn_member_unanswered(members, A, lmn_after(explored.now, -10), explored.now);
+    lmn_member_told(members, C, &says, explored.now);
+}
+
+/* Carries the transaction out and frees it; false if there is none. */
+static bool commit_and_free(struct lmn_txn *t)
+{
+    uint64_t revision;
+
+    if (!t)
+        return false;
+    store_commit(t, &revision);
+    lmn_txn_free(t);
+    return true;
+}
+
+bool suspect(void)
+{
+    struct node *b = &explored.nodes[B];
+
+    if (explored.suspicions == MOST_SUSPICIONS)
+        return false;
+    speak_against_a();
+    if (!commit_and_free(lmn_holder_suspicion(b->core, A, b->lease, explored.now)))
+        return false;
+    explored.suspicions++;
+    return true;
+}
+
+bool refute(void)
+{
+    struct node *a = &explored.nodes[A];
+
+    return !a->stalled &&
+           commit_and_free(lmn_holder_refutation(a->core, a->lease, explored.now));
+}
+
+bool claim(int n)
+{
+    struct node *node = &explored.nodes[n];
+    struct lmn_partition *p = node_partition(n);
+
+    if (node->ownership)
+        return false;
+    if (explored.without == GUARD_TERM && n == B && p->standby_stream)
+        p->standby_term = p->term;
+    node->ownership = lmn_holder_claim(node->core, 0, node->lease, explored.now);
+    node->handover = false;
+    return node->ownership != NULL;
+}
+
+bool hand_over(void)
+{
+    struct node *a = &explored.nodes[A];
+    struct lmn_members *members = &a->core->members;
+    struct lmn_statement says = {A, members->v[A].inc, 0.1, 0, 40};
+    int successor;
+
+    if (a->stalled || a->ownership || !node_partition(A)->mine)
+        return false;
+    /* It hears none of its machines, and B says that they come there. */
+    members->v[A].machines = MACHINES;
+    members->word.deaf = 1;
+    lmn_member_told(members, B, &says, explored.now);
+    a->ownership = lmn_holder_handover(a->core, 0, &successor, explored.now);
+    a->handover = true;
+    members->word.deaf = 0;
+    members->shut = false;
+    return a->ownership != NULL;
+}
+
+/* Who claims learns from the mirror; who hands over learns nothing: the answer is lost.
+ */
+bool apply_ownership(int n)
+{
+    struct node *node = &explored.nodes[n];
+
+    if (!commit_and_free(node->ownership))
+        return false;
+    node->ownership = NULL;
+    if (node->handover)
+        lmn_holder_given(node->core, 0, LMN_UNKNOWN, explored.now);
+    return true;
+}
+
+bool flush(int n, bool answered)
+{
+    struct lmn_core *c = explored.nodes[n].core;
+    struct lmn_txn *t;
+    bool any = false;
+
+    if (explored.nodes[n].stalled || !node_partition(n)->mine)
+        return false;
+    if (!answered && explored.had.unanswered == explored.allowed.unanswered)
+        return false;
+    lmn_ranges_flush(c, explored.now);
+    while ((t = lmn_state_take(c->state))) {
+        uint64_t revision = 0;
+        enum lmn_outcome outcome = store_commit(t, &revision);
+        if (!answered) {
+            outcome = LMN_UNKNOWN;
+            revision = 0;
+        }
+        lmn_txn_finish(t, outcome, revision);
+        any = true;
+    }
+    explored.had.unanswered += any && !answered;
+    return any;
+}
--- /dev/null
+++ b/tests/takeover/summary.c
@@ -0,0 +1,146 @@
+/* Summaries of states, by which the explorer knows those that it has seen. */
+#include "takeover.h"
+
+#include "base/wire.h"
+#include "member/member.h"
+#include "standby/stream.h"
+#include "state/owner_state.h"
+
+/* A term fills the upper bits of an attempt's number. */
+enum { TERM_SHIFT = 24 };
+
+static int term_of(uint64_t attempt)
+{
+    return (int)(attempt >> TERM_SHIFT);
+}
+
+static void add_replication(GString *s, int n)
+{
+    const struct node *node = &explored.nodes[n];
+    const struct lmn_partition *p = node_partition(n);
+    const struct lmn_stream *f = &p->stream;
+
+    g_string_append_printf(
+        s, "{%d%d%d%d%d%d%d%d%d %d}", f->phase, f->to, f->batch != NULL, f->number > 0,
+        f->acked<f->mark, f->failures> 0, p->untold->len, node->standby_record != NULL,
+        node->pending != NULL, p->standby_stream ? (int)p->standby_term : 0);
+    if (!p->copy)
+        return;
+    g_string_append_printf(s, "[%d%d", (int)p->copy->term,
+                           p->copy->stream == p->standby_stream);
+    for (int k = 0; k < MACHINES; k++) {
+        const struct lmn_told *t =
+            g_hash_table_lookup(p->copy->machines, explored.machines[k].name);
+        g_string_append_printf(s, ",%d", t ? (int)t->attempts->len : 9);
+    }
+}
+
+static void add_ownership(GString *s, int n)
+{
+    const struct node *node = &explored.nodes[n];
+    const struct lmn_partition *p = node_partition(n);
+    const struct lmn_members *members = &node->core->members;
+
+    g_string_append_printf(
+        s, "|%d%d%d%d %d %d %d%d%d %d%d %d", node->stalled, node->ownership != NULL,
+        p->mine, p->ready + 2 * p->open, (int)p->my_term,
+        (int)(explored.nevents - node->seen), lmn_member_doubted(members, A),
+        members->v[A].unanswered.tv_sec != 0, lmn_member_judged(members, A, explored.now),
+        p->releasing, lmn_self_awake(members, explored.now), (int)p->owner_term);
+}
+
+static void add_tasks(GString *s, int n)
+{
+    const struct lmn_partition *p = node_partition(n);
+    GHashTableIter it;
+    gpointer v;
+
+    g_hash_table_iter_init(&it, p->ranges);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const struct lmn_range *r = v;
+        g_string_append_printf(s, " r%d%d%d", r->st ? r->st[0] : 9, r->ndone, r->writing);
+    }
+    for (guint k = 0; k < p->list->len; k++) {
+        const struct lmn_machine *m = p->list->pdata[k];
+        g_string_append_printf(s, " %s%d%d%d%d", m->name + 5, m->accounted, m->inherited,
+                               m->rev != 0, m->heard);
+        for (guint i = 0; i < m->attempts->len; i++) {
+            const struct lmn_attempt *a =
+                &g_array_index(m->attempts, struct lmn_attempt, i);
+            g_string_append_printf(s, "a%d.%d.%d%d%d", term_of(a->number), a->state,
+                                   a->unsure, a->done, a->range != NULL);
+        }
+    }
+}
+
+static void add_machines(GString *s)
+{
+    for (int k = 0; k < MACHINES; k++) {
+        const struct machine *m = &explored.machines[k];
+        g_string_append_printf(s, "|%d", (int)m->token);
+        for (int i = 0; i < m->nattempts; i++)
+            g_string_append_printf(s, " %d%d%d", term_of(m->attempts[i].number),
+                                   m->attempts[i].running, m->attempts[i].done);
+    }
+}
+
+static int token_of(const GByteArray *body)
+{
+    struct lmn_doc d;
+    uint64_t token = 0;
+
+    lmn_doc_parse(&d, body->data, body->len);
+    lmn_count(lmn_get(&d, lmn_root(&d), W_TOKEN), &token);
+    lmn_doc_free(&d);
+    return (int)token;
+}
+
+static void add_messages(GString *s)
+{
+    for (int i = 0; i < COMMANDS; i++) {
+        const struct command *c = &explored.commands[i];
+        if (c->body)
+            g_string_append_printf(s, "|f%d.%d", c->machine, token_of(c->body));
+    }
+}
+
+/* What a report says is fixed by its bytes, but for its number, which only tells how old
+ * it is: whether newer ones were sent since. */
+static void add_copy(GString *s)
+{
+    if (!explored.late_report)
+        return;
+    const GByteArray *body = explored.late_report;
+    const struct machine *m = &explored.machines[explored.late_machine];
+    char *digest = g_compute_checksum_for_data(G_CHECKSUM_MD5, body->data, body->len);
+    g_string_append_printf(s, "|c%d%d%s", explored.late_machine, m->last_report == body,
+                           digest);
+    g_free(digest);
+}
+
+static void add_budgets(GString *s)
+{
+    for (int i = 0; i < KEYS && *explored.store[i].key; i++)
+        g_string_append_printf(s, "%d", explored.store[i].value != NULL);
+    g_string_append_printf(s, " %d%d%d%d%d", explored.lease_alive[1], (int)explored.jumps,
+                           (int)explored.had.restarts, (int)explored.suspicions,
+                           (int)explored.waits);
+    if (explored.had.copies || explored.had.unanswered)
+        g_string_append_printf(s, "!%u%u", explored.had.copies, explored.had.unanswered);
+}
+
+char *summary(void)
+{
+    GString *s = g_string_new(NULL);
+
+    for (int n = 0; n < NODES; n++) {
+        add_replication(s, n);
+        add_ownership(s, n);
+        add_tasks(s, n);
+    }
+    add_machines(s);
+    add_messages(s);
+    add_budgets(s);
+    add_copy(s);
+    return g_string_free(s, FALSE);
+}
