--- a/tests/takeover/explorer.c
+++ b/tests/takeover/explorer.c
@@ -95,9 +95,14 @@
 
 void breaks_rule_after(enum guard without, struct sequence from, const char *rule)
 {
-    const char *broken;
+    const struct faults allowed[] = {only_a_restart, faults_allowed};
 
-    explore(without, from, STATES, &broken);
-    assert_non_null(broken);
-    assert_string_equal(broken, rule);
+    for (guint i = 0; i < G_N_ELEMENTS(allowed); i++) {
+        const char *broken;
+        explored.allowed = allowed[i];
+        explore(without, from, STATES, &broken);
+        explored.allowed = only_a_restart;
+        assert_non_null(broken);
+        assert_string_equal(broken, rule);
+    }
 }
--- a/tests/takeover/nodes.c
+++ b/tests/takeover/nodes.c
@@ -13,6 +13,8 @@
 
 #include <string.h>
 
+const struct faults faults_allowed = {.copies = 1, .unanswered = 1, .restarts = 2};
+const struct faults only_a_restart = {.restarts = 1};
 struct explored explored = {.allowed = {.restarts = 1}};
 
 enum { LEASE_OF_C = LEASES - 1 };
@@ -211,7 +213,9 @@
         return;
     report(A, 1);
     report(A, 1);
-    explored.now = lmn_after(explored.now, 1);
+    explored.now = lmn_after(explored.now, 1); /* records are written once a second */
+    if (explored.unrecorded)
+        return;
     flush(A, true);
     node_mirror(A);
     report(A, 1);
--- a/tests/takeover/takeover.h
+++ b/tests/takeover/takeover.h
@@ -84,6 +84,7 @@
     bool with_standby;
     bool both_restart; /* B restarts as well, and a new life of A claims what was its own
                         */
+    bool unrecorded;   /* the second machine is not recorded at the beginning */
     bool fair;         /* what waits for an acknowledgement gets it */
     enum guard without;
     struct faults allowed;
@@ -107,6 +108,9 @@
 
 extern struct explored explored;
 
+/* What a path may hold where faults are searched for, and elsewhere. */
+extern const struct faults faults_allowed, only_a_restart;
+
 #define TASK_RUNS_TWICE "the task runs on both machines"
 #define JUDGED_AFTER_REFUTATION "one that had refuted was judged"
 
@@ -129,8 +133,8 @@
 void node_mirror(int n);
 void advance(double seconds);
 void explored_forget(void);
-/* A owns the partition and two machines, the second of which is not recorded yet without
- * GUARD_RECORD; a job of one task has been accepted. */
+/* A owns the partition and two machines; the second is not recorded yet if `unrecorded`
+ * or without GUARD_RECORD. A job of one task has been accepted. */
 void explored_begin(void);
 
 /* Machines (machines.c). */
@@ -252,16 +256,17 @@
               const char **broken);
 /* Fails the test if a rule is broken or fewer states than expected are found. */
 void keeps_rules_after(struct sequence from);
-/* Fails the test unless the search breaks exactly this rule. */
+/* Fails the test unless the search breaks exactly this rule, both without and with copies
+ * of reports, lost answers and restarts among the moves. */
 void breaks_rule_after(enum guard without, struct sequence from, const char *rule);
 
-/* Placement of faults (placement.c). */
+/* Placement of faults (placement.c). Both tell what is broken, or NULL. */
 
 /* Searches from each step of the sequence, with the faults allowed among the moves. */
-void explore_each_step(struct sequence sequence, guint states);
-/* Plays the sequence with each fault at each step, a copy delivered at each later step,
- * and then fair steps to the job's end. Moves that a fault made impossible are left out.
- */
-void place_faults(struct sequence sequence);
+const char *explore_each_step(struct sequence sequence, guint states);
+/* Plays the sequence with each fault, and pairs of a restart and another, at each step, a
+ * copy being delivered at each later step, and then fair steps to the job's end. Moves
+ * that a fault made impossible are left out. */
+const char *place_faults(enum guard without, struct sequence sequence);
 
 #endif
