--- /dev/null
+++ b/tests/test_queue_floor.c
@@ -0,0 +1,195 @@
+/* What lesser, idle, old and large work is kept: floors and reserves. */
+#include "queue/fixture.h"
+
+#include "decide/floor.h"
+#include "decide/order.h"
+#include "decide/queue.h"
+#include "decide/reserve.h"
+#include "own/range.h"
+#include "state/owner_state.h"
+
+/* One task of a job that needs a whole machine, while small ones keep coming and fill
+ * every piece of room as it becomes free: it once waited for as long as they came. With
+ * `limit`, the pieces are those of their team's limit. Returns after how many seconds it
+ * began; 600: never. */
+static int wait_among_small(bool limit)
+{
+    GByteArray *out = g_byte_array_new();
+    struct lmn_partition *p;
+    struct lmn_job *small = &jobs[1], *large = &jobs[0];
+    int t = 0;
+
+    fixture_begin(11);
+    now = (struct timespec){1000, 0};
+    p = &core->parts[0];
+    settings.teams[0].cpus_max = limit ? 24 : 0;
+    for (int i = 0; i < JOBS; i++)
+        jobs[i].phase = i < 2 ? LMN_ACTIVE : LMN_FINISHED;
+    for (int i = 0; i < 2; i++) {
+        struct lmn_range *r = jobs[i].ranges->pdata[0];
+        jobs[i].spec.zone = NULL;
+        jobs[i].spec.spot = true;
+        jobs[i].spec.urgency = i ? LMN_HIGH : LMN_NORMAL;
+        jobs[i].spec.cpus = i ? 1 : 8;
+        jobs[i].spec.tasks = r->hi = i ? 3000 : 1;
+        jobs[i].lost = false;
+        jobs[i].at = 0;
+        g_free(r->done);
+        r->done = g_malloc0(3000 / 8);
+        lmn_range_open(core, r);
+        r->dealt = true;
+    }
+    lmn_deal_range(core, small->ranges->pdata[0], now);
+    lmn_deal_range(core, large->ranges->pdata[0], now);
+    for (; t < 600 && !count_started(large, true) && !count_started(large, false); t++) {
+        now = lmn_after(now, 1);
+        core->wall = t;
+        lmn_ages(core, t);
+        lmn_reserve(core, p, now);
+        for (guint k = 0; k < p->list->len; k++) {
+            struct lmn_machine *m = p->list->pdata[k];
+            /* A tenth of the small tasks end each second, one after the other. */
+            for (guint i = m->attempts->len; i-- > 0;) {
+                struct lmn_attempt *a =
+                    &g_array_index(m->attempts, struct lmn_attempt, i);
+                if (a->job != small || g_rand_int_range(core->rng, 0, 10))
+                    continue;
+                lmn_attempt_uncount(m, a);
+                lmn_task_finished(a->range, a->index, now);
+                g_array_remove_index_fast(m->attempts, i);
+                m->next_steal = now;
+                lmn_schedule(core, m, out, now);
+            }
+            m->next_steal = now;
+            lmn_schedule(core, m, out, now);
+        }
+    }
+    g_byte_array_unref(out);
+    return t;
+}
+
+/* A quarter of an even part of what is in use, over those with work waiting. */
+static void floors(void **state)
+{
+    struct lmn_floor f = {.used = 12, .waiting = 1};
+    (void)state;
+
+    assert_true(lmn_floor_owed(&f, 100, 2));  /* of 12.5 */
+    assert_false(lmn_floor_owed(&f, 100, 3)); /* of 8.3 */
+    assert_false(lmn_floor_owed(&f, 100, 1)); /* nobody else waits */
+    f.used = 13;
+    assert_false(lmn_floor_owed(&f, 100, 2));
+    f.used = 0;
+    assert_true(lmn_floor_owed(&f, 1, 50));
+    f.waiting = 0;
+    assert_false(lmn_floor_owed(&f, 100, 2));
+}
+
+/* Twenty tasks of an urgent class came before one of a lesser one, and more come with
+ * each that ends: without the floor the lesser would never start. */
+static void the_lesser_class_gets_its_floor(void **state)
+{
+    struct lmn_job high = {.spec = {.urgency = LMN_HIGH}, .latest = 10},
+                   low = {.spec = {.urgency = LMN_NORMAL}, .lost = true};
+    struct lmn_job prod = {.spec = {.urgency = LMN_PROD}, .latest = 99};
+    (void)state;
+
+    g_strlcpy(high.spec.ref, "run-000001", LMN_REF);
+    g_strlcpy(low.spec.ref, "run-000002", LMN_REF);
+    g_strlcpy(prod.spec.ref, "run-000003", LMN_REF);
+    assert_true(lmn_job_order(&high, &low) < 0);
+    low.owed = true;
+    assert_true(lmn_job_order(&low, &high) < 0);
+    assert_true(lmn_job_order(&prod, &low) < 0);
+    high.guaranteed = true;
+    assert_true(lmn_job_order(&high, &low) < 0);
+}
+
+/* Found when long idle work sat on ordinary machines, at three times the price, for
+ * minutes after all else was done. Short work fills their gaps; all of it runs there if
+ * no others are. */
+static void idle_work_keeps_to_cheap_machines(void **state)
+{
+    (void)state;
+    for (int k = 0; k < 5; k++) {
+        struct lmn_job *j = lone_job(k == 1 ? LMN_NORMAL : LMN_IDLE, k == 2 ? 10 : 300);
+        GHashTableIter it;
+        gpointer v;
+        jobs[0].spec.tasks = 40;
+        g_hash_table_iter_init(&it, core->parts[0].machines);
+        while (k == 3 && g_hash_table_iter_next(&it, NULL, &v))
+            ((struct lmn_machine *)v)->spot = false;
+        /* An archive that was expected within minutes missed it. */
+        if (k == 4) {
+            settings.nobjectives = 1;
+            settings.objectives[0] = (struct lmn_objective){LMN_FINISH, "c", 180, 1, 1};
+        }
+        lmn_ages(core, j->at);
+        start_all();
+        assert_int_equal(count_started(j, true) > 0, k != 3);
+        assert_int_equal(count_started(j, false) > 0, k != 0);
+    }
+}
+
+/* Two of a class's six jobs took its floor, and the other four waited for six minutes:
+ * the first task of one that has waited goes first, and no more of it. */
+static void the_aged_begin(void **state)
+{
+    struct lmn_job *old, *urgent;
+    (void)state;
+
+    fixture_begin(5);
+    for (int i = 0; i < JOBS; i++)
+        jobs[i].phase = i < 2 ? LMN_ACTIVE : LMN_FINISHED;
+    old = &jobs[0];
+    urgent = &jobs[1];
+    for (int i = 0; i < 2; i++) {
+        struct lmn_range *r = jobs[i].ranges->pdata[0];
+        jobs[i].spec.cpus = 8;
+        jobs[i].spec.zone = NULL;
+        jobs[i].spec.spot = true;
+        jobs[i].spec.tasks = r->hi = 30;
+        lmn_range_open(core, r);
+        r->dealt = true;
+    }
+    old->spec.urgency = LMN_NORMAL;
+    urgent->spec.urgency = LMN_HIGH;
+    old->lost = urgent->lost = false;
+    lmn_deal_range(core, urgent->ranges->pdata[0], now);
+    lmn_deal_range(core, old->ranges->pdata[0], now);
+    lmn_ages(core, old->at + 50);
+    assert_false(old->aged);
+    lmn_ages(core, old->at + 61);
+    assert_true(old->aged && lmn_job_order(old, urgent) < 0);
+    urgent->aged = false;
+    start_all();
+    assert_int_equal(count_started(old, true) + count_started(old, false), 1);
+    lmn_ages(core, old->at + 100);
+    assert_false(old->aged);
+}
+
+static void large_tasks_find_room_among_small_ones(void **state)
+{
+    (void)state;
+    assert_in_range(wait_among_small(false), 120, 200);
+    assert_in_range(wait_among_small(true), 120, 240);
+    assert_int_equal(core->parts[0].keep[0].job != NULL, true);
+    /* And what was kept is given up once it has begun. */
+    lmn_ages(core, 601);
+    lmn_reserve(core, &core->parts[0], now);
+    assert_null(core->parts[0].keep[0].job);
+    for (guint k = 0; k < core->parts[0].list->len; k++)
+        assert_null(((struct lmn_machine *)core->parts[0].list->pdata[k])->kept);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(floors),
+        cmocka_unit_test(the_lesser_class_gets_its_floor),
+        cmocka_unit_test(idle_work_keeps_to_cheap_machines),
+        cmocka_unit_test(the_aged_begin),
+        cmocka_unit_test(large_tasks_find_room_among_small_ones),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_queue_preempt.c
@@ -0,0 +1,255 @@
+/* Room that is made for production, and replicas that are packed. */
+#include "queue/fixture.h"
+
+#include "decide/pack.h"
+#include "decide/preempt.h"
+#include "decide/queue.h"
+#include "own/range.h"
+#include "state/owner_state.h"
+
+/* Puts a running attempt of the range's next task on the machine. */
+static struct lmn_attempt *run(struct lmn_machine *m, struct lmn_range *r, uint32_t index)
+{
+    struct lmn_attempt a = {.job = r->job,
+                            .range = r,
+                            .index = index,
+                            .number = index + 1,
+                            .state = LMN_A_RUNNING,
+                            .listed = true,
+                            .seen = true,
+                            .since = now};
+
+    r->st[index - r->lo] = LMN_T_STARTED;
+    r->nstarted++;
+    lmn_attempt_count(m, &a);
+    g_array_append_val(m->attempts, a);
+    return &g_array_index(m->attempts, struct lmn_attempt, m->attempts->len - 1);
+}
+
+/* A task of production that finds all machines full has room made for it: by lesser tasks
+ * only, no more of them than it needs, and what lesser work waits does not take the
+ * pieces. */
+static void room_is_made(void **state)
+{
+    (void)state;
+    for (uint32_t seed = 1; seed <= 20; seed++) {
+        fixture_begin(seed);
+        struct lmn_partition *p = &core->parts[0];
+        GHashTableIter it;
+        gpointer v;
+        struct lmn_range *prod = jobs[3].ranges->pdata[0],
+                         *low = jobs[4].ranges->pdata[0];
+        struct lmn_range *peer = jobs[7].ranges->pdata[0];
+        uint32_t at = 0, k = 0;
+        core->fresh = now;
+        jobs[4].spec.urgency = LMN_NORMAL;
+        jobs[4].spec.cpus = jobs[7].spec.cpus = 2;
+        jobs[3].spec.cpus = 4;
+        jobs[3].spec.spot = true;
+        jobs[4].spec.tasks = jobs[7].spec.tasks = 200;
+        low->hi = peer->hi = 200;
+        low->done = g_malloc0(32);
+        peer->done = g_malloc0(32);
+        lmn_range_open(core, low);
+        lmn_range_open(core, peer);
+        low->dealt = peer->dealt = prod->dealt = true;
+        g_hash_table_iter_init(&it, p->machines);
+        while (g_hash_table_iter_next(&it, NULL, &v)) {
+            struct lmn_machine *m = v;
+            m->last = now;
+            /* Of each machine's eight processors two to six belong to an equal. */
+            uint32_t equals = 1 + (seed + k++) % 3;
+            for (uint32_t i = 0; i < 4; i++)
+                run(m, i < equals ? peer : low, at++);
+        }
+        lmn_queue_add(&p->unplaced, prod, 0, 1);
+        lmn_make_room(core, p, now);
+        guint stopped = 0;
+        struct lmn_machine *where = NULL;
+        g_hash_table_iter_init(&it, p->machines);
+        while (g_hash_table_iter_next(&it, NULL, &v)) {
+            struct lmn_machine *m = v;
+            for (guint i = 0; i < m->attempts->len; i++) {
+                const struct lmn_attempt *a =
+                    &g_array_index(m->attempts, struct lmn_attempt, i);
+                assert_true(!a->stop || a->job == &jobs[4]);
+                stopped += a->stop;
+                where = a->stop ? m : where;
+            }
+        }
+        assert_int_equal(stopped, 2);
+        assert_int_equal(where->promised, 1);
+        assert_int_equal(p->unplaced.tasks, 0);
+        /* Again: it is helped already. */
+        lmn_make_room(core, p, lmn_after(now, 1));
+        assert_int_equal(core->count.preempted, 1);
+        /* One victim has ended: its piece stays free until the other has too. */
+        lmn_queue_add(&where->queue, low, 199, 200);
+        for (int gone = 0; gone < 2; gone++) {
+            GByteArray *out = g_byte_array_new();
+            for (guint i = 0; i < where->attempts->len; i++) {
+                struct lmn_attempt *a =
+                    &g_array_index(where->attempts, struct lmn_attempt, i);
+                if (!a->stop || a->state == LMN_A_ENDED)
+                    continue;
+                lmn_attempt_uncount(where, a);
+                a->state = LMN_A_ENDED;
+                break;
+            }
+            assert_int_equal(lmn_schedule(core, where, out, now), gone);
+            g_byte_array_unref(out);
+        }
+        assert_int_equal(prod->nstarted, 1);
+        assert_int_equal(where->promised, 0);
+    }
+}
+
+/* Those who make room save if the one who waits can wait for it: with a start expected
+ * within 5 s, 3 s of saving came before a fetch and made most starts late. */
+static void saving_takes_no_more_time_than_there_is(void **state)
+{
+    (void)state;
+    for (int hurry = 0; hurry < 2; hurry++) {
+        fixture_begin(1);
+        struct lmn_partition *p = &core->parts[0];
+        struct lmn_range *prod = jobs[3].ranges->pdata[0],
+                         *low = jobs[4].ranges->pdata[0];
+        GHashTableIter it;
+        gpointer v;
+        uint32_t at = 0;
+        guint stopped = 0;
+        core->fresh = now;
+        core->synced = true;
+        if (hurry) {
+            settings.objectives[0] = (struct lmn_objective){
+                .kind = LMN_WAIT, .class_name = "c", .within_s = 5};
+            settings.nobjectives = 1;
+        }
+        jobs[3].spec.cpus = jobs[4].spec.cpus = 8;
+        jobs[3].spec.spot = true;
+        jobs[4].spec.urgency = LMN_NORMAL;
+        jobs[4].spec.checkpoint_s = 15;
+        jobs[4].spec.save_s = 3;
+        jobs[4].spec.tasks = low->hi = MACHINES;
+        low->done = g_malloc0(8);
+        lmn_range_open(core, low);
+        g_hash_table_iter_init(&it, p->machines);
+        while (g_hash_table_iter_next(&it, NULL, &v)) {
+            ((struct lmn_machine *)v)->last = now;
+            run(v, low, at++);
+        }
+        lmn_queue_add(&p->unplaced, prod, 0, 1);
+        lmn_make_room(core, p, now);
+        g_hash_table_iter_init(&it, p->machines);
+        while (g_hash_table_iter_next(&it, NULL, &v)) {
+            const struct lmn_attempt *a = &g_array_index(
+                ((struct lmn_machine *)v)->attempts, struct lmn_attempt, 0);
+            stopped += a->stop;
+            if (a->stop)
+                assert_true(a->grace == (hurry ? 0 : 4));
+        }
+        assert_int_equal(stopped, 1);
+    }
+}
+
+/* Replicas left over on many machines are moved together, one machine at a time and only
+ * if all of its own have room elsewhere; nothing moves while work waits, or right after a
+ * start. */
+static void replicas_are_packed(void **state)
+{
+    (void)state;
+    for (uint32_t seed = 1; seed <= 20; seed++) {
+        fixture_begin(seed);
+        struct lmn_partition *p = &core->parts[0];
+        struct lmn_range *r = jobs[3].ranges->pdata[0];
+        struct timespec then = now;
+        GHashTableIter it;
+        gpointer v;
+        uint32_t at = 0;
+        core->synced = true;
+        jobs[3].spec.kind = LMN_DAEMON;
+        jobs[3].spec.cpus = 2;
+        jobs[3].spec.tasks = r->hi = 40;
+        r->done = g_malloc0(8);
+        lmn_range_open(core, r);
+        r->dealt = true;
+        settings.report_s = 1;
+        g_hash_table_iter_init(&it, p->machines);
+        while (g_hash_table_iter_next(&it, NULL, &v)) {
+            struct lmn_machine *m = v;
+            m->spot = false;
+            lmn_note_image(m, &jobs[3], true, now);
+            for (uint32_t i = 0, n = 1 + (seed + at) % 2; i < n; i++)
+                run(m, r, at++);
+        }
+        uint32_t all = at;
+        for (int step = 0; step < 40; step++) {
+            then = lmn_after(then, 5);
+            core->fresh = then;
+            bool young = step < 6;
+            guint before = 0, after = 0, stopped = 0;
+            g_hash_table_iter_init(&it, p->machines);
+            while (g_hash_table_iter_next(&it, NULL, &v)) {
+                before += ((struct lmn_machine *)v)->retiring;
+                ((struct lmn_machine *)v)->last = then;
+            }
+            if (step == 10)
+                lmn_queue_add(&p->unplaced, jobs[5].ranges->pdata[0], 0, 1);
+            if (step == 11)
+                lmn_queue_clear(&p->unplaced);
+            lmn_pack(core, p, then);
+            g_hash_table_iter_init(&it, p->machines);
+            while (g_hash_table_iter_next(&it, NULL, &v)) {
+                struct lmn_machine *m = v;
+                after += m->retiring;
+                for (guint i = m->attempts->len; i-- > 0;) {
+                    struct lmn_attempt *a =
+                        &g_array_index(m->attempts, struct lmn_attempt, i);
+                    if (!a->stop)
+                        continue;
+                    assert_true(m->retiring);
+                    uint32_t index = a->index;
+                    stopped++;
+                    lmn_attempt_uncount(m, a);
+                    g_array_remove_index_fast(m->attempts, i);
+                    lmn_task_requeue(core, r, index, then);
+                }
+            }
+            assert_true(after <= before + 1);
+            assert_true(after > before || !stopped);
+            if (young || step == 10)
+                assert_int_equal(after, before);
+            /* What was stopped starts at once where it was seen to fit. */
+            g_hash_table_iter_init(&it, p->machines);
+            while (g_hash_table_iter_next(&it, NULL, &v)) {
+                struct lmn_machine *m = v;
+                GByteArray *out = g_byte_array_new();
+                lmn_schedule(core, m, out, then);
+                g_byte_array_unref(out);
+                for (guint i = 0; i < m->attempts->len; i++) {
+                    struct lmn_attempt *a =
+                        &g_array_index(m->attempts, struct lmn_attempt, i);
+                    a->state = LMN_A_RUNNING;
+                    a->listed = true;
+                }
+            }
+            assert_int_equal(r->nstarted, all);
+        }
+        guint kept = 0;
+        g_hash_table_iter_init(&it, p->machines);
+        while (g_hash_table_iter_next(&it, NULL, &v))
+            kept += !((struct lmn_machine *)v)->retiring;
+        assert_true(kept < MACHINES);
+        assert_true(8 * kept >= 2 * all);
+    }
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(room_is_made),
+        cmocka_unit_test(saving_takes_no_more_time_than_there_is),
+        cmocka_unit_test(replicas_are_packed),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_queue_stealing.c
@@ -0,0 +1,132 @@
+/* Stealing between queues, and the messages of steals between partitions. */
+#include "queue/fixture.h"
+
+#include "decide/queue.h"
+#include "own/range.h"
+#include "state/owner_state.h"
+#include "peer_wire.h"
+
+#include <math.h>
+#include <string.h>
+
+/* The interval doubles with each failure up to its cap, and new work resets it. */
+static void interval_doubles(void **state)
+{
+    (void)state;
+    fixture_begin(5);
+    struct lmn_machine *m = g_hash_table_lookup(core->parts[0].machines, "m-1");
+    double last = 0;
+
+    for (int i = 0; i < 20; i++) {
+        now = m->next_steal.tv_sec ? lmn_after(m->next_steal, 0.01) : now;
+        assert_false(lmn_steal(core, m, now));
+        assert_true(last == 0 || m->poll_s == fmin(last * 2, core->tuning.poll_cap_s));
+        last = m->poll_s;
+    }
+    assert_true(last == core->tuning.poll_cap_s);
+    lmn_deal(core, jobs[2].ranges->pdata[0], 0, jobs[2].spec.tasks, now);
+    struct lmn_machine *dealt = NULL;
+    for (int i = 0; i < MACHINES && !dealt; i++) {
+        char name[16];
+        g_snprintf(name, sizeof name, "m-%d", i);
+        struct lmn_machine *o = g_hash_table_lookup(core->parts[0].machines, name);
+        if (o->queue.tasks)
+            dealt = o;
+    }
+    assert_non_null(dealt);
+    assert_true(dealt->poll_s == 0);
+}
+
+/* Found so: the last tasks of nearly every job waited for minutes in the queue of a
+ * machine that was busy for long, while machines with work of their own started what came
+ * much later. */
+static void urgent_first_across_queues(void **state)
+{
+    (void)state;
+    fixture_begin(4);
+    struct lmn_partition *p = &core->parts[0];
+    struct lmn_machine *busy = g_hash_table_lookup(p->machines, "m-0");
+    struct lmn_machine *m = g_hash_table_lookup(p->machines, "m-3");
+    struct lmn_job *early = &jobs[0], *late = &jobs[1];
+    GByteArray *out = g_byte_array_new();
+
+    core->tuning.sample = MACHINES;
+    for (int i = 0; i < 2; i++) {
+        jobs[i].spec.urgency = LMN_NORMAL;
+        jobs[i].spec.zone = NULL;
+        jobs[i].spec.spot = true;
+        jobs[i].spec.cpus = 8;
+        jobs[i].spec.tasks = 1;
+        jobs[i].lost = jobs[i].yields = jobs[i].guaranteed = false;
+        jobs[i].latest = 1000 + i;
+    }
+    lmn_queue_add(&busy->queue, early->ranges->pdata[0], 0, 1);
+    lmn_queue_add(&m->queue, late->ranges->pdata[0], 0, 1);
+    assert_int_equal(lmn_schedule(core, m, out, now), 1);
+    assert_ptr_equal(g_array_index(m->attempts, struct lmn_attempt, 0).job, early);
+    assert_int_equal(busy->queue.tasks, 0);
+    assert_int_equal(m->queue.tasks, 1);
+    /* What is no more urgent stays where it was dealt. */
+    lmn_machine_empty(core, m, "again", now);
+    lmn_queue_clear(&busy->queue);
+    lmn_queue_clear(&m->queue);
+    late->latest = early->latest - 1;
+    lmn_queue_add(&busy->queue, early->ranges->pdata[0], 0, 1);
+    lmn_queue_add(&m->queue, late->ranges->pdata[0], 0, 1);
+    assert_int_equal(lmn_schedule(core, m, out, now), 1);
+    assert_ptr_equal(g_array_index(m->attempts, struct lmn_attempt, 0).job, late);
+    assert_int_equal(busy->queue.tasks, 1);
+    g_byte_array_free(out, TRUE);
+}
+
+/* Messages between processes: as they went in, and hostile bytes without a crash. */
+static void xdr(void **state)
+{
+    GRand *r = g_rand_new_with_seed(9);
+    (void)state;
+
+    for (int i = 0; i < 500; i++) {
+        char bytes[4096];
+        struct lmn_xroom rooms[5];
+        struct lmn_xteam teams[3];
+        struct lmn_xthief q = {1,
+                               2,
+                               {(u_int)g_rand_int_range(r, 0, 6), rooms},
+                               {3, teams}},
+                          back;
+        XDR x;
+        for (int k = 0; k < 5; k++)
+            rooms[k] = (struct lmn_xroom){
+                (char *)"type", (char *)"zone", k % 2, g_rand_double(r), 0, 1};
+        for (int k = 0; k < 3; k++)
+            teams[k] = (struct lmn_xteam){(char *)"team", k, g_rand_double(r)};
+        xdrmem_create(&x, bytes, sizeof bytes, XDR_ENCODE);
+        assert_true(xdr_lmn_xthief(&x, &q));
+        u_int len = xdr_getpos(&x);
+        memset(&back, 0, sizeof back);
+        xdrmem_create(&x, bytes, len, XDR_DECODE);
+        assert_true(xdr_lmn_xthief(&x, &back));
+        assert_int_equal(back.rooms.rooms_len, q.rooms.rooms_len);
+        for (u_int k = 0; k < q.rooms.rooms_len; k++)
+            assert_true(back.rooms.rooms_val[k].cpus == rooms[k].cpus);
+        xdr_free((xdrproc_t)xdr_lmn_xthief, (char *)&back);
+        bytes[g_rand_int_range(r, 0, (gint32)len)] ^=
+            (char)(1 + g_rand_int_range(r, 0, 255));
+        memset(&back, 0, sizeof back);
+        xdrmem_create(&x, bytes, (u_int)g_rand_int_range(r, 0, (gint32)len + 1),
+                      XDR_DECODE);
+        xdr_lmn_xthief(&x, &back);
+        xdr_free((xdrproc_t)xdr_lmn_xthief, (char *)&back);
+    }
+    g_rand_free(r);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(interval_doubles),
+        cmocka_unit_test(urgent_first_across_queues),
+        cmocka_unit_test(xdr),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
