--- a/tests/takeover/commands.c
+++ b/tests/takeover/commands.c
@@ -2,7 +2,6 @@
 #include "takeover.h"
 
 #include "base/wire.h"
-#include "own/owner.h"
 #include "state/owner_state.h"
 #include "own/worker.h"
 #include "standby/stream.h"
--- a/tests/takeover/explorer.c
+++ b/tests/takeover/explorer.c
@@ -2,8 +2,6 @@
  * from its beginning, and states that were seen are not gone on from. */
 #include "takeover.h"
 
-#include <stdio.h>
-
 enum {
     STATES = 3000,        /* that a search goes up to */
     FEWEST_STATES = 2500, /* fewer: it did not find what it should */
--- a/tests/takeover/fair.c
+++ b/tests/takeover/fair.c
@@ -2,7 +2,6 @@
  * they run, and the job is finished in the end. */
 #include "takeover.h"
 
-#include "own/flush.h"
 #include "own/holder.h"
 #include "own/partition.h"
 #include "own/upkeep.h"
--- a/tests/takeover/moves.c
+++ b/tests/takeover/moves.c
@@ -2,7 +2,6 @@
 #include "takeover.h"
 
 #include "member/member.h"
-#include "state/owner_state.h"
 
 enum { MOST_JUMPS = 2 };
 
--- a/tests/takeover/nodes.c
+++ b/tests/takeover/nodes.c
@@ -5,7 +5,6 @@
 #include "member/member.h"
 #include "own/holder.h"
 #include "own/owner.h"
-#include "own/partition.h"
 #include "standby/copy.h"
 #include "state/mirror.h"
 #include "state/owner_state.h"
--- a/tests/takeover/replication.c
+++ b/tests/takeover/replication.c
@@ -1,7 +1,6 @@
 /* How an owner replicates to its standby, one step at a time. */
 #include "takeover.h"
 
-#include "own/partition.h"
 #include "standby/stream.h"
 #include "twin.h"
 
