Explorer of takeovers: histories in which little is missing for a rule to break

The histories that faults are placed in break a rule without a guard by themselves (cold without tokens, the hand-over without accounting, warm without what is held), so a fault that undoes a guard shows.

--- a/tests/takeover/placement.c
+++ b/tests/takeover/placement.c
@@ -54,12 +54,12 @@
     return true;
 }
 
-static void print_insertions(const struct schedule *s)
+static void print_broken(const struct schedule *s, const struct tally *tally)
 {
     for (int i = 0; i < s->ninsertions; i++)
-        print_message("move %d before step %u: ", s->insertions[i].move,
+        print_message("with move %d before step %u, ", s->insertions[i].move,
                       s->insertions[i].step);
-    print_message("%s\n", explored.broken_rule ? explored.broken_rule : "not finished");
+    print_message("%u steps: %s\n", s->sequence.len, tally->broken);
 }
 
 static void check_schedule(const struct schedule *s, struct tally *tally)
@@ -76,7 +76,7 @@
     if (!tally->broken && g_hash_table_add(tally->seen, summary()))
         tally->broken = finish_fairly();
     if (tally->broken)
-        print_insertions(s);
+        print_broken(s, tally);
 }
 
 /* A copy of each machine's last report is kept at each step, and delivered to each node
--- a/tests/test_takeover_faults.c
+++ b/tests/test_takeover_faults.c
@@ -10,22 +10,22 @@
 /* From the first start to the task's end, by the claimant, by the owner's next life, and
  * by the successor that the owner names. */
 static const enum move cold[] = {
-    REPORT_A_1, START_A,    FLUSH_A,  MIRROR_A,   DELIVER,    REPORT_A_0,
-    SUSPECTED,  CLAIM_B,    APPLY_B,  REPORT_A_0, MIRROR_B,   REPORT_B_0,
-    PROBE_B,    REPORT_B_1, DELIVER,  MIRROR_A,   COMPLETE_0, REPORT_B_0,
-    REPORT_B_1, FLUSH_B,    MIRROR_B, MIRROR_A,   REPORT_B_0};
+    REPORT_A_1, FLUSH_A,    MIRROR_A,   START_A,    SUSPECTED,  CLAIM_B,
+    APPLY_B,    MIRROR_B,   REPORT_B_1, REPORT_B_0, REPORT_B_1, DELIVER,
+    REPORT_A_0, REPORT_B_0, DELIVER,    MIRROR_A,   COMPLETE_0, REPORT_B_0,
+    REPORT_B_1, FLUSH_B,    MIRROR_B,   MIRROR_A,   REPORT_B_0};
 static const enum move next_life[] = {
     REPORT_A_1, FLUSH_A,    MIRROR_A,   REPORT_A_0, RESTART_A,  MIRROR_A,
     CLAIM_A,    APPLY_A,    MIRROR_A,   REPORT_A_0, REPORT_A_1, REPORT_A_0,
     REPORT_A_1, COMPLETE_0, REPORT_A_0, REPORT_A_1, FLUSH_A,    MIRROR_A};
 static const enum move handed_over[] = {
-    REPORT_A_1, FLUSH_A,    MIRROR_A,   START_A,    DELIVER,    HAND_OVER,
-    APPLY_A,    MIRROR_B,   REPORT_B_0, PROBE_B,    REPORT_B_1, DELIVER,
-    MIRROR_A,   COMPLETE_1, REPORT_B_0, REPORT_B_1, FLUSH_B,    MIRROR_B};
+    REPORT_A_1, FLUSH_A,    MIRROR_A,   START_A, DELIVER,    HAND_OVER, APPLY_A,
+    MIRROR_B,   REPORT_B_0, REPORT_B_0, PROBE_B, REPORT_B_1, DELIVER,   MIRROR_A,
+    COMPLETE_1, REPORT_B_0, REPORT_B_1, FLUSH_B, MIRROR_B};
 static const enum move warm[] = {
-    IN_STEP,    START_A,    REPLICATE_A, RELEASE_A,  DELIVER, REPORT_A_0, SUSPECTED,
-    CLAIM_B,    APPLY_B,    MIRROR_B,    REPORT_B_1, WAIT,    REPORT_B_0, MIRROR_A,
-    COMPLETE_0, REPORT_B_0, REPORT_B_1,  FLUSH_B,    MIRROR_B};
+    IN_STEP,  START_A,  REPLICATE_A, RELEASE_A,  SUSPECTED,  CLAIM_B,    APPLY_B,
+    MIRROR_B, WAIT,     REPORT_B_1,  REPORT_B_1, DELIVER,    REPORT_B_0, REPORT_B_1,
+    DELIVER,  MIRROR_A, COMPLETE_0,  REPORT_B_0, REPORT_B_1, FLUSH_B,    MIRROR_B};
 
 /* The task is started with a report's answer, and the other machine asks for work. */
 static const enum move overtaken[] = {REPORT_A_0, REPORT_A_1};
@@ -73,10 +73,24 @@
     placements_break(GUARD_REPORT_ORDER, SEQUENCE(overtaken));
 }
 
+/* So that faults are placed where little is missing for a rule to break. */
+static void each_history_needs_a_guard(void **state)
+{
+    (void)state;
+    explored.unrecorded = true;
+    placements_break(GUARD_TOKEN, SEQUENCE(cold));
+    placements_break(GUARD_ACCOUNTING, SEQUENCE(handed_over));
+    explored.unrecorded = false;
+    explored.with_standby = true;
+    placements_break(GUARD_HELD, SEQUENCE(warm));
+    explored.with_standby = false;
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(the_order_of_reports_is_needed),
+        cmocka_unit_test(each_history_needs_a_guard),
         cmocka_unit_test(cold_takeovers_keep_the_rules),
         cmocka_unit_test(warm_takeovers_keep_the_rules),
     };
