--- a/src/own/answer.c
+++ b/src/own/answer.c
@@ -118,7 +118,7 @@
     for (guint i = 0; i < m->attempts->len; i++) {
         struct lmn_attempt *a = &g_array_index(m->attempts, struct lmn_attempt, i);
         bool live = a->job && a->job->phase == LMN_ACTIVE;
-        bool wanted = lmn_job_wanted(c, a->job);
+        bool wanted = a->job && lmn_job_wanted(c, a->job);
         if (a->direct && wanted)
             continue;
         if ((a->unsure || a->direct) && !a->listed) {
