--- a/src/serve/api.c
+++ b/src/serve/api.c
@@ -255,8 +255,8 @@
  * least to do for their size. */
 static void shares(struct lmn_core *c, const struct lmn_spec *s, uint32_t *n)
 {
-    double weight[LMN_MAX_PARTS], load[LMN_MAX_PARTS], sum = 0;
-    int parts = c->nparts, order[LMN_MAX_PARTS], able = 0;
+    double weight[LMN_MAX_PARTS] = {0}, load[LMN_MAX_PARTS], sum = 0;
+    int parts = c->nparts, order[LMN_MAX_PARTS] = {0}, able = 0;
     int first = (int)(g_str_hash(s->ref) % (guint)parts);
     uint32_t given = 0;
 
