--- a/src/agent/process.c
+++ b/src/agent/process.c
@@ -224,7 +224,7 @@
 static void *reporter(void *arg)
 {
     struct lmn_worker *w = arg;
-    struct lmn_http *h[LMN_MAX_CONTROLLERS];
+    struct lmn_http *h[LMN_MAX_CONTROLLERS] = {NULL};
     GByteArray *in = g_byte_array_new();
     unsigned to = g_str_hash(w->o->name) % w->o->ncontrollers;
     struct timespec last = {0, 0};
@@ -355,7 +355,7 @@
     struct lmn_worker *w = g_new0(struct lmn_worker, 1);
     char *lock = g_build_filename(o->dir, "agent.lock", NULL), host[LMN_ADDR];
     char *tasks = g_build_filename(o->dir, "tasks", NULL);
-    pid_t other;
+    pid_t other = 0;
 
     w->o = o;
     signal(SIGPIPE, SIG_IGN);
