--- a/src/agent/tasks.c
+++ b/src/agent/tasks.c
@@ -419,7 +419,7 @@
              at = (gsize)(end - text) + 1)
             g_hash_table_add(w->results, g_strndup(text + at, (gsize)(end - text) - at));
         if (at < n && ftruncate(w->results_fd, (off_t)at) != 0)
-            at = n;
+            lmn_error("results-uncut path=%s error=\"%s\"", path, strerror(errno));
         g_free(text);
     }
     g_free(path);
