--- a/src/site/supervise.c
+++ b/src/site/supervise.c
@@ -59,7 +59,7 @@
     int in = open("/dev/null", O_RDONLY);
     sigset_t none;
 
-    for (int i = 0; p->argv[i] && i < 6; i++)
+    for (int i = 0; i < 6 && p->argv[i]; i++)
         argv[i + 1] = p->argv[i];
     setsid();
     sigemptyset(&none);
