--- a/tests/takeover/nodes.c
+++ b/tests/takeover/nodes.c
@@ -244,7 +244,7 @@
 }
 
 /* Each has heard both others 20 s ago. */
-static void meet(int n)
+static void set_up_membership(int n)
 {
     struct lmn_members *members = &explored.nodes[n].core->members;
     struct lmn_word well = {0, 0.5, 0};
@@ -274,5 +274,5 @@
     node_mirror(A);
     node_mirror(B);
     for (int n = 0; n < NODES; n++)
-        meet(n);
+        set_up_membership(n);
 }
