--- a/tests/takeover/placement.c
+++ b/tests/takeover/placement.c
@@ -22,6 +22,7 @@
 struct tally {
     GHashTable *seen; /* states at the ends */
     guint placed, impossible;
+    struct faults held; /* by all that were placed */
     const char *broken;
 };
 
@@ -71,6 +72,9 @@
         return;
     }
     tally->placed++;
+    tally->held.copies += explored.had.copies;
+    tally->held.unanswered += explored.had.unanswered;
+    tally->held.restarts += explored.had.restarts;
     tally->broken = explored.broken_rule;
     /* States that were seen have been played to their end. */
     if (!tally->broken && g_hash_table_add(tally->seen, summary()))
@@ -146,10 +150,10 @@
     place_all(&base, &tally);
     explored.without = GUARD_NONE;
     explored.allowed = only_a_restart;
-    print_message("%u steps: %u placements of faults, %u impossible, %u states at their "
-                  "ends\n",
-                  sequence.len, tally.placed, tally.impossible,
-                  g_hash_table_size(tally.seen));
+    print_message("%u steps: %u placements (copies %u, lost answers %u, restarts %u), %u "
+                  "impossible, %u states at their ends\n",
+                  sequence.len, tally.placed, tally.held.copies, tally.held.unanswered,
+                  tally.held.restarts, tally.impossible, g_hash_table_size(tally.seen));
     g_hash_table_destroy(tally.seen);
     return tally.broken;
 }
