World: reports kept for the next leader, old reports at all controllers, machines that are replaced at once; scenarios of leaders and late messages

Four further guards: a report from before an owner's term settles nothing, workers refuse direct commands of an older term or session, and a machine's record stands before its first start. Still open: the guard of "commands of an ended leader" is not shown to be needed, and pairs do not all meet with the three new kinds.

--- a/tests/world/day.c
+++ b/tests/world/day.c
@@ -2,6 +2,7 @@
 #include "world.h"
 
 #include "base/wire.h"
+#include "own/partition.h"
 #include "standby/stream.h"
 #include "state/records.h"
 
@@ -37,18 +38,98 @@
     return *name ? atoi(name + 1) : (m->node + 1) % w.layout.nodes;
 }
 
+void mail_report(struct message *copy, int node, double at)
+{
+    copy->node = node;
+    copy->at = at;
+    g_ptr_array_add(w.mail, copy);
+}
+
 static void mail_copy(const struct message *x)
 {
-    struct message *y = g_new0(struct message, 1);
+    double at = w.now + g_rand_double_range(w.r, 2, 24);
+    bool elsewhere = w.now < w.copies_until && world_chance(0.3);
+
+    mail_report(machine_report_copy(x),
+                elsewhere ? g_rand_int_range(w.r, 0, w.layout.nodes) : x->node, at);
+}
+
+/* A copy of a report waits until the partition has a newer term, which one of its
+ * machines has taken, and a while longer. */
+struct kept_report {
+    struct message *report;
+    int part;
+    uint64_t term;
+    double wait_s, ready_at; /* 0: the next leader has not acted yet */
+};
+
+static int part_of(const struct message *x)
+{
+    return lmn_partition_of(w.machines[x->machine].name, w.layout.nodes);
+}
+
+static void keep_for_next(const struct message *x)
+{
+    struct kept_report *k = g_new0(struct kept_report, 1);
+
+    k->report = machine_report_copy(x);
+    k->part = part_of(x);
+    k->term = world_term(k->part);
+    k->wait_s = world_chance(0.5) ? 0 : g_rand_double_range(w.r, 0, 4);
+    g_ptr_array_add(w.kept, k);
+}
+
+static bool has_acted(int part, uint64_t term)
+{
+    for (int i = 0; i < w.layout.machines; i++) {
+        const struct machine *m = &w.machines[i];
+        if (m->token == term && lmn_partition_of(m->name, w.layout.nodes) == part)
+            return true;
+    }
+    return false;
+}
+
+static int holder_of(int part)
+{
+    uint64_t term = world_term(part);
 
-    *y = *x;
-    y->copy = true;
-    y->at = w.now + g_rand_double_range(w.r, 2, 24);
-    if (w.now < w.copies_until && world_chance(0.3))
-        y->node = g_rand_int_range(w.r, 0, w.layout.nodes);
-    y->body = g_byte_array_new();
-    g_byte_array_append(y->body, x->body->data, x->body->len);
-    g_ptr_array_add(w.mail, y);
+    for (int i = 0; i < w.layout.nodes; i++) {
+        const struct lmn_core *c = w.nodes[i].core;
+        if (c && c->parts[part].mine && c->parts[part].my_term == term)
+            return i;
+    }
+    return -1;
+}
+
+static void release_kept(void)
+{
+    for (guint i = w.kept->len; i-- > 0;) {
+        struct kept_report *k = w.kept->pdata[i];
+        uint64_t term = world_term(k->part);
+        if (!k->ready_at && term > k->term && has_acted(k->part, term))
+            k->ready_at = w.now + k->wait_s;
+        int holder = k->ready_at && w.now >= k->ready_at ? holder_of(k->part) : -1;
+        if (holder < 0)
+            continue;
+        mail_report(k->report, holder, w.now);
+        w.kept_arrived++;
+        g_free(k);
+        g_ptr_array_remove_index_fast(w.kept, i);
+    }
+}
+
+/* The report as it arrives. Without the guard, one of an older term counts as one that
+ * was written in the owner's. */
+static int take_report(struct node *n, struct message *x, GByteArray *out,
+                       struct lmn_held *held)
+{
+    const struct lmn_partition *p = &n->core->parts[part_of(x)];
+
+    if (w.broken == G_REPORTED && p->mine) {
+        g_byte_array_set_size(x->body, x->token_at);
+        lmn_put_count(x->body, p->my_term);
+    }
+    return lmn_worker_report(n->core, x->body->data, x->body->len, out, held, w.clock);
 }
 
 static void deliver(void)
@@ -80,8 +161,7 @@
             if (x->copy) {
                 struct lmn_held held;
                 if (node_up(n) && n->core)
-                    lmn_worker_report(n->core, x->body->data, x->body->len, out, &held,
-                                      w.clock);
+                    take_report(n, x, out, &held);
                 w.copies++;
             } else if (node_up(n) && n->core && machine_reached(x->node, m)) {
                 struct lmn_held held;
@@ -90,8 +170,9 @@
                      world_chance(
                          0.5))) /* it comes again, up to well over a lease later */
                     mail_copy(x);
-                int status = lmn_worker_report(n->core, x->body->data, x->body->len, out,
-                                               &held, w.clock);
+                if (w.now < w.keep_until && world_chance(0.3))
+                    keep_for_next(x);
+                int status = take_report(n, x, out, &held);
                 if (status == 200 && held.mark &&
                     !lmn_stream_covers(&n->core->parts[held.part], held.mark)) {
                     node_hold_back(n, &held, x, m, out);
@@ -234,6 +315,7 @@
     w.log = g_ptr_array_new();
     w.leases = g_array_new(FALSE, FALSE, sizeof(struct holder));
     w.mail = g_ptr_array_new();
+    w.kept = g_ptr_array_new();
     w.now = 1000;
     w.clock = lmn_after((struct timespec){0, 0}, w.now);
     lmn_test_clock = &w.clock;
@@ -294,21 +376,14 @@
                 m->hang_until = w.now + g_rand_double_range(w.r, 1, 25);
             if (world_trouble(0.0003))
                 m->unheard_until = w.now + g_rand_double_range(w.r, 1, 40);
-            if (m->dead && world_chance(0.004)) {
-                m->dead = false;
-                m->life++;
-                machine_name(m);
-                m->session = 1;
-                m->seq = m->token = 0;
-                m->ntasks = 0;
-                m->in_flight = false;
-                m->lease_from = m->next_report = w.now;
-            }
+            if (m->dead && (m->up_at ? w.now >= m->up_at : world_chance(0.004)))
+                machine_replace(m);
             machine_step(m);
         }
+        release_kept();
         deliver();
         for (int i = 0; i < w.layout.nodes; i++)
-            node_step(&w.nodes[i], i);
+            node_step(&w.nodes[w.acting = i], i);
         /* Found so: a range that came between the claim and its noticing was never dealt.
          */
         for (int i = 0; i < w.layout.nodes && w.broken == G_NONE; i++)
--- a/tests/world/machines.c
+++ b/tests/world/machines.c
@@ -36,7 +36,8 @@
            w.now >= m->closed_until;
 }
 
-static void put_report(struct machine *m, GByteArray *b)
+/* Returns where the token stands. */
+static guint put_report(struct machine *m, GByteArray *b)
 {
     static const char *const states[] = {W_FETCHING, W_RUNNING, W_ENDED};
 
@@ -48,7 +49,6 @@
     lmn_put_text(b, W_SPOT), lmn_put_truth(b, m->spot);
     lmn_put_text(b, W_SESSION), lmn_put_count(b, m->session);
     lmn_put_text(b, W_SEQ), lmn_put_count(b, ++m->seq);
-    lmn_put_text(b, W_TOKEN), lmn_put_count(b, m->token);
     lmn_put_text(b, W_NOTICE), lmn_put_null(b);
     lmn_put_text(b, W_TASKS), lmn_put_list(b, (size_t)m->ntasks);
     for (int i = 0; i < m->ntasks; i++) {
@@ -62,6 +62,52 @@
         if (t->state == ENDED)
             lmn_put_text(b, W_WHY), lmn_put_text(b, t->done ? W_DONE : W_STOPPED);
     }
+    lmn_put_text(b, W_TOKEN);
+    guint token_at = b->len;
+    lmn_put_count(b, m->token);
+    return token_at;
+}
+
+struct message *machine_report_copy(const struct message *x)
+{
+    struct message *y = g_new0(struct message, 1);
+
+    *y = *x;
+    y->copy = true;
+    y->body = g_byte_array_new();
+    g_byte_array_append(y->body, x->body->data, x->body->len);
+    return y;
+}
+
+static void keep_report(struct machine *m, const struct message *x)
+{
+    struct message **place = &m->reports[m->nreports++ % OLD_REPORTS];
+
+    if (*place) {
+        g_byte_array_unref((*place)->body);
+        g_free(*place);
+    }
+    *place = machine_report_copy(x);
+}
+
+const struct message *machine_old_report(const struct machine *m)
+{
+    unsigned n = MIN(m->nreports, OLD_REPORTS);
+
+    return n ? m->reports[g_rand_int_range(w.r, 0, (gint32)n)] : NULL;
+}
+
+void machine_replace(struct machine *m)
+{
+    m->dead = false;
+    m->life++;
+    machine_name(m);
+    m->session = 1;
+    m->seq = m->token = 0;
+    m->ntasks = 0;
+    m->in_flight = false;
+    m->lease_from = m->next_report = w.now;
+    m->up_at = 0;
 }
 
 static void obey(struct machine *m, const struct lmn_doc *d,
@@ -137,8 +183,12 @@
     assert_int_equal(lmn_doc_parse(&d, body->data, body->len), 0);
     lmn_count(lmn_get(&d, lmn_root(&d), W_TOKEN), &token);
     lmn_count(lmn_get(&d, lmn_root(&d), W_SESSION), &session);
-    if (token >= m->token && session == m->session) {
-        m->token = token;
+    bool newest = token >= m->token || w.broken == G_TOKEN;
+    bool now = session == m->session || w.broken == G_SESSION;
+    w.old_terms += token < m->token;
+    w.old_sessions += token >= m->token && session != m->session;
+    if (newest && now) {
+        m->token = MAX(m->token, token);
         obey(m, &d, lmn_get(&d, lmn_root(&d), W_COMMANDS));
         status = 200;
     }
@@ -184,12 +234,13 @@
     if (!m->in_flight && w.now >= m->next_report) {
         struct message *x = g_new0(struct message, 1);
         x->body = g_byte_array_new();
-        put_report(m, x->body);
+        x->token_at = put_report(m, x->body);
         x->machine = (int)(m - w.machines);
         x->life = m->life;
         x->node = m->node;
         x->seq = m->seq;
         x->session = m->session;
+        keep_report(m, x);
         x->at = w.now + (world_trouble(0.03) ? g_rand_double_range(w.r, 1, 30) : 0.02);
         m->in_flight = true;
         m->flight_seq = m->seq;
--- a/tests/world/nodes.c
+++ b/tests/world/nodes.c
@@ -57,6 +57,7 @@
     n->seen = 0;
     n->lease = 0;
     n->answer = 0;
+    n->lives++;
 }
 
 /* Whether an answer is there: to which events, and as of when it was asked. */
@@ -275,6 +276,24 @@
         n->core->fresh = w.clock;
 }
 
+/* A machine that no record names yet passes for recorded, but not where its record is
+ * written. */
+static void pass_for_recorded(struct node *n, bool pass)
+{
+    static const uint64_t pretended = G_MAXUINT64;
+
+    for (int i = 0; i < w.layout.nodes && w.broken == G_RECORDED; i++) {
+        const GPtrArray *list = n->core->parts[i].list;
+        for (guint k = 0; k < list->len; k++) {
+            struct lmn_machine *m = list->pdata[k];
+            if (pass && !m->rev && n->core->parts[i].mine)
+                m->rev = pretended;
+            else if (!pass && m->rev == pretended)
+                m->rev = 0;
+        }
+    }
+}
+
 /* Steals between partitions, wherever their owners are. */
 static void node_steal(struct node *n)
 {
@@ -347,6 +366,7 @@
         node_boot(n, i);
     if (w.now < n->still_until)
         return;
+    pass_for_recorded(n, false);
     if (world_trouble(w.flapping ? 0.004 : 0.001))
         n->still_until = w.now + g_rand_double_range(w.r, 0.5, 12);
     if (world_trouble(w.flapping ? 0.004 : 0.0007))
@@ -391,6 +411,7 @@
         return;
     if (w.broken)
         break_guards(n);
+    pass_for_recorded(n, true);
     double wall = w.now;
     lmn_rank_all(n->core, wall);
     for (int i = 0; i < n->core->nparts && n->core->triaged == n->core->wall; i++)
@@ -400,7 +421,9 @@
         lmn_make_room(n->core, &n->core->parts[k], w.clock);
         lmn_pack(n->core, &n->core->parts[k], w.clock);
     }
+    pass_for_recorded(n, false);
     lmn_ranges_flush(n->core, w.clock);
+    pass_for_recorded(n, true);
     if (!cut)
         node_write(n);
     else
--- a/tests/world/store.c
+++ b/tests/world/store.c
@@ -104,6 +104,8 @@
     lmn_txn_each_condition(t, twin_condition, l->txn);
     lmn_txn_each(t, twin_change, l->txn);
     l->at = w.now + g_rand_double_range(w.r, 2, 12);
+    l->writer = w.acting;
+    l->life = w.nodes[w.acting].lives;
     g_ptr_array_add(w.late, l);
 }
 
@@ -114,7 +116,9 @@
         uint64_t rev;
         if (l->at > w.now)
             continue;
-        w.lates += commit(l->txn, true, &rev) == LMN_OK;
+        bool done = commit(l->txn, true, &rev) == LMN_OK;
+        w.lates += done;
+        w.ended_writers += done && w.nodes[l->writer].lives != l->life;
         lmn_txn_free(l->txn);
         g_free(l);
         g_ptr_array_remove_index_fast(w.late, i);
--- a/tests/world/troubles.c
+++ b/tests/world/troubles.c
@@ -6,13 +6,26 @@
     "refused",      "outage",       "isolated",   "slow-state",   "late-writes",
     "crash",        "crash-all",    "freeze",     "deaf-node",    "mute-node",
     "leave",        "zone",         "hang",       "deaf-machine", "shut-door",
-    "late-reports", "machine-dies", "cloud-down", "cancel"};
+    "late-reports", "machine-dies", "cloud-down", "cancel",       "reports-for-next",
+    "old-reports",  "new-machines"};
 
 const char *trouble_name(enum trouble k)
 {
     return names[k];
 }
 
+uint64_t world_term(int part)
+{
+    uint64_t term = 0;
+
+    for (int i = 0; i < w.layout.nodes; i++) {
+        const struct lmn_core *c = w.nodes[i].core;
+        if (c && c->parts[part].mine)
+            term = MAX(term, c->parts[part].my_term);
+    }
+    return term;
+}
+
 int world_leader(void)
 {
     int best = 0;
@@ -107,6 +120,13 @@
                 m->ntasks = 0;
             }
             break;
+        case T_NEW_MACHINES:
+            if (m->dead)
+                break;
+            m->dead = true;
+            m->ntasks = 0;
+            m->up_at = w.now + g_rand_double_range(w.r, 0.1, 2);
+            break;
         default:
             break;
         }
@@ -115,6 +135,16 @@
         later(&w.nodes[who].zone_until, s);
 }
 
+/* From any time, also of an earlier session or life of the machine's place. */
+static void old_reports_now(void)
+{
+    for (int i = 0; i < w.layout.machines; i++) {
+        const struct message *x = machine_old_report(&w.machines[i]);
+        for (int k = 0; x && k < w.layout.nodes; k++)
+            mail_report(machine_report_copy(x), k, w.now);
+    }
+}
+
 void trouble_begin(enum trouble k, int who, double s)
 {
     switch (k) {
@@ -129,6 +159,12 @@
     case T_LATE_REPORTS:
         later(&w.copies_until, s);
         break;
+    case T_REPORTS_FOR_NEXT:
+        later(&w.keep_until, s);
+        break;
+    case T_OLD_REPORTS:
+        old_reports_now();
+        break;
     case T_CLOUD:
         later(&w.cloud_down_until, s);
         break;
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -37,6 +37,10 @@
     G_SENT,     /* a view is as old as its question, not its answer */
     G_LATE,     /* what is carried out late is conditional like all else */
     G_KILLS,    /* the first answer of a new term ends what is withdrawn */
+    G_REPORTED, /* a report from before an owner's term settles nothing */
+    G_TOKEN,    /* a worker refuses direct commands of an older term */
+    G_SESSION,  /* and those that name an earlier session of it */
+    G_RECORDED, /* a machine's record stands before the first start there */
 };
 
 enum rule { R_TWICE, R_QUOTA, R_PLACE, R_CANCELLED, R_NOT_DONE, R_WENT_BACK, RULES };
@@ -63,6 +67,8 @@
 struct late {
     struct lmn_txn *txn;
     double at;
+    int writer; /* the controller that sent it, in which of its lives */
+    unsigned life;
 };
 
 /* --- a machine --- */
@@ -82,8 +88,12 @@
     bool copy;        /* of a report that has arrived; nobody waits for its answer */
     GByteArray *body; /* of a report's answer, or of a direct command */
     uint64_t session, seq;
+    guint token_at; /* where a report's token stands: it is the last field */
 };
 
+/* A machine's last reports, for copies that arrive much later. */
+enum { OLD_REPORTS = 16 };
+
 struct machine {
     char name[16], zone[8];
     int life; /* how many machines have had its place before */
@@ -99,6 +109,9 @@
     uint64_t flight_seq;
     struct task tasks[64];
     int ntasks;
+    double up_at;                         /* dead: another has its place from then on */
+    struct message *reports[OLD_REPORTS]; /* a ring; NULL: none yet */
+    unsigned nreports;
 };
 
 struct job {
@@ -114,6 +127,7 @@
     struct lmn_state *state;
     struct lmn_core *core;
     uint64_t revision, lease, announced; /* the lease of which a record was written */
+    unsigned lives;                      /* how often it was started */
     size_t seen;                         /* events applied */
     double down_until, cut_until, renewed;
     double zone_until; /* its zone is cut off: it reaches only its island until then */
@@ -164,6 +178,9 @@
     uint64_t rev, next_lease;
     double cloud_down_until;
     double late_until, copies_until; /* many transactions, and reports, are late */
+    double keep_until;               /* copies of reports are kept for the next leader */
+    GPtrArray *kept;                 /* struct kept_report */
+    int acting;                      /* the controller whose step this is */
     struct node nodes[MOST_NODES];
     struct machine machines[MOST_MACHINES];
     struct job jobs[JOBS];
@@ -173,7 +190,11 @@
     unsigned starts, finished, takeovers, steals, preempted;
     unsigned verdicts, refutations, gives;
     unsigned warm, compared, withheld, leaves, copies, cancelled, tombstones, lates;
-    double least_margin; /* of cancel_s, when a cancelled job's last task ended */
+    unsigned ended_writers; /* late transactions carried out in a later life of theirs */
+    unsigned old_terms;     /* direct commands that were refused for their token, */
+    unsigned old_sessions;  /* and for their session alone */
+    unsigned kept_arrived;  /* kept reports that reached the next leader */
+    double least_margin;       /* of cancel_s, when a cancelled job's last task ended */
     bool standbys;
     bool flapping; /* members fail again and again */
     bool helped;   /* tombstones are told: a help, without which the rules hold too */
@@ -225,6 +246,12 @@
 void machine_answer(struct machine *m, const struct message *x);
 int machine_direct(struct machine *m, const GByteArray *body, GByteArray *report);
 void machine_step(struct machine *m);
+/* A copy of a report, with its own body. */
+struct message *machine_report_copy(const struct message *x);
+/* One of the machine's earlier reports; NULL: there is none. */
+const struct message *machine_old_report(const struct machine *m);
+/* A machine of another name has the place, and is up at once. */
+void machine_replace(struct machine *m);
 
 /* --- nodes.c: controllers --- */
 
@@ -269,9 +296,14 @@
     T_MACHINE_DIES,
     T_CLOUD,
     T_CANCEL,
+    T_REPORTS_FOR_NEXT, /* copies of reports are kept for the next leader */
+    T_OLD_REPORTS,      /* an old report of each machine reaches every controller now */
+    T_NEW_MACHINES,     /* machines are gone, and others up within two seconds */
     TROUBLES
 };
 const char *trouble_name(enum trouble k);
+/* The highest term in which a controller holds the partition; 0: none does. */
+uint64_t world_term(int part);
 /* Who owns most machines. */
 int world_leader(void);
 void world_cancel_some(double share);
@@ -280,6 +312,8 @@
 
 /* --- day.c --- */
 
+/* A copy of a report arrives there at that time; the copy is taken. */
+void mail_report(struct message *copy, int node, double at);
 /* The user cancels the job through a node that reaches the state service; not if there is
  * none. */
 void world_cancel(struct job *j);
