--- a/tests/test_scenarios.c
+++ b/tests/test_scenarios.c
@@ -241,7 +241,7 @@
             when[i] = 0;
             begin(next[i]);
         }
-    if (!scenario_every(20))
+    if (!scenario_every(12))
         return;
     unsigned least = ~0u;
     for (int a = 0; a < TROUBLES; a++)
--- a/tests/test_scenarios_leaders.c
+++ b/tests/test_scenarios_leaders.c
@@ -12,6 +12,7 @@
     unsigned starts;
     double began, ready; /* since then; negative: not yet */
 } recovery;
+/* On days with all guards in place. */
 static struct {
     unsigned times, began;
     double first_sum, first_most, ready_sum, ready_most;
@@ -34,7 +35,7 @@
 
 static void recovery_ended(void)
 {
-    if (!recovery.over)
+    if (!recovery.over || w.broken)
         return;
     recovered.times++;
     if (recovery.began >= 0) {
@@ -235,7 +236,7 @@
 {
     scenario_usual_draw(p, r);
     for (int i = 0; i < 2; i++) {
-        alone.at[i] = 35 + 38 * i + g_rand_double_range(r, 0, 5);
+        alone.at[i] = 40 + 35 * i + g_rand_double_range(r, 0, 5);
         alone.first_s[i] = g_rand_double_range(r, 0.05, 1);
         alone.rest_s[i] = g_rand_double_range(r, 2, 20);
     }
@@ -245,12 +246,11 @@
  * lease is over, the others much later. */
 static void alone_step(void)
 {
-    if (scenario_every(8))
-        trouble_begin(T_LEAVE, g_rand_int_range(w.r, 0, w.layout.nodes), 0);
-    if (scenario_every(8))
-        trouble_begin(T_CRASH, g_rand_int_range(w.r, 0, w.layout.nodes),
-                      scenario_drawn(0.05, 1));
     for (int i = 0; i < 2; i++) {
+        if (scenario_between(alone.at[i] - 12, alone.at[i]) && scenario_every(2))
+            trouble_begin(world_chance(0.5) ? T_LEAVE : T_CRASH,
+                          g_rand_int_range(w.r, 0, w.layout.nodes),
+                          scenario_drawn(0.05, 1));
         if (!scenario_at(alone.at[i]))
             continue;
         int first = g_rand_int_range(w.r, 0, w.layout.nodes);
@@ -377,35 +377,64 @@
                   ended_writers);
 }
 
+/* --- a leader that ends shortly after --- */
+
+static double leader_ends_at;
+
+static void leader_ends_begin(void)
+{
+    leader_ends_at = 0;
+}
+
 /* --- commands of an earlier leader, or for an earlier session --- */
 
 static unsigned old_terms, old_sessions;
+static void count_refused_calls(void)
+{
+    if (!w.broken && scenario_time() > (w.layout.steps + w.layout.calm - 1) * STEP_S) {
+        old_terms += w.old_terms;
+        old_sessions += w.old_sessions;
+    }
+}
+
+static void old_commands_draw(struct plan *p, GRand *r)
+{
+    scenario_usual_draw(p, r);
+    p->run_s = g_rand_double_range(r, 6, 12);
+}
 
-/* Calls are held up while leaders end; the next ones act, and then the calls arrive. */
+/* Calls to all machines are held up, and their leader ends; the next one acts, and then
+ * the calls arrive. */
 static void old_commands_step(void)
 {
-    if (scenario_every(4))
-        trouble_begin(T_SHUT_DOOR, 0, scenario_drawn(0.5, 4));
-    if (scenario_every(8))
-        trouble_begin(world_chance(0.7) ? T_CRASH : T_REFUSED, world_leader(),
-                      scenario_drawn(0.1, 6));
+    if (scenario_every(6)) {
+        leader_ends_at = w.now + scenario_drawn(0.5, 2);
+        for (int i = 0; i < w.layout.machines; i++)
+            w.machines[i].closed_until = leader_ends_at + scenario_drawn(2, 8);
+    }
+    if (leader_ends_at && w.now >= leader_ends_at) {
+        leader_ends_at = 0;
+        trouble_begin(world_chance(0.5) ? T_CRASH : T_ISOLATED, world_leader(),
+                      scenario_drawn(1, 6));
+    }
     if (scenario_every(8))
         world_cancel_some(0.1);
-    if (scenario_time() > (w.layout.steps + w.layout.calm - 1) * STEP_S) {
-        old_terms += w.old_terms;
-        old_sessions += w.old_sessions;
-    }
+    count_refused_calls();
 }
 
-/* Machines lose their leases while calls to them are held up, and go on. */
+/* Machines hear nothing for longer than their lease, while their reports arrive; calls to
+ * them arrive when the next session has begun. */
 static void old_sessions_step(void)
 {
-    if (scenario_every(4))
-        trouble_begin(T_SHUT_DOOR, 0, scenario_drawn(0.5, 2 * w.lease_s));
-    if (scenario_every(6))
-        trouble_begin(world_chance(0.5) ? T_HANG : T_DEAF_MACHINE, 0,
-                      w.lease_s * scenario_drawn(0.8, 1.5));
-    old_commands_step();
+    if (scenario_every(8))
+        for (int i = 0; i < w.layout.machines; i++) {
+            struct machine *m = &w.machines[i];
+            if (w.now < m->closed_until || !world_chance(0.4))
+                continue;
+            m->unheard_until = w.now + w.lease_s * scenario_drawn(1.02, 1.2);
+            m->closed_until = m->unheard_until + scenario_drawn(0, 5);
+        }
+    count_refused_calls();
 }
 
 static void old_commands_report(void)
@@ -425,9 +454,12 @@
         trouble_begin(T_NEW_MACHINES, 0, 0);
         trouble_begin(T_LATE_WRITES, 0, 4);
         trouble_begin(T_SLOW_STATE, world_leader(), 4);
+        leader_ends_at = w.now + scenario_drawn(1, 4);
     }
-    if (scenario_every(5))
+    if (leader_ends_at && w.now >= leader_ends_at) {
+        leader_ends_at = 0;
         trouble_begin(T_CRASH, world_leader(), scenario_drawn(0.1, 5));
+    }
 }
 
 static const struct scenario scenarios[] = {
@@ -443,6 +475,8 @@
      recovery_report, NULL},
     {"a zone by itself", zone_step, zone_draw, G_FENCE, R_CANCELLED, false, 16,
      recovery_begin, recovery_report, NULL},
+    {"a zone by itself: both sides", zone_step, zone_draw, G_ACCOUNT, R_TWICE, false, 4,
+     recovery_begin, recovery_report, NULL},
     {"unreached machines, late messages", unreached_step, scenario_usual_draw, G_ACCOUNT,
      R_TWICE, false, 8, NULL, NULL, NULL},
     {"isolated leader, late messages", isolated_step, scenario_usual_draw, G_TOLD,
@@ -451,12 +485,12 @@
      R_NOT_DONE, false, 8, NULL, NULL, NULL},
     {"writes of an ended controller", ended_writer_step, scenario_usual_draw, G_LATE,
      ANY_RULE, false, 8, NULL, ended_writer_report, NULL},
-    {"commands of an ended leader", old_commands_step, scenario_usual_draw, G_TOKEN,
-     R_TWICE, false, 8, NULL, old_commands_report, NULL},
-    {"commands for an earlier session", old_sessions_step, scenario_usual_draw, G_SESSION,
+    {"commands of an ended leader", old_commands_step, old_commands_draw, G_TOKEN,
+     R_TWICE, false, 8, leader_ends_begin, old_commands_report, NULL},
+    {"commands for an earlier session", old_sessions_step, old_commands_draw, G_SESSION,
      R_TWICE, false, 8, NULL, old_commands_report, NULL},
     {"new machines at once", new_machines_step, scenario_usual_draw, G_RECORDED, R_TWICE,
-     false, 8, NULL, NULL, NULL},
+     false, 8, leader_ends_begin, NULL, NULL},
 };
 
 int main(int argc, char **argv)
