--- a/tests/test_scenarios_leaders.c
+++ b/tests/test_scenarios_leaders.c
@@ -429,7 +429,7 @@
     }
     if (leader_ends_at && w.now >= leader_ends_at) {
         leader_ends_at = 0;
-        trouble_begin(world_chance(0.2) ? T_CRASH : T_ISOLATED, world_leader(),
+        trouble_begin(world_chance(0.7) ? T_CRASH : T_ISOLATED, world_leader(),
                       scenario_drawn(3, 10));
     }
     if (scenario_every(8))
@@ -465,7 +465,7 @@
  * ends. They report before anybody has listed them. */
 static void new_machines_step(void)
 {
-    if (scenario_every(8)) {
+    if (scenario_every(5)) {
         trouble_begin(T_NEW_MACHINES, 0, 0);
         trouble_begin(T_LATE_WRITES, 0, 4);
         trouble_begin(T_SLOW_STATE, world_leader(), 4);
@@ -501,7 +501,7 @@
     {"writes of an ended controller", ended_writer_step, scenario_usual_draw, G_LATE,
      ANY_RULE, false, 6, NULL, ended_writer_report, NULL},
     {"commands of an ended leader", old_commands_step, old_commands_draw, G_OLD_TERM,
-     R_TWICE, false, 6, leader_ends_begin, old_commands_report, &roomy},
+     R_TWICE, false, 8, leader_ends_begin, old_commands_report, &roomy},
     {"commands for an earlier session", old_sessions_step, old_commands_draw,
      G_OLD_SESSION, R_TWICE, false, 6, NULL, old_commands_report, &roomy},
     {"new machines at once", new_machines_step, scenario_usual_draw, G_RECORDED, R_TWICE,
