--- a/tests/world/troubles.c
+++ b/tests/world/troubles.c
@@ -182,6 +182,7 @@
 {
     double last = MAX(w.late_until, MAX(w.copies_until, w.cloud_down_until));
 
+    last = MAX(last, w.keep_until);
     for (int i = 0; i < w.layout.nodes; i++) {
         const struct node *n = &w.nodes[i];
         const double until[] = {n->cut_until,  n->mute_until,  n->slow_until,
