--- a/tests/test_scenarios_leaders.c
+++ b/tests/test_scenarios_leaders.c
@@ -5,6 +5,22 @@
 
 #include <string.h>
 
+/* --- counts --- */
+
+/* A count of the day, summed up over the days with all guards in place. */
+struct total {
+    unsigned sum, seen; /* up to the step before */
+};
+
+static void add_up(struct total *t, unsigned count)
+{
+    if (count < t->seen) /* another day */
+        t->seen = 0;
+    if (!w.broken)
+        t->sum += count - t->seen;
+    t->seen = count;
+}
+
 /* --- how long it takes until work starts again --- */
 
 static struct {
@@ -135,6 +151,8 @@
         trouble_begin(T_OLD_REPORTS, 0, 0);
 }
 
+static struct total kept_arrived;
+
 /* Reports are held until the next leader has acted, and arrive there. */
 static void held_reports_step(void)
 {
@@ -145,6 +163,14 @@
         trouble_begin(T_DEAF_MACHINE, 0, scenario_drawn(1, w.lease_s));
     if (scenario_every(8))
         world_cancel_some(0.1);
+    add_up(&kept_arrived, w.kept_arrived);
+}
+
+static void held_reports_report(void)
+{
+    print_message("  %u reports arrived after the next leader had acted\n",
+                  kept_arrived.sum);
+    assert_true(kept_arrived.sum > 0);
 }
 
 /* --- all controllers are away --- */
@@ -354,20 +380,6 @@
 
 /* --- writes of a controller that has ended --- */
 
-/* A count of the day, summed up over the days with all guards in place. */
-struct total {
-    unsigned sum, seen; /* up to the step before */
-};
-
-static void add_up(struct total *t, unsigned count)
-{
-    if (count < t->seen) /* another day */
-        t->seen = 0;
-    if (!w.broken)
-        t->sum += count - t->seen;
-    t->seen = count;
-}
-
 static struct total ended_writers;
 
 /* Writes get no answer; their writer ends at once, is back within a second, and writes
@@ -388,6 +400,7 @@
 {
     print_message("  %u writes arrived in a later life of their writer\n",
                   ended_writers.sum);
+    assert_true(ended_writers.sum > 0);
 }
 
 /* --- a leader that ends shortly after --- */
@@ -456,6 +469,7 @@
 {
     print_message("  %u calls refused for their token, %u for their session alone\n",
                   old_terms.sum, old_sessions.sum);
+    assert_true(old_terms.sum + old_sessions.sum > 0);
     old_terms.sum = old_sessions.sum = 0;
 }
 
@@ -481,7 +495,7 @@
     {"old reports as a leader begins", old_reports_step, scenario_usual_draw, G_REPORTED,
      R_TWICE, false, 6, old_reports_begin, NULL, NULL},
     {"reports held for the next leader", held_reports_step, scenario_usual_draw,
-     G_REPORTED, R_TWICE, false, 6, NULL, NULL, NULL},
+     G_REPORTED, R_TWICE, false, 6, NULL, held_reports_report, NULL},
     {"all controllers away", away_step, away_draw, G_ACCOUNT, R_TWICE, false, 6,
      recovery_begin, recovery_report, NULL},
     {"ten leaders", changes_step, changes_draw, G_ACCOUNT, R_TWICE, false, 6,
