--- a/tests/test_scenarios_leaders.c
+++ b/tests/test_scenarios_leaders.c
@@ -516,8 +516,8 @@
      ANY_RULE, false, 6, NULL, ended_writer_report, NULL},
     {"commands of an ended leader", old_commands_step, old_commands_draw, G_OLD_TERM,
      R_TWICE, false, 8, leader_ends_begin, old_commands_report, &roomy},
-    {"commands for an earlier session", old_sessions_step, old_commands_draw,
-     G_OLD_SESSION, R_TWICE, false, 6, NULL, old_commands_report, &roomy},
+    {"commands for an earlier session", old_sessions_step, old_commands_draw, G_SESSION,
+     R_TWICE, false, 6, NULL, old_commands_report, &roomy},
     {"new machines at once", new_machines_step, scenario_usual_draw, G_RECORDED, R_TWICE,
      false, 6, leader_ends_begin, NULL, NULL},
 };
--- a/tests/world/machines.c
+++ b/tests/world/machines.c
@@ -182,7 +182,7 @@
     w.old_terms += old_term;
     w.old_sessions += !old_term && old_session;
     return (!old_term || w.broken == G_OLD_TERM) &&
-           (!old_session || w.broken == G_OLD_SESSION);
+           (!old_session || w.broken == G_SESSION);
 }
 
 int machine_direct(struct machine *m, const GByteArray *body, GByteArray *report)
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -22,25 +22,25 @@
 
 enum guard {
     G_NONE,
-    G_ACCOUNT,     /* inherited tasks wait until all machines are accounted for */
-    G_UNSURE,      /* unanswered direct starts are not given up */
-    G_QUOTA,       /* limits are shared out among the partitions */
-    G_PLACE,       /* only machines that the job allows */
-    G_FENCE,       /* a node with an old view stops answering workers */
-    G_DONE,        /* done only what a worker has reported done */
-    G_FINAL,       /* final states are written conditionally */
-    G_SPREAD,      /* tasks of a job that is spread look at each other's zones */
-    G_JUDGED,      /* inherited tasks wait although their owner was judged */
-    G_ORDER,       /* a report is dropped if a newer one of its worker was heard */
-    G_TOLD,        /* starts wait until the standby has acknowledged them */
-    G_ANNOUNCE,    /* a node sees to it that its record stands */
-    G_SENT,        /* a view is as old as its question, not its answer */
-    G_LATE,        /* what is carried out late is conditional like all else */
-    G_KILLS,       /* the first answer of a new term ends what is withdrawn */
-    G_REPORTED,    /* a report from before an owner's term settles nothing */
-    G_OLD_TERM,    /* a worker refuses direct commands of an older term */
-    G_OLD_SESSION, /* and those that name an earlier session of it */
-    G_RECORDED,    /* a machine's record stands before the first start there */
+    G_ACCOUNT,  /* inherited tasks wait until all machines are accounted for */
+    G_UNSURE,   /* unanswered direct starts are not given up */
+    G_QUOTA,    /* limits are shared out among the partitions */
+    G_PLACE,    /* only machines that the job allows */
+    G_FENCE,    /* a node with an old view stops answering workers */
+    G_DONE,     /* done only what a worker has reported done */
+    G_FINAL,    /* final states are written conditionally */
+    G_SPREAD,   /* tasks of a job that is spread look at each other's zones */
+    G_JUDGED,   /* inherited tasks wait although their owner was judged */
+    G_ORDER,    /* a report is dropped if a newer one of its worker was heard */
+    G_TOLD,     /* starts wait until the standby has acknowledged them */
+    G_ANNOUNCE, /* a node sees to it that its record stands */
+    G_SENT,     /* a view is as old as its question, not its answer */
+    G_LATE,     /* what is carried out late is conditional like all else */
+    G_KILLS,    /* the first answer of a new term ends what is withdrawn */
+    G_REPORTED, /* a report from before an owner's term settles nothing */
+    G_OLD_TERM, /* a worker refuses direct commands of an older term */
+    G_SESSION,  /* and those that name an earlier session of it */
+    G_RECORDED, /* a machine's record stands before the first start there */
 };
 
 enum rule { R_TWICE, R_QUOTA, R_PLACE, R_CANCELLED, R_NOT_DONE, R_WENT_BACK, RULES };
