--- a/tests/world/day.c
+++ b/tests/world/day.c
@@ -383,7 +383,7 @@
         release_kept();
         deliver();
         for (int i = 0; i < w.layout.nodes; i++)
-            node_step(&w.nodes[w.acting = i], i);
+            node_step(&w.nodes[i], i);
         /* Found so: a range that came between the claim and its noticing was never dealt.
          */
         for (int i = 0; i < w.layout.nodes && w.broken == G_NONE; i++)
--- a/tests/world/nodes.c
+++ b/tests/world/nodes.c
@@ -360,6 +360,7 @@
 
 void node_step(struct node *n, int i)
 {
+    w.acting = i;
     if (!node_up(n))
         return;
     if (!n->core)
