--- a/tests/world/troubles.c
+++ b/tests/world/troubles.c
@@ -3,17 +3,51 @@
 #include "world.h"
 
 static const char *const names[TROUBLES] = {
-    "refused",      "outage",       "isolated",     "slow-state",   "late-writes",
-    "crash",        "crash-all",    "freeze",       "deaf-node",    "mute-node",
-    "leave",        "zone",         "hang",         "deaf-machine", "shut-door",
-    "late-reports", "machine-dies", "cloud-down",   "cancel",       "lost-answers",
-    "close-looks",  "odd-requests", "cancel-at-end"};
+    [T_REFUSED] = "refused",
+    [T_OUTAGE] = "outage",
+    [T_ISOLATED] = "isolated",
+    [T_SLOW_STATE] = "slow-state",
+    [T_LATE_WRITES] = "late-writes",
+    [T_CRASH] = "crash",
+    [T_CRASH_ALL] = "crash-all",
+    [T_FREEZE] = "freeze",
+    [T_DEAF_NODE] = "deaf-node",
+    [T_MUTE_NODE] = "mute-node",
+    [T_LEAVE] = "leave",
+    [T_ZONE] = "zone",
+    [T_HANG] = "hang",
+    [T_DEAF_MACHINE] = "deaf-machine",
+    [T_SHUT_DOOR] = "shut-door",
+    [T_LATE_REPORTS] = "late-reports",
+    [T_MACHINE_DIES] = "machine-dies",
+    [T_CLOUD] = "cloud-down",
+    [T_CANCEL] = "cancel",
+    [T_LOST_ANSWERS] = "lost-answers",
+    [T_CLOSE_LOOKS] = "close-looks",
+    [T_ODD_REQUESTS] = "odd-requests",
+    [T_CANCEL_AT_END] = "cancel-at-end",
+    [T_REPORTS_FOR_NEXT] = "reports-for-next",
+    [T_OLD_REPORTS] = "old-reports",
+    [T_NEW_MACHINES] = "new-machines",
+};
 
 const char *trouble_name(enum trouble k)
 {
     return names[k];
 }
 
+uint64_t world_term(int part)
+{
+    uint64_t term = 0;
+
+    for (int i = 0; i < w.layout.nodes; i++) {
+        const struct lmn_core *c = w.nodes[i].core;
+        if (c && c->parts[part].mine)
+            term = MAX(term, c->parts[part].my_term);
+    }
+    return term;
+}
+
 int world_leader(void)
 {
     int best = 0;
@@ -108,6 +142,13 @@
                 m->ntasks = 0;
             }
             break;
+        case T_NEW_MACHINES:
+            if (m->dead)
+                break;
+            m->dead = true;
+            m->ntasks = 0;
+            m->up_at = w.now + g_rand_double_range(w.r, 0.1, 2);
+            break;
         default:
             break;
         }
@@ -116,6 +157,16 @@
         later(&w.nodes[who].zone_until, s);
 }
 
+/* From any time, also of an earlier session or life of the machine's place. */
+static void old_reports_now(void)
+{
+    for (int i = 0; i < w.layout.machines; i++) {
+        const struct message *x = machine_old_report(&w.machines[i]);
+        for (int k = 0; x && k < w.layout.nodes; k++)
+            mail_report(machine_report_copy(x), k, w.now);
+    }
+}
+
 void trouble_begin(enum trouble k, int who, double s)
 {
     switch (k) {
@@ -130,6 +181,12 @@
     case T_LATE_REPORTS:
         later(&w.copies_until, s);
         break;
+    case T_REPORTS_FOR_NEXT:
+        later(&w.keep_until, s);
+        break;
+    case T_OLD_REPORTS:
+        old_reports_now();
+        break;
     case T_CLOUD:
         later(&w.cloud_down_until, s);
         break;
@@ -161,6 +218,7 @@
 
     last = MAX(MAX(last, w.lost_until), MAX(w.odd_until, w.cancel_at_end_until));
 
+    last = MAX(last, w.keep_until);
     for (int i = 0; i < w.layout.nodes; i++) {
         const struct node *n = &w.nodes[i];
         const double until[] = {n->cut_until,  n->mute_until,  n->slow_until,
