One function gives the reason why a queued task does not start on a machine

The decision to start and every account of why something waits now use the same predicates: lmn_machine_wait and lmn_job_wait (decide/wait_reason.h). Two new kinds of fault: machines that reach no controller while direct commands reach them, and direct commands carried out 2 to 16 s late, unanswered.

--- a/src/decide/queue.c
+++ b/src/decide/queue.c
@@ -2,10 +2,8 @@
 #include "decide/queue.h"
 #include "base/log.h"
 #include "base/wire.h"
-#include "decide/floor.h"
 #include "decide/order.h"
 #include "decide/place.h"
-#include "decide/quota.h"
 #include "standby/stream.h"
 #include "state/owner_state.h"
 #include "state/core.h"
@@ -83,31 +81,6 @@
     }
 }
 
-bool lmn_can_hold(const struct lmn_machine *m, const struct lmn_job *j)
-{
-    /* One that was told, and has not spoken yet, is dealt work too, which it starts once
-     * it has: dealt to the first few that speak, everything would stand in their queues.
-     */
-    bool known = m->accounted || (m->part->warm && m->session);
-
-    return m->type && known && m->rev && !m->retiring && !m->noticed && !m->lapsed &&
-           !m->is_gone && lmn_spec_allows(&j->spec, m->type, m->zone, m->spot);
-}
-
-uint32_t lmn_room(const struct lmn_machine *m, const struct lmn_spec *s)
-{
-    const double slack = 1e-6;
-    double n = 1e6;
-
-    if (s->cpus > 0)
-        n = MIN(n, floor((m->type->cpus - m->used_cpus) / s->cpus + slack));
-    if (s->gpus > 0)
-        n = MIN(n, floor((m->type->gpus - m->used_gpus) / s->gpus + slack));
-    if (s->mem > 0)
-        n = MIN(n, floor((m->type->mem - m->used_mem) / s->mem + slack));
-    return n > 0 ? (uint32_t)n : 0;
-}
-
 /* How badly a machine suits a job that it could hold: ordinary machines are dear, and
  * some work can run nowhere else; an image that is missing has to be fetched first. */
 static int unfit(const struct lmn_machine *m, const struct lmn_job *j)
@@ -281,34 +254,6 @@
     lmn_redeal_machine(c, m, now);
 }
 
-bool lmn_in_quota(const struct lmn_core *c, const struct lmn_partition *p,
-                  const struct lmn_job *j)
-{
-    if (j->team < 0)
-        return false;
-    const struct lmn_team *t = &c->cfg->teams[j->team];
-    double cpus, gpus;
-
-    lmn_quota_part(c, p, j->team, &cpus, &gpus);
-    if (p->keep[j->team].job != j) {
-        cpus -= p->keep[j->team].cpus;
-        gpus -= p->keep[j->team].gpus;
-    }
-
-    /* A machine that is not accounted for may be full of this team's tasks. As counted at
-     * the last check: since then there are only fewer of them. */
-    if (!p->ready && !p->warm && (t->cpus_max > 0 || t->gpus_max > 0)) {
-        if (p->unheard_unknown)
-            return false;
-        cpus -= p->unheard_cpus;
-        gpus -= p->unheard_gpus;
-    }
-
-    if (t->cpus_max > 0 && p->used_cpus[j->team] + j->spec.cpus > cpus + 1e-6)
-        return false;
-    return !(t->gpus_max > 0 && p->used_gpus[j->team] + j->spec.gpus > gpus + 1e-6);
-}
-
 /* A look over queues begins: for one machine, at one time. What is found out of a job is
  * kept for its length, since the same few jobs stand in most queues. */
 static void look_anew(struct lmn_core *c)
@@ -363,14 +308,6 @@
     s->lo++;
 }
 
-/* Long idle work that found gaps on ordinary machines kept them rented for minutes after
- * everything else was done, and from work that may run nowhere else. */
-static bool too_dear(const struct lmn_core *c, const struct lmn_machine *m,
-                     const struct lmn_job *j)
-{
-    return j->cheap && !m->spot && !j->aged && lmn_cheap_only(c->cfg, &j->spec, m->type);
-}
-
 /* Within a look, starts only take room away: who can't start stays so; who could is
  * looked at again after each. */
 static bool startable(const struct lmn_core *c, const struct lmn_machine *m,
@@ -380,11 +317,7 @@
         return false;
     if (j->look_yes == c->turn)
         return true;
-    bool ok = lmn_job_wanted(c, j) && lmn_room(m, &j->spec) > 0 &&
-              (!m->promised || j->spec.urgency == LMN_PROD) &&
-              (!m->kept || m->kept == j) && !too_dear(c, m, j) &&
-              !lmn_before(now, j->failures.hold) && lmn_can_hold(m, j) &&
-              lmn_in_quota(c, m->part, j) && lmn_zone_room(j, m->zone) > 0;
+    bool ok = lmn_job_wait(c, m, j, now) == LMN_WAIT_NONE;
     if (ok)
         j->look_yes = c->turn;
     else
@@ -606,14 +539,10 @@
 guint lmn_schedule(struct lmn_core *c, struct lmn_machine *m, GByteArray *out,
                    struct timespec now)
 {
-    struct lmn_partition *p = m->part;
     guint n;
 
     m->hungry = false;
-    if (p->releasing || !m->accounted || !m->rev || m->retiring || m->noticed || !m->type)
-        return 0;
-    /* Nobody acknowledges starts now: they would only be taken back. */
-    if (lmn_stream_stuck(p, now) || lmn_before(now, m->hold))
+    if (lmn_machine_wait(m, now) != LMN_WAIT_NONE)
         return 0;
     look_anew(c);
     n = start_own(c, m, out, now);
--- a/src/decide/queue.h
+++ b/src/decide/queue.h
@@ -3,6 +3,7 @@
 #ifndef LMN_QUEUE_H
 #define LMN_QUEUE_H
 
+#include "decide/wait_reason.h"
 #include "state/model.h"
 
 /* Cuts the range's queued tasks over the queues of the machines that could hold them. */
@@ -28,12 +29,6 @@
 /* The machine has the job's image (there), or is fetching it at least. */
 void lmn_note_image(struct lmn_machine *m, const struct lmn_job *j, bool there,
                     struct timespec now);
-/* Whether the job's team may use one task's processors more. */
-bool lmn_in_quota(const struct lmn_core *c, const struct lmn_partition *p,
-                  const struct lmn_job *j);
-/* How many tasks of the job have room on the machine now, its queue aside. */
-uint32_t lmn_room(const struct lmn_machine *m, const struct lmn_spec *s);
-bool lmn_can_hold(const struct lmn_machine *m, const struct lmn_job *j);
 /* Starts what fits on a machine that has just reported: commands go to out. */
 guint lmn_schedule(struct lmn_core *c, struct lmn_machine *m, GByteArray *out,
                    struct timespec now);
--- /dev/null
+++ b/src/decide/wait_reason.c
@@ -0,0 +1,152 @@
+#include "decide/wait_reason.h"
+#include "decide/floor.h"
+#include "decide/place.h"
+#include "decide/quota.h"
+#include "standby/stream.h"
+#include "state/core.h"
+#include "state/owner_state.h"
+
+#include <math.h>
+
+static const char *const names[LMN_WAIT_REASONS] = {
+    [LMN_WAIT_NONE] = "nothing is in the way",
+    [LMN_WAIT_HANDOVER] = "the partition is being handed over",
+    [LMN_WAIT_UNACCOUNTED] = "the machine has not reported to this owner",
+    [LMN_WAIT_UNRECORDED] = "the machine is not recorded",
+    [LMN_WAIT_RETIRING] = "the machine is to be returned",
+    [LMN_WAIT_NOTICED] = "the cloud takes the machine back",
+    [LMN_WAIT_UNKNOWN_TYPE] = "the machine's type is not known",
+    [LMN_WAIT_STANDBY] = "the standby does not acknowledge starts",
+    [LMN_WAIT_FAULTY] = "the machine pauses after failures",
+    [LMN_WAIT_NOT_WANTED] = "the job is over",
+    [LMN_WAIT_ROOM] = "too little room",
+    [LMN_WAIT_PROMISED] = "room is being made for more urgent work",
+    [LMN_WAIT_KEPT] = "the machine is kept for another job",
+    [LMN_WAIT_DEAR] = "left to cheap machines",
+    [LMN_WAIT_FAILING] = "the job pauses after failures",
+    [LMN_WAIT_NOT_ALLOWED] = "the machine can't take it",
+    [LMN_WAIT_LIMIT] = "the team's limit",
+    [LMN_WAIT_ZONE] = "the zones of the job's other tasks",
+    [LMN_WAIT_OTHER_PARTITION] = "in another partition",
+    [LMN_WAIT_NOT_OPEN] = "inherited, and not all machines are accounted for",
+};
+
+const char *lmn_wait_name(enum lmn_wait_reason reason)
+{
+    return names[reason];
+}
+
+bool lmn_can_hold(const struct lmn_machine *m, const struct lmn_job *j)
+{
+    /* One that was told, and has not spoken yet, is dealt work too, which it starts once
+     * it has: dealt to the first few that speak, everything would stand in their queues.
+     */
+    bool known = m->accounted || (m->part->warm && m->session);
+
+    return m->type && known && m->rev && !m->retiring && !m->noticed && !m->lapsed &&
+           !m->is_gone && lmn_spec_allows(&j->spec, m->type, m->zone, m->spot);
+}
+
+uint32_t lmn_room(const struct lmn_machine *m, const struct lmn_spec *s)
+{
+    const double slack = 1e-6;
+    double n = 1e6;
+
+    if (s->cpus > 0)
+        n = MIN(n, floor((m->type->cpus - m->used_cpus) / s->cpus + slack));
+    if (s->gpus > 0)
+        n = MIN(n, floor((m->type->gpus - m->used_gpus) / s->gpus + slack));
+    if (s->mem > 0)
+        n = MIN(n, floor((m->type->mem - m->used_mem) / s->mem + slack));
+    return n > 0 ? (uint32_t)n : 0;
+}
+
+bool lmn_in_quota(const struct lmn_core *c, const struct lmn_partition *p,
+                  const struct lmn_job *j)
+{
+    if (j->team < 0)
+        return false;
+    const struct lmn_team *t = &c->cfg->teams[j->team];
+    double cpus, gpus;
+
+    lmn_quota_part(c, p, j->team, &cpus, &gpus);
+    if (p->keep[j->team].job != j) {
+        cpus -= p->keep[j->team].cpus;
+        gpus -= p->keep[j->team].gpus;
+    }
+
+    /* A machine that is not accounted for may be full of this team's tasks. As counted at
+     * the last check: since then there are only fewer of them. */
+    if (!p->ready && !p->warm && (t->cpus_max > 0 || t->gpus_max > 0)) {
+        if (p->unheard_unknown)
+            return false;
+        cpus -= p->unheard_cpus;
+        gpus -= p->unheard_gpus;
+    }
+
+    if (t->cpus_max > 0 && p->used_cpus[j->team] + j->spec.cpus > cpus + 1e-6)
+        return false;
+    return !(t->gpus_max > 0 && p->used_gpus[j->team] + j->spec.gpus > gpus + 1e-6);
+}
+
+/* Long idle work that found gaps on ordinary machines kept them rented for minutes after
+ * everything else was done, and from work that may run nowhere else. */
+static bool too_dear(const struct lmn_core *c, const struct lmn_machine *m,
+                     const struct lmn_job *j)
+{
+    return j->cheap && !m->spot && !j->aged && lmn_cheap_only(c->cfg, &j->spec, m->type);
+}
+
+enum lmn_wait_reason lmn_machine_wait(const struct lmn_machine *m, struct timespec now)
+{
+    if (m->part->releasing)
+        return LMN_WAIT_HANDOVER;
+    if (!m->accounted)
+        return LMN_WAIT_UNACCOUNTED;
+    if (!m->rev)
+        return LMN_WAIT_UNRECORDED;
+    if (m->retiring)
+        return LMN_WAIT_RETIRING;
+    if (m->noticed)
+        return LMN_WAIT_NOTICED;
+    if (!m->type)
+        return LMN_WAIT_UNKNOWN_TYPE;
+    /* Nobody acknowledges starts now: they would only be taken back. */
+    if (lmn_stream_stuck(m->part, now))
+        return LMN_WAIT_STANDBY;
+    return lmn_before(now, m->hold) ? LMN_WAIT_FAULTY : LMN_WAIT_NONE;
+}
+
+enum lmn_wait_reason lmn_job_wait(const struct lmn_core *c, const struct lmn_machine *m,
+                                  const struct lmn_job *j, struct timespec now)
+{
+    if (!lmn_job_wanted(c, j))
+        return LMN_WAIT_NOT_WANTED;
+    if (!lmn_room(m, &j->spec))
+        return LMN_WAIT_ROOM;
+    if (m->promised && j->spec.urgency != LMN_PROD)
+        return LMN_WAIT_PROMISED;
+    if (m->kept && m->kept != j)
+        return LMN_WAIT_KEPT;
+    if (too_dear(c, m, j))
+        return LMN_WAIT_DEAR;
+    if (lmn_before(now, j->failures.hold))
+        return LMN_WAIT_FAILING;
+    if (!lmn_can_hold(m, j))
+        return LMN_WAIT_NOT_ALLOWED;
+    if (!lmn_in_quota(c, m->part, j))
+        return LMN_WAIT_LIMIT;
+    return lmn_zone_room(j, m->zone) ? LMN_WAIT_NONE : LMN_WAIT_ZONE;
+}
+
+enum lmn_wait_reason lmn_wait_reason(const struct lmn_core *c,
+                                     const struct lmn_machine *m,
+                                     const struct lmn_range *r, struct timespec now)
+{
+    if (r->part != m->part)
+        return LMN_WAIT_OTHER_PARTITION;
+    if (!r->dealt || !lmn_range_free_to_start(r))
+        return LMN_WAIT_NOT_OPEN;
+    enum lmn_wait_reason reason = lmn_machine_wait(m, now);
+    return reason != LMN_WAIT_NONE ? reason : lmn_job_wait(c, m, r->job, now);
+}
--- a/tests/world/day.c
+++ b/tests/world/day.c
@@ -18,6 +18,13 @@
     return g_rand_double(w.r) < p;
 }
 
+const char *world_team(int number)
+{
+    static const char *const teams[MOST_TEAMS] = {"x", "y", "z"};
+
+    return teams[number];
+}
+
 /* Something may go wrong. */
 bool world_trouble(double p)
 {
@@ -130,7 +137,8 @@
 
     w.rev++;
     /* One owner sees all of a job whose tasks look at each other's zones. */
-    int whole = j->spec.spread ? (int)(j->spec.tasks % w.layout.nodes) : -1;
+    int whole =
+        j->spec.spread || j->spec.one_zone ? (int)(j->spec.tasks % w.layout.nodes) : -1;
     for (int i = 0; i < w.layout.nodes; i++)
         open += part_end(j, whole, i) > part_end(j, whole, i - 1);
     b = lmn_job_record(&j->spec, LMN_ACTIVE, open, w.now);
@@ -149,6 +157,7 @@
         at = r.hi;
     }
     j->submitted = true;
+    j->accepted_at = w.now;
 }
 
 /* Any node that reaches the state service may confirm it; which one has no luck in it. */
@@ -162,16 +171,13 @@
     return NULL;
 }
 
-void world_cancel(struct job *j)
+static bool cancel_through(struct job *j, struct node *n)
 {
-    struct node *n = confirming(j);
     char key[64];
     struct lmn_spec s;
     uint32_t open;
     double at;
 
-    if (!n)
-        return;
     g_snprintf(key, sizeof key, "j/%s", j->ref);
     enum lmn_phase phase = world_read_job(j, &s, &open, &at);
     if (phase == LMN_ACTIVE || w.broken == G_FINAL) {
@@ -184,6 +190,25 @@
         lmn_tombstone_add(&n->core->tombstones, j->ref);
     }
     lmn_spec_clear(&s);
+    return j->cancelled_at == w.now;
+}
+
+void world_cancel(struct job *j)
+{
+    struct node *n = confirming(j);
+
+    if (n)
+        cancel_through(j, n);
+}
+
+bool world_cancel_through(struct job *j, int node)
+{
+    struct node *n = &w.nodes[node];
+
+    if (!j->submitted || j->told_done || j->cancelled_at >= 0 || !node_up(n) ||
+        !n->core || w.now < n->still_until || !node_served(n))
+        return false;
+    return cancel_through(j, n);
 }
 
 static void forget_world(void)
@@ -246,12 +271,14 @@
         m->lease_from = m->next_report = w.now;
         m->node = i % w.layout.nodes;
     }
-    for (int i = 0; i < JOBS; i++) {
+    w.njobs = plan && plan->jobs ? plan->jobs : JOBS;
+    w.teams = plan && plan->teams ? plan->teams : 1;
+    for (int i = 0; i < w.njobs; i++) {
         struct job *j = &w.jobs[i];
         g_snprintf(j->ref, sizeof j->ref, "run-%06d", i);
         g_strlcpy(j->spec.ref, j->ref, sizeof j->spec.ref);
         j->spec.class_name = (char *)"c";
-        j->spec.team = (char *)"x";
+        j->spec.team = (char *)world_team(i % w.teams);
         j->spec.image = (char *)"img";
         j->spec.zone = i % 5 == 4 ? (char *)"a" : NULL;
         j->spec.urgency = i % 2 ? LMN_HIGH : LMN_NORMAL;
@@ -268,7 +295,9 @@
             j->spec.estimate_s = 0;
             j->spec.urgency = LMN_PROD;
         }
-        j->cancelled_at = -1;
+        j->cancelled_at = j->accepted_at = j->began_at = j->answered_at = -1;
+        if (plan && plan->describe)
+            plan->describe(j, i);
     }
     for (int step = 0; step < w.layout.steps + w.layout.calm; step++) {
         w.calm = plan || step >= w.layout.steps;
@@ -279,7 +308,7 @@
             plan->step();
         if (world_trouble(0.0006))
             w.cloud_down_until = w.now + g_rand_double_range(w.r, 5, 60);
-        for (int i = 0; i < JOBS; i++) {
+        for (int i = 0; i < w.njobs; i++) {
             struct job *j = &w.jobs[i];
             if (!j->submitted && w.now > 1000 + i * w.layout.every)
                 submit(j);
@@ -314,5 +343,6 @@
         for (int i = 0; i < w.layout.nodes && w.broken == G_NONE; i++)
             assert_true(!w.nodes[i].core || w.nodes[i].core->count.unqueued == 0);
         world_check();
+        world_check_served();
     }
 }
--- a/tests/world/machines.c
+++ b/tests/world/machines.c
@@ -137,8 +137,8 @@
     assert_int_equal(lmn_doc_parse(&d, body->data, body->len), 0);
     lmn_count(lmn_get(&d, lmn_root(&d), W_TOKEN), &token);
     lmn_count(lmn_get(&d, lmn_root(&d), W_SESSION), &session);
-    if (token >= m->token && session == m->session) {
-        m->token = token;
+    if ((token >= m->token && session == m->session) || w.broken == G_TOKEN) {
+        m->token = MAX(m->token, token);
         obey(m, &d, lmn_get(&d, lmn_root(&d), W_COMMANDS));
         status = 200;
     }
@@ -181,6 +181,10 @@
         m->node = (m->node + 1) % w.layout.nodes;
         m->next_report = w.now + 1;
     }
+    if (!m->in_flight && w.now >= m->next_report && w.now < m->mute_until) {
+        m->node = (m->node + 1) % w.layout.nodes;
+        m->next_report = w.now + 1;
+    }
     if (!m->in_flight && w.now >= m->next_report) {
         struct message *x = g_new0(struct message, 1);
         x->body = g_byte_array_new();
@@ -191,6 +195,8 @@
         x->seq = m->seq;
         x->session = m->session;
         x->at = w.now + (world_trouble(0.03) ? g_rand_double_range(w.r, 1, 30) : 0.02);
+        if (plan && plan->link_s > 0)
+            x->at = w.now + g_rand_double_range(w.r, 0.02, plan->link_s);
         m->in_flight = true;
         m->flight_seq = m->seq;
         m->answer_by = w.now + 4;
--- a/tests/world/nodes.c
+++ b/tests/world/nodes.c
@@ -14,7 +14,9 @@
 #include "own/partition.h"
 #include "own/range.h"
 #include "own/upkeep.h"
+#include "state/core.h"
 #include "state/mirror.h"
+#include "state/owner_state.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -38,14 +40,19 @@
             g_snprintf(n->cfg.members[n->cfg.nmembers++].name, LMN_NAME, "n%02d", k);
     n->cfg.partitions = w.layout.nodes;
     n->cfg.report_s = 1;
-    n->cfg.lease_s = w.lease_s;
+    n->cfg.lease_s = w.broken == G_LEASE ? 0.3 * w.lease_s : w.lease_s;
     n->cfg.cancel_s = w.cancel_s;
     n->cfg.state_rps = n->cfg.state_write_rps = 1e6;
+    if (plan && plan->writes && w.broken != G_LAZY)
+        n->cfg.state_write_rps = plan->writes / STEP_S;
     n->cfg.value_kb = 16;
     n->cfg.txn_ops = 12;
-    g_strlcpy(n->cfg.teams[0].name, "x", LMN_NAME);
-    n->cfg.teams[0].cpus_max = w.broken == G_QUOTA ? 4 * w.layout.limit : w.layout.limit;
-    n->cfg.nteams = 1;
+    n->cfg.nteams = (size_t)w.teams;
+    for (int k = 0; k < w.teams; k++) {
+        g_strlcpy(n->cfg.teams[k].name, world_team(k), LMN_NAME);
+        n->cfg.teams[k].cpus_max =
+            w.broken == G_QUOTA ? 4 * w.layout.limit : w.layout.limit;
+    }
     n->state = lmn_state_new(&n->cfg);
     n->core = lmn_core_new(&n->cfg, n->state, g_rand_int(w.r));
     n->core->types.n = 1;
@@ -212,12 +219,29 @@
     return true;
 }
 
+/* How many changes wait to be written. */
+static void note_queue(struct node *n)
+{
+    struct lmn_latency times;
+
+    lmn_latency_init(&times);
+    unsigned queued = (unsigned)lmn_state_figures(n->state, &times);
+    lmn_latency_clear(&times);
+    w.most_queued = MAX(w.most_queued, queued);
+}
+
 static void node_write(struct node *n)
 {
     struct lmn_txn *t;
 
-    while ((t = lmn_state_take(n->state))) {
+    unsigned most = plan && plan->writes ? plan->writes : ~0u;
+
+    if (plan && plan->writes)
+        note_queue(n);
+    for (; most && (t = lmn_state_take(n->state)); most--) {
         uint64_t rev = 0;
+        w.transactions++;
+        w.changes += lmn_txn_changes(t);
         double luck = g_rand_double(w.r);
         if (w.now < w.late_until && luck < 0.3) {
             world_late(t);
@@ -238,6 +262,18 @@
     }
 }
 
+static void drop_floors(struct lmn_core *c)
+{
+    GHashTableIter it;
+    gpointer v;
+
+    g_hash_table_iter_init(&it, c->jobs);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        struct lmn_job *j = v;
+        j->aged = j->owed = false;
+    }
+}
+
 static void break_guards(struct node *n)
 {
     GHashTableIter it;
@@ -258,10 +294,13 @@
                 m->spot = false;
             if (w.broken == G_SPREAD)
                 for (GList *l = g_hash_table_get_values(n->core->jobs); l; l = l->next)
-                    ((struct lmn_job *)l->data)->spec.spread = false;
+                    ((struct lmn_job *)l->data)->spec.spread =
+                        ((struct lmn_job *)l->data)->spec.one_zone = false;
             for (guint k = 0; k < m->attempts->len; k++) {
                 struct lmn_attempt *a =
                     &g_array_index(m->attempts, struct lmn_attempt, k);
+                if (w.broken == G_COUNTED && a->job && !lmn_job_wanted(n->core, a->job))
+                    lmn_attempt_uncount(m, a);
                 if (w.broken == G_UNSURE)
                     a->unsure = a->direct = false;
                 if (w.broken == G_DONE && a->state == LMN_A_RUNNING && a->range &&
@@ -270,6 +309,10 @@
             }
         }
         lmn_partition_check(n->core, p, w.clock);
+        if (w.broken == G_UNHEARD) {
+            p->unheard_cpus = p->unheard_gpus = 0;
+            p->unheard_unknown = false;
+        }
     }
     if (w.broken == G_FENCE)
         n->core->fresh = w.clock;
@@ -300,7 +343,8 @@
 {
     for (int i = 0; i < w.layout.nodes; i++)
         if (world_chance(0.02))
-            lmn_quota_give(n->core, &n->core->parts[i], 0,
+            lmn_quota_give(n->core, &n->core->parts[i],
+                           w.teams > 1 ? g_rand_int_range(w.r, 0, w.teams) : 0,
                            g_rand_int_range(w.r, 0, w.layout.nodes),
                            g_rand_double_range(w.r, 0, w.layout.limit), 0);
 }
@@ -393,6 +437,8 @@
         break_guards(n);
     double wall = w.now;
     lmn_rank_all(n->core, wall);
+    if (w.broken == G_FLOORS)
+        drop_floors(n->core);
     for (int i = 0; i < n->core->nparts && n->core->triaged == n->core->wall; i++)
         lmn_reserve(n->core, &n->core->parts[i], w.clock);
     lmn_upkeep(n->core, w.clock);
--- a/tests/world/peers.c
+++ b/tests/world/peers.c
@@ -132,6 +132,30 @@
     }
 }
 
+/* The call gets no answer; but it is carried out so many seconds later. */
+static void call_late(struct machine *m, const GByteArray *body, double s)
+{
+    struct message *x = g_new0(struct message, 1);
+
+    x->direct = true;
+    x->machine = (int)(m - w.machines);
+    x->life = m->life;
+    x->body = g_byte_array_new();
+    g_byte_array_append(x->body, body->data, body->len);
+    x->at = w.now + s;
+    g_ptr_array_add(w.mail, x);
+}
+
+/* Whether the call is held up on its way, for 2 to 16 s. */
+static bool held_up(struct machine *m, const GByteArray *body)
+{
+    if (w.now >= w.commands_until || world_chance(0.5))
+        return false;
+    w.late_commands++;
+    call_late(m, body, g_rand_double_range(w.r, 2, 16));
+    return true;
+}
+
 /* How the waiting of serve/follow.c ends, and that of the lanes of own/direct.c. */
 void node_release(struct node *n)
 {
@@ -152,9 +176,10 @@
             GByteArray *answer = g_byte_array_new();
             int status = LMN_NOT_SENT;
             if (go)
-                status = there && machine_told((int)(n - w.nodes), m)
-                             ? machine_direct(m, x->body, answer)
-                             : LMN_NO_ANSWER;
+                status =
+                    there && machine_told((int)(n - w.nodes), m) && !held_up(m, x->body)
+                        ? machine_direct(m, x->body, answer)
+                        : LMN_NO_ANSWER;
             lmn_direct_outcome(n->core, x->held.machine, status, answer, w.clock);
             g_byte_array_unref(answer);
         } else if (ours) {
@@ -209,7 +234,7 @@
         lmn_put_text(body, W_TOKEN), lmn_put_count(body, term);
         lmn_put_text(body, W_SESSION), lmn_put_count(body, m->session);
         lmn_put_text(body, W_COMMANDS), lmn_put_list(body, 0);
-        int status = machine_direct(m, body, answer);
+        int status = held_up(m, body) ? LMN_NO_ANSWER : machine_direct(m, body, answer);
         lmn_probe_outcome(n->core, name, term, status, answer, w.clock);
     }
     while (lmn_direct_next(n->core, 0, 1, name, addr, body, w.clock)) {
@@ -229,16 +254,11 @@
         g_byte_array_set_size(answer, 0);
         if (!m || !machine_told(me, m) || luck < 0.25) {
             /* No answer: lost for good, or delivered up to half a minute later. */
-            if (m && !m->dead && world_chance(0.8)) {
-                struct message *x = g_new0(struct message, 1);
-                x->direct = true;
-                x->machine = (int)(m - w.machines);
-                x->life = m->life;
-                x->body = g_byte_array_new();
-                g_byte_array_append(x->body, body->data, body->len);
-                x->at = w.now + g_rand_double_range(w.r, 0.1, world_chance(0.5) ? 3 : 30);
-                g_ptr_array_add(w.mail, x);
-            }
+            if (m && !m->dead && world_chance(0.8))
+                call_late(m, body,
+                          g_rand_double_range(w.r, 0.1, world_chance(0.5) ? 3 : 30));
+            lmn_direct_outcome(n->core, name, LMN_NO_ANSWER, answer, w.clock);
+        } else if (held_up(m, body)) {
             lmn_direct_outcome(n->core, name, LMN_NO_ANSWER, answer, w.clock);
         } else {
             int status = machine_direct(m, body, answer);
--- a/tests/world/rules.c
+++ b/tests/world/rules.c
@@ -6,10 +6,9 @@
 
 int world_job(const char *ref)
 {
-    for (int i = 0; i < JOBS; i++)
-        if (!strcmp(w.jobs[i].ref, ref))
-            return i;
-    return -1;
+    int i = strlen(ref) > 4 ? atoi(ref + 4) : -1;
+
+    return i >= 0 && i < w.njobs && !strcmp(w.jobs[i].ref, ref) ? i : -1;
 }
 
 /* Whether what the machine holds still counts. One that hangs past its lease has lost its
@@ -23,11 +22,16 @@
     return !m->dead && !(hangs && w.now - m->lease_from > w.lease_s);
 }
 
+bool world_active(const struct machine *m, const struct task *t)
+{
+    return t->state != ENDED && world_holds(m);
+}
+
 void world_started(struct machine *m, const struct task *t)
 {
-    const struct job *j = &w.jobs[t->job];
+    struct job *j = &w.jobs[t->job];
     double cpus = 0;
-    uint32_t here = 0;
+    uint32_t here = 0, elsewhere = 0;
 
     for (int i = 0; i < w.layout.machines; i++)
         for (int k = 0; k < w.machines[i].ntasks; k++) {
@@ -36,6 +40,7 @@
                     world_holds(&w.machines[i]) && !strcmp(w.machines[i].zone, m->zone);
             if (o->state != RUNNING || !world_holds(&w.machines[i]))
                 continue;
+            elsewhere += o->job == t->job && strcmp(w.machines[i].zone, m->zone) != 0;
             if (&w.machines[i] != m && o->job == t->job && o->index == t->index)
                 w.broke[R_TWICE]++;
             if (!strcmp(w.jobs[o->job].spec.team, j->spec.team))
@@ -47,6 +52,10 @@
         w.broke[R_PLACE]++;
     if (j->spec.spread && here > (j->spec.tasks + 1) / 2)
         w.broke[R_PLACE]++;
+    if (j->spec.one_zone && elsewhere)
+        w.broke[R_PLACE]++;
+    if (j->began_at < 0)
+        j->began_at = w.now;
     w.starts++;
 }
 
@@ -63,17 +72,20 @@
             w.least_margin = MIN(w.least_margin, margin);
             w.broke[R_CANCELLED] += margin < 0;
         }
-    for (int i = 0; i < JOBS; i++) {
+    for (int i = 0; i < w.njobs; i++) {
         struct job *j = &w.jobs[i];
         struct lmn_spec s;
         uint32_t open;
         double at;
-        if (!j->submitted)
+        /* What a record says is judged when it changes. */
+        if (!j->submitted || world_job_revision(j) == j->read_rev)
             continue;
+        j->read_rev = world_job_revision(j);
         enum lmn_phase phase = world_read_job(j, &s, &open, &at);
         lmn_spec_clear(&s);
         if (phase == LMN_FINISHED && !j->told_done) {
             j->told_done = true;
+            j->answered_at = w.now;
             w.finished++;
             for (uint32_t k = 0; k < j->spec.tasks; k++)
                 if (!j->done[k]) {
--- a/tests/world/scenario.c
+++ b/tests/world/scenario.c
@@ -58,18 +58,38 @@
 
 static const struct layout day = {3, 9, 1, 1100, 1300, 36, 2};
 static const struct scenario *played;
-static double well; /* seconds from the end of the last trouble until all was well */
+/* Seconds from the end of the last trouble until all was well, and until every job was
+ * answered; negative: not yet. */
+static double well, answered;
+static const double LONGEST_DAY_S = 900;
+
+static double since_faults(void)
+{
+    return w.now - MAX(world_trouble_until(), 1000 + w.layout.steps * STEP_S);
+}
 
 bool scenario_is_over(void)
 {
     return scenario_time() >= w.layout.steps * STEP_S;
 }
 
+/* The users of services cancel them once no fault begins any more; so every job is
+ * answered in the end. */
+static bool all_answered(void)
+{
+    for (int i = 0; i < w.njobs; i++) {
+        const struct job *j = &w.jobs[i];
+        if (!j->submitted || (j->cancelled_at < 0 && !j->told_done))
+            return false;
+    }
+    return true;
+}
+
 /* Once it is over, services end, and what has not begun is short: there is time for all.
  */
 static void step(void)
 {
-    for (int i = 0; i < JOBS; i++) {
+    for (int i = 0; i < w.njobs; i++) {
         struct job *j = &w.jobs[i];
         if (!j->submitted)
             j->spec.tasks = MIN(j->spec.tasks, 6);
@@ -79,7 +99,13 @@
     if (scenario_is_over()) {
         w.run_s = 3;
         if (well < 0 && w.now > world_trouble_until() && world_is_well())
-            well = w.now - MAX(world_trouble_until(), 1000 + w.layout.steps * STEP_S);
+            well = since_faults();
+        if (answered < 0 && all_answered())
+            answered = MAX(since_faults(), 0);
+        /* The day goes on until every job is answered. */
+        if (answered < 0 && scenario_time() < LONGEST_DAY_S &&
+            scenario_time() > (w.layout.steps + w.layout.calm - 2) * STEP_S)
+            w.layout.calm++;
     }
     played->step();
 }
@@ -89,7 +115,7 @@
 {
     unsigned n = 0;
 
-    for (int i = 0; i < JOBS; i++) {
+    for (int i = 0; i < w.njobs; i++) {
         const struct job *j = &w.jobs[i];
         if (!j->submitted || j->cancelled_at >= 0 || j->told_done)
             continue;
@@ -108,7 +134,7 @@
     g_rand_free(r);
     plan = &p;
     played = m;
-    well = -1;
+    well = answered = -1;
     if (m->begin)
         m->begin();
     standbys = m->standbys || seed % 2;
@@ -118,13 +144,15 @@
     bool broke = false;
     for (int i = 0; i < RULES; i++)
         broke = broke || (w.broke[i] && (m->rule == i || m->rule == ANY_RULE));
-    return broke || (m->rule == NOT_RECOVERED && !world_is_well());
+    return broke || (m->rule == NOT_RECOVERED && !world_is_well()) ||
+           (m->rule == NOT_SERVED && *w.unserved);
 }
 
 static void holds(void **state)
 {
     const struct scenario *m = *state;
-    double margin = 1e9, longest = 0;
+    const struct layout *layout = m->layout ? m->layout : &day;
+    double margin = 1e9, longest = 0, last = 0, beside = 0;
     unsigned cancelled = 0, late = 0, copies = 0, takeovers = 0;
 
     for (uint32_t seed = 1; seed <= factor * m->days; seed++) {
@@ -139,10 +167,17 @@
         unsigned n = unfinished(&one);
         if (n)
             fail_msg("%s, seed %u: %u jobs have not run, as %s", m->name, seed, n, one);
+        if (w.layout.calm > layout->calm)
+            fail_msg("%s, seed %u: the last job was answered %.0f s late", m->name, seed,
+                     (w.layout.calm - layout->calm) * STEP_S);
+        if (*w.unserved)
+            fail_msg("%s, seed %u: %s", m->name, seed, w.unserved);
         if (well < 0 || well > LONGEST_S)
             fail_msg("%s, seed %u: all was well %.1f s after the last trouble", m->name,
                      seed, well);
         longest = MAX(longest, well);
+        last = MAX(last, answered);
+        beside = MAX(beside, w.longest_beside);
         margin = MIN(margin, w.least_margin);
         cancelled += w.cancelled;
         late += w.lates;
@@ -150,9 +185,10 @@
         takeovers += w.takeovers;
     }
     print_message("%s: %u days, %u takeovers, %u late writes, %u late copies; %u "
-                  "cancelled, least margin of cancel_s %.1f s; all well after %.1f s\n",
+                  "cancelled, least margin of cancel_s %.1f s; all well after %.1f s, "
+                  "last answer after %.1f s; longest wait beside room %.1f s\n",
                   m->name, factor * m->days, takeovers, late, copies, cancelled, margin,
-                  longest);
+                  longest, last, beside);
     if (m->report)
         m->report();
 }
--- a/tests/world/scenario.h
+++ b/tests/world/scenario.h
@@ -7,15 +7,16 @@
 #include "world.h"
 
 /* What a scenario breaks without its guard besides a single rule: any of them, or that
- * the service recovers by the end of the day. */
-enum { ANY_RULE = RULES, NOT_RECOVERED };
+ * the service recovers by the end of the day, or that everything is served in time
+ * (world/served.c). */
+enum { ANY_RULE = RULES, NOT_RECOVERED, NOT_SERVED };
 
 struct scenario {
     const char *name;
     void (*step)(void);
     void (*draw)(struct plan *p, GRand *r);
     enum guard guard; /* without it */
-    int rule;         /* this breaks: a rule, ANY_RULE or NOT_RECOVERED */
+    int rule;         /* this breaks: a rule, ANY_RULE NOT_RECOVERED or NOT_SERVED */
     bool standbys;    /* on each day; else on every second */
     unsigned days;
     void (*begin)(void);         /* before each day, or NULL */
--- /dev/null
+++ b/tests/world/served.c
@@ -0,0 +1,152 @@
+/* Whether everything is served: what no rule forbids, and yet fails a day. */
+#include "world.h"
+
+#include "decide/wait_reason.h"
+
+#include <string.h>
+
+/* Nothing waits for so long beside room, once no fault is in force. */
+static const double BESIDE_S = 90;
+static const double MACHINE_CPUS = 6;
+
+void world_unserved(const char *format, ...)
+{
+    va_list v;
+
+    if (*w.unserved)
+        return;
+    va_start(v, format);
+    g_vsnprintf(w.unserved, sizeof w.unserved, format, v);
+    va_end(v);
+}
+
+/* What is on the machines now, as they know it themselves. */
+struct load {
+    double team[MOST_TEAMS], machine[MOST_MACHINES];
+    uint64_t placed[MOST_JOBS]; /* by job, the tasks that are somewhere */
+    int zones[MOST_JOBS][8];    /* how many of them, by zone */
+};
+
+static int team_of(const struct job *j)
+{
+    int k = 0;
+
+    while (strcmp(world_team(k), j->spec.team))
+        k++;
+    return k;
+}
+
+static void count(struct load *l)
+{
+    memset(l, 0, sizeof *l);
+    for (int i = 0; i < w.layout.machines; i++) {
+        const struct machine *m = &w.machines[i];
+        for (int k = 0; k < m->ntasks; k++) {
+            const struct task *t = &m->tasks[k];
+            const struct job *j = &w.jobs[t->job];
+            if (!world_active(m, t))
+                continue;
+            l->team[team_of(j)] += j->spec.cpus;
+            l->machine[i] += j->spec.cpus;
+            l->placed[t->job] |= 1ull << t->index;
+            l->zones[t->job][m->zone[0] - 'a']++;
+        }
+    }
+}
+
+static bool waits(const struct load *l, int job)
+{
+    const struct job *j = &w.jobs[job];
+    uint64_t here = l->placed[job];
+
+    if (!j->submitted || j->cancelled_at >= 0 || j->told_done)
+        return false;
+    for (uint32_t k = 0; k < j->spec.tasks; k++)
+        if (!j->done[k] && !(here >> k & 1))
+            return true;
+    return false;
+}
+
+/* Whether the zones of the job's other tasks allow one more there. */
+static bool zone_allows(const struct load *l, int job, const struct machine *m)
+{
+    const struct job *j = &w.jobs[job];
+    int here = l->zones[job][m->zone[0] - 'a'], all = 0;
+
+    for (int z = 0; z < 8; z++)
+        all += l->zones[job][z];
+    if (j->spec.one_zone && all > here)
+        return false;
+    return !j->spec.spread || here < (int)(j->spec.tasks + 1) / 2;
+}
+
+static bool has_room(const struct load *l, int job, int machine)
+{
+    const struct job *j = &w.jobs[job];
+    const struct machine *m = &w.machines[machine];
+
+    return !m->dead && (j->spec.spot || !m->spot) &&
+           (!j->spec.zone || !strcmp(j->spec.zone, m->zone)) &&
+           l->machine[machine] + j->spec.cpus <= MACHINE_CPUS + 1e-6 &&
+           l->team[team_of(j)] + j->spec.cpus <= w.layout.limit + 1e-6 &&
+           zone_allows(l, job, m);
+}
+
+/* The reason that the decision itself gives: of the owner of the machine, for the range
+ * there that comes nearest to a start. */
+static const char *reason(const struct job *j, const struct machine *x)
+{
+    enum lmn_wait_reason said = LMN_WAIT_OTHER_PARTITION;
+
+    for (int i = 0; i < w.layout.nodes; i++) {
+        const struct lmn_core *c = w.nodes[i].core;
+        const struct lmn_job *job = c ? g_hash_table_lookup(c->jobs, j->ref) : NULL;
+        for (int k = 0; job && k < c->nparts; k++) {
+            const struct lmn_partition *p = &c->parts[k];
+            const struct lmn_machine *m =
+                p->mine ? g_hash_table_lookup(p->machines, x->name) : NULL;
+            for (guint n = 0; m && n < job->ranges->len; n++) {
+                const struct lmn_range *r = job->ranges->pdata[n];
+                if (r->part == p && r->st)
+                    said = lmn_wait_reason(c, m, r, w.clock);
+            }
+        }
+    }
+    return lmn_wait_name(said);
+}
+
+static void note(struct job *j, int machine, bool beside)
+{
+    double *since = &j->beside[machine];
+
+    if (!beside) {
+        *since = 0;
+        return;
+    }
+    if (!*since)
+        *since = w.now;
+    w.longest_beside = MAX(w.longest_beside, w.now - *since);
+    if (w.now - *since >= BESIDE_S)
+        world_unserved("%s has waited for %.0f s beside %s: %s", j->ref, w.now - *since,
+                       w.machines[machine].name, reason(j, &w.machines[machine]));
+}
+
+void world_check_served(void)
+{
+    static struct load l;
+
+    if (!w.calm || w.now < world_trouble_until()) {
+        w.quiet_from = w.now;
+        return;
+    }
+    count(&l);
+    for (int i = 0; i < w.njobs; i++) {
+        struct job *j = &w.jobs[i];
+        bool any = waits(&l, i);
+        for (int k = 0; k < w.layout.machines; k++) {
+            if (j->beside[k] && j->beside[k] < w.quiet_from)
+                j->beside[k] = 0;
+            note(j, k, any && has_room(&l, i, k));
+        }
+    }
+}
--- a/tests/world/store.c
+++ b/tests/world/store.c
@@ -154,3 +154,11 @@
     lmn_doc_free(&d);
     return phase;
 }
+
+uint64_t world_job_revision(const struct job *j)
+{
+    char key[64];
+
+    g_snprintf(key, sizeof key, "j/%s", j->ref);
+    return ((const struct item *)g_hash_table_lookup(w.store, key))->rev;
+}
--- a/tests/world/troubles.c
+++ b/tests/world/troubles.c
@@ -6,7 +6,8 @@
     "refused",      "outage",       "isolated",   "slow-state",   "late-writes",
     "crash",        "crash-all",    "freeze",     "deaf-node",    "mute-node",
     "leave",        "zone",         "hang",       "deaf-machine", "shut-door",
-    "late-reports", "machine-dies", "cloud-down", "cancel"};
+    "late-reports", "machine-dies", "cloud-down", "cancel",       "mute-machine",
+    "late-commands"};
 
 const char *trouble_name(enum trouble k)
 {
@@ -32,7 +33,7 @@
 
 void world_cancel_some(double share)
 {
-    for (int i = 0; i < JOBS; i++)
+    for (int i = 0; i < w.njobs; i++)
         if (w.jobs[i].submitted && w.jobs[i].cancelled_at < 0 && !w.jobs[i].told_done &&
             world_chance(share))
             world_cancel(&w.jobs[i]);
@@ -101,6 +102,9 @@
         case T_SHUT_DOOR:
             later(&m->closed_until, s);
             break;
+        case T_MUTE_MACHINE:
+            later(&m->mute_until, s);
+            break;
         case T_MACHINE_DIES:
             if (world_chance(0.3)) {
                 m->dead = true;
@@ -129,6 +133,9 @@
     case T_LATE_REPORTS:
         later(&w.copies_until, s);
         break;
+    case T_LATE_COMMANDS:
+        later(&w.commands_until, s);
+        break;
     case T_CLOUD:
         later(&w.cloud_down_until, s);
         break;
@@ -146,6 +153,7 @@
 {
     double last = MAX(w.late_until, MAX(w.copies_until, w.cloud_down_until));
 
+    last = MAX(last, w.commands_until);
     for (int i = 0; i < w.layout.nodes; i++) {
         const struct node *n = &w.nodes[i];
         const double until[] = {n->cut_until,  n->mute_until,  n->slow_until,
@@ -158,6 +166,7 @@
         const struct machine *m = &w.machines[i];
         last = MAX(last, MAX(m->island_until, m->hang_until));
         last = MAX(last, MAX(m->unheard_until, m->closed_until));
+        last = MAX(last, m->mute_until);
     }
     return last;
 }
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -17,7 +17,8 @@
 #include <stddef.h>
 #include <cmocka.h>
 
-enum { MOST_NODES = 33, MOST_MACHINES = 66, JOBS = 40, TASKS = 24 };
+enum { MOST_NODES = 33, MOST_MACHINES = 66, JOBS = 40, MOST_JOBS = 400, TASKS = 24 };
+enum { MOST_TEAMS = 3 };
 static const double STEP_S = 0.1;
 
 enum guard {
@@ -37,6 +38,12 @@
     G_SENT,     /* a view is as old as its question, not its answer */
     G_LATE,     /* what is carried out late is conditional like all else */
     G_KILLS,    /* the first answer of a new term ends what is withdrawn */
+    G_LEASE,    /* a silent machine's tasks are believed until its lease has ended */
+    G_COUNTED,  /* what is withdrawn uses its team's limit until it is proven gone */
+    G_UNHEARD,  /* so does whatever may run on a machine that is not accounted for */
+    G_TOKEN,    /* a worker refuses commands of older terms and of its earlier sessions */
+    G_FLOORS,   /* classes and teams that are owed room, and aged jobs, go first */
+    G_LAZY,     /* what can wait is submitted only as fast as it goes out */
 };
 
 enum rule { R_TWICE, R_QUOTA, R_PLACE, R_CANCELLED, R_NOT_DONE, R_WENT_BACK, RULES };
@@ -92,6 +99,7 @@
     double island_until;
     double unheard_until; /* its reports arrive, and nothing reaches it, until */
     double closed_until;  /* nothing that is sent straight to it gets there, until */
+    double mute_until;    /* it reaches no controller, and hears direct calls, until */
     double hang_until, lease_from, next_report, answer_by;
     uint64_t session, seq, token, told_token;
     int node; /* reports to */
@@ -105,8 +113,12 @@
     struct lmn_spec spec;
     char ref[LMN_REF];
     bool submitted, told_done;
-    double cancelled_at; /* negative: not */
+    double cancelled_at;                       /* negative: not */
+    double accepted_at, began_at, answered_at; /* negative: not yet */
+    uint64_t read_rev; /* of its record, when the rules were last checked against it */
     bool done[64];
+    /* since when one of its tasks has waited while that machine had room; 0: not */
+    double beside[MOST_MACHINES];
 };
 
 struct node {
@@ -150,6 +162,10 @@
 struct plan {
     void (*step)(void);              /* before all else of a step */
     double lease_s, cancel_s, run_s; /* workers' leases; longest run of a task */
+    int jobs, teams;                 /* 0: as on the usual day */
+    double link_s;                   /* longest way of a report */
+    unsigned writes;                 /* transactions of a controller in a step; 0: all */
+    void (*describe)(struct job *j, int number); /* what the users ask for, or NULL */
 };
 
 struct world {
@@ -164,9 +180,16 @@
     uint64_t rev, next_lease;
     double cloud_down_until;
     double late_until, copies_until; /* many transactions, and reports, are late */
+    double commands_until;           /* many direct commands are */
+    double quiet_from;               /* no fault has been in force since */
+    double longest_beside; /* a task has waited beside a machine with room for it */
+    char unserved[160];    /* what the day fails by, besides the rules */
+    unsigned transactions, changes, most_queued; /* of the owners' writes */
+    unsigned late_commands;
     struct node nodes[MOST_NODES];
     struct machine machines[MOST_MACHINES];
-    struct job jobs[JOBS];
+    struct job jobs[MOST_JOBS];
+    int njobs, teams;
     GPtrArray *mail;
     enum guard broken;
     unsigned broke[RULES];
@@ -184,6 +207,7 @@
 extern bool flap;               /* whether members flap in the next day */
 extern bool standbys;           /* whether controllers follow each other in it */
 
+const char *world_team(int number);
 /* A chance of the day; one that something goes wrong. */
 bool world_chance(double p);
 bool world_trouble(double p);
@@ -195,6 +219,7 @@
 /* The job's record as it stands; the description is to be cleared. */
 enum lmn_phase world_read_job(const struct job *j, struct lmn_spec *s, uint32_t *open,
                               double *at);
+uint64_t world_job_revision(const struct job *j);
 enum lmn_outcome world_commit(const struct lmn_txn *t, uint64_t *rev);
 /* The same transaction, once more: to be carried out seconds later, after newer ones. */
 void world_late(const struct lmn_txn *t);
@@ -208,10 +233,19 @@
 /* Whether what the machine holds still counts. One that hangs past its lease has lost its
  * tasks, though it will notice only when it goes on. */
 bool world_holds(const struct machine *m);
+/* A task is on the machine, or on its way to run there. */
+bool world_active(const struct machine *m, const struct task *t);
 /* A task has started there. */
 void world_started(struct machine *m, const struct task *t);
 void world_check(void);
 
+/* --- served.c --- */
+
+/* The day fails, by that; the first counts. */
+void world_unserved(const char *format, ...) G_GNUC_PRINTF(1, 2);
+/* No task waits beside room for longer than it may. */
+void world_check_served(void);
+
 /* --- machines.c --- */
 
 /* A place's machines have different names, of the same partition: none comes back. */
@@ -269,6 +303,8 @@
     T_MACHINE_DIES,
     T_CLOUD,
     T_CANCEL,
+    T_MUTE_MACHINE,  /* it reaches no controller, and hears direct calls */
+    T_LATE_COMMANDS, /* direct commands get no answer and are carried out late */
     TROUBLES
 };
 const char *trouble_name(enum trouble k);
@@ -283,6 +319,8 @@
 /* The user cancels the job through a node that reaches the state service; not if there is
  * none. */
 void world_cancel(struct job *j);
+/* Through that node; false if it does not serve users, or the job is over. */
+bool world_cancel_through(struct job *j, int node);
 /* Whether the node reaches the state service now. */
 bool node_served(const struct node *n);
 /* Once nothing goes wrong any more: no partition without an owner that is ready, nobody
