A partition without room keeps no part of a limit that others could use

A partition asked for parts of its team's limit for all of its queue, and gave away only what its queue did not need, whether or not its machines had room. Now it asks for no more than it has machines for, and gives away what it has no room for, but for what is kept for a job that waits for it.

--- a/src/decide/quota.c
+++ b/src/decide/quota.c
@@ -29,9 +29,11 @@
     }
 }
 
-/* What the team's queued tasks in the partition ask for, and the largest of them. */
-static void queued(const struct lmn_partition *p, int team, struct lmn_quota_want *w)
+/* What the team's queued tasks in the partition ask for, and the largest of them; returns
+ * the processors of the smallest. */
+static double queued(const struct lmn_partition *p, int team, struct lmn_quota_want *w)
 {
+    double smallest = 1e12;
     GHashTableIter it;
     gpointer v;
 
@@ -48,7 +50,26 @@
         w->gpus += n * r->job->spec.gpus;
         w->least_cpus = MAX(w->least_cpus, r->job->spec.cpus);
         w->least_gpus = MAX(w->least_gpus, r->job->spec.gpus);
+        smallest = MIN(smallest, r->job->spec.cpus);
     }
+    return smallest;
+}
+
+/* Processors that are free on the partition's machines, where a task of that size fits.
+ */
+static double free_cpus(const struct lmn_partition *p, double task)
+{
+    double sum = 0;
+
+    for (guint i = 0; i < p->list->len; i++) {
+        const struct lmn_machine *m = p->list->pdata[i];
+        if (!m->type || !m->accounted || m->retiring || m->noticed || m->lapsed ||
+            m->is_gone)
+            continue;
+        double left = m->type->cpus - m->used_cpus;
+        sum += left + 1e-6 >= task ? left : 0;
+    }
+    return sum;
 }
 
 bool lmn_quota_wanted(const struct lmn_core *c, const struct lmn_partition *p, int team,
@@ -58,7 +79,7 @@
 
     if (!p->mine || !p->ready || !lmn_quota_limited(&c->cfg->teams[team]))
         return false;
-    queued(p, team, w);
+    double smallest = queued(p, team, w);
     lmn_quota_part(c, p, team, &cpus, &gpus);
     /* Only what its queue is short of; the least it needs is what a task needs beyond all
      * of the part, which waiting for others to end would never give it. */
@@ -68,6 +89,13 @@
     w->gpus = short_gpus ? MAX(w->gpus - (gpus - p->used_gpus[team]), 0) : 0;
     w->least_cpus = MAX(w->least_cpus - cpus, 0);
     w->least_gpus = MAX(w->least_gpus - gpus, 0);
+    /* No more than it has machines for: what it took beyond that lay idle, while others
+     * had room. */
+    double room = w->cpus > 0 || w->gpus > 0 ? free_cpus(p, smallest) : 0;
+    w->cpus = MIN(w->cpus, room);
+    w->gpus = room > 0 ? w->gpus : 0;
+    w->cpus = MAX(w->cpus, w->least_cpus);
+    w->gpus = MAX(w->gpus, w->least_gpus);
     if (c->cfg->teams[team].cpus_max <= 0)
         w->cpus = w->least_cpus = 0;
     if (c->cfg->teams[team].gpus_max <= 0)
@@ -80,10 +108,14 @@
 {
     struct lmn_quota_want own;
 
-    queued(p, w->team, &own);
+    double smallest = queued(p, w->team, &own);
     lmn_quota_part(c, p, w->team, cpus, gpus);
-    /* What its own queue does not need; and of that, what another could else never start
-     * with. */
+    /* What its own queue does not need, or has no room for: a partition whose machines
+     * were full kept most of the limit, while another with room had none left. What is
+     * kept for a job that waits for it (decide/reserve.h) stays. And whatever another
+     * could else never start with. */
+    own.cpus = own.cpus > 0 ? MIN(own.cpus, free_cpus(p, smallest)) : 0;
+    own.cpus = MAX(own.cpus, p->keep[w->team].job ? p->keep[w->team].cpus : 0);
     *cpus -= p->used_cpus[w->team] + own.cpus;
     *gpus -= p->used_gpus[w->team] + own.gpus;
     *cpus = MAX(MIN(w->cpus, *cpus), w->least_cpus);
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -12,6 +12,7 @@
 #include "own/range.h"
 #include "state/mirror.h"
 #include "state/model.h"
+#include "state/owner_state.h"
 #include "state/state.h"
 
 #include <setjmp.h>
@@ -301,12 +302,53 @@
     g_rand_free(r);
 }
 
+/* A partition with work for the whole limit, and no machine with room, kept all of the
+ * part that it did not use, while another had room and no part. */
+static void full_machines_keep_no_part(void **state)
+{
+    (void)state;
+    make(3);
+    struct lmn_core *c = core[1];
+    struct lmn_partition *p = &c->parts[1];
+    struct lmn_job *job = g_new0(struct lmn_job, 1);
+    struct lmn_range *range = g_new0(struct lmn_range, 1);
+    struct lmn_type type = {.name = "t", .cpus = 8};
+    struct lmn_machine *m = lmn_machine_new(p, "host-000001");
+    struct lmn_quota_want want = {0, 2, 0, 0, 0}, own;
+    double cpus, gpus;
+
+    job->spec.cpus = 2;
+    job->ranges = g_ptr_array_new();
+    *range = (struct lmn_range){.job = job, .part = p, .hi = 20};
+    range->key = g_strdup("r/1/x/0");
+    range->done = g_malloc0(3);
+    g_hash_table_insert(p->ranges, range->key, range);
+    lmn_range_open(c, range);
+    m->type = &type;
+    m->accounted = true;
+    m->used_cpus = 7; /* another team's, for the most part */
+    p->used_cpus[0] = 4;
+    lmn_quota_spare(c, p, &want, &cpus, &gpus);
+    assert_true(cpus == 2);
+    assert_false(lmn_quota_wanted(c, p, 0, &own));
+    /* Nor does it ask for more than it has room for; what it has room for, it keeps. */
+    p->used_cpus[0] = 8;
+    assert_false(lmn_quota_wanted(c, p, 0, &own));
+    m->used_cpus = 3;
+    assert_true(lmn_quota_wanted(c, p, 0, &own));
+    assert_true(own.cpus == 5);
+    p->used_cpus[0] = 4;
+    lmn_quota_spare(c, p, &want, &cpus, &gpus);
+    assert_true(cpus == 0);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(never_more_than_the_limit),
         cmocka_unit_test(large_task_gets_its_part),
         cmocka_unit_test(large_task_gets_it_from_busy_parts),
+        cmocka_unit_test(full_machines_keep_no_part),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
