--- /dev/null
+++ b/tests/test_wait_reason.c
@@ -0,0 +1,250 @@
+/* Why a queued task does not start, and what becomes of a job that can only be moved as
+ * one. */
+#include "base/clock.h"
+#include "base/settings.h"
+#include "decide/queue.h"
+#include "decide/steal.h"
+#include "decide/wait_reason.h"
+#include "own/owner.h"
+#include "own/range.h"
+#include "state/core.h"
+#include "state/model.h"
+#include "state/owner_state.h"
+#include "state/state.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+#include <string.h>
+
+/* Past cores are left behind as they are. */
+const char *__asan_default_options(void);
+const char *__asan_default_options(void)
+{
+    return "detect_leaks=0";
+}
+
+enum { TASKS = 4 };
+
+static struct lmn_settings cfg;
+static struct lmn_core *core;
+static struct lmn_job job, other;
+static struct lmn_range *range;
+static struct lmn_machine *machine;
+static struct timespec now;
+
+/* One machine of 8 processors in partition 0, and a job of four tasks of two. */
+static void make(void)
+{
+    memset(&cfg, 0, sizeof cfg);
+    memset(&job, 0, sizeof job);
+    cfg.partitions = 2;
+    cfg.state_rps = cfg.state_write_rps = 1000;
+    cfg.txn_ops = 12;
+    cfg.lease_s = 10;
+    cfg.nteams = 1;
+    g_strlcpy(cfg.teams[0].name, "t", LMN_NAME);
+    cfg.teams[0].cpus_max = 100;
+    now = (struct timespec){1000, 0};
+    lmn_test_clock = &now;
+    core = lmn_core_new(&cfg, lmn_state_new(&cfg), 1);
+    core->types.n = 1;
+    core->types.v[0] = (struct lmn_type){.name = "x", .cpus = 8, .mem = 64};
+    struct lmn_partition *p = &core->parts[0];
+    p->mine = p->ready = p->open = true;
+    p->my_term = 1;
+    machine = lmn_machine_new(p, "m-1");
+    machine->type = &core->types.v[0];
+    g_strlcpy(machine->zone, "a", sizeof machine->zone);
+    machine->rev = 1;
+    machine->heard = machine->accounted = true;
+    g_strlcpy(job.spec.ref, "run-000001", sizeof job.spec.ref);
+    job.spec.team = (char *)"t";
+    job.spec.class_name = (char *)"c";
+    job.spec.image = (char *)"i";
+    job.image = g_intern_string("i");
+    job.spec.tasks = TASKS;
+    job.spec.cpus = 2;
+    job.spec.one_zone = true;
+    job.spec.urgency = LMN_NORMAL;
+    job.ranges = g_ptr_array_new();
+    range = g_new0(struct lmn_range, 1);
+    *range = (struct lmn_range){.job = &job, .part = p, .hi = TASKS, .move_to = -1};
+    range->key = g_strdup("r/0/run-000001/0");
+    range->done = g_malloc0(1);
+    g_hash_table_insert(p->ranges, range->key, range);
+    g_ptr_array_add(job.ranges, range);
+    lmn_range_open(core, range);
+    range->dealt = true;
+    lmn_queue_add(&machine->queue, range, 0, TASKS);
+}
+
+static void hand_over(void)
+{
+    machine->part->releasing = true;
+}
+static void is_new(void)
+{
+    machine->accounted = false;
+}
+static void lacks_record(void)
+{
+    machine->rev = 0;
+}
+static void retires(void)
+{
+    machine->retiring = true;
+}
+static void is_noticed(void)
+{
+    machine->noticed = true;
+}
+static void has_no_type(void)
+{
+    machine->type = NULL;
+}
+static void failed(void)
+{
+    machine->hold = lmn_after(now, 5);
+}
+static void job_is_over(void)
+{
+    job.phase = LMN_WITHDRAWN;
+}
+static void is_full(void)
+{
+    machine->used_cpus = 7;
+}
+static void is_promised(void)
+{
+    machine->promised = 1;
+}
+static void is_kept(void)
+{
+    machine->kept = &other;
+}
+static void job_fails(void)
+{
+    job.failures.hold = lmn_after(now, 5);
+}
+static void forbids_zone(void)
+{
+    job.spec.zone = (char *)"b";
+}
+static void reaches_limit(void)
+{
+    machine->part->used_cpus[0] = 49;
+}
+static void runs_elsewhere(void)
+{
+    lmn_zone_count(&job, "b", 1);
+}
+static void is_not_open(void)
+{
+    machine->part->open = false;
+}
+static void nothing(void)
+{
+}
+
+/* Each reason is given if, and only if, the decision itself does not start the task. */
+static void reasons_are_the_decisions(void **state)
+{
+    static const struct {
+        void (*happens)(void);
+        enum lmn_wait_reason reason;
+    } cases[] = {
+        {nothing, LMN_WAIT_NONE},
+        {hand_over, LMN_WAIT_HANDOVER},
+        {is_new, LMN_WAIT_UNACCOUNTED},
+        {lacks_record, LMN_WAIT_UNRECORDED},
+        {retires, LMN_WAIT_RETIRING},
+        {is_noticed, LMN_WAIT_NOTICED},
+        {has_no_type, LMN_WAIT_UNKNOWN_TYPE},
+        {failed, LMN_WAIT_FAULTY},
+        {job_is_over, LMN_WAIT_NOT_WANTED},
+        {is_full, LMN_WAIT_ROOM},
+        {is_promised, LMN_WAIT_PROMISED},
+        {is_kept, LMN_WAIT_KEPT},
+        {job_fails, LMN_WAIT_FAILING},
+        {forbids_zone, LMN_WAIT_NOT_ALLOWED},
+        {reaches_limit, LMN_WAIT_LIMIT},
+        {runs_elsewhere, LMN_WAIT_ZONE},
+    };
+    (void)state;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        GByteArray *out = g_byte_array_new();
+        make();
+        cases[i].happens();
+        enum lmn_wait_reason reason = lmn_wait_reason(core, machine, range, now);
+        assert_string_equal(lmn_wait_name(reason), lmn_wait_name(cases[i].reason));
+        guint started = lmn_schedule(core, machine, out, now);
+        assert_int_equal(started, reason == LMN_WAIT_NONE ? TASKS : 0);
+        g_byte_array_unref(out);
+    }
+    make();
+    is_not_open();
+    assert_int_equal(lmn_wait_reason(core, machine, range, now), LMN_WAIT_NOT_OPEN);
+}
+
+static const struct lmn_thief thief = {.part = 1,
+                                       .rooms = {{"x", "b", false, 2, 0, 64}},
+                                       .nrooms = 1,
+                                       .team_cpus = {8},
+                                       .team_gpus = {1e12}};
+
+/* A job of one zone waited for ever in a partition without a machine there. */
+static void untouched_job_moves_whole(void **state)
+{
+    (void)state;
+    make();
+    forbids_zone();
+    assert_int_equal(lmn_victim_load(core, range->part, &thief), TASKS);
+    assert_int_equal(lmn_victim_give(core, range->part, &thief, now), TASKS);
+    assert_int_equal(range->move_at, 0);
+    assert_int_equal(machine->queue.tasks, 0);
+}
+
+static void half_lies_elsewhere(void)
+{
+    job.spec.tasks = 2 * TASKS;
+}
+static void one_has_started(void)
+{
+    range->nstarted = 1;
+}
+static void one_has_ended(void)
+{
+    range->nfinished = 1;
+}
+static void finds_no_room(void)
+{
+    job.spec.cpus = 4;
+}
+
+/* Its tasks would be seen by two owners. */
+static void touched_job_stays(void **state)
+{
+    static void (*const cases[])(void) = {half_lies_elsewhere, one_has_started,
+                                          one_has_ended, runs_elsewhere, finds_no_room};
+    (void)state;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        make();
+        cases[i]();
+        assert_int_equal(lmn_victim_load(core, range->part, &thief), 0);
+        assert_int_equal(lmn_victim_give(core, range->part, &thief, now), 0);
+    }
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(reasons_are_the_decisions),
+        cmocka_unit_test(untouched_job_moves_whole),
+        cmocka_unit_test(touched_job_stays),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
