--- a/tests/world/machines.c
+++ b/tests/world/machines.c
@@ -141,7 +141,9 @@
             if (same_task)
                 t->state = ENDED; /* busy */
         } else if (lmn_is(lmn_get(d, n, W_OP), W_KILL)) {
-            if (at >= 0 && m->tasks[at].state != ENDED)
+            bool ours = attempt >> 24 == m->token;
+            if (at >= 0 && m->tasks[at].state != ENDED &&
+                (ours || w.broken != G_INHERITED))
                 m->tasks[at].state = ENDED;
         } else if (at >= 0 && m->tasks[at].state == ENDED) {
             m->tasks[at] = m->tasks[--m->ntasks];
@@ -181,6 +183,8 @@
 
     w.old_terms += old_term;
     w.old_sessions += !old_term && old_session;
+    if (w.broken == G_TOKEN)
+        return true;
     return (!old_term || w.broken == G_OLD_TERM) &&
            (!old_session || w.broken == G_SESSION);
 }
@@ -238,6 +242,10 @@
         m->node = (m->node + 1) % w.layout.nodes;
         m->next_report = w.now + 1;
     }
+    if (!m->in_flight && w.now >= m->next_report && w.now < m->mute_until) {
+        m->node = (m->node + 1) % w.layout.nodes;
+        m->next_report = w.now + 1;
+    }
     if (!m->in_flight && w.now >= m->next_report) {
         struct message *x = g_new0(struct message, 1);
         x->body = g_byte_array_new();
@@ -249,6 +257,8 @@
         x->session = m->session;
         keep_report(m, x);
         x->at = w.now + (world_trouble(0.03) ? g_rand_double_range(w.r, 1, 30) : 0.02);
+        if (plan && plan->link_s > 0)
+            x->at = w.now + g_rand_double_range(w.r, 0.02, plan->link_s);
         m->in_flight = true;
         m->flight_seq = m->seq;
         m->answer_by = w.now + 4;
--- a/tests/world/nodes.c
+++ b/tests/world/nodes.c
@@ -4,6 +4,7 @@
 #include "decide/order.h"
 #include "decide/pack.h"
 #include "decide/preempt.h"
+#include "decide/quota.h"
 #include "decide/reserve.h"
 #include "decide/steal.h"
 #include "own/flush.h"
@@ -15,7 +16,9 @@
 #include "own/range.h"
 #include "own/upkeep.h"
 #include "standby/copy.h"
+#include "state/core.h"
 #include "state/mirror.h"
+#include "state/owner_state.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -39,14 +42,19 @@
             g_snprintf(n->cfg.members[n->cfg.nmembers++].name, LMN_NAME, "n%02d", k);
     n->cfg.partitions = w.layout.nodes;
     n->cfg.report_s = 1;
-    n->cfg.lease_s = w.lease_s;
+    n->cfg.lease_s = w.broken == G_LEASE ? 0.3 * w.lease_s : w.lease_s;
     n->cfg.cancel_s = w.cancel_s;
     n->cfg.state_rps = n->cfg.state_write_rps = 1e6;
+    if (plan && plan->writes)
+        n->cfg.state_write_rps = plan->writes / STEP_S;
     n->cfg.value_kb = 16;
     n->cfg.txn_ops = 12;
-    g_strlcpy(n->cfg.teams[0].name, "x", LMN_NAME);
-    n->cfg.teams[0].cpus_max = w.broken == G_QUOTA ? 4 * w.layout.limit : w.layout.limit;
-    n->cfg.nteams = 1;
+    n->cfg.nteams = (size_t)w.teams;
+    for (int k = 0; k < w.teams; k++) {
+        g_strlcpy(n->cfg.teams[k].name, world_team(k), LMN_NAME);
+        n->cfg.teams[k].cpus_max =
+            w.broken == G_QUOTA ? 4 * w.layout.limit : w.layout.limit;
+    }
     n->state = lmn_state_new(&n->cfg);
     n->core = lmn_core_new(&n->cfg, n->state, g_rand_int(w.r));
     n->core->types.n = 1;
@@ -231,17 +239,46 @@
     return true;
 }
 
+/* How many changes wait to be written. */
+static void note_queue(struct node *n)
+{
+    struct lmn_latency times;
+
+    lmn_latency_init(&times);
+    unsigned queued = (unsigned)lmn_state_figures(n->state, &times);
+    lmn_latency_clear(&times);
+    w.most_queued = MAX(w.most_queued, queued);
+}
+
 static void node_write(struct node *n)
 {
     struct lmn_txn *t;
 
-    while ((t = lmn_state_take(n->state))) {
+    unsigned most = plan && plan->writes ? plan->writes : ~0u;
+
+    if (plan && plan->writes)
+        note_queue(n);
+    for (; most && (t = lmn_state_take(n->state)); most--) {
         uint64_t rev = 0;
+        w.transactions++;
+        w.changes += lmn_txn_changes(t);
         enum lmn_outcome r = world_send(n, t, g_rand_double(w.r), &rev);
         lmn_txn_finish(t, r, rev);
     }
 }
 
+static void drop_floors(struct lmn_core *c)
+{
+    GHashTableIter it;
+    gpointer v;
+
+    g_hash_table_iter_init(&it, c->jobs);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        struct lmn_job *j = v;
+        j->aged = j->owed = false;
+    }
+}
+
 static void break_guards(struct node *n)
 {
     GHashTableIter it;
@@ -262,10 +299,13 @@
                 m->spot = false;
             if (w.broken == G_SPREAD)
                 for (GList *l = g_hash_table_get_values(n->core->jobs); l; l = l->next)
-                    ((struct lmn_job *)l->data)->spec.spread = false;
+                    ((struct lmn_job *)l->data)->spec.spread =
+                        ((struct lmn_job *)l->data)->spec.one_zone = false;
             for (guint k = 0; k < m->attempts->len; k++) {
                 struct lmn_attempt *a =
                     &g_array_index(m->attempts, struct lmn_attempt, k);
+                if (w.broken == G_COUNTED && a->job && !lmn_job_wanted(n->core, a->job))
+                    lmn_attempt_uncount(m, a);
                 if (w.broken == G_UNSURE)
                     a->unsure = a->direct = false;
                 if (w.broken == G_DONE && a->state == LMN_A_RUNNING && a->range &&
@@ -273,6 +313,14 @@
                     lmn_task_finished(a->range, a->index, w.clock);
             }
         }
+        if (w.broken == G_ONE_WRITE) {
+            g_hash_table_iter_init(&it, p->ranges);
+            while (g_hash_table_iter_next(&it, NULL, &v))
+                ((struct lmn_range *)v)->writing = false;
+            g_hash_table_iter_init(&it, n->core->jobs);
+            while (g_hash_table_iter_next(&it, NULL, &v))
+                ((struct lmn_job *)v)->closing = 0;
+        }
         lmn_partition_check(n->core, p, w.clock);
     }
     if (w.broken == G_FENCE)
@@ -317,14 +365,44 @@
     }
 }
 
-/* Parts of the team's limit go to and fro, whatever is under way. */
+/* A partition that is short of a team's limit asks the others, as serve/peer.c does. */
+static void seek_limits(struct node *n, int part)
+{
+    struct lmn_partition *p = &n->core->parts[part];
+    bool any = false, got = false;
+
+    for (int team = 0; team < w.teams && !lmn_before(w.clock, p->next_quota); team++) {
+        struct lmn_quota_want want;
+        if (!lmn_quota_wanted(n->core, p, team, &want))
+            continue;
+        any = true;
+        int first = g_rand_int_range(w.r, 0, w.layout.nodes);
+        for (int i = 0; i < w.layout.nodes * w.layout.nodes; i++) {
+            struct node *o = &w.nodes[i % w.layout.nodes];
+            int victim = (first + i / w.layout.nodes) % w.layout.nodes;
+            if (victim != part && node_talks(n, o) && o->core->parts[victim].mine)
+                got |= lmn_quota_asked(o->core, &o->core->parts[victim], part, &want,
+                                       w.clock);
+        }
+    }
+    if (!any)
+        return;
+    p->quota_poll_s = got ? 0.5 : CLAMP(p->quota_poll_s * 2, 0.5, 8);
+    p->next_quota = lmn_after(w.clock, p->quota_poll_s);
+}
+
+/* Parts of the team's limit go to and fro, whatever is under way; on days of several
+ * teams, only as owners want them to. */
 static void node_quota(struct node *n)
 {
-    for (int i = 0; i < w.layout.nodes; i++)
-        if (world_chance(0.02))
+    for (int i = 0; i < w.layout.nodes; i++) {
+        if (plan)
+            seek_limits(n, i);
+        if (w.teams == 1 && world_chance(0.02))
             lmn_quota_give(n->core, &n->core->parts[i], 0,
                            g_rand_int_range(w.r, 0, w.layout.nodes),
                            g_rand_double_range(w.r, 0, w.layout.limit), 0);
+    }
 }
 
 /* The cloud: machines that owners want to be rid of are gone, and come back as new ones.
@@ -424,9 +502,15 @@
     pass_for_recorded(n, true);
     double wall = w.now;
     lmn_rank_all(n->core, wall);
+    if (w.broken == G_FLOORS)
+        drop_floors(n->core);
     for (int i = 0; i < n->core->nparts && n->core->triaged == n->core->wall; i++)
         lmn_reserve(n->core, &n->core->parts[i], w.clock);
     lmn_upkeep(n->core, w.clock);
+    for (int k = 0; k < w.layout.nodes && w.broken == G_UNHEARD; k++) {
+        n->core->parts[k].unheard_cpus = n->core->parts[k].unheard_gpus = 0;
+        n->core->parts[k].unheard_unknown = false;
+    }
     for (int k = 0; k < w.layout.nodes; k++) {
         lmn_make_room(n->core, &n->core->parts[k], w.clock);
         lmn_pack(n->core, &n->core->parts[k], w.clock);
--- a/tests/world/scenario.c
+++ b/tests/world/scenario.c
@@ -59,18 +59,38 @@
 
 static const struct layout day = {3, 9, 1, 1100, 1300, 36, 2};
 static const struct scenario *played;
-static double well; /* seconds from the end of the last trouble until all was well */
+/* Seconds from the end of the last trouble until all was well, and until every job was
+ * answered; negative: not yet. */
+static double well, answered;
+static const double LONGEST_DAY_S = 900;
+
+static double since_faults(void)
+{
+    return w.now - MAX(world_trouble_until(), 1000 + w.layout.steps * STEP_S);
+}
 
 bool scenario_is_over(void)
 {
     return scenario_time() >= w.layout.steps * STEP_S;
 }
 
+/* The users of services cancel them once no fault begins any more; so every job is
+ * answered in the end. */
+static bool all_answered(void)
+{
+    for (int i = 0; i < w.njobs; i++) {
+        const struct job *j = &w.jobs[i];
+        if (!j->submitted || (j->cancelled_at < 0 && !j->told_done))
+            return false;
+    }
+    return true;
+}
+
 /* Once it is over, services end, and what has not begun is short: there is time for all.
  */
 static void step(void)
 {
-    for (int i = 0; i < JOBS; i++) {
+    for (int i = 0; i < w.njobs; i++) {
         struct job *j = &w.jobs[i];
         if (!j->submitted && !j->offered)
             j->spec.tasks = MIN(j->spec.tasks, 6);
@@ -80,22 +100,31 @@
     if (scenario_is_over()) {
         w.run_s = 3;
         if (well < 0 && w.now > world_trouble_until() && world_is_well())
-            well = w.now - MAX(world_trouble_until(), 1000 + w.layout.steps * STEP_S);
+            well = since_faults();
+        if (answered < 0 && all_answered())
+            answered = MAX(since_faults(), 0);
+        /* The day goes on until every job is answered. */
+        if (answered < 0 && scenario_time() < LONGEST_DAY_S &&
+            scenario_time() > (w.layout.steps + w.layout.calm - 2) * STEP_S)
+            w.layout.calm++;
     }
     played->step();
+    /* Without its guard, a day is over as soon as it has failed. */
+    if (w.broken && played->rule == NOT_SERVED && *w.unserved)
+        w.layout.steps = w.layout.calm = 0;
 }
 
 /* How many jobs have not run that should have, and one of them. */
-static unsigned unfinished(const char **one)
+static unsigned unfinished(const struct job **one)
 {
     unsigned n = 0;
 
-    for (int i = 0; i < JOBS; i++) {
+    for (int i = 0; i < w.njobs; i++) {
         const struct job *j = &w.jobs[i];
         if ((!j->submitted && !j->offered) || j->cancelled_at >= 0 || j->told_done)
             continue;
         n++;
-        *one = j->ref;
+        *one = j;
     }
     return n;
 }
@@ -109,7 +138,7 @@
     g_rand_free(r);
     plan = &p;
     played = m;
-    well = -1;
+    well = answered = -1;
     if (m->begin)
         m->begin();
     standbys = m->standbys || seed % 2;
@@ -119,13 +148,15 @@
     bool broke = false;
     for (int i = 0; i < RULES; i++)
         broke = broke || (w.broke[i] && (m->rule == i || m->rule == ANY_RULE));
-    return broke || (m->rule == NOT_RECOVERED && !world_is_well());
+    return broke || (m->rule == NOT_RECOVERED && !world_is_well()) ||
+           (m->rule == NOT_SERVED && *w.unserved);
 }
 
 static void holds(void **state)
 {
     const struct scenario *m = *state;
-    double margin = 1e9, longest = 0;
+    const struct layout *layout = m->layout ? m->layout : &day;
+    double margin = 1e9, longest = 0, last = 0, beside = 0;
     unsigned cancelled = 0, late = 0, copies = 0, takeovers = 0;
     unsigned answers = 0, back = 0, overtaken = 0, none = 0;
 
@@ -137,14 +168,24 @@
                          w.broke[i]);
         if (!world_is_well())
             fail_msg("%s, seed %u: not all is well at the end", m->name, seed);
-        const char *one;
+        const struct job *one;
         unsigned n = unfinished(&one);
-        if (n)
-            fail_msg("%s, seed %u: %u jobs have not run, as %s", m->name, seed, n, one);
+        if (n) {
+            world_explain(one);
+            fail_msg("%s, seed %u: %u jobs have not run, as %s", m->name, seed, n,
+                     one->ref);
+        }
+        if (w.layout.calm > layout->calm)
+            fail_msg("%s, seed %u: the last job was answered %.0f s late", m->name, seed,
+                     (w.layout.calm - layout->calm) * STEP_S);
+        if (*w.unserved)
+            fail_msg("%s, seed %u: %s", m->name, seed, w.unserved);
         if (well < 0 || well > LONGEST_S)
             fail_msg("%s, seed %u: all was well %.1f s after the last trouble", m->name,
                      seed, well);
         longest = MAX(longest, well);
+        last = MAX(last, answered);
+        beside = MAX(beside, w.longest_beside);
         margin = MIN(margin, w.least_margin);
         cancelled += w.cancelled;
         late += w.lates;
@@ -156,9 +197,10 @@
         none += w.answers_none;
     }
     print_message("%s: %u days, %u takeovers, %u late writes, %u late copies; %u "
-                  "cancelled, least margin of cancel_s %.1f s; all well after %.1f s\n",
+                  "cancelled, least margin of cancel_s %.1f s; all well after %.1f s, "
+                  "last answer after %.1f s; longest wait beside room %.1f s\n",
                   m->name, factor * m->days, takeovers, late, copies, cancelled, margin,
-                  longest);
+                  longest, last, beside);
     if (answers)
         print_message("%s: %u answers checked, %u went back, %u overtaken on their way, "
                       "%u were 503\n",
@@ -190,12 +232,14 @@
     for (size_t i = 0; i < n; i++) {
         void *m = (void *)&scenarios[i];
         tests[2 * i] = (struct CMUnitTest){scenarios[i].name, holds, NULL, NULL, m};
-        tests[2 * i + 1] =
-            (struct CMUnitTest){"its guard is needed", needs_its_guard, NULL, NULL, m};
+        char *name = g_strdup_printf("%s: its guard is needed", scenarios[i].name);
+        tests[2 * i + 1] = (struct CMUnitTest){name, needs_its_guard, NULL, NULL, m};
     }
     lmn_log_level = LMN_LOG_ERROR;
     if (argc > 1)
         factor = (unsigned)MAX(atoi(argv[1]), 1);
+    if (argc > 2)
+        cmocka_set_test_filter(argv[2]);
     int failed = _cmocka_run_group_tests("scenarios", tests, 2 * n, NULL, NULL);
     g_free(tests);
     return failed;
--- a/tests/world/troubles.c
+++ b/tests/world/troubles.c
@@ -29,6 +29,8 @@
     [T_REPORTS_FOR_NEXT] = "reports-for-next",
     [T_OLD_REPORTS] = "old-reports",
     [T_NEW_MACHINES] = "new-machines",
+    [T_MUTE_MACHINE] = "mute-machine",
+    [T_LATE_COMMANDS] = "late-commands",
 };
 
 const char *trouble_name(enum trouble k)
@@ -67,7 +69,7 @@
 
 void world_cancel_some(double share)
 {
-    for (int i = 0; i < JOBS; i++)
+    for (int i = 0; i < w.njobs; i++)
         if (w.jobs[i].submitted && w.jobs[i].cancelled_at < 0 && !w.jobs[i].told_done &&
             world_chance(share))
             world_cancel(&w.jobs[i]);
@@ -136,6 +138,9 @@
         case T_SHUT_DOOR:
             later(&m->closed_until, s);
             break;
+        case T_MUTE_MACHINE:
+            later(&m->mute_until, s);
+            break;
         case T_MACHINE_DIES:
             if (world_chance(0.3)) {
                 m->dead = true;
@@ -187,6 +192,9 @@
     case T_OLD_REPORTS:
         old_reports_now();
         break;
+    case T_LATE_COMMANDS:
+        later(&w.commands_until, s);
+        break;
     case T_CLOUD:
         later(&w.cloud_down_until, s);
         break;
@@ -219,6 +227,7 @@
     last = MAX(MAX(last, w.lost_until), MAX(w.odd_until, w.cancel_at_end_until));
 
     last = MAX(last, w.keep_until);
+    last = MAX(last, w.commands_until);
     for (int i = 0; i < w.layout.nodes; i++) {
         const struct node *n = &w.nodes[i];
         const double until[] = {n->cut_until,  n->mute_until,  n->slow_until,
@@ -231,6 +240,7 @@
         const struct machine *m = &w.machines[i];
         last = MAX(last, MAX(m->island_until, m->hang_until));
         last = MAX(last, MAX(m->unheard_until, m->closed_until));
+        last = MAX(last, m->mute_until);
     }
     return last;
 }
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -17,7 +17,8 @@
 #include <stddef.h>
 #include <cmocka.h>
 
-enum { MOST_NODES = 33, MOST_MACHINES = 66, JOBS = 40, TASKS = 24 };
+enum { MOST_NODES = 33, MOST_MACHINES = 66, JOBS = 40, MOST_JOBS = 400, TASKS = 24 };
+enum { MOST_TEAMS = 3 };
 static const double STEP_S = 0.1;
 
 enum guard {
@@ -47,6 +48,13 @@
     G_OLD_TERM, /* a worker refuses direct commands of an older term */
     G_SESSION,  /* and those that name an earlier session of it */
     G_RECORDED, /* a machine's record stands before the first start there */
+    G_LEASE,    /* a silent machine's tasks are believed until its lease has ended */
+    G_COUNTED,  /* what is withdrawn uses its team's limit until it is proven gone */
+    G_UNHEARD,  /* so does whatever may run on a machine that is not accounted for */
+    G_TOKEN,    /* a worker refuses commands of older terms and of its earlier sessions */
+    G_FLOORS,   /* classes and teams that are owed room, and aged jobs, go first */
+    G_INHERITED, /* an owner ends what is withdrawn of its predecessors' tasks too */
+    G_ONE_WRITE, /* a range has one write under way at most */
 };
 
 /* What a transaction is for. */
@@ -132,6 +140,7 @@
     double island_until;
     double unheard_until; /* its reports arrive, and nothing reaches it, until */
     double closed_until;  /* nothing that is sent straight to it gets there, until */
+    double mute_until;    /* it reaches no controller, and hears direct calls, until */
     double hang_until, lease_from, next_report, answer_by;
     uint64_t session, seq, token, told_token;
     int node; /* reports to */
@@ -148,13 +157,17 @@
     struct lmn_spec spec;
     char ref[LMN_REF];
     bool submitted, told_done;
-    double cancelled_at; /* negative: not */
+    double cancelled_at;                       /* negative: not */
+    double accepted_at, began_at, answered_at; /* negative: not yet */
+    uint64_t read_rev; /* of its record, when the rules were last checked against it */
     bool done[64];
     /* of its user, on days with users (users.c) */
     bool offered;                     /* its submission has begun */
     bool cancel_wanted, cancel_asked; /* it is to be cancelled; some node was asked to */
     bool accepted;                    /* it was told so */
     enum lmn_phase told;              /* the end that was told; LMN_ACTIVE: none */
+    /* since when one of its tasks has waited while that machine had room; 0: not */
+    double beside[MOST_MACHINES];
 };
 
 struct node {
@@ -201,6 +214,10 @@
     void (*step)(void);              /* before all else of a step */
     double lease_s, cancel_s, run_s; /* workers' leases; longest run of a task */
     bool users; /* jobs are submitted, asked about and cancelled through controllers */
+    int jobs, teams; /* 0: as on the usual day */
+    double link_s;   /* longest way of a report */
+    unsigned writes; /* transactions of a controller in a step; 0: all */
+    void (*describe)(struct job *j, int number); /* what the users ask for, or NULL */
 };
 
 struct world {
@@ -219,12 +236,19 @@
     int lost_kind;                   /* of this kind (enum txn_kind); TXN_KINDS: of all */
     bool lost_ends;                  /* their controllers often end with it */
     double looks_until, odd_until, cancel_at_end_until;
-    double keep_until; /* copies of reports are kept for the next leader */
-    GPtrArray *kept;   /* struct kept_report */
-    int acting;        /* the controller whose step this is */
+    double keep_until;     /* copies of reports are kept for the next leader */
+    GPtrArray *kept;       /* struct kept_report */
+    int acting;            /* the controller whose step this is */
+    double commands_until; /* many direct commands are */
+    double quiet_from;     /* no fault has been in force since */
+    double longest_beside; /* a task has waited beside a machine with room for it */
+    char unserved[160];    /* what the day fails by, besides the rules */
+    unsigned transactions, changes, most_queued; /* of the owners' writes */
+    unsigned late_commands;
     struct node nodes[MOST_NODES];
     struct machine machines[MOST_MACHINES];
-    struct job jobs[JOBS];
+    struct job jobs[MOST_JOBS];
+    int njobs, teams;
     GPtrArray *mail;
     enum guard broken;
     unsigned broke[RULES];
@@ -241,7 +265,6 @@
     unsigned old_terms;     /* direct commands that were refused for their token, */
     unsigned old_sessions;  /* and for their session alone */
     unsigned kept_arrived;  /* kept reports that reached the next leader */
-    double least_margin;    /* of cancel_s, when a cancelled job's last task ended */
     bool standbys;
     bool flapping; /* members fail again and again */
     bool helped;   /* tombstones are told: a help, without which the rules hold too */
@@ -252,6 +275,7 @@
 extern bool flap;               /* whether members flap in the next day */
 extern bool standbys;           /* whether controllers follow each other in it */
 
+const char *world_team(int number);
 /* A chance of the day; one that something goes wrong. */
 bool world_chance(double p);
 bool world_trouble(double p);
@@ -263,6 +287,7 @@
 /* The job's record as it stands; the description is to be cleared. */
 enum lmn_phase world_read_job(const struct job *j, struct lmn_spec *s, uint32_t *open,
                               double *at);
+uint64_t world_job_revision(const struct job *j);
 enum lmn_outcome world_commit(const struct lmn_txn *t, uint64_t *rev);
 /* One of conditions alone; the keys whose condition did not hold are added to failed. */
 enum lmn_outcome world_confirm(const struct lmn_txn *t, GPtrArray *failed);
@@ -287,10 +312,23 @@
 /* Whether what the machine holds still counts. One that hangs past its lease has lost its
  * tasks, though it will notice only when it goes on. */
 bool world_holds(const struct machine *m);
+/* A task is on the machine, or on its way to run there. */
+bool world_active(const struct machine *m, const struct task *t);
 /* A task has started there. */
 void world_started(struct machine *m, const struct task *t);
 void world_check(void);
 
+/* --- served.c --- */
+
+/* The day fails, by that; the first counts. */
+void world_unserved(const char *format, ...) G_GNUC_PRINTF(1, 2);
+/* Processors that the team's tasks use. */
+double world_team_use(int team);
+/* Prints what each machine's owner says of why the job does not start there. */
+void world_explain(const struct job *j);
+/* No task waits beside room for longer than it may. */
+void world_check_served(void);
+
 /* --- machines.c --- */
 
 /* A place's machines have different names, of the same partition: none comes back. */
@@ -323,6 +361,8 @@
 
 /* --- peers.c: what they send each other, and straight to workers --- */
 
+/* Whether a question gets there, and its answer back. */
+bool node_talks(const struct node *from, const struct node *to);
 void node_ask(struct node *n, int me);
 void node_tell(struct node *n, int me, bool cut);
 void node_release(struct node *n);
@@ -361,6 +401,8 @@
     T_REPORTS_FOR_NEXT, /* copies of reports are kept for the next leader */
     T_OLD_REPORTS,      /* an old report of each machine reaches every controller now */
     T_NEW_MACHINES,     /* machines are gone, and others up within two seconds */
+    T_MUTE_MACHINE,     /* it reaches no controller, and hears direct calls */
+    T_LATE_COMMANDS,    /* direct commands get no answer and are carried out late */
     TROUBLES
 };
 const char *trouble_name(enum trouble k);
@@ -391,6 +433,8 @@
 /* The user cancels the job through a node that reaches the state service; not if there is
  * none. */
 void world_cancel(struct job *j);
+/* Through that node; false if it does not serve users, or the job is over. */
+bool world_cancel_through(struct job *j, int node);
 /* Whether the node reaches the state service now. */
 bool node_served(const struct node *n);
 /* Once nothing goes wrong any more: no partition without an owner that is ready, nobody
