Teams: what is kept by team is allocated by the number of teams

110 teams were refused (params.teams: too many), since each partition, the thread that asks other partitions and some functions' stacks held arrays of 64. Settings, partitions, steals, metrics, a site's file and a gateway now allocate by the number of teams. LMN_MAX_TEAMS (4096) only refuses files that can't be meant, and the message says it.

A steal's message held 64 teams at most, too: with more, every question between partitions would have failed to encode, without a word.

--- a/bench/retention.c
+++ b/bench/retention.c
@@ -16,6 +16,7 @@
 
 int main(int argc, char **argv)
 {
+    static struct lmn_team team = {.name = "t"};
     static struct lmn_settings cfg = {.node = "n0",
                                       .partitions = 1,
                                       .state_rps = 100,
@@ -26,7 +27,7 @@
                                       .lease_s = 10,
                                       .cancel_s = 30,
                                       .nteams = 1,
-                                      .teams = {{.name = "t"}}};
+                                      .teams = &team};
     struct timespec now = {1000, 0};
     unsigned long jobs = argc > 1 ? strtoul(argv[1], NULL, 10) : 1000000;
     double first = 0, last = 0;
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -6,6 +6,13 @@
 #include <stdlib.h>
 #include <string.h>
 
+void lmn_settings_free(struct lmn_settings *s)
+{
+    free(s->teams);
+    s->teams = NULL;
+    s->nteams = 0;
+}
+
 const struct lmn_team *lmn_settings_team(const struct lmn_settings *s, const char *name)
 {
     for (size_t i = 0; i < s->nteams; i++)
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -10,7 +10,9 @@
     LMN_ADDR = 64,
     LMN_MAX_MEMBERS = 32, /* others than the node itself */
     LMN_MAX_PARTS = LMN_MAX_MEMBERS + 1,
-    LMN_MAX_TEAMS = 64,
+    /* Refuses files that can't be meant. Nothing is set aside for it: what is kept by
+     * team is allocated by the number of teams there are. */
+    LMN_MAX_TEAMS = 4096,
     LMN_MAX_OBJECTIVES = 64
 };
 
@@ -38,7 +40,7 @@
     char cloud[LMN_ADDR], state[LMN_ADDR];
     struct lmn_member members[LMN_MAX_MEMBERS];
     size_t nmembers;
-    struct lmn_team teams[LMN_MAX_TEAMS];
+    struct lmn_team *teams; /* lmn_settings_free */
     size_t nteams;
     struct lmn_objective objectives[LMN_MAX_OBJECTIVES];
     size_t nobjectives;
@@ -54,10 +56,12 @@
 #ifdef __cplusplus
 extern "C" {
 #endif
-/* Fills *s from the file. On failure returns -1 and puts "file: field: what" in err. */
+/* Fills *s from the file. On failure returns -1, puts "file: field: what" in err, and
+ * leaves nothing to be freed. */
 int lmn_settings_load(const char *path, struct lmn_settings *s, char *err, size_t errlen);
 int lmn_settings_parse(const char *text, const char *name, struct lmn_settings *s,
                        char *err, size_t errlen);
+void lmn_settings_free(struct lmn_settings *s);
 
 /* How old a node's view may be, in seconds, for it to answer workers: what cancel_s
  * leaves beside a lease and a margin for the clocks' drift and the last kill. Not above
--- a/src/base/toml.cpp
+++ b/src/base/toml.cpp
@@ -96,6 +96,18 @@
     }
 }
 
+lmn_team &add_team(lmn_settings &s)
+{
+    if (s.nteams == LMN_MAX_TEAMS)
+        throw wrong("params.teams: more than " + std::to_string(LMN_MAX_TEAMS));
+    void *grown = std::realloc(s.teams, (s.nteams + 1) * sizeof *s.teams);
+    if (!grown)
+        throw std::bad_alloc();
+    s.teams = static_cast<lmn_team *>(grown);
+    s.teams[s.nteams] = {};
+    return s.teams[s.nteams++];
+}
+
 void fill(const toml::table &t, lmn_settings &s)
 {
     text(t, "", "host_name", s.node, sizeof s.node);
@@ -122,9 +134,7 @@
     s.partitions = whole(p, "params.", "initial_size", static_cast<int>(s.nmembers) + 1,
                          1, LMN_MAX_PARTS);
     each(p, "params.", "teams", [&](const toml::table &m, const std::string &at) {
-        if (s.nteams == LMN_MAX_TEAMS)
-            throw wrong("params.teams: too many");
-        lmn_team &d = s.teams[s.nteams++];
+        lmn_team &d = add_team(s);
         text(m, at, "name", d.name, sizeof d.name);
         d.cpus = number(m, at, "cpus", 0, 0, 1e9);
         d.cpus_max = number(m, at, "cpus_max", 0, 0, 1e9);
@@ -190,6 +200,7 @@
     } catch (const std::exception &e) {
         std::snprintf(err, errlen, "%s: %s", name, e.what());
     }
+    lmn_settings_free(s);
     return -1;
 }
 
--- a/src/decide/fleet.c
+++ b/src/decide/fleet.c
@@ -111,7 +111,8 @@
  * here. */
 static void bound_by_limits(const struct lmn_core *c, GArray *a)
 {
-    double cpus[LMN_MAX_TEAMS] = {0}, gpus[LMN_MAX_TEAMS] = {0};
+    double *cpus = g_new0(double, c->cfg->nteams);
+    double *gpus = g_new0(double, c->cfg->nteams);
 
     for (guint i = 0; i < a->len; i++) {
         const struct want *w = &g_array_index(a, struct want, i);
@@ -129,6 +130,8 @@
         w->cpus *= part;
         w->mem *= part;
     }
+    g_free(cpus);
+    g_free(gpus);
 }
 
 /* Whether no ordinary machine is worth renting for it. */
--- a/src/decide/steal.c
+++ b/src/decide/steal.c
@@ -13,6 +13,19 @@
 #include <math.h>
 #include <string.h>
 
+void lmn_thief_init(struct lmn_thief *t, const struct lmn_settings *cfg)
+{
+    memset(t, 0, sizeof *t);
+    t->team_cpus = g_new0(double, cfg->nteams);
+    t->team_gpus = g_new0(double, cfg->nteams);
+}
+
+void lmn_thief_clear(struct lmn_thief *t)
+{
+    g_free(t->team_cpus);
+    g_free(t->team_gpus);
+}
+
 bool lmn_thief_fill(struct lmn_core *c, struct lmn_partition *p, struct lmn_thief *t,
                     struct timespec now)
 {
--- a/src/decide/steal.h
+++ b/src/decide/steal.h
@@ -13,8 +13,11 @@
     int part;
     struct lmn_room rooms[64];
     guint nrooms;
-    double team_cpus[LMN_MAX_TEAMS], team_gpus[LMN_MAX_TEAMS]; /* what its quota leaves */
+    double *team_cpus, *team_gpus; /* by team: what its quota leaves */
 };
+/* Room for the teams of these settings; lmn_thief_clear. */
+void lmn_thief_init(struct lmn_thief *t, const struct lmn_settings *cfg);
+void lmn_thief_clear(struct lmn_thief *t);
 /* Idle room of a partition of ours; false if there is none, or it is not yet time. */
 bool lmn_thief_fill(struct lmn_core *c, struct lmn_partition *p, struct lmn_thief *t,
                     struct timespec now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,7 +7,7 @@
 
 #include "gateway/link.h"
 
-enum { LMN_G_TEAMS = 64, LMN_G_CONTROLLERS = LMN_MAX_MEMBERS + 1, LMN_G_GATEWAYS = 4 };
+enum { LMN_G_CONTROLLERS = LMN_MAX_MEMBERS + 1, LMN_G_GATEWAYS = 4 };
 
 /* A host drops offers that took longer to come, by its own clock: so that a leash can be
  * reckoned with. */
@@ -23,7 +23,7 @@
     struct lmn_peer_key peers[LMN_MAX_PEERS];
     char addresses[LMN_MAX_PEERS][LMN_G_GATEWAYS][LMN_ADDR]; /* one of a peer's acts */
     unsigned npeers;
-    char teams[LMN_G_TEAMS][LMN_NAME];
+    char (*teams)[LMN_NAME]; /* kept for as long as the process runs */
     unsigned nteams;
     double cpus; /* what the site's machines have together, about */
     /* Work that the controllers have at a time, in seconds of all processors: what they
--- a/src/gateway/process.c
+++ b/src/gateway/process.c
@@ -278,7 +278,8 @@
     g_strlcpy(o->keys, lmn_conf_text(c, "keys", NULL), sizeof o->keys);
     o->ncontrollers =
         names(c, "controllers", LMN_G_CONTROLLERS, true, o->controllers[0], LMN_ADDR);
-    o->nteams = names(c, "teams", LMN_G_TEAMS, false, o->teams[0], LMN_NAME);
+    o->teams = g_malloc0_n(CLAMP(lmn_conf_count(c, "teams"), 1, LMN_MAX_TEAMS), LMN_NAME);
+    o->nteams = names(c, "teams", LMN_MAX_TEAMS, false, o->teams[0], LMN_NAME);
     read_peers(c, o);
     o->cpus = lmn_conf_number(c, "cpus", 1, 0.1, 1e7);
     o->feed_s = lmn_conf_number(c, "feed_s", 60, 0.1, 1e6);
--- a/src/own/partition.c
+++ b/src/own/partition.c
@@ -87,11 +87,11 @@
     p->attempts = 0;
     p->since = now;
     p->asking = true;
-    memset(p->used_cpus, 0, sizeof p->used_cpus);
-    memset(p->used_gpus, 0, sizeof p->used_gpus);
+    memset(p->used_cpus, 0, c->cfg->nteams * sizeof *p->used_cpus);
+    memset(p->used_gpus, 0, c->cfg->nteams * sizeof *p->used_gpus);
     c->count.takeovers++;
     lmn_block_reset(p);
-    memset(p->keep, 0, sizeof p->keep);
+    memset(p->keep, 0, c->cfg->nteams * sizeof *p->keep);
     lmn_quota_reset(p);
     g_hash_table_iter_init(&it, p->machines);
     while (g_hash_table_iter_next(&it, NULL, &v))
--- a/src/serve/metrics.c
+++ b/src/serve/metrics.c
@@ -24,8 +24,8 @@
 
 struct sums {
     struct tasks tasks;
-    double machines, unaccounted, retiring, queued, unplaced, owned, ready,
-        used[LMN_MAX_TEAMS];
+    double machines, unaccounted, retiring, queued, unplaced, owned, ready;
+    double *used; /* by team */
 };
 
 static void count_partition(const struct lmn_core *c, struct sums *s,
@@ -111,7 +111,7 @@
 void lmn_controller_metrics(void *core, GString *out)
 {
     struct lmn_core *c = core;
-    struct sums s = {0};
+    struct sums s = {.used = g_new0(double, c->cfg->nteams)};
 
     pthread_mutex_lock(&c->lock);
     for (int i = 0; i < c->nparts; i++)
@@ -169,6 +169,7 @@
     for (size_t i = 0; i < c->cfg->nteams; i++)
         lmn_metric_sample(out, "lemonspar_team_cpus", "team", c->cfg->teams[i].name,
                           s.used[i]);
+    g_free(s.used);
     counters(out, &n);
     static const char *const sheds[] = {"polls", "submissions", "starts"};
     lmn_gauge(out, "lemonspar_behind_seconds", "How late the node does what is due",
--- a/src/serve/peer.c
+++ b/src/serve/peer.c
@@ -87,12 +87,14 @@
 /* Another controller asks how much would fit there, or for it. */
 static u_int asked(const struct lmn_xthief *q, bool give)
 {
-    struct lmn_thief t = {.part = q->thief};
+    struct lmn_thief t;
     u_int n = 0;
 
     if (q->victim < 0 || q->victim >= core->nparts || q->thief < 0 ||
         q->thief >= core->nparts)
         return 0;
+    lmn_thief_init(&t, core->cfg);
+    t.part = q->thief;
     for (u_int i = 0; i < q->rooms.rooms_len && i < G_N_ELEMENTS(t.rooms); i++) {
         const struct lmn_xroom *x = &q->rooms.rooms_val[i];
         struct lmn_room *r = &t.rooms[t.nrooms++];
@@ -121,6 +123,7 @@
         n = lmn_victim_load(core, p, &t);
     }
     pthread_mutex_unlock(&core->lock);
+    lmn_thief_clear(&t);
     return n;
 }
 
@@ -392,7 +395,7 @@
  * steals but no more than twice a second. */
 static void seek_quota(struct member *members, int part)
 {
-    struct lmn_quota_want want[LMN_MAX_TEAMS];
+    struct lmn_quota_want *want = g_new(struct lmn_quota_want, core->cfg->nteams);
     struct lmn_partition *p = &core->parts[part];
     struct timespec now = lmn_now();
     size_t n = 0;
@@ -424,6 +427,7 @@
             got += one;
         }
     }
+    g_free(want);
     if (!n)
         return;
     pthread_mutex_lock(&core->lock);
@@ -435,7 +439,7 @@
 static void pull(struct member *members, const struct lmn_thief *t)
 {
     struct lmn_xroom rooms[G_N_ELEMENTS(t->rooms)];
-    struct lmn_xteam teams[LMN_MAX_TEAMS];
+    struct lmn_xteam *teams = g_new(struct lmn_xteam, core->cfg->nteams);
     struct lmn_xthief q = {.thief = t->part};
     int others[LMN_MAX_PARTS], n = 0, best = -1;
     u_int most = 0, got = 0;
@@ -475,6 +479,7 @@
         q.victim = best;
         got = ask(members, LMN_STEAL, &q);
     }
+    g_free(teams);
     pthread_mutex_lock(&core->lock);
     lmn_thief_result(core, &core->parts[t->part], got, lmn_now());
     if (got) {
@@ -487,13 +492,14 @@
 void *lmn_peer_thread(void *arg)
 {
     struct member members[LMN_MAX_MEMBERS] = {0};
+    struct lmn_thief t;
     (void)arg;
 
+    lmn_thief_init(&t, core->cfg);
     for (size_t i = 0; i < core->cfg->nmembers; i++)
         members[i].cfg = &core->cfg->members[i];
     for (;;) {
         for (int i = 0; core->nparts > 1 && i < core->nparts; i++) {
-            struct lmn_thief t;
             pthread_mutex_lock(&core->lock);
             bool go = lmn_thief_fill(core, &core->parts[i], &t, lmn_now());
             pthread_mutex_unlock(&core->lock);
--- a/src/serve/peer_wire.x
+++ b/src/serve/peer_wire.x
@@ -4,6 +4,7 @@
 const LMN_XDR_NAME = 64;
 const LMN_XDR_TEXT = 65536;
 const LMN_XDR_TUNINGS = 64;
+const LMN_XDR_TEAMS = 4096; /* LMN_MAX_TEAMS */
 const LMN_XDR_STATEMENTS = 8;
 const LMN_XDR_IMAGE = 128;
 const LMN_XDR_MACHINES = 64;
@@ -52,7 +53,7 @@
     int thief;             /* the partition that asks */
     int victim;            /* the partition that is asked */
     lmn_xroom rooms<LMN_XDR_TUNINGS>;
-    lmn_xteam teams<LMN_XDR_TUNINGS>;
+    lmn_xteam teams<LMN_XDR_TEAMS>;
 };
 
 /* A partition is short of a team's quota: by how much at best, and at least for one task. */
--- a/src/site/config.c
+++ b/src/site/config.c
@@ -33,6 +33,7 @@
 
     if (n < 1 || n > LMN_MAX_TEAMS)
         lmn_conf_fail(c, "teams", "expected 1 to %d tables [[teams]]", LMN_MAX_TEAMS);
+    s->teams = g_new0(struct lmn_team, MIN(n, LMN_MAX_TEAMS));
     for (guint i = 0; i < MIN(n, LMN_MAX_TEAMS); i++) {
         struct lmn_team *t = &s->teams[s->nteams++];
 #define FIELD(f) (g_snprintf(p, sizeof p, "teams[%u]." f, i), p)
--- a/src/site/site.h
+++ b/src/site/site.h
@@ -24,7 +24,7 @@
     GString *emulate; /* of an emulated fleet, as TOML, passed on */
     int base_port;
     unsigned controllers;
-    struct lmn_team teams[LMN_MAX_TEAMS];
+    struct lmn_team *teams; /* kept for as long as the process runs */
     size_t nteams;
     GString *objectives; /* as TOML, passed on */
     double state_rps, state_write_rps, value_kb, cloud_rps, list_lag_s;
--- a/src/state/core.c
+++ b/src/state/core.c
@@ -15,6 +15,24 @@
     lmn_range_free(r);
 }
 
+static void make_teams(struct lmn_partition *p, size_t nteams)
+{
+    p->quota_cpus = g_new0(double, nteams);
+    p->quota_gpus = g_new0(double, nteams);
+    p->used_cpus = g_new0(double, nteams);
+    p->used_gpus = g_new0(double, nteams);
+    p->keep = g_new0(struct lmn_keep, nteams);
+}
+
+static void free_teams(struct lmn_partition *p)
+{
+    g_free(p->quota_cpus);
+    g_free(p->quota_gpus);
+    g_free(p->used_cpus);
+    g_free(p->used_gpus);
+    g_free(p->keep);
+}
+
 struct lmn_core *lmn_core_bare(const struct lmn_settings *cfg, struct lmn_state *state,
                                uint32_t seed)
 {
@@ -35,6 +53,10 @@
     c->gone = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     g_queue_init(&c->final_jobs);
     c->retained_most = LMN_RETAINED_JOBS;
+    c->quota_rev = g_new0(uint64_t, cfg->nteams);
+    c->quota_known = g_new0(bool, cfg->nteams);
+    c->asked_cpus = g_new0(double, cfg->nteams);
+    c->asked_gpus = g_new0(double, cfg->nteams);
     c->nparts = cfg->partitions;
     c->parts = g_new0(struct lmn_partition, c->nparts);
     c->booted = lmn_now();
@@ -50,6 +72,7 @@
         p->ranges = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_range);
         p->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_machine);
         p->list = g_ptr_array_new();
+        make_teams(p, cfg->nteams);
         p->hosts = &c->hosts;
         p->poked = g_ptr_array_new();
         p->blocks = g_ptr_array_new();
@@ -81,6 +104,7 @@
     }
     g_ptr_array_free(p->blocks, TRUE);
     g_ptr_array_free(p->poked, TRUE);
+    free_teams(p);
     g_ptr_array_free(p->list, TRUE);
     g_array_free(p->cuts, TRUE);
     g_ptr_array_free(p->untold, TRUE);
@@ -109,6 +133,10 @@
     lmn_latency_clear(&c->telling);
     g_rand_free(c->rng);
     g_free(c->types.v);
+    g_free(c->quota_rev);
+    g_free(c->quota_known);
+    g_free(c->asked_cpus);
+    g_free(c->asked_gpus);
     pthread_cond_destroy(&c->changed);
     pthread_cond_destroy(&c->asking);
     pthread_cond_destroy(&c->poked);
--- a/src/state/model.h
+++ b/src/state/model.h
@@ -281,8 +281,7 @@
     /* mirrored */
     char owner[LMN_NAME];
     uint64_t owner_lease, owner_rev, owner_term, term, term_rev;
-    double quota_cpus[LMN_MAX_TEAMS],
-        quota_gpus[LMN_MAX_TEAMS]; /* if there is a record */
+    double *quota_cpus, *quota_gpus; /* by team, if there is a record */
     uint32_t owner_gen;
     uint64_t owner_stream;  /* that its claim, or its being given, was conditional on */
     struct timespec vacant; /* since when nobody owns it */
@@ -311,10 +310,10 @@
     struct timespec released; /* when the write that gives it away was last tried */
     double poll_s;            /* interval of steals from other partitions */
     struct timespec next_steal;
-    struct lmn_queue unplaced; /* tasks that no machine's queue holds yet */
-    double used_cpus[LMN_MAX_TEAMS], used_gpus[LMN_MAX_TEAMS];
+    struct lmn_queue unplaced;     /* tasks that no machine's queue holds yet */
+    double *used_cpus, *used_gpus; /* by team */
     struct lmn_limit_transfer transfer;
-    struct lmn_keep keep[LMN_MAX_TEAMS];
+    struct lmn_keep *keep; /* by team */
     struct lmn_stream stream;
     GPtrArray *untold;        /* machines that the standby has to be told about */
     GPtrArray *forgotten;     /* names of machines that it need not know any more */
@@ -415,11 +414,12 @@
     uint64_t lease;             /* ours, 0: none */
     struct timespec leased;     /* when we last got one */
 
-    uint64_t quota_rev[LMN_MAX_TEAMS]; /* of the teams' records of parts; 0: none */
-    bool quota_known[LMN_MAX_TEAMS];   /* there is a record, and of this limit */
+    /* by team */
+    uint64_t *quota_rev; /* of the teams' records of parts; 0: none */
+    bool *quota_known;   /* there is a record, and of this limit */
     uint64_t transfers;
     /* what the teams' active jobs ask for, all their tasks together */
-    double asked_cpus[LMN_MAX_TEAMS], asked_gpus[LMN_MAX_TEAMS];
+    double *asked_cpus, *asked_gpus; /* by team */
 
     struct lmn_tombstones tombstones;
     struct lmn_types types;
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -187,7 +187,8 @@
 /* 0 in a team's limit means that there is none. */
 static void what_can_never_run(void **state)
 {
-    struct lmn_settings cfg = {.nteams = 2};
+    struct lmn_team teams[2] = {0};
+    struct lmn_settings cfg = {.teams = teams, .nteams = 2};
     struct lmn_type t = {.name = "x", .cpus = 8, .mem = 16, .zones = {"a"}, .nzones = 1};
     struct lmn_types types = {&t, 1};
     const char *why;
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -27,6 +27,7 @@
 
 enum { MACHINES = 9, JOBS = 12 };
 
+static struct lmn_team team[1];
 static struct lmn_settings cfg;
 static struct lmn_core *core;
 static struct lmn_job jobs[JOBS];
@@ -37,10 +38,12 @@
     GRand *r = g_rand_new_with_seed(seed);
 
     memset(&cfg, 0, sizeof cfg);
+    memset(team, 0, sizeof team);
     cfg.partitions = 1;
     cfg.state_rps = cfg.state_write_rps = 1000;
     cfg.txn_ops = 12;
     cfg.lease_s = 10;
+    cfg.teams = team;
     cfg.nteams = 1;
     g_strlcpy(cfg.teams[0].name, "t", LMN_NAME);
     core = lmn_core_new(&cfg, lmn_state_new(&cfg), seed);
@@ -709,7 +712,9 @@
                               .state_rps = 10,
                               .state_write_rps = 10,
                               .txn_ops = 12,
+                              .teams = team,
                               .nteams = 1};
+    memset(team, 0, sizeof team);
     g_strlcpy(s.teams[0].name, "t", LMN_NAME);
     s.teams[0].cpus = 10;
     struct lmn_core *c = lmn_core_new(&s, lmn_state_new(&s), 1);
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -41,6 +41,7 @@
     GByteArray *value;
 };
 
+static struct lmn_team teams[1];
 static struct lmn_settings cfg;
 static struct lmn_core *core[N];
 static guint seen[N];
@@ -64,6 +65,8 @@
     cfg.partitions = N;
     cfg.state_rps = cfg.state_write_rps = 1e6;
     cfg.txn_ops = 12;
+    memset(teams, 0, sizeof teams);
+    cfg.teams = teams;
     cfg.nteams = 1;
     g_strlcpy(cfg.teams[0].name, "a team", LMN_NAME);
     cfg.teams[0].cpus_max = LIMIT;
--- a/tests/test_rent.c
+++ b/tests/test_rent.c
@@ -18,6 +18,7 @@
     return "detect_leaks=0";
 }
 
+static struct lmn_team teams[3];
 static struct lmn_settings cfg;
 static struct lmn_type types[] = {
     {.name = "small",
@@ -46,6 +47,8 @@
 
     memset(&cfg, 0, sizeof cfg);
     cfg.partitions = 3;
+    memset(teams, 0, sizeof teams);
+    cfg.teams = teams;
     cfg.nteams = 3;
     cfg.max_connections = 20000;
     cfg.report_s = 5;
--- a/tests/test_replies.c
+++ b/tests/test_replies.c
@@ -19,6 +19,8 @@
 static const char *const refs[] = {"run-000000", "run-000001", "run-000002",
                                    "run-000003"};
 
+static struct lmn_team team[1];
+
 static struct lmn_settings settings(void)
 {
     struct lmn_settings cfg = {.partitions = 1,
@@ -26,6 +28,7 @@
                                .state_write_rps = 100,
                                .value_kb = 16,
                                .txn_ops = 12,
+                               .teams = team,
                                .nteams = 1};
 
     g_strlcpy(cfg.node, "n0", LMN_NAME);
--- a/tests/test_retention.c
+++ b/tests/test_retention.c
@@ -24,6 +24,7 @@
 
 enum { JOBS = 6000, KEPT = 1000 };
 
+static struct lmn_team team = {.name = "t"};
 static struct lmn_settings cfg = {.node = "n0",
                                   .partitions = 1,
                                   .state_rps = 1000,
@@ -34,7 +35,7 @@
                                   .lease_s = 10,
                                   .cancel_s = 30,
                                   .nteams = 1,
-                                  .teams = {{.name = "t"}}};
+                                  .teams = &team};
 static uint64_t rev;
 static struct timespec now = {1000, 0};
 
--- a/tests/test_standby.c
+++ b/tests/test_standby.c
@@ -18,6 +18,7 @@
 #include <cmocka.h>
 #include <string.h>
 
+static struct lmn_team team[1];
 static struct lmn_settings cfg;
 static struct lmn_core *core;
 static struct timespec now = {1000, 0};
@@ -36,6 +37,7 @@
     cfg.state_rps = cfg.state_write_rps = 1e6;
     cfg.value_kb = 16;
     cfg.txn_ops = 12;
+    cfg.teams = team;
     g_strlcpy(cfg.teams[0].name, "x", LMN_NAME);
     cfg.teams[0].cpus_max = 4;
     cfg.nteams = 1;
--- a/tests/test_takeover.c
+++ b/tests/test_takeover.c
@@ -57,6 +57,7 @@
 
 static struct {
     struct lmn_settings cfg;
+    struct lmn_team team;
     struct lmn_core *core;
     uint64_t lease;
     guint seen;
@@ -252,6 +253,7 @@
     s->state_rps = s->state_write_rps = 1e6;
     s->value_kb = 16;
     s->txn_ops = 12;
+    s->teams = &node[n].team;
     g_strlcpy(s->teams[0].name, "x", LMN_NAME);
     s->nteams = 1;
     struct lmn_state *state = lmn_state_new(s);
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -28,6 +28,7 @@
     return "detect_leaks=0";
 }
 
+static struct lmn_team team[1];
 static struct lmn_settings cfg;
 static struct lmn_core *core;
 static struct timespec now;
@@ -47,6 +48,9 @@
 static void make(int machines)
 {
     memset(&cfg, 0, sizeof cfg);
+    g_strlcpy(team[0].name, "t", LMN_NAME);
+    cfg.teams = team;
+    cfg.nteams = 1;
     cfg.partitions = 1;
     cfg.state_rps = cfg.state_write_rps = 1000;
     cfg.txn_ops = 12;
@@ -341,8 +345,6 @@
 {
     core->types.n = 1;
     core->types.v[0] = (struct lmn_type){.name = "x", .cpus = 8, .mem = 64};
-    cfg.nteams = 1;
-    g_strlcpy(cfg.teams[0].name, "t", LMN_NAME);
     core->members.fresh = core->members.tick = core->fresh = now;
 }
 
--- a/tests/world/nodes.c
+++ b/tests/world/nodes.c
@@ -43,6 +43,7 @@
     n->cfg.state_rps = n->cfg.state_write_rps = 1e6;
     n->cfg.value_kb = 16;
     n->cfg.txn_ops = 12;
+    n->cfg.teams = &n->team;
     g_strlcpy(n->cfg.teams[0].name, "x", LMN_NAME);
     n->cfg.teams[0].cpus_max = w.broken == G_QUOTA ? 4 * w.layout.limit : w.layout.limit;
     n->cfg.nteams = 1;
@@ -271,8 +272,11 @@
     for (int i = 0; i < w.layout.nodes; i++) {
         struct lmn_thief t;
         uint32_t got = 0;
-        if (!lmn_thief_fill(n->core, &n->core->parts[i], &t, w.clock))
+        lmn_thief_init(&t, &n->cfg);
+        if (!lmn_thief_fill(n->core, &n->core->parts[i], &t, w.clock)) {
+            lmn_thief_clear(&t);
             continue;
+        }
         int victim = g_rand_int_range(w.r, 0, w.layout.nodes);
         for (int k = 0; k < w.layout.nodes && !got; k++) {
             struct node *o = &w.nodes[k];
@@ -281,6 +285,7 @@
                 got = lmn_victim_give(o->core, &o->core->parts[victim], &t, w.clock);
         }
         lmn_thief_result(n->core, &n->core->parts[i], got, w.clock);
+        lmn_thief_clear(&t);
         w.steals += got;
     }
 }
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -145,6 +145,7 @@
 
 struct node {
     struct lmn_settings cfg;
+    struct lmn_team team;
     struct lmn_state *state;
     struct lmn_core *core;
     uint64_t revision, lease, announced; /* the lease of which a record was written */
