--- a/src/base/job.h
+++ b/src/base/job.h
@@ -8,7 +8,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-enum { LMN_REF = 32, LMN_MAX_TASKS = 100000, LMN_MAX_ZONES = 16 };
+enum { LMN_REF = 32, LMN_MAX_TASKS = 100000, LMN_MAX_ZONES = 64 };
 enum lmn_kind { LMN_BATCH, LMN_DAEMON };
 enum lmn_urgency { LMN_IDLE, LMN_NORMAL, LMN_HIGH, LMN_PROD };
 enum lmn_phase { LMN_ACTIVE, LMN_FINISHED, LMN_WITHDRAWN };
