Tests: hundreds of teams, and parts of 110 limits among six partitions

Settings, a site's own file and a steal's message take 110 teams and more; each test fails with the old bounds of 64, and the one on parts of limits when a giver counts used processors as free. The random walk over one team's limit keeps its seeds and its length; it is now also played with 110 teams and six partitions. A type in 18 zones is taken; it failed with 16.

--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -123,6 +123,59 @@
     }
 }
 
+/* A type may stand in as many zones as a large site has. */
+static void a_type_stands_in_many_zones(void **state)
+{
+    enum { ZONES = 18 };
+    GString *zones = g_string_new("zones = [\"a\", \"b\"");
+    struct lmn_inventory v;
+    (void)state;
+
+    for (int i = 2; i < ZONES; i++)
+        g_string_append_printf(zones, ", \"z%d\"", i);
+    g_string_append(zones, "]");
+    char *text = with_line(good, 4, zones->str);
+    if (lmn_inventory_parse(text, "inv.toml", &v, err, sizeof err) != 0)
+        fail_msg("%s", err);
+    assert_int_equal(v.types[0].nzones, ZONES);
+    assert_string_equal(v.types[0].zones[ZONES - 1], "z17");
+    lmn_inventory_clear(&v);
+    g_free(text);
+    g_string_free(zones, TRUE);
+}
+
+/* A site's own file takes as many teams as its controllers do, and they get them all. */
+static void a_site_has_many_teams(void **state)
+{
+    enum { TEAMS = 110 };
+    static struct lmn_site s;
+    struct lmn_settings settings;
+    char *file = g_build_filename(dir, "site.toml", NULL),
+         *inv = g_build_filename(dir, "i.toml", NULL),
+         *mine = g_strdup_printf("%s/d/run/controller-1.toml", dir);
+    GString *text = g_string_new(NULL);
+    (void)state;
+
+    g_file_set_contents(inv, good, -1, NULL);
+    g_string_printf(text, "name = \"s\"\ndata = \"%s/d\"\ninventory = \"%s\"\n", dir,
+                    inv);
+    for (int i = 0; i < TEAMS; i++)
+        g_string_append_printf(text, "[[teams]]\nname = \"team%d\"\ncpus_max = %d\n", i,
+                               i + 1);
+    g_file_set_contents(file, text->str, -1, NULL);
+    if (lmn_site_load(file, &s, err, sizeof err) != 0 ||
+        lmn_site_write(&s, err, sizeof err) != 0 ||
+        lmn_settings_load(mine, &settings, err, sizeof err) != 0)
+        fail_msg("%s", err);
+    assert_int_equal(settings.nteams, TEAMS);
+    assert_true(settings.teams[TEAMS - 1].cpus_max == TEAMS);
+    lmn_settings_free(&settings);
+    g_string_free(text, TRUE);
+    g_free(file);
+    g_free(inv);
+    g_free(mine);
+}
+
 static void what_is_wrong_in_a_site_is_named(void **state)
 {
     static const struct {
@@ -520,6 +573,8 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(what_is_wrong_in_an_inventory_is_named),
         cmocka_unit_test_setup_teardown(what_is_wrong_in_a_site_is_named, fresh, wipe),
+        cmocka_unit_test(a_type_stands_in_many_zones),
+        cmocka_unit_test_setup_teardown(a_site_has_many_teams, fresh, wipe),
         cmocka_unit_test_setup_teardown(reservations_outlive_the_fleet, fresh, wipe),
         cmocka_unit_test_setup_teardown(a_slot_becomes_what_it_is_told, fresh, wipe),
         cmocka_unit_test_setup_teardown(the_depot_keeps_what_it_says, fresh, wipe),
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -551,6 +551,30 @@
     g_rand_free(r);
 }
 
+/* A steal names what each team may still use: all teams of a large site, too. */
+static void steal_names_every_team(void **state)
+{
+    enum { TEAMS = 110 };
+    static char bytes[16384];
+    struct lmn_xteam teams[TEAMS];
+    struct lmn_xthief q = {.teams = {TEAMS, teams}}, back = {0};
+    XDR x;
+    (void)state;
+
+    for (int k = 0; k < TEAMS; k++)
+        teams[k] = (struct lmn_xteam){(char *)"team", k, 0};
+    xdrmem_create(&x, bytes, sizeof bytes, XDR_ENCODE);
+    assert_true(xdr_lmn_xthief(&x, &q));
+    u_int len = xdr_getpos(&x);
+    xdrmem_create(&x, bytes, len, XDR_DECODE);
+    assert_true(xdr_lmn_xthief(&x, &back));
+    assert_int_equal(back.teams.teams_len, TEAMS);
+    assert_true(back.teams.teams_val[TEAMS - 1].cpus == TEAMS - 1);
+    xdr_free((xdrproc_t)xdr_lmn_xthief, (char *)&back);
+    /* The wire takes as many as the settings do. */
+    assert_int_equal(LMN_XDR_TEAMS, LMN_MAX_TEAMS);
+}
+
 /* The worlds of these tests are not taken down. */
 const char *__asan_default_options(void);
 const char *__asan_default_options(void)
@@ -1068,6 +1092,7 @@
         cmocka_unit_test(expectations),
         cmocka_unit_test(interval_doubles),
         cmocka_unit_test(xdr),
+        cmocka_unit_test(steal_names_every_team),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -18,6 +18,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <cmocka.h>
+#include <stdio.h>
 #include <string.h>
 
 /* Past cores are left behind as they are. */
@@ -27,25 +28,27 @@
     return "detect_leaks=0";
 }
 
-enum { N = 3, LIMIT = 24 };
+enum { MOST_PARTS = 6, MOST_TEAMS = 110, LIMIT = 24 };
 
 struct event {
+    int team;
     uint64_t rev;
     GByteArray *value;
 };
 
 /* A write that is still on its way: what it was conditional on, and what it puts. */
 struct letter {
-    int part;
+    int part, team;
     uint64_t owner_rev, rev;
     GByteArray *value;
 };
 
-static struct lmn_team teams[1];
+static struct lmn_team teams[MOST_TEAMS];
 static struct lmn_settings cfg;
-static struct lmn_core *core[N];
-static guint seen[N];
-static uint64_t rev, owner_rev[N], record_rev;
+static int nparts;
+static struct lmn_core *core[MOST_PARTS];
+static guint seen[MOST_PARTS];
+static uint64_t rev, owner_rev[MOST_PARTS], record_rev[MOST_TEAMS];
 static GArray *events, *late;
 static struct timespec now;
 
@@ -59,37 +62,47 @@
     lmn_partition_own(core[i], p, now);
 }
 
-static void make(uint32_t seed)
+static void make(uint32_t seed, int parts, int count)
 {
+    nparts = parts;
     memset(&cfg, 0, sizeof cfg);
-    cfg.partitions = N;
+    cfg.partitions = parts;
     cfg.state_rps = cfg.state_write_rps = 1e6;
     cfg.txn_ops = 12;
     memset(teams, 0, sizeof teams);
     cfg.teams = teams;
-    cfg.nteams = 1;
-    g_strlcpy(cfg.teams[0].name, "a team", LMN_NAME);
-    cfg.teams[0].cpus_max = LIMIT;
+    cfg.nteams = (size_t)count;
+    for (int t = 0; t < count; t++) {
+        g_snprintf(teams[t].name, LMN_NAME, "team %d", t);
+        teams[t].cpus_max = LIMIT;
+    }
     now = (struct timespec){1000, 0};
     lmn_test_clock = &now;
     events = g_array_new(FALSE, FALSE, sizeof(struct event));
     late = g_array_new(FALSE, FALSE, sizeof(struct letter));
     rev = 10;
-    record_rev = 0;
-    for (int i = 0; i < N; i++) {
+    memset(record_rev, 0, sizeof record_rev);
+    for (int i = 0; i < nparts; i++) {
         core[i] = lmn_core_new(&cfg, lmn_state_new(&cfg), seed);
         seen[i] = 0;
         own(i);
     }
 }
 
+static void record_key(int team, char key[32])
+{
+    g_snprintf(key, 32, "q/team%%20%d", team);
+}
+
 static void follow(int i, guint upto)
 {
     for (; seen[i] < upto; seen[i]++) {
         const struct event *e = &g_array_index(events, struct event, seen[i]);
         struct lmn_doc d;
+        char key[32];
+        record_key(e->team, key);
         assert_int_equal(lmn_doc_parse(&d, e->value->data, e->value->len), 0);
-        lmn_mirror_apply(core[i], "q/a%20team", &d, lmn_root(&d), e->rev, now);
+        lmn_mirror_apply(core[i], key, &d, lmn_root(&d), e->rev, now);
         lmn_doc_free(&d);
     }
 }
@@ -108,36 +121,51 @@
 {
     (void)lease;
     struct letter *l = arg;
-    assert_string_equal(key, "q/a%20team");
+    char expected[32];
+    assert_int_equal(sscanf(key, "q/team%%20%d", &l->team), 1);
+    record_key(l->team, expected);
+    assert_string_equal(key, expected);
     l->value = g_byte_array_append(g_byte_array_new(), value->data, value->len);
 }
 
 static bool commit(const struct letter *l)
 {
-    if (l->owner_rev != owner_rev[l->part] || l->rev != record_rev)
+    if (l->owner_rev != owner_rev[l->part] || l->rev != record_rev[l->team])
         return false;
-    record_rev = ++rev;
-    struct event e = {rev, l->value};
+    record_rev[l->team] = ++rev;
+    struct event e = {l->team, rev, l->value};
     g_array_append_val(events, e);
     return true;
 }
 
-static double part(int i)
+static double part_of(int i, int team)
 {
     double cpus, gpus;
-    lmn_quota_part(core[i], &core[i]->parts[i], 0, &cpus, &gpus);
+    lmn_quota_part(core[i], &core[i]->parts[i], team, &cpus, &gpus);
     return cpus;
 }
 
-static void check(void)
+static double part(int i)
+{
+    return part_of(i, 0);
+}
+
+static double sum_of_parts(int team)
 {
     double sum = 0;
 
-    for (int i = 0; i < N; i++) {
-        sum += part(i);
-        assert_true(core[i]->parts[i].used_cpus[0] <= part(i) + 1e-6);
+    for (int i = 0; i < nparts; i++)
+        sum += part_of(i, team);
+    return sum;
+}
+
+static void check(void)
+{
+    for (int t = 0; t < (int)cfg.nteams; t++) {
+        for (int i = 0; i < nparts; i++)
+            assert_true(core[i]->parts[i].used_cpus[t] <= part_of(i, t) + 1e-6);
+        assert_true(sum_of_parts(t) <= LIMIT + 1e-6);
     }
-    assert_true(sum <= LIMIT + 1e-6);
 }
 
 static void write_out(GRand *r, int i)
@@ -163,6 +191,72 @@
     }
 }
 
+/* A partition's owner crashes; its successor has seen all that was written before its
+ * claim. */
+static void crash(int i)
+{
+    struct lmn_partition *p = &core[i]->parts[i];
+
+    lmn_partition_lose(core[i], p, "crash");
+    follow(i, events->len);
+    own(i);
+    memset(p->used_cpus, 0, cfg.nteams * sizeof *p->used_cpus);
+}
+
+/* Tasks start up to the part, and end. */
+static void use(GRand *r, int i, int team)
+{
+    double *used = &core[i]->parts[i].used_cpus[team];
+    double room = part_of(i, team) - *used;
+
+    *used += room > 0 ? g_rand_double_range(r, 0, room + 1e-9) : 0;
+    if (g_rand_double(r) < 0.3)
+        *used *= g_rand_double(r);
+}
+
+/* Nothing is left on its way, and nothing is lost. */
+static void settle(void)
+{
+    for (int k = 0; k < 20; k++) {
+        now = lmn_after(now, 1);
+        for (int i = 0; i < nparts; i++) {
+            write_out(NULL, i);
+            follow(i, events->len);
+        }
+    }
+    for (int i = 0; i < nparts; i++)
+        assert_int_equal(core[i]->parts[i].transfer.team, -1);
+    for (int t = 0; t < (int)cfg.nteams; t++)
+        assert_true(sum_of_parts(t) > LIMIT - 1e-6);
+}
+
+static void move_parts_at_random(GRand *r, int steps)
+{
+    for (int step = 0; step < steps; step++) {
+        int i = g_rand_int_range(r, 0, nparts);
+        int team = g_rand_int_range(r, 0, (gint32)cfg.nteams);
+        now = lmn_after(now, 0.2);
+        if (g_rand_double(r) < 0.4)
+            lmn_quota_give(core[i], &core[i]->parts[i], team,
+                           g_rand_int_range(r, 0, nparts),
+                           g_rand_double_range(r, 0, LIMIT), 0);
+        write_out(r, i);
+        if (late->len && g_rand_double(r) < 0.3) {
+            guint at = (guint)g_rand_int_range(r, 0, (gint32)late->len);
+            struct letter l = g_array_index(late, struct letter, at);
+            g_array_remove_index(late, at);
+            commit(&l);
+        }
+        if (g_rand_double(r) < 0.7)
+            follow(i,
+                   (guint)g_rand_int_range(r, (gint32)seen[i], (gint32)events->len + 1));
+        if (g_rand_double(r) < 0.03)
+            crash(i);
+        use(r, i, team);
+        check();
+    }
+}
+
 static void never_more_than_the_limit(void **state)
 {
     unsigned moved = 0;
@@ -170,64 +264,35 @@
 
     for (uint32_t seed = 0; seed < 40; seed++) {
         GRand *r = g_rand_new_with_seed(seed);
-        make(seed);
-        for (int step = 0; step < 600; step++) {
-            int i = g_rand_int_range(r, 0, N);
-            struct lmn_partition *p = &core[i]->parts[i];
-            now = lmn_after(now, 0.2);
-            if (g_rand_double(r) < 0.4)
-                lmn_quota_give(core[i], p, 0, g_rand_int_range(r, 0, N),
-                               g_rand_double_range(r, 0, LIMIT), 0);
-            write_out(r, i);
-            if (late->len && g_rand_double(r) < 0.3) {
-                guint at = (guint)g_rand_int_range(r, 0, (gint32)late->len);
-                struct letter l = g_array_index(late, struct letter, at);
-                g_array_remove_index(late, at);
-                commit(&l);
-            }
-            if (g_rand_double(r) < 0.7)
-                follow(i, (guint)g_rand_int_range(r, (gint32)seen[i],
-                                                  (gint32)events->len + 1));
-            if (g_rand_double(r) < 0.03) {
-                /* It crashes; its successor has seen all that was written before its
-                 * claim. */
-                lmn_partition_lose(core[i], p, "crash");
-                follow(i, events->len);
-                own(i);
-                p->used_cpus[0] = 0;
-            }
-            /* Tasks start up to the part, and end. */
-            double room = part(i) - p->used_cpus[0];
-            p->used_cpus[0] += room > 0 ? g_rand_double_range(r, 0, room + 1e-9) : 0;
-            if (g_rand_double(r) < 0.3)
-                p->used_cpus[0] *= g_rand_double(r);
-            check();
-        }
+        make(seed, 3, 1);
+        move_parts_at_random(r, 600);
         moved += events->len;
-        /* In the end nothing is left on its way, and nothing is lost. */
-        for (int k = 0; k < 20; k++) {
-            now = lmn_after(now, 1);
-            for (int i = 0; i < N; i++) {
-                write_out(NULL, i);
-                follow(i, events->len);
-            }
-        }
-        double sum = 0;
-        for (int i = 0; i < N; i++) {
-            assert_int_equal(core[i]->parts[i].transfer.team, -1);
-            sum += part(i);
-        }
-        assert_true(sum > LIMIT - 1e-6);
+        settle();
         g_rand_free(r);
     }
     assert_true(moved > 40 * 20);
 }
 
+/* The same with as many teams and partitions as a large site has: each limit holds, and
+ * each moves. */
+static void many_teams_in_many_partitions(void **state)
+{
+    GRand *r = g_rand_new_with_seed(110);
+    (void)state;
+
+    make(110, MOST_PARTS, MOST_TEAMS);
+    move_parts_at_random(r, 8000);
+    settle();
+    for (int t = 0; t < MOST_TEAMS; t++)
+        assert_true(record_rev[t] > 0);
+    g_rand_free(r);
+}
+
 /* A task that needs more than an even part of its team's limit once waited for ever. */
 static void large_task_gets_its_part(void **state)
 {
     (void)state;
-    make(1);
+    make(1, 3, 1);
     struct lmn_partition *p = &core[0]->parts[0];
     struct lmn_job *j = g_new0(struct lmn_job, 1);
     struct lmn_range *r = g_new0(struct lmn_range, 1);
@@ -243,12 +308,12 @@
     g_hash_table_insert(p->ranges, r->key, r);
     lmn_range_open(core[0], r);
     for (int turn = 0; turn < 4; turn++)
-        for (int i = 1; i < N; i++) {
+        for (int i = 1; i < nparts; i++) {
             if (!lmn_quota_wanted(core[0], p, 0, &w))
                 break;
             lmn_quota_asked(core[i], &core[i]->parts[i], 0, &w, now);
             write_out(NULL, i);
-            for (int k = 0; k < N; k++)
+            for (int k = 0; k < nparts; k++)
                 follow(k, events->len);
             check();
         }
@@ -262,7 +327,7 @@
 static void large_task_gets_it_from_busy_parts(void **state)
 {
     (void)state;
-    make(2);
+    make(2, 3, 1);
     struct lmn_partition *p = &core[0]->parts[0];
     struct lmn_quota_want w = {0};
     GRand *r = g_rand_new_with_seed(4);
@@ -280,11 +345,11 @@
     range->done = g_malloc0(1);
     g_hash_table_insert(p->ranges, range->key, range);
     lmn_range_open(core[0], range);
-    for (int i = 1; i < N; i++)
+    for (int i = 1; i < nparts; i++)
         core[i]->parts[i].used_cpus[0] = 8;
     for (int turn = 0; turn < 200 && !moved; turn++) {
         now = lmn_after(now, 1);
-        for (int i = 1; i < N; i++) {
+        for (int i = 1; i < nparts; i++) {
             struct lmn_partition *o = &core[i]->parts[i];
             /* One ends now and then, and another starts at once, if it may. */
             if (o->used_cpus[0] > 0 && g_rand_boolean(r))
@@ -294,7 +359,7 @@
             if (lmn_quota_wanted(core[0], p, 0, &w))
                 lmn_quota_asked(core[i], o, 0, &w, now);
             write_out(NULL, i);
-            for (int k = 0; k < N; k++)
+            for (int k = 0; k < nparts; k++)
                 follow(k, events->len);
             check();
         }
@@ -308,6 +373,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(never_more_than_the_limit),
+        cmocka_unit_test(many_teams_in_many_partitions),
         cmocka_unit_test(large_task_gets_its_part),
         cmocka_unit_test(large_task_gets_it_from_busy_parts),
     };
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -46,10 +46,48 @@
     struct lmn_settings large;
     assert_int_equal(lmn_settings_parse(text, "f", &large, err, sizeof err), 0);
     assert_int_equal(large.partitions, LMN_MAX_PARTS);
+    lmn_settings_free(&large);
     g_free(most);
     g_free(text);
     assert_non_null(lmn_settings_team(&s, "t"));
     assert_null(lmn_settings_team(&s, "u"));
+    lmn_settings_free(&s);
+}
+
+static int parse_with_teams(unsigned n, struct lmn_settings *s, char *err, size_t len)
+{
+    const char *rest = strstr(good, "[[params.objectives]]");
+    GString *text = g_string_new_len(good, rest - good);
+
+    for (unsigned i = 1; i < n; i++)
+        g_string_append_printf(text, "[[params.teams]]\nname = 'team%u'\ncpus_max = %u\n",
+                               i, i);
+    g_string_append(text, rest);
+    int rc = lmn_settings_parse(text->str, "f", s, err, len);
+    g_string_free(text, TRUE);
+    return rc;
+}
+
+/* Teams are as many as a site has; the bound only refuses what can't be meant. */
+static void takes_many_teams(void **state)
+{
+    static const unsigned taken[] = {65, 110, 700, LMN_MAX_TEAMS};
+    struct lmn_settings s;
+    char err[256];
+    (void)state;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(taken); i++) {
+        if (parse_with_teams(taken[i], &s, err, sizeof err) != 0)
+            fail_msg("%u teams: %s", taken[i], err);
+        assert_int_equal(s.nteams, taken[i]);
+        assert_string_equal(s.teams[0].name, "t");
+        assert_true(s.teams[taken[i] - 1].cpus_max == taken[i] - 1);
+        assert_ptr_equal(lmn_settings_team(&s, "team64"), &s.teams[64]);
+        lmn_settings_free(&s);
+    }
+    assert_int_equal(parse_with_teams(LMN_MAX_TEAMS + 1, &s, err, sizeof err), -1);
+    assert_string_equal(err, "f: params.teams: more than 4096");
+    assert_null(s.teams);
 }
 
 /* Each alteration is refused, and the message names the file and the field. */
@@ -104,7 +142,8 @@
         for (int k = g_rand_int_range(r, 1, 6); k--;)
             text[g_rand_int_range(r, 0, sizeof good - 1)] =
                 (char)g_rand_int_range(r, 1, 256);
-        lmn_settings_parse(text, "f", &s, err, sizeof err);
+        if (lmn_settings_parse(text, "f", &s, err, sizeof err) == 0)
+            lmn_settings_free(&s);
     }
     g_rand_free(r);
 }
@@ -162,6 +201,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(reads),
+        cmocka_unit_test(takes_many_teams),
         cmocka_unit_test(refuses),
         cmocka_unit_test(hostile),
         cmocka_unit_test(operators_settings),
