--- a/tests/queue/fixture.c
+++ b/tests/queue/fixture.c
@@ -21,13 +21,17 @@
     return "detect_leaks=0";
 }
 
+static struct lmn_team team;
+
 static void set_up_settings(void)
 {
+    memset(&team, 0, sizeof team);
     memset(&settings, 0, sizeof settings);
     settings.partitions = 1;
     settings.state_rps = settings.state_write_rps = 1000;
     settings.txn_ops = 12;
     settings.lease_s = 10;
+    settings.teams = &team;
     settings.nteams = 1;
     g_strlcpy(settings.teams[0].name, "t", LMN_NAME);
 }
--- a/tests/takeover/nodes.c
+++ b/tests/takeover/nodes.c
@@ -102,6 +102,8 @@
     put_member(node->settings.node, node->lease);
 }
 
+static struct lmn_team team; /* of all nodes: nothing alters it */
+
 static void set_up(struct lmn_settings *s, int n)
 {
     static const char *const names[] = {"na", "nb", "nc"};
@@ -122,6 +124,7 @@
     s->state_rps = s->state_write_rps = 1e6;
     s->value_kb = 16;
     s->txn_ops = 12;
+    s->teams = &team;
     g_strlcpy(s->teams[0].name, "x", LMN_NAME);
     s->nteams = 1;
 }
--- a/tests/test_queue_order.c
+++ b/tests/test_queue_order.c
@@ -106,11 +106,13 @@
 static void guarantee_is_kept(void **state)
 {
     static struct lmn_settings s;
+    static struct lmn_team team;
     (void)state;
     s = (struct lmn_settings){.partitions = 1,
                               .state_rps = 10,
                               .state_write_rps = 10,
                               .txn_ops = 12,
+                              .teams = &team,
                               .nteams = 1};
     g_strlcpy(s.teams[0].name, "t", LMN_NAME);
     s.teams[0].cpus = 10;
--- a/tests/test_scenarios_takeback.c
+++ b/tests/test_scenarios_takeback.c
@@ -27,6 +27,29 @@
         trouble_begin(T_FREEZE, i, together ? s : scenario_drawn(0, 2 * s));
 }
 
+/* A leader stands still for longer than its lease; whoever has its partition by then ends
+ * soon after it goes on. What the leader knew is not the last word when it is the owner
+ * again. */
+static void owner_in_between_step(void)
+{
+    static int leader;
+    static double back; /* when the leader goes on, 0: it does not stand still */
+
+    if (scenario_at(0))
+        back = 0;
+    if (back && w.now >= back + 1) {
+        back = 0;
+        for (int i = 0; i < w.layout.nodes; i++)
+            if (i != leader)
+                trouble_begin(T_CRASH, i, scenario_drawn(5, 8));
+    }
+    if (back || !scenario_every(15))
+        return;
+    leader = world_leader();
+    back = w.now + scenario_drawn(5, 9);
+    trouble_begin(T_FREEZE, leader, back - w.now);
+}
+
 /* The same while machines and messages fail too. */
 static void with_others_step(void)
 {
@@ -35,6 +58,7 @@
                                           T_DEAF_NODE, T_REFUSED,      T_CANCEL};
 
     all_leases_end_step();
+    owner_in_between_step();
     if (scenario_every(6))
         trouble_begin(others[g_rand_int_range(w.r, 0, G_N_ELEMENTS(others))],
                       g_rand_int_range(w.r, 0, w.layout.nodes),
--- a/tests/test_takeback.c
+++ b/tests/test_takeback.c
@@ -22,6 +22,7 @@
 enum { MACHINES = 4, TASKS = 6, ME = 1, HOLDER = 0 };
 
 static struct lmn_settings cfg;
+static struct lmn_team team;
 static struct lmn_core *core;
 static struct lmn_partition *part;
 static struct timespec now;
@@ -43,6 +44,7 @@
     cfg.state_rps = cfg.state_write_rps = 1e6;
     cfg.value_kb = 16;
     cfg.txn_ops = 12;
+    cfg.teams = &team;
     g_strlcpy(cfg.teams[0].name, "x", LMN_NAME);
     cfg.teams[0].cpus_max = 100;
     cfg.nteams = 1;
--- a/tests/test_wait_reason.c
+++ b/tests/test_wait_reason.c
@@ -33,6 +33,7 @@
 static struct lmn_job job, other;
 static struct lmn_range *range;
 static struct lmn_machine *machine;
+static struct lmn_team team;
 static struct timespec now;
 
 /* One machine of 8 processors in partition 0, and a job of four tasks of two. */
@@ -44,6 +45,7 @@
     cfg.state_rps = cfg.state_write_rps = 1000;
     cfg.txn_ops = 12;
     cfg.lease_s = 10;
+    cfg.teams = &team;
     cfg.nteams = 1;
     g_strlcpy(cfg.teams[0].name, "t", LMN_NAME);
     cfg.teams[0].cpus_max = 100;
@@ -190,11 +192,12 @@
     assert_int_equal(lmn_wait_reason(core, machine, range, now), LMN_WAIT_NOT_OPEN);
 }
 
+static double cpus_left[] = {8}, gpus_left[] = {1e12}; /* of the team's limit */
 static const struct lmn_thief thief = {.part = 1,
                                        .rooms = {{"x", "b", false, 2, 0, 64}},
                                        .nrooms = 1,
-                                       .team_cpus = {8},
-                                       .team_gpus = {1e12}};
+                                       .team_cpus = cpus_left,
+                                       .team_gpus = gpus_left};
 
 /* A job of one zone waited for ever in a partition without a machine there. */
 static void untouched_job_moves_whole(void **state)
--- a/tests/world/nodes.c
+++ b/tests/world/nodes.c
@@ -50,6 +50,7 @@
         n->cfg.state_write_rps = plan->writes / STEP_S;
     n->cfg.value_kb = 16;
     n->cfg.txn_ops = 12;
+    n->cfg.teams = n->teams;
     n->cfg.nteams = (size_t)w.teams;
     for (int k = 0; k < w.teams; k++) {
         g_strlcpy(n->cfg.teams[k].name, world_team(k), LMN_NAME);
@@ -365,13 +366,17 @@
     for (int i = 0; i < w.layout.nodes; i++) {
         struct lmn_thief t;
         uint32_t got = 0;
-        if (!lmn_thief_fill(n->core, &n->core->parts[i], &t, w.clock))
+        lmn_thief_init(&t, &n->cfg);
+        if (!lmn_thief_fill(n->core, &n->core->parts[i], &t, w.clock)) {
+            lmn_thief_clear(&t);
             continue;
+        }
         /* A sample of the others; while faults go on, one. */
         int sample = w.calm ? (int)ceil(2 * sqrt(w.layout.nodes)) : 1;
         while (sample-- > 0 && !got)
             got = steal_from(g_rand_int_range(w.r, 0, w.layout.nodes), &t);
         lmn_thief_result(n->core, &n->core->parts[i], got, w.clock);
+        lmn_thief_clear(&t);
         w.steals += got;
     }
 }
