--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -7,10 +7,12 @@
  * each site's limits. The lines between the two marks of the page are replaced; --check
  * only compares them, and fails if they differ.
  *
- * A figure is predicted by a straight line over what it grows by, fitted by least squares
- * to the calm runs of up to FIT_MOST of the target, and compared with the larger ones. */
+ * A figure is predicted by an intercept and a slope for each thing that it grows by,
+ * fitted by least squares to the runs without troubles of up to FIT_MOST of the target,
+ * and compared with the calm runs that are larger. */
 #include <errno.h>
 #include <glib.h>
+#include <gsl/gsl_multifit.h>
 #include <jansson.h>
 #include <math.h>
 #include <stdbool.h>
@@ -19,11 +21,13 @@
 #include <string.h>
 
 #define CALM "calm"
+#define MANY_JOBS "manyjobs" /* calm, the same work in four times as many jobs */
 #define MARK_BEGIN "<!-- tables: begin (made by bench/capacity) -->\n"
 #define MARK_END "<!-- tables: end -->\n"
 #define FIT_MOST 0.25
-#define ERROR_MOST 0.15 /* beyond it an error stands in bold, and the page explains it   \
-                         */
+#define ERROR_MOST                                                                       \
+    0.15 /* beyond it an error stands in bold, and the page explains it                  \
+          */
 
 struct run {
     char *site, *scenario, *journal;
@@ -93,18 +97,29 @@
     return (double)n;
 }
 
-static double tasks_running_most(const struct run *r)
+/* The most of a quantity in any of the windows of some seconds that the report has. */
+static double windows_most(const struct run *r, const char *field)
 {
     const json_t *windows = report_part(r, "windows");
     double most = 0;
 
     for (size_t i = 0; i < json_array_size(windows); i++)
-        most =
-            MAX(most,
-                json_number_value(json_object_get(json_array_get(windows, i), "tasks")));
+        most = MAX(most,
+                   json_number_value(json_object_get(json_array_get(windows, i), field)));
     return most;
 }
 
+/* Requests of users that ended without an answer, or with an error. */
+static double users_errors(const struct run *r)
+{
+    json_t *errors = json_object_get(report_part(r, "users"), "errors"), *one;
+    const char *kind;
+    double sum = 0;
+
+    json_object_foreach(errors, kind, one) sum += json_number_value(one);
+    return sum;
+}
+
 /* The first class of a site is its urgent one. */
 static double urgent_wait(const struct run *r, const char *quantile)
 {
@@ -114,7 +129,8 @@
     return json_number_value(json_object_get(wait, quantile));
 }
 
-/* --- what figures grow by: only what a run is given, never what comes of it --- */
+/* --- what figures grow by: what a run is given; and connections, which come of it, but
+ * have a prediction of their own --- */
 
 static double workers(const struct run *r)
 {
@@ -126,6 +142,11 @@
     return report_number(r, "users", "submitted") / duration(r);
 }
 
+static double connections_mean(const struct run *r)
+{
+    return controllers_mean(r, "connections_peak");
+}
+
 struct driver {
     const char *name;
     double unit; /* slopes are for so many */
@@ -134,6 +155,7 @@
 
 static const struct driver by_workers = {"1,000 workers", 1000, workers};
 static const struct driver by_jobs = {"job a second", 1, jobs_a_second};
+static const struct driver by_connections = {"1,000 connections", 1000, connections_mean};
 
 /* --- figures --- */
 
@@ -157,7 +179,7 @@
     return controllers_most(r, "memory_peak_mb");
 }
 
-static double connections(const struct run *r)
+static double connections_most(const struct run *r)
 {
     return controllers_most(r, "connections_peak");
 }
@@ -212,35 +234,71 @@
     return report_number(r, "users", "asked") / duration(r);
 }
 
+enum { DRIVERS = 2 };
+
 struct figure {
     const char *role, *name, *unit;
     double (*value)(const struct run *r);
-    const struct driver *driver;
+    const struct driver *drivers[DRIVERS];
     const char *limit; /* in limits.json; NULL: none */
 };
 
+#define CONTROLLER "Controller"
+#define STATE "State service"
+
 static const struct figure figures[] = {
-    {"Controller", "processor, mean of all", "core", cpu_mean, &by_workers, "cores"},
-    {"Controller", "processor, highest", "core", cpu_peak, &by_workers, "cores"},
-    {"Controller", "memory, mean of all", "MB", memory_mean, &by_workers, "memory_mb"},
-    {"Controller", "memory, highest", "MB", memory_most, &by_workers, "memory_mb"},
-    {"Controller", "connections, highest", "", connections, &by_workers, "connections"},
-    {"Controller", "to and from other controllers", "kB/s", peer_kb, &by_workers, NULL},
-    {"Controller", "packets between controllers", "1/s", peer_packets, &by_workers, NULL},
-    {"State service", "requests", "1/s", state_requests, &by_workers, "state_rps"},
-    {"State service", "changes", "1/s", state_changes, &by_workers, "state_write_rps"},
-    {"State service", "conflicts", "1/s", state_conflicts, &by_workers, NULL},
-    {"State service", "written", "kB/s", state_kb_written, &by_workers, NULL},
-    {"State service", "keys at the end", "", state_keys, &by_workers, NULL},
-    {"State service", "held at the end", "kB", state_kb_held, &by_workers, NULL},
-    {"Cloud", "requests", "1/s", cloud_requests, &by_workers, "cloud_rps"},
-    {"Users", "questions about jobs", "1/s", users_questions, &by_jobs, NULL},
+    {CONTROLLER,
+     "processor, mean of all",
+     "core",
+     cpu_mean,
+     {&by_workers, &by_jobs},
+     "cores"},
+    {CONTROLLER, "processor, highest", "core", cpu_peak, {&by_workers}, "cores"},
+    {CONTROLLER,
+     "connections, mean of all",
+     "",
+     connections_mean,
+     {&by_workers},
+     "connections"},
+    {CONTROLLER,
+     "connections, highest",
+     "",
+     connections_most,
+     {&by_workers},
+     "connections"},
+    {CONTROLLER,
+     "memory, mean of all",
+     "MB",
+     memory_mean,
+     {&by_connections},
+     "memory_mb"},
+    {CONTROLLER, "memory, highest", "MB", memory_most, {&by_connections}, "memory_mb"},
+    {CONTROLLER,
+     "with other controllers",
+     "kB/s",
+     peer_kb,
+     {&by_workers, &by_jobs},
+     NULL},
+    {CONTROLLER,
+     "packets with other controllers",
+     "1/s",
+     peer_packets,
+     {&by_workers, &by_jobs},
+     NULL},
+    {STATE, "requests", "1/s", state_requests, {&by_workers, &by_jobs}, "state_rps"},
+    {STATE, "changes", "1/s", state_changes, {&by_workers, &by_jobs}, "state_write_rps"},
+    {STATE, "conflicts", "1/s", state_conflicts, {&by_workers, &by_jobs}, NULL},
+    {STATE, "written", "kB/s", state_kb_written, {&by_workers, &by_jobs}, NULL},
+    {STATE, "keys at the end", "", state_keys, {&by_workers, &by_jobs}, NULL},
+    {STATE, "held at the end", "kB", state_kb_held, {&by_workers, &by_jobs}, NULL},
+    {"Cloud", "requests", "1/s", cloud_requests, {&by_workers}, "cloud_rps"},
+    {"Users", "questions about jobs", "1/s", users_questions, {&by_jobs}, NULL},
 };
 
 /* --- lines through runs --- */
 
-struct line {
-    double intercept, slope; /* by one of the driver */
+struct model {
+    double intercept, slopes[DRIVERS]; /* by a unit of each driver */
 };
 
 static bool is_calm(const struct run *r, const char *site)
@@ -248,23 +306,52 @@
     return !strcmp(r->site, site) && !strcmp(r->scenario, CALM);
 }
 
-static struct line fit(const GPtrArray *runs, const char *site, const struct figure *f,
-                       double most)
+static bool is_fitted(const struct run *r, const char *site, double most)
+{
+    return !strcmp(r->site, site) && r->fraction <= most &&
+           (!strcmp(r->scenario, CALM) || !strcmp(r->scenario, MANY_JOBS));
+}
+
+static size_t drivers_of(const struct figure *f)
+{
+    return f->drivers[1] ? 2 : 1;
+}
+
+static struct model fit(const GPtrArray *runs, const char *site, const struct figure *f,
+                        double most)
 {
-    double n = 0, sx = 0, sy = 0, sxx = 0, sxy = 0;
+    size_t columns = 1 + drivers_of(f), n = 0, row = 0;
+    struct model m = {0};
+    double squares;
 
+    for (guint i = 0; i < runs->len; i++)
+        n += is_fitted(runs->pdata[i], site, most);
+    if (n < columns)
+        fail(site, "too few runs to fit a figure to");
+    gsl_matrix *x = gsl_matrix_alloc(n, columns);
+    gsl_matrix *covariance = gsl_matrix_alloc(columns, columns);
+    gsl_vector *y = gsl_vector_alloc(n), *c = gsl_vector_alloc(columns);
+    gsl_multifit_linear_workspace *work = gsl_multifit_linear_alloc(n, columns);
     for (guint i = 0; i < runs->len; i++) {
         const struct run *r = runs->pdata[i];
-        if (!is_calm(r, site) || r->fraction > most)
+        if (!is_fitted(r, site, most))
             continue;
-        double x = f->driver->value(r), y = f->value(r);
-        n++, sx += x, sy += y, sxx += x * x, sxy += x * y;
+        gsl_matrix_set(x, row, 0, 1);
+        for (size_t k = 1; k < columns; k++)
+            gsl_matrix_set(x, row, k,
+                           f->drivers[k - 1]->value(r) / f->drivers[k - 1]->unit);
+        gsl_vector_set(y, row++, f->value(r));
     }
-    double spread = n * sxx - sx * sx;
-    if (spread <= 0)
-        fail(site, "no two sizes to fit a line through");
-    double slope = (n * sxy - sx * sy) / spread;
-    return (struct line){(sy - slope * sx) / n, slope};
+    gsl_multifit_linear(x, y, c, covariance, &squares, work);
+    m.intercept = gsl_vector_get(c, 0);
+    for (size_t k = 1; k < columns; k++)
+        m.slopes[k - 1] = gsl_vector_get(c, k);
+    gsl_multifit_linear_free(work);
+    gsl_vector_free(y);
+    gsl_vector_free(c);
+    gsl_matrix_free(x);
+    gsl_matrix_free(covariance);
+    return m;
 }
 
 /* The mean of the calm runs of this size; NAN: there is none. */
@@ -281,6 +368,18 @@
     return n > 0 ? sum / n : NAN;
 }
 
+/* What the drivers make of a calm run of this size, without the intercept. */
+static double growth(const GPtrArray *runs, const char *site, const struct figure *f,
+                     const struct model *m, double fraction)
+{
+    double sum = 0;
+
+    for (size_t k = 0; k < drivers_of(f); k++)
+        sum += m->slopes[k] * mean_at(runs, site, fraction, f->drivers[k]->value) /
+               f->drivers[k]->unit;
+    return sum;
+}
+
 /* --- tables --- */
 
 static void put_number(GString *out, double v)
@@ -322,7 +421,8 @@
         out,
         "### Runs\n\n"
         "| journal | site | part | scenario | seconds | workers | teams | submissions "
-        "| accepted | submission p95, ms | starts a second, mean | tasks running, "
+        "| accepted | submission p95, ms | requests of users in vain | starts a second, "
+        "mean | tasks running, "
         "most | urgent wait p50, s | p90, s | tasks ended by their lease | rules "
         "broken | controllers restarted |\n"
         "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- "
@@ -338,8 +438,9 @@
         put_cell(out, report_number(r, "users", "submitted"));
         put_cell(out, report_number(r, "users", "accepted"));
         put_cell(out, json_number_value(json_object_get(submit, "p95")));
+        put_cell(out, users_errors(r));
         put_cell(out, report_number(r, "fleet", "tasks_started") / duration(r));
-        put_cell(out, tasks_running_most(r));
+        put_cell(out, windows_most(r, "tasks"));
         put_cell(out, urgent_wait(r, "p50"));
         put_cell(out, urgent_wait(r, "p90"));
         put_cell(out, report_number(r, "fleet", "tasks_killed_by_lease"));
@@ -353,20 +454,23 @@
                            const struct figure *f)
 {
     static const double fitted[] = {0.1, 0.25}, predicted[] = {0.5, 1};
-    struct line l = fit(runs, site, f, FIT_MOST);
+    struct model m = fit(runs, site, f, FIT_MOST);
 
     put_name(out, f);
     for (size_t i = 0; i < G_N_ELEMENTS(fitted); i++)
         put_cell(out, mean_at(runs, site, fitted[i], f->value));
-    put_cell(out, l.intercept);
-    put_cell(out, l.slope * f->driver->unit);
-    g_string_append_printf(out, " %s", f->driver->name);
+    put_cell(out, m.intercept);
+    for (size_t k = 0; k < drivers_of(f); k++) {
+        g_string_append(out, k ? "; " : " | ");
+        put_number(out, m.slopes[k]);
+        g_string_append_printf(out, " by %s", f->drivers[k]->name);
+    }
     for (size_t i = 0; i < G_N_ELEMENTS(predicted); i++) {
-        double x = mean_at(runs, site, predicted[i], f->driver->value);
+        double model = m.intercept + growth(runs, site, f, &m, predicted[i]);
         double measured = mean_at(runs, site, predicted[i], f->value);
-        put_cell(out, l.intercept + l.slope * x);
+        put_cell(out, model);
         put_cell(out, measured);
-        put_error(out, l.intercept + l.slope * x, measured);
+        put_error(out, model, measured);
     }
     g_string_append(out, " |\n");
 }
@@ -381,7 +485,7 @@
             g_string_append_printf(
                 out,
                 "\n### %s, %s\n\n"
-                "| figure | at 0.1 | at 0.25 | intercept | slope for each | 0.5 "
+                "| figure | at 0.1 | at 0.25 | intercept | slopes | 0.5 "
                 "predicted "
                 "| 0.5 measured | error | 1 predicted | 1 measured | error |\n"
                 "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n",
@@ -391,69 +495,126 @@
     }
 }
 
-/* Where a straight line through all calm runs meets the limit, in times of the target. */
+/* Where the model of all runs without troubles meets the limit, if all that the figure
+ * grows by grows alike, in times of the target. */
 static double limit_met_at(const GPtrArray *runs, const char *site,
                            const struct figure *f, double limit)
 {
-    struct line l = fit(runs, site, f, 1);
-    double target = mean_at(runs, site, 1, f->driver->value);
+    struct model m = fit(runs, site, f, 1);
+    double grown = growth(runs, site, f, &m, 1);
+
+    return grown > 0 ? (limit - m.intercept) / grown : INFINITY;
+}
+
+struct headroom {
+    const struct figure *figure;
+    double measured, limit, met_at;
+};
+
+static gint compare_headroom(gconstpointer a, gconstpointer b)
+{
+    const struct headroom *x = a, *y = b;
 
-    return l.slope > 0 ? (limit - l.intercept) / l.slope / target : INFINITY;
+    return (x->met_at > y->met_at) - (x->met_at < y->met_at);
+}
+
+/* What breaks first comes first. */
+static GArray *headroom_of(const GPtrArray *runs, const char *site, const json_t *limits)
+{
+    GArray *all = g_array_new(FALSE, FALSE, sizeof(struct headroom));
+
+    for (size_t i = 0; i < G_N_ELEMENTS(figures); i++) {
+        const struct figure *f = &figures[i];
+        if (!f->limit)
+            continue;
+        const json_t *v = json_object_get(json_object_get(limits, site), f->limit);
+        if (!json_is_number(v))
+            fail("limits.json", f->limit);
+        double limit = json_number_value(v);
+        struct headroom h = {f, mean_at(runs, site, 1, f->value), limit,
+                             limit_met_at(runs, site, f, limit)};
+        g_array_append_val(all, h);
+    }
+    g_array_sort(all, compare_headroom);
+    return all;
 }
 
 static void put_headroom(GString *out, const GPtrArray *runs, const char *site,
                          const json_t *limits)
 {
+    GArray *all = headroom_of(runs, site, limits);
+
     g_string_append_printf(
         out,
         "\n### Limits and headroom at the target, %s\n\n"
         "| role | figure | measured at 1 | limit | used | limit met at, times the target "
         "|\n| --- | --- | --- | --- | --- | --- |\n",
         site);
-    for (size_t i = 0; i < G_N_ELEMENTS(figures); i++) {
-        const struct figure *f = &figures[i];
-        if (!f->limit)
-            continue;
-        const json_t *v = json_object_get(json_object_get(limits, site), f->limit);
-        double limit = json_number_value(v), measured = mean_at(runs, site, 1, f->value);
-        if (!json_is_number(v))
-            fail("limits.json", f->limit);
-        g_string_append_printf(out, "| %s ", f->role);
-        put_name(out, f);
-        put_cell(out, measured);
-        put_cell(out, limit);
-        g_string_append_printf(out, " | %.1f%%", 100 * measured / limit);
-        put_cell(out, limit_met_at(runs, site, f, limit));
+    for (guint i = 0; i < all->len; i++) {
+        const struct headroom *h = &g_array_index(all, struct headroom, i);
+        g_string_append_printf(out, "| %s ", h->figure->role);
+        put_name(out, h->figure);
+        put_cell(out, h->measured);
+        put_cell(out, h->limit);
+        g_string_append_printf(out, " | %.1f%%", 100 * h->measured / h->limit);
+        put_cell(out, h->met_at);
         g_string_append(out, " |\n");
     }
+    g_array_free(all, TRUE);
 }
 
-/* All runs of the full size beside each other. */
-static void put_troubles(GString *out, const GPtrArray *runs, const char *site)
+static bool is_of(const struct run *r, const char *site, double fraction)
 {
-    GPtrArray *full = g_ptr_array_new();
+    return !strcmp(r->site, site) && r->fraction == fraction;
+}
 
-    for (guint i = 0; i < runs->len; i++) {
-        struct run *r = runs->pdata[i];
-        if (!strcmp(r->site, site) && r->fraction == 1)
-            g_ptr_array_add(full, r);
-    }
-    g_string_append_printf(out, "\n### Troubles at the target, %s\n\n| figure", site);
-    for (guint k = 0; k < full->len; k++) {
-        const struct run *r = full->pdata[k];
-        g_string_append_printf(out, " | %s (%s)", r->scenario, r->journal);
+/* All runs of a size beside each other: what troubles, teams and controllers change. */
+static void put_beside(GString *out, const GPtrArray *runs, const char *site,
+                       double fraction)
+{
+    g_string_append_printf(
+        out, "\n### Runs at %g beside each other, %s\n\n| role | figure", fraction, site);
+    for (guint k = 0; k < runs->len; k++) {
+        const struct run *r = runs->pdata[k];
+        if (is_of(r, site, fraction))
+            g_string_append_printf(out, " | %s (%s)", r->scenario, r->journal);
     }
-    g_string_append(out, " |\n| ---");
-    for (guint k = 0; k < full->len; k++)
-        g_string_append(out, " | ---");
+    g_string_append(out, " |\n| --- | ---");
+    for (guint k = 0; k < runs->len; k++)
+        if (is_of(runs->pdata[k], site, fraction))
+            g_string_append(out, " | ---");
     g_string_append(out, " |\n");
     for (size_t i = 0; i < G_N_ELEMENTS(figures); i++) {
+        g_string_append_printf(out, "| %s ", figures[i].role);
         put_name(out, &figures[i]);
-        for (guint k = 0; k < full->len; k++)
-            put_cell(out, figures[i].value(full->pdata[k]));
+        for (guint k = 0; k < runs->len; k++)
+            if (is_of(runs->pdata[k], site, fraction))
+                put_cell(out, figures[i].value(runs->pdata[k]));
+        g_string_append(out, " |\n");
+    }
+}
+
+/* Reports that a controller hears, by settings: the bench does not count them. */
+static void put_reports(GString *out, const GPtrArray *runs, const json_t *limits)
+{
+    g_string_append(out,
+                    "\n### Reports of workers to a controller, computed, not measured\n\n"
+                    "| site | workers, most at once | report_s | controllers | reports "
+                    "to each, 1/s |\n| --- | --- | --- | --- | --- |\n");
+    for (guint i = 0; i < runs->len; i++) {
+        const struct run *r = runs->pdata[i];
+        const json_t *s = json_object_get(json_object_get(limits, r->site), "report_s");
+        double up = windows_most(r, "machines"), each = json_number_value(s);
+        double controllers = json_number_value(report_part(r, "nodes"));
+        if (!is_calm(r, r->site))
+            continue;
+        g_string_append_printf(out, "| %s at %g", r->site, r->fraction);
+        put_cell(out, up);
+        put_cell(out, each);
+        put_cell(out, controllers);
+        put_cell(out, up / each / controllers);
         g_string_append(out, " |\n");
     }
-    g_ptr_array_free(full, TRUE);
 }
 
 static bool is_first_of_site(const GPtrArray *runs, guint at)
@@ -474,8 +635,10 @@
             continue;
         put_predictions(out, runs, r->site);
         put_headroom(out, runs, r->site, limits);
-        put_troubles(out, runs, r->site);
+        put_beside(out, runs, r->site, 1);
+        put_beside(out, runs, r->site, 0.25);
     }
+    put_reports(out, runs, limits);
     g_string_append_c(out, '\n');
     return out;
 }
