--- a/src/serve/replies.c
+++ b/src/serve/replies.c
@@ -174,17 +174,28 @@
     return lmn_staleness(c, now) > LMN_STALE_S;
 }
 
-struct lmn_decision lmn_decide_status(struct lmn_core *c, const char *ref,
-                                      struct timespec now)
+/* Whether nothing has to be asked: the id can't be one, or its job has ended. */
+static bool is_known_now(struct lmn_core *c, const char *ref, struct lmn_reply *reply)
 {
     struct lmn_view v;
 
-    if (!lmn_ref_ok(ref))
-        return reply_now(plain(404, 0));
+    if (!lmn_ref_ok(ref)) {
+        *reply = plain(404, 0);
+        return true;
+    }
     c->count.polls++;
     lmn_view_take(c, ref, &v);
-    if (is_final(&v))
-        return reply_now(v.reply);
+    *reply = v.reply;
+    return is_final(&v);
+}
+
+struct lmn_decision lmn_decide_status(struct lmn_core *c, const char *ref,
+                                      struct timespec now)
+{
+    struct lmn_reply reply;
+
+    if (is_known_now(c, ref, &reply))
+        return reply_now(reply);
     if (lmn_load_sheds(&c->load, LMN_SHED_POLL, c->rng))
         return reply_now(plain(503, lmn_retry_after(2 * c->load.behind, c->rng)));
     if (is_blind(c, now))
@@ -194,14 +205,10 @@
 
 struct lmn_decision lmn_decide_cancel(struct lmn_core *c, const char *ref)
 {
-    struct lmn_view v;
+    struct lmn_reply reply;
 
-    if (!lmn_ref_ok(ref))
-        return reply_now(plain(404, 0));
-    c->count.polls++;
-    lmn_view_take(c, ref, &v);
-    if (is_final(&v))
-        return reply_now(v.reply);
+    if (is_known_now(c, ref, &reply))
+        return reply_now(reply);
     return next_step(LMN_STEP_CANCEL, 404);
 }
 
