Autoscaler: demand that only some machines may serve is compared with these

Cause: the autoscaler subtracted the processors of all machines from those of all demand, whatever zones, types and sizes they are of. A machine in another zone that a service keeps up covers the demand in the sum, so nothing was rented. Change: for each set of offers to which some jobs are confined, the demand confined to it (or to a part of it) is compared with the capacity of the set (Hall's condition), before the sums of all. Where no machine of the set is up, one is rented for a single task, unless quota limits leave less than a task. The capacity by type, zone and price model has a module of its own, and takes one pass over the machines in place of three.

--- a/src/scheduler/autoscaler.c
+++ b/src/scheduler/autoscaler.c
@@ -2,6 +2,8 @@
  * Autoscaler; see autoscaler.h. Unlike the rest of scheduler/ it does not follow MATRIX,
  * whose set of nodes is fixed. */
 #include "scheduler/autoscaler.h"
+#include "scheduler/autoscaler_capacity.h"
+#include "scheduler/autoscaler_constraints.h"
 #include "scheduler/autoscaler_demand.h"
 #include "admission/connection_budget.h"
 #include "state/core.h"
@@ -14,16 +16,13 @@
 static const double USUAL_BOOT_FACTOR = 1.5;
 /** Weight of the latest boot in the moving average of boot times. */
 static const double LAST_BOOT_WEIGHT = 0.2;
-/** Late machines are replaced if at most one in this many machines of their type and zone
- * is late. */
-enum { MACHINES_PER_LATE_MACHINE = 4 };
 /** Bounds of the wait before machines that the cloud refused are requested again. */
 static const double MIN_BACKOFF_S = 8, MAX_BACKOFF_S = 32;
 /** Most machines in one request. */
 enum { MAX_REQUESTED_MACHINES = 50 };
 /** Boot time, in seconds, that doubles an offer's cost: (1 + boot_s / BOOT_COST_S). */
 static const double BOOT_COST_S = 120;
-/** Deficit, in processors, below which nothing is provisioned. */
+/** Deficit of all demand, in processors, below which nothing is provisioned. */
 static const double MIN_DEFICIT_CPUS = 1;
 /** Delay in handling heartbeats above which a controller provisions no machines. */
 static const double MAX_DELAY_S = 1;
@@ -75,128 +74,6 @@
     return USUAL_BOOT_FACTOR * MAX(type->boot_s, typical_s) + 2 * lag_s;
 }
 
-/* --- present capacity --- */
-
-/** Capacity of the machines that run or boot. Processors of late machines that are to be
- * replaced are not counted. */
-struct capacity {
-    double machines; /**< number of all machines, including broken and late ones */
-    double cpus;
-    double ordinary_cpus; /**< part of `cpus` on machines other than spot instances */
-};
-
-/** Number of machines of one type and zone. */
-struct machine_group {
-    const struct lmn_machine_type *type;
-    const char *zone;
-    unsigned count;
-    unsigned late_count;
-};
-
-/** Returns the entry for the type and zone; adds one if there is none. */
-static struct machine_group *
-get_group(GArray *groups, const struct lmn_machine_type *type, const char *zone)
-{
-    struct machine_group new_group = {type, zone, 0, 0};
-
-    for (guint i = 0; i < groups->len; i++) {
-        struct machine_group *group = &g_array_index(groups, struct machine_group, i);
-        if (group->type == type && !strcmp(group->zone, zone))
-            return group;
-    }
-    g_array_append_val(groups, new_group);
-    return &g_array_index(groups, struct machine_group, groups->len - 1);
-}
-
-/** Whether the machine is still booting after its boot timeout. */
-static bool is_late(const struct lmn_core *core, const struct lmn_autoscaler *autoscaler,
-                    const struct lmn_cloud_machine *machine,
-                    const struct lmn_machine_type *type, struct timespec now)
-{
-    return machine->is_booting &&
-           lmn_time_diff_s(now, machine->provisioned_at) >
-               lmn_autoscaler_boot_timeout_s(autoscaler, type, machine->zone,
-                                             core->settings->list_lag_s);
-}
-
-/** Counts the machines, and the late machines, of each type and zone.
- * @return struct machine_kind; the caller frees the array */
-static GArray *count_groups(const struct lmn_core *core,
-                            const struct lmn_autoscaler *autoscaler, struct timespec now)
-{
-    GArray *groups = g_array_new(FALSE, FALSE, sizeof(struct machine_group));
-    GHashTableIter iter;
-    gpointer value;
-
-    g_hash_table_iter_init(&iter, autoscaler->machines);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct lmn_cloud_machine *machine = value;
-        const struct lmn_machine_type *type =
-            lmn_machine_type_by_name(core, machine->type);
-        if (!type || machine->is_broken)
-            continue;
-        struct machine_group *group = get_group(groups, type, machine->zone);
-        group->count++;
-        group->late_count += is_late(core, autoscaler, machine, type, now);
-    }
-    return groups;
-}
-
-/** Subtracts the processors of late machines, so that replacements are provisioned.
- * Applies only to types and zones where few machines are late: where many are, the cloud
- * itself is slow, and replacements would boot no sooner. */
-static void subtract_late(const struct lmn_core *core,
-                          const struct lmn_autoscaler *autoscaler,
-                          struct capacity *capacity, struct timespec now)
-{
-    GArray *groups = count_groups(core, autoscaler, now);
-    double late_cpus = 0, late_ordinary_cpus = 0;
-    GHashTableIter iter;
-    gpointer value;
-
-    g_hash_table_iter_init(&iter, autoscaler->machines);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct lmn_cloud_machine *machine = value;
-        const struct lmn_machine_type *type =
-            lmn_machine_type_by_name(core, machine->type);
-        if (!type || machine->is_broken)
-            continue;
-        const struct machine_group *group = get_group(groups, type, machine->zone);
-        if (is_late(core, autoscaler, machine, type, now) &&
-            MACHINES_PER_LATE_MACHINE * group->late_count <= group->count) {
-            late_cpus += type->cpus;
-            late_ordinary_cpus += machine->is_spot ? 0 : type->cpus;
-        }
-    }
-    g_array_free(groups, TRUE);
-    capacity->cpus -= late_cpus;
-    capacity->ordinary_cpus -= late_ordinary_cpus;
-}
-
-static struct capacity sum_capacity(const struct lmn_core *core,
-                                    const struct lmn_autoscaler *autoscaler,
-                                    struct timespec now)
-{
-    struct capacity capacity = {0, 0, 0};
-    GHashTableIter iter;
-    gpointer value;
-
-    g_hash_table_iter_init(&iter, autoscaler->machines);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct lmn_cloud_machine *machine = value;
-        const struct lmn_machine_type *type =
-            lmn_machine_type_by_name(core, machine->type);
-        capacity.machines++;
-        if (machine->is_broken || !type)
-            continue;
-        capacity.cpus += type->cpus;
-        if (!machine->is_spot)
-            capacity.ordinary_cpus += type->cpus;
-    }
-    subtract_late(core, autoscaler, &capacity, now);
-    return capacity;
-}
-
 /* --- backoff after refusals --- */
 
 static struct lmn_capacity_backoff *find_backoff(const struct lmn_autoscaler *autoscaler,
@@ -257,42 +134,54 @@
     double cpus;
     double max_ordinary_cpus; /**< part of `cpus` that ordinary machines may serve */
     bool may_use_spot;
-    bool is_first; /**< there is no capacity yet: the number of machines is rounded up */
+    bool is_first; /**< there is no capacity for it yet: the number of machines is rounded
+                        up */
 };
 
-/** Machines that the cloud offers, by type, zone and price model. */
-struct offer {
-    const struct lmn_machine_type *type;
-    const char *zone;
-    bool is_spot;
+/** Demand that machines of an offer could serve. */
+struct offer_demand {
+    double cpus, memory_gb;
+    double least_task_cpus; /**< processors of the smallest task */
 };
 
+static struct offer_demand sum_offer_demand(const struct lmn_offer *offer,
+                                            const GArray *demands)
+{
+    struct offer_demand sum = {.least_task_cpus = INFINITY};
+
+    for (guint i = 0; i < demands->len; i++) {
+        const struct lmn_range_demand *demand =
+            &g_array_index(demands, struct lmn_range_demand, i);
+        if ((!offer->is_spot && demand->is_spot_only) ||
+            !lmn_job_spec_allows(demand->spec, offer->type, offer->zone, offer->is_spot))
+            continue;
+        sum.cpus += demand->cpus;
+        sum.memory_gb += demand->memory_gb;
+        sum.least_task_cpus = MIN(sum.least_task_cpus, demand->spec->cpus);
+    }
+    return sum;
+}
+
 /** Cost of the offer per usable processor, in its price per hour; INFINITY if it serves
  * none of the deficit. Boot time raises the cost: it is paid for, and tasks wait for it.
  * @param[out] count number of machines that serve the deficit; unchanged if the cost is
  * INFINITY */
-static double offer_cost(const struct offer *offer, const GArray *demands,
+static double offer_cost(const struct lmn_offer *offer, const GArray *demands,
                          const struct deficit *deficit, unsigned *count)
 {
     const struct lmn_machine_type *type = offer->type;
-    double cpus = 0, memory_gb = 0;
+    const struct offer_demand demand = sum_offer_demand(offer, demands);
 
-    for (guint i = 0; i < demands->len; i++) {
-        const struct lmn_range_demand *demand =
-            &g_array_index(demands, struct lmn_range_demand, i);
-        if ((offer->is_spot || !demand->is_spot_only) &&
-            lmn_job_spec_allows(demand->spec, type, offer->zone, offer->is_spot)) {
-            cpus += demand->cpus;
-            memory_gb += demand->memory_gb;
-        }
-    }
-    double served_cpus = MIN(deficit->cpus, cpus);
+    double served_cpus = MIN(deficit->cpus, demand.cpus);
     if (!offer->is_spot)
         served_cpus = MIN(served_cpus, deficit->max_ordinary_cpus);
-    if (served_cpus < MIN_DEFICIT_CPUS)
+    if (!lmn_deficit_warrants_machine(served_cpus, demand.least_task_cpus,
+                                      deficit->is_first))
         return INFINITY;
     double usable_cpus =
-        MIN(type->cpus, memory_gb > 0 ? type->memory_gb * cpus / memory_gb : type->cpus);
+        MIN(type->cpus, demand.memory_gb > 0
+                            ? type->memory_gb * demand.cpus / demand.memory_gb
+                            : type->cpus);
     double machines = served_cpus / usable_cpus;
     double rounded = deficit->is_first ? ceil(machines) : floor(machines + 0.5);
     *count = (unsigned)CLAMP(rounded, 0, MAX_REQUESTED_MACHINES);
@@ -302,7 +191,7 @@
 
 /** Whether a refusal by the cloud still forbids requests for the offer. */
 static bool is_backing_off(const struct lmn_autoscaler *autoscaler,
-                           const struct offer *offer, struct timespec now)
+                           const struct lmn_offer *offer, struct timespec now)
 {
     const struct lmn_capacity_backoff *backoff =
         find_backoff(autoscaler, offer->type->name, offer->zone, offer->is_spot);
@@ -325,8 +214,8 @@
     for (size_t i = 0; i < types->count; i++)
         for (int zone = 0; zone < types->types[i].zone_count; zone++)
             for (int spot = 0; spot <= may_use_spot; spot++) {
-                const struct offer offer = {&types->types[i], types->types[i].zones[zone],
-                                            spot};
+                const struct lmn_offer offer = {&types->types[i],
+                                                types->types[i].zones[zone], spot};
                 unsigned count = 0;
                 if (is_backing_off(autoscaler, &offer, now))
                     continue;
@@ -342,13 +231,35 @@
     return least_cost;
 }
 
+/** Fills in a request for demand that only some of the offers may serve. It is served
+ * before all other demand, which the other offers can serve, too.
+ * @return whether there is such a demand and an offer for it */
+static bool choose_confined_request(const struct lmn_core *core,
+                                    const struct lmn_autoscaler *autoscaler,
+                                    const GArray *demands,
+                                    const struct lmn_capacity *capacity,
+                                    struct lmn_provision_request *request,
+                                    struct timespec now)
+{
+    struct lmn_confined_deficit confined;
+
+    if (!lmn_find_confined_deficit(core, demands, capacity, &confined))
+        return false;
+    const struct deficit deficit = {confined.cpus, confined.cpus, true,
+                                    confined.has_no_machine};
+    double cost =
+        choose_offer(core, autoscaler, confined.demands, &deficit, request, now);
+    lmn_confined_deficit_clear(&confined);
+    return cost < INFINITY && request->count > 0;
+}
+
 /** Fills in a request either for ordinary machines, for jobs that may not use spot
  * instances, or for the cheapest machines, for all other jobs. The larger of the two
  * deficits is tried first, because the rate of calls to the cloud is limited; if no offer
  * serves it, the other is tried. Returns whether an offer was found. */
 static bool choose_request(const struct lmn_core *core,
                            const struct lmn_autoscaler *autoscaler, const GArray *demands,
-                           const struct capacity *capacity,
+                           const struct lmn_capacity *capacity,
                            struct lmn_provision_request *request, struct timespec now)
 {
     const struct lmn_demand_totals demand = lmn_sum_demand(core, demands);
@@ -379,25 +290,34 @@
     return least_cost < INFINITY;
 }
 
+/** Whether more machines may be provisioned now. A machine runs nothing if no controller
+ * has a connection left for it. While this controller is late in handling heartbeats,
+ * more machines would delay it further. */
+static bool may_provision(const struct lmn_core *core, double acceptable_machines)
+{
+    return acceptable_machines >= 1 && core->load.delay_s <= MAX_DELAY_S;
+}
+
 bool lmn_autoscaler_decide(struct lmn_core *core, struct lmn_autoscaler *autoscaler,
                            struct lmn_provision_request *request, struct timespec now)
 {
-    const struct capacity capacity = sum_capacity(core, autoscaler, now);
     double acceptable_machines =
         lmn_connection_budget_max_machines(&core->connection_budget, core->settings) -
-        capacity.machines;
+        g_hash_table_size(autoscaler->machines);
 
-    /* A machine runs nothing if no controller has a connection left for it. While this
-     * controller is late in handling heartbeats, more machines would delay it further. */
-    if (acceptable_machines < 1 || core->load.delay_s > MAX_DELAY_S)
+    if (!may_provision(core, acceptable_machines))
         return false;
+    struct lmn_capacity capacity = lmn_capacity_sum(core, autoscaler, now);
     /* If there is no spot instance and none can be had, idle jobs may use ordinary
      * machines. */
     bool may_wait_for_spot =
         !is_spot_scarce(core, autoscaler) || capacity.cpus > capacity.ordinary_cpus;
     GArray *demands = lmn_list_range_demands(core, may_wait_for_spot);
-    bool has_offer = choose_request(core, autoscaler, demands, &capacity, request, now);
+    bool has_offer =
+        choose_confined_request(core, autoscaler, demands, &capacity, request, now) ||
+        choose_request(core, autoscaler, demands, &capacity, request, now);
     g_array_free(demands, TRUE);
+    lmn_capacity_clear(&capacity);
     if (has_offer)
         request->count = (unsigned)MIN(request->count, acceptable_machines);
     return has_offer && request->count > 0;
--- /dev/null
+++ b/src/scheduler/autoscaler_capacity.h
@@ -0,0 +1,53 @@
+/** @file
+ * The capacity that the autoscaler compares with the demand: the machines that run or
+ * boot, by type, zone and price model.
+ *
+ * Internal to scheduler/. Pure functions of struct lmn_autoscaler, the core's state and
+ * the time. The caller holds the core's lock. */
+#ifndef LMN_SCHEDULER_AUTOSCALER_CAPACITY_H
+#define LMN_SCHEDULER_AUTOSCALER_CAPACITY_H
+
+#include "scheduler/autoscaler.h"
+
+/** Machines that the cloud offers, by type, zone and price model. */
+struct lmn_offer {
+    const struct lmn_machine_type *type;
+    const char *zone;
+    bool is_spot;
+};
+
+/** The machines of one offer that are not broken. */
+struct lmn_machine_group {
+    struct lmn_offer offer;
+    unsigned count;
+    unsigned late_count; /**< still booting after their boot timeout */
+    double cpus;         /**< processors, without those of late machines that are to be
+                              replaced */
+};
+
+/** Capacity of the machines that run or boot. Processors of late machines that are to be
+ * replaced are not counted. */
+struct lmn_capacity {
+    double cpus;
+    double ordinary_cpus; /**< part of `cpus` on machines other than spot instances */
+    GArray *groups;       /**< struct lmn_machine_group */
+};
+
+/** Adds up the capacity of the cloud's machines. The result points into `autoscaler` and
+ * the core; release it with lmn_capacity_clear. */
+struct lmn_capacity lmn_capacity_sum(const struct lmn_core *core,
+                                     const struct lmn_autoscaler *autoscaler,
+                                     struct timespec now);
+
+/** Whether a machine should be provisioned for a deficit. Where no machine could run the
+ * jobs, one is for a single small task. Demand that quota limits reduce to less than a
+ * task warrants none: the machine would have nothing that may start.
+ * @param cpus processors that are missing
+ * @param least_task_cpus processors of the smallest task that waits for them
+ * @param is_first no machine that could run the tasks runs or boots */
+bool lmn_deficit_warrants_machine(double cpus, double least_task_cpus, bool is_first);
+
+/** Frees the groups. */
+void lmn_capacity_clear(struct lmn_capacity *capacity);
+
+#endif
