Autoscaler: the first machine comes for tasks of any size

Seen by callers: on a site without machines two tasks of 0.25 processors stayed queued (after 75 s still), until a larger job was submitted. The same for tasks that may use ordinary machines only, beside spot instances that cover the sum. Ordinary machines are now looked at by themselves in this.

--- a/src/scheduler/autoscaler.c
+++ b/src/scheduler/autoscaler.c
@@ -22,8 +22,6 @@
 enum { MAX_REQUESTED_MACHINES = 50 };
 /** Boot time, in seconds, that doubles an offer's cost: (1 + boot_s / BOOT_COST_S). */
 static const double BOOT_COST_S = 120;
-/** Deficit of all demand, in processors, below which nothing is provisioned. */
-static const double MIN_DEFICIT_CPUS = 1;
 /** Delay in handling heartbeats above which a controller provisions no machines. */
 static const double MAX_DELAY_S = 1;
 /** Value of the operator setting `spot` from which spot instances are provisioned. */
@@ -276,15 +274,16 @@
     for (int attempt = 0; attempt < 2 && least_cost == INFINITY; attempt++) {
         bool is_any = attempt == 0 ? any_first : !any_first;
         struct deficit deficit = {ordinary_cpus, ordinary_cpus, is_any,
-                                  capacity->cpus <= 0};
+                                  capacity->ordinary_cpus <= 0};
         if (is_any) {
+            deficit.is_first = capacity->cpus <= 0;
             /* The second attempt includes the deficit in ordinary machines, for which the
              * first has found no offer. */
             deficit.cpus = attempt == 0 ? any_cpus : all_cpus;
             deficit.max_ordinary_cpus = demand.cpus - demand.spot_only_cpus -
                                         capacity->ordinary_cpus - spot_left_cpus;
         }
-        if (deficit.cpus >= MIN_DEFICIT_CPUS)
+        if (deficit.cpus > 0)
             least_cost = choose_offer(core, autoscaler, demands, &deficit, request, now);
     }
     return least_cost < INFINITY;
--- a/tests/test_autoscaler_fit.c
+++ b/tests/test_autoscaler_fit.c
@@ -156,7 +156,7 @@
  * zone on which a service ran. */
 static void jobs_that_free_machines_may_not_run_get_their_own(void **state)
 {
-    enum { ZONE, TYPE, GPUS, CPUS, MEMORY, CASES };
+    enum { ZONE, TYPE, GPUS, CPUS, MEMORY, NO_SPOT, CASES };
     static char *only_large[] = {(char *)"large", NULL};
     (void)state;
 
@@ -164,8 +164,9 @@
         set_up();
         struct lmn_job *service = add_job(1, 2, 4);
         service->spec.kind = LMN_JOB_SERVICE;
-        add_machine("small", "a", false);
-        add_machine("small", "a", false);
+        add_machine("small", "a", variant == NO_SPOT);
+        add_machine("small", "a", variant == NO_SPOT);
+        service->spec.may_use_spot = variant == NO_SPOT;
         struct lmn_job *job = add_job(1, 0.5, 1);
         if (variant == ZONE)
             job->spec.zone = (char *)"c";
@@ -184,6 +185,20 @@
     }
 }
 
+/* Guards against small tasks that wait for ever on a site without machines: two tasks of
+ * a quarter of a processor were still queued after 75 s, until a larger job came. */
+static void small_tasks_alone_get_a_machine(void **state)
+{
+    (void)state;
+    for (int is_spot = 0; is_spot <= 1; is_spot++) {
+        set_up();
+        add_job(2, 0.25, 0.1)->spec.may_use_spot = is_spot;
+        provision();
+        assert_int_equal(machine_count, 1);
+        assert_int_equal(provision(), 0);
+    }
+}
+
 /* Many tasks bound to a zone get as many machines as they would alone. */
 static void bound_arrays_get_the_capacity_that_they_need(void **state)
 {
@@ -197,11 +212,64 @@
     assert_int_equal(provision(), 0);
 }
 
+/* Whatever jobs there are, each finds a machine that may run it, the requests come to an
+ * end, and no more is provisioned than the demand and one machine for each set of offers.
+ */
+static void every_job_finds_a_machine_that_may_run_it(void **state)
+{
+    static char *type_lists[][2] = {
+        {(char *)"small", NULL}, {(char *)"large", NULL}, {(char *)"accelerated", NULL}};
+    static const char *const zones[] = {"a", "b", "c"};
+    GRand *generator = g_rand_new_with_seed(52);
+    (void)state;
+
+    for (int round = 0; round < 300; round++) {
+        double demand_cpus = 0, cpus = 0;
+        set_up();
+        for (int i = g_rand_int_range(generator, 1, MAX_JOBS); i > 0; i--) {
+            struct lmn_job *job = add_job((uint32_t)g_rand_int_range(generator, 1, 12),
+                                          g_rand_double_range(generator, 0.1, 16),
+                                          g_rand_double_range(generator, 0.1, 60));
+            job->spec.kind = g_rand_boolean(generator) ? LMN_JOB_SERVICE : LMN_JOB_BATCH;
+            job->spec.may_use_spot = g_rand_boolean(generator);
+            if (!g_rand_int_range(generator, 0, 3))
+                job->spec.zone = (char *)zones[g_rand_int_range(generator, 0, 3)];
+            if (!g_rand_int_range(generator, 0, 4))
+                job->spec.machine_types = type_lists[g_rand_int_range(generator, 0, 3)];
+            if (!g_rand_int_range(generator, 0, 6))
+                job->spec.gpus = g_rand_int_range(generator, 1, 5);
+            const char *reason;
+            job->spec.team = team.name;
+            if (!lmn_job_spec_is_feasible(&job->spec, &settings,
+                                          &core->cloud.machine_types, &reason)) {
+                job->phase = LMN_JOB_DONE;
+                continue;
+            }
+            demand_cpus += job->spec.tasks * job->spec.cpus;
+        }
+        provision();
+        for (int i = 0; i < job_count; i++)
+            assert_true(jobs[i].phase != LMN_JOB_ACTIVE || cpus_for(&jobs[i]) > 0);
+        GHashTableIter iter;
+        gpointer value;
+        g_hash_table_iter_init(&iter, autoscaler.machines);
+        while (g_hash_table_iter_next(&iter, NULL, &value))
+            cpus +=
+                lmn_machine_type_by_name(core, ((struct lmn_cloud_machine *)value)->type)
+                    ->cpus;
+        /* Memory may need up to as many machines as tasks; each has 16 processors. */
+        assert_true(cpus <= 16 * (demand_cpus + job_count));
+    }
+    g_rand_free(generator);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(jobs_that_free_machines_may_not_run_get_their_own),
+        cmocka_unit_test(small_tasks_alone_get_a_machine),
         cmocka_unit_test(bound_arrays_get_the_capacity_that_they_need),
+        cmocka_unit_test(every_job_finds_a_machine_that_may_run_it),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
