Autoscaler: machines for tasks that no machine has had free capacity for

Cause: the leader compares sums. That no single machine has the free capacity, or may start the task, only the owner of the partition sees, and nobody told. Change: each owner lists, once a second, the tasks that waited for the horizon (twice that for a batch job with running tasks) though quota, backoff, moves and takeover would let them start: 64 at most, the longest waits. The probe thread sends the lists to the other members (a new call, RPC procedure 15; members of an older version refuse it and lose nothing). When the sums ask for nothing, the leader places the listed tasks on the machines that arrive and requests the cheapest machines for the rest, so that one machine serves many lists.

--- a/src/controller/controller.c
+++ b/src/controller/controller.c
@@ -15,6 +15,7 @@
 #include "scheduler/consolidation.h"
 #include "scheduler/preemption.h"
 #include "scheduler/reservation.h"
+#include "scheduler/unschedulable.h"
 #include "admission/connection_budget.h"
 #include "partition/provisioner.h"
 #include "partition/range_writer.h"
@@ -179,6 +180,12 @@
     }
 }
 
+static void list_unschedulable_tasks(struct lmn_core *core, const struct tick *tick)
+{
+    for (int i = 0; i < core->partition_count; i++)
+        lmn_unschedulable_update(core, &core->partitions[i], tick->now);
+}
+
 /** Writes the changed ranges. Last task of the tick, so that the changes made by the
  * other tasks are written in the same tick. */
 static void flush_ranges(struct lmn_core *core, const struct tick *tick)
@@ -189,12 +196,14 @@
 /** The tasks of a tick, in their order. All are called in every tick; those that have a
  * longer interval skip ticks themselves. */
 static tick_task *const TICK_TASKS[] = {
-    check_shutdown,      record_delay,
-    update_job_order,    /* triages at the interval of scheduler/job_order.c */
-    update_reservations, /* after each triage */
-    run_maintenance,     /* less often with many machines: partition/maintenance.c */
-    make_free_capacity,  /* consolidation at the interval of scheduler/consolidation.c */
-    flush_ranges,        /* limited by the write budget: partition/range_writer.c */
+    check_shutdown,
+    record_delay,
+    update_job_order,         /* triages at the interval of scheduler/job_order.c */
+    update_reservations,      /* after each triage */
+    run_maintenance,          /* less often with many machines: partition/maintenance.c */
+    list_unschedulable_tasks, /* at the interval of scheduler/unschedulable.c */
+    make_free_capacity, /* consolidation at the interval of scheduler/consolidation.c */
+    flush_ranges,       /* limited by the write budget: partition/range_writer.c */
 };
 
 static _Noreturn void run_ticks(struct lmn_core *core, struct lmn_http_server *server)
--- a/src/controller/controller_rpc.x
+++ b/src/controller/controller_rpc.x
@@ -161,6 +161,27 @@
     lmn_rpc_job_id jobs<LMN_RPC_MAX_ITEMS>;
 };
 
+/* --- unschedulable tasks --- */
+
+struct lmn_rpc_zone {
+    string name<LMN_RPC_MAX_NAME>;
+};
+
+/* Queued tasks of a job for which no machine has had free capacity for long. */
+struct lmn_rpc_unschedulable {
+    string job_id<LMN_RPC_MAX_NAME>;
+    unsigned tasks;
+    double waited_s;
+    lmn_rpc_zone zones<LMN_RPC_MAX_ITEMS>; /* in which they may start; empty: any */
+};
+
+/* All such tasks of a partition; replaces the list sent before. */
+struct lmn_rpc_unschedulable_list {
+    int partition;
+    unsigned hyper epoch; /* of the partition's ownership */
+    lmn_rpc_unschedulable items<LMN_RPC_MAX_ITEMS>;
+};
+
 program LMN_RPC_PROGRAM {
     version LMN_RPC_VERSION_1 {
         void LMN_RPC_PING(void) = 0;
@@ -178,5 +199,6 @@
         lmn_rpc_reply LMN_RPC_SHUTDOWN(unsigned) = 12;  /* argument 0: cancel, 1: shut down */
         lmn_rpc_reply LMN_RPC_OWNERSHIP(void) = 13;
         unsigned LMN_RPC_TOMBSTONES(lmn_rpc_tombstones) = 14;  /* number not known before */
+        unsigned LMN_RPC_UNSCHEDULABLE(lmn_rpc_unschedulable_list) = 15;  /* known entries */
     } = 1;
 } = 0x2c0a5b41;
--- a/src/controller/probe_client.c
+++ b/src/controller/probe_client.c
@@ -4,6 +4,7 @@
  * during a call. */
 #include "controller/probe_client.h"
 #include "controller/rpc_client.h"
+#include "controller/unschedulable_message.h"
 #include "state/core.h"
 #include "util/clock.h"
 #include "util/log.h"
@@ -158,6 +159,7 @@
 /** The probe thread's connection to a member. */
 struct probe_peer {
     CLIENT *client; /**< NULL: not connected */
+    struct lmn_unschedulable_sent unschedulable;
 };
 
 static void disconnect(struct probe_peer *peer)
@@ -280,6 +282,8 @@
         return;
     xdr_free((xdrproc_t)xdr_lmn_rpc_probe_reply, (char *)&reply);
     send_tombstones(core, peer, probe->member);
+    if (peer->client && !lmn_unschedulable_send(core, peer->client, &peer->unschedulable))
+        disconnect(peer);
 }
 
 void *lmn_probe_thread(void *arg)
--- a/src/controller/probe_client.h
+++ b/src/controller/probe_client.h
@@ -4,7 +4,8 @@
  *
  * The modules in membership/ decide when to probe which member, and what follows from a
  * reply or a timeout. Probes and replies carry gossip about further members. After a
- * reply, the member is sent the tombstones that it has not acknowledged yet. */
+ * reply, the member is sent the tombstones that it has not acknowledged yet, and the
+ * lists of unschedulable tasks (controller/unschedulable_message.h). */
 #ifndef LMN_CONTROLLER_PROBE_CLIENT_H
 #define LMN_CONTROLLER_PROBE_CLIENT_H
 
--- a/src/controller/rpc_server.c
+++ b/src/controller/rpc_server.c
@@ -13,6 +13,7 @@
 #include "controller/settings_writer.h"
 #include "controller/status.h"
 #include "controller/steal_handler.h"
+#include "controller/unschedulable_message.h"
 #include "partition/partition.h"
 #include "scheduler/queue.h"
 #include "state/core.h"
@@ -53,6 +54,7 @@
     struct lmn_rpc_probe probe;
     struct lmn_rpc_replication_batch batch;
     struct lmn_rpc_tombstones tombstones;
+    struct lmn_rpc_unschedulable_list unschedulable;
 };
 
 /** The result of a call, and the memory into which it points. The procedure determines
@@ -230,6 +232,13 @@
     response->body.number = lmn_tombstones_handle(core, &message->tombstones);
 }
 
+static void handle_unschedulable(struct lmn_core *core, const union rpc_message *message,
+                                 struct rpc_response *response)
+{
+    response->body.number =
+        lmn_unschedulable_message_handle(core, &message->unschedulable);
+}
+
 /* --- the server --- */
 
 #define XDR(type) ((xdrproc_t)xdr_##type)
@@ -251,6 +260,8 @@
     {LMN_RPC_SHUTDOWN, XDR(u_int), handle_shutdown, XDR(lmn_rpc_reply)},
     {LMN_RPC_OWNERSHIP, NULL, handle_ownership, XDR(lmn_rpc_reply)},
     {LMN_RPC_TOMBSTONES, XDR(lmn_rpc_tombstones), handle_tombstones, XDR(u_int)},
+    {LMN_RPC_UNSCHEDULABLE, XDR(lmn_rpc_unschedulable_list), handle_unschedulable,
+     XDR(u_int)},
 };
 
 /** @return NULL if there is no such procedure */
--- a/src/partition/provisioner.c
+++ b/src/partition/provisioner.c
@@ -190,8 +190,10 @@
         machine->is_spot = entry->is_spot;
     bool was_booting = machine->is_booting;
     machine->is_booting = entry->is_booting;
-    if (was_booting && !machine->is_booting && !entry->is_broken)
+    if (was_booting && !machine->is_booting && !entry->is_broken) {
         lmn_autoscaler_record_boot(&provisioner->autoscaler, machine, entry->age_s);
+        machine->booted_at = now;
+    }
     machine->is_broken = entry->is_broken;
     if (!machine->is_listed)
         machine->provisioned_at = lmn_time_add(now, -entry->age_s);
--- a/src/scheduler/autoscaler.c
+++ b/src/scheduler/autoscaler.c
@@ -5,19 +5,14 @@
 #include "scheduler/autoscaler_capacity.h"
 #include "scheduler/autoscaler_constraints.h"
 #include "scheduler/autoscaler_demand.h"
+#include "scheduler/autoscaler_unschedulable.h"
 #include "admission/connection_budget.h"
 #include "state/core.h"
+#include "util/log.h"
 
 #include <math.h>
 #include <string.h>
 
-/** By the cloud's protocol, a boot usually takes at most this factor times the machine
- * type's `boot_s`. */
-static const double USUAL_BOOT_FACTOR = 1.5;
-/** Weight of the latest boot in the moving average of boot times. */
-static const double LAST_BOOT_WEIGHT = 0.2;
-/** Bounds of the wait before machines that the cloud refused are requested again. */
-static const double MIN_BACKOFF_S = 8, MAX_BACKOFF_S = 32;
 /** Most machines in one request. */
 enum { MAX_REQUESTED_MACHINES = 50 };
 /** Boot time, in seconds, that doubles an offer's cost: (1 + boot_s / BOOT_COST_S). */
@@ -27,102 +22,12 @@
 /** Value of the operator setting `spot` from which spot instances are provisioned. */
 static const double SPOT_ENABLED = 0.5;
 
-void lmn_autoscaler_init(struct lmn_autoscaler *autoscaler)
-{
-    autoscaler->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
-    autoscaler->backoffs = g_array_new(FALSE, FALSE, sizeof(struct lmn_capacity_backoff));
-    autoscaler->boot_times = g_array_new(FALSE, FALSE, sizeof(struct lmn_boot_time));
-}
-
-static struct lmn_boot_time *find_boot_time(const struct lmn_autoscaler *autoscaler,
-                                            const char *type, const char *zone)
-{
-    for (guint i = 0; i < autoscaler->boot_times->len; i++) {
-        struct lmn_boot_time *boot_time =
-            &g_array_index(autoscaler->boot_times, struct lmn_boot_time, i);
-        if (!strcmp(boot_time->type, type) && !strcmp(boot_time->zone, zone))
-            return boot_time;
-    }
-    return NULL;
-}
-
-void lmn_autoscaler_record_boot(struct lmn_autoscaler *autoscaler,
-                                const struct lmn_cloud_machine *machine, double age_s)
-{
-    struct lmn_boot_time *boot_time =
-        find_boot_time(autoscaler, machine->type, machine->zone);
-    struct lmn_boot_time new_boot_time = {.typical_s = age_s};
-
-    if (boot_time) {
-        boot_time->typical_s += (age_s - boot_time->typical_s) * LAST_BOOT_WEIGHT;
-        return;
-    }
-    g_strlcpy(new_boot_time.type, machine->type, sizeof new_boot_time.type);
-    g_strlcpy(new_boot_time.zone, machine->zone, sizeof new_boot_time.zone);
-    g_array_append_val(autoscaler->boot_times, new_boot_time);
-}
-
-double lmn_autoscaler_boot_timeout_s(const struct lmn_autoscaler *autoscaler,
-                                     const struct lmn_machine_type *type,
-                                     const char *zone, double lag_s)
-{
-    const struct lmn_boot_time *boot_time = find_boot_time(autoscaler, type->name, zone);
-    double typical_s = boot_time ? boot_time->typical_s : 0;
-
-    return USUAL_BOOT_FACTOR * MAX(type->boot_s, typical_s) + 2 * lag_s;
-}
-
-/* --- backoff after refusals --- */
-
-static struct lmn_capacity_backoff *find_backoff(const struct lmn_autoscaler *autoscaler,
-                                                 const char *type, const char *zone,
-                                                 bool is_spot)
-{
-    for (guint i = 0; i < autoscaler->backoffs->len; i++) {
-        struct lmn_capacity_backoff *backoff =
-            &g_array_index(autoscaler->backoffs, struct lmn_capacity_backoff, i);
-        if (backoff->is_spot == is_spot && !strcmp(backoff->type, type) &&
-            !strcmp(backoff->zone, zone))
-            return backoff;
-    }
-    return NULL;
-}
-
-void lmn_autoscaler_record_result(struct lmn_autoscaler *autoscaler,
-                                  const struct lmn_provision_request *request,
-                                  unsigned granted, struct timespec now)
-{
-    struct lmn_capacity_backoff *backoff =
-        find_backoff(autoscaler, request->type, request->zone, request->is_spot);
-
-    if (granted >= request->count) {
-        if (backoff)
-            backoff->wait_s = 0;
-        return;
-    }
-    if (!backoff) {
-        struct lmn_capacity_backoff new_backoff = {.is_spot = request->is_spot};
-        g_strlcpy(new_backoff.type, request->type, sizeof new_backoff.type);
-        g_strlcpy(new_backoff.zone, request->zone, sizeof new_backoff.zone);
-        g_array_append_val(autoscaler->backoffs, new_backoff);
-        backoff = &g_array_index(autoscaler->backoffs, struct lmn_capacity_backoff,
-                                 autoscaler->backoffs->len - 1);
-    }
-    backoff->wait_s = granted ? MIN_BACKOFF_S
-                              : CLAMP(backoff->wait_s * 2, MIN_BACKOFF_S, MAX_BACKOFF_S);
-    backoff->until = lmn_time_add(now, backoff->wait_s);
-}
-
 /** Whether spot instances are disabled, or a request for some was ever refused. */
 static bool is_spot_scarce(const struct lmn_core *core,
                            const struct lmn_autoscaler *autoscaler)
 {
-    if (core->cache.operator_settings.spot < SPOT_ENABLED)
-        return true;
-    for (guint i = 0; i < autoscaler->backoffs->len; i++)
-        if (g_array_index(autoscaler->backoffs, struct lmn_capacity_backoff, i).is_spot)
-            return true;
-    return false;
+    return core->cache.operator_settings.spot < SPOT_ENABLED ||
+           lmn_autoscaler_was_refused_spot(autoscaler);
 }
 
 /* --- choice of machines --- */
@@ -160,8 +65,21 @@
     return sum;
 }
 
+static double price_per_hour(const struct lmn_offer *offer)
+{
+    return offer->is_spot ? offer->type->spot_price_per_hour
+                          : offer->type->price_per_hour;
+}
+
+/** Factor by which the boot time raises an offer's cost: it is paid for, and tasks wait
+ * for it. */
+static double boot_factor(const struct lmn_machine_type *type)
+{
+    return 1 + type->boot_s / BOOT_COST_S;
+}
+
 /** Cost of the offer per usable processor, in its price per hour; INFINITY if it serves
- * none of the deficit. Boot time raises the cost: it is paid for, and tasks wait for it.
+ * none of the deficit.
  * @param[out] count number of machines that serve the deficit; unchanged if the cost is
  * INFINITY */
 static double offer_cost(const struct lmn_offer *offer, const GArray *demands,
@@ -183,18 +101,23 @@
     double machines = served_cpus / usable_cpus;
     double rounded = deficit->is_first ? ceil(machines) : floor(machines + 0.5);
     *count = (unsigned)CLAMP(rounded, 0, MAX_REQUESTED_MACHINES);
-    double rate = offer->is_spot ? type->spot_price_per_hour : type->price_per_hour;
-    return rate / usable_cpus * (1 + type->boot_s / BOOT_COST_S);
+    return price_per_hour(offer) / usable_cpus * boot_factor(type);
 }
 
-/** Whether a refusal by the cloud still forbids requests for the offer. */
 static bool is_backing_off(const struct lmn_autoscaler *autoscaler,
                            const struct lmn_offer *offer, struct timespec now)
 {
-    const struct lmn_capacity_backoff *backoff =
-        find_backoff(autoscaler, offer->type->name, offer->zone, offer->is_spot);
+    return lmn_autoscaler_is_backing_off(autoscaler, offer->type->name, offer->zone,
+                                         offer->is_spot, now);
+}
 
-    return backoff && backoff->wait_s > 0 && lmn_time_before(now, backoff->until);
+static void fill_request(struct lmn_provision_request *request,
+                         const struct lmn_offer *offer, unsigned count)
+{
+    g_strlcpy(request->type, offer->type->name, sizeof request->type);
+    g_strlcpy(request->zone, offer->zone, sizeof request->zone);
+    request->is_spot = offer->is_spot;
+    request->count = count;
 }
 
 /** Fills in a request for the cheapest offer that serves the deficit.
@@ -221,10 +144,7 @@
                 if (cost >= least_cost)
                     continue;
                 least_cost = cost;
-                g_strlcpy(request->type, offer.type->name, sizeof request->type);
-                g_strlcpy(request->zone, offer.zone, sizeof request->zone);
-                request->is_spot = offer.is_spot;
-                request->count = count;
+                fill_request(request, &offer, count);
             }
     return least_cost;
 }
@@ -286,9 +206,72 @@
         if (deficit.cpus > 0)
             least_cost = choose_offer(core, autoscaler, demands, &deficit, request, now);
     }
+    return least_cost < INFINITY && request->count > 0;
+}
+
+/** Price of the machines that the tasks need if they are of the offer, raised by the boot
+ * time as in offer_cost; INFINITY if the offer may not be used now. */
+static double unserved_cost(const struct lmn_core *core,
+                            const struct lmn_autoscaler *autoscaler,
+                            const struct lmn_unserved_tasks *unserved,
+                            const struct lmn_offer *offer, struct timespec now)
+{
+    double machines = lmn_machines_for_unserved(unserved, offer);
+
+    if (!machines || is_backing_off(autoscaler, offer, now) ||
+        (offer->is_spot && core->cache.operator_settings.spot < SPOT_ENABLED))
+        return INFINITY;
+    return machines * price_per_hour(offer) * boot_factor(offer->type);
+}
+
+/** Fills in a request for the cheapest machines for the tasks.
+ * @return whether there is an offer */
+static bool choose_unserved_offer(const struct lmn_core *core,
+                                  const struct lmn_autoscaler *autoscaler,
+                                  const struct lmn_unserved_tasks *unserved,
+                                  struct lmn_provision_request *request,
+                                  struct timespec now)
+{
+    g_autoptr(GArray) offers = lmn_list_offers(core);
+    double least_cost = INFINITY;
+
+    for (guint i = 0; i < offers->len; i++) {
+        const struct lmn_offer *offer = &g_array_index(offers, struct lmn_offer, i);
+        double cost = unserved_cost(core, autoscaler, unserved, offer, now);
+        if (cost >= least_cost)
+            continue;
+        least_cost = cost;
+        fill_request(request, offer,
+                     (unsigned)MIN(lmn_machines_for_unserved(unserved, offer),
+                                   MAX_REQUESTED_MACHINES));
+    }
     return least_cost < INFINITY;
 }
 
+/** Fills in a request for tasks that wait although the capacity covers the demand: each
+ * machine has too little free for one of them, or may not run them. */
+static bool choose_unserved_request(const struct lmn_core *core,
+                                    const struct lmn_autoscaler *autoscaler,
+                                    const struct lmn_capacity *capacity,
+                                    struct lmn_provision_request *request,
+                                    struct timespec now)
+{
+    g_autoptr(GArray) unserved = lmn_list_unserved(core, capacity, now);
+
+    for (guint i = 0; i < unserved->len; i++) {
+        const struct lmn_unserved_tasks *tasks =
+            &g_array_index(unserved, struct lmn_unserved_tasks, i);
+        if (!choose_unserved_offer(core, autoscaler, tasks, request, now))
+            continue;
+        lmn_info("unschedulable_tasks_found job=%s tasks=%.0f waited=%.0f "
+                 "type=%s zone=%s",
+                 tasks->listed->job_id, tasks->tasks, tasks->listed->waited_s,
+                 request->type, request->zone);
+        return true;
+    }
+    return false;
+}
+
 /** Whether more machines may be provisioned now. A machine runs nothing if no controller
  * has a connection left for it. While this controller is late in handling heartbeats,
  * more machines would delay it further. */
@@ -314,7 +297,8 @@
     GArray *demands = lmn_list_range_demands(core, may_wait_for_spot);
     bool has_offer =
         choose_confined_request(core, autoscaler, demands, &capacity, request, now) ||
-        choose_request(core, autoscaler, demands, &capacity, request, now);
+        choose_request(core, autoscaler, demands, &capacity, request, now) ||
+        choose_unserved_request(core, autoscaler, &capacity, request, now);
     g_array_free(demands, TRUE);
     lmn_capacity_clear(&capacity);
     if (has_offer)
--- a/src/scheduler/autoscaler_capacity.c
+++ b/src/scheduler/autoscaler_capacity.c
@@ -12,6 +12,9 @@
 enum { MACHINES_PER_LATE_MACHINE = 4 };
 /** Deficit, in processors, below which nothing is provisioned where machines run. */
 static const double MIN_DEFICIT_CPUS = 1;
+/** Seconds after its boot in which a machine takes its first tasks, and in which the
+ * lists of unschedulable tasks follow (scheduler/unschedulable.h). */
+static const double ARRIVAL_S = 8;
 
 /** Returns the offer's group; adds one if there is none. */
 static struct lmn_machine_group *get_group(GArray *groups, const struct lmn_offer *offer)
@@ -40,6 +43,12 @@
                                              core->settings->list_lag_s);
 }
 
+static bool has_just_booted(const struct lmn_cloud_machine *machine, struct timespec now)
+{
+    return machine->booted_at.tv_sec &&
+           lmn_time_diff_s(now, machine->booted_at) < ARRIVAL_S;
+}
+
 /** Adds the machine to its group. Broken machines and those of an unknown type are in
  * none. */
 static void add_machine(const struct lmn_core *core,
@@ -53,7 +62,10 @@
         return;
     struct lmn_machine_group *group = get_group(groups, &offer);
     group->count++;
-    group->late_count += is_late(core, autoscaler, machine, type, now);
+    bool late = is_late(core, autoscaler, machine, type, now);
+    group->late_count += late;
+    group->arriving_count +=
+        (machine->is_booting && !late) || has_just_booted(machine, now);
 }
 
 /** Whether the late machines of the group are to be replaced. Only where few machines of
@@ -99,6 +111,21 @@
     return capacity;
 }
 
+GArray *lmn_list_offers(const struct lmn_core *core)
+{
+    const struct lmn_machine_types *types = &core->cloud.machine_types;
+    GArray *offers = g_array_new(FALSE, FALSE, sizeof(struct lmn_offer));
+
+    for (size_t i = 0; i < types->count; i++)
+        for (int zone = 0; zone < types->types[i].zone_count; zone++)
+            for (int is_spot = 0; is_spot <= 1; is_spot++) {
+                const struct lmn_offer offer = {&types->types[i],
+                                                types->types[i].zones[zone], is_spot};
+                g_array_append_val(offers, offer);
+            }
+    return offers;
+}
+
 bool lmn_deficit_warrants_machine(double cpus, double least_task_cpus, bool is_first)
 {
     if (!is_first)
--- a/src/scheduler/autoscaler_capacity.h
+++ b/src/scheduler/autoscaler_capacity.h
@@ -7,7 +7,7 @@
 #ifndef LMN_SCHEDULER_AUTOSCALER_CAPACITY_H
 #define LMN_SCHEDULER_AUTOSCALER_CAPACITY_H
 
-#include "scheduler/autoscaler.h"
+#include "scheduler/autoscaler_state.h"
 
 /** Machines that the cloud offers, by type, zone and price model. */
 struct lmn_offer {
@@ -20,9 +20,11 @@
 struct lmn_machine_group {
     struct lmn_offer offer;
     unsigned count;
-    unsigned late_count; /**< still booting after their boot timeout */
-    double cpus;         /**< processors, without those of late machines that are to be
-                              replaced */
+    unsigned late_count;     /**< still booting after their boot timeout */
+    unsigned arriving_count; /**< booting and not late, or up for so short a time that
+                                  they may have taken no tasks yet */
+    double cpus; /**< processors, without those of late machines that are to be
+                      replaced */
 };
 
 /** Capacity of the machines that run or boot. Processors of late machines that are to be
@@ -39,6 +41,11 @@
                                      const struct lmn_autoscaler *autoscaler,
                                      struct timespec now);
 
+/** Lists the offers of all types in all zones, as ordinary machines and as spot
+ * instances. The offers point into the core.
+ * @return struct lmn_offer; the caller frees the array */
+GArray *lmn_list_offers(const struct lmn_core *core);
+
 /** Whether a machine should be provisioned for a deficit. Where no machine could run the
  * jobs, one is for a single small task. Demand that quota limits reduce to less than a
  * task warrants none: the machine would have nothing that may start.
--- a/src/scheduler/autoscaler_constraints.c
+++ b/src/scheduler/autoscaler_constraints.c
@@ -30,24 +30,6 @@
     g_free(((struct offer_set *)element)->contains);
 }
 
-/** Lists the offers of all types in all zones, as ordinary machines and as spot
- * instances.
- * @return struct lmn_offer; the caller frees the array */
-static GArray *list_offers(const struct lmn_core *core)
-{
-    const struct lmn_machine_types *types = &core->cloud.machine_types;
-    GArray *offers = g_array_new(FALSE, FALSE, sizeof(struct lmn_offer));
-
-    for (size_t i = 0; i < types->count; i++)
-        for (int zone = 0; zone < types->types[i].zone_count; zone++)
-            for (int is_spot = 0; is_spot <= 1; is_spot++) {
-                const struct lmn_offer offer = {&types->types[i],
-                                                types->types[i].zones[zone], is_spot};
-                g_array_append_val(offers, offer);
-            }
-    return offers;
-}
-
 /** Sets `is_allowed` to the offers that the job allows.
  * @return whether it is confined: an ordinary machine of some offer may not run it */
 static bool list_allowed(struct offer_sets *sets, const struct lmn_job_spec *spec)
@@ -98,7 +80,7 @@
 static struct offer_sets group_demands(const struct lmn_core *core, const GArray *demands)
 {
     struct offer_sets sets = {
-        .offers = list_offers(core),
+        .offers = lmn_list_offers(core),
         .sets = g_array_new(FALSE, FALSE, sizeof(struct offer_set)),
         .set_of = g_array_sized_new(FALSE, FALSE, sizeof(int), demands->len)};
 
--- a/src/scheduler/autoscaler_demand.c
+++ b/src/scheduler/autoscaler_demand.c
@@ -55,9 +55,7 @@
     return types->count > 0;
 }
 
-/** Number of the range's unfinished tasks that should run at the same time: all of a
- * service; of a batch job as many as finish the range within the operator's horizon. */
-static double desired_tasks(const struct lmn_core *core, const struct lmn_range *range)
+double lmn_range_desired_tasks(const struct lmn_core *core, const struct lmn_range *range)
 {
     const struct lmn_job_spec *spec = &range->job->spec;
     double horizon_s = core->cache.operator_settings.horizon_s;
@@ -86,7 +84,7 @@
         while (g_hash_table_iter_next(&iter, NULL, &value)) {
             const struct lmn_range *range = value;
             const struct lmn_job_spec *spec = &range->job->spec;
-            double tasks = desired_tasks(core, range);
+            double tasks = lmn_range_desired_tasks(core, range);
             if (range->job->phase != LMN_JOB_ACTIVE || tasks <= 0 || range->job->team < 0)
                 continue;
             struct lmn_range_demand demand = {spec,
--- a/src/scheduler/autoscaler_demand.h
+++ b/src/scheduler/autoscaler_demand.h
@@ -24,6 +24,11 @@
     double spot_only_cpus; /**< of jobs that wait for spot instances */
 };
 
+/** Number of the range's unfinished tasks that should run at the same time: all of a
+ * service; of a batch job as many as finish the range within the operator's horizon. */
+double lmn_range_desired_tasks(const struct lmn_core *core,
+                               const struct lmn_range *range);
+
 /** Lists the demand of each range of an active job, in all partitions.
  * @param may_wait_for_spot idle jobs may wait for spot instances, since some can be had
  * @return struct lmn_range_demand; the caller frees the array */
--- a/src/scheduler/task_start.c
+++ b/src/scheduler/task_start.c
@@ -51,6 +51,7 @@
     attempt.log_position = lmn_machine_log_start(machine, now);
     range->task_states[attempt.index - range->first] = LMN_TASK_STARTED;
     range->started_count++;
+    range->last_start_at = now;
     lmn_attempt_count(machine, &attempt);
     return attempt;
 }
--- a/src/scheduler/wait_reason.c
+++ b/src/scheduler/wait_reason.c
@@ -65,21 +65,20 @@
     return count > 0 ? (uint32_t)count : 0;
 }
 
-bool lmn_job_within_quota(const struct lmn_core *core,
-                          const struct lmn_partition *partition,
-                          const struct lmn_job *job)
+/** Subtracts from the partition's quota share what is reserved for others, and what
+ * machines that are not accounted for may use.
+ * @return false: nothing is available */
+static bool subtract_unavailable_quota(const struct lmn_partition *partition,
+                                       const struct lmn_team *team,
+                                       const struct lmn_job *job,
+                                       struct lmn_resources *quota)
 {
-    if (job->team < 0)
-        return false;
-    const struct lmn_team *team = &core->settings->teams[job->team];
     const struct lmn_quota_reservation *reservation =
         &partition->quota.reservations[job->team];
-    double cpus, gpus;
 
-    lmn_quota_share(core, partition, job->team, &cpus, &gpus);
     if (reservation->job != job) {
-        cpus -= reservation->cpus;
-        gpus -= reservation->gpus;
+        quota->cpus -= reservation->cpus;
+        quota->gpus -= reservation->gpus;
     }
     /* Machines that have not reported to this owner may run tasks of this team. Their
      * possible usage was computed at the last check, and can only have decreased since
@@ -88,15 +87,38 @@
         lmn_team_has_limit(team)) {
         if (partition->ownership.has_unaccounted_unknown)
             return false;
-        cpus -= partition->ownership.unaccounted_cpus;
-        gpus -= partition->ownership.unaccounted_gpus;
+        quota->cpus -= partition->ownership.unaccounted_cpus;
+        quota->gpus -= partition->ownership.unaccounted_gpus;
     }
-    if (team->cpus_max > 0 && partition->quota.used_cpus[job->team] + job->spec.cpus >
-                                  cpus + LMN_RESOURCE_EPSILON)
-        return false;
-    return !(team->gpus_max > 0 &&
-             partition->quota.used_gpus[job->team] + job->spec.gpus >
-                 gpus + LMN_RESOURCE_EPSILON);
+    return true;
+}
+
+struct lmn_resources lmn_job_available_quota(const struct lmn_core *core,
+                                             const struct lmn_partition *partition,
+                                             const struct lmn_job *job)
+{
+    struct lmn_resources quota = {0, 0, INFINITY};
+
+    if (job->team < 0)
+        return (struct lmn_resources){-1, -1, -1};
+    const struct lmn_team *team = &core->settings->teams[job->team];
+    lmn_quota_share(core, partition, job->team, &quota.cpus, &quota.gpus);
+    if (!subtract_unavailable_quota(partition, team, job, &quota))
+        return (struct lmn_resources){-1, -1, -1};
+    quota.cpus = team->cpus_max > 0 ? quota.cpus - partition->quota.used_cpus[job->team]
+                                    : INFINITY;
+    quota.gpus = team->gpus_max > 0 ? quota.gpus - partition->quota.used_gpus[job->team]
+                                    : INFINITY;
+    return quota;
+}
+
+bool lmn_job_within_quota(const struct lmn_core *core,
+                          const struct lmn_partition *partition,
+                          const struct lmn_job *job)
+{
+    const struct lmn_resources quota = lmn_job_available_quota(core, partition, job);
+
+    return lmn_resources_fit_task(&quota, &job->spec);
 }
 
 /** Whether the job should wait for a spot instance because the machine is an ordinary
--- a/src/scheduler/wait_reason.h
+++ b/src/scheduler/wait_reason.h
@@ -7,6 +7,7 @@
 #ifndef LMN_SCHEDULER_WAIT_REASON_H
 #define LMN_SCHEDULER_WAIT_REASON_H
 
+#include "scheduler/resources.h"
 #include "state/core_state.h"
 
 /** Why a task does not start on a machine. */
@@ -40,6 +41,12 @@
 /** Describes the reason for people. The text is static. */
 const char *lmn_wait_reason_text(enum lmn_wait_reason reason);
 
+/** Resources that further tasks of the job may use by its team's quota share in the
+ * partition: INFINITY without a limit; negative if none may start. */
+struct lmn_resources lmn_job_available_quota(const struct lmn_core *core,
+                                             const struct lmn_partition *partition,
+                                             const struct lmn_job *job);
+
 /** Whether one more task of the job fits into its team's quota share in the partition. */
 bool lmn_job_within_quota(const struct lmn_core *core,
                           const struct lmn_partition *partition,
--- a/src/state/core.c
+++ b/src/state/core.c
@@ -62,6 +62,8 @@
     g_queue_init(&partition->replication.stream.deferred_responses);
     lmn_cond_init(&partition->replication.due);
     lmn_queue_init(&partition->scheduling.unassigned);
+    partition->scheduling.unschedulable =
+        g_array_new(FALSE, FALSE, sizeof(struct lmn_unschedulable_tasks));
 }
 
 static void init_synchronisation(struct lmn_core *core)
@@ -164,6 +166,7 @@
         core->owner_ops->partition_freed(partition);
     lmn_queue_clear(&partition->scheduling.unassigned);
     g_ptr_array_free(partition->scheduling.unassigned.segments, TRUE);
+    g_array_free(partition->scheduling.unschedulable, TRUE);
     g_hash_table_destroy(partition->ranges);
     g_hash_table_destroy(partition->machines);
     free_blocks(partition->blocks);
--- a/src/state/partition.h
+++ b/src/state/partition.h
@@ -9,6 +9,7 @@
 #define LMN_STATE_PARTITION_H
 
 #include "admission/worker_hosts.h"
+#include "job/job_spec.h"
 #include "state/machine.h"
 #include "state/range.h"
 #include "state/replication_state.h"
@@ -96,6 +97,22 @@
     double request_interval_s;
 };
 
+enum {
+    LMN_MAX_UNSCHEDULABLE = 64,      /**< entries of a partition */
+    LMN_MAX_UNSCHEDULABLE_ZONES = 16 /**< zones of an entry */
+};
+
+/** Queued tasks of a job for which no machine has had free capacity for long
+ * (scheduler/unschedulable.h). */
+struct lmn_unschedulable_tasks {
+    char job_id[LMN_JOB_ID_SIZE];
+    uint32_t tasks;  /**< that should run at the same time */
+    double waited_s; /**< since the last start of a task of their range */
+    /** Zones in which the job's affinity or anti-affinity lets them start; interned. */
+    const char *zones[LMN_MAX_UNSCHEDULABLE_ZONES];
+    uint32_t zone_count; /**< 0: it excludes no zone */
+};
+
 /** The scheduler's state of a partition. */
 struct lmn_partition_scheduling {
     struct lmn_queue unassigned; /**< tasks in no machine's queue */
@@ -104,6 +121,9 @@
     double steal_interval_s; /**< between steals from other partitions */
     struct timespec next_steal_at;
     struct timespec next_consolidation_at;
+    GArray *unschedulable; /**< struct lmn_unschedulable_tasks, the longest wait first */
+    struct timespec unschedulable_at; /**< when it was listed, here or, for a partition of
+                                           another member, received; 0: never */
 };
 
 /** A partition's replication: as its owner, and as the standby of another owner. */
--- a/tests/test_golden_wire.c
+++ b/tests/test_golden_wire.c
@@ -70,6 +70,7 @@
     assert_int_equal(LMN_RPC_SHUTDOWN, 12);
     assert_int_equal(LMN_RPC_OWNERSHIP, 13);
     assert_int_equal(LMN_RPC_TOMBSTONES, 14);
+    assert_int_equal(LMN_RPC_UNSCHEDULABLE, 15);
 }
 
 static void administration_messages_keep_their_bytes(void **state)
@@ -222,6 +223,30 @@
     FREE_DECODED(lmn_rpc_tombstones, &read);
 }
 
+static void unschedulable_lists_keep_their_bytes(void **state)
+{
+    lmn_rpc_zone zones[] = {{text("a")}, {text("b")}};
+    lmn_rpc_unschedulable items[] = {{text("run-000412"), 3, 42.5, {2, zones}},
+                                     {text("run-7"), 1, 31, {0, NULL}}};
+    lmn_rpc_unschedulable_list list = {2, 0x2a00000001ULL, {2, items}}, read;
+    (void)state;
+
+    ROUND_TRIP_KEEPS_BYTES(lmn_rpc_unschedulable_list, "peer_unschedulable", &list,
+                           &read);
+    assert_int_equal(read.partition, 2);
+    assert_true(read.epoch == 0x2a00000001ULL);
+    assert_int_equal(read.items.items_len, 2);
+    const lmn_rpc_unschedulable *item = read.items.items_val;
+    assert_string_equal(item[0].job_id, "run-000412");
+    assert_int_equal(item[0].tasks, 3);
+    assert_true(item[0].waited_s == 42.5);
+    assert_int_equal(item[0].zones.zones_len, 2);
+    assert_string_equal(item[0].zones.zones_val[1].name, "b");
+    assert_string_equal(item[1].job_id, "run-7");
+    assert_int_equal(item[1].zones.zones_len, 0);
+    FREE_DECODED(lmn_rpc_unschedulable_list, &read);
+}
+
 /* --- gateways --- */
 
 static void request_keeps_bytes(const char *name, lmn_gateway_rpc_request *request,
@@ -371,6 +396,7 @@
         cmocka_unit_test(probe_and_reply_of_members_keep_their_bytes),
         cmocka_unit_test(replication_batch_keeps_its_bytes),
         cmocka_unit_test(tombstones_keep_their_bytes),
+        cmocka_unit_test(unschedulable_lists_keep_their_bytes),
         cmocka_unit_test(kinds_of_gateway_messages_keep_their_numbers),
         cmocka_unit_test(requests_between_gateways_keep_their_bytes),
         cmocka_unit_test(responses_between_gateways_keep_their_bytes),
