--- a/src/scheduler/autoscaler_constraints.c
+++ b/src/scheduler/autoscaler_constraints.c
@@ -5,13 +5,21 @@
 
 #include <string.h>
 
-/** Sets of offers that are told apart; demand confined to a further set is not
- * considered.
- */
-enum { MAX_SETS = 64 };
+enum {
+    MAX_SETS = 64,  /**< demand confined to a further set of offers is not considered */
+    MAX_TYPES = 256 /**< with more machine types no confined demand is considered */
+};
+
+/** What a job says of the offers that it allows. */
+struct offer_key {
+    uint8_t types[MAX_TYPES]; /**< for each machine type, whether it is allowed */
+    const char *zone;         /**< the only zone; NULL: any */
+    bool may_use_spot;
+};
 
 /** A set of offers to which some demand is confined. */
 struct offer_set {
+    struct offer_key key;
     guint8 *contains;       /**< for each offer, whether it is in the set */
     double cpus;            /**< demand of jobs that may use these offers and no others */
     double least_task_cpus; /**< processors of the smallest of their tasks */
@@ -19,10 +27,12 @@
 
 /** The sets of offers that the demand is confined to. */
 struct offer_sets {
-    GArray *offers;     /**< struct lmn_offer, all that the cloud has */
-    GArray *sets;       /**< struct offer_set */
-    GArray *set_of;     /**< for each demand the index of its set; -1: not confined */
-    guint8 *is_allowed; /**< scratch: for each offer, whether a job allows it */
+    const struct lmn_machine_types *types;
+    GArray *offers;                /**< struct lmn_offer, all that the cloud has */
+    double *cpus;                  /**< for each offer, processors of its machines */
+    struct lmn_resources smallest; /**< of each resource the least that a type has */
+    GArray *sets;                  /**< struct offer_set */
+    GArray *set_of; /**< for each demand the index of its set; -1: not confined */
 };
 
 static void free_set(gpointer element)
@@ -30,35 +40,85 @@
     g_free(((struct offer_set *)element)->contains);
 }
 
-/** Sets `is_allowed` to the offers that the job allows.
- * @return whether it is confined: an ordinary machine of some offer may not run it */
-static bool list_allowed(struct offer_sets *sets, const struct lmn_job_spec *spec)
+static struct lmn_resources smallest_resources(const struct lmn_machine_types *types)
 {
-    bool is_confined = false;
+    struct lmn_resources smallest = {INFINITY, INFINITY, INFINITY};
 
-    for (guint i = 0; i < sets->offers->len; i++) {
-        const struct lmn_offer *offer = &g_array_index(sets->offers, struct lmn_offer, i);
-        sets->is_allowed[i] =
-            lmn_job_spec_allows(spec, offer->type, offer->zone, offer->is_spot);
-        is_confined = is_confined || (!offer->is_spot && !sets->is_allowed[i]);
+    for (size_t i = 0; i < types->count; i++) {
+        const struct lmn_machine_type *type = &types->types[i];
+        smallest.cpus = MIN(smallest.cpus, type->cpus);
+        smallest.gpus = MIN(smallest.gpus, type->gpus);
+        smallest.memory_gb = MIN(smallest.memory_gb, type->memory_gb);
+    }
+    return smallest;
+}
+
+/** Adds up the processors of each offer's machines.
+ * @return an element for each offer; the caller frees the array */
+static double *sum_offer_cpus(const GArray *offers, const struct lmn_capacity *capacity)
+{
+    double *cpus = g_new0(double, offers->len);
+
+    for (guint i = 0; i < offers->len; i++) {
+        const struct lmn_offer *offer = &g_array_index(offers, struct lmn_offer, i);
+        for (guint k = 0; k < capacity->groups->len; k++) {
+            const struct lmn_machine_group *group =
+                &g_array_index(capacity->groups, struct lmn_machine_group, k);
+            if (group->offer.type == offer->type &&
+                group->offer.is_spot == offer->is_spot &&
+                !strcmp(group->offer.zone, offer->zone))
+                cpus[i] += group->cpus;
+        }
     }
-    return is_confined;
+    return cpus;
+}
+
+/** Whether the job may run on every ordinary machine, which most jobs may. */
+static bool allows_all(const struct offer_sets *sets, const struct lmn_job_spec *spec)
+{
+    return !spec->zone && !spec->machine_types && spec->cpus <= sets->smallest.cpus &&
+           spec->gpus <= sets->smallest.gpus &&
+           spec->memory_gb <= sets->smallest.memory_gb;
 }
 
-/** Returns the index of the set of the offers in `is_allowed`, which is added if it is
- * new; -1 if there are too many sets. */
-static int get_set(struct offer_sets *sets)
+/** Describes which offers the job allows, as the key of their set. */
+static struct offer_key describe_allowed(const struct lmn_machine_types *types,
+                                         const struct lmn_job_spec *spec)
 {
-    guint offer_count = sets->offers->len;
+    struct offer_key key = {{0}, spec->zone, spec->may_use_spot};
+
+    for (size_t i = 0; i < types->count; i++)
+        key.types[i] = lmn_job_spec_allows(spec, &types->types[i],
+                                           spec->zone ? spec->zone : "", false);
+    return key;
+}
+
+static bool is_same_key(const struct offer_key *left, const struct offer_key *right)
+{
+    return !memcmp(left->types, right->types, sizeof left->types) &&
+           left->may_use_spot == right->may_use_spot &&
+           !g_strcmp0(left->zone, right->zone);
+}
+
+/** Returns the index of the job's set, which is added if it is new; -1 if there are too
+ * many sets. */
+static int get_set(struct offer_sets *sets, const struct lmn_job_spec *spec)
+{
+    const struct offer_key key = describe_allowed(sets->types, spec);
 
     for (guint i = 0; i < sets->sets->len; i++)
-        if (!memcmp(g_array_index(sets->sets, struct offer_set, i).contains,
-                    sets->is_allowed, offer_count))
+        if (is_same_key(&g_array_index(sets->sets, struct offer_set, i).key, &key))
             return (int)i;
     if (sets->sets->len >= MAX_SETS)
         return -1;
-    struct offer_set set = {.contains = g_memdup2(sets->is_allowed, offer_count),
+    struct offer_set set = {.key = key,
+                            .contains = g_new0(guint8, sets->offers->len),
                             .least_task_cpus = INFINITY};
+    for (guint i = 0; i < sets->offers->len; i++) {
+        const struct lmn_offer *offer = &g_array_index(sets->offers, struct lmn_offer, i);
+        set.contains[i] =
+            lmn_job_spec_allows(spec, offer->type, offer->zone, offer->is_spot);
+    }
     g_array_append_val(sets->sets, set);
     return (int)sets->sets->len - 1;
 }
@@ -66,8 +126,8 @@
 /** Adds the demand to the set that it is confined to, if any. */
 static void add_demand(struct offer_sets *sets, const struct lmn_range_demand *demand)
 {
-    int index =
-        !demand->is_spot_only && list_allowed(sets, demand->spec) ? get_set(sets) : -1;
+    bool is_confined = !demand->is_spot_only && !allows_all(sets, demand->spec);
+    int index = is_confined ? get_set(sets, demand->spec) : -1;
 
     g_array_append_val(sets->set_of, index);
     if (index < 0)
@@ -77,15 +137,18 @@
     set->least_task_cpus = MIN(set->least_task_cpus, demand->spec->cpus);
 }
 
-static struct offer_sets group_demands(const struct lmn_core *core, const GArray *demands)
+static struct offer_sets group_demands(const struct lmn_core *core, const GArray *demands,
+                                       const struct lmn_capacity *capacity)
 {
     struct offer_sets sets = {
+        .types = &core->cloud.machine_types,
         .offers = lmn_list_offers(core),
+        .smallest = smallest_resources(&core->cloud.machine_types),
         .sets = g_array_new(FALSE, FALSE, sizeof(struct offer_set)),
         .set_of = g_array_sized_new(FALSE, FALSE, sizeof(int), demands->len)};
 
     g_array_set_clear_func(sets.sets, free_set);
-    sets.is_allowed = g_new0(guint8, sets.offers->len);
+    sets.cpus = sum_offer_cpus(sets.offers, capacity);
     for (guint i = 0; i < demands->len; i++)
         add_demand(&sets, &g_array_index(demands, struct lmn_range_demand, i));
     return sets;
@@ -96,7 +159,7 @@
     g_array_free(sets->offers, TRUE);
     g_array_free(sets->sets, TRUE);
     g_array_free(sets->set_of, TRUE);
-    g_free(sets->is_allowed);
+    g_free(sets->cpus);
 }
 
 static bool is_subset(const struct offer_sets *sets, const struct offer_set *part,
@@ -108,23 +171,10 @@
     return true;
 }
 
-static bool contains_offer(const struct offer_sets *sets, const struct offer_set *set,
-                           const struct lmn_offer *offer)
-{
-    for (guint i = 0; i < sets->offers->len; i++) {
-        const struct lmn_offer *other = &g_array_index(sets->offers, struct lmn_offer, i);
-        if (set->contains[i] && other->type == offer->type &&
-            other->is_spot == offer->is_spot && !strcmp(other->zone, offer->zone))
-            return true;
-    }
-    return false;
-}
-
 /** Compares the demand that is confined to the set or to a part of it with the set's
  * capacity. `demands` of the result is not set. */
 static struct lmn_confined_deficit compare_set(const struct offer_sets *sets,
-                                               const struct offer_set *set,
-                                               const struct lmn_capacity *capacity)
+                                               const struct offer_set *set)
 {
     struct lmn_confined_deficit deficit = {.has_no_machine = true};
 
@@ -132,12 +182,10 @@
         const struct offer_set *part = &g_array_index(sets->sets, struct offer_set, i);
         deficit.cpus += is_subset(sets, part, set) ? part->cpus : 0;
     }
-    for (guint i = 0; i < capacity->groups->len; i++) {
-        const struct lmn_machine_group *group =
-            &g_array_index(capacity->groups, struct lmn_machine_group, i);
-        if (!contains_offer(sets, set, &group->offer) || group->cpus <= 0)
+    for (guint i = 0; i < sets->offers->len; i++) {
+        if (!set->contains[i] || sets->cpus[i] <= 0)
             continue;
-        deficit.cpus -= group->cpus;
+        deficit.cpus -= sets->cpus[i];
         deficit.has_no_machine = false;
     }
     return deficit;
@@ -164,12 +212,15 @@
                                const struct lmn_capacity *capacity,
                                struct lmn_confined_deficit *deficit)
 {
-    struct offer_sets sets = group_demands(core, demands);
     const struct offer_set *largest = NULL;
 
+    if (core->cloud.machine_types.count > MAX_TYPES)
+        return false;
+    struct offer_sets sets = group_demands(core, demands, capacity);
+
     for (guint i = 0; i < sets.sets->len; i++) {
         const struct offer_set *set = &g_array_index(sets.sets, struct offer_set, i);
-        struct lmn_confined_deficit candidate = compare_set(&sets, set, capacity);
+        struct lmn_confined_deficit candidate = compare_set(&sets, set);
         if (!lmn_deficit_warrants_machine(candidate.cpus, set->least_task_cpus,
                                           candidate.has_no_machine) ||
             (largest && candidate.cpus <= deficit->cpus))
--- a/tests/test_autoscaler_fit.c
+++ b/tests/test_autoscaler_fit.c
@@ -199,6 +199,24 @@
     }
 }
 
+/* A team that is at its limit elsewhere gets no machine that could start nothing: it
+ * would be returned and requested again in turns. */
+static void less_than_a_task_within_the_limit_gets_no_machine(void **state)
+{
+    (void)state;
+    for (int is_limited = 0; is_limited <= 1; is_limited++) {
+        set_up();
+        team.cpus_max = is_limited ? 64 : 0;
+        for (int i = 0; i < 64; i++)
+            add_machine("small", "a", false);
+        add_job(256, 2, 3)->spec.kind = LMN_JOB_SERVICE;
+        struct lmn_job *bound = add_job(1, 2, 3);
+        bound->spec.zone = (char *)"c";
+        provision();
+        assert_int_equal(cpus_for(bound) > 0, !is_limited);
+    }
+}
+
 /* Many tasks bound to a zone get as many machines as they would alone. */
 static void bound_arrays_get_the_capacity_that_they_need(void **state)
 {
@@ -268,6 +286,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(jobs_that_free_machines_may_not_run_get_their_own),
         cmocka_unit_test(small_tasks_alone_get_a_machine),
+        cmocka_unit_test(less_than_a_task_within_the_limit_gets_no_machine),
         cmocka_unit_test(bound_arrays_get_the_capacity_that_they_need),
         cmocka_unit_test(every_job_finds_a_machine_that_may_run_it),
     };
