Users and operators see which jobs wait for a machine

A job that finds no machine was told as queued and nothing more. Change: while a job is listed as unschedulable, its state has a field waiting_s (receivers ignore fields that they do not know), job show prints it, admin status has a line for each such job, lemonspar_unschedulable_tasks counts the tasks. Replies about other jobs are as before. Result: tests/test_request_decisions.c.

--- a/src/cli/job.c
+++ b/src/cli/job.c
@@ -66,6 +66,8 @@
                           "done", (json_int_t)s->done, "running", (json_int_t)s->running);
     if (tasks)
         json_object_set_new(j, "tasks", json_integer((json_int_t)tasks));
+    if (s->waiting_s > 0)
+        json_object_set_new(j, WIRE_WAITING_S, json_real(s->waiting_s));
     return j;
 }
 
@@ -369,6 +371,9 @@
         lmn_json_print(state_json(&s, tasks), true);
     else
         draw(&s, tasks, false);
+    if (!json && s.waiting_s > 0)
+        printf("  for %.0f s no machine has had free capacity for a task that waits\n",
+               s.waiting_s);
     return LMN_EXIT_OK;
 }
 
--- a/src/cli/users.c
+++ b/src/cli/users.c
@@ -61,6 +61,7 @@
         lmn_cbor_get_text(lmn_cbor_get(&d, root, "error"), s->state, sizeof s->state);
     lmn_cbor_get_uint(lmn_cbor_get(&d, root, WIRE_DONE), &s->done);
     lmn_cbor_get_uint(lmn_cbor_get(&d, root, WIRE_RUNNING), &s->running);
+    lmn_cbor_get_number(lmn_cbor_get(&d, root, WIRE_WAITING_S), &s->waiting_s);
     lmn_cbor_free(&d);
 }
 
--- a/src/cli/users.h
+++ b/src/cli/users.h
@@ -17,6 +17,7 @@
 struct lmn_job_state {
     char ref[LMN_JOB_ID_SIZE], state[16];
     uint64_t done, running;
+    double waiting_s; /* no machine has had free capacity for so long; 0: not for long */
 };
 
 /* From a site's file, or, if controllers is given, from "A,B,C" and a depot's address. -1
--- a/src/controller/metrics.c
+++ b/src/controller/metrics.c
@@ -23,7 +23,7 @@
 struct partition_totals {
     struct task_counts tasks;
     double machine_count, unaccounted_machines, draining_machines;
-    double queued_tasks, unassigned_tasks;
+    double queued_tasks, unassigned_tasks, unschedulable_tasks;
     double partition_count, ready_partitions;
     double *used_cpus; /**< by team */
 };
@@ -59,6 +59,10 @@
     totals->partition_count++;
     totals->ready_partitions += partition->ownership.is_ready;
     totals->unassigned_tasks += partition->scheduling.unassigned.task_count;
+    for (guint i = 0; i < partition->scheduling.unschedulable->len; i++)
+        totals->unschedulable_tasks += g_array_index(partition->scheduling.unschedulable,
+                                                     struct lmn_unschedulable_tasks, i)
+                                           .tasks;
     g_hash_table_iter_init(&iter, partition->machines);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct lmn_machine *machine = value;
@@ -135,6 +139,9 @@
     lmn_metric_gauge(out, "lemonspar_unplaced_tasks",
                      "Tasks that no machine's queue could take",
                      totals->unassigned_tasks);
+    lmn_metric_gauge(out, "lemonspar_unschedulable_tasks",
+                     "Tasks for which no machine has had free capacity for long",
+                     totals->unschedulable_tasks);
     lmn_metric_gauge(out, "lemonspar_jobs", "Jobs in memory", snapshot->job_count);
     lmn_metric_gauge(out, "lemonspar_final_jobs", "Of these, final",
                      snapshot->final_job_count);
--- a/src/controller/request_decisions.c
+++ b/src/controller/request_decisions.c
@@ -3,6 +3,7 @@
 #include "controller/request_decisions.h"
 #include "util/log.h"
 #include "protocol/wire.h"
+#include "scheduler/unschedulable.h"
 #include "state/core.h"
 #include "state/records.h"
 
@@ -86,13 +87,18 @@
         lmn_cbor_put_text(buffer, "error"), lmn_cbor_put_text(buffer, reply->error);
         return buffer;
     }
-    lmn_cbor_put_map(buffer, reply->status == STATUS_CREATED ? 2 : 4);
+    bool is_waiting = reply->waiting_s > 0;
+    lmn_cbor_put_map(buffer, reply->status == STATUS_CREATED ? 2 : 4 + is_waiting);
     lmn_cbor_put_text(buffer, WIRE_JOB_ID), lmn_cbor_put_text(buffer, job_id);
     lmn_cbor_put_text(buffer, WIRE_STATE), lmn_cbor_put_text(buffer, state_name(reply));
     if (reply->status == STATUS_CREATED)
         return buffer;
     lmn_cbor_put_text(buffer, WIRE_DONE), lmn_cbor_put_uint(buffer, reply->done);
     lmn_cbor_put_text(buffer, WIRE_RUNNING), lmn_cbor_put_uint(buffer, reply->running);
+    if (is_waiting) {
+        lmn_cbor_put_text(buffer, WIRE_WAITING_S);
+        lmn_cbor_put_number(buffer, reply->waiting_s);
+    }
     return buffer;
 }
 
@@ -131,6 +137,8 @@
     count_tasks(job, &done, &running);
     view->revision = job->revision;
     view->reply = state_reply(job->phase, done, running);
+    if (job->phase == LMN_JOB_ACTIVE)
+        view->reply.waiting_s = lmn_job_unschedulable_s(core, job, core->cache.fresh_at);
 }
 
 /** Whether the view shows a job that has ended; its state never changes again. */
@@ -398,7 +406,10 @@
     lmn_job_view_from_cache(core, job_id, &latest);
     if (latest.revision > read_result->revision)
         return latest.reply;
-    return state_reply(LMN_JOB_ACTIVE, latest.reply.done, latest.reply.running);
+    struct lmn_job_reply reply =
+        state_reply(LMN_JOB_ACTIVE, latest.reply.done, latest.reply.running);
+    reply.waiting_s = latest.reply.waiting_s;
+    return reply;
 }
 
 struct lmn_txn *lmn_cancellation_txn(const char *job_id,
--- a/src/controller/request_decisions.h
+++ b/src/controller/request_decisions.h
@@ -32,6 +32,8 @@
     bool includes_job; /**< the reply contains the fields that follow */
     enum lmn_job_phase phase;
     uint32_t done, running; /**< numbers of tasks, as far as this controller knows */
+    double waiting_s; /**< for how many seconds tasks have found no machine with free
+                           capacity (scheduler/unschedulable.h); 0: not for long */
 };
 
 /** The decision on a request. */
--- a/src/controller/status.c
+++ b/src/controller/status.c
@@ -6,6 +6,7 @@
 #include "controller/status.h"
 #include "http/server.h"
 #include "scheduler/fair_share.h"
+#include "scheduler/unschedulable.h"
 #include "controller/replication_report.h"
 #include "state/core.h"
 
@@ -101,6 +102,22 @@
     }
 }
 
+/** Appends a line for each job with tasks for which no machine has had free capacity for
+ * long, in all partitions, as far as this controller knows. */
+static void append_unschedulable(GString *text, const struct lmn_core *core)
+{
+    g_autoptr(GPtrArray) listed = lmn_list_unschedulable(core, lmn_now());
+
+    for (guint i = 0; i < listed->len; i++) {
+        const struct lmn_unschedulable_tasks *tasks = listed->pdata[i];
+        g_string_append_printf(text, "unschedulable job=%s tasks=%u waited=%.0f",
+                               tasks->job_id, tasks->tasks, tasks->waited_s);
+        for (uint32_t k = 0; k < tasks->zone_count; k++)
+            g_string_append_printf(text, "%s%s", k ? "," : " zones=", tasks->zones[k]);
+        g_string_append_c(text, '\n');
+    }
+}
+
 static void append_latency(GString *text, const char *name,
                            const struct lmn_latency *latency)
 {
@@ -167,6 +184,7 @@
         append_partition(text, core, &core->partitions[i]);
     append_classes(text, core);
     append_faulty_jobs(text, core);
+    append_unschedulable(text, core);
     append_counters(text, &core->counters);
     append_load(text, &core->load);
     append_connections(text, core);
--- a/src/protocol/wire.h
+++ b/src/protocol/wire.h
@@ -38,10 +38,13 @@
 #define WIRE_DONE "done"            /**< state: finished with success */
 #define WIRE_RUNNING "running"      /**< state: runs on a machine */
 #define WIRE_QUEUED "queued"        /**< state: waits for a machine */
-#define WIRE_CANCELLED "withdrawn"  /**< state: cancelled by a user */
-#define WIRE_BATCH "batch"          /**< kind of a job whose tasks end by themselves */
-#define WIRE_SERVICE "daemon"       /**< kind of a job that runs until it is cancelled */
-#define WIRE_JOB_ID_PREFIX "run-"   /**< prefix of each job id; digits follow */
+#define WIRE_WAITING_S                                                                   \
+    "waiting_s"                    /**< only if it is long: for how many seconds no      \
+                                        machine has had free capacity for a task */
+#define WIRE_CANCELLED "withdrawn" /**< state: cancelled by a user */
+#define WIRE_BATCH "batch"         /**< kind of a job whose tasks end by themselves */
+#define WIRE_SERVICE "daemon"      /**< kind of a job that runs until it is cancelled */
+#define WIRE_JOB_ID_PREFIX "run-"  /**< prefix of each job id; digits follow */
 /** @} */
 
 /** @name Workers: heartbeats, their replies, and commands
--- a/tests/test_request_decisions.c
+++ b/tests/test_request_decisions.c
@@ -281,6 +281,44 @@
     free_core(core);
 }
 
+/* A user is told that a job waits for a machine, and for how long, while it is listed as
+ * unschedulable; other replies have the same fields as before. */
+static void reply_says_how_long_a_job_waits_for_a_machine(void **state)
+{
+    struct lmn_settings test_settings = make_settings();
+    struct lmn_core *core = new_core(&test_settings, FRESH);
+    struct lmn_partition_scheduling *scheduling = &core->partitions[0].scheduling;
+    struct lmn_unschedulable_tasks tasks = {.tasks = 2, .waited_s = 42};
+    struct lmn_job *job = g_hash_table_lookup(core->cache.jobs, JOB_IDS[ACTIVE]);
+    struct lmn_job_view view;
+    (void)state;
+
+    for (int is_listed = 0; is_listed <= 1; is_listed++) {
+        struct lmn_cbor_document document;
+        double waiting_s = 0;
+        g_strlcpy(tasks.job_id, JOB_IDS[is_listed ? ACTIVE : UNKNOWN],
+                  sizeof tasks.job_id);
+        g_array_set_size(scheduling->unschedulable, 0);
+        g_array_append_val(scheduling->unschedulable, tasks);
+        scheduling->unschedulable_at = core->cache.fresh_at;
+        lmn_job_view_from_cache(core, JOB_IDS[ACTIVE], &view);
+        struct lmn_job_reply reply = lmn_job_reply_confirmed(core, &view, 404);
+        assert_true(reply.waiting_s == (is_listed ? 42 : 0));
+        GByteArray *body = lmn_job_reply_body(&reply, JOB_IDS[ACTIVE]);
+        assert_int_equal(lmn_cbor_parse(&document, body->data, body->len), 0);
+        lmn_cbor_get_number(
+            lmn_cbor_get(&document, lmn_cbor_root(&document), WIRE_WAITING_S),
+            &waiting_s);
+        assert_true(waiting_s == (is_listed ? 42 : 0));
+        lmn_cbor_free(&document);
+        g_byte_array_unref(body);
+    }
+    job->phase = LMN_JOB_DONE;
+    lmn_job_view_from_cache(core, JOB_IDS[ACTIVE], &view);
+    assert_true(view.reply.waiting_s == 0);
+    free_core(core);
+}
+
 static void reply_follows_transaction_outcome(void **state)
 {
     struct lmn_job_reply reply;
@@ -317,6 +355,7 @@
         cmocka_unit_test(decision_depends_on_request_job_and_cache),
         cmocka_unit_test(request_without_valid_job_id_is_refused_at_once),
         cmocka_unit_test(reply_needs_a_confirmed_view),
+        cmocka_unit_test(reply_says_how_long_a_job_waits_for_a_machine),
         cmocka_unit_test(reply_follows_transaction_outcome),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
