Unschedulable tasks: only time in which they could have started counts

Cause: after an outage of the store, a stuck replication stream or a transfer the waits of all queued tasks were older than the horizon, so that they were listed for a moment before they started, and machines requested for them. Change: the wait begins anew when tasks of the range, or of the partition, may start again.

--- a/src/controller/unschedulable_message.c
+++ b/src/controller/unschedulable_message.c
@@ -128,7 +128,7 @@
         if (decode_item(core, &message->items.items_val[i], &decoded))
             g_array_append_val(tasks, decoded);
     }
-    lmn_unschedulable_receive(core, &core->partitions[message->partition], message->epoch,
+    lmn_unschedulable_receive(&core->partitions[message->partition], message->epoch,
                               tasks, lmn_now());
     pthread_mutex_unlock(&core->lock);
     return tasks->len;
--- a/src/scheduler/unschedulable.c
+++ b/src/scheduler/unschedulable.c
@@ -57,10 +57,12 @@
     return is_running_batch ? patience_s * RUNNING_BATCH_FACTOR : patience_s;
 }
 
-/** Updates lmn_range.waiting_since. A wait begins with this ownership at the earliest. */
-static void update_wait(struct lmn_range *range, struct timespec now)
+/** Updates lmn_range.waiting_since. Only time in which the tasks could have started
+ * counts, since this ownership began.
+ * @param may_start whether they could start now if a machine had free capacity */
+static void update_wait(struct lmn_range *range, bool may_start, struct timespec now)
 {
-    if (!range->task_states || !count_waiting(range)) {
+    if (!may_start) {
         range->waiting_since = (struct timespec){0, 0};
         return;
     }
@@ -86,24 +88,34 @@
     return strcmp(left->range->key, right->range->key);
 }
 
+/** Whether tasks of the partition start as soon as a machine has free capacity. */
+static bool starts_tasks(const struct lmn_core *core,
+                         const struct lmn_partition *partition, struct timespec now)
+{
+    return partition->ownership.inherited_may_start &&
+           !partition->ownership.is_transferring &&
+           !lmn_replication_is_stuck(partition, now) &&
+           lmn_watch_cache_age_s(core, now) <= LMN_MAX_CACHE_AGE_S;
+}
+
 /** Updates the waits of all ranges of the partition.
  * @return struct candidate, the longest wait first; the caller frees the array */
 static GArray *list_candidates(const struct lmn_core *core,
                                const struct lmn_partition *partition, struct timespec now)
 {
     GArray *candidates = g_array_new(FALSE, FALSE, sizeof(struct candidate));
+    bool partition_starts = starts_tasks(core, partition, now);
     GHashTableIter iter;
     gpointer value;
 
     g_hash_table_iter_init(&iter, partition->ranges);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct lmn_range *range = value;
-        update_wait(range, now);
+        update_wait(range, partition_starts && may_start_tasks(core, range, now), now);
         if (!range->waiting_since.tv_sec)
             continue;
         struct candidate candidate = {range, lmn_time_diff_s(now, range->waiting_since)};
-        if (candidate.waited_s >= patience_s(core, range) &&
-            may_start_tasks(core, range, now) && !waits_for_spot(range->job))
+        if (candidate.waited_s >= patience_s(core, range) && !waits_for_spot(range->job))
             g_array_append_val(candidates, candidate);
     }
     g_array_sort(candidates, compare_longest_first);
@@ -172,16 +184,6 @@
     g_array_append_val(partition->scheduling.unschedulable, tasks);
 }
 
-/** Whether tasks of the partition start as soon as a machine has free capacity. */
-static bool starts_tasks(const struct lmn_core *core,
-                         const struct lmn_partition *partition, struct timespec now)
-{
-    return partition->ownership.inherited_may_start &&
-           !partition->ownership.is_transferring &&
-           !lmn_replication_is_stuck(partition, now) &&
-           lmn_watch_cache_age_s(core, now) <= LMN_MAX_CACHE_AGE_S;
-}
-
 void lmn_unschedulable_update(struct lmn_core *core, struct lmn_partition *partition,
                               struct timespec now)
 {
@@ -195,8 +197,6 @@
     g_autoptr(GArray) candidates = list_candidates(core, partition, now);
     g_autofree struct lmn_resources *listed =
         g_new0(struct lmn_resources, core->settings->team_count);
-    if (!starts_tasks(core, partition, now))
-        return;
     for (guint i = 0;
          i < candidates->len && scheduling->unschedulable->len < LMN_MAX_UNSCHEDULABLE;
          i++)
@@ -204,11 +204,10 @@
                    listed);
 }
 
-void lmn_unschedulable_receive(struct lmn_core *core, struct lmn_partition *partition,
-                               uint64_t epoch, const GArray *tasks, struct timespec now)
+void lmn_unschedulable_receive(struct lmn_partition *partition, uint64_t epoch,
+                               const GArray *tasks, struct timespec now)
 {
     struct lmn_partition_scheduling *scheduling = &partition->scheduling;
-    (void)core;
 
     if (partition->ownership.is_owned || epoch < partition->record.epoch)
         return;
--- a/src/scheduler/unschedulable.h
+++ b/src/scheduler/unschedulable.h
@@ -21,8 +21,8 @@
  * Ignored if this controller owns the partition or knows of a later epoch.
  * @param epoch of the sender's ownership
  * @param tasks struct lmn_unschedulable_tasks */
-void lmn_unschedulable_receive(struct lmn_core *core, struct lmn_partition *partition,
-                               uint64_t epoch, const GArray *tasks, struct timespec now);
+void lmn_unschedulable_receive(struct lmn_partition *partition, uint64_t epoch,
+                               const GArray *tasks, struct timespec now);
 
 /** Lists the unschedulable tasks of all partitions, as far as this controller knows, the
  * longest wait first.
--- a/src/state/range.h
+++ b/src/state/range.h
@@ -44,8 +44,8 @@
     uint64_t written_revision; /**< of the owner's last write, until the cache shows it */
     struct timespec dirty_since, retry_at;
     struct timespec last_start_at; /**< of one of its tasks; 0: none was started */
-    /** Since when its queued tasks have waited without a start
-     * (scheduler/unschedulable.h); 0: none is queued. */
+    /** Since when its queued tasks have waited for a machine without a start
+     * (scheduler/unschedulable.h); 0: none waits, or none could start now. */
     struct timespec waiting_since;
     /* the move in flight, of tasks move_at..end-1 to partition move_to */
     uint32_t move_at;
--- a/tests/test_unschedulable.c
+++ b/tests/test_unschedulable.c
@@ -317,6 +317,23 @@
     }
 }
 
+/* After an outage of the store, in which nothing new starts, the waits begin anew: the
+ * tasks start as soon as it is over. */
+static void waits_begin_anew_when_tasks_may_start_again(void **state)
+{
+    (void)state;
+    set_up();
+    add_job(3, 4);
+    for (double passed = 0; passed < 2 * HORIZON_S; passed++) {
+        now = lmn_time_add(now, 1);
+        lmn_unschedulable_update(core, &core->partitions[0], now);
+    }
+    pass(HORIZON_S - 1);
+    assert_int_equal(listed_count(), 0);
+    pass(3);
+    assert_int_equal(listed_count(), 1);
+}
+
 /* The quota that is left is shared among the listed tasks. */
 static void no_more_tasks_are_listed_than_the_quota_lets_start(void **state)
 {
@@ -460,6 +477,7 @@
         cmocka_unit_test(small_remainders_get_a_machine),
         cmocka_unit_test(waiting_tasks_share_the_machines_that_arrive),
         cmocka_unit_test(only_tasks_that_a_machine_would_help_are_listed),
+        cmocka_unit_test(waits_begin_anew_when_tasks_may_start_again),
         cmocka_unit_test(no_more_tasks_are_listed_than_the_quota_lets_start),
         cmocka_unit_test(running_batch_jobs_wait_longer),
         cmocka_unit_test(a_wait_begins_with_the_ownership),
