--- a/src/scheduler/autoscaler.c
+++ b/src/scheduler/autoscaler.c
@@ -127,25 +127,22 @@
                            const struct deficit *deficit,
                            struct lmn_provision_request *request, struct timespec now)
 {
-    const struct lmn_machine_types *types = &core->cloud.machine_types;
+    g_autoptr(GArray) offers = lmn_list_offers(core);
     bool may_use_spot =
         deficit->may_use_spot && core->cache.operator_settings.spot >= SPOT_ENABLED;
     double least_cost = INFINITY;
 
-    for (size_t i = 0; i < types->count; i++)
-        for (int zone = 0; zone < types->types[i].zone_count; zone++)
-            for (int spot = 0; spot <= may_use_spot; spot++) {
-                const struct lmn_offer offer = {&types->types[i],
-                                                types->types[i].zones[zone], spot};
-                unsigned count = 0;
-                if (is_backing_off(autoscaler, &offer, now))
-                    continue;
-                double cost = offer_cost(&offer, demands, deficit, &count);
-                if (cost >= least_cost)
-                    continue;
-                least_cost = cost;
-                fill_request(request, &offer, count);
-            }
+    for (guint i = 0; i < offers->len; i++) {
+        const struct lmn_offer *offer = &g_array_index(offers, struct lmn_offer, i);
+        unsigned count = 0;
+        if ((offer->is_spot && !may_use_spot) || is_backing_off(autoscaler, offer, now))
+            continue;
+        double cost = offer_cost(offer, demands, deficit, &count);
+        if (cost >= least_cost)
+            continue;
+        least_cost = cost;
+        fill_request(request, offer, count);
+    }
     return least_cost;
 }
 
