A machine gets no more attempts than messages of 64 KiB can name

Cause: a machine's processors and memory were counted, the number of its attempts was not, while each heartbeat names every attempt until the worker has cleared it, and a reply may have a command for each.

The number of attempts is a resource now, struct lmn_resources.tasks, so that whoever asks what fits counts it: assignment, starts, stealing, reservations, preemption, moves of replicas, machines for unschedulable tasks, quota for free capacity, the reason why a task waits. The bound, 496, is computed from the words of the protocol and the longest valid ids (job/message_limits.h): 64 KiB less 1 KiB for tokens and names, by the largest entry, a kill of 130 bytes; an attempt in a heartbeat has 129 at most.

--- a/src/controller/metrics.c
+++ b/src/controller/metrics.c
@@ -9,6 +9,7 @@
 #include "controller/metrics.h"
 #include "http/server.h"
 #include "http/metrics.h"
+#include "job/message_limits.h"
 #include "scheduler/fair_share.h"
 #include "controller/members_report.h"
 #include "controller/replication_report.h"
@@ -22,7 +23,7 @@
 /** Totals over the owned partitions. */
 struct partition_totals {
     struct task_counts tasks;
-    double machine_count, unaccounted_machines, draining_machines;
+    double machine_count, unaccounted_machines, draining_machines, full_machines;
     double queued_tasks, unassigned_tasks, unschedulable_tasks;
     double partition_count, ready_partitions;
     double *used_cpus; /**< by team */
@@ -69,6 +70,7 @@
         totals->machine_count += !machine->lifecycle.is_terminated;
         totals->unaccounted_machines += !machine->lifecycle.is_accounted;
         totals->draining_machines += machine->lifecycle.is_draining;
+        totals->full_machines += machine->attempts->len >= LMN_MAX_MACHINE_ATTEMPTS;
         totals->queued_tasks += machine->queue.task_count;
     }
     g_hash_table_iter_init(&iter, partition->ranges);
@@ -134,6 +136,9 @@
                      totals->unaccounted_machines);
     lmn_metric_gauge(out, "lemonspar_machines_retiring", "Of these, on their way back",
                      totals->draining_machines);
+    lmn_metric_gauge(out, "lemonspar_machines_at_task_limit",
+                     "Of these, with as many attempts as a heartbeat can name",
+                     totals->full_machines);
     lmn_metric_gauge(out, "lemonspar_queued_tasks", "Tasks in machines' queues",
                      totals->queued_tasks);
     lmn_metric_gauge(out, "lemonspar_unplaced_tasks",
@@ -178,6 +183,14 @@
          counters->refused_requests},
         {"lemonspar_polls", "Polls and cancellations", counters->status_requests},
         {"lemonspar_reports", "Workers' reports", counters->heartbeats},
+        {"lemonspar_requests_too_large", "Requests with more than 64 KiB",
+         counters->oversized_requests},
+        {"lemonspar_deferred_commands",
+         "Commands that a message to a worker had no room for, sent with a later one",
+         counters->deferred_commands},
+        {"lemonspar_machines_used_up",
+         "Machines returned since too many ended attempts could not be cleared",
+         counters->limited_machines},
         {"lemonspar_starts", "Start commands", counters->starts},
         {"lemonspar_kills", "Kill commands", counters->kills},
         {"lemonspar_failures", "Tasks that ended with an error", counters->task_failures},
--- a/src/job/job_spec.c
+++ b/src/job/job_spec.c
@@ -8,14 +8,11 @@
 
 #include <string.h>
 
-/** Bytes of an id's buffer of LMN_JOB_ID_SIZE bytes that a valid id leaves unused. */
-enum { JOB_ID_SPARE_BYTES = 8 };
-
 bool lmn_job_id_is_valid(const char *id)
 {
     size_t prefix_len = strlen(WIRE_JOB_ID_PREFIX), len = strlen(id);
 
-    if (len <= prefix_len || len >= LMN_JOB_ID_SIZE - JOB_ID_SPARE_BYTES ||
+    if (len <= prefix_len || len > LMN_MAX_JOB_ID_LENGTH ||
         strncmp(id, WIRE_JOB_ID_PREFIX, prefix_len))
         return false;
     return strspn(id + prefix_len, "0123456789") == len - prefix_len;
--- a/src/job/job_spec.h
+++ b/src/job/job_spec.h
@@ -20,8 +20,9 @@
 #include <stdint.h>
 
 enum {
-    LMN_JOB_ID_SIZE = 32,  /**< bytes of a job id including the terminating NUL */
-    LMN_MAX_TASKS = 100000 /**< maximum number of tasks in one job */
+    LMN_JOB_ID_SIZE = 32, /**< bytes of a job id's buffer, with the terminating NUL */
+    LMN_MAX_JOB_ID_LENGTH = 23, /**< of a valid id */
+    LMN_MAX_TASKS = 100000      /**< maximum number of tasks in one job */
 };
 
 /** Whether tasks end by themselves (batch) or are replicas that run until the job is
--- a/src/partition/heartbeat.c
+++ b/src/partition/heartbeat.c
@@ -337,8 +337,7 @@
     lmn_partition_check_ready(core, request->partition, request->now);
     /* An overloaded controller reconciles existing tasks, but starts no new ones. */
     if (!lmn_load_should_shed(&core->load, LMN_SHED_START, core->random))
-        commands->count +=
-            lmn_schedule_machine(core, machine, commands->encoded, request->now);
+        lmn_heartbeat_start_tasks(core, machine, commands, request->now);
     lmn_machine_cancel_wake(machine);
     update_idle_since(machine, request->now);
 }
--- a/src/partition/heartbeat_message.c
+++ b/src/partition/heartbeat_message.c
@@ -130,6 +130,12 @@
 {
     g_clear_pointer(&commands->encoded, g_byte_array_unref);
     commands->count = 0;
+    commands->json_bytes = 0;
+}
+
+bool lmn_command_list_has_room(const struct lmn_command_list *commands, size_t json_bytes)
+{
+    return commands->json_bytes + json_bytes <= LMN_MAX_MESSAGE_LIST_BYTES;
 }
 
 void lmn_command_list_add(struct lmn_command_list *commands, enum lmn_command_kind kind,
@@ -139,6 +145,14 @@
 
     lmn_command_encode(commands->encoded, &command);
     commands->count++;
+    commands->json_bytes += kind == LMN_COMMAND_KILL ? LMN_MAX_KILL_COMMAND_BYTES
+                                                     : LMN_MAX_PLAIN_COMMAND_BYTES;
+}
+
+void lmn_command_list_count_starts(struct lmn_command_list *commands, guint starts)
+{
+    commands->count += starts;
+    commands->json_bytes += (size_t)starts * LMN_MAX_PLAIN_COMMAND_BYTES;
 }
 
 /* Appends the command array of a message with its key.
--- a/src/partition/heartbeat_message.h
+++ b/src/partition/heartbeat_message.h
@@ -9,6 +9,7 @@
 #ifndef LMN_PARTITION_HEARTBEAT_MESSAGE_H
 #define LMN_PARTITION_HEARTBEAT_MESSAGE_H
 
+#include "job/message_limits.h"
 #include "protocol/cbor.h"
 #include "state/command.h"
 #include "state/machine.h"
@@ -43,15 +44,30 @@
 struct lmn_command_list {
     GByteArray *encoded;
     guint count;
+    size_t json_bytes; /**< upper bound of their size as JSON */
+};
+
+/** Upper bound of the commands that one attempt needs in a message, as JSON: a repeated
+ * start with a kill. */
+enum {
+    LMN_MAX_ATTEMPT_COMMAND_BYTES =
+        LMN_MAX_PLAIN_COMMAND_BYTES + LMN_MAX_KILL_COMMAND_BYTES
 };
 
 /** Creates an empty list, to be freed with lmn_command_list_free. */
 struct lmn_command_list lmn_command_list_new(void);
 /** Frees the encoded commands. No command can be added to the list afterwards. */
 void lmn_command_list_free(struct lmn_command_list *commands);
+/** Whether commands of that size as JSON fit into the message beside those in the list.
+ * Commands that do not fit have to wait for a later message: one that exceeds the limit
+ * would have no effect at all. */
+bool lmn_command_list_has_room(const struct lmn_command_list *commands,
+                               size_t json_bytes);
 /** Encodes a command and appends it to the list. */
 void lmn_command_list_add(struct lmn_command_list *commands, enum lmn_command_kind kind,
                           const struct lmn_attempt *attempt, double grace_s);
+/** Counts start commands that the scheduler has appended to `encoded`. */
+void lmn_command_list_count_starts(struct lmn_command_list *commands, guint starts);
 
 /** The reply to an accepted heartbeat. It renews the worker's lease. */
 struct lmn_heartbeat_reply {
--- a/src/partition/heartbeat_reply.c
+++ b/src/partition/heartbeat_reply.c
@@ -16,6 +16,9 @@
 /* How much longer a kill's grace period is than the time that the job needs to save. */
 static const double SAVE_MARGIN_S = 1;
 
+/* A machine keeps evidence of faulty jobs up to this number of attempts. */
+enum { MAX_ATTEMPTS_WITH_EVIDENCE = LMN_MAX_MACHINE_ATTEMPTS / 2 };
+
 void lmn_machine_record_ignored_command(struct lmn_core *core,
                                         struct lmn_machine *machine, struct timespec now)
 {
@@ -34,11 +37,13 @@
  * is not told to forget that attempt, so it stays in the machine's heartbeats: after a
  * failover the next owner learns from them that the job is faulty, without a record in
  * the key-value store. Otherwise each failover would start all tasks of the faulty job at
- * once again. */
+ * once again. A machine with many attempts keeps none: evidence of many jobs would leave
+ * no room for tasks. */
 static bool is_kept_as_failure_evidence(const struct lmn_machine *machine,
                                         const struct lmn_attempt *attempt)
 {
-    if (!attempt->has_failed || !attempt->job || attempt->job->phase != LMN_JOB_ACTIVE ||
+    if (machine->attempts->len > MAX_ATTEMPTS_WITH_EVIDENCE || !attempt->has_failed ||
+        !attempt->job || attempt->job->phase != LMN_JOB_ACTIVE ||
         !lmn_job_is_faulty(&attempt->job->failures))
         return false;
     for (guint i = 0; i < machine->attempts->len; i++) {
@@ -52,9 +57,22 @@
     return false;
 }
 
+/* Whether the commands fit into the message. Counts those that do not. */
+static bool has_room(struct lmn_core *core, const struct lmn_command_list *commands,
+                     size_t json_bytes)
+{
+    bool fits = lmn_command_list_has_room(commands, json_bytes);
+
+    core->counters.deferred_commands += !fits;
+    return fits;
+}
+
+/* Adds a kill, if it fits into the message. */
 static void kill_without_grace(struct lmn_core *core, struct lmn_attempt *attempt,
                                struct lmn_command_list *commands)
 {
+    if (!has_room(core, commands, LMN_MAX_KILL_COMMAND_BYTES))
+        return;
     lmn_command_list_add(commands, LMN_COMMAND_KILL, attempt, 0);
     core->counters.kills += !attempt->kill_sent;
     attempt->kill_sent = true;
@@ -140,6 +158,8 @@
     return remaining_s < attempt->job->spec.save_s + 2 * core->settings->heartbeat_s + 1;
 }
 
+/* Adds the commands for the attempt, or none if they do not all fit into the message: a
+ * repeated start without its kill would run a task of a cancelled job. */
 static void reconcile_attempt(struct lmn_core *core, struct lmn_machine *machine,
                               struct lmn_attempt *attempt,
                               struct lmn_command_list *commands, struct timespec now)
@@ -148,6 +168,8 @@
 
     if (attempt->push_in_flight && may_run)
         return;
+    if (!has_room(core, commands, LMN_MAX_ATTEMPT_COMMAND_BYTES))
+        return;
     /* Repeats a pushed start of unknown outcome in this reply, which cannot arrive late.
      * After that the attempt is on the machine, and the pushed start has no effect when
      * it arrives. */
@@ -168,6 +190,19 @@
     }
 }
 
+/* Adds the commands for all attempts that have ended, or for all that have not. */
+static void reconcile_attempts(struct lmn_core *core, struct lmn_machine *machine,
+                               bool have_ended, struct lmn_command_list *commands,
+                               struct timespec now)
+{
+    for (guint i = 0; i < machine->attempts->len; i++) {
+        struct lmn_attempt *attempt =
+            &g_array_index(machine->attempts, struct lmn_attempt, i);
+        if ((attempt->state == LMN_ATTEMPT_ENDED) == have_ended)
+            reconcile_attempt(core, machine, attempt, commands, now);
+    }
+}
+
 void lmn_heartbeat_reconcile_tasks(struct lmn_core *core, struct lmn_machine *machine,
                                    const struct lmn_cbor_document *document,
                                    const struct lmn_cbor_value *tasks,
@@ -176,8 +211,20 @@
     lmn_heartbeat_apply_tasks(core, machine, document, tasks, now);
     if (remove_unreported_attempts(core, machine, now))
         lmn_machine_record_ignored_command(core, machine, now);
-    for (guint i = 0; i < machine->attempts->len; i++)
-        reconcile_attempt(core, machine,
-                          &g_array_index(machine->attempts, struct lmn_attempt, i),
-                          commands, now);
+    /* Kills come first: should the message become full, clears can wait. */
+    reconcile_attempts(core, machine, false, commands, now);
+    reconcile_attempts(core, machine, true, commands, now);
+}
+
+void lmn_heartbeat_start_tasks(struct lmn_core *core, struct lmn_machine *machine,
+                               struct lmn_command_list *commands, struct timespec now)
+{
+    guint attempts = machine->attempts->len;
+    size_t most_starts =
+        attempts < LMN_MAX_MACHINE_ATTEMPTS ? LMN_MAX_MACHINE_ATTEMPTS - attempts : 0;
+
+    if (!has_room(core, commands, most_starts * LMN_MAX_PLAIN_COMMAND_BYTES))
+        return;
+    lmn_command_list_count_starts(
+        commands, lmn_schedule_machine(core, machine, commands->encoded, now));
 }
--- a/src/partition/heartbeat_reply.h
+++ b/src/partition/heartbeat_reply.h
@@ -1,8 +1,9 @@
 /** @file
  * Decides on the commands in a heartbeat's reply for attempts that are or may be on the
  * machine already: clear, kill, kill with time to save a checkpoint, or repeat a start.
- * The scheduler decides on new starts (scheduler/queue.h). The caller holds the core's
- * lock for all functions. */
+ * The scheduler decides on new starts (scheduler/queue.h). Commands that do not fit into
+ * a message are left for the next one, and counted. The caller holds the core's lock for
+ * all functions. */
 #ifndef LMN_PARTITION_HEARTBEAT_REPLY_H
 #define LMN_PARTITION_HEARTBEAT_REPLY_H
 
@@ -30,6 +31,11 @@
                                         const struct lmn_cbor_value *tasks,
                                         struct lmn_command_list *commands);
 
+/** Lets the scheduler start tasks on the machine, and appends the commands. Starts none
+ * if the message might not hold all of them. */
+void lmn_heartbeat_start_tasks(struct lmn_core *core, struct lmn_machine *machine,
+                               struct lmn_command_list *commands, struct timespec now);
+
 /** Records that the last reply or push had no effect although the machine's heartbeats
  * arrive: the network may deliver messages from the machine but not to it. Without a
  * quarantine, the machine would be assigned new tasks with each heartbeat and run none of
--- a/src/partition/worker_push.c
+++ b/src/partition/worker_push.c
@@ -27,6 +27,9 @@
         if (!attempt->must_stop || attempt->kill_sent ||
             attempt->state == LMN_ATTEMPT_ENDED || !attempt->range)
             continue;
+        /* The reply to a heartbeat contains the kills that do not fit here. */
+        if (!lmn_command_list_has_room(commands, LMN_MAX_KILL_COMMAND_BYTES))
+            return;
         lmn_command_list_add(commands, LMN_COMMAND_KILL, attempt, attempt->grace_s);
         attempt->kill_sent = true;
         core->counters.kills++;
@@ -42,7 +45,7 @@
     /* While the watch cache is too stale, heartbeats get no replies that renew leases,
      * and no tasks are started. */
     if (!lmn_watch_cache_is_too_stale(core, now))
-        commands->count += lmn_schedule_machine(core, machine, commands->encoded, now);
+        lmn_heartbeat_start_tasks(core, machine, commands, now);
     if (!commands->count)
         return;
     for (guint i = attempts_before; i < machine->attempts->len; i++)
--- a/src/scheduler/autoscaler_unschedulable.c
+++ b/src/scheduler/autoscaler_unschedulable.c
@@ -14,11 +14,6 @@
     struct lmn_resources resources; /**< left on the machine that got tasks last */
 };
 
-static struct lmn_resources type_resources(const struct lmn_machine_type *type)
-{
-    return (struct lmn_resources){type->cpus, type->gpus, type->memory_gb};
-}
-
 /** @return struct arriving_group; the caller frees the array */
 static GArray *list_arriving(const struct lmn_capacity *capacity)
 {
@@ -48,26 +43,18 @@
                                                   offer->zone, offer->is_spot);
 }
 
-static void subtract_tasks(struct lmn_resources *resources, double tasks,
-                           const struct lmn_job_spec *spec)
-{
-    resources->cpus -= tasks * spec->cpus;
-    resources->gpus -= tasks * spec->gpus;
-    resources->memory_gb -= tasks * spec->memory_gb;
-}
-
 /** Places as many of the tasks as fit on the group's machines: first on the one that got
  * tasks last, then on empty ones. */
 static void place_on_group(struct arriving_group *group,
                            struct lmn_unserved_tasks *unserved)
 {
     const struct lmn_job_spec *spec = &unserved->job->spec;
-    const struct lmn_resources empty = type_resources(group->offer->type);
+    const struct lmn_resources empty = lmn_type_resources(group->offer->type);
     double per_machine = lmn_resources_task_count(&empty, spec);
     double on_last =
         CLAMP(lmn_resources_task_count(&group->resources, spec), 0, unserved->tasks);
 
-    subtract_tasks(&group->resources, on_last, spec);
+    lmn_resources_subtract_tasks(&group->resources, on_last, spec);
     unserved->tasks -= on_last;
     double machines = MIN(ceil(unserved->tasks / per_machine), group->empty_count);
     if (machines < 1)
@@ -75,7 +62,8 @@
     double tasks = MIN(machines * per_machine, unserved->tasks);
     group->empty_count -= machines;
     group->resources = empty;
-    subtract_tasks(&group->resources, tasks - (machines - 1) * per_machine, spec);
+    lmn_resources_subtract_tasks(&group->resources, tasks - (machines - 1) * per_machine,
+                                 spec);
     unserved->tasks -= tasks;
 }
 
@@ -112,7 +100,7 @@
 double lmn_machines_for_unserved(const struct lmn_unserved_tasks *unserved,
                                  const struct lmn_offer *offer)
 {
-    const struct lmn_resources empty = type_resources(offer->type);
+    const struct lmn_resources empty = lmn_type_resources(offer->type);
     double per_machine = lmn_resources_task_count(&empty, &unserved->job->spec);
 
     return may_use(unserved, offer) ? ceil(unserved->tasks / MAX(per_machine, 1)) : 0;
--- a/src/scheduler/consolidation.c
+++ b/src/scheduler/consolidation.c
@@ -132,7 +132,7 @@
         struct target *target = find_target(remaining, machine, attempt->job);
         fits = target != NULL;
         if (target)
-            lmn_resources_subtract_task(&target->available, &attempt->job->spec);
+            lmn_resources_subtract_tasks(&target->available, 1, &attempt->job->spec);
     }
     g_array_free(remaining, TRUE);
     return fits;
--- a/src/scheduler/quota.c
+++ b/src/scheduler/quota.c
@@ -75,9 +75,9 @@
 }
 
 /** Sum of the free processors of the partition's machines that have at least `task_cpus`
- * free. Unlike lmn_machine_can_run, this does not depend on a job, counts machines that
- * are not yet recorded in the key-value store, and does not count machines that are known
- * only from a replica. */
+ * free and may get another task. Unlike lmn_machine_can_run, this does not depend on a
+ * job, counts machines that are not yet recorded in the key-value store, and does not
+ * count machines that are known only from a replica. */
 static double sum_free_cpus(const struct lmn_partition *partition, double task_cpus)
 {
     double sum = 0;
@@ -88,8 +88,9 @@
             machine->lifecycle.is_draining || machine->lifecycle.has_spot_notice ||
             machine->agent.lease_expired || machine->lifecycle.is_terminated)
             continue;
-        double free_cpus = lmn_machine_free_resources(machine).cpus;
-        sum += free_cpus + LMN_RESOURCE_EPSILON >= task_cpus ? free_cpus : 0;
+        const struct lmn_resources available = lmn_machine_free_resources(machine);
+        if (available.tasks >= 1 && available.cpus + LMN_RESOURCE_EPSILON >= task_cpus)
+            sum += available.cpus;
     }
     return sum;
 }
--- a/src/scheduler/wait_reason.c
+++ b/src/scheduler/wait_reason.c
@@ -20,6 +20,7 @@
     [LMN_WAIT_SPOT_NOTICE] = "the cloud is reclaiming the spot instance",
     [LMN_WAIT_UNKNOWN_TYPE] = "the machine's type is unknown",
     [LMN_WAIT_REPLICATION] = "the standby has not acknowledged earlier starts",
+    [LMN_WAIT_TASK_LIMIT] = "the machine has as many tasks as a heartbeat can name",
     [LMN_WAIT_QUARANTINED] = "the machine is quarantined after task failures",
     [LMN_WAIT_JOB_ENDED] = "the job is done or cancelled",
     [LMN_WAIT_CAPACITY] = "the machine has too little free capacity",
@@ -97,14 +98,14 @@
                                              const struct lmn_partition *partition,
                                              const struct lmn_job *job)
 {
-    struct lmn_resources quota = {0, 0, INFINITY};
+    struct lmn_resources quota = {0, 0, INFINITY, INFINITY};
 
     if (job->team < 0)
-        return (struct lmn_resources){-1, -1, -1};
+        return (struct lmn_resources){-1, -1, -1, -1};
     const struct lmn_team *team = &core->settings->teams[job->team];
     lmn_quota_share(core, partition, job->team, &quota.cpus, &quota.gpus);
     if (!subtract_unavailable_quota(partition, team, job, &quota))
-        return (struct lmn_resources){-1, -1, -1};
+        return (struct lmn_resources){-1, -1, -1, -1};
     quota.cpus = team->cpus_max > 0 ? quota.cpus - partition->quota.used_cpus[job->team]
                                     : INFINITY;
     quota.gpus = team->gpus_max > 0 ? quota.gpus - partition->quota.used_gpus[job->team]
@@ -151,9 +152,10 @@
     /* Starts that the standby does not acknowledge would have to be undone. */
     if (lmn_replication_is_stuck(machine->partition, now))
         return LMN_WAIT_REPLICATION;
-    return lmn_time_before(now, machine->failures.quarantined_until)
-               ? LMN_WAIT_QUARANTINED
-               : LMN_WAIT_NONE;
+    if (lmn_time_before(now, machine->failures.quarantined_until))
+        return LMN_WAIT_QUARANTINED;
+    return lmn_machine_free_resources(machine).tasks < 1 ? LMN_WAIT_TASK_LIMIT
+                                                         : LMN_WAIT_NONE;
 }
 
 enum lmn_wait_reason lmn_job_wait_reason(const struct lmn_core *core,
--- a/src/scheduler/wait_reason.h
+++ b/src/scheduler/wait_reason.h
@@ -22,6 +22,7 @@
     LMN_WAIT_UNKNOWN_TYPE, /**< its type is not known yet */
     LMN_WAIT_REPLICATION,  /**< the standby has not acknowledged earlier starts */
     LMN_WAIT_QUARANTINED,  /**< tasks have failed on it: it starts none for a while */
+    LMN_WAIT_TASK_LIMIT,   /**< it has LMN_MAX_MACHINE_ATTEMPTS attempts */
     /* of the job on that machine: */
     LMN_WAIT_JOB_ENDED, /**< the job is done or cancelled */
     LMN_WAIT_CAPACITY,  /**< the task does not fit into the machine's free capacity */
--- a/src/scheduler/work_stealing.c
+++ b/src/scheduler/work_stealing.c
@@ -45,11 +45,13 @@
  */
 static bool is_idle(const struct lmn_machine *machine)
 {
-    return machine->stealing.is_idle_with_capacity && !machine->queue.task_count &&
-           machine->type && machine->record.revision && !machine->lifecycle.is_draining &&
-           !machine->lifecycle.has_spot_notice && !machine->agent.lease_expired &&
-           !machine->lifecycle.is_terminated &&
-           lmn_machine_free_resources(machine).cpus >= MIN_FREE_CPUS;
+    if (!machine->stealing.is_idle_with_capacity || machine->queue.task_count ||
+        !machine->type || !machine->record.revision || machine->lifecycle.is_draining ||
+        machine->lifecycle.has_spot_notice || machine->agent.lease_expired ||
+        machine->lifecycle.is_terminated)
+        return false;
+    const struct lmn_resources available = lmn_machine_free_resources(machine);
+    return available.cpus >= MIN_FREE_CPUS && available.tasks >= 1;
 }
 
 /** Adds the machine's free capacity to the request. */
@@ -116,8 +118,12 @@
         return 0;
     for (guint i = 0; i < request->capacity_count; i++) {
         const struct lmn_free_capacity *capacity = &request->capacities[i];
+        /* The request does not say how many tasks the machine has already. Tasks that
+         * it can't start yet wait in the thief's partition, from where they can be stolen
+         * again. */
         const struct lmn_resources available = {capacity->cpus, capacity->gpus,
-                                                capacity->memory_gb};
+                                                capacity->memory_gb,
+                                                LMN_MAX_MACHINE_ATTEMPTS};
         const struct lmn_machine_type *type =
             lmn_machine_type_by_name(core, capacity->type);
         if (!type || !lmn_job_spec_allows(spec, type, capacity->zone, capacity->is_spot))
@@ -126,7 +132,8 @@
         fitting += MAX(on_machine, 0);
     }
     const struct lmn_resources quota = {request->team_free_cpus[job->team],
-                                        request->team_free_gpus[job->team], INFINITY};
+                                        request->team_free_gpus[job->team], INFINITY,
+                                        INFINITY};
     double within_quota = lmn_resources_task_count(&quota, spec);
     return (uint32_t)MAX(MIN(fitting, within_quota), 0);
 }
--- a/src/state/core_state.h
+++ b/src/state/core_state.h
@@ -110,6 +110,8 @@
     /** Earliest time for the next probe of a worker, while no heartbeats arrive. */
     struct timespec next_reach_probe_at;
     struct timespec last_malformed_logged_at;
+    /** Last time at which a request with too large a body was logged. */
+    struct timespec last_oversized_logged_at;
 };
 
 /** Responses of the cloud provider. Owner: partition/provisioner.h. */
--- a/src/worker/agent.c
+++ b/src/worker/agent.c
@@ -7,6 +7,7 @@
  * from the time at which they were sent: a controller that has waited for the length of
  * a lease since it last answered knows that none of the machine's tasks still runs. */
 #include "worker/agent.h"
+#include "job/message_limits.h"
 #include "util/clock.h"
 #include "util/log.h"
 #include "protocol/wire.h"
@@ -185,10 +186,15 @@
 }
 
 /* Adds a run for the command to start a task. The run is refused if another attempt at
- * the task has not ended on this machine. */
+ * the task has not ended on this machine. The command has no effect if a heartbeat could
+ * not name a further run: a refusal would have to be named, too. */
 static void start(struct lmn_agent *agent, const char *job_id, uint32_t index,
                   uint64_t attempt, struct timespec now)
 {
+    if (agent->runs->len >= LMN_MAX_MACHINE_ATTEMPTS) {
+        agent->dropped_starts++;
+        return;
+    }
     struct lmn_task_run *run = g_new0(struct lmn_task_run, 1);
     bool is_busy = is_on_machine(agent, job_id, index);
 
@@ -294,9 +300,13 @@
 
     if (!list || list->type != LMN_CBOR_ARRAY)
         return;
+    uint64_t dropped_before = agent->dropped_starts;
     for (const struct lmn_cbor_value *node = lmn_cbor_first_child(document, list); node;
          node = lmn_cbor_next(document, node))
         execute_command(agent, document, node, now);
+    if (agent->dropped_starts > dropped_before)
+        lmn_info("agent_starts_dropped starts=%" G_GUINT64_FORMAT " attempts=%u",
+                 agent->dropped_starts - dropped_before, agent->runs->len);
 }
 
 bool lmn_agent_heartbeat_answered(struct lmn_agent *agent, uint64_t incarnation,
--- a/src/worker/agent.h
+++ b/src/worker/agent.h
@@ -113,6 +113,7 @@
     bool has_unreported_change; /**< not yet in a heartbeat; the next one is due early */
     GPtrArray *runs;            /**< struct lmn_task_run, owned */
     uint64_t starts, finished, refused, expired_leases;
+    uint64_t dropped_starts; /**< not carried out, with LMN_MAX_MACHINE_ATTEMPTS runs */
 };
 
 /** Begins the agent's first incarnation, with a lease that starts now.
--- a/src/worker/worker_http.c
+++ b/src/worker/worker_http.c
@@ -3,11 +3,12 @@
 #include "worker/worker_http.h"
 #include "http/metrics.h"
 #include "http/server.h"
+#include "job/message_limits.h"
 #include "protocol/wire.h"
 
 #include <string.h>
 
-enum { MAX_BODY_BYTES = 64 * 1024, MAX_CONNECTIONS = 256, STATUS_NOT_FOUND = 404 };
+enum { MAX_CONNECTIONS = 256, STATUS_NOT_FOUND = 404 };
 
 static void put_metrics(void *arg, GString *out)
 {
@@ -26,6 +27,9 @@
                        agent->finished);
     lmn_metric_counter(out, "lemonspar_worker_refused", "Start commands refused",
                        agent->refused);
+    lmn_metric_counter(out, "lemonspar_worker_dropped_starts",
+                       "Start commands without effect, with too many attempts listed",
+                       agent->dropped_starts);
     lmn_metric_counter(out, "lemonspar_worker_lapses", "Leases that expired",
                        agent->expired_leases);
     lmn_metric_counter(out, "lemonspar_worker_reports", "Heartbeats sent",
@@ -68,7 +72,7 @@
     const struct lmn_http_server_options options = {
         .listen = worker->options->listen,
         .connections = MAX_CONNECTIONS,
-        .max_body_bytes = MAX_BODY_BYTES,
+        .max_body_bytes = LMN_MAX_MESSAGE_BYTES,
         .route = route,
         .arg = worker,
     };
--- a/tests/test_wait_reason.c
+++ b/tests/test_wait_reason.c
@@ -2,6 +2,7 @@
  * stolen. */
 #include "util/clock.h"
 #include "config/settings.h"
+#include "job/message_limits.h"
 #include "scheduler/queue.h"
 #include "scheduler/reservation.h"
 #include "scheduler/work_stealing.h"
@@ -123,6 +124,13 @@
 {
     machine->used.cpus = 7;
 }
+static void fill_heartbeat(void)
+{
+    const struct lmn_attempt ended = {.state = LMN_ATTEMPT_ENDED};
+
+    while (machine->attempts->len < LMN_MAX_MACHINE_ATTEMPTS)
+        g_array_append_val(machine->attempts, ended);
+}
 static void reserve_for_preemption(void)
 {
     machine->reservation.preemption_tasks = 1;
@@ -172,6 +180,7 @@
         {quarantine_machine, LMN_WAIT_QUARANTINED},
         {cancel_job, LMN_WAIT_JOB_ENDED},
         {fill_machine, LMN_WAIT_CAPACITY},
+        {fill_heartbeat, LMN_WAIT_TASK_LIMIT},
         {reserve_for_preemption, LMN_WAIT_PREEMPTION_RESERVED},
         {reserve_for_other_job, LMN_WAIT_BACKFILL_RESERVED},
         {back_off_job, LMN_WAIT_JOB_BACKOFF},
