Autoscaler: sums count the number of tasks beside their processors

Accepted work that the sums of processors cover but that no machine can start, since small tasks fill machines by their number: nothing was rented for it until it had waited for the horizon, and for tasks without processors the first machine, too.

Demand and capacity are compared in two units now, processors and then tasks: in all, for ordinary machines, and for each set of offers that jobs are confined to (one pass for both). The capacity of a machine in the mix of the demand is bounded by its processors, its memory and LMN_MAX_MACHINE_ATTEMPTS. Tasks that ask for nothing that the team's limit counts are not cut to the limit.

--- a/src/scheduler/autoscaler.c
+++ b/src/scheduler/autoscaler.c
@@ -34,8 +34,9 @@
 
 /** Capacity that is missing. */
 struct deficit {
-    double cpus;
-    double max_ordinary_cpus; /**< part of `cpus` that ordinary machines may serve */
+    enum lmn_capacity_unit unit;
+    double amount;
+    double max_ordinary; /**< part of `amount` that ordinary machines may serve */
     bool may_use_spot;
     bool is_first; /**< there is no capacity for it yet: the number of machines is rounded
                         up */
@@ -43,14 +44,16 @@
 
 /** Demand that machines of an offer could serve. */
 struct offer_demand {
-    double cpus, memory_gb;
-    double least_task_cpus; /**< processors of the smallest task */
+    struct lmn_amounts amounts;
+    double memory_gb;
+    struct lmn_amounts least_task; /**< the least that a task takes */
 };
 
 static struct offer_demand sum_offer_demand(const struct lmn_offer *offer,
                                             const GArray *demands)
 {
-    struct offer_demand sum = {.least_task_cpus = INFINITY};
+    struct offer_demand sum = {
+        .least_task.of = {[LMN_UNIT_CPUS] = INFINITY, [LMN_UNIT_TASKS] = 1}};
 
     for (guint i = 0; i < demands->len; i++) {
         const struct lmn_range_demand *demand =
@@ -58,9 +61,10 @@
         if ((!offer->is_spot && demand->is_spot_only) ||
             !lmn_job_spec_allows(demand->spec, offer->type, offer->zone, offer->is_spot))
             continue;
-        sum.cpus += demand->cpus;
+        lmn_amounts_add(&sum.amounts, 1, &demand->amounts);
         sum.memory_gb += demand->memory_gb;
-        sum.least_task_cpus = MIN(sum.least_task_cpus, demand->spec->cpus);
+        sum.least_task.of[LMN_UNIT_CPUS] =
+            MIN(sum.least_task.of[LMN_UNIT_CPUS], demand->spec->cpus);
     }
     return sum;
 }
@@ -78,8 +82,27 @@
     return 1 + type->boot_s / BOOT_COST_S;
 }
 
-/** Cost of the offer per usable processor, in its price per hour; INFINITY if it serves
- * none of the deficit.
+/** How much of the unit tasks in the mix of the demand use on a machine that they fill:
+ * all of it, unless another resource is used up first. */
+static double usable_amount(const struct lmn_machine_type *type,
+                            const struct offer_demand *demand,
+                            enum lmn_capacity_unit unit)
+{
+    const struct lmn_amounts machine = lmn_type_amounts(type);
+    double demanded = demand->amounts.of[unit];
+    double usable = machine.of[unit];
+
+    for (int other = 0; other < LMN_UNIT_COUNT; other++)
+        if (demand->amounts.of[other] > 0)
+            usable =
+                MIN(usable, machine.of[other] * demanded / demand->amounts.of[other]);
+    if (demand->memory_gb > 0)
+        usable = MIN(usable, type->memory_gb * demanded / demand->memory_gb);
+    return usable;
+}
+
+/** Cost of the offer per usable processor or task, in its price per hour; INFINITY if it
+ * serves none of the deficit.
  * @param[out] count number of machines that serve the deficit; unchanged if the cost is
  * INFINITY */
 static double offer_cost(const struct lmn_offer *offer, const GArray *demands,
@@ -88,20 +111,17 @@
     const struct lmn_machine_type *type = offer->type;
     const struct offer_demand demand = sum_offer_demand(offer, demands);
 
-    double served_cpus = MIN(deficit->cpus, demand.cpus);
+    double served = MIN(deficit->amount, demand.amounts.of[deficit->unit]);
     if (!offer->is_spot)
-        served_cpus = MIN(served_cpus, deficit->max_ordinary_cpus);
-    if (!lmn_deficit_warrants_machine(served_cpus, demand.least_task_cpus,
+        served = MIN(served, deficit->max_ordinary);
+    if (!lmn_deficit_warrants_machine(served, demand.least_task.of[deficit->unit],
                                       deficit->is_first))
         return INFINITY;
-    double usable_cpus =
-        MIN(type->cpus, demand.memory_gb > 0
-                            ? type->memory_gb * demand.cpus / demand.memory_gb
-                            : type->cpus);
-    double machines = served_cpus / usable_cpus;
+    double usable = usable_amount(type, &demand, deficit->unit);
+    double machines = served / usable;
     double rounded = deficit->is_first ? ceil(machines) : floor(machines + 0.5);
     *count = (unsigned)CLAMP(rounded, 0, MAX_REQUESTED_MACHINES);
-    return price_per_hour(offer) / usable_cpus * boot_factor(type);
+    return price_per_hour(offer) / usable * boot_factor(type);
 }
 
 static bool is_backing_off(const struct lmn_autoscaler *autoscaler,
@@ -160,7 +180,7 @@
 
     if (!lmn_find_confined_deficit(core, demands, capacity, &confined))
         return false;
-    const struct deficit deficit = {confined.cpus, confined.cpus, true,
+    const struct deficit deficit = {confined.unit, confined.amount, confined.amount, true,
                                     confined.has_no_machine};
     double cost =
         choose_offer(core, autoscaler, confined.demands, &deficit, request, now);
@@ -174,38 +194,58 @@
  * serves it, the other is tried. Returns whether an offer was found. */
 static bool choose_request(const struct lmn_core *core,
                            const struct lmn_autoscaler *autoscaler, const GArray *demands,
+                           const struct lmn_demand_totals *demand,
                            const struct lmn_capacity *capacity,
+                           enum lmn_capacity_unit unit,
                            struct lmn_provision_request *request, struct timespec now)
 {
-    const struct lmn_demand_totals demand = lmn_sum_demand(core, demands);
-    double ordinary_cpus = demand.ordinary_cpus - capacity->ordinary_cpus;
-    double all_cpus = demand.cpus - capacity->cpus;
+    double ordinary_capacity = capacity->ordinary.of[unit];
+    double ordinary = demand->ordinary.of[unit] - ordinary_capacity;
+    double all = demand->all.of[unit] - capacity->all.of[unit];
+    double spot_only = demand->spot_only.of[unit];
     /* Capacity of spot instances beyond the demand of jobs that wait for spot instances.
      */
-    double spot_left_cpus =
-        MAX(capacity->cpus - capacity->ordinary_cpus - demand.spot_only_cpus, 0);
-    double any_cpus = all_cpus - MAX(ordinary_cpus, 0);
-    bool any_first = any_cpus > ordinary_cpus;
+    double spot_left = MAX(capacity->all.of[unit] - ordinary_capacity - spot_only, 0);
+    double any = all - MAX(ordinary, 0);
+    bool any_first = any > ordinary;
     double least_cost = INFINITY;
 
     for (int attempt = 0; attempt < 2 && least_cost == INFINITY; attempt++) {
         bool is_any = attempt == 0 ? any_first : !any_first;
-        struct deficit deficit = {ordinary_cpus, ordinary_cpus, is_any,
-                                  capacity->ordinary_cpus <= 0};
+        struct deficit deficit = {unit, ordinary, ordinary, is_any,
+                                  ordinary_capacity <= 0};
         if (is_any) {
-            deficit.is_first = capacity->cpus <= 0;
+            deficit.is_first = capacity->all.of[unit] <= 0;
             /* The second attempt includes the deficit in ordinary machines, for which the
              * first has found no offer. */
-            deficit.cpus = attempt == 0 ? any_cpus : all_cpus;
-            deficit.max_ordinary_cpus = demand.cpus - demand.spot_only_cpus -
-                                        capacity->ordinary_cpus - spot_left_cpus;
+            deficit.amount = attempt == 0 ? any : all;
+            deficit.max_ordinary =
+                demand->all.of[unit] - spot_only - ordinary_capacity - spot_left;
         }
-        if (deficit.cpus > 0)
+        if (deficit.amount > 0)
             least_cost = choose_offer(core, autoscaler, demands, &deficit, request, now);
     }
     return least_cost < INFINITY && request->count > 0;
 }
 
+/** Fills in a request for what the sums of demand and capacity show to be missing:
+ * processors, else tasks. */
+static bool choose_summed_request(const struct lmn_core *core,
+                                  const struct lmn_autoscaler *autoscaler,
+                                  const GArray *demands,
+                                  const struct lmn_capacity *capacity,
+                                  struct lmn_provision_request *request,
+                                  struct timespec now)
+{
+    const struct lmn_demand_totals demand = lmn_sum_demand(core, demands);
+
+    for (int unit = 0; unit < LMN_UNIT_COUNT; unit++)
+        if (choose_request(core, autoscaler, demands, &demand, capacity, unit, request,
+                           now))
+            return true;
+    return false;
+}
+
 /** Price of the machines that the tasks need if they are of the offer, raised by the boot
  * time as in offer_cost; INFINITY if the offer may not be used now. */
 static double unserved_cost(const struct lmn_core *core,
@@ -290,11 +330,12 @@
     /* If there is no spot instance and none can be had, idle jobs may use ordinary
      * machines. */
     bool may_wait_for_spot =
-        !is_spot_scarce(core, autoscaler) || capacity.cpus > capacity.ordinary_cpus;
+        !is_spot_scarce(core, autoscaler) ||
+        capacity.all.of[LMN_UNIT_TASKS] > capacity.ordinary.of[LMN_UNIT_TASKS];
     GArray *demands = lmn_list_range_demands(core, may_wait_for_spot);
     bool has_offer =
         choose_confined_request(core, autoscaler, demands, &capacity, request, now) ||
-        choose_request(core, autoscaler, demands, &capacity, request, now) ||
+        choose_summed_request(core, autoscaler, demands, &capacity, request, now) ||
         choose_unserved_request(core, autoscaler, &capacity, request, now);
     g_array_free(demands, TRUE);
     lmn_capacity_clear(&capacity);
--- a/src/scheduler/autoscaler_capacity.c
+++ b/src/scheduler/autoscaler_capacity.c
@@ -10,12 +10,33 @@
 /** Late machines are replaced if at most one in this many machines of their type and zone
  * is late. */
 enum { MACHINES_PER_LATE_MACHINE = 4 };
-/** Deficit, in processors, below which nothing is provisioned where machines run. */
-static const double MIN_DEFICIT_CPUS = 1;
+/** Deficit, in processors or tasks, below which nothing is provisioned where machines
+ * run. */
+static const double MIN_DEFICIT = 1;
 /** Seconds after its boot in which a machine takes its first tasks, and in which the
  * lists of unschedulable tasks follow (scheduler/unschedulable.h). */
 static const double ARRIVAL_S = 8;
 
+struct lmn_amounts lmn_type_amounts(const struct lmn_machine_type *type)
+{
+    const struct lmn_resources resources = lmn_type_resources(type);
+
+    return (struct lmn_amounts){
+        {[LMN_UNIT_CPUS] = resources.cpus, [LMN_UNIT_TASKS] = resources.tasks}};
+}
+
+struct lmn_amounts lmn_task_amounts(const struct lmn_job_spec *spec)
+{
+    return (struct lmn_amounts){{[LMN_UNIT_CPUS] = spec->cpus, [LMN_UNIT_TASKS] = 1}};
+}
+
+void lmn_amounts_add(struct lmn_amounts *sum, double factor,
+                     const struct lmn_amounts *amounts)
+{
+    for (int unit = 0; unit < LMN_UNIT_COUNT; unit++)
+        sum->of[unit] += factor * amounts->of[unit];
+}
+
 /** Returns the offer's group; adds one if there is none. */
 static struct lmn_machine_group *get_group(GArray *groups, const struct lmn_offer *offer)
 {
@@ -104,9 +125,11 @@
             &g_array_index(capacity.groups, struct lmn_machine_group, i);
         unsigned replaced_count =
             replaces_late(capacity.groups, group) ? group->late_count : 0;
-        group->cpus = (group->count - replaced_count) * group->offer.type->cpus;
-        capacity.cpus += group->cpus;
-        capacity.ordinary_cpus += group->offer.is_spot ? 0 : group->cpus;
+        const struct lmn_amounts machine = lmn_type_amounts(group->offer.type);
+        lmn_amounts_add(&group->amounts, group->count - replaced_count, &machine);
+        lmn_amounts_add(&capacity.all, 1, &group->amounts);
+        lmn_amounts_add(&capacity.ordinary, group->offer.is_spot ? 0 : 1,
+                        &group->amounts);
     }
     return capacity;
 }
@@ -126,11 +149,11 @@
     return offers;
 }
 
-bool lmn_deficit_warrants_machine(double cpus, double least_task_cpus, bool is_first)
+bool lmn_deficit_warrants_machine(double amount, double least_task, bool is_first)
 {
     if (!is_first)
-        return cpus >= MIN_DEFICIT_CPUS;
-    return cpus > 0 && cpus >= least_task_cpus - LMN_RESOURCE_EPSILON;
+        return amount >= MIN_DEFICIT;
+    return amount > 0 && amount >= least_task - LMN_RESOURCE_EPSILON;
 }
 
 void lmn_capacity_clear(struct lmn_capacity *capacity)
--- a/src/scheduler/autoscaler_constraints.c
+++ b/src/scheduler/autoscaler_constraints.c
@@ -20,16 +20,22 @@
 /** A set of offers to which some demand is confined. */
 struct offer_set {
     struct offer_key key;
-    guint8 *contains;       /**< for each offer, whether it is in the set */
-    double cpus;            /**< demand of jobs that may use these offers and no others */
-    double least_task_cpus; /**< processors of the smallest of their tasks */
+    guint8 *contains;              /**< for each offer, whether it is in the set */
+    struct lmn_amounts demand;     /**< of jobs that may use these offers and no others */
+    struct lmn_amounts least_task; /**< the least that one of their tasks takes */
+};
+
+/** What the capacity of a set of offers lacks for the demand confined to it. */
+struct set_deficit {
+    struct lmn_amounts missing;
+    bool has_no_machine; /**< no machine of the set's offers runs or boots */
 };
 
 /** The sets of offers that the demand is confined to. */
 struct offer_sets {
     const struct lmn_machine_types *types;
     GArray *offers;                /**< struct lmn_offer, all that the cloud has */
-    double *cpus;                  /**< for each offer, processors of its machines */
+    struct lmn_amounts *capacity;  /**< for each offer, that of its machines */
     struct lmn_resources smallest; /**< of each resource the least that a type has */
     GArray *sets;                  /**< struct offer_set */
     GArray *set_of; /**< for each demand the index of its set; -1: not confined */
@@ -42,7 +48,7 @@
 
 static struct lmn_resources smallest_resources(const struct lmn_machine_types *types)
 {
-    struct lmn_resources smallest = {INFINITY, INFINITY, INFINITY};
+    struct lmn_resources smallest = {INFINITY, INFINITY, INFINITY, INFINITY};
 
     for (size_t i = 0; i < types->count; i++) {
         const struct lmn_machine_type *type = &types->types[i];
@@ -53,11 +59,12 @@
     return smallest;
 }
 
-/** Adds up the processors of each offer's machines.
+/** Adds up the capacity of each offer's machines.
  * @return an element for each offer; the caller frees the array */
-static double *sum_offer_cpus(const GArray *offers, const struct lmn_capacity *capacity)
+static struct lmn_amounts *sum_offer_capacity(const GArray *offers,
+                                              const struct lmn_capacity *capacity)
 {
-    double *cpus = g_new0(double, offers->len);
+    struct lmn_amounts *sums = g_new0(struct lmn_amounts, offers->len);
 
     for (guint i = 0; i < offers->len; i++) {
         const struct lmn_offer *offer = &g_array_index(offers, struct lmn_offer, i);
@@ -67,10 +74,10 @@
             if (group->offer.type == offer->type &&
                 group->offer.is_spot == offer->is_spot &&
                 !strcmp(group->offer.zone, offer->zone))
-                cpus[i] += group->cpus;
+                lmn_amounts_add(&sums[i], 1, &group->amounts);
         }
     }
-    return cpus;
+    return sums;
 }
 
 /** Whether the job may run on every ordinary machine, which most jobs may. */
@@ -113,7 +120,7 @@
         return -1;
     struct offer_set set = {.key = key,
                             .contains = g_new0(guint8, sets->offers->len),
-                            .least_task_cpus = INFINITY};
+                            .least_task = lmn_task_amounts(spec)};
     for (guint i = 0; i < sets->offers->len; i++) {
         const struct lmn_offer *offer = &g_array_index(sets->offers, struct lmn_offer, i);
         set.contains[i] =
@@ -133,8 +140,9 @@
     if (index < 0)
         return;
     struct offer_set *set = &g_array_index(sets->sets, struct offer_set, index);
-    set->cpus += demand->cpus;
-    set->least_task_cpus = MIN(set->least_task_cpus, demand->spec->cpus);
+    lmn_amounts_add(&set->demand, 1, &demand->amounts);
+    set->least_task.of[LMN_UNIT_CPUS] =
+        MIN(set->least_task.of[LMN_UNIT_CPUS], demand->spec->cpus);
 }
 
 static struct offer_sets group_demands(const struct lmn_core *core, const GArray *demands,
@@ -148,7 +156,7 @@
         .set_of = g_array_sized_new(FALSE, FALSE, sizeof(int), demands->len)};
 
     g_array_set_clear_func(sets.sets, free_set);
-    sets.cpus = sum_offer_cpus(sets.offers, capacity);
+    sets.capacity = sum_offer_capacity(sets.offers, capacity);
     for (guint i = 0; i < demands->len; i++)
         add_demand(&sets, &g_array_index(demands, struct lmn_range_demand, i));
     return sets;
@@ -159,7 +167,7 @@
     g_array_free(sets->offers, TRUE);
     g_array_free(sets->sets, TRUE);
     g_array_free(sets->set_of, TRUE);
-    g_free(sets->cpus);
+    g_free(sets->capacity);
 }
 
 static bool is_subset(const struct offer_sets *sets, const struct offer_set *part,
@@ -172,25 +180,62 @@
 }
 
 /** Compares the demand that is confined to the set or to a part of it with the set's
- * capacity. `demands` of the result is not set. */
-static struct lmn_confined_deficit compare_set(const struct offer_sets *sets,
-                                               const struct offer_set *set)
+ * capacity. */
+static struct set_deficit compare_set(const struct offer_sets *sets,
+                                      const struct offer_set *set)
 {
-    struct lmn_confined_deficit deficit = {.has_no_machine = true};
+    struct set_deficit deficit = {.has_no_machine = true};
 
     for (guint i = 0; i < sets->sets->len; i++) {
         const struct offer_set *part = &g_array_index(sets->sets, struct offer_set, i);
-        deficit.cpus += is_subset(sets, part, set) ? part->cpus : 0;
+        if (is_subset(sets, part, set))
+            lmn_amounts_add(&deficit.missing, 1, &part->demand);
     }
     for (guint i = 0; i < sets->offers->len; i++) {
-        if (!set->contains[i] || sets->cpus[i] <= 0)
+        if (!set->contains[i] || sets->capacity[i].of[LMN_UNIT_TASKS] <= 0)
             continue;
-        deficit.cpus -= sets->cpus[i];
+        lmn_amounts_add(&deficit.missing, -1, &sets->capacity[i]);
         deficit.has_no_machine = false;
     }
     return deficit;
 }
 
+/** @return struct set_deficit for each set; the caller frees the array */
+static GArray *compare_sets(const struct offer_sets *sets)
+{
+    GArray *deficits = g_array_new(FALSE, FALSE, sizeof(struct set_deficit));
+
+    for (guint i = 0; i < sets->sets->len; i++) {
+        const struct set_deficit deficit =
+            compare_set(sets, &g_array_index(sets->sets, struct offer_set, i));
+        g_array_append_val(deficits, deficit);
+    }
+    return deficits;
+}
+
+/** Returns the index of the set with the largest deficit of the unit that warrants a
+ * machine; -1 if there is none. */
+static int find_largest(const struct offer_sets *sets, const GArray *deficits,
+                        enum lmn_capacity_unit unit)
+{
+    double largest = 0;
+    int index = -1;
+
+    for (guint i = 0; i < deficits->len; i++) {
+        const struct set_deficit *deficit =
+            &g_array_index(deficits, struct set_deficit, i);
+        const struct offer_set *set = &g_array_index(sets->sets, struct offer_set, i);
+        double missing = deficit->missing.of[unit];
+        if (missing <= largest ||
+            !lmn_deficit_warrants_machine(missing, set->least_task.of[unit],
+                                          deficit->has_no_machine))
+            continue;
+        largest = missing;
+        index = (int)i;
+    }
+    return index;
+}
+
 /** Copies the demand that is confined to the set or to a part of it.
  * @return struct lmn_range_demand; the caller frees the array */
 static GArray *list_confined(const struct offer_sets *sets, const struct offer_set *set,
@@ -212,26 +257,28 @@
                                const struct lmn_capacity *capacity,
                                struct lmn_confined_deficit *deficit)
 {
-    const struct offer_set *largest = NULL;
+    int largest = -1;
 
     if (core->cloud.machine_types.count > MAX_TYPES)
         return false;
     struct offer_sets sets = group_demands(core, demands, capacity);
+    g_autoptr(GArray) deficits = compare_sets(&sets);
 
-    for (guint i = 0; i < sets.sets->len; i++) {
-        const struct offer_set *set = &g_array_index(sets.sets, struct offer_set, i);
-        struct lmn_confined_deficit candidate = compare_set(&sets, set);
-        if (!lmn_deficit_warrants_machine(candidate.cpus, set->least_task_cpus,
-                                          candidate.has_no_machine) ||
-            (largest && candidate.cpus <= deficit->cpus))
+    for (int unit = 0; unit < LMN_UNIT_COUNT && largest < 0; unit++) {
+        largest = find_largest(&sets, deficits, unit);
+        if (largest < 0)
             continue;
-        *deficit = candidate;
-        largest = set;
+        const struct set_deficit *found =
+            &g_array_index(deficits, struct set_deficit, largest);
+        *deficit = (struct lmn_confined_deficit){
+            .demands = list_confined(
+                &sets, &g_array_index(sets.sets, struct offer_set, largest), demands),
+            .unit = unit,
+            .amount = found->missing.of[unit],
+            .has_no_machine = found->has_no_machine};
     }
-    if (largest)
-        deficit->demands = list_confined(&sets, largest, demands);
     clear_sets(&sets);
-    return largest != NULL;
+    return largest >= 0;
 }
 
 void lmn_confined_deficit_clear(struct lmn_confined_deficit *deficit)
--- a/src/scheduler/autoscaler_constraints.h
+++ b/src/scheduler/autoscaler_constraints.h
@@ -17,9 +17,10 @@
 
 /** Demand confined to a set of offers that has too little capacity for it. */
 struct lmn_confined_deficit {
-    GArray *demands;     /**< the confined demand, struct lmn_range_demand */
-    double cpus;         /**< processors that are missing */
-    bool has_no_machine; /**< no machine of the set's offers runs or boots */
+    GArray *demands;             /**< the confined demand, struct lmn_range_demand */
+    enum lmn_capacity_unit unit; /**< processors if any are missing, else tasks */
+    double amount;               /**< what is missing of it */
+    bool has_no_machine;         /**< no machine of the set's offers runs or boots */
 };
 
 /** Finds the largest deficit of demand that is confined to some of the offers. Demand of
--- a/src/scheduler/autoscaler_demand.c
+++ b/src/scheduler/autoscaler_demand.c
@@ -28,15 +28,19 @@
     for (guint i = 0; i < demands->len; i++) {
         const struct lmn_range_demand *demand =
             &g_array_index(demands, struct lmn_range_demand, i);
-        cpus[demand->team] += demand->cpus;
+        cpus[demand->team] += demand->amounts.of[LMN_UNIT_CPUS];
         gpus[demand->team] += demand->gpus;
     }
     for (guint i = 0; i < demands->len; i++) {
         struct lmn_range_demand *demand =
             &g_array_index(demands, struct lmn_range_demand, i);
+        /* Tasks that request nothing of what is limited all start. */
+        if (demand->spec->cpus <= 0 && demand->spec->gpus <= 0)
+            continue;
         double factor = limit_factor(&core->settings->teams[demand->team],
                                      cpus[demand->team], gpus[demand->team]);
-        demand->cpus *= factor;
+        for (int unit = 0; unit < LMN_UNIT_COUNT; unit++)
+            demand->amounts.of[unit] *= factor;
         demand->memory_gb *= factor;
     }
     g_free(cpus);
@@ -87,13 +91,14 @@
             double tasks = lmn_range_desired_tasks(core, range);
             if (range->job->phase != LMN_JOB_ACTIVE || tasks <= 0 || range->job->team < 0)
                 continue;
-            struct lmn_range_demand demand = {spec,
-                                              range->job->team,
-                                              may_wait_for_spot &&
-                                                  is_spot_only(core, spec),
-                                              tasks * spec->cpus,
-                                              tasks * spec->gpus,
-                                              tasks * spec->memory_gb};
+            struct lmn_range_demand demand = {.spec = spec,
+                                              .team = range->job->team,
+                                              .is_spot_only = may_wait_for_spot &&
+                                                              is_spot_only(core, spec),
+                                              .gpus = tasks * spec->gpus,
+                                              .memory_gb = tasks * spec->memory_gb};
+            const struct lmn_amounts task = lmn_task_amounts(spec);
+            lmn_amounts_add(&demand.amounts, tasks, &task);
             g_array_append_val(demands, demand);
         }
     }
@@ -104,15 +109,17 @@
 struct lmn_demand_totals lmn_sum_demand(const struct lmn_core *core,
                                         const GArray *demands)
 {
-    struct lmn_demand_totals sum = {core->cache.operator_settings.spare_cpus, 0, 0};
+    struct lmn_demand_totals sum = {.all.of[LMN_UNIT_CPUS] =
+                                        core->cache.operator_settings.spare_cpus};
 
     for (guint i = 0; i < demands->len; i++) {
         const struct lmn_range_demand *demand =
             &g_array_index(demands, struct lmn_range_demand, i);
-        sum.cpus += demand->cpus;
-        sum.spot_only_cpus += demand->is_spot_only ? demand->cpus : 0;
+        lmn_amounts_add(&sum.all, 1, &demand->amounts);
+        if (demand->is_spot_only)
+            lmn_amounts_add(&sum.spot_only, 1, &demand->amounts);
         if (!demand->spec->may_use_spot)
-            sum.ordinary_cpus += demand->cpus;
+            lmn_amounts_add(&sum.ordinary, 1, &demand->amounts);
     }
     return sum;
 }
--- a/src/scheduler/autoscaler_demand.h
+++ b/src/scheduler/autoscaler_demand.h
@@ -7,6 +7,7 @@
 #ifndef LMN_SCHEDULER_AUTOSCALER_DEMAND_H
 #define LMN_SCHEDULER_AUTOSCALER_DEMAND_H
 
+#include "scheduler/autoscaler_capacity.h"
 #include "state/core_state.h"
 
 /** Resources that the tasks of one range could use. */
@@ -14,14 +15,15 @@
     const struct lmn_job_spec *spec;
     int team;          /**< index in the settings */
     bool is_spot_only; /**< the job waits for spot instances (lmn_is_spot_only) */
-    double cpus, gpus, memory_gb;
+    struct lmn_amounts amounts;
+    double gpus, memory_gb;
 };
 
-/** Sums of the demands of all ranges, in processors. */
+/** Sums of the demands of all ranges. */
 struct lmn_demand_totals {
-    double cpus;           /**< all demands, and the operator setting `spare_cpus` */
-    double ordinary_cpus;  /**< of jobs that may not run on spot instances */
-    double spot_only_cpus; /**< of jobs that wait for spot instances */
+    struct lmn_amounts all;       /**< and the operator setting `spare_cpus` */
+    struct lmn_amounts ordinary;  /**< of jobs that may not run on spot instances */
+    struct lmn_amounts spot_only; /**< of jobs that wait for spot instances */
 };
 
 /** Number of the range's unfinished tasks that should run at the same time: all of a
--- a/tests/test_autoscaler_fit.c
+++ b/tests/test_autoscaler_fit.c
@@ -1,5 +1,6 @@
 /* Whether the autoscaler provisions a machine for every job that no present machine can
  * run, whatever capacity other machines have. */
+#include "job/message_limits.h"
 #include "scheduler/autoscaler.h"
 #include "state/core.h"
 
@@ -230,6 +231,62 @@
     assert_int_equal(provision(), 0);
 }
 
+/* Number of tasks that the machines which may run the job can name in their heartbeats.
+ */
+static double nameable_tasks_for(const struct lmn_job *job)
+{
+    GHashTableIter iter;
+    gpointer value;
+    double tasks = 0;
+
+    g_hash_table_iter_init(&iter, autoscaler.machines);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct lmn_cloud_machine *machine = value;
+        if (lmn_job_spec_allows(&job->spec, lmn_machine_type_by_name(core, machine->type),
+                                machine->zone, machine->is_spot))
+            tasks += LMN_MAX_MACHINE_ATTEMPTS;
+    }
+    return tasks;
+}
+
+/* Guards against accepted work that machines cover by their processors but can't start:
+ * small tasks fill machines by their number. */
+static void tasks_that_request_little_get_machines_by_their_number(void **state)
+{
+    static const double sizes[] = {0, 0.001, 0.005};
+    (void)state;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++)
+        for (int is_bound = 0; is_bound <= 1; is_bound++) {
+            set_up();
+            if (is_bound)
+                for (int k = 0; k < 8; k++)
+                    add_machine("large", "c", false);
+            struct lmn_job *job = add_job(2000, sizes[i], 0);
+            job->spec.kind = LMN_JOB_SERVICE;
+            job->spec.zone = is_bound ? (char *)"b" : NULL;
+            provision();
+            /* To the nearest whole machine, as for processors. */
+            assert_true(nameable_tasks_for(job) >= 2000 - LMN_MAX_MACHINE_ATTEMPTS / 2);
+            assert_true(nameable_tasks_for(job) <= 2000 + LMN_MAX_MACHINE_ATTEMPTS);
+            assert_int_equal(provision(), 0);
+        }
+}
+
+/* Guards against tasks without processors that share the limit of their team's other
+ * tasks, which does not concern them. */
+static void tasks_that_request_nothing_limited_are_not_reduced_by_the_limit(void **state)
+{
+    (void)state;
+    set_up();
+    team.cpus_max = 8;
+    add_job(800, 1, 1)->spec.kind = LMN_JOB_SERVICE;
+    struct lmn_job *job = add_job(2000, 0, 0);
+    job->spec.kind = LMN_JOB_SERVICE;
+    provision();
+    assert_true(nameable_tasks_for(job) >= 2000 - LMN_MAX_MACHINE_ATTEMPTS / 2);
+}
+
 /* Whatever jobs there are, each finds a machine that may run it, the requests come to an
  * end, and no more is provisioned than the demand and one machine for each set of offers.
  */
@@ -288,6 +345,8 @@
         cmocka_unit_test(small_tasks_alone_get_a_machine),
         cmocka_unit_test(less_than_a_task_within_the_limit_gets_no_machine),
         cmocka_unit_test(bound_arrays_get_the_capacity_that_they_need),
+        cmocka_unit_test(tasks_that_request_little_get_machines_by_their_number),
+        cmocka_unit_test(tasks_that_request_nothing_limited_are_not_reduced_by_the_limit),
         cmocka_unit_test(every_job_finds_a_machine_that_may_run_it),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
