A request above 64 KiB is answered with an error text, logged and counted

The server answers with the limit in the text; controllers log request_too_large, at most once in 10 s, and count lemonspar_requests_too_large.

--- a/src/controller/http_routes.c
+++ b/src/controller/http_routes.c
@@ -7,6 +7,7 @@
  * set once at the start or are read atomically. */
 #include "controller/http_routes.h"
 #include "http/metrics.h"
+#include "job/message_limits.h"
 #include "protocol/wire.h"
 #include "admission/worker_hosts.h"
 #include "admission/connection_budget.h"
@@ -14,6 +15,7 @@
 #include "controller/user_api.h"
 #include "controller/deferred_responses.h"
 #include "controller/metrics.h"
+#include "util/log.h"
 
 #include <string.h>
 
@@ -22,12 +24,15 @@
     STATUS_NOT_FOUND = 404,
     STATUS_METHOD_NOT_ALLOWED = 405,
     STATUS_UNAVAILABLE = 503,
-    MAX_BODY_BYTES = 64 * 1024,
     CONNECTION_MEMORY_BYTES = 6144,
     MIN_IDLE_S = 20,
     MAX_IDLE_S = 90,
 };
 
+/** Requests with too large a body are logged at most once per interval, because workers
+ * repeat them. */
+static const double OVERSIZED_LOG_INTERVAL_S = 10;
+
 /** A deferred request is answered 503 after this time, and the client retries. */
 static const double DEFERRED_TIMEOUT_S = 2.5;
 
@@ -81,6 +86,25 @@
                                         (enum lmn_connection_kind)kind);
 }
 
+/** Counts a request whose body exceeds the limit, and logs it from time to time. */
+static void record_oversized_request(void *arg, const char *path)
+{
+    struct lmn_core *core = arg;
+    struct timespec now = lmn_now();
+
+    pthread_mutex_lock(&core->lock);
+    struct timespec *logged_at = &core->maintenance.last_oversized_logged_at;
+    uint64_t count = ++core->counters.oversized_requests;
+    bool is_due = !logged_at->tv_sec ||
+                  lmn_time_diff_s(now, *logged_at) >= OVERSIZED_LOG_INTERVAL_S;
+    if (is_due)
+        *logged_at = now;
+    pthread_mutex_unlock(&core->lock);
+    if (is_due)
+        lmn_error("request_too_large path=%.64s limit=%d so-far=%" G_GUINT64_FORMAT, path,
+                  LMN_MAX_MESSAGE_BYTES, count);
+}
+
 /* --- routes --- */
 
 static void handle_heartbeat(struct lmn_core *core, struct lmn_http_request *request)
@@ -152,7 +176,8 @@
     const struct lmn_http_server_options options = {
         .listen = core->settings->client_listen,
         .connections = core->connection_budget.max_accepted,
-        .max_body_bytes = MAX_BODY_BYTES,
+        .max_body_bytes = LMN_MAX_MESSAGE_BYTES,
+        .body_too_large = record_oversized_request,
         .connection_memory_bytes = CONNECTION_MEMORY_BYTES,
         .defer_timeout_s = DEFERRED_TIMEOUT_S,
         /* The connection of a worker that sends no heartbeat for the duration of a lease
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -38,6 +38,9 @@
 /** Answers a request that was received whole, or defers it. */
 typedef void lmn_http_handler(void *arg, struct lmn_http_request *request);
 
+/** Told of a request whose body is too long, before it is answered with 400. */
+typedef void lmn_http_body_too_large(void *arg, const char *path);
+
 /** Connections are counted by kind, a number from 0 to LMN_HTTP_CONNECTION_KINDS - 1
  * whose meaning the caller defines. */
 enum { LMN_HTTP_CONNECTION_KINDS = 4 };
@@ -63,8 +66,9 @@
     /** Maximum number of open connections; further ones are refused. */
     unsigned connections;
     /** Maximum length of a body, bytes. A longer body is read to its end, not stored, and
-     * answered with 400. */
+     * answered with 400 and an error text. */
     size_t max_body_bytes;
+    lmn_http_body_too_large *body_too_large; /**< NULL: not told */
     /** Bytes that libmicrohttpd allocates for each connection, which limits the length
      * of the headers; 0: 32 KiB. */
     size_t connection_memory_bytes;
--- a/src/http/server_daemon.c
+++ b/src/http/server_daemon.c
@@ -57,6 +57,17 @@
         g_byte_array_append(request->body, (const guint8 *)bytes, (guint)len);
 }
 
+static void refuse_body(struct lmn_http_request *request)
+{
+    const struct lmn_http_server_options *options = &request->server->options;
+    g_autofree char *text = g_strdup_printf("body: larger than the limit of %zu bytes",
+                                            options->max_body_bytes);
+
+    if (options->body_too_large)
+        options->body_too_large(options->arg, request->path);
+    lmn_http_request_fail(request, STATUS_BAD_REQUEST, text);
+}
+
 /** Passes a completely received request to the handler, or answers it with an error. */
 static void dispatch(struct lmn_http_request *request)
 {
@@ -65,7 +76,7 @@
     if (request->method == LMN_HTTP_OTHER)
         lmn_http_request_respond(request, STATUS_METHOD_NOT_ALLOWED, NULL, 0);
     else if (request->is_body_too_large)
-        lmn_http_request_respond(request, STATUS_BAD_REQUEST, NULL, 0);
+        refuse_body(request);
     else
         options->route(options->arg, request);
 }
