Autoscaler: tasks beyond the number that machines can name get a machine at once

Seen in a trial: 700 small services, 496 of them on the only machine, and 24 ordinary tasks of 4 processors, which waited for 19 s until a second machine was rented, since the services had then waited for the horizon. The sums covered the processors, and 204 tasks are less than half of what a machine can name, so that the number of machines was rounded down.

A deficit in tasks is rounded up: other than with processors, what exceeds it can start nowhere. A deficit in processors that rounds to no machine does not hide one in tasks any more where demand is confined. test_autoscaler_fit asks for machines for all tasks now.

--- a/src/scheduler/autoscaler.c
+++ b/src/scheduler/autoscaler.c
@@ -119,7 +119,10 @@
         return INFINITY;
     double usable = usable_amount(type, &demand, deficit->unit);
     double machines = served / usable;
-    double rounded = deficit->is_first ? ceil(machines) : floor(machines + 0.5);
+    /* Tasks beyond the number that machines can name start nowhere, and ordinary work
+     * would wait with them. */
+    bool rounds_up = deficit->is_first || deficit->unit == LMN_UNIT_TASKS;
+    double rounded = rounds_up ? ceil(machines) : floor(machines + 0.5);
     *count = (unsigned)CLAMP(rounded, 0, MAX_REQUESTED_MACHINES);
     return price_per_hour(offer) / usable * boot_factor(type);
 }
@@ -176,16 +179,19 @@
                                     struct lmn_provision_request *request,
                                     struct timespec now)
 {
-    struct lmn_confined_deficit confined;
-
-    if (!lmn_find_confined_deficit(core, demands, capacity, &confined))
-        return false;
-    const struct deficit deficit = {confined.unit, confined.amount, confined.amount, true,
-                                    confined.has_no_machine};
-    double cost =
-        choose_offer(core, autoscaler, confined.demands, &deficit, request, now);
-    lmn_confined_deficit_clear(&confined);
-    return cost < INFINITY && request->count > 0;
+    g_autoptr(GArray) deficits = lmn_find_confined_deficits(core, demands, capacity);
+
+    for (guint i = 0; i < deficits->len; i++) {
+        const struct lmn_confined_deficit *confined =
+            &g_array_index(deficits, struct lmn_confined_deficit, i);
+        const struct deficit deficit = {confined->unit, confined->amount,
+                                        confined->amount, true, confined->has_no_machine};
+        double cost =
+            choose_offer(core, autoscaler, confined->demands, &deficit, request, now);
+        if (cost < INFINITY && request->count > 0)
+            return true;
+    }
+    return false;
 }
 
 /** Fills in a request either for ordinary machines, for jobs that may not use spot
--- a/src/scheduler/autoscaler_constraints.c
+++ b/src/scheduler/autoscaler_constraints.c
@@ -253,35 +253,36 @@
     return confined;
 }
 
-bool lmn_find_confined_deficit(const struct lmn_core *core, const GArray *demands,
-                               const struct lmn_capacity *capacity,
-                               struct lmn_confined_deficit *deficit)
+static void clear_deficit(gpointer element)
 {
-    int largest = -1;
+    g_array_free(((struct lmn_confined_deficit *)element)->demands, TRUE);
+}
+
+GArray *lmn_find_confined_deficits(const struct lmn_core *core, const GArray *demands,
+                                   const struct lmn_capacity *capacity)
+{
+    GArray *found = g_array_new(FALSE, FALSE, sizeof(struct lmn_confined_deficit));
 
+    g_array_set_clear_func(found, clear_deficit);
     if (core->cloud.machine_types.count > MAX_TYPES)
-        return false;
+        return found;
     struct offer_sets sets = group_demands(core, demands, capacity);
     g_autoptr(GArray) deficits = compare_sets(&sets);
-
-    for (int unit = 0; unit < LMN_UNIT_COUNT && largest < 0; unit++) {
-        largest = find_largest(&sets, deficits, unit);
+    for (int unit = 0; unit < LMN_UNIT_COUNT; unit++) {
+        int largest = find_largest(&sets, deficits, unit);
         if (largest < 0)
             continue;
-        const struct set_deficit *found =
+        const struct offer_set *set =
+            &g_array_index(sets.sets, struct offer_set, largest);
+        const struct set_deficit *deficit =
             &g_array_index(deficits, struct set_deficit, largest);
-        *deficit = (struct lmn_confined_deficit){
-            .demands = list_confined(
-                &sets, &g_array_index(sets.sets, struct offer_set, largest), demands),
+        const struct lmn_confined_deficit entry = {
+            .demands = list_confined(&sets, set, demands),
             .unit = unit,
-            .amount = found->missing.of[unit],
-            .has_no_machine = found->has_no_machine};
+            .amount = deficit->missing.of[unit],
+            .has_no_machine = deficit->has_no_machine};
+        g_array_append_val(found, entry);
     }
     clear_sets(&sets);
-    return largest >= 0;
-}
-
-void lmn_confined_deficit_clear(struct lmn_confined_deficit *deficit)
-{
-    g_array_free(deficit->demands, TRUE);
+    return found;
 }
--- a/src/scheduler/autoscaler_constraints.h
+++ b/src/scheduler/autoscaler_constraints.h
@@ -17,23 +17,18 @@
 
 /** Demand confined to a set of offers that has too little capacity for it. */
 struct lmn_confined_deficit {
-    GArray *demands;             /**< the confined demand, struct lmn_range_demand */
-    enum lmn_capacity_unit unit; /**< processors if any are missing, else tasks */
-    double amount;               /**< what is missing of it */
-    bool has_no_machine;         /**< no machine of the set's offers runs or boots */
+    GArray *demands; /**< the confined demand, struct lmn_range_demand */
+    enum lmn_capacity_unit unit;
+    double amount;       /**< what is missing of it */
+    bool has_no_machine; /**< no machine of the set's offers runs or boots */
 };
 
-/** Finds the largest deficit of demand that is confined to some of the offers. Demand of
- * jobs that may run on all ordinary machines is not confined; that of jobs that wait for
- * spot instances is left out.
- * @param[out] deficit release with lmn_confined_deficit_clear; valid if the result is
- * true
- * @return whether there is one that warrants a machine */
-bool lmn_find_confined_deficit(const struct lmn_core *core, const GArray *demands,
-                               const struct lmn_capacity *capacity,
-                               struct lmn_confined_deficit *deficit);
-
-/** Frees the demands. */
-void lmn_confined_deficit_clear(struct lmn_confined_deficit *deficit);
+/** Finds the largest deficit of each unit in demand that is confined to some of the
+ * offers and warrants a machine. Demand of jobs that may run on all ordinary machines is
+ * not confined; that of jobs that wait for spot instances is left out.
+ * @return struct lmn_confined_deficit, one for each unit with a deficit, processors
+ * first; the caller frees the array, which frees the demands */
+GArray *lmn_find_confined_deficits(const struct lmn_core *core, const GArray *demands,
+                                   const struct lmn_capacity *capacity);
 
 #endif
--- a/tests/test_autoscaler_fit.c
+++ b/tests/test_autoscaler_fit.c
@@ -266,8 +266,7 @@
             job->spec.kind = LMN_JOB_SERVICE;
             job->spec.zone = is_bound ? (char *)"b" : NULL;
             provision();
-            /* To the nearest whole machine, as for processors. */
-            assert_true(nameable_tasks_for(job) >= 2000 - LMN_MAX_MACHINE_ATTEMPTS / 2);
+            assert_true(nameable_tasks_for(job) >= 2000);
             assert_true(nameable_tasks_for(job) <= 2000 + LMN_MAX_MACHINE_ATTEMPTS);
             assert_int_equal(provision(), 0);
         }
@@ -284,7 +283,7 @@
     struct lmn_job *job = add_job(2000, 0, 0);
     job->spec.kind = LMN_JOB_SERVICE;
     provision();
-    assert_true(nameable_tasks_for(job) >= 2000 - LMN_MAX_MACHINE_ATTEMPTS / 2);
+    assert_true(nameable_tasks_for(job) >= 2000);
 }
 
 /* Whatever jobs there are, each finds a machine that may run it, the requests come to an
