A machine with as many attempts as it can name is told at once which to clear

A full machine is woken once results are recorded, and gets the clears in a push. The response shows which attempts are gone; they make room, and the machine is woken for starts. A clear is pushed once; if that is lost, the reply to the next heartbeat repeats it as before. Only recorded results whose start can't arrive any more are cleared, by the same test (may_clear), and an attempt is removed only when a newer report of the worker does not name it. Machines below the bound see no difference.

--- a/src/partition/heartbeat_reply.c
+++ b/src/partition/heartbeat_reply.c
@@ -143,6 +143,40 @@
            !is_kept_as_failure_evidence(machine, attempt);
 }
 
+static bool may_push_clear(const struct lmn_machine *machine,
+                           const struct lmn_attempt *attempt)
+{
+    return attempt->state == LMN_ATTEMPT_ENDED && !attempt->clear_pushed &&
+           may_clear(machine, attempt);
+}
+
+bool lmn_machine_needs_pushed_clears(const struct lmn_machine *machine)
+{
+    if (machine->attempts->len < LMN_MAX_MACHINE_ATTEMPTS)
+        return false;
+    for (guint i = 0; i < machine->attempts->len; i++)
+        if (may_push_clear(machine,
+                           &g_array_index(machine->attempts, struct lmn_attempt, i)))
+            return true;
+    return false;
+}
+
+void lmn_heartbeat_push_clears(struct lmn_machine *machine,
+                               struct lmn_command_list *commands)
+{
+    if (machine->attempts->len < LMN_MAX_MACHINE_ATTEMPTS)
+        return;
+    for (guint i = 0; i < machine->attempts->len; i++) {
+        struct lmn_attempt *attempt =
+            &g_array_index(machine->attempts, struct lmn_attempt, i);
+        if (!may_push_clear(machine, attempt) ||
+            !lmn_command_list_has_room(commands, LMN_MAX_PLAIN_COMMAND_BYTES))
+            continue;
+        lmn_command_list_add(commands, LMN_COMMAND_CLEAR, attempt, LMN_COMMAND_NO_GRACE);
+        attempt->clear_pushed = true;
+    }
+}
+
 /* Whether the attempt has to save its checkpoint now, because the cloud is about to
  * reclaim the spot machine and too little time would be left two heartbeats later. */
 static bool must_save_before_spot_end(const struct lmn_core *core,
--- a/src/partition/heartbeat_reply.h
+++ b/src/partition/heartbeat_reply.h
@@ -31,6 +31,15 @@
                                         const struct lmn_cbor_value *tasks,
                                         struct lmn_command_list *commands);
 
+/** Whether the machine has LMN_MAX_MACHINE_ATTEMPTS attempts, and a push could clear some
+ * of them: the next heartbeat may be seconds away, and until then nothing can start. */
+bool lmn_machine_needs_pushed_clears(const struct lmn_machine *machine);
+
+/** Appends clears for the attempts of such a machine that may be cleared, each in one
+ * push only. If the push is lost, the reply to the next heartbeat repeats them. */
+void lmn_heartbeat_push_clears(struct lmn_machine *machine,
+                               struct lmn_command_list *commands);
+
 /** Lets the scheduler start tasks on the machine, and appends the commands. Starts none
  * if the message might not hold all of them. */
 void lmn_heartbeat_start_tasks(struct lmn_core *core, struct lmn_machine *machine,
--- a/src/partition/maintenance.c
+++ b/src/partition/maintenance.c
@@ -2,6 +2,7 @@
  * throughout. */
 #include "partition/maintenance.h"
 
+#include "partition/heartbeat_reply.h"
 #include "partition/machine_silence.h"
 #include "partition/partition.h"
 #include "job/message_limits.h"
@@ -287,6 +288,16 @@
                       now);
 }
 
+/* Wakes a machine that has as many attempts as its heartbeats can name, once results of
+ * some are recorded, for a push that clears these. */
+static void wake_to_clear_attempts(struct lmn_core *core, struct lmn_machine *machine)
+{
+    if (machine->push.is_in_flight || !lmn_machine_needs_pushed_clears(machine))
+        return;
+    lmn_machine_wake(machine);
+    pthread_cond_broadcast(&core->machines_woken);
+}
+
 static void maintain_machine(struct lmn_core *core, struct lmn_machine *machine,
                              const GArray *silence, struct timespec now)
 {
@@ -305,6 +316,7 @@
     drain_if_unaccounted(core, machine, &context, now);
     drain_if_never_accounted(core, machine, now);
     drain_if_attempts_are_used_up(core, machine, now);
+    wake_to_clear_attempts(core, machine);
     drain_if_idle(core, machine, now);
 }
 
--- a/src/partition/worker_push.c
+++ b/src/partition/worker_push.c
@@ -41,6 +41,7 @@
                             struct lmn_command_list *commands, struct timespec now)
 {
     add_preemptions(core, machine, commands);
+    lmn_heartbeat_push_clears(machine, commands);
     guint attempts_before = machine->attempts->len;
     /* While the watch cache is too stale, heartbeats get no replies that renew leases,
      * and no tasks are started. */
@@ -158,6 +159,26 @@
     return any_uncertain;
 }
 
+/* Removes the attempts that a push has cleared, as its response shows, and wakes the
+ * machine, which may start others now. The response was written after the clears, and no
+ * start of these attempts can still arrive. */
+static void remove_cleared_attempts(struct lmn_core *core, struct lmn_machine *machine,
+                                    struct timespec now)
+{
+    guint before = machine->attempts->len;
+
+    for (guint i = machine->attempts->len; i-- > 0;) {
+        const struct lmn_attempt *attempt =
+            &g_array_index(machine->attempts, struct lmn_attempt, i);
+        if (attempt->clear_pushed && !attempt->in_last_heartbeat)
+            lmn_attempt_remove_absent(core, machine, i, now);
+    }
+    if (machine->attempts->len == before)
+        return;
+    lmn_machine_wake(machine);
+    pthread_cond_broadcast(&core->machines_woken);
+}
+
 void lmn_worker_client_push_done(struct lmn_core *core, const char *name, int status,
                                  const GByteArray *answer, struct timespec now)
 {
@@ -171,6 +192,8 @@
     machine->push.is_in_flight = false;
     struct push_answer result = apply_answer(core, machine, status, answer, now);
     bool any_uncertain = record_start_outcomes(core, machine, status, result, now);
+    if (result.is_applied)
+        remove_cleared_attempts(core, machine, now);
     /* The push may have arrived all the same: a heartbeat that names the starts then
      * resets the counter. */
     if (any_uncertain && !result.is_valid)
--- a/src/state/machine.h
+++ b/src/state/machine.h
@@ -50,6 +50,7 @@
      * the start may still arrive. */
     bool push_is_uncertain;
     bool was_reported; /**< a heartbeat has listed it */
+    bool clear_pushed; /**< a push has told the worker to forget it */
     bool from_replica; /**< known from an earlier owner's replica only */
     /** Replication log position of its start. The start is sent once the standby has
      * acknowledged this position; 0: it did not have to wait. */
--- a/tests/test_message_limits.c
+++ b/tests/test_message_limits.c
@@ -454,6 +454,45 @@
     assert_true(worker.agent.starts > LMN_MAX_MACHINE_ATTEMPTS);
 }
 
+/* Guards against a machine that waits for its next heartbeat with as many attempts as
+ * that can name, though all results are recorded: 1,000 tasks of a second took twice as
+ * long. */
+static void recorded_results_make_room_before_the_next_heartbeat(void **state)
+{
+    (void)state;
+    for (int is_lost = 0; is_lost <= 1; is_lost++) {
+        set_up(1);
+        step(0);
+        add_job(3000, 0, 1);
+        for (int i = 0; i < 40 && worker.agent.finished < LMN_MAX_MACHINE_ATTEMPTS; i++) {
+            now = lmn_time_add(now, STEP_S);
+            core->cache.fresh_at = now;
+            lmn_emu_worker_pass(&worker, now);
+            exchange_heartbeat(0);
+            describe_runs();
+        }
+        record_done_tasks();
+        lmn_maintenance_run(core, now);
+        g_autoptr(GByteArray) body = g_byte_array_new();
+        char name[LMN_NAME_SIZE], address[LMN_ADDRESS_SIZE];
+        if (is_lost) {
+            assert_true(
+                lmn_worker_client_next_push(core, 0, 1, name, address, body, now));
+            lmn_worker_client_push_done(core, name, LMN_HTTP_NO_RESPONSE, NULL, now);
+            /* Each clear is pushed once; heartbeats do the rest. */
+            lmn_maintenance_run(core, now);
+            assert_false(
+                lmn_worker_client_next_push(core, 0, 1, name, address, body, now));
+            exchange_heartbeat(0);
+            exchange_heartbeat(0);
+        } else {
+            exchange_pushes(0);
+        }
+        assert_int_equal(worker.agent.starts, 2 * LMN_MAX_MACHINE_ATTEMPTS);
+        assert_int_equal(worker.agent.refused + worker.agent.dropped_starts, 0);
+    }
+}
+
 /* Guards against work that is stolen for a machine that can't start it. */
 static void machine_without_room_for_attempts_does_not_steal(void **state)
 {
@@ -528,6 +567,7 @@
         cmocka_unit_test(
             machine_with_too_many_attempts_is_emptied_by_replies_within_the_limit),
         cmocka_unit_test(ended_attempts_count_until_they_are_cleared),
+        cmocka_unit_test(recorded_results_make_room_before_the_next_heartbeat),
         cmocka_unit_test(machine_without_room_for_attempts_does_not_steal),
         cmocka_unit_test(machine_is_drained_when_its_attempts_cannot_be_cleared),
         cmocka_unit_test(agent_drops_starts_that_a_heartbeat_could_not_name),
