--- a/tests/test_autoscaler_fit.c
+++ b/tests/test_autoscaler_fit.c
@@ -272,6 +272,27 @@
         }
 }
 
+/* Guards against ordinary work that waits for the horizon beside small services: their
+ * number is a little more than the only machine can name. */
+static void tasks_beyond_the_number_that_machines_can_name_get_a_machine(void **state)
+{
+    (void)state;
+    for (int variant = 0; variant < 4; variant++) {
+        bool is_bound = variant % 2;
+        /* More than the machine's processors, by too little for another machine. */
+        bool lacks_cpus = variant / 2;
+        set_up();
+        add_machine("large", "b", false);
+        struct lmn_job *job =
+            add_job(LMN_MAX_MACHINE_ATTEMPTS + 100, lacks_cpus ? 0.0285 : 0.001, 0.01);
+        job->spec.kind = LMN_JOB_SERVICE;
+        struct lmn_job *ordinary = add_job(1, 2, 2);
+        job->spec.zone = ordinary->spec.zone = is_bound ? (char *)"b" : NULL;
+        assert_int_equal(provision(), 1);
+        assert_int_equal(machine_count, 2);
+    }
+}
+
 /* Guards against tasks without processors that share the limit of their team's other
  * tasks, which does not concern them. */
 static void tasks_that_request_nothing_limited_are_not_reduced_by_the_limit(void **state)
@@ -345,6 +366,7 @@
         cmocka_unit_test(less_than_a_task_within_the_limit_gets_no_machine),
         cmocka_unit_test(bound_arrays_get_the_capacity_that_they_need),
         cmocka_unit_test(tasks_that_request_little_get_machines_by_their_number),
+        cmocka_unit_test(tasks_beyond_the_number_that_machines_can_name_get_a_machine),
         cmocka_unit_test(tasks_that_request_nothing_limited_are_not_reduced_by_the_limit),
         cmocka_unit_test(every_job_finds_a_machine_that_may_run_it),
     };
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -1,6 +1,9 @@
 /* The HTTP client: a request that was sent and got no response is reported to the caller
- * and never repeated by the client, since the server may have executed it. */
+ * and never repeated by the client, since the server may have executed it. The HTTP
+ * server: a request that is too large is answered with an error. */
 #include "http/client.h"
+#include "http/server.h"
+#include "protocol/cbor.h"
 #include "util/thread.h"
 #include "protocol/wire.h"
 
@@ -90,10 +93,65 @@
     g_byte_array_unref(out);
 }
 
+static gint routed_requests, oversized_requests;
+
+static void answer_ok(void *arg, struct lmn_http_request *request)
+{
+    (void)arg;
+    g_atomic_int_inc(&routed_requests);
+    lmn_http_request_respond(request, 200, NULL, 0);
+}
+
+static void count_oversized(void *arg, const char *path)
+{
+    (void)arg;
+    assert_string_equal(path, WIRE_PATH_HEARTBEAT);
+    g_atomic_int_inc(&oversized_requests);
+}
+
+/* Guards against a worker that is refused without a word: nothing said that its heartbeat
+ * was too large. */
+static void request_above_the_limit_is_answered_with_an_error_and_reported(void **state)
+{
+    enum { LIMIT = 65536 };
+    const struct lmn_http_server_options options = {.listen = "127.0.0.1:0",
+                                                    .connections = 4,
+                                                    .max_body_bytes = LIMIT,
+                                                    .body_too_large = count_oversized,
+                                                    .route = answer_ok};
+    g_autoptr(GByteArray) body = g_byte_array_new();
+    g_autoptr(GByteArray) out = g_byte_array_new();
+    char address[32], text[128];
+    struct lmn_cbor_document document;
+    (void)state;
+
+    struct lmn_http_server *server = lmn_http_server_start(&options);
+    assert_non_null(server);
+    g_snprintf(address, sizeof address, "127.0.0.1:%d", lmn_http_server_port(server));
+    struct lmn_http_client *client = lmn_http_client_new(address);
+    g_byte_array_set_size(body, LIMIT);
+    memset(body->data, 0, body->len);
+    assert_int_equal(
+        lmn_http_client_call(client, "POST", WIRE_PATH_HEARTBEAT, body, 5, out), 200);
+    assert_int_equal(g_atomic_int_get(&oversized_requests), 0);
+    g_byte_array_append(body, (const guint8 *)"", 1);
+    assert_int_equal(
+        lmn_http_client_call(client, "POST", WIRE_PATH_HEARTBEAT, body, 5, out), 400);
+    assert_int_equal(g_atomic_int_get(&routed_requests), 1);
+    assert_int_equal(g_atomic_int_get(&oversized_requests), 1);
+    assert_int_equal(lmn_cbor_parse(&document, out->data, out->len), 0);
+    assert_true(lmn_cbor_get_text(
+        lmn_cbor_get(&document, lmn_cbor_root(&document), "error"), text, sizeof text));
+    assert_non_null(strstr(text, "65536 bytes"));
+    lmn_cbor_free(&document);
+    lmn_http_client_free(client);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(request_without_response_is_reported_and_not_repeated)};
+        cmocka_unit_test(request_without_response_is_reported_and_not_repeated),
+        cmocka_unit_test(request_above_the_limit_is_answered_with_an_error_and_reported)};
 
     curl_global_init(CURL_GLOBAL_NOTHING);
     return cmocka_run_group_tests(tests, NULL, NULL);
