--- a/tests/test_autoscaler_fit.c
+++ b/tests/test_autoscaler_fit.c
@@ -283,13 +283,15 @@
         bool lacks_cpus = variant / 2;
         set_up();
         add_machine("large", "b", false);
+        for (int i = 0; is_bound && i < 8; i++)
+            add_machine("large", "c", false);
         struct lmn_job *job =
             add_job(LMN_MAX_MACHINE_ATTEMPTS + 100, lacks_cpus ? 0.0285 : 0.001, 0.01);
         job->spec.kind = LMN_JOB_SERVICE;
         struct lmn_job *ordinary = add_job(1, 2, 2);
         job->spec.zone = ordinary->spec.zone = is_bound ? (char *)"b" : NULL;
         assert_int_equal(provision(), 1);
-        assert_int_equal(machine_count, 2);
+        assert_int_equal(machine_count, is_bound ? 10 : 2);
     }
 }
 
