--- a/src/emulator/driver.c
+++ b/src/emulator/driver.c
@@ -4,6 +4,7 @@
 #include "util/log.h"
 #include "http/metrics.h"
 #include "util/thread.h"
+#include "job/message_limits.h"
 #include "protocol/wire.h"
 #include "image_store/image_store.h"
 #include "image_store/work.h"
@@ -23,7 +24,7 @@
 /* A report that is not answered holds its sender for 4 s. With 24 of them a controller
  * that could not hear 300 workers stopped the reports of all others, too, and no worker
  * came to anybody else. */
-enum { SENDERS = 192, ASKERS = 4, MAX_BODY = 64 * 1024, MAX_SPECS = 5000 };
+enum { SENDERS = 192, ASKERS = 4, MAX_SPECS = 5000 };
 static const double PASS_S = 0.01, ANSWER_S = 4;
 
 /* A machine that is up. */
@@ -690,7 +691,7 @@
 {
     struct lmn_emulation *emulation = g_new0(struct lmn_emulation, 1);
     const struct lmn_http_server_options h = {.connections = 32768,
-                                              .max_body_bytes = MAX_BODY,
+                                              .max_body_bytes = LMN_MAX_MESSAGE_BYTES,
                                               .route = route,
                                               .arg = emulation};
 
--- a/src/emulator/worker.c
+++ b/src/emulator/worker.c
@@ -78,7 +78,7 @@
 static bool has_result(void *arg, const char *ref, uint32_t index)
 {
     struct lmn_emu_worker *worker = arg;
-    char key[LMN_JOB_ID_SIZE + 16];
+    char key[LMN_TASK_NAME_SIZE];
     g_snprintf(key, sizeof key, "%s/%u", ref, index);
     return g_hash_table_contains(worker->results, key);
 }
--- a/src/gateway/http_api.c
+++ b/src/gateway/http_api.c
@@ -5,6 +5,7 @@
 #include "util/log.h"
 #include "http/metrics.h"
 #include "util/thread.h"
+#include "job/message_limits.h"
 #include "protocol/wire.h"
 #include "image_store/image_store.h"
 #include "gateway/gateway_internal.h"
@@ -15,7 +16,7 @@
  * of it. */
 static const double PATIENCE_S = 2.5;
 
-enum { HANDS = 8, MAX_BODY = 64 * 1024, MOST_CALLS = 512 };
+enum { HANDS = 8, MOST_CALLS = 512 };
 
 /* What the command line asks. */
 #define RECALL "/gateway/recall/"
@@ -480,7 +481,7 @@
 {
     const struct lmn_http_server_options o = {.listen = gateway->options->listen,
                                               .connections = 4096,
-                                              .max_body_bytes = MAX_BODY,
+                                              .max_body_bytes = LMN_MAX_MESSAGE_BYTES,
                                               .defer_timeout_s = PATIENCE_S,
                                               .route = route,
                                               .arg = gateway};
--- a/src/job/job_spec.h
+++ b/src/job/job_spec.h
@@ -22,7 +22,9 @@
 enum {
     LMN_JOB_ID_SIZE = 32, /**< bytes of a job id's buffer, with the terminating NUL */
     LMN_MAX_JOB_ID_LENGTH = 23, /**< of a valid id */
-    LMN_MAX_TASKS = 100000      /**< maximum number of tasks in one job */
+    /** Bytes of a task's name, JOB-ID/INDEX, with the terminating NUL. */
+    LMN_TASK_NAME_SIZE = LMN_JOB_ID_SIZE + 16,
+    LMN_MAX_TASKS = 100000 /**< maximum number of tasks in one job */
 };
 
 /** Whether tasks end by themselves (batch) or are replicas that run until the job is
--- a/src/machine_provider/server.c
+++ b/src/machine_provider/server.c
@@ -2,13 +2,14 @@
 #include "util/log.h"
 #include "http/metrics.h"
 #include "util/thread.h"
+#include "job/message_limits.h"
 #include "protocol/wire.h"
 #include "machine_provider/cloud_api.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-enum { MAX_BODY = 64 * 1024, HANDS = 4 };
+enum { HANDS = 4 };
 
 struct front {
     const struct lmn_machine_provider_ops *ops;
@@ -265,7 +266,7 @@
     struct front *api = g_new0(struct front, 1);
     const struct lmn_http_server_options o = {.listen = listen,
                                               .connections = 1024,
-                                              .max_body_bytes = MAX_BODY,
+                                              .max_body_bytes = LMN_MAX_MESSAGE_BYTES,
                                               .route = route,
                                               .arg = api};
 
--- a/src/partition/heartbeat_message.c
+++ b/src/partition/heartbeat_message.c
@@ -8,9 +8,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Bytes of a task's name on the wire, JOB-ID/INDEX, with its closing zero byte. */
-enum { TASK_NAME_SIZE = LMN_JOB_ID_SIZE + 16 };
-
 enum { MAX_TASK_INDEX_DIGITS = 9 };
 
 _Static_assert(LMN_NAME_SIZE == 64 && LMN_ADDRESS_SIZE == 64,
@@ -31,7 +28,7 @@
                               const struct lmn_cbor_document *document,
                               const struct lmn_cbor_value *node)
 {
-    char task[TASK_NAME_SIZE], *slash;
+    char task[LMN_TASK_NAME_SIZE], *slash;
 
     memset(attempt, 0, sizeof *attempt);
     if (!lmn_cbor_get_text(lmn_cbor_get(document, node, WIRE_TASK), task, sizeof task) ||
--- a/src/state/command.c
+++ b/src/state/command.c
@@ -5,9 +5,6 @@
 #include "protocol/cbor.h"
 #include "protocol/wire.h"
 
-/** Buffer size in bytes for a task name of the form JOB/INDEX. */
-enum { TASK_NAME_SIZE = LMN_JOB_ID_SIZE + 16 };
-
 static const char *command_name(enum lmn_command_kind kind)
 {
     switch (kind) {
@@ -25,7 +22,7 @@
 {
     const struct lmn_attempt *attempt = command->attempt;
     bool has_grace = command->grace_s >= 0;
-    char task[TASK_NAME_SIZE];
+    char task[LMN_TASK_NAME_SIZE];
 
     g_snprintf(task, sizeof task, "%s/%u", attempt->job_id, attempt->index);
     lmn_cbor_put_map(out, has_grace ? 4 : 3);
--- a/src/worker/agent.h
+++ b/src/worker/agent.h
@@ -20,9 +20,6 @@
 
 #include <time.h>
 
-/** Size of a task's name: the job's id, a slash, the index, and the final NUL. */
-enum { LMN_TASK_NAME_SIZE = LMN_JOB_ID_SIZE + 16 };
-
 struct lmn_agent;
 
 /** The state of a run. A run ends in LMN_RUN_ENDED and stays listed there until a
