--- a/src/job/message_limits.h
+++ b/src/job/message_limits.h
@@ -68,10 +68,4 @@
         (int)LMN_MAX_MESSAGE_LIST_BYTES / (int)LMN_MAX_MESSAGE_ENTRY_BYTES
 };
 
-_Static_assert(LMN_MAX_TASKS <= 100000, "LMN_MAX_TASK_INDEX_DIGITS counts its digits");
-_Static_assert((int)LMN_MAX_PLAIN_COMMAND_BYTES <= (int)LMN_MAX_MESSAGE_ENTRY_BYTES,
-               "each attempt counts as an entry of the largest size");
-/* The words of equal commands have no more letters. */
-_Static_assert(sizeof WIRE_CLEAR <= sizeof WIRE_START, "a clear is no larger");
-
 #endif
--- a/src/state/command.c
+++ b/src/state/command.c
@@ -2,9 +2,16 @@
  * Encodes commands to workers as CBOR; see state/command.h. */
 #include "state/command.h"
 
+#include "job/message_limits.h"
 #include "protocol/cbor.h"
 #include "protocol/wire.h"
 
+_Static_assert(LMN_MAX_TASKS <= 100000, "LMN_MAX_TASK_INDEX_DIGITS counts its digits");
+_Static_assert((int)LMN_MAX_PLAIN_COMMAND_BYTES <= (int)LMN_MAX_MESSAGE_ENTRY_BYTES,
+               "each attempt counts as an entry of the largest size");
+/* LMN_MAX_PLAIN_COMMAND_BYTES is computed for a start. */
+_Static_assert(sizeof WIRE_CLEAR <= sizeof WIRE_START, "a clear is no larger");
+
 static const char *command_name(enum lmn_command_kind kind)
 {
     switch (kind) {
