All kills of a full machine fit into one reply, and no clear is pushed behind the fence

Two faults of the bound of attempts, found on reading it again.

The reply asked for the room of a repeated start with its kill for every attempt. The room of a start is asked for only where one is repeated.

A push cleared attempts also while the watch cache was too stale, when heartbeats get no reply. No rule is known to break by it: what is cleared has ended, is recorded, and a newer token makes the worker refuse the push. But the argument in docs/design/messages.md is that of a reply, which the fence stops, so the push keeps to the fence, too. The test fails without it.

--- a/src/partition/heartbeat_message.h
+++ b/src/partition/heartbeat_message.h
@@ -47,13 +47,6 @@
     size_t json_bytes; /**< upper bound of their size as JSON */
 };
 
-/** Upper bound of the commands that one attempt needs in a message, as JSON: a repeated
- * start with a kill. */
-enum {
-    LMN_MAX_ATTEMPT_COMMAND_BYTES =
-        LMN_MAX_PLAIN_COMMAND_BYTES + LMN_MAX_KILL_COMMAND_BYTES
-};
-
 /** Creates an empty list, to be freed with lmn_command_list_free. */
 struct lmn_command_list lmn_command_list_new(void);
 /** Frees the encoded commands. No command can be added to the list afterwards. */
--- a/src/partition/heartbeat_reply.c
+++ b/src/partition/heartbeat_reply.c
@@ -202,12 +202,16 @@
 
     if (attempt->push_in_flight && may_run)
         return;
-    if (!has_room(core, commands, LMN_MAX_ATTEMPT_COMMAND_BYTES))
-        return;
     /* Repeats a pushed start of unknown outcome in this reply, which cannot arrive late.
      * After that the attempt is on the machine, and the pushed start has no effect when
      * it arrives. */
-    if ((attempt->push_is_uncertain || attempt->push_in_flight) && !attempt->was_reported)
+    bool repeats_start =
+        (attempt->push_is_uncertain || attempt->push_in_flight) && !attempt->was_reported;
+    if (!has_room(core, commands,
+                  (repeats_start ? LMN_MAX_PLAIN_COMMAND_BYTES : 0) +
+                      LMN_MAX_KILL_COMMAND_BYTES))
+        return;
+    if (repeats_start)
         lmn_command_list_add(commands, LMN_COMMAND_START, attempt, LMN_COMMAND_NO_GRACE);
     if (attempt->state == LMN_ATTEMPT_ENDED) {
         if (may_clear(machine, attempt))
--- a/src/partition/worker_push.c
+++ b/src/partition/worker_push.c
@@ -41,12 +41,13 @@
                             struct lmn_command_list *commands, struct timespec now)
 {
     add_preemptions(core, machine, commands);
-    lmn_heartbeat_push_clears(machine, commands);
     guint attempts_before = machine->attempts->len;
-    /* While the watch cache is too stale, heartbeats get no replies that renew leases,
+    /* While the watch cache is too stale, heartbeats get no replies: nothing is cleared
      * and no tasks are started. */
-    if (!lmn_watch_cache_is_too_stale(core, now))
+    if (!lmn_watch_cache_is_too_stale(core, now)) {
+        lmn_heartbeat_push_clears(machine, commands);
         lmn_heartbeat_start_tasks(core, machine, commands, now);
+    }
     if (!commands->count)
         return;
     for (guint i = attempts_before; i < machine->attempts->len; i++)
--- a/tests/test_message_limits.c
+++ b/tests/test_message_limits.c
@@ -429,6 +429,41 @@
     }
 }
 
+/* Number of commands in the reply to a heartbeat, in which the worker gets none of them.
+ */
+static uint32_t count_commands_in_reply(void)
+{
+    g_autoptr(GByteArray) body = g_byte_array_new();
+    g_autoptr(GByteArray) reply = g_byte_array_new();
+    struct lmn_deferred_starts deferred;
+    struct lmn_cbor_document document;
+
+    lmn_agent_write_heartbeat(&worker.agent, body, now);
+    lmn_heartbeat_handle(core, body->data, body->len, reply, &deferred, now);
+    check_size(reply);
+    assert_int_equal(lmn_cbor_parse(&document, reply->data, reply->len), 0);
+    uint32_t commands =
+        lmn_cbor_get(&document, lmn_cbor_root(&document), WIRE_COMMANDS)->len;
+    lmn_cbor_free(&document);
+    return commands;
+}
+
+/* Guards against a cancelled task that runs on for a heartbeat, as the last kill of a
+ * full machine had no room left. */
+static void all_tasks_of_a_full_machine_are_killed_by_one_reply(void **state)
+{
+    (void)state;
+    set_up(1);
+    step(0);
+    struct lmn_job *job = add_job(LMN_MAX_MACHINE_ATTEMPTS, 0.01, 600);
+    step(0);
+    step(0);
+    assert_int_equal(worker.agent.runs->len, LMN_MAX_MACHINE_ATTEMPTS);
+    job->phase = LMN_JOB_CANCELLED;
+    assert_int_equal(count_commands_in_reply(), LMN_MAX_MACHINE_ATTEMPTS);
+    assert_int_equal(core->counters.deferred_commands, 0);
+}
+
 /* Guards against results that count for nothing because they have ended: the worker names
  * them until it is told to clear them. */
 static void ended_attempts_count_until_they_are_cleared(void **state)
@@ -475,6 +510,11 @@
         lmn_maintenance_run(core, now);
         g_autoptr(GByteArray) body = g_byte_array_new();
         char name[LMN_NAME_SIZE], address[LMN_ADDRESS_SIZE];
+        /* As in a heartbeat's reply, nothing is cleared behind the fence. */
+        core->cache.fresh_at = lmn_time_add(now, -settings.cancel_s);
+        assert_false(lmn_worker_client_next_push(core, 0, 1, name, address, body, now));
+        core->cache.fresh_at = now;
+        lmn_maintenance_run(core, now);
         if (is_lost) {
             assert_true(
                 lmn_worker_client_next_push(core, 0, 1, name, address, body, now));
@@ -566,6 +606,7 @@
         cmocka_unit_test(fullest_heartbeat_is_within_the_limit),
         cmocka_unit_test(
             machine_with_too_many_attempts_is_emptied_by_replies_within_the_limit),
+        cmocka_unit_test(all_tasks_of_a_full_machine_are_killed_by_one_reply),
         cmocka_unit_test(ended_attempts_count_until_they_are_cleared),
         cmocka_unit_test(recorded_results_make_room_before_the_next_heartbeat),
         cmocka_unit_test(machine_without_room_for_attempts_does_not_steal),
