--- a/tests/test_autoscaler_fit.c
+++ b/tests/test_autoscaler_fit.c
@@ -2,6 +2,7 @@
  * run, whatever capacity other machines have. */
 #include "job/message_limits.h"
 #include "scheduler/autoscaler.h"
+#include "scheduler/autoscaler_capacity.h"
 #include "state/core.h"
 
 #include <setjmp.h>
@@ -134,22 +135,34 @@
     return requests;
 }
 
-/* Processors of the machines that may run the job. */
-static double cpus_for(const struct lmn_job *job)
+/* What the machines have that may run the job. */
+static struct lmn_amounts capacity_for(const struct lmn_job *job)
 {
     GHashTableIter iter;
     gpointer value;
-    double cpus = 0;
+    struct lmn_amounts sum = {{0}};
 
     g_hash_table_iter_init(&iter, autoscaler.machines);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct lmn_cloud_machine *machine = value;
         const struct lmn_machine_type *type =
             lmn_machine_type_by_name(core, machine->type);
+        const struct lmn_amounts amounts = lmn_type_amounts(type);
         if (lmn_job_spec_allows(&job->spec, type, machine->zone, machine->is_spot))
-            cpus += type->cpus;
+            lmn_amounts_add(&sum, 1, &amounts);
     }
-    return cpus;
+    return sum;
+}
+
+static double cpus_for(const struct lmn_job *job)
+{
+    return capacity_for(job).of[LMN_UNIT_CPUS];
+}
+
+/* Number of tasks that the machines can name in their heartbeats. */
+static double nameable_tasks_for(const struct lmn_job *job)
+{
+    return capacity_for(job).of[LMN_UNIT_TASKS];
 }
 
 /* Guards against jobs that are never served because machines that they may not use cover
@@ -231,24 +244,6 @@
     assert_int_equal(provision(), 0);
 }
 
-/* Number of tasks that the machines which may run the job can name in their heartbeats.
- */
-static double nameable_tasks_for(const struct lmn_job *job)
-{
-    GHashTableIter iter;
-    gpointer value;
-    double tasks = 0;
-
-    g_hash_table_iter_init(&iter, autoscaler.machines);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct lmn_cloud_machine *machine = value;
-        if (lmn_job_spec_allows(&job->spec, lmn_machine_type_by_name(core, machine->type),
-                                machine->zone, machine->is_spot))
-            tasks += LMN_MAX_MACHINE_ATTEMPTS;
-    }
-    return tasks;
-}
-
 /* Guards against accepted work that machines cover by their processors but can't start:
  * small tasks fill machines by their number. */
 static void tasks_that_request_little_get_machines_by_their_number(void **state)
