Tests: a call that was answered starts its attempts again after they were cleared (failing)

What callers saw: a task on two machines at once (ran_twice). A call with its start had been carried out and answered, the attempt had failed and was cleared, the task ran elsewhere; a copy of the call came 8.8 s later and began the attempt anew.

--- a/tests/simulation/faults.c
+++ b/tests/simulation/faults.c
@@ -31,6 +31,7 @@
     [FAULT_NEW_MACHINES] = "new-machines",
     [FAULT_MACHINE_REACHES_NOBODY] = "machine-reaches-nobody",
     [FAULT_LATE_COMMANDS] = "late-commands",
+    [FAULT_COPIED_COMMANDS] = "copied-commands",
 };
 
 const char *fault_name(enum fault kind)
@@ -201,6 +202,9 @@
     case FAULT_LATE_COMMANDS:
         extend(&simulation.late_commands_until, duration_s);
         break;
+    case FAULT_COPIED_COMMANDS:
+        extend(&simulation.copied_commands_until, duration_s);
+        break;
     case FAULT_CLOUD:
         extend(&simulation.cloud_down_until, duration_s);
         break;
@@ -237,6 +241,7 @@
 
     last = MAX(last, simulation.keep_heartbeats_until);
     last = MAX(last, simulation.late_commands_until);
+    last = MAX(last, simulation.copied_commands_until);
     for (int i = 0; i < simulation.layout.nodes; i++) {
         const struct node *node = &simulation.nodes[i];
         const double until[] = {node->store_unreachable_until,
--- a/tests/simulation/machines.c
+++ b/tests/simulation/machines.c
@@ -108,6 +108,33 @@
                  : NULL;
 }
 
+static void forget_cleared_attempts(struct machine *machine)
+{
+    if (machine->cleared_attempts)
+        g_hash_table_remove_all(machine->cleared_attempts);
+}
+
+/* Notes that the worker has forgotten the attempt. Its number is unique among those of
+ * the machine's partition. */
+static void note_cleared_attempt(struct machine *machine, uint64_t attempt)
+{
+    if (!machine->cleared_attempts)
+        machine->cleared_attempts =
+            g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    g_hash_table_add(machine->cleared_attempts, g_memdup2(&attempt, sizeof attempt));
+}
+
+static void check_started_attempt(const struct machine *machine, uint64_t attempt)
+{
+    if (!machine->cleared_attempts ||
+        !g_hash_table_contains(machine->cleared_attempts, &attempt))
+        return;
+    simulation.restarted_attempts++;
+    simulation_fail_service("%s: attempt %" G_GUINT64_FORMAT
+                            " was cleared, and is started again",
+                            machine->name, attempt);
+}
+
 void machine_replace(struct machine *machine)
 {
     machine->is_terminated = false;
@@ -116,6 +143,7 @@
     machine->incarnation = 1;
     machine->sequence = machine->token = 0;
     machine->task_count = 0;
+    forget_cleared_attempts(machine);
     machine->heartbeat_in_flight = false;
     machine->lease_start = machine->next_heartbeat_at = simulation.now;
     machine->replaced_at = 0;
@@ -151,6 +179,7 @@
                                  WIRE_START)) {
             if (found >= 0 || machine->task_count == MAX_TASKS_PER_MACHINE)
                 continue;
+            check_started_attempt(machine, attempt);
             struct task *task = &machine->tasks[machine->task_count++];
             *task = (struct task){
                 job,     task_index,
@@ -168,6 +197,7 @@
                 machine->tasks[found].state = ENDED;
         } else if (found >= 0 && machine->tasks[found].state == ENDED) {
             machine->tasks[found] = machine->tasks[--machine->task_count];
+            note_cleared_attempt(machine, attempt);
         }
     }
 }
@@ -264,6 +294,7 @@
     if (simulation.now - machine->lease_start > simulation.lease_s) {
         machine->incarnation++;
         machine->task_count = 0;
+        forget_cleared_attempts(machine);
         machine->lease_start = simulation.now;
         machine->heartbeat_in_flight = false;
     }
--- a/tests/simulation/peers.c
+++ b/tests/simulation/peers.c
@@ -214,6 +214,24 @@
     g_ptr_array_add(simulation.messages, message);
 }
 
+/* Delivers a command to the machine, which answers. While commands are copied, half of
+ * them arrive again, up to three times, 2 s to two leases later. Returns the status. */
+static int deliver_command(struct machine *machine, const GByteArray *body,
+                           GByteArray *response)
+{
+    int status = machine_handle_command(machine, body, response);
+
+    if (simulation.now < simulation.copied_commands_until && simulation_chance(0.5))
+        for (int copies = g_rand_int_range(simulation.random, 1, 4); copies > 0;
+             copies--) {
+            simulation.copied_commands++;
+            execute_late(
+                machine, body,
+                g_rand_double_range(simulation.random, 2, 2 * simulation.lease_s));
+        }
+    return status;
+}
+
 /* Whether the command is delayed, by 2 to 16 s. */
 static bool is_delayed(struct machine *machine, const GByteArray *body)
 {
@@ -257,7 +275,7 @@
                                  node_reaches_machine((int)(node - simulation.nodes),
                                                       machine) &&
                                  !is_delayed(machine, deferred->body)
-                             ? machine_handle_command(machine, deferred->body, response)
+                             ? deliver_command(machine, deferred->body, response)
                              : LMN_HTTP_NO_RESPONSE;
             lmn_worker_client_push_done(node->core, deferred->starts.machine, status,
                                         response, simulation.clock);
@@ -326,9 +344,8 @@
         lmn_cbor_put_text(body, WIRE_AGENT_INCARNATION),
             lmn_cbor_put_uint(body, machine->incarnation);
         lmn_cbor_put_text(body, WIRE_COMMANDS), lmn_cbor_put_array(body, 0);
-        int status = is_delayed(machine, body)
-                         ? LMN_HTTP_NO_RESPONSE
-                         : machine_handle_command(machine, body, response);
+        int status = is_delayed(machine, body) ? LMN_HTTP_NO_RESPONSE
+                                               : deliver_command(machine, body, response);
         lmn_worker_client_probe_done(node->core, name, epoch, status, response,
                                      simulation.clock);
     }
@@ -369,7 +386,7 @@
             lmn_worker_client_push_done(node->core, name, LMN_HTTP_NO_RESPONSE, response,
                                         simulation.clock);
         } else {
-            int status = machine_handle_command(machine, body, response);
+            int status = deliver_command(machine, body, response);
             lmn_worker_client_push_done(node->core, name, status, response,
                                         simulation.clock);
         }
--- a/tests/simulation/simulation.h
+++ b/tests/simulation/simulation.h
@@ -108,6 +108,8 @@
     GUARD_KILL_INHERITED,
     /* At most one write of a range is in flight. */
     GUARD_ONE_WRITE_PER_RANGE,
+    /* An attempt whose start was pushed is cleared only under a higher fencing token. */
+    GUARD_RAISED_TOKEN,
 };
 
 /* What a transaction writes. */
@@ -206,6 +208,7 @@
     double replaced_at; /* when another machine takes the index; 0: at a random time */
     struct message *old_heartbeats[OLD_HEARTBEATS]; /* a ring; NULL: none yet */
     unsigned heartbeat_count;
+    GHashTable *cleared_attempts; /* uint64_t, of this incarnation; NULL: none yet */
 };
 
 struct job {
@@ -298,13 +301,14 @@
     double keep_heartbeats_until; /* copies are kept for the partition's next owner */
     GPtrArray *kept_heartbeats;   /* struct kept_heartbeat */
     int current_node;             /* the controller whose step this is */
-    double late_commands_until;
+    double late_commands_until, copied_commands_until;
     double fault_free_since;
     double longest_wait_s;     /* of a task while a machine had room for it */
     char service_failure[160]; /* why the run fails although no rule is broken */
     /* Written by partition owners. */
     unsigned transactions, operations, most_queued_operations;
-    unsigned late_commands;
+    unsigned late_commands, copied_commands;
+    unsigned restarted_attempts; /* begun anew at a worker that had cleared them */
     struct node nodes[MAX_NODES];
     struct machine machines[MAX_MACHINES];
     struct job jobs[MAX_JOBS];
@@ -473,7 +477,8 @@
     FAULT_OLD_HEARTBEATS, /* an old heartbeat of each machine reaches all controllers */
     FAULT_NEW_MACHINES,   /* machines terminate, and others are up within 2 s */
     FAULT_MACHINE_REACHES_NOBODY, /* no heartbeat arrives, pushed commands do */
-    FAULT_LATE_COMMANDS, /* pushed commands get no response and are executed late */
+    FAULT_LATE_COMMANDS,   /* pushed commands get no response and are executed late */
+    FAULT_COPIED_COMMANDS, /* commands that were answered arrive again, much later */
     FAULT_COUNT
 };
 const char *fault_name(enum fault kind);
--- /dev/null
+++ b/tests/test_late_commands.c
@@ -0,0 +1,221 @@
+/* Copies of calls to workers that were carried out and answered arrive again, after their
+ * attempts have ended and were cleared. No machine may begin such an attempt anew. */
+#include "owner/fixture.h"
+
+#include "partition/heartbeat.h"
+#include "scheduler/assignment.h"
+#include "scheduler/queue.h"
+#include "state/core.h"
+#include "util/clock.h"
+
+#include <string.h>
+
+/* Tests do not free their cores, so leak detection is off. */
+const char *__asan_default_options(void);
+const char *__asan_default_options(void)
+{
+    return "detect_leaks=0";
+}
+
+enum { MACHINES = 2, SEEDS = 60, MOST_STEPS = 400 };
+/* Steps in which an attempt ends, is cleared, and its task starts elsewhere. */
+enum { SETTLING_STEPS = 12 };
+
+/* Two machines that may get tasks: their first heartbeat made them known. */
+static void set_up_two_machines(void)
+{
+    fixture_set_up(MACHINES, 1);
+    fixture_step(0);
+    fixture_step(0);
+}
+
+/* Adds a job of one task, whose start is pushed. */
+static struct lmn_job *start_one_task(double cpus, double estimate_s)
+{
+    set_up_two_machines();
+    struct lmn_job *job = fixture_add_job(1, cpus, estimate_s);
+    fixture_exchange_pushes(0);
+    fixture_describe_runs();
+    assert_int_equal(fixture.answered_calls->len, 1);
+    fixture_pass(FIXTURE_STEP_S);
+    return job;
+}
+
+static int machine_of_first_call(void)
+{
+    return ((struct answered_call *)fixture.answered_calls->pdata[0])->machine;
+}
+
+static struct lmn_task_run *first_run(int machine)
+{
+    GPtrArray *runs = fixture.workers[machine].agent.runs;
+
+    assert_true(runs->len > 0);
+    return runs->pdata[0];
+}
+
+static void settle(void)
+{
+    for (int i = 0; i < SETTLING_STEPS; i++) {
+        fixture_step(0);
+        fixture_check_rules();
+    }
+}
+
+/* Delivers the copies, lets time pass on the machines, and checks the rules. */
+static void copies_must_start_nothing(void)
+{
+    unsigned started = fixture_deliver_copies();
+
+    fixture_pass(FIXTURE_STEP_S);
+    fixture_check_rules();
+    assert_int_equal(started, 0);
+}
+
+static void
+task_that_failed_and_runs_elsewhere_is_not_started_by_a_late_copy(void **state)
+{
+    (void)state;
+    start_one_task(4, 600);
+    int failed_on = machine_of_first_call();
+    lmn_agent_exited(&fixture.workers[failed_on].agent, first_run(failed_on)->id, false,
+                     false, fixture.now);
+    settle();
+    assert_int_equal(fixture.workers[1 - failed_on].agent.runs->len, 1);
+    assert_int_equal(fixture.workers[failed_on].agent.runs->len, 0);
+    copies_must_start_nothing();
+}
+
+static void preempted_task_is_not_started_by_a_late_copy(void **state)
+{
+    (void)state;
+    start_one_task(4, 600);
+    int stopped_on = machine_of_first_call();
+    fixture_exchange_heartbeat(stopped_on, 0);
+    struct lmn_machine *machine = fixture_machine(stopped_on);
+    g_array_index(machine->attempts, struct lmn_attempt, 0).must_stop = true;
+    machine->failures.quarantined_until = lmn_time_add(fixture.now, 600);
+    settle();
+    assert_int_equal(fixture.workers[1 - stopped_on].agent.runs->len, 1);
+    copies_must_start_nothing();
+}
+
+static void task_of_a_drained_machine_is_not_started_by_a_late_copy(void **state)
+{
+    (void)state;
+    start_one_task(4, 600);
+    int drained = machine_of_first_call();
+    fixture_exchange_heartbeat(drained, 0);
+    struct lmn_machine *machine = fixture_machine(drained);
+    g_array_index(machine->attempts, struct lmn_attempt, 0).must_stop = true;
+    lmn_machine_drain(fixture.core, machine, true, "test", fixture.now);
+    settle();
+    assert_int_equal(fixture.workers[1 - drained].agent.runs->len, 1);
+    copies_must_start_nothing();
+}
+
+static void cancelled_task_is_not_started_by_a_copy_later_than_cancel_s(void **state)
+{
+    (void)state;
+    struct lmn_job *job = start_one_task(4, 600);
+    job->phase = LMN_JOB_CANCELLED;
+    fixture.cancelled_at[0] = fixture.now;
+    for (double waited = 0; waited <= FIXTURE_CANCEL_S; waited += FIXTURE_STEP_S)
+        fixture_step(0);
+    copies_must_start_nothing();
+}
+
+static void finished_task_takes_no_quota_by_a_late_copy(void **state)
+{
+    (void)state;
+    set_up_two_machines();
+    fixture.team.cpus_max = 4;
+    fixture_add_job(1, 4, 1);
+    fixture_exchange_pushes(0);
+    assert_int_equal(fixture.answered_calls->len, 1);
+    fixture_describe_runs();
+    settle();
+    assert_true(fixture_all_jobs_are_over());
+    fixture_add_job(1, 4, 600);
+    fixture_step(0);
+    copies_must_start_nothing();
+}
+
+static void task_is_not_started_by_a_late_copy_after_a_restart_of_the_owner(void **state)
+{
+    (void)state;
+    start_one_task(4, 600);
+    int failed_on = machine_of_first_call();
+    lmn_agent_exited(&fixture.workers[failed_on].agent, first_run(failed_on)->id, false,
+                     false, fixture.now);
+    fixture_exchange_heartbeat(failed_on, 0);
+    fixture_restart_controller();
+    settle();
+    copies_must_start_nothing();
+}
+
+static void task_is_not_started_by_a_copy_for_an_earlier_incarnation(void **state)
+{
+    (void)state;
+    start_one_task(4, 600);
+    int silent = machine_of_first_call();
+    for (double waited = 0; waited <= 1.5 * FIXTURE_LEASE_S; waited += FIXTURE_STEP_S) {
+        fixture_pass(FIXTURE_STEP_S);
+        fixture_exchange_heartbeat(1 - silent, 0);
+        fixture_describe_runs();
+    }
+    assert_int_equal(fixture.workers[silent].agent.incarnation, 2);
+    settle();
+    copies_must_start_nothing();
+}
+
+/* Random jobs, some of them cancelled; messages are lost, the owner may restart. */
+static void play(uint32_t seed)
+{
+    fixture_set_up(MACHINES, seed);
+    double loss = seed % 3 ? 0.15 : 0;
+    int restart_at = seed % 2 ? g_rand_int_range(fixture.random, 4, 60) : -1;
+
+    fixture_step(0);
+    for (int i = 0; i < 20; i++)
+        fixture_add_job((uint32_t)g_rand_int_range(fixture.random, 1, 12),
+                        g_rand_int_range(fixture.random, 1, 8),
+                        g_rand_double_range(fixture.random, 0.2, 6));
+    for (int step = 0; step < MOST_STEPS && !fixture_all_jobs_are_over(); step++) {
+        if (step == restart_at)
+            fixture_restart_controller();
+        if (step % 20 == 10) {
+            int job = g_rand_int_range(fixture.random, 0, fixture.job_count);
+            fixture.jobs[job].phase = LMN_JOB_CANCELLED;
+            fixture.cancelled_at[job] = fixture.now;
+        }
+        fixture_step(loss);
+        assert_int_equal(fixture_deliver_copies(), 0);
+        fixture_check_rules();
+    }
+    assert_true(fixture_all_jobs_are_over());
+    assert_true(fixture.answered_calls->len > 0);
+}
+
+static void copies_of_whole_calls_start_nothing_on_random_days(void **state)
+{
+    (void)state;
+    for (uint32_t seed = 1; seed <= SEEDS; seed++)
+        play(seed);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(
+            task_that_failed_and_runs_elsewhere_is_not_started_by_a_late_copy),
+        cmocka_unit_test(preempted_task_is_not_started_by_a_late_copy),
+        cmocka_unit_test(task_of_a_drained_machine_is_not_started_by_a_late_copy),
+        cmocka_unit_test(cancelled_task_is_not_started_by_a_copy_later_than_cancel_s),
+        cmocka_unit_test(finished_task_takes_no_quota_by_a_late_copy),
+        cmocka_unit_test(task_is_not_started_by_a_late_copy_after_a_restart_of_the_owner),
+        cmocka_unit_test(task_is_not_started_by_a_copy_for_an_earlier_incarnation),
+        cmocka_unit_test(copies_of_whole_calls_start_nothing_on_random_days),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
