A worker is told to clear a pushed attempt only under a higher fencing token

Cause, a class of bug: an answer was taken as proof that a message can't arrive again. A worker carries out a call whenever it arrives, as long as its token is not lower than the highest one seen and its session lasts. An attempt was cleared once its push had been answered; the copy of the call then found the attempt unknown, and began it anew under the same token.

Each attempt knows the token of the call with its start. The reply to a heartbeat that has to clear such an attempt carries a higher token, so the worker refuses the copies from then on. It costs no message and no write: the reply is sent anyway, and after a clear the worker sends a heartbeat anyway. Not while a push is in flight, which the worker would refuse; pushes never raise, as they could overtake a reply.

--- a/src/partition/heartbeat.c
+++ b/src/partition/heartbeat.c
@@ -11,6 +11,7 @@
 #include "replication/start_gate.h"
 #include "scheduler/queue.h"
 #include "state/core.h"
+#include "state/fencing_token.h"
 #include "state/task_ledger.h"
 #include "util/log.h"
 
@@ -82,7 +83,7 @@
     int owner = recorded_owner(request);
 
     if (owner >= 0 && owner != members->self && heartbeat->fencing_token &&
-        heartbeat->fencing_token == request->partition->record.owner_epoch)
+        lmn_record_issued_token(&request->partition->record, heartbeat->fencing_token))
         lmn_member_record_redirected_worker(members, owner, heartbeat->name,
                                             heartbeat->agent_incarnation,
                                             heartbeat->sequence, request->now);
@@ -233,7 +234,7 @@
         machine->type = lmn_machine_type_by_name(request->core, machine->type_name);
 }
 
-/* Clears the pending pushes after an agent restart: the new incarnation refuses commands
+/* Clears what was pushed before an agent restart: the new incarnation refuses commands
  * that were sent to the previous one, so none of them can take effect any more. */
 static void clear_pushes_to_previous_incarnation(struct lmn_machine *machine)
 {
@@ -241,6 +242,7 @@
         struct lmn_attempt *attempt =
             &g_array_index(machine->attempts, struct lmn_attempt, i);
         attempt->push_in_flight = attempt->push_is_uncertain = false;
+        attempt->push_token = 0;
     }
 }
 
@@ -263,8 +265,10 @@
     /* A heartbeat with an older epoch may be a delayed duplicate, or come from a worker
      * that receives nothing from this controller: it does not show that the worker would
      * answer a probe. */
-    if (heartbeat->fencing_token == request->partition->ownership.epoch)
+    if (lmn_ownership_issued_token(&request->partition->ownership,
+                                   heartbeat->fencing_token))
         agent->unanswered_probes = 0;
+    lmn_machine_token_reported(machine, heartbeat->fencing_token);
     agent->lease_expired = false;
 }
 
@@ -297,7 +301,8 @@
  * a previous owner may have been carried out since. */
 static bool is_conclusive(const struct heartbeat_request *request)
 {
-    return request->heartbeat->fencing_token == request->partition->ownership.epoch &&
+    return lmn_ownership_issued_token(&request->partition->ownership,
+                                      request->heartbeat->fencing_token) &&
            !request->is_outdated;
 }
 
@@ -330,8 +335,8 @@
     struct lmn_machine *machine = request->machine;
 
     mark_accounted(request);
-    lmn_heartbeat_reconcile_tasks(core, machine, request->document,
-                                  request->heartbeat->tasks, commands, request->now);
+    lmn_heartbeat_reconcile_tasks(core, machine, request->document, request->heartbeat,
+                                  commands, request->now);
     deferred->commands_before_starts = commands->count;
     deferred->bytes_before_starts = commands->encoded->len;
     lmn_partition_check_ready(core, request->partition, request->now);
@@ -373,8 +378,9 @@
         lmn_heartbeat_kill_cancelled_tasks(request->core, request->machine,
                                            request->document, request->heartbeat->tasks,
                                            &commands);
-    const struct lmn_heartbeat_reply reply = {request->partition->ownership.epoch,
+    const struct lmn_heartbeat_reply reply = {lmn_machine_token(request->machine),
                                               &commands};
+    deferred->fencing_token = reply.fencing_token;
     deferred->commands_offset = lmn_heartbeat_reply_encode(out, &reply);
     lmn_command_list_free(&commands);
     defer_starts(request, start_position, deferred);
@@ -464,7 +470,7 @@
         if (attempt->log_position > deferred->from_position &&
             attempt->log_position <= deferred->log_position) {
             core->counters.withheld_starts++;
-            lmn_attempt_remove_absent(core, machine, i, now);
+            lmn_attempt_remove_absent(core, machine, i, LMN_ABSENT_WITHHELD, now);
         }
     }
     /* Kill and clear commands are still sent: the reply renews the lease, and without the
@@ -474,7 +480,7 @@
     g_byte_array_append(commands.encoded, out->data + deferred->commands_offset,
                         deferred->bytes_before_starts);
     g_byte_array_set_size(out, 0);
-    const struct lmn_heartbeat_reply reply = {deferred->epoch, &commands};
+    const struct lmn_heartbeat_reply reply = {deferred->fencing_token, &commands};
     lmn_heartbeat_reply_encode(out, &reply);
     lmn_command_list_free(&commands);
 }
--- a/src/partition/heartbeat.h
+++ b/src/partition/heartbeat.h
@@ -17,7 +17,8 @@
  * the reply is sent (lmn_replication_allows_starts_up_to). */
 struct lmn_deferred_starts {
     int partition;
-    uint64_t epoch;
+    uint64_t epoch;         /**< of the partition's ownership */
+    uint64_t fencing_token; /**< in the reply */
     /** Positions in the replication log: the reply's starts are the entries after
      * from_position, up to and including log_position. If log_position is 0, the reply
      * is sent without waiting. */
--- a/src/partition/heartbeat_message.c
+++ b/src/partition/heartbeat_message.c
@@ -168,7 +168,7 @@
 {
     lmn_cbor_put_map(out, 2);
     lmn_cbor_put_text(out, WIRE_FENCING_TOKEN);
-    lmn_cbor_put_uint(out, reply->epoch);
+    lmn_cbor_put_uint(out, reply->fencing_token);
     return put_commands(out, reply->commands);
 }
 
@@ -191,7 +191,7 @@
     g_byte_array_set_size(out, 0);
     lmn_cbor_put_map(out, 3);
     lmn_cbor_put_text(out, WIRE_FENCING_TOKEN);
-    lmn_cbor_put_uint(out, push->epoch);
+    lmn_cbor_put_uint(out, push->fencing_token);
     lmn_cbor_put_text(out, WIRE_AGENT_INCARNATION);
     lmn_cbor_put_uint(out, push->agent_incarnation);
     put_commands(out, push->commands);
--- a/src/partition/heartbeat_message.h
+++ b/src/partition/heartbeat_message.h
@@ -64,7 +64,7 @@
 
 /** The reply to an accepted heartbeat. It renews the worker's lease. */
 struct lmn_heartbeat_reply {
-    uint64_t epoch; /**< the owner's fencing token */
+    uint64_t fencing_token; /**< of the owner, for this machine */
     const struct lmn_command_list *commands;
 };
 
@@ -81,7 +81,7 @@
 
 /** Commands that a controller sends to a worker without waiting for a heartbeat. */
 struct lmn_command_push {
-    uint64_t epoch;             /**< the owner's fencing token */
+    uint64_t fencing_token;     /**< of the owner, for this machine */
     uint64_t agent_incarnation; /**< an agent of another incarnation refuses the push */
     const struct lmn_command_list *commands; /**< NULL in a probe, which has none */
 };
--- a/src/partition/heartbeat_reply.c
+++ b/src/partition/heartbeat_reply.c
@@ -6,6 +6,7 @@
 #include "partition/machine_attempts.h"
 #include "scheduler/queue.h"
 #include "state/core.h"
+#include "state/fencing_token.h"
 #include "state/task_ledger.h"
 #include "util/log.h"
 
@@ -105,13 +106,23 @@
     }
 }
 
+/* Whether a pushed start of the attempt, which no message of the worker has named, may
+ * still arrive at a worker that has seen the token: minutes late, if the push had no
+ * answer. */
+static bool may_still_arrive(const struct lmn_attempt *attempt, uint64_t token)
+{
+    return attempt->push_is_uncertain && !attempt->was_reported &&
+           !lmn_attempt_is_fenced(attempt, token);
+}
+
 /* Removes the attempts that the heartbeat does not name. Those starts that were sent in a
  * reply are not on the machine: the worker has either carried out the last reply or
- * stopped waiting for it before it wrote this heartbeat. A pushed start may arrive
- * minutes late, so an attempt whose push has an unknown outcome is kept. Returns how many
- * starts of the last reply had no effect. */
+ * stopped waiting for it before it wrote this heartbeat.
+ * @param token highest one that the worker had seen
+ * @return how many starts of the last reply had no effect */
 static guint remove_unreported_attempts(struct lmn_core *core,
-                                        struct lmn_machine *machine, struct timespec now)
+                                        struct lmn_machine *machine, uint64_t token,
+                                        struct timespec now)
 {
     guint ignored_starts = 0;
 
@@ -119,30 +130,73 @@
         const struct lmn_attempt *attempt =
             &g_array_index(machine->attempts, struct lmn_attempt, i);
         if (attempt->in_last_heartbeat || attempt->push_in_flight ||
-            (attempt->push_is_uncertain && !attempt->was_reported))
+            may_still_arrive(attempt, token))
             continue;
         ignored_starts += attempt->state == LMN_ATTEMPT_SENT && !attempt->was_reported &&
                           !attempt->from_replica;
-        lmn_attempt_remove_absent(core, machine, i, now);
+        lmn_attempt_remove_absent(core, machine, i, LMN_ABSENT_FROM_HEARTBEAT, now);
     }
     return ignored_starts;
 }
 
-/* Whether the worker may forget an attempt that has ended. It must keep a result until
- * that is recorded in the key-value store, and an attempt whose pushed start may still
- * arrive: otherwise the late command would start the attempt again. */
-static bool may_clear(const struct lmn_machine *machine,
-                      const struct lmn_attempt *attempt)
+/* Whether nothing needs an attempt that has ended: its result is recorded in the
+ * key-value store, and no call in flight contains its start. */
+static bool is_settled(const struct lmn_machine *machine,
+                       const struct lmn_attempt *attempt)
 {
     bool is_live = attempt->job && attempt->job->phase == LMN_JOB_ACTIVE;
     bool is_recorded =
         !attempt->is_done || !is_live || !attempt->range ||
         lmn_bitset_get(attempt->range->done, attempt->index - attempt->range->first);
 
-    return is_recorded && !attempt->push_is_uncertain && !attempt->push_in_flight &&
+    return is_recorded && !attempt->push_in_flight &&
            !is_kept_as_failure_evidence(machine, attempt);
 }
 
+/* Whether the worker may forget the attempt, told so under the machine's present token. A
+ * call that contains the attempt's start may arrive again at any time, and would begin an
+ * attempt that the worker has forgotten. */
+static bool may_clear(const struct lmn_machine *machine,
+                      const struct lmn_attempt *attempt)
+{
+    return is_settled(machine, attempt) &&
+           lmn_attempt_is_fenced(attempt, lmn_machine_token(machine));
+}
+
+/* Raises the token of the reply, so that attempts pushed under the present one may be
+ * cleared. Not while a push is in flight, which the worker would refuse after the reply.
+ */
+static void raise_token(struct lmn_core *core, struct lmn_machine *machine)
+{
+    if (machine->push.is_in_flight || !lmn_machine_can_raise_token(machine))
+        return;
+    lmn_machine_raise_token(machine);
+    core->counters.raised_tokens++;
+}
+
+/* Whether an attempt waits only for a higher token to be cleared. On a machine that has
+ * no room for further attempts, one that has not ended counts as well: its clear could
+ * then be pushed before the next heartbeat. */
+static bool needs_higher_token(const struct lmn_machine *machine,
+                               const struct lmn_attempt *attempt)
+{
+    bool is_full = machine->attempts->len >= LMN_MAX_MACHINE_ATTEMPTS;
+
+    return !lmn_attempt_is_fenced(attempt, lmn_machine_token(machine)) &&
+           (is_full ||
+            (attempt->state == LMN_ATTEMPT_ENDED && is_settled(machine, attempt)));
+}
+
+static void raise_token_if_needed(struct lmn_core *core, struct lmn_machine *machine)
+{
+    for (guint i = 0; i < machine->attempts->len; i++)
+        if (needs_higher_token(
+                machine, &g_array_index(machine->attempts, struct lmn_attempt, i))) {
+            raise_token(core, machine);
+            return;
+        }
+}
+
 static bool may_push_clear(const struct lmn_machine *machine,
                            const struct lmn_attempt *attempt)
 {
@@ -243,12 +297,13 @@
 
 void lmn_heartbeat_reconcile_tasks(struct lmn_core *core, struct lmn_machine *machine,
                                    const struct lmn_cbor_document *document,
-                                   const struct lmn_cbor_value *tasks,
+                                   const struct lmn_heartbeat *heartbeat,
                                    struct lmn_command_list *commands, struct timespec now)
 {
-    lmn_heartbeat_apply_tasks(core, machine, document, tasks, now);
-    if (remove_unreported_attempts(core, machine, now))
+    lmn_heartbeat_apply_tasks(core, machine, document, heartbeat->tasks, now);
+    if (remove_unreported_attempts(core, machine, heartbeat->fencing_token, now))
         lmn_machine_record_ignored_command(core, machine, now);
+    raise_token_if_needed(core, machine);
     /* Kills come first: should the message become full, clears can wait. */
     reconcile_attempts(core, machine, false, commands, now);
     reconcile_attempts(core, machine, true, commands, now);
--- a/src/partition/heartbeat_reply.h
+++ b/src/partition/heartbeat_reply.h
@@ -13,10 +13,12 @@
 /** Reconciles a machine's attempts with a conclusive heartbeat, which proves what is on
  * the machine: it was written under the owner's epoch, and no later message of the worker
  * was handled before it. Attempts that the heartbeat does not name are removed, unless a
- * pushed start for them may still arrive. Appends the resulting commands. */
+ * pushed start for them may still arrive. Appends the resulting commands. Raises the
+ * machine's fencing token for the reply if that has to clear attempts which were pushed
+ * under the present one. */
 void lmn_heartbeat_reconcile_tasks(struct lmn_core *core, struct lmn_machine *machine,
                                    const struct lmn_cbor_document *document,
-                                   const struct lmn_cbor_value *tasks,
+                                   const struct lmn_heartbeat *heartbeat,
                                    struct lmn_command_list *commands,
                                    struct timespec now);
 
--- a/src/partition/heartbeat_tasks.c
+++ b/src/partition/heartbeat_tasks.c
@@ -2,9 +2,11 @@
  * for all functions. */
 #include "partition/heartbeat_tasks.h"
 
+#include "partition/machine_attempts.h"
 #include "partition/range.h"
 #include "protocol/wire.h"
 #include "scheduler/queue.h"
+#include "state/fencing_token.h"
 #include "state/task_ledger.h"
 #include "util/log.h"
 
@@ -42,7 +44,8 @@
     }
 }
 
-/* Adds an attempt that a previous owner started under an earlier epoch. */
+/* Adds an attempt that a previous owner started under an earlier epoch; or one that this
+ * owner has removed, and that a worker has begun again all the same. */
 static struct lmn_attempt *adopt_attempt(struct lmn_core *core,
                                          struct lmn_machine *machine,
                                          const struct lmn_attempt *reported,
@@ -54,6 +57,10 @@
                                   .started_at = now};
 
     g_strlcpy(attempt.job_id, reported->job_id, sizeof attempt.job_id);
+    if (lmn_attempt_epoch(reported->number) == machine->partition->ownership.epoch) {
+        attempt.push_token = lmn_machine_token(machine);
+        lmn_attempt_record_reappeared(core, machine, &attempt);
+    }
     attempt.job = g_hash_table_lookup(core->cache.jobs, attempt.job_id);
     attempt.range =
         lmn_partition_find_range(machine->partition, attempt.job, attempt.index);
--- a/src/partition/maintenance.c
+++ b/src/partition/maintenance.c
@@ -26,10 +26,6 @@
  * seconds. */
 static const double SPOT_END_MARGIN_S = 0.5;
 
-/* A machine is returned when this many of its attempts have ended but can't be cleared as
- * long as its agent's incarnation lasts: it could run too few tasks beside them. */
-enum { MAX_UNCLEARABLE_ATTEMPTS = LMN_MAX_MACHINE_ATTEMPTS / 2 };
-
 /* The number of consecutive unanswered probes after which a machine counts as
  * unreachable. */
 enum { UNREACHABLE_PROBES = 2 };
@@ -258,36 +254,6 @@
         lmn_machine_drain(core, machine, false, "idle", now);
 }
 
-/* Number of ended attempts whose pushed start may still arrive: their worker must
- * remember them until its incarnation ends (partition/heartbeat_reply.c, may_clear). */
-static guint count_unclearable_attempts(const struct lmn_machine *machine)
-{
-    guint count = 0;
-
-    for (guint i = 0; i < machine->attempts->len; i++) {
-        const struct lmn_attempt *attempt =
-            &g_array_index(machine->attempts, struct lmn_attempt, i);
-        count += attempt->state == LMN_ATTEMPT_ENDED && attempt->push_is_uncertain;
-    }
-    return count;
-}
-
-/* Drains a machine whose heartbeats have to name so many ended attempts that little is
- * left of LMN_MAX_MACHINE_ATTEMPTS. Nothing else would end that: the autoscaler counts
- * the machine in full, and its queued tasks would wait beside it. */
-static void drain_if_attempts_are_used_up(struct lmn_core *core,
-                                          struct lmn_machine *machine,
-                                          struct timespec now)
-{
-    if (machine->lifecycle.is_draining ||
-        machine->attempts->len < MAX_UNCLEARABLE_ATTEMPTS ||
-        count_unclearable_attempts(machine) < MAX_UNCLEARABLE_ATTEMPTS)
-        return;
-    core->counters.limited_machines++;
-    lmn_machine_drain(core, machine, false, "too many attempts that can't be cleared",
-                      now);
-}
-
 /* Wakes a machine that has as many attempts as its heartbeats can name, once results of
  * some are recorded, for a push that clears these. */
 static void wake_to_clear_attempts(struct lmn_core *core, struct lmn_machine *machine)
@@ -315,7 +281,6 @@
     drain_if_spot_ended(core, machine, now);
     drain_if_unaccounted(core, machine, &context, now);
     drain_if_never_accounted(core, machine, now);
-    drain_if_attempts_are_used_up(core, machine, now);
     wake_to_clear_attempts(core, machine);
     drain_if_idle(core, machine, now);
 }
--- a/src/partition/partition.c
+++ b/src/partition/partition.c
@@ -113,6 +113,7 @@
     ownership->has_started_task = ownership->is_warm = false;
     ownership->inherited_may_start = false;
     ownership->epoch = partition->record.owner_epoch;
+    ownership->token_raises = partition->record.owner_token_raises;
     ownership->revision = partition->record.owner_revision;
     ownership->last_attempt = 0;
     ownership->since = now;
--- a/src/partition/partition_claim.c
+++ b/src/partition/partition_claim.c
@@ -6,6 +6,7 @@
 #include "replication/replica.h"
 #include "replication/replica_choice.h"
 #include "replication/standby_record.h"
+#include "state/fencing_token.h"
 
 int lmn_partition_next_owner(const struct lmn_core *core,
                              const struct lmn_partition *partition, struct timespec now)
@@ -153,9 +154,9 @@
     return is_our_turn(core, partition, since, now);
 }
 
-/* Writes the owner's record and a higher epoch, conditional on the revisions of both in
- * the watch cache. The owner's record is attached to the new owner's lease, whichever
- * member writes it.
+/* Writes the owner's record with the tokens of the claim, and the highest of these as the
+ * epoch, conditional on the revisions of both in the watch cache. The owner's record is
+ * attached to the new owner's lease, whichever member writes it.
  * @param new_owner name of the member
  * @param lease the new owner's
  * @param require_in_sync makes the write conditional on the record of the standby that is
@@ -165,13 +166,13 @@
                                    bool require_in_sync)
 {
     struct lmn_txn *txn = lmn_txn_new(LMN_WRITE_OWNER, NULL, NULL);
-    uint64_t epoch = partition->record.epoch + 1;
+    uint64_t epoch = lmn_next_epoch(partition->record.epoch);
     uint64_t stream =
         require_in_sync ? lmn_standby_require_in_sync(partition, new_owner, txn) : 0;
     GByteArray *owner_record = g_byte_array_new();
     char key[RECORD_KEY_SIZE];
 
-    lmn_cbor_put_map(owner_record, 4);
+    lmn_cbor_put_map(owner_record, 5);
     lmn_cbor_put_text(owner_record, "node");
     lmn_cbor_put_text(owner_record, new_owner);
     lmn_cbor_put_text(owner_record, "lease");
@@ -180,6 +181,8 @@
     lmn_cbor_put_uint(owner_record, epoch);
     lmn_cbor_put_text(owner_record, "stream");
     lmn_cbor_put_uint(owner_record, stream);
+    lmn_cbor_put_text(owner_record, "raises");
+    lmn_cbor_put_uint(owner_record, epoch - partition->record.epoch - 1);
     g_snprintf(key, sizeof key, "o/%d", partition->id);
     lmn_txn_require_version(txn, key, partition->record.owner_revision);
     lmn_txn_put(txn, key, owner_record, lease);
--- a/src/partition/provisioner.c
+++ b/src/partition/provisioner.c
@@ -11,6 +11,7 @@
 #include "scheduler/autoscaler.h"
 #include "state/core.h"
 #include "state/core_state.h"
+#include "state/fencing_token.h"
 #include "util/clock.h"
 #include "util/log.h"
 #include "util/thread.h"
@@ -393,7 +394,7 @@
     pthread_mutex_lock(&core->lock);
     round.types_known = core->cloud.machine_types_known;
     round.is_leader = core->partitions[0].ownership.is_owned;
-    round.is_first_epoch = core->partitions[0].ownership.epoch <= 1;
+    round.is_first_epoch = lmn_ownership_issued_token(&core->partitions[0].ownership, 1);
     pthread_mutex_unlock(&core->lock);
     return round;
 }
--- a/src/partition/worker_client.c
+++ b/src/partition/worker_client.c
@@ -23,7 +23,7 @@
 struct worker_call {
     bool is_probe;
     char machine[LMN_NAME_SIZE], address[LMN_ADDRESS_SIZE];
-    uint64_t epoch;             /* of a probe; 0: it only tests the connection */
+    uint64_t fencing_token;     /* of a probe; 0: it only tests the connection */
     uint64_t agent_incarnation; /* of a probe; 0: unknown, and requested first */
     GByteArray *body, *answer;
 };
@@ -55,12 +55,12 @@
     if (!agent_incarnation) {
         int status = lmn_http_client_call(client, "GET", WIRE_PATH_SHOW, NULL,
                                           PROBE_TIMEOUT_S, call->answer);
-        if (!call->epoch || status != 200)
+        if (!call->fencing_token || status != 200)
             return status;
         if (!read_incarnation(call->answer, &agent_incarnation))
             return LMN_HTTP_NO_RESPONSE;
     }
-    const struct lmn_command_push push = {call->epoch, agent_incarnation, NULL};
+    const struct lmn_command_push push = {call->fencing_token, agent_incarnation, NULL};
     lmn_command_push_encode(call->body, &push);
     return lmn_http_client_call(client, "POST", WIRE_PATH_COMMANDS, call->body,
                                 PROBE_TIMEOUT_S, call->answer);
@@ -84,16 +84,16 @@
     for (;;) {
         struct timespec now = lmn_now();
         call->is_probe = false;
-        call->epoch = call->agent_incarnation = 0;
+        call->fencing_token = call->agent_incarnation = 0;
         if (lmn_worker_client_next_push(core, worker_client->thread_index,
                                         worker_client->thread_count, call->machine,
                                         call->address, call->body, now))
             return;
         call->is_probe = lmn_worker_client_next_probe(
             core, worker_client->thread_index, worker_client->thread_count, call->machine,
-            call->address, &call->epoch, now);
+            call->address, &call->fencing_token, now);
         if (call->is_probe) {
-            if (call->epoch)
+            if (call->fencing_token)
                 call->agent_incarnation =
                     lmn_worker_client_replicated_incarnation(core, call->machine);
             return;
@@ -153,7 +153,7 @@
 {
     pthread_mutex_lock(&core->lock);
     if (call->is_probe)
-        lmn_worker_client_probe_done(core, call->machine, call->epoch, status,
+        lmn_worker_client_probe_done(core, call->machine, call->fencing_token, status,
                                      call->answer, lmn_now());
     else
         lmn_worker_client_push_done(core, call->machine, status, call->answer, lmn_now());
--- a/src/partition/worker_probe.c
+++ b/src/partition/worker_probe.c
@@ -8,6 +8,7 @@
 #include "partition/machine_attempts.h"
 #include "partition/partition.h"
 #include "state/core.h"
+#include "state/fencing_token.h"
 #include "state/task_ledger.h"
 #include "util/log.h"
 
@@ -48,7 +49,7 @@
  * all. It owns no partitions then, so no worker would contact it on its own when the
  * network has recovered. */
 static bool next_reachability_probe(struct lmn_core *core, char *name, char *address,
-                                    uint64_t *epoch, struct timespec now)
+                                    uint64_t *token, struct timespec now)
 {
     if (!core->members.is_isolated_from_workers ||
         lmn_time_before(now, core->maintenance.next_reach_probe_at))
@@ -63,7 +64,7 @@
         machines->pdata[g_rand_int_range(core->random, 0, (gint32)machines->len)];
     g_strlcpy(name, machine->name, LMN_NAME_SIZE);
     g_strlcpy(address, machine->address, LMN_ADDRESS_SIZE);
-    *epoch = 0;
+    *token = 0;
     return *address != 0;
 }
 
@@ -123,11 +124,11 @@
 
 bool lmn_worker_client_next_probe(struct lmn_core *core, unsigned thread_index,
                                   unsigned thread_count, char *name, char *address,
-                                  uint64_t *epoch, struct timespec now)
+                                  uint64_t *token, struct timespec now)
 {
     struct lmn_machine *best = NULL;
 
-    if (next_reachability_probe(core, name, address, epoch, now))
+    if (next_reachability_probe(core, name, address, token, now))
         return true;
     for (int i = 0; i < core->partition_count; i++) {
         const struct lmn_partition *partition = &core->partitions[i];
@@ -141,7 +142,7 @@
         lmn_time_add(now, PROBE_INTERVAL_S + PROBE_BACKOFF_S * backoffs);
     g_strlcpy(name, best->name, LMN_NAME_SIZE);
     g_strlcpy(address, best->address, LMN_ADDRESS_SIZE);
-    *epoch = best->partition->ownership.epoch;
+    *token = lmn_machine_token(best);
     return true;
 }
 
@@ -182,11 +183,13 @@
  * had accepted this owner's epoch, so it refuses any later command of a previous owner,
  * and no previous owner can renew the worker's lease any more. */
 static bool is_conclusive(const struct lmn_machine *machine,
-                          const struct lmn_heartbeat *heartbeat, uint64_t epoch)
+                          const struct lmn_heartbeat *heartbeat)
 {
     const struct lmn_agent_view *agent = &machine->agent;
 
-    if (heartbeat->fencing_token != epoch || strcmp(heartbeat->name, machine->name) != 0)
+    if (!lmn_ownership_issued_token(&machine->partition->ownership,
+                                    heartbeat->fencing_token) ||
+        strcmp(heartbeat->name, machine->name) != 0)
         return false;
     return !agent->has_reported || heartbeat->agent_incarnation > agent->incarnation ||
            (heartbeat->agent_incarnation == agent->incarnation &&
@@ -213,6 +216,7 @@
 
     machine->lifecycle.is_accounted = true;
     update_agent_view(&machine->agent, heartbeat, now);
+    lmn_machine_token_reported(machine, heartbeat->fencing_token);
     if (!machine->type)
         machine->type = lmn_machine_type_by_name(core, machine->type_name);
     lmn_debug("machine_accounted machine=%s epoch=%" G_GUINT64_FORMAT " by=probe",
@@ -222,7 +226,8 @@
      * cannot start there: the worker refuses delayed commands of an older epoch. */
     for (guint i = machine->attempts->len; i-- > 0;)
         if (g_array_index(machine->attempts, struct lmn_attempt, i).from_replica)
-            lmn_attempt_remove_absent(core, machine, i, now);
+            lmn_attempt_remove_absent(core, machine, i, LMN_ABSENT_FROM_PROBE_ANSWER,
+                                      now);
     lmn_machine_mark_unreplicated(machine);
     lmn_partition_check_ready(core, partition, now);
     /* Lets the thread that has a connection to the worker push commands to it next. */
@@ -231,20 +236,19 @@
 }
 
 static void apply_answer(struct lmn_core *core, struct lmn_machine *machine,
-                         uint64_t epoch, const GByteArray *answer, struct timespec now)
+                         const GByteArray *answer, struct timespec now)
 {
     struct lmn_cbor_document document;
     struct lmn_heartbeat heartbeat;
 
     if (lmn_cbor_parse(&document, answer->data, answer->len) != 0)
         return;
-    if (!lmn_heartbeat_parse(&heartbeat, &document) &&
-        is_conclusive(machine, &heartbeat, epoch))
+    if (!lmn_heartbeat_parse(&heartbeat, &document) && is_conclusive(machine, &heartbeat))
         account_machine(core, machine, &document, &heartbeat, now);
     lmn_cbor_free(&document);
 }
 
-void lmn_worker_client_probe_done(struct lmn_core *core, const char *name, uint64_t epoch,
+void lmn_worker_client_probe_done(struct lmn_core *core, const char *name, uint64_t token,
                                   int status, const GByteArray *answer,
                                   struct timespec now)
 {
@@ -252,13 +256,14 @@
         &core->partitions[lmn_partition_for_machine(name, core->partition_count)];
     struct lmn_machine *machine = g_hash_table_lookup(partition->machines, name);
 
-    if (!epoch) {
+    if (!token) {
         if (status == 200)
             lmn_members_record_own_worker(&core->members, now);
         return;
     }
     if (!machine || !partition->ownership.is_owned ||
-        partition->ownership.epoch != epoch || machine->lifecycle.is_terminated)
+        !lmn_ownership_issued_token(&partition->ownership, token) ||
+        machine->lifecycle.is_terminated)
         return;
     machine->agent.unanswered_probes++;
     if (machine->lifecycle.is_accounted) {
@@ -277,5 +282,5 @@
     if (machine->agent.unanswered_probes == 1 && status != 200)
         machine->agent.next_probe_at = lmn_time_add(now, FIRST_RETRY_S);
     if (status == 200)
-        apply_answer(core, machine, epoch, answer, now);
+        apply_answer(core, machine, answer, now);
 }
--- a/src/partition/worker_probe.h
+++ b/src/partition/worker_probe.h
@@ -13,17 +13,18 @@
  * schedules the machine's following probe.
  * @param name set to the machine's name; LMN_NAME_SIZE bytes
  * @param address set to the worker's address; LMN_ADDRESS_SIZE bytes
- * @param epoch set to the epoch of the probe; 0 for a probe of any machine that only
- * tests whether this controller can reach workers
+ * @param token set to the fencing token of the probe; 0 for a probe of any machine that
+ * only tests whether this controller can reach workers
  * @return false if no probe is due */
 bool lmn_worker_client_next_probe(struct lmn_core *core, unsigned thread_index,
                                   unsigned thread_count, char *name, char *address,
-                                  uint64_t *epoch, struct timespec now);
+                                  uint64_t *token, struct timespec now);
 
 /** Applies the outcome of a probe.
+ * @param token the probe's fencing token
  * @param status HTTP status, or LMN_HTTP_NOT_SENT or LMN_HTTP_NO_RESPONSE
  * @param answer the response's body; used only if the status is 200 or 409 */
-void lmn_worker_client_probe_done(struct lmn_core *core, const char *name, uint64_t epoch,
+void lmn_worker_client_probe_done(struct lmn_core *core, const char *name, uint64_t token,
                                   int status, const GByteArray *answer,
                                   struct timespec now);
 
--- a/src/partition/worker_push.c
+++ b/src/partition/worker_push.c
@@ -10,7 +10,9 @@
 #include "partition/partition.h"
 #include "scheduler/queue.h"
 #include "state/core.h"
+#include "state/fencing_token.h"
 #include "state/task_ledger.h"
+#include "util/log.h"
 
 /* Nothing is pushed to a machine whose last heartbeat is older than this fraction of a
  * lease. */
@@ -46,12 +48,17 @@
      * and no tasks are started. */
     if (!lmn_watch_cache_is_too_stale(core, now)) {
         lmn_heartbeat_push_clears(machine, commands);
-        lmn_heartbeat_start_tasks(core, machine, commands, now);
+        if (lmn_machine_can_raise_token(machine))
+            lmn_heartbeat_start_tasks(core, machine, commands, now);
     }
     if (!commands->count)
         return;
-    for (guint i = attempts_before; i < machine->attempts->len; i++)
-        g_array_index(machine->attempts, struct lmn_attempt, i).push_in_flight = true;
+    for (guint i = attempts_before; i < machine->attempts->len; i++) {
+        struct lmn_attempt *attempt =
+            &g_array_index(machine->attempts, struct lmn_attempt, i);
+        attempt->push_in_flight = true;
+        attempt->push_token = lmn_machine_token(machine);
+    }
     machine->push.is_in_flight = true;
     machine->lifecycle.idle_since = (struct timespec){0, 0};
 }
@@ -65,6 +72,15 @@
                MAX_HEARTBEAT_AGE_SHARE * core->settings->lease_s;
 }
 
+static guint count_pushed_starts(const struct lmn_machine *machine)
+{
+    guint count = 0;
+
+    for (guint i = 0; i < machine->attempts->len; i++)
+        count += g_array_index(machine->attempts, struct lmn_attempt, i).push_in_flight;
+    return count;
+}
+
 /* Prepares a push to the machine. Returns false if no push is allowed or there are no
  * commands. */
 static bool prepare_push(struct lmn_core *core, struct lmn_machine *machine, char *name,
@@ -76,11 +92,15 @@
     decide_commands(core, machine, &commands, now);
     bool has_commands = commands.count > 0;
     if (has_commands) {
-        const struct lmn_command_push push = {machine->partition->ownership.epoch,
+        const struct lmn_command_push push = {lmn_machine_token(machine),
                                               machine->agent.incarnation, &commands};
         g_strlcpy(name, machine->name, LMN_NAME_SIZE);
         g_strlcpy(address, machine->address, LMN_ADDRESS_SIZE);
         lmn_command_push_encode(body, &push);
+        lmn_debug("push_prepared machine=%s partition=%d token=%" G_GUINT64_FORMAT
+                  " session=%" G_GUINT64_FORMAT " commands=%u starts=%u",
+                  machine->name, machine->partition->id, push.fencing_token,
+                  push.agent_incarnation, commands.count, count_pushed_starts(machine));
     }
     lmn_command_list_free(&commands);
     return has_commands;
@@ -152,8 +172,10 @@
             continue;
         attempt->push_in_flight = false;
         bool is_absent = answer.is_applied && !attempt->in_last_heartbeat;
-        if (status == LMN_HTTP_NOT_SENT || (status == 409 && is_absent))
-            lmn_attempt_remove_absent(core, machine, i, now);
+        if (status == LMN_HTTP_NOT_SENT)
+            lmn_attempt_remove_absent(core, machine, i, LMN_ABSENT_NOT_SENT, now);
+        else if (status == 409 && is_absent)
+            lmn_attempt_remove_absent(core, machine, i, LMN_ABSENT_PUSH_REFUSED, now);
         else if (!answer.is_valid || (status == 200 && is_absent))
             attempt->push_is_uncertain = any_uncertain = true;
     }
@@ -161,8 +183,8 @@
 }
 
 /* Removes the attempts that a push has cleared, as its response shows, and wakes the
- * machine, which may start others now. The response was written after the clears, and no
- * start of these attempts can still arrive. */
+ * machine, which may start others now. The response was written after the clears, and the
+ * push had a higher token than any call with these attempts' starts. */
 static void remove_cleared_attempts(struct lmn_core *core, struct lmn_machine *machine,
                                     struct timespec now)
 {
@@ -172,7 +194,7 @@
         const struct lmn_attempt *attempt =
             &g_array_index(machine->attempts, struct lmn_attempt, i);
         if (attempt->clear_pushed && !attempt->in_last_heartbeat)
-            lmn_attempt_remove_absent(core, machine, i, now);
+            lmn_attempt_remove_absent(core, machine, i, LMN_ABSENT_AFTER_CLEAR, now);
     }
     if (machine->attempts->len == before)
         return;
--- a/src/replication/failover.c
+++ b/src/replication/failover.c
@@ -1,6 +1,7 @@
 /** @file
  * Failover from a replica (replication/failover.h). */
 #include "replication/failover.h"
+#include "state/fencing_token.h"
 #include "util/log.h"
 #include "state/task_ledger.h"
 #include "state/core.h"
@@ -13,11 +14,11 @@
     const struct lmn_partition_record *record = &partition->record;
     const struct lmn_replica *replica = partition->replication.replica;
 
-    /* Each claim raises the epoch by one, on condition that it has not changed. If this
-     * owner's epoch is the one after the replica's, no other member has owned the
-     * partition since the replica was taken. */
+    /* The tokens of a claim begin after the epoch before, on condition that this has not
+     * changed. If this owner's tokens begin after the replica's epoch, no other member
+     * has owned the partition since the replica was taken. */
     if (replica && replica->is_own_state)
-        return replica->epoch + 1 == record->owner_epoch
+        return replica->epoch + 1 == lmn_record_first_token(record)
                    ? NULL
                    : "another member has owned the partition since";
     /* The claim, or the transfer to this member, was conditional on a record b/P that
@@ -34,7 +35,7 @@
     if (replica->stream != record->owner_stream)
         return "the replica is of another stream";
     if (replica->epoch != record->standby_epoch ||
-        replica->epoch + 1 != record->owner_epoch)
+        replica->epoch + 1 != lmn_record_first_token(record))
         return "the replica is of another epoch";
     return NULL;
 }
--- a/src/replication/replica.c
+++ b/src/replication/replica.c
@@ -1,6 +1,7 @@
 /** @file
  * Replicas of partitions that this controller does not own (replication/replica.h). */
 #include "replication/replica.h"
+#include "state/fencing_token.h"
 
 #include <string.h>
 
@@ -151,9 +152,9 @@
     if (partition->ownership.is_owned || !replica || !replica->is_own_state ||
         record->epoch <= replica->epoch)
         return;
-    /* This process's own claim may have raised the epoch by one; the watch cache shows
-     * the new epoch before the new owner. */
-    if (record->epoch == replica->epoch + 1 &&
+    /* This process's own claim may have raised the epoch; the watch cache shows the new
+     * epoch before the new owner. */
+    if (record->epoch <= lmn_next_epoch(replica->epoch) &&
         (!*record->owner || !strcmp(record->owner, core->settings->node_name)))
         return;
     lmn_replica_free(partition->replication.replica);
--- a/src/scheduler/task_start.c
+++ b/src/scheduler/task_start.c
@@ -5,19 +5,16 @@
 #include "scheduler/image_cache.h"
 #include "scheduler/queue_scan.h"
 #include "state/command.h"
+#include "state/fencing_token.h"
 #include "state/task_ledger.h"
 
-/** Low bits of an attempt's number, which count the owner's starts; the bits above are
- * the owner's epoch. */
-enum { ATTEMPT_COUNT_BITS = 24 };
-
 /** Returns a number for the next attempt. It is unique without a write to the key-value
  * store, since each owner of a partition has its own epoch. */
 static uint64_t next_attempt_number(struct lmn_partition *partition)
 {
-    const uint64_t count_mask = (UINT64_C(1) << ATTEMPT_COUNT_BITS) - 1;
+    const uint64_t count_mask = (UINT64_C(1) << LMN_ATTEMPT_COUNT_BITS) - 1;
 
-    return partition->ownership.epoch << ATTEMPT_COUNT_BITS |
+    return partition->ownership.epoch << LMN_ATTEMPT_COUNT_BITS |
            (++partition->ownership.last_attempt & count_mask);
 }
 
--- a/src/state/machine.h
+++ b/src/state/machine.h
@@ -46,9 +46,12 @@
     bool must_stop;      /**< preempted; it has grace_s to save a checkpoint */
     double grace_s;      /**< seconds */
     bool push_in_flight; /**< a call in flight to the worker contains its start */
-    /** A call that contained its start got no answer. Until the agent's incarnation ends,
-     * the start may still arrive. */
+    /** A call that contained its start got no answer. Until the worker has seen a higher
+     * token, or its incarnation ends, the start may still arrive for the first time. */
     bool push_is_uncertain;
+    /** Highest token of a call that contained its start; 0: no call of this owner to the
+     * agent's present incarnation did. */
+    uint64_t push_token;
     bool was_reported; /**< a heartbeat has listed it */
     bool clear_pushed; /**< a push has told the worker to forget it */
     bool from_replica; /**< known from an earlier owner's replica only */
@@ -58,6 +61,25 @@
     struct timespec started_at;
 };
 
+/** Why an attempt was thought to be gone from its machine. */
+enum lmn_absence_reason {
+    LMN_ABSENT_FROM_HEARTBEAT,
+    LMN_ABSENT_FROM_PROBE_ANSWER,
+    LMN_ABSENT_AFTER_CLEAR,  /**< the answer to a push that cleared it does not name it */
+    LMN_ABSENT_NOT_SENT,     /**< its start was pushed, and not sent */
+    LMN_ABSENT_PUSH_REFUSED, /**< the worker refused the push with its start */
+    LMN_ABSENT_WITHHELD,     /**< the standby did not acknowledge its start in time */
+};
+
+/** An attempt that the owner has removed from a machine's attempts. */
+struct lmn_removed_attempt {
+    uint64_t number; /**< 0: none */
+    enum lmn_absence_reason reason;
+};
+
+/** How many of a machine's latest removed attempts are kept, for the log. */
+enum { LMN_REMOVED_ATTEMPTS = 32 };
+
 /** A job that has failed on a machine since a task last succeeded there. */
 struct lmn_failing_job {
     struct lmn_job *job;
@@ -162,7 +184,11 @@
     struct lmn_agent_view agent;
     struct lmn_machine_lifecycle lifecycle;
     struct lmn_machine_push push;
-    GArray *attempts; /**< struct lmn_attempt */
+    uint64_t fencing_token; /**< highest one sent to it or reported by it, in whichever
+                                 ownership; see lmn_machine_token */
+    GArray *attempts;       /**< struct lmn_attempt */
+    struct lmn_removed_attempt removed_attempts[LMN_REMOVED_ATTEMPTS]; /**< a ring */
+    unsigned removed_attempt_count;
     struct lmn_queue queue;
     struct lmn_machine_stealing stealing;
     struct lmn_machine_failures failures;
--- a/src/state/ownership_records.c
+++ b/src/state/ownership_records.c
@@ -11,6 +11,7 @@
 struct owner_claim {
     char owner[LMN_NAME_SIZE];
     uint64_t lease, epoch;
+    uint64_t token_raises; /* tokens of the claim below epoch; 0 in older records */
     uint64_t stream; /* replication stream that the claim was conditional on; 0: none */
 };
 
@@ -72,6 +73,7 @@
     g_strlcpy(record->owner, claim->owner, sizeof record->owner);
     record->owner_lease = claim->lease;
     record->owner_epoch = claim->epoch;
+    record->owner_token_raises = claim->token_raises;
     record->owner_stream = claim->stream;
     record->owner_revision = revision;
 }
@@ -86,6 +88,10 @@
     lmn_cbor_get_uint(lmn_cbor_get(document, change->value, "lease"), &claim.lease);
     lmn_cbor_get_uint(lmn_cbor_get(document, change->value, "term"), &claim.epoch);
     lmn_cbor_get_uint(lmn_cbor_get(document, change->value, "stream"), &claim.stream);
+    lmn_cbor_get_uint(lmn_cbor_get(document, change->value, "raises"),
+                      &claim.token_raises);
+    if (claim.token_raises >= claim.epoch)
+        claim.token_raises = 0;
     return claim;
 }
 
@@ -102,7 +108,7 @@
         remove_owner(core, partition, change->now);
         /* lmn_owner_record_sweep keeps the last owner's epoch instead. The status page
          * shows owner_epoch, so this difference is visible to operators. */
-        partition->record.owner_epoch = 0;
+        partition->record.owner_epoch = partition->record.owner_token_raises = 0;
     }
     pthread_cond_broadcast(&core->ownership_changed);
 }
--- a/src/state/partition.h
+++ b/src/state/partition.h
@@ -52,6 +52,7 @@
 struct lmn_partition_record {
     char owner[LMN_NAME_SIZE]; /**< member name; empty: no owner */
     uint64_t owner_lease, owner_revision, owner_epoch;
+    uint64_t owner_token_raises; /**< tokens of the owner's claim below owner_epoch */
     uint32_t owner_generation;
     uint64_t
         owner_stream; /**< stream that the owner's claim was conditional on; 0: none */
@@ -80,7 +81,8 @@
      * for, as of the last lmn_partition_check_ready. */
     double unaccounted_cpus, unaccounted_gpus;
     bool has_unaccounted_unknown; /**< one of them has an unknown machine type */
-    uint64_t epoch;               /**< fencing token of this ownership */
+    uint64_t epoch;               /**< highest fencing token of this ownership */
+    uint64_t token_raises;        /**< its tokens below that (state/fencing_token.h) */
     uint64_t revision;            /**< of the owner's record */
     uint64_t last_attempt;        /**< number of the last attempt started */
     struct timespec since, ready_at;
