A start that a reply repeats is kept when its push is not sent

A push with its start waited for the standby; its job was cancelled, so the reply to a heartbeat started and killed the attempt; then the push was not sent, and that counted as proof that the attempt was nowhere. The same for a push that was refused. No rule could break here, as start and kill come in one message; the owner's count of the machine was wrong until the next heartbeat.

Change: such an attempt is kept until the next heartbeat tells.

--- a/src/partition/heartbeat_reply.c
+++ b/src/partition/heartbeat_reply.c
@@ -265,8 +265,10 @@
                   (repeats_start ? LMN_MAX_PLAIN_COMMAND_BYTES : 0) +
                       LMN_MAX_KILL_COMMAND_BYTES))
         return;
-    if (repeats_start)
+    if (repeats_start) {
         lmn_command_list_add(commands, LMN_COMMAND_START, attempt, LMN_COMMAND_NO_GRACE);
+        attempt->start_repeated = true;
+    }
     if (attempt->state == LMN_ATTEMPT_ENDED) {
         if (may_clear(machine, attempt))
             lmn_command_list_add(commands, LMN_COMMAND_CLEAR, attempt,
--- a/src/partition/worker_push.c
+++ b/src/partition/worker_push.c
@@ -157,7 +157,8 @@
 }
 
 /* Records the outcome of each start in the push. The response proves nothing about starts
- * in a heartbeat's reply, which may still be in transit.
+ * in a heartbeat's reply, which may still be in transit: what was pushed and sent in a
+ * reply is kept until the next heartbeat tells.
  * Returns whether the outcome of at least one start is unknown. */
 static bool record_start_outcomes(struct lmn_core *core, struct lmn_machine *machine,
                                   int status, struct push_answer answer,
@@ -172,6 +173,8 @@
             continue;
         attempt->push_in_flight = false;
         bool is_absent = answer.is_applied && !attempt->in_last_heartbeat;
+        if (attempt->start_repeated && (status == LMN_HTTP_NOT_SENT || status == 409))
+            continue;
         if (status == LMN_HTTP_NOT_SENT)
             lmn_attempt_remove_absent(core, machine, i, LMN_ABSENT_NOT_SENT, now);
         else if (status == 409 && is_absent)
--- a/src/state/machine.h
+++ b/src/state/machine.h
@@ -52,9 +52,10 @@
     /** Highest token of a call that contained its start; 0: no call of this owner to the
      * agent's present incarnation did. */
     uint64_t push_token;
-    bool was_reported; /**< a heartbeat has listed it */
-    bool clear_pushed; /**< a push has told the worker to forget it */
-    bool from_replica; /**< known from an earlier owner's replica only */
+    bool was_reported;   /**< a heartbeat has listed it */
+    bool start_repeated; /**< a reply has contained its pushed start, too */
+    bool clear_pushed;   /**< a push has told the worker to forget it */
+    bool from_replica;   /**< known from an earlier owner's replica only */
     /** Replication log position of its start. The start is sent once the standby has
      * acknowledged this position; 0: it did not have to wait. */
     uint64_t log_position;
--- a/tests/owner/fixture.c
+++ b/tests/owner/fixture.c
@@ -232,7 +232,7 @@
     fixture_machine(machine)->record.revision = 1;
 }
 
-static int machine_index(const char *name)
+int fixture_machine_index(const char *name)
 {
     for (int i = 0; i < fixture.machine_count; i++)
         if (!strcmp(fixture.workers[i].agent.name, name))
@@ -244,7 +244,7 @@
 /* Delivers a push and its answer. */
 static void exchange_push(const char *name, const GByteArray *body, double loss)
 {
-    int machine = machine_index(name);
+    int machine = fixture_machine_index(name);
     g_autoptr(GByteArray) answer = g_byte_array_new();
 
     fixture_check_size(machine, body);
--- a/tests/owner/fixture.h
+++ b/tests/owner/fixture.h
@@ -55,6 +55,7 @@
 struct lmn_job *fixture_add_prepared_job(struct lmn_job_spec spec);
 /* The owner's view of the machine; NULL: it has not reported yet. */
 struct lmn_machine *fixture_machine(int index);
+int fixture_machine_index(const char *name);
 /* Asserts that the message is within the limit, and the agent's list of attempts, too. */
 void fixture_check_size(int machine, const GByteArray *message);
 /* Answers the agents that asked for the description of a job. */
--- a/tests/test_late_commands.c
+++ b/tests/test_late_commands.c
@@ -2,7 +2,9 @@
  * attempts have ended and were cleared. No machine may begin such an attempt anew. */
 #include "owner/fixture.h"
 
+#include "http/client.h"
 #include "partition/heartbeat.h"
+#include "partition/worker_push.h"
 #include "scheduler/assignment.h"
 #include "scheduler/queue.h"
 #include "state/core.h"
@@ -169,6 +171,48 @@
     copies_must_start_nothing();
 }
 
+/* The push with the start of a task is on its way when its job is cancelled. The reply to
+ * a heartbeat starts and kills the attempt, so that the push would find it ended. The
+ * push ends with the status before the worker gets the reply. */
+static void play_repeated_start(int push_status)
+{
+    g_autoptr(GByteArray) body = g_byte_array_new(), reply = g_byte_array_new();
+    g_autoptr(GByteArray) heartbeat = g_byte_array_new(), answer = g_byte_array_new();
+    char name[LMN_NAME_SIZE], address[LMN_ADDRESS_SIZE];
+    struct lmn_deferred_starts deferred;
+
+    set_up_two_machines();
+    struct lmn_job *job = fixture_add_job(1, 4, 600);
+    assert_true(lmn_worker_client_next_push(fixture.core, 0, 1, name, address, body,
+                                            fixture.now));
+    int machine = fixture_machine_index(name);
+    struct lmn_agent *agent = &fixture.workers[machine].agent;
+    job->phase = LMN_JOB_CANCELLED;
+    lmn_agent_write_heartbeat(agent, heartbeat, fixture.now);
+    assert_int_equal(lmn_heartbeat_handle(fixture.core, heartbeat->data, heartbeat->len,
+                                          reply, &deferred, fixture.now),
+                     200);
+    lmn_agent_show(agent, answer, fixture.now);
+    lmn_worker_client_push_done(fixture.core, name, push_status, answer, fixture.now);
+    lmn_agent_heartbeat_answered(agent, agent->incarnation, fixture.now, reply->data,
+                                 reply->len, fixture.now);
+    assert_int_equal(agent->runs->len, 1);
+    assert_int_equal(fixture_machine(machine)->attempts->len, 1);
+    settle();
+    assert_int_equal(fixture_machine(machine)->attempts->len, 0);
+    assert_int_equal(agent->runs->len, 0);
+    assert_int_equal(fixture.core->counters.reappeared_attempts, 0);
+}
+
+static void start_that_a_reply_repeats_is_kept_when_its_push_has_no_effect(void **state)
+{
+    enum { REFUSED = 409 };
+    (void)state;
+
+    play_repeated_start(LMN_HTTP_NOT_SENT);
+    play_repeated_start(REFUSED);
+}
+
 static bool is_over(void)
 {
     return fixture.job_count == DAY_JOBS && fixture_all_jobs_are_over();
@@ -227,6 +271,7 @@
         cmocka_unit_test(finished_task_takes_no_quota_by_a_late_copy),
         cmocka_unit_test(task_is_not_started_by_a_late_copy_after_a_restart_of_the_owner),
         cmocka_unit_test(task_is_not_started_by_a_copy_for_an_earlier_incarnation),
+        cmocka_unit_test(start_that_a_reply_repeats_is_kept_when_its_push_has_no_effect),
         cmocka_unit_test(copies_of_whole_calls_start_nothing_on_random_days),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
