An owner claims tokens after a transfer by an older version, and tests of tokens at their bounds

A transfer by a controller of an older version names the new owner and reserves one token, which can't be raised: no start may be pushed then. During a rolling upgrade that left partitions that start tasks with replies to heartbeats only, until their next change of owner. Their owner now transfers such a partition to itself once it is ready and has had it for 15 s: one write, after which it goes on warm with its own state.

--- a/src/partition/ownership.c
+++ b/src/partition/ownership.c
@@ -7,6 +7,7 @@
 #include "partition/shutdown.h"
 #include "replication/replica.h"
 #include "replication/replica_choice.h"
+#include "state/fencing_token.h"
 #include "util/log.h"
 
 /* Writes this controller's member record, whose revision is the controller's incarnation.
@@ -245,6 +246,18 @@
            owned_s >= MAX_STANDBY_WAIT_S;
 }
 
+/* Whether this controller should claim its own partition anew. A transfer by an older
+ * version reserves no tokens to raise, and without these no start can be pushed. */
+static bool should_renew_tokens(const struct lmn_partition *partition,
+                                struct timespec now)
+{
+    const struct lmn_partition_ownership *ownership = &partition->ownership;
+
+    return !ownership->token_raises && ownership->is_ready &&
+           lmn_next_epoch(partition->record.epoch) > partition->record.epoch + 1 &&
+           lmn_time_diff_s(now, ownership->since) >= MIN_OWNERSHIP_S;
+}
+
 /* The index of the member that the partition should be transferred to now; -1: none. */
 static int choose_transfer_target(const struct lmn_core *core,
                                   const struct lmn_partition *partition,
@@ -259,7 +272,9 @@
     int target = lmn_self_transfer_target(&core->members, now);
     if (target >= 0)
         return target;
-    return may_transfer_to_preferred(core, partition, preferred, now) ? preferred : -1;
+    if (may_transfer_to_preferred(core, partition, preferred, now))
+        return preferred;
+    return should_renew_tokens(partition, now) ? core->members.self : -1;
 }
 
 /* Records that partitions are transferred because heartbeats do not arrive: this
--- a/tests/owner/fixture.c
+++ b/tests/owner/fixture.c
@@ -128,6 +128,7 @@
 {
     struct lmn_job *job = &fixture.jobs[fixture.job_count];
 
+    assert_true(fixture.job_count < FIXTURE_MAX_JOBS);
     job->spec = spec;
     g_snprintf(job->spec.id, sizeof job->spec.id, "run-%019d", fixture.job_count);
     job->spec.team = (char *)"t";
--- a/tests/test_late_commands.c
+++ b/tests/test_late_commands.c
@@ -8,6 +8,7 @@
 #include "scheduler/assignment.h"
 #include "scheduler/queue.h"
 #include "state/core.h"
+#include "state/fencing_token.h"
 #include "util/clock.h"
 
 #include <string.h>
@@ -171,6 +172,92 @@
     copies_must_start_nothing();
 }
 
+static struct lmn_partition *partition(void)
+{
+    return &fixture.core->partitions[0];
+}
+
+/* Guards against attempts that can never be cleared: where no higher token is left,
+ * starts go with replies only. */
+static void no_start_is_pushed_where_the_token_cannot_be_raised(void **state)
+{
+    (void)state;
+    set_up_two_machines();
+    partition()->ownership.token_raises = 1;
+    for (int i = 0; i < FIXTURE_MAX_JOBS - 1; i++) {
+        fixture_add_job(1, 4, 1);
+        fixture_exchange_pushes(0);
+        fixture_describe_runs();
+        fixture_step(0);
+        assert_int_equal(fixture_deliver_copies(), 0);
+    }
+    settle();
+    assert_true(fixture_all_jobs_are_over());
+    assert_in_range(fixture.core->counters.raised_tokens, 1, MACHINES);
+    assert_int_equal(fixture_machine(0)->attempts->len, 0);
+    assert_int_equal(fixture_machine(1)->attempts->len, 0);
+    guint calls = fixture.answered_calls->len;
+    fixture_add_job(MACHINES, 4, 1);
+    fixture_exchange_pushes(0);
+    assert_int_equal(fixture.answered_calls->len, calls);
+    settle();
+    assert_true(fixture_all_jobs_are_over());
+}
+
+/* Guards against a raise that makes the worker refuse a push which is on its way. */
+static void token_is_not_raised_while_a_push_is_in_flight(void **state)
+{
+    g_autoptr(GByteArray) body = g_byte_array_new(), answer = g_byte_array_new();
+    char name[LMN_NAME_SIZE], address[LMN_ADDRESS_SIZE];
+    (void)state;
+
+    start_one_task(4, 600);
+    int machine = machine_of_first_call();
+    struct lmn_agent *agent = &fixture.workers[machine].agent;
+    lmn_agent_exited(agent, first_run(machine)->id, false, false, fixture.now);
+    fixture_add_job(MACHINES, 4, 600);
+    do
+        assert_true(lmn_worker_client_next_push(fixture.core, 0, 1, name, address, body,
+                                                fixture.now));
+    while (fixture_machine_index(name) != machine);
+    fixture_exchange_heartbeat(machine, 0);
+    assert_int_equal(fixture.core->counters.raised_tokens, 0);
+    enum { CARRIED_OUT = 200 };
+    assert_int_equal(
+        lmn_agent_handle_commands(agent, body->data, body->len, answer, fixture.now),
+        CARRIED_OUT);
+    lmn_worker_client_push_done(fixture.core, name, CARRIED_OUT, answer, fixture.now);
+    fixture_describe_runs();
+    fixture_exchange_heartbeat(machine, 0);
+    assert_int_equal(fixture.core->counters.raised_tokens, 1);
+}
+
+/* Guards against two owners that use the same token, whichever version claims. */
+static void tokens_of_claims_do_not_overlap(void **state)
+{
+    const uint64_t epochs[] = {0,
+                               1,
+                               5,
+                               LMN_TOKEN_RAISES,
+                               1u << 30,
+                               LMN_MAX_EPOCH - LMN_TOKEN_RAISES - 1,
+                               LMN_MAX_EPOCH - LMN_TOKEN_RAISES,
+                               LMN_MAX_EPOCH - 1};
+    (void)state;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(epochs); i++) {
+        uint64_t next = lmn_next_epoch(epochs[i]);
+        const struct lmn_partition_record record = {
+            .owner_epoch = next, .owner_token_raises = next - epochs[i] - 1};
+        assert_true(next > epochs[i] && next <= LMN_MAX_EPOCH);
+        assert_int_equal(lmn_record_first_token(&record), epochs[i] + 1);
+        assert_false(lmn_record_issued_token(&record, epochs[i]));
+        assert_true(lmn_record_issued_token(&record, epochs[i] + 1));
+        assert_true(lmn_record_issued_token(&record, next));
+        assert_false(lmn_record_issued_token(&record, next + 1));
+    }
+}
+
 /* The push with the start of a task is on its way when its job is cancelled. The reply to
  * a heartbeat starts and kills the attempt, so that the push would find it ended. The
  * push ends with the status before the worker gets the reply. */
@@ -272,6 +359,9 @@
         cmocka_unit_test(task_is_not_started_by_a_late_copy_after_a_restart_of_the_owner),
         cmocka_unit_test(task_is_not_started_by_a_copy_for_an_earlier_incarnation),
         cmocka_unit_test(start_that_a_reply_repeats_is_kept_when_its_push_has_no_effect),
+        cmocka_unit_test(no_start_is_pushed_where_the_token_cannot_be_raised),
+        cmocka_unit_test(token_is_not_raised_while_a_push_is_in_flight),
+        cmocka_unit_test(tokens_of_claims_do_not_overlap),
         cmocka_unit_test(copies_of_whole_calls_start_nothing_on_random_days),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_takeback.c
+++ b/tests/test_takeback.c
@@ -5,6 +5,7 @@
 #include "util/log.h"
 #include "protocol/wire.h"
 #include "partition/owner.h"
+#include "partition/ownership.h"
 #include "partition/partition.h"
 #include "partition/partition_claim.h"
 #include "partition/maintenance.h"
@@ -13,6 +14,7 @@
 #include "partition/worker_push.h"
 #include "replication/replica.h"
 #include "state/core.h"
+#include "state/fencing_token.h"
 #include "state/watch_cache.h"
 #include "state/task_ledger.h"
 #include "state/records.h"
@@ -97,22 +99,33 @@
     g_byte_array_unref(value);
 }
 
-/* The watch cache shows that the member has claimed partition 0. */
-static void apply_claim(const char *member_name, uint64_t lease, uint64_t epoch)
+/* The watch cache shows that the member has claimed partition 0, and as many tokens. */
+static void apply_claim_of_tokens(const char *member_name, uint64_t lease, uint64_t epoch,
+                                  uint64_t token_raises)
 {
     GByteArray *owner_record = g_byte_array_new(), *epoch_record = g_byte_array_new();
 
-    lmn_cbor_put_map(owner_record, 4);
+    lmn_cbor_put_map(owner_record, token_raises ? 5 : 4);
     lmn_cbor_put_text(owner_record, "node"), lmn_cbor_put_text(owner_record, member_name);
     lmn_cbor_put_text(owner_record, "lease"), lmn_cbor_put_uint(owner_record, lease);
     lmn_cbor_put_text(owner_record, "term"), lmn_cbor_put_uint(owner_record, epoch);
     lmn_cbor_put_text(owner_record, "stream"), lmn_cbor_put_uint(owner_record, 0);
+    if (token_raises) {
+        lmn_cbor_put_text(owner_record, "raises");
+        lmn_cbor_put_uint(owner_record, token_raises);
+    }
     apply_record("o/0", owner_record);
     lmn_cbor_put_uint(epoch_record, epoch);
     apply_record("t/0", epoch_record);
     lmn_watch_cache_begin_ownerships(core, now);
 }
 
+/* The same for a claim by a version that reserves one token. */
+static void apply_claim(const char *member_name, uint64_t lease, uint64_t epoch)
+{
+    apply_claim_of_tokens(member_name, lease, epoch, 0);
+}
+
 /* The watch cache shows the member's record, and the member answers this controller. */
 static void bring_member_up(int member_index)
 {
@@ -589,11 +602,45 @@
     assert_int_equal(partition_0->zone_cuts->len, 1);
 }
 
+/* Guards against an owner that can never push starts, after an older version transferred
+ * the partition to it. */
+static void tokens_are_claimed_after_a_transfer_by_an_older_version(void **state)
+{
+    const double wait_s = 15;
+    int target;
+    (void)state;
+
+    acquire_cold(5);
+    bring_member_up(SELF);
+    account_for_machines();
+    start_attempt(find_machine(0), 1, 101);
+    now = lmn_time_add(now, wait_s - 1);
+    core->cache.fresh_at = now;
+    assert_null(lmn_ownership_transfer(core, 0, &target, now));
+    now = lmn_time_add(now, 1);
+    core->cache.fresh_at = now;
+    struct lmn_txn *txn = lmn_ownership_transfer(core, 0, &target, now);
+    assert_non_null(txn);
+    lmn_txn_free(txn);
+    assert_int_equal(target, SELF);
+    apply_claim_of_tokens("nb", 1, lmn_next_epoch(5), LMN_TOKEN_RAISES);
+    assert_true(partition_0->ownership.is_owned && partition_0->ownership.is_warm);
+    assert_int_equal(partition_0->ownership.token_raises, LMN_TOKEN_RAISES);
+    assert_int_equal(find_machine(0)->attempts->len, 1);
+    assert_int_equal(lmn_machine_token(find_machine(0)), 6);
+    account_for_machines();
+    now = lmn_time_add(now, wait_s);
+    core->cache.fresh_at = now;
+    assert_null(lmn_ownership_transfer(core, 0, &target, now));
+}
+
 int main(void)
 {
     lmn_log_level = LMN_LOG_ERROR;
     const struct CMUnitTest tests[] = {
         cmocka_unit_test_setup_teardown(own_replica_names_every_attempt, setup, teardown),
+        cmocka_unit_test_setup_teardown(
+            tokens_are_claimed_after_a_transfer_by_an_older_version, setup, teardown),
         cmocka_unit_test_setup_teardown(late_outcomes_remove_no_attempts, setup,
                                         teardown),
         cmocka_unit_test_setup_teardown(new_worker_incarnation_is_probed_at_once, setup,
