--- a/tests/test_late_commands.c
+++ b/tests/test_late_commands.c
@@ -172,6 +172,22 @@
     copies_must_start_nothing();
 }
 
+/* A worker process that ends and is back at once begins its next session, which it had
+ * written to disk, and has seen no token yet (worker/incarnation.h). */
+static void copies_to_a_worker_process_that_has_restarted_start_nothing(void **state)
+{
+    (void)state;
+    start_one_task(4, 600);
+    struct lmn_agent *agent = &fixture.workers[machine_of_first_call()].agent;
+    g_ptr_array_set_size(agent->runs, 0);
+    agent->incarnation++;
+    agent->sequence = agent->fencing_token = 0;
+    agent->lease_from = fixture.now;
+    copies_must_start_nothing();
+    settle();
+    copies_must_start_nothing();
+}
+
 static struct lmn_partition *partition(void)
 {
     return &fixture.core->partitions[0];
@@ -359,6 +375,7 @@
         cmocka_unit_test(task_is_not_started_by_a_late_copy_after_a_restart_of_the_owner),
         cmocka_unit_test(task_is_not_started_by_a_copy_for_an_earlier_incarnation),
         cmocka_unit_test(start_that_a_reply_repeats_is_kept_when_its_push_has_no_effect),
+        cmocka_unit_test(copies_to_a_worker_process_that_has_restarted_start_nothing),
         cmocka_unit_test(no_start_is_pushed_where_the_token_cannot_be_raised),
         cmocka_unit_test(token_is_not_raised_while_a_push_is_in_flight),
         cmocka_unit_test(tokens_of_claims_do_not_overlap),
