Key-value store: readers of a database take its recorded map size

A check, a backup and a restore open an existing database with a map of 64 GiB, whatever the database's own map is (1 GiB in the tests); the address space that the sanitizer leaves on arm64 holds no such map. Only the server asks for a size now, and whoever creates a database; others take the one that the file records.

--- a/src/kv_store/db.h
+++ b/src/kv_store/db.h
@@ -39,7 +39,8 @@
 /** How to open a database. */
 struct lmn_db_options {
     const char *dir;
-    double map_gb;  /**< the largest size of the database in GiB; 0: 64 */
+    double map_gb;  /**< the largest size of the database in GiB; 0: 64 if `create`,
+                         else the recorded size */
     bool read_only; /**< take no lock: another process may be serving the directory */
     bool create; /**< create the directory and an empty database if they do not exist */
 };
--- a/src/kv_store/db_open.c
+++ b/src/kv_store/db_open.c
@@ -69,7 +69,10 @@
         return result;
     mdb_env_set_maxdbs(db->env, LMN_DB_TABLES);
     mdb_env_set_maxreaders(db->env, MAX_READERS);
-    mdb_env_set_mapsize(db->env, (size_t)(map_gb * (1u << 30)));
+    /* A database that exists has its map size on record. Readers need no larger one:
+     * there may be no room for it in the address space. */
+    if (options->create || options->map_gb > 0)
+        mdb_env_set_mapsize(db->env, (size_t)(map_gb * (1u << 30)));
     result = mdb_env_open(db->env, options->dir, flags, FILE_MODE);
     /* LMDB can't create its lock file in a read-only directory. The lock file only
      * coordinates with writers, and no process can write to that directory. */
