A counter without a source, and an include without a use, go

No machine is drained any more for attempts that can't be cleared: the counter behind lemonspar_machines_used_up could only be 0, and the metric, whose name stays, says so.

--- a/src/partition/maintenance.c
+++ b/src/partition/maintenance.c
@@ -5,7 +5,6 @@
 #include "partition/heartbeat_reply.h"
 #include "partition/machine_silence.h"
 #include "partition/partition.h"
-#include "job/message_limits.h"
 #include "partition/range.h"
 #include "replication/replica.h"
 #include "scheduler/queue.h"
--- a/src/state/counters.h
+++ b/src/state/counters.h
@@ -14,7 +14,6 @@
     uint64_t starts, kills, preempted;
     uint64_t heartbeats, malformed_heartbeats, oversized_requests;
     uint64_t deferred_commands;   /**< that did not fit into a message to a worker */
-    uint64_t limited_machines;    /**< drained since they could clear too few attempts */
     uint64_t raised_tokens;       /**< at a machine, to clear attempts there */
     uint64_t reappeared_attempts; /**< named by a worker after they were forgotten here */
     uint64_t status_requests, submissions, refused_requests;
