Tests: older versions claim and transfer partitions beside copies of commands

A new scenario in simulated time: half of the claims and transfers are written as by an older version, with one token and without the field raises, while commands are copied and owners change.

--- a/tests/simulation/nodes.c
+++ b/tests/simulation/nodes.c
@@ -221,6 +221,12 @@
         node->announced_lease = node->lease;
 }
 
+static void write_as_older_version_by_chance(struct lmn_txn *txn)
+{
+    if (schedule && schedule->older_versions_claim && simulation_chance(0.5))
+        simulation_write_as_older_version(txn);
+}
+
 static void manage_ownership(struct node *node)
 {
     struct lmn_core *core = node->core;
@@ -238,6 +244,7 @@
     for (int i = 0; i < simulation.layout.nodes; i++) {
         uint64_t failures_before = core->members.counters.failures_declared;
         if ((txn = lmn_ownership_claim(core, i, node->lease, simulation.clock))) {
+            write_as_older_version_by_chance(txn);
             bool declared_failed =
                 core->members.counters.failures_declared > failures_before;
             bool claimed = node_send_txn(node, txn) == LMN_TXN_COMMITTED;
@@ -246,6 +253,8 @@
             node->declared_failed[i] = declared_failed;
         }
         if ((txn = lmn_ownership_transfer(core, i, &successor, simulation.clock))) {
+            if (successor != core->members.self)
+                write_as_older_version_by_chance(txn);
             enum lmn_txn_outcome outcome = node_send_txn(node, txn);
             lmn_ownership_transfer_completed(core, i, outcome, simulation.clock);
             simulation.partition_transfers += outcome == LMN_TXN_COMMITTED;
--- a/tests/simulation/simulation.h
+++ b/tests/simulation/simulation.h
@@ -278,6 +278,7 @@
     bool has_users;    /* jobs are submitted, queried and cancelled through controllers */
     int jobs, teams;   /* 0: as in a run without a schedule */
     double max_heartbeat_delay_s;
+    bool older_versions_claim; /* half of the claims and transfers, as they write them */
     unsigned max_transactions; /* of a controller in a step; 0: no limit */
     void (*describe_job)(struct job *job, int number); /* sets the spec; may be NULL */
 };
@@ -433,6 +434,11 @@
  * restarts after down_s seconds. */
 void node_crash(struct node *node, double down_s);
 
+/* --- older_version.c --- */
+
+/* Changes a claim or transfer to what an older version writes. */
+void simulation_write_as_older_version(struct lmn_txn *txn);
+
 /* --- peers.c: messages between controllers, and pushed to workers --- */
 
 /* Whether a request gets from one controller to the other and its response back. */
--- a/tests/test_scenarios_copies.c
+++ b/tests/test_scenarios_copies.c
@@ -4,7 +4,7 @@
 #include "scenario.h"
 
 /* Of the runs with all guards. */
-static unsigned copied_commands, refused_commands;
+static unsigned copied_commands, refused_commands, steps_without_raises;
 
 static void count_copies(void)
 {
@@ -68,6 +68,25 @@
                     0, scenario_random(0.5, 1.5 * simulation.lease_s));
 }
 
+/* The same, while half of the claims and transfers are an older version's, which reserve
+ * one token. */
+static void older_versions_step(void)
+{
+    owners_change_step();
+    for (int i = 0; i < simulation.layout.nodes && !simulation.disabled_guard; i++)
+        for (int k = 0; simulation.nodes[i].core && k < simulation.layout.nodes; k++) {
+            const struct lmn_partition_ownership *ownership =
+                &simulation.nodes[i].core->partitions[k].ownership;
+            steps_without_raises += ownership->is_owned && !ownership->token_raises;
+        }
+}
+
+static void older_versions_parameters(struct schedule *parameters, GRand *random)
+{
+    scenario_default_parameters(parameters, random);
+    parameters->older_versions_claim = true;
+}
+
 static void copies_arrived_and_were_refused(void)
 {
     print_message("%u commands were copied, %u were refused for their token\n",
@@ -76,6 +95,12 @@
     copied_commands = refused_commands = 0;
 }
 
+static void partitions_had_one_token(void)
+{
+    copies_arrived_and_were_refused();
+    assert_true(steps_without_raises > 0);
+}
+
 static const struct scenario scenarios[] = {
     {"copied commands", copy_commands, scenario_default_parameters, GUARD_RAISED_TOKEN,
      ANY_RULE, false, 12, NULL, copies_arrived_and_were_refused, NULL},
@@ -85,6 +110,9 @@
     {"copied commands, owners change", owners_change_step, scenario_default_parameters,
      GUARD_RAISED_TOKEN, ANY_RULE, false, 12, NULL, copies_arrived_and_were_refused,
      NULL},
+    {"copied commands, older versions claim", older_versions_step,
+     older_versions_parameters, GUARD_RAISED_TOKEN, ANY_RULE, false, 16, NULL,
+     partitions_had_one_token, NULL},
     {"copied commands, with others", with_others_step, scenario_default_parameters,
      GUARD_RAISED_TOKEN, ANY_RULE, false, 16, NULL, copies_arrived_and_were_refused,
      NULL},
