Numbers of attempts do not repeat after 2^24 starts

Then a late kill could stop another attempt of the same task, and a replica could name an older attempt for the newest.

The number is now the lowest token of the claim, followed by the count, which may go on in the bits of the claim's other tokens: room for 2^44 starts, and below all numbers of the next claim.

--- a/src/partition/heartbeat_tasks.c
+++ b/src/partition/heartbeat_tasks.c
@@ -57,7 +57,7 @@
                                   .started_at = now};
 
     g_strlcpy(attempt.job_id, reported->job_id, sizeof attempt.job_id);
-    if (lmn_attempt_epoch(reported->number) == machine->partition->ownership.epoch) {
+    if (lmn_attempt_is_of_ownership(reported->number, &machine->partition->ownership)) {
         attempt.push_token = lmn_machine_token(machine);
         lmn_attempt_record_reappeared(core, machine, &attempt);
     }
--- a/src/scheduler/task_start.c
+++ b/src/scheduler/task_start.c
@@ -8,16 +8,6 @@
 #include "state/fencing_token.h"
 #include "state/task_ledger.h"
 
-/** Returns a number for the next attempt. It is unique without a write to the key-value
- * store, since each owner of a partition has its own epoch. */
-static uint64_t next_attempt_number(struct lmn_partition *partition)
-{
-    const uint64_t count_mask = (UINT64_C(1) << LMN_ATTEMPT_COUNT_BITS) - 1;
-
-    return partition->ownership.epoch << LMN_ATTEMPT_COUNT_BITS |
-           (++partition->ownership.last_attempt & count_mask);
-}
-
 /** Logs the partition's first start under the present owner. */
 static void log_first_start(struct lmn_partition *partition, struct timespec now)
 {
@@ -43,7 +33,8 @@
                                   .in_last_heartbeat = true,
                                   .started_at = now};
 
-    attempt.number = next_attempt_number(machine->partition);
+    attempt.number = lmn_attempt_number(&machine->partition->ownership,
+                                        ++machine->partition->ownership.last_attempt);
     g_strlcpy(attempt.job_id, attempt.job->spec.id, sizeof attempt.job_id);
     attempt.log_position = lmn_machine_log_start(machine, now);
     range->task_states[attempt.index - range->first] = LMN_TASK_STARTED;
--- a/src/state/fencing_token.c
+++ b/src/state/fencing_token.c
@@ -34,12 +34,15 @@
     return is_of_claim(token, ownership->epoch, ownership->token_raises);
 }
 
-uint64_t lmn_machine_token(const struct lmn_machine *machine)
+static uint64_t first_token(const struct lmn_partition_ownership *ownership)
 {
-    const struct lmn_partition_ownership *ownership = &machine->partition->ownership;
+    return ownership->epoch - ownership->token_raises;
+}
 
+uint64_t lmn_machine_token(const struct lmn_machine *machine)
+{
     /* A token from an earlier ownership is lower than all of this one. */
-    return MAX(machine->fencing_token, ownership->epoch - ownership->token_raises);
+    return MAX(machine->fencing_token, first_token(&machine->partition->ownership));
 }
 
 void lmn_machine_token_reported(struct lmn_machine *machine, uint64_t token)
@@ -64,7 +67,14 @@
     return attempt->push_token < token;
 }
 
-uint64_t lmn_attempt_epoch(uint64_t number)
+uint64_t lmn_attempt_number(const struct lmn_partition_ownership *ownership,
+                            uint64_t count)
+{
+    return (first_token(ownership) << LMN_ATTEMPT_COUNT_BITS) + count;
+}
+
+bool lmn_attempt_is_of_ownership(uint64_t number,
+                                 const struct lmn_partition_ownership *ownership)
 {
-    return number >> LMN_ATTEMPT_COUNT_BITS;
+    return lmn_ownership_issued_token(ownership, number >> LMN_ATTEMPT_COUNT_BITS);
 }
--- a/src/state/fencing_token.h
+++ b/src/state/fencing_token.h
@@ -20,8 +20,9 @@
 #include "state/partition.h"
 
 enum {
-    /** Low bits of an attempt's number, which count the owner's starts; the bits above
-     * are the owner's epoch. */
+    /** Low bits of an attempt's number, which count the owner's starts. The bits above
+     * are the lowest token of the owner's claim; a larger count goes on in those of its
+     * other tokens, which no other owner uses. */
     LMN_ATTEMPT_COUNT_BITS = 24,
     /** How often an owner can raise the token at each machine. */
     LMN_TOKEN_RAISES = (1 << 20) - 1
@@ -63,7 +64,13 @@
  * start: the start cannot be carried out any more. */
 bool lmn_attempt_is_fenced(const struct lmn_attempt *attempt, uint64_t token);
 
-/** The epoch of the owner that started the attempt. */
-uint64_t lmn_attempt_epoch(uint64_t number);
+/** The number of the ownership's attempt after `count` others. Numbers are unique without
+ * a write to the key-value store, and rise. */
+uint64_t lmn_attempt_number(const struct lmn_partition_ownership *ownership,
+                            uint64_t count);
+
+/** Whether the attempt with this number was started in the ownership. */
+bool lmn_attempt_is_of_ownership(uint64_t number,
+                                 const struct lmn_partition_ownership *ownership);
 
 #endif
--- a/src/state/partition.h
+++ b/src/state/partition.h
@@ -84,7 +84,7 @@
     uint64_t epoch;               /**< highest fencing token of this ownership */
     uint64_t token_raises;        /**< its tokens below that (state/fencing_token.h) */
     uint64_t revision;            /**< of the owner's record */
-    uint64_t last_attempt;        /**< number of the last attempt started */
+    uint64_t last_attempt;        /**< how many attempts this owner has started */
     struct timespec since, ready_at;
     struct timespec transfer_tried_at; /**< last attempt to transfer it */
 };
--- a/tests/simulation/machines.c
+++ b/tests/simulation/machines.c
@@ -193,7 +193,7 @@
         } else if (lmn_cbor_text_equals(lmn_cbor_get(document, command, WIRE_COMMAND),
                                         WIRE_KILL)) {
             bool own_attempt =
-                lmn_attempt_epoch(attempt) - machine->token <= LMN_TOKEN_RAISES;
+                machine->token - (attempt >> LMN_ATTEMPT_COUNT_BITS) <= LMN_TOKEN_RAISES;
             if (found >= 0 && machine->tasks[found].state != ENDED &&
                 (own_attempt || simulation.disabled_guard != GUARD_KILL_INHERITED))
                 machine->tasks[found].state = ENDED;
--- a/tests/takeover/summary.c
+++ b/tests/takeover/summary.c
@@ -9,7 +9,7 @@
 
 static int epoch_of(uint64_t attempt)
 {
-    return (int)(lmn_attempt_epoch(attempt));
+    return (int)(attempt >> LMN_ATTEMPT_COUNT_BITS);
 }
 
 static void add_replication(GString *text, int node_index)
--- a/tests/test_late_commands.c
+++ b/tests/test_late_commands.c
@@ -248,6 +248,35 @@
     assert_int_equal(fixture.core->counters.raised_tokens, 1);
 }
 
+/* Guards against a late command that names another attempt at the task than it was sent
+ * for: numbers repeated after 2^24 starts, within days at production size. */
+static void attempt_numbers_rise_beyond_the_bits_of_their_count(void **state)
+{
+    (void)state;
+    set_up_two_machines();
+    partition()->ownership.last_attempt = (UINT64_C(1) << LMN_ATTEMPT_COUNT_BITS) - 2;
+    fixture_add_job(1, 1, 600);
+    fixture_exchange_pushes(0);
+    fixture_add_job(MACHINES, 1, 600);
+    fixture_exchange_pushes(0);
+    fixture_describe_runs();
+    uint64_t least = G_MAXUINT64, most = 0;
+    for (int i = 0; i < MACHINES; i++)
+        for (guint k = 0; k < fixture.workers[i].agent.runs->len; k++) {
+            const struct lmn_task_run *run = fixture.workers[i].agent.runs->pdata[k];
+            least = MIN(least, run->attempt);
+            most = MAX(most, run->attempt);
+            assert_true(
+                lmn_attempt_is_of_ownership(run->attempt, &partition()->ownership));
+        }
+    assert_int_equal(most - least, MACHINES);
+    uint64_t last_of_claim = partition()->ownership.epoch << LMN_ATTEMPT_COUNT_BITS;
+    assert_true(most < last_of_claim);
+    fixture_restart_controller();
+    settle();
+    assert_int_equal(fixture.core->counters.reappeared_attempts, 0);
+}
+
 /* Guards against two owners that use the same token, whichever version claims. */
 static void tokens_of_claims_do_not_overlap(void **state)
 {
@@ -378,6 +407,7 @@
         cmocka_unit_test(copies_to_a_worker_process_that_has_restarted_start_nothing),
         cmocka_unit_test(no_start_is_pushed_where_the_token_cannot_be_raised),
         cmocka_unit_test(token_is_not_raised_while_a_push_is_in_flight),
+        cmocka_unit_test(attempt_numbers_rise_beyond_the_bits_of_their_count),
         cmocka_unit_test(tokens_of_claims_do_not_overlap),
         cmocka_unit_test(copies_of_whole_calls_start_nothing_on_random_days),
     };
