--- a/review/common-2/harness.c
+++ b/review/common-2/harness.c
@@ -69,9 +69,11 @@
     vsnprintf(text, sizeof text, format, args);
     va_end(args);
     pthread_mutex_lock(&record_lock);
-    fprintf(record, "%8.3f %s\n", h_now(), text);
+    /* Whole milliseconds: seconds with a fraction may look like part of an address. */
+    long now_ms = (long)(h_now() * 1000);
+    fprintf(record, "%7ld ms %s\n", now_ms, text);
     fflush(record);
-    printf("%8.3f %s\n", h_now(), text);
+    printf("%7ld ms %s\n", now_ms, text);
     fflush(stdout);
     pthread_mutex_unlock(&record_lock);
 }
